Load harness for experiments: seeded arrivals, a fleet in one process, callers' records

Cause: every experiment needs the same arrivals for baseline and candidate. Change: Poisson arrivals with surges and log-normal work, a fleet of real entries before stand-ins, a load driver that writes down what each caller saw.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,10 +1,23 @@
 /** The demo and the experiments. */
 export {Demo} from './lib/Demo.js';
 export type {DemoKeys} from './lib/Demo.js';
-export {EXPERIMENTS} from './lib/experiments.js';
+export {EXPERIMENTS} from './lib/experiments/experimentTable.js';
 export type {
   Experiment,
   ExperimentOptions,
   ExperimentResult,
   ExperimentTarget,
-} from './lib/experiments.js';
+} from './lib/experimentTypes.js';
+export {Randomness, generateArrivals} from './lib/load/arrivals.js';
+export type {
+  Arrival,
+  ArrivalPlan,
+  CustomerLoad,
+  Surge,
+  WorkKind,
+} from './lib/load/arrivals.js';
+export {computeMean, computeQuantile} from './lib/load/computeStatistics.js';
+export {Fleet} from './lib/load/Fleet.js';
+export type {FleetOptions} from './lib/load/Fleet.js';
+export {runLoad} from './lib/load/runLoad.js';
+export type {CallRecord, LoadTarget} from './lib/load/runLoad.js';
--- a/packages/bench/src/lib/experiments.ts
+++ b/packages/bench/src/lib/experimentTypes.ts
@@ -26,6 +26,3 @@
   readonly summary: string;
   run(options: ExperimentOptions): Promise<ExperimentResult>;
 }
-
-/** Experiments by name. @public */
-export const EXPERIMENTS: Readonly<Record<string, Experiment>> = {};
--- /dev/null
+++ b/packages/bench/src/lib/experiments/experimentTable.ts
@@ -0,0 +1,4 @@
+import type {Experiment} from '../experimentTypes.js';
+
+/** Experiments by name; each stands in a file of its own. @public */
+export const EXPERIMENTS: Readonly<Record<string, Experiment>> = {};
--- /dev/null
+++ b/packages/bench/src/lib/load/Fleet.ts
@@ -0,0 +1,142 @@
+import {SingleVoterLog} from '@sycamorehead/consensus';
+import {ControlNode} from '@sycamorehead/control';
+import {Entry, EntryOptions} from '@sycamorehead/entry';
+import {ReleaseNote, VersionRef} from '@sycamorehead/schema';
+import {
+  EngineSpeed,
+  StandInEngine,
+  StandInRatingService,
+  StandInService,
+} from '@sycamorehead/stand-ins';
+
+const HOST = '127.0.0.1';
+const POLL_MS = 10;
+const READY_TIMEOUT_MS = 15_000;
+const PEER_KEY = 'fleet-peer-key';
+const SERVER_KEY = 'fleet-server-key';
+
+/** Settings of a Fleet. @public */
+export interface FleetOptions {
+  readonly note: ReleaseNote;
+  readonly entries: number;
+  readonly engines: number;
+  readonly services?: {readonly name: string; readonly replicas: number};
+  readonly engineSpeed: EngineSpeed;
+  /** Versions that each engine has loaded; all of the note's where absent. */
+  readonly versionsOfEngine?: (index: number) => VersionRef[];
+  readonly serviceCallMs?: number;
+  /** Mean ratings by `model/version` or `model/version/kind`. */
+  readonly quality?: Record<string, number>;
+  readonly entryOptions?: Partial<EntryOptions>;
+}
+
+/**
+ * A deployment in one process for experiments: independent entries over real HTTP, control
+ * called directly, stand-ins behind.
+ *
+ * @public
+ */
+export class Fleet {
+  readonly entries: Entry[] = [];
+  readonly entryUrls: string[] = [];
+  readonly engines: StandInEngine[] = [];
+  readonly services: StandInService[] = [];
+  readonly ratings: StandInRatingService;
+  ratingsUrl = '';
+  readonly control = new ControlNode({
+    name: 'control-1',
+    createLog: machine => new SingleVoterLog('control-1', machine),
+  });
+
+  constructor(private readonly options: FleetOptions) {
+    this.ratings = new StandInRatingService({quality: options.quality ?? {}});
+  }
+
+  /** Starts everything and waits until each entry can route to each backend server. */
+  async start(): Promise<void> {
+    this.ratingsUrl = await this.ratings.start();
+    await this.control.publish(this.options.note);
+    await this.startEntries();
+    await this.startEngines();
+    await this.startServices();
+    const deadline = performance.now() + READY_TIMEOUT_MS;
+    while (!this.isReady()) {
+      if (performance.now() > deadline) throw new Error('fleet is not ready');
+      await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    }
+  }
+
+  /** Stops everything. */
+  async stop(): Promise<void> {
+    await Promise.all(this.engines.map(engine => engine.stop()));
+    await Promise.all(this.services.map(service => service.stop()));
+    await Promise.all(this.entries.map(entry => entry.stop()));
+    await this.ratings.stop();
+    await this.control.stop();
+  }
+
+  private async startEntries(): Promise<void> {
+    const peers: Array<{host: string; port: number}> = [];
+    for (let index = 1; index <= this.options.entries; index++) {
+      const entry = new Entry({
+        name: `entry-${index}`,
+        dataCentre: `dc-${((index - 1) % 3) + 1}`,
+        host: HOST,
+        port: 0,
+        peerPort: 0,
+        peers: [...peers],
+        peerKey: PEER_KEY,
+        serverKey: SERVER_KEY,
+        control: this.control,
+        ...this.options.entryOptions,
+      });
+      const ports = await entry.start();
+      peers.push({host: HOST, port: ports.peerPort});
+      this.entries.push(entry);
+      this.entryUrls.push(`http://${HOST}:${ports.port}`);
+    }
+  }
+
+  private async startEngines(): Promise<void> {
+    const {note, engineSpeed, versionsOfEngine} = this.options;
+    const all = note.add.versions.map(({model, version}) => ({model, version}));
+    for (let index = 0; index < this.options.engines; index++) {
+      const engine = new StandInEngine({
+        id: `engine-${index + 1}`,
+        dataCentre: `dc-${(index % 3) + 1}`,
+        versions: versionsOfEngine?.(index) ?? all,
+        speed: engineSpeed,
+        fencing: index % 2 === 0 ? 'checked' : 'ignored',
+        // The last entry has links to all earlier ones.
+        entries: this.entryUrls.slice(-1),
+        serverKey: SERVER_KEY,
+      });
+      await engine.start();
+      this.engines.push(engine);
+    }
+  }
+
+  private async startServices(): Promise<void> {
+    const {services, serviceCallMs} = this.options;
+    for (let index = 1; index <= (services?.replicas ?? 0); index++) {
+      const service = new StandInService({
+        id: `service-${index}`,
+        service: services?.name ?? '',
+        dataCentre: `dc-${index}`,
+        callMs: serviceCallMs,
+        entries: this.entryUrls.slice(-1),
+        serverKey: SERVER_KEY,
+      });
+      await service.start();
+      this.services.push(service);
+    }
+  }
+
+  private isReady(): boolean {
+    const backends = this.engines.length + this.services.length;
+    return this.entries.every(
+      entry =>
+        entry.isReady() && entry.directory.listReady().length === backends,
+    );
+  }
+}
