--- a/packages/bench/src/test/SessionTranscript.ts
+++ b/packages/bench/src/test/SessionTranscript.ts
@@ -13,6 +13,8 @@
   'sycamorehead-model',
   'sycamorehead-version',
   'sycamorehead-revision',
+  'sycamorehead-replayed',
+  'sycamorehead-session-ended-version',
 ];
 
 /** One call of a session. */
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -9,6 +9,7 @@
   ControlResults,
   PublishResult,
 } from './lib/controlCommands.js';
+export type {LedgerReport, LedgerTotal} from './lib/Ledger.js';
 export {createControlMethods} from './lib/createControlMethods.js';
 export {ControlClient} from './lib/ControlClient.js';
 export type {ControlClientOptions} from './lib/ControlClient.js';
--- a/packages/control/src/lib/ControlClient.ts
+++ b/packages/control/src/lib/ControlClient.ts
@@ -2,6 +2,7 @@
   BeginResult,
   Bill,
   ControlApi,
+  FinishResult,
   LeaseGrant,
   SessionPin,
   SycamoreheadError,
@@ -65,7 +66,7 @@
 
   finishRequest(
     params: Parameters<ControlApi['finishRequest']>[0],
-  ): Promise<void> {
+  ): Promise<FinishResult> {
     return this.call('control.finishRequest', params);
   }
 
--- a/packages/control/src/lib/ControlNode.ts
+++ b/packages/control/src/lib/ControlNode.ts
@@ -3,6 +3,7 @@
   Bill,
   Configuration,
   ControlApi,
+  FinishResult,
   JsonValue,
   LeaseGrant,
   ReleaseNote,
@@ -112,8 +113,8 @@
 
   async finishRequest(
     params: Parameters<ControlApi['finishRequest']>[0],
-  ): Promise<void> {
-    await this.propose({type: 'finish_request', ...params});
+  ): Promise<FinishResult> {
+    return this.propose({type: 'finish_request', ...params});
   }
 
   async recordBill(bill: Bill): Promise<{isNew: boolean}> {
--- a/packages/control/src/lib/ControlState.ts
+++ b/packages/control/src/lib/ControlState.ts
@@ -17,6 +17,7 @@
   ControlResults,
   PublishResult,
 } from './controlCommands.js';
+import {Ledger, LedgerReport} from './Ledger.js';
 import {RequestRecords} from './RequestRecords.js';
 import {SessionPins} from './SessionPins.js';
 
@@ -51,17 +52,16 @@
   private accepted: AcceptedNote[] = [];
   private readonly sessions = new SessionPins();
   private readonly requests = new RequestRecords();
-  private bills = new Map<string, Bill>();
+  private readonly ledger = new Ledger();
 
   private readonly handlers: HandlerTable = {
     publish: command => this.publish(command),
     quarantine: command => this.quarantine(command),
     advance_rollout: command => this.advanceRollout(command),
-    pin_session: command =>
-      this.sessions.pin(command, this.configuration.versions),
+    pin_session: command => this.sessions.pin(command, this.configuration),
     begin_request: (command, index) => this.requests.begin(command, index),
-    finish_request: command => this.requests.finish(command),
-    record_bill: command => this.recordBill(command),
+    finish_request: command => this.finishRequest(command),
+    record_bill: ({bill}) => this.ledger.record(bill),
   };
 
   apply(command: JsonValue, index: number): JsonValue {
@@ -79,7 +79,7 @@
       accepted: this.accepted,
       sessions: this.sessions.toJson(),
       requests: this.requests.toJson(),
-      bills: [...this.bills.values()],
+      ledger: this.ledger.toJson(),
     } as unknown as JsonValue;
   }
 
@@ -89,13 +89,13 @@
       accepted: AcceptedNote[];
       sessions: JsonValue;
       requests: JsonValue;
-      bills: Bill[];
+      ledger: JsonValue;
     };
     this.configuration = state.configuration;
     this.accepted = state.accepted;
     this.sessions.restore(state.sessions);
     this.requests.restore(state.requests);
-    this.bills = new Map(state.bills.map(bill => [bill.requestKey, bill]));
+    this.ledger.restore(state.ledger);
   }
 
   /** Returns the committed configuration. */
@@ -105,8 +105,12 @@
 
   /** Returns the bills, of one customer where one is named. */
   listBills(customer?: string): Bill[] {
-    const all = [...this.bills.values()];
-    return customer ? all.filter(bill => bill.customer === customer) : all;
+    return this.ledger.list(customer);
+  }
+
+  /** Returns the totals of the ledger and whether each request that is done has its bill. */
+  checkLedger(): LedgerReport {
+    return this.ledger.check(this.requests);
   }
 
   private publish({note}: CommandOf<'publish'>): ControlResults['publish'] {
@@ -191,11 +195,13 @@
     return {changed: true};
   }
 
-  private recordBill({
-    bill,
-  }: CommandOf<'record_bill'>): ControlResults['record_bill'] {
-    if (this.bills.has(bill.requestKey)) return {isNew: false};
-    this.bills.set(bill.requestKey, bill);
-    return {isNew: true};
+  private finishRequest(
+    command: CommandOf<'finish_request'>,
+  ): ControlResults['finish_request'] {
+    const result = this.requests.finish(command);
+    if (result.isAccepted && command.outcome === 'done' && command.bill) {
+      this.ledger.record(command.bill);
+    }
+    return result;
   }
 }
--- a/packages/control/src/lib/RequestRecords.ts
+++ b/packages/control/src/lib/RequestRecords.ts
@@ -1,4 +1,9 @@
-import type {BeginResult, JsonValue, StoredAnswer} from '@sycamorehead/schema';
+import type {
+  BeginResult,
+  FinishResult,
+  JsonValue,
+  StoredAnswer,
+} from '@sycamorehead/schema';
 import type {ControlCommand} from './controlCommands.js';
 
 type BeginCommand = Extract<ControlCommand, {type: 'begin_request'}>;
@@ -10,77 +15,175 @@
   readonly owner: string;
   readonly fencing: number;
   readonly at: number;
+  /** Time by which the owner must have finished, on the leader's wall clock. */
+  readonly ownerUntil: number;
+  readonly isRepeatable: boolean;
   readonly state: 'begun' | 'done' | 'unknown';
   readonly answer?: StoredAnswer;
 }
 
-const MAX_RECORDS = 200_000;
+interface RecordSnapshot {
+  readonly records: readonly RequestRecord[];
+  /** In the order of dropping, which every voter must share. */
+  readonly answers: ReadonlyArray<readonly [key: string, size: number]>;
+}
+
+/** Bounds of the table of records. @internal */
+export interface RecordLimits {
+  readonly maxRecords: number;
+  /** Time for which a key is remembered, in milliseconds. */
+  readonly keepMs: number;
+  /** Size of one answer that is stored, in characters of its base64. */
+  readonly maxAnswerSize: number;
+  /** Size of all stored answers together. */
+  readonly maxTotalSize: number;
+}
+
+/** Bounds used in production. @internal */
+export const DEFAULT_RECORD_LIMITS: RecordLimits = {
+  maxRecords: 200_000,
+  keepMs: 24 * 60 * 60 * 1_000,
+  maxAnswerSize: 256 * 1024,
+  maxTotalSize: 64 * 1024 * 1024,
+};
 
 /**
- * Records of calls that may not be repeated: intent, owner, fencing number and result.
+ * Records of requests that carry an idempotency key: intent, owner, fencing number and result, in
+ * order of their beginning. A full table refuses new keys; it never drops one that is younger
+ * than `keepMs`, so that no resend within that time runs a second time. Stored answers are
+ * dropped before their records, oldest first.
  *
  * @internal
  */
 export class RequestRecords {
   private records = new Map<string, RequestRecord>();
+  /** Keys of the records that hold an answer, oldest first, with its size. */
+  private answers = new Map<string, number>();
+  private totalSize = 0;
 
-  /** Records the intent to run a call, unless the key is known already. */
+  constructor(private readonly limits: RecordLimits = DEFAULT_RECORD_LIMITS) {}
+
+  // Commands.
+
+  /** Records the intent to run a request, unless the key is known already. */
   begin(command: BeginCommand, index: number): BeginResult {
-    const {requestKey, bodyDigest, owner, at} = command;
+    const {requestKey, bodyDigest, at} = command;
+    this.dropExpired(at);
     const before = this.records.get(requestKey);
-    if (before) return describeExisting(before, bodyDigest);
-    this.dropOldest();
-    this.records.set(requestKey, {
-      requestKey,
-      bodyDigest,
-      owner,
-      at,
-      fencing: index,
-      state: 'begun',
-    });
-    return {state: 'begun', fencing: index};
+    if (!before) return this.add(command, index);
+    if (before.bodyDigest !== bodyDigest) return {state: 'key_reused'};
+    if (before.state === 'begun' && before.owner === command.owner) {
+      return {state: 'begun', fencing: before.fencing};
+    }
+    if (before.state === 'done') {
+      const {answer} = before;
+      return answer ? {state: 'done', answer} : {state: 'answer_not_kept'};
+    }
+    const isLost = before.state === 'unknown' || at > before.ownerUntil;
+    if (!isLost) return {state: 'in_progress'};
+    if (before.isRepeatable) {
+      this.records.delete(requestKey);
+      return this.add(command, index);
+    }
+    this.records.set(requestKey, {...before, state: 'unknown'});
+    return {state: 'outcome_unknown'};
   }
 
-  /** Records the result; a fencing number that is not the record's changes nothing. */
-  finish(command: FinishCommand): {changed: boolean} {
+  /** Records the outcome; a fencing number that is not the record's changes nothing. */
+  finish(command: FinishCommand): FinishResult {
     const {requestKey, fencing, outcome, answer} = command;
     const before = this.records.get(requestKey);
-    if (!before || before.fencing !== fencing || before.state === 'done') {
-      return {changed: false};
-    }
+    if (outcome === 'not_run' && !before) return {isAccepted: true};
+    if (!before || before.fencing !== fencing) return {isAccepted: false};
+    if (before.state === 'done') return {isAccepted: outcome === 'done'};
     if (outcome === 'not_run') {
       this.records.delete(requestKey);
-      return {changed: true};
+      return {isAccepted: true};
     }
-    this.records.set(requestKey, {...before, state: outcome, answer});
-    return {changed: true};
+    const size = answer?.body.length ?? 0;
+    const isKept = answer !== undefined && size <= this.limits.maxAnswerSize;
+    this.records.set(requestKey, {
+      ...before,
+      state: outcome,
+      ...(isKept && {answer}),
+    });
+    if (isKept) this.countAnswer(requestKey, size);
+    return {isAccepted: true};
   }
 
+  restore(json: JsonValue): void {
+    const {records, answers} = json as unknown as RecordSnapshot;
+    this.records = new Map(records.map(entry => [entry.requestKey, entry]));
+    this.answers = new Map(answers);
+    this.totalSize = answers.reduce((sum, [, size]) => sum + size, 0);
+  }
+
+  // Queries.
+
   toJson(): JsonValue {
-    return [...this.records.values()] as unknown as JsonValue;
+    const snapshot: RecordSnapshot = {
+      records: [...this.records.values()],
+      answers: [...this.answers],
+    };
+    return snapshot as unknown as JsonValue;
   }
 
-  restore(json: JsonValue): void {
-    const records = json as unknown as RequestRecord[];
-    this.records = new Map(records.map(entry => [entry.requestKey, entry]));
+  /** Lists the keys of the requests that are done. */
+  listDone(): string[] {
+    return this.listKeys('done');
+  }
+
+  /** Lists the keys of the requests whose outcome is unknown. */
+  listUnknown(): string[] {
+    return this.listKeys('unknown');
+  }
+
+  private listKeys(wanted: RequestRecord['state']): string[] {
+    return [...this.records.values()]
+      .filter(({state}) => state === wanted)
+      .map(({requestKey}) => requestKey);
+  }
+
+  private add(command: BeginCommand, index: number): BeginResult {
+    if (this.records.size >= this.limits.maxRecords) {
+      return {state: 'records_full'};
+    }
+    const {requestKey, bodyDigest, owner, isRepeatable, ownerLimitMs, at} =
+      command;
+    this.records.set(requestKey, {
+      requestKey,
+      bodyDigest,
+      owner,
+      isRepeatable,
+      at,
+      ownerUntil: at + ownerLimitMs,
+      fencing: index,
+      state: 'begun',
+    });
+    return {state: 'begun', fencing: index};
   }
 
-  private dropOldest(): void {
-    for (const [key, {state}] of this.records) {
-      if (this.records.size < MAX_RECORDS) return;
-      if (state !== 'begun') this.records.delete(key);
+  private countAnswer(requestKey: string, size: number): void {
+    this.answers.set(requestKey, size);
+    this.totalSize += size;
+    for (const [oldest] of this.answers) {
+      if (this.totalSize <= this.limits.maxTotalSize) return;
+      this.removeAnswer(oldest);
+      const record = this.records.get(oldest);
+      if (record) this.records.set(oldest, {...record, answer: undefined});
     }
   }
-}
 
-function describeExisting(
-  record: RequestRecord,
-  bodyDigest: string,
-): BeginResult {
-  if (record.bodyDigest !== bodyDigest) return {state: 'key_reused'};
-  if (record.state === 'unknown') return {state: 'outcome_unknown'};
-  if (record.state === 'done' && record.answer) {
-    return {state: 'done', answer: record.answer};
+  private removeAnswer(requestKey: string): void {
+    this.totalSize -= this.answers.get(requestKey) ?? 0;
+    this.answers.delete(requestKey);
+  }
+
+  private dropExpired(now: number): void {
+    for (const [key, {at}] of this.records) {
+      if (now - at <= this.limits.keepMs) return;
+      this.removeAnswer(key);
+      this.records.delete(key);
+    }
   }
-  return {state: 'in_progress'};
 }
--- a/packages/control/src/lib/controlCommands.ts
+++ b/packages/control/src/lib/controlCommands.ts
@@ -7,6 +7,7 @@
   BeginResult,
   Bill,
   ErrorBody,
+  FinishResult,
   ReleaseNote,
   SessionPin,
   StoredAnswer,
@@ -40,6 +41,8 @@
       readonly requestKey: string;
       readonly bodyDigest: string;
       readonly owner: string;
+      readonly isRepeatable: boolean;
+      readonly ownerLimitMs: number;
       readonly at: number;
     }
   | {
@@ -48,6 +51,8 @@
       readonly fencing: number;
       readonly outcome: 'done' | 'not_run' | 'unknown';
       readonly answer?: StoredAnswer;
+      /** Committed with the outcome, so that no answer stands without its bill. */
+      readonly bill?: Bill;
     }
   | {readonly type: 'record_bill'; readonly bill: Bill};
 
@@ -69,6 +74,6 @@
   readonly advance_rollout: {readonly changed: boolean};
   readonly pin_session: SessionPin;
   readonly begin_request: BeginResult;
-  readonly finish_request: {readonly changed: boolean};
+  readonly finish_request: FinishResult;
   readonly record_bill: {readonly isNew: boolean};
 }
--- a/packages/control/src/test/publish.test.ts
+++ b/packages/control/src/test/publish.test.ts
@@ -41,13 +41,19 @@
     type: 'begin_request',
     requestKey: 'k',
     bodyDigest: 'd',
-    owner: 'e1',
+    owner: 'e1/req-1',
+    isRepeatable: false,
+    ownerLimitMs: 60_000,
     at: 0,
   };
   state.apply(begin, 2);
   const copy = new ControlState();
   copy.restoreSnapshot(JSON.parse(JSON.stringify(state.takeSnapshot())));
-  assert.deepEqual(copy.apply(begin, 3), {state: 'in_progress'});
+  assert.deepEqual(copy.apply({...begin, owner: 'e2/req-2'}, 3), {
+    state: 'in_progress',
+  });
+  const own = copy.apply(begin, 3);
+  assert.deepEqual(own, {state: 'begun', fencing: 2}, 'a resent command');
   const again = copy.apply({type: 'publish', note} as unknown as JsonValue, 4);
   assert.equal((again as {state: string}).state, 'already_in_force');
 });
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -3,8 +3,28 @@
 export type {EntryOptions, EntryPorts} from './lib/Entry.js';
 export {ConfigurationManager} from './lib/ConfigurationManager.js';
 export type {ConfigurationReading} from './lib/ConfigurationManager.js';
-export {AnswerSource, ensureDispatchable} from './lib/AnswerSource.js';
-export type {AnswerFrame, AnswerSourceParts} from './lib/AnswerSource.js';
+export {AnswerSource} from './lib/AnswerSource.js';
+export {Attempt} from './lib/Attempt.js';
+export type {AttemptOptions} from './lib/Attempt.js';
+export {ANSWER_PLANNERS} from './lib/answerPlanners.js';
+export type {AnswerPlannerName} from './lib/answerPlanners.js';
+export type {
+  AnswerFrame,
+  AnswerPlanner,
+  AnswerSourceParts,
+  Charge,
+  ChatParts,
+  ChatTask,
+  PlannedAnswer,
+} from './lib/answerTypes.js';
 export {BackendClient, DEFAULT_BACKEND_TIMEOUTS} from './lib/BackendClient.js';
 export type {BackendTimeouts} from './lib/BackendClient.js';
 export {computeModelBill} from './lib/computeBill.js';
+export type {BillInput} from './lib/computeBill.js';
+export {DEFAULT_ENTRY_TIMEOUTS} from './lib/entryTimeouts.js';
+export type {EntryTimeouts} from './lib/entryTimeouts.js';
+export {VersionResolver, ensureDispatchable} from './lib/VersionResolver.js';
+export type {
+  ResolvedVersion,
+  VersionResolverParts,
+} from './lib/VersionResolver.js';
--- a/packages/entry/src/lib/AnswerSource.ts
+++ b/packages/entry/src/lib/AnswerSource.ts
@@ -1,48 +1,36 @@
 import {
-  ChatChunk,
   ChatRequest,
-  Configuration,
-  ConfiguredVersion,
   SycamoreheadError,
   Usage,
   VersionRef,
   formatVersionKey,
-  isPermitted,
-  isServing,
   toSycamoreheadError,
 } from '@sycamorehead/schema';
-import type {RoutedRequest, Router} from '@sycamorehead/routing';
+import type {KnownServer} from '@sycamorehead/membership';
+import type {RoutedRequest} from '@sycamorehead/routing';
 import {createLogger} from '@sycamorehead/telemetry';
-import type {BackendClient} from './BackendClient.js';
-import type {ConfigurationManager} from './ConfigurationManager.js';
+import type {AnswerFrame, AnswerSourceParts} from './answerTypes.js';
+import {Attempt} from './Attempt.js';
+import {sleepUnlessAborted} from './sleepUnlessAborted.js';
+import {ensureDispatchable} from './VersionResolver.js';
 
 const log = createLogger('attempts');
 
 const MAX_ATTEMPTS = 4;
-
-/** One frame of an answer; the terminal one carries the usage. @public */
-export interface AnswerFrame {
-  readonly text: string;
-  readonly finishReason: 'stop' | 'length' | null;
-  readonly usage?: Usage;
-}
-
-/** What an AnswerSource works with. @public */
-export interface AnswerSourceParts {
-  readonly router: Router;
-  readonly backends: BackendClient;
-  readonly configuration: ConfigurationManager;
-}
+/** Pause before a server that has failed is tried again, in milliseconds. */
+const SAME_SERVER_PAUSE_MS = 50;
 
 /**
  * Produces the frames of one answer from one version, over as many attempts as it takes. A failed
- * attempt is resumed from its offset on another engine, so frames are never repeated or mixed.
+ * attempt is resumed from its offset, so frames are never repeated or mixed. Revision and
+ * permission are checked again at the moment of each dispatch.
  *
  * @public
  */
 export class AnswerSource {
-  private offset = 0;
+  private delivered = 0;
   private attempts = 0;
+  private usage: Usage | undefined;
   private readonly tried = new Set<string>();
 
   constructor(
@@ -51,82 +39,108 @@
     private readonly chat: ChatRequest,
     private readonly version: VersionRef,
     private readonly signal: AbortSignal,
+    /** Whether an earlier source of the same request may have run. */
+    private hasRun = false,
   ) {}
 
+  /** Tokens delivered so far. */
+  get offset(): number {
+    return this.delivered;
+  }
+
+  /**
+   * Returns what was run so far: the engine's own count once the answer is whole, before that the
+   * prompt's estimate and the tokens delivered. Nothing before the first token.
+   */
+  getUsage(): Usage | undefined {
+    if (this.usage || this.delivered === 0) return this.usage;
+    return {
+      prompt_tokens: this.routed.promptTokens,
+      completion_tokens: this.delivered,
+    };
+  }
+
   /**
    * Streams the answer. Ends normally only after its terminal frame.
    *
    * @throws SycamoreheadError with `ran: 'no'` only where no attempt can have run.
    */
   async *stream(): AsyncGenerator<AnswerFrame> {
-    let hasRun = false;
     for (;;) {
       try {
         yield* this.runAttempt();
         return;
       } catch (thrown) {
         const error = toSycamoreheadError(thrown);
-        hasRun ||= error.ran !== 'no';
-        if (!this.isWorthRepeating(error)) throw markRan(error, hasRun);
+        this.hasRun ||= this.isPossiblyRun(error);
+        this.ensureRepeatable(error);
         log('attempt_failed', {
           request: this.routed.requestId,
           attempt: this.attempts,
-          offset: this.offset,
+          offset: this.delivered,
           error: error.message,
         });
       }
     }
   }
 
-  private isWorthRepeating(error: SycamoreheadError): boolean {
-    if (this.signal.aborted || this.attempts >= MAX_ATTEMPTS) return false;
-    return (
-      error.kind === 'backend_failed' || error.kind === 'incomplete_answer'
-    );
+  /** Whether an error arose before the attempt was dispatched. */
+  private isRefusedHere({kind}: SycamoreheadError): boolean {
+    return kind !== 'backend_failed' && kind !== 'incomplete_answer';
+  }
+
+  private isPossiblyRun(error: SycamoreheadError): boolean {
+    if (this.attempts === 0) return false;
+    // An abort may have come at any time after the request was sent.
+    if (this.signal.aborted) return true;
+    return !this.isRefusedHere(error) && error.ran !== 'no';
+  }
+
+  private ensureRepeatable(error: SycamoreheadError): void {
+    const {aborted, reason} = this.signal;
+    if (aborted) throw markRan(toSycamoreheadError(reason), this.hasRun);
+    if (this.attempts < MAX_ATTEMPTS && !this.isRefusedHere(error)) return;
+    throw markRan(error, this.hasRun);
   }
 
   private async *runAttempt(): AsyncGenerator<AnswerFrame> {
-    const {router, backends, configuration} = this.parts;
-    ensureDispatchable(configuration.get(), this.routed, this.version);
-    const {choice} = router.chooseEngine(this.routed, this.version, this.tried);
-    const server = choice.announcement;
+    const server = await this.chooseServer();
+    if (this.signal.aborted) throw this.signal.reason;
+    // Checked after the last wait, so that nothing can be withdrawn in between.
+    ensureDispatchable(
+      this.parts.configuration.get(),
+      this.routed,
+      this.version,
+    );
     this.attempts += 1;
-    this.tried.add(server.id);
-    const startedAt = performance.now();
-    const startOffset = this.offset;
-    let firstTokenMs: number | undefined;
-    let result: 'answered' | 'failed' | 'truncated' | 'cancelled' = 'cancelled';
-    router.work.begin(server.id);
+    this.tried.add(server.announcement.id);
+    const attempt = new Attempt(this.parts, {
+      routed: this.routed,
+      version: this.version,
+      server,
+      number: this.attempts,
+      body: this.encodeBody(),
+      offset: this.delivered,
+      signal: this.signal,
+    });
+    for await (const frame of attempt.stream()) {
+      this.delivered = attempt.offset;
+      this.usage = frame.usage ?? this.usage;
+      yield frame;
+    }
+  }
+
+  /** Takes a server that has not failed yet; where all have, pauses and tries them again. */
+  private async chooseServer(): Promise<KnownServer> {
+    const {router} = this.parts;
     try {
-      const chunks = backends.streamChat({
-        address: server.address,
-        attemptId: `${this.routed.requestId}.${this.attempts}`,
-        body: this.encodeBody(),
-        resumeOffset: this.offset,
-        priority: 0,
-        signal: this.signal,
-      });
-      for await (const chunk of chunks) {
-        firstTokenMs ??= performance.now() - startedAt;
-        this.offset += 1;
-        if (chunk.choices[0]?.finish_reason) result = 'answered';
-        yield readFrame(chunk);
-      }
-    } catch (thrown) {
-      const {kind} = toSycamoreheadError(thrown);
-      result = kind === 'incomplete_answer' ? 'truncated' : 'failed';
-      throw thrown;
-    } finally {
-      router.work.end(server.id);
-      router.observe({
-        request: this.routed,
-        version: this.version,
-        server: server.id,
-        result,
-        firstTokenMs,
-        totalMs: performance.now() - startedAt,
-        outputTokens: this.offset - startOffset,
-      });
+      return router.chooseEngine(this.routed, this.version, this.tried).choice;
+    } catch (error) {
+      if (this.tried.size === 0) throw error;
+      this.tried.clear();
+      const pauseMs = SAME_SERVER_PAUSE_MS * this.attempts;
+      await sleepUnlessAborted(pauseMs, this.signal);
+      return router.chooseEngine(this.routed, this.version, this.tried).choice;
     }
   }
 
@@ -139,52 +153,15 @@
   }
 }
 
-/**
- * Checks at the moment of dispatch that a version is in service and permitted.
- *
- * @throws SycamoreheadError `version_withdrawn` or `not_permitted`.
- * @example
- * ```ts
- * ensureDispatchable(configuration, routed, {model: 'm', version: 'v1'});
- * ```
- * @public
- */
-export function ensureDispatchable(
-  configuration: Configuration,
-  routed: RoutedRequest,
-  ref: VersionRef,
-): ConfiguredVersion {
-  const key = formatVersionKey(ref);
-  const version = configuration.versions[key];
-  if (!version || !isServing(version)) {
-    throw new SycamoreheadError(
-      'version_withdrawn',
-      `version ${key} is not in service`,
-    );
-  }
-  const customer = configuration.customers[routed.customer.customer];
-  if (!customer || !isPermitted(customer, ref)) {
-    throw new SycamoreheadError(
-      'not_permitted',
-      `version ${key} is not permitted`,
-    );
-  }
-  return version;
-}
-
+/** Corrects what an error says of `ran` by what is known of the whole request. */
 function markRan(error: SycamoreheadError, hasRun: boolean): SycamoreheadError {
-  if (!hasRun || error.ran !== 'no') return error;
+  const ranIfAny = error.ran === 'no' ? 'unknown' : error.ran;
+  const ran = hasRun ? ranIfAny : 'no';
+  if (ran === error.ran) return error;
   return new SycamoreheadError(error.kind, error.message, {
-    ran: 'unknown',
+    ran,
+    retryAfterMs: error.retryAfterMs,
+    field: error.field,
     cause: error,
   });
 }
-
-function readFrame(chunk: ChatChunk): AnswerFrame {
-  const choice = chunk.choices[0];
-  return {
-    text: choice?.delta.content ?? '',
-    finishReason: choice?.finish_reason ?? null,
-    usage: chunk.usage,
-  };
-}
--- a/packages/entry/src/lib/BackendClient.ts
+++ b/packages/entry/src/lib/BackendClient.ts
@@ -9,6 +9,8 @@
   readonly firstByteMs: number;
   /** Between two frames of an answer. */
   readonly betweenFramesMs: number;
+  /** For one call of a plain service, from its connection to its whole answer. */
+  readonly serviceMs: number;
 }
 
 /** Timeouts used where the settings give none. @public */
@@ -16,6 +18,7 @@
   connectMs: 1_000,
   firstByteMs: 10_000,
   betweenFramesMs: 5_000,
+  serviceMs: 30_000,
 };
 
 const CONNECTIONS_PER_SERVER = 512;
@@ -56,6 +59,8 @@
   readonly headers: Record<string, string>;
   readonly body?: Buffer;
   readonly maxAnswerBytes: number;
+  /** Whether the call may run again; if not, it goes on a connection of its own. */
+  readonly isRepeatable: boolean;
 }
 
 /**
@@ -64,17 +69,24 @@
  * @public
  */
 export class BackendClient {
-  private readonly agent: Agent;
+  private readonly pooled: Agent;
+  /**
+   * Takes a new connection for each call. A pooled one may have gone silent while idle, and then
+   * nothing tells whether the call was run; a connection that cannot be opened proves that it was not.
+   */
+  private readonly unpooled: Agent;
 
-  constructor(timeouts: BackendTimeouts = DEFAULT_BACKEND_TIMEOUTS) {
-    this.agent = new Agent({
+  constructor(private readonly timeouts = DEFAULT_BACKEND_TIMEOUTS) {
+    const options = {
       connections: CONNECTIONS_PER_SERVER,
-      pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
       connect: {timeout: timeouts.connectMs},
       headersTimeout: timeouts.firstByteMs,
       bodyTimeout: timeouts.betweenFramesMs,
-    });
+    };
+    // One request at a time on each connection: one that goes silent holds up no other request.
+    this.pooled = new Agent({...options, pipelining: 1});
+    this.unpooled = new Agent({...options, pipelining: 0});
   }
 
   /**
@@ -122,11 +134,32 @@
    * @throws SycamoreheadError `backend_failed`; `ran` is `no` only where nothing was sent.
    */
   async callService(call: ServiceCallAttempt): Promise<ServiceAnswer> {
-    const answer = await this.send(call.url, {
-      method: call.method as Dispatcher.HttpMethod,
-      headers: call.headers,
-      body: call.body,
-    });
+    const aborter = new AbortController();
+    const timer = setTimeout(
+      () => aborter.abort(createTimeoutError(this.timeouts.serviceMs)),
+      this.timeouts.serviceMs,
+    );
+    try {
+      return await this.readService(call, aborter.signal);
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  private async readService(
+    call: ServiceCallAttempt,
+    signal: AbortSignal,
+  ): Promise<ServiceAnswer> {
+    const answer = await this.send(
+      call.url,
+      {
+        method: call.method as Dispatcher.HttpMethod,
+        headers: call.headers,
+        body: call.body,
+        signal,
+      },
+      call.isRepeatable ? this.pooled : this.unpooled,
+    );
     try {
       const body = await readWhole(answer.body, call.maxAnswerBytes);
       const contentType = String(
@@ -142,15 +175,16 @@
 
   /** Closes the pooled connections once they are idle. */
   async stop(): Promise<void> {
-    await this.agent.close();
+    await Promise.all([this.pooled.close(), this.unpooled.close()]);
   }
 
   private async send(
     url: string,
     options: Omit<Dispatcher.RequestOptions, 'origin' | 'path'>,
+    dispatcher: Agent = this.pooled,
   ): Promise<Dispatcher.ResponseData> {
     try {
-      return await request(url, {...options, dispatcher: this.agent});
+      return await request(url, {...options, dispatcher});
     } catch (error) {
       throw new SycamoreheadError('backend_failed', describeError(error), {
         ran: isUnsent(error) ? 'no' : 'unknown',
@@ -160,6 +194,13 @@
   }
 }
 
+function createTimeoutError(serviceMs: number): SycamoreheadError {
+  return new SycamoreheadError(
+    'timeout',
+    `the service did not answer within ${serviceMs} ms`,
+  );
+}
+
 function isUnsent(error: unknown): boolean {
   const {code} = error as {code?: string};
   return code !== undefined && UNSENT_CODES.has(code);
--- a/packages/entry/src/lib/ChatService.ts
+++ b/packages/entry/src/lib/ChatService.ts
@@ -1,195 +1,202 @@
-import {once} from 'node:events';
 import {createHash} from 'node:crypto';
 import {
   ChatRequest,
-  ConfiguredVersion,
-  ControlApi,
   CustomerDeclaration,
   SycamoreheadError,
-  VersionRef,
+  computeDigest,
   estimatePromptTokens,
   formatVersionKey,
   parseChatRequest,
   toSycamoreheadError,
 } from '@sycamorehead/schema';
 import {RoutedRequest, listPermittedVersions} from '@sycamorehead/routing';
-import type {EntryMetrics} from '@sycamorehead/telemetry';
-import {
+import {AnswerDelivery} from './AnswerDelivery.js';
+import {ANSWER_PLANNERS, AnswerPlannerName} from './answerPlanners.js';
+import type {
   AnswerFrame,
-  AnswerSource,
-  AnswerSourceParts,
-  ensureDispatchable,
-} from './AnswerSource.js';
+  ChatParts,
+  ChatTask,
+  PlannedAnswer,
+} from './answerTypes.js';
 import {authenticateCustomer} from './authenticateCustomer.js';
-import {computeModelBill} from './computeBill.js';
+import {ChatBilling} from './ChatBilling.js';
+import type {EntryTimeouts} from './entryTimeouts.js';
 import type {Exchange} from './Exchange.js';
+import {encodeStoredAnswer} from './formatAnswer.js';
+import {KeyedRequest} from './KeyedRequest.js';
+import {TaskEnd} from './TaskEnd.js';
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
-const DEADLINE_MS = 120_000;
 const DEFAULT_KIND = 'chat';
+/** What an owner may take beyond its deadline to commit an outcome, in milliseconds. */
+const OWNER_MARGIN_MS = 30_000;
 
 /** What a ChatService works with. @public */
-export interface ChatServiceParts extends AnswerSourceParts {
-  readonly control: ControlApi;
-  readonly metrics: EntryMetrics;
+export interface ChatServiceParts extends ChatParts {
+  readonly entryName: string;
+  readonly timeouts: EntryTimeouts;
+  readonly planner?: AnswerPlannerName;
 }
 
-/** One admitted request on its way to an answer. */
-interface ChatTask {
-  readonly exchange: Exchange;
-  readonly chat: ChatRequest;
-  readonly routed: RoutedRequest;
-  /** Key of the bill. */
-  readonly requestKey: string;
-  /** The version in force when the work was dispatched, for its price. */
-  readonly version: ConfiguredVersion;
-  readonly revision: number;
-}
+/** Commits the bill of a whole answer before its end is released. */
+type AnswerCommit = (
+  answer: PlannedAnswer,
+  text: string,
+  last: AnswerFrame,
+) => Promise<void>;
 
 /**
- * Serves `POST /v1/chat/completions`.
+ * Serves `POST /v1/chat/completions`: admits the request, has its answer planned, delivered and
+ * billed. Each step stands in a file of its own; see CONTEXT.md.
  *
  * @public
  */
 export class ChatService {
-  constructor(private readonly parts: ChatServiceParts) {}
+  private readonly billing: ChatBilling;
+
+  constructor(private readonly parts: ChatServiceParts) {
+    this.billing = new ChatBilling(parts);
+  }
 
   /** Serves one request; what it throws is the answer. */
   async serve(exchange: Exchange): Promise<void> {
-    const {configuration, router, metrics} = this.parts;
+    const {configuration, metrics} = this.parts;
     const customer = authenticateCustomer(
       exchange.request.headers,
       configuration.get(),
     );
     const chat = parseChatRequest(await exchange.readJson(MAX_BODY_BYTES));
-    const routed = buildRoutedRequest(exchange, customer, chat);
-    let version = 'none';
-    let outcome = 'ok';
+    const routed = this.buildRoutedRequest(exchange, customer, chat);
+    const labels = {customer: customer.customer, kind: routed.kind};
+    const seen = {version: 'none', outcome: 'ok'};
     try {
       listPermittedVersions(routed, configuration.get());
-      const ticket = await router.admit(routed);
-      try {
-        const task = await this.startTask(exchange, chat, routed);
-        version = formatVersionKey(task.version);
-        await (chat.stream ? this.sendStream(task) : this.sendWhole(task));
-      } finally {
-        ticket.release();
-      }
+      await this.serveRouted(exchange, chat, routed, seen);
     } catch (error) {
-      outcome = toSycamoreheadError(error).kind;
+      seen.outcome = toSycamoreheadError(error).kind;
       throw error;
     } finally {
-      const labels = {customer: customer.customer, kind: routed.kind};
-      metrics.answers.inc({...labels, version, outcome});
+      metrics.answers.inc({...labels, ...seen});
       const seconds = (performance.now() - exchange.startedAt) / 1_000;
       metrics.duration.observe(labels, seconds);
     }
   }
 
-  private async startTask(
+  private async serveRouted(
     exchange: Exchange,
     chat: ChatRequest,
     routed: RoutedRequest,
-  ): Promise<ChatTask> {
-    const ref = await this.resolveVersion(routed);
-    const configuration = this.parts.configuration.get();
-    const version = ensureDispatchable(configuration, routed, ref);
-    checkContext(routed, version);
-    exchange.setOrigin(ref, configuration.revision);
-    const key = exchange.readKeyHeader('Idempotency-Key') ?? routed.requestId;
-    return {
+    seen: {version: string},
+  ): Promise<void> {
+    const key = exchange.readKeyHeader('Idempotency-Key');
+    const isKeyed = key !== undefined;
+    const {customer} = routed.customer;
+    // A caller that gave a key may come back for the answer, so its work goes on without it.
+    const end = new TaskEnd(exchange, {
+      answerMs: this.parts.timeouts.answerMs,
+      endsWithCaller: !isKeyed,
+    });
+    const task: ChatTask = {
       exchange,
       chat,
       routed,
-      version,
-      requestKey: `${routed.customer.customer}/${key}`,
-      revision: configuration.revision,
+      requestKey: `${customer}/models/${key ?? routed.requestId}`,
+      isKeyed,
+      signal: end.signal,
     };
+    try {
+      await (isKeyed ? this.runKeyed(task, seen) : this.runUnkeyed(task, seen));
+    } finally {
+      end.stop();
+    }
   }
 
-  private async resolveVersion(routed: RoutedRequest): Promise<VersionRef> {
-    const {router, configuration, control} = this.parts;
-    const {choice} = router.chooseVersion(routed, configuration.get());
-    if (!routed.session) return choice;
-    const {model, version} = await control.pinSession({
-      session: routed.session,
-      customer: routed.customer.customer,
-      version: choice,
+  private async runKeyed(
+    task: ChatTask,
+    seen: {version: string},
+  ): Promise<void> {
+    const {requestKey, routed, chat, exchange} = task;
+    const keyed = new KeyedRequest(this.parts, {
+      requestKey,
+      bodyDigest: computeDigest(chat),
+      owner: `${this.parts.entryName}/${routed.requestId}`,
+      isRepeatable: true,
+      ownerLimitMs: this.parts.timeouts.answerMs + OWNER_MARGIN_MS,
     });
-    return {model, version};
-  }
-
-  private openSource(task: ChatTask): AnswerSource {
-    const {model, version} = task.version;
-    return new AnswerSource(
-      this.parts,
-      task.routed,
-      task.chat,
-      {model, version},
-      task.exchange.callerGone,
-    );
-  }
-
-  private async sendStream(task: ChatTask): Promise<void> {
-    const {response} = task.exchange;
-    for await (const frame of this.openSource(task).stream()) {
-      this.observeFirstToken(task);
-      // The bill is committed before the terminal frame is released.
-      if (frame.finishReason) await this.commitBill(task, frame);
-      if (!response.headersSent) {
-        response.writeHead(200, {
-          'content-type': 'text/event-stream',
-          'cache-control': 'no-store',
-        });
-      }
-      const chunk = JSON.stringify(formatChunk(task, frame));
-      const isDrained = response.write(`data: ${chunk}\n\n`);
-      if (!isDrained) {
-        await once(response, 'drain', {signal: task.exchange.callerGone});
-      }
+    const stored = await keyed.begin();
+    if (stored) {
+      exchange.sendStored(stored);
+      return;
+    }
+    try {
+      await this.runAdmitted(task, seen, async (answer, text, last) => {
+        const bill = this.billing.compute(task, answer);
+        const {requestId} = routed;
+        const {stream} = chat;
+        await keyed.complete(
+          encodeStoredAnswer({requestId, answer, text, last, stream}),
+          bill,
+        );
+        this.billing.count(bill);
+      });
+    } catch (thrown) {
+      throw await keyed.fail(thrown);
     }
-    response.end('data: [DONE]\n\n');
   }
 
-  private async sendWhole(task: ChatTask): Promise<void> {
-    let text = '';
-    let last: AnswerFrame | undefined;
-    for await (const frame of this.openSource(task).stream()) {
-      this.observeFirstToken(task);
-      text += frame.text;
-      last = frame;
+  private async runUnkeyed(
+    task: ChatTask,
+    seen: {version: string},
+  ): Promise<void> {
+    this.parts.commits.ensureRoom();
+    let planned: PlannedAnswer | undefined;
+    let isBilled = false;
+    const record = async (answer: PlannedAnswer) => {
+      isBilled = true;
+      await this.billing.record(task, answer);
+    };
+    try {
+      await this.runAdmitted(task, seen, record, answer => {
+        planned = answer;
+      });
+    } catch (error) {
+      const isGone = toSycamoreheadError(error).kind === 'caller_gone';
+      // What a caller was served before it went is billed like a whole answer, once.
+      if (isGone && !isBilled && planned && planned.listCharges().length > 0) {
+        await record(planned);
+      }
+      throw error;
     }
-    if (!last) throw new SycamoreheadError('incomplete_answer', 'no frames');
-    await this.commitBill(task, last);
-    task.exchange.sendJson(200, formatCompletion(task, text, last));
   }
 
-  private async commitBill(task: ChatTask, last: AnswerFrame): Promise<void> {
-    const usage = last.usage;
-    if (!usage) {
-      throw new SycamoreheadError(
-        'incomplete_answer',
-        'the terminal frame has no usage',
-      );
+  private async runAdmitted(
+    task: ChatTask,
+    seen: {version: string},
+    commit: AnswerCommit,
+    onPlanned?: (answer: PlannedAnswer) => void,
+  ): Promise<void> {
+    const {router, planner, timeouts} = this.parts;
+    const ticket = await router.admit(task.routed);
+    try {
+      if (task.signal.aborted) throw createNotRun(task.signal.reason);
+      const plan = ANSWER_PLANNERS[planner ?? 'single_version'];
+      const answer = await plan(this.parts, task);
+      onPlanned?.(answer);
+      seen.version = formatVersionKey(answer.version);
+      task.exchange.setOrigin(answer.version, answer.revision);
+      const delivery = new AnswerDelivery(task, answer, timeouts.callerStallMs);
+      delivery.observeFirstToken(() => {
+        seen.version = formatVersionKey(answer.version);
+        this.observeFirstToken(task);
+      });
+      await delivery.send((text, last) => commit(answer, text, last));
+    } finally {
+      ticket.release();
     }
-    const {customer} = task.routed.customer;
-    const bill = computeModelBill(
-      task.requestKey,
-      customer,
-      task.version,
-      usage,
-      task.revision,
-    );
-    const {isNew} = await this.parts.control.recordBill(bill);
-    if (!isNew) return;
-    this.parts.metrics.billed.inc(
-      {customer, version: bill.item},
-      bill.amountMicros,
-    );
   }
 
   private observeFirstToken(task: ChatTask): void {
-    if (task.exchange.response.headersSent || !task.chat.stream) return;
+    if (!task.chat.stream) return;
     const seconds = (performance.now() - task.exchange.startedAt) / 1_000;
     const {customer, kind} = task.routed;
     this.parts.metrics.firstToken.observe(
@@ -197,64 +204,29 @@
       seconds,
     );
   }
-}
 
-function buildRoutedRequest(
-  exchange: Exchange,
-  customer: CustomerDeclaration,
-  chat: ChatRequest,
-): RoutedRequest {
-  const first = chat.messages[0]?.content ?? '';
-  return {
-    requestId: exchange.requestId,
-    customer,
-    model: chat.model,
-    kind: chat.metadata?.kind ?? DEFAULT_KIND,
-    promptTokens: estimatePromptTokens(chat.messages),
-    maxTokens: chat.max_tokens,
-    session: exchange.readKeyHeader('Sycamorehead-Session'),
-    prefixKey: createHash('sha256').update(first).digest('hex').slice(0, 16),
-    deadlineAt: exchange.startedAt + DEADLINE_MS,
-  };
-}
-
-function checkContext(routed: RoutedRequest, version: ConfiguredVersion): void {
-  if (routed.promptTokens <= version.contextTokens) return;
-  throw new SycamoreheadError(
-    'context_too_long',
-    `messages: expected at most ${version.contextTokens} tokens, found about ${routed.promptTokens}`,
-    {field: 'messages'},
-  );
-}
-
-function formatChunk(task: ChatTask, frame: AnswerFrame) {
-  return {
-    id: task.routed.requestId,
-    object: 'chat.completion.chunk',
-    model: task.version.model,
-    choices: [
-      {
-        index: 0,
-        delta: {content: frame.text},
-        finish_reason: frame.finishReason,
-      },
-    ],
-    ...(frame.usage && {usage: frame.usage}),
-  };
+  private buildRoutedRequest(
+    exchange: Exchange,
+    customer: CustomerDeclaration,
+    chat: ChatRequest,
+  ): RoutedRequest {
+    const first = chat.messages[0]?.content ?? '';
+    return {
+      requestId: exchange.requestId,
+      customer,
+      model: chat.model,
+      kind: chat.metadata?.kind ?? DEFAULT_KIND,
+      promptTokens: estimatePromptTokens(chat.messages),
+      maxTokens: chat.max_tokens,
+      session: exchange.readKeyHeader('Sycamorehead-Session'),
+      prefixKey: createHash('sha256').update(first).digest('hex').slice(0, 16),
+      deadlineAt: exchange.startedAt + this.parts.timeouts.answerMs,
+    };
+  }
 }
 
-function formatCompletion(task: ChatTask, text: string, last: AnswerFrame) {
-  return {
-    id: task.routed.requestId,
-    object: 'chat.completion',
-    model: task.version.model,
-    choices: [
-      {
-        index: 0,
-        message: {role: 'assistant', content: text},
-        finish_reason: last.finishReason,
-      },
-    ],
-    usage: last.usage,
-  };
+/** The reason of an abort that came before anything was dispatched. */
+function createNotRun(reason: unknown): SycamoreheadError {
+  const {kind, message} = toSycamoreheadError(reason);
+  return new SycamoreheadError(kind, message, {ran: 'no'});
 }
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -13,17 +13,27 @@
 import {PeerAddress, WireServer} from '@sycamorehead/wire';
 import {Router, RouterOptions} from '@sycamorehead/routing';
 import {readBearerKey} from './authenticateCustomer.js';
-import {BackendClient, BackendTimeouts} from './BackendClient.js';
+import type {AnswerPlannerName} from './answerPlanners.js';
+import {
+  BackendClient,
+  BackendTimeouts,
+  DEFAULT_BACKEND_TIMEOUTS,
+} from './BackendClient.js';
 import {ChatService} from './ChatService.js';
+import {CommitQueue} from './CommitQueue.js';
 import {ConfigurationManager} from './ConfigurationManager.js';
+import {DEFAULT_ENTRY_TIMEOUTS, EntryTimeouts} from './entryTimeouts.js';
 import {EntryServer, Route} from './EntryServer.js';
 import type {Exchange} from './Exchange.js';
 import {PlainServiceProxy} from './PlainServiceProxy.js';
+import {VersionResolver} from './VersionResolver.js';
 
 const log = createLogger('entry');
 
 const MAX_ANNOUNCEMENT_BYTES = 64 * 1024;
 const EXPIRE_INTERVAL_MS = 1_000;
+/** Time for which a stop waits for bills to be recorded, in milliseconds. */
+const COMMIT_DRAIN_MS = 60_000;
 
 /** Settings of an Entry. @public */
 export interface EntryOptions {
@@ -41,6 +51,8 @@
   readonly control: ControlApi;
   readonly backendTimeouts?: BackendTimeouts;
   readonly policies?: Omit<RouterOptions, 'directory'>;
+  readonly timeouts?: EntryTimeouts;
+  readonly answerPlanner?: AnswerPlannerName;
   /** Time for which requests are still served after a stop begins, in milliseconds. */
   readonly balancerLagMs?: number;
 }
@@ -65,6 +77,7 @@
   private readonly gossip: PeerGossip;
   private readonly peerServer: WireServer;
   private readonly backends: BackendClient;
+  private readonly commits: CommitQueue;
   private readonly server: EntryServer;
   private readonly chat: ChatService;
   private readonly services: PlainServiceProxy;
@@ -78,7 +91,10 @@
     const {directory, metrics} = this;
     this.configuration = new ConfigurationManager(name, control);
     this.router = new Router({directory, ...policies});
-    this.backends = new BackendClient(options.backendTimeouts);
+    const backendTimeouts = options.backendTimeouts ?? DEFAULT_BACKEND_TIMEOUTS;
+    const timeouts = options.timeouts ?? DEFAULT_ENTRY_TIMEOUTS;
+    this.backends = new BackendClient(backendTimeouts);
+    this.commits = new CommitQueue(timeouts.commitWaitMs);
     this.gossip = new PeerGossip({name, peers, peerKey, directory});
     this.peerServer = new WireServer({
       host: options.host,
@@ -91,12 +107,21 @@
       configuration: this.configuration,
       control,
       metrics,
+      commits: this.commits,
+      entryName: name,
     };
-    this.chat = new ChatService({...shared, router: this.router});
+    const {router, configuration} = this;
+    this.chat = new ChatService({
+      ...shared,
+      router,
+      versions: new VersionResolver({router, configuration, control}),
+      timeouts,
+      planner: options.answerPlanner,
+    });
     this.services = new PlainServiceProxy({
       ...shared,
-      entryName: name,
       directory,
+      serviceMs: backendTimeouts.serviceMs,
     });
     this.server = new EntryServer(this.getRoutes());
   }
@@ -129,6 +154,7 @@
     );
     this.isRefusing = true;
     await this.server.stop();
+    await this.commits.drain(COMMIT_DRAIN_MS);
     this.configuration.stop();
     this.gossip.stop();
     clearInterval(this.expiry);
--- a/packages/entry/src/lib/Exchange.ts
+++ b/packages/entry/src/lib/Exchange.ts
@@ -1,8 +1,10 @@
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
+  StoredAnswer,
   SycamoreheadError,
   VersionRef,
+  formatVersionKey,
   getErrorAnswer,
   toSycamoreheadError,
 } from '@sycamorehead/schema';
@@ -93,6 +95,29 @@
     this.response.setHeader('Sycamorehead-Revision', revision);
   }
 
+  /** Tells the caller that its session has left an earlier version. */
+  setEndedPin(endedPin: VersionRef | undefined): void {
+    if (!endedPin) return;
+    this.response.setHeader(
+      'Sycamorehead-Session-Ended-Version',
+      formatVersionKey(endedPin),
+    );
+  }
+
+  /** Sends a stored answer again. */
+  sendStored(answer: StoredAnswer): void {
+    const {origin, status, contentType, body} = answer;
+    if (origin) this.setOrigin(origin.version, origin.revision);
+    this.response.setHeader('Sycamorehead-Replayed', 'true');
+    this.sendBody(status, contentType, Buffer.from(body, 'base64'));
+  }
+
+  /** Sends a whole answer. */
+  sendBody(status: number, contentType: string, body: Buffer): void {
+    this.response.writeHead(status, {'content-type': contentType});
+    this.response.end(body);
+  }
+
   /** Sends a whole JSON answer. */
   sendJson(status: number, body: unknown): void {
     this.response.writeHead(status, {'content-type': 'application/json'});
--- a/packages/entry/src/lib/PlainServiceProxy.ts
+++ b/packages/entry/src/lib/PlainServiceProxy.ts
@@ -1,7 +1,5 @@
 import {
-  BeginResult,
   Bill,
-  Configuration,
   ControlApi,
   CustomerDeclaration,
   ServiceCall,
@@ -14,11 +12,17 @@
 import type {EntryMetrics} from '@sycamorehead/telemetry';
 import {authenticateCustomer} from './authenticateCustomer.js';
 import type {BackendClient} from './BackendClient.js';
+import type {CommitQueue} from './CommitQueue.js';
 import type {ConfigurationManager} from './ConfigurationManager.js';
 import type {Exchange} from './Exchange.js';
+import {findServiceCall, splitServicePath} from './findServiceCall.js';
+import {KeyedRequest} from './KeyedRequest.js';
+import {ServiceDispatcher} from './ServiceDispatcher.js';
 
 const MAX_BODY_BYTES = 1024 * 1024;
-const MAX_ANSWER_BYTES = 1024 * 1024;
+/** What an owner may take beyond its calls' limits to commit an outcome, in milliseconds. */
+const OWNER_MARGIN_MS = 30_000;
+const FIRST_SERVER_ERROR = 500;
 
 /** What a PlainServiceProxy works with. @public */
 export interface PlainServiceParts {
@@ -26,12 +30,15 @@
   readonly backends: BackendClient;
   readonly configuration: ConfigurationManager;
   readonly control: ControlApi;
+  readonly commits: CommitQueue;
   readonly directory: BackendServerDirectory;
   readonly metrics: EntryMetrics;
+  /** Time allowed for one call, in milliseconds. */
+  readonly serviceMs: number;
 }
 
-/** One call on its way to a plain service. */
-interface ServiceTask {
+/** One call on its way to a plain service. @public */
+export interface ServiceTask {
   readonly exchange: Exchange;
   readonly customer: CustomerDeclaration;
   readonly service: string;
@@ -43,218 +50,135 @@
   readonly requestKey: string;
 }
 
-/** Answers to a second request with a key that is known. */
-const REFUSALS = {
-  in_progress: ['in_progress', 'a request with this key is being run'],
-  outcome_unknown: ['outcome_unknown', 'whether the call ran is not known'],
-  key_reused: [
-    'idempotency_key_reused',
-    'Idempotency-Key: used before with another request',
-  ],
-} as const;
-
 /**
  * Serves `ANY /services/{service}/{path…}`. A call that may not be repeated runs at most once:
- * its intent is committed before its first byte leaves.
+ * its intent is committed before its first byte leaves, its result together with its bill.
  *
  * @public
  */
 export class PlainServiceProxy {
-  private turn = 0;
+  private readonly dispatcher: ServiceDispatcher;
 
-  constructor(private readonly parts: PlainServiceParts) {}
+  constructor(private readonly parts: PlainServiceParts) {
+    this.dispatcher = new ServiceDispatcher(parts);
+  }
 
   /** Serves one call; what it throws is the answer. */
   async serve(exchange: Exchange): Promise<void> {
-    const configuration = this.parts.configuration.get();
     const customer = authenticateCustomer(
       exchange.request.headers,
-      configuration,
+      this.parts.configuration.get(),
     );
-    const startedAt = performance.now();
-    const [service, path] = splitPath(exchange.url.pathname);
-    const labels = {customer: customer.customer, kind: service};
+    const [service, path] = splitServicePath(exchange.url.pathname);
+    const labels = {customer: customer.customer, kind: 'unknown_service'};
     let outcome = 'ok';
     try {
-      const call = findCall(configuration, customer, service, path, exchange);
-      const task = await buildTask(exchange, customer, service, path, call);
-      const answer = await this.run({
-        ...task,
-        revision: configuration.revision,
-      });
-      sendAnswer(exchange, answer);
+      const task = await this.buildTask(exchange, customer, service, path);
+      // Only a declared service becomes a label, so that callers cannot add labels without bound.
+      labels.kind = service;
+      await this.run(task);
     } catch (error) {
       outcome = toSycamoreheadError(error).kind;
       throw error;
     } finally {
-      this.parts.metrics.answers.inc({...labels, version: service, outcome});
-      const seconds = (performance.now() - startedAt) / 1_000;
-      this.parts.metrics.duration.observe(labels, seconds);
+      const {metrics} = this.parts;
+      metrics.answers.inc({...labels, version: labels.kind, outcome});
+      const seconds = (performance.now() - exchange.startedAt) / 1_000;
+      metrics.duration.observe(labels, seconds);
+    }
+  }
+
+  private async buildTask(
+    exchange: Exchange,
+    customer: CustomerDeclaration,
+    service: string,
+    path: string,
+  ): Promise<ServiceTask> {
+    const configuration = this.parts.configuration.get();
+    const call = findServiceCall(configuration, customer.customer, {
+      method: exchange.request.method ?? '',
+      service,
+      path,
+    });
+    const idempotencyKey = exchange.readKeyHeader('Idempotency-Key');
+    if (!call.repeatable && !idempotencyKey) {
+      throw new SycamoreheadError(
+        'idempotency_key_required',
+        `Idempotency-Key: required for ${call.method} ${path}`,
+        {field: 'Idempotency-Key'},
+      );
     }
+    const key = idempotencyKey ?? exchange.requestId;
+    return {
+      exchange,
+      customer,
+      service,
+      path,
+      call,
+      body: await exchange.readBody(MAX_BODY_BYTES),
+      revision: configuration.revision,
+      idempotencyKey,
+      requestKey: `${customer.customer}/services/${service}/${key}`,
+    };
   }
 
-  private async run(task: ServiceTask): Promise<StoredAnswer> {
-    if (!task.call.repeatable) return this.runOnce(task);
-    const answer = await this.dispatch(task);
-    await this.recordBill(task);
-    return answer;
+  private async run(task: ServiceTask): Promise<void> {
+    if (task.idempotencyKey) {
+      await this.runKeyed(task);
+      return;
+    }
+    this.parts.commits.ensureRoom();
+    const answer = await this.dispatcher.dispatch(task);
+    const bill = buildBill(task, answer);
+    const {isNew} = await this.parts.commits.commit(bill.requestKey, () =>
+      this.parts.control.recordBill(bill),
+    );
+    if (isNew) this.countBill(bill);
+    sendAnswer(task.exchange, answer);
   }
 
-  private async runOnce(task: ServiceTask): Promise<StoredAnswer> {
-    const {control, entryName} = this.parts;
-    const {requestKey} = task;
-    const begun = await control.beginRequest({
+  private async runKeyed(task: ServiceTask): Promise<void> {
+    const {requestKey, exchange, call} = task;
+    const keyed = new KeyedRequest(this.parts, {
       requestKey,
       bodyDigest: digestTask(task),
-      owner: entryName,
+      owner: `${this.parts.entryName}/${exchange.requestId}`,
+      isRepeatable: call.repeatable,
+      ownerLimitMs:
+        ServiceDispatcher.MAX_ATTEMPTS * this.parts.serviceMs + OWNER_MARGIN_MS,
     });
-    if (begun.state !== 'begun') return this.answerKnown(task, begun);
-    const {fencing} = begun;
+    const stored = await keyed.begin();
+    if (stored) {
+      exchange.sendStored(stored);
+      return;
+    }
     let answer: StoredAnswer;
     try {
-      answer = await this.dispatch(task);
+      answer = await this.dispatcher.dispatch(task);
     } catch (thrown) {
-      const error = toSycamoreheadError(thrown);
-      const outcome = error.ran === 'no' ? 'not_run' : 'unknown';
-      await control.finishRequest({requestKey, fencing, outcome});
-      if (outcome === 'not_run') throw error;
-      throw new SycamoreheadError('outcome_unknown', error.message, {
-        cause: error,
-      });
-    }
-    await control.finishRequest({
-      requestKey,
-      fencing,
-      outcome: 'done',
-      answer,
-    });
-    await this.recordBill(task);
-    return answer;
-  }
-
-  private async answerKnown(
-    task: ServiceTask,
-    known: Exclude<BeginResult, {state: 'begun'}>,
-  ): Promise<StoredAnswer> {
-    if (known.state === 'done') {
-      await this.recordBill(task);
-      return known.answer;
-    }
-    const [kind, message] = REFUSALS[known.state];
-    throw new SycamoreheadError(kind, message);
-  }
-
-  private async dispatch(task: ServiceTask): Promise<StoredAnswer> {
-    // Checked again here: the call may have waited since it was admitted.
-    findCall(
-      this.parts.configuration.get(),
-      task.customer,
-      task.service,
-      task.path,
-      task.exchange,
-    );
-    const replicas = this.parts.directory.listReplicas(task.service);
-    this.turn += 1;
-    const replica = replicas[this.turn % Math.max(replicas.length, 1)];
-    if (!replica) {
-      throw new SycamoreheadError(
-        'no_backend_server',
-        `no replica of service ${task.service} is ready`,
-      );
+      throw await keyed.fail(thrown);
     }
-    const {status, contentType, body} = await this.parts.backends.callService({
-      url: `${replica.announcement.address}${task.path}${task.exchange.url.search}`,
-      method: task.call.method,
-      headers: buildHeaders(task),
-      body: task.body.length > 0 ? task.body : undefined,
-      maxAnswerBytes: MAX_ANSWER_BYTES,
-    });
-    return {status, contentType, body: body.toString('base64')};
+    const bill = buildBill(task, answer);
+    await keyed.complete(answer, bill);
+    this.countBill(bill);
+    sendAnswer(exchange, answer);
   }
 
-  private async recordBill(task: ServiceTask): Promise<void> {
-    const bill: Bill = {
-      requestKey: task.requestKey,
-      customer: task.customer.customer,
-      item: task.service,
-      amountMicros: task.call.priceMicros,
-      revision: task.revision,
-    };
-    const {isNew} = await this.parts.control.recordBill(bill);
-    if (!isNew) return;
-    this.parts.metrics.billed.inc(
-      {customer: bill.customer, version: bill.item},
-      bill.amountMicros,
-    );
-  }
-}
-
-function splitPath(pathname: string): [service: string, path: string] {
-  const match = /^\/services\/([^/]+)(\/.*)?$/.exec(pathname);
-  return [match?.[1] ?? '', match?.[2] ?? '/'];
-}
-
-function findCall(
-  configuration: Configuration,
-  customer: CustomerDeclaration,
-  service: string,
-  path: string,
-  exchange: Exchange,
-): ServiceCall {
-  const declared = Object.hasOwn(configuration.services, service)
-    ? configuration.services[service]
-    : undefined;
-  if (!declared) {
-    throw new SycamoreheadError(
-      'unknown_service',
-      `service ${service} does not exist`,
-    );
+  private countBill({customer, item, amountMicros}: Bill): void {
+    this.parts.metrics.billed.inc({customer, version: item}, amountMicros);
   }
-  const permitted = configuration.customers[customer.customer];
-  if (!permitted?.services.includes(service)) {
-    throw new SycamoreheadError(
-      'not_permitted',
-      `customer ${customer.customer} may not use service ${service}`,
-    );
-  }
-  const {method} = exchange.request;
-  const call = declared.calls.find(
-    entry => entry.method === method && path.startsWith(entry.path),
-  );
-  if (call) return call;
-  throw new SycamoreheadError(
-    'not_found',
-    `service ${service} has no call ${method} ${path}`,
-  );
 }
 
-async function buildTask(
-  exchange: Exchange,
-  customer: CustomerDeclaration,
-  service: string,
-  path: string,
-  call: ServiceCall,
-): Promise<Omit<ServiceTask, 'revision'>> {
-  const idempotencyKey = exchange.readKeyHeader('Idempotency-Key');
-  if (!call.repeatable && !idempotencyKey) {
-    throw new SycamoreheadError(
-      'idempotency_key_required',
-      `Idempotency-Key: required for ${call.method} ${path}`,
-      {field: 'Idempotency-Key'},
-    );
-  }
-  const body = await exchange.readBody(MAX_BODY_BYTES);
-  const key = idempotencyKey ?? exchange.requestId;
-  const requestKey = `${customer.customer}/${service}/${key}`;
+/** Each answered call has one bill; what the service itself failed at costs nothing. */
+function buildBill(task: ServiceTask, answer: StoredAnswer): Bill {
+  const isFailed = answer.status >= FIRST_SERVER_ERROR;
   return {
-    exchange,
-    customer,
-    service,
-    path,
-    call,
-    body,
-    idempotencyKey,
-    requestKey,
+    requestKey: task.requestKey,
+    requestId: task.exchange.requestId,
+    customer: task.customer.customer,
+    item: task.service,
+    amountMicros: isFailed ? 0 : task.call.priceMicros,
+    revision: task.revision,
   };
 }
 
@@ -264,21 +188,7 @@
   return computeDigest([call.method, service, path, search, content]);
 }
 
-function buildHeaders({
-  exchange,
-  idempotencyKey,
-}: ServiceTask): Record<string, string> {
-  const contentType = exchange.request.headers['content-type'];
-  return {
-    'x-request-id': exchange.requestId,
-    ...(contentType && {'content-type': contentType}),
-    ...(idempotencyKey && {'idempotency-key': idempotencyKey}),
-  };
-}
-
 function sendAnswer(exchange: Exchange, answer: StoredAnswer): void {
-  exchange.response.writeHead(answer.status, {
-    'content-type': answer.contentType,
-  });
-  exchange.response.end(Buffer.from(answer.body, 'base64'));
+  const {status, contentType, body} = answer;
+  exchange.sendBody(status, contentType, Buffer.from(body, 'base64'));
 }
--- /dev/null
+++ b/packages/entry/src/lib/VersionResolver.ts
@@ -0,0 +1,127 @@
+import {
+  Configuration,
+  ConfiguredVersion,
+  ControlApi,
+  SycamoreheadError,
+  VersionRef,
+  formatVersionKey,
+  isPermitted,
+  isServing,
+} from '@sycamorehead/schema';
+import type {RoutedRequest, Router} from '@sycamorehead/routing';
+import type {ConfigurationManager} from './ConfigurationManager.js';
+import {SessionHints} from './SessionHints.js';
+
+/** What a VersionResolver works with. @public */
+export interface VersionResolverParts {
+  readonly router: Router;
+  readonly configuration: ConfigurationManager;
+  readonly control: ControlApi;
+}
+
+/** The version that a request runs on. @public */
+export interface ResolvedVersion {
+  readonly version: ConfiguredVersion;
+  readonly revision: number;
+  /** The session's earlier version, where the pin to it has ended. */
+  readonly endedPin?: VersionRef;
+}
+
+/**
+ * Resolves the version of a request: the one that its session is pinned to, else the router's
+ * choice. The replicated pin decides; this entry's own memory of pins is a hint, used only while
+ * its revision and the pin's version are in force.
+ *
+ * @public
+ */
+export class VersionResolver {
+  private readonly hints = new SessionHints();
+
+  constructor(private readonly parts: VersionResolverParts) {}
+
+  /**
+   * Resolves a request's version and checks that it may be dispatched.
+   *
+   * @throws SycamoreheadError `unknown_model`, `not_permitted`, `version_withdrawn`,
+   * `no_backend_server`, `context_too_long`, `control_unavailable`.
+   */
+  async resolve(routed: RoutedRequest): Promise<ResolvedVersion> {
+    const pin = await this.resolveRef(routed);
+    const configuration = this.parts.configuration.get();
+    const version = ensureDispatchable(configuration, routed, pin.ref);
+    checkContext(routed, version);
+    return {version, revision: configuration.revision, endedPin: pin.endedPin};
+  }
+
+  private async resolveRef(
+    routed: RoutedRequest,
+  ): Promise<{ref: VersionRef; endedPin?: VersionRef}> {
+    const {router, configuration, control} = this.parts;
+    const current = configuration.get();
+    // A named model has a pin of its own, so that a session may use several models.
+    const session = routed.session && `${routed.model}\n${routed.session}`;
+    const {customer} = routed.customer;
+    if (!session) return {ref: router.chooseVersion(routed, current).choice};
+    const key = `${customer}\n${session}`;
+    const hint = this.hints.get(key, current.revision);
+    if (hint) return {ref: hint};
+    const {choice} = router.chooseVersion(routed, current);
+    try {
+      const {model, version, endedPin} = await control.pinSession({
+        session,
+        customer,
+        version: choice,
+      });
+      this.hints.set(key, {model, version}, current.revision);
+      return {ref: {model, version}, endedPin};
+    } catch (error) {
+      throw new SycamoreheadError(
+        'control_unavailable',
+        'the version of the session cannot be confirmed',
+        {ran: 'no', cause: error},
+      );
+    }
+  }
+}
+
+/**
+ * Checks at the moment of dispatch that a version is in service and permitted.
+ *
+ * @throws SycamoreheadError `version_withdrawn` or `not_permitted`.
+ * @example
+ * ```ts
+ * ensureDispatchable(configuration, routed, {model: 'm', version: 'v1'});
+ * ```
+ * @public
+ */
+export function ensureDispatchable(
+  configuration: Configuration,
+  routed: RoutedRequest,
+  ref: VersionRef,
+): ConfiguredVersion {
+  const key = formatVersionKey(ref);
+  const version = configuration.versions[key];
+  if (!version || !isServing(version)) {
+    throw new SycamoreheadError(
+      'version_withdrawn',
+      `version ${key} is not in service`,
+    );
+  }
+  const customer = configuration.customers[routed.customer.customer];
+  if (!customer || !isPermitted(customer, ref)) {
+    throw new SycamoreheadError(
+      'not_permitted',
+      `version ${key} is not permitted`,
+    );
+  }
+  return version;
+}
+
+function checkContext(routed: RoutedRequest, version: ConfiguredVersion): void {
+  if (routed.promptTokens <= version.contextTokens) return;
+  throw new SycamoreheadError(
+    'context_too_long',
+    `messages: expected at most ${version.contextTokens} tokens, found about ${routed.promptTokens}`,
+    {field: 'messages'},
+  );
+}
--- /dev/null
+++ b/packages/entry/src/lib/formatAnswer.ts
@@ -0,0 +1,71 @@
+import type {StoredAnswer} from '@sycamorehead/schema';
+import type {AnswerFrame, PlannedAnswer} from './answerTypes.js';
+
+/** Formats one frame as a chunk of a streamed answer. @internal */
+export function formatChunk(id: string, model: string, frame: AnswerFrame) {
+  return {
+    id,
+    object: 'chat.completion.chunk',
+    model,
+    choices: [
+      {
+        index: 0,
+        delta: {content: frame.text},
+        finish_reason: frame.finishReason,
+      },
+    ],
+    ...(frame.usage && {usage: frame.usage}),
+  };
+}
+
+/** Formats a whole answer. @internal */
+export function formatCompletion(
+  id: string,
+  model: string,
+  text: string,
+  last: AnswerFrame,
+) {
+  return {
+    id,
+    object: 'chat.completion',
+    model,
+    choices: [
+      {
+        index: 0,
+        message: {role: 'assistant', content: text},
+        finish_reason: last.finishReason,
+      },
+    ],
+    usage: last.usage,
+  };
+}
+
+/** Formats events and the mark of a stream's regular end. @internal */
+export function formatEventStream(events: readonly unknown[]): string {
+  const lines = events.map(event => `data: ${JSON.stringify(event)}\n\n`);
+  return `${lines.join('')}data: [DONE]\n\n`;
+}
+
+/** What a stored model answer is encoded from. @internal */
+export interface StoredAnswerInput {
+  readonly requestId: string;
+  readonly answer: PlannedAnswer;
+  readonly text: string;
+  readonly last: AnswerFrame;
+  readonly stream: boolean;
+}
+
+/** Encodes a model answer so that a resend gets it whole, in the form that was asked for. @internal */
+export function encodeStoredAnswer(input: StoredAnswerInput): StoredAnswer {
+  const {requestId, answer, text, last, stream} = input;
+  const {model, version} = answer.version;
+  const body = stream
+    ? formatEventStream([formatChunk(requestId, model, {...last, text})])
+    : JSON.stringify(formatCompletion(requestId, model, text, last));
+  return {
+    status: 200,
+    contentType: stream ? 'text/event-stream' : 'application/json',
+    body: Buffer.from(body).toString('base64'),
+    origin: {version: {model, version}, revision: answer.revision},
+  };
+}
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -42,9 +42,11 @@
 export {announcementSchema, parseAnnouncement} from './lib/announcement.js';
 export type {Announcement} from './lib/announcement.js';
 export type {
+  AnswerOrigin,
   BeginResult,
   Bill,
   ControlApi,
+  FinishResult,
   LeaseGrant,
   SessionPin,
   StoredAnswer,
--- a/packages/schema/src/lib/chat.ts
+++ b/packages/schema/src/lib/chat.ts
@@ -36,6 +36,8 @@
   readonly usage?: Usage;
   /** Number of tokens of the answer up to and including this frame. */
   readonly offset?: number;
+  /** Number of tokens in this frame; 1 where absent. */
+  readonly tokens?: number;
 }
 
 /** Token counts of an answer. @public */
--- a/packages/schema/src/lib/errorKinds.ts
+++ b/packages/schema/src/lib/errorKinds.ts
@@ -39,6 +39,8 @@
     retryAfterMs: 1_000,
     exitCode: 20,
   },
+  answer_not_kept: {status: 410, ran: 'yes', exitCode: 36},
+  caller_gone: {status: 499, ran: 'unknown', exitCode: 35},
   outcome_unknown: {status: 502, ran: 'unknown', exitCode: 21},
   version_withdrawn: {status: 410, ran: 'no', exitCode: 22},
   no_configuration: {
--- a/packages/schema/src/lib/records.ts
+++ b/packages/schema/src/lib/records.ts
@@ -19,6 +19,8 @@
 export interface SessionPin extends VersionRef {
   /** Whether this call created the pin. */
   readonly isNew: boolean;
+  /** The earlier version, where the pin to it has ended with this call. */
+  readonly endedPin?: VersionRef;
 }
 
 /** A stored answer of a call that may not be repeated. @public */
@@ -27,6 +29,14 @@
   readonly contentType: string;
   /** Whole body in base64. */
   readonly body: string;
+  /** What a model answer came from; absent for plain services. */
+  readonly origin?: AnswerOrigin;
+}
+
+/** The version and revision that an answer came from. @public */
+export interface AnswerOrigin {
+  readonly version: VersionRef;
+  readonly revision: number;
 }
 
 /** Answer to an entry that wants to run a call that may not be repeated. @public */
@@ -35,11 +45,23 @@
   | {readonly state: 'in_progress'}
   | {readonly state: 'outcome_unknown'}
   | {readonly state: 'key_reused'}
+  /** It ran and was billed, but its answer is no longer kept. */
+  | {readonly state: 'answer_not_kept'}
+  /** The table of records is full of records that are too young to drop. */
+  | {readonly state: 'records_full'}
   | {readonly state: 'done'; readonly answer: StoredAnswer};
 
+/** Answer to an entry that commits the outcome of such a call. @public */
+export interface FinishResult {
+  /** Whether the record now holds this outcome, also after a resend. */
+  readonly isAccepted: boolean;
+}
+
 /** One bill; its key is the request it pays for. @public */
 export interface Bill {
   readonly requestKey: string;
+  /** Identifier that the first caller of this request was given. */
+  readonly requestId: string;
   readonly customer: string;
   /** `model/version`, or the service's name. */
   readonly item: string;
@@ -62,19 +84,25 @@
     customer: string;
     version: VersionRef;
   }): Promise<SessionPin>;
-  /** Commits the intent to run a call that may not be repeated. */
+  /** Commits the intent to run a request that carries an idempotency key. */
   beginRequest(params: {
     requestKey: string;
     bodyDigest: string;
+    /** Names one request at one entry, so that a resent command finds its own record. */
     owner: string;
+    /** Whether the work may run again where an earlier owner was lost. */
+    isRepeatable: boolean;
+    /** Time after which an owner that has not finished counts as lost, in milliseconds. */
+    ownerLimitMs: number;
   }): Promise<BeginResult>;
-  /** Commits the result of such a call. */
+  /** Commits the outcome of such a request, with its bill where it is done. */
   finishRequest(params: {
     requestKey: string;
     fencing: number;
     outcome: 'done' | 'not_run' | 'unknown';
     answer?: StoredAnswer;
-  }): Promise<void>;
+    bill?: Bill;
+  }): Promise<FinishResult>;
   /** Commits a bill; a second one with the same key changes nothing. */
   recordBill(params: Bill): Promise<{isNew: boolean}>;
 }
