The whole answer: checked frames, reused connections, timeouts as settings; failure tests

Cause: a late terminal frame of an old attempt ended the new attempt's stream, an engine that repeated or skipped tokens on resume was believed, and the connection to an engine was closed after every streamed answer, because the loop over its body was left early.

Change: FrameChecker holds each frame against the expected offset and attempt, inside the reading of the stream. The rest of a finished answer is read, so that its connection is used again.

--- a/apps/syc-entry/src/main.ts
+++ b/apps/syc-entry/src/main.ts
@@ -5,6 +5,11 @@
 import {getErrorAnswer, toSycamoreheadError} from '@sycamorehead/schema';
 import {readSecret, readSettings, setLogPattern} from '@sycamorehead/telemetry';
 import {PeerAddress, parsePeerAddress} from '@sycamorehead/wire';
+import {
+  buildTimeouts,
+  timeoutOptions,
+  timeoutSettings,
+} from './timeoutOptions.js';
 
 const MAX_PORT = 65_535;
 
@@ -17,6 +22,7 @@
   peers: z.string(),
   control: z.string().min(1, 'expected NAME=IP:PORT, separated by commas'),
   balancerLag: z.number().min(0).max(600),
+  ...timeoutSettings,
 });
 
 function parsePeers(list: string): PeerAddress[] {
@@ -49,6 +55,7 @@
     peerKey,
     serverKey: readSecret('SYC_SERVER_KEY'),
     control,
+    ...buildTimeouts(settings),
     balancerLagMs: settings.balancerLag * 1_000,
   });
   const ports = await entry.start();
@@ -122,6 +129,7 @@
       description: 'seconds to keep serving after SIGTERM',
       defaultValue: () => 5,
     }),
+    ...timeoutOptions,
     log: option({
       type: optional(string),
       long: 'log',
--- /dev/null
+++ b/packages/bench/src/test/DeliveryHarness.ts
@@ -0,0 +1,274 @@
+import {SingleVoterLog} from '@sycamorehead/consensus';
+import {ControlNode} from '@sycamorehead/control';
+import {Entry, EntryOptions} from '@sycamorehead/entry';
+import {
+  Announcement,
+  ReleaseNote,
+  hashKey,
+  releaseNoteSchema,
+} from '@sycamorehead/schema';
+import {StandInEngine, StandInService} from '@sycamorehead/stand-ins';
+import {EngineScript, ScriptedEngine} from './ScriptedEngine.js';
+import {TestCaller} from './TestCaller.js';
+import {ControlFaults, wrapControl} from './controlFaults.js';
+
+const HOST = '127.0.0.1';
+const KEYS = {peerKey: 'peer', serverKey: 'server'};
+const POLL_MS = 5;
+const REPEAT_MS = 1_000;
+const WAIT_LIMIT_MS = 10_000;
+const SPEED = {slots: 16, stepMs: 1, stepMsPerJob: 0, prefillTokensPerMs: 1e3};
+
+/** Key of the one customer of a harness. */
+export const CUSTOMER_KEY = 'customer-key';
+
+/** The first note of a harness: models `m/v1` and `m/v2`, services `orders` and `rota`. */
+export function buildFirstNote(): ReleaseNote {
+  const version = {
+    model: 'm',
+    inputPrice: 1,
+    outputPrice: 2,
+    contextTokens: 1_000,
+  };
+  return releaseNoteSchema.parse({
+    number: 1,
+    follows: 0,
+    add: {
+      versions: [
+        {...version, version: 'v1', qualityPrior: 0.8},
+        {...version, version: 'v2', qualityPrior: 0.9},
+      ],
+      services: ['orders', 'rota'].map(service => ({
+        service,
+        calls: [
+          {method: 'POST', path: '/once', repeatable: false, priceMicros: 500},
+          {method: 'GET', path: '/read', repeatable: true, priceMicros: 1},
+        ],
+      })),
+      customers: [
+        {
+          customer: 'c',
+          keyHash: hashKey(CUSTOMER_KEY),
+          models: [{model: 'm', versions: 'any'}],
+          services: ['orders', 'rota'],
+          limits: {requestsPerSecond: 1e5, tokensPerSecond: 1e7},
+          qualityTarget: 0.5,
+        },
+      ],
+    },
+  });
+}
+
+/** Settings of a harness. */
+export interface HarnessOptions {
+  readonly entries: number;
+  readonly engines?: number;
+  readonly replicas?: number;
+  readonly note?: ReleaseNote;
+  readonly entryOptions?: Partial<EntryOptions>;
+}
+
+/**
+ * Several entries over real HTTP with one control node behind faults, stand-ins behind them.
+ * Backend servers are announced directly to every entry, so that no test waits for gossip.
+ */
+export class DeliveryHarness {
+  readonly control = new ControlNode({
+    name: 'control-1',
+    createLog: machine => new SingleVoterLog('control-1', machine),
+  });
+  readonly entries: Entry[] = [];
+  readonly callers: TestCaller[] = [];
+  readonly faults: ControlFaults[] = [];
+  readonly engines: StandInEngine[] = [];
+  readonly services: StandInService[] = [];
+  private readonly announced = new Map<string, Announcement>();
+  private readonly stopped = new Set<Entry>();
+  private sequence = 0;
+  private scriptedCount = 0;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: HarnessOptions) {}
+
+  /** Starts everything and waits until each entry routes on the first note. */
+  async start(): Promise<this> {
+    await this.control.publish(this.options.note ?? buildFirstNote());
+    for (let index = 1; index <= this.options.entries; index++) {
+      await this.startEntry(`entry-${index}`);
+    }
+    for (let index = 1; index <= (this.options.engines ?? 0); index++) {
+      await this.startEngine(`engine-${index}`);
+    }
+    for (let index = 1; index <= (this.options.replicas ?? 0); index++) {
+      await this.startReplica(`orders-${index}`, 'orders');
+    }
+    this.timer = setInterval(() => this.announceAll(), REPEAT_MS);
+    await this.waitFor(() => this.entries.every(entry => entry.isReady()));
+    return this;
+  }
+
+  /** Stops everything. */
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    for (const faults of this.faults) faults.release();
+    for (const caller of this.callers) await caller.stop();
+    await Promise.all(this.engines.map(engine => engine.stop()));
+    await Promise.all(this.services.map(service => service.stop()));
+    const left = this.entries.filter(entry => !this.stopped.has(entry));
+    await Promise.all(left.map(entry => entry.stop()));
+    await this.control.stop();
+  }
+
+  /** Starts one more entry, after the others. */
+  async startEntry(name: string): Promise<TestCaller> {
+    const faults = new ControlFaults();
+    const entry = new Entry({
+      name,
+      dataCentre: 'dc-1',
+      host: HOST,
+      port: 0,
+      peerPort: 0,
+      peers: [],
+      ...KEYS,
+      control: wrapControl(this.control, faults),
+      backendTimeouts: {
+        connectMs: 300,
+        firstByteMs: 300,
+        betweenFramesMs: 300,
+        serviceMs: 600,
+      },
+      timeouts: {
+        answerMs: 5_000,
+        callerStallMs: 300,
+        commitWaitMs: 300,
+      },
+      ...this.options.entryOptions,
+    });
+    const {port} = await entry.start();
+    const caller = new TestCaller(`http://${HOST}:${port}`, CUSTOMER_KEY);
+    this.entries.push(entry);
+    this.faults.push(faults);
+    this.callers.push(caller);
+    this.announceAll();
+    return caller;
+  }
+
+  /** Stops an entry as SIGTERM does. */
+  async stopEntry(index: number): Promise<void> {
+    const entry = this.entries[index]!;
+    this.stopped.add(entry);
+    await entry.stop();
+  }
+
+  /** Announces a backend server to every entry; repeated each second. */
+  announce(
+    server: Pick<Announcement, 'id' | 'address' | 'kind'> &
+      Partial<Announcement>,
+  ): void {
+    this.announced.set(server.id, {
+      dataCentre: 'dc-1',
+      generation: 1,
+      sequence: 0,
+      state: 'ready',
+      versions: [],
+      slots: 16,
+      fencing: 'ignored',
+      ...server,
+    });
+    this.announceAll();
+  }
+
+  /** Announces engines that a test brings with it, with both versions loaded. */
+  announceEngine(id: string, address: string): void {
+    const versions = ['v1', 'v2'].map(version => ({model: 'm', version}));
+    this.announce({id, address, kind: 'engine', versions});
+  }
+
+  /** Runs a test against one scripted engine alone. */
+  async runWithEngine(
+    scripts: readonly EngineScript[],
+    run: (engine: ScriptedEngine, id: string) => Promise<void>,
+  ): Promise<void> {
+    this.scriptedCount += 1;
+    const id = `scripted-${this.scriptedCount}`;
+    const engine = new ScriptedEngine(scripts);
+    const address = await engine.start();
+    this.announceEngine(id, address);
+    try {
+      await run(engine, id);
+    } finally {
+      this.announce({id, address, kind: 'engine', state: 'leaving'});
+      await engine.stop();
+    }
+  }
+
+  /** Publishes the next note and waits until it is in force everywhere. */
+  async publish(changes: Omit<Partial<ReleaseNote>, 'number'>): Promise<void> {
+    const {noteNumber} = await this.control.readInForce();
+    const note = releaseNoteSchema.parse({
+      number: noteNumber + 1,
+      follows: noteNumber,
+      ...changes,
+    });
+    await this.control.publish(note);
+    await this.waitFor(async () => (await this.control.readInForce()).inForce);
+  }
+
+  /** Waits until a condition holds. */
+  async waitFor(isTrue: () => boolean | Promise<boolean>): Promise<void> {
+    const deadline = performance.now() + WAIT_LIMIT_MS;
+    while (!(await isTrue())) {
+      if (performance.now() > deadline) throw new Error('waited in vain');
+      await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    }
+  }
+
+  /** Counts the runs of a plain service with a key, over all replicas. */
+  countRuns(key: string): number {
+    return this.services.reduce((sum, service) => sum + service.count(key), 0);
+  }
+
+  /** Lists the keys of all bills, without the customer's prefix. */
+  async listBilledKeys(): Promise<string[]> {
+    const bills = await this.control.listBills();
+    return bills.map(({requestKey}) =>
+      requestKey.split('/').slice(1).join('/'),
+    );
+  }
+
+  private async startEngine(id: string): Promise<void> {
+    const engine = new StandInEngine({
+      id,
+      dataCentre: 'dc-1',
+      versions: ['v1', 'v2'].map(version => ({model: 'm', version})),
+      speed: SPEED,
+      fencing: 'ignored',
+      entries: [],
+      serverKey: KEYS.serverKey,
+    });
+    this.engines.push(engine);
+    this.announceEngine(id, await engine.start());
+  }
+
+  private async startReplica(id: string, service: string): Promise<void> {
+    const replica = new StandInService({
+      id,
+      service,
+      dataCentre: 'dc-1',
+      entries: [],
+      serverKey: KEYS.serverKey,
+    });
+    this.services.push(replica);
+    const address = await replica.start();
+    this.announce({id, address, kind: 'service', service});
+  }
+
+  private announceAll(): void {
+    this.sequence += 1;
+    for (const announcement of this.announced.values()) {
+      for (const entry of this.entries) {
+        entry.directory.receive({...announcement, sequence: this.sequence});
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/bench/src/test/ScriptedEngine.ts
@@ -0,0 +1,124 @@
+import {StandInServer} from '@sycamorehead/stand-ins';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+/** One request as a scripted engine received it. */
+export interface ScriptedRun {
+  readonly attemptId: string;
+  readonly resumeOffset: number;
+  readonly model: string;
+  /** The engine's view of the connection: the caller's port. */
+  readonly port: number;
+  isClosed: boolean;
+}
+
+/** What a scripted engine writes as one frame. */
+export interface ScriptedFrame {
+  readonly text: string;
+  readonly offset?: number;
+  readonly tokens?: number;
+  readonly isLast?: boolean;
+  /** Name of the stream; that of the attempt where absent. */
+  readonly id?: string;
+}
+
+/** Answers one request of a scripted engine. */
+export type EngineScript = (
+  run: ScriptedRun,
+  response: ServerResponse,
+) => void | Promise<void>;
+
+/** Writes one frame as engines do. */
+export function writeFrame(
+  response: ServerResponse,
+  run: ScriptedRun,
+  frame: ScriptedFrame,
+): void {
+  const {text, offset, tokens, isLast, id} = frame;
+  const chunk = {
+    id: id ?? run.attemptId,
+    object: 'chat.completion.chunk',
+    model: run.model,
+    offset,
+    tokens,
+    choices: [
+      {
+        index: 0,
+        delta: {content: text},
+        finish_reason: isLast ? 'stop' : null,
+      },
+    ],
+    ...(isLast && {usage: {prompt_tokens: 2, completion_tokens: offset ?? 1}}),
+  };
+  response.write(`data: ${JSON.stringify(chunk)}\n\n`);
+}
+
+/** Writes the tokens `1 2 3 …` of an answer from one offset up to another. */
+export function writeTokens(
+  response: ServerResponse,
+  run: ScriptedRun,
+  from: number,
+  to: number,
+  total = to,
+): void {
+  for (let offset = from + 1; offset <= to; offset++) {
+    const isLast = offset === total;
+    writeFrame(response, run, {text: `${offset} `, offset, isLast});
+  }
+}
+
+/** An engine that answers each request by the next of its scripts, the last one for ever. */
+export class ScriptedEngine {
+  readonly runs: ScriptedRun[] = [];
+  private readonly server: StandInServer;
+
+  constructor(private readonly scripts: readonly EngineScript[]) {
+    this.server = new StandInServer((request, response, body) =>
+      this.answer(request, response, body),
+    );
+  }
+
+  /** Starts to listen and returns the address. */
+  start(): Promise<string> {
+    return this.server.start();
+  }
+
+  /** Cuts every connection and stops. */
+  stop(): Promise<void> {
+    return this.server.stop();
+  }
+
+  private async answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+  ): Promise<void> {
+    const {model} = JSON.parse(body) as {model: string};
+    const run: ScriptedRun = {
+      attemptId: String(request.headers['x-request-id']),
+      resumeOffset: Number(request.headers['x-resume-offset']),
+      model,
+      port: request.socket.remotePort ?? 0,
+      isClosed: false,
+    };
+    response.on('close', () => {
+      run.isClosed = true;
+    });
+    const place = Math.min(this.runs.length, this.scripts.length - 1);
+    this.runs.push(run);
+    response.writeHead(200, {'content-type': 'text/event-stream'});
+    response.flushHeaders();
+    await this.scripts[place]?.(run, response);
+  }
+}
+
+/** Answers the rest of `1 2 3 4 5 6` as a healthy engine does. */
+export const answerRest: EngineScript = (run, response) => {
+  writeTokens(response, run, run.resumeOffset, TOTAL);
+  response.end('data: [DONE]\n\n');
+};
+
+/** Tokens of the answer that `answerRest` gives. */
+export const TOTAL = 6;
+
+/** Its text. */
+export const WHOLE = '1 2 3 4 5 6 ';
--- /dev/null
+++ b/packages/bench/src/test/TestCaller.ts
@@ -0,0 +1,181 @@
+import {createParser} from 'eventsource-parser';
+import {Agent, request} from 'undici';
+
+const GIVE_UP_MS = 10_000;
+
+/** What a caller saw of one request. */
+export interface CallerView {
+  /** 0 where the connection broke before the answer's head. */
+  readonly status: number;
+  /** Whether the answer came whole; a stream only with its regular end. */
+  readonly isWhole: boolean;
+  /** Text of a model's answer, or the body of a plain service's. */
+  readonly text: string;
+  /** Error kind and its promise, where the answer is an error. */
+  readonly kind?: string;
+  readonly ran?: string;
+  readonly headers: Readonly<Record<string, unknown>>;
+}
+
+/** A model request. */
+export interface ChatCall {
+  readonly prompt?: string;
+  readonly tokens?: number;
+  readonly stream?: boolean;
+  readonly session?: string;
+  readonly key?: string;
+  readonly model?: string;
+  /** Breaks the connection off after this many frames. */
+  readonly leaveAfterFrames?: number;
+}
+
+interface ErrorBody {
+  readonly kind: string;
+  readonly ran: string;
+}
+
+const BROKEN: CallerView = {status: 0, isWhole: false, text: '', headers: {}};
+
+/** A caller of one entry. */
+export class TestCaller {
+  private readonly agent = new Agent({
+    connections: 256,
+    headersTimeout: GIVE_UP_MS,
+    bodyTimeout: GIVE_UP_MS,
+  });
+
+  constructor(
+    readonly url: string,
+    private readonly customerKey: string,
+  ) {}
+
+  /** Asks for a model's answer. */
+  async sendChat(call: ChatCall = {}): Promise<CallerView> {
+    const {prompt, tokens, stream, session, key, model} = call;
+    const aborter = new AbortController();
+    try {
+      const answer = await request(`${this.url}/v1/chat/completions`, {
+        method: 'POST',
+        dispatcher: this.agent,
+        signal: aborter.signal,
+        headers: {
+          authorization: `Bearer ${this.customerKey}`,
+          ...(session && {'sycamorehead-session': session}),
+          ...(key && {'idempotency-key': key}),
+        },
+        body: JSON.stringify({
+          model: model ?? 'auto',
+          stream: stream ?? true,
+          messages: [{role: 'user', content: prompt ?? 'hello'}],
+          metadata: {stand_in_tokens: String(tokens ?? 8)},
+        }),
+      });
+      const seen = {status: answer.statusCode, headers: answer.headers};
+      const type = String(answer.headers['content-type']);
+      if (!type.startsWith('text/event-stream')) {
+        return {...seen, ...readJsonAnswer(await answer.body.text())};
+      }
+      const leave = () => aborter.abort();
+      const limit = call.leaveAfterFrames ?? Infinity;
+      return {...seen, ...(await readStream(answer.body, limit, leave))};
+    } catch {
+      return BROKEN;
+    }
+  }
+
+  /** Calls a plain service. */
+  async callService(
+    method: 'GET' | 'POST',
+    path: string,
+    key?: string,
+    body = method === 'POST' ? '{"amount":1}' : undefined,
+  ): Promise<CallerView> {
+    try {
+      const answer = await request(`${this.url}/services/${path}`, {
+        method,
+        dispatcher: this.agent,
+        headers: {
+          authorization: `Bearer ${this.customerKey}`,
+          ...(key && {'idempotency-key': key}),
+        },
+        body,
+      });
+      const text = await answer.body.text();
+      const {kind, ran} = readError(text);
+      const isWhole = answer.statusCode < 400;
+      const {statusCode: status, headers} = answer;
+      return {status, headers, isWhole, text, kind, ran};
+    } catch {
+      return BROKEN;
+    }
+  }
+
+  /** Reads one of the entry's own pages. */
+  async read(path: string): Promise<CallerView> {
+    try {
+      const answer = await request(`${this.url}${path}`, {
+        dispatcher: this.agent,
+      });
+      const text = await answer.body.text();
+      const {statusCode: status, headers} = answer;
+      return {status, headers, isWhole: status < 400, text};
+    } catch {
+      return BROKEN;
+    }
+  }
+
+  /** Breaks off what is open. */
+  async stop(): Promise<void> {
+    await this.agent.destroy();
+  }
+}
+
+function readError(text: string): Partial<ErrorBody> {
+  const {error} = JSON.parse(text) as {error?: ErrorBody};
+  return {kind: error?.kind, ran: error?.ran};
+}
+
+function readJsonAnswer(text: string): Omit<CallerView, 'status' | 'headers'> {
+  const body = JSON.parse(text) as {
+    choices?: Array<{message: {content: string}}>;
+  };
+  const content = body.choices?.[0]?.message.content;
+  if (content !== undefined) return {isWhole: true, text: content};
+  return {isWhole: false, text: '', ...readError(text)};
+}
+
+async function readStream(
+  body: AsyncIterable<Buffer>,
+  limit: number,
+  leave: () => void,
+): Promise<Omit<CallerView, 'status' | 'headers'>> {
+  let text = '';
+  let frames = 0;
+  let isWhole = false;
+  let error: Partial<ErrorBody> = {};
+  const parser = createParser({
+    onEvent({data}) {
+      if (data === '[DONE]') {
+        isWhole = true;
+        return;
+      }
+      const frame = JSON.parse(data) as {
+        error?: ErrorBody;
+        choices?: Array<{delta: {content: string}}>;
+      };
+      if (frame.error) error = frame.error;
+      text += frame.choices?.[0]?.delta.content ?? '';
+      frames += 1;
+      if (frames >= limit) leave();
+    },
+  });
+  const decoder = new TextDecoder();
+  try {
+    for await (const bytes of body) {
+      parser.feed(decoder.decode(bytes, {stream: true}));
+    }
+  } catch {
+    // A connection that breaks leaves the answer as it is: not whole.
+  }
+  return {isWhole, text, kind: error.kind, ran: error.ran};
+}
--- /dev/null
+++ b/packages/bench/src/test/answerFailures.test.ts
@@ -0,0 +1,322 @@
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import {DeliveryHarness} from './DeliveryHarness.js';
+import {
+  EngineScript,
+  ScriptedEngine,
+  TOTAL,
+  WHOLE,
+  answerRest,
+  writeFrame,
+  writeTokens,
+} from './ScriptedEngine.js';
+import type {ChatCall} from './TestCaller.js';
+
+let harness: DeliveryHarness;
+
+before(async () => {
+  harness = await new DeliveryHarness({entries: 2}).start();
+});
+
+after(() => harness.stop());
+
+function runAlone(
+  scripts: readonly EngineScript[],
+  run: (engine: ScriptedEngine, id: string) => Promise<void>,
+): Promise<void> {
+  return harness.runWithEngine(scripts, run);
+}
+
+/** Sends a chat and returns what the caller saw with the bills that it caused. */
+async function sendAndReadBills(call: ChatCall = {}) {
+  const seen = await harness.callers[0]!.sendChat(call);
+  const requestId = String(seen.headers['sycamorehead-request-id']);
+  const all = await harness.control.listBills();
+  return {seen, bills: all.filter(bill => bill.requestId === requestId)};
+}
+
+interface FaultCase {
+  readonly title: string;
+  readonly scripts: readonly EngineScript[];
+  readonly resumedFrom: readonly number[];
+}
+
+const FAULT_CASES: readonly FaultCase[] = [
+  {
+    title: 'resets mid-stream',
+    scripts: [
+      (run, response) => {
+        writeTokens(response, run, 0, 3, TOTAL);
+        setTimeout(() => response.destroy(), 20);
+      },
+      answerRest,
+    ],
+    resumedFrom: [0, 3],
+  },
+  {
+    title: 'ends without its terminal frame',
+    scripts: [
+      (run, response) => {
+        writeTokens(response, run, 0, 4, TOTAL);
+        response.end('data: [DONE]\n\n');
+      },
+      answerRest,
+    ],
+    resumedFrom: [0, 4],
+  },
+  {
+    title: 'goes silent mid-stream with its connection open',
+    scripts: [
+      (run, response) => writeTokens(response, run, 0, 2, TOTAL),
+      answerRest,
+    ],
+    resumedFrom: [0, 2],
+  },
+  {
+    title: 'repeats tokens on resume',
+    scripts: [
+      (run, response) => {
+        writeTokens(response, run, 0, 3, TOTAL);
+        response.end();
+      },
+      (run, response) => {
+        writeTokens(response, run, 0, TOTAL);
+        response.end();
+      },
+    ],
+    resumedFrom: [0, 3],
+  },
+  {
+    title: 'skips tokens on resume',
+    scripts: [
+      (run, response) => {
+        writeTokens(response, run, 0, 3, TOTAL);
+        response.end();
+      },
+      (run, response) => writeTokens(response, run, 4, TOTAL),
+      answerRest,
+    ],
+    resumedFrom: [0, 3, 3],
+  },
+  {
+    title: 'does not number its frames after a resume',
+    scripts: [
+      (run, response) => {
+        writeTokens(response, run, 0, 1, TOTAL);
+        response.end();
+      },
+      (run, response) => writeFrame(response, run, {text: '2 '}),
+      answerRest,
+    ],
+    resumedFrom: [0, 1, 1],
+  },
+  {
+    title: 'answers twice',
+    scripts: [
+      (run, response) => {
+        writeTokens(response, run, 0, TOTAL);
+        writeTokens(response, run, 0, TOTAL);
+        response.end();
+      },
+    ],
+    resumedFrom: [0],
+  },
+  {
+    title: 'answers the old attempt late, within the stream of the new one',
+    scripts: [
+      (run, response) => {
+        writeTokens(response, run, 0, 2, TOTAL);
+        response.end();
+      },
+      (run, response) => {
+        const old = {...run, attemptId: run.attemptId.replace(/2$/, '1')};
+        writeTokens(response, old, 2, TOTAL);
+        writeTokens(response, run, 2, TOTAL);
+        response.end();
+      },
+    ],
+    resumedFrom: [0, 2],
+  },
+  {
+    title: 'sends several tokens in a frame',
+    scripts: [
+      (run, response) => {
+        writeFrame(response, run, {text: '1 2 3 ', offset: 3, tokens: 3});
+        response.end();
+      },
+      answerRest,
+    ],
+    resumedFrom: [0, 3],
+  },
+];
+
+for (const fault of FAULT_CASES) {
+  for (const stream of [true, false]) {
+    const form = stream ? 'streamed' : 'whole';
+    test(`engine ${fault.title}: ${form} answer is whole and billed once`, () =>
+      runAlone(fault.scripts, async engine => {
+        const {seen, bills} = await sendAndReadBills({stream});
+        assert.equal(seen.text, WHOLE);
+        assert.equal(seen.isWhole, true);
+        assert.deepEqual(
+          engine.runs.map(({resumeOffset}) => resumeOffset),
+          fault.resumedFrom,
+        );
+        assert.equal(
+          new Set(engine.runs.map(run => run.attemptId)).size,
+          engine.runs.length,
+        );
+        assert.equal(bills.length, 1);
+        assert.equal(bills[0]?.usage?.completion_tokens, TOTAL);
+      }));
+  }
+}
+
+test('an engine that never finishes: an honest error, no bill', () =>
+  runAlone(
+    [
+      (run, response) => {
+        writeTokens(response, run, 0, 2, TOTAL);
+        response.end();
+      },
+      (run, response) => void response.end(),
+    ],
+    async engine => {
+      const {seen, bills} = await sendAndReadBills();
+      assert.deepEqual(
+        [seen.isWhole, seen.kind, seen.ran],
+        [false, 'incomplete_answer', 'unknown'],
+      );
+      assert.equal(seen.text, '1 2 ', 'nothing is repeated');
+      assert.equal(engine.runs.length, 4);
+      assert.equal(bills.length, 0);
+    },
+  ));
+
+test('connections to engines are used again, streamed or whole', () =>
+  runAlone([answerRest], async engine => {
+    for (const stream of [true, false, true, false]) {
+      const {seen} = await sendAndReadBills({stream});
+      assert.equal(seen.text, WHOLE);
+    }
+    assert.equal(new Set(engine.runs.map(({port}) => port)).size, 1);
+  }));
+
+test('a connection silent for good holds up no other request', () =>
+  runAlone(
+    [
+      () => new Promise<void>(() => {}),
+      // While the first one is silent, new connections to the same engine work.
+      answerRest,
+    ],
+    async engine => {
+      const silent = harness.callers[0]!.sendChat();
+      await harness.waitFor(() => engine.runs.length === 1);
+      const others = await Promise.all(
+        [1, 2, 3].map(() => harness.callers[0]!.sendChat()),
+      );
+      assert.deepEqual(
+        others.map(({text}) => text),
+        [WHOLE, WHOLE, WHOLE],
+      );
+      assert.equal(engine.runs[0]?.isClosed, false, 'they did not wait for it');
+      assert.equal((await silent).text, WHOLE);
+      await harness.waitFor(() => engine.runs[0]!.isClosed);
+    },
+  ));
+
+test('caller gone: the work is cancelled and what was served is billed once', () =>
+  runAlone(
+    [(run, response) => writeTokens(response, run, 0, 3, TOTAL)],
+    async (engine, id) => {
+      const {seen} = await sendAndReadBills({leaveAfterFrames: 3});
+      assert.equal(seen.isWhole, false);
+      const requestId = String(seen.headers['sycamorehead-request-id']);
+      const findBills = async () =>
+        (await harness.control.listBills()).filter(
+          bill => bill.requestId === requestId,
+        );
+      await harness.waitFor(async () => (await findBills()).length === 1);
+      await harness.waitFor(() => engine.runs[0]!.isClosed);
+      assert.equal(engine.runs.length, 1, 'not resumed for nobody');
+      assert.equal((await findBills())[0]?.usage?.completion_tokens, 3);
+      assert.equal(harness.entries[0]?.router.work.count(id), 0);
+    },
+  ));
+
+test('slow caller: a bounded part of the answer is taken, then it is cut off', () =>
+  runAlone(
+    [
+      async (run, response) => {
+        const text = 'x'.repeat(16_384);
+        for (let offset = 1; !run.isClosed && offset < 10_000; offset++) {
+          writeFrame(response, run, {text, offset});
+          if (!response.writableNeedDrain) continue;
+          await new Promise<void>(resolve => {
+            response.once('drain', resolve);
+            response.once('close', resolve);
+          });
+        }
+      },
+    ],
+    async engine => {
+      const {request} = await import('node:http');
+      const call = request(`${harness.callers[0]!.url}/v1/chat/completions`, {
+        method: 'POST',
+        headers: {authorization: 'Bearer customer-key'},
+      });
+      call.on('response', response => response.pause());
+      call.on('error', () => {});
+      call.end(
+        JSON.stringify({
+          model: 'auto',
+          stream: true,
+          messages: [{role: 'user', content: 'long'}],
+        }),
+      );
+      await harness.waitFor(() => engine.runs.length === 1);
+      await harness.waitFor(() => engine.runs[0]!.isClosed);
+      assert.equal(engine.runs.length, 1);
+      call.destroy();
+    },
+  ));
+
+test('total deadline: the caller is told and the engine is cancelled', async () => {
+  const options = {
+    entries: 1,
+    entryOptions: {
+      timeouts: {answerMs: 150, callerStallMs: 1_000, commitWaitMs: 300},
+    },
+  };
+  const short = await new DeliveryHarness(options).start();
+  const engine = new ScriptedEngine([
+    (run, response) => writeTokens(response, run, 0, 2, TOTAL),
+  ]);
+  short.announceEngine('slow', await engine.start());
+  const seen = await short.callers[0]!.sendChat();
+  assert.deepEqual([seen.kind, seen.ran], ['deadline_exceeded', 'unknown']);
+  assert.equal(seen.text, '1 2 ');
+  await short.waitFor(() => engine.runs[0]!.isClosed);
+  assert.equal((await short.control.listBills()).length, 0);
+  await short.stop();
+  await engine.stop();
+});
+
+for (const outage of ['unseen', 'result_lost'] as const) {
+  test(`quorum lost (${outage}) before the bill: no end without it, billed once`, () =>
+    runAlone([answerRest], async () => {
+      const [faults] = harness.faults;
+      faults!.outage = outage;
+      const {seen} = await sendAndReadBills();
+      assert.deepEqual(
+        [seen.isWhole, seen.kind, seen.ran],
+        [false, 'control_unavailable', 'yes'],
+      );
+      faults!.outage = 'none';
+      const requestId = String(seen.headers['sycamorehead-request-id']);
+      const countBills = async () =>
+        (await harness.listBilledKeys()).filter(key => key.endsWith(requestId))
+          .length;
+      await harness.waitFor(async () => (await countBills()) === 1);
+    }));
+}
--- a/packages/entry/src/lib/Attempt.ts
+++ b/packages/entry/src/lib/Attempt.ts
@@ -86,27 +86,23 @@
 
   private async *readFrames(startedAt: number): AsyncGenerator<AnswerFrame> {
     const {server, body, offset} = this.options;
-    const chunks = this.parts.backends.streamChat({
-      address: server.announcement.address,
-      attemptId: this.attemptId,
-      body,
-      resumeOffset: offset,
-      priority: 0,
-      signal: this.aborter.signal,
-    });
-    for await (const chunk of chunks) {
-      const frame = this.checker.check(chunk);
-      if (!frame) continue;
+    const frames = this.parts.backends.streamChat(
+      {
+        address: server.announcement.address,
+        attemptId: this.attemptId,
+        body,
+        resumeOffset: offset,
+        priority: 0,
+        signal: this.aborter.signal,
+      },
+      this.checker,
+    );
+    for await (const frame of frames) {
       this.firstTokenMs ??= performance.now() - startedAt;
       // Set before the frame is yielded: the reader may stop at the terminal one.
       if (frame.finishReason) this.result = 'answered';
       yield frame;
-      if (frame.finishReason) return;
     }
-    throw new SycamoreheadError(
-      'incomplete_answer',
-      'the terminal frame belonged to another attempt',
-    );
   }
 
   private classifyFailure(
--- a/packages/entry/src/lib/BackendClient.ts
+++ b/packages/entry/src/lib/BackendClient.ts
@@ -1,6 +1,8 @@
 import {createParser} from 'eventsource-parser';
 import {Agent, Dispatcher, request} from 'undici';
 import {ChatChunk, RanState, SycamoreheadError} from '@sycamorehead/schema';
+import type {AnswerFrame} from './answerTypes.js';
+import type {FrameChecker} from './FrameChecker.js';
 
 /** Time limits on calls to backend servers, in milliseconds. @public */
 export interface BackendTimeouts {
@@ -23,6 +25,8 @@
 
 const CONNECTIONS_PER_SERVER = 512;
 const KEEP_ALIVE_MS = 10_000;
+/** What may follow an answer's terminal frame on its connection. */
+const MAX_REST_BYTES = 16 * 1024;
 
 /** Errors raised before any byte of the request reached the server. */
 const UNSENT_CODES = new Set([
@@ -90,12 +94,15 @@
   }
 
   /**
-   * Streams an engine's answer. Ends normally only after the terminal frame.
+   * Streams the frames of an engine's answer. Ends normally only after the terminal frame.
    *
    * @throws SycamoreheadError `backend_failed` with what is known of `ran`, or
    * `incomplete_answer` where the stream ended without its terminal frame.
    */
-  async *streamChat(attempt: EngineAttempt): AsyncGenerator<ChatChunk> {
+  async *streamChat(
+    attempt: EngineAttempt,
+    checker: FrameChecker,
+  ): AsyncGenerator<AnswerFrame> {
     const answer = await this.send(`${attempt.address}/v1/chat/completions`, {
       method: 'POST',
       signal: attempt.signal,
@@ -108,19 +115,24 @@
       body: attempt.body,
     });
     if (answer.statusCode !== 200) throw await readRefusal(answer);
-    let isComplete = false;
+    const {body} = answer;
+    let isFinished = false;
     try {
-      for await (const chunk of parseChunks(answer.body)) {
-        isComplete ||= chunk.choices[0]?.finish_reason !== null;
-        yield chunk;
-        if (isComplete) return;
+      for await (const chunk of parseChunks(body)) {
+        const frame = checker.check(chunk);
+        if (!frame) continue;
+        isFinished = frame.finishReason !== null;
+        if (isFinished) releaseConnection(body);
+        yield frame;
+        if (isFinished) return;
       }
     } catch (error) {
+      if (error instanceof SycamoreheadError) throw error;
       throw new SycamoreheadError('backend_failed', describeError(error), {
         cause: error,
       });
     } finally {
-      if (!isComplete) answer.body.destroy();
+      if (!isFinished) body.destroy();
     }
     throw new SycamoreheadError(
       'incomplete_answer',
@@ -228,8 +240,14 @@
   );
 }
 
+/** Reads the rest of a finished answer, so that its connection can be used again. */
+function releaseConnection(body: Dispatcher.ResponseData['body']): void {
+  body.on('error', () => {});
+  void body.dump({limit: MAX_REST_BYTES}).catch(() => {});
+}
+
 async function* parseChunks(
-  body: AsyncIterable<Buffer>,
+  body: Dispatcher.ResponseData['body'],
 ): AsyncGenerator<ChatChunk> {
   let parsed: ChatChunk[] = [];
   const parser = createParser({
@@ -238,7 +256,8 @@
     },
   });
   const decoder = new TextDecoder();
-  for await (const bytes of body) {
+  // The body outlives this loop: its connection is released by whoever reads the chunks.
+  for await (const bytes of body.iterator({destroyOnReturn: false})) {
     parser.feed(decoder.decode(bytes, {stream: true}));
     const ready = parsed;
     parsed = [];
