Graceful shutdown keeps the port open until the last answer; links finish what they serve

Cause: a stopping entry closed its port while streams ran, so a late request met a reset instead of a true refusal, and connections that became idle after the close held the stop up for the keep-alive time. A stopping wire server cut off the requests that it was serving.

Change: refuse with ran no until nothing runs, then close; idle connections are swept; a wire server drains for at most 1 s and a closed channel flushes.

Conclusion: tests of a planned stop in process and of SIGTERM to a syc-entry process (exit code 0, stream whole, billed once) pass.

--- /dev/null
+++ b/packages/bench/src/test/shutdown.test.ts
@@ -0,0 +1,201 @@
+import assert from 'node:assert/strict';
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import path from 'node:path';
+import {test} from 'node:test';
+import {createControlMethods} from '@sycamorehead/control';
+import {WireServer} from '@sycamorehead/wire';
+import {request} from 'undici';
+import {CUSTOMER_KEY, DeliveryHarness} from './DeliveryHarness.js';
+import {
+  EngineScript,
+  ScriptedEngine,
+  TOTAL,
+  WHOLE,
+  writeTokens,
+} from './ScriptedEngine.js';
+import {TestCaller} from './TestCaller.js';
+
+const HOST = '127.0.0.1';
+const ENTRY_PROGRAM = path.resolve(
+  import.meta.dirname,
+  '../../../../apps/syc-entry/dist/main.js',
+);
+
+interface HeldEngine {
+  readonly script: EngineScript;
+  /** Lets the rest of every answer go. */
+  readonly release: () => void;
+}
+
+/** An engine that sends two tokens and keeps the rest until it is released. */
+function createHeldEngine(): HeldEngine {
+  let release = () => {};
+  const released = new Promise<void>(resolve => {
+    release = resolve;
+  });
+  const answerLate: EngineScript = async (run, response) => {
+    writeTokens(response, run, run.resumeOffset, 2, TOTAL);
+    await released;
+    writeTokens(response, run, 2, TOTAL);
+    response.end();
+  };
+  return {script: answerLate, release: () => release()};
+}
+
+test('a planned stop with streams open cuts off no request', async () => {
+  const own = await new DeliveryHarness({
+    entries: 2,
+    replicas: 1,
+    entryOptions: {
+      balancerLagMs: 200,
+      // The engine is held for longer than the harness allows between two frames.
+      backendTimeouts: {
+        connectMs: 300,
+        firstByteMs: 5_000,
+        betweenFramesMs: 5_000,
+        serviceMs: 600,
+      },
+    },
+  }).start();
+  const held = createHeldEngine();
+  const engine = new ScriptedEngine([held.script]);
+  own.announceEngine('held', await engine.start());
+  const [entry] = own.entries;
+  const [caller, other] = own.callers;
+  const long = [true, false].map(stream => caller!.sendChat({stream}));
+  await own.waitFor(() => engine.runs.length === 2);
+  let isStopped = false;
+  const stopped = own.stopEntry(0).then(() => {
+    isStopped = true;
+  });
+  // Not ready at once, but still serving until the balancer has noticed.
+  assert.equal(entry!.isReady(), false);
+  assert.equal((await caller!.read('/readyz')).status, 503);
+  const late = await caller!.callService('POST', 'orders/once', 'late');
+  assert.equal(late.status, 200);
+  assert.equal(late.headers.connection, 'close');
+  // Then refused truly, while the streams go on.
+  let polls = 0;
+  await own.waitFor(async () => {
+    polls += 1;
+    const key = `refused-${polls}`;
+    const refused = await caller!.callService('POST', 'orders/once', key);
+    return refused.kind === 'stopping' && refused.ran === 'no';
+  });
+  assert.equal(own.countRuns(`refused-${polls}`), 0);
+  const path = 'orders/once';
+  const moved = await other!.callService('POST', path, `refused-${polls}`);
+  assert.equal(moved.status, 200);
+  assert.equal(own.countRuns(`refused-${polls}`), 1);
+  assert.equal(isStopped, false, 'it waits for its streams');
+  held.release();
+  for (const {text, isWhole} of await Promise.all(long)) {
+    assert.deepEqual([text, isWhole], [WHOLE, true]);
+  }
+  await stopped;
+  assert.equal((await caller!.read('/healthz')).status, 0, 'gone');
+  const keys = await own.listBilledKeys();
+  assert.equal(keys.filter(key => key.startsWith('models/')).length, 2);
+  await own.stop();
+  await engine.stop();
+});
+
+test('a planned stop waits until the bills are recorded', async () => {
+  const own = await new DeliveryHarness({entries: 1, engines: 1}).start();
+  const [faults] = own.faults;
+  faults!.outage = 'unseen';
+  const seen = await own.callers[0]!.sendChat();
+  assert.deepEqual([seen.kind, seen.ran], ['control_unavailable', 'yes']);
+  let isStopped = false;
+  const stopped = own.stopEntry(0).then(() => {
+    isStopped = true;
+  });
+  await own.waitFor(
+    async () => (await own.callers[0]!.read('/healthz')).status === 0,
+  );
+  assert.equal(isStopped, false);
+  faults!.outage = 'none';
+  await stopped;
+  assert.equal((await own.listBilledKeys()).length, 1);
+  await own.stop();
+});
+
+test('SIGTERM to an entry process with a stream open: whole answer, exit code 0', async () => {
+  const own = await new DeliveryHarness({entries: 0}).start();
+  const held = createHeldEngine();
+  const engine = new ScriptedEngine([held.script]);
+  const address = await engine.start();
+  const wire = new WireServer({
+    host: HOST,
+    port: 0,
+    peerKey: 'peer',
+    methods: createControlMethods(own.control),
+  });
+  const controlPort = await wire.start();
+  const child = spawn(process.execPath, [ENTRY_PROGRAM], {
+    env: {
+      ...process.env,
+      SYC_NAME: 'entry-p',
+      SYC_DATA_CENTRE: 'dc-1',
+      SYC_PORT: '0',
+      SYC_PEER_PORT: '0',
+      SYC_CONTROL_PEERS: `control-1=${HOST}:${controlPort}`,
+      SYC_BALANCER_LAG: '0.1',
+      SYC_PEER_KEY: 'peer',
+      SYC_SERVER_KEY: 'server',
+    },
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  const exited = once(child, 'exit');
+  try {
+    const [line] = (await once(child.stdout, 'data')) as [Buffer];
+    const port = / port=(\d+)/.exec(line.toString())?.[1];
+    const caller = new TestCaller(`http://${HOST}:${port}`, CUSTOMER_KEY);
+    await own.waitFor(
+      async () => (await caller.read('/readyz')).status === 200,
+    );
+    await announceTo(caller.url, address);
+    const answer = caller.sendChat();
+    await own.waitFor(() => engine.runs.length === 1);
+    child.kill('SIGTERM');
+    await own.waitFor(
+      async () => (await caller.read('/readyz')).status === 503,
+    );
+    held.release();
+    const {text, isWhole} = await answer;
+    assert.deepEqual([text, isWhole], [WHOLE, true]);
+    assert.deepEqual(await exited, [0, null]);
+    assert.equal((await own.listBilledKeys()).length, 1);
+    await caller.stop();
+  } finally {
+    child.kill('SIGKILL');
+    await wire.stop();
+    await own.stop();
+    await engine.stop();
+  }
+});
+
+async function announceTo(entryUrl: string, address: string): Promise<void> {
+  const {statusCode, body} = await request(
+    `${entryUrl}/v1/backend-servers/held`,
+    {
+      method: 'PUT',
+      headers: {authorization: 'Bearer server'},
+      body: JSON.stringify({
+        id: 'held',
+        address,
+        dataCentre: 'dc-1',
+        kind: 'engine',
+        generation: 1,
+        sequence: 1,
+        state: 'ready',
+        versions: [{model: 'm', version: 'v2'}],
+        slots: 16,
+        fencing: 'ignored',
+      }),
+    },
+  );
+  await body.dump();
+  assert.equal(statusCode, 200);
+}
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -83,6 +83,7 @@
   private readonly services: PlainServiceProxy;
   private expiry: NodeJS.Timeout | undefined;
   private running = 0;
+  private idleListener: (() => void) | undefined;
   private isLeaving = false;
   private isRefusing = false;
 
@@ -144,7 +145,8 @@
 
   /**
    * Graceful shutdown: first not ready, while requests are still served for as long as the
-   * balancer needs to notice; then new requests are refused and running ones finish.
+   * balancer needs to notice; then new requests are refused and running ones finish. Returns once
+   * every bill is recorded.
    */
   async stop(): Promise<void> {
     this.isLeaving = true;
@@ -153,6 +155,8 @@
       setTimeout(resolve, this.options.balancerLagMs ?? 0),
     );
     this.isRefusing = true;
+    // The port stays open meanwhile, so that a late request is refused with a true answer.
+    await this.waitUntilIdle();
     await this.server.stop();
     await this.commits.drain(COMMIT_DRAIN_MS);
     this.configuration.stop();
@@ -225,9 +229,17 @@
     } finally {
       this.running -= 1;
       this.metrics.running.set(this.running);
+      if (this.running === 0) this.idleListener?.();
     }
   }
 
+  private async waitUntilIdle(): Promise<void> {
+    if (this.running === 0) return;
+    await new Promise<void>(resolve => {
+      this.idleListener = resolve;
+    });
+  }
+
   private async receiveAnnouncement(exchange: Exchange): Promise<void> {
     const key = readBearerKey(exchange.request.headers);
     if (!isSameKey(key, this.options.serverKey)) {
--- a/packages/entry/src/lib/EntryServer.ts
+++ b/packages/entry/src/lib/EntryServer.ts
@@ -9,6 +9,7 @@
 const MAX_HEADER_BYTES = 16 * 1024;
 const HEAD_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 60_000;
+const IDLE_SWEEP_MS = 50;
 
 /** Serves one exchange; what it throws is sent as the answer. @public */
 export type RouteHandler = (exchange: Exchange) => Promise<void> | void;
@@ -47,10 +48,16 @@
 
   /** Lets open exchanges finish and stops. */
   async stop(): Promise<void> {
+    // A connection whose last answer ends after this call would otherwise stay open while idle.
+    const sweep = setInterval(
+      () => this.server.closeIdleConnections(),
+      IDLE_SWEEP_MS,
+    );
     await new Promise<void>(resolve => {
       this.server.close(() => resolve());
       this.server.closeIdleConnections();
     });
+    clearInterval(sweep);
   }
 
   private async answer(
--- a/packages/wire/src/lib/MessageChannel.ts
+++ b/packages/wire/src/lib/MessageChannel.ts
@@ -7,6 +7,9 @@
 /** Unsent bytes beyond which a socket's other end counts as stuck. */
 const MAX_UNSENT_BYTES = 64 * 1024 * 1024;
 
+/** Time for which a closed channel still sends what it was given, in milliseconds. */
+const FLUSH_LIMIT_MS = 500;
+
 /**
  * A two-way channel of JSON messages: a socket in production, a fake in tests.
  *
@@ -50,7 +53,9 @@
       if (socket.writableLength > MAX_UNSENT_BYTES) socket.destroy();
     },
     close() {
-      socket.destroy();
+      // What was sent still leaves, unless the other end takes nothing any more.
+      socket.destroySoon();
+      setTimeout(() => socket.destroy(), FLUSH_LIMIT_MS).unref();
     },
   };
 }
--- a/packages/wire/src/lib/PeerLink.ts
+++ b/packages/wire/src/lib/PeerLink.ts
@@ -62,6 +62,7 @@
   private readonly heartbeat: NodeJS.Timeout;
   private lastHeardAt = performance.now();
   private closed = false;
+  private serving = 0;
 
   constructor(
     private readonly channel: MessageChannel,
@@ -84,6 +85,11 @@
     this.heartbeat.unref();
   }
 
+  /** Requests of the other end that are being served here. */
+  get servingCount(): number {
+    return this.serving;
+  }
+
   /** Whether the link has been closed by either end. */
   get isClosed(): boolean {
     return this.closed;
@@ -163,6 +169,7 @@
   }
 
   private receive(message: unknown): void {
+    if (this.closed) return;
     this.lastHeardAt = performance.now();
     if (isJSONRPCResponse(message)) {
       this.client.receive(message);
@@ -178,8 +185,13 @@
   private async serve(
     message: JSONRPCRequest | JSONRPCRequest[],
   ): Promise<void> {
-    const answer = await this.server.receive(message as JSONRPCRequest);
-    if (answer && !this.closed) this.channel.send(answer);
+    this.serving += 1;
+    try {
+      const answer = await this.server.receive(message as JSONRPCRequest);
+      if (answer && !this.closed) this.channel.send(answer);
+    } finally {
+      this.serving -= 1;
+    }
   }
 
   private async runHandler(
--- a/packages/wire/src/lib/WireServer.ts
+++ b/packages/wire/src/lib/WireServer.ts
@@ -13,6 +13,9 @@
 const log = createLogger('wire');
 
 const MAX_LINKS = 4_096;
+/** Time for which a stop waits for requests that are being served, in milliseconds. */
+const DRAIN_LIMIT_MS = 1_000;
+const DRAIN_POLL_MS = 5;
 
 /** The method by which a connecting peer names itself and proves its key. @public */
 export const HELLO_METHOD = 'wire.hello';
@@ -65,10 +68,21 @@
     return (this.server.address() as AddressInfo).port;
   }
 
-  /** Closes every link and stops listening. */
+  /** Stops listening, lets the requests that are being served finish, and closes every link. */
   async stop(): Promise<void> {
+    const closed = new Promise<void>(resolve => {
+      this.server.close(() => resolve());
+    });
+    const deadline = performance.now() + DRAIN_LIMIT_MS;
+    while (this.isServing() && performance.now() < deadline) {
+      await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS));
+    }
     for (const link of this.links) link.close('server stops');
-    await new Promise<void>(resolve => this.server.close(() => resolve()));
+    await closed;
+  }
+
+  private isServing(): boolean {
+    return [...this.links].some(link => link.servingCount > 0);
   }
 
   private acceptSocket(socket: Socket): void {
--- a/packages/wire/src/test/PeerLink.test.ts
+++ b/packages/wire/src/test/PeerLink.test.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {connect} from 'node:net';
 import {test} from 'node:test';
 import {SycamoreheadError} from '@sycamorehead/schema';
 import FakeTimers from '@sinonjs/fake-timers';
@@ -54,6 +56,82 @@
   }
 });
 
+test('a stopping server lets a request that it serves finish', async () => {
+  let finish = () => {};
+  const served = new Promise<void>(resolve => {
+    finish = resolve;
+  });
+  let hasBegun = () => {};
+  const begun = new Promise<void>(resolve => {
+    hasBegun = resolve;
+  });
+  const server = new WireServer({
+    host: HOST,
+    port: 0,
+    peerKey: 'k',
+    methods: {
+      wait: async () => {
+        hasBegun();
+        await served;
+        return 'whole';
+      },
+    },
+  });
+  const address = {host: HOST, port: await server.start()};
+  const link = await connectPeer({address, name: 'e1', peerKey: 'k'});
+  const answer = link.request('wait', {});
+  await begun;
+  const stopped = server.stop();
+  await assert.rejects(connectPeer({address, name: 'e2', peerKey: 'k'}), {
+    kind: 'link_closed',
+  });
+  finish();
+  assert.equal(await answer, 'whole');
+  await stopped;
+});
+
+test('a peer that went silent for good does not hold up its new link', async () => {
+  const timeouts = {heartbeatMs: 20, silenceMs: 100, requestMs: 5_000};
+  const methods = {read: () => 'fresh'};
+  const server = new WireServer({
+    host: HOST,
+    port: 0,
+    peerKey: 'k',
+    methods,
+    timeouts,
+  });
+  const address = {host: HOST, port: await server.start()};
+  const healthy = await connectPeer({
+    address,
+    name: 'e1',
+    peerKey: 'k',
+    timeouts,
+  });
+  // This one stands for a link that something between the two ends has lost track of.
+  let isClosedByServer = false;
+  const silent = connect(address).on('close', () => {
+    isClosedByServer = true;
+  });
+  await once(silent, 'connect');
+  const fresh = await connectPeer({
+    address,
+    name: 'e1',
+    peerKey: 'k',
+    timeouts,
+  });
+  assert.equal(await fresh.request('read', {}), 'fresh');
+  await once(silent.resume(), 'close');
+  assert.equal(isClosedByServer, true);
+  assert.equal(
+    await healthy.request('read', {}),
+    'fresh',
+    'others are untouched',
+  );
+  healthy.close();
+  fresh.close();
+  await server.stop();
+});
+
 test('frames cut at any byte decode to the same messages', () => {
   const bytes = Buffer.concat([encodeFrame({a: 1}), encodeFrame({b: 'ñ'})]);
   for (let cut = 0; cut <= bytes.length; cut++) {
