Report on service-level burn: samples, windows, text, JSON and one HTML page

Cause: syc-report only summed outcomes of one entry. Change: package report (samples in a file, growth across restarts, burn over four windows, cost, refusals, exposure, saved experiments), syc-report collect and show, report-demo. Conclusion: roll-out history waits for a record of it in control.

--- a/apps/syc-bench/src/main.ts
+++ b/apps/syc-bench/src/main.ts
@@ -9,7 +9,12 @@
   run,
   string,
 } from 'cmd-ts';
-import {Demo, EXPERIMENTS, ExperimentResult} from '@sycamorehead/bench';
+import {
+  Demo,
+  EXPERIMENTS,
+  ExperimentResult,
+  runReportDemo,
+} from '@sycamorehead/bench';
 import {request} from 'undici';
 
 const RESULTS_FOLDER = 'bench-results';
@@ -82,7 +87,8 @@
     name: positional({
       type: string,
       displayName: 'name',
-      description: "'demo', 'list', or the name of an experiment",
+      description:
+        "'demo', 'report-demo', 'list', or the name of an experiment",
     }),
     once: flag({
       type: boolean,
@@ -100,6 +106,10 @@
   },
   handler: async ({name, once, seed, seeds}) => {
     if (name === 'demo') return runDemo(once);
+    if (name === 'report-demo') {
+      console.log(`written ${await runReportDemo(RESULTS_FOLDER)}`);
+      return undefined;
+    }
     if (name === 'list') return listExperiments();
     return runExperiment(name, seed, seeds);
   },
--- a/apps/syc-report/src/main.ts
+++ b/apps/syc-report/src/main.ts
@@ -1,29 +1,205 @@
-import {command, positional, run, string} from 'cmd-ts';
-import {request} from 'undici';
-
-/** Sums one counter of a metrics page by its outcome label. */
-function sumOutcomes(page: string): Map<string, number> {
-  const totals = new Map<string, number>();
-  const line = /^sycamorehead_answers_total\{([^}]*)\} (\S+)$/gm;
-  for (const [, labels = '', value] of page.matchAll(line)) {
-    const outcome = /outcome="([^"]*)"/.exec(labels)?.[1] ?? 'none';
-    totals.set(outcome, (totals.get(outcome) ?? 0) + Number(value));
+import {writeFileSync} from 'node:fs';
+import {
+  command,
+  number,
+  oneOf,
+  option,
+  optional,
+  run,
+  string,
+  subcommands,
+} from 'cmd-ts';
+import {z} from 'zod';
+import {InForceReport, OperatorClient} from '@sycamorehead/control';
+import {
+  SampleStore,
+  ServiceReport,
+  buildReport,
+  collectSamples,
+  readExperiments,
+  renderHtml,
+  renderText,
+} from '@sycamorehead/report';
+import {getErrorAnswer, toSycamoreheadError} from '@sycamorehead/schema';
+import {readSecret, readSettings} from '@sycamorehead/telemetry';
+
+const COMPACT_EVERY = 1_000;
+
+const storeOption = option({
+  type: string,
+  long: 'store',
+  env: 'SYC_REPORT_STORE',
+  description: 'file of samples',
+  defaultValue: () => 'samples.jsonl',
+});
+
+/** Formats of a report, by name. */
+const RENDERERS: Readonly<Record<string, (report: ServiceReport) => string>> = {
+  text: renderText,
+  json: report => JSON.stringify(report) + '\n',
+  html: renderHtml,
+};
+
+const collectSchema = z.object({
+  entries: z.string().min(1, 'expected URLs separated by commas'),
+  interval: z.number().min(1).max(300),
+  count: z.number().int().min(0),
+  store: z.string().min(1),
+});
+
+const showSchema = z.object({
+  store: z.string().min(1),
+  availability: z.number().gt(0).lt(1),
+  firstToken: z.number().gt(0),
+  firstTokenShare: z.number().gt(0).lt(1),
+});
+
+async function collect(given: unknown): Promise<void> {
+  const settings = readSettings(collectSchema, given);
+  const store = new SampleStore(settings.store);
+  const urls = settings.entries.split(',').map(url => url.trim());
+  for (let turn = 1; ; turn++) {
+    store.append(await collectSamples(urls));
+    if (turn % COMPACT_EVERY === 0) store.compact(Date.now());
+    if (turn === settings.count) return;
+    await new Promise(resolve =>
+      setTimeout(resolve, settings.interval * 1_000),
+    );
   }
-  return totals;
 }
 
-const app = command({
-  name: 'syc-report',
-  description: 'Answers by outcome of one entry',
+async function readInForce(
+  control: string | undefined,
+): Promise<InForceReport | undefined> {
+  if (!control) return undefined;
+  const client = new OperatorClient({
+    urls: control.split(',').map(url => url.trim()),
+    operatorToken: readSecret('SYC_OPERATOR_TOKEN'),
+  });
+  return client.readInForce();
+}
+
+async function show(args: {
+  store: string;
+  control?: string;
+  results: string;
+  format: string;
+  out?: string;
+  availability: number;
+  firstToken: number;
+  firstTokenShare: number;
+}): Promise<void> {
+  const settings = readSettings(showSchema, args);
+  const inForce = await readInForce(args.control);
+  const report = buildReport({
+    samples: new SampleStore(settings.store).read(),
+    objectives: {
+      availability: settings.availability,
+      firstTokenSeconds: settings.firstToken,
+      firstTokenShare: settings.firstTokenShare,
+    },
+    versions: inForce?.configuration.versions,
+    experiments: readExperiments(args.results),
+  });
+  const text = RENDERERS[args.format]?.(report) ?? '';
+  if (args.out) writeFileSync(args.out, text);
+  else process.stdout.write(text);
+}
+
+/** Reports a failure on the standard error and sets the exit code of its kind. */
+async function runReporting(work: () => Promise<void>): Promise<void> {
+  try {
+    await work();
+  } catch (thrown) {
+    const error = toSycamoreheadError(thrown);
+    console.error(`${error.kind}: ${error.message}`);
+    process.exitCode = getErrorAnswer(error.kind).exitCode;
+  }
+}
+
+const collectCommand = command({
+  name: 'collect',
+  description: "samples the entries' counters into a file",
   args: {
-    entry: positional({type: string, displayName: 'entry URL'}),
+    entries: option({
+      type: string,
+      long: 'entries',
+      env: 'SYC_ENTRIES',
+      description: 'base URLs of the entries, separated by commas',
+    }),
+    interval: option({
+      type: number,
+      long: 'interval',
+      description: 'seconds between samples',
+      defaultValue: () => 10,
+    }),
+    count: option({
+      type: number,
+      long: 'count',
+      description: 'samples to take; 0 goes on until stopped',
+      defaultValue: () => 0,
+    }),
+    store: storeOption,
   },
-  handler: async ({entry}) => {
-    const {body} = await request(new URL('/metrics', entry));
-    for (const [outcome, count] of sumOutcomes(await body.text())) {
-      console.log(`outcome=${outcome} answers=${count}`);
-    }
+  handler: args => runReporting(() => collect(args)),
+});
+
+const showCommand = command({
+  name: 'show',
+  description: 'shows service-level burn, cost, refusals and exposure',
+  args: {
+    store: storeOption,
+    control: option({
+      type: optional(string),
+      long: 'control',
+      env: 'SYC_CONTROL',
+      description:
+        'base URLs of the control instances, for exposure and roll-outs',
+    }),
+    results: option({
+      type: string,
+      long: 'results',
+      description: 'folder of saved experiment results',
+      defaultValue: () => 'bench-results',
+    }),
+    format: option({
+      type: oneOf(Object.keys(RENDERERS)),
+      long: 'format',
+      description: 'text, json or html',
+      defaultValue: () => 'text',
+    }),
+    out: option({
+      type: optional(string),
+      long: 'out',
+      description: 'file to write; the standard output where absent',
+    }),
+    availability: option({
+      type: number,
+      long: 'availability',
+      description: 'objective: share of requests answered whole, 0 to 1',
+      defaultValue: () => 0.999,
+    }),
+    firstToken: option({
+      type: number,
+      long: 'first-token',
+      description:
+        'objective: time to first token in seconds; a bucket bound of the metrics',
+      defaultValue: () => 1.6,
+    }),
+    firstTokenShare: option({
+      type: number,
+      long: 'first-token-share',
+      description: 'objective: share of answers within that time, 0 to 1',
+      defaultValue: () => 0.95,
+    }),
   },
+  handler: args => runReporting(() => show(args)),
+});
+
+const app = subcommands({
+  name: 'syc-report',
+  description: 'Reports on service-level burn',
+  cmds: {collect: collectCommand, show: showCommand},
 });
 
 await run(app, process.argv.slice(2));
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -19,5 +19,6 @@
 export {computeMean, computeQuantile} from './lib/load/computeStatistics.js';
 export {Fleet} from './lib/load/Fleet.js';
 export type {FleetOptions} from './lib/load/Fleet.js';
+export {runReportDemo} from './lib/runReportDemo.js';
 export {runLoad} from './lib/load/runLoad.js';
 export type {CallRecord, LoadTarget} from './lib/load/runLoad.js';
--- /dev/null
+++ b/packages/report/src/lib/SampleStore.ts
@@ -0,0 +1,73 @@
+import {appendFileSync, existsSync, readFileSync, writeFileSync} from 'node:fs';
+import {z} from 'zod';
+import {SycamoreheadError} from '@sycamorehead/schema';
+
+const sampleSchema = z.object({
+  at: z.number(),
+  entry: z.string(),
+  values: z.record(z.string(), z.number()),
+});
+
+/** The counters of one entry at one time. @public */
+export interface Sample {
+  /** Wall-clock time in milliseconds. */
+  readonly at: number;
+  readonly entry: string;
+  /** Counter values by `name{label="value",…}` with sorted labels. */
+  readonly values: Readonly<Record<string, number>>;
+}
+
+/** Samples older than this are dropped when the file is compacted, in milliseconds. */
+const KEEP_MS = 4 * 24 * 60 * 60 * 1_000;
+const MAX_SAMPLES = 500_000;
+
+/**
+ * Samples in a file, one JSON object a line. A torn last line, left by a crash, is skipped.
+ *
+ * @public
+ */
+export class SampleStore {
+  constructor(private readonly file: string) {}
+
+  /** Appends samples. */
+  append(samples: readonly Sample[]): void {
+    const lines = samples.map(sample => JSON.stringify(sample) + '\n');
+    appendFileSync(this.file, lines.join(''));
+  }
+
+  /** Drops samples that are too old or too many. */
+  compact(now: number): void {
+    const kept = this.read()
+      .filter(({at}) => at >= now - KEEP_MS)
+      .slice(-MAX_SAMPLES);
+    writeFileSync(this.file, '');
+    this.append(kept);
+  }
+
+  /**
+   * Reads every sample, in order of time.
+   *
+   * @throws SycamoreheadError `settings_invalid` where the file does not exist.
+   */
+  read(): Sample[] {
+    if (!existsSync(this.file)) {
+      throw new SycamoreheadError(
+        'settings_invalid',
+        `--store: ${this.file} does not exist; 'collect' writes it`,
+      );
+    }
+    return readFileSync(this.file, 'utf8')
+      .split('\n')
+      .flatMap(parseSample)
+      .sort((left, right) => left.at - right.at);
+  }
+}
+
+function parseSample(line: string): Sample[] {
+  if (line === '') return [];
+  try {
+    return [sampleSchema.parse(JSON.parse(line))];
+  } catch {
+    return [];
+  }
+}
--- /dev/null
+++ b/packages/report/src/lib/buildReport.ts
@@ -0,0 +1,211 @@
+import type {ConfiguredVersion} from '@sycamorehead/schema';
+import {BurnRow, computeBurn} from './computeBurn.js';
+import {
+  Increases,
+  computeIncreases,
+  listIncreases,
+} from './computeIncreases.js';
+import {BURN_WINDOWS, Objectives, classifyOutcome} from './objectives.js';
+import type {Sample} from './SampleStore.js';
+
+/** Cost of one customer's use of one version or service. @public */
+export interface CostRow {
+  readonly customer: string;
+  readonly item: string;
+  readonly amountMicros: number;
+}
+
+/** Refusals and failures of one kind. @public */
+export interface RefusalRow {
+  readonly customer: string;
+  readonly outcome: string;
+  readonly count: number;
+}
+
+/** Answers given by a version that is quarantined now. @public */
+export interface ExposureRow {
+  readonly version: string;
+  readonly reason: string;
+  readonly answers: number;
+}
+
+/** One committed change of a version, from control. @public */
+export interface VersionEvent {
+  readonly revision: number;
+  /** Wall-clock time in milliseconds. */
+  readonly at: number;
+  readonly version: string;
+  readonly event: string;
+}
+
+/** A saved result of an experiment. @public */
+export interface SavedExperiment {
+  readonly experiment: string;
+  readonly seed: number;
+  readonly targets: ReadonlyArray<{
+    readonly name: string;
+    readonly target: string;
+    readonly value: number | null;
+    readonly met: boolean;
+  }>;
+}
+
+/** A point of the burn over time. @public */
+export interface BurnPoint {
+  readonly at: number;
+  /** Burn over all customers and kinds in the interval before. */
+  readonly availabilityBurn: number;
+  readonly firstTokenBurn: number;
+}
+
+/** Everything a report shows. @public */
+export interface ServiceReport {
+  readonly at: number;
+  readonly objectives: Objectives;
+  readonly entries: readonly string[];
+  readonly firstSampleAt: number;
+  readonly burn: readonly BurnRow[];
+  readonly history: readonly BurnPoint[];
+  readonly cost: readonly CostRow[];
+  readonly refusals: readonly RefusalRow[];
+  readonly exposure: readonly ExposureRow[];
+  readonly versionEvents: readonly VersionEvent[];
+  readonly experiments: readonly SavedExperiment[];
+}
+
+/** What a report is built from. @public */
+export interface ReportSources {
+  readonly samples: readonly Sample[];
+  readonly objectives: Objectives;
+  readonly versions?: Readonly<Record<string, ConfiguredVersion>>;
+  readonly versionEvents?: readonly VersionEvent[];
+  readonly experiments?: readonly SavedExperiment[];
+}
+
+const HISTORY_POINTS = 60;
+
+function sumBy(
+  increases: Increases,
+  name: string,
+  labelNames: readonly string[],
+): Array<{labels: string[]; value: number}> {
+  const sums = new Map<string, {labels: string[]; value: number}>();
+  for (const {labels, value} of listIncreases(increases, name)) {
+    const picked = labelNames.map(label => labels[label] ?? '');
+    const key = picked.join('\n');
+    const sum = sums.get(key) ?? {labels: picked, value: 0};
+    sum.value += value;
+    sums.set(key, sum);
+  }
+  return [...sums.entries()]
+    .sort(([left], [right]) => (left < right ? -1 : 1))
+    .map(([, sum]) => sum);
+}
+
+function buildExposure(
+  increases: Increases,
+  versions: ReportSources['versions'] = {},
+): ExposureRow[] {
+  const answers = sumBy(increases, 'sycamorehead_answers_total', [
+    'version',
+    'outcome',
+  ]);
+  return Object.entries(versions)
+    .filter(([, {state}]) => state === 'quarantined')
+    .map(([version, {reason}]) => {
+      const own = answers.find(
+        ({labels}) => labels[0] === version && labels[1] === 'ok',
+      );
+      return {version, reason: reason ?? '', answers: own?.value ?? 0};
+    });
+}
+
+function buildHistory(
+  samples: readonly Sample[],
+  objectives: Objectives,
+): BurnPoint[] {
+  const first = samples[0]?.at ?? 0;
+  const last = samples.at(-1)?.at ?? 0;
+  const stepMs = (last - first) / HISTORY_POINTS;
+  if (stepMs <= 0) return [];
+  return Array.from({length: HISTORY_POINTS}, (unused, index) => {
+    const from = first + index * stepMs;
+    const rows = computeBurn(
+      computeIncreases(samples, from, from + stepMs),
+      {name: '', alertAbove: Infinity},
+      objectives,
+    );
+    return {
+      at: from + stepMs,
+      availabilityBurn: computeWeighted(rows, row => row.availabilityBurn),
+      firstTokenBurn: computeWeighted(rows, row => row.firstTokenBurn),
+    };
+  });
+}
+
+/** Mean burn over the rows that have one, weighted by their requests. */
+function computeWeighted(
+  rows: readonly BurnRow[],
+  getBurn: (row: BurnRow) => number | undefined,
+): number {
+  let weight = 0;
+  let sum = 0;
+  for (const row of rows) {
+    const burn = getBurn(row);
+    if (burn === undefined) continue;
+    weight += row.answered + row.failed;
+    sum += burn * (row.answered + row.failed);
+  }
+  return weight > 0 ? sum / weight : 0;
+}
+
+/**
+ * Builds a report from samples, control's records and saved experiments.
+ *
+ * @example
+ * ```ts
+ * const report = buildReport({samples: store.read(), objectives: DEFAULT_OBJECTIVES});
+ * ```
+ * @public
+ */
+export function buildReport(sources: ReportSources): ServiceReport {
+  const {samples, objectives} = sources;
+  const at = samples.at(-1)?.at ?? 0;
+  const whole = computeIncreases(samples, -Infinity, at);
+  const refusals = sumBy(whole, 'sycamorehead_answers_total', [
+    'customer',
+    'outcome',
+  ]).filter(({labels}) => classifyOutcome(labels[1] ?? '') !== 'answered');
+  return {
+    at,
+    objectives,
+    entries: [...new Set(samples.map(({entry}) => entry))],
+    firstSampleAt: samples[0]?.at ?? 0,
+    burn: BURN_WINDOWS.flatMap(window =>
+      computeBurn(
+        computeIncreases(samples, at - window.lengthMs, at),
+        window,
+        objectives,
+      ),
+    ),
+    history: buildHistory(samples, objectives),
+    cost: sumBy(whole, 'sycamorehead_billed_micros_total', [
+      'customer',
+      'version',
+    ]).map(({labels: [customer = '', item = ''], value}) => ({
+      customer,
+      item,
+      amountMicros: value,
+    })),
+    refusals: refusals.map(
+      ({labels: [customer = '', outcome = ''], value}) => ({
+        customer,
+        outcome,
+        count: value,
+      }),
+    ),
+    exposure: buildExposure(whole, sources.versions),
+    versionEvents: sources.versionEvents ?? [],
+    experiments: sources.experiments ?? [],
+  };
+}
--- a/tools/eslint/layers.mjs
+++ b/tools/eslint/layers.mjs
@@ -8,6 +8,7 @@
   'membership',
   'routing',
   'entry',
+  'report',
   'stand-ins',
   'bench',
 ];
