--- a/apps/syc-bench/src/main.ts
+++ b/apps/syc-bench/src/main.ts
@@ -12,6 +12,7 @@
 import {
   Demo,
   EXPERIMENTS,
+  FUZZ_TARGETS,
   ExperimentResult,
   runReportDemo,
 } from '@sycamorehead/bench';
@@ -80,6 +81,17 @@
   process.exitCode = isMet ? 0 : 1;
 }
 
+/** Fuzzes every target in turn, each for its part of the time, from a seed that is printed. */
+async function runFuzz(seconds: number): Promise<void> {
+  const targets = Object.entries(FUZZ_TARGETS);
+  const budgetMs = (seconds * 1_000) / targets.length;
+  const seed = Date.now() % 2 ** 31;
+  for (const [name, fuzz] of targets) {
+    console.log(`fuzzing ${name} seed=${seed}`);
+    await fuzz({seed, cases: Number.MAX_SAFE_INTEGER, budgetMs});
+  }
+}
+
 const app = command({
   name: 'syc-bench',
   description: 'Stand-ins, the demo, load and experiments',
@@ -88,7 +100,7 @@
       type: string,
       displayName: 'name',
       description:
-        "'demo', 'report-demo', 'list', or the name of an experiment",
+        "'demo', 'report-demo', 'fuzz', 'list', or the name of an experiment",
     }),
     once: flag({
       type: boolean,
@@ -97,6 +109,12 @@
     }),
     json: flag({type: boolean, long: 'json', description: 'print only JSON'}),
     seed: option({type: number, long: 'seed', defaultValue: () => 1}),
+    seconds: option({
+      type: number,
+      long: 'seconds',
+      description: 'time for fuzzing, over all targets',
+      defaultValue: () => 60,
+    }),
     seeds: option({
       type: number,
       long: 'seeds',
@@ -104,12 +122,13 @@
       defaultValue: () => 1,
     }),
   },
-  handler: async ({name, once, seed, seeds}) => {
+  handler: async ({name, once, seed, seeds, seconds}) => {
     if (name === 'demo') return runDemo(once);
     if (name === 'report-demo') {
       console.log(`written ${await runReportDemo(RESULTS_FOLDER)}`);
       return undefined;
     }
+    if (name === 'fuzz') return runFuzz(seconds);
     if (name === 'list') return listExperiments();
     return runExperiment(name, seed, seeds);
   },
--- /dev/null
+++ b/packages/bench/src/lib/fuzz/mutateBytes.ts
@@ -0,0 +1,55 @@
+import fc from 'fast-check';
+
+/** One edit of a byte string. */
+interface Edit {
+  readonly action: 'flip' | 'insert' | 'delete' | 'repeat';
+  /** Position as a share of the length, 0 to 1. */
+  readonly place: number;
+  readonly bytes: Uint8Array;
+}
+
+const MAX_EDITS = 6;
+const MAX_EDIT_BYTES = 16;
+
+const EDITORS: Readonly<
+  Record<Edit['action'], (bytes: Buffer, at: number, edit: Buffer) => Buffer>
+> = {
+  flip: (bytes, at, edit) => {
+    const copy = Buffer.from(bytes);
+    edit.copy(copy, at);
+    return copy;
+  },
+  insert: (bytes, at, edit) =>
+    Buffer.concat([bytes.subarray(0, at), edit, bytes.subarray(at)]),
+  delete: (bytes, at, edit) =>
+    Buffer.concat([bytes.subarray(0, at), bytes.subarray(at + edit.length)]),
+  repeat: (bytes, at, edit) =>
+    Buffer.concat([bytes, bytes.subarray(at, at + edit.length)]),
+};
+
+function applyEdit(bytes: Buffer, edit: Edit): Buffer {
+  const at = Math.floor(edit.place * bytes.length);
+  return EDITORS[edit.action](bytes, at, Buffer.from(edit.bytes));
+}
+
+/**
+ * Builds an arbitrary of byte strings a few edits away from valid ones.
+ *
+ * @example
+ * ```ts
+ * fc.sample(mutateBytes(['number: 1']), 3);
+ * ```
+ * @public
+ */
+export function mutateBytes(
+  valid: ReadonlyArray<string | Buffer>,
+): fc.Arbitrary<Buffer> {
+  const edit: fc.Arbitrary<Edit> = fc.record({
+    action: fc.constantFrom('flip', 'insert', 'delete', 'repeat'),
+    place: fc.double({min: 0, max: 1, noNaN: true}),
+    bytes: fc.uint8Array({minLength: 1, maxLength: MAX_EDIT_BYTES}),
+  });
+  return fc
+    .tuple(fc.constantFrom(...valid), fc.array(edit, {maxLength: MAX_EDITS}))
+    .map(([text, edits]) => edits.reduce(applyEdit, Buffer.from(text)));
+}
--- a/packages/report/src/lib/buildReport.ts
+++ b/packages/report/src/lib/buildReport.ts
@@ -82,7 +82,7 @@
   readonly experiments?: readonly SavedExperiment[];
 }
 
-const HISTORY_POINTS = 60;
+const HISTORY_POINTS = 40;
 
 function sumBy(
   increases: Increases,
--- a/packages/report/src/lib/renderHtml.ts
+++ b/packages/report/src/lib/renderHtml.ts
@@ -66,10 +66,10 @@
       'window',
       'customer',
       'kind',
-      'answered',
-      'failed',
       'availability',
       'first token',
+      'answered',
+      'failed',
       'alert',
     ],
     report.burn.map(row => ({
@@ -78,10 +78,10 @@
         row.window,
         row.customer,
         row.kind,
-        row.answered,
-        row.failed,
         row.availabilityBurn,
         row.firstTokenBurn,
+        row.answered,
+        row.failed,
         row.isAlerting ? 'ALERT' : 'no',
       ],
     })),
@@ -132,17 +132,6 @@
     ' A burn of 1 spends the budget exactly.</p>',
     renderChart(report.history),
     renderBurn(report),
-    renderTable(
-      'Burn over time',
-      ['until', 'availability', 'first token'],
-      report.history.map(point => ({
-        cells: [
-          new Date(point.at).toISOString(),
-          point.availabilityBurn,
-          point.firstTokenBurn,
-        ],
-      })),
-    ),
     renderTable(
       'Cost',
       ['customer', 'version or service', 'micro-units'],
@@ -177,6 +166,17 @@
       })),
     ),
     renderExperiments(report),
+    renderTable(
+      'Burn over time',
+      ['until', 'availability', 'first token'],
+      report.history.map(point => ({
+        cells: [
+          new Date(point.at).toISOString(),
+          point.availabilityBurn,
+          point.firstTokenBurn,
+        ],
+      })),
+    ),
     '</body></html>\n',
   ].join('\n');
 }
--- a/packages/wire/src/lib/PeerLink.ts
+++ b/packages/wire/src/lib/PeerLink.ts
@@ -4,7 +4,6 @@
   JSONRPCRequest,
   JSONRPCServer,
   isJSONRPCRequest,
-  isJSONRPCRequests,
   isJSONRPCResponse,
 } from 'json-rpc-2.0';
 import {
@@ -164,21 +163,24 @@
 
   private receive(message: unknown): void {
     this.lastHeardAt = performance.now();
+    // The library's type guards throw on null, and batches are not part of the protocol.
+    if (!isPlainObject(message)) {
+      this.close('frame is not a JSON object');
+      return;
+    }
     if (isJSONRPCResponse(message)) {
       this.client.receive(message);
       return;
     }
-    if (isJSONRPCRequest(message) || isJSONRPCRequests(message)) {
+    if (isJSONRPCRequest(message)) {
       void this.serve(message);
       return;
     }
     this.close('frame is not JSON-RPC 2.0');
   }
 
-  private async serve(
-    message: JSONRPCRequest | JSONRPCRequest[],
-  ): Promise<void> {
-    const answer = await this.server.receive(message as JSONRPCRequest);
+  private async serve(message: JSONRPCRequest): Promise<void> {
+    const answer = await this.server.receive(message);
     if (answer && !this.closed) this.channel.send(answer);
   }
 
@@ -198,6 +200,12 @@
   }
 }
 
+function isPlainObject(message: unknown): message is object {
+  return (
+    typeof message === 'object' && message !== null && !Array.isArray(message)
+  );
+}
+
 function readRemoteError(error: unknown, method: string): SycamoreheadError {
   if (error instanceof SycamoreheadError) return error;
   if (error instanceof JSONRPCErrorException) {
--- a/packages/wire/src/test/PeerLink.test.ts
+++ b/packages/wire/src/test/PeerLink.test.ts
@@ -65,3 +65,19 @@
     assert.deepEqual(messages, [{a: 1}, {b: 'ñ'}]);
   }
 });
+
+test('a frame that is not a JSON object closes the link without throwing', () => {
+  for (const message of [null, 7, 'text', [], [null]]) {
+    let receive: (message: unknown) => void = () => {};
+    const channel: MessageChannel = {
+      open: onMessage => {
+        receive = onMessage;
+      },
+      send() {},
+      close() {},
+    };
+    const link = new PeerLink(channel, {});
+    receive(message);
+    assert.equal(link.isClosed, true);
+  }
+});
