Check the form of engine events; a chunk without finish_reason no longer ends an answer

Cause: events were cast, not checked, and an absent finish_reason compared unequal to null, so such a chunk counted as the terminal frame (fuzz engine-streams). Ruled out: the SSE parser, which gave the event as sent. Change: parseChunk checks each event by hand; an event of another form fails the attempt. Conclusion: a malformed stream is a failed attempt, so it is resumed elsewhere.

--- a/packages/bench/src/lib/fuzz/fuzzEngineStreams.ts
+++ b/packages/bench/src/lib/fuzz/fuzzEngineStreams.ts
@@ -5,7 +5,12 @@
 import type {FuzzTarget} from './fuzzTypes.js';
 import {mutateBytes} from './mutateBytes.js';
 
-const TIMEOUTS = {connectMs: 500, firstByteMs: 1_000, betweenFramesMs: 500};
+const TIMEOUTS = {
+  connectMs: 500,
+  firstByteMs: 1_000,
+  betweenFramesMs: 500,
+  serviceMs: 1_000,
+};
 
 function buildChunk(offset: number, reason: string | null): string {
   const chunk = {
--- a/packages/entry/src/lib/BackendClient.ts
+++ b/packages/entry/src/lib/BackendClient.ts
@@ -1,6 +1,7 @@
 import {createParser} from 'eventsource-parser';
 import {Agent, Dispatcher, request} from 'undici';
 import {ChatChunk, RanState, SycamoreheadError} from '@sycamorehead/schema';
+import {parseChunk} from './parseChunk.js';
 
 /** Time limits on calls to backend servers, in milliseconds. @public */
 export interface BackendTimeouts {
@@ -111,7 +112,7 @@
     let isComplete = false;
     try {
       for await (const chunk of parseChunks(answer.body)) {
-        isComplete ||= chunk.choices[0]?.finish_reason !== null;
+        isComplete ||= Boolean(chunk.choices[0]?.finish_reason);
         yield chunk;
         if (isComplete) return;
       }
@@ -234,7 +235,7 @@
   let parsed: ChatChunk[] = [];
   const parser = createParser({
     onEvent({data}) {
-      if (data !== '[DONE]') parsed.push(JSON.parse(data) as ChatChunk);
+      if (data !== '[DONE]') parsed.push(parseChunk(data));
     },
   });
   const decoder = new TextDecoder();
