--- /dev/null
+++ b/packages/consensus/src/lib/Leadership.ts
@@ -0,0 +1,281 @@
+import {JsonValue, SycamoreheadError} from '@sycamorehead/schema';
+import {createLogger} from '@sycamorehead/telemetry';
+import type {ConsensusTransport} from './consensusMessages.js';
+import type {LogEntry, Membership} from './logTypes.js';
+import {computeQuorumValue, isVoter} from './membership.js';
+import {PeerReplicator, ReplicatorContext} from './PeerReplicator.js';
+import type {RaftState} from './RaftState.js';
+import type {RaftTiming} from './raftTiming.js';
+import {Signal} from './Signal.js';
+
+const log = createLogger('consensus');
+
+const MAX_PENDING = 50_000;
+
+/** What an entry carries besides its position. @internal */
+export type EntryPayload =
+  | {readonly type: 'noop'}
+  | {readonly type: 'command'; readonly command: JsonValue}
+  | {readonly type: 'membership'; readonly members: Membership};
+
+/** What a leadership needs of its member. @internal */
+export interface LeadershipContext {
+  readonly state: RaftState;
+  readonly transport: ConsensusTransport;
+  readonly timing: RaftTiming;
+  readonly shard: number;
+  onHigherTerm(term: number): void;
+  /** Ends the leadership, which can no longer be held. */
+  onLost(reason: string): void;
+}
+
+interface Waiter<Result> {
+  resolve(result: Result): void;
+  reject(error: unknown): void;
+}
+
+interface ReadWaiter extends Waiter<void> {
+  readonly round: number;
+}
+
+/**
+ * One term of leadership: from the election until a higher term is seen, a quorum is lost or the
+ * member stops.
+ *
+ * @internal
+ */
+export class Leadership {
+  readonly term: number;
+  private readonly peers = new Map<string, PeerReplicator>();
+  private readonly pending = new Map<number, Waiter<JsonValue>>();
+  private reads: ReadWaiter[] = [];
+  private ownMatch = 0;
+  private round = 0;
+  private firstIndex = 0;
+  private isEnded = false;
+  private isHandingOver = false;
+  private readonly ending = new Signal();
+
+  constructor(private readonly context: LeadershipContext) {
+    this.term = context.state.term;
+  }
+
+  /** Index of this term's first entry; what earlier terms committed is known once it is. */
+  get isEstablished(): boolean {
+    return this.context.state.commitIndex >= this.firstIndex;
+  }
+
+  /** Appends the term's first entry and begins to replicate. */
+  start(): void {
+    this.context.state.onApplied = (entry, result) =>
+      this.settleProposal(entry, result);
+    this.firstIndex = this.append({type: 'noop'});
+    void this.watchQuorum();
+  }
+
+  /** Appends an entry and returns its result once it is committed and applied. */
+  propose(payload: EntryPayload): Promise<JsonValue> {
+    if (this.isEnded || this.isHandingOver) {
+      throw new SycamoreheadError('not_leader', 'leadership is ending');
+    }
+    if (this.pending.size >= MAX_PENDING) {
+      throw new SycamoreheadError('overloaded', 'too many open proposals');
+    }
+    const index = this.append(payload);
+    return new Promise((resolve, reject) => {
+      this.pending.set(index, {resolve, reject});
+    });
+  }
+
+  /** Returns once a quorum has answered a request sent after this call. */
+  confirm(): Promise<void> {
+    if (this.isEnded) {
+      throw new SycamoreheadError('not_leader', 'leadership has ended');
+    }
+    if (this.reads.length >= MAX_PENDING) {
+      throw new SycamoreheadError('overloaded', 'too many open reads');
+    }
+    this.round += 1;
+    const {round} = this;
+    return new Promise((resolve, reject) => {
+      this.reads.push({round, resolve, reject});
+      for (const peer of this.peers.values()) peer.notify();
+      this.settleReads();
+    });
+  }
+
+  /** Returns the last index that a peer is known to have synced. */
+  getMatchIndex(id: string): number {
+    if (id === this.context.state.id) return this.ownMatch;
+    return this.peers.get(id)?.matchIndex ?? 0;
+  }
+
+  /** Asks the voter that is furthest on to take over; returns whether this leadership ended. */
+  async transfer(): Promise<boolean> {
+    const {state, timing} = this.context;
+    const target = this.pickSuccessor();
+    if (!target) return false;
+    this.isHandingOver = true;
+    const deadline = performance.now() + timing.electionMaxMs;
+    const pause = new Signal();
+    try {
+      while (target.matchIndex < state.entries.lastIndex) {
+        if (this.isEnded || performance.now() > deadline) return this.isEnded;
+        await pause.wait(timing.heartbeatMs / 2);
+      }
+      await this.requestTakeover(target);
+      while (!this.isEnded && performance.now() < deadline) {
+        await pause.wait(timing.heartbeatMs / 2);
+      }
+      return this.isEnded;
+    } finally {
+      this.isHandingOver = false;
+    }
+  }
+
+  /** Ends this leadership; what is still open has an unknown outcome. */
+  end(reason: SycamoreheadError): void {
+    if (this.isEnded) return;
+    this.isEnded = true;
+    this.ending.notify();
+    this.context.state.onApplied = undefined;
+    for (const peer of this.peers.values()) peer.stop();
+    for (const {reject} of this.pending.values()) reject(reason);
+    for (const {reject} of this.reads) reject(reason);
+    this.pending.clear();
+    this.reads = [];
+  }
+
+  private append(payload: EntryPayload): number {
+    const {state} = this.context;
+    const index = state.entries.lastIndex + 1;
+    const entry: LogEntry = {index, term: this.term, ...payload};
+    const text = state.entries.append(entry);
+    state.storage.append([text], entry).then(
+      () => this.advanceOwnMatch(index),
+      (error: unknown) => state.fail(error),
+    );
+    if (payload.type !== 'command') this.updatePeers();
+    for (const peer of this.peers.values()) peer.notify();
+    return index;
+  }
+
+  private advanceOwnMatch(index: number): void {
+    if (this.isEnded) return;
+    this.ownMatch = Math.max(this.ownMatch, index);
+    this.advanceCommit();
+  }
+
+  private advanceCommit(): void {
+    const {state} = this.context;
+    const {members} = state.entries;
+    const reached = computeQuorumValue(members, id => this.getMatchIndex(id));
+    // Only an entry of this term proves that no other leader can have replaced what is before it.
+    const isOwnTerm = state.entries.getTerm(reached) === this.term;
+    if (reached > state.commitIndex && isOwnTerm) {
+      state.advanceCommit(reached);
+      this.settleReads();
+    }
+  }
+
+  private settleProposal(entry: LogEntry, result: JsonValue): void {
+    const waiter = this.pending.get(entry.index);
+    this.pending.delete(entry.index);
+    waiter?.resolve(result);
+    if (entry.type !== 'membership') return;
+    this.updatePeers();
+    const {id} = this.context.state;
+    if (!isVoter(entry.members, id)) {
+      this.context.onLost('this member was removed');
+    }
+  }
+
+  private settleReads(): void {
+    if (!this.isEstablished || this.reads.length === 0) return;
+    const {state} = this.context;
+    const confirmed = computeQuorumValue(state.entries.members, id =>
+      id === state.id ? this.round : (this.peers.get(id)?.ackedRound ?? 0),
+    );
+    const isDone = (read: ReadWaiter) => read.round <= confirmed;
+    const done = this.reads.filter(isDone);
+    if (done.length === 0) return;
+    this.reads = this.reads.filter(read => !isDone(read));
+    for (const {resolve} of done) resolve();
+  }
+
+  /** Replicates to the members of the newest membership and of the committed one. */
+  private updatePeers(): void {
+    const {state} = this.context;
+    const committed = state.entries.getMembersAt(state.commitIndex);
+    const wanted = new Map(
+      [...committed, ...state.entries.members]
+        .filter(({id}) => id !== state.id)
+        .map(member => [member.id, member]),
+    );
+    for (const [id, peer] of this.peers) {
+      const isKept = wanted.get(id)?.address === peer.member.address;
+      if (isKept) continue;
+      peer.stop();
+      this.peers.delete(id);
+    }
+    for (const [id, member] of wanted) {
+      if (this.peers.has(id)) continue;
+      const peer = new PeerReplicator(this.getReplicatorContext(), member);
+      this.peers.set(id, peer);
+      void peer.run();
+    }
+  }
+
+  private getReplicatorContext(): ReplicatorContext {
+    return {
+      ...this.context,
+      term: this.term,
+      getRound: () => this.round,
+      onProgress: () => {
+        if (this.isEnded) return;
+        this.advanceCommit();
+        this.settleReads();
+      },
+    };
+  }
+
+  /** Check-quorum: a leader that a majority no longer answers stops leading. */
+  private async watchQuorum(): Promise<void> {
+    const {state, timing} = this.context;
+    while (!this.isEnded) {
+      await this.ending.wait(timing.heartbeatMs);
+      const now = performance.now();
+      const heardAt = computeQuorumValue(state.entries.members, id =>
+        id === state.id ? now : (this.peers.get(id)?.lastAckAt ?? -Infinity),
+      );
+      if (!this.isEnded && now - heardAt > timing.electionMaxMs) {
+        this.context.onLost('no quorum answers');
+      }
+    }
+  }
+
+  private pickSuccessor(): PeerReplicator | undefined {
+    const {members} = this.context.state.entries;
+    return [...this.peers.values()]
+      .filter(peer => isVoter(members, peer.member.id))
+      .sort((left, right) => right.matchIndex - left.matchIndex)[0];
+  }
+
+  private async requestTakeover(target: PeerReplicator): Promise<void> {
+    const {state, transport, timing, shard} = this.context;
+    const {id, address} = target.member;
+    const request = {
+      type: 'transfer' as const,
+      shard,
+      group: state.vote.group,
+      from: state.id,
+      to: id,
+      term: this.term,
+    };
+    try {
+      await transport.call(address, request, timing.callMs);
+    } catch (error) {
+      log('handover_failed', {to: id, error: String(error)});
+    }
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/lib/MembershipChange.ts
@@ -0,0 +1,162 @@
+import {SycamoreheadError} from '@sycamorehead/schema';
+import {createLogger} from '@sycamorehead/telemetry';
+import type {ConsensusTransport} from './consensusMessages.js';
+import type {Leadership} from './Leadership.js';
+import type {Member, Membership} from './logTypes.js';
+import {listVoters} from './membership.js';
+import type {RaftState} from './RaftState.js';
+import type {RaftTiming} from './raftTiming.js';
+import {Signal} from './Signal.js';
+
+const log = createLogger('consensus');
+
+const MAX_MEMBERS = 9;
+const CATCH_UP_TIMEOUT_MS = 60_000;
+
+/** What changes of the membership need of their member. @internal */
+export interface MembershipChangeContext {
+  readonly state: RaftState;
+  readonly transport: ConsensusTransport;
+  readonly timing: RaftTiming;
+  readonly shard: number;
+  getLeadership(): Leadership;
+}
+
+/**
+ * Changes of one member at a time: any majority before a change shares a member with any majority
+ * after it, so that no two leaders can be elected by disjoint ones.
+ *
+ * @internal
+ */
+export class MembershipChange {
+  private isRunning = false;
+
+  constructor(private readonly context: MembershipChangeContext) {}
+
+  /** Adds an instance as a learner and makes it a voter once it has caught up. */
+  add(instance: string, address: string): Promise<Membership> {
+    return this.runAlone(async () => {
+      const learner = await this.findOrAddLearner(instance, address);
+      if (learner.role === 'learner') {
+        await this.waitUntilCaughtUp(learner.id);
+        await this.commit(
+          this.members.map(member =>
+            member.id === learner.id ? {...member, role: 'voter'} : member,
+          ),
+        );
+      }
+      return this.members;
+    });
+  }
+
+  /** Removes one member. */
+  remove(name: string): Promise<Membership> {
+    return this.runAlone(async () => {
+      const found = this.members.filter(
+        ({id, instance}) => id === name || instance === name,
+      );
+      if (found.length > 1) {
+        const ids = found.map(({id}) => id).join(', ');
+        refuse('malformed_request', `${name} names several members: ${ids}`);
+      }
+      const [member] = found;
+      if (!member) refuse('not_found', `${name} is not a member`);
+      const rest = this.members.filter(({id}) => id !== member.id);
+      if (listVoters(rest).length === 0) {
+        refuse('malformed_request', `${name} is the last voter`);
+      }
+      await this.commit(rest);
+      return this.members;
+    });
+  }
+
+  private get members(): Membership {
+    return this.context.state.entries.members;
+  }
+
+  private async runAlone<Result>(work: () => Promise<Result>): Promise<Result> {
+    this.context.getLeadership();
+    if (this.isRunning) {
+      refuse('in_progress', 'another change of the membership is under way');
+    }
+    this.isRunning = true;
+    try {
+      return await work();
+    } finally {
+      this.isRunning = false;
+    }
+  }
+
+  private async findOrAddLearner(
+    instance: string,
+    address: string,
+  ): Promise<Member> {
+    const {transport, shard, state} = this.context;
+    const identity = await transport.identify(address, shard);
+    if (identity.instance !== instance) {
+      refuse(
+        'malformed_request',
+        `${address} is ${identity.instance}, expected ${instance}`,
+      );
+    }
+    const known = this.members.find(({id}) => id === identity.id);
+    if (known) return known;
+    if (identity.group !== '' && identity.group !== state.vote.group) {
+      refuse('malformed_request', `${instance} belongs to another group`);
+    }
+    if (this.members.length >= MAX_MEMBERS) {
+      refuse('malformed_request', `expected at most ${MAX_MEMBERS} members`);
+    }
+    const learner: Member = {
+      id: identity.id,
+      instance,
+      address,
+      role: 'learner',
+    };
+    await this.commit([...this.members, learner]);
+    return learner;
+  }
+
+  /**
+   * Waits until the learner has reached what the log held less than an election timeout ago, so
+   * that the group does not wait for it once it is a voter.
+   */
+  private async waitUntilCaughtUp(id: string): Promise<void> {
+    const {state, timing, getLeadership} = this.context;
+    const deadline = performance.now() + CATCH_UP_TIMEOUT_MS;
+    const pause = new Signal();
+    for (;;) {
+      const target = state.entries.lastIndex;
+      const begunAt = performance.now();
+      while (getLeadership().getMatchIndex(id) < target) {
+        if (performance.now() > deadline) {
+          refuse('timeout', `${id} has not caught up; repeat the command`);
+        }
+        await pause.wait(timing.heartbeatMs);
+      }
+      const tookMs = performance.now() - begunAt;
+      log('learner_caught_up', {id, target, ms: Math.round(tookMs)});
+      if (tookMs < timing.electionMinMs) return;
+    }
+  }
+
+  private async commit(members: Membership): Promise<void> {
+    const leadership = this.context.getLeadership();
+    const {entries, commitIndex} = this.context.state;
+    if (!leadership.isEstablished || entries.membershipIndex > commitIndex) {
+      refuse(
+        'in_progress',
+        'the leader has not yet committed what came before; repeat the command',
+      );
+    }
+    await leadership.propose({type: 'membership', members});
+    log('membership_changed', {members: members.length});
+  }
+}
+
+function refuse(
+  kind: 'malformed_request' | 'not_found' | 'in_progress' | 'timeout',
+  message: string,
+): never {
+  throw new SycamoreheadError(kind, message);
+}
--- /dev/null
+++ b/packages/consensus/src/lib/RaftNode.ts
@@ -0,0 +1,439 @@
+import {JsonValue, SycamoreheadError} from '@sycamorehead/schema';
+import {createLogger} from '@sycamorehead/telemetry';
+import type {
+  AppendReply,
+  AppendRequest,
+  ConsensusReplies,
+  ConsensusRequest,
+  ConsensusTransport,
+  MemberIdentity,
+  ReplyTo,
+  SnapshotReply,
+  SnapshotRequest,
+  TransferReply,
+  VoteReply,
+  VoteRequest,
+} from './consensusMessages.js';
+import {Election} from './Election.js';
+import {Leadership} from './Leadership.js';
+import type {Membership} from './logTypes.js';
+import {isVoter, listVoters} from './membership.js';
+import {MembershipChange} from './MembershipChange.js';
+import {Mutex} from './Mutex.js';
+import {RaftState} from './RaftState.js';
+import {DEFAULT_RAFT_TIMING, RaftTiming} from './raftTiming.js';
+import type {
+  LogRole,
+  LogStatus,
+  MembershipCommands,
+  ReplicatedLog,
+  StateMachine,
+} from './ReplicatedLog.js';
+import {SnapshotReceiver} from './SnapshotReceiver.js';
+import type {Disk} from './storage/Disk.js';
+import {LogStorage} from './storage/LogStorage.js';
+
+const log = createLogger('consensus');
+
+const DEFAULT_SNAPSHOT_BYTES = 4 * 1024 * 1024;
+const FIRST_TERM = 1;
+
+/** Settings of a RaftNode. @public */
+export interface RaftNodeOptions {
+  readonly shard: number;
+  /** Member id; see loadMemberId. */
+  readonly id: string;
+  readonly machine: StateMachine;
+  readonly disk: Disk;
+  readonly transport: ConsensusTransport;
+  readonly timing?: RaftTiming;
+  readonly snapshotBytes?: number;
+  readonly segmentBytes?: number;
+  readonly trailingEntries?: number;
+  readonly random?: () => number;
+  /** Called once, when the storage has failed; the process should end. */
+  readonly onFailure: (error: SycamoreheadError) => void;
+}
+
+type Handlers = {
+  [Type in ConsensusRequest['type']]: (
+    request: Extract<ConsensusRequest, {type: Type}>,
+  ) => Promise<ConsensusReplies[Type]>;
+};
+
+/**
+ * One member of one shard's group: a replicated log after Raft, with pre-vote, check-quorum,
+ * leadership transfer, and changes of one member at a time.
+ *
+ * @public
+ */
+export class RaftNode implements ReplicatedLog, MembershipCommands {
+  private readonly state: RaftState;
+  private readonly election: Election;
+  private readonly timing: RaftTiming;
+  private readonly lock = new Mutex();
+  private readonly receiver = new SnapshotReceiver();
+  private readonly changes: MembershipChange;
+  private leadership: Leadership | undefined;
+  private isStopped = false;
+
+  private readonly handlers: Handlers = {
+    vote: request => this.handleVote(request),
+    append: request => this.handleAppend(request),
+    snapshot: request => this.handleSnapshot(request),
+    transfer: request => this.handleTransfer(request.term),
+  };
+
+  constructor(private readonly options: RaftNodeOptions) {
+    const {id, machine, disk} = options;
+    this.timing = options.timing ?? DEFAULT_RAFT_TIMING;
+    this.state = new RaftState({
+      id,
+      machine,
+      storage: new LogStorage(disk, options.segmentBytes),
+      snapshotBytes: options.snapshotBytes ?? DEFAULT_SNAPSHOT_BYTES,
+      trailingEntries: options.trailingEntries,
+      onFailure: error => this.handleFailure(error),
+    });
+    this.election = new Election({
+      ...this.getShared(),
+      lock: this.lock,
+      random: options.random ?? Math.random,
+      onElected: () => this.startLeading(),
+    });
+    this.changes = new MembershipChange({
+      state: this.state,
+      transport: options.transport,
+      timing: this.timing,
+      shard: options.shard,
+      getLeadership: () => this.requireLeadership(),
+    });
+  }
+
+  // Commands.
+
+  /**
+   * Reads the disk and begins to take part.
+   *
+   * @throws SycamoreheadError `storage_failed`.
+   */
+  async start(): Promise<void> {
+    await this.state.load();
+    this.election.restartTimeout();
+    void this.election.run();
+    const {id, entries, term} = this.state;
+    log('member_started', {id, term, last: entries.lastIndex});
+  }
+
+  /** Forms a new group whose first voters are the given members; a second call changes nothing. */
+  async createGroup(group: string, members: Membership): Promise<void> {
+    await this.lock.run(async () => {
+      if (this.state.vote.group !== '') return;
+      await this.state.saveVote(FIRST_TERM, '', group);
+      const entry = {
+        index: 1,
+        term: FIRST_TERM,
+        type: 'membership' as const,
+        members,
+      };
+      const text = this.state.entries.append(entry);
+      await this.state.storage.append([text], entry);
+      log('group_formed', {group, members: members.length});
+    });
+    this.election.startSoon();
+  }
+
+  async propose(command: JsonValue): Promise<JsonValue> {
+    return this.requireLeadership().propose({type: 'command', command});
+  }
+
+  async confirmLeadership(): Promise<void> {
+    return this.requireLeadership().confirm();
+  }
+
+  addMember(instance: string, address: string): Promise<Membership> {
+    return this.changes.add(instance, address);
+  }
+
+  removeMember(name: string): Promise<Membership> {
+    return this.changes.remove(name);
+  }
+
+  /** Answers a request of another member. */
+  async receive<Request extends ConsensusRequest>(
+    request: Request,
+  ): Promise<ReplyTo<Request>> {
+    this.checkAddressee(request);
+    const handler = this.handlers[request.type] as unknown as (
+      request: Request,
+    ) => Promise<ReplyTo<Request>>;
+    this.noteSender(request);
+    return this.lock.run(async () => {
+      this.checkRunning();
+      try {
+        return await handler(request);
+      } catch (error) {
+        const isFatal =
+          !(error instanceof SycamoreheadError) ||
+          error.kind === 'storage_failed';
+        if (isFatal) this.state.fail(error);
+        throw error;
+      }
+    });
+  }
+
+  async stop(): Promise<void> {
+    const isHandedOver = await this.leadership?.transfer();
+    log('member_stops', {id: this.state.id, handed_over: isHandedOver});
+    this.abort();
+    await this.lock.run(async () => {});
+    await this.state.storage.close();
+  }
+
+  /** Stops at once, without handing over; what is under way may or may not be done. */
+  abort(): void {
+    this.isStopped = true;
+    this.election.stop();
+    this.stopLeading('this instance stops');
+  }
+
+  // Queries.
+
+  getStatus(): LogStatus {
+    const {state} = this;
+    const {members} = state.entries;
+    return {
+      shard: this.options.shard,
+      role: this.getRole(),
+      term: state.term,
+      leader: state.leader?.split('/')[0],
+      commitIndex: state.commitIndex,
+      lastIndex: state.entries.lastIndex,
+      voters: listVoters(members).map(({instance}) => instance),
+      id: state.id,
+      group: state.vote.group,
+      members,
+      snapshotIndex: state.snapshot?.index ?? 0,
+      storage: state.storage.getCounts(),
+    };
+  }
+
+  /** Tells who this member is, also before it belongs to a group. */
+  getIdentity(): MemberIdentity {
+    const {id, vote} = this.state;
+    return {id, instance: id.split('/')[0] ?? id, group: vote.group};
+  }
+
+  // Handlers of requests. They run under the lock, so that no vote falls between the check of an
+  // append and its sync.
+
+  private async handleVote(request: VoteRequest): Promise<VoteReply> {
+    const {state} = this;
+    const refused = {term: state.term, isGranted: false};
+    if (request.term < state.term) return refused;
+    if (!request.isTransfer && this.election.hasLiveLeader()) return refused;
+    if (request.isPreVote) {
+      const isGranted = request.term > state.term && this.isUpToDate(request);
+      return {term: state.term, isGranted};
+    }
+    if (request.term > state.term) {
+      await this.follow(request.term, undefined, request.group);
+    }
+    const {votedFor} = state.vote;
+    const isFree = votedFor === '' || votedFor === request.from;
+    if (!isFree || !this.isUpToDate(request)) {
+      return {term: state.term, isGranted: false};
+    }
+    if (votedFor === '') await state.saveVote(state.term, request.from);
+    this.election.restartTimeout();
+    return {term: state.term, isGranted: true};
+  }
+
+  private async handleAppend(request: AppendRequest): Promise<AppendReply> {
+    const {state} = this;
+    const {entries} = state;
+    if (request.term < state.term) {
+      return {term: state.term, isMatching: false, index: 0};
+    }
+    await this.follow(request.term, request.from, request.group);
+    const {previousIndex, previousTerm} = request;
+    if (previousIndex > entries.lastIndex) {
+      const index = entries.lastIndex + 1;
+      return {term: state.term, isMatching: false, index};
+    }
+    // What lies before the base is committed, so it can't differ.
+    const held = entries.getTerm(previousIndex);
+    if (held !== undefined && held !== previousTerm) {
+      const index = Math.max(1, entries.findFirstOfTerm(previousIndex));
+      return {term: state.term, isMatching: false, index};
+    }
+    await this.appendNew(request);
+    const index = previousIndex + request.entries.length;
+    state.advanceCommit(Math.min(request.commitIndex, index));
+    return {term: state.term, isMatching: true, index};
+  }
+
+  private async appendNew(request: AppendRequest): Promise<void> {
+    const {entries, storage, commitIndex} = this.state;
+    const fresh = request.entries.filter(
+      ({index, term}) =>
+        index > entries.base.index && entries.getTerm(index) !== term,
+    );
+    const [first] = fresh;
+    const last = fresh.at(-1);
+    if (!first || !last) return storage.flush();
+    if (first.index <= commitIndex) {
+      throw new SycamoreheadError(
+        'internal',
+        `entry ${first.index} of term ${first.term} contradicts a committed one`,
+      );
+    }
+    if (first.index <= entries.lastIndex) entries.truncate(first.index);
+    const texts = fresh.map(entry => entries.append(entry));
+    await storage.append(texts, last);
+  }
+
+  private async handleSnapshot(
+    request: SnapshotRequest,
+  ): Promise<SnapshotReply> {
+    const {state} = this;
+    if (request.term < state.term) {
+      return {term: state.term, isInstalled: false, nextOffset: 0};
+    }
+    await this.follow(request.term, request.from, request.group);
+    const {index, snapshotTerm, members, totalBytes} = request;
+    const done = {term: state.term, isInstalled: true, nextOffset: totalBytes};
+    if (index <= state.commitIndex) return done;
+    const {nextOffset, data} = this.receiver.receive(request);
+    if (!data) return {term: state.term, isInstalled: false, nextOffset};
+    await state.installSnapshot({index, term: snapshotTerm, members, data});
+    return done;
+  }
+
+  private async handleTransfer(term: number): Promise<TransferReply> {
+    if (term === this.state.term && this.state.role === 'follower') {
+      void this.election.runElection(true).catch((error: unknown) => {
+        log('takeover_failed', {error: String(error)});
+      });
+    }
+    return {term: this.state.term};
+  }
+
+  // Roles.
+
+  private async follow(
+    term: number,
+    leader: string | undefined,
+    group: string,
+  ): Promise<void> {
+    const {state} = this;
+    if (state.role === 'leader' && term === state.term) {
+      throw new SycamoreheadError('internal', `two leaders in term ${term}`);
+    }
+    this.stopLeading(`term ${term} has begun`);
+    state.role = 'follower';
+    if (term > state.term) await state.saveVote(term, '', group);
+    state.leader = leader;
+  }
+
+  private startLeading(): void {
+    const {state} = this;
+    state.role = 'leader';
+    state.leader = state.id;
+    log('leader', {id: state.id, term: state.term});
+    this.leadership = new Leadership({
+      ...this.getShared(),
+      onLost: reason => this.stopLeading(reason),
+    });
+    this.leadership.start();
+  }
+
+  private stopLeading(reason: string): void {
+    const {leadership, state} = this;
+    if (!leadership) return;
+    this.leadership = undefined;
+    state.role = 'follower';
+    state.leader = undefined;
+    this.election.restartTimeout();
+    log('leader_stops', {id: state.id, term: state.term, reason});
+    leadership.end(
+      state.failure ?? new SycamoreheadError('control_unavailable', reason),
+    );
+  }
+
+  private getShared() {
+    return {
+      state: this.state,
+      transport: this.options.transport,
+      timing: this.timing,
+      shard: this.options.shard,
+      onHigherTerm: (term: number) => this.observeTerm(term),
+    };
+  }
+
+  private observeTerm(term: number): void {
+    this.lock
+      .run(async () => {
+        if (this.isStopped || term <= this.state.term) return;
+        await this.follow(term, undefined, this.state.vote.group);
+      })
+      .catch((error: unknown) => this.state.fail(error));
+  }
+
+  private handleFailure(error: SycamoreheadError): void {
+    log('member_failed', {id: this.state.id, error: error.message});
+    this.abort();
+    this.options.onFailure(error);
+  }
+
+  // Checks.
+
+  private getRole(): LogRole {
+    const {role, id, entries} = this.state;
+    if (role !== 'follower') return role;
+    return isVoter(entries.members, id) ? 'follower' : 'learner';
+  }
+
+  private isUpToDate({lastIndex, lastTerm}: VoteRequest): boolean {
+    const {index, term} = this.state.entries.last;
+    if (lastTerm !== term) return lastTerm > term;
+    return lastIndex >= index;
+  }
+
+  private requireLeadership(): Leadership {
+    this.checkRunning();
+    if (this.leadership) return this.leadership;
+    const leader = this.state.leader?.split('/')[0];
+    throw new SycamoreheadError(
+      'not_leader',
+      leader ? `${leader} leads` : 'no leader is known',
+      {leader},
+    );
+  }
+
+  /** Heard on arrival: a slow disk here must not look like a silent leader. */
+  private noteSender({type, term}: ConsensusRequest): void {
+    const isFromLeader = type === 'append' || type === 'snapshot';
+    if (isFromLeader && term >= this.state.term) this.election.noteLeader();
+  }
+
+  private checkRunning(): void {
+    if (this.state.failure) throw this.state.failure;
+    if (this.isStopped) {
+      throw new SycamoreheadError('stopping', 'this instance has stopped');
+    }
+  }
+
+  private checkAddressee(request: ConsensusRequest): void {
+    const {group} = this.state.vote;
+    const isOwn =
+      request.to === this.state.id &&
+      request.shard === this.options.shard &&
+      (group === '' || request.group === group);
+    if (isOwn) return;
+    throw new SycamoreheadError(
+      'not_permitted',
+      `a message for ${request.to} of group ${request.group} reached ${this.state.id}`,
+    );
+  }
+}
--- a/packages/consensus/src/lib/ReplicatedLog.ts
+++ b/packages/consensus/src/lib/ReplicatedLog.ts
@@ -5,6 +5,8 @@
  * @public
  */
 import type {JsonValue} from '@sycamorehead/schema';
+import type {Membership} from './logTypes.js';
+import type {StorageCounts} from './storage/LogStorage.js';
 
 /** What a log applies its committed commands to. Must be deterministic. @public */
 export interface StateMachine {
@@ -24,11 +26,19 @@
   readonly shard: number;
   readonly role: LogRole;
   readonly term: number;
-  /** Identifier of the known leader. */
+  /** Name of the known leader's instance. */
   readonly leader?: string;
   readonly commitIndex: number;
   readonly lastIndex: number;
+  /** Names of the voters' instances. */
   readonly voters: readonly string[];
+  /** Own member id, where the log is replicated. */
+  readonly id?: string;
+  /** Identifier of the group; empty before the instance belongs to one. */
+  readonly group?: string;
+  readonly members?: Membership;
+  readonly snapshotIndex?: number;
+  readonly storage?: StorageCounts;
 }
 
 /** One shard's replicated log as its users see it. @public */
@@ -36,8 +46,8 @@
   /**
    * Appends a command and returns its result once a quorum has synced it and it is applied here.
    *
-   * @throws SycamoreheadError `not_leader` (not appended), or `control_unavailable` where the
-   * outcome is unknown.
+   * @throws SycamoreheadError `not_leader` or `overloaded` (not appended), or
+   * `control_unavailable` where the outcome is unknown.
    */
   propose(command: JsonValue): Promise<JsonValue>;
   /**
@@ -51,3 +61,14 @@
   /** Hands leadership over where possible and stops. */
   stop(): Promise<void>;
 }
+
+/** Commands that change who belongs to a log's group. Only the leader takes them. @public */
+export interface MembershipCommands {
+  /**
+   * Adds an instance: first as a learner, then as a voter once it has caught up. Repeating it
+   * after a failure goes on where it stood.
+   */
+  addMember(instance: string, address: string): Promise<Membership>;
+  /** Removes a member, named by its instance or its member id. */
+  removeMember(name: string): Promise<Membership>;
+}
--- /dev/null
+++ b/packages/consensus/src/lib/raftTiming.ts
@@ -0,0 +1,22 @@
+/** Times that govern a group, in milliseconds. @public */
+export interface RaftTiming {
+  /** Time between a leader's heartbeats. */
+  readonly heartbeatMs: number;
+  /** Silence after which a voter may stand for election, and within which it refuses its vote. */
+  readonly electionMinMs: number;
+  /** Longest random election timeout, and the time after which a leader without a quorum stops. */
+  readonly electionMaxMs: number;
+  /** Time allowed for a vote or for entries. */
+  readonly callMs: number;
+  /** Time allowed for one chunk of a snapshot. */
+  readonly chunkMs: number;
+}
+
+/** Times for members a few milliseconds apart. @public */
+export const DEFAULT_RAFT_TIMING: RaftTiming = {
+  heartbeatMs: 100,
+  electionMinMs: 500,
+  electionMaxMs: 1_000,
+  callMs: 400,
+  chunkMs: 2_000,
+};
--- /dev/null
+++ b/packages/consensus/src/lib/storage/FileDisk.ts
@@ -0,0 +1,97 @@
+import {mkdir, open, readFile, readdir, rename, rm} from 'node:fs/promises';
+import type {FileHandle} from 'node:fs/promises';
+import path from 'node:path';
+import type {AppendFile, Disk} from './Disk.js';
+
+const TEMPORARY_SUFFIX = '.tmp';
+
+/**
+ * A folder of the file system as a Disk.
+ *
+ * @public
+ */
+export class FileDisk implements Disk {
+  private isFolderMade = false;
+
+  constructor(private readonly folder: string) {}
+
+  async list(): Promise<string[]> {
+    await this.ensureFolder();
+    const names = await readdir(this.folder);
+    return names.filter(name => !name.endsWith(TEMPORARY_SUFFIX)).sort();
+  }
+
+  async read(name: string): Promise<Buffer> {
+    return readFile(this.resolvePath(name));
+  }
+
+  async create(name: string): Promise<AppendFile> {
+    await this.ensureFolder();
+    const handle = await open(this.resolvePath(name), 'ax');
+    await this.syncFolder();
+    return wrapHandle(handle);
+  }
+
+  async open(name: string): Promise<AppendFile> {
+    return wrapHandle(await open(this.resolvePath(name), 'a'));
+  }
+
+  async truncate(name: string, length: number): Promise<void> {
+    const handle = await open(this.resolvePath(name), 'r+');
+    try {
+      await handle.truncate(length);
+      await handle.sync();
+    } finally {
+      await handle.close();
+    }
+  }
+
+  async replace(name: string, data: Buffer): Promise<void> {
+    await this.ensureFolder();
+    const temporary = this.resolvePath(name + TEMPORARY_SUFFIX);
+    const handle = await open(temporary, 'w');
+    try {
+      await handle.writeFile(data);
+      await handle.sync();
+    } finally {
+      await handle.close();
+    }
+    await rename(temporary, this.resolvePath(name));
+    await this.syncFolder();
+  }
+
+  async remove(name: string): Promise<void> {
+    await rm(this.resolvePath(name), {force: true});
+    await this.syncFolder();
+  }
+
+  private resolvePath(name: string): string {
+    return path.join(this.folder, name);
+  }
+
+  private async ensureFolder(): Promise<void> {
+    if (this.isFolderMade) return;
+    await mkdir(this.folder, {recursive: true});
+    this.isFolderMade = true;
+  }
+
+  private async syncFolder(): Promise<void> {
+    const handle = await open(this.folder, 'r');
+    try {
+      await handle.sync();
+    } finally {
+      await handle.close();
+    }
+  }
+}
+
+function wrapHandle(handle: FileHandle): AppendFile {
+  return {
+    async append(data) {
+      // writeFile continues after a short write, unlike write.
+      await handle.writeFile(data);
+    },
+    sync: () => handle.datasync(),
+    close: () => handle.close(),
+  };
+}
--- /dev/null
+++ b/packages/consensus/src/lib/storage/LogStorage.ts
@@ -0,0 +1,275 @@
+import {SycamoreheadError} from '@sycamorehead/schema';
+import {createLogger} from '@sycamorehead/telemetry';
+import type {LogPosition, Snapshot, VoteRecord} from '../logTypes.js';
+import type {AppendFile, Disk} from './Disk.js';
+import {encodeRecord, readRecords} from './records.js';
+import {
+  LoadedLog,
+  SegmentInfo,
+  formatSegmentName,
+  listSegments,
+  loadSegments,
+} from './segments.js';
+import {readSnapshot, formatSnapshotName, encodeSnapshot} from './snapshots.js';
+
+const log = createLogger('storage');
+
+const VOTE_FILE = 'vote';
+const DEFAULT_SEGMENT_BYTES = 8 * 1024 * 1024;
+
+/** What was found on the disk. @internal */
+export interface LoadedState extends LoadedLog {
+  readonly vote: VoteRecord;
+  readonly snapshot: Snapshot | undefined;
+}
+
+/** How much was written since the start. @public */
+export interface StorageCounts {
+  readonly syncs: number;
+  readonly entries: number;
+}
+
+interface Batch {
+  readonly texts: string[];
+  last: LogPosition;
+  highestIndex: number;
+  readonly done: Promise<void>;
+  settle(error?: unknown): void;
+}
+
+/**
+ * One shard's durable state in one folder: segment files of entries, the newest snapshot, and the
+ * vote. Writes go one after another; entries that arrive while one is under way share the next
+ * record and its sync (group commit). After the first failure nothing is written any more.
+ *
+ * @internal
+ */
+export class LogStorage {
+  private segments: SegmentInfo[] = [];
+  private file: AppendFile | undefined;
+  private batch: Batch | undefined;
+  private tail: Promise<unknown> = Promise.resolve();
+  private failure: SycamoreheadError | undefined;
+  private snapshotName: string | undefined;
+  private snapshotIndex = 0;
+  private last: LogPosition = {index: 0, term: 0};
+  private syncs = 0;
+  private entries = 0;
+  private bytes = 0;
+
+  constructor(
+    private readonly disk: Disk,
+    private readonly segmentBytes = DEFAULT_SEGMENT_BYTES,
+  ) {}
+
+  /** Bytes of entries written since the last snapshot. */
+  get bytesSinceSnapshot(): number {
+    return this.bytes;
+  }
+
+  getCounts(): StorageCounts {
+    return {syncs: this.syncs, entries: this.entries};
+  }
+
+  /**
+   * Reads everything back, cutting off a record that was being written when power was lost.
+   *
+   * @throws SycamoreheadError `storage_failed` on any other damage.
+   */
+  async load(): Promise<LoadedState> {
+    return this.runGuarded(async () => {
+      const names = await this.disk.list();
+      const vote = await this.readVote(names);
+      const snapshot = await readSnapshot(this.disk, names);
+      if (snapshot) {
+        this.snapshotName = formatSnapshotName(snapshot);
+        this.snapshotIndex = snapshot.index;
+      }
+      const loaded = await loadSegments(
+        this.disk,
+        listSegments(names),
+        snapshot,
+      );
+      this.segments = loaded.segments;
+      this.bytes = loaded.bytes;
+      this.last = loaded.entries.at(-1) ?? loaded.base;
+      if (this.last.index > 0 && vote.term === 0) {
+        throw new Error(`${VOTE_FILE} is missing beside the log`);
+      }
+      if (loaded.isDiscarded) await this.startSegment(true);
+      else await this.openLastSegment();
+      await this.removeOldSnapshots(names);
+      return {...loaded, vote, snapshot};
+    });
+  }
+
+  /**
+   * Appends entries and returns once they are synced. An entry whose index is already taken
+   * replaces that entry and all behind it.
+   *
+   * @throws SycamoreheadError `storage_failed`.
+   */
+  append(texts: readonly string[], last: LogPosition): Promise<void> {
+    if (this.failure) return Promise.reject(this.failure);
+    const batch = this.batch ?? this.startBatch();
+    batch.texts.push(...texts);
+    batch.highestIndex = Math.max(batch.highestIndex, last.index);
+    batch.last = {index: last.index, term: last.term};
+    this.entries += texts.length;
+    return batch.done;
+  }
+
+  /** Returns once everything appended before the call is synced. */
+  async flush(): Promise<void> {
+    if (this.batch) await this.batch.done;
+    await this.enqueue(async () => {});
+  }
+
+  /** Makes a vote durable. */
+  async saveVote(vote: VoteRecord): Promise<void> {
+    await this.enqueue(async () => {
+      this.syncs += 1;
+      const record = encodeRecord(JSON.stringify(vote));
+      await this.disk.replace(VOTE_FILE, record);
+    });
+  }
+
+  /**
+   * Makes a snapshot durable, then removes the segments that hold nothing behind `keepAfter`.
+   * `isReset` discards the whole log, which goes on behind the snapshot.
+   */
+  async saveSnapshot(
+    snapshot: Snapshot,
+    keepAfter: number,
+    isReset: boolean,
+  ): Promise<void> {
+    await this.flush();
+    await this.enqueue(async () => {
+      // One received from the leader can overtake one taken here.
+      if (snapshot.index <= this.snapshotIndex) return;
+      this.snapshotIndex = snapshot.index;
+      const name = formatSnapshotName(snapshot);
+      await this.disk.replace(name, encodeSnapshot(snapshot));
+      this.syncs += 1;
+      const older = this.snapshotName;
+      this.snapshotName = name;
+      this.bytes = 0;
+      if (isReset) this.last = {index: snapshot.index, term: snapshot.term};
+      await this.startSegment(isReset);
+      await this.removeSegments(isReset ? Infinity : keepAfter);
+      if (older && older !== name) await this.disk.remove(older);
+      log('snapshot_saved', {index: snapshot.index, term: snapshot.term});
+    });
+  }
+
+  /** Finishes what is under way and closes the file. */
+  async close(): Promise<void> {
+    await this.tail.catch(() => {});
+    await this.file?.close().catch(() => {});
+    this.file = undefined;
+  }
+
+  private startBatch(): Batch {
+    let settle: Batch['settle'] = () => {};
+    const done = new Promise<void>((resolve, reject) => {
+      settle = error => (error === undefined ? resolve() : reject(error));
+    });
+    done.catch(() => {});
+    const batch = {texts: [], last: this.last, highestIndex: 0, done, settle};
+    this.batch = batch;
+    this.enqueue(() => this.writeBatch(batch)).then(
+      () => batch.settle(),
+      (error: unknown) => batch.settle(error),
+    );
+    return batch;
+  }
+
+  private async writeBatch(batch: Batch): Promise<void> {
+    if (this.batch === batch) this.batch = undefined;
+    const record = encodeRecord(`[${batch.texts.join(',')}]`);
+    const segment = this.segments.at(-1);
+    if (!this.file || !segment) throw new Error('the log is not open');
+    await this.file.append(record);
+    await this.file.sync();
+    this.syncs += 1;
+    this.bytes += record.length;
+    segment.bytes += record.length;
+    segment.lastIndex = Math.max(segment.lastIndex, batch.highestIndex);
+    this.last = batch.last;
+    if (segment.bytes >= this.segmentBytes) {
+      await this.startSegment(false);
+    }
+  }
+
+  private async startSegment(isReset: boolean): Promise<void> {
+    await this.file?.close();
+    const sequence = (this.segments.at(-1)?.sequence ?? 0) + 1;
+    const name = formatSegmentName(sequence);
+    const header = encodeRecord(JSON.stringify({base: this.last, isReset}));
+    this.file = await this.disk.create(name);
+    await this.file.append(header);
+    await this.file.sync();
+    this.syncs += 1;
+    this.segments.push({
+      name,
+      sequence,
+      bytes: header.length,
+      lastIndex: this.last.index,
+    });
+  }
+
+  private async openLastSegment(): Promise<void> {
+    const segment = this.segments.at(-1);
+    if (!segment) return this.startSegment(false);
+    this.file = await this.disk.open(segment.name);
+  }
+
+  private async removeSegments(keepAfter: number): Promise<void> {
+    while (this.segments.length > 1) {
+      const [oldest] = this.segments;
+      if (!oldest || oldest.lastIndex > keepAfter) return;
+      await this.disk.remove(oldest.name);
+      this.segments.shift();
+    }
+  }
+
+  private async removeOldSnapshots(names: readonly string[]): Promise<void> {
+    for (const name of names) {
+      if (!name.startsWith('snapshot-') || name === this.snapshotName) continue;
+      await this.disk.remove(name);
+    }
+  }
+
+  private async readVote(names: readonly string[]): Promise<VoteRecord> {
+    if (!names.includes(VOTE_FILE)) return {group: '', term: 0, votedFor: ''};
+    const data = await this.disk.read(VOTE_FILE);
+    const {bodies} = readRecords(VOTE_FILE, data, false);
+    return JSON.parse(bodies[0] ?? 'null') as VoteRecord;
+  }
+
+  private enqueue<Result>(work: () => Promise<Result>): Promise<Result> {
+    const result = this.tail.then(() => this.runGuarded(work));
+    this.tail = result.catch(() => {});
+    return result;
+  }
+
+  private async runGuarded<Result>(
+    work: () => Promise<Result>,
+  ): Promise<Result> {
+    if (this.failure) throw this.failure;
+    try {
+      return await work();
+    } catch (error) {
+      // After a failed sync the kernel may have dropped the data, so trying again proves nothing.
+      this.failure = toStorageError(error);
+      log('storage_failed', {error: this.failure.message});
+      throw this.failure;
+    }
+  }
+}
+
+function toStorageError(error: unknown): SycamoreheadError {
+  if (error instanceof SycamoreheadError) return error;
+  const message = error instanceof Error ? error.message : String(error);
+  return new SycamoreheadError('storage_failed', message, {cause: error});
+}
--- /dev/null
+++ b/packages/consensus/src/lib/storage/identity.ts
@@ -0,0 +1,49 @@
+import {randomUUID} from 'node:crypto';
+import {SycamoreheadError} from '@sycamorehead/schema';
+import type {Disk} from './Disk.js';
+import {encodeRecord, readRecords} from './records.js';
+
+const IDENTITY_FILE = 'identity';
+
+interface Identity {
+  readonly instance: string;
+  readonly disk: string;
+}
+
+/**
+ * Reads the member id that this disk gives an instance, and creates it on an empty disk. A wiped
+ * disk gets another id, so that it can neither vote nor acknowledge in the place of its former self.
+ *
+ * @throws SycamoreheadError `storage_failed` where the disk belongs to another instance.
+ * @internal
+ */
+export async function loadMemberId(
+  disk: Disk,
+  instance: string,
+): Promise<string> {
+  try {
+    const names = await disk.list();
+    if (!names.includes(IDENTITY_FILE)) {
+      if (names.length > 0) throw new Error('files without an identity');
+      return await createMemberId(disk, instance);
+    }
+    const data = await disk.read(IDENTITY_FILE);
+    const {bodies} = readRecords(IDENTITY_FILE, data, false);
+    const identity = JSON.parse(bodies[0] ?? 'null') as Identity;
+    if (identity.instance !== instance) {
+      throw new Error(`the disk belongs to instance ${identity.instance}`);
+    }
+    return `${instance}/${identity.disk}`;
+  } catch (error) {
+    if (error instanceof SycamoreheadError) throw error;
+    throw new SycamoreheadError('storage_failed', String(error), {
+      cause: error,
+    });
+  }
+}
+
+async function createMemberId(disk: Disk, instance: string): Promise<string> {
+  const identity: Identity = {instance, disk: randomUUID()};
+  await disk.replace(IDENTITY_FILE, encodeRecord(JSON.stringify(identity)));
+  return `${instance}/${identity.disk}`;
+}
--- /dev/null
+++ b/packages/consensus/src/test/storage.test.ts
@@ -0,0 +1,189 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {LogEntry, Snapshot} from '../lib/logTypes.js';
+import {LogStorage} from '../lib/storage/LogStorage.js';
+import {loadMemberId} from '../lib/storage/identity.js';
+import {FakeDisk} from '../testing/index.js';
+
+const FIRST_LOG = 'log-000000000001';
+const keepAll = () => 0.999_999;
+
+function buildEntry(index: number, term = 1): LogEntry {
+  return {index, term, type: 'command', command: `c${index}`};
+}
+
+async function append(
+  storage: LogStorage,
+  entries: readonly LogEntry[],
+): Promise<void> {
+  const texts = entries.map(entry => JSON.stringify(entry));
+  await storage.append(texts, entries.at(-1)!);
+}
+
+async function fillDisk(count: number, segmentBytes?: number) {
+  const disk = new FakeDisk();
+  const storage = new LogStorage(disk, segmentBytes);
+  await storage.load();
+  await storage.saveVote({group: 'g', term: 1, votedFor: ''});
+  for (let index = 1; index <= count; index++) {
+    await append(storage, [buildEntry(index)]);
+  }
+  return {disk, storage};
+}
+
+async function readBack(disk: FakeDisk) {
+  const found = disk.abort(keepAll);
+  return {found, loaded: await new LogStorage(found).load()};
+}
+
+test('what was synced is read back, over many segments', async () => {
+  const {disk} = await fillDisk(50, 300);
+  const {loaded} = await readBack(disk);
+  assert.ok((await disk.abort(keepAll).list()).length > 5);
+  assert.equal(loaded.entries.length, 50);
+  assert.deepEqual(loaded.vote, {group: 'g', term: 1, votedFor: ''});
+});
+
+test('a last record cut short at any byte is dropped, and the log goes on', async () => {
+  const {disk} = await fillDisk(3);
+  const whole = await disk.read(FIRST_LOG);
+  const two = await fillDisk(2);
+  const start = (await two.disk.read(FIRST_LOG)).length;
+  for (let length = start; length < whole.length; length++) {
+    const torn = disk.abort(keepAll);
+    torn.change(FIRST_LOG, data => data.subarray(0, length));
+    const storage = new LogStorage(torn);
+    assert.equal((await storage.load()).entries.length, 2);
+    await append(storage, [buildEntry(3, 2)]);
+    const {loaded} = await readBack(torn);
+    assert.equal(loaded.entries.at(-1)?.term, 2);
+  }
+});
+
+test('a last record whose sectors were not all written is dropped', async () => {
+  const {disk} = await fillDisk(2);
+  const start = (await disk.read(FIRST_LOG)).length;
+  const storage = new LogStorage(disk);
+  await storage.load();
+  const large: LogEntry = {
+    ...buildEntry(3),
+    command: 'x'.repeat(2_000),
+  } as LogEntry;
+  await append(storage, [large]);
+  const torn = disk.abort(keepAll);
+  torn.change(FIRST_LOG, data => data.fill(0, start + 512, start + 1_536));
+  assert.equal((await new LogStorage(torn).load()).entries.length, 2);
+});
+
+test('a flipped bit anywhere in synced data is fatal', async () => {
+  const {disk} = await fillDisk(4);
+  const {length} = await disk.read(FIRST_LOG);
+  for (let offset = 0; offset < length; offset++) {
+    const damaged = disk.abort(keepAll);
+    damaged.change(FIRST_LOG, data => {
+      data[offset]! ^= 1 << (offset % 8);
+      return data;
+    });
+    await assert.rejects(
+      new LogStorage(damaged).load(),
+      {kind: 'storage_failed'},
+      `byte ${offset}`,
+    );
+  }
+});
+
+test('a damaged vote, snapshot or missing segment is fatal', async () => {
+  const {disk, storage} = await fillDisk(30, 300);
+  const data = Buffer.from('[]');
+  const snapshot: Snapshot = {index: 10, term: 1, members: [], data};
+  await storage.saveSnapshot(snapshot, 10, false);
+  const names = await disk.list();
+  const changeLastByte = (content: Buffer) => {
+    content[content.length - 1]! ^= 1;
+    return content;
+  };
+  for (const name of names.filter(text => /^(vote|snapshot)/.test(text))) {
+    const damaged = disk.abort(keepAll);
+    damaged.change(name, changeLastByte);
+    await assert.rejects(new LogStorage(damaged).load(), {
+      kind: 'storage_failed',
+    });
+  }
+  const segments = names.filter(text => text.startsWith('log-'));
+  for (const name of [segments[1], segments[3]]) {
+    const damaged = disk.abort(keepAll);
+    await damaged.remove(name!);
+    await assert.rejects(new LogStorage(damaged).load(), {
+      kind: 'storage_failed',
+    });
+  }
+});
+
+test('an entry under a taken index replaces it and what follows', async () => {
+  const {disk, storage} = await fillDisk(5);
+  await append(storage, [buildEntry(3, 2), buildEntry(4, 2)]);
+  const {loaded} = await readBack(disk);
+  assert.deepEqual(
+    loaded.entries.map(({term}) => term),
+    [1, 1, 2, 2],
+  );
+});
+
+test('a snapshot drops segments; one that does not fit the log replaces it', async () => {
+  const {disk, storage} = await fillDisk(50, 300);
+  const before = (await disk.list()).length;
+  const base = {members: [], data: Buffer.from('[]')};
+  await storage.saveSnapshot({index: 40, term: 1, ...base}, 40, false);
+  assert.ok((await disk.list()).length < before / 2);
+  const kept = await readBack(disk);
+  assert.equal(kept.loaded.entries.at(-1)?.index, 50);
+  assert.ok(kept.loaded.base.index <= 40);
+  const again = new LogStorage(kept.found);
+  await again.load();
+  await again.saveSnapshot({index: 200, term: 4, ...base}, 200, true);
+  await append(again, [buildEntry(201, 4)]);
+  const {loaded} = await readBack(kept.found);
+  assert.deepEqual(loaded.base, {index: 200, term: 4});
+  assert.deepEqual(
+    loaded.entries.map(({index}) => index),
+    [201],
+  );
+});
+
+test('power lost between a received snapshot and the new segment loses nothing', async () => {
+  const {disk, storage} = await fillDisk(5);
+  const base = {members: [], data: Buffer.from('[]')};
+  await storage.saveSnapshot({index: 9, term: 3, ...base}, 9, true);
+  const found = disk.abort(keepAll);
+  await found.remove('log-000000000002');
+  const old = (await fillDisk(5)).disk.abort(keepAll);
+  const segment = await found.create(FIRST_LOG);
+  await segment.append(await old.read(FIRST_LOG));
+  await segment.sync();
+  const loaded = await new LogStorage(found).load();
+  assert.deepEqual(loaded.base, {index: 9, term: 3});
+  assert.equal(loaded.entries.length, 0);
+});
+
+test('after one failed sync nothing is written any more', async () => {
+  const {disk, storage} = await fillDisk(1);
+  disk.fault = 'sync_fails';
+  await assert.rejects(append(storage, [buildEntry(2)]), {
+    kind: 'storage_failed',
+  });
+  disk.fault = 'none';
+  await assert.rejects(append(storage, [buildEntry(2)]), {
+    kind: 'storage_failed',
+  });
+  await assert.rejects(storage.saveVote({group: 'g', term: 2, votedFor: ''}), {
+    kind: 'storage_failed',
+  });
+});
+
+test('a disk keeps its identity, refuses another instance, and a wiped one gets a new one', async () => {
+  const disk = new FakeDisk();
+  const first = await loadMemberId(disk, 'c1');
+  assert.equal(await loadMemberId(disk, 'c1'), first);
+  await assert.rejects(loadMemberId(disk, 'c2'), {kind: 'storage_failed'});
+  assert.notEqual(await loadMemberId(new FakeDisk(), 'c1'), first);
+});
--- /dev/null
+++ b/packages/consensus/src/testing/index.ts
@@ -0,0 +1,10 @@
+/** Fakes at the log's interfaces, for tests here and in the packages above. */
+export {FakeDisk} from './FakeDisk.js';
+export type {DiskFault} from './FakeDisk.js';
+export {FakeGroup} from './FakeGroup.js';
+export type {FakeGroupOptions, FakeInstance} from './FakeGroup.js';
+export {FakeNetwork, NO_FAULTS} from './FakeNetwork.js';
+export type {FakeEndpoint, NetworkFaults} from './FakeNetwork.js';
+export {PausedClock} from './PausedClock.js';
+export {RecordingMachine} from './RecordingMachine.js';
+export type {AppliedCommand} from './RecordingMachine.js';
--- a/tools/eslint/plugin.mjs
+++ b/tools/eslint/plugin.mjs
@@ -75,7 +75,10 @@
       ImportDeclaration(node) {
         const source = node.source.value;
         if (!source.startsWith(SCOPE)) return;
-        const message = describeViolation(owner, source.slice(SCOPE.length));
+        const message = describeViolation(
+          owner,
+          source.slice(SCOPE.length).split('/')[0],
+        );
         if (message) context.report({node, message});
       },
     };
