--- a/packages/bench/src/test/answerFailures.test.ts
+++ b/packages/bench/src/test/answerFailures.test.ts
@@ -193,6 +193,22 @@
     },
   ));
 
+test('an engine that sends what is no chunk: resumed, and the entry lives on', () =>
+  runAlone(
+    [
+      (run, response) => {
+        writeTokens(response, run, 0, 2, TOTAL);
+        response.write('data: {"choices":7}\n\n');
+      },
+      answerRest,
+    ],
+    async () => {
+      const {seen, bills} = await sendAndReadBills();
+      assert.deepEqual([seen.text, seen.isWhole], [WHOLE, true]);
+      assert.equal(bills.length, 1);
+    },
+  ));
+
 test('connections to engines are used again, streamed or whole', () =>
   runAlone([answerRest], async engine => {
     for (const stream of [true, false, true, false]) {
--- a/packages/entry/src/lib/BackendClient.ts
+++ b/packages/entry/src/lib/BackendClient.ts
@@ -3,6 +3,7 @@
 import {ChatChunk, RanState, SycamoreheadError} from '@sycamorehead/schema';
 import type {AnswerFrame} from './answerTypes.js';
 import type {FrameChecker} from './FrameChecker.js';
+import {parseChunk} from './parseChunk.js';
 
 /** Time limits on calls to backend servers, in milliseconds. @public */
 export interface BackendTimeouts {
@@ -116,6 +117,8 @@
     });
     if (answer.statusCode !== 200) throw await readRefusal(answer);
     const {body} = answer;
+    // An error after the last read belongs to nobody, but without a listener it ends the process.
+    body.on('error', () => {});
     let isFinished = false;
     try {
       for await (const chunk of parseChunks(body)) {
@@ -242,7 +245,6 @@
 
 /** Reads the rest of a finished answer, so that its connection can be used again. */
 function releaseConnection(body: Dispatcher.ResponseData['body']): void {
-  body.on('error', () => {});
   void body.dump({limit: MAX_REST_BYTES}).catch(() => {});
 }
 
@@ -252,7 +254,7 @@
   let parsed: ChatChunk[] = [];
   const parser = createParser({
     onEvent({data}) {
-      if (data !== '[DONE]') parsed.push(JSON.parse(data) as ChatChunk);
+      if (data !== '[DONE]') parsed.push(parseChunk(data));
     },
   });
   const decoder = new TextDecoder();
