Membership: facts, beats, subsets, joins through seeds, confirmed leaving, anti-entropy

Cause: each announcement was flooded to every peer each second, entries knew only the peers of their settings, and an acknowledged `leaving` could die with the entry that heard it.

Change: facts travel once when they change, in batches of 50 ms; liveness and load travel as one beat a second with a bit and four bits for each server that the peer holds. Each entry holds detail on a subset chosen by rendezvous hashing with bounds per group of equal servers. `leaving` is answered 200 only once two peers hold it, within 1 s, else `timeout`. Digests of 64 buckets ride on the beats; views that go on differing exchange the buckets. Entries join through seeds, keep one link for each pair, and leave.

--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -9,7 +9,11 @@
   createEntryMetrics,
   createLogger,
 } from '@sycamorehead/telemetry';
-import {BackendServerDirectory, PeerGossip} from '@sycamorehead/membership';
+import {
+  BackendServerDirectory,
+  PEER_LINK_TIMEOUTS,
+  PeerGossip,
+} from '@sycamorehead/membership';
 import {PeerAddress, WireServer} from '@sycamorehead/wire';
 import {Router, RouterOptions} from '@sycamorehead/routing';
 import {readBearerKey} from './authenticateCustomer.js';
@@ -23,7 +27,6 @@
 const log = createLogger('entry');
 
 const MAX_ANNOUNCEMENT_BYTES = 64 * 1024;
-const EXPIRE_INTERVAL_MS = 1_000;
 
 /** Settings of an Entry. @public */
 export interface EntryOptions {
@@ -68,7 +71,6 @@
   private readonly server: EntryServer;
   private readonly chat: ChatService;
   private readonly services: PlainServiceProxy;
-  private expiry: NodeJS.Timeout | undefined;
   private running = 0;
   private isLeaving = false;
   private isRefusing = false;
@@ -85,6 +87,7 @@
       port: options.peerPort,
       peerKey,
       methods: this.gossip.getMethods(),
+      timeouts: PEER_LINK_TIMEOUTS,
     });
     const shared = {
       backends: this.backends,
@@ -105,13 +108,8 @@
   async start(): Promise<EntryPorts> {
     const {host, port} = this.options;
     const peerPort = await this.peerServer.start();
-    this.gossip.start();
+    this.gossip.start({host, port: peerPort});
     this.configuration.start();
-    this.expiry = setInterval(
-      () => this.directory.expire(),
-      EXPIRE_INTERVAL_MS,
-    );
-    this.expiry.unref();
     const ports = {port: await this.server.start(host, port), peerPort};
     log('entry_started', {name: this.options.name, ...ports});
     return ports;
@@ -131,7 +129,6 @@
     await this.server.stop();
     this.configuration.stop();
     this.gossip.stop();
-    clearInterval(this.expiry);
     await this.peerServer.stop();
     await this.backends.stop();
     log('entry_stopped', {name: this.options.name});
@@ -218,9 +215,7 @@
         {field: 'id'},
       );
     }
-    const isNews = this.directory.receive(announcement);
-    if (isNews) this.gossip.announce(announcement);
-    exchange.sendJson(200, {accepted: isNews});
+    exchange.sendJson(200, await this.gossip.receive(announcement));
   }
 
   private sendReadiness(exchange: Exchange): void {
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,5 +1,9 @@
 /** What an entry knows of its peers and of the backend servers. */
 export {BackendServerDirectory} from './lib/BackendServerDirectory.js';
-export type {KnownServer} from './lib/BackendServerDirectory.js';
+export type {KnownServer, ReceiveResult} from './lib/BackendServerDirectory.js';
 export {PeerGossip} from './lib/PeerGossip.js';
-export type {PeerGossipOptions} from './lib/PeerGossip.js';
+export type {AnnouncementAnswer, PeerGossipOptions} from './lib/PeerGossip.js';
+export {PEER_LINK_TIMEOUTS, PeerLinks} from './lib/PeerLinks.js';
+export type {EntryMember, PeerLinksOptions, PeerSet} from './lib/PeerLinks.js';
+export {chooseSubset} from './lib/chooseSubset.js';
+export type {FactDelta} from './lib/serverFacts.js';
--- a/packages/membership/src/lib/PeerGossip.ts
+++ b/packages/membership/src/lib/PeerGossip.ts
@@ -1,79 +1,354 @@
-import {Announcement, parseAnnouncement} from '@sycamorehead/schema';
+import {Announcement, SycamoreheadError} from '@sycamorehead/schema';
 import {createLogger} from '@sycamorehead/telemetry';
-import {
-  MethodTable,
-  PeerAddress,
-  PeerLink,
-  connectPeer,
-} from '@sycamorehead/wire';
+import {MethodTable, PeerAddress, PeerLink} from '@sycamorehead/wire';
 import type {BackendServerDirectory} from './BackendServerDirectory.js';
+import {chooseSubset} from './chooseSubset.js';
+import {EncodedBeat, decodeBeat, decodeLevel, encodeBeat} from './beats.js';
+import {InterestChange, InterestList} from './InterestList.js';
+import {InterestMessage, PeerInterests} from './PeerInterests.js';
+import {PeerLinks, PeerSet} from './PeerLinks.js';
+import {FactDelta, digestText, parseFactDelta} from './serverFacts.js';
 
 const log = createLogger('membership');
 
-const RECONNECT_MS = 500;
-const ANNOUNCE_METHOD = 'membership.announce';
+const BEAT_MS = 1_000;
+/** Time for which changes are gathered into one message, in milliseconds. */
+const BATCH_MS = 50;
+/** Peers that hold a `leaving` before it is acknowledged; the hearer may die at once. */
+const LEAVING_PEERS = 2;
+/** Longest wait for them, in milliseconds. */
+const LEAVING_WAIT_MS = 1_000;
+const FACTS_METHOD = 'membership.facts';
+const BEAT_METHOD = 'membership.beat';
+const INTEREST_METHOD = 'membership.interest';
+const SYNC_METHOD = 'membership.sync';
 
 /** Settings of a PeerGossip. @public */
 export interface PeerGossipOptions {
   /** Own name. */
   readonly name: string;
-  /** Other entries. */
+  /** Entries to join through. */
   readonly peers: readonly PeerAddress[];
   readonly peerKey: string;
   readonly directory: BackendServerDirectory;
+  /** Takes the place of real links, for tests. */
+  readonly peerSet?: PeerSet;
+}
+
+/** Answer to a backend server's announcement. @public */
+export interface AnnouncementAnswer {
+  readonly accepted: boolean;
+  /** Newest generation and sequence known, so that a refused server sees what to exceed. */
+  readonly generation: number;
+  readonly sequence: number;
+}
+
+interface SyncAnswer {
+  readonly digests: readonly number[];
+  readonly facts: readonly FactDelta[];
+}
+
+interface BeatMessage {
+  readonly digest: string;
+  readonly beat: EncodedBeat;
 }
 
 /**
- * Tells the other entries what backend servers announced here.
+ * Entries tell each other of backend servers: changes of facts at once and in batches, liveness
+ * and load as one beat a second with a bit for each server that the peer holds, and whole
+ * buckets of facts where digests go on differing.
  *
  * @public
  */
 export class PeerGossip {
-  private readonly links = new Map<PeerAddress, PeerLink>();
-  private stopped = false;
+  private readonly directory: BackendServerDirectory;
+  private readonly links: PeerLinks | undefined;
+  private readonly peerSet: PeerSet;
+  private readonly interests = new InterestList();
+  private readonly peerInterests = new PeerInterests();
+  private readonly heard = new Set<string>();
+  /** Servers to be told of, with the peer that told them here. */
+  private readonly pending = new Map<string, PeerLink | undefined>();
+  /** Generation of each server whose `leaving` enough peers hold. */
+  private readonly confirmedLeaving = new Map<string, number>();
+  /** Digests that differed at a peer's last beat. */
+  private readonly mismatches = new WeakMap<PeerLink, string>();
+  private readonly syncing = new WeakSet<PeerLink>();
+  private subsetBasis = '';
+  private beatTimer: NodeJS.Timeout | undefined;
+  private flushTimer: NodeJS.Timeout | undefined;
 
-  constructor(private readonly options: PeerGossipOptions) {}
+  constructor(private readonly options: PeerGossipOptions) {
+    this.directory = options.directory;
+    if (options.peerSet) {
+      this.peerSet = options.peerSet;
+      return;
+    }
+    this.links = new PeerLinks({
+      name: options.name,
+      seeds: options.peers,
+      peerKey: options.peerKey,
+      onLinked: (name, link) => this.handleLinked(name, link),
+      getMethods: () => this.getMethods(),
+    });
+    this.peerSet = this.links;
+  }
 
-  /** Connects to every peer and keeps connecting until stopped. */
-  start(): void {
-    for (const address of this.options.peers) void this.keepConnected(address);
+  // Commands.
+
+  /** Joins the other entries; `address` is where they reach this one. */
+  start(address: PeerAddress): void {
+    this.links?.start(address);
+    this.beatTimer = setInterval(() => this.runBeat(), BEAT_MS);
+    this.beatTimer.unref();
   }
 
-  /** Closes the links. */
+  /** Leaves the other entries. */
   stop(): void {
-    this.stopped = true;
-    for (const link of this.links.values()) link.close('gossip stops');
+    clearInterval(this.beatTimer);
+    clearTimeout(this.flushTimer);
+    this.links?.stop();
   }
 
-  /** Sends an announcement to every connected peer. */
-  announce(announcement: Announcement): void {
-    for (const link of this.links.values()) {
-      link.notify(ANNOUNCE_METHOD, announcement);
-    }
+  /**
+   * Takes an announcement from a backend server. Returns for `leaving` only once enough peers
+   * hold it.
+   *
+   * @throws SycamoreheadError `timeout` where too few peers confirmed a `leaving` in time.
+   * @example
+   * ```ts
+   * const {accepted} = await gossip.receive(announcement);
+   * ```
+   */
+  async receive(announcement: Announcement): Promise<AnnouncementAnswer> {
+    const {id, state} = announcement;
+    const result = this.directory.receive(announcement);
+    const known = this.directory.find(id)?.announcement ?? announcement;
+    const answer = {
+      accepted: result !== 'stale',
+      generation: known.generation,
+      sequence: known.sequence,
+    };
+    if (!answer.accepted) return answer;
+    this.heard.add(id);
+    if (state === 'leaving') await this.confirmLeaving(announcement);
+    else if (result === 'changed') this.announce(id);
+    return answer;
+  }
+
+  /** Tells a new peer what is wanted from it, and compares views. */
+  handleLinked(name: string, link: PeerLink): void {
+    this.sendInterests(link, true, this.interests.list());
+    // One of the two compares; what the other lacks is pushed to it.
+    if (this.options.name < name) void this.sync(link);
   }
 
   /** The methods that this entry serves to its peers. */
   getMethods(): MethodTable {
     return {
-      [ANNOUNCE_METHOD]: (params: never) => {
-        this.options.directory.receive(parseAnnouncement(params));
-      },
+      ...this.links?.getMethods(),
+      [FACTS_METHOD]: (deltas: readonly unknown[], link: PeerLink) =>
+        this.mergeFacts(deltas, link),
+      [BEAT_METHOD]: (message: BeatMessage, link: PeerLink) =>
+        this.receiveBeat(message, link),
+      [INTEREST_METHOD]: (message: InterestMessage) =>
+        this.peerInterests.receive(message, this.peerSet.listEntries()),
+      [SYNC_METHOD]: (digests: readonly number[]) => this.answerSync(digests),
     };
   }
 
-  private async keepConnected(address: PeerAddress): Promise<void> {
-    const {name, peerKey} = this.options;
-    while (!this.stopped) {
-      try {
-        const link = await connectPeer({address, name, peerKey});
-        this.links.set(address, link);
-        log('peer_connected', {port: address.port});
-        await new Promise<void>(resolve => link.addCloseListener(resolve));
-      } catch (error) {
-        log('peer_unreachable', {port: address.port, error: String(error)});
-      }
-      this.links.delete(address);
-      await new Promise(resolve => setTimeout(resolve, RECONNECT_MS).unref());
+  /** Sends the beat, declares silent servers gone, and chooses the subset anew. */
+  private runBeat(): void {
+    this.links?.expire();
+    for (const id of this.directory.expire()) {
+      this.confirmedLeaving.delete(id);
+      this.announce(id);
+    }
+    this.updateSubset();
+    const digest = this.digestFacts();
+    const heard = this.listHeard();
+    for (const [name, link] of this.peerSet.listLinks()) {
+      const beat = encodeBeat(this.peerInterests.listHeard(name, heard));
+      link.notify(BEAT_METHOD, {digest, beat});
+    }
+    this.heard.clear();
+  }
+
+  private announce(id: string, source?: PeerLink): void {
+    this.pending.set(id, source);
+    if (this.flushTimer) return;
+    this.flushTimer = setTimeout(() => this.flush(), BATCH_MS);
+    this.flushTimer.unref();
+  }
+
+  private flush(): void {
+    this.flushTimer = undefined;
+    for (const link of this.peerSet.listLinks().values()) {
+      const ids = [...this.pending.keys()].filter(
+        id => this.pending.get(id) !== link,
+      );
+      if (ids.length > 0) link.notify(FACTS_METHOD, this.describeServers(ids));
+    }
+    this.pending.clear();
+  }
+
+  private async confirmLeaving({id, generation}: Announcement): Promise<void> {
+    if (this.confirmedLeaving.get(id) === generation) return;
+    const known = Math.max(
+      this.peerSet.listEntries().length - 1,
+      this.options.peers.length,
+    );
+    const needed = Math.min(LEAVING_PEERS, known);
+    const calls = [...this.peerSet.listLinks().values()].map(link =>
+      link.request(FACTS_METHOD, this.describeServers([id]), LEAVING_WAIT_MS),
+    );
+    if (!(await waitForSome(calls, needed))) {
+      throw new SycamoreheadError(
+        'timeout',
+        `leaving: fewer than ${needed} entries confirmed it; announce it again`,
+      );
+    }
+    this.confirmedLeaving.set(id, generation);
+    log('leaving_confirmed', {id, peers: needed});
+  }
+
+  private mergeFacts(deltas: readonly unknown[], link: PeerLink): void {
+    if (!Array.isArray(deltas)) {
+      throw new SycamoreheadError('malformed_request', 'expected fact deltas');
+    }
+    for (const given of deltas) {
+      const delta = parseFactDelta(given);
+      if (this.directory.merge(delta)) this.forward(delta, link);
+    }
+  }
+
+  /** Tells the peers; the one that told it too, where this entry knows better. */
+  private forward(delta: FactDelta, source: PeerLink): void {
+    const {id, sequence} = delta.announcement;
+    const own = this.directory.describe(id);
+    const isTheirs = own?.announcement.sequence === sequence;
+    this.announce(id, isTheirs ? source : undefined);
+  }
+
+  private receiveBeat({digest, beat}: BeatMessage, link: PeerLink): void {
+    for (const {place, level} of decodeBeat(beat)) {
+      const id = this.interests.get(place);
+      if (!id) continue;
+      const slots = this.directory.find(id)?.announcement.slots ?? 1;
+      this.directory.markHeard(id, decodeLevel(level, slots, BEAT_MS));
+    }
+    this.compareDigests(digest, link);
+  }
+
+  /** Syncs where the views differed at two beats in a row and neither has moved. */
+  private compareDigests(theirs: string, link: PeerLink): void {
+    const ours = this.digestFacts();
+    if (theirs === ours) {
+      this.mismatches.delete(link);
+      return;
+    }
+    const mismatch = `${theirs}/${ours}`;
+    const isLasting = this.mismatches.get(link) === mismatch;
+    this.mismatches.set(link, mismatch);
+    if (isLasting) void this.sync(link);
+  }
+
+  /** Takes the peer's facts where the views differ, and tells it those that it lacks. */
+  private async sync(link: PeerLink): Promise<void> {
+    if (this.syncing.has(link)) return;
+    this.syncing.add(link);
+    try {
+      const digests = this.directory.digest();
+      const theirs = await link.request<SyncAnswer>(SYNC_METHOD, digests);
+      const own = this.describeServers(
+        this.directory.listDiffering(theirs.digests),
+      );
+      this.mergeFacts(theirs.facts, link);
+      const told = new Set(theirs.facts.map(describeOrder));
+      const lacking = own.filter(delta => !told.has(describeOrder(delta)));
+      if (lacking.length > 0) link.notify(FACTS_METHOD, lacking);
+      const taken = theirs.facts.length;
+      log('synced', {peer: link.peerName, taken, told: lacking.length});
+    } catch (error) {
+      log('sync_failed', {peer: link.peerName, error: String(error)});
+    } finally {
+      this.syncing.delete(link);
+    }
+  }
+
+  private answerSync(digests: readonly number[]): SyncAnswer {
+    const ids = this.directory.listDiffering(digests);
+    return {
+      digests: this.directory.digest(),
+      facts: this.describeServers(ids),
+    };
+  }
+
+  private updateSubset(): void {
+    const entries = this.peerSet.listEntries();
+    const basis = `${this.directory.factRevision}/${entries.join(',')}`;
+    if (basis === this.subsetBasis) return;
+    this.subsetBasis = basis;
+    const servers = this.directory
+      .listAll()
+      .map(({announcement}) => announcement);
+    const subset = chooseSubset(this.options.name, entries, servers);
+    this.directory.hold(subset);
+    const changes = this.interests.update(subset);
+    if (changes.length === 0) return;
+    for (const link of this.peerSet.listLinks().values()) {
+      this.sendInterests(link, false, changes);
     }
   }
+
+  private sendInterests(
+    link: PeerLink,
+    full: boolean,
+    changes: readonly InterestChange[],
+  ): void {
+    const from = this.options.name;
+    link.notify(INTEREST_METHOD, {from, full, changes});
+  }
+
+  private listHeard(): Announcement[] {
+    return [...this.heard]
+      .map(id => this.directory.find(id)?.announcement)
+      .filter(announcement => announcement !== undefined);
+  }
+
+  private describeServers(ids: readonly string[]): FactDelta[] {
+    return ids
+      .map(id => this.directory.describe(id))
+      .filter(delta => delta !== undefined);
+  }
+
+  private digestFacts(): string {
+    return digestText(this.directory.digest().join(',')).toString(36);
+  }
+}
+
+function describeOrder({announcement, gone}: FactDelta): string {
+  const {id, generation, sequence} = announcement;
+  return `${id}|${generation}|${sequence}|${gone}`;
+}
+
+/** Waits until enough of the calls have succeeded, or all have settled. */
+async function waitForSome(
+  calls: ReadonlyArray<Promise<unknown>>,
+  needed: number,
+): Promise<boolean> {
+  if (needed === 0) return true;
+  let succeeded = 0;
+  return new Promise(resolve => {
+    const settled = calls.map(async call => {
+      try {
+        await call;
+        succeeded += 1;
+      } catch {
+        // Told to the backend server where too few are left.
+      }
+      if (succeeded >= needed) resolve(true);
+    });
+    void Promise.all(settled).then(() => resolve(succeeded >= needed));
+  });
 }
--- /dev/null
+++ b/packages/membership/src/lib/PeerLinks.ts
@@ -0,0 +1,270 @@
+import {createLogger} from '@sycamorehead/telemetry';
+import {
+  LinkTimeouts,
+  MethodTable,
+  PeerAddress,
+  PeerLink,
+  connectPeer,
+} from '@sycamorehead/wire';
+
+const log = createLogger('membership');
+
+const DIAL_PAUSE_MS = 500;
+/** Head start of the entry with the smaller name, so that two rarely dial each other at once. */
+const SECOND_DIAL_MS = 1_000;
+/** Time after which an entry that nobody has a link to is dropped, in milliseconds. */
+const DROP_MS = 30_000;
+const MAX_MEMBERS = 256;
+const JOIN_METHOD = 'membership.join';
+const MEMBERS_METHOD = 'membership.members';
+const LEAVE_METHOD = 'membership.leave';
+
+/** Timeouts of links between entries: their beats come each second, so heartbeats are rare. @public */
+export const PEER_LINK_TIMEOUTS: LinkTimeouts = {
+  heartbeatMs: 2_000,
+  silenceMs: 3_500,
+  requestMs: 5_000,
+};
+
+/** An entry as the others know it. @public */
+export interface EntryMember extends PeerAddress {
+  readonly name: string;
+  /** Raised with each start, so that a restarted entry replaces its former self. */
+  readonly incarnation: number;
+}
+
+/** The peers that gossip speaks to: real links, or a fake's. @public */
+export interface PeerSet {
+  /** Open links by the peer's name. */
+  listLinks(): ReadonlyMap<string, PeerLink>;
+  /** Names of all entries thought to be running, this one included. */
+  listEntries(): string[];
+}
+
+/** Settings of PeerLinks. @public */
+export interface PeerLinksOptions {
+  readonly name: string;
+  /** Entries to join through. */
+  readonly seeds: readonly PeerAddress[];
+  readonly peerKey: string;
+  /** Called with each new link. */
+  readonly onLinked: (name: string, link: PeerLink) => void;
+  /** Methods that the other end of a dialled link may call. */
+  readonly getMethods: () => MethodTable;
+}
+
+interface KnownMember {
+  readonly member: EntryMember;
+  /** Monotonic time at which a link to it was last seen open, or at which it was told of. */
+  seenAt: number;
+}
+
+interface RegisteredLink {
+  readonly link: PeerLink;
+  readonly dialler: string;
+  readonly incarnation: number;
+}
+
+interface JoinMessage {
+  readonly member: EntryMember;
+  readonly known: readonly EntryMember[];
+}
+
+/**
+ * Links to the other entries, one to each: joins through the seeds, learns of the rest from
+ * those it reaches, and dials again what it has lost.
+ *
+ * @public
+ */
+export class PeerLinks implements PeerSet {
+  private readonly links = new Map<string, RegisteredLink>();
+  private readonly members = new Map<string, KnownMember>();
+  private own: EntryMember | undefined;
+  private stopped = false;
+
+  constructor(private readonly options: PeerLinksOptions) {}
+
+  // Commands.
+
+  /** Joins through the seeds; `address` is where peers reach this entry. */
+  start(address: PeerAddress): void {
+    const {name, seeds} = this.options;
+    this.own = {...address, name, incarnation: Date.now()};
+    for (const seed of seeds) void this.keepConnecting(seed);
+  }
+
+  /** Tells the peers that this entry leaves, and closes the links. */
+  stop(): void {
+    this.stopped = true;
+    for (const {link} of this.links.values()) {
+      link.notify(LEAVE_METHOD, this.own);
+      link.close('entry stops');
+    }
+  }
+
+  /** Drops members that nobody has had a link to for long. */
+  expire(): void {
+    const now = performance.now();
+    for (const [name, known] of this.members) {
+      if (this.isLinked(name)) known.seenAt = now;
+      if (known.seenAt < now - DROP_MS) this.dropMember(name, 'silent');
+    }
+  }
+
+  /** The methods by which entries join and leave. */
+  getMethods(): MethodTable {
+    return {
+      [JOIN_METHOD]: (message: JoinMessage, link: PeerLink) =>
+        this.acceptJoin(message, link),
+      [MEMBERS_METHOD]: (members: readonly EntryMember[]) =>
+        this.addMembers(members),
+      [LEAVE_METHOD]: (member: EntryMember) => this.acceptLeave(member),
+    };
+  }
+
+  // Queries.
+
+  listLinks(): ReadonlyMap<string, PeerLink> {
+    const open = [...this.links].filter(([, {link}]) => !link.isClosed);
+    return new Map(open.map(([name, {link}]) => [name, link]));
+  }
+
+  listEntries(): string[] {
+    return [this.options.name, ...this.members.keys()].sort();
+  }
+
+  private isLinked(name: string): boolean {
+    const registered = this.links.get(name);
+    return registered !== undefined && !registered.link.isClosed;
+  }
+
+  private listLinkedMembers(): EntryMember[] {
+    const linked = [...this.members.values()]
+      .map(({member}) => member)
+      .filter(({name}) => this.isLinked(name));
+    return this.own ? [this.own, ...linked] : linked;
+  }
+
+  private acceptJoin(message: JoinMessage, link: PeerLink): JoinMessage {
+    const {member, known} = message;
+    this.register(member, link, member.name);
+    this.addMembers([member, ...known]);
+    if (!this.own) throw new Error('joined before the start');
+    return {member: this.own, known: this.listLinkedMembers()};
+  }
+
+  private acceptLeave({name, incarnation}: EntryMember): void {
+    const known = this.members.get(name);
+    if (!known || known.member.incarnation > incarnation) return;
+    this.dropMember(name, 'leaving');
+  }
+
+  private dropMember(name: string, reason: string): void {
+    this.members.delete(name);
+    this.links.get(name)?.link.close(reason);
+    this.links.delete(name);
+    log('entry_dropped', {name, reason});
+  }
+
+  private addMembers(members: readonly EntryMember[]): void {
+    for (const member of members) this.addMember(member);
+  }
+
+  private addMember(member: EntryMember): void {
+    const {name, incarnation} = member;
+    if (name === this.options.name) return;
+    const known = this.members.get(name);
+    if (known && known.member.incarnation >= incarnation) return;
+    if (!known && this.members.size >= MAX_MEMBERS) return;
+    this.members.set(name, {member, seenAt: performance.now()});
+    log('entry_known', {name, port: member.port});
+    // The others may not have heard of it; rumours end where the member is no news.
+    for (const link of this.listLinks().values()) {
+      link.notify(MEMBERS_METHOD, [member]);
+    }
+    void this.keepLinked(name);
+  }
+
+  /** Takes a link into use, unless the pair already has one that it prefers. */
+  private register(member: EntryMember, link: PeerLink, dialler: string): void {
+    const {name, incarnation} = member;
+    const before = this.links.get(name);
+    const preferred = name < this.options.name ? name : this.options.name;
+    const keepsBefore =
+      before !== undefined &&
+      !before.link.isClosed &&
+      before.incarnation === incarnation &&
+      before.dialler === preferred &&
+      dialler !== preferred;
+    if (keepsBefore) {
+      link.close('the pair has a link');
+      return;
+    }
+    link.peerName = name;
+    this.links.set(name, {link, dialler, incarnation});
+    before?.link.close('replaced by a newer link');
+    log('peer_linked', {name, dialler});
+    this.options.onLinked(name, link);
+  }
+
+  private async keepConnecting(address: PeerAddress): Promise<void> {
+    while (!this.stopped) {
+      const name = await this.connect(address);
+      const link = name ? this.links.get(name)?.link : undefined;
+      if (link) await waitForClose(link);
+      await pause(DIAL_PAUSE_MS);
+    }
+  }
+
+  private async keepLinked(name: string): Promise<void> {
+    const isSecond = name < this.options.name;
+    if (isSecond) await pause(SECOND_DIAL_MS);
+    for (;;) {
+      const known = this.members.get(name);
+      if (this.stopped || !known) return;
+      if (!this.isLinked(name)) await this.connect(known.member);
+      const link = this.links.get(name)?.link;
+      if (link) await waitForClose(link);
+      await pause(isSecond ? SECOND_DIAL_MS : DIAL_PAUSE_MS);
+      if (this.members.get(name) !== known) return;
+    }
+  }
+
+  /** Dials an entry and joins it; returns its name where it answered. */
+  private async connect(address: PeerAddress): Promise<string | undefined> {
+    const {name, peerKey, getMethods} = this.options;
+    if (!this.own) return undefined;
+    const {host, port} = address;
+    try {
+      const link = await connectPeer({
+        address: {host, port},
+        name,
+        peerKey,
+        methods: getMethods(),
+        timeouts: PEER_LINK_TIMEOUTS,
+      });
+      const answer = await link.request<JoinMessage>(JOIN_METHOD, {
+        member: this.own,
+        known: this.listLinkedMembers(),
+      });
+      if (this.stopped || answer.member.name === name) {
+        link.close('not a peer');
+        return undefined;
+      }
+      this.register(answer.member, link, name);
+      this.addMembers([answer.member, ...answer.known]);
+      return answer.member.name;
+    } catch (error) {
+      log('peer_unreachable', {port, error: String(error)});
+      return undefined;
+    }
+  }
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms).unref());
+}
+
+function waitForClose(link: PeerLink): Promise<void> {
+  return new Promise(resolve => link.addCloseListener(resolve));
+}
--- /dev/null
+++ b/packages/membership/src/lib/beats.ts
@@ -0,0 +1,82 @@
+/**
+ * Beats: which of a peer's interests an entry has heard lately, one bit for each, and the
+ * occupancy of those heard, four bits for each.
+ *
+ * @internal
+ */
+import type {Announcement} from '@sycamorehead/schema';
+
+/** Level for servers that report no load. */
+const UNKNOWN_LEVEL = 15;
+/** Levels up to here count eighths of the slots as running. */
+const FULL_LEVEL = 8;
+/** Each level above counts this share of the slots as queued. */
+const QUEUED_PER_LEVEL = 0.5;
+const BITS = 8;
+
+/** One server as a beat tells of it. @internal */
+export interface HeardServer {
+  /** Its place in the receiver's list of interests. */
+  readonly place: number;
+  readonly level: number;
+}
+
+/** A beat as it travels: places as a bit map and levels as nibbles, both in base64. @internal */
+export type EncodedBeat = readonly [places: string, levels: string];
+
+/** Rounds a load report to one of 16 levels. @internal */
+export function encodeLevel({load, slots}: Announcement): number {
+  if (!load) return UNKNOWN_LEVEL;
+  if (load.queued === 0) {
+    const eighths = Math.round((load.running / slots) * FULL_LEVEL);
+    return Math.min(eighths, FULL_LEVEL);
+  }
+  const steps = Math.ceil(load.queued / slots / QUEUED_PER_LEVEL);
+  return Math.min(FULL_LEVEL + steps, UNKNOWN_LEVEL - 1);
+}
+
+/** Rebuilds a load report from its level. @internal */
+export function decodeLevel(
+  level: number,
+  slots: number,
+  ageMs: number,
+): Announcement['load'] {
+  if (level >= UNKNOWN_LEVEL) return undefined;
+  const queued = Math.max(0, level - FULL_LEVEL) * QUEUED_PER_LEVEL * slots;
+  return {
+    running: Math.round((Math.min(level, FULL_LEVEL) / FULL_LEVEL) * slots),
+    queued: Math.round(queued),
+    tokensPerSecond: 0,
+    ageMs,
+  };
+}
+
+/** Encodes the heard servers, given in the order of their places. @internal */
+export function encodeBeat(heard: readonly HeardServer[]): EncodedBeat {
+  const last = heard.at(-1)?.place ?? -1;
+  const places = Buffer.alloc(Math.ceil((last + 1) / BITS));
+  const levels = Buffer.alloc(Math.ceil(heard.length / 2));
+  heard.forEach(({place, level}, index) => {
+    const byte = Math.floor(place / BITS);
+    places[byte] = (places[byte] ?? 0) | (1 << (place % BITS));
+    const half = Math.floor(index / 2);
+    levels[half] = (levels[half] ?? 0) | (level << (index % 2 === 0 ? 0 : 4));
+  });
+  return [places.toString('base64url'), levels.toString('base64url')];
+}
+
+/** Decodes a beat. @internal */
+export function decodeBeat([places, levels]: EncodedBeat): HeardServer[] {
+  const bits = Buffer.from(String(places), 'base64url');
+  const nibbles = Buffer.from(String(levels), 'base64url');
+  const heard: HeardServer[] = [];
+  for (let place = 0; place < bits.length * BITS; place++) {
+    const isHeard =
+      ((bits[Math.floor(place / BITS)] ?? 0) >> (place % BITS)) & 1;
+    if (!isHeard) continue;
+    const pair = nibbles[Math.floor(heard.length / 2)] ?? 0xff;
+    const level = heard.length % 2 === 0 ? pair & 15 : pair >> 4;
+    heard.push({place, level});
+  }
+  return heard;
+}
--- /dev/null
+++ b/packages/membership/src/test/chooseSubset.test.ts
@@ -0,0 +1,87 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import type {Announcement} from '@sycamorehead/schema';
+import {decodeBeat, encodeBeat} from '../lib/beats.js';
+import {chooseSubset} from '../lib/chooseSubset.js';
+import {InterestList} from '../lib/InterestList.js';
+import {buildAnnouncement} from './FakeCluster.js';
+
+const VERSIONS = 7;
+
+function buildServers(count: number): Announcement[] {
+  return Array.from({length: count}, (unused, index) =>
+    buildAnnouncement({
+      id: `engine-${index}`,
+      versions: [{model: 'm', version: `v${index % VERSIONS}`}],
+    }),
+  );
+}
+
+test('every server is held twice at least, every entry covers every version, counts are even', () => {
+  fc.assert(
+    fc.property(
+      fc.integer({min: 1, max: 12}),
+      fc.integer({min: 1, max: 900}),
+      (entryCount, serverCount) => {
+        const entries = Array.from(
+          {length: entryCount},
+          (unused, index) => `e${index}`,
+        );
+        const servers = buildServers(serverCount);
+        const copies = new Map<string, number>();
+        const sizes: number[] = [];
+        for (const name of entries) {
+          const subset = chooseSubset(name, entries, servers);
+          sizes.push(subset.size);
+          for (const id of subset) copies.set(id, (copies.get(id) ?? 0) + 1);
+          const versions = new Set(
+            servers
+              .filter(({id}) => subset.has(id))
+              .map(({versions: [loaded]}) => loaded?.version),
+          );
+          assert.equal(versions.size, Math.min(VERSIONS, serverCount));
+        }
+        const fewest = Math.min(...servers.map(({id}) => copies.get(id) ?? 0));
+        assert.ok(fewest >= Math.min(2, entryCount));
+        assert.ok(Math.max(...sizes) - Math.min(...sizes) <= 2 * VERSIONS);
+      },
+    ),
+    {numRuns: 30},
+  );
+});
+
+test('an entry that joins moves few of the others', () => {
+  const servers = buildServers(1_000);
+  const before = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
+  const after = [...before, 'i'];
+  const held = chooseSubset('a', before, servers);
+  const next = chooseSubset('a', after, servers);
+  const kept = [...held].filter(id => next.has(id)).length;
+  assert.ok(kept >= held.size * 0.6, `kept ${kept} of ${held.size}`);
+});
+
+test('a beat carries places and levels through', () => {
+  fc.assert(
+    fc.property(
+      fc.uniqueArray(fc.integer({min: 0, max: 500})),
+      fc.integer({min: 0, max: 15}),
+      (places, level) => {
+        const heard = places
+          .sort((left, right) => left - right)
+          .map((place, index) => ({place, level: (level + index) % 16}));
+        assert.deepEqual(decodeBeat(encodeBeat(heard)), heard);
+      },
+    ),
+  );
+});
+
+test('a freed place is not given to another server while beats may be under way', () => {
+  const list = new InterestList();
+  list.update(new Set(['a', 'b']));
+  const changes = list.update(new Set(['b', 'c']));
+  assert.deepEqual(changes, [
+    [0, null],
+    [2, 'c'],
+  ]);
+});
