Reconciler on the control leader: desired placement, paced loads, fenced orders

Cause: nothing placed versions on engines; a roll-out changed only what entries routed to.

Change: entries report the engines that they hold detail on (all to a new leader, then changes, with the load of each version). The leader plans at each tick from the committed configuration and the announced state: loads for missing replicas, spaced at the weight store's rate; unloads of withdrawn versions once entries have stopped using them; unloads that make room, never below a version's need and never its last replica. Each order's fencing number is its index in the log. A new leader waits for full reports, and with servers that ignore fencing for the former leader's lease and the order timeout. `syc status` prints where each roll-out stands and what it waits for; `reconciler.isPlacementReady(version)` tells whether a step has its replicas. Announcements may carry `versionSlots`, how many versions an engine can hold.

--- a/apps/syc/src/main.ts
+++ b/apps/syc/src/main.ts
@@ -25,6 +25,7 @@
 } from '@sycamorehead/schema';
 import {readSecret} from '@sycamorehead/telemetry';
 import {describeChanges} from './describeChanges.js';
+import {formatRollout} from './formatRollout.js';
 
 const POLL_MS = 200;
 
@@ -179,13 +180,16 @@
 
 const status = command({
   name: 'status',
-  description: "reads a control instance's view of its log",
+  description:
+    "reads a control instance's view of its log, and where each roll-out stands",
   args: {control},
   handler: args =>
     runReporting(async () => {
-      console.log(
-        JSON.stringify(await createClient(args.control).readStatus()),
-      );
+      const client = createClient(args.control);
+      console.log(JSON.stringify(await client.readStatus()));
+      for (const rollout of await client.listRollouts()) {
+        console.log(formatRollout(rollout));
+      }
     }),
 });
 
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -16,3 +16,18 @@
 export type {OperatorServerOptions} from './lib/OperatorServer.js';
 export {OperatorClient} from './lib/OperatorClient.js';
 export type {OperatorClientOptions} from './lib/OperatorClient.js';
+export {
+  DEFAULT_RECONCILER_OPTIONS,
+  Reconciler,
+} from './lib/reconciler/Reconciler.js';
+export type {ReconcilerOptions} from './lib/reconciler/Reconciler.js';
+export type {WeightStoreRate} from './lib/reconciler/LoadPacer.js';
+export type {
+  RolloutStatus,
+  RolloutWait,
+} from './lib/reconciler/describeRollout.js';
+export type {
+  EngineOrderMessage,
+  OrderOutcome,
+  OrderSender,
+} from './lib/reconciler/sendOrder.js';
--- a/packages/control/src/lib/ControlClient.ts
+++ b/packages/control/src/lib/ControlClient.ts
@@ -3,6 +3,9 @@
   Bill,
   ControlApi,
   LeaseGrant,
+  PlacementApi,
+  ServerReport,
+  ServerReportAnswer,
   SessionPin,
   SycamoreheadError,
   toSycamoreheadError,
@@ -36,7 +39,7 @@
  *
  * @public
  */
-export class ControlClient implements ControlApi {
+export class ControlClient implements ControlApi, PlacementApi {
   private link: PeerLink | undefined;
   private connecting: Promise<PeerLink> | undefined;
   private nextInstance = 0;
@@ -73,6 +76,10 @@
     return this.call('control.recordBill', bill);
   }
 
+  reportServers(report: ServerReport): Promise<ServerReportAnswer> {
+    return this.call('control.reportServers', report);
+  }
+
   /** Closes the link. */
   stop(): void {
     this.stopped = true;
--- a/packages/control/src/lib/ControlNode.ts
+++ b/packages/control/src/lib/ControlNode.ts
@@ -5,7 +5,10 @@
   ControlApi,
   JsonValue,
   LeaseGrant,
+  PlacementApi,
   ReleaseNote,
+  ServerReport,
+  ServerReportAnswer,
   SessionPin,
   computeDigest,
   readErrorBody,
@@ -19,6 +22,8 @@
 } from './controlCommands.js';
 import {ControlState} from './ControlState.js';
 import {EntryConfirmation, LeaseTable} from './LeaseTable.js';
+import type {RolloutStatus} from './reconciler/describeRollout.js';
+import {Reconciler, ReconcilerOptions} from './reconciler/Reconciler.js';
 
 const log = createLogger('control');
 
@@ -43,6 +48,7 @@
   readonly name: string;
   readonly createLog: (machine: StateMachine) => ReplicatedLog;
   readonly leaseMs?: number;
+  readonly reconciler?: Partial<ReconcilerOptions>;
 }
 
 /**
@@ -50,8 +56,9 @@
  *
  * @public
  */
-export class ControlNode implements ControlApi {
+export class ControlNode implements ControlApi, PlacementApi {
   readonly name: string;
+  readonly reconciler: Reconciler;
   private readonly state = new ControlState();
   private readonly replicatedLog: ReplicatedLog;
   private readonly leaseMs: number;
@@ -62,6 +69,7 @@
     this.leaseMs = options.leaseMs ?? DEFAULT_LEASE_MS;
     this.leases = new LeaseTable(this.leaseMs, FORGET_ENTRY_MS);
     this.replicatedLog = options.createLog(this.state);
+    this.reconciler = this.createReconciler(options.reconciler);
   }
 
   // Commands.
@@ -120,8 +128,13 @@
     return this.propose({type: 'record_bill', bill});
   }
 
+  async reportServers(report: ServerReport): Promise<ServerReportAnswer> {
+    return this.reconciler.receive(report);
+  }
+
   /** Hands leadership over and stops. */
   async stop(): Promise<void> {
+    this.reconciler.stop();
     await this.replicatedLog.stop();
   }
 
@@ -153,6 +166,28 @@
     return this.replicatedLog.getStatus();
   }
 
+  /** Describes where each version's roll-out stands and what it waits for. */
+  async listRollouts(): Promise<RolloutStatus[]> {
+    await this.replicatedLog.confirmLeadership();
+    return this.reconciler.listRollouts();
+  }
+
+  private createReconciler(options?: Partial<ReconcilerOptions>): Reconciler {
+    const {replicatedLog, state} = this;
+    return new Reconciler(
+      {
+        confirmLeadership: () => replicatedLog.confirmLeadership(),
+        getTerm: () => replicatedLog.getStatus().term,
+        getConfiguration: () => state.getConfiguration(),
+        commitOrder: async order => {
+          const {fencing} = await this.propose({type: 'issue_order', ...order});
+          return fencing;
+        },
+      },
+      options,
+    );
+  }
+
   private async propose<Command extends ControlCommand>(
     command: Command,
   ): Promise<ControlResults[Command['type']]> {
--- a/packages/control/src/lib/ControlState.ts
+++ b/packages/control/src/lib/ControlState.ts
@@ -62,6 +62,8 @@
     begin_request: (command, index) => this.requests.begin(command, index),
     finish_request: command => this.requests.finish(command),
     record_bill: command => this.recordBill(command),
+    // What an order changes is announced by its server; only its number comes from the log.
+    issue_order: (command, index) => ({fencing: index}),
   };
 
   apply(command: JsonValue, index: number): JsonValue {
--- a/packages/control/src/lib/OperatorClient.ts
+++ b/packages/control/src/lib/OperatorClient.ts
@@ -8,6 +8,7 @@
 import type {LogStatus} from '@sycamorehead/consensus';
 import type {InForceReport} from './ControlNode.js';
 import type {PublishResult} from './controlCommands.js';
+import type {RolloutStatus} from './reconciler/describeRollout.js';
 
 const CALL_TIMEOUT_MS = 10_000;
 
@@ -46,6 +47,11 @@
     return this.call('status', {});
   }
 
+  /** Lists where each version's roll-out stands and what it waits for. */
+  listRollouts(): Promise<RolloutStatus[]> {
+    return this.call('rollouts', {});
+  }
+
   private async call<Result>(method: string, params: unknown): Promise<Result> {
     let last: unknown = new SycamoreheadError(
       'control_unavailable',
--- a/packages/control/src/lib/OperatorServer.ts
+++ b/packages/control/src/lib/OperatorServer.ts
@@ -68,6 +68,7 @@
       publish: params => node.publish(parseNote(params.note)),
       inForce: () => node.readInForce(),
       status: async () => node.readStatus(),
+      rollouts: () => node.listRollouts(),
       bills: params =>
         node.listBills(
           typeof params.customer === 'string' ? params.customer : undefined,
--- a/packages/control/src/lib/controlCommands.ts
+++ b/packages/control/src/lib/controlCommands.ts
@@ -49,7 +49,13 @@
       readonly outcome: 'done' | 'not_run' | 'unknown';
       readonly answer?: StoredAnswer;
     }
-  | {readonly type: 'record_bill'; readonly bill: Bill};
+  | {readonly type: 'record_bill'; readonly bill: Bill}
+  | {
+      readonly type: 'issue_order';
+      readonly action: 'load' | 'unload';
+      readonly server: string;
+      readonly version: VersionRef;
+    };
 
 /** Name of a command. @public */
 export type ControlCommandType = ControlCommand['type'];
@@ -71,4 +77,6 @@
   readonly begin_request: BeginResult;
   readonly finish_request: {readonly changed: boolean};
   readonly record_bill: {readonly isNew: boolean};
+  /** The order's index in the log. */
+  readonly issue_order: {readonly fencing: number};
 }
--- a/packages/control/src/lib/createControlMethods.ts
+++ b/packages/control/src/lib/createControlMethods.ts
@@ -17,5 +17,6 @@
     'control.beginRequest': (params: never) => node.beginRequest(params),
     'control.finishRequest': (params: never) => node.finishRequest(params),
     'control.recordBill': (params: never) => node.recordBill(params),
+    'control.reportServers': (params: never) => node.reportServers(params),
   };
 }
--- /dev/null
+++ b/packages/control/src/lib/reconciler/Reconciler.ts
@@ -0,0 +1,281 @@
+import {
+  Configuration,
+  ReportedServer,
+  ServerReport,
+  ServerReportAnswer,
+  VersionRef,
+  formatVersionKey,
+} from '@sycamorehead/schema';
+import {createLogger} from '@sycamorehead/telemetry';
+import {computeShare} from './computeNeeds.js';
+import {LoadPacer, WeightStoreRate} from './LoadPacer.js';
+import {OpenOrders} from './OpenOrders.js';
+import {PlacementPlan, PlannedOrder, planPlacement} from './planPlacement.js';
+import {RolloutStatus, describeRollout} from './describeRollout.js';
+import {OrderSender, sendOrder} from './sendOrder.js';
+import {ServerReports} from './ServerReports.js';
+
+const log = createLogger('reconciler');
+
+const MAX_ORDERS_PER_TICK = 32;
+
+/** Settings of a Reconciler. @public */
+export interface ReconcilerOptions {
+  /** Limit of the weight store. */
+  readonly weightStore: WeightStoreRate;
+  readonly tickMs: number;
+  /** Time for an engine to answer an order, in milliseconds. */
+  readonly orderTimeoutMs: number;
+  /** Time for which a deposed leader may still take itself for the leader, in milliseconds. */
+  readonly leaderLeaseMs: number;
+  /** Time for a new leader to hear from the entries before it plans, in milliseconds. */
+  readonly settleMs: number;
+  /** Time for an ordered version to be announced, in milliseconds. */
+  readonly loadTimeoutMs: number;
+  /** Time between a withdrawal and its first unload, for entries to stop using the version. */
+  readonly unloadDelayMs: number;
+  /** Takes the place of HTTP, for tests. */
+  readonly sendOrder: OrderSender;
+}
+
+/** Settings used where none are given. @public */
+export const DEFAULT_RECONCILER_OPTIONS: ReconcilerOptions = {
+  weightStore: {loads: 4, windowMs: 60_000},
+  tickMs: 250,
+  orderTimeoutMs: 2_000,
+  leaderLeaseMs: 3_000,
+  settleMs: 5_000,
+  loadTimeoutMs: 300_000,
+  unloadDelayMs: 5_000,
+  sendOrder,
+};
+
+/** What the reconciler needs of the control instance that it runs on. @internal */
+export interface ReconcilerHost {
+  /** Returns once a quorum has confirmed that this instance leads; throws otherwise. */
+  confirmLeadership(): Promise<void>;
+  getTerm(): number;
+  getConfiguration(): Configuration;
+  /** Commits an order and returns its fencing number: its index in the log. */
+  commitOrder(order: {
+    action: 'load' | 'unload';
+    server: string;
+    version: VersionRef;
+  }): Promise<number>;
+}
+
+interface Leadership {
+  readonly term: number;
+  readonly since: number;
+}
+
+/**
+ * Brings the engines' versions in line with the committed configuration, on the leader only:
+ * plans anew at each tick from what is committed and what is announced, so that nothing has to
+ * be taken over from a former leader, and a roll-out that stopped halfway goes on by itself.
+ *
+ * @public
+ */
+export class Reconciler {
+  private readonly options: ReconcilerOptions;
+  private readonly reports = new ServerReports();
+  private readonly orders = new OpenOrders();
+  private readonly pacer: LoadPacer;
+  /** Since when this leader has seen a version withdrawn. */
+  private readonly withdrawnSince = new Map<string, number>();
+  private leadership: Leadership | undefined;
+  private plan: PlacementPlan | undefined;
+  private timer: NodeJS.Timeout | undefined;
+  private isTicking = false;
+  private stopped = false;
+
+  constructor(
+    private readonly host: ReconcilerHost,
+    options: Partial<ReconcilerOptions> = {},
+  ) {
+    this.options = {...DEFAULT_RECONCILER_OPTIONS, ...options};
+    this.pacer = new LoadPacer(this.options.weightStore);
+  }
+
+  // Commands.
+
+  /**
+   * Takes an entry's report. Only the leader does.
+   *
+   * @throws SycamoreheadError `not_leader`, `control_unavailable`.
+   */
+  async receive(report: ServerReport): Promise<ServerReportAnswer> {
+    await this.host.confirmLeadership();
+    this.startTicking();
+    return this.reports.receive(report);
+  }
+
+  /** Stops giving orders. */
+  stop(): void {
+    this.stopped = true;
+    clearInterval(this.timer);
+  }
+
+  /** Plans and gives the orders that are due. Runs by itself once a report has come. */
+  async reconcile(): Promise<void> {
+    if (this.isTicking || this.stopped) return;
+    this.isTicking = true;
+    try {
+      if (await this.holdLeadership()) await this.giveOrders();
+    } catch (error) {
+      log('reconcile_failed', {error: String(error)});
+    } finally {
+      this.isTicking = false;
+    }
+  }
+
+  // Queries.
+
+  /** Tells whether a version has all the replicas that its roll-out step wants. */
+  isPlacementReady(version: VersionRef): boolean {
+    const placement = this.plan?.placements.get(formatVersionKey(version));
+    if (!placement || !this.leadership) return false;
+    if (this.readConfigured(version)?.replicas === 0) {
+      return placement.serving > 0;
+    }
+    return placement.wanted > 0 && placement.serving >= placement.wanted;
+  }
+
+  /** Describes where each roll-out, withdrawal and shortage stands and what it waits for. */
+  listRollouts(): RolloutStatus[] {
+    const configuration = this.host.getConfiguration();
+    return Object.values(configuration.versions).map(version =>
+      describeRollout({
+        version,
+        share: computeShare(version),
+        placement: this.plan?.placements.get(formatVersionKey(version)),
+        isSettled: this.isSettled(),
+        isPaced: this.pacer.isWaiting(),
+      }),
+    );
+  }
+
+  private readConfigured({model, version}: VersionRef) {
+    const key = formatVersionKey({model, version});
+    return this.host.getConfiguration().versions[key];
+  }
+
+  private startTicking(): void {
+    if (this.timer || this.stopped) return;
+    this.timer = setInterval(() => void this.reconcile(), this.options.tickMs);
+    this.timer.unref();
+  }
+
+  /** Confirms the leadership; forgets what an earlier one knew. */
+  private async holdLeadership(): Promise<boolean> {
+    try {
+      await this.host.confirmLeadership();
+    } catch {
+      this.leadership = undefined;
+      this.plan = undefined;
+      this.reports.clear();
+      this.orders.clear();
+      this.withdrawnSince.clear();
+      return false;
+    }
+    const term = this.host.getTerm();
+    if (this.leadership?.term !== term) {
+      this.leadership = {term, since: performance.now()};
+      this.orders.clear();
+      log('leads', {term});
+    }
+    return true;
+  }
+
+  /** Whether the entries have had time to report to this leader. */
+  private isSettled(): boolean {
+    const {leadership, options} = this;
+    if (!leadership) return false;
+    return performance.now() - leadership.since >= options.settleMs;
+  }
+
+  /**
+   * Whether a server may be ordered: one that ignores fencing numbers might still be obeying an
+   * order of the former leader.
+   */
+  private isOrderable({fencing}: ReportedServer): boolean {
+    if (fencing === 'checked') return true;
+    const {leadership, options} = this;
+    const waitMs = options.leaderLeaseMs + options.orderTimeoutMs;
+    return !!leadership && performance.now() - leadership.since >= waitMs;
+  }
+
+  private async giveOrders(): Promise<void> {
+    this.reports.expire();
+    const servers = this.reports.listServers();
+    this.orders.update(servers);
+    this.trackWithdrawals();
+    this.plan = planPlacement({
+      configuration: this.host.getConfiguration(),
+      servers,
+      open: this.orders.list(),
+      getUtilization: key => this.reports.getUtilization(key),
+      isBlocked: (server, key) => this.orders.isBlocked(server, key),
+      mayUnload: key => this.isUnloadDue(key),
+    });
+    if (!this.isSettled()) return;
+    let given = 0;
+    for (const order of [...this.plan.unloads, ...this.plan.loads]) {
+      if (given >= MAX_ORDERS_PER_TICK) return;
+      if (!this.isOrderable(order.server)) continue;
+      if (order.action === 'load' && !this.pacer.tryAcquire()) return;
+      given += 1;
+      await this.giveOrder(order);
+    }
+  }
+
+  private trackWithdrawals(): void {
+    const {versions} = this.host.getConfiguration();
+    for (const [key, {state}] of Object.entries(versions)) {
+      if (state !== 'withdrawn') this.withdrawnSince.delete(key);
+      else if (!this.withdrawnSince.has(key)) {
+        this.withdrawnSince.set(key, performance.now());
+      }
+    }
+  }
+
+  private isUnloadDue(key: string): boolean {
+    const since = this.withdrawnSince.get(key) ?? Infinity;
+    return performance.now() - since >= this.options.unloadDelayMs;
+  }
+
+  /** Commits the order, which confirms the leadership again, and sends it without waiting. */
+  private async giveOrder(order: PlannedOrder): Promise<void> {
+    const {action, server, version} = order;
+    const {model, version: name} = version;
+    const fencing = await this.host.commitOrder({
+      action,
+      server: server.id,
+      version: {model, version: name},
+    });
+    const {loadTimeoutMs} = this.options;
+    this.orders.add(order, fencing, loadTimeoutMs);
+    log('order', {action, server: server.id, model, version: name, fencing});
+    void this.send(order, fencing);
+  }
+
+  private async send(
+    {action, server, version}: PlannedOrder,
+    fencing: number,
+  ): Promise<void> {
+    const {model, version: name} = version;
+    const outcome = await this.options.sendOrder(
+      server.address,
+      {action, model, version: name, fencing},
+      this.options.orderTimeoutMs,
+    );
+    if (outcome.state === 'accepted') return;
+    log('order_not_accepted', {server: server.id, state: outcome.state});
+    // An order of unknown outcome stays open: it may still take effect.
+    if (outcome.state === 'unknown') return;
+    this.orders.close(server.id, fencing);
+    if (outcome.state === 'refused' && action === 'load') {
+      this.pacer.hold(outcome.retryAfterMs);
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/src/lib/reconciler/sendOrder.ts
@@ -0,0 +1,68 @@
+import {request} from 'undici';
+import type {VersionRef} from '@sycamorehead/schema';
+
+/** An order as an engine takes it. @public */
+export interface EngineOrderMessage extends VersionRef {
+  readonly action: 'load' | 'unload';
+  /** Number from the log; engines that check it refuse a lower one than they have seen. */
+  readonly fencing: number;
+}
+
+/** What became of an order. @public */
+export type OrderOutcome =
+  | {readonly state: 'accepted'}
+  | {readonly state: 'refused'; readonly retryAfterMs: number}
+  /** The engine has seen a higher fencing number. */
+  | {readonly state: 'fenced'}
+  | {readonly state: 'unknown'};
+
+/** Sends an order; a fake in tests. @public */
+export type OrderSender = (
+  address: string,
+  order: EngineOrderMessage,
+  timeoutMs: number,
+) => Promise<OrderOutcome>;
+
+const DEFAULT_RETRY_MS = 1_000;
+const FENCED_STATUS = 409;
+
+/**
+ * Sends an order to an engine over HTTP. The engine answers once it has begun the work; its
+ * announcements tell when it is done.
+ *
+ * @example
+ * ```ts
+ * await sendOrder(address, {action: 'load', model, version, fencing: 7}, 1_000);
+ * ```
+ * @internal
+ */
+export async function sendOrder(
+  address: string,
+  order: EngineOrderMessage,
+  timeoutMs: number,
+): Promise<OrderOutcome> {
+  try {
+    const {statusCode, body} = await request(`${address}/v1/orders`, {
+      method: 'POST',
+      headers: {'content-type': 'application/json'},
+      body: JSON.stringify(order),
+      signal: AbortSignal.timeout(timeoutMs),
+    });
+    const text = await body.text();
+    if (statusCode < 300) return {state: 'accepted'};
+    if (statusCode === FENCED_STATUS) return {state: 'fenced'};
+    return {state: 'refused', retryAfterMs: readRetryAfter(text)};
+  } catch {
+    return {state: 'unknown'};
+  }
+}
+
+function readRetryAfter(text: string): number {
+  try {
+    const body = JSON.parse(text) as {error?: {retryAfterMs?: unknown}};
+    const given = Number(body.error?.retryAfterMs);
+    return given > 0 ? given : DEFAULT_RETRY_MS;
+  } catch {
+    return DEFAULT_RETRY_MS;
+  }
+}
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -1,5 +1,6 @@
 import {
   ControlApi,
+  PlacementApi,
   SycamoreheadError,
   isSameKey,
   parseAnnouncement,
@@ -23,6 +24,7 @@
 import {EntryServer, Route} from './EntryServer.js';
 import type {Exchange} from './Exchange.js';
 import {PlainServiceProxy} from './PlainServiceProxy.js';
+import {ServerReporter} from './ServerReporter.js';
 
 const log = createLogger('entry');
 
@@ -41,7 +43,7 @@
   readonly peerKey: string;
   /** Key that backend servers prove when they announce themselves. */
   readonly serverKey: string;
-  readonly control: ControlApi;
+  readonly control: ControlApi & Partial<PlacementApi>;
   readonly backendTimeouts?: BackendTimeouts;
   readonly policies?: Omit<RouterOptions, 'directory'>;
   /** Time for which requests are still served after a stop begins, in milliseconds. */
@@ -66,6 +68,7 @@
   readonly configuration: ConfigurationManager;
   readonly router: Router;
   private readonly gossip: PeerGossip;
+  private readonly reporter: ServerReporter;
   private readonly peerServer: WireServer;
   private readonly backends: BackendClient;
   private readonly server: EntryServer;
@@ -82,6 +85,7 @@
     this.router = new Router({directory, ...policies});
     this.backends = new BackendClient(options.backendTimeouts);
     this.gossip = new PeerGossip({name, peers, peerKey, directory});
+    this.reporter = new ServerReporter(name, directory, control);
     this.peerServer = new WireServer({
       host: options.host,
       port: options.peerPort,
@@ -109,6 +113,7 @@
     const {host, port} = this.options;
     const peerPort = await this.peerServer.start();
     this.gossip.start({host, port: peerPort});
+    this.reporter.start();
     this.configuration.start();
     const ports = {port: await this.server.start(host, port), peerPort};
     log('entry_started', {name: this.options.name, ...ports});
@@ -128,6 +133,7 @@
     this.isRefusing = true;
     await this.server.stop();
     this.configuration.stop();
+    this.reporter.stop();
     this.gossip.stop();
     await this.peerServer.stop();
     await this.backends.stop();
--- a/packages/membership/src/lib/BackendServerDirectory.ts
+++ b/packages/membership/src/lib/BackendServerDirectory.ts
@@ -168,6 +168,11 @@
     return ready;
   }
 
+  /** Lists the held servers that are not gone, whatever their state. */
+  listHeld(): KnownServer[] {
+    return this.listAll().filter(({announcement: {id}}) => this.isHeld(id));
+  }
+
   /** Lists every server that is not gone, held or not, whatever its state. */
   listAll(): KnownServer[] {
     return [...this.servers.values()].filter(({gone}) => !gone);
--- a/packages/membership/src/lib/serverFacts.ts
+++ b/packages/membership/src/lib/serverFacts.ts
@@ -53,10 +53,20 @@
 export function describeFacts(announcement: Announcement): string {
   const {address, dataCentre, kind, service, state, slots, fencing} =
     announcement;
+  const {versionSlots} = announcement;
   const versions = announcement.versions
     .map(({model, version}) => `${model}/${version}`)
     .sort();
-  return [address, dataCentre, kind, service, state, slots, fencing]
+  return [
+    address,
+    dataCentre,
+    kind,
+    service,
+    state,
+    slots,
+    fencing,
+    versionSlots,
+  ]
     .concat(versions)
     .join('|');
 }
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -49,3 +49,10 @@
   SessionPin,
   StoredAnswer,
 } from './lib/records.js';
+export type {
+  PlacementApi,
+  ReportedServer,
+  ServerReport,
+  ServerReportAnswer,
+  VersionLoad,
+} from './lib/serverReport.js';
--- a/packages/schema/src/lib/announcement.ts
+++ b/packages/schema/src/lib/announcement.ts
@@ -38,6 +38,8 @@
     .array(z.strictObject({model: identifier, version: identifier}))
     .max(MAX_LOADED)
     .default([]),
+  /** Versions that an engine can hold at once; absent: as many as it has loaded, at least one. */
+  versionSlots: z.number().int().min(1).max(MAX_LOADED).optional(),
   /** Requests that the server runs at once. */
   slots: z.number().int().min(1).max(10_000),
   fencing: z.enum(['checked', 'ignored']),
