--- a/packages/control/src/lib/ControlClient.ts
+++ b/packages/control/src/lib/ControlClient.ts
@@ -2,6 +2,7 @@
   BeginResult,
   Bill,
   ControlApi,
+  FinishResult,
   LeaseGrant,
   PlacementApi,
   ServerReport,
@@ -68,7 +69,7 @@
 
   finishRequest(
     params: Parameters<ControlApi['finishRequest']>[0],
-  ): Promise<void> {
+  ): Promise<FinishResult> {
     return this.call('control.finishRequest', params);
   }
 
--- a/packages/control/src/lib/ControlNode.ts
+++ b/packages/control/src/lib/ControlNode.ts
@@ -3,6 +3,7 @@
   Bill,
   Configuration,
   ControlApi,
+  FinishResult,
   JsonValue,
   LeaseGrant,
   PlacementApi,
@@ -120,8 +121,8 @@
 
   async finishRequest(
     params: Parameters<ControlApi['finishRequest']>[0],
-  ): Promise<void> {
-    await this.propose({type: 'finish_request', ...params});
+  ): Promise<FinishResult> {
+    return this.propose({type: 'finish_request', ...params});
   }
 
   async recordBill(bill: Bill): Promise<{isNew: boolean}> {
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -18,17 +18,27 @@
 import {PeerAddress, WireServer} from '@sycamorehead/wire';
 import {Router, RouterOptions} from '@sycamorehead/routing';
 import {readBearerKey} from './authenticateCustomer.js';
-import {BackendClient, BackendTimeouts} from './BackendClient.js';
+import type {AnswerPlannerName} from './answerPlanners.js';
+import {
+  BackendClient,
+  BackendTimeouts,
+  DEFAULT_BACKEND_TIMEOUTS,
+} from './BackendClient.js';
 import {ChatService} from './ChatService.js';
+import {CommitQueue} from './CommitQueue.js';
 import {ConfigurationManager} from './ConfigurationManager.js';
+import {DEFAULT_ENTRY_TIMEOUTS, EntryTimeouts} from './entryTimeouts.js';
 import {EntryServer, Route} from './EntryServer.js';
 import type {Exchange} from './Exchange.js';
 import {PlainServiceProxy} from './PlainServiceProxy.js';
 import {ServerReporter} from './ServerReporter.js';
+import {VersionResolver} from './VersionResolver.js';
 
 const log = createLogger('entry');
 
 const MAX_ANNOUNCEMENT_BYTES = 64 * 1024;
+/** Time for which a stop waits for bills to be recorded, in milliseconds. */
+const COMMIT_DRAIN_MS = 60_000;
 
 /** Settings of an Entry. @public */
 export interface EntryOptions {
@@ -46,6 +56,8 @@
   readonly control: ControlApi & Partial<PlacementApi>;
   readonly backendTimeouts?: BackendTimeouts;
   readonly policies?: Omit<RouterOptions, 'directory'>;
+  readonly timeouts?: EntryTimeouts;
+  readonly answerPlanner?: AnswerPlannerName;
   /** Time for which requests are still served after a stop begins, in milliseconds. */
   readonly balancerLagMs?: number;
 }
@@ -71,6 +83,7 @@
   private readonly reporter: ServerReporter;
   private readonly peerServer: WireServer;
   private readonly backends: BackendClient;
+  private readonly commits: CommitQueue;
   private readonly server: EntryServer;
   private readonly chat: ChatService;
   private readonly services: PlainServiceProxy;
@@ -83,7 +96,10 @@
     const {directory, metrics} = this;
     this.configuration = new ConfigurationManager(name, control);
     this.router = new Router({directory, ...policies});
-    this.backends = new BackendClient(options.backendTimeouts);
+    const backendTimeouts = options.backendTimeouts ?? DEFAULT_BACKEND_TIMEOUTS;
+    const timeouts = options.timeouts ?? DEFAULT_ENTRY_TIMEOUTS;
+    this.backends = new BackendClient(backendTimeouts);
+    this.commits = new CommitQueue(timeouts.commitWaitMs);
     this.gossip = new PeerGossip({name, peers, peerKey, directory});
     this.reporter = new ServerReporter(name, directory, control);
     this.peerServer = new WireServer({
@@ -98,12 +114,21 @@
       configuration: this.configuration,
       control,
       metrics,
+      commits: this.commits,
+      entryName: name,
     };
-    this.chat = new ChatService({...shared, router: this.router});
+    const {router, configuration} = this;
+    this.chat = new ChatService({
+      ...shared,
+      router,
+      versions: new VersionResolver({router, configuration, control}),
+      timeouts,
+      planner: options.answerPlanner,
+    });
     this.services = new PlainServiceProxy({
       ...shared,
-      entryName: name,
       directory,
+      serviceMs: backendTimeouts.serviceMs,
     });
     this.server = new EntryServer(this.getRoutes());
   }
@@ -132,6 +157,7 @@
     );
     this.isRefusing = true;
     await this.server.stop();
+    await this.commits.drain(COMMIT_DRAIN_MS);
     this.configuration.stop();
     this.reporter.stop();
     this.gossip.stop();
