--- a/packages/control/src/lib/controlCommands.ts
+++ b/packages/control/src/lib/controlCommands.ts
@@ -54,7 +54,13 @@
       /** Committed with the outcome, so that no answer stands without its bill. */
       readonly bill?: Bill;
     }
-  | {readonly type: 'record_bill'; readonly bill: Bill};
+  | {readonly type: 'record_bill'; readonly bill: Bill}
+  | {
+      readonly type: 'issue_order';
+      readonly action: 'load' | 'unload';
+      readonly server: string;
+      readonly version: VersionRef;
+    };
 
 /** Name of a command. @public */
 export type ControlCommandType = ControlCommand['type'];
@@ -76,4 +82,6 @@
   readonly begin_request: BeginResult;
   readonly finish_request: FinishResult;
   readonly record_bill: {readonly isNew: boolean};
+  /** The order's index in the log. */
+  readonly issue_order: {readonly fencing: number};
 }
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -1,5 +1,6 @@
 import {
   ControlApi,
+  PlacementApi,
   SycamoreheadError,
   isSameKey,
   parseAnnouncement,
@@ -9,7 +10,11 @@
   createEntryMetrics,
   createLogger,
 } from '@sycamorehead/telemetry';
-import {BackendServerDirectory, PeerGossip} from '@sycamorehead/membership';
+import {
+  BackendServerDirectory,
+  PEER_LINK_TIMEOUTS,
+  PeerGossip,
+} from '@sycamorehead/membership';
 import {PeerAddress, WireServer} from '@sycamorehead/wire';
 import {Router, RouterOptions} from '@sycamorehead/routing';
 import {readBearerKey} from './authenticateCustomer.js';
@@ -26,12 +31,12 @@
 import {EntryServer, Route} from './EntryServer.js';
 import type {Exchange} from './Exchange.js';
 import {PlainServiceProxy} from './PlainServiceProxy.js';
+import {ServerReporter} from './ServerReporter.js';
 import {VersionResolver} from './VersionResolver.js';
 
 const log = createLogger('entry');
 
 const MAX_ANNOUNCEMENT_BYTES = 64 * 1024;
-const EXPIRE_INTERVAL_MS = 1_000;
 /** Time for which a stop waits for bills to be recorded, in milliseconds. */
 const COMMIT_DRAIN_MS = 60_000;
 
@@ -48,7 +53,7 @@
   readonly peerKey: string;
   /** Key that backend servers prove when they announce themselves. */
   readonly serverKey: string;
-  readonly control: ControlApi;
+  readonly control: ControlApi & Partial<PlacementApi>;
   readonly backendTimeouts?: BackendTimeouts;
   readonly policies?: Omit<RouterOptions, 'directory'>;
   readonly timeouts?: EntryTimeouts;
@@ -75,13 +80,13 @@
   readonly configuration: ConfigurationManager;
   readonly router: Router;
   private readonly gossip: PeerGossip;
+  private readonly reporter: ServerReporter;
   private readonly peerServer: WireServer;
   private readonly backends: BackendClient;
   private readonly commits: CommitQueue;
   private readonly server: EntryServer;
   private readonly chat: ChatService;
   private readonly services: PlainServiceProxy;
-  private expiry: NodeJS.Timeout | undefined;
   private running = 0;
   private isLeaving = false;
   private isRefusing = false;
@@ -96,11 +101,13 @@
     this.backends = new BackendClient(backendTimeouts);
     this.commits = new CommitQueue(timeouts.commitWaitMs);
     this.gossip = new PeerGossip({name, peers, peerKey, directory});
+    this.reporter = new ServerReporter(name, directory, control);
     this.peerServer = new WireServer({
       host: options.host,
       port: options.peerPort,
       peerKey,
       methods: this.gossip.getMethods(),
+      timeouts: PEER_LINK_TIMEOUTS,
     });
     const shared = {
       backends: this.backends,
@@ -130,13 +137,9 @@
   async start(): Promise<EntryPorts> {
     const {host, port} = this.options;
     const peerPort = await this.peerServer.start();
-    this.gossip.start();
+    this.gossip.start({host, port: peerPort});
+    this.reporter.start();
     this.configuration.start();
-    this.expiry = setInterval(
-      () => this.directory.expire(),
-      EXPIRE_INTERVAL_MS,
-    );
-    this.expiry.unref();
     const ports = {port: await this.server.start(host, port), peerPort};
     log('entry_started', {name: this.options.name, ...ports});
     return ports;
@@ -156,8 +159,8 @@
     await this.server.stop();
     await this.commits.drain(COMMIT_DRAIN_MS);
     this.configuration.stop();
+    this.reporter.stop();
     this.gossip.stop();
-    clearInterval(this.expiry);
     await this.peerServer.stop();
     await this.backends.stop();
     log('entry_stopped', {name: this.options.name});
@@ -244,9 +247,7 @@
         {field: 'id'},
       );
     }
-    const isNews = this.directory.receive(announcement);
-    if (isNews) this.gossip.announce(announcement);
-    exchange.sendJson(200, {accepted: isNews});
+    exchange.sendJson(200, await this.gossip.receive(announcement));
   }
 
   private sendReadiness(exchange: Exchange): void {
