Experiments crest, head-of-line and straggler on the baselines

Cause: the decisions on backend servers and admission had no measurement. Change: stand-in engines and the load move into worker threads (EngineHost, runLoadInWorker), a scenario of the first users' size, and three experiments with their targets.

--- /dev/null
+++ b/packages/bench/src/lib/experiments/crest.ts
@@ -0,0 +1,158 @@
+import type {
+  Experiment,
+  ExperimentOptions,
+  ExperimentResult,
+} from '../experimentTypes.js';
+import {generateArrivals} from '../load/arrivals.js';
+import {computeQuantile} from '../load/computeStatistics.js';
+import type {CallRecord} from '../load/runLoad.js';
+import {
+  BASELINE_POLICIES,
+  ScenarioPolicies,
+  ScenarioRecord,
+  runScenario,
+} from '../scenario/runScenario.js';
+import {
+  computeInTimeShare,
+  computePossibleTokens,
+  describeRun,
+  isInTime,
+  isModelWork,
+  isRefused,
+  trimDecimals,
+  sumTokens,
+} from '../scenario/scenarioFigures.js';
+import {ALL_KINDS, CUSTOMERS, computeRate} from '../scenario/workload.js';
+import {CANDIDATE_POLICIES} from '../scenario/candidatePolicies.js';
+
+const BASE_LOAD = 0.4;
+const SWING = 5;
+const DURATION_MS = 8_000;
+const SURGE_MS = 2_000;
+const FIRST_SURGE_AT_MS = 1_500;
+const SECOND_SURGE_AT_MS = 5_000;
+const LARGE = 'large-1';
+
+/** Factor on one customer's arrivals that swings all arrivals together. */
+function computeOwnFactor(customer: string): number {
+  const total = CUSTOMERS.reduce((sum, {weight}) => sum + weight, 0);
+  const own = CUSTOMERS.find(entry => entry.customer === customer);
+  return 1 + ((SWING - 1) * total) / (own?.weight ?? 1);
+}
+
+/** Arrivals with two five-fold swings: one of every customer, one of a large customer alone. @internal */
+export function planCrest(seed: number) {
+  return {
+    seed,
+    durationMs: DURATION_MS,
+    ratePerSecond: computeRate(ALL_KINDS, BASE_LOAD),
+    kinds: ALL_KINDS,
+    customers: CUSTOMERS,
+    surges: [
+      {atMs: FIRST_SURGE_AT_MS, durationMs: SURGE_MS, factor: SWING},
+      {
+        atMs: SECOND_SURGE_AT_MS,
+        durationMs: SURGE_MS,
+        factor: computeOwnFactor(LARGE),
+        customer: LARGE,
+      },
+    ],
+  };
+}
+
+/** Figures of one run under the swings. @internal */
+export function measureCrest(run: ScenarioRecord) {
+  const {records} = run;
+  const model = records.filter(isModelWork);
+  const plain = records.filter(record => !isModelWork(record));
+  const refused = records.filter(isRefused);
+  const small = model.filter(({arrival}) => arrival.customer !== LARGE);
+  const isSurged = ({arrival}: CallRecord) =>
+    arrival.atMs >= SECOND_SURGE_AT_MS &&
+    arrival.atMs < SECOND_SURGE_AT_MS + SURGE_MS;
+  const isCalm = ({arrival}: CallRecord) => arrival.atMs < FIRST_SURGE_AT_MS;
+  const engineIds = new Set(
+    run.runs.flat().map(({id}) => id.replace(/\.\d+$/, '')),
+  );
+  return {
+    ...describeRun(run),
+    servedOfPossible: trimDecimals(
+      sumTokens(model.filter(isInTime)) / computePossibleTokens(records),
+    ),
+    refusalP99Ms: trimDecimals(
+      computeQuantile(
+        refused.map(({totalMs}) => totalMs),
+        0.99,
+      ),
+    ),
+    refusalMaxMs: trimDecimals(
+      Math.max(0, ...refused.map(({totalMs}) => totalMs)),
+    ),
+    untrueRefusals: refused.filter(
+      ({ran, requestId}) => ran !== 'no' || engineIds.has(requestId),
+    ).length,
+    smallCustomersLoss: trimDecimals(
+      computeInTimeShare(small.filter(isCalm)) -
+        computeInTimeShare(small.filter(isSurged)),
+    ),
+    plainInTime: trimDecimals(computeInTimeShare(plain)),
+  };
+}
+
+async function runCrest(
+  seed: number,
+  policies: ScenarioPolicies,
+): Promise<ReturnType<typeof measureCrest>> {
+  return measureCrest(
+    await runScenario({policies, arrivals: generateArrivals(planCrest(seed))}),
+  );
+}
+
+/** Two five-fold swings within two seconds. @public */
+export const crest: Experiment = {
+  summary: 'service under two five-fold swings',
+  async run({seed}: ExperimentOptions): Promise<ExperimentResult> {
+    const baseline = await runCrest(seed, BASELINE_POLICIES);
+    const candidate = await runCrest(seed, CANDIDATE_POLICIES);
+    const {servedOfPossible, refusalMaxMs, untrueRefusals} = candidate;
+    const {smallCustomersLoss, plainInTime} = candidate;
+    return {
+      experiment: 'crest',
+      seed,
+      baseline,
+      candidate,
+      targets: [
+        {
+          name: 'tokens served in time, of those possible',
+          target: '≥ 0.9',
+          value: servedOfPossible,
+          met: servedOfPossible >= 0.9,
+        },
+        {
+          name: 'slowest refusal',
+          target: '≤ 50 ms',
+          value: refusalMaxMs,
+          met: refusalMaxMs <= 50,
+        },
+        {
+          name: 'untrue refusals',
+          target: '0',
+          value: untrueRefusals,
+          met: untrueRefusals === 0,
+        },
+        {
+          name: "small customers' loss to a large one's surge",
+          target: '≤ 0.05',
+          value: smallCustomersLoss,
+          met: smallCustomersLoss <= 0.05,
+        },
+        {
+          name: 'plain calls in time',
+          target: '≥ 0.999',
+          value: plainInTime,
+          met: plainInTime >= 0.999,
+        },
+      ],
+    };
+  },
+};
--- /dev/null
+++ b/packages/bench/src/lib/experiments/headOfLine.ts
@@ -0,0 +1,105 @@
+import type {
+  Experiment,
+  ExperimentOptions,
+  ExperimentResult,
+} from '../experimentTypes.js';
+import {Arrival, WorkKind, generateArrivals} from '../load/arrivals.js';
+import {
+  BASELINE_POLICIES,
+  ScenarioPolicies,
+  ScenarioRecord,
+  runScenario,
+} from '../scenario/runScenario.js';
+import {
+  describeRun,
+  isLongWork,
+  trimDecimals,
+} from '../scenario/scenarioFigures.js';
+import {
+  BRIEF,
+  CUSTOMERS,
+  SHORT_KINDS,
+  computeRate,
+} from '../scenario/workload.js';
+import {CANDIDATE_POLICIES} from '../scenario/candidatePolicies.js';
+
+const LOAD = 0.75;
+const DURATION_MS = 6_000;
+/** Long work's share of the arrivals, relative to the other kinds. */
+const LONG_WEIGHT = 8;
+const MAX_SLOWDOWN = 1.3;
+const MIN_LONG_THROUGHPUT = 0.85;
+const KINDS: readonly WorkKind[] = [
+  ...SHORT_KINDS,
+  {...BRIEF, weight: LONG_WEIGHT},
+];
+/** One large customer sends more of everything for a while. */
+const SURGE = {atMs: 2_000, durationMs: 1_200, factor: 4, customer: 'large-1'};
+
+function generateMix(seed: number): Arrival[] {
+  return generateArrivals({
+    seed,
+    durationMs: DURATION_MS,
+    ratePerSecond: computeRate(KINDS, LOAD),
+    kinds: KINDS,
+    customers: CUSTOMERS,
+    surges: [SURGE],
+  });
+}
+
+/** Tokens of long answers a millisecond, until the last of them was whole. */
+function computeLongThroughput({records}: ScenarioRecord): number {
+  const long = records.filter(
+    record => isLongWork(record) && record.outcome === 'ok',
+  );
+  const endsAt = Math.max(
+    ...long.map(({arrival, totalMs}) => arrival.atMs + totalMs),
+  );
+  return long.reduce((sum, {tokens}) => sum + tokens, 0) / endsAt;
+}
+
+async function compareMixes(seed: number, policies: ScenarioPolicies) {
+  const arrivals = generateMix(seed);
+  const short = arrivals.filter(({kind}) => kind.kind !== BRIEF.kind);
+  const without = await runScenario({policies, arrivals: short});
+  const mixed = await runScenario({policies, arrivals});
+  const shown = {without: describeRun(without), mixed: describeRun(mixed)};
+  return {
+    ...shown,
+    slowdown: trimDecimals(shown.mixed.shortP99Ms / shown.without.shortP99Ms),
+    longTokensPerMs: trimDecimals(computeLongThroughput(mixed)),
+  };
+}
+
+/** Short work with and without long work beside it. @public */
+export const headOfLine: Experiment = {
+  summary: 'short work behind long work',
+  async run({seed}: ExperimentOptions): Promise<ExperimentResult> {
+    const baseline = await compareMixes(seed, BASELINE_POLICIES);
+    const candidate = await compareMixes(seed, CANDIDATE_POLICIES);
+    const {slowdown} = candidate;
+    const kept = trimDecimals(
+      candidate.longTokensPerMs / baseline.longTokensPerMs,
+    );
+    return {
+      experiment: 'head-of-line',
+      seed,
+      baseline,
+      candidate,
+      targets: [
+        {
+          name: 'p99 of short work with long work beside it, over that without',
+          target: `≤ ${MAX_SLOWDOWN}`,
+          value: slowdown,
+          met: slowdown <= MAX_SLOWDOWN,
+        },
+        {
+          name: 'throughput of long work, over the baseline',
+          target: `≥ ${MIN_LONG_THROUGHPUT}`,
+          value: kept,
+          met: kept >= MIN_LONG_THROUGHPUT,
+        },
+      ],
+    };
+  },
+};
--- /dev/null
+++ b/packages/bench/src/lib/experiments/straggler.ts
@@ -0,0 +1,97 @@
+import type {
+  Experiment,
+  ExperimentOptions,
+  ExperimentResult,
+  ExperimentTarget,
+} from '../experimentTypes.js';
+import {generateArrivals} from '../load/arrivals.js';
+import {
+  BASELINE_POLICIES,
+  ScenarioPolicies,
+  runScenario,
+} from '../scenario/runScenario.js';
+import {describeRun, trimDecimals} from '../scenario/scenarioFigures.js';
+import {ALL_KINDS, CUSTOMERS, computeRate} from '../scenario/workload.js';
+import {CANDIDATE_POLICIES} from '../scenario/candidatePolicies.js';
+
+const LOAD = 0.45;
+const DURATION_MS = 6_000;
+const SLOW_FROM_MS = 1_500;
+const SLOW_FACTOR = 10;
+const REPORT_LAG_MS = 5_000;
+const MAX_SLOWDOWN = 1.5;
+const MAX_EXTRA_WORK = 0.05;
+
+async function runSlowed(
+  seed: number,
+  policies: ScenarioPolicies,
+  slowed: number,
+) {
+  const run = await runScenario({
+    policies,
+    arrivals: generateArrivals({
+      seed,
+      durationMs: DURATION_MS,
+      ratePerSecond: computeRate(ALL_KINDS, LOAD),
+      kinds: ALL_KINDS,
+      customers: CUSTOMERS,
+    }),
+    commonFaults: {reportLagMs: REPORT_LAG_MS},
+    timedFaults: Array.from({length: slowed}, (unused, engine) => ({
+      atMs: SLOW_FROM_MS,
+      engine,
+      faults: {slowFactor: SLOW_FACTOR},
+    })),
+  });
+  return describeRun(run);
+}
+
+async function compareSlowed(seed: number, policies: ScenarioPolicies) {
+  const none = await runSlowed(seed, policies, 0);
+  const one = await runSlowed(seed, policies, 1);
+  const two = await runSlowed(seed, policies, 2);
+  return {
+    none,
+    one,
+    two,
+    slowdownOfOne: trimDecimals(one.shortP99Ms / none.shortP99Ms),
+    slowdownOfTwo: trimDecimals(two.shortP99Ms / none.shortP99Ms),
+    extraWork: Math.max(none.extraWork, one.extraWork, two.extraWork),
+  };
+}
+
+function buildTarget(
+  name: string,
+  value: number,
+  bound: number,
+): ExperimentTarget {
+  return {name, target: `≤ ${bound}`, value, met: value <= bound};
+}
+
+/** One and two of eight engines slowed ten-fold, with late reports. @public */
+export const straggler: Experiment = {
+  summary: 'short work while engines are stragglers',
+  async run({seed}: ExperimentOptions): Promise<ExperimentResult> {
+    const baseline = await compareSlowed(seed, BASELINE_POLICIES);
+    const candidate = await compareSlowed(seed, CANDIDATE_POLICIES);
+    return {
+      experiment: 'straggler',
+      seed,
+      baseline,
+      candidate,
+      targets: [
+        buildTarget(
+          'p99 of short work with one straggler, over that with none',
+          candidate.slowdownOfOne,
+          MAX_SLOWDOWN,
+        ),
+        buildTarget(
+          'p99 of short work with two stragglers, over that with none',
+          candidate.slowdownOfTwo,
+          MAX_SLOWDOWN,
+        ),
+        buildTarget('extra work', candidate.extraWork, MAX_EXTRA_WORK),
+      ],
+    };
+  },
+};
--- /dev/null
+++ b/packages/bench/src/lib/load/loadWorker.ts
@@ -0,0 +1,11 @@
+/** Body of the worker thread that makes the calls of a load. */
+import {parentPort, workerData} from 'node:worker_threads';
+import {runLoad} from './runLoad.js';
+import type {LoadJob} from './runLoadInWorker.js';
+
+const {target, keys, arrivals} = workerData as LoadJob;
+const records = await runLoad(
+  {...target, getKey: customer => keys[customer] ?? ''},
+  arrivals,
+);
+parentPort?.postMessage(records);
--- a/packages/bench/src/lib/load/runLoad.ts
+++ b/packages/bench/src/lib/load/runLoad.ts
@@ -129,6 +129,7 @@
       messages: [{role: 'user', content: `${index} ${WORD.repeat(words)}`}],
       metadata: {
         kind: kind.kind,
+        deadline_ms: String(kind.deadlineMs),
         // Read by the stand-in engine only; the router never sees how long an answer will be.
         stand_in_tokens: String(arrival.outputTokens),
       },
