--- /dev/null
+++ b/packages/bench/src/lib/membership/measureExits.ts
@@ -0,0 +1,141 @@
+import {parseReleaseNote, hashKey} from '@sycamorehead/schema';
+import type {Entry} from '@sycamorehead/entry';
+import type {StandInEngine} from '@sycamorehead/stand-ins';
+import {Fleet} from '../load/Fleet.js';
+import {ArrivalPlan, generateArrivals} from '../load/arrivals.js';
+import {runLoad} from '../load/runLoad.js';
+
+const ENTRIES = 8;
+const ENGINES = 8;
+const POLL_MS = 10;
+const WATCH_MS = 7_000;
+const LOAD_PER_SECOND = 60;
+const CUSTOMER_KEY = 'exit-customer-key';
+
+/** Time until a server that goes is no longer used, in milliseconds. @internal */
+export interface ExitTimes {
+  /** Until no entry lists it for new work. */
+  readonly unlistedMs: number;
+  /** Until its last new request began; 0 where none did. */
+  readonly lastWorkMs: number;
+}
+
+/** How a server goes. @internal */
+export type ExitKind = 'leaving' | 'killed' | 'silent';
+
+const EXITS: Record<ExitKind, (engine: StandInEngine) => Promise<void>> = {
+  leaving: engine => engine.announcer.leave(),
+  killed: engine => engine.stop(),
+  silent: async engine => engine.announcer.stop(),
+};
+
+function buildNote() {
+  return parseReleaseNote(`
+number: 1
+follows: 0
+add:
+  versions:
+    - {model: inscription, version: v1, inputPrice: 0.2, outputPrice: 0.6, contextTokens: 8192, qualityPrior: 0.8}
+  customers:
+    - customer: taller
+      keyHash: ${hashKey(CUSTOMER_KEY)}
+      models: [{model: inscription, versions: any}]
+      limits: {requestsPerSecond: 100000, tokensPerSecond: 10000000}
+      qualityTarget: 0.5
+`);
+}
+
+function buildPlan(seed: number): ArrivalPlan {
+  return {
+    seed,
+    durationMs: 3 * WATCH_MS,
+    ratePerSecond: LOAD_PER_SECOND,
+    customers: [{customer: 'taller', weight: 1}],
+    kinds: [
+      {
+        kind: 'proof',
+        weight: 1,
+        promptTokens: 20,
+        outputTokens: 4,
+        sigma: 0.2,
+        deadlineMs: 5_000,
+      },
+    ],
+  };
+}
+
+function isListed(entries: readonly Entry[], id: string): boolean {
+  return entries.some(({directory}) =>
+    directory.listReady().some(({announcement}) => announcement.id === id),
+  );
+}
+
+async function watchExit(
+  fleet: Fleet,
+  engine: StandInEngine,
+  id: string,
+  exit: (engine: StandInEngine) => Promise<void>,
+): Promise<ExitTimes> {
+  const startedAt = performance.now();
+  let unlistedMs = Infinity;
+  let lastWorkMs = 0;
+  let runs = engine.runs.length;
+  const exited = exit(engine);
+  for (;;) {
+    await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    const passedMs = performance.now() - startedAt;
+    if (engine.runs.length > runs) lastWorkMs = passedMs;
+    runs = engine.runs.length;
+    if (isListed(fleet.entries, id)) unlistedMs = Infinity;
+    else if (unlistedMs === Infinity) unlistedMs = passedMs;
+    if (passedMs >= WATCH_MS) break;
+  }
+  await exited;
+  return {
+    unlistedMs: Math.round(unlistedMs),
+    lastWorkMs: Math.round(lastWorkMs),
+  };
+}
+
+/**
+ * Lets one engine after another go under a light load through eight entries, and takes the time
+ * until none of them gives it new work.
+ *
+ * @internal
+ */
+export async function measureExits(
+  seed: number,
+): Promise<Record<ExitKind, ExitTimes>> {
+  const fleet = new Fleet({
+    note: buildNote(),
+    entries: ENTRIES,
+    engines: ENGINES,
+    services: {name: 'orders', replicas: 3},
+    engineSpeed: {
+      slots: 16,
+      stepMs: 4,
+      stepMsPerJob: 0.2,
+      prefillTokensPerMs: 20,
+    },
+  });
+  await fleet.start();
+  try {
+    const load = runLoad(
+      {entryUrls: fleet.entryUrls, getKey: () => CUSTOMER_KEY},
+      generateArrivals(buildPlan(seed)),
+    );
+    const times: Partial<Record<ExitKind, ExitTimes>> = {};
+    for (const [index, kind] of (
+      ['leaving', 'silent', 'killed'] as const
+    ).entries()) {
+      const engine = fleet.engines[index];
+      if (!engine) throw new Error('too few engines');
+      const id = `engine-${index + 1}`;
+      times[kind] = await watchExit(fleet, engine, id, EXITS[kind]);
+    }
+    await load;
+    return times as Record<ExitKind, ExitTimes>;
+  } finally {
+    await fleet.stop();
+  }
+}
--- /dev/null
+++ b/packages/bench/src/lib/membership/measureGossip.ts
@@ -0,0 +1,183 @@
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+import {Announcement} from '@sycamorehead/schema';
+import {Randomness} from '../load/arrivals.js';
+import {GossipFleet, GossipMode} from './GossipFleet.js';
+
+const ENTRIES = 8;
+const VERSIONS = 7;
+const SERVICE_SHARE = 4;
+const PERIOD_MS = 1_000;
+const SLICES = 20;
+const SETTLE_PERIODS = 5;
+
+/** What one entry spends on membership. @internal */
+export interface GossipCost {
+  readonly servers: number;
+  /** Bytes that one entry sends in a second, to all its peers. */
+  readonly sentBytesPerSecond: number;
+  readonly sentAndReceivedBytesPerSecond: number;
+  /** Share of a core in percent; the fakes and the relays are included. */
+  readonly cpuPercent: number;
+  readonly heapMegabytes: number;
+  /** Servers that one entry holds detail on. */
+  readonly held: number;
+  /** Ready servers that some entry did not see as ready at the end. */
+  readonly missing: number;
+}
+
+/** Announces light fakes at random entries, each once a second, as through a balancer. */
+class FakeServers {
+  private sequence = 0;
+  private readonly random: Randomness;
+
+  constructor(
+    private readonly fleet: GossipFleet,
+    private readonly count: number,
+    seed: number,
+  ) {
+    this.random = new Randomness(seed);
+  }
+
+  async run(periods: number): Promise<void> {
+    const startedAt = performance.now();
+    for (let slice = 0; slice < periods * SLICES; slice++) {
+      const dueAt = startedAt + (slice * PERIOD_MS) / SLICES;
+      const waitMs = Math.max(0, dueAt - performance.now());
+      await new Promise(resolve => setTimeout(resolve, waitMs));
+      if (slice % SLICES === 0) this.sequence += 1;
+      for (let id = slice % SLICES; id < this.count; id += SLICES) {
+        const entry = Math.floor(this.random.sampleUniform() * ENTRIES);
+        this.fleet.entries[entry]?.receive(buildServer(id, this.sequence));
+      }
+    }
+  }
+}
+
+function buildServer(index: number, sequence: number): Announcement {
+  const isService = index % SERVICE_SHARE === SERVICE_SHARE - 1;
+  const running = (index * 7 + sequence) % 17;
+  return {
+    id: `server-${index}`,
+    address: `http://127.0.0.1:${20_000 + index}`,
+    dataCentre: `dc-${(index % 3) + 1}`,
+    kind: isService ? 'service' : 'engine',
+    ...(isService && {service: 'orders'}),
+    generation: 1,
+    sequence,
+    state: 'ready',
+    versions: isService
+      ? []
+      : [{model: 'inscription', version: `v${index % VERSIONS}`}],
+    slots: 16,
+    fencing: 'checked',
+    load: {running, queued: 0, tokensPerSecond: running * 50, ageMs: 200},
+  };
+}
+
+function measureHeap(): number {
+  setFlagsFromString('--expose-gc');
+  (runInNewContext('gc') as () => void)();
+  return process.memoryUsage().heapUsed;
+}
+
+/**
+ * Measures what membership costs an entry with a number of announced servers.
+ *
+ * @internal
+ */
+export async function measureGossip(
+  mode: GossipMode,
+  servers: number,
+  seed: number,
+  periods: number,
+): Promise<{cost: GossipCost; loads: number[]}> {
+  const heapBefore = measureHeap();
+  const fleet = new GossipFleet(mode);
+  await fleet.start(ENTRIES);
+  try {
+    const fakes = new FakeServers(fleet, servers, seed);
+    await fakes.run(SETTLE_PERIODS);
+    const bytes = fleet.countBytes();
+    const cpu = process.cpuUsage();
+    const startedAt = performance.now();
+    await fakes.run(periods);
+    const seconds = (performance.now() - startedAt) / 1_000;
+    const {user, system} = process.cpuUsage(cpu);
+    const sent = (fleet.countBytes() - bytes) / seconds / ENTRIES;
+    const heap = (measureHeap() - heapBefore) / ENTRIES;
+    const held = fleet.entries.map(({directory}) => directory.listHeld());
+    const ready = fleet.entries.map(({directory}) => directory.listReady());
+    const cost = {
+      servers,
+      sentBytesPerSecond: Math.round(sent),
+      sentAndReceivedBytesPerSecond: Math.round(2 * sent),
+      cpuPercent: limitDigits((user + system) / 1e4 / seconds / ENTRIES),
+      heapMegabytes: limitDigits(heap / 2 ** 20),
+      held: Math.max(...held.map(({length}) => length)),
+      missing: held.reduce(
+        (sum, list, entry) => sum + list.length - (ready[entry]?.length ?? 0),
+        0,
+      ),
+    };
+    const views = ready.map(list => list.map(({announcement}) => announcement));
+    return {cost, loads: computeServerLoads(views)};
+  } finally {
+    await fleet.stop();
+  }
+}
+
+/**
+ * Computes each server's load, relative to the mean of its group, where every entry has the same
+ * traffic for each group and spreads it evenly over the servers that it holds.
+ */
+export function computeServerLoads(
+  views: ReadonlyArray<readonly Announcement[]>,
+): number[] {
+  const describeGroup = ({service, versions}: Announcement) =>
+    service ?? versions[0]?.version ?? '';
+  const loads = new Map<string, {group: string; load: number}>();
+  for (const view of views) {
+    const sizes = new Map<string, number>();
+    for (const server of view) {
+      const group = describeGroup(server);
+      sizes.set(group, (sizes.get(group) ?? 0) + 1);
+    }
+    for (const server of view) {
+      const group = describeGroup(server);
+      const load = loads.get(server.id)?.load ?? 0;
+      const share = 1 / (sizes.get(group) ?? 1);
+      loads.set(server.id, {group, load: load + share});
+    }
+  }
+  const sizeOf = new Map<string, number>();
+  for (const {group} of loads.values()) {
+    sizeOf.set(group, (sizeOf.get(group) ?? 0) + 1);
+  }
+  return [...loads.values()].map(
+    ({group, load}) => (load * (sizeOf.get(group) ?? 0)) / views.length,
+  );
+}
+
+/** Picks for each entry as many servers as it would hold, at random: the baseline. */
+export function pickRandomViews(
+  servers: number,
+  held: number,
+  seed: number,
+): Announcement[][] {
+  const random = new Randomness(seed);
+  return Array.from({length: ENTRIES}, () => {
+    const ids = Array.from({length: servers}, (unused, index) => index);
+    const picked: Announcement[] = [];
+    for (let count = 0; count < Math.min(held, servers); count++) {
+      const at = Math.floor(random.sampleUniform() * ids.length);
+      const [id = 0] = ids.splice(at, 1);
+      picked.push(buildServer(id, 1));
+    }
+    return picked;
+  });
+}
+
+function limitDigits(value: number): number {
+  return Math.round(value * 100) / 100;
+}
--- a/packages/control/src/lib/reconciler/computeNeeds.ts
+++ b/packages/control/src/lib/reconciler/computeNeeds.ts
@@ -16,7 +16,7 @@
   readonly need: number;
   /** Replicas declared for the state and the roll-out step. */
   readonly wanted: number;
-  /** Replicas that demand asks for, where there is room to spare. */
+  /** Replicas that demand or the next step asks for, where there is room to spare. */
   readonly welcome: number;
 }
 
@@ -39,6 +39,12 @@
   );
 }
 
+/** Replicas of the next step, loaded ahead while this one soaks. */
+function countAhead({state, step, rollout, replicas}: ConfiguredVersion) {
+  if (state !== 'rolling_out') return 0;
+  return Math.ceil(replicas * (rollout?.steps[step + 1]?.share ?? 0));
+}
+
 /** Returns the share of sessions that a version's state and step give it. @internal */
 export function computeShare({
   state,
@@ -64,8 +70,12 @@
   const need = Math.max(1, Math.ceil(replicas * Math.min(share, 1 - taken)));
   const wanted = Math.ceil(replicas * share);
   const forDemand = Math.ceil((serving * utilization) / TARGET_UTILIZATION);
-  const welcome = Math.min(forDemand, wanted * MAX_DEMAND_FACTOR);
-  return {version, need, wanted, welcome: Math.max(wanted, welcome)};
+  const welcome = Math.max(
+    wanted,
+    Math.min(forDemand, wanted * MAX_DEMAND_FACTOR),
+    countAhead(version),
+  );
+  return {version, need, wanted, welcome};
 }
 
 /**
--- a/packages/membership/src/lib/PeerGossip.ts
+++ b/packages/membership/src/lib/PeerGossip.ts
@@ -14,12 +14,15 @@
 const BEAT_MS = 1_000;
 /** Time for which changes are gathered into one message, in milliseconds. */
 const BATCH_MS = 50;
+/** Time without a beat after which a link is closed and dialled anew, in milliseconds. */
+const LINK_SILENCE_MS = 3_500;
 /** Peers that hold a `leaving` before it is acknowledged; the hearer may die at once. */
 const LEAVING_PEERS = 2;
 /** Longest wait for them, in milliseconds. */
 const LEAVING_WAIT_MS = 1_000;
 const FACTS_METHOD = 'membership.facts';
-const BEAT_METHOD = 'membership.beat';
+/** Short, since it is most of what entries send. */
+const BEAT_METHOD = 'beat';
 const INTEREST_METHOD = 'membership.interest';
 const SYNC_METHOD = 'membership.sync';
 
@@ -48,9 +51,17 @@
   readonly facts: readonly FactDelta[];
 }
 
-interface BeatMessage {
-  readonly digest: string;
-  readonly beat: EncodedBeat;
+/** The sender's digest, empty where it is the one last sent, and the encoded beat. */
+type BeatMessage = readonly [digest: string, ...beat: EncodedBeat];
+
+/** What is kept of a link's beats. */
+interface BeatRecord {
+  /** Monotonic time of the last beat received. */
+  heardAt: number;
+  sentDigest: string;
+  theirDigest: string;
+  /** Both digests where they differed at the last beat. */
+  mismatch: string;
 }
 
 /**
@@ -71,8 +82,7 @@
   private readonly pending = new Map<string, PeerLink | undefined>();
   /** Generation of each server whose `leaving` enough peers hold. */
   private readonly confirmedLeaving = new Map<string, number>();
-  /** Digests that differed at a peer's last beat. */
-  private readonly mismatches = new WeakMap<PeerLink, string>();
+  private readonly beats = new WeakMap<PeerLink, BeatRecord>();
   private readonly syncing = new WeakSet<PeerLink>();
   private subsetBasis = '';
   private beatTimer: NodeJS.Timeout | undefined;
@@ -157,6 +167,13 @@
     };
   }
 
+  // Queries.
+
+  /** Counts the open links to peers. */
+  countLinks(): number {
+    return this.peerSet.listLinks().size;
+  }
+
   /** Sends the beat, declares silent servers gone, and chooses the subset anew. */
   private runBeat(): void {
     this.links?.expire();
@@ -168,8 +185,15 @@
     const digest = this.digestFacts();
     const heard = this.listHeard();
     for (const [name, link] of this.peerSet.listLinks()) {
+      const record = this.getBeatRecord(link);
+      if (performance.now() - record.heardAt > LINK_SILENCE_MS) {
+        link.close('no beat');
+        continue;
+      }
+      const sent = record.sentDigest === digest ? '' : digest;
+      record.sentDigest = digest;
       const beat = encodeBeat(this.peerInterests.listHeard(name, heard));
-      link.notify(BEAT_METHOD, {digest, beat});
+      link.notify(BEAT_METHOD, [sent, ...beat]);
     }
     this.heard.clear();
   }
@@ -230,27 +254,35 @@
     this.announce(id, isTheirs ? source : undefined);
   }
 
-  private receiveBeat({digest, beat}: BeatMessage, link: PeerLink): void {
+  private getBeatRecord(link: PeerLink): BeatRecord {
+    const known = this.beats.get(link);
+    if (known) return known;
+    const heardAt = performance.now();
+    const record = {heardAt, sentDigest: '', theirDigest: '', mismatch: ''};
+    this.beats.set(link, record);
+    return record;
+  }
+
+  private receiveBeat([digest, ...beat]: BeatMessage, link: PeerLink): void {
+    const record = this.getBeatRecord(link);
+    record.heardAt = performance.now();
+    record.theirDigest = digest || record.theirDigest;
     for (const {place, level} of decodeBeat(beat)) {
       const id = this.interests.get(place);
       if (!id) continue;
       const slots = this.directory.find(id)?.announcement.slots ?? 1;
       this.directory.markHeard(id, decodeLevel(level, slots, BEAT_MS));
     }
-    this.compareDigests(digest, link);
+    this.compareDigests(record, link);
   }
 
   /** Syncs where the views differed at two beats in a row and neither has moved. */
-  private compareDigests(theirs: string, link: PeerLink): void {
+  private compareDigests(record: BeatRecord, link: PeerLink): void {
     const ours = this.digestFacts();
-    if (theirs === ours) {
-      this.mismatches.delete(link);
-      return;
-    }
-    const mismatch = `${theirs}/${ours}`;
-    const isLasting = this.mismatches.get(link) === mismatch;
-    this.mismatches.set(link, mismatch);
-    if (isLasting) void this.sync(link);
+    const {theirDigest, mismatch} = record;
+    const differs = theirDigest !== ours;
+    record.mismatch = differs ? `${theirDigest}/${ours}` : '';
+    if (differs && record.mismatch === mismatch) void this.sync(link);
   }
 
   /** Takes the peer's facts where the views differ, and tells it those that it lacks. */
--- a/packages/membership/src/lib/PeerLinks.ts
+++ b/packages/membership/src/lib/PeerLinks.ts
@@ -19,10 +19,10 @@
 const MEMBERS_METHOD = 'membership.members';
 const LEAVE_METHOD = 'membership.leave';
 
-/** Timeouts of links between entries: their beats come each second, so heartbeats are rare. @public */
+/** Timeouts of links between entries: beats watch over them, so that heartbeats are rare. @public */
 export const PEER_LINK_TIMEOUTS: LinkTimeouts = {
-  heartbeatMs: 2_000,
-  silenceMs: 3_500,
+  heartbeatMs: 10_000,
+  silenceMs: 10_000,
   requestMs: 5_000,
 };
 
--- a/packages/membership/src/test/PeerGossip.test.ts
+++ b/packages/membership/src/test/PeerGossip.test.ts
@@ -174,3 +174,19 @@
     await cluster.advance(1_000);
     assert.deepEqual(new Set(listViews(cluster)), new Set(['engine-1']));
   }));
+
+test('a link that stays open but carries nothing is closed; leaving takes the way round', () =>
+  runWith(3, async cluster => {
+    await cluster.get('e1').gossip.receive(buildAnnouncement());
+    await cluster.advance(1_500);
+    cluster.dropMessages('e1', 'e2');
+    const leaving = buildAnnouncement({sequence: 2, state: 'leaving'});
+    const answer = cluster.get('e1').gossip.receive(leaving);
+    const refused = assert.rejects(answer, /leaving/, 'one of two confirmed');
+    await cluster.advance(1_100);
+    await refused;
+    assert.deepEqual(listViews(cluster), ['', '', '']);
+    await cluster.advance(4_500);
+    assert.equal(cluster.get('e1').listLinks().has('e2'), false);
+    assert.equal(cluster.get('e1').listLinks().has('e3'), true);
+  }));
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -6,11 +6,8 @@
 export {HEALTHY} from './lib/engineFaults.js';
 export type {EngineFaults} from './lib/engineFaults.js';
 export {StandInEngine} from './lib/StandInEngine.js';
-export type {
-  EngineOrder,
-  EngineRun,
-  StandInEngineOptions,
-} from './lib/StandInEngine.js';
+export type {EngineRun, StandInEngineOptions} from './lib/StandInEngine.js';
+export type {EngineOrder} from './lib/EngineVersions.js';
 export {StandInService} from './lib/StandInService.js';
 export type {
   ServiceFaults,
--- /dev/null
+++ b/packages/stand-ins/src/lib/EngineVersions.ts
@@ -0,0 +1,96 @@
+import {request} from 'undici';
+import type {VersionRef} from '@sycamorehead/schema';
+import type {EngineFaults} from './engineFaults.js';
+
+/** An order as the engine took it. @public */
+export interface EngineOrder {
+  readonly action: 'load' | 'unload';
+  readonly model: string;
+  readonly version: string;
+  readonly fencing: number;
+}
+
+/** How the engine answers an order. @internal */
+export interface OrderAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Settings of EngineVersions. @internal */
+export interface EngineVersionsOptions {
+  readonly loaded: readonly VersionRef[];
+  /** Whether orders with old fencing numbers are refused. */
+  readonly checksFencing: boolean;
+  readonly faults: EngineFaults;
+  /** Base URL of the weight store; without one, loads are immediate. */
+  readonly weightStore?: string;
+}
+
+/** The versions that a stand-in engine has loaded, and the orders that change them. @internal */
+export class EngineVersions {
+  readonly orders: EngineOrder[] = [];
+  private loaded: VersionRef[];
+  /** Number of the newest order for each version; a load that it overtakes is dropped. */
+  private readonly newest = new Map<string, number>();
+  private highestFencing = 0;
+
+  constructor(private readonly options: EngineVersionsOptions) {
+    this.loaded = [...options.loaded];
+  }
+
+  /** Lists the loaded versions. */
+  list(): VersionRef[] {
+    return [...this.loaded];
+  }
+
+  /** Tells whether a version is loaded. */
+  has(ref: VersionRef): boolean {
+    return this.loaded.some(loaded => isSame(loaded, ref));
+  }
+
+  /** Takes an order; answers once the work has begun, while a load goes on behind. */
+  async execute(order: EngineOrder): Promise<OrderAnswer> {
+    const {checksFencing} = this.options;
+    if (checksFencing && order.fencing < this.highestFencing) {
+      return {status: 409, body: {error: {message: 'old fencing number'}}};
+    }
+    this.highestFencing = Math.max(this.highestFencing, order.fencing);
+    this.orders.push(order);
+    const {model, version} = order;
+    this.newest.set(`${model}/${version}`, this.orders.length);
+    if (order.action === 'load') return this.load(order);
+    this.loaded = this.loaded.filter(loaded => !isSame(loaded, order));
+    return {status: 200, body: {state: 'unloaded'}};
+  }
+
+  private async load(order: EngineOrder): Promise<OrderAnswer> {
+    const {weightStore} = this.options;
+    const number = this.orders.length;
+    if (!weightStore) {
+      this.finishLoad(order, number);
+      return {status: 200, body: {state: 'loaded'}};
+    }
+    const {model, version} = order;
+    const answer = await request(`${weightStore}/weights/${model}/${version}`);
+    if (answer.statusCode !== 200) {
+      const {error} = (await answer.body.json()) as {error: object};
+      return {status: 503, body: {error: {...error, ran: 'no'}}};
+    }
+    void answer.body
+      .text()
+      .then(() => this.finishLoad(order, number))
+      .catch(() => {});
+    return {status: 202, body: {state: 'loading'}};
+  }
+
+  private finishLoad({model, version}: EngineOrder, number: number): void {
+    if (this.options.faults.loadsNeverFinish) return;
+    if (this.newest.get(`${model}/${version}`) !== number) return;
+    if (this.has({model, version})) return;
+    this.loaded.push({model, version});
+  }
+}
+
+function isSame(left: VersionRef, right: VersionRef): boolean {
+  return left.model === right.model && left.version === right.version;
+}
--- a/packages/stand-ins/src/lib/StandInEngine.ts
+++ b/packages/stand-ins/src/lib/StandInEngine.ts
@@ -1,6 +1,5 @@
 import {createHash} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {request} from 'undici';
 import {
   Announcement,
   ChatRequest,
@@ -11,6 +10,7 @@
 import {AnnouncementSource, Announcer} from './Announcer.js';
 import {EngineBatch, EngineJob, EngineSpeed} from './EngineBatch.js';
 import {EngineFaults, HEALTHY} from './engineFaults.js';
+import {EngineOrder, EngineVersions} from './EngineVersions.js';
 import {PrefixCache} from './PrefixCache.js';
 import {StandInServer, sendJson} from './StandInServer.js';
 
@@ -33,6 +33,8 @@
   readonly serverKey: string;
   /** Base URL of the weight store; without one, loads are immediate. */
   readonly weightStore?: string;
+  /** Versions that it can hold at once; not announced where absent. */
+  readonly versionSlots?: number;
   readonly generation?: number;
 }
 
@@ -46,14 +48,6 @@
   outcome: 'running' | 'finished' | 'cancelled' | 'faulted';
 }
 
-/** An order as the engine took it. @public */
-export interface EngineOrder {
-  readonly action: 'load' | 'unload';
-  readonly model: string;
-  readonly version: string;
-  readonly fencing: number;
-}
-
 /**
  * A small model engine: batches continuously, caches prompt prefixes, honours priorities, resumes
  * and cancels, reports load late, and takes orders.
@@ -63,7 +57,6 @@
 export class StandInEngine {
   readonly faults: EngineFaults = {...HEALTHY};
   readonly runs: EngineRun[] = [];
-  readonly orders: EngineOrder[] = [];
   readonly announcer: Announcer;
   address = '';
   private readonly server: StandInServer;
@@ -71,11 +64,15 @@
   private readonly prefixes = new PrefixCache(MAX_PREFIXES);
   private readonly loads: Array<{at: number; running: number; queued: number}> =
     [];
-  private versions: VersionRef[];
-  private highestFencing = 0;
+  private readonly versions: EngineVersions;
 
   constructor(private readonly options: StandInEngineOptions) {
-    this.versions = [...options.versions];
+    this.versions = new EngineVersions({
+      loaded: options.versions,
+      checksFencing: options.fencing === 'checked',
+      faults: this.faults,
+      weightStore: options.weightStore,
+    });
     this.batch = new EngineBatch(options.speed, this.faults);
     this.server = new StandInServer((incoming, response, body) =>
       this.answer(incoming, response, body),
@@ -88,6 +85,16 @@
     });
   }
 
+  /** The orders that it took, in their order. */
+  get orders(): readonly EngineOrder[] {
+    return this.versions.orders;
+  }
+
+  /** Lists the versions that it has loaded. */
+  listVersions(): VersionRef[] {
+    return this.versions.list();
+  }
+
   /** Starts to serve and to announce. */
   async start(): Promise<string> {
     this.address = await this.server.start();
@@ -108,7 +115,8 @@
       address: this.address,
       dataCentre,
       kind: 'engine',
-      versions: [...this.versions],
+      versions: this.versions.list(),
+      versionSlots: this.options.versionSlots,
       slots: speed.slots,
       fencing,
       load: this.readLaggedLoad(),
@@ -141,7 +149,9 @@
       return;
     }
     if (route === 'POST /v1/orders') {
-      await this.answerOrder(response, JSON.parse(body) as EngineOrder);
+      const order = JSON.parse(body) as EngineOrder;
+      const answer = await this.versions.execute(order);
+      sendJson(response, answer.status, answer.body);
       return;
     }
     sendJson(response, 404, {error: {message: 'no such path', ran: 'no'}});
@@ -154,9 +164,7 @@
   ): void {
     const chat = parseChatRequest(JSON.parse(body));
     const [model = '', version = ''] = chat.model.split('/');
-    const isLoaded = this.versions.some(
-      loaded => loaded.model === model && loaded.version === version,
-    );
+    const isLoaded = this.versions.has({model, version});
     if (!isLoaded || this.faults.refuses) {
       const message = isLoaded ? 'engine is busy' : 'version is not loaded';
       sendJson(response, 503, {error: {message, ran: 'no'}});
@@ -235,38 +243,6 @@
     }
     return false;
   }
-
-  private async answerOrder(
-    response: ServerResponse,
-    order: EngineOrder,
-  ): Promise<void> {
-    const isOld = order.fencing < this.highestFencing;
-    if (isOld && this.options.fencing === 'checked') {
-      sendJson(response, 409, {error: {message: 'old fencing number'}});
-      return;
-    }
-    this.highestFencing = Math.max(this.highestFencing, order.fencing);
-    this.orders.push(order);
-    if (order.action === 'load' && !(await this.fetchWeights(order))) {
-      sendJson(response, 503, {error: {message: 'weight store refused'}});
-      return;
-    }
-    const {model, version} = order;
-    this.versions = this.versions.filter(
-      loaded => loaded.model !== model || loaded.version !== version,
-    );
-    if (order.action === 'load') this.versions.push({model, version});
-    sendJson(response, 200, {loaded: this.versions});
-  }
-
-  private async fetchWeights({model, version}: EngineOrder): Promise<boolean> {
-    if (!this.options.weightStore) return true;
-    const {statusCode, body} = await request(
-      `${this.options.weightStore}/weights/${model}/${version}`,
-    );
-    await body.dump();
-    return statusCode === 200;
-  }
 }
 
 /** Writes one answer as server-sent events. */
--- a/packages/stand-ins/src/lib/StandInWeightStore.ts
+++ b/packages/stand-ins/src/lib/StandInWeightStore.ts
@@ -30,9 +30,12 @@
         return;
       }
       this.starts.push(now);
+      // The head tells at once that the load has begun; the body takes its time.
+      response.writeHead(200, {'content-type': 'application/json'});
+      response.flushHeaders();
       await new Promise(resolve => setTimeout(resolve, options.loadMs));
       this.served += 1;
-      sendJson(response, 200, {weights: incoming.url});
+      response.end(JSON.stringify({weights: incoming.url}));
     });
   }
 
--- a/packages/stand-ins/src/lib/engineFaults.ts
+++ b/packages/stand-ins/src/lib/engineFaults.ts
@@ -12,6 +12,8 @@
   reportLagMs: number;
   /** Refuses new work with 503 and `"ran":"no"`. */
   refuses: boolean;
+  /** Begins ordered loads, but never finishes one. */
+  loadsNeverFinish?: boolean;
   /** Ignores priorities. */
   ignoresPriority: boolean;
 }
