TLS on peer links, towards callers and towards operators

Cause: keys and answers crossed the network in the clear. Change: TlsMaterial from files; WireServer and connectPeer with certificates of one authority on both ends beside the peer key; HTTPS for EntryServer and OperatorServer; a private authority for OperatorClient. Seen: a certificate of another authority, a wrong key and a link in the clear are refused; the whole path passes over TLS.

--- a/apps/syc/src/main.ts
+++ b/apps/syc/src/main.ts
@@ -43,9 +43,11 @@
 });
 
 function createClient(urls: string): OperatorClient {
+  const caFile = process.env.SYC_CONTROL_CA;
   return new OperatorClient({
     urls: urls.split(',').map(url => url.trim()),
     operatorToken: readSecret('SYC_OPERATOR_TOKEN'),
+    ca: caFile ? readFileSync(caFile) : undefined,
   });
 }
 
@@ -239,7 +241,8 @@
 
 const app = subcommands({
   name: 'syc',
-  description: "Operators' command line",
+  description:
+    "Operators' command line. SYC_OPERATOR_TOKEN (or …_FILE) holds the token, SYC_CONTROL_CA names the file of a private certificate authority",
   cmds: {
     validate,
     diff,
--- a/packages/control/src/lib/ControlClient.ts
+++ b/packages/control/src/lib/ControlClient.ts
@@ -11,6 +11,7 @@
   SycamoreheadError,
   toSycamoreheadError,
 } from '@sycamorehead/schema';
+import type {TlsMaterial} from '@sycamorehead/telemetry';
 import {PeerAddress, PeerLink, connectPeer} from '@sycamorehead/wire';
 
 /** Settings of a ControlClient. @public */
@@ -20,6 +21,7 @@
   /** Control instances, by name. */
   readonly instances: Readonly<Record<string, PeerAddress>>;
   readonly peerKey: string;
+  readonly peerTls?: TlsMaterial;
   /** Time allowed for one call with its retries, in milliseconds. */
   readonly callTimeoutMs?: number;
 }
@@ -130,6 +132,7 @@
       address,
       name: this.options.name,
       peerKey: this.options.peerKey,
+      tls: this.options.peerTls,
     });
     return this.link;
   }
--- a/packages/control/src/lib/OperatorClient.ts
+++ b/packages/control/src/lib/OperatorClient.ts
@@ -1,4 +1,4 @@
-import {request} from 'undici';
+import {Agent, Dispatcher, request} from 'undici';
 import {
   Bill,
   ReleaseNote,
@@ -17,6 +17,8 @@
   /** Base URLs of the control instances. */
   readonly urls: readonly string[];
   readonly operatorToken: string;
+  /** Authority that signed the control instances' certificates, where it is a private one. */
+  readonly ca?: Buffer;
 }
 
 /**
@@ -25,7 +27,12 @@
  * @public
  */
 export class OperatorClient {
-  constructor(private readonly options: OperatorClientOptions) {}
+  private readonly dispatcher: Dispatcher | undefined;
+
+  constructor(private readonly options: OperatorClientOptions) {
+    const {ca} = options;
+    this.dispatcher = ca && new Agent({connect: {ca}});
+  }
 
   /** Publishes a release note; resending the same one is safe. */
   publish(note: ReleaseNote): Promise<PublishResult> {
@@ -76,6 +83,7 @@
   ): Promise<Result> {
     const {body} = await request(new URL('/rpc', url), {
       method: 'POST',
+      dispatcher: this.dispatcher,
       headersTimeout: CALL_TIMEOUT_MS,
       bodyTimeout: CALL_TIMEOUT_MS,
       headers: {
--- a/packages/control/src/lib/OperatorServer.ts
+++ b/packages/control/src/lib/OperatorServer.ts
@@ -1,4 +1,5 @@
 import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
+import {createServer as createTlsServer} from 'node:https';
 import type {AddressInfo} from 'node:net';
 import {
   JSONRPCErrorException,
@@ -11,6 +12,7 @@
   releaseNoteSchema,
   toSycamoreheadError,
 } from '@sycamorehead/schema';
+import type {TlsMaterial} from '@sycamorehead/telemetry';
 import type {ControlNode} from './ControlNode.js';
 
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
@@ -22,6 +24,7 @@
   readonly host: string;
   readonly port: number;
   readonly operatorToken: string;
+  readonly tls?: TlsMaterial;
 }
 
 type OperatorHandler = (params: Record<string, unknown>) => Promise<unknown>;
@@ -36,9 +39,10 @@
   private readonly rpc = new JSONRPCServer({errorListener: () => {}});
 
   constructor(private readonly options: OperatorServerOptions) {
-    this.server = createServer((request, response) => {
+    const handle = (request: IncomingMessage, response: ServerResponse) =>
       void this.answer(request, response);
-    });
+    const {tls} = options;
+    this.server = tls ? createTlsServer(tls, handle) : createServer(handle);
     for (const [name, handler] of Object.entries(this.getHandlers())) {
       this.rpc.addMethod(name, params => runHandler(handler, params));
     }
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -9,6 +9,7 @@
   EntryMetrics,
   createEntryMetrics,
   createLogger,
+  TlsMaterial,
 } from '@sycamorehead/telemetry';
 import {
   BackendServerDirectory,
@@ -51,6 +52,10 @@
   readonly peers: readonly PeerAddress[];
   /** Key that links between the system's own instances prove. */
   readonly peerKey: string;
+  /** TLS on links between the system's own instances. */
+  readonly peerTls?: TlsMaterial;
+  /** TLS towards callers and backend servers. */
+  readonly tls?: TlsMaterial;
   /** Key that backend servers prove when they announce themselves. */
   readonly serverKey: string;
   readonly control: ControlApi & Partial<PlacementApi>;
@@ -92,7 +97,7 @@
   private isRefusing = false;
 
   constructor(private readonly options: EntryOptions) {
-    const {name, peerKey, peers, control, policies} = options;
+    const {name, peerKey, peerTls, peers, control, policies} = options;
     const {directory, metrics} = this;
     this.configuration = new ConfigurationManager(name, control);
     this.router = new Router({directory, ...policies});
@@ -100,12 +105,13 @@
     const timeouts = options.timeouts ?? DEFAULT_ENTRY_TIMEOUTS;
     this.backends = new BackendClient(backendTimeouts);
     this.commits = new CommitQueue(timeouts.commitWaitMs);
-    this.gossip = new PeerGossip({name, peers, peerKey, directory});
+    this.gossip = new PeerGossip({name, peers, peerKey, peerTls, directory});
     this.reporter = new ServerReporter(name, directory, control);
     this.peerServer = new WireServer({
       host: options.host,
       port: options.peerPort,
       peerKey,
+      tls: peerTls,
       methods: this.gossip.getMethods(),
       timeouts: PEER_LINK_TIMEOUTS,
     });
@@ -130,7 +136,7 @@
       directory,
       serviceMs: backendTimeouts.serviceMs,
     });
-    this.server = new EntryServer(this.getRoutes());
+    this.server = new EntryServer(this.getRoutes(), options.tls);
   }
 
   /** Starts everything and returns the ports. */
--- a/packages/entry/src/lib/EntryServer.ts
+++ b/packages/entry/src/lib/EntryServer.ts
@@ -1,7 +1,8 @@
 import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
+import {createServer as createTlsServer} from 'node:https';
 import type {AddressInfo} from 'node:net';
 import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
-import {createLogger} from '@sycamorehead/telemetry';
+import {TlsMaterial, createLogger} from '@sycamorehead/telemetry';
 import {Exchange} from './Exchange.js';
 
 const log = createLogger('http');
@@ -25,15 +26,20 @@
 export class EntryServer {
   private readonly server: Server;
 
-  constructor(private readonly routes: readonly Route[]) {
-    this.server = createServer(
-      {
-        maxHeaderSize: MAX_HEADER_BYTES,
-        headersTimeout: HEAD_TIMEOUT_MS,
-        requestTimeout: REQUEST_TIMEOUT_MS,
-      },
-      (request, response) => void this.answer(request, response),
-    );
+  constructor(
+    private readonly routes: readonly Route[],
+    tls?: TlsMaterial,
+  ) {
+    const limits = {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      headersTimeout: HEAD_TIMEOUT_MS,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+    };
+    const handle = (request: IncomingMessage, response: ServerResponse) =>
+      void this.answer(request, response);
+    this.server = tls
+      ? createTlsServer({...limits, ...tls}, handle)
+      : createServer(limits, handle);
   }
 
   /** Starts to listen and returns the port. */
--- a/packages/membership/src/lib/PeerGossip.ts
+++ b/packages/membership/src/lib/PeerGossip.ts
@@ -1,5 +1,5 @@
 import {Announcement, SycamoreheadError} from '@sycamorehead/schema';
-import {createLogger} from '@sycamorehead/telemetry';
+import {TlsMaterial, createLogger} from '@sycamorehead/telemetry';
 import {MethodTable, PeerAddress, PeerLink} from '@sycamorehead/wire';
 import type {BackendServerDirectory} from './BackendServerDirectory.js';
 import {chooseSubset} from './chooseSubset.js';
@@ -30,6 +30,7 @@
   /** Entries to join through. */
   readonly peers: readonly PeerAddress[];
   readonly peerKey: string;
+  readonly peerTls?: TlsMaterial;
   readonly directory: BackendServerDirectory;
   /** Takes the place of real links, for tests. */
   readonly peerSet?: PeerSet;
@@ -88,6 +89,7 @@
       name: options.name,
       seeds: options.peers,
       peerKey: options.peerKey,
+      peerTls: options.peerTls,
       onLinked: (name, link) => this.handleLinked(name, link),
       getMethods: () => this.getMethods(),
     });
--- a/packages/membership/src/lib/PeerLinks.ts
+++ b/packages/membership/src/lib/PeerLinks.ts
@@ -1,4 +1,4 @@
-import {createLogger} from '@sycamorehead/telemetry';
+import {TlsMaterial, createLogger} from '@sycamorehead/telemetry';
 import {
   LinkTimeouts,
   MethodTable,
@@ -47,6 +47,7 @@
   /** Entries to join through. */
   readonly seeds: readonly PeerAddress[];
   readonly peerKey: string;
+  readonly peerTls?: TlsMaterial;
   /** Called with each new link. */
   readonly onLinked: (name: string, link: PeerLink) => void;
   /** Methods that the other end of a dialled link may call. */
@@ -232,7 +233,7 @@
 
   /** Dials an entry and joins it; returns its name where it answered. */
   private async connect(address: PeerAddress): Promise<string | undefined> {
-    const {name, peerKey, getMethods} = this.options;
+    const {name, peerKey, peerTls, getMethods} = this.options;
     if (!this.own) return undefined;
     const {host, port} = address;
     try {
@@ -240,6 +241,7 @@
         address: {host, port},
         name,
         peerKey,
+        tls: peerTls,
         methods: getMethods(),
         timeouts: PEER_LINK_TIMEOUTS,
       });
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -7,4 +7,7 @@
 export type {LogFields, Logger} from './lib/createLogger.js';
 export {createEntryMetrics} from './lib/createMetrics.js';
 export type {EntryMetrics} from './lib/createMetrics.js';
+export {createTlsOptions} from './lib/createTlsOptions.js';
+export {readTls} from './lib/readTls.js';
+export type {TlsFiles, TlsMaterial} from './lib/readTls.js';
 export {readSecret, readSettings} from './lib/readSettings.js';
--- a/packages/wire/src/lib/WireServer.ts
+++ b/packages/wire/src/lib/WireServer.ts
@@ -1,6 +1,7 @@
 import {Server, Socket, createServer} from 'node:net';
+import {createServer as createTlsServer} from 'node:tls';
 import type {AddressInfo} from 'node:net';
-import {createLogger} from '@sycamorehead/telemetry';
+import {TlsMaterial, createLogger} from '@sycamorehead/telemetry';
 import {SycamoreheadError, isSameKey} from '@sycamorehead/schema';
 import {createSocketChannel} from './MessageChannel.js';
 import {
@@ -32,6 +33,8 @@
   readonly peerKey: string;
   readonly methods: MethodTable;
   readonly timeouts?: LinkTimeouts;
+  /** Turns TLS on; with an authority, peers must present a certificate that it signed. */
+  readonly tls?: TlsMaterial;
 }
 
 /**
@@ -44,7 +47,14 @@
   private readonly links = new Set<PeerLink>();
 
   constructor(private readonly options: WireServerOptions) {
-    this.server = createServer(socket => this.acceptSocket(socket));
+    const accept = (socket: Socket) => this.acceptSocket(socket);
+    const {tls} = options;
+    this.server = tls
+      ? createTlsServer(
+          {...tls, requestCert: tls.ca !== undefined, rejectUnauthorized: true},
+          accept,
+        )
+      : createServer(accept);
     this.server.maxConnections = MAX_LINKS;
   }
 
--- a/packages/wire/src/lib/connectPeer.ts
+++ b/packages/wire/src/lib/connectPeer.ts
@@ -1,5 +1,7 @@
 import {Socket, connect} from 'node:net';
+import {connect as connectTls} from 'node:tls';
 import {SycamoreheadError} from '@sycamorehead/schema';
+import type {TlsMaterial} from '@sycamorehead/telemetry';
 import {createSocketChannel} from './MessageChannel.js';
 import {
   DEFAULT_LINK_TIMEOUTS,
@@ -25,6 +27,8 @@
   readonly peerKey: string;
   readonly methods?: MethodTable;
   readonly timeouts?: LinkTimeouts;
+  /** Turns TLS on; the peer's certificate must be signed by its authority. */
+  readonly tls?: TlsMaterial;
 }
 
 /**
@@ -61,7 +65,7 @@
  * @public
  */
 export async function connectPeer(options: ConnectOptions): Promise<PeerLink> {
-  const socket = await openSocket(options.address);
+  const socket = await openSocket(options.address, options.tls);
   const link = new PeerLink(
     createSocketChannel(socket),
     options.methods ?? {},
@@ -79,9 +83,12 @@
   return link;
 }
 
-function openSocket(address: PeerAddress): Promise<Socket> {
+function openSocket(
+  address: PeerAddress,
+  tls: TlsMaterial | undefined,
+): Promise<Socket> {
   return new Promise((resolve, reject) => {
-    const socket = connect(address);
+    const socket = tls ? connectTls({...address, ...tls}) : connect(address);
     const fail = (reason: string) => {
       socket.destroy();
       const target = `${address.host}:${address.port}`;
@@ -95,7 +102,7 @@
       clearTimeout(timer);
       fail(error.message);
     });
-    socket.once('connect', () => {
+    socket.once(tls ? 'secureConnect' : 'connect', () => {
       clearTimeout(timer);
       resolve(socket);
     });
