--- a/packages/wire/src/lib/PeerLink.ts
+++ b/packages/wire/src/lib/PeerLink.ts
@@ -61,6 +61,7 @@
   private readonly heartbeat: NodeJS.Timeout;
   private lastHeardAt = performance.now();
   private closed = false;
+  private serving = 0;
 
   constructor(
     private readonly channel: MessageChannel,
@@ -83,6 +84,11 @@
     this.heartbeat.unref();
   }
 
+  /** Requests of the other end that are being served here. */
+  get servingCount(): number {
+    return this.serving;
+  }
+
   /** Whether the link has been closed by either end. */
   get isClosed(): boolean {
     return this.closed;
@@ -162,6 +168,7 @@
   }
 
   private receive(message: unknown): void {
+    if (this.closed) return;
     this.lastHeardAt = performance.now();
     // The library's type guards throw on null, and batches are not part of the protocol.
     if (!isPlainObject(message)) {
@@ -180,8 +187,13 @@
   }
 
   private async serve(message: JSONRPCRequest): Promise<void> {
-    const answer = await this.server.receive(message);
-    if (answer && !this.closed) this.channel.send(answer);
+    this.serving += 1;
+    try {
+      const answer = await this.server.receive(message);
+      if (answer && !this.closed) this.channel.send(answer);
+    } finally {
+      this.serving -= 1;
+    }
   }
 
   private async runHandler(
