--- a/packages/bench/src/lib/experiments/membership.ts
+++ b/packages/bench/src/lib/experiments/membership.ts
@@ -115,7 +115,7 @@
 }
 
 /** Membership: how soon entries stop using a server, and what that costs. @internal */
-export const MEMBERSHIP_EXPERIMENT: Experiment = {
+export const membership: Experiment = {
   summary: 'time to stop using a server; cost and evenness by servers',
   run,
 };
--- a/packages/entry/src/lib/EntryServer.ts
+++ b/packages/entry/src/lib/EntryServer.ts
@@ -1,7 +1,8 @@
 import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
+import {createServer as createTlsServer} from 'node:https';
 import type {AddressInfo} from 'node:net';
 import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
-import {createLogger} from '@sycamorehead/telemetry';
+import {TlsMaterial, createLogger} from '@sycamorehead/telemetry';
 import {Exchange} from './Exchange.js';
 
 const log = createLogger('http');
@@ -9,6 +10,7 @@
 const MAX_HEADER_BYTES = 16 * 1024;
 const HEAD_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 60_000;
+const IDLE_SWEEP_MS = 50;
 
 /** Serves one exchange; what it throws is sent as the answer. @public */
 export type RouteHandler = (exchange: Exchange) => Promise<void> | void;
@@ -25,15 +27,20 @@
 export class EntryServer {
   private readonly server: Server;
 
-  constructor(private readonly routes: readonly Route[]) {
-    this.server = createServer(
-      {
-        maxHeaderSize: MAX_HEADER_BYTES,
-        headersTimeout: HEAD_TIMEOUT_MS,
-        requestTimeout: REQUEST_TIMEOUT_MS,
-      },
-      (request, response) => void this.answer(request, response),
-    );
+  constructor(
+    private readonly routes: readonly Route[],
+    tls?: TlsMaterial,
+  ) {
+    const limits = {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      headersTimeout: HEAD_TIMEOUT_MS,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+    };
+    const handle = (request: IncomingMessage, response: ServerResponse) =>
+      void this.answer(request, response);
+    this.server = tls
+      ? createTlsServer({...limits, ...tls}, handle)
+      : createServer(limits, handle);
   }
 
   /** Starts to listen and returns the port. */
@@ -47,10 +54,16 @@
 
   /** Lets open exchanges finish and stops. */
   async stop(): Promise<void> {
+    // A connection whose last answer ends after this call would otherwise stay open while idle.
+    const sweep = setInterval(
+      () => this.server.closeIdleConnections(),
+      IDLE_SWEEP_MS,
+    );
     await new Promise<void>(resolve => {
       this.server.close(() => resolve());
       this.server.closeIdleConnections();
     });
+    clearInterval(sweep);
   }
 
   private async answer(
--- a/packages/wire/src/lib/PeerLink.ts
+++ b/packages/wire/src/lib/PeerLink.ts
@@ -4,7 +4,6 @@
   JSONRPCRequest,
   JSONRPCServer,
   isJSONRPCRequest,
-  isJSONRPCRequests,
   isJSONRPCResponse,
 } from 'json-rpc-2.0';
 import {
@@ -62,6 +61,7 @@
   private readonly heartbeat: NodeJS.Timeout;
   private lastHeardAt = performance.now();
   private closed = false;
+  private serving = 0;
 
   constructor(
     private readonly channel: MessageChannel,
@@ -84,6 +84,11 @@
     this.heartbeat.unref();
   }
 
+  /** Requests of the other end that are being served here. */
+  get servingCount(): number {
+    return this.serving;
+  }
+
   /** Whether the link has been closed by either end. */
   get isClosed(): boolean {
     return this.closed;
@@ -163,23 +168,32 @@
   }
 
   private receive(message: unknown): void {
+    if (this.closed) return;
     this.lastHeardAt = performance.now();
+    // The library's type guards throw on null, and batches are not part of the protocol.
+    if (!isPlainObject(message)) {
+      this.close('frame is not a JSON object');
+      return;
+    }
     if (isJSONRPCResponse(message)) {
       this.client.receive(message);
       return;
     }
-    if (isJSONRPCRequest(message) || isJSONRPCRequests(message)) {
+    if (isJSONRPCRequest(message)) {
       void this.serve(message);
       return;
     }
     this.close('frame is not JSON-RPC 2.0');
   }
 
-  private async serve(
-    message: JSONRPCRequest | JSONRPCRequest[],
-  ): Promise<void> {
-    const answer = await this.server.receive(message as JSONRPCRequest);
-    if (answer && !this.closed) this.channel.send(answer);
+  private async serve(message: JSONRPCRequest): Promise<void> {
+    this.serving += 1;
+    try {
+      const answer = await this.server.receive(message);
+      if (answer && !this.closed) this.channel.send(answer);
+    } finally {
+      this.serving -= 1;
+    }
   }
 
   private async runHandler(
@@ -198,6 +212,12 @@
   }
 }
 
+function isPlainObject(message: unknown): message is object {
+  return (
+    typeof message === 'object' && message !== null && !Array.isArray(message)
+  );
+}
+
 function readRemoteError(error: unknown, method: string): SycamoreheadError {
   if (error instanceof SycamoreheadError) return error;
   if (error instanceof JSONRPCErrorException) {
