--- a/packages/bench/src/test/DeliveryHarness.ts
+++ b/packages/bench/src/test/DeliveryHarness.ts
@@ -4,6 +4,7 @@
 import {
   Announcement,
   ReleaseNote,
+  VersionRef,
   hashKey,
   releaseNoteSchema,
 } from '@sycamorehead/schema';
@@ -64,6 +65,8 @@
   readonly entries: number;
   readonly engines?: number;
   readonly replicas?: number;
+  /** Name of the plain service that the replicas serve. */
+  readonly service?: string;
   readonly note?: ReleaseNote;
   readonly leaseMs?: number;
   readonly entryOptions?: Partial<EntryOptions>;
@@ -104,7 +107,8 @@
       await this.startEngine(`engine-${index}`);
     }
     for (let index = 1; index <= (this.options.replicas ?? 0); index++) {
-      await this.startReplica(`orders-${index}`, 'orders');
+      const service = this.options.service ?? 'orders';
+      await this.startReplica(`${service}-${index}`, service);
     }
     this.timer = setInterval(() => this.announceAll(), REPEAT_MS);
     await this.waitFor(() => this.entries.every(entry => entry.isReady()));
@@ -188,9 +192,9 @@
     if (before) this.announce({...before, state: 'leaving'});
   }
 
-  /** Announces engines that a test brings with it, with both versions loaded. */
+  /** Announces an engine that has every version loaded. */
   announceEngine(id: string, address: string): void {
-    const versions = ['v1', 'v2'].map(version => ({model: 'm', version}));
+    const versions = this.listVersions();
     this.announce({id, address, kind: 'engine', versions});
   }
 
@@ -246,11 +250,17 @@
     );
   }
 
+  /** Lists the versions of the first note: every engine has them loaded. */
+  private listVersions(): VersionRef[] {
+    const {versions} = (this.options.note ?? buildFirstNote()).add;
+    return versions.map(({model, version}) => ({model, version}));
+  }
+
   private async startEngine(id: string): Promise<void> {
     const engine = new StandInEngine({
       id,
       dataCentre: 'dc-1',
-      versions: ['v1', 'v2'].map(version => ({model: 'm', version})),
+      versions: this.listVersions(),
       speed: SPEED,
       fencing: 'ignored',
       entries: [],
--- a/packages/bench/src/test/TestCaller.ts
+++ b/packages/bench/src/test/TestCaller.ts
@@ -25,6 +25,8 @@
   readonly session?: string;
   readonly key?: string;
   readonly model?: string;
+  /** Another customer's key than the caller's own. */
+  readonly customerKey?: string;
   /** Breaks the connection off after this many frames. */
   readonly leaveAfterFrames?: number;
 }
@@ -59,7 +61,7 @@
         dispatcher: this.agent,
         signal: aborter.signal,
         headers: {
-          authorization: `Bearer ${this.customerKey}`,
+          authorization: `Bearer ${call.customerKey ?? this.customerKey}`,
           ...(session && {'sycamorehead-session': session}),
           ...(key && {'idempotency-key': key}),
         },
@@ -89,13 +91,14 @@
     path: string,
     key?: string,
     body = method === 'POST' ? '{"amount":1}' : undefined,
+    customerKey = this.customerKey,
   ): Promise<CallerView> {
     try {
       const answer = await request(`${this.url}/services/${path}`, {
         method,
         dispatcher: this.agent,
         headers: {
-          authorization: `Bearer ${this.customerKey}`,
+          authorization: `Bearer ${customerKey}`,
           ...(key && {'idempotency-key': key}),
         },
         body,
