syc bills: totals, unknown outcomes and the check of answers against bills

Cause: the bills' totals were summed over whatever the table still held, and nothing compared answers with bills. An answer withheld for its bill advised a retry, which without a key runs again. A request that every engine had refused got no advice on when to come back.

New kind bill_pending (ran yes; retry advice only with a key). Refused by every engine: no_backend_server with ran no and retry advice.

--- /dev/null
+++ b/apps/syc/src/billsCommand.ts
@@ -0,0 +1,89 @@
+import {readFileSync} from 'node:fs';
+import {boolean, command, flag, option, optional, string} from 'cmd-ts';
+import type {LedgerReport, OperatorClient} from '@sycamorehead/control';
+import {Bill, SycamoreheadError} from '@sycamorehead/schema';
+import {compareAnswers} from './compareAnswers.js';
+
+/** What the command needs of the program around it. @internal */
+export interface BillsParts {
+  readonly control: ReturnType<typeof option<typeof string>>;
+  readonly createClient: (urls: string) => OperatorClient;
+  readonly runReporting: (work: () => Promise<void>) => Promise<void>;
+}
+
+/** Builds `syc bills`. @internal */
+export function buildBillsCommand(parts: BillsParts) {
+  return command({
+    name: 'bills',
+    description:
+      'prints the totals and checks that each answered request has exactly one bill',
+    args: {
+      control: parts.control,
+      json: flag({
+        type: boolean,
+        long: 'json',
+        description: 'print the bills and the report as JSON',
+      }),
+      customer: option({
+        type: optional(string),
+        long: 'customer',
+        description: 'only the bills of this customer',
+      }),
+      answers: option({
+        type: optional(string),
+        long: 'answers',
+        description:
+          "entries' logs; each request that they released an answer for must have one bill",
+      }),
+    },
+    handler: args =>
+      parts.runReporting(async () => {
+        const client = parts.createClient(args.control);
+        const [bills, report] = [
+          await client.listBills(args.customer),
+          await client.readLedger(),
+        ];
+        if (args.json) console.log(JSON.stringify({bills, ...report}));
+        else showReport(report, args.customer);
+        checkReport(report);
+        if (args.answers) checkAnswers(args.answers, bills, args.customer);
+      }),
+  });
+}
+
+function showReport(report: LedgerReport, customer?: string): void {
+  for (const total of report.totals) {
+    if (customer && total.customer !== customer) continue;
+    console.log(
+      `customer=${total.customer} item=${total.item} bills=${total.bills} amount_micros=${total.amountMicros}`,
+    );
+  }
+  for (const key of report.unknown) console.log(`unknown_outcome=${key}`);
+  console.log(
+    `unbilled=${report.unbilled.length} unknown=${report.unknown.length} folded=${report.foldedBills}`,
+  );
+}
+
+function checkReport({unbilled}: LedgerReport): void {
+  if (unbilled.length === 0) return;
+  throw new SycamoreheadError(
+    'internal',
+    `${unbilled.length} requests are done without a bill, first ${unbilled[0]}`,
+  );
+}
+
+function checkAnswers(
+  file: string,
+  bills: readonly Bill[],
+  customer?: string,
+): void {
+  const result = compareAnswers(readFileSync(file, 'utf8'), bills, customer);
+  console.log(
+    `answers=${result.answers} billed_once=${result.billedOnce} missing=${result.missing.length}`,
+  );
+  if (result.missing.length === 0) return;
+  throw new SycamoreheadError(
+    'internal',
+    `${result.missing.length} answered requests have no bill, first ${result.missing[0]}`,
+  );
+}
--- /dev/null
+++ b/apps/syc/src/compareAnswers.ts
@@ -0,0 +1,36 @@
+import type {Bill} from '@sycamorehead/schema';
+
+/** What a comparison of released answers with the bills found. @internal */
+export interface AnswerComparison {
+  /** Requests with a released answer; a resend of one is the same request. */
+  readonly answers: number;
+  readonly billedOnce: number;
+  /** Keys of requests that were answered but have no bill. */
+  readonly missing: readonly string[];
+}
+
+const RELEASED = /event=answer_released\b.*?\srequest_key=("[^"]*"|\S+)/;
+
+/** Compares the entries' log lines of released answers with the bills. @internal */
+export function compareAnswers(
+  log: string,
+  bills: readonly Bill[],
+  customer?: string,
+): AnswerComparison {
+  const answered = new Set<string>();
+  for (const line of log.split('\n')) {
+    const key = RELEASED.exec(line)?.[1];
+    if (key === undefined) continue;
+    const text = key.startsWith('"') ? (JSON.parse(key) as string) : key;
+    if (customer && !text.startsWith(`${customer}/`)) continue;
+    answered.add(text);
+  }
+  // The ledger holds at most one bill for a key, so a bill that is there is the only one.
+  const billed = new Set(bills.map(({requestKey}) => requestKey));
+  const missing = [...answered].filter(key => !billed.has(key));
+  return {
+    answers: answered.size,
+    billedOnce: answered.size - missing.length,
+    missing,
+  };
+}
--- a/apps/syc/src/main.ts
+++ b/apps/syc/src/main.ts
@@ -5,7 +5,6 @@
   flag,
   number,
   option,
-  optional,
   positional,
   run,
   string,
@@ -24,6 +23,7 @@
   toSycamoreheadError,
 } from '@sycamorehead/schema';
 import {readSecret} from '@sycamorehead/telemetry';
+import {buildBillsCommand} from './billsCommand.js';
 import {describeChanges} from './describeChanges.js';
 import {formatRollout} from './formatRollout.js';
 
@@ -195,40 +195,6 @@
     }),
 });
 
-const bills = command({
-  name: 'bills',
-  description: 'lists the bills and their totals',
-  args: {
-    control,
-    json,
-    customer: option({
-      type: optional(string),
-      long: 'customer',
-      description: 'only the bills of this customer',
-    }),
-  },
-  handler: args =>
-    runReporting(async () => {
-      const list = await createClient(args.control).listBills(args.customer);
-      if (args.json) {
-        console.log(JSON.stringify(list));
-        return;
-      }
-      const totals = new Map<string, {count: number; micros: number}>();
-      for (const bill of list) {
-        const total = totals.get(bill.customer) ?? {count: 0, micros: 0};
-        total.count += 1;
-        total.micros += bill.amountMicros;
-        totals.set(bill.customer, total);
-      }
-      for (const [customer, {count, micros}] of totals) {
-        console.log(
-          `customer=${customer} bills=${count} amount_micros=${micros}`,
-        );
-      }
-    }),
-});
-
 const hashKeyCommand = command({
   name: 'hash-key',
   description: 'prints the hash of the key on the standard input',
@@ -249,7 +215,7 @@
     publish,
     'in-force': inForce,
     status,
-    bills,
+    bills: buildBillsCommand({control, createClient, runReporting}),
     'hash-key': hashKeyCommand,
   },
 });
--- a/packages/control/src/lib/OperatorClient.ts
+++ b/packages/control/src/lib/OperatorClient.ts
@@ -7,6 +7,7 @@
 } from '@sycamorehead/schema';
 import type {LogStatus} from '@sycamorehead/consensus';
 import type {InForceReport} from './ControlNode.js';
+import type {LedgerReport} from './Ledger.js';
 import type {PublishResult} from './controlCommands.js';
 import type {RolloutStatus} from './reconciler/describeRollout.js';
 
@@ -44,6 +45,11 @@
     return this.call('inForce', {});
   }
 
+  /** Reads the ledger's totals, checked against the request records. */
+  readLedger(): Promise<LedgerReport> {
+    return this.call('ledger', {});
+  }
+
   /** Lists the bills. */
   listBills(customer?: string): Promise<Bill[]> {
     return this.call('bills', customer ? {customer} : {});
--- a/packages/control/src/lib/OperatorServer.ts
+++ b/packages/control/src/lib/OperatorServer.ts
@@ -73,6 +73,7 @@
       inForce: () => node.readInForce(),
       status: async () => node.readStatus(),
       rollouts: () => node.listRollouts(),
+      ledger: () => node.checkLedger(),
       bills: params =>
         node.listBills(
           typeof params.customer === 'string' ? params.customer : undefined,
--- a/packages/entry/src/lib/AnswerSource.ts
+++ b/packages/entry/src/lib/AnswerSource.ts
@@ -100,7 +100,14 @@
     const {aborted, reason} = this.signal;
     if (aborted) throw markRan(toSycamoreheadError(reason), this.hasRun);
     if (this.attempts < MAX_ATTEMPTS && !this.isRefusedHere(error)) return;
-    throw markRan(error, this.hasRun);
+    if (this.hasRun || error.kind !== 'backend_failed') {
+      throw markRan(error, this.hasRun);
+    }
+    throw new SycamoreheadError(
+      'no_backend_server',
+      `no engine took the request: ${error.message}`,
+      {cause: error},
+    );
   }
 
   private async *runAttempt(): AsyncGenerator<AnswerFrame> {
--- a/packages/entry/src/lib/ChatService.ts
+++ b/packages/entry/src/lib/ChatService.ts
@@ -126,6 +126,7 @@
     const stored = await keyed.begin();
     if (stored) {
       exchange.sendStored(stored);
+      exchange.logReleased(requestKey, true);
       return;
     }
     try {
@@ -190,6 +191,7 @@
         this.observeFirstToken(task);
       });
       await delivery.send((text, last) => commit(answer, text, last));
+      task.exchange.logReleased(task.requestKey);
     } finally {
       ticket.release();
     }
--- a/packages/entry/src/lib/CommitQueue.ts
+++ b/packages/entry/src/lib/CommitQueue.ts
@@ -35,8 +35,8 @@
   /**
    * Sends a commit until it is acknowledged, and returns its result.
    *
-   * @throws SycamoreheadError `control_unavailable` with `ran: 'yes'` where it is not acknowledged
-   * in time; it is then still sent again.
+   * @throws SycamoreheadError `bill_pending` where it is not acknowledged in time; it is then
+   * still sent again.
    * @example
    * ```ts
    * await commits.commit(bill.requestKey, () => control.recordBill(bill));
@@ -118,8 +118,7 @@
 
 function createLateError(requestKey: string): SycamoreheadError {
   return new SycamoreheadError(
-    'control_unavailable',
+    'bill_pending',
     `request ${requestKey} was run; its bill is still being recorded, so the answer is withheld`,
-    {ran: 'yes'},
   );
 }
--- a/packages/entry/src/lib/Exchange.ts
+++ b/packages/entry/src/lib/Exchange.ts
@@ -8,6 +8,9 @@
   getErrorAnswer,
   toSycamoreheadError,
 } from '@sycamorehead/schema';
+import {createLogger} from '@sycamorehead/telemetry';
+
+const log = createLogger('answers');
 
 const MAX_KEY_LENGTH = 200;
 
@@ -104,6 +107,15 @@
     );
   }
 
+  /** Logs that a whole answer was released, for the comparison with the bills. */
+  logReleased(requestKey: string, replayed?: boolean): void {
+    log('answer_released', {
+      request: this.requestId,
+      request_key: requestKey,
+      replayed,
+    });
+  }
+
   /** Sends a stored answer again. */
   sendStored(answer: StoredAnswer): void {
     const {origin, status, contentType, body} = answer;
--- a/packages/entry/src/lib/KeyedRequest.ts
+++ b/packages/entry/src/lib/KeyedRequest.ts
@@ -15,6 +15,9 @@
 /** Time for which a failure's answer waits for its commit, in milliseconds. */
 const FAILURE_WAIT_MS = 250;
 
+/** Advice to a caller whose answer waits for its record, in milliseconds. */
+const PENDING_RETRY_MS = 1_000;
+
 /** What a KeyedRequest works with. @public */
 export interface KeyedRequestParts {
   readonly control: ControlApi;
@@ -81,11 +84,11 @@
   /**
    * Commits the result with its bill; the answer may be released once this returns.
    *
-   * @throws SycamoreheadError `control_unavailable` with `ran: 'yes'`, or `in_progress` where
-   * another owner has taken the request over.
+   * @throws SycamoreheadError `bill_pending`, or `in_progress` where another owner has taken the
+   * request over.
    */
   async complete(answer: StoredAnswer, bill: Bill): Promise<void> {
-    const {isAccepted} = await this.finish({outcome: 'done', answer, bill});
+    const isAccepted = await this.commitResult(answer, bill);
     if (isAccepted) return;
     throw new SycamoreheadError(
       'in_progress',
@@ -93,9 +96,28 @@
     );
   }
 
+  private async commitResult(
+    answer: StoredAnswer,
+    bill: Bill,
+  ): Promise<boolean> {
+    try {
+      const result = await this.finish({outcome: 'done', answer, bill});
+      return result.isAccepted;
+    } catch (thrown) {
+      const error = toSycamoreheadError(thrown);
+      if (error.kind !== 'bill_pending') throw error;
+      // The same key finds the stored answer later; without a key a repeat would run again.
+      throw new SycamoreheadError(error.kind, error.message, {
+        retryAfterMs: PENDING_RETRY_MS,
+      });
+    }
+  }
+
   /** Commits that the request was not run, or that this cannot be known; returns the answer. */
   async fail(thrown: unknown): Promise<SycamoreheadError> {
     const error = toSycamoreheadError(thrown);
+    // Its result is being committed, and nothing that is said here may replace it.
+    if (error.kind === 'bill_pending') return error;
     const isNotRun = error.ran === 'no';
     try {
       const outcome = isNotRun ? 'not_run' : 'unknown';
--- a/packages/entry/src/lib/PlainServiceProxy.ts
+++ b/packages/entry/src/lib/PlainServiceProxy.ts
@@ -134,7 +134,7 @@
       this.parts.control.recordBill(bill),
     );
     if (isNew) this.countBill(bill);
-    sendAnswer(task.exchange, answer);
+    sendAnswer(task, answer);
   }
 
   private async runKeyed(task: ServiceTask): Promise<void> {
@@ -150,6 +150,7 @@
     const stored = await keyed.begin();
     if (stored) {
       exchange.sendStored(stored);
+      exchange.logReleased(requestKey, true);
       return;
     }
     let answer: StoredAnswer;
@@ -161,7 +162,7 @@
     const bill = buildBill(task, answer);
     await keyed.complete(answer, bill);
     this.countBill(bill);
-    sendAnswer(exchange, answer);
+    sendAnswer(task, answer);
   }
 
   private countBill({customer, item, amountMicros}: Bill): void {
@@ -188,7 +189,11 @@
   return computeDigest([call.method, service, path, search, content]);
 }
 
-function sendAnswer(exchange: Exchange, answer: StoredAnswer): void {
+function sendAnswer(
+  {exchange, requestKey}: ServiceTask,
+  answer: StoredAnswer,
+): void {
   const {status, contentType, body} = answer;
+  exchange.logReleased(requestKey);
   exchange.sendBody(status, contentType, Buffer.from(body, 'base64'));
 }
--- a/packages/schema/src/lib/errorKinds.ts
+++ b/packages/schema/src/lib/errorKinds.ts
@@ -40,6 +40,7 @@
     exitCode: 20,
   },
   answer_not_kept: {status: 410, ran: 'yes', exitCode: 36},
+  bill_pending: {status: 503, ran: 'yes', exitCode: 37},
   caller_gone: {status: 499, ran: 'unknown', exitCode: 35},
   outcome_unknown: {status: 502, ran: 'unknown', exitCode: 21},
   version_withdrawn: {status: 410, ran: 'no', exitCode: 22},
