--- a/packages/bench/src/lib/Demo.ts
+++ b/packages/bench/src/lib/Demo.ts
@@ -1,11 +1,11 @@
 import {randomBytes} from 'node:crypto';
-import {SingleVoterLog} from '@sycamorehead/consensus';
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
 import {
   ControlClient,
-  ControlNode,
+  ControlInstance,
   OperatorClient,
-  OperatorServer,
-  createControlMethods,
 } from '@sycamorehead/control';
 import {Entry} from '@sycamorehead/entry';
 import {ReleaseNote, hashKey, parseReleaseNote} from '@sycamorehead/schema';
@@ -15,10 +15,11 @@
   StandInService,
   StandInWeightStore,
 } from '@sycamorehead/stand-ins';
-import {PeerAddress, WireServer} from '@sycamorehead/wire';
+import type {PeerAddress} from '@sycamorehead/wire';
 import {DEMO_NOTE} from './demoNote.js';
 
 const HOST = '127.0.0.1';
+const CONTROL_COUNT = 3;
 const ENTRY_COUNT = 2;
 const ENGINE_COUNT = 2;
 const POLL_MS = 20;
@@ -67,38 +68,25 @@
     loadsPerWindow: 4,
     windowMs: 1_000,
   });
-  controlUrl = '';
+  /** Operators' URLs of the control instances. */
+  readonly controlUrls: string[] = [];
+  readonly controls: ControlInstance[] = [];
   private readonly clients: ControlClient[] = [];
-  private readonly node = new ControlNode({
-    name: 'control-1',
-    createLog: machine => new SingleVoterLog('control-1', machine),
-  });
-  private readonly wireServer: WireServer;
-  private readonly operatorServer: OperatorServer;
+  private dataFolder = '';
 
-  constructor(readonly keys: DemoKeys = createKeys()) {
-    const {peerKey, operatorToken} = keys;
-    this.wireServer = new WireServer({
-      host: HOST,
-      port: 0,
-      peerKey,
-      methods: createControlMethods(this.node),
-    });
-    this.operatorServer = new OperatorServer({
-      node: this.node,
-      host: HOST,
-      port: 0,
-      operatorToken,
-    });
+  constructor(readonly keys: DemoKeys = createKeys()) {}
+
+  /** Operators' URL of one control instance; any of them serves. */
+  get controlUrl(): string {
+    return this.controlUrls[0] ?? '';
   }
 
   /** Starts everything, publishes the note and waits until it is in force. */
   async start(): Promise<void> {
-    const controlAddress = {host: HOST, port: await this.wireServer.start()};
-    this.controlUrl = `http://${HOST}:${await this.operatorServer.start()}`;
+    const controlAddresses = await this.startControl();
     const weightStore = await this.weights.start();
     await this.ratings.start();
-    await this.startEntries(controlAddress);
+    await this.startEntries(controlAddresses);
     await this.startBackends(weightStore);
     await this.createOperator().publish(this.buildNote());
     await this.waitUntilReady();
@@ -112,15 +100,14 @@
     await Promise.all(this.services.map(service => service.stop()));
     await this.ratings.stop();
     await this.weights.stop();
-    await this.operatorServer.stop();
-    await this.wireServer.stop();
-    await this.node.stop();
+    for (const control of this.controls) await control.stop();
+    await rm(this.dataFolder, {recursive: true, force: true});
   }
 
   /** Creates an operator's client of this deployment. */
   createOperator(): OperatorClient {
     return new OperatorClient({
-      urls: [this.controlUrl],
+      urls: this.controlUrls,
       operatorToken: this.keys.operatorToken,
     });
   }
@@ -131,14 +118,45 @@
     return parseReleaseNote(DEMO_NOTE.replace('KEY_HASH', keyHash));
   }
 
-  private async startEntries(controlAddress: PeerAddress): Promise<void> {
+  private async startControl(): Promise<Record<string, PeerAddress>> {
+    const {peerKey, operatorToken} = this.keys;
+    this.dataFolder = await mkdtemp(path.join(tmpdir(), 'sycamorehead-'));
+    const instances: Record<string, PeerAddress> = {};
+    const addresses: Record<string, string> = {};
+    for (let index = 1; index <= CONTROL_COUNT; index++) {
+      const name = `control-${index}`;
+      const control = new ControlInstance({
+        name,
+        host: HOST,
+        port: 0,
+        peerPort: 0,
+        peerKey,
+        operatorToken,
+        dataFolder: path.join(this.dataFolder, name),
+        onFailure: error => {
+          throw error;
+        },
+      });
+      const ports = await control.start();
+      this.controls.push(control);
+      this.controlUrls.push(`http://${HOST}:${ports.port}`);
+      instances[name] = {host: HOST, port: ports.peerPort};
+      addresses[name] = `${HOST}:${ports.peerPort}`;
+    }
+    await this.controls[0]?.createGroup(addresses, READY_TIMEOUT_MS);
+    return instances;
+  }
+
+  private async startEntries(
+    instances: Readonly<Record<string, PeerAddress>>,
+  ): Promise<void> {
     const {peerKey, serverKey} = this.keys;
     const peers: PeerAddress[] = [];
     for (let index = 1; index <= ENTRY_COUNT; index++) {
       const name = `entry-${index}`;
       const control = new ControlClient({
         name,
-        instances: {'control-1': controlAddress},
+        instances,
         peerKey,
       });
       this.clients.push(control);
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -38,3 +38,8 @@
 export type {StorageCounts} from './lib/storage/LogStorage.js';
 export {loadMemberId} from './lib/storage/identity.js';
 export {SingleVoterLog} from './lib/SingleVoterLog.js';
+export {LinkPool} from './lib/LinkPool.js';
+export type {LinkPoolOptions} from './lib/LinkPool.js';
+export {WireTransport, createConsensusMethods} from './lib/WireTransport.js';
+export {createFirstGroup} from './lib/createFirstGroup.js';
+export type {FirstGroupOptions} from './lib/createFirstGroup.js';
--- /dev/null
+++ b/packages/consensus/src/lib/LinkPool.ts
@@ -0,0 +1,113 @@
+import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
+import {
+  LinkTimeouts,
+  PeerLink,
+  connectPeer,
+  parsePeerAddress,
+} from '@sycamorehead/wire';
+
+/** Settings of a LinkPool. @public */
+export interface LinkPoolOptions {
+  /** Own name. */
+  readonly name: string;
+  readonly peerKey: string;
+  readonly timeouts?: LinkTimeouts;
+}
+
+/**
+ * One link to each peer, opened when it is needed. A link on which a request timed out is
+ * replaced, so that a new connection does not wait behind a dead one.
+ *
+ * @public
+ */
+export class LinkPool {
+  private readonly links = new Map<string, Promise<PeerLink>>();
+  private isStopped = false;
+
+  constructor(private readonly options: LinkPoolOptions) {}
+
+  /**
+   * Calls a method of the peer at an address.
+   *
+   * @throws SycamoreheadError what the peer threw, `timeout`, or `link_closed`.
+   * @example
+   * ```ts
+   * await pool.request('127.0.0.1:9081', 'consensus.identify', {shard: 0}, 500);
+   * ```
+   */
+  async request<Result>(
+    address: string,
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<Result> {
+    const opening = this.getLink(address);
+    try {
+      const link = await limitTime(opening, timeoutMs, method);
+      return await link.request<Result>(method, params, timeoutMs);
+    } catch (thrown) {
+      const error = toSycamoreheadError(thrown);
+      if (error.kind === 'timeout') this.drop(address, opening);
+      throw error;
+    }
+  }
+
+  /** Closes every link. */
+  stop(): void {
+    this.isStopped = true;
+    for (const [address, opening] of this.links) this.drop(address, opening);
+  }
+
+  private getLink(address: string): Promise<PeerLink> {
+    const known = this.links.get(address);
+    if (known) return known;
+    if (this.isStopped) {
+      throw new SycamoreheadError('link_closed', 'this instance stops');
+    }
+    const opening = this.openLink(address);
+    this.links.set(address, opening);
+    return opening;
+  }
+
+  private async openLink(address: string): Promise<PeerLink> {
+    const {name, peerKey, timeouts} = this.options;
+    try {
+      const link = await connectPeer({
+        address: parsePeerAddress(address),
+        name,
+        peerKey,
+        timeouts,
+      });
+      link.addCloseListener(() => this.links.delete(address));
+      return link;
+    } catch (error) {
+      this.links.delete(address);
+      throw error;
+    }
+  }
+
+  private drop(address: string, opening: Promise<PeerLink>): void {
+    if (this.links.get(address) === opening) this.links.delete(address);
+    opening.then(
+      link => link.close('a request timed out'),
+      () => {},
+    );
+  }
+}
+
+async function limitTime<Result>(
+  work: Promise<Result>,
+  timeoutMs: number,
+  what: string,
+): Promise<Result> {
+  let timer: NodeJS.Timeout | undefined;
+  const expired = new Promise<never>((unused, reject) => {
+    const fail = () => reject(new SycamoreheadError('timeout', what));
+    timer = setTimeout(fail, timeoutMs);
+  });
+  try {
+    return await Promise.race([work, expired]);
+  } finally {
+    clearTimeout(timer);
+  }
+}
--- a/packages/consensus/src/lib/MembershipChange.ts
+++ b/packages/consensus/src/lib/MembershipChange.ts
@@ -92,7 +92,7 @@
     address: string,
   ): Promise<Member> {
     const {transport, shard, state} = this.context;
-    const identity = await transport.identify(address, shard);
+    const identity = await transport.readIdentity(address, shard);
     if (identity.instance !== instance) {
       refuse(
         'malformed_request',
--- a/packages/consensus/src/lib/RaftNode.ts
+++ b/packages/consensus/src/lib/RaftNode.ts
@@ -1,18 +1,10 @@
 import {JsonValue, SycamoreheadError} from '@sycamorehead/schema';
 import {createLogger} from '@sycamorehead/telemetry';
 import type {
-  AppendReply,
-  AppendRequest,
-  ConsensusReplies,
   ConsensusRequest,
   ConsensusTransport,
   MemberIdentity,
   ReplyTo,
-  SnapshotReply,
-  SnapshotRequest,
-  TransferReply,
-  VoteReply,
-  VoteRequest,
 } from './consensusMessages.js';
 import {Election} from './Election.js';
 import {Leadership} from './Leadership.js';
@@ -21,6 +13,7 @@
 import {MembershipChange} from './MembershipChange.js';
 import {Mutex} from './Mutex.js';
 import {RaftState} from './RaftState.js';
+import {RequestHandlers} from './RequestHandlers.js';
 import {DEFAULT_RAFT_TIMING, RaftTiming} from './raftTiming.js';
 import type {
   LogRole,
@@ -29,7 +22,6 @@
   ReplicatedLog,
   StateMachine,
 } from './ReplicatedLog.js';
-import {SnapshotReceiver} from './SnapshotReceiver.js';
 import type {Disk} from './storage/Disk.js';
 import {LogStorage} from './storage/LogStorage.js';
 
@@ -55,12 +47,6 @@
   readonly onFailure: (error: SycamoreheadError) => void;
 }
 
-type Handlers = {
-  [Type in ConsensusRequest['type']]: (
-    request: Extract<ConsensusRequest, {type: Type}>,
-  ) => Promise<ConsensusReplies[Type]>;
-};
-
 /**
  * One member of one shard's group: a replicated log after Raft, with pre-vote, check-quorum,
  * leadership transfer, and changes of one member at a time.
@@ -68,24 +54,20 @@
  * @public
  */
 export class RaftNode implements ReplicatedLog, MembershipCommands {
+  readonly shard: number;
   private readonly state: RaftState;
   private readonly election: Election;
   private readonly timing: RaftTiming;
   private readonly lock = new Mutex();
-  private readonly receiver = new SnapshotReceiver();
+  private readonly handlers: RequestHandlers;
   private readonly changes: MembershipChange;
   private leadership: Leadership | undefined;
+  private readonly leaderListeners: Array<() => void> = [];
   private isStopped = false;
 
-  private readonly handlers: Handlers = {
-    vote: request => this.handleVote(request),
-    append: request => this.handleAppend(request),
-    snapshot: request => this.handleSnapshot(request),
-    transfer: request => this.handleTransfer(request.term),
-  };
-
   constructor(private readonly options: RaftNodeOptions) {
     const {id, machine, disk} = options;
+    this.shard = options.shard;
     this.timing = options.timing ?? DEFAULT_RAFT_TIMING;
     this.state = new RaftState({
       id,
@@ -101,6 +83,11 @@
       random: options.random ?? Math.random,
       onElected: () => this.startLeading(),
     });
+    this.handlers = new RequestHandlers({
+      state: this.state,
+      election: this.election,
+      follow: (term, leader, group) => this.follow(term, leader, group),
+    });
     this.changes = new MembershipChange({
       state: this.state,
       transport: options.transport,
@@ -164,14 +151,11 @@
     request: Request,
   ): Promise<ReplyTo<Request>> {
     this.checkAddressee(request);
-    const handler = this.handlers[request.type] as unknown as (
-      request: Request,
-    ) => Promise<ReplyTo<Request>>;
     this.noteSender(request);
     return this.lock.run(async () => {
       this.checkRunning();
       try {
-        return await handler(request);
+        return await this.handlers.handle(request);
       } catch (error) {
         const isFatal =
           !(error instanceof SycamoreheadError) ||
@@ -218,107 +202,16 @@
     };
   }
 
+  addLeaderListener(listener: () => void): void {
+    this.leaderListeners.push(listener);
+  }
+
   /** Tells who this member is, also before it belongs to a group. */
   getIdentity(): MemberIdentity {
     const {id, vote} = this.state;
     return {id, instance: id.split('/')[0] ?? id, group: vote.group};
   }
 
-  // Handlers of requests. They run under the lock, so that no vote falls between the check of an
-  // append and its sync.
-
-  private async handleVote(request: VoteRequest): Promise<VoteReply> {
-    const {state} = this;
-    const refused = {term: state.term, isGranted: false};
-    if (request.term < state.term) return refused;
-    if (!request.isTransfer && this.election.hasLiveLeader()) return refused;
-    if (request.isPreVote) {
-      const isGranted = request.term > state.term && this.isUpToDate(request);
-      return {term: state.term, isGranted};
-    }
-    if (request.term > state.term) {
-      await this.follow(request.term, undefined, request.group);
-    }
-    const {votedFor} = state.vote;
-    const isFree = votedFor === '' || votedFor === request.from;
-    if (!isFree || !this.isUpToDate(request)) {
-      return {term: state.term, isGranted: false};
-    }
-    if (votedFor === '') await state.saveVote(state.term, request.from);
-    this.election.restartTimeout();
-    return {term: state.term, isGranted: true};
-  }
-
-  private async handleAppend(request: AppendRequest): Promise<AppendReply> {
-    const {state} = this;
-    const {entries} = state;
-    if (request.term < state.term) {
-      return {term: state.term, isMatching: false, index: 0};
-    }
-    await this.follow(request.term, request.from, request.group);
-    const {previousIndex, previousTerm} = request;
-    if (previousIndex > entries.lastIndex) {
-      const index = entries.lastIndex + 1;
-      return {term: state.term, isMatching: false, index};
-    }
-    // What lies before the base is committed, so it can't differ.
-    const held = entries.getTerm(previousIndex);
-    if (held !== undefined && held !== previousTerm) {
-      const index = Math.max(1, entries.findFirstOfTerm(previousIndex));
-      return {term: state.term, isMatching: false, index};
-    }
-    await this.appendNew(request);
-    const index = previousIndex + request.entries.length;
-    state.advanceCommit(Math.min(request.commitIndex, index));
-    return {term: state.term, isMatching: true, index};
-  }
-
-  private async appendNew(request: AppendRequest): Promise<void> {
-    const {entries, storage, commitIndex} = this.state;
-    const fresh = request.entries.filter(
-      ({index, term}) =>
-        index > entries.base.index && entries.getTerm(index) !== term,
-    );
-    const [first] = fresh;
-    const last = fresh.at(-1);
-    if (!first || !last) return storage.flush();
-    if (first.index <= commitIndex) {
-      throw new SycamoreheadError(
-        'internal',
-        `entry ${first.index} of term ${first.term} contradicts a committed one`,
-      );
-    }
-    if (first.index <= entries.lastIndex) entries.truncate(first.index);
-    const texts = fresh.map(entry => entries.append(entry));
-    await storage.append(texts, last);
-  }
-
-  private async handleSnapshot(
-    request: SnapshotRequest,
-  ): Promise<SnapshotReply> {
-    const {state} = this;
-    if (request.term < state.term) {
-      return {term: state.term, isInstalled: false, nextOffset: 0};
-    }
-    await this.follow(request.term, request.from, request.group);
-    const {index, snapshotTerm, members, totalBytes} = request;
-    const done = {term: state.term, isInstalled: true, nextOffset: totalBytes};
-    if (index <= state.commitIndex) return done;
-    const {nextOffset, data} = this.receiver.receive(request);
-    if (!data) return {term: state.term, isInstalled: false, nextOffset};
-    await state.installSnapshot({index, term: snapshotTerm, members, data});
-    return done;
-  }
-
-  private async handleTransfer(term: number): Promise<TransferReply> {
-    if (term === this.state.term && this.state.role === 'follower') {
-      void this.election.runElection(true).catch((error: unknown) => {
-        log('takeover_failed', {error: String(error)});
-      });
-    }
-    return {term: this.state.term};
-  }
-
   // Roles.
 
   private async follow(
@@ -346,6 +239,7 @@
       onLost: reason => this.stopLeading(reason),
     });
     this.leadership.start();
+    for (const listener of this.leaderListeners) listener();
   }
 
   private stopLeading(reason: string): void {
@@ -394,12 +288,6 @@
     return isVoter(entries.members, id) ? 'follower' : 'learner';
   }
 
-  private isUpToDate({lastIndex, lastTerm}: VoteRequest): boolean {
-    const {index, term} = this.state.entries.last;
-    if (lastTerm !== term) return lastTerm > term;
-    return lastIndex >= index;
-  }
-
   private requireLeadership(): Leadership {
     this.checkRunning();
     if (this.leadership) return this.leadership;
--- a/packages/consensus/src/lib/ReplicatedLog.ts
+++ b/packages/consensus/src/lib/ReplicatedLog.ts
@@ -58,6 +58,8 @@
    */
   confirmLeadership(): Promise<void>;
   getStatus(): LogStatus;
+  /** Calls the listener each time that this voter has been elected. */
+  addLeaderListener(listener: () => void): void;
   /** Hands leadership over where possible and stops. */
   stop(): Promise<void>;
 }
--- a/packages/consensus/src/lib/SingleVoterLog.ts
+++ b/packages/consensus/src/lib/SingleVoterLog.ts
@@ -33,5 +33,7 @@
     };
   }
 
+  addLeaderListener(): void {}
+
   async stop(): Promise<void> {}
 }
--- /dev/null
+++ b/packages/consensus/src/lib/WireTransport.ts
@@ -0,0 +1,66 @@
+import {SycamoreheadError} from '@sycamorehead/schema';
+import type {MethodTable} from '@sycamorehead/wire';
+import type {
+  ConsensusRequest,
+  ConsensusTransport,
+  MemberIdentity,
+  ReplyTo,
+} from './consensusMessages.js';
+import type {LinkPool} from './LinkPool.js';
+import type {RaftNode} from './RaftNode.js';
+
+const REQUEST_METHOD = 'consensus.request';
+const IDENTIFY_METHOD = 'consensus.identify';
+const IDENTIFY_TIMEOUT_MS = 1_000;
+
+/**
+ * Carries requests to other members over links.
+ *
+ * @public
+ */
+export class WireTransport implements ConsensusTransport {
+  constructor(private readonly links: LinkPool) {}
+
+  call<Request extends ConsensusRequest>(
+    address: string,
+    request: Request,
+    timeoutMs: number,
+  ): Promise<ReplyTo<Request>> {
+    return this.links.request(address, REQUEST_METHOD, request, timeoutMs);
+  }
+
+  readIdentity(address: string, shard: number): Promise<MemberIdentity> {
+    const params = {shard};
+    return this.links.request(
+      address,
+      IDENTIFY_METHOD,
+      params,
+      IDENTIFY_TIMEOUT_MS,
+    );
+  }
+}
+
+/**
+ * The methods that an instance offers to the other members of its shards.
+ *
+ * @example
+ * ```ts
+ * new WireServer({host, port, peerKey, methods: createConsensusMethods([node])});
+ * ```
+ * @public
+ */
+export function createConsensusMethods(
+  nodes: readonly RaftNode[],
+): MethodTable {
+  const findNode = (shard: number) => {
+    const node = nodes.find(({shard: own}) => own === shard);
+    if (node) return node;
+    throw new SycamoreheadError('not_found', `shard ${shard} is not here`);
+  };
+  return {
+    [REQUEST_METHOD]: (request: ConsensusRequest) =>
+      findNode(request.shard).receive(request),
+    [IDENTIFY_METHOD]: ({shard}: {shard: number}) =>
+      findNode(shard).getIdentity(),
+  };
+}
--- a/packages/consensus/src/lib/consensusMessages.ts
+++ b/packages/consensus/src/lib/consensusMessages.ts
@@ -117,5 +117,5 @@
     timeoutMs: number,
   ): Promise<ReplyTo<Request>>;
   /** Asks the instance at an address who it is. */
-  identify(address: string, shard: number): Promise<MemberIdentity>;
+  readIdentity(address: string, shard: number): Promise<MemberIdentity>;
 }
--- /dev/null
+++ b/packages/consensus/src/test/FaultScenario.ts
@@ -0,0 +1,293 @@
+import assert from 'node:assert/strict';
+import {SycamoreheadError} from '@sycamorehead/schema';
+import {
+  AppliedCommand,
+  FakeGroup,
+  FakeInstance,
+  NO_FAULTS,
+  PausedClock,
+  RecordingMachine,
+} from '../testing/index.js';
+
+const NAMES = ['c1', 'c2', 'c3'];
+const RECOVERY_MS = 120_000;
+/** Longer than a chunk of a snapshot may take whose message was lost just before. */
+const CATCH_UP_MS = 5_000;
+const LAST_ATTEMPTS = 5;
+const RETRY_MS = 200;
+
+/** One step of a scenario; the numbers pick instances and sizes. @internal */
+export interface FaultStep {
+  readonly type: FaultStepType;
+  readonly target: number;
+  readonly amount: number;
+}
+
+/** What a step does. @internal */
+export type FaultStepType =
+  | 'advance'
+  | 'propose'
+  | 'read'
+  | 'drop_link'
+  | 'isolate'
+  | 'restore_links'
+  | 'lossy'
+  | 'lose_power'
+  | 'start'
+  | 'stop'
+  | 'lose_disk';
+
+/** Every type of step. @internal */
+export const FAULT_STEPS: readonly FaultStepType[] = [
+  'advance',
+  'propose',
+  'read',
+  'drop_link',
+  'isolate',
+  'restore_links',
+  'lossy',
+  'lose_power',
+  'start',
+  'stop',
+  'lose_disk',
+];
+
+/**
+ * Runs random steps on a group of three and checks what must always hold: an acknowledged command
+ * stays at its place, no index holds two commands, no term has two leaders, and no confirmed read
+ * sees less than an earlier one.
+ *
+ * @internal
+ */
+export class FaultScenario {
+  private readonly group: FakeGroup<RecordingMachine>;
+  private readonly byIndex = new Map<number, string>();
+  private readonly leaders = new Map<number, string>();
+  private readonly acknowledged = new Map<number, string>();
+  private readonly violations: string[] = [];
+  private readonly open = new Set<Promise<unknown>>();
+  /** Commands that every later confirmed read must see. */
+  private seen = 0;
+  private proposals = 0;
+  private isRepairing = false;
+
+  private readonly steps: Record<
+    FaultStepType,
+    (step: FaultStep) => Promise<void> | void
+  > = {
+    advance: ({amount}) => this.clock.advance(20 + amount * 15),
+    propose: step => this.propose(step),
+    read: step => this.read(step),
+    drop_link: ({target, amount}) =>
+      this.group.network.dropLink(pickName(target), pickName(amount)),
+    isolate: ({target}) => this.group.network.dropLinksOf(pickName(target)),
+    restore_links: () => this.group.network.restoreLinks(),
+    lossy: ({target, amount}) => this.setFaults(target, amount),
+    lose_power: ({target}) => this.group.abort(pickName(target)),
+    start: ({target}) => this.start(pickName(target)),
+    stop: ({target}) => this.stop(pickName(target)),
+    lose_disk: ({target}) => this.replaceDisk(pickName(target)),
+  };
+
+  constructor(
+    private readonly clock: PausedClock,
+    random: () => number,
+  ) {
+    this.group = new FakeGroup({
+      clock,
+      random,
+      createMachine: () =>
+        new RecordingMachine(applied => this.checkApplied(applied)),
+      node: {snapshotBytes: 1_500, segmentBytes: 500, trailingEntries: 3},
+      syncMs: Math.floor(random() * 15),
+    });
+  }
+
+  /** Runs the steps, lets the group recover, and checks the outcome. */
+  async run(steps: readonly FaultStep[]): Promise<void> {
+    await this.group.createGroup(NAMES);
+    for (const step of steps) {
+      await this.steps[step.type](step);
+      this.checkLeaders();
+      assert.deepEqual(this.violations, []);
+    }
+    await this.recover();
+    await this.checkOutcome();
+    this.group.stop();
+  }
+
+  private propose({target, amount}: FaultStep): void {
+    const {node} = this.group.get(pickName(target));
+    for (let count = 0; node && count <= amount % 5; count++) {
+      const command = `p${(this.proposals += 1)}`;
+      this.watch(
+        node.propose(command).then(place => {
+          this.acknowledged.set(Number(place), command);
+          this.seen = Math.max(this.seen, Number(place));
+        }),
+      );
+    }
+  }
+
+  private read({target}: FaultStep): void {
+    const instance = this.group.get(pickName(target));
+    const {node, machine} = instance;
+    if (!node) return;
+    const expected = this.seen;
+    this.watch(
+      node.confirmLeadership().then(() => {
+        const count = machine.applied.length;
+        if (count < expected) {
+          this.violations.push(`read ${count} after ${expected}`);
+        }
+        this.seen = Math.max(this.seen, count);
+      }),
+    );
+  }
+
+  private setFaults(target: number, amount: number): void {
+    this.group.network.faults = {
+      dropRate: (amount % 4) / 10,
+      duplicateRate: (target % 4) / 10,
+      minDelayMs: 1,
+      maxDelayMs: 1 + amount * 2,
+    };
+  }
+
+  private async start(name: string): Promise<void> {
+    if (!this.group.get(name).node) await this.group.start(name);
+  }
+
+  private async stop(name: string): Promise<void> {
+    const {node} = this.group.get(name);
+    if (!node) return;
+    await this.clock.settle(node.stop());
+    this.group.abort(name);
+  }
+
+  /** One disk at a time: the next may go as soon as the one before has been replaced. */
+  private async replaceDisk(name: string): Promise<void> {
+    if (this.isRepairing) return;
+    this.isRepairing = true;
+    const lostId = this.group.get(name).id;
+    await this.group.resetDisk(name);
+    await this.group.start(name);
+    const repair = this.repair(name, lostId).finally(() => {
+      this.isRepairing = false;
+    });
+    this.watch(repair);
+  }
+
+  private async repair(name: string, lostId: string): Promise<void> {
+    for (;;) {
+      try {
+        const node = this.group.findLeader()?.node;
+        if (node) {
+          await node.addMember(name, name);
+          await node.removeMember(lostId);
+          return;
+        }
+      } catch (error) {
+        // A change whose answer was lost may have been made.
+        const isGone = isKind(error, 'not_found');
+        if (isGone) return;
+      }
+      await new Promise(resolve => setTimeout(resolve, RETRY_MS));
+    }
+  }
+
+  private async recover(): Promise<void> {
+    this.group.network.faults = NO_FAULTS;
+    this.group.network.restoreLinks();
+    for (const name of NAMES) await this.start(name);
+    const isQuiet = await this.clock.advanceUntil(
+      () => !this.isRepairing && this.open.size === 0,
+      RECOVERY_MS,
+      200,
+    );
+    assert.ok(isQuiet, 'something is still open after the recovery');
+    const place = await this.proposeLast();
+    const isCaughtUp = await this.clock.advanceUntil(
+      () =>
+        NAMES.every(
+          name => this.group.get(name).machine.applied.length >= place,
+        ),
+      CATCH_UP_MS,
+    );
+    assert.ok(isCaughtUp, 'a member has not caught up');
+  }
+
+  /** An election that the last fault set off may still be under way. */
+  private async proposeLast(): Promise<number> {
+    for (let attempt = 1; ; attempt++) {
+      try {
+        const command = `last${attempt}`;
+        const place = Number(await this.group.propose(command));
+        this.acknowledged.set(place, command);
+        return place;
+      } catch (error) {
+        if (attempt === LAST_ATTEMPTS) throw error;
+        await this.clock.advance(500);
+      }
+    }
+  }
+
+  private async checkOutcome(): Promise<void> {
+    assert.deepEqual(this.violations, []);
+    const lists = NAMES.map(name => this.group.get(name).machine.list());
+    const [list = []] = lists;
+    for (const other of lists) assert.deepEqual(other, list);
+    for (const [place, command] of this.acknowledged) {
+      assert.equal(list[place - 1], command);
+    }
+  }
+
+  private checkApplied({index, command}: AppliedCommand): void {
+    const before = this.byIndex.get(index) ?? command;
+    if (before !== command) {
+      this.violations.push(`index ${index}: ${before} and ${command}`);
+    }
+    this.byIndex.set(index, command);
+  }
+
+  private checkLeaders(): void {
+    for (const {node, failure, id} of this.group.instances.values()) {
+      this.checkFailure(id, failure);
+      const status = node?.getStatus();
+      if (status?.role !== 'leader') continue;
+      const before = this.leaders.get(status.term) ?? id;
+      if (before !== id) {
+        this.violations.push(`term ${status.term}: ${before} and ${id}`);
+      }
+      this.leaders.set(status.term, id);
+    }
+  }
+
+  private checkFailure(
+    id: string,
+    failure: FakeInstance<RecordingMachine>['failure'],
+  ): void {
+    if (failure) this.violations.push(`${id}: ${failure.message}`);
+  }
+
+  private watch(work: Promise<unknown>): void {
+    const settled = work
+      .catch((error: unknown) => {
+        // Refused, or of unknown outcome; anything else is a fault of ours.
+        if (error instanceof SycamoreheadError && error.kind !== 'internal') {
+          return;
+        }
+        this.violations.push(String(error));
+      })
+      .finally(() => this.open.delete(settled));
+    this.open.add(settled);
+  }
+}
+
+function pickName(number: number): string {
+  return NAMES[number % NAMES.length]!;
+}
+
+function isKind(error: unknown, kind: SycamoreheadError['kind']): boolean {
+  return error instanceof SycamoreheadError && error.kind === kind;
+}
--- /dev/null
+++ b/packages/consensus/src/test/randomFaults.test.ts
@@ -0,0 +1,40 @@
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {FAULT_STEPS, FaultScenario} from './FaultScenario.js';
+import {runPaused} from './runPaused.js';
+
+/** More by command: `SYC_SEEDS=5000 SYC_SEED=7 npm test randomFaults`. */
+const RUNS = Number(process.env.SYC_SEEDS ?? 300);
+const SEED = Number(process.env.SYC_SEED ?? 1);
+
+const step = fc.record({
+  // Time and work come more often than faults, so that faults find something under way.
+  type: fc.oneof(
+    fc.constantFrom('advance' as const, 'propose' as const, 'read' as const),
+    fc.constantFrom(...FAULT_STEPS),
+  ),
+  target: fc.nat(11),
+  amount: fc.nat(99),
+});
+
+test(
+  `random faults: ${RUNS} runs from seed ${SEED}`,
+  {timeout: 3_600_000},
+  () =>
+    fc.assert(
+      fc.asyncProperty(
+        fc.nat(),
+        fc.array(step, {minLength: 15, maxLength: 60}),
+        (seed, steps) =>
+          runPaused(seed, (clock, random) =>
+            new FaultScenario(clock, random).run(steps),
+          ),
+      ),
+      {
+        numRuns: RUNS,
+        seed: SEED,
+        endOnFailure: true,
+        includeErrorInReport: true,
+      },
+    ),
+);
--- a/packages/consensus/src/testing/FakeNetwork.ts
+++ b/packages/consensus/src/testing/FakeNetwork.ts
@@ -116,7 +116,7 @@
           find(to).receive(copy(sent)),
         );
       },
-      identify: to =>
+      readIdentity: to =>
         this.call(from, to, IDENTIFY_TIMEOUT_MS, async () =>
           find(to).getIdentity(),
         ),
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,7 +1,9 @@
 /** Commands and queries over the replicated control state. */
 export {ControlState} from './lib/ControlState.js';
-export {ControlNode, DEFAULT_LEASE_MS} from './lib/ControlNode.js';
-export type {ControlNodeOptions, InForceReport} from './lib/ControlNode.js';
+export {ControlNode} from './lib/ControlNode.js';
+export type {ControlNodeOptions} from './lib/ControlNode.js';
+export {DEFAULT_LEASE_MS} from './lib/configuration/ConfigurationService.js';
+export type {InForceReport} from './lib/configuration/ConfigurationService.js';
 export type {EntryConfirmation} from './lib/LeaseTable.js';
 export type {
   ControlCommand,
@@ -32,3 +34,13 @@
   OrderOutcome,
   OrderSender,
 } from './lib/reconciler/sendOrder.js';
+export {LeaderForwarder} from './lib/LeaderForwarder.js';
+export type {
+  LeaderForwarderOptions,
+  LeaderOperation,
+} from './lib/LeaderForwarder.js';
+export {ControlInstance} from './lib/ControlInstance.js';
+export type {
+  ControlInstanceOptions,
+  ControlInstancePorts,
+} from './lib/ControlInstance.js';
--- a/packages/control/src/lib/ControlClient.ts
+++ b/packages/control/src/lib/ControlClient.ts
@@ -4,6 +4,7 @@
   ControlApi,
   FinishResult,
   LeaseGrant,
+  LeaseRequest,
   PlacementApi,
   ServerReport,
   ServerReportAnswer,
@@ -25,6 +26,11 @@
 }
 
 const DEFAULT_CALL_TIMEOUT_MS = 5_000;
+/** Time after which an instance that does not answer is left for another. */
+const ATTEMPT_TIMEOUT_MS = 1_500;
+/** A lease counts from when its request was sent, so a slow attempt is not worth waiting for. */
+const LEASE_TIMEOUT_MS = 1_000;
+const WATCH_MARGIN_MS = 1_000;
 const RETRY_PAUSE_MS = 50;
 
 /** Kinds after which another control instance is asked. All commands are safe to resend. */
@@ -33,6 +39,8 @@
   'link_closed',
   'timeout',
   'control_unavailable',
+  'stopping',
+  'storage_failed',
 ]);
 
 /**
@@ -48,11 +56,16 @@
 
   constructor(private readonly options: ControlClientOptions) {}
 
-  renewLease(params: {
-    entry: string;
-    confirmedRevision: number;
-  }): Promise<LeaseGrant> {
-    return this.call('control.renewLease', params);
+  renewLease(params: LeaseRequest): Promise<LeaseGrant> {
+    return this.call('control.renewLease', params, LEASE_TIMEOUT_MS);
+  }
+
+  watchRevision(params: {
+    knownRevision: number;
+    waitMs: number;
+  }): Promise<{revision: number}> {
+    const timeoutMs = params.waitMs + WATCH_MARGIN_MS;
+    return this.call('control.watchRevision', params, timeoutMs, timeoutMs);
   }
 
   pinSession(
@@ -87,14 +100,19 @@
     this.link?.close('client stops');
   }
 
-  private async call<Result>(method: string, params: unknown): Promise<Result> {
-    const budgetMs = this.options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
+  private async call<Result>(
+    method: string,
+    params: unknown,
+    budgetMs = this.options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS,
+    attemptMs = ATTEMPT_TIMEOUT_MS,
+  ): Promise<Result> {
     const deadline = performance.now() + budgetMs;
     for (;;) {
       const remainingMs = deadline - performance.now();
       try {
         const link = await this.getLink();
-        return await link.request<Result>(method, params, remainingMs);
+        const timeoutMs = Math.min(remainingMs, attemptMs);
+        return await link.request<Result>(method, params, timeoutMs);
       } catch (thrown) {
         const error = toSycamoreheadError(thrown);
         if (!RETRIED_KINDS.has(error.kind)) throw error;
--- /dev/null
+++ b/packages/control/src/lib/ControlInstance.ts
@@ -0,0 +1,166 @@
+import path from 'node:path';
+import {
+  FileDisk,
+  LinkPool,
+  RaftNode,
+  RaftTiming,
+  SingleVoterLog,
+  WireTransport,
+  createConsensusMethods,
+  createFirstGroup,
+  loadMemberId,
+} from '@sycamorehead/consensus';
+import type {SycamoreheadError} from '@sycamorehead/schema';
+import {createLogger} from '@sycamorehead/telemetry';
+import {WireServer} from '@sycamorehead/wire';
+import {ControlNode, ControlNodeOptions} from './ControlNode.js';
+import {createControlMethods} from './createControlMethods.js';
+import {LeaderForwarder} from './LeaderForwarder.js';
+import {OperatorServer} from './OperatorServer.js';
+
+const log = createLogger('control');
+
+/** Shard of the configuration; it also holds sessions, request records and bills today. */
+const CONFIGURATION_SHARD = 0;
+
+/** Settings of a ControlInstance. @public */
+export interface ControlInstanceOptions {
+  readonly name: string;
+  readonly host: string;
+  /** Operators' port; 0 takes any. */
+  readonly port: number;
+  /** Port for entries and other control instances; 0 takes any. */
+  readonly peerPort: number;
+  readonly peerKey: string;
+  readonly operatorToken: string;
+  /** Folder of the replicated state; without one the state lives in memory, on one instance. */
+  readonly dataFolder?: string;
+  readonly leaseMs?: number;
+  readonly reconciler?: ControlNodeOptions['reconciler'];
+  readonly timing?: RaftTiming;
+  /** Called when the disk has failed; the process should end. */
+  readonly onFailure: (error: SycamoreheadError) => void;
+}
+
+/** Ports that a started instance listens on. @public */
+export interface ControlInstancePorts {
+  readonly port: number;
+  readonly peerPort: number;
+}
+
+/**
+ * One control instance with its disk, its links and its two servers.
+ *
+ * @public
+ */
+export class ControlInstance {
+  private readonly links: LinkPool;
+  private readonly transport: WireTransport;
+  private raft: RaftNode | undefined;
+  private controlNode: ControlNode | undefined;
+  private wireServer: WireServer | undefined;
+  private operatorServer: OperatorServer | undefined;
+
+  constructor(private readonly options: ControlInstanceOptions) {
+    const {name, peerKey} = options;
+    this.links = new LinkPool({name, peerKey});
+    this.transport = new WireTransport(this.links);
+  }
+
+  /** The commands and queries of this instance, once it is started. */
+  get node(): ControlNode {
+    if (this.controlNode) return this.controlNode;
+    throw new Error('the instance is not started');
+  }
+
+  /**
+   * Reads the disk and begins to serve.
+   *
+   * @throws SycamoreheadError `storage_failed`.
+   */
+  async start(): Promise<ControlInstancePorts> {
+    const {host, port, peerPort, peerKey, operatorToken} = this.options;
+    const node = await this.createNode();
+    this.controlNode = node;
+    await this.raft?.start();
+    const forwarder = new LeaderForwarder({
+      links: this.links,
+      getStatus: () => node.readStatus(),
+    });
+    this.operatorServer = new OperatorServer({
+      node,
+      forwarder,
+      host,
+      port,
+      operatorToken,
+    });
+    this.wireServer = new WireServer({
+      host,
+      port: peerPort,
+      peerKey,
+      methods: {
+        ...createControlMethods(node, forwarder),
+        ...createConsensusMethods(this.raft ? [this.raft] : []),
+      },
+    });
+    return {
+      peerPort: await this.wireServer.start(),
+      port: await this.operatorServer.start(),
+    };
+  }
+
+  /**
+   * Creates the group of the first start; see createFirstGroup.
+   *
+   * @throws SycamoreheadError `settings_invalid` where a group exists, `timeout`.
+   */
+  async createGroup(
+    addresses: Readonly<Record<string, string>>,
+    timeoutMs: number,
+  ): Promise<void> {
+    const {raft, transport} = this;
+    if (!raft) return;
+    await createFirstGroup({node: raft, transport, addresses, timeoutMs});
+  }
+
+  /** Hands leadership over and stops. */
+  async stop(): Promise<void> {
+    await this.operatorServer?.stop();
+    await this.controlNode?.stop();
+    this.links.stop();
+    await this.wireServer?.stop();
+  }
+
+  private async createNode(): Promise<ControlNode> {
+    const {name, dataFolder, leaseMs, reconciler} = this.options;
+    if (!dataFolder) {
+      log('state_in_memory', {name});
+      return new ControlNode({
+        name,
+        leaseMs,
+        reconciler,
+        createLog: machine => new SingleVoterLog(name, machine),
+      });
+    }
+    const id = await loadMemberId(new FileDisk(dataFolder), name);
+    const shardFolder = path.join(dataFolder, `shard-${CONFIGURATION_SHARD}`);
+    const {timing, onFailure} = this.options;
+    return new ControlNode({
+      name,
+      leaseMs,
+      reconciler,
+      createLog: machine => {
+        this.raft = new RaftNode({
+          shard: CONFIGURATION_SHARD,
+          id,
+          machine,
+          disk: new FileDisk(shardFolder),
+          transport: this.transport,
+          timing,
+          onFailure,
+        });
+        return this.raft;
+      },
+    });
+  }
+}
--- a/packages/control/src/lib/ControlNode.ts
+++ b/packages/control/src/lib/ControlNode.ts
@@ -1,20 +1,26 @@
 import {
   BeginResult,
   Bill,
-  Configuration,
   ControlApi,
   FinishResult,
   JsonValue,
   LeaseGrant,
+  LeaseRequest,
   PlacementApi,
   ReleaseNote,
   ServerReport,
   ServerReportAnswer,
   SessionPin,
-  computeDigest,
+  SycamoreheadError,
   readErrorBody,
 } from '@sycamorehead/schema';
-import {LogStatus, ReplicatedLog, StateMachine} from '@sycamorehead/consensus';
+import {
+  LogStatus,
+  Membership,
+  MembershipCommands,
+  ReplicatedLog,
+  StateMachine,
+} from '@sycamorehead/consensus';
 import {createLogger} from '@sycamorehead/telemetry';
 import type {
   ControlCommand,
@@ -22,32 +28,22 @@
   PublishResult,
 } from './controlCommands.js';
 import {ControlState} from './ControlState.js';
-import {EntryConfirmation, LeaseTable} from './LeaseTable.js';
+import {
+  ConfigurationService,
+  DEFAULT_LEASE_MS,
+  InForceReport,
+} from './configuration/ConfigurationService.js';
 import type {RolloutStatus} from './reconciler/describeRollout.js';
 import {Reconciler, ReconcilerOptions} from './reconciler/Reconciler.js';
 
 const log = createLogger('control');
 
-/** Lease on a configuration, in milliseconds. @public */
-export const DEFAULT_LEASE_MS = 3_000;
-const FORGET_ENTRY_MS = 60_000;
-
-/** What is in force. @public */
-export interface InForceReport {
-  readonly revision: number;
-  readonly noteNumber: number;
-  readonly noteDigest: string;
-  readonly configurationDigest: string;
-  /** Whether no entry can still route on an older revision. */
-  readonly inForce: boolean;
-  readonly entries: readonly EntryConfirmation[];
-  readonly configuration: Configuration;
-}
-
 /** Settings of a ControlNode. @public */
 export interface ControlNodeOptions {
   readonly name: string;
-  readonly createLog: (machine: StateMachine) => ReplicatedLog;
+  readonly createLog: (
+    machine: StateMachine,
+  ) => ReplicatedLog & Partial<MembershipCommands>;
   readonly leaseMs?: number;
   readonly reconciler?: Partial<ReconcilerOptions>;
 }
@@ -61,15 +57,18 @@
   readonly name: string;
   readonly reconciler: Reconciler;
   private readonly state = new ControlState();
-  private readonly replicatedLog: ReplicatedLog;
-  private readonly leaseMs: number;
-  private readonly leases: LeaseTable;
+  private readonly replicatedLog: ReplicatedLog & Partial<MembershipCommands>;
+  private readonly configuration: ConfigurationService;
 
   constructor(options: ControlNodeOptions) {
     this.name = options.name;
-    this.leaseMs = options.leaseMs ?? DEFAULT_LEASE_MS;
-    this.leases = new LeaseTable(this.leaseMs, FORGET_ENTRY_MS);
     this.replicatedLog = options.createLog(this.state);
+    this.configuration = new ConfigurationService({
+      log: this.replicatedLog,
+      state: this.state,
+      leaseMs: options.leaseMs ?? DEFAULT_LEASE_MS,
+      markInForce: revision => this.propose({type: 'mark_in_force', revision}),
+    });
     this.reconciler = this.createReconciler(options.reconciler);
   }
 
@@ -92,19 +91,18 @@
     return result;
   }
 
-  async renewLease(params: {
-    entry: string;
-    confirmedRevision: number;
-  }): Promise<LeaseGrant> {
-    await this.replicatedLog.confirmLeadership();
-    const configuration = this.state.getConfiguration();
-    this.leases.record(params.entry, params.confirmedRevision);
-    const isCurrent = params.confirmedRevision === configuration.revision;
-    return {
-      revision: configuration.revision,
-      leaseMs: this.leaseMs,
-      ...(!isCurrent && {configuration}),
-    };
+  async renewLease(request: LeaseRequest): Promise<LeaseGrant> {
+    return this.configuration.renewLease(request);
+  }
+
+  /** Adds a control instance: a learner first, a voter once it has caught up. */
+  async addMember(instance: string, address: string): Promise<Membership> {
+    return this.requireMembership().addMember(instance, address);
+  }
+
+  /** Removes a control instance, named by its name or its member id. */
+  async removeMember(name: string): Promise<Membership> {
+    return this.requireMembership().removeMember(name);
   }
 
   async pinSession(
@@ -136,6 +134,7 @@
   /** Hands leadership over and stops. */
   async stop(): Promise<void> {
     this.reconciler.stop();
+    this.configuration.stop();
     await this.replicatedLog.stop();
   }
 
@@ -143,17 +142,14 @@
 
   /** Reads what is in force, confirmed with a quorum. */
   async readInForce(): Promise<InForceReport> {
-    await this.replicatedLog.confirmLeadership();
-    const configuration = this.state.getConfiguration();
-    return {
-      revision: configuration.revision,
-      noteNumber: configuration.noteNumber,
-      noteDigest: configuration.noteDigest,
-      configurationDigest: computeDigest(configuration),
-      inForce: this.leases.isInForce(configuration.revision),
-      entries: this.leases.list(),
-      configuration,
-    };
+    return this.configuration.readInForce();
+  }
+
+  async watchRevision(params: {
+    knownRevision: number;
+    waitMs: number;
+  }): Promise<{revision: number}> {
+    return this.configuration.watchRevision(params);
   }
 
   /** Lists the bills, of one customer where one is named. */
@@ -162,6 +158,12 @@
     return this.state.listBills(customer);
   }
 
+  /** Reads the members of the group, confirmed with a quorum. */
+  async readMembers(): Promise<Membership> {
+    await this.replicatedLog.confirmLeadership();
+    return this.replicatedLog.getStatus().members ?? [];
+  }
+
   /** Reads this instance's own view of the log. */
   readStatus(): LogStatus {
     return this.replicatedLog.getStatus();
@@ -189,6 +191,17 @@
     );
   }
 
+  private requireMembership(): MembershipCommands {
+    const {replicatedLog} = this;
+    if (replicatedLog.addMember && replicatedLog.removeMember) {
+      return replicatedLog as ReplicatedLog & MembershipCommands;
+    }
+    throw new SycamoreheadError(
+      'malformed_request',
+      'this control instance keeps its state in memory only',
+    );
+  }
+
   private async propose<Command extends ControlCommand>(
     command: Command,
   ): Promise<ControlResults[Command['type']]> {
--- a/packages/control/src/lib/ControlState.ts
+++ b/packages/control/src/lib/ControlState.ts
@@ -49,13 +49,16 @@
  */
 export class ControlState implements StateMachine {
   private configuration: Configuration = EMPTY_CONFIGURATION;
-  private accepted: AcceptedNote[] = [];
+  private accepted = new Map<number, AcceptedNote>();
+  private inForceRevision = 0;
+  private readonly revisionListeners: Array<() => void> = [];
   private readonly sessions = new SessionPins();
   private readonly requests = new RequestRecords();
   private readonly ledger = new Ledger();
 
   private readonly handlers: HandlerTable = {
     publish: command => this.publish(command),
+    mark_in_force: command => this.markInForce(command),
     quarantine: command => this.quarantine(command),
     advance_rollout: command => this.advanceRollout(command),
     pin_session: command => this.sessions.pin(command, this.configuration),
@@ -72,13 +75,17 @@
       command: ControlCommand,
       index: number,
     ) => unknown;
-    return handler(typed, index) as JsonValue;
+    const before = this.configuration;
+    const result = handler(typed, index) as JsonValue;
+    if (this.configuration !== before) this.notifyRevision();
+    return result;
   }
 
   takeSnapshot(): JsonValue {
     return {
       configuration: this.configuration,
-      accepted: this.accepted,
+      accepted: [...this.accepted.values()],
+      inForceRevision: this.inForceRevision,
       sessions: this.sessions.toJson(),
       requests: this.requests.toJson(),
       ledger: this.ledger.toJson(),
@@ -89,15 +96,18 @@
     const state = snapshot as unknown as {
       configuration: Configuration;
       accepted: AcceptedNote[];
+      inForceRevision: number;
       sessions: JsonValue;
       requests: JsonValue;
       ledger: JsonValue;
     };
     this.configuration = state.configuration;
-    this.accepted = state.accepted;
+    this.accepted = new Map(state.accepted.map(note => [note.number, note]));
+    this.inForceRevision = state.inForceRevision;
     this.sessions.restore(state.sessions);
     this.requests.restore(state.requests);
     this.ledger.restore(state.ledger);
+    this.notifyRevision();
   }
 
   /** Returns the committed configuration. */
@@ -105,6 +115,16 @@
     return this.configuration;
   }
 
+  /** Returns the newest revision that was found to be in force everywhere. */
+  getInForceRevision(): number {
+    return this.inForceRevision;
+  }
+
+  /** Calls the listener after each change of the configuration. */
+  addRevisionListener(listener: () => void): void {
+    this.revisionListeners.push(listener);
+  }
+
   /** Returns the bills, of one customer where one is named. */
   listBills(customer?: string): Bill[] {
     return this.ledger.list(customer);
@@ -125,7 +145,7 @@
 
   private acceptNote(note: CommandOf<'publish'>['note']): PublishResult {
     const digest = computeDigest(note);
-    const earlier = this.accepted.find(({number}) => number === note.number);
+    const earlier = this.accepted.get(note.number);
     if (earlier && earlier.digest !== digest) {
       throw new SycamoreheadError(
         'note_conflict',
@@ -151,11 +171,31 @@
     }
     this.configuration = applyReleaseNote(this.configuration, note);
     const {revision} = this.configuration;
-    this.accepted.push({number: note.number, digest, revision});
-    if (this.accepted.length > MAX_ACCEPTED_NOTES) this.accepted.shift();
+    this.accepted.set(note.number, {number: note.number, digest, revision});
+    this.dropOldestNote();
     return {state: 'accepted', number: note.number, digest, revision};
   }
 
+  private dropOldestNote(): void {
+    if (this.accepted.size <= MAX_ACCEPTED_NOTES) return;
+    const [oldest] = this.accepted.keys();
+    if (oldest !== undefined) this.accepted.delete(oldest);
+  }
+
+  private markInForce({
+    revision,
+  }: CommandOf<'mark_in_force'>): ControlResults['mark_in_force'] {
+    const isNews =
+      revision > this.inForceRevision &&
+      revision <= this.configuration.revision;
+    if (isNews) this.inForceRevision = revision;
+    return {changed: isNews};
+  }
+
+  private notifyRevision(): void {
+    for (const listener of this.revisionListeners) listener();
+  }
+
   private quarantine(
     command: CommandOf<'quarantine'>,
   ): ControlResults['quarantine'] {
--- a/packages/control/src/lib/LeaseTable.ts
+++ b/packages/control/src/lib/LeaseTable.ts
@@ -7,39 +7,95 @@
   readonly isLeased: boolean;
 }
 
+/** A lease as it is granted. @internal */
+export interface GrantedLease {
+  readonly entry: string;
+  readonly incarnation: string;
+  /** Revision that the entry said it routes on; 0 where it has none. */
+  readonly confirmedRevision: number;
+  /** Revision that the grant carries. */
+  readonly grantedRevision: number;
+}
+
 interface LeasedEntry {
-  confirmedRevision: number;
+  readonly entry: string;
+  readonly confirmedRevision: number;
+  /** Lowest revision that the entry may route on. */
+  readonly lowestRevision: number;
   /** Monotonic time at which no lease granted to the entry can still hold. */
-  leaseEndsAt: number;
+  readonly leaseEndsAt: number;
 }
 
 /**
- * Which entries hold leases, and the revision each has confirmed. Lives on the leader only.
+ * Bound on how far the rate of an instance's monotonic clock is off: two clocks that are off in
+ * opposite directions still agree on when a lease has run out.
+ */
+const CLOCK_DRIFT_BOUND = 0.01;
+/** Entries remembered, leased or not. */
+const MAX_ENTRIES = 20_000;
+
+/**
+ * Which entries hold leases, and the revision each has confirmed. Lives on the leader only, and
+ * begins anew with each of its terms.
  *
  * @internal
  */
 export class LeaseTable {
   private readonly entries = new Map<string, LeasedEntry>();
+  private readonly longestLeaseMs: number;
+  private term = 0;
+  /** Until then, leases that an earlier leader granted may hold. */
+  private unknownUntil = 0;
 
   constructor(
-    private readonly leaseMs: number,
+    leaseMs: number,
     private readonly forgetMs: number,
-  ) {}
+  ) {
+    const worst = (1 + CLOCK_DRIFT_BOUND) / (1 - CLOCK_DRIFT_BOUND);
+    this.longestLeaseMs = leaseMs * worst;
+  }
+
+  /**
+   * Begins a term of leadership, confirmed by a quorum. Before the first revision no entry can
+   * hold a lease that it routes on; afterwards one lease has to run out.
+   */
+  startTerm(term: number, committedRevision: number): void {
+    if (term === this.term) return;
+    this.term = term;
+    this.entries.clear();
+    const waitMs = committedRevision === 0 ? 0 : this.longestLeaseMs;
+    this.unknownUntil = performance.now() + waitMs;
+  }
 
-  /** Notes a granted lease and the revision that the entry confirmed with its request. */
-  record(entry: string, confirmedRevision: number): void {
+  /** Notes a granted lease. */
+  record(lease: GrantedLease): void {
     this.expire();
-    this.entries.set(entry, {
-      confirmedRevision,
-      leaseEndsAt: performance.now() + this.leaseMs,
+    const {entry, incarnation, confirmedRevision, grantedRevision} = lease;
+    const key = `${entry}\n${incarnation}`;
+    const before = this.entries.get(key);
+    // Without a confirmation the entry may hold what it was first granted.
+    const first = before?.lowestRevision ?? grantedRevision;
+    this.entries.delete(key);
+    this.entries.set(key, {
+      entry,
+      // An entry never goes back, so a lower number comes from a request that was overtaken.
+      confirmedRevision: Math.max(
+        before?.confirmedRevision ?? 0,
+        confirmedRevision,
+      ),
+      lowestRevision:
+        confirmedRevision === 0
+          ? first
+          : Math.max(before?.lowestRevision ?? 0, confirmedRevision),
+      leaseEndsAt: performance.now() + this.longestLeaseMs,
     });
   }
 
   /** Returns each known entry with what it confirmed. */
   list(): EntryConfirmation[] {
     const now = performance.now();
-    return [...this.entries]
-      .map(([entry, {confirmedRevision, leaseEndsAt}]) => ({
+    return [...this.entries.values()]
+      .map(({entry, confirmedRevision, leaseEndsAt}) => ({
         entry,
         confirmedRevision,
         isLeased: leaseEndsAt > now,
@@ -49,15 +105,22 @@
 
   /** Tells whether no entry can still route on a revision below the given one. */
   isInForce(revision: number): boolean {
-    return this.list().every(
-      entry => !entry.isLeased || entry.confirmedRevision >= revision,
-    );
+    const now = performance.now();
+    if (now < this.unknownUntil) return false;
+    for (const {leaseEndsAt, lowestRevision} of this.entries.values()) {
+      if (leaseEndsAt > now && lowestRevision < revision) return false;
+    }
+    return true;
   }
 
+  /** The oldest come first, since each renewal puts its entry at the end. */
   private expire(): void {
-    const oldest = performance.now() - this.forgetMs;
-    for (const [entry, {leaseEndsAt}] of this.entries) {
-      if (leaseEndsAt < oldest) this.entries.delete(entry);
+    const now = performance.now();
+    for (const [key, {leaseEndsAt}] of this.entries) {
+      const isForgotten = leaseEndsAt < now - this.forgetMs;
+      const isDropped = leaseEndsAt < now && this.entries.size >= MAX_ENTRIES;
+      if (!isForgotten && !isDropped) return;
+      this.entries.delete(key);
     }
   }
 }
--- a/packages/control/src/lib/OperatorClient.ts
+++ b/packages/control/src/lib/OperatorClient.ts
@@ -5,12 +5,17 @@
   SycamoreheadError,
   readErrorBody,
 } from '@sycamorehead/schema';
-import type {LogStatus} from '@sycamorehead/consensus';
-import type {InForceReport} from './ControlNode.js';
+import type {LogStatus, Membership} from '@sycamorehead/consensus';
+import type {InForceReport} from './configuration/ConfigurationService.js';
 import type {PublishResult} from './controlCommands.js';
 import type {RolloutStatus} from './reconciler/describeRollout.js';
 
 const CALL_TIMEOUT_MS = 10_000;
+/** Time for which a call is repeated while control has no leader. */
+const RETRY_MS = 5_000;
+const RETRY_PAUSE_MS = 100;
+/** A new instance has to receive the whole state first. */
+const MEMBERSHIP_TIMEOUT_MS = 90_000;
 
 /** Settings of an OperatorClient. @public */
 export interface OperatorClientOptions {
@@ -20,7 +25,8 @@
 }
 
 /**
- * Operators' client: asks the control instances one after another until one answers as leader.
+ * Operators' client: asks the control instances one after another until one answers. All calls are
+ * safe to resend, so a call whose answer was lost is resent to the next instance.
  *
  * @public
  */
@@ -42,6 +48,21 @@
     return this.call('bills', customer ? {customer} : {});
   }
 
+  /** Lists the members of the control group. */
+  listMembers(): Promise<Membership> {
+    return this.call('members', {});
+  }
+
+  /** Adds a control instance; returns once it is a voter. Repeating it is safe. */
+  addMember(instance: string, address: string): Promise<Membership> {
+    return this.call('addMember', {instance, address}, MEMBERSHIP_TIMEOUT_MS);
+  }
+
+  /** Removes a control instance, named by its name or its member id. */
+  removeMember(name: string): Promise<Membership> {
+    return this.call('removeMember', {name}, MEMBERSHIP_TIMEOUT_MS);
+  }
+
   /** Reads one control instance's view of its log. */
   readStatus(): Promise<LogStatus> {
     return this.call('status', {});
@@ -52,19 +73,27 @@
     return this.call('rollouts', {});
   }
 
-  private async call<Result>(method: string, params: unknown): Promise<Result> {
+  private async call<Result>(
+    method: string,
+    params: unknown,
+    timeoutMs = CALL_TIMEOUT_MS,
+  ): Promise<Result> {
     let last: unknown = new SycamoreheadError(
       'control_unavailable',
       'no control instance was given',
     );
-    for (const url of this.options.urls) {
-      try {
-        return await this.callOne<Result>(url, method, params);
-      } catch (error) {
-        if (isFinal(error)) throw error;
-        last = error;
+    const deadline = performance.now() + RETRY_MS;
+    do {
+      for (const url of this.options.urls) {
+        try {
+          return await this.callOne<Result>(url, method, params, timeoutMs);
+        } catch (error) {
+          if (isFinal(error)) throw error;
+          last = error;
+        }
       }
-    }
+      await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
+    } while (performance.now() < deadline);
     const reason = last instanceof Error ? last.message : String(last);
     throw new SycamoreheadError('control_unavailable', reason, {cause: last});
   }
@@ -73,11 +102,12 @@
     url: string,
     method: string,
     params: unknown,
+    timeoutMs: number,
   ): Promise<Result> {
     const {body} = await request(new URL('/rpc', url), {
       method: 'POST',
-      headersTimeout: CALL_TIMEOUT_MS,
-      bodyTimeout: CALL_TIMEOUT_MS,
+      headersTimeout: timeoutMs,
+      bodyTimeout: timeoutMs,
       headers: {
         authorization: `Bearer ${this.options.operatorToken}`,
         'content-type': 'application/json',
--- a/packages/control/src/lib/OperatorServer.ts
+++ b/packages/control/src/lib/OperatorServer.ts
@@ -12,6 +12,7 @@
   toSycamoreheadError,
 } from '@sycamorehead/schema';
 import type {ControlNode} from './ControlNode.js';
+import type {LeaderForwarder, LeaderOperation} from './LeaderForwarder.js';
 
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
 const APPLICATION_ERROR = -32000;
@@ -19,6 +20,8 @@
 /** Settings of an OperatorServer. @public */
 export interface OperatorServerOptions {
   readonly node: ControlNode;
+  /** Passes calls on where this instance does not lead. */
+  readonly forwarder?: LeaderForwarder;
   readonly host: string;
   readonly port: number;
   readonly operatorToken: string;
@@ -40,7 +43,8 @@
       void this.answer(request, response);
     });
     for (const [name, handler] of Object.entries(this.getHandlers())) {
-      this.rpc.addMethod(name, params => runHandler(handler, params));
+      const wrapped = this.wrapHandler(name, handler);
+      this.rpc.addMethod(name, params => runHandler(wrapped, params));
     }
   }
 
@@ -62,6 +66,15 @@
     });
   }
 
+  /** All but the reading of an instance's own status is the leader's. */
+  private wrapHandler(name: string, handler: OperatorHandler): OperatorHandler {
+    const {forwarder} = this.options;
+    if (!forwarder || name === 'status') return handler;
+    const operation = `operator.${name}`;
+    forwarder.add(operation, handler as LeaderOperation);
+    return params => forwarder.run(operation, params);
+  }
+
   private getHandlers(): Record<string, OperatorHandler> {
     const {node} = this.options;
     return {
@@ -69,6 +82,13 @@
       inForce: () => node.readInForce(),
       status: async () => node.readStatus(),
       rollouts: () => node.listRollouts(),
+      addMember: params =>
+        node.addMember(
+          readName(params, 'instance'),
+          readName(params, 'address'),
+        ),
+      removeMember: params => node.removeMember(readName(params, 'name')),
+      members: async () => node.readMembers(),
       bills: params =>
         node.listBills(
           typeof params.customer === 'string' ? params.customer : undefined,
@@ -113,6 +133,18 @@
   }
 }
 
+function readName(params: Record<string, unknown>, field: string): string {
+  const value = params[field];
+  if (typeof value === 'string' && value !== '') return value;
+  throw new SycamoreheadError(
+    'malformed_request',
+    `${field}: expected a name`,
+    {
+      field,
+    },
+  );
+}
+
 function parseNote(given: unknown) {
   const parsed = releaseNoteSchema.safeParse(given);
   if (parsed.success) return parsed.data;
--- /dev/null
+++ b/packages/control/src/lib/configuration/ConfigurationService.ts
@@ -0,0 +1,179 @@
+import {
+  Configuration,
+  LeaseGrant,
+  LeaseRequest,
+  SycamoreheadError,
+  computeDigest,
+} from '@sycamorehead/schema';
+import type {ReplicatedLog} from '@sycamorehead/consensus';
+import {createLogger} from '@sycamorehead/telemetry';
+import type {ControlState} from '../ControlState.js';
+import {EntryConfirmation, LeaseTable} from '../LeaseTable.js';
+import {ConfigurationHistory} from './ConfigurationHistory.js';
+import {RevisionWatchers} from './RevisionWatchers.js';
+
+const log = createLogger('control');
+
+/** Lease on a configuration, in milliseconds. @public */
+export const DEFAULT_LEASE_MS = 3_000;
+const FORGET_ENTRY_MS = 60_000;
+/** Time between looks at whether a new revision has come into force. */
+const CHECK_INTERVAL_MS = 100;
+
+/** What is in force. @public */
+export interface InForceReport {
+  /** Newest accepted revision. */
+  readonly revision: number;
+  /** Newest revision that no entry can route below; never goes back. */
+  readonly inForceRevision: number;
+  readonly noteNumber: number;
+  readonly noteDigest: string;
+  readonly configurationDigest: string;
+  /** Whether no entry can still route on an older revision. */
+  readonly inForce: boolean;
+  readonly entries: readonly EntryConfirmation[];
+  readonly configuration: Configuration;
+}
+
+/** What a ConfigurationService works with. @internal */
+export interface ConfigurationServiceOptions {
+  readonly log: ReplicatedLog;
+  readonly state: ControlState;
+  readonly leaseMs: number;
+  /** Commits that a revision is in force. */
+  markInForce(revision: number): Promise<unknown>;
+}
+
+/**
+ * Leases on the configuration and what is in force. A lease is granted only by a leader that a
+ * quorum has confirmed after the request arrived; a control instance that was cut off grants none.
+ *
+ * @internal
+ */
+export class ConfigurationService {
+  private readonly leases: LeaseTable;
+  private readonly history = new ConfigurationHistory();
+  private readonly watchers = new RevisionWatchers();
+  private timer: NodeJS.Timeout | undefined;
+  private isChecking = false;
+  private isStopped = false;
+
+  constructor(private readonly options: ConfigurationServiceOptions) {
+    this.leases = new LeaseTable(options.leaseMs, FORGET_ENTRY_MS);
+    const {state} = options;
+    this.history.add(state.getConfiguration());
+    state.addRevisionListener(() => {
+      this.history.add(state.getConfiguration());
+      this.watchers.notify();
+      this.scheduleCheck();
+    });
+    options.log.addLeaderListener(() => this.scheduleCheck());
+  }
+
+  // Commands.
+
+  /** Prolongs an entry's lease and notes the revision that it routes on. */
+  async renewLease(request: LeaseRequest): Promise<LeaseGrant> {
+    const {entry, incarnation, confirmedRevision, needsWhole} = request;
+    await this.confirm();
+    const {revision} = this.options.state.getConfiguration();
+    if (confirmedRevision > revision) {
+      throw new SycamoreheadError(
+        'malformed_request',
+        `confirmedRevision: ${confirmedRevision} is above the newest, ${revision}`,
+        {field: 'confirmedRevision'},
+      );
+    }
+    this.leases.record({
+      entry,
+      incarnation: incarnation ?? '',
+      confirmedRevision,
+      grantedRevision: revision,
+    });
+    if (confirmedRevision === revision) void this.check();
+    return {
+      revision,
+      leaseMs: this.options.leaseMs,
+      ...this.history.getUpdate(confirmedRevision, needsWhole),
+    };
+  }
+
+  /** Fails what waits and stops the checks. */
+  stop(): void {
+    this.isStopped = true;
+    clearTimeout(this.timer);
+    this.watchers.notify();
+  }
+
+  // Queries.
+
+  /** Waits for a revision above the known one. */
+  async watchRevision(params: {
+    knownRevision: number;
+    waitMs: number;
+  }): Promise<{revision: number}> {
+    const {revision} = this.options.state.getConfiguration();
+    if (revision > params.knownRevision) return {revision};
+    await this.watchers.wait(params.waitMs);
+    return {revision: this.options.state.getConfiguration().revision};
+  }
+
+  /** Reads what is in force, confirmed with a quorum. */
+  async readInForce(): Promise<InForceReport> {
+    await this.confirm();
+    await this.check();
+    const {state} = this.options;
+    const configuration = state.getConfiguration();
+    const {revision, noteNumber, noteDigest} = configuration;
+    const inForceRevision = state.getInForceRevision();
+    return {
+      revision,
+      inForceRevision,
+      noteNumber,
+      noteDigest,
+      configurationDigest: computeDigest(configuration),
+      inForce: inForceRevision >= revision,
+      entries: this.leases.list(),
+      configuration,
+    };
+  }
+
+  private async confirm(): Promise<void> {
+    const {log: replicatedLog, state} = this.options;
+    await replicatedLog.confirmLeadership();
+    const {term, role} = replicatedLog.getStatus();
+    if (role !== 'leader') {
+      throw new SycamoreheadError('not_leader', 'leadership has just ended');
+    }
+    this.leases.startTerm(term, state.getConfiguration().revision);
+  }
+
+  private scheduleCheck(): void {
+    if (this.timer || this.isStopped) return;
+    this.timer = setTimeout(() => {
+      this.timer = undefined;
+      void this.check();
+    }, CHECK_INTERVAL_MS);
+    this.timer.unref();
+  }
+
+  /** Commits that the newest revision is in force, once it is. */
+  private async check(): Promise<void> {
+    const {log: replicatedLog, state, markInForce} = this.options;
+    const {revision} = state.getConfiguration();
+    if (this.isChecking || this.isStopped) return;
+    if (replicatedLog.getStatus().role !== 'leader') return;
+    this.isChecking = true;
+    try {
+      await this.confirm();
+      if (state.getInForceRevision() >= revision) return;
+      if (this.leases.isInForce(revision)) await markInForce(revision);
+      if (state.getInForceRevision() < revision) this.scheduleCheck();
+    } catch (error) {
+      log('in_force_not_checked', {error: String(error)});
+      this.scheduleCheck();
+    } finally {
+      this.isChecking = false;
+    }
+  }
+}
--- a/packages/control/src/lib/controlCommands.ts
+++ b/packages/control/src/lib/controlCommands.ts
@@ -55,6 +55,11 @@
       readonly bill?: Bill;
     }
   | {readonly type: 'record_bill'; readonly bill: Bill}
+  | {
+      /** The fact that no entry can route on an older revision any more. */
+      readonly type: 'mark_in_force';
+      readonly revision: number;
+    }
   | {
       readonly type: 'issue_order';
       readonly action: 'load' | 'unload';
@@ -75,6 +80,7 @@
 
 /** Results by command; an error travels as its body. @public */
 export interface ControlResults {
+  readonly mark_in_force: {readonly changed: boolean};
   readonly publish: PublishResult | {readonly error: ErrorBody};
   readonly quarantine: {readonly changed: boolean};
   readonly advance_rollout: {readonly changed: boolean};
--- a/packages/control/src/lib/createControlMethods.ts
+++ b/packages/control/src/lib/createControlMethods.ts
@@ -1,8 +1,21 @@
 import type {MethodTable} from '@sycamorehead/wire';
 import type {ControlNode} from './ControlNode.js';
+import type {LeaderForwarder, LeaderOperation} from './LeaderForwarder.js';
+
+function listOperations(node: ControlNode): Record<string, LeaderOperation> {
+  return {
+    'control.renewLease': params => node.renewLease(params),
+    'control.pinSession': params => node.pinSession(params),
+    'control.beginRequest': params => node.beginRequest(params),
+    'control.finishRequest': params => node.finishRequest(params),
+    'control.recordBill': params => node.recordBill(params),
+    'control.reportServers': params => node.reportServers(params),
+  };
+}
 
 /**
- * The methods that control offers to entries over the wire.
+ * The methods that control offers to entries over the wire. With a forwarder, an instance that
+ * does not lead passes calls on to the leader.
  *
  * @example
  * ```ts
@@ -10,13 +23,18 @@
  * ```
  * @public
  */
-export function createControlMethods(node: ControlNode): MethodTable {
-  return {
-    'control.renewLease': (params: never) => node.renewLease(params),
-    'control.pinSession': (params: never) => node.pinSession(params),
-    'control.beginRequest': (params: never) => node.beginRequest(params),
-    'control.finishRequest': (params: never) => node.finishRequest(params),
-    'control.recordBill': (params: never) => node.recordBill(params),
-    'control.reportServers': (params: never) => node.reportServers(params),
+export function createControlMethods(
+  node: ControlNode,
+  forwarder?: LeaderForwarder,
+): MethodTable {
+  const methods: Record<string, MethodTable[string]> = {
+    'control.watchRevision': (params: never) => node.watchRevision(params),
   };
+  for (const [name, operation] of Object.entries(listOperations(node))) {
+    forwarder?.add(name, operation);
+    methods[name] = forwarder
+      ? (params: never) => forwarder.run(name, params)
+      : (params: never) => operation(params);
+  }
+  return {...methods, ...forwarder?.getMethods()};
 }
--- a/packages/entry/src/lib/ConfigurationManager.ts
+++ b/packages/entry/src/lib/ConfigurationManager.ts
@@ -1,14 +1,22 @@
+import {randomUUID} from 'node:crypto';
 import {
   Configuration,
   ControlApi,
   EMPTY_CONFIGURATION,
+  LeaseGrant,
   SycamoreheadError,
+  applyConfigurationDelta,
 } from '@sycamorehead/schema';
 import {createLogger} from '@sycamorehead/telemetry';
 
 const log = createLogger('configuration');
 
-const RENEW_INTERVAL_MS = 500;
+const RENEW_INTERVAL_MS = 750;
+const RETRY_INTERVAL_MS = 100;
+const WATCH_MS = 5_000;
+const WATCH_RETRY_MS = 500;
+/** Least time between two looks at a revision that is not there yet. */
+const WATCH_PAUSE_MS = 50;
 
 /** What an entry routes on. @public */
 export interface ConfigurationReading {
@@ -18,16 +26,29 @@
   readonly leaseLeftMs: number;
 }
 
+/** What a renewal came to: the pause until the next one depends on it. */
+type RenewalOutcome = 'renewed' | 'changed' | 'failed';
+
+const PAUSE_MS: Readonly<Record<RenewalOutcome, number>> = {
+  renewed: RENEW_INTERVAL_MS,
+  // A new revision is confirmed at once, so that it is soon known to be in force.
+  changed: 0,
+  failed: RETRY_INTERVAL_MS,
+};
+
 /**
  * Holds the configuration under a lease. Time counts on the monotonic clock from when the lease's
- * request was sent, so that a slow answer shortens the lease rather than prolonging it.
+ * request was sent, so that a slow answer shortens the lease rather than prolonging it. One task
+ * renews the lease; another waits for the next revision and wakes the first.
  *
  * @public
  */
 export class ConfigurationManager {
+  private readonly incarnation = randomUUID();
   private configuration: Configuration = EMPTY_CONFIGURATION;
   private leaseEndsAt = -Infinity;
-  private timer: NodeJS.Timeout | undefined;
+  private needsWhole = false;
+  private endPause: (() => void) | undefined;
   private stopped = false;
 
   constructor(
@@ -40,12 +61,13 @@
   /** Renews the lease until stopped. */
   start(): void {
     void this.renewForever();
+    void this.watchForever();
   }
 
   /** Stops renewing. */
   stop(): void {
     this.stopped = true;
-    clearTimeout(this.timer);
+    this.endPause?.();
   }
 
   // Queries.
@@ -82,32 +104,85 @@
 
   private async renewForever(): Promise<void> {
     while (!this.stopped) {
-      const isChanged = await this.renew();
-      // A new revision is confirmed at once, so that it is soon known to be in force.
-      if (isChanged) continue;
-      await new Promise<void>(resolve => {
-        this.timer = setTimeout(resolve, RENEW_INTERVAL_MS);
-        this.timer.unref();
-      });
+      const outcome = await this.renew();
+      if (PAUSE_MS[outcome] > 0) await this.pause(PAUSE_MS[outcome]);
     }
   }
 
-  private async renew(): Promise<boolean> {
+  private async watchForever(): Promise<void> {
+    while (!this.stopped) {
+      const knownRevision = this.configuration.revision;
+      try {
+        const {revision} = await this.control.watchRevision({
+          knownRevision,
+          waitMs: WATCH_MS,
+        });
+        if (revision > knownRevision) this.endPause?.();
+        await sleep(WATCH_PAUSE_MS);
+      } catch (error) {
+        log('watch_failed', {error: String(error)});
+        await sleep(WATCH_RETRY_MS);
+      }
+    }
+  }
+
+  private async pause(ms: number): Promise<void> {
+    if (this.stopped) return;
+    await Promise.race([
+      sleep(ms),
+      new Promise<void>(resolve => (this.endPause = resolve)),
+    ]);
+    this.endPause = undefined;
+  }
+
+  private async renew(): Promise<RenewalOutcome> {
     const sentAt = performance.now();
     try {
       const grant = await this.control.renewLease({
         entry: this.entry,
+        incarnation: this.incarnation,
         confirmedRevision: this.configuration.revision,
+        ...(this.needsWhole && {needsWhole: true}),
       });
-      if (grant.revision < this.configuration.revision) return false;
-      this.leaseEndsAt = sentAt + grant.leaseMs;
-      if (!grant.configuration) return false;
-      this.configuration = grant.configuration;
-      log('configuration', {revision: grant.revision});
-      return true;
+      return this.acceptGrant(grant, sentAt);
     } catch (error) {
       log('lease_not_renewed', {error: String(error)});
-      return false;
+      return 'failed';
     }
   }
+
+  private acceptGrant(grant: LeaseGrant, sentAt: number): RenewalOutcome {
+    if (this.stopped || grant.revision < this.configuration.revision) {
+      return 'failed';
+    }
+    const next = this.resolveConfiguration(grant);
+    if (!next) {
+      // The lease is for a revision that is not here, so it is not taken either.
+      this.needsWhole = true;
+      log('delta_does_not_fit', {revision: grant.revision});
+      return 'failed';
+    }
+    const isChanged = next !== this.configuration;
+    this.needsWhole = false;
+    this.configuration = next;
+    this.leaseEndsAt = Math.max(this.leaseEndsAt, sentAt + grant.leaseMs);
+    if (!isChanged) return 'renewed';
+    log('configuration', {revision: grant.revision});
+    return 'changed';
+  }
+
+  private resolveConfiguration(grant: LeaseGrant): Configuration | undefined {
+    const {configuration, delta, revision} = grant;
+    if (configuration) return configuration;
+    if (delta) return applyConfigurationDelta(this.configuration, delta);
+    return revision === this.configuration.revision
+      ? this.configuration
+      : undefined;
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => {
+    setTimeout(resolve, ms).unref();
+  });
 }
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -48,6 +48,7 @@
   ControlApi,
   FinishResult,
   LeaseGrant,
+  LeaseRequest,
   SessionPin,
   StoredAnswer,
 } from './lib/records.js';
@@ -58,3 +59,8 @@
   ServerReportAnswer,
   VersionLoad,
 } from './lib/serverReport.js';
+export {
+  applyConfigurationDelta,
+  diffConfigurations,
+} from './lib/configurationDelta.js';
+export type {ConfigurationDelta, TableDelta} from './lib/configurationDelta.js';
--- a/packages/schema/src/lib/records.ts
+++ b/packages/schema/src/lib/records.ts
@@ -4,6 +4,7 @@
  * @public
  */
 import type {Configuration} from './configuration.js';
+import type {ConfigurationDelta} from './configurationDelta.js';
 import type {VersionRef} from './releaseNote.js';
 import type {Usage} from './chat.js';
 
@@ -11,8 +12,21 @@
 export interface LeaseGrant {
   readonly revision: number;
   readonly leaseMs: number;
-  /** The configuration, where the entry's revision differs. */
+  /** The configuration, where the entry's revision differs and no delta leads to it. */
   readonly configuration?: Configuration;
+  /** What leads from the entry's revision to this one. */
+  readonly delta?: ConfigurationDelta;
+}
+
+/** An entry's request for a lease. @public */
+export interface LeaseRequest {
+  readonly entry: string;
+  /** Names one run of the entry's process: two that share a name are still told apart. */
+  readonly incarnation?: string;
+  /** Revision that the entry routes on; 0 before the first. */
+  readonly confirmedRevision: number;
+  /** Whether a delta did not fit, so that the whole configuration is needed. */
+  readonly needsWhole?: boolean;
 }
 
 /** A session's version. @public */
@@ -74,10 +88,15 @@
 /** The commands and queries that control offers to entries. @public */
 export interface ControlApi {
   /** Prolongs an entry's lease and confirms the revision that it routes on. */
-  renewLease(params: {
-    entry: string;
-    confirmedRevision: number;
-  }): Promise<LeaseGrant>;
+  renewLease(params: LeaseRequest): Promise<LeaseGrant>;
+  /**
+   * Returns once a revision above the known one is committed, or after the wait. It is a hint to
+   * renew the lease at once and grants nothing.
+   */
+  watchRevision(params: {
+    knownRevision: number;
+    waitMs: number;
+  }): Promise<{revision: number}>;
   /** Pins a session to a version; the first write wins. */
   pinSession(params: {
     session: string;
