--- a/packages/bench/src/lib/fuzz/fuzzEngineStreams.ts
+++ b/packages/bench/src/lib/fuzz/fuzzEngineStreams.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import {SycamoreheadError} from '@sycamorehead/schema';
-import {BackendClient} from '@sycamorehead/entry';
+import {BackendClient, FrameChecker} from '@sycamorehead/entry';
 import {StandInServer} from '@sycamorehead/stand-ins';
 import type {FuzzTarget} from './fuzzTypes.js';
 import {mutateBytes} from './mutateBytes.js';
@@ -34,17 +34,20 @@
   client: BackendClient,
   address: string,
 ): Promise<void> {
-  const chunks = client.streamChat({
-    address,
-    attemptId: 'r.1',
-    body: '{}',
-    resumeOffset: 0,
-    priority: 0,
-    signal: new AbortController().signal,
-  });
+  const frames = client.streamChat(
+    {
+      address,
+      attemptId: 'r.1',
+      body: '{}',
+      resumeOffset: 0,
+      priority: 0,
+      signal: new AbortController().signal,
+    },
+    new FrameChecker('r.1', 0),
+  );
   let last: string | null | undefined;
   try {
-    for await (const chunk of chunks) last = chunk.choices[0]?.finish_reason;
+    for await (const frame of frames) last = frame.finishReason;
   } catch (error) {
     if (error instanceof SycamoreheadError && error.kind !== 'internal') return;
     throw error;
--- a/packages/control/src/lib/ControlClient.ts
+++ b/packages/control/src/lib/ControlClient.ts
@@ -12,6 +12,7 @@
   SycamoreheadError,
   toSycamoreheadError,
 } from '@sycamorehead/schema';
+import type {TlsMaterial} from '@sycamorehead/telemetry';
 import {PeerAddress, PeerLink, connectPeer} from '@sycamorehead/wire';
 
 /** Settings of a ControlClient. @public */
@@ -21,6 +22,7 @@
   /** Control instances, by name. */
   readonly instances: Readonly<Record<string, PeerAddress>>;
   readonly peerKey: string;
+  readonly peerTls?: TlsMaterial;
   /** Time allowed for one call with its retries, in milliseconds. */
   readonly callTimeoutMs?: number;
 }
@@ -148,6 +150,7 @@
       address,
       name: this.options.name,
       peerKey: this.options.peerKey,
+      tls: this.options.peerTls,
     });
     return this.link;
   }
--- a/packages/control/src/lib/OperatorClient.ts
+++ b/packages/control/src/lib/OperatorClient.ts
@@ -1,4 +1,4 @@
-import {request} from 'undici';
+import {Agent, Dispatcher, request} from 'undici';
 import {
   Bill,
   ReleaseNote,
@@ -22,6 +22,8 @@
   /** Base URLs of the control instances. */
   readonly urls: readonly string[];
   readonly operatorToken: string;
+  /** Authority that signed the control instances' certificates, where it is a private one. */
+  readonly ca?: Buffer;
 }
 
 /**
@@ -31,7 +33,12 @@
  * @public
  */
 export class OperatorClient {
-  constructor(private readonly options: OperatorClientOptions) {}
+  private readonly dispatcher: Dispatcher | undefined;
+
+  constructor(private readonly options: OperatorClientOptions) {
+    const {ca} = options;
+    this.dispatcher = ca && new Agent({connect: {ca}});
+  }
 
   /** Publishes a release note; resending the same one is safe. */
   publish(note: ReleaseNote): Promise<PublishResult> {
@@ -106,6 +113,7 @@
   ): Promise<Result> {
     const {body} = await request(new URL('/rpc', url), {
       method: 'POST',
+      dispatcher: this.dispatcher,
       headersTimeout: timeoutMs,
       bodyTimeout: timeoutMs,
       headers: {
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -19,6 +19,7 @@
 } from './lib/answerTypes.js';
 export {BackendClient, DEFAULT_BACKEND_TIMEOUTS} from './lib/BackendClient.js';
 export type {BackendTimeouts} from './lib/BackendClient.js';
+export {FrameChecker} from './lib/FrameChecker.js';
 export {computeModelBill} from './lib/computeBill.js';
 export type {BillInput} from './lib/computeBill.js';
 export {DEFAULT_ENTRY_TIMEOUTS} from './lib/entryTimeouts.js';
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -9,6 +9,7 @@
   EntryMetrics,
   createEntryMetrics,
   createLogger,
+  TlsMaterial,
 } from '@sycamorehead/telemetry';
 import {
   BackendServerDirectory,
@@ -51,6 +52,10 @@
   readonly peers: readonly PeerAddress[];
   /** Key that links between the system's own instances prove. */
   readonly peerKey: string;
+  /** TLS on links between the system's own instances. */
+  readonly peerTls?: TlsMaterial;
+  /** TLS towards callers and backend servers. */
+  readonly tls?: TlsMaterial;
   /** Key that backend servers prove when they announce themselves. */
   readonly serverKey: string;
   readonly control: ControlApi & Partial<PlacementApi>;
@@ -88,11 +93,12 @@
   private readonly chat: ChatService;
   private readonly services: PlainServiceProxy;
   private running = 0;
+  private idleListener: (() => void) | undefined;
   private isLeaving = false;
   private isRefusing = false;
 
   constructor(private readonly options: EntryOptions) {
-    const {name, peerKey, peers, control, policies} = options;
+    const {name, peerKey, peerTls, peers, control, policies} = options;
     const {directory, metrics} = this;
     this.configuration = new ConfigurationManager(name, control);
     this.router = new Router({directory, ...policies});
@@ -100,12 +106,13 @@
     const timeouts = options.timeouts ?? DEFAULT_ENTRY_TIMEOUTS;
     this.backends = new BackendClient(backendTimeouts);
     this.commits = new CommitQueue(timeouts.commitWaitMs);
-    this.gossip = new PeerGossip({name, peers, peerKey, directory});
+    this.gossip = new PeerGossip({name, peers, peerKey, peerTls, directory});
     this.reporter = new ServerReporter(name, directory, control);
     this.peerServer = new WireServer({
       host: options.host,
       port: options.peerPort,
       peerKey,
+      tls: peerTls,
       methods: this.gossip.getMethods(),
       timeouts: PEER_LINK_TIMEOUTS,
     });
@@ -130,7 +137,7 @@
       directory,
       serviceMs: backendTimeouts.serviceMs,
     });
-    this.server = new EntryServer(this.getRoutes());
+    this.server = new EntryServer(this.getRoutes(), options.tls);
   }
 
   /** Starts everything and returns the ports. */
@@ -147,7 +154,8 @@
 
   /**
    * Graceful shutdown: first not ready, while requests are still served for as long as the
-   * balancer needs to notice; then new requests are refused and running ones finish.
+   * balancer needs to notice; then new requests are refused and running ones finish. Returns once
+   * every bill is recorded.
    */
   async stop(): Promise<void> {
     this.isLeaving = true;
@@ -156,6 +164,8 @@
       setTimeout(resolve, this.options.balancerLagMs ?? 0),
     );
     this.isRefusing = true;
+    // The port stays open meanwhile, so that a late request is refused with a true answer.
+    await this.waitUntilIdle();
     await this.server.stop();
     await this.commits.drain(COMMIT_DRAIN_MS);
     this.configuration.stop();
@@ -228,9 +238,17 @@
     } finally {
       this.running -= 1;
       this.metrics.running.set(this.running);
+      if (this.running === 0) this.idleListener?.();
     }
   }
 
+  private async waitUntilIdle(): Promise<void> {
+    if (this.running === 0) return;
+    await new Promise<void>(resolve => {
+      this.idleListener = resolve;
+    });
+  }
+
   private async receiveAnnouncement(exchange: Exchange): Promise<void> {
     const key = readBearerKey(exchange.request.headers);
     if (!isSameKey(key, this.options.serverKey)) {
--- a/packages/membership/src/lib/BackendServerDirectory.ts
+++ b/packages/membership/src/lib/BackendServerDirectory.ts
@@ -48,7 +48,7 @@
  */
 export class BackendServerDirectory {
   private readonly servers = new Map<string, ServerRecord>();
-  private held: ReadonlySet<string> | undefined;
+  private unheld: ReadonlySet<string> = new Set();
   /** Raised with every change of facts, so that others see cheaply that there was one. */
   factRevision = 0;
 
@@ -126,14 +126,17 @@
     if (load) record.announcement = {...record.announcement, load};
   }
 
-  /** Sets the servers whose liveness this entry follows; all of them until first called. */
+  /**
+   * Sets the servers whose liveness this entry follows. All are followed until first called, and
+   * a server first heard of since the last call until the next.
+   */
   hold(ids: ReadonlySet<string>): void {
-    for (const id of ids) {
-      if (this.held?.has(id)) continue;
-      const record = this.servers.get(id);
-      if (record) record.watchedSince = performance.now();
+    const unheld = new Set<string>();
+    for (const [id, record] of this.servers) {
+      if (!ids.has(id)) unheld.add(id);
+      else if (this.unheld.has(id)) record.watchedSince = performance.now();
     }
-    this.held = ids;
+    this.unheld = unheld;
   }
 
   /**
@@ -244,7 +247,7 @@
   }
 
   private isHeld(id: string): boolean {
-    return !this.held || this.held.has(id);
+    return !this.unheld.has(id);
   }
 
   private store(
--- a/packages/membership/src/lib/PeerLinks.ts
+++ b/packages/membership/src/lib/PeerLinks.ts
@@ -1,4 +1,4 @@
-import {createLogger} from '@sycamorehead/telemetry';
+import {TlsMaterial, createLogger} from '@sycamorehead/telemetry';
 import {
   LinkTimeouts,
   MethodTable,
@@ -19,10 +19,10 @@
 const MEMBERS_METHOD = 'membership.members';
 const LEAVE_METHOD = 'membership.leave';
 
-/** Timeouts of links between entries: their beats come each second, so heartbeats are rare. @public */
+/** Timeouts of links between entries: beats watch over them, so that heartbeats are rare. @public */
 export const PEER_LINK_TIMEOUTS: LinkTimeouts = {
-  heartbeatMs: 2_000,
-  silenceMs: 3_500,
+  heartbeatMs: 10_000,
+  silenceMs: 10_000,
   requestMs: 5_000,
 };
 
@@ -47,6 +47,7 @@
   /** Entries to join through. */
   readonly seeds: readonly PeerAddress[];
   readonly peerKey: string;
+  readonly peerTls?: TlsMaterial;
   /** Called with each new link. */
   readonly onLinked: (name: string, link: PeerLink) => void;
   /** Methods that the other end of a dialled link may call. */
@@ -232,7 +233,7 @@
 
   /** Dials an entry and joins it; returns its name where it answered. */
   private async connect(address: PeerAddress): Promise<string | undefined> {
-    const {name, peerKey, getMethods} = this.options;
+    const {name, peerKey, peerTls, getMethods} = this.options;
     if (!this.own) return undefined;
     const {host, port} = address;
     try {
@@ -240,6 +241,7 @@
         address: {host, port},
         name,
         peerKey,
+        tls: peerTls,
         methods: getMethods(),
         timeouts: PEER_LINK_TIMEOUTS,
       });
