Experiment `rollout`: time against the weight store's limit, a deposed leader's orders

Cause: neither the pace of loads nor the fate of late orders had been measured.

Stand-in engines count executed orders only.

--- a/packages/bench/src/lib/experiments/experimentTable.ts
+++ b/packages/bench/src/lib/experiments/experimentTable.ts
@@ -2,6 +2,7 @@
 import {crest} from './crest.js';
 import {headOfLine} from './headOfLine.js';
 import {membership} from './membership.js';
+import {rollout} from './rollout.js';
 import {straggler} from './straggler.js';
 
 /** Experiments by name; each stands in a file of its own. @public */
@@ -9,5 +10,6 @@
   crest,
   'head-of-line': headOfLine,
   membership,
+  rollout,
   straggler,
 };
--- a/packages/bench/src/lib/load/Fleet.ts
+++ b/packages/bench/src/lib/load/Fleet.ts
@@ -1,4 +1,4 @@
-import {SingleVoterLog} from '@sycamorehead/consensus';
+import {ReplicatedLog, SingleVoterLog} from '@sycamorehead/consensus';
 import {ControlNode, ReconcilerOptions} from '@sycamorehead/control';
 import {Entry, EntryOptions} from '@sycamorehead/entry';
 import {ReleaseNote, VersionRef} from '@sycamorehead/schema';
@@ -48,12 +48,17 @@
   readonly ratings: StandInRatingService;
   ratingsUrl = '';
   readonly control: ControlNode;
+  /** Control's log, for commands that no client offers. */
+  log: ReplicatedLog | undefined;
 
   constructor(private readonly options: FleetOptions) {
     this.ratings = new StandInRatingService({quality: options.quality ?? {}});
     this.control = new ControlNode({
       name: 'control-1',
-      createLog: machine => new SingleVoterLog('control-1', machine),
+      createLog: machine => {
+        this.log = new SingleVoterLog('control-1', machine);
+        return this.log;
+      },
       reconciler: options.reconciler,
     });
   }
--- /dev/null
+++ b/packages/bench/src/lib/rollout/measureFailover.ts
@@ -0,0 +1,224 @@
+import {
+  EngineOrderMessage,
+  Reconciler,
+  ReconcilerHost,
+  ReconcilerOptions,
+  sendOrder,
+} from '@sycamorehead/control';
+import {
+  Configuration,
+  EMPTY_CONFIGURATION,
+  ReportedServer,
+  SycamoreheadError,
+  applyReleaseNote,
+  parseReleaseNote,
+} from '@sycamorehead/schema';
+import {StandInEngine, StandInWeightStore} from '@sycamorehead/stand-ins';
+import {countLoaded} from './measureRollout.js';
+
+const ENGINES = 8;
+const REPORT_MS = 200;
+const DEPOSED_AFTER_LOADS = 3;
+/** The delay stays below the order timeout, which ends what takes longer. */
+const DELAY_MS = 1_500;
+const LONGEST_MS = 40_000;
+const WATCH_MS = 3_000;
+const RATE = {loads: 4, windowMs: 1_000};
+const OPTIONS: Partial<ReconcilerOptions> = {
+  weightStore: RATE,
+  leaderLeaseMs: 1_500,
+  orderTimeoutMs: 2_000,
+  settleMs: 1_000,
+};
+
+/** What became of a roll-out whose leader was deposed between two orders. @internal */
+export interface FailoverCost {
+  readonly lateOrders: number;
+  /** Late orders that servers which ignore fencing obeyed. */
+  readonly lateOrdersObeyed: number;
+  /** Late orders whose effect was still there at the end. */
+  readonly lastingEffects: number;
+  /** From the new leader's election until every engine was as wanted. */
+  readonly recoveredMs: number;
+}
+
+function buildConfiguration(state: 'wanted' | 'withdrawn'): Configuration {
+  const formatVersion = (version: string) =>
+    `- {model: m, version: ${version}, inputPrice: 1, outputPrice: 1, contextTokens: 1000, qualityPrior: 0.8, replicas: ${ENGINES}}`;
+  const first = parseReleaseNote(`
+number: 1
+follows: 0
+add:
+  versions:
+    ${formatVersion('v1')}
+    ${formatVersion('v2')}
+`);
+  const configuration = applyReleaseNote(EMPTY_CONFIGURATION, first);
+  if (state === 'wanted') return configuration;
+  const second = parseReleaseNote(`
+number: 2
+follows: 1
+withdraw: {versions: [{model: m, version: v2}]}
+`);
+  return applyReleaseNote(configuration, second);
+}
+
+/** Two control instances over one log, and the engines that they order. */
+class Failover {
+  readonly engines: StandInEngine[] = [];
+  configuration = buildConfiguration('wanted');
+  leader = 'control-1';
+  private term = 1;
+  private index = 0;
+  readonly late: Array<{engine: StandInEngine; order: EngineOrderMessage}> = [];
+  obeyed = 0;
+  private readonly store = new StandInWeightStore({
+    loadMs: 200,
+    loadsPerWindow: RATE.loads,
+    windowMs: RATE.windowMs,
+  });
+  private timer: NodeJS.Timeout | undefined;
+  readonly former = this.createReconciler('control-1', (address, order, ms) =>
+    this.sendLate(address, order, ms),
+  );
+  readonly next = this.createReconciler('control-2', sendOrder);
+
+  async start(): Promise<void> {
+    const weightStore = await this.store.start();
+    for (let index = 1; index <= ENGINES; index++) {
+      const engine = new StandInEngine({
+        id: `engine-${index}`,
+        dataCentre: 'dc-1',
+        versions: [{model: 'm', version: 'v1'}],
+        speed: {slots: 4, stepMs: 4, stepMsPerJob: 1, prefillTokensPerMs: 20},
+        fencing: index % 2 === 0 ? 'checked' : 'ignored',
+        entries: [],
+        serverKey: '',
+        weightStore,
+        versionSlots: 2,
+      });
+      await engine.start();
+      this.engines.push(engine);
+    }
+    this.timer = setInterval(() => this.report(), REPORT_MS);
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    this.former.stop();
+    this.next.stop();
+    for (const engine of this.engines) await engine.stop();
+    await this.store.stop();
+  }
+
+  /** Deposes the former leader, with an order of its own still under way. */
+  elect(): void {
+    this.leader = 'control-2';
+    this.term += 1;
+  }
+
+  private createReconciler(
+    name: string,
+    send: ReconcilerOptions['sendOrder'],
+  ): Reconciler {
+    const confirm = () => {
+      if (this.leader === name) return;
+      throw new SycamoreheadError('not_leader', name);
+    };
+    const host: ReconcilerHost = {
+      confirmLeadership: async () => confirm(),
+      getTerm: () => this.term,
+      getConfiguration: () => this.configuration,
+      commitOrder: async () => {
+        confirm();
+        this.index += 1;
+        return this.index;
+      },
+    };
+    return new Reconciler(host, {...OPTIONS, sendOrder: send});
+  }
+
+  /** Delivers loads of v2 late once enough have been given. */
+  private async sendLate(
+    address: string,
+    order: EngineOrderMessage,
+    timeoutMs: number,
+  ) {
+    if (this.index <= DEPOSED_AFTER_LOADS) {
+      return sendOrder(address, order, timeoutMs);
+    }
+    const engine = this.engines.find(({address: own}) => own === address);
+    if (engine) this.late.push({engine, order});
+    await new Promise(resolve => setTimeout(resolve, DELAY_MS));
+    const outcome = await sendOrder(address, order, timeoutMs);
+    if (outcome.state === 'accepted') this.obeyed += 1;
+    return {state: 'unknown'} as const;
+  }
+
+  private report(): void {
+    const servers = this.engines.map((engine, index) =>
+      describeEngine(engine, index),
+    );
+    for (const reconciler of [this.former, this.next]) {
+      void reconciler
+        .receive({entry: 'e', full: true, servers, dropped: [], loads: {}})
+        .catch(() => {});
+    }
+  }
+}
+
+function describeEngine(engine: StandInEngine, index: number): ReportedServer {
+  return {
+    id: `engine-${index + 1}`,
+    address: engine.address,
+    dataCentre: 'dc-1',
+    generation: 1,
+    sequence: Math.floor(performance.now()),
+    state: 'ready',
+    versions: engine.listVersions(),
+    slots: 4,
+    fencing: (index + 1) % 2 === 0 ? 'checked' : 'ignored',
+    versionSlots: 2,
+    alive: true,
+  };
+}
+
+/**
+ * Deposes the leader of a roll-out between two orders, one of them arriving late; meanwhile the
+ * version is withdrawn, so that the late load must not last.
+ *
+ * @internal
+ */
+export async function measureFailover(): Promise<FailoverCost> {
+  const failover = new Failover();
+  await failover.start();
+  try {
+    await waitFor(() => failover.late.length > 0);
+    failover.elect();
+    failover.configuration = buildConfiguration('withdrawn');
+    const electedAt = performance.now();
+    await new Promise(resolve => setTimeout(resolve, DELAY_MS + WATCH_MS));
+    await waitFor(() => countLoaded(failover.engines, 'v2') === 0);
+    const recoveredMs = Math.round(performance.now() - electedAt);
+    await new Promise(resolve => setTimeout(resolve, WATCH_MS));
+    const lasting = failover.late.filter(({engine, order}) =>
+      engine.listVersions().some(loaded => loaded.version === order.version),
+    );
+    return {
+      lateOrders: failover.late.length,
+      lateOrdersObeyed: failover.obeyed,
+      lastingEffects: lasting.length,
+      recoveredMs,
+    };
+  } finally {
+    await failover.stop();
+  }
+}
+
+async function waitFor(isDone: () => boolean): Promise<void> {
+  const deadline = performance.now() + LONGEST_MS;
+  while (!isDone()) {
+    if (performance.now() > deadline) throw new Error('waited in vain');
+    await new Promise(resolve => setTimeout(resolve, REPORT_MS));
+  }
+}
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -21,7 +21,11 @@
   DEFAULT_RECONCILER_OPTIONS,
   Reconciler,
 } from './lib/reconciler/Reconciler.js';
-export type {ReconcilerOptions} from './lib/reconciler/Reconciler.js';
+export type {
+  ReconcilerHost,
+  ReconcilerOptions,
+} from './lib/reconciler/Reconciler.js';
+export {sendOrder} from './lib/reconciler/sendOrder.js';
 export type {WeightStoreRate} from './lib/reconciler/LoadPacer.js';
 export type {
   RolloutStatus,
--- a/packages/control/src/lib/reconciler/LoadPacer.ts
+++ b/packages/control/src/lib/reconciler/LoadPacer.ts
@@ -1,5 +1,5 @@
 /** Part of the window added to it, since orders reach the weight store with some delay. */
-const MARGIN = 0.03;
+const MARGIN = 0.05;
 
 /** The weight store's limit. @public */
 export interface WeightStoreRate {
@@ -38,8 +38,8 @@
 
   // Queries.
 
-  /** Tells whether a load must wait for the rate. */
-  isWaiting(): boolean {
-    return performance.now() < this.nextAt;
+  /** Returns the time until a load may begin, in milliseconds. */
+  getWaitMs(): number {
+    return Math.max(0, this.nextAt - performance.now());
   }
 }
--- a/packages/control/src/lib/reconciler/Reconciler.ts
+++ b/packages/control/src/lib/reconciler/Reconciler.ts
@@ -86,6 +86,7 @@
   private leadership: Leadership | undefined;
   private plan: PlacementPlan | undefined;
   private timer: NodeJS.Timeout | undefined;
+  private wakeTimer: NodeJS.Timeout | undefined;
   private isTicking = false;
   private stopped = false;
 
@@ -114,6 +115,7 @@
   stop(): void {
     this.stopped = true;
     clearInterval(this.timer);
+    clearTimeout(this.wakeTimer);
   }
 
   /** Plans and gives the orders that are due. Runs by itself once a report has come. */
@@ -150,11 +152,18 @@
         share: computeShare(version),
         placement: this.plan?.placements.get(formatVersionKey(version)),
         isSettled: this.isSettled(),
-        isPaced: this.pacer.isWaiting(),
+        isPaced: this.pacer.getWaitMs() > 0,
       }),
     );
   }
 
+  /** Tells whether the entries have had time to report to this leader. */
+  isSettled(): boolean {
+    const {leadership, options} = this;
+    if (!leadership) return false;
+    return performance.now() - leadership.since >= options.settleMs;
+  }
+
   private readConfigured({model, version}: VersionRef) {
     const key = formatVersionKey({model, version});
     return this.host.getConfiguration().versions[key];
@@ -187,13 +196,6 @@
     return true;
   }
 
-  /** Whether the entries have had time to report to this leader. */
-  private isSettled(): boolean {
-    const {leadership, options} = this;
-    if (!leadership) return false;
-    return performance.now() - leadership.since >= options.settleMs;
-  }
-
   /**
    * Whether a server may be ordered: one that ignores fencing numbers might still be obeying an
    * order of the former leader.
@@ -223,12 +225,24 @@
     for (const order of [...this.plan.unloads, ...this.plan.loads]) {
       if (given >= MAX_ORDERS_PER_TICK) return;
       if (!this.isOrderable(order.server)) continue;
-      if (order.action === 'load' && !this.pacer.tryAcquire()) return;
+      if (order.action === 'load' && !this.pacer.tryAcquire()) {
+        this.scheduleLoad();
+        return;
+      }
       given += 1;
       await this.giveOrder(order);
     }
   }
 
+  /** Plans again as soon as the weight store's rate allows the next load. */
+  private scheduleLoad(): void {
+    clearTimeout(this.wakeTimer);
+    const waitMs = Math.ceil(this.pacer.getWaitMs());
+    if (waitMs >= this.options.tickMs) return;
+    this.wakeTimer = setTimeout(() => void this.reconcile(), waitMs);
+    this.wakeTimer.unref();
+  }
+
   private trackWithdrawals(): void {
     const {versions} = this.host.getConfiguration();
     for (const [key, {state}] of Object.entries(versions)) {
--- a/packages/stand-ins/src/lib/EngineVersions.ts
+++ b/packages/stand-ins/src/lib/EngineVersions.ts
@@ -28,7 +28,9 @@
 
 /** The versions that a stand-in engine has loaded, and the orders that change them. @internal */
 export class EngineVersions {
+  /** The orders that were executed, in their order; refused ones are not. */
   readonly orders: EngineOrder[] = [];
+  private received = 0;
   private loaded: VersionRef[];
   /** Number of the newest order for each version; a load that it overtakes is dropped. */
   private readonly newest = new Map<string, number>();
@@ -55,18 +57,19 @@
       return {status: 409, body: {error: {message: 'old fencing number'}}};
     }
     this.highestFencing = Math.max(this.highestFencing, order.fencing);
-    this.orders.push(order);
+    this.received += 1;
     const {model, version} = order;
-    this.newest.set(`${model}/${version}`, this.orders.length);
-    if (order.action === 'load') return this.load(order);
+    this.newest.set(`${model}/${version}`, this.received);
+    if (order.action === 'load') return this.load(order, this.received);
+    this.orders.push(order);
     this.loaded = this.loaded.filter(loaded => !isSame(loaded, order));
     return {status: 200, body: {state: 'unloaded'}};
   }
 
-  private async load(order: EngineOrder): Promise<OrderAnswer> {
+  private async load(order: EngineOrder, number: number): Promise<OrderAnswer> {
     const {weightStore} = this.options;
-    const number = this.orders.length;
     if (!weightStore) {
+      this.orders.push(order);
       this.finishLoad(order, number);
       return {status: 200, body: {state: 'loaded'}};
     }
@@ -76,6 +79,7 @@
       const {error} = (await answer.body.json()) as {error: object};
       return {status: 503, body: {error: {...error, ran: 'no'}}};
     }
+    this.orders.push(order);
     void answer.body
       .text()
       .then(() => this.finishLoad(order, number))
--- a/packages/stand-ins/src/lib/StandInEngine.ts
+++ b/packages/stand-ins/src/lib/StandInEngine.ts
@@ -85,7 +85,7 @@
     });
   }
 
-  /** The orders that it took, in their order. */
+  /** The orders that it executed, in their order. */
   get orders(): readonly EngineOrder[] {
     return this.versions.orders;
   }
