--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -8,6 +8,8 @@
   ExperimentResult,
   ExperimentTarget,
 } from './lib/experimentTypes.js';
+export {FUZZ_TARGETS} from './lib/fuzz/fuzzTargets.js';
+export type {FuzzOptions, FuzzTarget} from './lib/fuzz/fuzzTypes.js';
 export {Randomness, generateArrivals} from './lib/load/arrivals.js';
 export type {
   Arrival,
@@ -19,5 +21,6 @@
 export {computeMean, computeQuantile} from './lib/load/computeStatistics.js';
 export {Fleet} from './lib/load/Fleet.js';
 export type {FleetOptions} from './lib/load/Fleet.js';
+export {runReportDemo} from './lib/runReportDemo.js';
 export {runLoad} from './lib/load/runLoad.js';
 export type {CallRecord, LoadTarget} from './lib/load/runLoad.js';
--- a/packages/control/src/lib/ControlState.ts
+++ b/packages/control/src/lib/ControlState.ts
@@ -62,6 +62,8 @@
     begin_request: (command, index) => this.requests.begin(command, index),
     finish_request: command => this.finishRequest(command),
     record_bill: ({bill}) => this.ledger.record(bill),
+    // What an order changes is announced by its server; only its number comes from the log.
+    issue_order: (command, index) => ({fencing: index}),
   };
 
   apply(command: JsonValue, index: number): JsonValue {
