--- a/packages/entry/src/lib/AnswerSource.ts
+++ b/packages/entry/src/lib/AnswerSource.ts
@@ -10,7 +10,7 @@
 import type {RoutedRequest} from '@sycamorehead/routing';
 import {createLogger} from '@sycamorehead/telemetry';
 import type {AnswerFrame, AnswerSourceParts} from './answerTypes.js';
-import {Attempt} from './Attempt.js';
+import {HedgedAttempt} from './HedgedAttempt.js';
 import {sleepUnlessAborted} from './sleepUnlessAborted.js';
 import {ensureDispatchable} from './VersionResolver.js';
 
@@ -30,6 +30,8 @@
 export class AnswerSource {
   private delivered = 0;
   private attempts = 0;
+  /** Attempts dispatched, hedges included. */
+  private dispatched = 0;
   private usage: Usage | undefined;
   private readonly tried = new Set<string>();
 
@@ -114,15 +116,20 @@
     );
     this.attempts += 1;
     this.tried.add(server.announcement.id);
-    const attempt = new Attempt(this.parts, {
-      routed: this.routed,
-      version: this.version,
-      server,
-      number: this.attempts,
-      body: this.encodeBody(),
-      offset: this.delivered,
-      signal: this.signal,
-    });
+    const takeNumber = () => ++this.dispatched;
+    const attempt = new HedgedAttempt(
+      this.parts,
+      {
+        routed: this.routed,
+        version: this.version,
+        server,
+        number: takeNumber(),
+        body: this.encodeBody(),
+        offset: this.delivered,
+        signal: this.signal,
+      },
+      {tried: this.tried, takeNumber},
+    );
     for await (const frame of attempt.stream()) {
       this.delivered = attempt.offset;
       this.usage = frame.usage ?? this.usage;
--- a/packages/entry/src/lib/Attempt.ts
+++ b/packages/entry/src/lib/Attempt.ts
@@ -4,7 +4,7 @@
   toSycamoreheadError,
 } from '@sycamorehead/schema';
 import type {KnownServer} from '@sycamorehead/membership';
-import type {RoutedRequest} from '@sycamorehead/routing';
+import type {RoutedRequest, TrackedAttempt} from '@sycamorehead/routing';
 import {createLogger} from '@sycamorehead/telemetry';
 import type {AnswerFrame, AnswerSourceParts} from './answerTypes.js';
 import {FrameChecker} from './FrameChecker.js';
@@ -71,32 +71,41 @@
     const cancel = () => this.aborter.abort(signal.reason);
     if (signal.aborted) cancel();
     signal.addEventListener('abort', cancel, {once: true});
-    router.work.begin(server.announcement.id);
+    const tracked = router.beginAttempt(
+      this.options.routed,
+      server.announcement.id,
+      this.options.offset,
+    );
     try {
-      yield* this.readFrames(startedAt);
+      yield* this.readFrames(startedAt, tracked);
     } catch (thrown) {
       this.result = this.classifyFailure(thrown);
       throw thrown;
     } finally {
       signal.removeEventListener('abort', cancel);
-      router.work.end(server.announcement.id);
+      router.endAttempt(tracked);
       this.observe(startedAt);
     }
   }
 
-  private async *readFrames(startedAt: number): AsyncGenerator<AnswerFrame> {
-    const {server, body, offset} = this.options;
+  private async *readFrames(
+    startedAt: number,
+    tracked: TrackedAttempt,
+  ): AsyncGenerator<AnswerFrame> {
+    const {server, body, offset, routed} = this.options;
+    const {router} = this.parts;
     const chunks = this.parts.backends.streamChat({
       address: server.announcement.address,
       attemptId: this.attemptId,
       body,
       resumeOffset: offset,
-      priority: 0,
+      priority: router.choosePriority(routed),
       signal: this.aborter.signal,
     });
     for await (const chunk of chunks) {
       const frame = this.checker.check(chunk);
       if (!frame) continue;
+      router.context.tracker.noteFrame(tracked);
       this.firstTokenMs ??= performance.now() - startedAt;
       // Set before the frame is yielded: the reader may stop at the terminal one.
       if (frame.finishReason) this.result = 'answered';
@@ -133,6 +142,7 @@
       firstTokenMs: this.firstTokenMs,
       totalMs: performance.now() - startedAt,
       outputTokens: this.offset - offset,
+      resumedFrom: offset,
     });
   }
 }
--- a/packages/entry/src/lib/ChatService.ts
+++ b/packages/entry/src/lib/ChatService.ts
@@ -24,6 +24,7 @@
 import type {Exchange} from './Exchange.js';
 import {encodeStoredAnswer} from './formatAnswer.js';
 import {KeyedRequest} from './KeyedRequest.js';
+import {readDeadlineMs} from './readDeadlineMs.js';
 import {TaskEnd} from './TaskEnd.js';
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -220,7 +221,8 @@
       maxTokens: chat.max_tokens,
       session: exchange.readKeyHeader('Sycamorehead-Session'),
       prefixKey: createHash('sha256').update(first).digest('hex').slice(0, 16),
-      deadlineAt: exchange.startedAt + this.parts.timeouts.answerMs,
+      deadlineAt:
+        exchange.startedAt + readDeadlineMs(chat, this.parts.timeouts.answerMs),
     };
   }
 }
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -16,7 +16,12 @@
   PeerGossip,
 } from '@sycamorehead/membership';
 import {PeerAddress, WireServer} from '@sycamorehead/wire';
-import {Router, RouterOptions} from '@sycamorehead/routing';
+import {
+  Router,
+  RouterOptions,
+  UsageExchange,
+  UsageReporter,
+} from '@sycamorehead/routing';
 import {readBearerKey} from './authenticateCustomer.js';
 import type {AnswerPlannerName} from './answerPlanners.js';
 import {
@@ -80,6 +85,7 @@
   readonly configuration: ConfigurationManager;
   readonly router: Router;
   private readonly gossip: PeerGossip;
+  private readonly usage: UsageExchange;
   private readonly reporter: ServerReporter;
   private readonly peerServer: WireServer;
   private readonly backends: BackendClient;
@@ -95,18 +101,29 @@
     const {name, peerKey, peers, control, policies} = options;
     const {directory, metrics} = this;
     this.configuration = new ConfigurationManager(name, control);
-    this.router = new Router({directory, ...policies});
+    const {dataCentre} = options;
+    this.router = new Router({directory, dataCentre, ...policies});
     const backendTimeouts = options.backendTimeouts ?? DEFAULT_BACKEND_TIMEOUTS;
     const timeouts = options.timeouts ?? DEFAULT_ENTRY_TIMEOUTS;
     this.backends = new BackendClient(backendTimeouts);
     this.commits = new CommitQueue(timeouts.commitWaitMs);
     this.gossip = new PeerGossip({name, peers, peerKey, directory});
+    this.usage = new UsageExchange({
+      name,
+      peers,
+      peerKey,
+      reporter: new UsageReporter({
+        entry: name,
+        directory,
+        router: this.router,
+      }),
+    });
     this.reporter = new ServerReporter(name, directory, control);
     this.peerServer = new WireServer({
       host: options.host,
       port: options.peerPort,
       peerKey,
-      methods: this.gossip.getMethods(),
+      methods: {...this.gossip.getMethods(), ...this.usage.getMethods()},
       timeouts: PEER_LINK_TIMEOUTS,
     });
     const shared = {
@@ -138,6 +155,7 @@
     const {host, port} = this.options;
     const peerPort = await this.peerServer.start();
     this.gossip.start({host, port: peerPort});
+    this.usage.start();
     this.reporter.start();
     this.configuration.start();
     const ports = {port: await this.server.start(host, port), peerPort};
@@ -161,6 +179,7 @@
     this.configuration.stop();
     this.reporter.stop();
     this.gossip.stop();
+    this.usage.stop();
     await this.peerServer.stop();
     await this.backends.stop();
     log('entry_stopped', {name: this.options.name});
--- /dev/null
+++ b/packages/entry/src/lib/readDeadlineMs.ts
@@ -0,0 +1,31 @@
+import {ChatRequest, SycamoreheadError} from '@sycamorehead/schema';
+
+const MIN_DEADLINE_MS = 1;
+
+/**
+ * Reads the time within which a caller wants its answer, `metadata.deadline_ms`; the limit on
+ * answers where it gives none or a longer one.
+ *
+ * @throws SycamoreheadError `malformed_request` where it is no number.
+ * @example
+ * ```ts
+ * readDeadlineMs({metadata: {deadline_ms: '600'}}, 120_000); // 600
+ * ```
+ * @public
+ */
+export function readDeadlineMs(
+  chat: Pick<ChatRequest, 'metadata'>,
+  maxMs: number,
+): number {
+  const text = chat.metadata?.deadline_ms;
+  if (text === undefined) return maxMs;
+  const deadlineMs = Number(text);
+  if (Number.isFinite(deadlineMs) && deadlineMs >= MIN_DEADLINE_MS) {
+    return Math.min(deadlineMs, maxMs);
+  }
+  throw new SycamoreheadError(
+    'malformed_request',
+    'metadata.deadline_ms: expected a number of milliseconds, at least 1',
+    {field: 'metadata.deadline_ms'},
+  );
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -19,5 +19,19 @@
 export type {ServerPolicyName} from './lib/serverPolicies.js';
 export {ADMISSION_POLICIES} from './lib/admissionPolicies.js';
 export type {AdmissionPolicyName} from './lib/admissionPolicies.js';
+export {HEDGE_POLICIES} from './lib/hedgePolicies.js';
+export type {HedgePolicy, HedgePolicyName} from './lib/hedgePolicies.js';
+export {PRIORITY_POLICIES} from './lib/priorityPolicies.js';
+export type {
+  PriorityPolicy,
+  PriorityPolicyName,
+} from './lib/priorityPolicies.js';
+export {RoutingContext} from './lib/RoutingContext.js';
+export type {TrackedAttempt} from './lib/AttemptTracker.js';
+export type {UsageReport} from './lib/PeerUsage.js';
+export {UsageExchange} from './lib/UsageExchange.js';
+export type {UsageExchangeOptions} from './lib/UsageExchange.js';
+export {UsageReporter} from './lib/UsageReporter.js';
+export type {UsageReporterParts} from './lib/UsageReporter.js';
 export {Router} from './lib/Router.js';
 export type {RouterOptions} from './lib/Router.js';
--- /dev/null
+++ b/packages/routing/src/lib/AttemptTracker.ts
@@ -0,0 +1,129 @@
+import type {RoutedRequest} from './routingTypes.js';
+import {SampleWindow} from './SampleWindow.js';
+import type {ServerSpeeds} from './ServerSpeeds.js';
+import type {WorkEstimator} from './WorkEstimator.js';
+
+const FIRST_TOKEN_WINDOW = 128;
+
+/** One attempt under way from this entry. @public */
+export interface TrackedAttempt {
+  readonly request: RoutedRequest;
+  readonly server: string;
+  readonly startedAt: number;
+  /** Tokens that earlier attempts delivered. */
+  readonly resumedFrom: number;
+  readonly isLong: boolean;
+  generated: number;
+  lastFrameAt: number | undefined;
+}
+
+/** Unfinished work of one server. @public */
+export interface ServerWork {
+  readonly count: number;
+  readonly long: number;
+}
+
+const NO_WORK: ServerWork = {count: 0, long: 0};
+
+/**
+ * Attempts under way from this entry: how many on each server, how much work is left, and how fast
+ * their tokens come.
+ *
+ * @public
+ */
+export class AttemptTracker {
+  private readonly attempts = new Map<string, Set<TrackedAttempt>>();
+  private readonly firstTokens = new SampleWindow(FIRST_TOKEN_WINDOW);
+
+  constructor(
+    private readonly estimator: WorkEstimator,
+    private readonly speeds: ServerSpeeds,
+  ) {}
+
+  // Commands.
+
+  /** Notes that an attempt was dispatched. */
+  begin(
+    request: RoutedRequest,
+    server: string,
+    resumedFrom = 0,
+  ): TrackedAttempt {
+    const attempt: TrackedAttempt = {
+      request,
+      server,
+      startedAt: performance.now(),
+      resumedFrom,
+      isLong: this.estimator.estimate(request).isLong,
+      generated: resumedFrom,
+      lastFrameAt: undefined,
+    };
+    const others = this.attempts.get(server) ?? new Set();
+    this.attempts.set(server, others.add(attempt));
+    return attempt;
+  }
+
+  /** Notes that a token arrived. */
+  noteFrame(attempt: TrackedAttempt): void {
+    const now = performance.now();
+    if (attempt.lastFrameAt !== undefined) {
+      this.speeds.record(attempt.server, now - attempt.lastFrameAt);
+    } else if (!attempt.isLong) {
+      this.firstTokens.add(now - attempt.startedAt);
+    }
+    attempt.lastFrameAt = now;
+    attempt.generated += 1;
+  }
+
+  /** Notes that it ended. */
+  end(attempt: TrackedAttempt): void {
+    const others = this.attempts.get(attempt.server);
+    others?.delete(attempt);
+    if (others?.size === 0) this.attempts.delete(attempt.server);
+  }
+
+  // Queries.
+
+  /** Counts a server's unfinished attempts; one that outgrew its estimate counts as long. */
+  readWork(server: string): ServerWork {
+    const attempts = this.attempts.get(server);
+    if (!attempts) return NO_WORK;
+    const long = [...attempts].filter(attempt => this.isLong(attempt)).length;
+    return {count: attempts.size, long};
+  }
+
+  /** Lists the servers with unfinished attempts. */
+  listBusy(): string[] {
+    return [...this.attempts.keys()];
+  }
+
+  /** Sums the work left on a server, in units of one generated token. */
+  sumRemaining(server: string): number {
+    const attempts = [...(this.attempts.get(server) ?? [])];
+    return attempts.reduce(
+      (sum, {request, generated}) =>
+        sum + this.estimator.estimateRemaining(request, generated),
+      0,
+    );
+  }
+
+  /** Longest time for which a stream from a server has brought no token, in milliseconds. */
+  readLongestGapMs(server: string): number {
+    const now = performance.now();
+    let longest = 0;
+    for (const {lastFrameAt} of this.attempts.get(server) ?? []) {
+      if (lastFrameAt !== undefined) {
+        longest = Math.max(longest, now - lastFrameAt);
+      }
+    }
+    return longest;
+  }
+
+  /** Computes a quantile of short work's time to the first token, in milliseconds. */
+  computeFirstTokenMs(quantile: number): number | undefined {
+    return this.firstTokens.computeQuantile(quantile);
+  }
+
+  private isLong(attempt: TrackedAttempt): boolean {
+    return attempt.isLong || this.estimator.isLong(attempt.generated);
+  }
+}
--- a/packages/routing/src/lib/Router.ts
+++ b/packages/routing/src/lib/Router.ts
@@ -1,11 +1,19 @@
-import type {Configuration, VersionRef} from '@sycamorehead/schema';
+import {Configuration, VersionRef, isPermitted} from '@sycamorehead/schema';
 import {createLogger} from '@sycamorehead/telemetry';
 import type {
   BackendServerDirectory,
   KnownServer,
 } from '@sycamorehead/membership';
 import {ADMISSION_POLICIES, AdmissionPolicyName} from './admissionPolicies.js';
-import {InFlightWork} from './InFlightWork.js';
+import type {TrackedAttempt} from './AttemptTracker.js';
+import type {ClassCounts} from './DeploymentRoom.js';
+import {HEDGE_POLICIES, HedgePolicy, HedgePolicyName} from './hedgePolicies.js';
+import {
+  PRIORITY_POLICIES,
+  PriorityPolicy,
+  PriorityPolicyName,
+} from './priorityPolicies.js';
+import {RoutingContext} from './RoutingContext.js';
 import type {
   AdmissionPolicy,
   AdmissionTicket,
@@ -23,9 +31,13 @@
 /** Which policies a router uses. @public */
 export interface RouterOptions {
   readonly directory: BackendServerDirectory;
+  /** Own data centre; servers elsewhere cost a little more. */
+  readonly dataCentre?: string;
   readonly versionPolicy?: VersionPolicyName;
   readonly serverPolicy?: ServerPolicyName;
   readonly admissionPolicy?: AdmissionPolicyName;
+  readonly hedgePolicy?: HedgePolicyName;
+  readonly priorityPolicy?: PriorityPolicyName;
 }
 
 /**
@@ -34,23 +46,32 @@
  * @public
  */
 export class Router {
-  readonly work = new InFlightWork();
+  /** What the policies measure and share with other entries. */
+  readonly context: RoutingContext;
+  readonly hedges: HedgePolicy;
   private readonly directory: BackendServerDirectory;
   private readonly versionPolicy: VersionPolicy;
   private readonly serverPolicy: ServerPolicy;
   private readonly admissionPolicy: AdmissionPolicy;
+  private readonly priorityPolicy: PriorityPolicy;
 
   constructor(options: RouterOptions) {
     this.directory = options.directory;
+    this.context = new RoutingContext(options.dataCentre ?? '', request =>
+      this.listPossibleEngines(request),
+    );
+    const {context} = this;
+    this.hedges = HEDGE_POLICIES[options.hedgePolicy ?? 'never'](context);
+    this.priorityPolicy =
+      PRIORITY_POLICIES[options.priorityPolicy ?? 'equal'](context);
     this.versionPolicy =
       VERSION_POLICIES[options.versionPolicy ?? 'fixed_best']();
-    this.serverPolicy = SERVER_POLICIES[
-      options.serverPolicy ?? 'least_in_flight'
-    ](this.work);
+    this.serverPolicy =
+      SERVER_POLICIES[options.serverPolicy ?? 'least_in_flight'](context);
     this.admissionPolicy =
-      ADMISSION_POLICIES[
-        options.admissionPolicy ?? 'first_come_first_served'
-      ]();
+      ADMISSION_POLICIES[options.admissionPolicy ?? 'first_come_first_served'](
+        context,
+      );
   }
 
   /** Waits for leave to run a request. */
@@ -93,8 +114,39 @@
     return decision;
   }
 
+  /** Chooses the priority that the engine is told. */
+  choosePriority(request: RoutedRequest): number {
+    return this.priorityPolicy(request);
+  }
+
+  /** Notes that an attempt is dispatched. */
+  beginAttempt(
+    request: RoutedRequest,
+    server: string,
+    resumedFrom: number,
+  ): TrackedAttempt {
+    this.context.work.begin(server);
+    return this.context.tracker.begin(request, server, resumedFrom);
+  }
+
+  /** Notes that it ended. */
+  endAttempt(attempt: TrackedAttempt): void {
+    this.context.work.end(attempt.server);
+    this.context.tracker.end(attempt);
+  }
+
+  /** Counts the requests that wait for leave to run, by class. */
+  countQueued(): ClassCounts {
+    return this.admissionPolicy.countQueued?.() ?? {short: 0, long: 0};
+  }
+
   /** Learns from a finished attempt. */
   observe(outcome: AttemptOutcome): void {
+    const {request, result, outputTokens, resumedFrom = 0} = outcome;
+    if (result === 'answered') {
+      this.context.estimator.record(request, resumedFrom + outputTokens);
+    }
+    this.admissionPolicy.observe?.(outcome);
     log('attempt_done', {
       request: outcome.request.requestId,
       server: outcome.server,
@@ -103,6 +155,19 @@
       tokens: outcome.outputTokens,
     });
   }
+
+  /** Engines that have a version which the request's customer may use. */
+  private listPossibleEngines(request: RoutedRequest): KnownServer[] {
+    return this.directory
+      .listReady()
+      .filter(({announcement}) =>
+        announcement.versions.some(
+          version =>
+            (request.model === 'auto' || request.model === version.model) &&
+            isPermitted(request.customer, version),
+        ),
+      );
+  }
 }
 
 function formatCandidates(decision: Decision<unknown>): string {
--- /dev/null
+++ b/packages/routing/src/lib/WorkEstimator.ts
@@ -0,0 +1,100 @@
+import type {RoutedRequest} from './routingTypes.js';
+import {SampleWindow} from './SampleWindow.js';
+
+const WINDOW = 64;
+const MIX_WINDOW = 256;
+const MAX_KEYS = 4_096;
+const MIN_SAMPLES = 3;
+/** Tokens assumed for an answer of which nothing is known. */
+const DEFAULT_OUTPUT_TOKENS = 32;
+/** Prompt tokens that take as long as one generated token. */
+const PROMPT_TOKENS_PER_UNIT = 250;
+/** Long work exceeds this many times the median of the observed mix. */
+const LONG_FACTOR = 5;
+const MIN_LONG_UNITS = 32;
+/** Growth assumed for an answer longer than any seen, relative to what it has so far. */
+const OVERRUN_SHARE = 0.5;
+
+/** Expected work of a request, in units of one generated token. @public */
+export interface WorkEstimate {
+  readonly outputTokens: number;
+  /** Prompt and answer together. */
+  readonly units: number;
+  readonly isLong: boolean;
+}
+
+/**
+ * Learns how long answers are, for each customer, kind of work and size of prompt. What a caller
+ * says of its answer only bounds the estimate from above, which the engine enforces.
+ *
+ * @public
+ */
+export class WorkEstimator {
+  private readonly windows = new Map<string, SampleWindow>();
+  private readonly mix = new SampleWindow(MIX_WINDOW);
+  private longUnits = MIN_LONG_UNITS;
+
+  // Commands.
+
+  /** Learns from a whole answer. */
+  record(request: RoutedRequest, outputTokens: number): void {
+    for (const key of listKeys(request)) {
+      const window = this.windows.get(key) ?? new SampleWindow(WINDOW);
+      // Set anew, so that the key used longest ago is the first one to go.
+      this.windows.delete(key);
+      this.windows.set(key, window);
+      window.add(outputTokens);
+    }
+    while (this.windows.size > MAX_KEYS) {
+      const [oldest] = this.windows.keys();
+      this.windows.delete(oldest!);
+    }
+    this.mix.add(outputTokens + computePromptUnits(request));
+    const median = this.mix.computeQuantile(0.5) ?? 0;
+    this.longUnits = Math.max(MIN_LONG_UNITS, LONG_FACTOR * median);
+  }
+
+  // Queries.
+
+  /** Estimates a request before it runs. */
+  estimate(request: RoutedRequest): WorkEstimate {
+    const expected =
+      this.findWindow(request)?.computeMeanAbove(-1) ?? DEFAULT_OUTPUT_TOKENS;
+    const outputTokens = limitTokens(request, expected);
+    const units = outputTokens + computePromptUnits(request);
+    return {outputTokens, units, isLong: this.isLong(units)};
+  }
+
+  /** Estimates the tokens still to come once some have arrived. */
+  estimateRemaining(request: RoutedRequest, generated: number): number {
+    if (generated === 0) return this.estimate(request).units;
+    const longer = this.findWindow(request)?.computeMeanAbove(generated);
+    const total = longer ?? generated * (1 + OVERRUN_SHARE);
+    return Math.max(1, limitTokens(request, total) - generated);
+  }
+
+  /** Tells whether work of this size is long in the observed mix. */
+  isLong(units: number): boolean {
+    return units > this.longUnits;
+  }
+
+  private findWindow(request: RoutedRequest): SampleWindow | undefined {
+    return listKeys(request)
+      .map(key => this.windows.get(key))
+      .find(window => window !== undefined && window.count >= MIN_SAMPLES);
+  }
+}
+
+/** Keys under which a request is learned, the most particular first. */
+function listKeys({customer, kind, promptTokens}: RoutedRequest): string[] {
+  const size = Math.floor(Math.log2(Math.max(promptTokens, 1)) / 2);
+  return [`${customer.customer}|${kind}|${size}`, `*|${kind}|${size}`];
+}
+
+function computePromptUnits({promptTokens}: RoutedRequest): number {
+  return promptTokens / PROMPT_TOKENS_PER_UNIT;
+}
+
+function limitTokens({maxTokens}: RoutedRequest, tokens: number): number {
+  return maxTokens === undefined ? tokens : Math.min(tokens, maxTokens);
+}
--- a/packages/routing/src/lib/admissionPolicies.ts
+++ b/packages/routing/src/lib/admissionPolicies.ts
@@ -1,4 +1,6 @@
 import {SycamoreheadError} from '@sycamorehead/schema';
+import {FairWork} from './FairWork.js';
+import type {RoutingContext} from './RoutingContext.js';
 import type {AdmissionPolicy} from './routingTypes.js';
 
 const MAX_RUNNING = 256;
@@ -29,7 +31,11 @@
 /** Admission policies by name. @public */
 export const ADMISSION_POLICIES = {
   first_come_first_served: createFirstComeFirstServed,
-} as const satisfies Record<string, () => AdmissionPolicy>;
+  fair_work: context => new FairWork(context),
+} as const satisfies Record<
+  string,
+  (context: RoutingContext) => AdmissionPolicy
+>;
 
 /** Name of an admission policy. @public */
 export type AdmissionPolicyName = keyof typeof ADMISSION_POLICIES;
--- a/packages/routing/src/lib/routingTypes.ts
+++ b/packages/routing/src/lib/routingTypes.ts
@@ -71,6 +71,10 @@
 export interface AdmissionPolicy {
   /** @throws SycamoreheadError `overloaded` or `rate_limited`, always with `ran: 'no'`. */
   admit(request: RoutedRequest): Promise<AdmissionTicket>;
+  /** Learns from a finished attempt. */
+  observe?(outcome: AttemptOutcome): void;
+  /** Counts the requests that wait, by class. */
+  countQueued?(): {readonly short: number; readonly long: number};
 }
 
 /** What became of one attempt. @public */
@@ -82,4 +86,6 @@
   readonly firstTokenMs?: number;
   readonly totalMs: number;
   readonly outputTokens: number;
+  /** Tokens that earlier attempts had delivered. */
+  readonly resumedFrom?: number;
 }
--- a/packages/routing/src/lib/serverPolicies.ts
+++ b/packages/routing/src/lib/serverPolicies.ts
@@ -1,6 +1,7 @@
 import {SycamoreheadError} from '@sycamorehead/schema';
 import type {KnownServer} from '@sycamorehead/membership';
-import type {InFlightWork} from './InFlightWork.js';
+import {createExpectedFinish} from './expectedFinish.js';
+import type {RoutingContext} from './RoutingContext.js';
 import type {Decision, ServerPolicy} from './routingTypes.js';
 
 function describeChoice(
@@ -38,7 +39,7 @@
 }
 
 /** The server with the least unfinished work from this entry. */
-function createLeastInFlight(work: InFlightWork): ServerPolicy {
+function createLeastInFlight({work}: RoutingContext): ServerPolicy {
   return {
     choose(request, servers) {
       const getScore = ({announcement}: KnownServer) =>
@@ -55,7 +56,8 @@
 export const SERVER_POLICIES = {
   round_robin: createRoundRobin,
   least_in_flight: createLeastInFlight,
-} as const satisfies Record<string, (work: InFlightWork) => ServerPolicy>;
+  expected_finish: createExpectedFinish,
+} as const satisfies Record<string, (context: RoutingContext) => ServerPolicy>;
 
 /** Name of a server policy. @public */
 export type ServerPolicyName = keyof typeof SERVER_POLICIES;
