--- a/packages/bench/src/lib/experiments/crest.ts
+++ b/packages/bench/src/lib/experiments/crest.ts
@@ -14,7 +14,6 @@
 } from '../scenario/runScenario.js';
 import {
   computeInTimeShare,
-  computePossibleTokens,
   describeRun,
   isInTime,
   isModelWork,
@@ -22,6 +21,7 @@
   trimDecimals,
   sumTokens,
 } from '../scenario/scenarioFigures.js';
+import {computePossible} from '../scenario/computePossible.js';
 import {ALL_KINDS, CUSTOMERS, computeRate} from '../scenario/workload.js';
 import {CANDIDATE_POLICIES} from '../scenario/candidatePolicies.js';
 
@@ -63,6 +63,7 @@
 /** Figures of one run under the swings. @internal */
 export function measureCrest(run: ScenarioRecord) {
   const {records} = run;
+  const possible = computePossible(records.map(({arrival}) => arrival));
   const model = records.filter(isModelWork);
   const plain = records.filter(record => !isModelWork(record));
   const refused = records.filter(isRefused);
@@ -77,7 +78,10 @@
   return {
     ...describeRun(run),
     servedOfPossible: trimDecimals(
-      sumTokens(model.filter(isInTime)) / computePossibleTokens(records),
+      sumTokens(model.filter(isInTime)) / possible.tokens,
+    ),
+    requestsOfPossible: trimDecimals(
+      model.filter(isInTime).length / possible.requests,
     ),
     refusalP99Ms: trimDecimals(
       computeQuantile(
--- a/packages/bench/src/lib/load/Fleet.ts
+++ b/packages/bench/src/lib/load/Fleet.ts
@@ -13,8 +13,7 @@
 const POLL_MS = 10;
 const READY_TIMEOUT_MS = 15_000;
 const PEER_KEY = 'fleet-peer-key';
-/** Key that a fleet's backend servers announce themselves with. @public */
-export const FLEET_SERVER_KEY = 'fleet-server-key';
+const SERVER_KEY = 'fleet-server-key';
 
 /** Settings of a Fleet. @public */
 export interface FleetOptions {
@@ -87,7 +86,7 @@
         peerPort: 0,
         peers: [...peers],
         peerKey: PEER_KEY,
-        serverKey: FLEET_SERVER_KEY,
+        serverKey: SERVER_KEY,
         control: this.control,
         ...this.options.entryOptions,
       });
@@ -110,7 +109,7 @@
         fencing: index % 2 === 0 ? 'checked' : 'ignored',
         // The last entry has links to all earlier ones.
         entries: this.entryUrls.slice(-1),
-        serverKey: FLEET_SERVER_KEY,
+        serverKey: SERVER_KEY,
       });
       await engine.start();
       this.engines.push(engine);
@@ -126,7 +125,7 @@
         dataCentre: `dc-${index}`,
         callMs: serviceCallMs,
         entries: this.entryUrls.slice(-1),
-        serverKey: FLEET_SERVER_KEY,
+        serverKey: SERVER_KEY,
       });
       await service.start();
       this.services.push(service);
--- a/packages/bench/src/lib/scenario/scenarioFigures.ts
+++ b/packages/bench/src/lib/scenario/scenarioFigures.ts
@@ -2,9 +2,7 @@
 import type {CallRecord} from '../load/runLoad.js';
 import {computeQuantile} from '../load/computeStatistics.js';
 import type {ScenarioRecord} from './runScenario.js';
-import {CAPACITY_TOKENS_PER_MS} from './workload.js';
 
-const BIN_MS = 20;
 const REFUSED_KINDS = new Set(['overloaded', 'rate_limited']);
 
 /** Tells whether a whole answer arrived within its deadline. @internal */
@@ -43,43 +41,6 @@
   return records.reduce((sum, {arrival}) => sum + arrival.outputTokens, 0);
 }
 
-/**
- * Computes the tokens that the engines could at most have generated within the deadlines of their
- * requests: one server of the fleet's whole speed that always works on the earliest deadline and
- * drops work whose deadline has passed. No real policy reaches it, since an answer is generated one
- * token after another.
- *
- * @internal
- */
-export function computePossibleTokens(records: readonly CallRecord[]): number {
-  const waiting: Array<{deadlineAt: number; tokens: number}> = [];
-  const arrivals = records
-    .filter(isModelWork)
-    .map(({arrival}) => arrival)
-    .sort((left, right) => left.atMs - right.atMs);
-  let next = 0;
-  let possible = 0;
-  for (let now = 0; next < arrivals.length || waiting.length > 0;) {
-    now += BIN_MS;
-    while (arrivals[next] && arrivals[next]!.atMs <= now) {
-      const {atMs, kind, outputTokens} = arrivals[next]!;
-      waiting.push({deadlineAt: atMs + kind.deadlineMs, tokens: outputTokens});
-      next += 1;
-    }
-    waiting.sort((left, right) => left.deadlineAt - right.deadlineAt);
-    while (waiting[0] && waiting[0].deadlineAt < now) waiting.shift();
-    let left = CAPACITY_TOKENS_PER_MS * BIN_MS;
-    while (waiting[0] && left > 0) {
-      const taken = Math.min(left, waiting[0].tokens);
-      waiting[0].tokens -= taken;
-      left -= taken;
-      possible += taken;
-      if (waiting[0].tokens <= 0) waiting.shift();
-    }
-  }
-  return possible;
-}
-
 /** Figures of one run that every experiment prints. @internal */
 export function describeRun(run: ScenarioRecord) {
   const {records} = run;
--- a/packages/routing/src/lib/AdmissionQueue.ts
+++ b/packages/routing/src/lib/AdmissionQueue.ts
@@ -2,6 +2,7 @@
 import type {WorkEstimate} from './WorkEstimator.js';
 
 const MAX_QUEUED = 2_048;
+const MAX_FLOWS = 20_000;
 
 /** Class of work that queues apart. @public */
 export type WorkClass = 'short' | 'long';
@@ -16,53 +17,60 @@
   readonly refuse: (error: Error) => void;
 }
 
-interface CustomerQueue {
-  readonly weight: number;
-  readonly items: Readonly<Record<WorkClass, QueuedRequest[]>>;
+/** A customer's requests of one class. */
+interface Flow {
+  readonly items: Array<{readonly item: QueuedRequest; readonly tag: number}>;
+  /** Virtual time at which the next request of the flow begins at the earliest. */
+  nextTag: number;
 }
 
 /**
- * Requests that wait, by customer and class. The customer with the least recent use for its weight
- * comes first, so that unused shares are lent out; of its classes the one whose head has the least
- * time left.
+ * Requests that wait, fairly queued: each customer and class is a flow, and the request with the
+ * lowest start tag comes first. A flow's tags advance by work over weight, so that customers share
+ * by weight what is contended, and unused shares are lent out.
  *
  * @public
  */
 export class AdmissionQueue {
-  private readonly customers = new Map<string, CustomerQueue>();
+  private readonly flows = new Map<string, Flow>();
   private readonly sizes: Record<WorkClass, number> = {short: 0, long: 0};
+  /** Start tag of the last request that left to run. */
+  private virtualTime = 0;
 
-  /** @param readUse - work of a customer that all entries admitted in the last second. */
-  constructor(private readonly readUse: (customer: string) => number) {}
+  /** @param readWeight - a customer's weight at this entry. */
+  constructor(
+    private readonly readWeight: (request: RoutedRequest) => number,
+  ) {}
 
   // Commands.
 
   /** Adds a request; tells whether there was room. */
   enqueue(item: QueuedRequest): boolean {
-    if (this.size >= MAX_QUEUED) return false;
-    const {customer, weight} = item.request.customer;
-    const queue = this.customers.get(customer) ?? {
-      weight,
-      items: {short: [], long: []},
-    };
-    this.customers.set(customer, queue);
-    const workClass = classify(item.work);
-    queue.items[workClass].push(item);
-    this.sizes[workClass] += 1;
+    if (this.size >= MAX_QUEUED || this.flows.size >= MAX_FLOWS) return false;
+    const {request, work} = item;
+    const key = formatFlow(request, work);
+    const flow = this.flows.get(key) ?? {items: [], nextTag: 0};
+    this.flows.set(key, flow);
+    const tag = Math.max(this.virtualTime, flow.nextTag);
+    flow.items.push({item, tag});
+    flow.nextTag = tag + work.units / this.readWeight(request);
+    this.sizes[classify(work)] += 1;
     return true;
   }
 
-  /** Removes a request. */
-  remove(item: QueuedRequest): void {
-    const {customer} = item.request.customer;
-    const {items} = this.customers.get(customer) ?? {};
-    const workClass = classify(item.work);
-    const place = items?.[workClass].indexOf(item) ?? -1;
-    if (!items || place < 0) return;
-    items[workClass].splice(place, 1);
-    this.sizes[workClass] -= 1;
-    if (items.short.length + items.long.length > 0) return;
-    this.customers.delete(customer);
+  /** Removes a request that runs now or is refused. */
+  remove({request, work}: QueuedRequest): void {
+    const key = formatFlow(request, work);
+    const flow = this.flows.get(key);
+    const place =
+      flow?.items.findIndex(({item}) => item.request === request) ?? -1;
+    if (!flow || place < 0) return;
+    const [removed] = flow.items.splice(place, 1);
+    if (place === 0 && removed) {
+      this.virtualTime = Math.max(this.virtualTime, removed.tag);
+    }
+    this.sizes[classify(work)] -= 1;
+    if (flow.items.length === 0) this.prune();
   }
 
   // Queries.
@@ -79,8 +87,8 @@
 
   /** Lists the requests whose deadline can no longer be met. */
   listExpired(now: number): QueuedRequest[] {
-    return [...this.customers.values()].flatMap(({items}) =>
-      [...items.short, ...items.long].filter(({startBy}) => startBy < now),
+    return [...this.flows.values()].flatMap(({items}) =>
+      items.map(({item}) => item).filter(({startBy}) => startBy < now),
     );
   }
 
@@ -88,39 +96,35 @@
   findNext(
     isRunnable: (item: QueuedRequest) => boolean,
   ): QueuedRequest | undefined {
-    const ranked = [...this.customers]
-      .map(([customer, {weight, items}]) => ({
-        items,
-        level: this.readUse(customer) / weight,
-      }))
-      .sort((left, right) => left.level - right.level);
-    for (const {items} of ranked) {
-      const next = [items.short[0], items.long[0]]
-        .filter(head => head !== undefined)
-        .sort((left, right) => left.startBy - right.startBy)
-        .find(isRunnable);
-      if (next) return next;
-    }
-    return undefined;
+    return [...this.flows.values()]
+      .flatMap(({items}) => items.slice(0, 1))
+      .sort((left, right) => left.tag - right.tag)
+      .map(({item}) => item)
+      .find(isRunnable);
   }
 
-  /**
-   * Sums the work of a class that would run before a new request: of its customer all that waits,
-   * of each other customer what brings it to the same use for its weight.
-   */
-  sumUnitsAhead({customer}: RoutedRequest, work: WorkEstimate): number {
-    const workClass = classify(work);
-    const own = sumUnits(this.customers.get(customer.customer), workClass);
-    const use = this.readUse(customer.customer);
-    const level = (use + own + work.units) / customer.weight;
-    let ahead = own;
-    for (const [name, queue] of this.customers) {
-      if (name === customer.customer) continue;
-      const due = level * queue.weight - this.readUse(name);
-      ahead += Math.min(sumUnits(queue, workClass), Math.max(0, due));
+  /** Sums the work of a class that would run before a new request. */
+  sumUnitsAhead(request: RoutedRequest, work: WorkEstimate): number {
+    const own = this.flows.get(formatFlow(request, work));
+    const tag = Math.max(this.virtualTime, own?.nextTag ?? 0);
+    let ahead = 0;
+    for (const {items} of this.flows.values()) {
+      for (const {item, tag: other} of items) {
+        if (other > tag) break;
+        if (item.work.isLong === work.isLong) ahead += item.work.units;
+      }
     }
     return ahead;
   }
+
+  /** Forgets empty flows that owe nothing any more. */
+  private prune(): void {
+    const isIdle = this.size === 0;
+    for (const [key, {items, nextTag}] of this.flows) {
+      if (items.length > 0) continue;
+      if (isIdle || nextTag <= this.virtualTime) this.flows.delete(key);
+    }
+  }
 }
 
 /** Tells the class of work. @internal */
@@ -128,7 +132,6 @@
   return isLong ? 'long' : 'short';
 }
 
-function sumUnits(queue: CustomerQueue | undefined, workClass: WorkClass) {
-  const items = queue?.items[workClass] ?? [];
-  return items.reduce((sum, {work}) => sum + work.units, 0);
+function formatFlow({customer}: RoutedRequest, work: WorkEstimate): string {
+  return `${classify(work)} ${customer.customer}`;
 }
--- a/packages/routing/src/lib/FairWork.ts
+++ b/packages/routing/src/lib/FairWork.ts
@@ -20,8 +20,11 @@
 };
 /** Margin on a predicted wait, for what arrives meanwhile. */
 const WAIT_MARGIN = 1.3;
-/** Time to the first token without any queue, in milliseconds. */
-const OVERHEAD_MS = 30;
+/** Share of the first tokens that come within the time kept free for them. */
+const FIRST_TOKEN_QUANTILE = 0.75;
+/** Time to the first token before any was measured, in milliseconds. */
+const FIRST_TOKEN_MS = 30;
+const MIN_WEIGHT = 1e-3;
 const SWEEP_MS = 20;
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 10_000;
@@ -48,7 +51,7 @@
   private sweep: NodeJS.Timeout | undefined;
 
   constructor(private readonly context: RoutingContext) {
-    this.queue = new AdmissionQueue(customer => this.readUse(customer));
+    this.queue = new AdmissionQueue(request => this.readWeight(request));
     this.limiter = new CustomerLimiter(context.meter, context.peers);
   }
 
@@ -84,10 +87,12 @@
     return {short: this.queue.count('short'), long: this.queue.count('long')};
   }
 
-  /** Work of a customer that all entries admitted in the last second. */
-  private readUse(customer: string): number {
+  /** A customer's weight, divided among the entries by what it asks of each. */
+  private readWeight({customer: {customer, weight}}: RoutedRequest): number {
     const {meter, peers} = this.context;
-    return meter.read(customer).units + peers.sumCustomer(customer).units;
+    const own = meter.read(customer).tokens;
+    const others = peers.sumCustomer(customer).tokens;
+    return Math.max(MIN_WEIGHT, (weight * own) / Math.max(own + others, 1));
   }
 
   private computeRoom(request: RoutedRequest): Room {
@@ -123,7 +128,7 @@
     work: WorkEstimate,
     room: Room,
   ): Promise<void> {
-    const startBy = computeStartBy(request, work, room.typicalMs);
+    const startBy = this.computeStartBy(request, work, room.typicalMs);
     this.checkWait(request, work, room, startBy - performance.now());
     this.context.setOverloaded(true);
     this.sweep ??= setInterval(() => this.sweepQueue(), SWEEP_MS);
@@ -155,6 +160,19 @@
     );
   }
 
+  private computeStartBy(
+    {deadlineAt}: RoutedRequest,
+    work: WorkEstimate,
+    typicalMs: number,
+  ): number {
+    const firstTokenMs =
+      this.context.tracker.computeFirstTokenMs(FIRST_TOKEN_QUANTILE) ??
+      FIRST_TOKEN_MS;
+    const byDeadline = deadlineAt - work.units * typicalMs - firstTokenMs;
+    const byPatience = performance.now() + MAX_WAIT_MS[classify(work)];
+    return Math.min(byDeadline, byPatience);
+  }
+
   private sweepQueue(): void {
     this.dispatchQueued();
     for (const item of this.queue.listExpired(performance.now())) {
@@ -200,16 +218,6 @@
   return workClass === 'short' || room.longRunning < room.longAllowance;
 }
 
-function computeStartBy(
-  request: RoutedRequest,
-  work: WorkEstimate,
-  typicalMs: number,
-): number {
-  const byDeadline = request.deadlineAt - work.units * typicalMs - OVERHEAD_MS;
-  const byPatience = performance.now() + MAX_WAIT_MS[classify(work)];
-  return Math.min(byDeadline, byPatience);
-}
-
 function limitRetry(waitMs: number): number {
   return Math.round(Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, waitMs)));
 }
