--- a/packages/entry/src/lib/Attempt.ts
+++ b/packages/entry/src/lib/Attempt.ts
@@ -94,28 +94,24 @@
   ): AsyncGenerator<AnswerFrame> {
     const {server, body, offset, routed} = this.options;
     const {router} = this.parts;
-    const chunks = this.parts.backends.streamChat({
-      address: server.announcement.address,
-      attemptId: this.attemptId,
-      body,
-      resumeOffset: offset,
-      priority: router.choosePriority(routed),
-      signal: this.aborter.signal,
-    });
-    for await (const chunk of chunks) {
-      const frame = this.checker.check(chunk);
-      if (!frame) continue;
+    const frames = this.parts.backends.streamChat(
+      {
+        address: server.announcement.address,
+        attemptId: this.attemptId,
+        body,
+        resumeOffset: offset,
+        priority: router.choosePriority(routed),
+        signal: this.aborter.signal,
+      },
+      this.checker,
+    );
+    for await (const frame of frames) {
       router.context.tracker.noteFrame(tracked);
       this.firstTokenMs ??= performance.now() - startedAt;
       // Set before the frame is yielded: the reader may stop at the terminal one.
       if (frame.finishReason) this.result = 'answered';
       yield frame;
-      if (frame.finishReason) return;
     }
-    throw new SycamoreheadError(
-      'incomplete_answer',
-      'the terminal frame belonged to another attempt',
-    );
   }
 
   private classifyFailure(
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -9,6 +9,7 @@
   EntryMetrics,
   createEntryMetrics,
   createLogger,
+  TlsMaterial,
 } from '@sycamorehead/telemetry';
 import {
   BackendServerDirectory,
@@ -56,6 +57,10 @@
   readonly peers: readonly PeerAddress[];
   /** Key that links between the system's own instances prove. */
   readonly peerKey: string;
+  /** TLS on links between the system's own instances. */
+  readonly peerTls?: TlsMaterial;
+  /** TLS towards callers and backend servers. */
+  readonly tls?: TlsMaterial;
   /** Key that backend servers prove when they announce themselves. */
   readonly serverKey: string;
   readonly control: ControlApi & Partial<PlacementApi>;
@@ -94,11 +99,12 @@
   private readonly chat: ChatService;
   private readonly services: PlainServiceProxy;
   private running = 0;
+  private idleListener: (() => void) | undefined;
   private isLeaving = false;
   private isRefusing = false;
 
   constructor(private readonly options: EntryOptions) {
-    const {name, peerKey, peers, control, policies} = options;
+    const {name, peerKey, peerTls, peers, control, policies} = options;
     const {directory, metrics} = this;
     this.configuration = new ConfigurationManager(name, control);
     const {dataCentre} = options;
@@ -107,11 +113,12 @@
     const timeouts = options.timeouts ?? DEFAULT_ENTRY_TIMEOUTS;
     this.backends = new BackendClient(backendTimeouts);
     this.commits = new CommitQueue(timeouts.commitWaitMs);
-    this.gossip = new PeerGossip({name, peers, peerKey, directory});
+    this.gossip = new PeerGossip({name, peers, peerKey, peerTls, directory});
     this.usage = new UsageExchange({
       name,
       peers,
       peerKey,
+      peerTls,
       reporter: new UsageReporter({
         entry: name,
         directory,
@@ -123,6 +130,7 @@
       host: options.host,
       port: options.peerPort,
       peerKey,
+      tls: peerTls,
       methods: {...this.gossip.getMethods(), ...this.usage.getMethods()},
       timeouts: PEER_LINK_TIMEOUTS,
     });
@@ -147,7 +155,7 @@
       directory,
       serviceMs: backendTimeouts.serviceMs,
     });
-    this.server = new EntryServer(this.getRoutes());
+    this.server = new EntryServer(this.getRoutes(), options.tls);
   }
 
   /** Starts everything and returns the ports. */
@@ -165,7 +173,8 @@
 
   /**
    * Graceful shutdown: first not ready, while requests are still served for as long as the
-   * balancer needs to notice; then new requests are refused and running ones finish.
+   * balancer needs to notice; then new requests are refused and running ones finish. Returns once
+   * every bill is recorded.
    */
   async stop(): Promise<void> {
     this.isLeaving = true;
@@ -174,6 +183,8 @@
       setTimeout(resolve, this.options.balancerLagMs ?? 0),
     );
     this.isRefusing = true;
+    // The port stays open meanwhile, so that a late request is refused with a true answer.
+    await this.waitUntilIdle();
     await this.server.stop();
     await this.commits.drain(COMMIT_DRAIN_MS);
     this.configuration.stop();
@@ -247,9 +258,17 @@
     } finally {
       this.running -= 1;
       this.metrics.running.set(this.running);
+      if (this.running === 0) this.idleListener?.();
     }
   }
 
+  private async waitUntilIdle(): Promise<void> {
+    if (this.running === 0) return;
+    await new Promise<void>(resolve => {
+      this.idleListener = resolve;
+    });
+  }
+
   private async receiveAnnouncement(exchange: Exchange): Promise<void> {
     const key = readBearerKey(exchange.request.headers);
     if (!isSameKey(key, this.options.serverKey)) {
--- a/packages/routing/src/lib/UsageExchange.ts
+++ b/packages/routing/src/lib/UsageExchange.ts
@@ -1,6 +1,7 @@
 import {SycamoreheadError} from '@sycamorehead/schema';
 import {createLogger} from '@sycamorehead/telemetry';
 import {
+  ConnectOptions,
   MethodTable,
   PeerAddress,
   PeerLink,
@@ -22,6 +23,8 @@
   readonly name: string;
   readonly peers: readonly PeerAddress[];
   readonly peerKey: string;
+  /** TLS settings of the links; plain TCP where absent. */
+  readonly peerTls?: ConnectOptions['tls'];
   readonly reporter: UsageReporter;
 }
 
@@ -63,10 +66,12 @@
   }
 
   private async keepConnected(address: PeerAddress): Promise<void> {
-    const {name, peerKey} = this.options;
+    const {name, peerKey, peerTls: tls} = this.options;
     while (!this.stopped) {
       try {
-        await this.runExchange(await connectPeer({address, name, peerKey}));
+        await this.runExchange(
+          await connectPeer({address, name, peerKey, tls}),
+        );
       } catch (error) {
         log('usage_peer_lost', {port: address.port, error: String(error)});
       }
--- a/packages/wire/src/lib/WireServer.ts
+++ b/packages/wire/src/lib/WireServer.ts
@@ -1,6 +1,7 @@
 import {Server, Socket, createServer} from 'node:net';
+import {createServer as createTlsServer} from 'node:tls';
 import type {AddressInfo} from 'node:net';
-import {createLogger} from '@sycamorehead/telemetry';
+import {TlsMaterial, createLogger} from '@sycamorehead/telemetry';
 import {SycamoreheadError, isSameKey} from '@sycamorehead/schema';
 import {createSocketChannel} from './MessageChannel.js';
 import {
@@ -13,6 +14,9 @@
 const log = createLogger('wire');
 
 const MAX_LINKS = 4_096;
+/** Time for which a stop waits for requests that are being served, in milliseconds. */
+const DRAIN_LIMIT_MS = 1_000;
+const DRAIN_POLL_MS = 5;
 
 /** The method by which a connecting peer names itself and proves its key. @public */
 export const HELLO_METHOD = 'wire.hello';
@@ -32,6 +36,8 @@
   readonly peerKey: string;
   readonly methods: MethodTable;
   readonly timeouts?: LinkTimeouts;
+  /** Turns TLS on; with an authority, peers must present a certificate that it signed. */
+  readonly tls?: TlsMaterial;
 }
 
 /**
@@ -44,7 +50,14 @@
   private readonly links = new Set<PeerLink>();
 
   constructor(private readonly options: WireServerOptions) {
-    this.server = createServer(socket => this.acceptSocket(socket));
+    const accept = (socket: Socket) => this.acceptSocket(socket);
+    const {tls} = options;
+    this.server = tls
+      ? createTlsServer(
+          {...tls, requestCert: tls.ca !== undefined, rejectUnauthorized: true},
+          accept,
+        )
+      : createServer(accept);
     this.server.maxConnections = MAX_LINKS;
   }
 
@@ -65,10 +78,21 @@
     return (this.server.address() as AddressInfo).port;
   }
 
-  /** Closes every link and stops listening. */
+  /** Stops listening, lets the requests that are being served finish, and closes every link. */
   async stop(): Promise<void> {
+    const closed = new Promise<void>(resolve => {
+      this.server.close(() => resolve());
+    });
+    const deadline = performance.now() + DRAIN_LIMIT_MS;
+    while (this.isServing() && performance.now() < deadline) {
+      await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS));
+    }
     for (const link of this.links) link.close('server stops');
-    await new Promise<void>(resolve => this.server.close(() => resolve()));
+    await closed;
+  }
+
+  private isServing(): boolean {
+    return [...this.links].some(link => link.servingCount > 0);
   }
 
   private acceptSocket(socket: Socket): void {
