--- /dev/null
+++ b/packages/bench/src/lib/delivery/ControlGroup.ts
@@ -0,0 +1,91 @@
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {ControlInstance, ControlNode} from '@sycamorehead/control';
+import type {PeerAddress} from '@sycamorehead/wire';
+
+const HOST = '127.0.0.1';
+const START_TIMEOUT_MS = 15_000;
+const RETRY_MS = 50;
+
+/** Keys of a control group. @internal */
+export interface ControlGroupKeys {
+  readonly peerKey: string;
+  readonly operatorToken: string;
+}
+
+/** Three control instances with their disks, for experiments. @internal */
+export class ControlGroup {
+  /** Addresses of the instances by name; they stay the same over restarts. */
+  readonly addresses: Record<string, PeerAddress> = {};
+  private readonly instances: ControlInstance[] = [];
+  private dataFolder = '';
+
+  constructor(
+    private readonly keys: ControlGroupKeys,
+    private readonly size = 3,
+  ) {}
+
+  /** Starts the instances and creates their group. */
+  async start(): Promise<void> {
+    this.dataFolder = await mkdtemp(path.join(tmpdir(), 'sycamorehead-'));
+    const addresses: Record<string, string> = {};
+    for (let index = 0; index < this.size; index++) {
+      const instance = this.createInstance(index, 0);
+      const {peerPort} = await instance.start();
+      this.instances.push(instance);
+      this.addresses[getName(index)] = {host: HOST, port: peerPort};
+      addresses[getName(index)] = `${HOST}:${peerPort}`;
+    }
+    await this.instances[0]?.createGroup(addresses, START_TIMEOUT_MS);
+  }
+
+  /** Stops one instance as SIGTERM does and starts it again on its disk. */
+  async restart(index: number): Promise<void> {
+    await this.instances[index]?.stop();
+    const port = this.addresses[getName(index)]?.port ?? 0;
+    const instance = this.createInstance(index, port);
+    await instance.start();
+    this.instances[index] = instance;
+  }
+
+  /** Calls the instance that leads; tries all until one does. */
+  async callLeader<Result>(
+    call: (node: ControlNode) => Promise<Result>,
+  ): Promise<Result> {
+    const deadline = performance.now() + START_TIMEOUT_MS;
+    for (let turn = 0; ; turn++) {
+      const instance = this.instances[turn % this.instances.length]!;
+      try {
+        return await call(instance.node);
+      } catch (error) {
+        if (performance.now() > deadline) throw error;
+        await new Promise(resolve => setTimeout(resolve, RETRY_MS));
+      }
+    }
+  }
+
+  /** Stops every instance and removes their disks. */
+  async stop(): Promise<void> {
+    await Promise.all(this.instances.map(instance => instance.stop()));
+    await rm(this.dataFolder, {recursive: true, force: true});
+  }
+
+  private createInstance(index: number, peerPort: number): ControlInstance {
+    return new ControlInstance({
+      ...this.keys,
+      name: getName(index),
+      host: HOST,
+      port: 0,
+      peerPort,
+      dataFolder: path.join(this.dataFolder, getName(index)),
+      onFailure: error => {
+        throw error;
+      },
+    });
+  }
+}
+
+function getName(index: number): string {
+  return `control-${index + 1}`;
+}
--- a/packages/bench/src/lib/experiments/experimentTable.ts
+++ b/packages/bench/src/lib/experiments/experimentTable.ts
@@ -2,6 +2,7 @@
 import {crest} from './crest.js';
 import {headOfLine} from './headOfLine.js';
 import {membership} from './membership.js';
+import {overhead} from './overhead.js';
 import {rollout} from './rollout.js';
 import {straggler} from './straggler.js';
 
@@ -10,6 +11,7 @@
   crest,
   'head-of-line': headOfLine,
   membership,
+  overhead,
   rollout,
   straggler,
 };
