A finished attempt is not cancelled, so its connection is used again

Cause: the end of every answer cancelled its attempt, which built an error and aborted a connection whose stream had not ended yet.

Conclusion: the test with a stream that ends late failed before, passes now.

--- a/packages/bench/src/test/ScriptedEngine.ts
+++ b/packages/bench/src/test/ScriptedEngine.ts
@@ -1,6 +1,8 @@
 import {StandInServer} from '@sycamorehead/stand-ins';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
+const LINGER_MS = 20;
+
 /** One request as a scripted engine received it. */
 export interface ScriptedRun {
   readonly attemptId: string;
@@ -117,6 +119,13 @@
   response.end('data: [DONE]\n\n');
 };
 
+/** Answers likewise, but ends the stream only some time after its terminal frame. */
+export const answerRestAndLinger: EngineScript = async (run, response) => {
+  writeTokens(response, run, run.resumeOffset, TOTAL);
+  await new Promise(resolve => setTimeout(resolve, LINGER_MS));
+  response.end('data: [DONE]\n\n');
+};
+
 /** Tokens of the answer that `answerRest` gives. */
 export const TOTAL = 6;
 
--- a/packages/bench/src/test/answerFailures.test.ts
+++ b/packages/bench/src/test/answerFailures.test.ts
@@ -7,6 +7,7 @@
   TOTAL,
   WHOLE,
   answerRest,
+  answerRestAndLinger,
   writeFrame,
   writeTokens,
 } from './ScriptedEngine.js';
@@ -209,14 +210,21 @@
     },
   ));
 
-test('connections to engines are used again, streamed or whole', () =>
-  runAlone([answerRest], async engine => {
-    for (const stream of [true, false, true, false]) {
-      const {seen} = await sendAndReadBills({stream});
-      assert.equal(seen.text, WHOLE);
-    }
-    assert.equal(new Set(engine.runs.map(({port}) => port)).size, 1);
-  }));
+for (const [form, script] of [
+  ['at once', answerRest],
+  ['late', answerRestAndLinger],
+] as const) {
+  test(`connections whose stream ends ${form} are used again`, () =>
+    runAlone([script], async engine => {
+      for (const stream of [true, false, true, false]) {
+        const {seen} = await sendAndReadBills({stream});
+        assert.equal(seen.text, WHOLE);
+        // The connection is free once the engine has ended its stream.
+        await new Promise(resolve => setTimeout(resolve, 50));
+      }
+      assert.equal(new Set(engine.runs.map(({port}) => port)).size, 1);
+    }));
+}
 
 test('a connection silent for good holds up no other request', () =>
   runAlone(
--- a/packages/entry/src/lib/Attempt.ts
+++ b/packages/entry/src/lib/Attempt.ts
@@ -54,6 +54,8 @@
 
   /** Ends the attempt, and with its connection the engine's work. */
   cancel(): void {
+    // Nothing is left to cancel, and an abort would close the connection instead of reusing it.
+    if (this.result === 'answered') return;
     this.aborter.abort(
       new SycamoreheadError('backend_failed', 'the attempt was cancelled'),
     );
