--- a/apps/syc-control/src/main.ts
+++ b/apps/syc-control/src/main.ts
@@ -9,6 +9,7 @@
 import {getErrorAnswer, toSycamoreheadError} from '@sycamorehead/schema';
 import {readSecret, readSettings, setLogPattern} from '@sycamorehead/telemetry';
 import {WireServer} from '@sycamorehead/wire';
+import {buildReconcilerOptions, placementOptions} from './placementOptions.js';
 
 const MAX_PORT = 65_535;
 
@@ -17,13 +18,17 @@
   host: z.union([z.ipv4(), z.ipv6()], 'expected an IP address'),
   port: z.number().int().min(0).max(MAX_PORT),
   peerPort: z.number().int().min(0).max(MAX_PORT),
+  weightLoadsPerMinute: z.number().gt(0),
+  loadTimeout: z.number().gt(0),
 });
 
 async function startControl(given: unknown): Promise<void> {
-  const {name, host, port, peerPort} = readSettings(settingsSchema, given);
+  const settings = readSettings(settingsSchema, given);
+  const {name, host, port, peerPort} = settings;
   const node = new ControlNode({
     name,
     createLog: machine => new SingleVoterLog(name, machine),
+    reconciler: buildReconcilerOptions(settings),
   });
   const wireServer = new WireServer({
     host,
@@ -82,6 +87,7 @@
       description: "entries' and other control instances' port; 0 takes any",
       defaultValue: () => 9081,
     }),
+    ...placementOptions,
     log: option({
       type: optional(string),
       long: 'log',
--- a/packages/bench/src/lib/Demo.ts
+++ b/packages/bench/src/lib/Demo.ts
@@ -72,6 +72,7 @@
   private readonly node = new ControlNode({
     name: 'control-1',
     createLog: machine => new SingleVoterLog('control-1', machine),
+    reconciler: {weightStore: {loads: 4, windowMs: 1_000}},
   });
   private readonly wireServer: WireServer;
   private readonly operatorServer: OperatorServer;
--- a/packages/control/src/lib/reconciler/LoadPacer.ts
+++ b/packages/control/src/lib/reconciler/LoadPacer.ts
@@ -25,9 +25,11 @@
   tryAcquire(): boolean {
     const now = performance.now();
     if (now < this.nextAt) return false;
-    const spacing = (this.rate.windowMs * (1 + MARGIN)) / this.rate.loads;
-    // Time lost by a tick that came late is made good by at most one spacing.
-    this.nextAt = Math.max(this.nextAt + spacing, now);
+    const {loads, windowMs} = this.rate;
+    const spacing = (windowMs * (1 + MARGIN)) / loads;
+    // A call that comes a little late keeps the schedule; an idle time earns nothing.
+    const slack = (windowMs * MARGIN) / 2;
+    this.nextAt = Math.max(this.nextAt, now - slack) + spacing;
     return true;
   }
 
--- a/packages/control/src/test/FakeEngines.ts
+++ b/packages/control/src/test/FakeEngines.ts
@@ -67,6 +67,7 @@
   /** Loads that never finish. */
   isStuck = false;
   readonly executed: EngineOrderMessage[] = [];
+  private generation = 1;
   private highestFencing = 0;
   private loading: VersionRef | undefined;
 
@@ -99,13 +100,21 @@
     return {state: 'accepted'};
   }
 
+  /** Loses everything that was loaded or being loaded. */
+  restart(): void {
+    this.versions = [];
+    this.loading = undefined;
+    this.highestFencing = 0;
+    this.generation += 1;
+  }
+
   describe(): ReportedServer {
-    const {id, versions, fencing, versionSlots} = this;
+    const {id, generation, versions, fencing, versionSlots} = this;
     return {
       id,
       address: id,
       dataCentre: 'dc-1',
-      generation: 1,
+      generation,
       sequence: Math.floor(performance.now()),
       state: 'ready',
       versions: [...versions],
--- a/packages/entry/src/lib/ServerReporter.ts
+++ b/packages/entry/src/lib/ServerReporter.ts
@@ -13,6 +13,8 @@
 const log = createLogger('entry');
 
 const REPORT_INTERVAL_MS = 1_000;
+/** Time between looks for changed facts, which are reported at once, in milliseconds. */
+const WATCH_INTERVAL_MS = 200;
 
 /**
  * Reports to control the engines that this entry holds detail on: all of them to a new leader,
@@ -44,11 +46,23 @@
 
   private async reportForever(): Promise<void> {
     while (!this.isStopped && this.control.reportServers) {
+      const {factRevision} = this.directory;
       await this.report();
+      await this.waitForChange(factRevision);
+    }
+  }
+
+  /** Waits until facts have changed, or the next report is due anyway. */
+  private async waitForChange(factRevision: number): Promise<void> {
+    const dueAt = performance.now() + REPORT_INTERVAL_MS;
+    do {
       await new Promise(resolve =>
-        setTimeout(resolve, REPORT_INTERVAL_MS).unref(),
+        setTimeout(resolve, WATCH_INTERVAL_MS).unref(),
       );
-    }
+    } while (
+      performance.now() < dueAt &&
+      this.directory.factRevision === factRevision
+    );
   }
 
   private async report(): Promise<void> {
