--- a/packages/membership/src/lib/beats.ts
+++ b/packages/membership/src/lib/beats.ts
@@ -52,7 +52,10 @@
 }
 
 /** Encodes the heard servers, given in the order of their places. @internal */
-export function encodeBeat(heard: readonly HeardServer[]): EncodedBeat {
+export function encodeBeat(
+  heard: readonly HeardServer[],
+  withLevels = true,
+): EncodedBeat {
   const last = heard.at(-1)?.place ?? -1;
   const places = Buffer.alloc(Math.ceil((last + 1) / BITS));
   const levels = Buffer.alloc(Math.ceil(heard.length / 2));
@@ -62,10 +65,11 @@
     const half = Math.floor(index / 2);
     levels[half] = (levels[half] ?? 0) | (level << (index % 2 === 0 ? 0 : 4));
   });
-  return [places.toString('base64url'), levels.toString('base64url')];
+  const encodedLevels = withLevels ? levels.toString('base64url') : '';
+  return [places.toString('base64url'), encodedLevels];
 }
 
-/** Decodes a beat. @internal */
+/** Decodes a beat; without levels, they are unknown. @internal */
 export function decodeBeat([places, levels]: EncodedBeat): HeardServer[] {
   const bits = Buffer.from(String(places), 'base64url');
   const nibbles = Buffer.from(String(levels), 'base64url');
