Experiment restart: all entries and control instances one by one under load; readiness waits for servers

Cause: a restarted entry counted as ready with its lease, before its peers had told it of any backend server.

Change: /readyz also waits until a backend server is known, 5 s at most. The experiment runs 8 entries behind a balancer that follows readiness, and three control instances with disks.

--- /dev/null
+++ b/packages/bench/src/lib/delivery/RestartFleet.ts
@@ -0,0 +1,182 @@
+import {ControlClient} from '@sycamorehead/control';
+import {Entry} from '@sycamorehead/entry';
+import {StandInEngine, StandInService} from '@sycamorehead/stand-ins';
+import type {PeerAddress} from '@sycamorehead/wire';
+import {request} from 'undici';
+import {ControlGroup} from './ControlGroup.js';
+import {buildOverheadNote} from './OverheadFleet.js';
+
+const HOST = '127.0.0.1';
+const PEER_KEY = 'restart-peer-key';
+const SERVER_KEY = 'restart-server-key';
+const ENGINES = 4;
+const REPLICAS = 3;
+const POLL_MS = 20;
+const READY_TIMEOUT_MS = 15_000;
+/** How often the platform's balancer looks at an entry's readiness. */
+const BALANCER_POLL_MS = 500;
+const SPEED = {slots: 64, stepMs: 5, stepMsPerJob: 0, prefillTokensPerMs: 20};
+
+interface EntryPlace {
+  readonly entry: Entry;
+  readonly client: ControlClient;
+  readonly url: string;
+  readonly port: number;
+  readonly peerPort: number;
+}
+
+/**
+ * Entries behind a balancer that follows their readiness, three control instances with disks, and
+ * stand-ins; entries and control can be restarted one by one.
+ *
+ * @internal
+ */
+export class RestartFleet {
+  readonly control = new ControlGroup({
+    peerKey: PEER_KEY,
+    operatorToken: 'restart-operator-token',
+  });
+  readonly engines: StandInEngine[] = [];
+  readonly services: StandInService[] = [];
+  private readonly places: EntryPlace[] = [];
+  private ready: string[] = [];
+  private turn = 0;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly entryCount: number,
+    private readonly balancerLagMs: number,
+  ) {}
+
+  /** Starts everything and waits until the balancer sees every entry. */
+  async start(): Promise<void> {
+    await this.control.start();
+    await this.control.callLeader(node => node.publish(buildOverheadNote()));
+    for (let index = 0; index < this.entryCount; index++) {
+      this.places.push(await this.startEntry(index, 0, 0));
+    }
+    await this.startBackends();
+    this.timer = setInterval(() => void this.pollReadiness(), BALANCER_POLL_MS);
+    const backends = ENGINES + REPLICAS;
+    await this.waitFor(
+      () =>
+        this.ready.length === this.entryCount &&
+        this.places.every(
+          ({entry}) => entry.directory.listReady().length === backends,
+        ),
+    );
+  }
+
+  /** Chooses an entry as the balancer does: in turn, of those that it last saw ready. */
+  chooseEntry(): string {
+    this.turn += 1;
+    return this.ready[this.turn % this.ready.length] ?? '';
+  }
+
+  /** Stops an entry as SIGTERM does and starts it again on its ports. */
+  async restartEntry(index: number): Promise<void> {
+    const {entry, client, port, peerPort, url} = this.places[index]!;
+    await entry.stop();
+    client.stop();
+    this.places[index] = await this.startEntry(index, port, peerPort);
+    await this.waitFor(() => this.ready.includes(url));
+  }
+
+  /** Counts the runs of a call that may not be repeated, over all replicas. */
+  countRuns(key: string): number {
+    return this.services.reduce((sum, service) => sum + service.count(key), 0);
+  }
+
+  /** Stops everything. */
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    await Promise.all(this.engines.map(engine => engine.stop()));
+    await Promise.all(this.services.map(service => service.stop()));
+    await Promise.all(this.places.map(({entry}) => entry.stop()));
+    for (const {client} of this.places) client.stop();
+    await this.control.stop();
+  }
+
+  private async startEntry(
+    index: number,
+    port: number,
+    peerPort: number,
+  ): Promise<EntryPlace> {
+    const name = `entry-${index + 1}`;
+    const client = new ControlClient({
+      name,
+      instances: this.control.addresses,
+      peerKey: PEER_KEY,
+    });
+    const entry = new Entry({
+      name,
+      dataCentre: `dc-${(index % 3) + 1}`,
+      host: HOST,
+      port,
+      peerPort,
+      peers: this.listPeers(index),
+      peerKey: PEER_KEY,
+      serverKey: SERVER_KEY,
+      control: client,
+      balancerLagMs: this.balancerLagMs,
+    });
+    const ports = await entry.start();
+    return {entry, client, ...ports, url: `http://${HOST}:${ports.port}`};
+  }
+
+  private listPeers(own: number): PeerAddress[] {
+    return this.places
+      .filter((unused, index) => index !== own)
+      .map(({peerPort}) => ({host: HOST, port: peerPort}));
+  }
+
+  private async startBackends(): Promise<void> {
+    const entries = this.places.map(({url}) => url);
+    const common = {dataCentre: 'dc-1', entries, serverKey: SERVER_KEY};
+    for (let index = 1; index <= ENGINES; index++) {
+      const engine = new StandInEngine({
+        ...common,
+        id: `engine-${index}`,
+        versions: [{model: 'm', version: 'v1'}],
+        speed: SPEED,
+        fencing: 'ignored',
+      });
+      await engine.start();
+      this.engines.push(engine);
+    }
+    for (let index = 1; index <= REPLICAS; index++) {
+      const id = `orders-${index}`;
+      const service = new StandInService({...common, id, service: 'orders'});
+      await service.start();
+      this.services.push(service);
+    }
+  }
+
+  private async pollReadiness(): Promise<void> {
+    const urls = this.places.map(({url}) => url);
+    const states = await Promise.all(urls.map(isEntryReady));
+    this.ready = urls.filter((unused, index) => states[index]);
+  }
+
+  private async waitFor(isTrue: () => boolean): Promise<void> {
+    const deadline = performance.now() + READY_TIMEOUT_MS;
+    while (!isTrue()) {
+      if (performance.now() > deadline) throw new Error('fleet is not ready');
+      await new Promise(resolve => setTimeout(resolve, POLL_MS));
+    }
+  }
+}
+
+async function isEntryReady(url: string): Promise<boolean> {
+  try {
+    const {statusCode, body} = await request(`${url}/readyz`, {
+      headersTimeout: BALANCER_POLL_MS,
+      // Each look takes a connection of its own, as the platform's does.
+      reset: true,
+    });
+    await body.dump();
+    return statusCode === 200;
+  } catch {
+    return false;
+  }
+}
--- a/packages/bench/src/lib/experiments/experimentTable.ts
+++ b/packages/bench/src/lib/experiments/experimentTable.ts
@@ -3,6 +3,7 @@
 import {headOfLine} from './headOfLine.js';
 import {membership} from './membership.js';
 import {overhead} from './overhead.js';
+import {restart} from './restart.js';
 import {rollout} from './rollout.js';
 import {straggler} from './straggler.js';
 
@@ -12,6 +13,7 @@
   'head-of-line': headOfLine,
   membership,
   overhead,
+  restart,
   rollout,
   straggler,
 };
--- /dev/null
+++ b/packages/bench/src/lib/experiments/restart.ts
@@ -0,0 +1,124 @@
+import type {
+  Experiment,
+  ExperimentOptions,
+  ExperimentResult,
+} from '../experimentTypes.js';
+import {RestartFleet} from '../delivery/RestartFleet.js';
+import {RestartCall, RestartLoad} from '../delivery/RestartLoad.js';
+
+const ENTRIES = 8;
+const CONTROLS = 3;
+const CALLS_PER_SECOND = 60;
+/** Entries keep serving for longer than the balancer needs to notice. */
+const LAG_MS = 1_200;
+/** Entries that the baseline restarts without that time. */
+const BASELINE_ENTRIES = 4;
+/** Time between two restarts, in milliseconds. */
+const SETTLE_MS = 700;
+
+function sleepBetween(): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, SETTLE_MS));
+}
+
+function countBy(calls: readonly RestartCall[]) {
+  const reasons: Record<string, number> = {};
+  for (const {outcome, reason} of calls) {
+    if (outcome === 'whole') continue;
+    const name = `${outcome}: ${/"kind":"(\w+)"/.exec(reason)?.[1] ?? reason}`;
+    reasons[name] = (reasons[name] ?? 0) + 1;
+  }
+  return reasons;
+}
+
+async function compareWithLedger(
+  fleet: RestartFleet,
+  calls: readonly RestartCall[],
+) {
+  const bills = await fleet.control.callLeader(node => node.listBills());
+  const counts = new Map<string, number>();
+  for (const {requestId} of bills) {
+    counts.set(requestId, (counts.get(requestId) ?? 0) + 1);
+  }
+  const whole = calls.filter(({outcome}) => outcome === 'whole');
+  const deposits = calls.filter(({kind}) => kind === 'deposit');
+  return {
+    missingBills: whole.filter(({requestId}) => !counts.has(requestId)).length,
+    doubleBills: [...counts.values()].filter(count => count > 1).length,
+    repeatedDeposits: deposits.filter(({key}) => fleet.countRuns(key) > 1)
+      .length,
+  };
+}
+
+async function restartAll(
+  seed: number,
+  lagMs: number,
+  restarts: {readonly entries: number; readonly controls: number},
+) {
+  const fleet = new RestartFleet(ENTRIES, lagMs);
+  await fleet.start();
+  const load = new RestartLoad(fleet, seed, CALLS_PER_SECOND);
+  load.start();
+  await sleepBetween();
+  const startedAt = performance.now();
+  for (let index = 0; index < restarts.entries; index++) {
+    await fleet.restartEntry(index);
+    await sleepBetween();
+  }
+  for (let index = 0; index < restarts.controls; index++) {
+    await fleet.control.restart(index);
+    await sleepBetween();
+  }
+  const elapsedMs = performance.now() - startedAt;
+  await load.end();
+  const ledger = await compareWithLedger(fleet, load.calls);
+  await fleet.stop();
+  const count = (outcome: RestartCall['outcome']) =>
+    load.calls.filter(call => call.outcome === outcome).length;
+  return {
+    restartedEntries: restarts.entries,
+    restartedControls: restarts.controls,
+    elapsedMs,
+    calls: load.calls.length,
+    whole: count('whole'),
+    refused: count('refused'),
+    cutOff: count('cut'),
+    ...ledger,
+    reasons: countBy(load.calls),
+  };
+}
+
+async function run({seed}: ExperimentOptions): Promise<ExperimentResult> {
+  const baseline = await restartAll(seed, 0, {
+    entries: BASELINE_ENTRIES,
+    controls: 0,
+  });
+  const candidate = await restartAll(seed, LAG_MS, {
+    entries: ENTRIES,
+    controls: CONTROLS,
+  });
+  const mustBeNone = {
+    'requests cut off': candidate.cutOff,
+    'missing bills': candidate.missingBills,
+    'double bills': candidate.doubleBills,
+    'repeated deposits': candidate.repeatedDeposits,
+  };
+  return {
+    experiment: 'restart',
+    seed,
+    baseline,
+    candidate,
+    targets: Object.entries(mustBeNone).map(([name, value]) => ({
+      name,
+      target: '0',
+      value,
+      met: value === 0,
+    })),
+  };
+}
+
+/** Every entry and control instance restarted one by one under load. @public */
+export const restart: Experiment = {
+  summary:
+    'requests cut off, double and missing bills while entries and control restart one by one',
+  run,
+};
--- a/packages/bench/src/test/shutdown.test.ts
+++ b/packages/bench/src/test/shutdown.test.ts
@@ -152,10 +152,14 @@
     const [line] = (await once(child.stdout, 'data')) as [Buffer];
     const port = / port=(\d+)/.exec(line.toString())?.[1];
     const caller = new TestCaller(`http://${HOST}:${port}`, CUSTOMER_KEY);
-    await own.waitFor(
-      async () => (await caller.read('/readyz')).status === 200,
-    );
+    // It has its lease, but it waits until it knows a backend server.
+    await own.waitFor(async () => {
+      const {text} = await caller.read('/v1/in-force');
+      return (JSON.parse(text) as {leaseLeftMs: number}).leaseLeftMs > 0;
+    });
+    assert.equal((await caller.read('/readyz')).status, 503);
     await announceTo(caller.url, address);
+    assert.equal((await caller.read('/readyz')).status, 200);
     const answer = caller.sendChat();
     await own.waitFor(() => engine.runs.length === 1);
     child.kill('SIGTERM');
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -43,6 +43,8 @@
 const log = createLogger('entry');
 
 const MAX_ANNOUNCEMENT_BYTES = 64 * 1024;
+/** Time after which an entry that knows no backend server counts as ready, in milliseconds. */
+const WARM_UP_LIMIT_MS = 5_000;
 /** Time for which a stop waits for bills to be recorded, in milliseconds. */
 const COMMIT_DRAIN_MS = 60_000;
 
@@ -98,6 +100,7 @@
   private readonly server: EntryServer;
   private readonly chat: ChatService;
   private readonly services: PlainServiceProxy;
+  private readonly startedAt = performance.now();
   private running = 0;
   private idleListener: (() => void) | undefined;
   private isLeaving = false;
@@ -201,6 +204,15 @@
     return !this.isLeaving && this.configuration.read().leaseLeftMs > 0;
   }
 
+  /**
+   * Whether this entry knows a backend server, or has waited long enough for one: a restarted
+   * entry has its lease before its peers have told it of the servers.
+   */
+  private isWarm(): boolean {
+    if (this.directory.listReady().length > 0) return true;
+    return performance.now() - this.startedAt > WARM_UP_LIMIT_MS;
+  }
+
   /** Counts the requests being served and the commits that wait for control. */
   countUnfinished(): number {
     return this.running + this.commits.count();
@@ -294,7 +306,7 @@
   }
 
   private sendReadiness(exchange: Exchange): void {
-    const isReady = this.isReady();
+    const isReady = this.isReady() && this.isWarm();
     exchange.sendJson(isReady ? 200 : 503, {ready: isReady});
   }
 
