--- a/apps/syc-control/src/main.ts
+++ b/apps/syc-control/src/main.ts
@@ -1,53 +1,97 @@
 import {command, number, option, optional, run, string} from 'cmd-ts';
 import {z} from 'zod';
-import {SingleVoterLog} from '@sycamorehead/consensus';
+import {ControlInstance} from '@sycamorehead/control';
 import {
-  ControlNode,
-  OperatorServer,
-  createControlMethods,
-} from '@sycamorehead/control';
-import {getErrorAnswer, toSycamoreheadError} from '@sycamorehead/schema';
-import {readSecret, readSettings, setLogPattern} from '@sycamorehead/telemetry';
-import {WireServer} from '@sycamorehead/wire';
+  SycamoreheadError,
+  getErrorAnswer,
+  toSycamoreheadError,
+} from '@sycamorehead/schema';
+import {
+  readSecret,
+  readSettings,
+  readTls,
+  setLogPattern,
+} from '@sycamorehead/telemetry';
+import {parsePeerAddress} from '@sycamorehead/wire';
 
 const MAX_PORT = 65_535;
+/** Time for which the first start waits for the other instances, in milliseconds. */
+const CREATE_GROUP_TIMEOUT_MS = 600_000;
 
 const settingsSchema = z.object({
-  name: z.string().min(1, 'expected a name'),
+  name: z
+    .string()
+    .regex(/^[A-Za-z0-9_.-]{1,64}$/, 'expected 1 to 64 letters, digits, _ . -'),
   host: z.union([z.ipv4(), z.ipv6()], 'expected an IP address'),
   port: z.number().int().min(0).max(MAX_PORT),
   peerPort: z.number().int().min(0).max(MAX_PORT),
+  dataFolder: z.string(),
+  firstMembers: z.string(),
+  tlsCert: z.string(),
+  tlsKey: z.string(),
+  peerTlsCert: z.string(),
+  peerTlsKey: z.string(),
+  peerTlsCa: z.string(),
 });
 
-async function startControl(given: unknown): Promise<void> {
-  const {name, host, port, peerPort} = readSettings(settingsSchema, given);
-  const node = new ControlNode({
-    name,
-    createLog: machine => new SingleVoterLog(name, machine),
-  });
-  const wireServer = new WireServer({
-    host,
-    port: peerPort,
+type Settings = z.infer<typeof settingsSchema>;
+
+function parseMembers(list: string): Record<string, string> {
+  const members: Record<string, string> = {};
+  for (const text of list.split(',').filter(part => part !== '')) {
+    const [name = '', address = ''] = text.split('=');
+    parsePeerAddress(address);
+    members[name] = address;
+  }
+  return members;
+}
+
+/** The disk failed: going on could acknowledge what is not kept. */
+function endProcess(error: SycamoreheadError): void {
+  console.error(`${error.kind}: ${error.message}`);
+  process.exit(getErrorAnswer(error.kind).exitCode);
+}
+
+function createInstance(settings: Settings): ControlInstance {
+  return new ControlInstance({
+    ...settings,
+    dataFolder: settings.dataFolder || undefined,
     peerKey: readSecret('SYC_PEER_KEY'),
-    methods: createControlMethods(node),
-  });
-  const operatorServer = new OperatorServer({
-    node,
-    host,
-    port,
     operatorToken: readSecret('SYC_OPERATOR_TOKEN'),
+    operatorTls: readTls('tls', {
+      cert: settings.tlsCert,
+      key: settings.tlsKey,
+    }),
+    peerTls: readTls('peer-tls', {
+      cert: settings.peerTlsCert,
+      key: settings.peerTlsKey,
+      ca: settings.peerTlsCa,
+    }),
+    onFailure: endProcess,
   });
-  const peer = await wireServer.start();
-  const own = await operatorServer.start();
-  console.log(`started control=${name} port=${own} peer_port=${peer}`);
-  const stop = async () => {
-    await operatorServer.stop();
-    await node.stop();
-    await wireServer.stop();
-    process.exit(0);
-  };
-  process.once('SIGTERM', () => void stop());
-  process.once('SIGINT', () => void stop());
+}
+
+async function startControl(given: unknown): Promise<void> {
+  const settings = readSettings(settingsSchema, given);
+  const {name} = settings;
+  const firstMembers = parseMembers(settings.firstMembers);
+  const isListed = Object.hasOwn(firstMembers, name);
+  if (settings.firstMembers !== '' && !isListed) {
+    throw new SycamoreheadError(
+      'settings_invalid',
+      `--first-members: expected ${name} among them`,
+      {field: 'firstMembers'},
+    );
+  }
+  const instance = createInstance(settings);
+  const {port, peerPort} = await instance.start();
+  console.log(`started control=${name} port=${port} peer_port=${peerPort}`);
+  const stop = () => void instance.stop().then(() => process.exit(0));
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+  if (isListed) {
+    await instance.createGroup(firstMembers, CREATE_GROUP_TIMEOUT_MS);
+  }
 }
 
 const app = command({
@@ -82,6 +126,58 @@
       description: "entries' and other control instances' port; 0 takes any",
       defaultValue: () => 9081,
     }),
+    dataFolder: option({
+      type: string,
+      long: 'data-folder',
+      env: 'SYC_DATA_FOLDER',
+      description:
+        "folder of this instance's state; without one the state lives in memory",
+      defaultValue: () => '',
+    }),
+    firstMembers: option({
+      type: string,
+      long: 'first-members',
+      env: 'SYC_FIRST_MEMBERS',
+      description:
+        'first start of a new group only, on one instance: NAME=IP:PORT of every voter, separated by commas',
+      defaultValue: () => '',
+    }),
+    tlsCert: option({
+      type: string,
+      long: 'tls-cert',
+      env: 'SYC_TLS_CERT',
+      description: 'certificate file towards operators',
+      defaultValue: () => '',
+    }),
+    tlsKey: option({
+      type: string,
+      long: 'tls-key',
+      env: 'SYC_TLS_KEY',
+      description: 'its key file',
+      defaultValue: () => '',
+    }),
+    peerTlsCert: option({
+      type: string,
+      long: 'peer-tls-cert',
+      env: 'SYC_PEER_TLS_CERT',
+      description: 'certificate file for links between instances',
+      defaultValue: () => '',
+    }),
+    peerTlsKey: option({
+      type: string,
+      long: 'peer-tls-key',
+      env: 'SYC_PEER_TLS_KEY',
+      description: 'its key file',
+      defaultValue: () => '',
+    }),
+    peerTlsCa: option({
+      type: string,
+      long: 'peer-tls-ca',
+      env: 'SYC_PEER_TLS_CA',
+      description:
+        "authority file that other instances' certificates are signed by",
+      defaultValue: () => '',
+    }),
     log: option({
       type: optional(string),
       long: 'log',
--- a/apps/syc/src/main.ts
+++ b/apps/syc/src/main.ts
@@ -26,6 +26,7 @@
 import {readSecret} from '@sycamorehead/telemetry';
 import {describeChanges} from './describeChanges.js';
 import {formatRollout} from './formatRollout.js';
+import {buildMembersCommand} from './membersCommand.js';
 
 const POLL_MS = 200;
 
@@ -81,7 +82,7 @@
   const deadline = performance.now() + timeoutMs;
   for (;;) {
     const report = await client.readInForce();
-    if (report.revision >= revision && report.inForce) return;
+    if (report.inForceRevision >= revision) return;
     if (performance.now() > deadline) {
       throw new SycamoreheadError(
         'timeout',
@@ -165,7 +166,7 @@
       }
       const {revision, noteNumber, configurationDigest} = report;
       console.log(
-        `revision=${revision} note=${noteNumber} digest=${configurationDigest} in_force=${report.inForce ? 'yes' : 'no'}`,
+        `revision=${revision} note=${noteNumber} digest=${configurationDigest} in_force=${report.inForce ? 'yes' : 'no'} in_force_revision=${report.inForceRevision}`,
       );
       for (const entry of report.entries) {
         console.log(
@@ -249,6 +250,7 @@
     publish,
     'in-force': inForce,
     status,
+    members: buildMembersCommand(createClient, runReporting),
     bills,
     'hash-key': hashKeyCommand,
   },
--- /dev/null
+++ b/apps/syc/src/membersCommand.ts
@@ -0,0 +1,129 @@
+import {command, option, positional, string, subcommands} from 'cmd-ts';
+import type {OperatorClient} from '@sycamorehead/control';
+import {SycamoreheadError} from '@sycamorehead/schema';
+
+/** Creates an operator's client from the settings of the command line. */
+export type CreateClient = (urls: string) => OperatorClient;
+/** Runs a command and reports its failure. */
+export type RunReporting = (work: () => Promise<void>) => Promise<void>;
+
+type Members = Awaited<ReturnType<OperatorClient['listMembers']>>;
+
+const control = option({
+  type: string,
+  long: 'control',
+  env: 'SYC_CONTROL',
+  description: 'base URLs of the control instances, separated by commas',
+});
+const member = positional({
+  type: string,
+  displayName: 'member',
+  description: "instance's name, or its member id where two share a name",
+});
+const newInstance = positional({
+  type: string,
+  displayName: 'NAME=IP:PORT',
+  description: 'name and peer port of the instance to add; it must run',
+});
+
+function parseInstance(text: string): {instance: string; address: string} {
+  const match = /^([^=]+)=(.+:\d+)$/.exec(text);
+  if (match?.[1] && match[2]) return {instance: match[1], address: match[2]};
+  throw new SycamoreheadError(
+    'settings_invalid',
+    `${text}: expected NAME=IP:PORT`,
+  );
+}
+
+function showMembers(members: Members): void {
+  for (const {instance, role, address, id} of members) {
+    console.log(`member=${instance} role=${role} address=${address} id=${id}`);
+  }
+}
+
+function findMember(members: Members, name: string): Members[number] {
+  const found = members.filter(
+    ({id, instance}) => id === name || instance === name,
+  );
+  const [only] = found;
+  if (only && found.length === 1) return only;
+  const ids = found.map(({id}) => id).join(', ');
+  throw new SycamoreheadError(
+    only ? 'malformed_request' : 'not_found',
+    only ? `${name} names several members: ${ids}` : `${name} is no member`,
+  );
+}
+
+/** Adds the new instance before the old one goes, so that no voter is missing in between. */
+async function replaceMember(
+  client: OperatorClient,
+  name: string,
+  added: string,
+): Promise<void> {
+  const {instance, address} = parseInstance(added);
+  const old = findMember(await client.listMembers(), name);
+  await client.addMember(instance, address);
+  showMembers(await client.removeMember(old.id));
+}
+
+/**
+ * Builds `syc members`.
+ *
+ * @example
+ * ```ts
+ * buildMembersCommand(createClient, runReporting);
+ * ```
+ */
+export function buildMembersCommand(
+  createClient: CreateClient,
+  runReporting: RunReporting,
+) {
+  const list = command({
+    name: 'list',
+    description: 'lists the control instances that hold the state',
+    args: {control},
+    handler: args =>
+      runReporting(async () =>
+        showMembers(await createClient(args.control).listMembers()),
+      ),
+  });
+  const add = command({
+    name: 'add',
+    description: 'adds a running control instance; repeating it is safe',
+    args: {newInstance, control},
+    handler: args =>
+      runReporting(async () => {
+        const {instance, address} = parseInstance(args.newInstance);
+        const client = createClient(args.control);
+        showMembers(await client.addMember(instance, address));
+      }),
+  });
+  const remove = command({
+    name: 'remove',
+    description: 'removes a control instance',
+    args: {member, control},
+    handler: args =>
+      runReporting(async () => {
+        const client = createClient(args.control);
+        showMembers(await client.removeMember(args.member));
+      }),
+  });
+  const replace = command({
+    name: 'replace',
+    description: 'adds a running instance, then removes a lost one',
+    args: {member, newInstance, control},
+    handler: args =>
+      runReporting(() =>
+        replaceMember(
+          createClient(args.control),
+          args.member,
+          args.newInstance,
+        ),
+      ),
+  });
+  return subcommands({
+    name: 'members',
+    description: 'the control instances that hold the state',
+    cmds: {list, add, remove, replace},
+  });
+}
--- a/packages/consensus/src/lib/LinkPool.ts
+++ b/packages/consensus/src/lib/LinkPool.ts
@@ -1,5 +1,6 @@
 import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
 import {
+  ConnectOptions,
   LinkTimeouts,
   PeerLink,
   connectPeer,
@@ -12,6 +13,7 @@
   readonly name: string;
   readonly peerKey: string;
   readonly timeouts?: LinkTimeouts;
+  readonly tls?: ConnectOptions['tls'];
 }
 
 /**
@@ -70,13 +72,14 @@
   }
 
   private async openLink(address: string): Promise<PeerLink> {
-    const {name, peerKey, timeouts} = this.options;
+    const {name, peerKey, timeouts, tls} = this.options;
     try {
       const link = await connectPeer({
         address: parsePeerAddress(address),
         name,
         peerKey,
         timeouts,
+        tls,
       });
       link.addCloseListener(() => this.links.delete(address));
       return link;
--- a/packages/control/src/lib/ControlInstance.ts
+++ b/packages/control/src/lib/ControlInstance.ts
@@ -11,7 +11,7 @@
   loadMemberId,
 } from '@sycamorehead/consensus';
 import type {SycamoreheadError} from '@sycamorehead/schema';
-import {createLogger} from '@sycamorehead/telemetry';
+import {TlsMaterial, createLogger} from '@sycamorehead/telemetry';
 import {WireServer} from '@sycamorehead/wire';
 import {ControlNode, ControlNodeOptions} from './ControlNode.js';
 import {createControlMethods} from './createControlMethods.js';
@@ -33,6 +33,10 @@
   readonly peerPort: number;
   readonly peerKey: string;
   readonly operatorToken: string;
+  /** Turns TLS on for links with other instances. */
+  readonly peerTls?: TlsMaterial;
+  /** Turns TLS on towards operators. */
+  readonly operatorTls?: TlsMaterial;
   /** Folder of the replicated state; without one the state lives in memory, on one instance. */
   readonly dataFolder?: string;
   readonly leaseMs?: number;
@@ -62,8 +66,8 @@
   private operatorServer: OperatorServer | undefined;
 
   constructor(private readonly options: ControlInstanceOptions) {
-    const {name, peerKey} = options;
-    this.links = new LinkPool({name, peerKey});
+    const {name, peerKey, peerTls} = options;
+    this.links = new LinkPool({name, peerKey, tls: peerTls});
     this.transport = new WireTransport(this.links);
   }
 
@@ -93,11 +97,13 @@
       host,
       port,
       operatorToken,
+      tls: this.options.operatorTls,
     });
     this.wireServer = new WireServer({
       host,
       port: peerPort,
       peerKey,
+      tls: this.options.peerTls,
       methods: {
         ...createControlMethods(node, forwarder),
         ...createConsensusMethods(this.raft ? [this.raft] : []),
