--- /dev/null
+++ b/packages/bench/src/test/ControlGroup.ts
@@ -0,0 +1,191 @@
+import type {
+  LogStatus,
+  RaftNode,
+  ReplicatedLog,
+  StateMachine,
+} from '@sycamorehead/consensus';
+import {FakeGroup, PausedClock} from '@sycamorehead/consensus/testing';
+import {ControlNode} from '@sycamorehead/control';
+import {ConfigurationManager} from '@sycamorehead/entry';
+import {
+  ControlApi,
+  JsonValue,
+  LeaseGrant,
+  LeaseRequest,
+  SycamoreheadError,
+} from '@sycamorehead/schema';
+
+const CALL_TIMEOUT_MS = 1_000;
+const WATCH_MARGIN_MS = 1_000;
+/** An entry whose clock is slow holds its lease this much longer. */
+const CLOCK_RATE = 1.01;
+
+/** The log of a control node whose RaftNode is created after it. */
+class LateLog implements ReplicatedLog {
+  node: RaftNode | undefined;
+  private readonly listeners: Array<() => void> = [];
+
+  follow(node: RaftNode): void {
+    this.node = node;
+    for (const listener of this.listeners) node.addLeaderListener(listener);
+  }
+
+  propose(command: JsonValue): Promise<JsonValue> {
+    return this.node!.propose(command);
+  }
+
+  confirmLeadership(): Promise<void> {
+    return this.node!.confirmLeadership();
+  }
+
+  getStatus(): LogStatus {
+    return this.node!.getStatus();
+  }
+
+  addLeaderListener(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
+  async stop(): Promise<void> {
+    this.node!.abort();
+  }
+}
+
+/** One entry of a ControlGroup. @internal */
+export interface FakeEntry {
+  readonly name: string;
+  manager: ConfigurationManager;
+}
+
+/**
+ * Control instances and entries in one process, over the log's fakes.
+ *
+ * @internal
+ */
+export class ControlGroup {
+  readonly group: FakeGroup<StateMachine>;
+  readonly entries: FakeEntry[] = [];
+  private readonly controls = new Map<string, ControlNode>();
+  private readonly logs = new Map<string, LateLog>();
+
+  constructor(
+    private readonly clock: PausedClock,
+    random: () => number,
+    readonly names: readonly string[] = ['c1', 'c2', 'c3'],
+    node: {snapshotBytes?: number; trailingEntries?: number} = {},
+  ) {
+    this.group = new FakeGroup({
+      clock,
+      random,
+      createMachine: name => this.createMachine(name),
+      onCreated: (name, raft) => this.logs.get(name)?.follow(raft),
+      node,
+    });
+  }
+
+  /** Starts control and entries. */
+  async start(entryCount: number): Promise<void> {
+    await this.group.createGroup(this.names);
+    for (let index = 1; index <= entryCount; index++) {
+      const name = `e${index}`;
+      this.entries.push({name, manager: this.startManager(name)});
+    }
+  }
+
+  /** Returns a control instance that is up. */
+  getControl(name: string): ControlNode | undefined {
+    return this.group.get(name).node && this.controls.get(name);
+  }
+
+  /** Returns the control instance that leads. */
+  async findLeader(): Promise<ControlNode> {
+    const {name} = await this.group.waitForLeader();
+    return this.controls.get(name)!;
+  }
+
+  /** Ends an entry's process and starts another under its name. */
+  restartEntry(entry: FakeEntry): void {
+    entry.manager.stop();
+    entry.manager = this.startManager(entry.name);
+  }
+
+  /** Returns the revision that an entry routes on, or undefined where it refuses. */
+  readRouted(entry: FakeEntry): number | undefined {
+    try {
+      return entry.manager.get().revision;
+    } catch {
+      return undefined;
+    }
+  }
+
+  /** Stops everything. */
+  stop(): void {
+    for (const {manager} of this.entries) manager.stop();
+    this.group.stop();
+  }
+
+  /** Lets time pass. */
+  advance(ms: number): Promise<void> {
+    return this.clock.advance(ms);
+  }
+
+  private createMachine(name: string): StateMachine {
+    const late = new LateLog();
+    let machine: StateMachine | undefined;
+    const control = new ControlNode({
+      name,
+      createLog: given => {
+        machine = given;
+        return late;
+      },
+    });
+    this.controls.set(name, control);
+    this.logs.set(name, late);
+    return machine!;
+  }
+
+  private startManager(name: string): ConfigurationManager {
+    const manager = new ConfigurationManager(name, this.createApi(name));
+    manager.start();
+    return manager;
+  }
+
+  /** Calls one control instance until it fails, then the one that it names or the next. */
+  private createApi(entry: string): ControlApi {
+    let next = 0;
+    const call = async <Result>(
+      timeoutMs: number,
+      serve: (control: ControlNode) => Promise<Result>,
+    ): Promise<Result> => {
+      const name = this.names[next % this.names.length]!;
+      try {
+        return await this.group.network.call(entry, name, timeoutMs, async () =>
+          serve(this.requireControl(name)),
+        );
+      } catch (error) {
+        const leader =
+          error instanceof SycamoreheadError ? error.leader : undefined;
+        next = leader ? this.names.indexOf(leader) : next + 1;
+        throw error;
+      }
+    };
+    return {
+      renewLease: async (request: LeaseRequest): Promise<LeaseGrant> => {
+        const grant = await call(CALL_TIMEOUT_MS, control =>
+          control.renewLease(request),
+        );
+        return {...grant, leaseMs: grant.leaseMs * CLOCK_RATE};
+      },
+      watchRevision: params =>
+        call(params.waitMs + WATCH_MARGIN_MS, control =>
+          control.watchRevision(params),
+        ),
+    } as Partial<ControlApi> as ControlApi;
+  }
+
+  private requireControl(name: string): ControlNode {
+    const control = this.getControl(name);
+    if (control) return control;
+    throw new SycamoreheadError('link_closed', `${name} is down`);
+  }
+}
--- /dev/null
+++ b/packages/bench/src/test/configurationFaults.test.ts
@@ -0,0 +1,50 @@
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {PausedClock} from '@sycamorehead/consensus/testing';
+import {Randomness} from '../lib/load/arrivals.js';
+import {
+  CONFIGURATION_STEPS,
+  ConfigurationScenario,
+} from './ConfigurationScenario.js';
+
+/** More by command: `SYC_SEEDS=5000 SYC_SEED=7 npm test configurationFaults`. */
+const RUNS = Number(process.env.SYC_SEEDS ?? 300);
+const SEED = Number(process.env.SYC_SEED ?? 1);
+
+const step = fc.record({
+  type: fc.oneof(
+    fc.constantFrom('advance' as const, 'publish' as const, 'read' as const),
+    fc.constantFrom(...CONFIGURATION_STEPS),
+  ),
+  target: fc.nat(11),
+  amount: fc.nat(99),
+});
+
+test(
+  `configuration under random faults: ${RUNS} runs from seed ${SEED}`,
+  {timeout: 3_600_000},
+  () =>
+    fc.assert(
+      fc.asyncProperty(
+        fc.nat(),
+        fc.array(step, {minLength: 15, maxLength: 50}),
+        async (seed, steps) => {
+          const random = new Randomness(seed);
+          const clock = new PausedClock();
+          try {
+            await new ConfigurationScenario(clock, () =>
+              random.sampleUniform(),
+            ).run(steps);
+          } finally {
+            clock.restore();
+          }
+        },
+      ),
+      {
+        numRuns: RUNS,
+        seed: SEED,
+        endOnFailure: true,
+        includeErrorInReport: true,
+      },
+    ),
+);
--- a/packages/consensus/src/testing/FakeGroup.ts
+++ b/packages/consensus/src/testing/FakeGroup.ts
@@ -24,6 +24,8 @@
   readonly random: () => number;
   readonly createMachine: (name: string) => Machine;
   readonly node?: Partial<RaftNodeOptions>;
+  /** Called with each node before it starts. */
+  readonly onCreated?: (name: string, node: RaftNode) => void;
   readonly syncMs?: number;
 }
 
@@ -83,6 +85,7 @@
       machine,
       onFailure: error => this.handleFailure(name, error),
     });
+    this.options.onCreated?.(name, started);
     instance.machine = machine;
     instance.failure = undefined;
     await clock.settle(started.start());
--- a/packages/entry/src/lib/ConfigurationManager.ts
+++ b/packages/entry/src/lib/ConfigurationManager.ts
@@ -162,7 +162,7 @@
       log('delta_does_not_fit', {revision: grant.revision});
       return 'failed';
     }
-    const isChanged = next !== this.configuration;
+    const isChanged = next.revision !== this.configuration.revision;
     this.needsWhole = false;
     this.configuration = next;
     this.leaseEndsAt = Math.max(this.leaseEndsAt, sentAt + grant.leaseMs);
