--- a/packages/bench/src/test/answerFailures.test.ts
+++ b/packages/bench/src/test/answerFailures.test.ts
@@ -256,7 +256,7 @@
       await harness.waitFor(() => engine.runs[0]!.isClosed);
       assert.equal(engine.runs.length, 1, 'not resumed for nobody');
       assert.equal((await findBills())[0]?.usage?.completion_tokens, 3);
-      assert.equal(harness.entries[0]?.router.work.count(id), 0);
+      assert.equal(harness.entries[0]?.router.context.work.count(id), 0);
     },
   ));
 
@@ -326,7 +326,7 @@
       const {seen} = await sendAndReadBills();
       assert.deepEqual(
         [seen.isWhole, seen.kind, seen.ran],
-        [false, 'control_unavailable', 'yes'],
+        [false, 'bill_pending', 'yes'],
       );
       faults!.outage = 'none';
       const requestId = String(seen.headers['sycamorehead-request-id']);
--- a/packages/control/src/lib/ControlNode.ts
+++ b/packages/control/src/lib/ControlNode.ts
@@ -33,6 +33,7 @@
   DEFAULT_LEASE_MS,
   InForceReport,
 } from './configuration/ConfigurationService.js';
+import type {LedgerReport} from './Ledger.js';
 import type {RolloutStatus} from './reconciler/describeRollout.js';
 import {Reconciler, ReconcilerOptions} from './reconciler/Reconciler.js';
 
@@ -158,6 +159,12 @@
     return this.state.listBills(customer);
   }
 
+  /** Reads the ledger's totals, checked against the request records. */
+  async checkLedger(): Promise<LedgerReport> {
+    await this.replicatedLog.confirmLeadership();
+    return this.state.checkLedger();
+  }
+
   /** Reads the members of the group, confirmed with a quorum. */
   async readMembers(): Promise<Membership> {
     await this.replicatedLog.confirmLeadership();
--- a/packages/entry/src/lib/ChatService.ts
+++ b/packages/entry/src/lib/ChatService.ts
@@ -24,6 +24,7 @@
 import type {Exchange} from './Exchange.js';
 import {encodeStoredAnswer} from './formatAnswer.js';
 import {KeyedRequest} from './KeyedRequest.js';
+import {readDeadlineMs} from './readDeadlineMs.js';
 import {TaskEnd} from './TaskEnd.js';
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -126,6 +127,7 @@
     const stored = await keyed.begin();
     if (stored) {
       exchange.sendStored(stored);
+      exchange.logReleased(requestKey, true);
       return;
     }
     try {
@@ -190,6 +192,7 @@
         this.observeFirstToken(task);
       });
       await delivery.send((text, last) => commit(answer, text, last));
+      task.exchange.logReleased(task.requestKey);
     } finally {
       ticket.release();
     }
@@ -220,7 +223,8 @@
       maxTokens: chat.max_tokens,
       session: exchange.readKeyHeader('Sycamorehead-Session'),
       prefixKey: createHash('sha256').update(first).digest('hex').slice(0, 16),
-      deadlineAt: exchange.startedAt + this.parts.timeouts.answerMs,
+      deadlineAt:
+        exchange.startedAt + readDeadlineMs(chat, this.parts.timeouts.answerMs),
     };
   }
 }
