--- a/packages/control/src/lib/Ledger.ts
+++ b/packages/control/src/lib/Ledger.ts
@@ -79,11 +79,15 @@
 
   /** Returns the totals and compares the bills with the request records. */
   check(requests: RequestRecords): LedgerReport {
-    // A folded bill can no longer be looked up, so nothing is called unbilled for the lack of it.
-    const unbilled =
-      this.foldedBills > 0
-        ? []
-        : requests.listDone().filter(key => !this.bills.has(key));
+    // A folded bill can no longer be looked up; its record still says whether there was one.
+    const isFolding = this.foldedBills > 0;
+    const unbilled = requests
+      .listDone()
+      .filter(({requestKey, isBilled}) => {
+        if (!isBilled) return true;
+        return !isFolding && !this.bills.has(requestKey);
+      })
+      .map(({requestKey}) => requestKey);
     return {
       totals: [...this.totals.values()],
       unbilled,
--- a/packages/control/src/lib/RequestRecords.ts
+++ b/packages/control/src/lib/RequestRecords.ts
@@ -20,6 +20,8 @@
   readonly isRepeatable: boolean;
   readonly state: 'begun' | 'done' | 'unknown';
   readonly answer?: StoredAnswer;
+  /** Whether its bill was committed with its result. */
+  readonly isBilled?: boolean;
 }
 
 interface RecordSnapshot {
@@ -91,7 +93,7 @@
 
   /** Records the outcome; a fencing number that is not the record's changes nothing. */
   finish(command: FinishCommand): FinishResult {
-    const {requestKey, fencing, outcome, answer} = command;
+    const {requestKey, fencing, outcome, answer, bill} = command;
     const before = this.records.get(requestKey);
     if (outcome === 'not_run' && !before) return {isAccepted: true};
     if (!before || before.fencing !== fencing) return {isAccepted: false};
@@ -105,6 +107,7 @@
     this.records.set(requestKey, {
       ...before,
       state: outcome,
+      isBilled: outcome === 'done' && bill !== undefined,
       ...(isKept && {answer}),
     });
     if (isKept) this.countAnswer(requestKey, size);
@@ -128,19 +131,20 @@
     return snapshot as unknown as JsonValue;
   }
 
-  /** Lists the keys of the requests that are done. */
-  listDone(): string[] {
-    return this.listKeys('done');
+  /** Lists the keys of the requests that are done, with whether a bill came with the result. */
+  listDone(): Array<{readonly requestKey: string; readonly isBilled: boolean}> {
+    return [...this.records.values()]
+      .filter(({state}) => state === 'done')
+      .map(({requestKey, isBilled}) => ({
+        requestKey,
+        isBilled: isBilled === true,
+      }));
   }
 
   /** Lists the keys of the requests whose outcome is unknown. */
   listUnknown(): string[] {
-    return this.listKeys('unknown');
-  }
-
-  private listKeys(wanted: RequestRecord['state']): string[] {
     return [...this.records.values()]
-      .filter(({state}) => state === wanted)
+      .filter(({state}) => state === 'unknown')
       .map(({requestKey}) => requestKey);
   }
 
