--- a/packages/bench/src/lib/experiments/experimentTable.ts
+++ b/packages/bench/src/lib/experiments/experimentTable.ts
@@ -1,11 +1,13 @@
 import type {Experiment} from '../experimentTypes.js';
 import {crest} from './crest.js';
 import {headOfLine} from './headOfLine.js';
+import {slopes} from './slopes.js';
 import {straggler} from './straggler.js';
 
 /** Experiments by name; each stands in a file of its own. @public */
 export const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
   crest,
   'head-of-line': headOfLine,
+  slopes,
   straggler,
 };
--- /dev/null
+++ b/packages/bench/src/lib/slopes/measureControlSlopes.ts
@@ -0,0 +1,200 @@
+import {
+  ControlClient,
+  ControlNode,
+  ControlState,
+  createControlMethods,
+} from '@sycamorehead/control';
+import {SingleVoterLog} from '@sycamorehead/consensus';
+import {JsonValue, hashKey, parseReleaseNote} from '@sycamorehead/schema';
+import {WireServer, encodeFrame} from '@sycamorehead/wire';
+import {measureHeldBytes, readProcessorMs} from './readUsage.js';
+import {Slope, SlopePoint, computeSlope} from './slopeTypes.js';
+
+const HOST = '127.0.0.1';
+const PEER_KEY = 'slopes-peer-key';
+const ENTRY_COUNTS = [1, 2, 4, 8, 16];
+const RENEWALS_PER_ENTRY = 500;
+const WARM_UP = 100;
+const ITEM_COUNTS = [5_000, 10_000, 20_000, 40_000];
+const CUSTOMER_COUNTS = [10, 100, 400];
+
+type BuildCommand = (index: number) => JsonValue;
+
+/** Commands of which each adds one item to the state, by the item's name. */
+const COMMANDS: Readonly<Record<string, BuildCommand>> = {
+  session: index => ({
+    type: 'pin_session',
+    session: `session-${index}`,
+    customer: 'customer-1',
+    version: {model: 'inscription-small', version: 'v1'},
+    at: 0,
+  }),
+  record: index => ({
+    type: 'begin_request',
+    requestKey: `customer-1/services/orders/key-${index}`,
+    bodyDigest: hashKey(String(index)),
+    owner: `entry-1/req-${index}`,
+    isRepeatable: false,
+    ownerLimitMs: 60_000,
+    at: 0,
+  }),
+  bill: index => ({
+    type: 'record_bill',
+    bill: {
+      requestKey: `customer-1/models/req-${index}`,
+      requestId: `req-${index}`,
+      customer: 'customer-1',
+      item: 'inscription-small/v1',
+      usage: {prompt_tokens: 100, completion_tokens: 50},
+      amountMicros: 150,
+      revision: 1,
+    },
+  }),
+};
+
+function fillState(build: BuildCommand, size: number): ControlState {
+  const state = new ControlState();
+  for (let index = 0; index < size; index++) state.apply(build(index), index);
+  return state;
+}
+
+async function measureItems(
+  name: string,
+  build: BuildCommand,
+): Promise<Slope[]> {
+  const memory: SlopePoint[] = [];
+  const processor: SlopePoint[] = [];
+  const snapshot: SlopePoint[] = [];
+  for (const size of ITEM_COUNTS) {
+    const value = await measureHeldBytes(() => fillState(build, size));
+    memory.push({size, value});
+    const startedAt = readProcessorMs();
+    const state = fillState(build, size);
+    processor.push({size, value: readProcessorMs() - startedAt});
+    const bytes = Buffer.byteLength(JSON.stringify(state.takeSnapshot()));
+    snapshot.push({size, value: bytes});
+  }
+  const command = Buffer.byteLength(JSON.stringify(build(1)));
+  const log = ITEM_COUNTS.map(size => ({size, value: size * command}));
+  return [
+    computeSlope(`control.${name}Memory`, `bytes a ${name}`, memory),
+    computeSlope(`control.${name}Processor`, `ms a ${name}`, processor),
+    computeSlope(`control.${name}Snapshot`, `bytes a ${name}`, snapshot),
+    computeSlope(`control.${name}Log`, `bytes a ${name}`, log),
+  ];
+}
+
+async function measureRenewals(): Promise<Slope[]> {
+  const node = new ControlNode({
+    name: 'control-1',
+    createLog: machine => new SingleVoterLog('control-1', machine),
+  });
+  const server = new WireServer({
+    host: HOST,
+    port: 0,
+    peerKey: PEER_KEY,
+    methods: createControlMethods(node),
+  });
+  const address = {host: HOST, port: await server.start()};
+  const points: SlopePoint[] = [];
+  for (const count of ENTRY_COUNTS) {
+    const clients = Array.from(
+      {length: count},
+      (unused, index) =>
+        new ControlClient({
+          name: `entry-${index}`,
+          instances: {'control-1': address},
+          peerKey: PEER_KEY,
+        }),
+    );
+    const renewAll = () =>
+      Promise.all(
+        clients.map((client, index) =>
+          client.renewLease({entry: `entry-${index}`, confirmedRevision: 0}),
+        ),
+      );
+    for (let turn = 0; turn < WARM_UP; turn++) await renewAll();
+    const before = readProcessorMs();
+    for (let turn = 0; turn < RENEWALS_PER_ENTRY; turn++) await renewAll();
+    const value = readProcessorMs() - before;
+    points.push({size: count * RENEWALS_PER_ENTRY, value});
+    for (const client of clients) client.stop();
+  }
+  await server.stop();
+  await node.stop();
+  return [computeSlope('lease.renewalProcessor', 'ms a renewal', points)];
+}
+
+/** Bytes on the wire of one renewal without news: the call and its answer. */
+function measureRenewalBytes(): Slope {
+  const call = encodeFrame({
+    jsonrpc: '2.0',
+    id: 1_000,
+    method: 'control.renewLease',
+    params: {entry: 'entry-1000', confirmedRevision: 100_000},
+  });
+  const answer = encodeFrame({
+    jsonrpc: '2.0',
+    id: 1_000,
+    result: {revision: 100_000, leaseMs: 3_000},
+  });
+  const bytes = call.length + answer.length;
+  const points = ENTRY_COUNTS.map(size => ({size, value: size * bytes}));
+  return computeSlope('lease.renewalBytes', 'bytes a renewal', points);
+}
+
+function measureConfiguration(): Slope[] {
+  const bytes: SlopePoint[] = [];
+  const processor: SlopePoint[] = [];
+  for (const size of CUSTOMER_COUNTS) {
+    const customers = Array.from(
+      {length: size},
+      (unused, index) => `
+    - customer: customer-${index}
+      keyHash: ${hashKey(String(index))}
+      models: [{model: m, versions: any}]
+      limits: {requestsPerSecond: 10, tokensPerSecond: 1000}
+      qualityTarget: 0.8`,
+    );
+    const note = parseReleaseNote(`
+number: 1
+follows: 0
+add:
+  versions:
+    - {model: m, version: v1, inputPrice: 1, outputPrice: 1, contextTokens: 8192, qualityPrior: 0.9}
+  customers:${customers.join('')}
+`);
+    const state = new ControlState();
+    const before = readProcessorMs();
+    state.apply({type: 'publish', note} as unknown as JsonValue, 1);
+    processor.push({size, value: readProcessorMs() - before});
+    const text = JSON.stringify(state.getConfiguration());
+    bytes.push({size, value: Buffer.byteLength(text)});
+  }
+  return [
+    computeSlope('configuration.customerBytes', 'bytes a customer', bytes),
+    computeSlope('configuration.customerProcessor', 'ms a customer', processor),
+  ];
+}
+
+/**
+ * Measures what the items of control's state, its leases and its configuration cost.
+ *
+ * @example
+ * ```ts
+ * const slopes = await measureControlSlopes();
+ * ```
+ * @internal
+ */
+export async function measureControlSlopes(): Promise<Slope[]> {
+  const items: Slope[] = [];
+  for (const [name, build] of Object.entries(COMMANDS)) {
+    items.push(...(await measureItems(name, build)));
+  }
+  return [
+    ...items,
+    ...(await measureRenewals()),
+    measureRenewalBytes(),
+    ...measureConfiguration(),
+  ];
+}
--- /dev/null
+++ b/packages/bench/src/lib/slopes/readUsage.ts
@@ -0,0 +1,57 @@
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+
+setFlagsFromString('--expose-gc');
+const collectGarbage = runInNewContext('gc') as () => void;
+
+/** Microseconds in a millisecond. */
+const MICROS = 1_000;
+
+/**
+ * Reads the processor time that this process has used, in milliseconds.
+ *
+ * @example
+ * ```ts
+ * const before = readProcessorMs();
+ * ```
+ * @internal
+ */
+export function readProcessorMs(): number {
+  const {user, system} = process.cpuUsage();
+  return (user + system) / MICROS;
+}
+
+/**
+ * Reads the memory in use after a full collection, in bytes.
+ *
+ * @example
+ * ```ts
+ * const before = readMemoryBytes();
+ * ```
+ * @internal
+ */
+export function readMemoryBytes(): number {
+  collectGarbage();
+  collectGarbage();
+  const {heapUsed, external} = process.memoryUsage();
+  return heapUsed + external;
+}
+
+/**
+ * Measures the memory that a value holds, in bytes.
+ *
+ * @example
+ * ```ts
+ * await measureHeldBytes(() => new Array(1_000).fill({}));
+ * ```
+ * @internal
+ */
+export async function measureHeldBytes(create: () => unknown): Promise<number> {
+  // A turn of the event loop lets go of what earlier measurements still had on the stack.
+  await new Promise(resolve => setImmediate(resolve));
+  const before = readMemoryBytes();
+  const held = {value: create()};
+  const bytes = readMemoryBytes() - before;
+  held.value = undefined;
+  return bytes;
+}
--- /dev/null
+++ b/packages/bench/src/lib/slopes/slopeTypes.ts
@@ -0,0 +1,44 @@
+/** What one unit of something costs. @public */
+export interface Slope {
+  readonly name: string;
+  readonly unit: string;
+  /** Sizes at which it was measured, with the reading at each. */
+  readonly points: ReadonlyArray<{
+    readonly size: number;
+    readonly value: number;
+  }>;
+  /** Cost of one more unit: the slope of the least-squares line through the points. */
+  readonly perUnit: number;
+  /** Where that line meets size zero. */
+  readonly base: number;
+}
+
+/** A reading at one size. @public */
+export type SlopePoint = Slope['points'][number];
+
+/**
+ * Fits the least-squares line through readings.
+ *
+ * @example
+ * ```ts
+ * computeSlope('memory', 'bytes a server', [{size: 1, value: 3}, {size: 2, value: 5}]).perUnit; // 2
+ * ```
+ * @public
+ */
+export function computeSlope(
+  name: string,
+  unit: string,
+  points: readonly SlopePoint[],
+): Slope {
+  const count = points.length;
+  const meanSize = points.reduce((sum, {size}) => sum + size, 0) / count;
+  const meanValue = points.reduce((sum, {value}) => sum + value, 0) / count;
+  let covariance = 0;
+  let variance = 0;
+  for (const {size, value} of points) {
+    covariance += (size - meanSize) * (value - meanValue);
+    variance += (size - meanSize) ** 2;
+  }
+  const perUnit = variance > 0 ? covariance / variance : 0;
+  return {name, unit, points, perUnit, base: meanValue - perUnit * meanSize};
+}
