--- a/packages/bench/src/lib/experiments/experimentTable.ts
+++ b/packages/bench/src/lib/experiments/experimentTable.ts
@@ -1,6 +1,8 @@
 import type {Experiment} from '../experimentTypes.js';
 import {crest} from './crest.js';
 import {headOfLine} from './headOfLine.js';
+import {membership} from './membership.js';
+import {rollout} from './rollout.js';
 import {slopes} from './slopes.js';
 import {straggler} from './straggler.js';
 
@@ -8,6 +10,8 @@
 export const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
   crest,
   'head-of-line': headOfLine,
+  membership,
+  rollout,
   slopes,
   straggler,
 };
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -17,7 +17,12 @@
   PeerGossip,
 } from '@sycamorehead/membership';
 import {PeerAddress, WireServer} from '@sycamorehead/wire';
-import {Router, RouterOptions} from '@sycamorehead/routing';
+import {
+  Router,
+  RouterOptions,
+  UsageExchange,
+  UsageReporter,
+} from '@sycamorehead/routing';
 import {readBearerKey} from './authenticateCustomer.js';
 import type {AnswerPlannerName} from './answerPlanners.js';
 import {
@@ -85,6 +90,7 @@
   readonly configuration: ConfigurationManager;
   readonly router: Router;
   private readonly gossip: PeerGossip;
+  private readonly usage: UsageExchange;
   private readonly reporter: ServerReporter;
   private readonly peerServer: WireServer;
   private readonly backends: BackendClient;
@@ -93,6 +99,7 @@
   private readonly chat: ChatService;
   private readonly services: PlainServiceProxy;
   private running = 0;
+  private idleListener: (() => void) | undefined;
   private isLeaving = false;
   private isRefusing = false;
 
@@ -100,19 +107,31 @@
     const {name, peerKey, peerTls, peers, control, policies} = options;
     const {directory, metrics} = this;
     this.configuration = new ConfigurationManager(name, control);
-    this.router = new Router({directory, ...policies});
+    const {dataCentre} = options;
+    this.router = new Router({directory, dataCentre, ...policies});
     const backendTimeouts = options.backendTimeouts ?? DEFAULT_BACKEND_TIMEOUTS;
     const timeouts = options.timeouts ?? DEFAULT_ENTRY_TIMEOUTS;
     this.backends = new BackendClient(backendTimeouts);
     this.commits = new CommitQueue(timeouts.commitWaitMs);
     this.gossip = new PeerGossip({name, peers, peerKey, peerTls, directory});
+    this.usage = new UsageExchange({
+      name,
+      peers,
+      peerKey,
+      peerTls,
+      reporter: new UsageReporter({
+        entry: name,
+        directory,
+        router: this.router,
+      }),
+    });
     this.reporter = new ServerReporter(name, directory, control);
     this.peerServer = new WireServer({
       host: options.host,
       port: options.peerPort,
       peerKey,
       tls: peerTls,
-      methods: this.gossip.getMethods(),
+      methods: {...this.gossip.getMethods(), ...this.usage.getMethods()},
       timeouts: PEER_LINK_TIMEOUTS,
     });
     const shared = {
@@ -144,6 +163,7 @@
     const {host, port} = this.options;
     const peerPort = await this.peerServer.start();
     this.gossip.start({host, port: peerPort});
+    this.usage.start();
     this.reporter.start();
     this.configuration.start();
     const ports = {port: await this.server.start(host, port), peerPort};
@@ -153,7 +173,8 @@
 
   /**
    * Graceful shutdown: first not ready, while requests are still served for as long as the
-   * balancer needs to notice; then new requests are refused and running ones finish.
+   * balancer needs to notice; then new requests are refused and running ones finish. Returns once
+   * every bill is recorded.
    */
   async stop(): Promise<void> {
     this.isLeaving = true;
@@ -162,11 +183,14 @@
       setTimeout(resolve, this.options.balancerLagMs ?? 0),
     );
     this.isRefusing = true;
+    // The port stays open meanwhile, so that a late request is refused with a true answer.
+    await this.waitUntilIdle();
     await this.server.stop();
     await this.commits.drain(COMMIT_DRAIN_MS);
     this.configuration.stop();
     this.reporter.stop();
     this.gossip.stop();
+    this.usage.stop();
     await this.peerServer.stop();
     await this.backends.stop();
     log('entry_stopped', {name: this.options.name});
@@ -234,9 +258,17 @@
     } finally {
       this.running -= 1;
       this.metrics.running.set(this.running);
+      if (this.running === 0) this.idleListener?.();
     }
   }
 
+  private async waitUntilIdle(): Promise<void> {
+    if (this.running === 0) return;
+    await new Promise<void>(resolve => {
+      this.idleListener = resolve;
+    });
+  }
+
   private async receiveAnnouncement(exchange: Exchange): Promise<void> {
     const key = readBearerKey(exchange.request.headers);
     if (!isSameKey(key, this.options.serverKey)) {
--- a/packages/membership/src/test/BackendServerDirectory.test.ts
+++ b/packages/membership/src/test/BackendServerDirectory.test.ts
@@ -42,3 +42,17 @@
     clock.uninstall();
   }
 });
+
+test('a server that is not held gets no work; one that is new is held until the next choice', () => {
+  const directory = new BackendServerDirectory();
+  const listIds = () =>
+    directory.listReady().map(({announcement}) => announcement.id);
+  directory.receive(announce({id: 'a'}));
+  directory.receive(announce({id: 'b'}));
+  directory.hold(new Set(['a']));
+  assert.deepEqual(listIds(), ['a']);
+  directory.receive(announce({id: 'c'}));
+  assert.deepEqual(listIds(), ['a', 'c']);
+  directory.hold(new Set(['a', 'b']));
+  assert.deepEqual(listIds(), ['a', 'b']);
+});
