--- a/apps/syc-bench/src/main.ts
+++ b/apps/syc-bench/src/main.ts
@@ -15,6 +15,7 @@
   FUZZ_TARGETS,
   ExperimentResult,
   runReportDemo,
+  updateCapacityPage,
 } from '@sycamorehead/bench';
 import {request} from 'undici';
 
@@ -109,6 +110,11 @@
     }),
     json: flag({type: boolean, long: 'json', description: 'print only JSON'}),
     seed: option({type: number, long: 'seed', defaultValue: () => 1}),
+    update: flag({
+      type: boolean,
+      long: 'update',
+      description: 'capacity: take over the newest results first',
+    }),
     seconds: option({
       type: number,
       long: 'seconds',
@@ -122,12 +128,15 @@
       defaultValue: () => 1,
     }),
   },
-  handler: async ({name, once, seed, seeds, seconds}) => {
+  handler: async ({name, once, seed, seeds, seconds, update}) => {
     if (name === 'demo') return runDemo(once);
     if (name === 'report-demo') {
       console.log(`written ${await runReportDemo(RESULTS_FOLDER)}`);
       return undefined;
     }
+    if (name === 'capacity') {
+      return updateCapacityPage('docs', update ? RESULTS_FOLDER : undefined);
+    }
     if (name === 'fuzz') return runFuzz(seconds);
     if (name === 'list') return listExperiments();
     return runExperiment(name, seed, seeds);
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -8,6 +8,7 @@
   ExperimentResult,
   ExperimentTarget,
 } from './lib/experimentTypes.js';
+export {updateCapacityPage} from './lib/capacity/updateCapacityPage.js';
 export {FUZZ_TARGETS} from './lib/fuzz/fuzzTargets.js';
 export type {FuzzOptions, FuzzTarget} from './lib/fuzz/fuzzTypes.js';
 export {Randomness, generateArrivals} from './lib/load/arrivals.js';
--- /dev/null
+++ b/packages/bench/src/lib/capacity/readCapacityInputs.ts
@@ -0,0 +1,82 @@
+import {existsSync, readFileSync} from 'node:fs';
+import path from 'node:path';
+import {z} from 'zod';
+
+const slopesSchema = z.object({
+  candidate: z.object({
+    slopes: z.array(
+      z.object({name: z.string(), unit: z.string(), perUnit: z.number()}),
+    ),
+  }),
+});
+
+const membershipSchema = z.object({
+  candidate: z.object({
+    bytesSlope: z.number(),
+    costs: z.array(
+      z.object({
+        servers: z.number(),
+        sentAndReceivedBytesPerSecond: z.number(),
+        cpuPercent: z.number(),
+        held: z.number(),
+      }),
+    ),
+  }),
+});
+
+const configSchema = z.object({
+  targets: z.array(
+    z.object({
+      name: z.string(),
+      target: z.string(),
+      value: z.number().nullable(),
+      met: z.boolean(),
+    }),
+  ),
+});
+
+/** Figures that the capacity page is worked out from, as experiments printed them. @public */
+export interface CapacityInputs {
+  /** Cost of one more unit, by the slope's name. */
+  readonly slopes: Readonly<Record<string, number>>;
+  readonly units: Readonly<Record<string, string>>;
+  readonly membership: z.infer<typeof membershipSchema>['candidate'];
+  readonly config: z.infer<typeof configSchema>['targets'];
+}
+
+function readFile<Schema extends z.ZodType>(
+  folder: string,
+  name: string,
+  schema: Schema,
+): z.infer<Schema> {
+  const file = path.join(folder, `${name}.json`);
+  if (!existsSync(file)) {
+    throw new Error(
+      `${file} is missing: run 'npm run bench -- ${name}', then 'npm run capacity -- --update'`,
+    );
+  }
+  return schema.parse(JSON.parse(readFileSync(file, 'utf8')));
+}
+
+/**
+ * Reads the committed results of the experiments behind the capacity page.
+ *
+ * @example
+ * ```ts
+ * readCapacityInputs('docs/capacity').slopes['entry.requestProcessor'];
+ * ```
+ * @public
+ */
+export function readCapacityInputs(folder: string): CapacityInputs {
+  const {candidate} = readFile(folder, 'slopes', slopesSchema);
+  return {
+    slopes: Object.fromEntries(
+      candidate.slopes.map(({name, perUnit}) => [name, perUnit]),
+    ),
+    units: Object.fromEntries(
+      candidate.slopes.map(({name, unit}) => [name, unit]),
+    ),
+    membership: readFile(folder, 'membership', membershipSchema).candidate,
+    config: readFile(folder, 'config', configSchema).targets,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/lib/capacity/updateCapacityPage.ts
@@ -0,0 +1,31 @@
+import {copyFileSync, existsSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import {readCapacityInputs} from './readCapacityInputs.js';
+import {renderCapacity} from './renderCapacity.js';
+import {TARGET_SIZE} from './targetSize.js';
+
+const EXPERIMENTS = ['slopes', 'membership', 'config'];
+
+/**
+ * Writes the capacity page anew.
+ *
+ * @param resultsFolder Where given, the newest results of seed 1 are taken over from it first.
+ * @example
+ * ```ts
+ * updateCapacityPage('docs', 'bench-results');
+ * ```
+ * @public
+ */
+export function updateCapacityPage(
+  docsFolder: string,
+  resultsFolder?: string,
+): void {
+  const inputsFolder = path.join(docsFolder, 'capacity');
+  for (const name of resultsFolder ? EXPERIMENTS : []) {
+    const result = path.join(resultsFolder ?? '', `${name}-1.json`);
+    if (!existsSync(result)) continue;
+    copyFileSync(result, path.join(inputsFolder, `${name}.json`));
+  }
+  const page = renderCapacity(readCapacityInputs(inputsFolder), TARGET_SIZE);
+  writeFileSync(path.join(docsFolder, 'CAPACITY.md'), page);
+}
--- a/packages/bench/src/lib/slopes/measureControlSlopes.ts
+++ b/packages/bench/src/lib/slopes/measureControlSlopes.ts
@@ -5,7 +5,16 @@
   createControlMethods,
 } from '@sycamorehead/control';
 import {SingleVoterLog} from '@sycamorehead/consensus';
-import {JsonValue, hashKey, parseReleaseNote} from '@sycamorehead/schema';
+import {
+  EMPTY_CONFIGURATION,
+  JsonValue,
+  ReleaseNote,
+  applyConfigurationDelta,
+  applyReleaseNote,
+  diffConfigurations,
+  hashKey,
+  parseReleaseNote,
+} from '@sycamorehead/schema';
 import {WireServer, encodeFrame} from '@sycamorehead/wire';
 import {measureHeldBytes, readProcessorMs} from './readUsage.js';
 import {Slope, SlopePoint, computeSlope} from './slopeTypes.js';
@@ -16,7 +25,8 @@
 const RENEWALS_PER_ENTRY = 500;
 const WARM_UP = 100;
 const ITEM_COUNTS = [5_000, 10_000, 20_000, 40_000];
-const CUSTOMER_COUNTS = [10, 100, 400];
+const CUSTOMER_COUNTS = [10, 100, 400, 900];
+const CHANGES = 50;
 
 type BuildCommand = (index: number) => JsonValue;
 
@@ -143,20 +153,17 @@
   return computeSlope('lease.renewalBytes', 'bytes a renewal', points);
 }
 
-function measureConfiguration(): Slope[] {
-  const bytes: SlopePoint[] = [];
-  const processor: SlopePoint[] = [];
-  for (const size of CUSTOMER_COUNTS) {
-    const customers = Array.from(
-      {length: size},
-      (unused, index) => `
+function buildCustomersNote(size: number): ReleaseNote {
+  const customers = Array.from(
+    {length: size},
+    (unused, index) => `
     - customer: customer-${index}
       keyHash: ${hashKey(String(index))}
       models: [{model: m, versions: any}]
       limits: {requestsPerSecond: 10, tokensPerSecond: 1000}
       qualityTarget: 0.8`,
-    );
-    const note = parseReleaseNote(`
+  );
+  return parseReleaseNote(`
 number: 1
 follows: 0
 add:
@@ -164,19 +171,67 @@
     - {model: m, version: v1, inputPrice: 1, outputPrice: 1, contextTokens: 8192, qualityPrior: 0.9}
   customers:${customers.join('')}
 `);
-    const state = new ControlState();
-    const before = readProcessorMs();
-    state.apply({type: 'publish', note} as unknown as JsonValue, 1);
-    processor.push({size, value: readProcessorMs() - before});
-    const text = JSON.stringify(state.getConfiguration());
-    bytes.push({size, value: Buffer.byteLength(text)});
+}
+
+const ONE_CHANGE = parseReleaseNote(`
+number: 2
+follows: 1
+change:
+  customers:
+    - {customer: customer-1, qualityTarget: 0.7}
+`);
+
+function measureConfiguration(): Slope[] {
+  const bytes: SlopePoint[] = [];
+  const publishing: SlopePoint[] = [];
+  const applying: SlopePoint[] = [];
+  const deltas: SlopePoint[] = [];
+  for (const size of CUSTOMER_COUNTS) {
+    const before = applyReleaseNote(
+      EMPTY_CONFIGURATION,
+      buildCustomersNote(size),
+    );
+    bytes.push({size, value: measureJson(before)});
+    const after = applyReleaseNote(before, ONE_CHANGE);
+    const delta = diffConfigurations(before, after);
+    deltas.push({size, value: measureJson(delta)});
+    const publish = () => {
+      diffConfigurations(before, applyReleaseNote(before, ONE_CHANGE));
+    };
+    publishing.push({size, value: measureRepeated(publish)});
+    const apply = () => {
+      applyConfigurationDelta(before, delta);
+    };
+    applying.push({size, value: measureRepeated(apply)});
   }
   return [
     computeSlope('configuration.customerBytes', 'bytes a customer', bytes),
-    computeSlope('configuration.customerProcessor', 'ms a customer', processor),
+    computeSlope('configuration.deltaBytes', 'bytes a customer', deltas),
+    computeSlope(
+      'configuration.publishProcessor',
+      'ms a change and customer',
+      publishing,
+    ),
+    computeSlope(
+      'configuration.applyProcessor',
+      'ms a change and customer',
+      applying,
+    ),
   ];
 }
 
+function measureJson(value: unknown): number {
+  return Buffer.byteLength(JSON.stringify(value));
+}
+
+/** Mean processor time of one call, in milliseconds. */
+function measureRepeated(work: () => void): number {
+  for (let turn = 0; turn < CHANGES; turn++) work();
+  const before = readProcessorMs();
+  for (let turn = 0; turn < CHANGES; turn++) work();
+  return (readProcessorMs() - before) / CHANGES;
+}
+
 /**
  * Measures what the items of control's state, its leases and its configuration cost.
  *
