--- a/packages/control/src/lib/OperatorServer.ts
+++ b/packages/control/src/lib/OperatorServer.ts
@@ -86,6 +86,7 @@
       inForce: () => node.readInForce(),
       status: async () => node.readStatus(),
       rollouts: () => node.listRollouts(),
+      ledger: () => node.checkLedger(),
       addMember: params =>
         node.addMember(
           readName(params, 'instance'),
--- a/packages/membership/src/lib/PeerGossip.ts
+++ b/packages/membership/src/lib/PeerGossip.ts
@@ -85,6 +85,7 @@
   private readonly confirmedLeaving = new Map<string, number>();
   private readonly beats = new WeakMap<PeerLink, BeatRecord>();
   private readonly syncing = new WeakSet<PeerLink>();
+  private beatCount = 0;
   private subsetBasis = '';
   private beatTimer: NodeJS.Timeout | undefined;
   private flushTimer: NodeJS.Timeout | undefined;
@@ -186,6 +187,9 @@
     this.updateSubset();
     const digest = this.digestFacts();
     const heard = this.listHeard();
+    this.beatCount += 1;
+    // Engines report load with a lag of their own; every other beat is soon enough.
+    const withLevels = this.beatCount % 2 === 0;
     for (const [name, link] of this.peerSet.listLinks()) {
       const record = this.getBeatRecord(link);
       if (performance.now() - record.heardAt > LINK_SILENCE_MS) {
@@ -194,7 +198,8 @@
       }
       const sent = record.sentDigest === digest ? '' : digest;
       record.sentDigest = digest;
-      const beat = encodeBeat(this.peerInterests.listHeard(name, heard));
+      const wanted = this.peerInterests.listHeard(name, heard);
+      const beat = encodeBeat(wanted, withLevels);
       link.notify(BEAT_METHOD, [sent, ...beat]);
     }
     this.heard.clear();
