--- a/packages/bench/src/lib/capacity/readCapacityInputs.ts
+++ b/packages/bench/src/lib/capacity/readCapacityInputs.ts
@@ -41,6 +41,7 @@
   readonly slopes: Readonly<Record<string, number>>;
   readonly units: Readonly<Record<string, string>>;
   readonly membership: z.infer<typeof membershipSchema>['candidate'];
+  /** Empty until the experiment has been run; the page then says `not measured`. */
   readonly config: z.infer<typeof configSchema>['targets'];
 }
 
@@ -77,6 +78,8 @@
       candidate.slopes.map(({name, unit}) => [name, unit]),
     ),
     membership: readFile(folder, 'membership', membershipSchema).candidate,
-    config: readFile(folder, 'config', configSchema).targets,
+    config: existsSync(path.join(folder, 'config.json'))
+      ? readFile(folder, 'config', configSchema).targets
+      : [],
   };
 }
--- a/packages/bench/src/lib/capacity/renderCapacity.ts
+++ b/packages/bench/src/lib/capacity/renderCapacity.ts
@@ -75,6 +75,7 @@
 }
 
 function renderConfig(inputs: CapacityInputs): string {
+  if (inputs.config.length === 0) return 'Experiment `config`: not measured.\n';
   const rows = inputs.config.map(
     ({name, target, value, met}) =>
       `| ${name} | ${target} | ${value} | ${met ? 'met' : '**missed**'} |`,
--- a/packages/control/src/lib/OperatorServer.ts
+++ b/packages/control/src/lib/OperatorServer.ts
@@ -1,16 +1,18 @@
 import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
 import {createServer as createTlsServer} from 'node:https';
-import type {AddressInfo} from 'node:net';
 import {
   JSONRPCErrorException,
   JSONRPCServer,
   isJSONRPCRequest,
 } from 'json-rpc-2.0';
+import {startListening} from '@sycamorehead/wire';
 import {
   SycamoreheadError,
   isSameKey,
+  ReleaseNote,
   releaseNoteSchema,
   toSycamoreheadError,
+  validateInput,
 } from '@sycamorehead/schema';
 import type {TlsMaterial} from '@sycamorehead/telemetry';
 import type {ControlNode} from './ControlNode.js';
@@ -53,13 +55,9 @@
   }
 
   /** Starts to listen and returns the port. */
-  async start(): Promise<number> {
+  start(): Promise<number> {
     const {host, port} = this.options;
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
-    return (this.server.address() as AddressInfo).port;
+    return startListening(this.server, host, port);
   }
 
   /** Finishes open calls and stops. */
@@ -150,14 +148,8 @@
   );
 }
 
-function parseNote(given: unknown) {
-  const parsed = releaseNoteSchema.safeParse(given);
-  if (parsed.success) return parsed.data;
-  const issue = parsed.error.issues[0];
-  const field = issue?.path.join('.') || 'note';
-  throw new SycamoreheadError('note_invalid', `${field}: ${issue?.message}`, {
-    field,
-  });
+function parseNote(given: unknown): ReleaseNote {
+  return validateInput(releaseNoteSchema, given, 'note_invalid', 'note');
 }
 
 async function runHandler(
--- a/packages/entry/src/lib/EntryServer.ts
+++ b/packages/entry/src/lib/EntryServer.ts
@@ -1,6 +1,6 @@
 import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
 import {createServer as createTlsServer} from 'node:https';
-import type {AddressInfo} from 'node:net';
+import {startListening} from '@sycamorehead/wire';
 import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
 import {TlsMaterial, createLogger} from '@sycamorehead/telemetry';
 import {Exchange} from './Exchange.js';
@@ -44,12 +44,8 @@
   }
 
   /** Starts to listen and returns the port. */
-  async start(host: string, port: number): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
-    return (this.server.address() as AddressInfo).port;
+  start(host: string, port: number): Promise<number> {
+    return startListening(this.server, host, port);
   }
 
   /** Lets open exchanges finish and stops. */
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -64,3 +64,4 @@
   diffConfigurations,
 } from './lib/configurationDelta.js';
 export type {ConfigurationDelta, TableDelta} from './lib/configurationDelta.js';
+export {validateInput} from './lib/validateInput.js';
--- a/packages/schema/src/lib/announcement.ts
+++ b/packages/schema/src/lib/announcement.ts
@@ -4,7 +4,7 @@
  * @public
  */
 import {z} from 'zod';
-import {SycamoreheadError} from './SycamoreheadError.js';
+import {validateInput} from './validateInput.js';
 
 const MAX_LOADED = 64;
 
@@ -60,13 +60,5 @@
  * @public
  */
 export function parseAnnouncement(body: unknown): Announcement {
-  const parsed = announcementSchema.safeParse(body);
-  if (parsed.success) return parsed.data;
-  const issue = parsed.error.issues[0];
-  const field = issue?.path.join('.') || 'body';
-  throw new SycamoreheadError(
-    'malformed_request',
-    `${field}: ${issue?.message ?? 'invalid'}`,
-    {field},
-  );
+  return validateInput(announcementSchema, body, 'malformed_request', 'body');
 }
--- a/packages/schema/src/lib/chat.ts
+++ b/packages/schema/src/lib/chat.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import {SycamoreheadError} from './SycamoreheadError.js';
+import {validateInput} from './validateInput.js';
 
 const MAX_MESSAGES = 1_000;
 const MAX_OUTPUT_TOKENS = 1_000_000;
@@ -58,15 +58,7 @@
  * @public
  */
 export function parseChatRequest(body: unknown): ChatRequest {
-  const parsed = chatRequestSchema.safeParse(body);
-  if (parsed.success) return parsed.data;
-  const issue = parsed.error.issues[0];
-  const field = issue?.path.join('.') || 'body';
-  throw new SycamoreheadError(
-    'malformed_request',
-    `${field}: ${issue?.message ?? 'invalid'}`,
-    {field},
-  );
+  return validateInput(chatRequestSchema, body, 'malformed_request', 'body');
 }
 
 /**
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -12,3 +12,4 @@
 export type {Hello, WireServerOptions} from './lib/WireServer.js';
 export {connectPeer, parsePeerAddress} from './lib/connectPeer.js';
 export type {ConnectOptions, PeerAddress} from './lib/connectPeer.js';
+export {startListening} from './lib/startListening.js';
--- a/packages/wire/src/lib/WireServer.ts
+++ b/packages/wire/src/lib/WireServer.ts
@@ -1,8 +1,8 @@
 import {Server, Socket, createServer} from 'node:net';
 import {createServer as createTlsServer} from 'node:tls';
-import type {AddressInfo} from 'node:net';
 import {TlsMaterial, createLogger} from '@sycamorehead/telemetry';
 import {SycamoreheadError, isSameKey} from '@sycamorehead/schema';
+import {startListening} from './startListening.js';
 import {createSocketChannel} from './MessageChannel.js';
 import {
   DEFAULT_LINK_TIMEOUTS,
@@ -69,13 +69,9 @@
    * const port = await server.start();
    * ```
    */
-  async start(): Promise<number> {
+  start(): Promise<number> {
     const {host, port} = this.options;
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
-    return (this.server.address() as AddressInfo).port;
+    return startListening(this.server, host, port);
   }
 
   /** Stops listening, lets the requests that are being served finish, and closes every link. */
