--- a/packages/bench/src/lib/rollout/measureFailover.ts
+++ b/packages/bench/src/lib/rollout/measureFailover.ts
@@ -127,7 +127,11 @@
     };
     const host: ReconcilerHost = {
       confirmLeadership: async () => confirm(),
-      getTerm: () => this.term,
+      getStatus: () => ({
+        role: this.leader === name ? 'leader' : 'follower',
+        term: this.term,
+        leader: this.leader,
+      }),
       getConfiguration: () => this.configuration,
       commitOrder: async () => {
         confirm();
@@ -159,11 +163,8 @@
     const servers = this.engines.map((engine, index) =>
       describeEngine(engine, index),
     );
-    for (const reconciler of [this.former, this.next]) {
-      void reconciler
-        .receive({entry: 'e', full: true, servers, dropped: [], loads: {}})
-        .catch(() => {});
-    }
+    const leading = this.leader === 'control-1' ? this.former : this.next;
+    leading.receive({entry: 'e', full: true, servers, dropped: [], loads: {}});
   }
 }
 
--- a/packages/control/src/lib/ControlNode.ts
+++ b/packages/control/src/lib/ControlNode.ts
@@ -180,7 +180,7 @@
     return new Reconciler(
       {
         confirmLeadership: () => replicatedLog.confirmLeadership(),
-        getTerm: () => replicatedLog.getStatus().term,
+        getStatus: () => replicatedLog.getStatus(),
         getConfiguration: () => state.getConfiguration(),
         commitOrder: async order => {
           const {fencing} = await this.propose({type: 'issue_order', ...order});
--- a/packages/control/src/lib/reconciler/Reconciler.ts
+++ b/packages/control/src/lib/reconciler/Reconciler.ts
@@ -3,9 +3,11 @@
   ReportedServer,
   ServerReport,
   ServerReportAnswer,
+  SycamoreheadError,
   VersionRef,
   formatVersionKey,
 } from '@sycamorehead/schema';
+import type {LogStatus} from '@sycamorehead/consensus';
 import {createLogger} from '@sycamorehead/telemetry';
 import {computeShare} from './computeNeeds.js';
 import {LoadPacer, WeightStoreRate} from './LoadPacer.js';
@@ -54,7 +56,7 @@
 export interface ReconcilerHost {
   /** Returns once a quorum has confirmed that this instance leads; throws otherwise. */
   confirmLeadership(): Promise<void>;
-  getTerm(): number;
+  getStatus(): Pick<LogStatus, 'role' | 'term' | 'leader'>;
   getConfiguration(): Configuration;
   /** Commits an order and returns its fencing number: its index in the log. */
   commitOrder(order: {
@@ -101,12 +103,18 @@
   // Commands.
 
   /**
-   * Takes an entry's report. Only the leader does.
+   * Takes an entry's report. Only the leader does; its word for it is enough, since a report
+   * changes nothing that is committed, and each order confirms the leadership.
    *
-   * @throws SycamoreheadError `not_leader`, `control_unavailable`.
+   * @throws SycamoreheadError `not_leader`.
    */
-  async receive(report: ServerReport): Promise<ServerReportAnswer> {
-    await this.host.confirmLeadership();
+  receive(report: ServerReport): ServerReportAnswer {
+    const {role, leader} = this.host.getStatus();
+    if (role !== 'leader') {
+      throw new SycamoreheadError('not_leader', 'reports go to the leader', {
+        leader,
+      });
+    }
     this.startTicking();
     return this.reports.receive(report);
   }
@@ -187,7 +195,7 @@
       this.withdrawnSince.clear();
       return false;
     }
-    const term = this.host.getTerm();
+    const {term} = this.host.getStatus();
     if (this.leadership?.term !== term) {
       this.leadership = {term, since: performance.now()};
       this.orders.clear();
--- a/packages/control/src/test/FakeEngines.ts
+++ b/packages/control/src/test/FakeEngines.ts
@@ -8,6 +8,7 @@
   EMPTY_CONFIGURATION,
   SycamoreheadError,
   formatVersionKey,
+  toSycamoreheadError,
 } from '@sycamorehead/schema';
 import {
   Reconciler,
@@ -160,7 +161,11 @@
     };
     const host: ReconcilerHost = {
       confirmLeadership: async () => assertLeads(),
-      getTerm: () => this.term,
+      getStatus: () => ({
+        role: this.leader === name ? 'leader' : 'follower',
+        term: this.term,
+        leader: this.leader,
+      }),
       getConfiguration: () => this.configuration,
       commitOrder: async () => {
         assertLeads();
@@ -186,7 +191,7 @@
   }
 
   /** Reports every engine, as an entry would. */
-  async report(reconciler: Reconciler): Promise<void> {
+  report(reconciler: Reconciler): void {
     for (const key of Object.keys(this.configuration.versions)) {
       const before = this.fewest.get(key) ?? Infinity;
       this.fewest.set(key, Math.min(before, this.count(key)));
@@ -198,7 +203,11 @@
       dropped: [],
       loads: {},
     };
-    await reconciler.receive(report).catch(() => {});
+    try {
+      reconciler.receive(report);
+    } catch (error) {
+      if (toSycamoreheadError(error).kind !== 'not_leader') throw error;
+    }
   }
 
   /** Counts the engines that have a version loaded, by `m/version`. */
--- a/packages/control/src/test/Reconciler.test.ts
+++ b/packages/control/src/test/Reconciler.test.ts
@@ -19,7 +19,7 @@
       for (let passed = 0; passed < ms; passed += 250) {
         for (const reconciler of reconcilers) {
           used.add(reconciler);
-          await fakes.report(reconciler);
+          fakes.report(reconciler);
         }
         await clock.tickAsync(250);
       }
--- a/packages/control/src/test/reconcilerFaults.test.ts
+++ b/packages/control/src/test/reconcilerFaults.test.ts
@@ -79,7 +79,7 @@
   async run(ms: number): Promise<void> {
     for (let passed = 0; passed < ms; passed += TICK_MS) {
       for (const reconciler of this.reconcilers) {
-        await this.fakes.report(reconciler);
+        this.fakes.report(reconciler);
       }
       await this.clock.tickAsync(TICK_MS);
     }
--- a/packages/membership/src/lib/BackendServerDirectory.ts
+++ b/packages/membership/src/lib/BackendServerDirectory.ts
@@ -6,7 +6,7 @@
 
 /**
  * Time without a sign of life after which a backend server gets no new work, in milliseconds.
- * Its announcements come each second and beats add up to another, so that one lost message is
+ * Its announcements come each second and heartbeats add up to another, so that one lost message is
  * tolerated and 5 s are kept.
  */
 const EXPIRY_MS = 3_500;
--- a/packages/membership/src/lib/InterestList.ts
+++ b/packages/membership/src/lib/InterestList.ts
@@ -5,8 +5,8 @@
 export type InterestChange = readonly [place: number, id: string | null];
 
 /**
- * The servers whose beats an entry wants, each at a place that stays the same, so that a beat
- * needs one bit for each. A freed place rests for a while: beats under way still mean its last
+ * The servers whose heartbeats an entry wants, each at a place that stays the same, so that a heartbeat
+ * needs one bit for each. A freed place rests for a while: heartbeats under way still mean its last
  * server.
  *
  * @internal
--- a/packages/membership/src/lib/PeerGossip.ts
+++ b/packages/membership/src/lib/PeerGossip.ts
@@ -3,7 +3,12 @@
 import {MethodTable, PeerAddress, PeerLink} from '@sycamorehead/wire';
 import type {BackendServerDirectory} from './BackendServerDirectory.js';
 import {chooseSubset} from './chooseSubset.js';
-import {EncodedBeat, decodeBeat, decodeLevel, encodeBeat} from './beats.js';
+import {
+  EncodedHeartbeat,
+  decodeHeartbeat,
+  decodeLevel,
+  encodeHeartbeat,
+} from './heartbeats.js';
 import {InterestChange, InterestList} from './InterestList.js';
 import {InterestMessage, PeerInterests} from './PeerInterests.js';
 import {PeerLinks, PeerSet} from './PeerLinks.js';
@@ -11,10 +16,10 @@
 
 const log = createLogger('membership');
 
-const BEAT_MS = 1_000;
+const HEARTBEAT_MS = 1_000;
 /** Time for which changes are gathered into one message, in milliseconds. */
 const BATCH_MS = 50;
-/** Time without a beat after which a link is closed and dialled anew, in milliseconds. */
+/** Time without a heartbeat after which a link is closed and dialled anew, in milliseconds. */
 const LINK_SILENCE_MS = 3_500;
 /** Peers that hold a `leaving` before it is acknowledged; the hearer may die at once. */
 const LEAVING_PEERS = 2;
@@ -22,7 +27,7 @@
 const LEAVING_WAIT_MS = 1_000;
 const FACTS_METHOD = 'membership.facts';
 /** Short, since it is most of what entries send. */
-const BEAT_METHOD = 'beat';
+const HEARTBEAT_METHOD = 'hb';
 const INTEREST_METHOD = 'membership.interest';
 const SYNC_METHOD = 'membership.sync';
 
@@ -52,22 +57,25 @@
   readonly facts: readonly FactDelta[];
 }
 
-/** The sender's digest, empty where it is the one last sent, and the encoded beat. */
-type BeatMessage = readonly [digest: string, ...beat: EncodedBeat];
+/** The sender's digest, empty where it is the one last sent, and the encoded heartbeat. */
+type HeartbeatMessage = readonly [
+  digest: string,
+  ...heartbeat: EncodedHeartbeat,
+];
 
-/** What is kept of a link's beats. */
-interface BeatRecord {
-  /** Monotonic time of the last beat received. */
+/** What is kept of a link's heartbeats. */
+interface HeartbeatRecord {
+  /** Monotonic time of the last heartbeat received. */
   heardAt: number;
   sentDigest: string;
   theirDigest: string;
-  /** Both digests where they differed at the last beat. */
+  /** Both digests where they differed at the last heartbeat. */
   mismatch: string;
 }
 
 /**
  * Entries tell each other of backend servers: changes of facts at once and in batches, liveness
- * and load as one beat a second with a bit for each server that the peer holds, and whole
+ * and load as one heartbeat a second with a bit for each server that the peer holds, and whole
  * buckets of facts where digests go on differing.
  *
  * @public
@@ -83,11 +91,11 @@
   private readonly pending = new Map<string, PeerLink | undefined>();
   /** Generation of each server whose `leaving` enough peers hold. */
   private readonly confirmedLeaving = new Map<string, number>();
-  private readonly beats = new WeakMap<PeerLink, BeatRecord>();
+  private readonly heartbeats = new WeakMap<PeerLink, HeartbeatRecord>();
   private readonly syncing = new WeakSet<PeerLink>();
-  private beatCount = 0;
+  private heartbeatCount = 0;
   private subsetBasis = '';
-  private beatTimer: NodeJS.Timeout | undefined;
+  private heartbeatTimer: NodeJS.Timeout | undefined;
   private flushTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: PeerGossipOptions) {
@@ -112,13 +120,16 @@
   /** Joins the other entries; `address` is where they reach this one. */
   start(address: PeerAddress): void {
     this.links?.start(address);
-    this.beatTimer = setInterval(() => this.runBeat(), BEAT_MS);
-    this.beatTimer.unref();
+    this.heartbeatTimer = setInterval(
+      () => this.sendHeartbeats(),
+      HEARTBEAT_MS,
+    );
+    this.heartbeatTimer.unref();
   }
 
   /** Leaves the other entries. */
   stop(): void {
-    clearInterval(this.beatTimer);
+    clearInterval(this.heartbeatTimer);
     clearTimeout(this.flushTimer);
     this.links?.stop();
   }
@@ -162,8 +173,8 @@
       ...this.links?.getMethods(),
       [FACTS_METHOD]: (deltas: readonly unknown[], link: PeerLink) =>
         this.mergeFacts(deltas, link),
-      [BEAT_METHOD]: (message: BeatMessage, link: PeerLink) =>
-        this.receiveBeat(message, link),
+      [HEARTBEAT_METHOD]: (message: HeartbeatMessage, link: PeerLink) =>
+        this.receiveHeartbeat(message, link),
       [INTEREST_METHOD]: (message: InterestMessage) =>
         this.peerInterests.receive(message, this.peerSet.listEntries()),
       [SYNC_METHOD]: (digests: readonly number[]) => this.answerSync(digests),
@@ -177,8 +188,8 @@
     return this.peerSet.listLinks().size;
   }
 
-  /** Sends the beat, declares silent servers gone, and chooses the subset anew. */
-  private runBeat(): void {
+  /** Sends the heartbeat, declares silent servers gone, and chooses the subset anew. */
+  private sendHeartbeats(): void {
     this.links?.expire();
     for (const id of this.directory.expire()) {
       this.confirmedLeaving.delete(id);
@@ -187,20 +198,20 @@
     this.updateSubset();
     const digest = this.digestFacts();
     const heard = this.listHeard();
-    this.beatCount += 1;
-    // Engines report load with a lag of their own; every other beat is soon enough.
-    const withLevels = this.beatCount % 2 === 0;
+    this.heartbeatCount += 1;
+    // Engines report load with a lag of their own; every other heartbeat is soon enough.
+    const withLevels = this.heartbeatCount % 2 === 0;
     for (const [name, link] of this.peerSet.listLinks()) {
-      const record = this.getBeatRecord(link);
+      const record = this.getHeartbeatRecord(link);
       if (performance.now() - record.heardAt > LINK_SILENCE_MS) {
-        link.close('no beat');
+        link.close('no heartbeat');
         continue;
       }
       const sent = record.sentDigest === digest ? '' : digest;
       record.sentDigest = digest;
       const wanted = this.peerInterests.listHeard(name, heard);
-      const beat = encodeBeat(wanted, withLevels);
-      link.notify(BEAT_METHOD, [sent, ...beat]);
+      const heartbeat = encodeHeartbeat(wanted, withLevels);
+      link.notify(HEARTBEAT_METHOD, [sent, ...heartbeat]);
     }
     this.heard.clear();
   }
@@ -261,30 +272,33 @@
     this.announce(id, isTheirs ? source : undefined);
   }
 
-  private getBeatRecord(link: PeerLink): BeatRecord {
-    const known = this.beats.get(link);
+  private getHeartbeatRecord(link: PeerLink): HeartbeatRecord {
+    const known = this.heartbeats.get(link);
     if (known) return known;
     const heardAt = performance.now();
     const record = {heardAt, sentDigest: '', theirDigest: '', mismatch: ''};
-    this.beats.set(link, record);
+    this.heartbeats.set(link, record);
     return record;
   }
 
-  private receiveBeat([digest, ...beat]: BeatMessage, link: PeerLink): void {
-    const record = this.getBeatRecord(link);
+  private receiveHeartbeat(
+    [digest, ...heartbeat]: HeartbeatMessage,
+    link: PeerLink,
+  ): void {
+    const record = this.getHeartbeatRecord(link);
     record.heardAt = performance.now();
     record.theirDigest = digest || record.theirDigest;
-    for (const {place, level} of decodeBeat(beat)) {
+    for (const {place, level} of decodeHeartbeat(heartbeat)) {
       const id = this.interests.get(place);
       if (!id) continue;
       const slots = this.directory.find(id)?.announcement.slots ?? 1;
-      this.directory.markHeard(id, decodeLevel(level, slots, BEAT_MS));
+      this.directory.markHeard(id, decodeLevel(level, slots, HEARTBEAT_MS));
     }
     this.compareDigests(record, link);
   }
 
-  /** Syncs where the views differed at two beats in a row and neither has moved. */
-  private compareDigests(record: BeatRecord, link: PeerLink): void {
+  /** Syncs where the views differed at two heartbeats in a row and neither has moved. */
+  private compareDigests(record: HeartbeatRecord, link: PeerLink): void {
     const ours = this.digestFacts();
     const {theirDigest, mismatch} = record;
     const differs = theirDigest !== ours;
--- a/packages/membership/src/lib/PeerInterests.ts
+++ b/packages/membership/src/lib/PeerInterests.ts
@@ -1,5 +1,5 @@
 import type {Announcement} from '@sycamorehead/schema';
-import {HeardServer, encodeLevel} from './beats.js';
+import {HeardServer, encodeLevel} from './heartbeats.js';
 import type {InterestChange} from './InterestList.js';
 
 const MAX_PLACES = 20_000;
@@ -14,7 +14,7 @@
 }
 
 /**
- * Which servers each peer wants to hear of in beats, and at which place of its list.
+ * Which servers each peer wants to hear of in heartbeats, and at which place of its list.
  *
  * @internal
  */
--- a/packages/membership/src/lib/PeerLinks.ts
+++ b/packages/membership/src/lib/PeerLinks.ts
@@ -19,7 +19,7 @@
 const MEMBERS_METHOD = 'membership.members';
 const LEAVE_METHOD = 'membership.leave';
 
-/** Timeouts of links between entries: beats watch over them, so that heartbeats are rare. @public */
+/** Timeouts of links between entries: gossip's heartbeats watch over them; their own are rare. @public */
 export const PEER_LINK_TIMEOUTS: LinkTimeouts = {
   heartbeatMs: 10_000,
   silenceMs: 10_000,
--- a/packages/membership/src/lib/beats.ts
+++ b/packages/membership/src/lib/heartbeats.ts
@@ -1,5 +1,5 @@
 /**
- * Beats: which of a peer's interests an entry has heard lately, one bit for each, and the
+ * Heartbeats: which of a peer's interests an entry has heard lately, one bit for each, and the
  * occupancy of those heard, four bits for each.
  *
  * @internal
@@ -13,16 +13,18 @@
 /** Each level above counts this share of the slots as queued. */
 const QUEUED_PER_LEVEL = 0.5;
 const BITS = 8;
+/** Longest bit map that is read, in bytes. */
+const MAX_BYTES = 2_500;
 
-/** One server as a beat tells of it. @internal */
+/** One server as a heartbeat tells of it. @internal */
 export interface HeardServer {
   /** Its place in the receiver's list of interests. */
   readonly place: number;
   readonly level: number;
 }
 
-/** A beat as it travels: places as a bit map and levels as nibbles, both in base64. @internal */
-export type EncodedBeat = readonly [places: string, levels: string];
+/** A heartbeat as it travels: places as a bit map and levels as nibbles, both in base64. @internal */
+export type EncodedHeartbeat = readonly [places: string, levels: string];
 
 /** Rounds a load report to one of 16 levels. @internal */
 export function encodeLevel({load, slots}: Announcement): number {
@@ -52,10 +54,10 @@
 }
 
 /** Encodes the heard servers, given in the order of their places. @internal */
-export function encodeBeat(
+export function encodeHeartbeat(
   heard: readonly HeardServer[],
   withLevels = true,
-): EncodedBeat {
+): EncodedHeartbeat {
   const last = heard.at(-1)?.place ?? -1;
   const places = Buffer.alloc(Math.ceil((last + 1) / BITS));
   const levels = Buffer.alloc(Math.ceil(heard.length / 2));
@@ -69,9 +71,12 @@
   return [places.toString('base64url'), encodedLevels];
 }
 
-/** Decodes a beat; without levels, they are unknown. @internal */
-export function decodeBeat([places, levels]: EncodedBeat): HeardServer[] {
-  const bits = Buffer.from(String(places), 'base64url');
+/** Decodes a heartbeat; without levels, they are unknown. @internal */
+export function decodeHeartbeat([
+  places,
+  levels,
+]: EncodedHeartbeat): HeardServer[] {
+  const bits = Buffer.from(String(places), 'base64url').subarray(0, MAX_BYTES);
   const nibbles = Buffer.from(String(levels), 'base64url');
   const heard: HeardServer[] = [];
   for (let place = 0; place < bits.length * BITS; place++) {
--- a/packages/membership/src/lib/serverFacts.ts
+++ b/packages/membership/src/lib/serverFacts.ts
@@ -1,6 +1,6 @@
 /**
  * What entries tell each other about a backend server when it changes: facts, which change
- * rarely, apart from liveness and load, which travel as beats.
+ * rarely, apart from liveness and load, which travel as heartbeats.
  *
  * @public
  */
--- a/packages/membership/src/test/BackendServerDirectory.test.ts
+++ b/packages/membership/src/test/BackendServerDirectory.test.ts
@@ -56,3 +56,24 @@
   directory.hold(new Set(['a', 'b']));
   assert.deepEqual(listIds(), ['a', 'b']);
 });
+
+test('a full directory refuses unknown servers and drops gone ones for them', () => {
+  const clock = FakeTimers.install();
+  try {
+    const directory = new BackendServerDirectory();
+    for (let index = 0; index < 20_000; index++) {
+      directory.receive(announce({id: `s${index}`}));
+    }
+    assert.equal(directory.receive(announce({id: 'more'})), 'stale');
+    clock.tick(9_000);
+    for (let index = 1; index < 20_000; index++) {
+      directory.markHeard(`s${index}`, undefined);
+    }
+    clock.tick(2_000);
+    assert.deepEqual(directory.expire(), ['s0']);
+    assert.equal(directory.receive(announce({id: 'more'})), 'changed');
+    assert.equal(directory.describe('s0'), undefined);
+  } finally {
+    clock.uninstall();
+  }
+});
--- a/packages/membership/src/test/PeerGossip.test.ts
+++ b/packages/membership/src/test/PeerGossip.test.ts
@@ -138,7 +138,7 @@
     }
   }));
 
-test('a new entry gets the whole view, and liveness of what it holds by beats', () =>
+test('a new entry gets the whole view, and liveness of what it holds by heartbeats', () =>
   runWith(3, async cluster => {
     for (let sequence = 1; sequence <= 6; sequence++) {
       const entry = cluster.get(`e${(sequence % 3) + 1}`);
--- a/packages/membership/src/test/chooseSubset.test.ts
+++ b/packages/membership/src/test/chooseSubset.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import type {Announcement} from '@sycamorehead/schema';
-import {decodeBeat, encodeBeat} from '../lib/beats.js';
+import {decodeHeartbeat, encodeHeartbeat} from '../lib/heartbeats.js';
 import {chooseSubset} from '../lib/chooseSubset.js';
 import {InterestList} from '../lib/InterestList.js';
 import {buildAnnouncement} from './FakeCluster.js';
@@ -61,7 +61,7 @@
   assert.ok(kept >= held.size * 0.6, `kept ${kept} of ${held.size}`);
 });
 
-test('a beat carries places and levels through', () => {
+test('a heartbeat carries places and levels through', () => {
   fc.assert(
     fc.property(
       fc.uniqueArray(fc.integer({min: 0, max: 500})),
@@ -70,8 +70,8 @@
         const heard = places
           .sort((left, right) => left - right)
           .map((place, index) => ({place, level: (level + index) % 16}));
-        assert.deepEqual(decodeBeat(encodeBeat(heard)), heard);
-        const bare = decodeBeat(encodeBeat(heard, false));
+        assert.deepEqual(decodeHeartbeat(encodeHeartbeat(heard)), heard);
+        const bare = decodeHeartbeat(encodeHeartbeat(heard, false));
         assert.deepEqual(
           bare.map(({place}) => place),
           places,
@@ -82,7 +82,7 @@
   );
 });
 
-test('a freed place is not given to another server while beats may be under way', () => {
+test('a freed place is not given to another server while heartbeats may be under way', () => {
   const list = new InterestList();
   list.update(new Set(['a', 'b']));
   const changes = list.update(new Set(['b', 'c']));
