Entries lost in a long partition are dialled again without their seeds

Cause: an entry without a link for 30 s was forgotten with its address; two sides of a partition whose common seed was gone for good never met again. Until dropped, it kept its share of the subsets for 30 s.

Conclusion: a test loses a peer, drops it, and finds it again with the seed gone.

--- a/packages/membership/src/lib/PeerGossip.ts
+++ b/packages/membership/src/lib/PeerGossip.ts
@@ -13,6 +13,7 @@
 import {InterestMessage, PeerInterests} from './PeerInterests.js';
 import {PeerLinks, PeerSet} from './PeerLinks.js';
 import {FactDelta, digestText, parseFactDelta} from './serverFacts.js';
+import {waitForSome} from './waitForSome.js';
 
 const log = createLogger('membership');
 
@@ -384,24 +385,3 @@
   const {id, generation, sequence} = announcement;
   return `${id}|${generation}|${sequence}|${gone}`;
 }
-
-/** Waits until enough of the calls have succeeded, or all have settled. */
-async function waitForSome(
-  calls: ReadonlyArray<Promise<unknown>>,
-  needed: number,
-): Promise<boolean> {
-  if (needed === 0) return true;
-  let succeeded = 0;
-  return new Promise(resolve => {
-    const settled = calls.map(async call => {
-      try {
-        await call;
-        succeeded += 1;
-      } catch {
-        // Told to the backend server where too few are left.
-      }
-      if (succeeded >= needed) resolve(true);
-    });
-    void Promise.all(settled).then(() => resolve(succeeded >= needed));
-  });
-}
--- a/packages/membership/src/lib/PeerLinks.ts
+++ b/packages/membership/src/lib/PeerLinks.ts
@@ -12,8 +12,11 @@
 const DIAL_PAUSE_MS = 500;
 /** Head start of the entry with the smaller name, so that two rarely dial each other at once. */
 const SECOND_DIAL_MS = 1_000;
-/** Time after which an entry that nobody has a link to is dropped, in milliseconds. */
-const DROP_MS = 30_000;
+/** Time after which an entry that nobody has a link to no longer counts, in milliseconds. */
+const DROP_MS = 10_000;
+/** Time for which an entry that was lost is still dialled: partitions may last long. */
+const LOST_MS = 24 * 3_600_000;
+const LOST_DIAL_PAUSE_MS = 2_000;
 const MAX_MEMBERS = 256;
 const JOIN_METHOD = 'membership.join';
 const MEMBERS_METHOD = 'membership.members';
@@ -52,6 +55,8 @@
   readonly onLinked: (name: string, link: PeerLink) => void;
   /** Methods that the other end of a dialled link may call. */
   readonly getMethods: () => MethodTable;
+  /** Time after which an entry without a link no longer counts, in milliseconds. */
+  readonly dropMs?: number;
 }
 
 interface KnownMember {
@@ -80,6 +85,8 @@
 export class PeerLinks implements PeerSet {
   private readonly links = new Map<string, RegisteredLink>();
   private readonly members = new Map<string, KnownMember>();
+  /** Members dropped as silent, which are still dialled now and then. */
+  private readonly lost = new Map<string, KnownMember>();
   private own: EntryMember | undefined;
   private stopped = false;
 
@@ -106,9 +113,15 @@
   /** Drops members that nobody has had a link to for long. */
   expire(): void {
     const now = performance.now();
+    const dropMs = this.options.dropMs ?? DROP_MS;
     for (const [name, known] of this.members) {
       if (this.isLinked(name)) known.seenAt = now;
-      if (known.seenAt < now - DROP_MS) this.dropMember(name, 'silent');
+      if (known.seenAt >= now - dropMs) continue;
+      if (this.lost.size < MAX_MEMBERS) this.lost.set(name, known);
+      this.dropMember(name, 'silent');
+    }
+    for (const [name, {seenAt}] of this.lost) {
+      if (seenAt < now - LOST_MS) this.lost.delete(name);
     }
   }
 
@@ -155,8 +168,9 @@
   }
 
   private acceptLeave({name, incarnation}: EntryMember): void {
-    const known = this.members.get(name);
+    const known = this.members.get(name) ?? this.lost.get(name);
     if (!known || known.member.incarnation > incarnation) return;
+    this.lost.delete(name);
     this.dropMember(name, 'leaving');
   }
 
@@ -177,6 +191,7 @@
     const known = this.members.get(name);
     if (known && known.member.incarnation >= incarnation) return;
     if (!known && this.members.size >= MAX_MEMBERS) return;
+    this.lost.delete(name);
     this.members.set(name, {member, seenAt: performance.now()});
     log('entry_known', {name, port: member.port});
     // The others may not have heard of it; rumours end where the member is no news.
@@ -220,14 +235,15 @@
   private async keepLinked(name: string): Promise<void> {
     const isSecond = name < this.options.name;
     if (isSecond) await pause(SECOND_DIAL_MS);
-    for (;;) {
-      const known = this.members.get(name);
-      if (this.stopped || !known) return;
+    const known = this.members.get(name);
+    const isKnown = () => known && this.members.get(name) === known;
+    const isLost = () => known && this.lost.get(name) === known;
+    while (known && !this.stopped && (isKnown() || isLost())) {
       if (!this.isLinked(name)) await this.connect(known.member);
       const link = this.links.get(name)?.link;
       if (link) await waitForClose(link);
-      await pause(isSecond ? SECOND_DIAL_MS : DIAL_PAUSE_MS);
-      if (this.members.get(name) !== known) return;
+      if (isLost()) await pause(LOST_DIAL_PAUSE_MS);
+      else await pause(isSecond ? SECOND_DIAL_MS : DIAL_PAUSE_MS);
     }
   }
 
--- a/packages/membership/src/test/PeerLinks.test.ts
+++ b/packages/membership/src/test/PeerLinks.test.ts
@@ -17,6 +17,7 @@
 async function startEntry(
   name: string,
   seedPorts: readonly number[],
+  options: {readonly port?: number; readonly dropMs?: number} = {},
 ): Promise<RunningEntry> {
   const links: PeerLinks = new PeerLinks({
     name,
@@ -24,10 +25,11 @@
     peerKey: 'k',
     onLinked: () => {},
     getMethods: () => links.getMethods(),
+    dropMs: options.dropMs,
   });
   const server = new WireServer({
     host: HOST,
-    port: 0,
+    port: options.port ?? 0,
     peerKey: 'k',
     methods: links.getMethods(),
     timeouts: PEER_LINK_TIMEOUTS,
@@ -71,6 +73,29 @@
   }
 });
 
+test('entries that lost each other for long find each other again without a seed', async () => {
+  const seed = await startEntry('a', []);
+  const left = await startEntry('b', [seed.port], {dropMs: 100});
+  const right = await startEntry('c', [seed.port]);
+  await waitFor(() => left.links.listLinks().has('c'), 'b and c are linked');
+  await seed.stop();
+  // A crash closes the links without a word.
+  for (const link of right.links.listLinks().values()) link.close();
+  await right.stop();
+  let restarted: RunningEntry | undefined;
+  try {
+    await waitFor(() => {
+      left.links.expire();
+      return left.links.listEntries().join() === 'b';
+    }, 'b has dropped c');
+    restarted = await startEntry('c', [], {port: right.port});
+    await waitFor(() => left.links.listLinks().has('c'), 'b found c again');
+  } finally {
+    await left.stop();
+    await restarted?.stop();
+  }
+});
+
 test('an entry alone acknowledges leaving; one that lacks its seed does not', async () => {
   const announcement = {
     id: 's',
