--- a/packages/bench/src/lib/Demo.ts
+++ b/packages/bench/src/lib/Demo.ts
@@ -31,6 +31,15 @@
   prefillTokensPerMs: 20,
 };
 
+/** Versions that each engine can hold: those of the note, and one to roll out. */
+const VERSION_SLOTS = 3;
+const RECONCILER_OPTIONS = {
+  weightStore: {loads: 4, windowMs: 1_000},
+  settleMs: 2_500,
+  leaderLeaseMs: 1_500,
+  orderTimeoutMs: 1_000,
+};
+
 /** Keys of a demo. @public */
 export interface DemoKeys {
   readonly operatorToken: string;
@@ -133,7 +142,7 @@
         peerKey,
         operatorToken,
         dataFolder: path.join(this.dataFolder, name),
-        reconciler: {weightStore: {loads: 4, windowMs: 1_000}},
+        reconciler: RECONCILER_OPTIONS,
         onFailure: error => {
           throw error;
         },
@@ -196,6 +205,7 @@
         entries,
         serverKey,
         weightStore,
+        versionSlots: VERSION_SLOTS,
       });
       await engine.start();
       this.engines.push(engine);
--- /dev/null
+++ b/packages/bench/src/test/rolloutFailover.test.ts
@@ -0,0 +1,75 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {parseReleaseNote} from '@sycamorehead/schema';
+import {Demo} from '../lib/Demo.js';
+
+const WAIT_MS = 30_000;
+const POLL_MS = 20;
+
+const ROLLOUT_NOTE = parseReleaseNote(`
+number: 2
+follows: 1
+add:
+  versions:
+    - model: inscription
+      version: v3
+      inputPrice: 1
+      outputPrice: 3
+      contextTokens: 8192
+      qualityPrior: 0.9
+      replicas: 2
+      rollout:
+        replaces: v2
+        steps: [{share: 1, soakSeconds: 60}]
+        guard: {minQuality: 0.5, maxErrorRate: 0.5}
+`);
+
+async function waitFor(
+  isDone: () => boolean | Promise<boolean>,
+  what: string,
+): Promise<void> {
+  const deadline = performance.now() + WAIT_MS;
+  while (!(await isDone())) {
+    assert.ok(performance.now() < deadline, what);
+    await new Promise(resolve => setTimeout(resolve, POLL_MS));
+  }
+}
+
+test('a roll-out whose control leader goes halfway is finished by the next, no order twice', async () => {
+  const demo = new Demo();
+  await demo.start();
+  try {
+    const operator = demo.createOperator();
+    await operator.publish(ROLLOUT_NOTE);
+    const listOrders = () => demo.engines.flatMap(({orders}) => orders);
+    await waitFor(() => listOrders().length > 0, 'the first order is given');
+    const leader = demo.controls.find(
+      ({node}) => node.readStatus().role === 'leader',
+    );
+    assert.ok(leader);
+    await leader.stop();
+    await waitFor(
+      () =>
+        demo.engines.every(engine =>
+          engine.listVersions().some(({version}) => version === 'v3'),
+        ),
+      'every engine has the new version',
+    );
+    const isAtGuard = async () => {
+      const rollouts = await operator.listRollouts().catch(() => []);
+      const status = rollouts.find(({version}) => version === 'v3');
+      return status?.serving === 2 && status.waitsFor === 'guard';
+    };
+    await waitFor(isAtGuard, 'the status tells that the guard is next');
+    const orders = [...listOrders()].sort(
+      (left, right) => left.fencing - right.fencing,
+    );
+    assert.equal(orders.length, 2);
+    assert.ok((orders[0]?.fencing ?? 0) < (orders[1]?.fencing ?? 0));
+    for (const engine of demo.engines) {
+      assert.equal(engine.listVersions().length, 3, 'nothing was unloaded');
+    }
+  } finally {
+    await demo.stop();
+  }
+});
--- a/packages/control/src/lib/reconciler/planPlacement.ts
+++ b/packages/control/src/lib/reconciler/planPlacement.ts
@@ -128,7 +128,25 @@
     const {model, version} = need.version;
     const roomElsewhere = [...this.needs]
       .filter(([other]) => other !== key)
-      .reduce((sum, [, other]) => sum + other.need, 0);
+      .reduce(
+        (
+          sum,
+          [
+            other,
+            {
+              need,
+              version: {replicas},
+            },
+          ],
+        ) => {
+          // Control loads no version without declared replicas, so it needs room only where it is.
+          const isManaged = replicas > 0;
+          return (
+            sum + (isManaged ? need : Math.min(need, this.countServing(other)))
+          );
+        },
+        0,
+      );
     const room = this.engines.reduce(
       (sum, {server}) => sum + server.versionSlots,
       0,
--- a/packages/control/src/test/Reconciler.test.ts
+++ b/packages/control/src/test/Reconciler.test.ts
@@ -271,3 +271,37 @@
     assert.equal(engines[1]?.executed.length, 1);
   });
 });
+
+test('the status tells what each version waits for', async () => {
+  const fakes = new FakeEngines(createEngines(2, ['v1']), {
+    loadMs: 2_000,
+    loadsPerSecond: 1,
+  });
+  const declared = [
+    {version: 'v1', replicas: 2},
+    {version: 'v2', replicas: 2, replaces: 'v1'},
+    {version: 'v9', replicas: 0},
+  ];
+  fakes.configuration = buildConfiguration(declared);
+  const control = fakes.createReconciler('c1');
+  const listWaits = () => control.listRollouts().map(({waitsFor}) => waitsFor);
+  await runPaused(fakes, async advance => {
+    await advance(1_000, control);
+    assert.deepEqual(new Set(listWaits()), new Set(['entry_reports']));
+    await advance(4_500, control);
+    assert.deepEqual(listWaits(), ['nothing', 'weight_store', 'replica']);
+    await advance(1_500, control);
+    assert.deepEqual(listWaits(), ['nothing', 'loading', 'replica']);
+    await advance(3_000, control);
+    assert.deepEqual(listWaits(), ['nothing', 'guard', 'replica']);
+    fakes.configuration = buildConfiguration([
+      {version: 'v1', replicas: 3},
+      {version: 'v2', replicas: 2, state: 'withdrawn'},
+      {version: 'v9', replicas: 0, state: 'quarantined'},
+    ]);
+    await advance(500, control);
+    assert.deepEqual(listWaits(), ['room', 'unloading', 'nothing']);
+    await advance(8_000, control);
+    assert.deepEqual(listWaits(), ['room', 'nothing', 'nothing']);
+  });
+});
--- a/packages/entry/src/lib/ServerReporter.ts
+++ b/packages/entry/src/lib/ServerReporter.ts
@@ -12,7 +12,7 @@
 
 const log = createLogger('entry');
 
-const REPORT_INTERVAL_MS = 1_000;
+const REPORT_INTERVAL_MS = 2_000;
 /** Time between looks for changed facts, which are reported at once, in milliseconds. */
 const WATCH_INTERVAL_MS = 200;
 
