--- a/packages/membership/src/lib/PeerGossip.ts
+++ b/packages/membership/src/lib/PeerGossip.ts
@@ -94,6 +94,7 @@
   private readonly confirmedLeaving = new Map<string, number>();
   private readonly heartbeats = new WeakMap<PeerLink, HeartbeatRecord>();
   private readonly syncing = new WeakSet<PeerLink>();
+  private factDigest = {revision: -1, digest: ''};
   private heartbeatCount = 0;
   private subsetBasis = '';
   private heartbeatTimer: NodeJS.Timeout | undefined;
@@ -377,7 +378,12 @@
   }
 
   private digestFacts(): string {
-    return digestText(this.directory.digest().join(',')).toString(36);
+    const {factRevision} = this.directory;
+    if (this.factDigest.revision !== factRevision) {
+      const digest = digestText(this.directory.digest().join(',')).toString(36);
+      this.factDigest = {revision: factRevision, digest};
+    }
+    return this.factDigest.digest;
   }
 }
 
