--- a/packages/bench/src/lib/experiments/experimentTable.ts
+++ b/packages/bench/src/lib/experiments/experimentTable.ts
@@ -5,6 +5,7 @@
 import {overhead} from './overhead.js';
 import {restart} from './restart.js';
 import {rollout} from './rollout.js';
+import {slopes} from './slopes.js';
 import {straggler} from './straggler.js';
 
 /** Experiments by name; each stands in a file of its own. @public */
@@ -15,5 +16,6 @@
   overhead,
   restart,
   rollout,
+  slopes,
   straggler,
 };
