--- a/packages/routing/src/lib/AdaptiveLimit.ts
+++ b/packages/routing/src/lib/AdaptiveLimit.ts
@@ -3,7 +3,7 @@
 const WINDOW = 32;
 const MIN_SAMPLES = 8;
 const INTERVAL_MS = 250;
-const START = 1.15;
+const START = 1.25;
 const MIN = 0.5;
 const MAX = 1.5;
 const INCREASE = 0.03;
--- a/packages/routing/src/lib/AdmissionQueue.ts
+++ b/packages/routing/src/lib/AdmissionQueue.ts
@@ -2,7 +2,8 @@
 import type {WorkEstimate} from './WorkEstimator.js';
 
 const MAX_QUEUED = 2_048;
-const MAX_FLOWS = 20_000;
+/** Requests looked at for one that may run now. */
+const MAX_SCANNED = 64;
 
 /** Class of work that queues apart. @public */
 export type WorkClass = 'short' | 'long';
@@ -11,84 +12,63 @@
 export interface QueuedRequest {
   readonly request: RoutedRequest;
   readonly work: WorkEstimate;
+  readonly queuedAt: number;
+  /** Wait expected when it was queued, in milliseconds. */
+  readonly predictedMs: number;
   /** Monotonic time after which the deadline can no longer be met. */
   readonly startBy: number;
+  /** Place in the queue: the lowest comes first. */
+  readonly order: number;
   readonly grant: () => void;
   readonly refuse: (error: Error) => void;
 }
 
-/** A customer's requests of one class. */
-interface Flow {
-  readonly items: Array<{readonly item: QueuedRequest; readonly tag: number}>;
-  /** Virtual time at which the next request of the flow begins at the earliest. */
-  nextTag: number;
-}
-
 /**
- * Requests that wait, fairly queued: each customer and class is a flow, and the request with the
- * lowest start tag comes first. A flow's tags advance by work over weight, so that customers share
- * by weight what is contended, and unused shares are lent out.
+ * Requests that wait, the one that must start earliest first. Who is let in decides on fairness;
+ * the order only sees to it that whatever was let in starts in time.
  *
  * @public
  */
 export class AdmissionQueue {
-  private readonly flows = new Map<string, Flow>();
-  private readonly sizes: Record<WorkClass, number> = {short: 0, long: 0};
-  /** Start tag of the last request that left to run. */
-  private virtualTime = 0;
-
-  /** @param readWeight - a customer's weight at this entry. */
-  constructor(
-    private readonly readWeight: (request: RoutedRequest) => number,
-  ) {}
+  private readonly items: Readonly<Record<WorkClass, QueuedRequest[]>> = {
+    short: [],
+    long: [],
+  };
 
   // Commands.
 
   /** Adds a request; tells whether there was room. */
   enqueue(item: QueuedRequest): boolean {
-    if (this.size >= MAX_QUEUED || this.flows.size >= MAX_FLOWS) return false;
-    const {request, work} = item;
-    const key = formatFlow(request, work);
-    const flow = this.flows.get(key) ?? {items: [], nextTag: 0};
-    this.flows.set(key, flow);
-    const tag = Math.max(this.virtualTime, flow.nextTag);
-    flow.items.push({item, tag});
-    flow.nextTag = tag + work.units / this.readWeight(request);
-    this.sizes[classify(work)] += 1;
+    if (this.size >= MAX_QUEUED) return false;
+    const list = this.items[classify(item.work)];
+    const place = list.findIndex(({order}) => order > item.order);
+    list.splice(place < 0 ? list.length : place, 0, item);
     return true;
   }
 
   /** Removes a request that runs now or is refused. */
-  remove({request, work}: QueuedRequest): void {
-    const key = formatFlow(request, work);
-    const flow = this.flows.get(key);
-    const place =
-      flow?.items.findIndex(({item}) => item.request === request) ?? -1;
-    if (!flow || place < 0) return;
-    const [removed] = flow.items.splice(place, 1);
-    if (place === 0 && removed) {
-      this.virtualTime = Math.max(this.virtualTime, removed.tag);
-    }
-    this.sizes[classify(work)] -= 1;
-    if (flow.items.length === 0) this.prune();
+  remove(item: QueuedRequest): void {
+    const list = this.items[classify(item.work)];
+    const place = list.indexOf(item);
+    if (place >= 0) list.splice(place, 1);
   }
 
   // Queries.
 
   /** Requests of both classes. */
   get size(): number {
-    return this.sizes.short + this.sizes.long;
+    return this.items.short.length + this.items.long.length;
   }
 
   /** Counts the requests of a class. */
   count(workClass: WorkClass): number {
-    return this.sizes[workClass];
+    return this.items[workClass].length;
   }
 
   /** Lists the requests whose deadline can no longer be met. */
   listExpired(now: number): QueuedRequest[] {
-    return [...this.flows.values()].flatMap(({items}) =>
-      items.map(({item}) => item).filter(({startBy}) => startBy < now),
+    return [...this.items.short, ...this.items.long].filter(
+      ({startBy}) => startBy < now,
     );
   }
 
@@ -96,34 +76,45 @@
   findNext(
     isRunnable: (item: QueuedRequest) => boolean,
   ): QueuedRequest | undefined {
-    return [...this.flows.values()]
-      .flatMap(({items}) => items.slice(0, 1))
-      .sort((left, right) => left.tag - right.tag)
-      .map(({item}) => item)
-      .find(isRunnable);
+    const [short, long] = [this.items.short, this.items.long].map(list =>
+      list.slice(0, MAX_SCANNED).find(isRunnable),
+    );
+    if (!short || !long) return short ?? long;
+    return short.order <= long.order ? short : long;
   }
 
-  /** Sums the work of a class that would run before a new request. */
-  sumUnitsAhead(request: RoutedRequest, work: WorkEstimate): number {
-    const own = this.flows.get(formatFlow(request, work));
-    const tag = Math.max(this.virtualTime, own?.nextTag ?? 0);
-    let ahead = 0;
-    for (const {items} of this.flows.values()) {
-      for (const {item, tag: other} of items) {
-        if (other > tag) break;
-        if (item.work.isLong === work.isLong) ahead += item.work.units;
-      }
-    }
-    return ahead;
+  /** Sums the work that would run before a new request of a class, one customer's or all. */
+  sumUnitsAhead(
+    workClass: WorkClass,
+    order: number,
+    customer?: string,
+  ): number {
+    return this.items[workClass].reduce((sum, item) => {
+      if (item.order > order) return sum;
+      const isMeant = !customer || item.request.customer.customer === customer;
+      return isMeant ? sum + item.work.units : sum;
+    }, 0);
   }
 
-  /** Forgets empty flows that owe nothing any more. */
-  private prune(): void {
-    const isIdle = this.size === 0;
-    for (const [key, {items, nextTag}] of this.flows) {
-      if (items.length > 0) continue;
-      if (isIdle || nextTag <= this.virtualTime) this.flows.delete(key);
+  /** Tells whether everything that waits still starts in time once a new request is put in. */
+  isFeasibleWith(
+    work: WorkEstimate,
+    startBy: number,
+    unitsPerMs: number,
+  ): boolean {
+    const now = performance.now();
+    let ahead = 0;
+    let isPlaced = false;
+    for (const item of this.items[classify(work)]) {
+      if (!isPlaced && item.order > startBy) {
+        isPlaced = true;
+        ahead += work.units;
+      }
+      // What comes before the new request is not delayed by it.
+      if (isPlaced && now + ahead / unitsPerMs > item.startBy) return false;
+      ahead += item.work.units;
     }
+    return true;
   }
 }
 
@@ -131,7 +122,3 @@
 export function classify({isLong}: Pick<WorkEstimate, 'isLong'>): WorkClass {
   return isLong ? 'long' : 'short';
 }
-
-function formatFlow({customer}: RoutedRequest, work: WorkEstimate): string {
-  return `${classify(work)} ${customer.customer}`;
-}
--- a/packages/routing/src/lib/AttemptTracker.ts
+++ b/packages/routing/src/lib/AttemptTracker.ts
@@ -4,6 +4,8 @@
 import type {WorkEstimator} from './WorkEstimator.js';
 
 const FIRST_TOKEN_WINDOW = 128;
+/** Tokens over which speed is measured, since tokens may arrive several at a time. */
+const SPEED_TOKENS = 4;
 
 /** One attempt under way from this entry. @public */
 export interface TrackedAttempt {
@@ -15,6 +17,8 @@
   readonly isLong: boolean;
   generated: number;
   lastFrameAt: number | undefined;
+  /** Where the current measurement of speed began. */
+  measuredFrom: {readonly at: number; readonly generated: number};
 }
 
 /** Unfinished work of one server. @public */
@@ -56,6 +60,7 @@
       isLong: this.estimator.estimate(request).isLong,
       generated: resumedFrom,
       lastFrameAt: undefined,
+      measuredFrom: {at: 0, generated: resumedFrom},
     };
     const others = this.attempts.get(server) ?? new Set();
     this.attempts.set(server, others.add(attempt));
@@ -65,13 +70,15 @@
   /** Notes that a token arrived. */
   noteFrame(attempt: TrackedAttempt): void {
     const now = performance.now();
-    if (attempt.lastFrameAt !== undefined) {
-      this.speeds.record(attempt.server, now - attempt.lastFrameAt);
-    } else if (!attempt.isLong) {
-      this.firstTokens.add(now - attempt.startedAt);
-    }
+    const isFirst = attempt.lastFrameAt === undefined;
     attempt.lastFrameAt = now;
     attempt.generated += 1;
+    if (isFirst) {
+      attempt.measuredFrom = {at: now, generated: attempt.generated};
+      if (!attempt.isLong) this.firstTokens.add(now - attempt.startedAt);
+      return;
+    }
+    this.measureSpeed(attempt, now);
   }
 
   /** Notes that it ended. */
@@ -123,6 +130,14 @@
     return this.firstTokens.computeQuantile(quantile);
   }
 
+  private measureSpeed(attempt: TrackedAttempt, now: number): void {
+    const {at, generated} = attempt.measuredFrom;
+    const tokens = attempt.generated - generated;
+    if (tokens < SPEED_TOKENS) return;
+    this.speeds.record(attempt.server, (now - at) / tokens);
+    attempt.measuredFrom = {at: now, generated: attempt.generated};
+  }
+
   private isLong(attempt: TrackedAttempt): boolean {
     return attempt.isLong || this.estimator.isLong(attempt.generated);
   }
--- a/packages/routing/src/lib/DeploymentRoom.ts
+++ b/packages/routing/src/lib/DeploymentRoom.ts
@@ -3,6 +3,9 @@
 import type {RoutingContext} from './RoutingContext.js';
 import type {ServerState} from './FleetView.js';
 
+/** A server slower than this many times the typical one counts with fewer slots. */
+const STRAGGLER_FACTOR = 2;
+
 /** Requests of this entry by class. @public */
 export type ClassCounts = Readonly<Record<WorkClass, number>>;
 
@@ -68,7 +71,8 @@
 function sumSlots(states: readonly ServerState[], typicalMs: number): number {
   return states.reduce((sum, {slots, tokenMs, isEjected}) => {
     if (isEjected) return sum;
-    return sum + slots * Math.min(1, typicalMs / tokenMs);
+    const slowness = tokenMs / typicalMs;
+    return sum + (slowness > STRAGGLER_FACTOR ? slots / slowness : slots);
   }, 0);
 }
 
--- a/packages/routing/src/lib/FairWork.ts
+++ b/packages/routing/src/lib/FairWork.ts
@@ -1,7 +1,13 @@
 /** The admission policy by expected work, with fair shares and deadlines over the deployment. */
 import {SycamoreheadError} from '@sycamorehead/schema';
 import {AdaptiveLimit} from './AdaptiveLimit.js';
-import {AdmissionQueue, WorkClass, classify} from './AdmissionQueue.js';
+import {
+  AdmissionQueue,
+  QueuedRequest,
+  WorkClass,
+  classify,
+} from './AdmissionQueue.js';
+import {Demand, computeFairRates} from './computeFairRates.js';
 import {CustomerLimiter} from './CustomerLimiter.js';
 import {ClassCounts, Room, computeRoom} from './DeploymentRoom.js';
 import type {RoutingContext} from './RoutingContext.js';
@@ -11,6 +17,7 @@
   AttemptOutcome,
   RoutedRequest,
 } from './routingTypes.js';
+import {WaitMargins} from './WaitMargins.js';
 import type {WorkEstimate} from './WorkEstimator.js';
 
 /** Longest wait in the queue for a caller that gave no nearer deadline, in milliseconds. */
@@ -18,17 +25,25 @@
   short: 1_600,
   long: 10_000,
 };
-/** Margin on a predicted wait, for what arrives meanwhile. */
-const WAIT_MARGIN = 1.3;
 /** Share of the first tokens that come within the time kept free for them. */
 const FIRST_TOKEN_QUANTILE = 0.75;
 /** Time to the first token before any was measured, in milliseconds. */
 const FIRST_TOKEN_MS = 30;
 const MIN_WEIGHT = 1e-3;
+/** Part of its time left that a customer may have waiting at its fair rate and still go first. */
+const PRIVILEGED_SHARE = 0.5;
+const MS_PER_S = 1_000;
+const MAX_CUSTOMERS = 10_000;
 const SWEEP_MS = 20;
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 10_000;
 
+/** Where a request would queue. */
+interface Place {
+  readonly predictedMs: number;
+  readonly order: number;
+}
+
 /** A request that was admitted and is not finished. */
 interface RunningRequest {
   readonly work: WorkEstimate;
@@ -44,14 +59,16 @@
  */
 export class FairWork implements AdmissionPolicy {
   private readonly limit = new AdaptiveLimit();
-  private readonly queue: AdmissionQueue;
+  private readonly queue = new AdmissionQueue();
   private readonly limiter: CustomerLimiter;
+  private readonly margins = new WaitMargins();
+  /** Weights of the customers seen. */
+  private readonly weights = new Map<string, number>();
   private readonly running = new Map<string, RunningRequest>();
   private readonly admitted: Record<WorkClass, number> = {short: 0, long: 0};
   private sweep: NodeJS.Timeout | undefined;
 
   constructor(private readonly context: RoutingContext) {
-    this.queue = new AdmissionQueue(request => this.readWeight(request));
     this.limiter = new CustomerLimiter(context.meter, context.peers);
   }
 
@@ -61,6 +78,7 @@
   async admit(request: RoutedRequest): Promise<AdmissionTicket> {
     const work = this.context.estimator.estimate(request);
     this.context.reserve.record(work);
+    this.noteWeight(request);
     this.limiter.consume(request, work.outputTokens);
     const room = this.computeRoom(request);
     const workClass = classify(work);
@@ -87,12 +105,26 @@
     return {short: this.queue.count('short'), long: this.queue.count('long')};
   }
 
-  /** A customer's weight, divided among the entries by what it asks of each. */
-  private readWeight({customer: {customer, weight}}: RoutedRequest): number {
+  /**
+   * A customer's fair part of this entry's rate, in units a millisecond. Its weight counts here by
+   * what it asks of this entry, so that its parts at all entries add up to its weight.
+   */
+  private computeFairRate(customer: string, unitsPerMs: number): number {
     const {meter, peers} = this.context;
-    const own = meter.read(customer).tokens;
-    const others = peers.sumCustomer(customer).tokens;
-    return Math.max(MIN_WEIGHT, (weight * own) / Math.max(own + others, 1));
+    const demands = new Map<string, Demand>();
+    for (const name of meter.listCustomers()) {
+      const own = meter.read(name).tokens;
+      const others = peers.sumCustomer(name).tokens;
+      const part = own / Math.max(own + others, MIN_WEIGHT);
+      const weight = this.weights.get(name) ?? 1;
+      demands.set(name, {
+        // What it may get does not depend on what it has asked for so far.
+        rate: name === customer ? Infinity : own / MS_PER_S,
+        weight: Math.max(MIN_WEIGHT, weight * part),
+      });
+    }
+    const rates = computeFairRates(unitsPerMs, demands);
+    return rates.get(customer) ?? unitsPerMs;
   }
 
   private computeRoom(request: RoutedRequest): Room {
@@ -103,6 +135,11 @@
     });
   }
 
+  private noteWeight({customer: {customer, weight}}: RoutedRequest): void {
+    if (this.weights.size >= MAX_CUSTOMERS) this.weights.clear();
+    this.weights.set(customer, weight);
+  }
+
   private begin(request: RoutedRequest, work: WorkEstimate): void {
     const {meter, hedges, retries} = this.context;
     this.running.set(request.requestId, {work, generated: 0});
@@ -128,36 +165,60 @@
     work: WorkEstimate,
     room: Room,
   ): Promise<void> {
+    const now = performance.now();
     const startBy = this.computeStartBy(request, work, room.typicalMs);
-    this.checkWait(request, work, room, startBy - performance.now());
+    const {predictedMs, order} = this.findPlace(request, work, room, startBy);
+    if (now + predictedMs > startBy) {
+      throw createRefusal(predictedMs, startBy - now);
+    }
     this.context.setOverloaded(true);
     this.sweep ??= setInterval(() => this.sweepQueue(), SWEEP_MS);
-    await new Promise<void>((resolve, reject) => {
-      const item = {request, work, startBy, grant: resolve, refuse: reject};
-      if (this.queue.enqueue(item)) return;
-      reject(new SycamoreheadError('overloaded', 'the queue is full'));
+    await new Promise<void>((grant, refuse) => {
+      const isQueued = this.queue.enqueue({
+        request,
+        work,
+        queuedAt: now,
+        predictedMs,
+        startBy,
+        order,
+        grant,
+        refuse,
+      });
+      if (isQueued) return;
+      refuse(new SycamoreheadError('overloaded', 'the queue is full'));
     });
   }
 
-  /** Refuses at once what could not be answered within its deadline. */
-  private checkWait(
-    request: RoutedRequest,
+  /** Finds where a request would queue, and how long it would wait there. */
+  private findPlace(
+    {customer}: RoutedRequest,
     work: WorkEstimate,
     room: Room,
-    leftMs: number,
-  ): void {
+    startBy: number,
+  ): Place {
+    const workClass = classify(work);
     const slots = work.isLong
       ? room.longAllowance
       : Math.max(1, room.slots - room.longRunning);
-    const ahead = this.queue.sumUnitsAhead(request, work);
-    const unitsPerMs = slots / room.typicalMs;
-    const waitMs = (ahead / unitsPerMs) * WAIT_MARGIN;
-    if (waitMs <= leftMs) return;
-    throw new SycamoreheadError(
-      'overloaded',
-      `the deadline cannot be met: work of about ${Math.round(waitMs)} ms is queued ahead`,
-      {retryAfterMs: limitRetry(waitMs - Math.max(leftMs, 0))},
-    );
+    const unitsPerMs = slots / room.typicalMs / this.margins.read(workClass);
+    const own = this.queue.sumUnitsAhead(workClass, startBy, customer.customer);
+    const isFeasible = this.queue.isFeasibleWith(work, startBy, unitsPerMs);
+    const all = this.queue.sumUnitsAhead(workClass, startBy);
+    const ownRate = this.computeFairRate(customer.customer, unitsPerMs);
+    const waitMs = Math.max(own / ownRate, all / unitsPerMs);
+    const now = performance.now();
+    const leftMs = startBy - now;
+    if (isFeasible && waitMs <= leftMs) {
+      return {predictedMs: waitMs, order: startBy};
+    }
+    const isWithinShare =
+      own === 0 || (own + work.units) / ownRate <= leftMs * PRIVILEGED_SHARE;
+    if (!isWithinShare) {
+      return {predictedMs: Math.max(waitMs, leftMs + 1), order: startBy};
+    }
+    // A customer well within its share goes first, whatever others have queued.
+    const ahead = this.queue.sumUnitsAhead(workClass, now);
+    return {predictedMs: ahead / unitsPerMs, order: now};
   }
 
   private computeStartBy(
@@ -176,7 +237,7 @@
   private sweepQueue(): void {
     this.dispatchQueued();
     for (const item of this.queue.listExpired(performance.now())) {
-      this.queue.remove(item);
+      this.leaveQueue(item);
       const message = 'the deadline can no longer be met';
       item.refuse(new SycamoreheadError('overloaded', message));
     }
@@ -197,13 +258,20 @@
           hasRoom(classify(work), this.findRoom(rooms, request)),
       );
       if (!next) return;
-      this.queue.remove(next);
+      this.leaveQueue(next);
       this.begin(next.request, next.work);
       rooms.clear();
       next.grant();
     }
   }
 
+  private leaveQueue(item: QueuedRequest): void {
+    const {work, queuedAt, predictedMs} = item;
+    this.queue.remove(item);
+    const waitedMs = performance.now() - queuedAt;
+    this.margins.record(classify(work), predictedMs, waitedMs);
+  }
+
   /** Rooms of one pass, by what decides which servers may run a request. */
   private findRoom(rooms: Map<string, Room>, request: RoutedRequest): Room {
     const key = `${request.model} ${request.customer.customer}`;
@@ -218,6 +286,14 @@
   return workClass === 'short' || room.longRunning < room.longAllowance;
 }
 
+function createRefusal(waitMs: number, leftMs: number): SycamoreheadError {
+  return new SycamoreheadError(
+    'overloaded',
+    `the deadline cannot be met: the wait is about ${Math.round(waitMs)} ms`,
+    {retryAfterMs: limitRetry(waitMs - Math.max(leftMs, 0))},
+  );
+}
+
 function limitRetry(waitMs: number): number {
   return Math.round(Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, waitMs)));
 }
--- a/packages/routing/src/lib/ServerSpeeds.ts
+++ b/packages/routing/src/lib/ServerSpeeds.ts
@@ -1,6 +1,6 @@
-/** Share of a new gap in the mean. */
-const GAIN = 0.15;
-/** A gap counts at most this many times the mean, so that one outlier moves it little. */
+/** Share of a new sample in the mean. */
+const GAIN = 0.25;
+/** A sample counts at most this many times the mean, so that one outlier moves it little. */
 const MAX_STEP = 4;
 /** Measurements older than this are no longer told to peers, in milliseconds. */
 const FRESH_MS = 1_500;
@@ -36,7 +36,7 @@
 
   // Commands.
 
-  /** Learns from the gap between two tokens of one stream. */
+  /** Learns from the time between tokens of one stream. */
   record(server: string, gapMs: number): void {
     const now = performance.now();
     const speed = this.speeds.get(server);
--- a/packages/routing/src/lib/SlotReserve.ts
+++ b/packages/routing/src/lib/SlotReserve.ts
@@ -4,6 +4,8 @@
 const DECAY_MS = 2_000;
 /** Deviations of the number of short requests that the reserve covers. */
 const DEVIATIONS = 2;
+/** Part of the slots kept for short work even while none is asked for. */
+const MIN_RESERVED_SHARE = 1 / 8;
 
 /**
  * Sizes the slots that long work cannot take: the mean number of short requests running and two
@@ -43,6 +45,7 @@
     const reserve = this.meanShort + DEVIATIONS * Math.sqrt(this.meanShort);
     const total = this.shortUnits + this.longUnits;
     const longShare = total > 0 ? this.longUnits / total : 0;
-    return Math.max(1, slots - reserve, slots * longShare);
+    const wanted = Math.max(1, slots - reserve, slots * longShare);
+    return Math.max(1, Math.min(wanted, slots * (1 - MIN_RESERVED_SHARE)));
   }
 }
--- a/packages/routing/src/lib/expectedFinish.ts
+++ b/packages/routing/src/lib/expectedFinish.ts
@@ -18,12 +18,6 @@
 /** Weight of the running requests against the time between tokens, for a tie between idle servers. */
 const CROWDING = 0.5;
 
-interface ScoredServer {
-  readonly state: ServerState;
-  readonly score: number;
-  readonly ruledOut?: string;
-}
-
 /** Creates the policy. @internal */
 export function createExpectedFinish(context: RoutingContext): ServerPolicy {
   const affinity = new AffinityTable();
@@ -71,7 +65,7 @@
     longShare: number,
   ): string | undefined {
     if (state.isEjected) return 'ejected';
-    const longSlots = Math.ceil(state.slots * longShare);
+    const longSlots = Math.max(1, Math.round(state.slots * longShare));
     if (work.isLong && state.long >= longSlots) return 'long_slots_taken';
     return undefined;
   }
@@ -125,20 +119,24 @@
       const open = states.filter(state => !checkOpen(state, work, longShare));
       // With every server ruled out, work goes where least long work stands.
       const pool = open.length > 0 ? open : listLeastLong(states);
-      const sampled = new Set(sampleCandidates(request, pool));
-      const scored: ScoredServer[] = states.map(state => ({
-        state,
-        score: scoreServer(request, work, state),
-        ruledOut: sampled.has(state)
+      const sampled = sampleCandidates(request, pool);
+      const scores = new Map(
+        states.map(state => [state, scoreServer(request, work, state)]),
+      );
+      // In the order of the sample, so that equal servers are taken evenly.
+      const best = sampled.reduce((left, right) =>
+        scores.get(right)! < scores.get(left)! ? right : left,
+      );
+      const explain = (state: ServerState): Candidate => ({
+        name: state.id,
+        score: scores.get(state)!,
+        ruledOut: sampled.includes(state)
           ? undefined
           : (checkOpen(state, work, longShare) ?? 'not_sampled'),
-      }));
-      const best = scored
-        .filter(({ruledOut}) => !ruledOut)
-        .reduce((left, right) => (right.score < left.score ? right : left));
+      });
       return {
-        choice: commit(request, best.state),
-        candidates: scored.map(formatCandidate),
+        choice: commit(request, best),
+        candidates: states.map(explain),
         reason: work.isLong ? 'earliest finish, long' : 'earliest finish',
       };
     },
@@ -150,10 +148,6 @@
   return states.filter(({long, slots}) => long / slots <= least);
 }
 
-function formatCandidate({state, score, ruledOut}: ScoredServer): Candidate {
-  return {name: state.id, score, ruledOut};
-}
-
 /** FNV-1a, 32 bits. */
 function computeHash(text: string): number {
   let hash = 0x811c9dc5;
