--- a/packages/control/src/lib/OperatorServer.ts
+++ b/packages/control/src/lib/OperatorServer.ts
@@ -14,6 +14,7 @@
 } from '@sycamorehead/schema';
 import type {TlsMaterial} from '@sycamorehead/telemetry';
 import type {ControlNode} from './ControlNode.js';
+import type {LeaderForwarder, LeaderOperation} from './LeaderForwarder.js';
 
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
 const APPLICATION_ERROR = -32000;
@@ -21,6 +22,8 @@
 /** Settings of an OperatorServer. @public */
 export interface OperatorServerOptions {
   readonly node: ControlNode;
+  /** Passes calls on where this instance does not lead. */
+  readonly forwarder?: LeaderForwarder;
   readonly host: string;
   readonly port: number;
   readonly operatorToken: string;
@@ -44,7 +47,8 @@
     const {tls} = options;
     this.server = tls ? createTlsServer(tls, handle) : createServer(handle);
     for (const [name, handler] of Object.entries(this.getHandlers())) {
-      this.rpc.addMethod(name, params => runHandler(handler, params));
+      const wrapped = this.wrapHandler(name, handler);
+      this.rpc.addMethod(name, params => runHandler(wrapped, params));
     }
   }
 
@@ -66,6 +70,15 @@
     });
   }
 
+  /** All but the reading of an instance's own status is the leader's. */
+  private wrapHandler(name: string, handler: OperatorHandler): OperatorHandler {
+    const {forwarder} = this.options;
+    if (!forwarder || name === 'status') return handler;
+    const operation = `operator.${name}`;
+    forwarder.add(operation, handler as LeaderOperation);
+    return params => forwarder.run(operation, params);
+  }
+
   private getHandlers(): Record<string, OperatorHandler> {
     const {node} = this.options;
     return {
@@ -73,6 +86,14 @@
       inForce: () => node.readInForce(),
       status: async () => node.readStatus(),
       rollouts: () => node.listRollouts(),
+      ledger: () => node.checkLedger(),
+      addMember: params =>
+        node.addMember(
+          readName(params, 'instance'),
+          readName(params, 'address'),
+        ),
+      removeMember: params => node.removeMember(readName(params, 'name')),
+      members: async () => node.readMembers(),
       bills: params =>
         node.listBills(
           typeof params.customer === 'string' ? params.customer : undefined,
@@ -117,6 +138,18 @@
   }
 }
 
+function readName(params: Record<string, unknown>, field: string): string {
+  const value = params[field];
+  if (typeof value === 'string' && value !== '') return value;
+  throw new SycamoreheadError(
+    'malformed_request',
+    `${field}: expected a name`,
+    {
+      field,
+    },
+  );
+}
+
 function parseNote(given: unknown) {
   const parsed = releaseNoteSchema.safeParse(given);
   if (parsed.success) return parsed.data;
--- a/packages/control/src/lib/reconciler/LoadPacer.ts
+++ b/packages/control/src/lib/reconciler/LoadPacer.ts
@@ -1,5 +1,5 @@
 /** Part of the window added to it, since orders reach the weight store with some delay. */
-const MARGIN = 0.03;
+const MARGIN = 0.05;
 
 /** The weight store's limit. @public */
 export interface WeightStoreRate {
@@ -25,9 +25,11 @@
   tryAcquire(): boolean {
     const now = performance.now();
     if (now < this.nextAt) return false;
-    const spacing = (this.rate.windowMs * (1 + MARGIN)) / this.rate.loads;
-    // Time lost by a tick that came late is made good by at most one spacing.
-    this.nextAt = Math.max(this.nextAt + spacing, now);
+    const {loads, windowMs} = this.rate;
+    const spacing = (windowMs * (1 + MARGIN)) / loads;
+    // A call that comes a little late keeps the schedule; an idle time earns nothing.
+    const slack = (windowMs * MARGIN) / 2;
+    this.nextAt = Math.max(this.nextAt, now - slack) + spacing;
     return true;
   }
 
@@ -38,8 +40,8 @@
 
   // Queries.
 
-  /** Tells whether a load must wait for the rate. */
-  isWaiting(): boolean {
-    return performance.now() < this.nextAt;
+  /** Returns the time until a load may begin, in milliseconds. */
+  getWaitMs(): number {
+    return Math.max(0, this.nextAt - performance.now());
   }
 }
--- a/packages/membership/src/test/chooseSubset.test.ts
+++ b/packages/membership/src/test/chooseSubset.test.ts
@@ -71,6 +71,12 @@
           .sort((left, right) => left - right)
           .map((place, index) => ({place, level: (level + index) % 16}));
         assert.deepEqual(decodeBeat(encodeBeat(heard)), heard);
+        const bare = decodeBeat(encodeBeat(heard, false));
+        assert.deepEqual(
+          bare.map(({place}) => place),
+          places,
+        );
+        assert.ok(bare.every(({level: unknown}) => unknown === 15));
       },
     ),
   );
