--- a/packages/schema/src/lib/releaseNote.ts
+++ b/packages/schema/src/lib/releaseNote.ts
@@ -48,6 +48,8 @@
   guard,
 });
 
+const replicas = z.number().int().min(0).max(100_000);
+
 const version = z.strictObject({
   model: name,
   version: name,
@@ -59,7 +61,7 @@
   /** Expected rating before any is known, 0 to 1. */
   qualityPrior: quality,
   /** Replicas wanted at full share; 0 leaves placement to the operators of the servers. */
-  replicas: z.number().int().min(0).max(100_000).default(0),
+  replicas: replicas.default(0),
   rollout: rollout.optional(),
 });
 
@@ -75,13 +77,17 @@
   tokensPerSecond: z.number().gt(0).max(100_000_000),
 });
 
+const permittedModels = z.array(permittedModel).max(MAX_ENTRIES);
+const serviceNames = z.array(name).max(MAX_ENTRIES);
+const weight = z.number().gt(0).max(1_000);
+
 const customer = z.strictObject({
   customer: name,
   keyHash,
-  models: z.array(permittedModel).max(MAX_ENTRIES).default([]),
-  services: z.array(name).max(MAX_ENTRIES).default([]),
+  models: permittedModels.default([]),
+  services: serviceNames.default([]),
   /** Share of the capacity under contention, relative to the other customers. */
-  weight: z.number().gt(0).max(1_000).default(1),
+  weight: weight.default(1),
   limits,
   /** Lowest acceptable expected rating, 0 to 1. */
   qualityTarget: quality,
@@ -104,8 +110,16 @@
 
 const versionRef = z.strictObject({model: name, version: name});
 
-const versionChange = version.partial().required({model: true, version: true});
-const customerChange = customer.partial().required({customer: true});
+// Defaults fill what a new declaration leaves out. A change keeps what it leaves out, so its
+// fields have none: `partial` alone would still fill them in.
+const versionChange = version
+  .extend({replicas})
+  .partial()
+  .required({model: true, version: true});
+const customerChange = customer
+  .extend({models: permittedModels, services: serviceNames, weight})
+  .partial()
+  .required({customer: true});
 const serviceChange = service.partial().required({service: true});
 
 const added = z.strictObject({
--- a/packages/schema/src/test/releaseNote.test.ts
+++ b/packages/schema/src/test/releaseNote.test.ts
@@ -62,3 +62,19 @@
     /withdraw\.versions: m\/v1 does not exist/,
   );
 });
+
+test('a change keeps what it does not name', () => {
+  const {change} = parseReleaseNote(`
+number: 2
+follows: 1
+change:
+  versions:
+    - {model: m, version: v1, inputPrice: 2}
+  customers:
+    - {customer: a, qualityTarget: 0.5}
+`);
+  assert.deepEqual(change.customers, [{customer: 'a', qualityTarget: 0.5}]);
+  assert.deepEqual(change.versions, [
+    {model: 'm', version: 'v1', inputPrice: 2},
+  ]);
+});
