Experiment config: time to in force, commits, restart, cost per entry

Change: the experiment, with polling for whole copies as its baseline. A new leader notes the start of its term at once: before, a first note published within 100 ms of the first election waited one lease. Shorter incarnation names. A member that is ended closes its file.

--- /dev/null
+++ b/packages/bench/src/lib/experiments/config/ConfigDeployment.ts
@@ -0,0 +1,243 @@
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {ControlClient, ControlInstance} from '@sycamorehead/control';
+import {ConfigurationManager} from '@sycamorehead/entry';
+import {
+  ControlApi,
+  ReleaseNote,
+  hashKey,
+  parseReleaseNote,
+} from '@sycamorehead/schema';
+import type {PeerAddress} from '@sycamorehead/wire';
+import {CountingRelay} from './CountingRelay.js';
+
+const HOST = '127.0.0.1';
+const PEER_KEY = 'bench-peer-key';
+const CUSTOMERS = 10;
+const START_TIMEOUT_MS = 20_000;
+const POLL_MS = 2;
+
+/** How entries follow the configuration. @internal */
+export type Following = 'watch' | 'poll';
+
+interface Control {
+  readonly name: string;
+  readonly folder: string;
+  instance: ControlInstance;
+  address: PeerAddress;
+}
+
+/** Builds the first note: ten customers and two versions. @internal */
+export function buildFirstNote(): ReleaseNote {
+  const versions = ['v1', 'v2'].map(
+    version =>
+      `    - {model: m, version: ${version}, inputPrice: 1, outputPrice: 2, contextTokens: 8192, qualityPrior: 0.8}`,
+  );
+  const customers = Array.from({length: CUSTOMERS}, (unused, index) => {
+    const key = hashKey(`key-${index}`);
+    return `    - {customer: customer-${index}, keyHash: "${key}", models: [{model: m, versions: any}], limits: {requestsPerSecond: 100, tokensPerSecond: 10000}, qualityTarget: 0.5}`;
+  });
+  return parseReleaseNote(
+    [
+      'number: 1\nfollows: 0\nadd:\n  versions:',
+      ...versions,
+      '  customers:',
+      ...customers,
+    ].join('\n'),
+  );
+}
+
+/** Builds a note that changes one customer. @internal */
+export function buildNextNote(follows: number): ReleaseNote {
+  const target = ((follows % 90) + 5) / 100;
+  return parseReleaseNote(
+    `number: ${follows + 1}\nfollows: ${follows}\nchange:\n  customers:\n    - {customer: customer-${follows % CUSTOMERS}, qualityTarget: ${target}}\n`,
+  );
+}
+
+/**
+ * Control instances on real disks and entries' configuration managers over real links, in one
+ * process. Entries reach control through relays that count bytes.
+ *
+ * @internal
+ */
+export class ConfigDeployment {
+  readonly managers: ConfigurationManager[] = [];
+  readonly controls: Control[] = [];
+  noteNumber = 0;
+  private readonly relays: CountingRelay[] = [];
+  private readonly clients: ControlClient[] = [];
+  private folder = '';
+
+  /** Starts control and publishes the first note. */
+  async start(controlCount: number): Promise<void> {
+    this.folder = await mkdtemp(path.join(tmpdir(), 'sycamorehead-config-'));
+    for (let index = 1; index <= controlCount; index++) {
+      const name = `c${index}`;
+      const folder = path.join(this.folder, name);
+      const instance = createInstance(name, folder, 0);
+      const {peerPort} = await instance.start();
+      const address = {host: HOST, port: peerPort};
+      this.controls.push({name, folder, instance, address});
+    }
+    const addresses = this.controls.map(
+      ({name, address}) => [name, `${HOST}:${address.port}`] as const,
+    );
+    await this.controls[0]!.instance.createGroup(
+      Object.fromEntries(addresses),
+      START_TIMEOUT_MS,
+    );
+    await this.publishNext();
+  }
+
+  /** Starts entries that follow the configuration. */
+  async startEntries(count: number, following: Following): Promise<void> {
+    const instances: Record<string, PeerAddress> = {};
+    for (const {name, address} of this.controls) {
+      const relay = new CountingRelay(address);
+      this.relays.push(relay);
+      instances[name] = await relay.start();
+    }
+    for (let index = 1; index <= count; index++) {
+      const name = `e${index}`;
+      const client = new ControlClient({name, instances, peerKey: PEER_KEY});
+      this.clients.push(client);
+      const api = following === 'watch' ? client : createPolling(client);
+      const manager = new ConfigurationManager(name, api);
+      manager.start();
+      this.managers.push(manager);
+    }
+    await this.waitUntil(() => this.isRoutedEverywhere(this.noteNumber));
+  }
+
+  /** Stops the entries. */
+  async stopEntries(): Promise<void> {
+    for (const manager of this.managers) manager.stop();
+    for (const client of this.clients) client.stop();
+    for (const relay of this.relays) await relay.stop();
+    this.managers.length = 0;
+    this.clients.length = 0;
+    this.relays.length = 0;
+  }
+
+  /** Stops everything and removes the folders. */
+  async stop(): Promise<void> {
+    await this.stopEntries();
+    for (const {instance} of this.controls) await instance.abort();
+    await rm(this.folder, {recursive: true, force: true});
+  }
+
+  /** Bytes that entries and control have exchanged. */
+  countBytes(): number {
+    return this.relays.reduce((sum, relay) => sum + relay.bytes, 0);
+  }
+
+  /** Publishes the next note, through whichever instance leads; returns its revision. */
+  async publishNext(): Promise<number> {
+    const note =
+      this.noteNumber === 0 ? buildFirstNote() : buildNextNote(this.noteNumber);
+    const {number, revision} = await this.runOnLeader(leader =>
+      leader.node.publish(note),
+    );
+    this.noteNumber = number;
+    return revision;
+  }
+
+  /** Waits until a revision is reported in force and every entry routes on it. */
+  async waitInForce(revision: number): Promise<void> {
+    for (;;) {
+      const report = await this.runOnLeader(leader =>
+        leader.node.readInForce(),
+      );
+      const isReported = report.inForceRevision >= revision;
+      if (isReported && this.isRoutedEverywhere(revision)) return;
+      await sleep(POLL_MS);
+    }
+  }
+
+  /** Runs work on the leader, again after a change of leader. */
+  async runOnLeader<Result>(
+    work: (instance: ControlInstance) => Promise<Result>,
+  ): Promise<Result> {
+    const deadline = performance.now() + START_TIMEOUT_MS;
+    for (;;) {
+      const leader = this.findLeader();
+      try {
+        if (leader) return await work(leader.instance);
+      } catch (error) {
+        if (performance.now() > deadline) throw error;
+      }
+      if (performance.now() > deadline) throw new Error('no leader');
+      await sleep(POLL_MS);
+    }
+  }
+
+  /** Finds the control instance that leads. */
+  findLeader(): Control | undefined {
+    return this.controls.find(
+      ({instance}) => instance.node.readStatus().role === 'leader',
+    );
+  }
+
+  /** Ends a control instance at once, as a killed process ends. */
+  async abort(control: Control): Promise<void> {
+    await control.instance.abort();
+  }
+
+  /** Starts an ended control instance again on its disk; returns the milliseconds it took. */
+  async restart(control: Control): Promise<number> {
+    const begunAt = performance.now();
+    const {name, folder, address} = control;
+    control.instance = createInstance(name, folder, address.port);
+    await control.instance.start();
+    return performance.now() - begunAt;
+  }
+
+  private isRoutedEverywhere(revision: number): boolean {
+    return this.managers.every(manager => {
+      const reading = manager.read();
+      return reading.leaseLeftMs > 0 && reading.revision >= revision;
+    });
+  }
+
+  private async waitUntil(condition: () => boolean): Promise<void> {
+    const deadline = performance.now() + START_TIMEOUT_MS;
+    while (!condition()) {
+      if (performance.now() > deadline) throw new Error('not ready in time');
+      await sleep(POLL_MS);
+    }
+  }
+}
+
+function createInstance(
+  name: string,
+  dataFolder: string,
+  peerPort: number,
+): ControlInstance {
+  return new ControlInstance({
+    name,
+    host: HOST,
+    port: 0,
+    peerPort,
+    peerKey: PEER_KEY,
+    operatorToken: 'bench-operator-token',
+    dataFolder,
+    onFailure: error => {
+      throw error;
+    },
+  });
+}
+
+/** The baseline: no hint of a new revision, and whole copies. */
+function createPolling(client: ControlClient): ControlApi {
+  return {
+    renewLease: request => client.renewLease({...request, needsWhole: true}),
+    watchRevision: () => new Promise(() => {}),
+  } as Partial<ControlApi> as ControlApi;
+}
+
+/** Waits in real time. @internal */
+export function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/bench/src/lib/experiments/config/CountingRelay.ts
@@ -0,0 +1,49 @@
+import {AddressInfo, Server, Socket, connect, createServer} from 'node:net';
+import type {PeerAddress} from '@sycamorehead/wire';
+
+const HOST = '127.0.0.1';
+
+/**
+ * Passes connections on to one address and counts the bytes both ways.
+ *
+ * @internal
+ */
+export class CountingRelay {
+  bytes = 0;
+  private readonly server: Server;
+  private readonly sockets = new Set<Socket>();
+
+  constructor(target: PeerAddress) {
+    this.server = createServer(caller => {
+      const callee = connect(target);
+      this.join(caller, callee);
+      this.join(callee, caller);
+    });
+  }
+
+  /** Starts to listen and returns the address. */
+  async start(): Promise<PeerAddress> {
+    await new Promise<void>(resolve => this.server.listen(0, HOST, resolve));
+    return {host: HOST, port: (this.server.address() as AddressInfo).port};
+  }
+
+  /** Closes every connection and stops. */
+  async stop(): Promise<void> {
+    for (const socket of this.sockets) socket.destroy();
+    await new Promise<void>(resolve => this.server.close(() => resolve()));
+  }
+
+  private join(from: Socket, to: Socket): void {
+    this.sockets.add(from);
+    from.setNoDelay(true);
+    from.on('data', chunk => {
+      this.bytes += chunk.length;
+      to.write(chunk);
+    });
+    from.on('error', () => to.destroy());
+    from.on('close', () => {
+      this.sockets.delete(from);
+      to.destroy();
+    });
+  }
+}
--- a/packages/bench/src/lib/experiments/experimentTable.ts
+++ b/packages/bench/src/lib/experiments/experimentTable.ts
@@ -1,4 +1,5 @@
 import type {Experiment} from '../experimentTypes.js';
+import {config} from './config.js';
 import {crest} from './crest.js';
 import {headOfLine} from './headOfLine.js';
 import {membership} from './membership.js';
@@ -7,6 +8,7 @@
 
 /** Experiments by name; each stands in a file of its own. @public */
 export const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
+  config,
   crest,
   'head-of-line': headOfLine,
   membership,
--- a/packages/consensus/src/lib/RaftNode.ts
+++ b/packages/consensus/src/lib/RaftNode.ts
@@ -179,6 +179,7 @@
     this.isStopped = true;
     this.election.stop();
     this.stopLeading('this instance stops');
+    void this.state.storage.close();
   }
 
   // Queries.
@@ -275,6 +276,7 @@
   }
 
   private handleFailure(error: SycamoreheadError): void {
+    if (this.isStopped) return;
     log('member_failed', {id: this.state.id, error: error.message});
     this.abort();
     this.options.onFailure(error);
--- a/packages/control/src/lib/ControlInstance.ts
+++ b/packages/control/src/lib/ControlInstance.ts
@@ -137,6 +137,14 @@
     await this.wireServer?.stop();
   }
 
+  /** Ends at once, as a killed process does: nothing is handed over or finished. */
+  async abort(): Promise<void> {
+    this.raft?.abort();
+    this.links.stop();
+    await this.wireServer?.stop();
+    await this.operatorServer?.stop();
+  }
+
   private async createNode(): Promise<ControlNode> {
     const {name, dataFolder, leaseMs, reconciler} = this.options;
     if (!dataFolder) {
--- a/packages/control/src/lib/configuration/ConfigurationService.ts
+++ b/packages/control/src/lib/configuration/ConfigurationService.ts
@@ -67,7 +67,8 @@
       this.watchers.notify();
       this.scheduleCheck();
     });
-    options.log.addLeaderListener(() => this.scheduleCheck());
+    // At once, so that the first revision of a new group need not wait for a lease to run out.
+    options.log.addLeaderListener(() => void this.check());
   }
 
   // Commands.
--- a/packages/entry/src/lib/ConfigurationManager.ts
+++ b/packages/entry/src/lib/ConfigurationManager.ts
@@ -1,4 +1,4 @@
-import {randomUUID} from 'node:crypto';
+import {randomBytes} from 'node:crypto';
 import {
   Configuration,
   ControlApi,
@@ -11,6 +11,7 @@
 
 const log = createLogger('configuration');
 
+const INCARNATION_BYTES = 8;
 const RENEW_INTERVAL_MS = 750;
 const RETRY_INTERVAL_MS = 100;
 const WATCH_MS = 5_000;
@@ -44,7 +45,8 @@
  * @public
  */
 export class ConfigurationManager {
-  private readonly incarnation = randomUUID();
+  private readonly incarnation =
+    randomBytes(INCARNATION_BYTES).toString('base64url');
   private configuration: Configuration = EMPTY_CONFIGURATION;
   private leaseEndsAt = -Infinity;
   private needsWhole = false;
