--- a/apps/syc-control/src/main.ts
+++ b/apps/syc-control/src/main.ts
@@ -13,6 +13,7 @@
   setLogPattern,
 } from '@sycamorehead/telemetry';
 import {parsePeerAddress} from '@sycamorehead/wire';
+import {buildReconcilerOptions, placementOptions} from './placementOptions.js';
 
 const MAX_PORT = 65_535;
 /** Time for which the first start waits for the other instances, in milliseconds. */
@@ -25,6 +26,8 @@
   host: z.union([z.ipv4(), z.ipv6()], 'expected an IP address'),
   port: z.number().int().min(0).max(MAX_PORT),
   peerPort: z.number().int().min(0).max(MAX_PORT),
+  weightLoadsPerMinute: z.number().gt(0),
+  loadTimeout: z.number().gt(0),
   dataFolder: z.string(),
   firstMembers: z.string(),
   tlsCert: z.string(),
@@ -56,6 +59,7 @@
   return new ControlInstance({
     ...settings,
     dataFolder: settings.dataFolder || undefined,
+    reconciler: buildReconcilerOptions(settings),
     peerKey: readSecret('SYC_PEER_KEY'),
     operatorToken: readSecret('SYC_OPERATOR_TOKEN'),
     operatorTls: readTls('tls', {
@@ -126,6 +130,7 @@
       description: "entries' and other control instances' port; 0 takes any",
       defaultValue: () => 9081,
     }),
+    ...placementOptions,
     dataFolder: option({
       type: string,
       long: 'data-folder',
--- a/packages/bench/src/lib/Demo.ts
+++ b/packages/bench/src/lib/Demo.ts
@@ -133,6 +133,7 @@
         peerKey,
         operatorToken,
         dataFolder: path.join(this.dataFolder, name),
+        reconciler: {weightStore: {loads: 4, windowMs: 1_000}},
         onFailure: error => {
           throw error;
         },
