--- a/packages/bench/src/lib/experiments/experimentTable.ts
+++ b/packages/bench/src/lib/experiments/experimentTable.ts
@@ -4,6 +4,7 @@
 import {headOfLine} from './headOfLine.js';
 import {membership} from './membership.js';
 import {rollout} from './rollout.js';
+import {slopes} from './slopes.js';
 import {straggler} from './straggler.js';
 
 /** Experiments by name; each stands in a file of its own. @public */
@@ -13,5 +14,6 @@
   'head-of-line': headOfLine,
   membership,
   rollout,
+  slopes,
   straggler,
 };
