A plain service's call has one time limit

Cause: the pool's limit on an answer's head ran beside the call's own limit, both coming due at about 1 s in the golden session deposit-service-silent; which one fired first decided the message (one failure in one full run of the suite, none in three runs of the file alone). Ruled out: the outcome, which was outcome_unknown either way.

--- a/packages/entry/src/lib/BackendClient.ts
+++ b/packages/entry/src/lib/BackendClient.ts
@@ -172,6 +172,9 @@
         headers: call.headers,
         body: call.body,
         signal,
+        // The call's own limit covers all of it; the pool's limits would race with it.
+        headersTimeout: 0,
+        bodyTimeout: 0,
       },
       call.isRepeatable ? this.pooled : this.unpooled,
     );
