Version policy: roll-out shares, learned quality, cheapest version at the customer's target

Cause: the only version policy took the highest prior, ignored roll-out shares and cost. Change: selectRolloutVersions (sticky hash; a released version supersedes what it replaced; fallback on quarantine), QualityTable (normal model in two levels, bounds, pooled or own ratings), cheapest_at_target (lower bound at the target, else the surest; trying cheaper ones is bounded and priced by the quality to spare; nothing is tried while no ratings come back). fixed_best stays. A configured version carries the revision that began its roll-out, so that old evidence is dropped. Conclusion: ready for the rating client and the guard to feed it.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -10,10 +10,17 @@
   VersionPolicy,
 } from './lib/routingTypes.js';
 export {InFlightWork} from './lib/InFlightWork.js';
+export {VERSION_POLICIES} from './lib/versionPolicies.js';
+export {listPermittedVersions} from './lib/listPermittedVersions.js';
+export {createCheapestAtTarget} from './lib/cheapestAtTarget.js';
+export type {VersionContext} from './lib/cheapestAtTarget.js';
 export {
-  VERSION_POLICIES,
-  listPermittedVersions,
-} from './lib/versionPolicies.js';
+  sampleByHash,
+  selectRolloutVersions,
+} from './lib/selectRolloutVersions.js';
+export type {OfferedVersion} from './lib/selectRolloutVersions.js';
+export {QualityTable} from './lib/QualityTable.js';
+export type {QualityEstimate} from './lib/QualityTable.js';
 export type {VersionPolicyName} from './lib/versionPolicies.js';
 export {SERVER_POLICIES} from './lib/serverPolicies.js';
 export type {ServerPolicyName} from './lib/serverPolicies.js';
--- /dev/null
+++ b/packages/routing/src/lib/QualityTable.ts
@@ -0,0 +1,148 @@
+import type {QualitySummary} from '@sycamorehead/schema';
+
+/** What is known of the quality of one kind of request on one version. @public */
+export interface QualityEstimate {
+  readonly mean: number;
+  /** One-sided 95% bounds. */
+  readonly lower: number;
+  readonly upper: number;
+  /** Effective number of ratings of this kind. */
+  readonly count: number;
+}
+
+/** Weight of a note's quality prior, in ratings. */
+const PRIOR_RATINGS = 4;
+/** Standard deviation of a kind's quality about its version's. */
+const KIND_DEVIATION = 0.1;
+/** Standard deviation of single ratings before any is known, and its weight in ratings. */
+const RATING_DEVIATION = 0.15;
+const DEVIATION_RATINGS = 4;
+/** One-sided 95% quantile of the normal distribution. */
+const BOUND_QUANTILE = 1.645;
+/** Weight that each further rating leaves to the earlier ones: about 700 count. */
+const DECAY = 0.9986;
+const MAX_KINDS = 64;
+
+interface Cell {
+  count: number;
+  mean: number;
+  /** Sum of squared deviations. */
+  squares: number;
+}
+
+/**
+ * Learns the quality of versions by kind of request. An estimate is the posterior of a normal
+ * model in two levels: a kind shrinks to its version's mean, that to the note's prior.
+ *
+ * Control pools the ratings of all entries; own ratings count where the pool holds fewer.
+ *
+ * @public
+ */
+export class QualityTable {
+  private readonly own = new Map<string, Map<string, Cell>>();
+  private pooled = new Map<string, Map<string, Cell>>();
+
+  // Commands.
+
+  /** Learns from one rating. */
+  record(version: string, kind: string, rating: number): void {
+    const cell = ensureCell(this.own, version, kind);
+    if (!cell) return;
+    cell.count = cell.count * DECAY + 1;
+    const difference = rating - cell.mean;
+    cell.mean += difference / cell.count;
+    cell.squares = cell.squares * DECAY + difference * (rating - cell.mean);
+  }
+
+  /** Takes over what control has pooled. */
+  replacePooled(summaries: readonly QualitySummary[]): void {
+    this.pooled = new Map();
+    for (const {version, kind, count, mean, variance} of summaries) {
+      const cell = ensureCell(this.pooled, version, kind);
+      if (cell) Object.assign(cell, {count, mean, squares: count * variance});
+    }
+  }
+
+  /** Forgets a version, as when its roll-out begins anew. */
+  drop(version: string): void {
+    this.own.delete(version);
+    this.pooled.delete(version);
+  }
+
+  // Queries.
+
+  /** Estimates the expected rating of a kind of request on a version. */
+  estimate(version: string, kind: string, prior: number): QualityEstimate {
+    const cells = this.getCells(version);
+    const versionMean = computeVersionMean(cells, prior);
+    const cell = cells?.get(kind) ?? {count: 0, mean: 0, squares: 0};
+    const ratingVariance =
+      (DEVIATION_RATINGS * RATING_DEVIATION ** 2 + cell.squares) /
+      (DEVIATION_RATINGS + cell.count);
+    const priorPrecision = 1 / KIND_DEVIATION ** 2;
+    const dataPrecision = cell.count / ratingVariance;
+    const precision = priorPrecision + dataPrecision;
+    const mean =
+      (priorPrecision * versionMean + dataPrecision * cell.mean) / precision;
+    const margin = BOUND_QUANTILE / Math.sqrt(precision);
+    return {
+      mean,
+      lower: mean - margin,
+      upper: mean + margin,
+      count: cell.count,
+    };
+  }
+
+  /** Lists what this table learned from own ratings. */
+  listOwn(): QualitySummary[] {
+    return [...this.own].flatMap(([version, cells]) =>
+      [...cells].map(([kind, {count, mean, squares}]) => ({
+        version,
+        kind,
+        count,
+        mean,
+        variance: count > 0 ? squares / count : 0,
+      })),
+    );
+  }
+
+  private getCells(version: string): Map<string, Cell> | undefined {
+    const own = this.own.get(version);
+    const pooled = this.pooled.get(version);
+    return sumCounts(pooled) >= sumCounts(own) ? pooled : own;
+  }
+}
+
+function sumCounts(cells?: Map<string, Cell>): number {
+  let sum = 0;
+  for (const {count} of cells?.values() ?? []) sum += count;
+  return sum;
+}
+
+function computeVersionMean(
+  cells: Map<string, Cell> | undefined,
+  prior: number,
+): number {
+  let sum = PRIOR_RATINGS * prior;
+  let count = PRIOR_RATINGS;
+  for (const cell of cells?.values() ?? []) {
+    sum += cell.count * cell.mean;
+    count += cell.count;
+  }
+  return sum / count;
+}
+
+function ensureCell(
+  table: Map<string, Map<string, Cell>>,
+  version: string,
+  kind: string,
+): Cell | undefined {
+  const cells = table.get(version) ?? new Map<string, Cell>();
+  table.set(version, cells);
+  const known = cells.get(kind);
+  if (known) return known;
+  if (cells.size >= MAX_KINDS) return undefined;
+  const cell = {count: 0, mean: 0, squares: 0};
+  cells.set(kind, cell);
+  return cell;
+}
--- a/packages/routing/src/lib/Router.ts
+++ b/packages/routing/src/lib/Router.ts
@@ -16,6 +16,7 @@
   VersionPolicy,
 } from './routingTypes.js';
 import {SERVER_POLICIES, ServerPolicyName} from './serverPolicies.js';
+import {QualityTable} from './QualityTable.js';
 import {VERSION_POLICIES, VersionPolicyName} from './versionPolicies.js';
 
 const log = createLogger('routing');
@@ -26,6 +27,12 @@
   readonly versionPolicy?: VersionPolicyName;
   readonly serverPolicy?: ServerPolicyName;
   readonly admissionPolicy?: AdmissionPolicyName;
+  /** Learned quality; an empty one where absent. */
+  readonly quality?: QualityTable;
+  /** Tells whether ratings are coming back; never where absent. */
+  readonly canExplore?: () => boolean;
+  /** Called with what became of each attempt. */
+  readonly onOutcome?: (outcome: AttemptOutcome) => void;
 }
 
 /**
@@ -40,10 +47,15 @@
   private readonly serverPolicy: ServerPolicy;
   private readonly admissionPolicy: AdmissionPolicy;
 
-  constructor(options: RouterOptions) {
+  constructor(private readonly options: RouterOptions) {
     this.directory = options.directory;
-    this.versionPolicy =
-      VERSION_POLICIES[options.versionPolicy ?? 'fixed_best']();
+    this.versionPolicy = VERSION_POLICIES[
+      options.versionPolicy ?? 'cheapest_at_target'
+    ]({
+      quality: options.quality ?? new QualityTable(),
+      hasReplica: version => options.directory.listEngines(version).length > 0,
+      canExplore: options.canExplore ?? (() => false),
+    });
     this.serverPolicy = SERVER_POLICIES[
       options.serverPolicy ?? 'least_in_flight'
     ](this.work);
@@ -95,6 +107,7 @@
 
   /** Learns from a finished attempt. */
   observe(outcome: AttemptOutcome): void {
+    this.options.onOutcome?.(outcome);
     log('attempt_done', {
       request: outcome.request.requestId,
       server: outcome.server,
--- a/packages/routing/src/lib/routingTypes.ts
+++ b/packages/routing/src/lib/routingTypes.ts
@@ -9,6 +9,7 @@
   VersionRef,
 } from '@sycamorehead/schema';
 import type {KnownServer} from '@sycamorehead/membership';
+import type {QualityEstimate} from './QualityTable.js';
 
 /** A model request as the decisions see it. @public */
 export interface RoutedRequest {
@@ -33,6 +34,8 @@
   readonly name: string;
   /** Lower is better. */
   readonly score: number;
+  /** Learned quality of a version. */
+  readonly quality?: QualityEstimate;
   /** Why it was ruled out, where it was. */
   readonly ruledOut?: string;
 }
--- a/packages/routing/src/lib/versionPolicies.ts
+++ b/packages/routing/src/lib/versionPolicies.ts
@@ -1,49 +1,7 @@
-import {
-  Configuration,
-  ConfiguredVersion,
-  SycamoreheadError,
-  formatVersionKey,
-  isPermitted,
-  isServing,
-} from '@sycamorehead/schema';
-import type {RoutedRequest, VersionPolicy} from './routingTypes.js';
-
-/**
- * Lists the serving versions that a request's customer may use, of the model that it names.
- *
- * @throws SycamoreheadError `unknown_model` or `not_permitted`.
- * @example
- * ```ts
- * listPermittedVersions(request, configuration).map(formatVersionKey);
- * ```
- * @public
- */
-export function listPermittedVersions(
-  request: Pick<RoutedRequest, 'customer' | 'model'>,
-  configuration: Configuration,
-): ConfiguredVersion[] {
-  const named = Object.values(configuration.versions).filter(
-    version => request.model === 'auto' || version.model === request.model,
-  );
-  if (named.length === 0) {
-    throw new SycamoreheadError(
-      'unknown_model',
-      `model ${request.model} does not exist`,
-      {field: 'model'},
-    );
-  }
-  const permitted = named.filter(version =>
-    isPermitted(request.customer, version),
-  );
-  if (permitted.length === 0) {
-    throw new SycamoreheadError(
-      'not_permitted',
-      `customer ${request.customer.customer} may not use model ${request.model}`,
-      {field: 'model'},
-    );
-  }
-  return permitted.filter(isServing);
-}
+import {SycamoreheadError, formatVersionKey} from '@sycamorehead/schema';
+import {VersionContext, createCheapestAtTarget} from './cheapestAtTarget.js';
+import {listPermittedVersions} from './listPermittedVersions.js';
+import type {VersionPolicy} from './routingTypes.js';
 
 /** Always the permitted version of the highest quality prior: the baseline. */
 const fixedBest: VersionPolicy = {
@@ -73,7 +31,8 @@
 /** Version policies by name. @public */
 export const VERSION_POLICIES = {
   fixed_best: () => fixedBest,
-} as const satisfies Record<string, () => VersionPolicy>;
+  cheapest_at_target: createCheapestAtTarget,
+} as const satisfies Record<string, (context: VersionContext) => VersionPolicy>;
 
 /** Name of a version policy. @public */
 export type VersionPolicyName = keyof typeof VERSION_POLICIES;
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -49,3 +49,12 @@
   SessionPin,
   StoredAnswer,
 } from './lib/records.js';
+export type {
+  AttemptEvidence,
+  EvidenceBatch,
+  EvidenceItem,
+  EvidenceReceipt,
+  EvidenceSink,
+  QualitySummary,
+  RatingEvidence,
+} from './lib/evidence.js';
--- a/packages/schema/src/lib/applyReleaseNote.ts
+++ b/packages/schema/src/lib/applyReleaseNote.ts
@@ -45,23 +45,34 @@
   return index;
 }
 
-function startVersion(declared: VersionDeclaration): ConfiguredVersion {
+function startVersion(
+  declared: VersionDeclaration,
+  revision: number,
+): ConfiguredVersion {
   const state = declared.rollout ? 'rolling_out' : 'active';
-  return {...declared, state, step: 0};
+  return {...declared, state, step: 0, since: revision};
 }
 
 /** A change that declares a roll-out begins it anew, also out of quarantine. */
 function changeVersion(
   change: Partial<VersionDeclaration>,
+  revision: number,
 ): Partial<ConfiguredVersion> {
   if (!change.rollout) return change;
-  return {...change, state: 'rolling_out', step: 0, reason: undefined};
+  return {
+    ...change,
+    state: 'rolling_out',
+    step: 0,
+    since: revision,
+    reason: undefined,
+  };
 }
 
 function mergeVersions(
   current: Configuration,
   note: ReleaseNote,
 ): Record<string, ConfiguredVersion> {
+  const revision = current.revision + 1;
   const added = indexBy('add.versions', note.add.versions, formatVersionKey);
   const changed = indexBy(
     'change.versions',
@@ -71,8 +82,12 @@
   const table = mergeTable<ConfiguredVersion>(
     'versions',
     current.versions,
-    new Map([...added].map(([key, entry]) => [key, startVersion(entry)])),
-    new Map([...changed].map(([key, entry]) => [key, changeVersion(entry)])),
+    new Map(
+      [...added].map(([key, entry]) => [key, startVersion(entry, revision)]),
+    ),
+    new Map(
+      [...changed].map(([key, entry]) => [key, changeVersion(entry, revision)]),
+    ),
   );
   for (const key of changed.keys()) {
     if (current.versions[key]?.state !== 'withdrawn') continue;
--- a/packages/schema/src/lib/configuration.ts
+++ b/packages/schema/src/lib/configuration.ts
@@ -20,6 +20,8 @@
   readonly state: VersionState;
   /** Index of the current roll-out step; steps.length - 1 is the last one. */
   readonly step: number;
+  /** Revision that began its present roll-out; evidence from before does not count. */
+  readonly since?: number;
   /** Why the version is quarantined, where it is. */
   readonly reason?: string;
 }
