Guard: pooled evidence, sequential tests, committed quarantine, steps that wait for evidence

Cause: nothing acted on bad versions; the quarantine and advance commands had no sender. A step advances on ratings of that step, soak time and placement together.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -16,3 +16,8 @@
 export type {OperatorServerOptions} from './lib/OperatorServer.js';
 export {OperatorClient} from './lib/OperatorClient.js';
 export type {OperatorClientOptions} from './lib/OperatorClient.js';
+export {EvidenceTest} from './lib/guard/EvidenceTest.js';
+export type {EvidenceTestOptions} from './lib/guard/EvidenceTest.js';
+export {EvidencePool} from './lib/guard/EvidencePool.js';
+export {RolloutGuard} from './lib/guard/RolloutGuard.js';
+export type {RolloutGuardParts} from './lib/guard/RolloutGuard.js';
--- a/packages/control/src/lib/ControlClient.ts
+++ b/packages/control/src/lib/ControlClient.ts
@@ -2,6 +2,9 @@
   BeginResult,
   Bill,
   ControlApi,
+  EvidenceBatch,
+  EvidenceReceipt,
+  EvidenceSink,
   LeaseGrant,
   SessionPin,
   SycamoreheadError,
@@ -36,7 +39,7 @@
  *
  * @public
  */
-export class ControlClient implements ControlApi {
+export class ControlClient implements ControlApi, EvidenceSink {
   private link: PeerLink | undefined;
   private connecting: Promise<PeerLink> | undefined;
   private nextInstance = 0;
@@ -73,6 +76,10 @@
     return this.call('control.recordBill', bill);
   }
 
+  reportEvidence(batch: EvidenceBatch): Promise<EvidenceReceipt> {
+    return this.call('control.reportEvidence', batch);
+  }
+
   /** Closes the link. */
   stop(): void {
     this.stopped = true;
--- a/packages/control/src/lib/ControlNode.ts
+++ b/packages/control/src/lib/ControlNode.ts
@@ -3,6 +3,9 @@
   Bill,
   Configuration,
   ControlApi,
+  EvidenceBatch,
+  EvidenceReceipt,
+  EvidenceSink,
   JsonValue,
   LeaseGrant,
   ReleaseNote,
@@ -18,6 +21,7 @@
   PublishResult,
 } from './controlCommands.js';
 import {ControlState} from './ControlState.js';
+import {RolloutGuard, RolloutGuardParts} from './guard/RolloutGuard.js';
 import {EntryConfirmation, LeaseTable} from './LeaseTable.js';
 
 const log = createLogger('control');
@@ -43,6 +47,8 @@
   readonly name: string;
   readonly createLog: (machine: StateMachine) => ReplicatedLog;
   readonly leaseMs?: number;
+  /** Tells whether a roll-out's replicas are in place for a share. */
+  readonly isPlaced?: RolloutGuardParts['isPlaced'];
 }
 
 /**
@@ -50,18 +56,29 @@
  *
  * @public
  */
-export class ControlNode implements ControlApi {
+export class ControlNode implements ControlApi, EvidenceSink {
   readonly name: string;
   private readonly state = new ControlState();
   private readonly replicatedLog: ReplicatedLog;
   private readonly leaseMs: number;
   private readonly leases: LeaseTable;
+  private readonly guard: RolloutGuard;
 
   constructor(options: ControlNodeOptions) {
     this.name = options.name;
     this.leaseMs = options.leaseMs ?? DEFAULT_LEASE_MS;
     this.leases = new LeaseTable(this.leaseMs, FORGET_ENTRY_MS);
     this.replicatedLog = options.createLog(this.state);
+    this.guard = new RolloutGuard({
+      getConfiguration: () => this.state.getConfiguration(),
+      isLeader: () => this.readStatus().role === 'leader',
+      quarantine: (version, reason) =>
+        this.propose({type: 'quarantine', version, reason}),
+      advance: (version, fromStep) =>
+        this.propose({type: 'advance_rollout', version, fromStep}),
+      isPlaced: options.isPlaced,
+    });
+    this.guard.start();
   }
 
   // Commands.
@@ -120,8 +137,14 @@
     return this.propose({type: 'record_bill', bill});
   }
 
+  async reportEvidence(batch: EvidenceBatch): Promise<EvidenceReceipt> {
+    await this.replicatedLog.confirmLeadership();
+    return this.guard.accept(batch);
+  }
+
   /** Hands leadership over and stops. */
   async stop(): Promise<void> {
+    this.guard.stop();
     await this.replicatedLog.stop();
   }
 
--- a/packages/control/src/lib/createControlMethods.ts
+++ b/packages/control/src/lib/createControlMethods.ts
@@ -16,6 +16,7 @@
     'control.pinSession': (params: never) => node.pinSession(params),
     'control.beginRequest': (params: never) => node.beginRequest(params),
     'control.finishRequest': (params: never) => node.finishRequest(params),
+    'control.reportEvidence': (params: never) => node.reportEvidence(params),
     'control.recordBill': (params: never) => node.recordBill(params),
   };
 }
--- /dev/null
+++ b/packages/control/src/lib/guard/EvidencePool.ts
@@ -0,0 +1,109 @@
+import {randomUUID} from 'node:crypto';
+import {
+  Configuration,
+  EvidenceBatch,
+  EvidenceItem,
+  QualitySummary,
+  formatVersionKey,
+  isPermitted,
+  isServing,
+} from '@sycamorehead/schema';
+import {DecayingStatistics} from './DecayingStatistics.js';
+import {VersionEvidence} from './VersionEvidence.js';
+
+const MAX_EPOCHS = 4_096;
+
+/**
+ * The evidence of all entries, pooled by version. It lives on the leader only: a new one gets
+ * what the entries still hold again, under the same names, so nothing counts twice.
+ *
+ * @public
+ */
+export class EvidencePool {
+  readonly id = randomUUID();
+  private readonly versions = new Map<string, VersionEvidence>();
+  /** Highest batch taken from each run of an entry. */
+  private readonly sequences = new Map<string, number>();
+
+  // Commands.
+
+  /** Adds a batch; tells whether it was new. */
+  accept(batch: EvidenceBatch, configuration: Configuration): boolean {
+    const run = `${batch.entry}\n${batch.epoch}`;
+    const highest = this.sequences.get(run) ?? 0;
+    if (batch.sequence <= highest) return false;
+    this.sequences.delete(run);
+    this.sequences.set(run, batch.sequence);
+    this.dropOldestRun();
+    for (const item of batch.items) this.observe(item, configuration);
+    return true;
+  }
+
+  // Queries.
+
+  /** Returns the evidence on a version since its present roll-out began. */
+  get(key: string, configuration: Configuration): VersionEvidence | undefined {
+    const evidence = this.versions.get(key);
+    const since = configuration.versions[key]?.since ?? 0;
+    return evidence?.since === since ? evidence : undefined;
+  }
+
+  /** Lists the learned quality of all versions in service. */
+  listQuality(configuration: Configuration): QualitySummary[] {
+    return Object.values(configuration.versions)
+      .filter(isServing)
+      .map(formatVersionKey)
+      .flatMap(key => this.get(key, configuration)?.listQuality(key) ?? []);
+  }
+
+  private observe(item: EvidenceItem, configuration: Configuration): void {
+    const version = configuration.versions[item.version];
+    if (!version || !isServing(version)) return;
+    if (item.revision < (version.since ?? 0)) return;
+    const replaced =
+      version.rollout &&
+      formatVersionKey({
+        model: version.model,
+        version: version.rollout.replaces,
+      });
+    this.ensure(item.version, configuration).observe(item, {
+      version,
+      replaced: replaced ? this.get(replaced, configuration) : undefined,
+      otherAttempts: this.sumOtherAttempts(item.version),
+    });
+  }
+
+  private ensure(key: string, configuration: Configuration): VersionEvidence {
+    const known = this.get(key, configuration);
+    if (known) return known;
+    const version = configuration.versions[key];
+    const customers = Object.values(configuration.customers).filter(
+      customer => version && isPermitted(customer, version),
+    );
+    const evidence = new VersionEvidence(
+      version?.since ?? 0,
+      customers.length <= 1,
+    );
+    this.versions.set(key, evidence);
+    return evidence;
+  }
+
+  /** Sums up the recent attempts on all versions but one. */
+  private sumOtherAttempts(own: string): DecayingStatistics {
+    const total = new DecayingStatistics(Infinity);
+    let successes = 0;
+    for (const [key, {attempts}] of this.versions) {
+      if (key === own) continue;
+      total.count += attempts.count;
+      successes += attempts.count * attempts.mean;
+    }
+    total.mean = total.count > 0 ? successes / total.count : 0;
+    return total;
+  }
+
+  private dropOldestRun(): void {
+    if (this.sequences.size <= MAX_EPOCHS) return;
+    const [oldest] = this.sequences.keys();
+    if (oldest !== undefined) this.sequences.delete(oldest);
+  }
+}
--- /dev/null
+++ b/packages/control/src/lib/guard/VersionEvidence.ts
@@ -0,0 +1,199 @@
+import type {
+  AttemptEvidence,
+  ConfiguredVersion,
+  EvidenceItem,
+  QualitySummary,
+  RatingEvidence,
+} from '@sycamorehead/schema';
+import {DecayingStatistics} from './DecayingStatistics.js';
+import {EvidenceTest} from './EvidenceTest.js';
+import {
+  CHANGE_FALSE_ALARM_RATE,
+  ROLLOUT_FALSE_ALARM_RATE,
+} from './falseAlarmRates.js';
+import {KindEvidence} from './KindEvidence.js';
+
+const MAX_KINDS = 64;
+const OTHER_KINDS = '(other)';
+const ATTEMPT_MEMORY = 100;
+const MIN_REFERENCE_ATTEMPTS = 20;
+/** A first token this many times later than the replaced version's usual one is slow. */
+const SLOW_FACTOR = 3;
+const MAX_SLOW_SHARE = 0.2;
+/** Share of an alarm's evidence that one customer, or one backend server, may bring. */
+const MAX_CUSTOMER_SHARE = 0.7;
+const MAX_SERVER_SHARE = 0.5;
+/** Natural logarithm of the evidence at which a roll-out waits although it is not yet an alarm. */
+const SUSPICIOUS_LOG_EVIDENCE = 3;
+
+/** What a version's evidence is compared with. @internal */
+export interface EvidenceReferences {
+  readonly version: ConfiguredVersion;
+  readonly replaced?: VersionEvidence;
+  /** Recent attempts on all other versions: 1 for an answer, 0 for a failure. */
+  readonly otherAttempts: DecayingStatistics;
+}
+
+/**
+ * Evidence on one version since its roll-out began.
+ *
+ * @internal
+ */
+export class VersionEvidence {
+  readonly attempts = new DecayingStatistics(ATTEMPT_MEMORY);
+  private readonly kinds = new Map<string, KindEvidence>();
+  private readonly ratingsByStep = new Map<number, number>();
+  private readonly tests: Readonly<Record<string, EvidenceTest>>;
+  private readonly maxCustomerShare: number;
+
+  /** @param isSoleCustomer Whether one customer only may use the version. */
+  constructor(
+    readonly since: number,
+    isSoleCustomer: boolean,
+  ) {
+    this.maxCustomerShare = isSoleCustomer ? 1 : MAX_CUSTOMER_SHARE;
+    const createTest = (
+      falseAlarmRate: number,
+      restarts: boolean,
+      maxSourceShare: number,
+    ) => new EvidenceTest({falseAlarmRate, restarts, maxSourceShare});
+    const {overall, errors, latency} = ROLLOUT_FALSE_ALARM_RATE;
+    const change = CHANGE_FALSE_ALARM_RATE;
+    this.tests = {
+      quality: createTest(overall, false, this.maxCustomerShare),
+      later_quality: createTest(change, true, this.maxCustomerShare),
+      errors: createTest(errors, false, MAX_SERVER_SHARE),
+      later_errors: createTest(change, true, MAX_SERVER_SHARE),
+      latency: createTest(latency, false, MAX_SERVER_SHARE),
+    };
+  }
+
+  // Commands.
+
+  /** Takes one piece of evidence. */
+  observe(item: EvidenceItem, references: EvidenceReferences): void {
+    if (item.type === 'rating') this.observeRating(item, references);
+    else this.observeAttempt(item, references);
+  }
+
+  // Queries.
+
+  /** Names the test that alarms and says why; undefined where none does. */
+  findAlarm(): string | undefined {
+    for (const [name, test] of Object.entries(this.tests)) {
+      if (test.isAlarming) return describeAlarm(name, test);
+    }
+    for (const {kind, comparison, change, ratings} of this.kinds.values()) {
+      const detail = `kind=${kind} mean=${ratings.mean.toFixed(3)}`;
+      if (comparison.isAlarming) {
+        return describeAlarm('comparison', comparison, detail);
+      }
+      if (change.isAlarming) return describeAlarm('change', change, detail);
+    }
+    return undefined;
+  }
+
+  /** Tells whether some test is on its way to an alarm. */
+  isSuspicious(): boolean {
+    const tests = Object.values(this.tests);
+    const kindTests = [...this.kinds.values()].flatMap(
+      ({comparison, change}) => [comparison, change],
+    );
+    return [...tests, ...kindTests].some(
+      test => test.logEvidence >= SUSPICIOUS_LOG_EVIDENCE,
+    );
+  }
+
+  /** Counts the ratings of answers that were dispatched under a step. */
+  countRatings(step: number): number {
+    return this.ratingsByStep.get(step) ?? 0;
+  }
+
+  /** Lists the learned quality by kind. */
+  listQuality(version: string): QualitySummary[] {
+    return [...this.kinds.values()]
+      .filter(({ratings}) => ratings.count > 0)
+      .map(({kind, ratings: {count, mean, variance}}) => ({
+        version,
+        kind,
+        count,
+        mean,
+        variance,
+      }));
+  }
+
+  private observeRating(
+    item: RatingEvidence,
+    {version, replaced}: EvidenceReferences,
+  ): void {
+    const {kind, customer, rating, step} = item;
+    const isRollingOut = version.state === 'rolling_out';
+    const reference = isRollingOut ? replaced?.kinds.get(kind) : undefined;
+    this.getKind(kind)?.observeRating(rating, customer, reference);
+    this.ratingsByStep.set(step, this.countRatings(step) + 1);
+    const minQuality = version.rollout?.guard.minQuality;
+    if (minQuality === undefined) return;
+    const {quality, later_quality: later} = this.tests;
+    if (isRollingOut) quality!.observe(rating, minQuality, customer);
+    later!.observe(rating, minQuality, customer);
+  }
+
+  private observeAttempt(
+    item: AttemptEvidence,
+    {version, replaced, otherAttempts}: EvidenceReferences,
+  ): void {
+    const success = item.result === 'answered' ? 1 : 0;
+    this.attempts.observe(success);
+    const maxErrorRate = version.rollout?.guard.maxErrorRate;
+    // A backend server or data centre that fails does so for every version on it, so errors count
+    // only beyond those of the other versions at the same time.
+    const isComparable = otherAttempts.count >= MIN_REFERENCE_ATTEMPTS;
+    if (maxErrorRate !== undefined && isComparable) {
+      const {mean, standardError} = otherAttempts;
+      const bound = Math.min(1 - maxErrorRate, mean - 2 * standardError);
+      const {errors, later_errors: later} = this.tests;
+      if (version.state === 'rolling_out') {
+        errors!.observe(success, bound, item.server);
+      }
+      later!.observe(success, bound, item.server);
+    }
+    this.observeFirstToken(item, version, replaced);
+  }
+
+  private observeFirstToken(
+    {firstTokenMs, kind, server}: AttemptEvidence,
+    version: ConfiguredVersion,
+    replaced: VersionEvidence | undefined,
+  ): void {
+    if (firstTokenMs === undefined) return;
+    this.getKind(kind)?.observeFirstToken(firstTokenMs);
+    if (version.state !== 'rolling_out') return;
+    const usualMs = replaced?.kinds.get(kind)?.computeUsualFirstTokenMs();
+    if (usualMs === undefined) return;
+    const isInTime = firstTokenMs <= SLOW_FACTOR * usualMs ? 1 : 0;
+    this.tests.latency!.observe(isInTime, 1 - MAX_SLOW_SHARE, server);
+  }
+
+  private getKind(kind: string): KindEvidence | undefined {
+    const isFull = this.kinds.size >= MAX_KINDS && !this.kinds.has(kind);
+    const key = isFull ? OTHER_KINDS : kind;
+    const known = this.kinds.get(key);
+    if (known) return known;
+    const evidence = new KindEvidence(
+      key,
+      this.kinds.size,
+      this.maxCustomerShare,
+    );
+    this.kinds.set(key, evidence);
+    return evidence;
+  }
+}
+
+function describeAlarm(
+  name: string,
+  test: EvidenceTest,
+  detail?: string,
+): string {
+  const evidence = `test=${name} log_evidence=${test.logEvidence.toFixed(1)}`;
+  return detail ? `${evidence} ${detail}` : evidence;
+}
--- a/packages/schema/src/lib/evidence.ts
+++ b/packages/schema/src/lib/evidence.ts
@@ -26,6 +26,8 @@
 export interface AttemptEvidence extends EvidenceOrigin {
   readonly type: 'attempt';
   readonly result: 'answered' | 'failed' | 'truncated';
+  /** Backend server that ran it. */
+  readonly server: string;
   readonly firstTokenMs?: number;
 }
 
