Entry: rating client, evidence reporter, debug header; the choice is repeated when its version is withdrawn

Cause: no rating was asked for and no evidence left an entry, so the policy and the guard had no data. Change: RatingClient (bounded queue, versions in roll-out first, pause while the service is gone), EvidenceReporter (small batches, repeated under their name, sent again to a new pool), VersionFeedback (what an entry learns), explainDecision (operators' header, constant-time key).

--- a/apps/syc-entry/src/main.ts
+++ b/apps/syc-entry/src/main.ts
@@ -1,9 +1,14 @@
 import {command, number, option, optional, run, string} from 'cmd-ts';
 import {z} from 'zod';
 import {ControlClient} from '@sycamorehead/control';
-import {Entry} from '@sycamorehead/entry';
+import {Entry, RatingSettings} from '@sycamorehead/entry';
 import {getErrorAnswer, toSycamoreheadError} from '@sycamorehead/schema';
-import {readSecret, readSettings, setLogPattern} from '@sycamorehead/telemetry';
+import {
+  readOptionalSecret,
+  readSecret,
+  readSettings,
+  setLogPattern,
+} from '@sycamorehead/telemetry';
 import {PeerAddress, parsePeerAddress} from '@sycamorehead/wire';
 
 const MAX_PORT = 65_535;
@@ -17,6 +22,9 @@
   peers: z.string(),
   control: z.string().min(1, 'expected NAME=IP:PORT, separated by commas'),
   balancerLag: z.number().min(0).max(600),
+  ratingsUrl: z.url({protocol: /^https?$/}).optional(),
+  ratingTimeout: z.number().gt(0).max(600),
+  ratingShare: z.number().min(0).max(1),
 });
 
 function parsePeers(list: string): PeerAddress[] {
@@ -34,6 +42,18 @@
   return Object.fromEntries(pairs);
 }
 
+function readRatingSettings(
+  settings: z.infer<typeof settingsSchema>,
+): RatingSettings | undefined {
+  const {ratingsUrl, ratingTimeout, ratingShare} = settings;
+  if (!ratingsUrl) return undefined;
+  return {
+    url: ratingsUrl,
+    timeoutMs: ratingTimeout * 1_000,
+    sampledShare: ratingShare,
+  };
+}
+
 async function startEntry(given: unknown): Promise<void> {
   const settings = readSettings(settingsSchema, given);
   const peerKey = readSecret('SYC_PEER_KEY');
@@ -49,6 +69,9 @@
     peerKey,
     serverKey: readSecret('SYC_SERVER_KEY'),
     control,
+    evidence: control,
+    ratings: readRatingSettings(settings),
+    debugKey: readOptionalSecret('SYC_DEBUG_KEY'),
     balancerLagMs: settings.balancerLag * 1_000,
   });
   const ports = await entry.start();
@@ -67,7 +90,7 @@
 const app = command({
   name: 'syc-entry',
   description:
-    'An entry instance. Secrets: SYC_PEER_KEY, SYC_SERVER_KEY (or …_FILE)',
+    'An entry instance. Secrets: SYC_PEER_KEY, SYC_SERVER_KEY, SYC_DEBUG_KEY (optional) (or …_FILE)',
   args: {
     name: option({
       type: string,
@@ -122,6 +145,26 @@
       description: 'seconds to keep serving after SIGTERM',
       defaultValue: () => 5,
     }),
+    ratingsUrl: option({
+      type: optional(string),
+      long: 'ratings-url',
+      env: 'SYC_RATINGS_URL',
+      description: 'base URL of the rating service; without one none is asked',
+    }),
+    ratingTimeout: option({
+      type: number,
+      long: 'rating-timeout',
+      env: 'SYC_RATING_TIMEOUT',
+      description: 'seconds allowed for one rating',
+      defaultValue: () => 10,
+    }),
+    ratingShare: option({
+      type: number,
+      long: 'rating-share',
+      env: 'SYC_RATING_SHARE',
+      description: 'share of the answers of settled versions that are rated',
+      defaultValue: () => 0.2,
+    }),
     log: option({
       type: optional(string),
       long: 'log',
--- a/packages/bench/src/lib/Demo.ts
+++ b/packages/bench/src/lib/Demo.ts
@@ -97,8 +97,8 @@
     const controlAddress = {host: HOST, port: await this.wireServer.start()};
     this.controlUrl = `http://${HOST}:${await this.operatorServer.start()}`;
     const weightStore = await this.weights.start();
-    await this.ratings.start();
-    await this.startEntries(controlAddress);
+    const ratingsUrl = await this.ratings.start();
+    await this.startEntries(controlAddress, ratingsUrl);
     await this.startBackends(weightStore);
     await this.createOperator().publish(this.buildNote());
     await this.waitUntilReady();
@@ -131,7 +131,10 @@
     return parseReleaseNote(DEMO_NOTE.replace('KEY_HASH', keyHash));
   }
 
-  private async startEntries(controlAddress: PeerAddress): Promise<void> {
+  private async startEntries(
+    controlAddress: PeerAddress,
+    ratingsUrl: string,
+  ): Promise<void> {
     const {peerKey, serverKey} = this.keys;
     const peers: PeerAddress[] = [];
     for (let index = 1; index <= ENTRY_COUNT; index++) {
@@ -153,6 +156,8 @@
         peerKey,
         serverKey,
         control,
+        evidence: control,
+        ratings: {url: ratingsUrl},
       });
       const ports = await entry.start();
       peers.push({host: HOST, port: ports.peerPort});
--- a/packages/bench/src/lib/load/Fleet.ts
+++ b/packages/bench/src/lib/load/Fleet.ts
@@ -1,6 +1,6 @@
 import {SingleVoterLog} from '@sycamorehead/consensus';
 import {ControlNode} from '@sycamorehead/control';
-import {Entry, EntryOptions} from '@sycamorehead/entry';
+import {Entry, EntryOptions, RatingSettings} from '@sycamorehead/entry';
 import {ReleaseNote, VersionRef} from '@sycamorehead/schema';
 import {
   EngineSpeed,
@@ -27,6 +27,10 @@
   readonly serviceCallMs?: number;
   /** Mean ratings by `model/version` or `model/version/kind`. */
   readonly quality?: Record<string, number>;
+  /** Has answers rated, with these settings. */
+  readonly ratings?: Omit<RatingSettings, 'url'>;
+  /** Half width of the noise on each rating. */
+  readonly ratingNoise?: number;
   readonly entryOptions?: Partial<EntryOptions>;
 }
 
@@ -49,7 +53,10 @@
   });
 
   constructor(private readonly options: FleetOptions) {
-    this.ratings = new StandInRatingService({quality: options.quality ?? {}});
+    this.ratings = new StandInRatingService({
+      quality: options.quality ?? {},
+      noise: options.ratingNoise,
+    });
   }
 
   /** Starts everything and waits until each entry can route to each backend server. */
@@ -88,6 +95,11 @@
         peerKey: PEER_KEY,
         serverKey: SERVER_KEY,
         control: this.control,
+        evidence: this.control,
+        ratings: this.options.ratings && {
+          ...this.options.ratings,
+          url: this.ratingsUrl,
+        },
         ...this.options.entryOptions,
       });
       const ports = await entry.start();
--- a/packages/control/src/lib/guard/EvidencePool.ts
+++ b/packages/control/src/lib/guard/EvidencePool.ts
@@ -29,6 +29,7 @@
 
   /** Adds a batch; tells whether it was new. */
   accept(batch: EvidenceBatch, configuration: Configuration): boolean {
+    if (batch.pool !== undefined && batch.pool !== this.id) return false;
     const run = `${batch.entry}\n${batch.epoch}`;
     const highest = this.sequences.get(run) ?? 0;
     if (batch.sequence <= highest) return false;
--- a/packages/control/src/lib/guard/RolloutGuard.ts
+++ b/packages/control/src/lib/guard/RolloutGuard.ts
@@ -77,7 +77,7 @@
   /** Looks at every version once; a follower forgets what it pooled while it led. */
   check(): void {
     if (!this.parts.isLeader()) {
-      this.forget();
+      this.drop();
       return;
     }
     this.isLeading = true;
@@ -92,7 +92,7 @@
     }
   }
 
-  private forget(): void {
+  private drop(): void {
     if (!this.isLeading) return;
     this.isLeading = false;
     this.pool = new EvidencePool();
--- a/packages/entry/src/lib/ChatService.ts
+++ b/packages/entry/src/lib/ChatService.ts
@@ -23,15 +23,22 @@
 import {authenticateCustomer} from './authenticateCustomer.js';
 import {computeModelBill} from './computeBill.js';
 import type {Exchange} from './Exchange.js';
+import {explainDecision} from './explainDecision.js';
+import type {VersionFeedback} from './feedback/VersionFeedback.js';
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 const DEADLINE_MS = 120_000;
 const DEFAULT_KIND = 'chat';
+/** Choices of a version before a request whose versions are withdrawn one by one is refused. */
+const MAX_CHOICES = 3;
 
 /** What a ChatService works with. @public */
 export interface ChatServiceParts extends AnswerSourceParts {
   readonly control: ControlApi;
   readonly metrics: EntryMetrics;
+  readonly feedback?: VersionFeedback;
+  /** Key of the operators' debug header; where absent, it is ignored. */
+  readonly debugKey?: string;
 }
 
 /** One admitted request on its way to an answer. */
@@ -91,11 +98,10 @@
     chat: ChatRequest,
     routed: RoutedRequest,
   ): Promise<ChatTask> {
-    const ref = await this.resolveVersion(routed);
-    const configuration = this.parts.configuration.get();
-    const version = ensureDispatchable(configuration, routed, ref);
+    const version = await this.chooseDispatchable(exchange, routed);
+    const {revision} = this.parts.configuration.get();
     checkContext(routed, version);
-    exchange.setOrigin(ref, configuration.revision);
+    exchange.setOrigin(version, revision);
     const key = exchange.readKeyHeader('Idempotency-Key') ?? routed.requestId;
     return {
       exchange,
@@ -103,13 +109,35 @@
       routed,
       version,
       requestKey: `${routed.customer.customer}/${key}`,
-      revision: configuration.revision,
+      revision,
     };
   }
 
-  private async resolveVersion(routed: RoutedRequest): Promise<VersionRef> {
-    const {router, configuration, control} = this.parts;
-    const {choice} = router.chooseVersion(routed, configuration.get());
+  /** Chooses a version, again where the chosen one is withdrawn meanwhile. */
+  private async chooseDispatchable(
+    exchange: Exchange,
+    routed: RoutedRequest,
+  ): Promise<ConfiguredVersion> {
+    for (let choices = 1; ; choices++) {
+      const ref = await this.resolveVersion(exchange, routed);
+      try {
+        return ensureDispatchable(this.parts.configuration.get(), routed, ref);
+      } catch (thrown) {
+        const {kind} = toSycamoreheadError(thrown);
+        if (kind !== 'version_withdrawn' || choices >= MAX_CHOICES)
+          throw thrown;
+      }
+    }
+  }
+
+  private async resolveVersion(
+    exchange: Exchange,
+    routed: RoutedRequest,
+  ): Promise<VersionRef> {
+    const {router, configuration, control, debugKey} = this.parts;
+    const decision = router.chooseVersion(routed, configuration.get());
+    explainDecision(exchange, decision, debugKey);
+    const {choice} = decision;
     if (!routed.session) return choice;
     const {model, version} = await control.pinSession({
       session: routed.session,
@@ -132,8 +160,10 @@
 
   private async sendStream(task: ChatTask): Promise<void> {
     const {response} = task.exchange;
+    let text = '';
     for await (const frame of this.openSource(task).stream()) {
       this.observeFirstToken(task);
+      text += frame.text;
       // The bill is committed before the terminal frame is released.
       if (frame.finishReason) await this.commitBill(task, frame);
       if (!response.headersSent) {
@@ -149,6 +179,7 @@
       }
     }
     response.end('data: [DONE]\n\n');
+    this.parts.feedback?.observeAnswer({...task, text});
   }
 
   private async sendWhole(task: ChatTask): Promise<void> {
@@ -162,6 +193,7 @@
     if (!last) throw new SycamoreheadError('incomplete_answer', 'no frames');
     await this.commitBill(task, last);
     task.exchange.sendJson(200, formatCompletion(task, text, last));
+    this.parts.feedback?.observeAnswer({...task, text});
   }
 
   private async commitBill(task: ChatTask, last: AnswerFrame): Promise<void> {
--- a/packages/entry/src/lib/ConfigurationManager.ts
+++ b/packages/entry/src/lib/ConfigurationManager.ts
@@ -1,5 +1,6 @@
 import {
   Configuration,
+  ConfiguredVersion,
   ControlApi,
   EMPTY_CONFIGURATION,
   SycamoreheadError,
@@ -71,6 +72,11 @@
     return this.configuration;
   }
 
+  /** Finds a version of the newest known configuration, whether or not the lease is valid. */
+  findVersion(key: string): ConfiguredVersion | undefined {
+    return this.configuration.versions[key];
+  }
+
   /** Reads what this entry routes on. */
   read(): ConfigurationReading {
     return {
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -1,5 +1,6 @@
 import {
   ControlApi,
+  EvidenceSink,
   SycamoreheadError,
   isSameKey,
   parseAnnouncement,
@@ -18,6 +19,8 @@
 import {ConfigurationManager} from './ConfigurationManager.js';
 import {EntryServer, Route} from './EntryServer.js';
 import type {Exchange} from './Exchange.js';
+import {RatingSettings} from './feedback/RatingClient.js';
+import {VersionFeedback} from './feedback/VersionFeedback.js';
 import {PlainServiceProxy} from './PlainServiceProxy.js';
 
 const log = createLogger('entry');
@@ -39,6 +42,12 @@
   /** Key that backend servers prove when they announce themselves. */
   readonly serverKey: string;
   readonly control: ControlApi;
+  /** Takes the evidence on versions. */
+  readonly evidence?: EvidenceSink;
+  /** The rating service; without one no quality is learned. */
+  readonly ratings?: RatingSettings;
+  /** Key that lets an operator ask why a version was chosen; without one nobody can. */
+  readonly debugKey?: string;
   readonly backendTimeouts?: BackendTimeouts;
   readonly policies?: Omit<RouterOptions, 'directory'>;
   /** Time for which requests are still served after a stop begins, in milliseconds. */
@@ -62,6 +71,7 @@
   readonly metrics: EntryMetrics = createEntryMetrics();
   readonly configuration: ConfigurationManager;
   readonly router: Router;
+  private readonly feedback: VersionFeedback;
   private readonly gossip: PeerGossip;
   private readonly peerServer: WireServer;
   private readonly backends: BackendClient;
@@ -77,7 +87,19 @@
     const {name, peerKey, peers, control, policies} = options;
     const {directory, metrics} = this;
     this.configuration = new ConfigurationManager(name, control);
-    this.router = new Router({directory, ...policies});
+    this.feedback = new VersionFeedback({
+      entry: name,
+      configuration: this.configuration,
+      sink: options.evidence,
+      ratings: options.ratings,
+    });
+    this.router = new Router({
+      directory,
+      quality: this.feedback.quality,
+      canExplore: () => this.feedback.isLearning(),
+      onOutcome: outcome => this.feedback.observeAttempt(outcome),
+      ...policies,
+    });
     this.backends = new BackendClient(options.backendTimeouts);
     this.gossip = new PeerGossip({name, peers, peerKey, directory});
     this.peerServer = new WireServer({
@@ -92,7 +114,12 @@
       control,
       metrics,
     };
-    this.chat = new ChatService({...shared, router: this.router});
+    this.chat = new ChatService({
+      ...shared,
+      router: this.router,
+      feedback: this.feedback,
+      debugKey: options.debugKey,
+    });
     this.services = new PlainServiceProxy({
       ...shared,
       entryName: name,
@@ -107,6 +134,7 @@
     const peerPort = await this.peerServer.start();
     this.gossip.start();
     this.configuration.start();
+    this.feedback.start();
     this.expiry = setInterval(
       () => this.directory.expire(),
       EXPIRE_INTERVAL_MS,
@@ -129,6 +157,7 @@
     );
     this.isRefusing = true;
     await this.server.stop();
+    await this.feedback.stop();
     this.configuration.stop();
     this.gossip.stop();
     clearInterval(this.expiry);
--- /dev/null
+++ b/packages/entry/src/lib/feedback/EvidenceReporter.ts
@@ -0,0 +1,140 @@
+import {randomUUID} from 'node:crypto';
+import type {
+  EvidenceBatch,
+  EvidenceItem,
+  EvidenceReceipt,
+  EvidenceSink,
+} from '@sycamorehead/schema';
+import {createLogger} from '@sycamorehead/telemetry';
+
+const log = createLogger('evidence');
+
+const BATCH_INTERVAL_MS = 150;
+/** Interval of empty batches, which fetch what the other entries have learned. */
+const IDLE_INTERVAL_MS = 1_000;
+const MAX_BATCH_ITEMS = 500;
+const MAX_PENDING_ITEMS = 5_000;
+/** Items kept after their receipt, to be sent again to a new leader. */
+const MAX_RETAINED_ITEMS = 10_000;
+const MAX_RETAINED_BATCHES = 2_000;
+
+/** What an EvidenceReporter works with. @public */
+export interface EvidenceReporterParts {
+  readonly entry: string;
+  readonly sink: EvidenceSink;
+  /** Called with each receipt. */
+  readonly onReceipt: (receipt: EvidenceReceipt) => void;
+}
+
+/**
+ * Sends evidence to control in small batches, one at a time and in order. A batch is repeated
+ * under its name until it is acknowledged; when the pool has changed, the retained ones are sent
+ * again. Bounded: where control is gone for long, the oldest evidence is dropped.
+ *
+ * @public
+ */
+export class EvidenceReporter {
+  private readonly epoch = randomUUID();
+  private sequence = 0;
+  private pending: EvidenceItem[] = [];
+  private retained: EvidenceBatch[] = [];
+  /** Place in `retained` of the next batch to send. */
+  private next = 0;
+  private pool: string | undefined;
+  private lastSentAt = -Infinity;
+  private timer: NodeJS.Timeout | undefined;
+  private stopped = false;
+
+  constructor(private readonly parts: EvidenceReporterParts) {}
+
+  /** Queues one piece of evidence. */
+  record(item: EvidenceItem): void {
+    this.pending.push(item);
+    if (this.pending.length > MAX_PENDING_ITEMS) this.pending.shift();
+  }
+
+  /** Sends until stopped. */
+  start(): void {
+    void this.sendForever();
+  }
+
+  /** Stops sending. */
+  stop(): void {
+    this.stopped = true;
+    clearTimeout(this.timer);
+  }
+
+  private async sendForever(): Promise<void> {
+    while (!this.stopped) {
+      await this.flush();
+      await new Promise<void>(resolve => {
+        this.timer = setTimeout(resolve, BATCH_INTERVAL_MS);
+        this.timer.unref();
+      });
+    }
+  }
+
+  /** Sends everything that is queued; what fails stays queued. */
+  async flush(): Promise<void> {
+    this.buildBatches();
+    while (!this.stopped && this.next < this.retained.length) {
+      const isSent = await this.send(this.retained[this.next]!);
+      if (!isSent) return;
+    }
+  }
+
+  private buildBatches(): void {
+    const isIdle = performance.now() - this.lastSentAt >= IDLE_INTERVAL_MS;
+    const isBehind = this.next < this.retained.length;
+    if (this.pending.length === 0 && isIdle && !isBehind) this.addBatch([]);
+    while (this.pending.length > 0) {
+      this.addBatch(this.pending.splice(0, MAX_BATCH_ITEMS));
+    }
+    this.dropOldest();
+  }
+
+  private addBatch(items: EvidenceItem[]): void {
+    this.sequence += 1;
+    const {entry} = this.parts;
+    const {epoch, sequence} = this;
+    this.retained.push({entry, epoch, sequence, items});
+  }
+
+  private dropOldest(): void {
+    let items = this.retained.reduce(
+      (sum, batch) => sum + batch.items.length,
+      0,
+    );
+    const isTooLong = () =>
+      items > MAX_RETAINED_ITEMS || this.retained.length > MAX_RETAINED_BATCHES;
+    while (isTooLong() && this.retained.length > 1) {
+      items -= this.retained.shift()!.items.length;
+      this.next = Math.max(0, this.next - 1);
+    }
+  }
+
+  private async send(batch: EvidenceBatch): Promise<boolean> {
+    this.lastSentAt = performance.now();
+    try {
+      const {pool} = this;
+      const receipt = await this.parts.sink.reportEvidence({...batch, pool});
+      this.settle(receipt);
+      return true;
+    } catch (error) {
+      log('evidence_not_sent', {
+        sequence: batch.sequence,
+        error: String(error),
+      });
+      return false;
+    }
+  }
+
+  private settle(receipt: EvidenceReceipt): void {
+    const isOtherPool = this.pool !== undefined && this.pool !== receipt.pool;
+    this.pool = receipt.pool;
+    this.parts.onReceipt(receipt);
+    // A pool takes nothing that was meant for another one, so all of it can be sent again.
+    if (isOtherPool) this.next = 0;
+    else this.next += 1;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/feedback/RatingClient.ts
@@ -0,0 +1,210 @@
+import {Agent, request} from 'undici';
+import {SycamoreheadError} from '@sycamorehead/schema';
+import {createLogger} from '@sycamorehead/telemetry';
+
+const log = createLogger('ratings');
+
+const DEFAULT_TIMEOUT_MS = 10_000;
+const MAX_QUEUED = 512;
+const MAX_RUNNING = 32;
+const MAX_BODY_BYTES = 16 * 1024;
+/** Failures in a row after which the service counts as gone, and how long it is then left alone. */
+const MAX_FAILURES = 5;
+const PAUSE_MS = 1_000;
+
+/** Settings of the rating service. @public */
+export interface RatingSettings {
+  /** Base URL. */
+  readonly url: string;
+  /** Time allowed for one rating, in milliseconds. */
+  readonly timeoutMs?: number;
+  /** Share of the answers of settled versions that are rated, 0 to 1. */
+  readonly sampledShare?: number;
+}
+
+/** How urgent a rating is; versions in roll-out go first. @public */
+export type RatingPriority = 'rollout' | 'unsettled' | 'sampled';
+
+/** An answer to be rated. @public */
+export interface RatingQuestion {
+  readonly requestId: string;
+  readonly kind: string;
+  readonly model: string;
+  readonly version: string;
+  readonly answer: string;
+}
+
+interface QueuedRating {
+  readonly question: RatingQuestion;
+  readonly onRating: (rating: number) => void;
+}
+
+const PRIORITIES: readonly RatingPriority[] = [
+  'rollout',
+  'unsettled',
+  'sampled',
+];
+
+/**
+ * Asks the rating service, beside the traffic and never in its way: the queue is bounded, the
+ * least urgent questions are dropped first, and a service that is gone is left alone for a while.
+ *
+ * @public
+ */
+export class RatingClient {
+  private readonly agent = new Agent({connections: MAX_RUNNING});
+  private readonly queues: Record<RatingPriority, QueuedRating[]> = {
+    rollout: [],
+    unsettled: [],
+    sampled: [],
+  };
+  private running = 0;
+  private failures = 0;
+  private pausedUntil = -Infinity;
+  private timer: NodeJS.Timeout | undefined;
+  private stopped = false;
+
+  constructor(private readonly settings: RatingSettings) {}
+
+  // Commands.
+
+  /** Queues a question; the rating, if one comes, goes to the callback. */
+  enqueue(
+    question: RatingQuestion,
+    priority: RatingPriority,
+    onRating: (rating: number) => void,
+  ): void {
+    if (this.stopped) return;
+    this.queues[priority].push({question, onRating});
+    this.dropExcess();
+    this.fillRunning();
+  }
+
+  /** Stops asking; what is queued is dropped. */
+  async stop(): Promise<void> {
+    this.stopped = true;
+    clearTimeout(this.timer);
+    await this.agent.destroy();
+  }
+
+  // Queries.
+
+  /** Tells whether the service answered lately, or has not been asked yet. */
+  isHealthy(): boolean {
+    return this.failures < MAX_FAILURES;
+  }
+
+  /** Counts the queued questions. */
+  countQueued(): number {
+    return PRIORITIES.reduce(
+      (sum, priority) => sum + this.queues[priority].length,
+      0,
+    );
+  }
+
+  private dropExcess(): void {
+    if (this.countQueued() <= MAX_QUEUED) return;
+    const priority = [...PRIORITIES]
+      .reverse()
+      .find(name => this.queues[name].length > 0);
+    if (priority) this.queues[priority].shift();
+  }
+
+  private fillRunning(): void {
+    if (this.stopped) return;
+    const pauseMs = this.pausedUntil - performance.now();
+    if (pauseMs > 0) {
+      this.resumeAfter(pauseMs);
+      return;
+    }
+    while (this.running < MAX_RUNNING) {
+      const next = this.takeNext();
+      if (!next) return;
+      void this.run(next);
+    }
+  }
+
+  private resumeAfter(pauseMs: number): void {
+    if (this.timer) return;
+    this.timer = setTimeout(() => {
+      this.timer = undefined;
+      this.fillRunning();
+    }, pauseMs);
+    this.timer.unref();
+  }
+
+  private takeNext(): QueuedRating | undefined {
+    for (const priority of PRIORITIES) {
+      const next = this.queues[priority].shift();
+      if (next) return next;
+    }
+    return undefined;
+  }
+
+  private async run({question, onRating}: QueuedRating): Promise<void> {
+    this.running += 1;
+    try {
+      const rating = await this.query(question);
+      this.failures = 0;
+      onRating(rating);
+    } catch (error) {
+      if (!this.stopped) this.noteFailure(error);
+    } finally {
+      this.running -= 1;
+      this.fillRunning();
+    }
+  }
+
+  /**
+   * Asks for one rating.
+   *
+   * @throws SycamoreheadError `backend_failed` or `timeout`.
+   */
+  async query(question: RatingQuestion): Promise<number> {
+    const timeoutMs = this.settings.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    const {statusCode, body} = await request(`${this.settings.url}/ratings`, {
+      method: 'POST',
+      dispatcher: this.agent,
+      headers: {'content-type': 'application/json'},
+      body: JSON.stringify(question),
+      signal: AbortSignal.timeout(timeoutMs),
+    });
+    const text = await readBounded(body);
+    if (statusCode !== 200) {
+      throw new SycamoreheadError(
+        'backend_failed',
+        `the rating service answered ${statusCode}`,
+      );
+    }
+    return parseRating(text);
+  }
+
+  private noteFailure(error: unknown): void {
+    this.failures += 1;
+    log('rating_failed', {failures: this.failures, error: String(error)});
+    if (this.isHealthy()) return;
+    this.pausedUntil = performance.now() + PAUSE_MS;
+  }
+}
+
+async function readBounded(body: AsyncIterable<Buffer>): Promise<string> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of body) {
+    size += chunk.length;
+    if (size > MAX_BODY_BYTES) {
+      throw new SycamoreheadError('backend_failed', 'the rating is too long');
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+function parseRating(text: string): number {
+  const {rating} = JSON.parse(text) as {rating?: unknown};
+  if (typeof rating === 'number' && rating >= 0 && rating <= 1) return rating;
+  throw new SycamoreheadError(
+    'backend_failed',
+    'the rating service: expected a rating from 0 to 1',
+  );
+}
--- a/packages/schema/src/lib/evidence.ts
+++ b/packages/schema/src/lib/evidence.ts
@@ -41,6 +41,8 @@
   readonly epoch: string;
   /** Counts the batches of that run, from 1 without gaps. */
   readonly sequence: number;
+  /** Pool that the sender knows; another one takes nothing and answers with its own name. */
+  readonly pool?: string;
   readonly items: readonly EvidenceItem[];
 }
 
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -7,4 +7,8 @@
 export type {LogFields, Logger} from './lib/createLogger.js';
 export {createEntryMetrics} from './lib/createMetrics.js';
 export type {EntryMetrics} from './lib/createMetrics.js';
-export {readSecret, readSettings} from './lib/readSettings.js';
+export {
+  readOptionalSecret,
+  readSecret,
+  readSettings,
+} from './lib/readSettings.js';
--- a/packages/telemetry/src/lib/readSettings.ts
+++ b/packages/telemetry/src/lib/readSettings.ts
@@ -68,3 +68,21 @@
     );
   }
 }
+
+/**
+ * Reads a secret that may be left out; undefined where it is.
+ *
+ * @throws SycamoreheadError `settings_invalid` where both forms are set or the file cannot be read.
+ * @example
+ * ```ts
+ * readOptionalSecret('SYC_DEBUG_KEY', {}); // undefined
+ * ```
+ * @public
+ */
+export function readOptionalSecret(
+  name: string,
+  environment: NodeJS.ProcessEnv = process.env,
+): string | undefined {
+  const isSet = environment[name] || environment[`${name}_FILE`];
+  return isSet ? readSecret(name, environment) : undefined;
+}
