--- a/apps/syc-bench/src/main.ts
+++ b/apps/syc-bench/src/main.ts
@@ -16,7 +16,7 @@
 
 /** Runs the demo: publishes a note, answers one request, then keeps serving. */
 async function runDemo(once: boolean): Promise<void> {
-  const demo = new Demo();
+  const demo = new Demo(undefined, true);
   await demo.start();
   const [entry = ''] = demo.entryUrls;
   const {statusCode, body} = await request(`${entry}/v1/chat/completions`, {
--- a/packages/bench/src/lib/Demo.ts
+++ b/packages/bench/src/lib/Demo.ts
@@ -76,7 +76,11 @@
   private readonly wireServer: WireServer;
   private readonly operatorServer: OperatorServer;
 
-  constructor(readonly keys: DemoKeys = createKeys()) {
+  /** @param isRating Whether answers are rated, so that versions are tried and learned. */
+  constructor(
+    readonly keys: DemoKeys = createKeys(),
+    private readonly isRating = false,
+  ) {
     const {peerKey, operatorToken} = keys;
     this.wireServer = new WireServer({
       host: HOST,
@@ -157,7 +161,7 @@
         serverKey,
         control,
         evidence: control,
-        ratings: {url: ratingsUrl},
+        ratings: this.isRating ? {url: ratingsUrl} : undefined,
       });
       const ports = await entry.start();
       peers.push({host: HOST, port: ports.peerPort});
--- a/packages/control/src/lib/ControlClient.ts
+++ b/packages/control/src/lib/ControlClient.ts
@@ -5,6 +5,7 @@
   EvidenceBatch,
   EvidenceReceipt,
   EvidenceSink,
+  FinishResult,
   LeaseGrant,
   SessionPin,
   SycamoreheadError,
@@ -68,7 +69,7 @@
 
   finishRequest(
     params: Parameters<ControlApi['finishRequest']>[0],
-  ): Promise<void> {
+  ): Promise<FinishResult> {
     return this.call('control.finishRequest', params);
   }
 
--- a/packages/control/src/lib/ControlNode.ts
+++ b/packages/control/src/lib/ControlNode.ts
@@ -6,6 +6,7 @@
   EvidenceBatch,
   EvidenceReceipt,
   EvidenceSink,
+  FinishResult,
   JsonValue,
   LeaseGrant,
   ReleaseNote,
@@ -129,8 +130,8 @@
 
   async finishRequest(
     params: Parameters<ControlApi['finishRequest']>[0],
-  ): Promise<void> {
-    await this.propose({type: 'finish_request', ...params});
+  ): Promise<FinishResult> {
+    return this.propose({type: 'finish_request', ...params});
   }
 
   async recordBill(bill: Bill): Promise<{isNew: boolean}> {
--- a/packages/entry/src/lib/explainDecision.ts
+++ b/packages/entry/src/lib/explainDecision.ts
@@ -1,6 +1,7 @@
-import {VersionRef, formatVersionKey, isSameKey} from '@sycamorehead/schema';
-import type {Candidate, Decision} from '@sycamorehead/routing';
+import {formatVersionKey, isSameKey} from '@sycamorehead/schema';
+import type {Candidate} from '@sycamorehead/routing';
 import type {Exchange} from './Exchange.js';
+import type {ResolvedVersion} from './VersionResolver.js';
 
 const KEY_HEADER = 'sycamorehead-debug';
 const ANSWER_HEADER = 'Sycamorehead-Decision';
@@ -13,22 +14,24 @@
  *
  * @example
  * ```ts
- * explainDecision(exchange, decision, 'debug-key');
+ * explainDecision(exchange, resolved, 'debug-key');
  * ```
  * @internal
  */
 export function explainDecision(
   exchange: Exchange,
-  decision: Decision<VersionRef>,
+  {version, decision}: ResolvedVersion,
   debugKey: string | undefined,
 ): void {
   const given = exchange.request.headers[KEY_HEADER];
   if (!debugKey || typeof given !== 'string') return;
   if (!isSameKey(given, debugKey)) return;
+  const choice = formatVersionKey(version);
+  const isOwnChoice = decision && formatVersionKey(decision.choice) === choice;
   const text = JSON.stringify({
-    choice: formatVersionKey(decision.choice),
-    reason: decision.reason,
-    candidates: decision.candidates.map(describeCandidate),
+    choice,
+    reason: isOwnChoice ? decision.reason : "the session's pin",
+    candidates: decision?.candidates.map(describeCandidate) ?? [],
   });
   exchange.response.setHeader(ANSWER_HEADER, text.slice(0, MAX_HEADER_LENGTH));
 }
