--- /dev/null
+++ b/packages/bench/src/lib/experiments/guardSimulation.ts
@@ -0,0 +1,201 @@
+import {RolloutGuard} from '@sycamorehead/control';
+import {
+  Configuration,
+  EMPTY_CONFIGURATION,
+  EvidenceItem,
+  applyReleaseNote,
+  parseReleaseNote,
+} from '@sycamorehead/schema';
+import {Randomness} from '../load/arrivals.js';
+import {
+  SCENARIO_CUSTOMERS,
+  SCENARIO_KINDS,
+  buildScenarioNote,
+} from './versionScenario.js';
+
+/** Answers on the replaced version for each one on the version in roll-out: a step of 5%. */
+const OLD_PER_NEW = 19;
+const OLD_KEY = 'm/v1';
+const NEW_KEY = 'm/v2';
+const WARM_UP_ANSWERS = 400;
+const SERVERS = 8;
+const FIRST_TOKEN_MS = 30;
+const FIRST_TOKEN_SIGMA = 0.5;
+const ENTRIES = 8;
+
+const MEAN_RATINGS: Readonly<Record<string, number>> = {
+  proof: 0.95,
+  note: 0.9,
+  label: 0.92,
+  brief: 0.84,
+};
+
+/** How ratings spread about their mean. @internal */
+export type RatingSpread = 'narrow' | 'wide' | 'two_valued';
+
+/** One simulated roll-out. @internal */
+export interface GuardSimulation {
+  readonly seed: number;
+  /** What the new version's mean rating loses, by kind; nothing where absent. */
+  readonly loss?: Readonly<Record<string, number>>;
+  readonly spread: RatingSpread;
+  readonly errorRate: number;
+  /** Share of new answers that get a rating. */
+  readonly ratedShare: number;
+  /** Answers of the new version until the ratings of earlier ones are known. */
+  readonly delayAnswers: number;
+  /** New answers after which the simulation ends. */
+  readonly maxAnswers: number;
+  /** Whether the entries' evidence is pooled; else each entry guards itself. */
+  readonly isPooled?: boolean;
+  /** Whether kinds are told apart. */
+  readonly hasKinds?: boolean;
+}
+
+/** How it went. @internal */
+export interface GuardSimulationResult {
+  /** Whether the guard quarantined the version. */
+  readonly isQuarantined: boolean;
+  /** Answers of the new version before that, of the kinds that lost quality. */
+  readonly badAnswers: number;
+  readonly reason?: string;
+}
+
+const CONFIGURATION = buildConfiguration();
+
+function buildConfiguration(): Configuration {
+  const first = buildScenarioNote([
+    '{model: m, version: v1, inputPrice: 1, outputPrice: 1, contextTokens: 8192, qualityPrior: 0.9}',
+  ]);
+  const second = parseReleaseNote(`
+number: 2
+follows: 1
+add:
+  versions:
+    - model: m
+      version: v2
+      inputPrice: 1
+      outputPrice: 1
+      contextTokens: 8192
+      qualityPrior: 0.9
+      rollout:
+        replaces: v1
+        steps: [{share: 0.05, soakSeconds: 0}]
+        guard: {minQuality: 0.8, maxErrorRate: 0.03, minRatings: 100000}
+`);
+  return applyReleaseNote(applyReleaseNote(EMPTY_CONFIGURATION, first), second);
+}
+
+/** A guard with what it decided. */
+class SimulatedGuard {
+  reason: string | undefined;
+  private sequence = 0;
+  private readonly guard = new RolloutGuard({
+    getConfiguration: () => CONFIGURATION,
+    isLeader: () => true,
+    quarantine: async (version, reason) => {
+      this.reason ??= reason;
+    },
+    advance: async () => undefined,
+  });
+
+  accept(items: readonly EvidenceItem[]): void {
+    this.sequence += 1;
+    const {sequence} = this;
+    this.guard.accept({entry: 'e', epoch: 'p', sequence, items});
+  }
+}
+
+/**
+ * Runs the guard itself on simulated evidence of one roll-out at a step of 5%.
+ *
+ * @example
+ * ```ts
+ * simulateGuard({seed: 1, spread: 'narrow', errorRate: 0.01, ratedShare: 1, delayAnswers: 0, maxAnswers: 500});
+ * ```
+ * @internal
+ */
+export function simulateGuard(plan: GuardSimulation): GuardSimulationResult {
+  const random = new Randomness(plan.seed);
+  const count = plan.isPooled === false ? ENTRIES : 1;
+  const guards = Array.from({length: count}, () => new SimulatedGuard());
+  const late: Array<{guard: SimulatedGuard; items: EvidenceItem[]}> = [];
+  let badAnswers = 0;
+  for (let answer = 0; answer < WARM_UP_ANSWERS; answer++) {
+    const guard = guards[answer % count]!;
+    guard.accept(sampleEvidence(random, plan, OLD_KEY).items);
+  }
+  for (let answer = 0; answer < plan.maxAnswers; answer++) {
+    const guard = guards[answer % count]!;
+    // A guard of one entry ends the version there only.
+    if (guard.reason) continue;
+    const drawn = sampleEvidence(random, plan, NEW_KEY);
+    if (plan.loss?.[drawn.kind]) badAnswers += 1;
+    late.push({guard, items: drawn.items});
+    guard.accept(sampleOldEvidence(random, plan));
+    if (late.length <= plan.delayAnswers) continue;
+    const due = late.shift()!;
+    due.guard.accept(due.items);
+    if (guards.every(({reason}) => reason)) break;
+  }
+  const isQuarantined = guards.every(({reason}) => reason !== undefined);
+  return {isQuarantined, badAnswers, reason: guards[0]?.reason};
+}
+
+function sampleOldEvidence(
+  random: Randomness,
+  plan: GuardSimulation,
+): EvidenceItem[] {
+  return Array.from(
+    {length: OLD_PER_NEW},
+    () => sampleEvidence(random, plan, OLD_KEY).items,
+  ).flat();
+}
+
+function sampleEvidence(
+  random: Randomness,
+  plan: GuardSimulation,
+  version: string,
+): {kind: string; items: EvidenceItem[]} {
+  const {kind} = random.pickWeighted(SCENARIO_KINDS);
+  const {customer} = random.pickWeighted(SCENARIO_CUSTOMERS);
+  const server = `s${Math.floor(random.sampleUniform() * SERVERS)}`;
+  const reportedKind = plan.hasKinds === false ? 'all' : kind;
+  const origin = {version, kind: reportedKind, customer, revision: 2, step: 0};
+  const hasFailed = random.sampleUniform() < plan.errorRate;
+  const firstTokenMs = random.sampleLogNormal(
+    FIRST_TOKEN_MS,
+    FIRST_TOKEN_SIGMA,
+  );
+  const items: EvidenceItem[] = [
+    {
+      ...origin,
+      type: 'attempt',
+      result: hasFailed ? 'failed' : 'answered',
+      server,
+      firstTokenMs,
+    },
+  ];
+  const loss = version === NEW_KEY ? (plan.loss?.[kind] ?? 0) : 0;
+  const rating = sampleRating(random, plan.spread, MEAN_RATINGS[kind]! - loss);
+  const isRated = random.sampleUniform() < plan.ratedShare;
+  if (isRated) items.push({...origin, type: 'rating', rating});
+  return {kind, items};
+}
+
+const SPREADS: Readonly<
+  Record<RatingSpread, (draw: number, mean: number) => number>
+> = {
+  narrow: (draw, mean) => mean + 0.1 * (2 * draw - 1),
+  wide: (draw, mean) => mean + (1 - mean) * (draw < 0.5 ? 1 : -1),
+  two_valued: (draw, mean) => (draw < mean ? 1 : 0),
+};
+
+function sampleRating(
+  random: Randomness,
+  spread: RatingSpread,
+  mean: number,
+): number {
+  const rating = SPREADS[spread](random.sampleUniform(), mean);
+  return Math.min(1, Math.max(0, rating));
+}
--- a/packages/bench/src/lib/load/Fleet.ts
+++ b/packages/bench/src/lib/load/Fleet.ts
@@ -29,6 +29,8 @@
   readonly quality?: Record<string, number>;
   /** Has answers rated, with these settings. */
   readonly ratings?: Omit<RatingSettings, 'url'>;
+  /** Whether evidence reaches control; true where absent. */
+  readonly isGuarded?: boolean;
   /** Half width of the noise on each rating. */
   readonly ratingNoise?: number;
   readonly entryOptions?: Partial<EntryOptions>;
@@ -95,7 +97,7 @@
         peerKey: PEER_KEY,
         serverKey: SERVER_KEY,
         control: this.control,
-        evidence: this.control,
+        evidence: this.options.isGuarded === false ? undefined : this.control,
         ratings: this.options.ratings && {
           ...this.options.ratings,
           url: this.ratingsUrl,
--- a/packages/control/src/lib/guard/KindEvidence.ts
+++ b/packages/control/src/lib/guard/KindEvidence.ts
@@ -49,20 +49,11 @@
     });
   }
 
-  /** Takes a rating, compared with the replaced version's where there is one. */
-  observeRating(
-    rating: number,
-    source: string,
-    reference?: KindEvidence,
-  ): void {
-    const bound = reference?.computeLowerMean();
-    if (bound !== undefined) {
-      this.comparison.observe(rating, bound - REFERENCE_TOLERANCE, source);
-    }
-    if (this.ratings.count >= MIN_HISTORY_RATINGS) {
-      const usual = this.ratings.mean - CHANGE_TOLERANCE;
-      this.change.observe(rating, usual, source);
-    }
+  /** Takes a rating, with the bound that the replaced version's set where there is one. */
+  observeRating(rating: number, source: string, bound?: number): void {
+    if (bound !== undefined) this.comparison.observe(rating, bound, source);
+    const usual = this.computeChangeBound();
+    if (usual !== undefined) this.change.observe(rating, usual, source);
     this.ratings.observe(rating);
   }
 
@@ -72,16 +63,23 @@
     if (this.firstTokens.length > FIRST_TOKEN_WINDOW) this.firstTokens.shift();
   }
 
+  /** Computes the bound below which ratings are a change from this version's own past. */
+  computeChangeBound(): number | undefined {
+    const {count, mean} = this.ratings;
+    return count < MIN_HISTORY_RATINGS ? undefined : mean - CHANGE_TOLERANCE;
+  }
+
+  /** Computes the bound that a version in this one's place has to keep, once it is known. */
+  computeComparisonBound(): number | undefined {
+    const {count, mean, standardError} = this.ratings;
+    if (count < MIN_REFERENCE_RATINGS) return undefined;
+    return mean - 2 * standardError - REFERENCE_TOLERANCE;
+  }
+
   /** Computes the time that few of the recent first tokens exceeded, once enough are known. */
   computeUsualFirstTokenMs(): number | undefined {
     if (this.firstTokens.length < MIN_REFERENCE_TIMES) return undefined;
     const sorted = [...this.firstTokens].sort((left, right) => left - right);
     return sorted[Math.floor(REFERENCE_QUANTILE * (sorted.length - 1))];
   }
-
-  private computeLowerMean(): number | undefined {
-    const {count, mean, standardError} = this.ratings;
-    if (count < MIN_REFERENCE_RATINGS) return undefined;
-    return mean - 2 * standardError;
-  }
 }
--- a/packages/control/src/lib/guard/VersionEvidence.ts
+++ b/packages/control/src/lib/guard/VersionEvidence.ts
@@ -57,10 +57,13 @@
       restarts: boolean,
       maxSourceShare: number,
     ) => new EvidenceTest({falseAlarmRate, restarts, maxSourceShare});
-    const {overall, errors, latency} = ROLLOUT_FALSE_ALARM_RATE;
+    const {quality, comparison, errors, latency} = ROLLOUT_FALSE_ALARM_RATE;
     const change = CHANGE_FALSE_ALARM_RATE;
     this.tests = {
-      quality: createTest(overall, false, this.maxCustomerShare),
+      quality: createTest(quality, false, this.maxCustomerShare),
+      // Each rating against the bound of its own kind.
+      comparison: createTest(comparison, false, this.maxCustomerShare),
+      change: createTest(change, true, this.maxCustomerShare),
       later_quality: createTest(change, true, this.maxCustomerShare),
       errors: createTest(errors, false, MAX_SERVER_SHARE),
       later_errors: createTest(change, true, MAX_SERVER_SHARE),
@@ -86,9 +89,10 @@
     for (const {kind, comparison, change, ratings} of this.kinds.values()) {
       const detail = `kind=${kind} mean=${ratings.mean.toFixed(3)}`;
       if (comparison.isAlarming) {
-        return describeAlarm('comparison', comparison, detail);
+        return describeAlarm('comparison_of_kind', comparison, detail);
       }
-      if (change.isAlarming) return describeAlarm('change', change, detail);
+      if (change.isAlarming)
+        return describeAlarm('change_of_kind', change, detail);
     }
     return undefined;
   }
@@ -129,7 +133,16 @@
     const {kind, customer, rating, step} = item;
     const isRollingOut = version.state === 'rolling_out';
     const reference = isRollingOut ? replaced?.kinds.get(kind) : undefined;
-    this.getKind(kind)?.observeRating(rating, customer, reference);
+    const bound = reference?.computeComparisonBound();
+    const evidence = this.getKind(kind);
+    const usual = evidence?.computeChangeBound();
+    if (usual !== undefined) {
+      this.tests.change!.observe(rating, usual, customer);
+    }
+    evidence?.observeRating(rating, customer, bound);
+    if (bound !== undefined) {
+      this.tests.comparison!.observe(rating, bound, customer);
+    }
     this.ratingsByStep.set(step, this.countRatings(step) + 1);
     const minQuality = version.rollout?.guard.minQuality;
     if (minQuality === undefined) return;
--- a/packages/control/src/lib/guard/falseAlarmRates.ts
+++ b/packages/control/src/lib/guard/falseAlarmRates.ts
@@ -5,7 +5,8 @@
  * @internal
  */
 export const ROLLOUT_FALSE_ALARM_RATE = {
-  overall: 0.0015,
+  quality: 0.0005,
+  comparison: 0.001,
   kinds: 0.002,
   errors: 0.001,
   latency: 0.0005,
--- a/packages/entry/src/lib/feedback/RatingClient.ts
+++ b/packages/entry/src/lib/feedback/RatingClient.ts
@@ -7,6 +7,8 @@
 const DEFAULT_TIMEOUT_MS = 10_000;
 const MAX_QUEUED = 512;
 const MAX_RUNNING = 32;
+/** Answer of the service that it has no rating for a question. */
+const NO_RATING_STATUS = 204;
 const MAX_BODY_BYTES = 16 * 1024;
 /** Failures in a row after which the service counts as gone, and how long it is then left alone. */
 const MAX_FAILURES = 5;
@@ -146,7 +148,7 @@
     try {
       const rating = await this.query(question);
       this.failures = 0;
-      onRating(rating);
+      if (rating !== undefined) onRating(rating);
     } catch (error) {
       if (!this.stopped) this.noteFailure(error);
     } finally {
@@ -156,11 +158,11 @@
   }
 
   /**
-   * Asks for one rating.
+   * Asks for one rating; undefined where the service has none.
    *
    * @throws SycamoreheadError `backend_failed` or `timeout`.
    */
-  async query(question: RatingQuestion): Promise<number> {
+  async query(question: RatingQuestion): Promise<number | undefined> {
     const timeoutMs = this.settings.timeoutMs ?? DEFAULT_TIMEOUT_MS;
     const {statusCode, body} = await request(`${this.settings.url}/ratings`, {
       method: 'POST',
@@ -170,6 +172,7 @@
       signal: AbortSignal.timeout(timeoutMs),
     });
     const text = await readBounded(body);
+    if (statusCode === NO_RATING_STATUS) return undefined;
     if (statusCode !== 200) {
       throw new SycamoreheadError(
         'backend_failed',
--- a/packages/routing/src/lib/cheapestAtTarget.ts
+++ b/packages/routing/src/lib/cheapestAtTarget.ts
@@ -98,18 +98,23 @@
   const own = estimateQuality(context, request, offered);
   const replaced =
     replaces && estimateQuality(context, request, {version: replaces});
-  const isBadHere = replaced && own.upper < replaced.lower;
+  // The guard needs the first ratings of a kind; what it does not act on is avoided from here on.
+  const isBadHere =
+    replaced !== undefined &&
+    own.count >= EXPLORED_RATINGS &&
+    own.upper < replaced.lower;
   const isReplacedUsable = replaces && context.hasReplica(replaces);
   if (isReplacedUsable && (isBadHere || !context.hasReplica(version))) {
     return buildOption(context, request, {version: replaces});
   }
-  const priced = replaces ?? version;
+  const isRollingOut = version.state === 'rolling_out';
+  const priced = isRollingOut && replaces ? replaces : version;
   const outputTokens = request.maxTokens ?? EXPECTED_OUTPUT_TOKENS;
   return {
     offered,
     name: formatVersionKey(version),
     // A version in roll-out is judged by its guard; meanwhile it stands in for what it replaces.
-    estimate: replaced ?? own,
+    estimate: (isRollingOut ? replaced : undefined) ?? own,
     cost:
       request.promptTokens * priced.inputPrice +
       outputTokens * priced.outputPrice,
--- a/packages/routing/src/lib/selectRolloutVersions.ts
+++ b/packages/routing/src/lib/selectRolloutVersions.ts
@@ -9,7 +9,7 @@
 /** A version on offer to one request. @public */
 export interface OfferedVersion {
   readonly version: ConfiguredVersion;
-  /** The version in whose place a version in roll-out is offered. */
+  /** The version in whose place this one is offered, where that is in service. */
   readonly replaces?: ConfiguredVersion;
 }
 
@@ -57,7 +57,6 @@
   // Nothing is left where the replaced version is out of service: the new one then serves all.
   const selected = offered.length > 0 ? offered : serving;
   return selected.map(version => {
-    if (version.state !== 'rolling_out') return {version};
     const keys = listReplaced(version, configuration);
     const replaces = serving.find(other =>
       keys.includes(formatVersionKey(other)),
--- a/packages/stand-ins/src/lib/StandInRatingService.ts
+++ b/packages/stand-ins/src/lib/StandInRatingService.ts
@@ -25,6 +25,8 @@
 export class StandInRatingService {
   /** Delay of each rating, in milliseconds. */
   delayMs = 0;
+  /** Share of the questions for which it has no rating; answered 204. */
+  missingShare = 0;
   /** Answers 503 where set. */
   isDown = false;
   readonly quality: Record<string, number>;
@@ -39,6 +41,10 @@
       }
       await new Promise(resolve => setTimeout(resolve, this.delayMs));
       const question = JSON.parse(body) as RatingQuestion;
+      if (sampleByHash(`missing ${question.requestId}`) < this.missingShare) {
+        response.writeHead(204).end();
+        return;
+      }
       sendJson(response, 200, {rating: this.rate(question)});
     });
   }
@@ -48,8 +54,7 @@
     const key = `${model}/${version}`;
     const mean =
       this.quality[`${key}/${kind}`] ?? this.quality[key] ?? DEFAULT_QUALITY;
-    const digest = createHash('sha256').update(`${requestId}${key}`).digest();
-    const uniform = digest.readUInt32BE(0) / 0xffffffff;
+    const uniform = sampleByHash(`${requestId}${key}`);
     const noise = (this.options.noise ?? DEFAULT_NOISE) * (2 * uniform - 1);
     return Math.min(1, Math.max(0, mean + noise));
   }
@@ -64,3 +69,8 @@
     return this.server.stop();
   }
 }
+
+function sampleByHash(text: string): number {
+  const digest = createHash('sha256').update(text).digest();
+  return digest.readUInt32BE(0) / 0xffffffff;
+}
