--- a/apps/syc-entry/src/main.ts
+++ b/apps/syc-entry/src/main.ts
@@ -10,6 +10,11 @@
   setLogPattern,
 } from '@sycamorehead/telemetry';
 import {PeerAddress, parsePeerAddress} from '@sycamorehead/wire';
+import {
+  buildTimeouts,
+  timeoutOptions,
+  timeoutSettings,
+} from './timeoutOptions.js';
 
 const MAX_PORT = 65_535;
 
@@ -25,6 +30,7 @@
   ratingsUrl: z.url({protocol: /^https?$/}).optional(),
   ratingTimeout: z.number().gt(0).max(600),
   ratingShare: z.number().min(0).max(1),
+  ...timeoutSettings,
 });
 
 function parsePeers(list: string): PeerAddress[] {
@@ -72,6 +78,7 @@
     evidence: control,
     ratings: readRatingSettings(settings),
     debugKey: readOptionalSecret('SYC_DEBUG_KEY'),
+    ...buildTimeouts(settings),
     balancerLagMs: settings.balancerLag * 1_000,
   });
   const ports = await entry.start();
@@ -165,6 +172,7 @@
       description: 'share of the answers of settled versions that are rated',
       defaultValue: () => 0.2,
     }),
+    ...timeoutOptions,
     log: option({
       type: optional(string),
       long: 'log',
--- a/apps/syc/src/main.ts
+++ b/apps/syc/src/main.ts
@@ -25,6 +25,7 @@
 } from '@sycamorehead/schema';
 import {readSecret} from '@sycamorehead/telemetry';
 import {describeChanges} from './describeChanges.js';
+import {formatRollout} from './formatRollout.js';
 
 const POLL_MS = 200;
 
@@ -42,9 +43,11 @@
 });
 
 function createClient(urls: string): OperatorClient {
+  const caFile = process.env.SYC_CONTROL_CA;
   return new OperatorClient({
     urls: urls.split(',').map(url => url.trim()),
     operatorToken: readSecret('SYC_OPERATOR_TOKEN'),
+    ca: caFile ? readFileSync(caFile) : undefined,
   });
 }
 
@@ -179,13 +182,16 @@
 
 const status = command({
   name: 'status',
-  description: "reads a control instance's view of its log",
+  description:
+    "reads a control instance's view of its log, and where each roll-out stands",
   args: {control},
   handler: args =>
     runReporting(async () => {
-      console.log(
-        JSON.stringify(await createClient(args.control).readStatus()),
-      );
+      const client = createClient(args.control);
+      console.log(JSON.stringify(await client.readStatus()));
+      for (const rollout of await client.listRollouts()) {
+        console.log(formatRollout(rollout));
+      }
     }),
 });
 
@@ -235,7 +241,8 @@
 
 const app = subcommands({
   name: 'syc',
-  description: "Operators' command line",
+  description:
+    "Operators' command line. SYC_OPERATOR_TOKEN (or …_FILE) holds the token, SYC_CONTROL_CA names the file of a private certificate authority",
   cmds: {
     validate,
     diff,
--- a/packages/bench/src/lib/Demo.ts
+++ b/packages/bench/src/lib/Demo.ts
@@ -1,11 +1,11 @@
 import {randomBytes} from 'node:crypto';
-import {SingleVoterLog} from '@sycamorehead/consensus';
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
 import {
   ControlClient,
-  ControlNode,
+  ControlInstance,
   OperatorClient,
-  OperatorServer,
-  createControlMethods,
 } from '@sycamorehead/control';
 import {Entry} from '@sycamorehead/entry';
 import {ReleaseNote, hashKey, parseReleaseNote} from '@sycamorehead/schema';
@@ -15,10 +15,11 @@
   StandInService,
   StandInWeightStore,
 } from '@sycamorehead/stand-ins';
-import {PeerAddress, WireServer} from '@sycamorehead/wire';
+import type {PeerAddress} from '@sycamorehead/wire';
 import {DEMO_NOTE} from './demoNote.js';
 
 const HOST = '127.0.0.1';
+const CONTROL_COUNT = 3;
 const ENTRY_COUNT = 2;
 const ENGINE_COUNT = 2;
 const POLL_MS = 20;
@@ -67,42 +68,29 @@
     loadsPerWindow: 4,
     windowMs: 1_000,
   });
-  controlUrl = '';
+  /** Operators' URLs of the control instances. */
+  readonly controlUrls: string[] = [];
+  readonly controls: ControlInstance[] = [];
   private readonly clients: ControlClient[] = [];
-  private readonly node = new ControlNode({
-    name: 'control-1',
-    createLog: machine => new SingleVoterLog('control-1', machine),
-  });
-  private readonly wireServer: WireServer;
-  private readonly operatorServer: OperatorServer;
+  private dataFolder = '';
 
   /** @param isRating Whether answers are rated, so that versions are tried and learned. */
   constructor(
     readonly keys: DemoKeys = createKeys(),
     private readonly isRating = false,
-  ) {
-    const {peerKey, operatorToken} = keys;
-    this.wireServer = new WireServer({
-      host: HOST,
-      port: 0,
-      peerKey,
-      methods: createControlMethods(this.node),
-    });
-    this.operatorServer = new OperatorServer({
-      node: this.node,
-      host: HOST,
-      port: 0,
-      operatorToken,
-    });
+  ) {}
+
+  /** Operators' URL of one control instance; any of them serves. */
+  get controlUrl(): string {
+    return this.controlUrls[0] ?? '';
   }
 
   /** Starts everything, publishes the note and waits until it is in force. */
   async start(): Promise<void> {
-    const controlAddress = {host: HOST, port: await this.wireServer.start()};
-    this.controlUrl = `http://${HOST}:${await this.operatorServer.start()}`;
+    const controlAddresses = await this.startControl();
     const weightStore = await this.weights.start();
     const ratingsUrl = await this.ratings.start();
-    await this.startEntries(controlAddress, ratingsUrl);
+    await this.startEntries(controlAddresses, ratingsUrl);
     await this.startBackends(weightStore);
     await this.createOperator().publish(this.buildNote());
     await this.waitUntilReady();
@@ -116,15 +104,14 @@
     await Promise.all(this.services.map(service => service.stop()));
     await this.ratings.stop();
     await this.weights.stop();
-    await this.operatorServer.stop();
-    await this.wireServer.stop();
-    await this.node.stop();
+    for (const control of this.controls) await control.stop();
+    await rm(this.dataFolder, {recursive: true, force: true});
   }
 
   /** Creates an operator's client of this deployment. */
   createOperator(): OperatorClient {
     return new OperatorClient({
-      urls: [this.controlUrl],
+      urls: this.controlUrls,
       operatorToken: this.keys.operatorToken,
     });
   }
@@ -135,8 +122,37 @@
     return parseReleaseNote(DEMO_NOTE.replace('KEY_HASH', keyHash));
   }
 
+  private async startControl(): Promise<Record<string, PeerAddress>> {
+    const {peerKey, operatorToken} = this.keys;
+    this.dataFolder = await mkdtemp(path.join(tmpdir(), 'sycamorehead-'));
+    const instances: Record<string, PeerAddress> = {};
+    const addresses: Record<string, string> = {};
+    for (let index = 1; index <= CONTROL_COUNT; index++) {
+      const name = `control-${index}`;
+      const control = new ControlInstance({
+        name,
+        host: HOST,
+        port: 0,
+        peerPort: 0,
+        peerKey,
+        operatorToken,
+        dataFolder: path.join(this.dataFolder, name),
+        onFailure: error => {
+          throw error;
+        },
+      });
+      const ports = await control.start();
+      this.controls.push(control);
+      this.controlUrls.push(`http://${HOST}:${ports.port}`);
+      instances[name] = {host: HOST, port: ports.peerPort};
+      addresses[name] = `${HOST}:${ports.peerPort}`;
+    }
+    await this.controls[0]?.createGroup(addresses, READY_TIMEOUT_MS);
+    return instances;
+  }
+
   private async startEntries(
-    controlAddress: PeerAddress,
+    instances: Readonly<Record<string, PeerAddress>>,
     ratingsUrl: string,
   ): Promise<void> {
     const {peerKey, serverKey} = this.keys;
@@ -145,7 +161,7 @@
       const name = `entry-${index}`;
       const control = new ControlClient({
         name,
-        instances: {'control-1': controlAddress},
+        instances,
         peerKey,
       });
       this.clients.push(control);
@@ -155,8 +171,7 @@
         host: HOST,
         port: 0,
         peerPort: 0,
-        // The same list in every entry, filled as they start; each connects to those it lacks.
-        peers: [...peers],
+        peers: peers.slice(0, 1),
         peerKey,
         serverKey,
         control,
@@ -172,8 +187,8 @@
 
   private async startBackends(weightStore: string): Promise<void> {
     const {serverKey} = this.keys;
-    // Servers announce themselves through the last entry, whose links lead to all earlier ones.
-    const entries = this.entryUrls.slice(-1);
+    // Each announcement goes to the next entry, as through a balancer.
+    const entries = this.entryUrls;
     for (let index = 1; index <= ENGINE_COUNT; index++) {
       const engine = new StandInEngine({
         id: `engine-${index}`,
--- a/packages/bench/src/lib/experiments/experimentTable.ts
+++ b/packages/bench/src/lib/experiments/experimentTable.ts
@@ -1,9 +1,17 @@
 import type {Experiment} from '../experimentTypes.js';
 import {COST_EXPERIMENT} from './cost.js';
+import {crest} from './crest.js';
 import {EXPOSURE_EXPERIMENT} from './exposure.js';
+import {headOfLine} from './headOfLine.js';
+import {membership} from './membership.js';
+import {straggler} from './straggler.js';
 
 /** Experiments by name; each stands in a file of its own. @public */
 export const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
   cost: COST_EXPERIMENT,
+  crest,
   exposure: EXPOSURE_EXPERIMENT,
+  'head-of-line': headOfLine,
+  membership,
+  straggler,
 };
--- a/packages/bench/src/lib/load/Fleet.ts
+++ b/packages/bench/src/lib/load/Fleet.ts
@@ -1,10 +1,11 @@
 import {SingleVoterLog} from '@sycamorehead/consensus';
-import {ControlNode} from '@sycamorehead/control';
+import {ControlNode, ReconcilerOptions} from '@sycamorehead/control';
 import {Entry, EntryOptions, RatingSettings} from '@sycamorehead/entry';
 import {ReleaseNote, VersionRef} from '@sycamorehead/schema';
 import {
   EngineSpeed,
   StandInEngine,
+  StandInEngineOptions,
   StandInRatingService,
   StandInService,
 } from '@sycamorehead/stand-ins';
@@ -13,7 +14,8 @@
 const POLL_MS = 10;
 const READY_TIMEOUT_MS = 15_000;
 const PEER_KEY = 'fleet-peer-key';
-const SERVER_KEY = 'fleet-server-key';
+/** Key that a fleet's backend servers announce themselves with. @public */
+export const FLEET_SERVER_KEY = 'fleet-server-key';
 
 /** Settings of a Fleet. @public */
 export interface FleetOptions {
@@ -34,6 +36,8 @@
   /** Half width of the noise on each rating. */
   readonly ratingNoise?: number;
   readonly entryOptions?: Partial<EntryOptions>;
+  readonly engineOptions?: Partial<StandInEngineOptions>;
+  readonly reconciler?: Partial<ReconcilerOptions>;
 }
 
 /**
@@ -49,16 +53,18 @@
   readonly services: StandInService[] = [];
   readonly ratings: StandInRatingService;
   ratingsUrl = '';
-  readonly control = new ControlNode({
-    name: 'control-1',
-    createLog: machine => new SingleVoterLog('control-1', machine),
-  });
+  readonly control: ControlNode;
 
   constructor(private readonly options: FleetOptions) {
     this.ratings = new StandInRatingService({
       quality: options.quality ?? {},
       noise: options.ratingNoise,
     });
+    this.control = new ControlNode({
+      name: 'control-1',
+      createLog: machine => new SingleVoterLog('control-1', machine),
+      reconciler: options.reconciler,
+    });
   }
 
   /** Starts everything and waits until each entry can route to each backend server. */
@@ -95,7 +101,7 @@
         peerPort: 0,
         peers: [...peers],
         peerKey: PEER_KEY,
-        serverKey: SERVER_KEY,
+        serverKey: FLEET_SERVER_KEY,
         control: this.control,
         evidence: this.options.isGuarded === false ? undefined : this.control,
         ratings: this.options.ratings && {
@@ -121,9 +127,10 @@
         versions: versionsOfEngine?.(index) ?? all,
         speed: engineSpeed,
         fencing: index % 2 === 0 ? 'checked' : 'ignored',
-        // The last entry has links to all earlier ones.
-        entries: this.entryUrls.slice(-1),
-        serverKey: SERVER_KEY,
+        // Each announcement goes to the next entry, as through a balancer.
+        entries: this.entryUrls,
+        serverKey: FLEET_SERVER_KEY,
+        ...this.options.engineOptions,
       });
       await engine.start();
       this.engines.push(engine);
@@ -138,8 +145,8 @@
         service: services?.name ?? '',
         dataCentre: `dc-${index}`,
         callMs: serviceCallMs,
-        entries: this.entryUrls.slice(-1),
-        serverKey: SERVER_KEY,
+        entries: this.entryUrls,
+        serverKey: FLEET_SERVER_KEY,
       });
       await service.start();
       this.services.push(service);
--- a/packages/control/src/lib/ControlClient.ts
+++ b/packages/control/src/lib/ControlClient.ts
@@ -7,10 +7,15 @@
   EvidenceSink,
   FinishResult,
   LeaseGrant,
+  LeaseRequest,
+  PlacementApi,
+  ServerReport,
+  ServerReportAnswer,
   SessionPin,
   SycamoreheadError,
   toSycamoreheadError,
 } from '@sycamorehead/schema';
+import type {TlsMaterial} from '@sycamorehead/telemetry';
 import {PeerAddress, PeerLink, connectPeer} from '@sycamorehead/wire';
 
 /** Settings of a ControlClient. @public */
@@ -20,11 +25,17 @@
   /** Control instances, by name. */
   readonly instances: Readonly<Record<string, PeerAddress>>;
   readonly peerKey: string;
+  readonly peerTls?: TlsMaterial;
   /** Time allowed for one call with its retries, in milliseconds. */
   readonly callTimeoutMs?: number;
 }
 
 const DEFAULT_CALL_TIMEOUT_MS = 5_000;
+/** Time after which an instance that does not answer is left for another. */
+const ATTEMPT_TIMEOUT_MS = 1_500;
+/** A lease counts from when its request was sent, so a slow attempt is not worth waiting for. */
+const LEASE_TIMEOUT_MS = 1_000;
+const WATCH_MARGIN_MS = 1_000;
 const RETRY_PAUSE_MS = 50;
 
 /** Kinds after which another control instance is asked. All commands are safe to resend. */
@@ -33,6 +44,8 @@
   'link_closed',
   'timeout',
   'control_unavailable',
+  'stopping',
+  'storage_failed',
 ]);
 
 /**
@@ -40,7 +53,7 @@
  *
  * @public
  */
-export class ControlClient implements ControlApi, EvidenceSink {
+export class ControlClient implements ControlApi, EvidenceSink, PlacementApi {
   private link: PeerLink | undefined;
   private connecting: Promise<PeerLink> | undefined;
   private nextInstance = 0;
@@ -48,11 +61,16 @@
 
   constructor(private readonly options: ControlClientOptions) {}
 
-  renewLease(params: {
-    entry: string;
-    confirmedRevision: number;
-  }): Promise<LeaseGrant> {
-    return this.call('control.renewLease', params);
+  renewLease(params: LeaseRequest): Promise<LeaseGrant> {
+    return this.call('control.renewLease', params, LEASE_TIMEOUT_MS);
+  }
+
+  watchRevision(params: {
+    knownRevision: number;
+    waitMs: number;
+  }): Promise<{revision: number}> {
+    const timeoutMs = params.waitMs + WATCH_MARGIN_MS;
+    return this.call('control.watchRevision', params, timeoutMs, timeoutMs);
   }
 
   pinSession(
@@ -81,20 +99,29 @@
     return this.call('control.reportEvidence', batch);
   }
 
+  reportServers(report: ServerReport): Promise<ServerReportAnswer> {
+    return this.call('control.reportServers', report);
+  }
+
   /** Closes the link. */
   stop(): void {
     this.stopped = true;
     this.link?.close('client stops');
   }
 
-  private async call<Result>(method: string, params: unknown): Promise<Result> {
-    const budgetMs = this.options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
+  private async call<Result>(
+    method: string,
+    params: unknown,
+    budgetMs = this.options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS,
+    attemptMs = ATTEMPT_TIMEOUT_MS,
+  ): Promise<Result> {
     const deadline = performance.now() + budgetMs;
     for (;;) {
       const remainingMs = deadline - performance.now();
       try {
         const link = await this.getLink();
-        return await link.request<Result>(method, params, remainingMs);
+        const timeoutMs = Math.min(remainingMs, attemptMs);
+        return await link.request<Result>(method, params, timeoutMs);
       } catch (thrown) {
         const error = toSycamoreheadError(thrown);
         if (!RETRIED_KINDS.has(error.kind)) throw error;
@@ -130,6 +157,7 @@
       address,
       name: this.options.name,
       peerKey: this.options.peerKey,
+      tls: this.options.peerTls,
     });
     return this.link;
   }
--- a/packages/control/src/lib/controlCommands.ts
+++ b/packages/control/src/lib/controlCommands.ts
@@ -54,7 +54,18 @@
       /** Committed with the outcome, so that no answer stands without its bill. */
       readonly bill?: Bill;
     }
-  | {readonly type: 'record_bill'; readonly bill: Bill};
+  | {readonly type: 'record_bill'; readonly bill: Bill}
+  | {
+      /** The fact that no entry can route on an older revision any more. */
+      readonly type: 'mark_in_force';
+      readonly revision: number;
+    }
+  | {
+      readonly type: 'issue_order';
+      readonly action: 'load' | 'unload';
+      readonly server: string;
+      readonly version: VersionRef;
+    };
 
 /** Name of a command. @public */
 export type ControlCommandType = ControlCommand['type'];
@@ -69,6 +80,7 @@
 
 /** Results by command; an error travels as its body. @public */
 export interface ControlResults {
+  readonly mark_in_force: {readonly changed: boolean};
   readonly publish: PublishResult | {readonly error: ErrorBody};
   readonly quarantine: {readonly changed: boolean};
   readonly advance_rollout: {readonly changed: boolean};
@@ -76,4 +88,6 @@
   readonly begin_request: BeginResult;
   readonly finish_request: FinishResult;
   readonly record_bill: {readonly isNew: boolean};
+  /** The order's index in the log. */
+  readonly issue_order: {readonly fencing: number};
 }
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -1,6 +1,7 @@
 import {
   ControlApi,
   EvidenceSink,
+  PlacementApi,
   SycamoreheadError,
   isSameKey,
   parseAnnouncement,
@@ -9,8 +10,13 @@
   EntryMetrics,
   createEntryMetrics,
   createLogger,
+  TlsMaterial,
 } from '@sycamorehead/telemetry';
-import {BackendServerDirectory, PeerGossip} from '@sycamorehead/membership';
+import {
+  BackendServerDirectory,
+  PEER_LINK_TIMEOUTS,
+  PeerGossip,
+} from '@sycamorehead/membership';
 import {PeerAddress, WireServer} from '@sycamorehead/wire';
 import {Router, RouterOptions} from '@sycamorehead/routing';
 import {readBearerKey} from './authenticateCustomer.js';
@@ -29,12 +35,12 @@
 import {RatingSettings} from './feedback/RatingClient.js';
 import {VersionFeedback} from './feedback/VersionFeedback.js';
 import {PlainServiceProxy} from './PlainServiceProxy.js';
+import {ServerReporter} from './ServerReporter.js';
 import {VersionResolver} from './VersionResolver.js';
 
 const log = createLogger('entry');
 
 const MAX_ANNOUNCEMENT_BYTES = 64 * 1024;
-const EXPIRE_INTERVAL_MS = 1_000;
 /** Time for which a stop waits for bills to be recorded, in milliseconds. */
 const COMMIT_DRAIN_MS = 60_000;
 
@@ -49,9 +55,13 @@
   readonly peers: readonly PeerAddress[];
   /** Key that links between the system's own instances prove. */
   readonly peerKey: string;
+  /** TLS on links between the system's own instances. */
+  readonly peerTls?: TlsMaterial;
+  /** TLS towards callers and backend servers. */
+  readonly tls?: TlsMaterial;
   /** Key that backend servers prove when they announce themselves. */
   readonly serverKey: string;
-  readonly control: ControlApi;
+  readonly control: ControlApi & Partial<PlacementApi>;
   /** Takes the evidence on versions. */
   readonly evidence?: EvidenceSink;
   /** The rating service; without one no quality is learned. */
@@ -85,19 +95,20 @@
   readonly router: Router;
   private readonly feedback: VersionFeedback;
   private readonly gossip: PeerGossip;
+  private readonly reporter: ServerReporter;
   private readonly peerServer: WireServer;
   private readonly backends: BackendClient;
   private readonly commits: CommitQueue;
   private readonly server: EntryServer;
   private readonly chat: ChatService;
   private readonly services: PlainServiceProxy;
-  private expiry: NodeJS.Timeout | undefined;
   private running = 0;
+  private idleListener: (() => void) | undefined;
   private isLeaving = false;
   private isRefusing = false;
 
   constructor(private readonly options: EntryOptions) {
-    const {name, peerKey, peers, control, policies} = options;
+    const {name, peerKey, peerTls, peers, control, policies} = options;
     const {directory, metrics} = this;
     this.configuration = new ConfigurationManager(name, control);
     this.feedback = new VersionFeedback({
@@ -117,12 +128,15 @@
     const timeouts = options.timeouts ?? DEFAULT_ENTRY_TIMEOUTS;
     this.backends = new BackendClient(backendTimeouts);
     this.commits = new CommitQueue(timeouts.commitWaitMs);
-    this.gossip = new PeerGossip({name, peers, peerKey, directory});
+    this.gossip = new PeerGossip({name, peers, peerKey, peerTls, directory});
+    this.reporter = new ServerReporter(name, directory, control);
     this.peerServer = new WireServer({
       host: options.host,
       port: options.peerPort,
       peerKey,
+      tls: peerTls,
       methods: this.gossip.getMethods(),
+      timeouts: PEER_LINK_TIMEOUTS,
     });
     const shared = {
       backends: this.backends,
@@ -147,21 +161,17 @@
       directory,
       serviceMs: backendTimeouts.serviceMs,
     });
-    this.server = new EntryServer(this.getRoutes());
+    this.server = new EntryServer(this.getRoutes(), options.tls);
   }
 
   /** Starts everything and returns the ports. */
   async start(): Promise<EntryPorts> {
     const {host, port} = this.options;
     const peerPort = await this.peerServer.start();
-    this.gossip.start();
+    this.gossip.start({host, port: peerPort});
+    this.reporter.start();
     this.configuration.start();
     this.feedback.start();
-    this.expiry = setInterval(
-      () => this.directory.expire(),
-      EXPIRE_INTERVAL_MS,
-    );
-    this.expiry.unref();
     const ports = {port: await this.server.start(host, port), peerPort};
     log('entry_started', {name: this.options.name, ...ports});
     return ports;
@@ -169,7 +179,8 @@
 
   /**
    * Graceful shutdown: first not ready, while requests are still served for as long as the
-   * balancer needs to notice; then new requests are refused and running ones finish.
+   * balancer needs to notice; then new requests are refused and running ones finish. Returns once
+   * every bill is recorded.
    */
   async stop(): Promise<void> {
     this.isLeaving = true;
@@ -178,12 +189,14 @@
       setTimeout(resolve, this.options.balancerLagMs ?? 0),
     );
     this.isRefusing = true;
+    // The port stays open meanwhile, so that a late request is refused with a true answer.
+    await this.waitUntilIdle();
     await this.server.stop();
     await this.feedback.stop();
     await this.commits.drain(COMMIT_DRAIN_MS);
     this.configuration.stop();
+    this.reporter.stop();
     this.gossip.stop();
-    clearInterval(this.expiry);
     await this.peerServer.stop();
     await this.backends.stop();
     log('entry_stopped', {name: this.options.name});
@@ -251,9 +264,17 @@
     } finally {
       this.running -= 1;
       this.metrics.running.set(this.running);
+      if (this.running === 0) this.idleListener?.();
     }
   }
 
+  private async waitUntilIdle(): Promise<void> {
+    if (this.running === 0) return;
+    await new Promise<void>(resolve => {
+      this.idleListener = resolve;
+    });
+  }
+
   private async receiveAnnouncement(exchange: Exchange): Promise<void> {
     const key = readBearerKey(exchange.request.headers);
     if (!isSameKey(key, this.options.serverKey)) {
@@ -270,9 +291,7 @@
         {field: 'id'},
       );
     }
-    const isNews = this.directory.receive(announcement);
-    if (isNews) this.gossip.announce(announcement);
-    exchange.sendJson(200, {accepted: isNews});
+    exchange.sendJson(200, await this.gossip.receive(announcement));
   }
 
   private sendReadiness(exchange: Exchange): void {
--- a/packages/entry/src/lib/FrameChecker.ts
+++ b/packages/entry/src/lib/FrameChecker.ts
@@ -5,7 +5,7 @@
  * Checks that the frames of one attempt are its own and continue the answer: what repeats tokens
  * or belongs to another attempt is dropped, a gap ends the attempt.
  *
- * @internal
+ * @public
  */
 export class FrameChecker {
   /** Frames dropped so far. */
@@ -64,7 +64,7 @@
   }
 
   private readEnd(chunk: ChatChunk, tokens: number): number {
-    if (chunk.offset !== undefined) return chunk.offset;
+    if (typeof chunk.offset === 'number') return chunk.offset;
     if (!this.isResumed) return this.offset + tokens;
     throw new SycamoreheadError(
       'incomplete_answer',
--- a/packages/membership/src/test/BackendServerDirectory.test.ts
+++ b/packages/membership/src/test/BackendServerDirectory.test.ts
@@ -23,9 +23,9 @@
 test('a late ready never brings back a leaving server; a new generation does', () => {
   const directory = new BackendServerDirectory();
   directory.receive(announce({sequence: 5, state: 'leaving'}));
-  assert.equal(directory.receive(announce({sequence: 4})), false);
+  assert.equal(directory.receive(announce({sequence: 4})), 'stale');
   assert.equal(directory.listReady().length, 0);
-  assert.equal(directory.receive(announce({generation: 2})), true);
+  assert.equal(directory.receive(announce({generation: 2})), 'changed');
   assert.equal(directory.listEngines({model: 'm', version: 'v1'}).length, 1);
 });
 
@@ -34,7 +34,7 @@
   try {
     const directory = new BackendServerDirectory();
     directory.receive(announce({}));
-    clock.tick(3_900);
+    clock.tick(3_400);
     assert.equal(directory.listReady().length, 1);
     clock.tick(200);
     assert.equal(directory.listReady().length, 0);
@@ -42,3 +42,17 @@
     clock.uninstall();
   }
 });
+
+test('a server that is not held gets no work; one that is new is held until the next choice', () => {
+  const directory = new BackendServerDirectory();
+  const listIds = () =>
+    directory.listReady().map(({announcement}) => announcement.id);
+  directory.receive(announce({id: 'a'}));
+  directory.receive(announce({id: 'b'}));
+  directory.hold(new Set(['a']));
+  assert.deepEqual(listIds(), ['a']);
+  directory.receive(announce({id: 'c'}));
+  assert.deepEqual(listIds(), ['a', 'c']);
+  directory.hold(new Set(['a', 'b']));
+  assert.deepEqual(listIds(), ['a', 'b']);
+});
--- a/packages/routing/src/lib/cheapestAtTarget.ts
+++ b/packages/routing/src/lib/cheapestAtTarget.ts
@@ -59,7 +59,11 @@
       const options = listOptions(context, request, configuration);
       const usable = options
         .filter(({ruledOut}) => !ruledOut)
-        .sort((left, right) => left.cost - right.cost);
+        .sort(
+          (left, right) =>
+            left.cost - right.cost ||
+            right.estimate.lower - left.estimate.lower,
+        );
       const target = request.customer.qualityTarget;
       const settled = pickSettled(usable, target);
       if (!settled) throw createRefusal(options, request);
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -48,6 +48,7 @@
   ControlApi,
   FinishResult,
   LeaseGrant,
+  LeaseRequest,
   SessionPin,
   StoredAnswer,
 } from './lib/records.js';
@@ -60,3 +61,15 @@
   QualitySummary,
   RatingEvidence,
 } from './lib/evidence.js';
+export type {
+  PlacementApi,
+  ReportedServer,
+  ServerReport,
+  ServerReportAnswer,
+  VersionLoad,
+} from './lib/serverReport.js';
+export {
+  applyConfigurationDelta,
+  diffConfigurations,
+} from './lib/configurationDelta.js';
+export type {ConfigurationDelta, TableDelta} from './lib/configurationDelta.js';
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -7,6 +7,9 @@
 export type {LogFields, Logger} from './lib/createLogger.js';
 export {createEntryMetrics} from './lib/createMetrics.js';
 export type {EntryMetrics} from './lib/createMetrics.js';
+export {createTlsOptions} from './lib/createTlsOptions.js';
+export {readTls} from './lib/readTls.js';
+export type {TlsFiles, TlsMaterial} from './lib/readTls.js';
 export {
   readOptionalSecret,
   readSecret,
