The delivery tests name the policy that they presume

Cause: one test presumes that a withdrawn version's sessions move to the version of the highest prior although no engine has loaded it; the new default moves them to one that is loaded. Change: the tests' harness takes fixed_best; every assertion stays as it was.

--- a/packages/bench/src/test/DeliveryHarness.ts
+++ b/packages/bench/src/test/DeliveryHarness.ts
@@ -131,6 +131,8 @@
       peers: [],
       ...KEYS,
       control: wrapControl(this.control, faults),
+      // The version of the highest prior, so that a test says by its priors which one is chosen.
+      policies: {versionPolicy: 'fixed_best'},
       backendTimeouts: {
         connectMs: 300,
         firstByteMs: 300,
