--- a/apps/syc/src/main.ts
+++ b/apps/syc/src/main.ts
@@ -5,7 +5,6 @@
   flag,
   number,
   option,
-  optional,
   positional,
   run,
   string,
@@ -24,8 +23,10 @@
   toSycamoreheadError,
 } from '@sycamorehead/schema';
 import {readSecret} from '@sycamorehead/telemetry';
+import {buildBillsCommand} from './billsCommand.js';
 import {describeChanges} from './describeChanges.js';
 import {formatRollout} from './formatRollout.js';
+import {buildMembersCommand} from './membersCommand.js';
 
 const POLL_MS = 200;
 
@@ -81,7 +82,7 @@
   const deadline = performance.now() + timeoutMs;
   for (;;) {
     const report = await client.readInForce();
-    if (report.revision >= revision && report.inForce) return;
+    if (report.inForceRevision >= revision) return;
     if (performance.now() > deadline) {
       throw new SycamoreheadError(
         'timeout',
@@ -165,7 +166,7 @@
       }
       const {revision, noteNumber, configurationDigest} = report;
       console.log(
-        `revision=${revision} note=${noteNumber} digest=${configurationDigest} in_force=${report.inForce ? 'yes' : 'no'}`,
+        `revision=${revision} note=${noteNumber} digest=${configurationDigest} in_force=${report.inForce ? 'yes' : 'no'} in_force_revision=${report.inForceRevision}`,
       );
       for (const entry of report.entries) {
         console.log(
@@ -195,40 +196,6 @@
     }),
 });
 
-const bills = command({
-  name: 'bills',
-  description: 'lists the bills and their totals',
-  args: {
-    control,
-    json,
-    customer: option({
-      type: optional(string),
-      long: 'customer',
-      description: 'only the bills of this customer',
-    }),
-  },
-  handler: args =>
-    runReporting(async () => {
-      const list = await createClient(args.control).listBills(args.customer);
-      if (args.json) {
-        console.log(JSON.stringify(list));
-        return;
-      }
-      const totals = new Map<string, {count: number; micros: number}>();
-      for (const bill of list) {
-        const total = totals.get(bill.customer) ?? {count: 0, micros: 0};
-        total.count += 1;
-        total.micros += bill.amountMicros;
-        totals.set(bill.customer, total);
-      }
-      for (const [customer, {count, micros}] of totals) {
-        console.log(
-          `customer=${customer} bills=${count} amount_micros=${micros}`,
-        );
-      }
-    }),
-});
-
 const hashKeyCommand = command({
   name: 'hash-key',
   description: 'prints the hash of the key on the standard input',
@@ -249,7 +216,8 @@
     publish,
     'in-force': inForce,
     status,
-    bills,
+    members: buildMembersCommand(createClient, runReporting),
+    bills: buildBillsCommand({control, createClient, runReporting}),
     'hash-key': hashKeyCommand,
   },
 });
--- a/packages/bench/src/lib/experiments/experimentTable.ts
+++ b/packages/bench/src/lib/experiments/experimentTable.ts
@@ -4,6 +4,10 @@
 import {EXPOSURE_EXPERIMENT} from './exposure.js';
 import {headOfLine} from './headOfLine.js';
 import {membership} from './membership.js';
+import {overhead} from './overhead.js';
+import {restart} from './restart.js';
+import {rollout} from './rollout.js';
+import {slopes} from './slopes.js';
 import {straggler} from './straggler.js';
 
 /** Experiments by name; each stands in a file of its own. @public */
@@ -13,5 +17,9 @@
   exposure: EXPOSURE_EXPERIMENT,
   'head-of-line': headOfLine,
   membership,
+  overhead,
+  restart,
+  rollout,
+  slopes,
   straggler,
 };
--- a/packages/bench/src/test/answerFailures.test.ts
+++ b/packages/bench/src/test/answerFailures.test.ts
@@ -7,6 +7,7 @@
   TOTAL,
   WHOLE,
   answerRest,
+  answerRestAndLinger,
   writeFrame,
   writeTokens,
 } from './ScriptedEngine.js';
@@ -209,14 +210,21 @@
     },
   ));
 
-test('connections to engines are used again, streamed or whole', () =>
-  runAlone([answerRest], async engine => {
-    for (const stream of [true, false, true, false]) {
-      const {seen} = await sendAndReadBills({stream});
-      assert.equal(seen.text, WHOLE);
-    }
-    assert.equal(new Set(engine.runs.map(({port}) => port)).size, 1);
-  }));
+for (const [form, script] of [
+  ['at once', answerRest],
+  ['late', answerRestAndLinger],
+] as const) {
+  test(`connections whose stream ends ${form} are used again`, () =>
+    runAlone([script], async engine => {
+      for (const stream of [true, false, true, false]) {
+        const {seen} = await sendAndReadBills({stream});
+        assert.equal(seen.text, WHOLE);
+        // The connection is free once the engine has ended its stream.
+        await new Promise(resolve => setTimeout(resolve, 50));
+      }
+      assert.equal(new Set(engine.runs.map(({port}) => port)).size, 1);
+    }));
+}
 
 test('a connection silent for good holds up no other request', () =>
   runAlone(
@@ -256,7 +264,7 @@
       await harness.waitFor(() => engine.runs[0]!.isClosed);
       assert.equal(engine.runs.length, 1, 'not resumed for nobody');
       assert.equal((await findBills())[0]?.usage?.completion_tokens, 3);
-      assert.equal(harness.entries[0]?.router.work.count(id), 0);
+      assert.equal(harness.entries[0]?.router.context.work.count(id), 0);
     },
   ));
 
@@ -326,7 +334,7 @@
       const {seen} = await sendAndReadBills();
       assert.deepEqual(
         [seen.isWhole, seen.kind, seen.ran],
-        [false, 'control_unavailable', 'yes'],
+        [false, 'bill_pending', 'yes'],
       );
       faults!.outage = 'none';
       const requestId = String(seen.headers['sycamorehead-request-id']);
--- a/packages/control/src/lib/ControlNode.ts
+++ b/packages/control/src/lib/ControlNode.ts
@@ -37,6 +37,7 @@
   DEFAULT_LEASE_MS,
   InForceReport,
 } from './configuration/ConfigurationService.js';
+import type {LedgerReport} from './Ledger.js';
 import type {RolloutStatus} from './reconciler/describeRollout.js';
 import {Reconciler, ReconcilerOptions} from './reconciler/Reconciler.js';
 
@@ -84,7 +85,6 @@
         this.propose({type: 'advance_rollout', version, fromStep}),
       isPlaced: version => this.reconciler.isPlacementReady(version),
     });
-    this.guard.start();
   }
 
   // Commands.
@@ -179,6 +179,12 @@
     return this.state.listBills(customer);
   }
 
+  /** Reads the ledger's totals, checked against the request records. */
+  async checkLedger(): Promise<LedgerReport> {
+    await this.replicatedLog.confirmLeadership();
+    return this.state.checkLedger();
+  }
+
   /** Reads the members of the group, confirmed with a quorum. */
   async readMembers(): Promise<Membership> {
     await this.replicatedLog.confirmLeadership();
@@ -201,7 +207,7 @@
     return new Reconciler(
       {
         confirmLeadership: () => replicatedLog.confirmLeadership(),
-        getTerm: () => replicatedLog.getStatus().term,
+        getStatus: () => replicatedLog.getStatus(),
         getConfiguration: () => state.getConfiguration(),
         commitOrder: async order => {
           const {fencing} = await this.propose({type: 'issue_order', ...order});
--- a/packages/control/src/lib/guard/RolloutGuard.ts
+++ b/packages/control/src/lib/guard/RolloutGuard.ts
@@ -46,25 +46,29 @@
   private readonly seenSteps = new Map<string, SeenStep>();
   private readonly pending = new Set<string>();
   private isLeading = false;
+  private isStopped = false;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly parts: RolloutGuardParts) {}
 
   // Commands.
 
-  /** Begins to check roll-outs at intervals. */
+  /** Begins to check roll-outs at intervals; the first batch of evidence does so by itself. */
   start(): void {
+    if (this.timer || this.isStopped) return;
     this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
     this.timer.unref();
   }
 
   /** Stops checking. */
   stop(): void {
+    this.isStopped = true;
     clearInterval(this.timer);
   }
 
   /** Takes a batch of evidence and acts on it at once. */
   accept(batch: EvidenceBatch): EvidenceReceipt {
+    this.start();
     const configuration = this.parts.getConfiguration();
     const isNew = this.pool.accept(batch, configuration);
     if (isNew) this.quarantineAlarming(configuration);
--- a/packages/control/src/lib/reconciler/Reconciler.ts
+++ b/packages/control/src/lib/reconciler/Reconciler.ts
@@ -3,9 +3,11 @@
   ReportedServer,
   ServerReport,
   ServerReportAnswer,
+  SycamoreheadError,
   VersionRef,
   formatVersionKey,
 } from '@sycamorehead/schema';
+import type {LogStatus} from '@sycamorehead/consensus';
 import {createLogger} from '@sycamorehead/telemetry';
 import {computeShare} from './computeNeeds.js';
 import {LoadPacer, WeightStoreRate} from './LoadPacer.js';
@@ -54,7 +56,7 @@
 export interface ReconcilerHost {
   /** Returns once a quorum has confirmed that this instance leads; throws otherwise. */
   confirmLeadership(): Promise<void>;
-  getTerm(): number;
+  getStatus(): Pick<LogStatus, 'role' | 'term' | 'leader'>;
   getConfiguration(): Configuration;
   /** Commits an order and returns its fencing number: its index in the log. */
   commitOrder(order: {
@@ -86,6 +88,7 @@
   private leadership: Leadership | undefined;
   private plan: PlacementPlan | undefined;
   private timer: NodeJS.Timeout | undefined;
+  private wakeTimer: NodeJS.Timeout | undefined;
   private isTicking = false;
   private stopped = false;
 
@@ -100,12 +103,18 @@
   // Commands.
 
   /**
-   * Takes an entry's report. Only the leader does.
+   * Takes an entry's report. Only the leader does; its word for it is enough, since a report
+   * changes nothing that is committed, and each order confirms the leadership.
    *
-   * @throws SycamoreheadError `not_leader`, `control_unavailable`.
+   * @throws SycamoreheadError `not_leader`.
    */
-  async receive(report: ServerReport): Promise<ServerReportAnswer> {
-    await this.host.confirmLeadership();
+  receive(report: ServerReport): ServerReportAnswer {
+    const {role, leader} = this.host.getStatus();
+    if (role !== 'leader') {
+      throw new SycamoreheadError('not_leader', 'reports go to the leader', {
+        leader,
+      });
+    }
     this.startTicking();
     return this.reports.receive(report);
   }
@@ -114,6 +123,7 @@
   stop(): void {
     this.stopped = true;
     clearInterval(this.timer);
+    clearTimeout(this.wakeTimer);
   }
 
   /** Plans and gives the orders that are due. Runs by itself once a report has come. */
@@ -150,11 +160,18 @@
         share: computeShare(version),
         placement: this.plan?.placements.get(formatVersionKey(version)),
         isSettled: this.isSettled(),
-        isPaced: this.pacer.isWaiting(),
+        isPaced: this.pacer.getWaitMs() > 0,
       }),
     );
   }
 
+  /** Tells whether the entries have had time to report to this leader. */
+  isSettled(): boolean {
+    const {leadership, options} = this;
+    if (!leadership) return false;
+    return performance.now() - leadership.since >= options.settleMs;
+  }
+
   private readConfigured({model, version}: VersionRef) {
     const key = formatVersionKey({model, version});
     return this.host.getConfiguration().versions[key];
@@ -178,7 +195,7 @@
       this.withdrawnSince.clear();
       return false;
     }
-    const term = this.host.getTerm();
+    const {term} = this.host.getStatus();
     if (this.leadership?.term !== term) {
       this.leadership = {term, since: performance.now()};
       this.orders.clear();
@@ -187,13 +204,6 @@
     return true;
   }
 
-  /** Whether the entries have had time to report to this leader. */
-  private isSettled(): boolean {
-    const {leadership, options} = this;
-    if (!leadership) return false;
-    return performance.now() - leadership.since >= options.settleMs;
-  }
-
   /**
    * Whether a server may be ordered: one that ignores fencing numbers might still be obeying an
    * order of the former leader.
@@ -223,12 +233,24 @@
     for (const order of [...this.plan.unloads, ...this.plan.loads]) {
       if (given >= MAX_ORDERS_PER_TICK) return;
       if (!this.isOrderable(order.server)) continue;
-      if (order.action === 'load' && !this.pacer.tryAcquire()) return;
+      if (order.action === 'load' && !this.pacer.tryAcquire()) {
+        this.scheduleLoad();
+        return;
+      }
       given += 1;
       await this.giveOrder(order);
     }
   }
 
+  /** Plans again as soon as the weight store's rate allows the next load. */
+  private scheduleLoad(): void {
+    clearTimeout(this.wakeTimer);
+    const waitMs = Math.ceil(this.pacer.getWaitMs());
+    if (waitMs >= this.options.tickMs) return;
+    this.wakeTimer = setTimeout(() => void this.reconcile(), waitMs);
+    this.wakeTimer.unref();
+  }
+
   private trackWithdrawals(): void {
     const {versions} = this.host.getConfiguration();
     for (const [key, {state}] of Object.entries(versions)) {
--- a/packages/control/src/test/FakeEngines.ts
+++ b/packages/control/src/test/FakeEngines.ts
@@ -8,6 +8,7 @@
   EMPTY_CONFIGURATION,
   SycamoreheadError,
   formatVersionKey,
+  toSycamoreheadError,
 } from '@sycamorehead/schema';
 import {
   Reconciler,
@@ -67,6 +68,7 @@
   /** Loads that never finish. */
   isStuck = false;
   readonly executed: EngineOrderMessage[] = [];
+  private generation = 1;
   private highestFencing = 0;
   private loading: VersionRef | undefined;
 
@@ -99,13 +101,21 @@
     return {state: 'accepted'};
   }
 
+  /** Loses everything that was loaded or being loaded. */
+  restart(): void {
+    this.versions = [];
+    this.loading = undefined;
+    this.highestFencing = 0;
+    this.generation += 1;
+  }
+
   describe(): ReportedServer {
-    const {id, versions, fencing, versionSlots} = this;
+    const {id, generation, versions, fencing, versionSlots} = this;
     return {
       id,
       address: id,
       dataCentre: 'dc-1',
-      generation: 1,
+      generation,
       sequence: Math.floor(performance.now()),
       state: 'ready',
       versions: [...versions],
@@ -151,7 +161,11 @@
     };
     const host: ReconcilerHost = {
       confirmLeadership: async () => assertLeads(),
-      getTerm: () => this.term,
+      getStatus: () => ({
+        role: this.leader === name ? 'leader' : 'follower',
+        term: this.term,
+        leader: this.leader,
+      }),
       getConfiguration: () => this.configuration,
       commitOrder: async () => {
         assertLeads();
@@ -177,7 +191,7 @@
   }
 
   /** Reports every engine, as an entry would. */
-  async report(reconciler: Reconciler): Promise<void> {
+  report(reconciler: Reconciler): void {
     for (const key of Object.keys(this.configuration.versions)) {
       const before = this.fewest.get(key) ?? Infinity;
       this.fewest.set(key, Math.min(before, this.count(key)));
@@ -189,7 +203,11 @@
       dropped: [],
       loads: {},
     };
-    await reconciler.receive(report).catch(() => {});
+    try {
+      reconciler.receive(report);
+    } catch (error) {
+      if (toSycamoreheadError(error).kind !== 'not_leader') throw error;
+    }
   }
 
   /** Counts the engines that have a version loaded, by `m/version`. */
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -18,7 +18,12 @@
   PeerGossip,
 } from '@sycamorehead/membership';
 import {PeerAddress, WireServer} from '@sycamorehead/wire';
-import {Router, RouterOptions} from '@sycamorehead/routing';
+import {
+  Router,
+  RouterOptions,
+  UsageExchange,
+  UsageReporter,
+} from '@sycamorehead/routing';
 import {readBearerKey} from './authenticateCustomer.js';
 import type {AnswerPlannerName} from './answerPlanners.js';
 import {
@@ -41,6 +46,8 @@
 const log = createLogger('entry');
 
 const MAX_ANNOUNCEMENT_BYTES = 64 * 1024;
+/** Time after which an entry that knows no backend server counts as ready, in milliseconds. */
+const WARM_UP_LIMIT_MS = 5_000;
 /** Time for which a stop waits for bills to be recorded, in milliseconds. */
 const COMMIT_DRAIN_MS = 60_000;
 
@@ -95,6 +102,7 @@
   readonly router: Router;
   private readonly feedback: VersionFeedback;
   private readonly gossip: PeerGossip;
+  private readonly usage: UsageExchange;
   private readonly reporter: ServerReporter;
   private readonly peerServer: WireServer;
   private readonly backends: BackendClient;
@@ -102,6 +110,7 @@
   private readonly server: EntryServer;
   private readonly chat: ChatService;
   private readonly services: PlainServiceProxy;
+  private readonly startedAt = performance.now();
   private running = 0;
   private idleListener: (() => void) | undefined;
   private isLeaving = false;
@@ -119,6 +128,7 @@
     });
     this.router = new Router({
       directory,
+      dataCentre: options.dataCentre,
       quality: this.feedback.quality,
       canExplore: () => this.feedback.isLearning(),
       onOutcome: outcome => this.feedback.observeAttempt(outcome),
@@ -129,13 +139,24 @@
     this.backends = new BackendClient(backendTimeouts);
     this.commits = new CommitQueue(timeouts.commitWaitMs);
     this.gossip = new PeerGossip({name, peers, peerKey, peerTls, directory});
+    this.usage = new UsageExchange({
+      name,
+      peers,
+      peerKey,
+      peerTls,
+      reporter: new UsageReporter({
+        entry: name,
+        directory,
+        router: this.router,
+      }),
+    });
     this.reporter = new ServerReporter(name, directory, control);
     this.peerServer = new WireServer({
       host: options.host,
       port: options.peerPort,
       peerKey,
       tls: peerTls,
-      methods: this.gossip.getMethods(),
+      methods: {...this.gossip.getMethods(), ...this.usage.getMethods()},
       timeouts: PEER_LINK_TIMEOUTS,
     });
     const shared = {
@@ -169,6 +190,7 @@
     const {host, port} = this.options;
     const peerPort = await this.peerServer.start();
     this.gossip.start({host, port: peerPort});
+    this.usage.start();
     this.reporter.start();
     this.configuration.start();
     this.feedback.start();
@@ -197,6 +219,7 @@
     this.configuration.stop();
     this.reporter.stop();
     this.gossip.stop();
+    this.usage.stop();
     await this.peerServer.stop();
     await this.backends.stop();
     log('entry_stopped', {name: this.options.name});
@@ -207,6 +230,20 @@
     return !this.isLeaving && this.configuration.read().leaseLeftMs > 0;
   }
 
+  /**
+   * Whether this entry knows a backend server, or has waited long enough for one: a restarted
+   * entry has its lease before its peers have told it of the servers.
+   */
+  private isWarm(): boolean {
+    if (this.directory.listReady().length > 0) return true;
+    return performance.now() - this.startedAt > WARM_UP_LIMIT_MS;
+  }
+
+  /** Counts the requests being served and the commits that wait for control. */
+  countUnfinished(): number {
+    return this.running + this.commits.count();
+  }
+
   private getRoutes(): Route[] {
     return [
       {
@@ -295,7 +332,7 @@
   }
 
   private sendReadiness(exchange: Exchange): void {
-    const isReady = this.isReady();
+    const isReady = this.isReady() && this.isWarm();
     exchange.sendJson(isReady ? 200 : 503, {ready: isReady});
   }
 
--- a/packages/membership/src/lib/PeerGossip.ts
+++ b/packages/membership/src/lib/PeerGossip.ts
@@ -3,18 +3,24 @@
 import {MethodTable, PeerAddress, PeerLink} from '@sycamorehead/wire';
 import type {BackendServerDirectory} from './BackendServerDirectory.js';
 import {chooseSubset} from './chooseSubset.js';
-import {EncodedBeat, decodeBeat, decodeLevel, encodeBeat} from './beats.js';
+import {
+  EncodedHeartbeat,
+  decodeHeartbeat,
+  decodeLevel,
+  encodeHeartbeat,
+} from './heartbeats.js';
 import {InterestChange, InterestList} from './InterestList.js';
 import {InterestMessage, PeerInterests} from './PeerInterests.js';
 import {PeerLinks, PeerSet} from './PeerLinks.js';
 import {FactDelta, digestText, parseFactDelta} from './serverFacts.js';
+import {waitForSome} from './waitForSome.js';
 
 const log = createLogger('membership');
 
-const BEAT_MS = 1_000;
+const HEARTBEAT_MS = 1_000;
 /** Time for which changes are gathered into one message, in milliseconds. */
 const BATCH_MS = 50;
-/** Time without a beat after which a link is closed and dialled anew, in milliseconds. */
+/** Time without a heartbeat after which a link is closed and dialled anew, in milliseconds. */
 const LINK_SILENCE_MS = 3_500;
 /** Peers that hold a `leaving` before it is acknowledged; the hearer may die at once. */
 const LEAVING_PEERS = 2;
@@ -22,7 +28,7 @@
 const LEAVING_WAIT_MS = 1_000;
 const FACTS_METHOD = 'membership.facts';
 /** Short, since it is most of what entries send. */
-const BEAT_METHOD = 'beat';
+const HEARTBEAT_METHOD = 'hb';
 const INTEREST_METHOD = 'membership.interest';
 const SYNC_METHOD = 'membership.sync';
 
@@ -52,22 +58,25 @@
   readonly facts: readonly FactDelta[];
 }
 
-/** The sender's digest, empty where it is the one last sent, and the encoded beat. */
-type BeatMessage = readonly [digest: string, ...beat: EncodedBeat];
+/** The sender's digest, empty where it is the one last sent, and the encoded heartbeat. */
+type HeartbeatMessage = readonly [
+  digest: string,
+  ...heartbeat: EncodedHeartbeat,
+];
 
-/** What is kept of a link's beats. */
-interface BeatRecord {
-  /** Monotonic time of the last beat received. */
+/** What is kept of a link's heartbeats. */
+interface HeartbeatRecord {
+  /** Monotonic time of the last heartbeat received. */
   heardAt: number;
   sentDigest: string;
   theirDigest: string;
-  /** Both digests where they differed at the last beat. */
+  /** Both digests where they differed at the last heartbeat. */
   mismatch: string;
 }
 
 /**
  * Entries tell each other of backend servers: changes of facts at once and in batches, liveness
- * and load as one beat a second with a bit for each server that the peer holds, and whole
+ * and load as one heartbeat a second with a bit for each server that the peer holds, and whole
  * buckets of facts where digests go on differing.
  *
  * @public
@@ -83,10 +92,12 @@
   private readonly pending = new Map<string, PeerLink | undefined>();
   /** Generation of each server whose `leaving` enough peers hold. */
   private readonly confirmedLeaving = new Map<string, number>();
-  private readonly beats = new WeakMap<PeerLink, BeatRecord>();
+  private readonly heartbeats = new WeakMap<PeerLink, HeartbeatRecord>();
   private readonly syncing = new WeakSet<PeerLink>();
+  private factDigest = {revision: -1, digest: ''};
+  private heartbeatCount = 0;
   private subsetBasis = '';
-  private beatTimer: NodeJS.Timeout | undefined;
+  private heartbeatTimer: NodeJS.Timeout | undefined;
   private flushTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: PeerGossipOptions) {
@@ -111,13 +122,16 @@
   /** Joins the other entries; `address` is where they reach this one. */
   start(address: PeerAddress): void {
     this.links?.start(address);
-    this.beatTimer = setInterval(() => this.runBeat(), BEAT_MS);
-    this.beatTimer.unref();
+    this.heartbeatTimer = setInterval(
+      () => this.sendHeartbeats(),
+      HEARTBEAT_MS,
+    );
+    this.heartbeatTimer.unref();
   }
 
   /** Leaves the other entries. */
   stop(): void {
-    clearInterval(this.beatTimer);
+    clearInterval(this.heartbeatTimer);
     clearTimeout(this.flushTimer);
     this.links?.stop();
   }
@@ -161,8 +175,8 @@
       ...this.links?.getMethods(),
       [FACTS_METHOD]: (deltas: readonly unknown[], link: PeerLink) =>
         this.mergeFacts(deltas, link),
-      [BEAT_METHOD]: (message: BeatMessage, link: PeerLink) =>
-        this.receiveBeat(message, link),
+      [HEARTBEAT_METHOD]: (message: HeartbeatMessage, link: PeerLink) =>
+        this.receiveHeartbeat(message, link),
       [INTEREST_METHOD]: (message: InterestMessage) =>
         this.peerInterests.receive(message, this.peerSet.listEntries()),
       [SYNC_METHOD]: (digests: readonly number[]) => this.answerSync(digests),
@@ -176,8 +190,8 @@
     return this.peerSet.listLinks().size;
   }
 
-  /** Sends the beat, declares silent servers gone, and chooses the subset anew. */
-  private runBeat(): void {
+  /** Sends the heartbeat, declares silent servers gone, and chooses the subset anew. */
+  private sendHeartbeats(): void {
     this.links?.expire();
     for (const id of this.directory.expire()) {
       this.confirmedLeaving.delete(id);
@@ -186,16 +200,20 @@
     this.updateSubset();
     const digest = this.digestFacts();
     const heard = this.listHeard();
+    this.heartbeatCount += 1;
+    // Engines report load with a lag of their own; every other heartbeat is soon enough.
+    const withLevels = this.heartbeatCount % 2 === 0;
     for (const [name, link] of this.peerSet.listLinks()) {
-      const record = this.getBeatRecord(link);
+      const record = this.getHeartbeatRecord(link);
       if (performance.now() - record.heardAt > LINK_SILENCE_MS) {
-        link.close('no beat');
+        link.close('no heartbeat');
         continue;
       }
       const sent = record.sentDigest === digest ? '' : digest;
       record.sentDigest = digest;
-      const beat = encodeBeat(this.peerInterests.listHeard(name, heard));
-      link.notify(BEAT_METHOD, [sent, ...beat]);
+      const wanted = this.peerInterests.listHeard(name, heard);
+      const heartbeat = encodeHeartbeat(wanted, withLevels);
+      link.notify(HEARTBEAT_METHOD, [sent, ...heartbeat]);
     }
     this.heard.clear();
   }
@@ -256,30 +274,33 @@
     this.announce(id, isTheirs ? source : undefined);
   }
 
-  private getBeatRecord(link: PeerLink): BeatRecord {
-    const known = this.beats.get(link);
+  private getHeartbeatRecord(link: PeerLink): HeartbeatRecord {
+    const known = this.heartbeats.get(link);
     if (known) return known;
     const heardAt = performance.now();
     const record = {heardAt, sentDigest: '', theirDigest: '', mismatch: ''};
-    this.beats.set(link, record);
+    this.heartbeats.set(link, record);
     return record;
   }
 
-  private receiveBeat([digest, ...beat]: BeatMessage, link: PeerLink): void {
-    const record = this.getBeatRecord(link);
+  private receiveHeartbeat(
+    [digest, ...heartbeat]: HeartbeatMessage,
+    link: PeerLink,
+  ): void {
+    const record = this.getHeartbeatRecord(link);
     record.heardAt = performance.now();
     record.theirDigest = digest || record.theirDigest;
-    for (const {place, level} of decodeBeat(beat)) {
+    for (const {place, level} of decodeHeartbeat(heartbeat)) {
       const id = this.interests.get(place);
       if (!id) continue;
       const slots = this.directory.find(id)?.announcement.slots ?? 1;
-      this.directory.markHeard(id, decodeLevel(level, slots, BEAT_MS));
+      this.directory.markHeard(id, decodeLevel(level, slots, HEARTBEAT_MS));
     }
     this.compareDigests(record, link);
   }
 
-  /** Syncs where the views differed at two beats in a row and neither has moved. */
-  private compareDigests(record: BeatRecord, link: PeerLink): void {
+  /** Syncs where the views differed at two heartbeats in a row and neither has moved. */
+  private compareDigests(record: HeartbeatRecord, link: PeerLink): void {
     const ours = this.digestFacts();
     const {theirDigest, mismatch} = record;
     const differs = theirDigest !== ours;
@@ -357,7 +378,12 @@
   }
 
   private digestFacts(): string {
-    return digestText(this.directory.digest().join(',')).toString(36);
+    const {factRevision} = this.directory;
+    if (this.factDigest.revision !== factRevision) {
+      const digest = digestText(this.directory.digest().join(',')).toString(36);
+      this.factDigest = {revision: factRevision, digest};
+    }
+    return this.factDigest.digest;
   }
 }
 
@@ -365,24 +391,3 @@
   const {id, generation, sequence} = announcement;
   return `${id}|${generation}|${sequence}|${gone}`;
 }
-
-/** Waits until enough of the calls have succeeded, or all have settled. */
-async function waitForSome(
-  calls: ReadonlyArray<Promise<unknown>>,
-  needed: number,
-): Promise<boolean> {
-  if (needed === 0) return true;
-  let succeeded = 0;
-  return new Promise(resolve => {
-    const settled = calls.map(async call => {
-      try {
-        await call;
-        succeeded += 1;
-      } catch {
-        // Told to the backend server where too few are left.
-      }
-      if (succeeded >= needed) resolve(true);
-    });
-    void Promise.all(settled).then(() => resolve(succeeded >= needed));
-  });
-}
