--- a/apps/syc-bench/src/main.ts
+++ b/apps/syc-bench/src/main.ts
@@ -12,6 +12,7 @@
 import {
   Demo,
   EXPERIMENTS,
+  describeSeeds,
   FUZZ_TARGETS,
   ExperimentResult,
   runReportDemo,
@@ -72,13 +73,15 @@
   if (!experiment) {
     throw new Error(`${name}: not an experiment; 'list' prints them`);
   }
-  let isMet = true;
+  const results: ExperimentResult[] = [];
   for (let offset = 0; offset < seeds; offset++) {
     const result = await experiment.run({seed: seed + offset});
     saveResult(result);
-    isMet &&= result.targets.every(({met}) => met);
+    results.push(result);
     console.log(JSON.stringify(result));
   }
+  if (seeds > 1) console.log(JSON.stringify(describeSeeds(results)));
+  const isMet = results.every(({targets}) => targets.every(({met}) => met));
   process.exitCode = isMet ? 0 : 1;
 }
 
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -25,3 +25,5 @@
 export {runReportDemo} from './lib/runReportDemo.js';
 export {runLoad} from './lib/load/runLoad.js';
 export type {CallRecord, LoadTarget} from './lib/load/runLoad.js';
+export {describeSeeds} from './lib/describeSeeds.js';
+export type {SeedsSummary, SeedsTarget} from './lib/describeSeeds.js';
--- /dev/null
+++ b/packages/bench/src/lib/describeSeeds.ts
@@ -0,0 +1,54 @@
+import type {ExperimentResult} from './experimentTypes.js';
+import {computeQuantile} from './load/computeStatistics.js';
+
+/** One target over several seeds. @public */
+export interface SeedsTarget {
+  readonly name: string;
+  readonly target: string;
+  readonly median: number;
+  readonly worst: number;
+  /** Number of seeds that met it. */
+  readonly met: number;
+}
+
+/** What several seeds of one experiment showed. @public */
+export interface SeedsSummary {
+  readonly experiment: string;
+  readonly seeds: readonly number[];
+  readonly targets: readonly SeedsTarget[];
+}
+
+const LOWER_BOUND = '≥';
+
+/**
+ * Describes the results of several seeds by the median and the worst value of each target. The
+ * worst is the lowest value of a target that is a lower bound, else the highest.
+ *
+ * @example
+ * ```ts
+ * describeSeeds([first, second]).targets[0].worst;
+ * ```
+ * @public
+ */
+export function describeSeeds(
+  results: readonly ExperimentResult[],
+): SeedsSummary {
+  const [first] = results;
+  const targets = (first?.targets ?? []).map(({name, target}, index) => {
+    const own = results.flatMap(result => result.targets[index] ?? []);
+    const values = own.map(({value}) => value);
+    const isLowerBound = target.startsWith(LOWER_BOUND);
+    return {
+      name,
+      target,
+      median: computeQuantile(values, 0.5),
+      worst: isLowerBound ? Math.min(...values) : Math.max(...values),
+      met: own.filter(({met}) => met).length,
+    };
+  });
+  return {
+    experiment: first?.experiment ?? '',
+    seeds: results.map(({seed}) => seed),
+    targets,
+  };
+}
