--- a/packages/bench/src/lib/experiments/experimentTable.ts
+++ b/packages/bench/src/lib/experiments/experimentTable.ts
@@ -1,5 +1,6 @@
 import type {Experiment} from '../experimentTypes.js';
 import {COST_EXPERIMENT} from './cost.js';
+import {config} from './config.js';
 import {crest} from './crest.js';
 import {EXPOSURE_EXPERIMENT} from './exposure.js';
 import {headOfLine} from './headOfLine.js';
@@ -13,6 +14,7 @@
 /** Experiments by name; each stands in a file of its own. @public */
 export const EXPERIMENTS: Readonly<Record<string, Experiment>> = {
   cost: COST_EXPERIMENT,
+  config,
   crest,
   exposure: EXPOSURE_EXPERIMENT,
   'head-of-line': headOfLine,
