--- a/packages/bench/src/lib/Demo.ts
+++ b/packages/bench/src/lib/Demo.ts
@@ -83,7 +83,11 @@
   private readonly clients: ControlClient[] = [];
   private dataFolder = '';
 
-  constructor(readonly keys: DemoKeys = createKeys()) {}
+  /** @param isRating Whether answers are rated, so that versions are tried and learned. */
+  constructor(
+    readonly keys: DemoKeys = createKeys(),
+    private readonly isRating = false,
+  ) {}
 
   /** Operators' URL of one control instance; any of them serves. */
   get controlUrl(): string {
@@ -94,8 +98,8 @@
   async start(): Promise<void> {
     const controlAddresses = await this.startControl();
     const weightStore = await this.weights.start();
-    await this.ratings.start();
-    await this.startEntries(controlAddresses);
+    const ratingsUrl = await this.ratings.start();
+    await this.startEntries(controlAddresses, ratingsUrl);
     await this.startBackends(weightStore);
     await this.createOperator().publish(this.buildNote());
     await this.waitUntilReady();
@@ -159,6 +163,7 @@
 
   private async startEntries(
     instances: Readonly<Record<string, PeerAddress>>,
+    ratingsUrl: string,
   ): Promise<void> {
     const {peerKey, serverKey} = this.keys;
     const peers: PeerAddress[] = [];
@@ -180,6 +185,8 @@
         peerKey,
         serverKey,
         control,
+        evidence: control,
+        ratings: this.isRating ? {url: ratingsUrl} : undefined,
       });
       const ports = await entry.start();
       peers.push({host: HOST, port: ports.peerPort});
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -1,5 +1,6 @@
 import {
   ControlApi,
+  EvidenceSink,
   PlacementApi,
   SycamoreheadError,
   isSameKey,
@@ -36,6 +37,8 @@
 import {DEFAULT_ENTRY_TIMEOUTS, EntryTimeouts} from './entryTimeouts.js';
 import {EntryServer, Route} from './EntryServer.js';
 import type {Exchange} from './Exchange.js';
+import {RatingSettings} from './feedback/RatingClient.js';
+import {VersionFeedback} from './feedback/VersionFeedback.js';
 import {PlainServiceProxy} from './PlainServiceProxy.js';
 import {ServerReporter} from './ServerReporter.js';
 import {VersionResolver} from './VersionResolver.js';
@@ -66,6 +69,12 @@
   /** Key that backend servers prove when they announce themselves. */
   readonly serverKey: string;
   readonly control: ControlApi & Partial<PlacementApi>;
+  /** Takes the evidence on versions. */
+  readonly evidence?: EvidenceSink;
+  /** The rating service; without one no quality is learned. */
+  readonly ratings?: RatingSettings;
+  /** Key that lets an operator ask why a version was chosen; without one nobody can. */
+  readonly debugKey?: string;
   readonly backendTimeouts?: BackendTimeouts;
   readonly policies?: Omit<RouterOptions, 'directory'>;
   readonly timeouts?: EntryTimeouts;
@@ -91,6 +100,7 @@
   readonly metrics: EntryMetrics = createEntryMetrics();
   readonly configuration: ConfigurationManager;
   readonly router: Router;
+  private readonly feedback: VersionFeedback;
   private readonly gossip: PeerGossip;
   private readonly usage: UsageExchange;
   private readonly reporter: ServerReporter;
@@ -110,8 +120,20 @@
     const {name, peerKey, peerTls, peers, control, policies} = options;
     const {directory, metrics} = this;
     this.configuration = new ConfigurationManager(name, control);
-    const {dataCentre} = options;
-    this.router = new Router({directory, dataCentre, ...policies});
+    this.feedback = new VersionFeedback({
+      entry: name,
+      configuration: this.configuration,
+      sink: options.evidence,
+      ratings: options.ratings,
+    });
+    this.router = new Router({
+      directory,
+      dataCentre: options.dataCentre,
+      quality: this.feedback.quality,
+      canExplore: () => this.feedback.isLearning(),
+      onOutcome: outcome => this.feedback.observeAttempt(outcome),
+      ...policies,
+    });
     const backendTimeouts = options.backendTimeouts ?? DEFAULT_BACKEND_TIMEOUTS;
     const timeouts = options.timeouts ?? DEFAULT_ENTRY_TIMEOUTS;
     this.backends = new BackendClient(backendTimeouts);
@@ -152,6 +174,8 @@
       versions: new VersionResolver({router, configuration, control}),
       timeouts,
       planner: options.answerPlanner,
+      feedback: this.feedback,
+      debugKey: options.debugKey,
     });
     this.services = new PlainServiceProxy({
       ...shared,
@@ -169,6 +193,7 @@
     this.usage.start();
     this.reporter.start();
     this.configuration.start();
+    this.feedback.start();
     const ports = {port: await this.server.start(host, port), peerPort};
     log('entry_started', {name: this.options.name, ...ports});
     return ports;
@@ -189,6 +214,7 @@
     // The port stays open meanwhile, so that a late request is refused with a true answer.
     await this.waitUntilIdle();
     await this.server.stop();
+    await this.feedback.stop();
     await this.commits.drain(COMMIT_DRAIN_MS);
     this.configuration.stop();
     this.reporter.stop();
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -10,4 +10,8 @@
 export {createTlsOptions} from './lib/createTlsOptions.js';
 export {readTls} from './lib/readTls.js';
 export type {TlsFiles, TlsMaterial} from './lib/readTls.js';
-export {readSecret, readSettings} from './lib/readSettings.js';
+export {
+  readOptionalSecret,
+  readSecret,
+  readSettings,
+} from './lib/readSettings.js';
