--- a/packages/consensus/src/lib/storage/LogStorage.ts
+++ b/packages/consensus/src/lib/storage/LogStorage.ts
@@ -144,22 +144,14 @@
     isReset: boolean,
   ): Promise<void> {
     await this.flush();
-    await this.enqueue(async () => {
-      // One received from the leader can overtake one taken here.
-      if (snapshot.index <= this.snapshotIndex) return;
-      this.snapshotIndex = snapshot.index;
-      const name = formatSnapshotName(snapshot);
-      await this.disk.replace(name, encodeSnapshot(snapshot));
-      this.syncs += 1;
-      const older = this.snapshotName;
-      this.snapshotName = name;
-      this.bytes = 0;
-      if (isReset) this.last = {index: snapshot.index, term: snapshot.term};
-      await this.startSegment(isReset);
-      await this.removeSegments(isReset ? Infinity : keepAfter);
-      if (older && older !== name) await this.disk.remove(older);
-      log('snapshot_saved', {index: snapshot.index, term: snapshot.term});
-    });
+    const name = formatSnapshotName(snapshot);
+    // Beside the queue: a large file must not hold up the entries and heartbeats behind it.
+    await this.runGuarded(() =>
+      this.disk.replace(name, encodeSnapshot(snapshot)),
+    );
+    await this.enqueue(() =>
+      this.startAfterSnapshot(name, snapshot, keepAfter, isReset),
+    );
   }
 
   /** Finishes what is under way and closes the file. */
@@ -169,6 +161,29 @@
     this.file = undefined;
   }
 
+  private async startAfterSnapshot(
+    name: string,
+    {index, term}: LogPosition,
+    keepAfter: number,
+    isReset: boolean,
+  ): Promise<void> {
+    // One received from the leader can overtake one taken here.
+    if (index <= this.snapshotIndex) {
+      if (name !== this.snapshotName) await this.disk.remove(name);
+      return;
+    }
+    const older = this.snapshotName;
+    this.snapshotIndex = index;
+    this.snapshotName = name;
+    this.syncs += 1;
+    this.bytes = 0;
+    if (isReset) this.last = {index, term};
+    await this.startSegment(isReset);
+    await this.removeSegments(isReset ? Infinity : keepAfter);
+    if (older) await this.disk.remove(older);
+    log('snapshot_saved', {index, term});
+  }
+
   private startBatch(): Batch {
     let settle: Batch['settle'] = () => {};
     const done = new Promise<void>((resolve, reject) => {
