--- a/packages/bench/src/lib/experiments/experimentTable.ts
+++ b/packages/bench/src/lib/experiments/experimentTable.ts
@@ -3,6 +3,8 @@
 import {crest} from './crest.js';
 import {headOfLine} from './headOfLine.js';
 import {membership} from './membership.js';
+import {overhead} from './overhead.js';
+import {restart} from './restart.js';
 import {rollout} from './rollout.js';
 import {slopes} from './slopes.js';
 import {straggler} from './straggler.js';
@@ -13,6 +15,8 @@
   crest,
   'head-of-line': headOfLine,
   membership,
+  overhead,
+  restart,
   rollout,
   slopes,
   straggler,
