The disk's identity stands in the folder that it vouches for

Cause: by reading: the identity was synced in the data folder and the log in a folder below whose name was not. After a loss of power, or a removal of that folder alone, the member would have come back under its old identity with an empty log. Change: the identity is a file of the shard's folder, and the names of new folders are synced too. Tests: state without identity is fatal; FileDisk on a real folder. Conclusion: a folder of the earlier layout is refused ('files without an identity'); none is in use.

--- a/packages/consensus/src/lib/storage/FileDisk.ts
+++ b/packages/consensus/src/lib/storage/FileDisk.ts
@@ -28,7 +28,7 @@
   async create(name: string): Promise<AppendFile> {
     await this.ensureFolder();
     const handle = await open(this.resolvePath(name), 'ax');
-    await this.syncFolder();
+    await syncFolder(this.folder);
     return wrapHandle(handle);
   }
 
@@ -57,12 +57,12 @@
       await handle.close();
     }
     await rename(temporary, this.resolvePath(name));
-    await this.syncFolder();
+    await syncFolder(this.folder);
   }
 
   async remove(name: string): Promise<void> {
     await rm(this.resolvePath(name), {force: true});
-    await this.syncFolder();
+    await syncFolder(this.folder);
   }
 
   private resolvePath(name: string): string {
@@ -71,20 +71,31 @@
 
   private async ensureFolder(): Promise<void> {
     if (this.isFolderMade) return;
-    await mkdir(this.folder, {recursive: true});
+    const first = await mkdir(this.folder, {recursive: true});
+    if (first) await this.syncParents(first);
     this.isFolderMade = true;
   }
 
-  private async syncFolder(): Promise<void> {
-    const handle = await open(this.folder, 'r');
-    try {
-      await handle.sync();
-    } finally {
-      await handle.close();
+  /** Makes the names of the folders durable, from the first that was made on. */
+  private async syncParents(first: string): Promise<void> {
+    let folder = path.resolve(this.folder);
+    const top = path.dirname(path.resolve(first));
+    while (folder !== top) {
+      folder = path.dirname(folder);
+      await syncFolder(folder);
     }
   }
 }
 
+async function syncFolder(folder: string): Promise<void> {
+  const handle = await open(folder, 'r');
+  try {
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+}
+
 function wrapHandle(handle: FileHandle): AppendFile {
   return {
     async append(data) {
--- a/packages/consensus/src/test/storage.test.ts
+++ b/packages/consensus/src/test/storage.test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
 import {test} from 'node:test';
 import type {LogEntry, Snapshot} from '../lib/logTypes.js';
+import {FileDisk} from '../lib/storage/FileDisk.js';
 import {LogStorage} from '../lib/storage/LogStorage.js';
 import {loadMemberId} from '../lib/storage/identity.js';
 import {FakeDisk} from '../testing/index.js';
@@ -187,3 +191,35 @@
   await assert.rejects(loadMemberId(disk, 'c2'), {kind: 'storage_failed'});
   assert.notEqual(await loadMemberId(new FakeDisk(), 'c1'), first);
 });
+
+test('state without its identity is fatal, so that nobody acknowledges what it forgot', async () => {
+  const {disk} = await fillDisk(2);
+  await assert.rejects(loadMemberId(disk, 'c1'), {kind: 'storage_failed'});
+});
+
+test('a folder of the file system keeps all of it', async () => {
+  const parent = await mkdtemp(path.join(tmpdir(), 'sycamorehead-disk-'));
+  const folder = path.join(parent, 'data', 'shard-0');
+  try {
+    const id = await loadMemberId(new FileDisk(folder), 'c1');
+    const storage = new LogStorage(new FileDisk(folder), 200);
+    await storage.load();
+    await storage.saveVote({group: 'g', term: 1, votedFor: id});
+    for (let index = 1; index <= 20; index++) {
+      await append(storage, [buildEntry(index)]);
+    }
+    const data = Buffer.from('{"a":1}');
+    const snapshot: Snapshot = {index: 15, term: 1, members: [], data};
+    await storage.saveSnapshot(snapshot, 15, false);
+    await storage.close();
+    const again = new LogStorage(new FileDisk(folder), 200);
+    const loaded = await again.load();
+    assert.equal(loaded.entries.at(-1)?.index, 20);
+    assert.deepEqual(loaded.snapshot, snapshot);
+    assert.equal(loaded.vote.votedFor, id);
+    assert.equal(await loadMemberId(new FileDisk(folder), 'c1'), id);
+    await again.close();
+  } finally {
+    await rm(parent, {recursive: true, force: true});
+  }
+});
--- a/packages/control/src/lib/ControlInstance.ts
+++ b/packages/control/src/lib/ControlInstance.ts
@@ -156,8 +156,10 @@
         createLog: machine => new SingleVoterLog(name, machine),
       });
     }
-    const id = await loadMemberId(new FileDisk(dataFolder), name);
-    const shardFolder = path.join(dataFolder, `shard-${CONFIGURATION_SHARD}`);
+    // The identity stands beside what it vouches for: neither can be lost without the other.
+    const folder = path.join(dataFolder, `shard-${CONFIGURATION_SHARD}`);
+    const disk = new FileDisk(folder);
+    const id = await loadMemberId(disk, name);
     const {timing, onFailure} = this.options;
     return new ControlNode({
       name,
@@ -168,7 +170,7 @@
           shard: CONFIGURATION_SHARD,
           id,
           machine,
-          disk: new FileDisk(shardFolder),
+          disk,
           transport: this.transport,
           timing,
           onFailure,
