--- a/packages/control/src/lib/reconciler/planPlacement.ts
+++ b/packages/control/src/lib/reconciler/planPlacement.ts
@@ -6,6 +6,9 @@
 } from '@sycamorehead/schema';
 import {VersionNeed, computeNeeds} from './computeNeeds.js';
 
+/** Above the number of versions that an engine can hold. */
+const MAX_FILL = 1_000;
+
 /** An order that the plan asks for. @public */
 export interface PlannedOrder {
   readonly action: 'load' | 'unload';
@@ -271,9 +274,6 @@
   }
 }
 
-/** Above the number of versions that an engine can hold. */
-const MAX_FILL = 1_000;
-
 /** Share of the wanted replicas that a version has or is about to have. */
 function measureCover({wanted, serving, loading}: VersionPlacement): number {
   return wanted === 0 ? Infinity : (serving + loading) / wanted;
