--- a/packages/entry/src/lib/AnswerDelivery.ts
+++ b/packages/entry/src/lib/AnswerDelivery.ts
@@ -69,25 +69,31 @@
       exchange.sendJson(200, completion);
       return;
     }
-    await this.sendFrame(last);
-    exchange.response.end(formatEventStream([]));
+    this.ensureHead();
+    const {requestId} = this.task.routed;
+    const chunk = formatChunk(requestId, this.answer.version.model, last);
+    exchange.response.end(formatEventStream([chunk]));
   }
 
   private async sendFrame(frame: AnswerFrame): Promise<void> {
     const {response, callerGone} = this.task.exchange;
     if (callerGone.aborted) return;
-    if (!response.headersSent) {
-      response.writeHead(200, {
-        'content-type': 'text/event-stream',
-        'cache-control': 'no-store',
-      });
-    }
+    this.ensureHead();
     const {requestId} = this.task.routed;
     const chunk = formatChunk(requestId, this.answer.version.model, frame);
     if (response.write(`data: ${JSON.stringify(chunk)}\n\n`)) return;
     await this.waitUntilDrained();
   }
 
+  private ensureHead(): void {
+    const {response} = this.task.exchange;
+    if (response.headersSent) return;
+    response.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'cache-control': 'no-store',
+    });
+  }
+
   /** Waits until the caller has taken what was sent; a caller that takes nothing is cut off. */
   private async waitUntilDrained(): Promise<void> {
     const {response, callerGone} = this.task.exchange;
