--- a/packages/consensus/src/lib/RaftNode.ts
+++ b/packages/consensus/src/lib/RaftNode.ts
@@ -1,5 +1,6 @@
 import {JsonValue, SycamoreheadError} from '@sycamorehead/schema';
 import {createLogger} from '@sycamorehead/telemetry';
+import {checkConsensusRequest} from './checkConsensusRequest.js';
 import type {
   ConsensusRequest,
   ConsensusTransport,
@@ -150,6 +151,7 @@
   async receive<Request extends ConsensusRequest>(
     request: Request,
   ): Promise<ReplyTo<Request>> {
+    checkConsensusRequest(request);
     this.checkAddressee(request);
     this.noteSender(request);
     return this.lock.run(async () => {
@@ -179,6 +181,7 @@
     this.isStopped = true;
     this.election.stop();
     this.stopLeading('this instance stops');
+    void this.state.storage.close();
   }
 
   // Queries.
@@ -275,6 +278,7 @@
   }
 
   private handleFailure(error: SycamoreheadError): void {
+    if (this.isStopped) return;
     log('member_failed', {id: this.state.id, error: error.message});
     this.abort();
     this.options.onFailure(error);
