Hedges and work estimates under test; new policies are the default

Cause: a request of which nothing was known counted as long work (32 tokens and its prompt), so a cold entry would have kept its first requests off the reserved slots; a request for which no server was ready waited in the queue until its deadline. Change: unknown work is assumed to have 16 tokens; without servers a request passes on to be refused with no_backend_server at once. A customer within its share of the deployment goes first.

--- a/packages/entry/src/lib/Attempt.ts
+++ b/packages/entry/src/lib/Attempt.ts
@@ -106,7 +106,7 @@
       this.checker,
     );
     for await (const frame of frames) {
-      router.context.tracker.noteFrame(tracked);
+      router.context.tracker.noteFrame(tracked, this.offset);
       this.firstTokenMs ??= performance.now() - startedAt;
       // Set before the frame is yielded: the reader may stop at the terminal one.
       if (frame.finishReason) this.result = 'answered';
--- a/packages/entry/src/lib/HedgedAttempt.ts
+++ b/packages/entry/src/lib/HedgedAttempt.ts
@@ -31,6 +31,7 @@
  */
 export class HedgedAttempt {
   private leader: Runner;
+  private delivered: number;
   private hasFrames = false;
   private isHedged = false;
 
@@ -39,12 +40,13 @@
     private readonly options: AttemptOptions,
     private readonly hedge: HedgeOptions,
   ) {
+    this.delivered = options.offset;
     this.leader = this.start(options);
   }
 
   /** Tokens of the answer delivered by this attempt and the earlier ones. */
   get offset(): number {
-    return this.leader.attempt.offset;
+    return this.delivered;
   }
 
   /**
@@ -58,6 +60,7 @@
         const result = await this.awaitFrame();
         if (result.done) return;
         this.hasFrames = true;
+        this.delivered = this.leader.attempt.offset;
         yield result.value;
         if (result.value.finishReason) return;
         this.leader.next = this.leader.frames.next();
@@ -113,13 +116,13 @@
         request: routed.requestId,
         server: choice.announcement.id,
         slow: this.leader.server,
-        offset: this.offset,
+        offset: this.delivered,
       });
       return this.start({
         ...this.options,
         server: choice,
         number: takeNumber(),
-        offset: this.offset,
+        offset: this.delivered,
       });
     } catch (error) {
       const {message} = toSycamoreheadError(error);
--- a/packages/routing/src/lib/AttemptTracker.ts
+++ b/packages/routing/src/lib/AttemptTracker.ts
@@ -67,12 +67,12 @@
     return attempt;
   }
 
-  /** Notes that a token arrived. */
-  noteFrame(attempt: TrackedAttempt): void {
+  /** Notes that a frame arrived, with the answer's tokens up to it. */
+  noteFrame(attempt: TrackedAttempt, offset: number): void {
     const now = performance.now();
     const isFirst = attempt.lastFrameAt === undefined;
     attempt.lastFrameAt = now;
-    attempt.generated += 1;
+    attempt.generated = offset;
     if (isFirst) {
       attempt.measuredFrom = {at: now, generated: attempt.generated};
       if (!attempt.isLong) this.firstTokens.add(now - attempt.startedAt);
--- a/packages/routing/src/lib/DeploymentRoom.ts
+++ b/packages/routing/src/lib/DeploymentRoom.ts
@@ -20,6 +20,8 @@
   readonly longRunning: number;
   /** Slots that this entry's part stands for. */
   readonly slots: number;
+  /** Slots of all those servers. */
+  readonly totalSlots: number;
   /** Typical time between tokens, in milliseconds. */
   readonly typicalMs: number;
 }
@@ -64,6 +66,7 @@
     running,
     longRunning,
     slots: slots * part,
+    totalSlots: slots,
     typicalMs,
   };
 }
--- a/packages/routing/src/lib/FairWork.ts
+++ b/packages/routing/src/lib/FairWork.ts
@@ -29,15 +29,24 @@
 const FIRST_TOKEN_QUANTILE = 0.75;
 /** Time to the first token before any was measured, in milliseconds. */
 const FIRST_TOKEN_MS = 30;
-const MIN_WEIGHT = 1e-3;
-/** Part of its time left that a customer may have waiting at its fair rate and still go first. */
-const PRIVILEGED_SHARE = 0.5;
+/** Rates below this count as this, in units a millisecond. */
+const MIN_RATE = 1e-6;
+/** Part of its time left that a customer's waiting work may take at its fair rate to go first. */
+const BURST_SHARE = 0.4;
 const MS_PER_S = 1_000;
 const MAX_CUSTOMERS = 10_000;
 const SWEEP_MS = 20;
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 10_000;
 
+/** A customer's share of the deployment, in units a millisecond. */
+interface Share {
+  readonly fair: number;
+  readonly asked: number;
+  /** Part of what it asks that it asks of this entry. */
+  readonly part: number;
+}
+
 /** Where a request would queue. */
 interface Place {
   readonly predictedMs: number;
@@ -83,7 +92,9 @@
     const room = this.computeRoom(request);
     const workClass = classify(work);
     const isFirst = this.queue.count(workClass) === 0;
-    if (isFirst && hasRoom(workClass, room)) this.begin(request, work);
+    // Without any server nothing is gained by waiting; the choice of one says so.
+    const isOpen = room.totalSlots === 0 || hasRoom(workClass, room);
+    if (isFirst && isOpen) this.begin(request, work);
     else await this.waitForTurn(request, work, room);
     return {release: () => this.end(request)};
   }
@@ -106,25 +117,29 @@
   }
 
   /**
-   * A customer's fair part of this entry's rate, in units a millisecond. Its weight counts here by
-   * what it asks of this entry, so that its parts at all entries add up to its weight.
+   * What a customer may get of the whole deployment, what it asks of it, and this entry's part of
+   * that, in units a millisecond.
    */
-  private computeFairRate(customer: string, unitsPerMs: number): number {
+  private readShare(customer: string, unitsPerMs: number): Share {
     const {meter, peers} = this.context;
     const demands = new Map<string, Demand>();
+    let asked = 0;
+    let part = 1;
     for (const name of meter.listCustomers()) {
-      const own = meter.read(name).tokens;
-      const others = peers.sumCustomer(name).tokens;
-      const part = own / Math.max(own + others, MIN_WEIGHT);
+      const own = meter.read(name).tokens / MS_PER_S;
+      const rate = own + peers.sumCustomer(name).tokens / MS_PER_S;
       const weight = this.weights.get(name) ?? 1;
-      demands.set(name, {
+      if (name === customer) {
+        asked = rate;
+        part = own / Math.max(rate, MIN_RATE);
         // What it may get does not depend on what it has asked for so far.
-        rate: name === customer ? Infinity : own / MS_PER_S,
-        weight: Math.max(MIN_WEIGHT, weight * part),
-      });
+        demands.set(name, {rate: Infinity, weight});
+      } else {
+        demands.set(name, {rate, weight});
+      }
     }
-    const rates = computeFairRates(unitsPerMs, demands);
-    return rates.get(customer) ?? unitsPerMs;
+    const fair = computeFairRates(unitsPerMs, demands);
+    return {fair: fair.get(customer) ?? unitsPerMs, asked, part};
   }
 
   private computeRoom(request: RoutedRequest): Room {
@@ -197,28 +212,34 @@
     startBy: number,
   ): Place {
     const workClass = classify(work);
-    const slots = work.isLong
-      ? room.longAllowance
-      : Math.max(1, room.slots - room.longRunning);
-    const unitsPerMs = slots / room.typicalMs / this.margins.read(workClass);
+    const now = performance.now();
+    const unitsPerMs = this.computeRate(work, room);
+    const part = room.slots / room.totalSlots;
+    const share = this.readShare(customer.customer, unitsPerMs / part);
+    const ownRate = Math.max(share.fair * share.part, MIN_RATE);
     const own = this.queue.sumUnitsAhead(workClass, startBy, customer.customer);
-    const isFeasible = this.queue.isFeasibleWith(work, startBy, unitsPerMs);
+    const isBurst =
+      own > 0 && own + work.units > ownRate * (startBy - now) * BURST_SHARE;
+    if (share.asked <= share.fair && !isBurst) {
+      // A customer within its share goes before all that is beyond one.
+      const ahead = this.queue.sumUnitsAhead(workClass, now);
+      return {predictedMs: ahead / unitsPerMs, order: now};
+    }
     const all = this.queue.sumUnitsAhead(workClass, startBy);
-    const ownRate = this.computeFairRate(customer.customer, unitsPerMs);
     const waitMs = Math.max(own / ownRate, all / unitsPerMs);
-    const now = performance.now();
-    const leftMs = startBy - now;
-    if (isFeasible && waitMs <= leftMs) {
-      return {predictedMs: waitMs, order: startBy};
-    }
-    const isWithinShare =
-      own === 0 || (own + work.units) / ownRate <= leftMs * PRIVILEGED_SHARE;
-    if (!isWithinShare) {
-      return {predictedMs: Math.max(waitMs, leftMs + 1), order: startBy};
-    }
-    // A customer well within its share goes first, whatever others have queued.
-    const ahead = this.queue.sumUnitsAhead(workClass, now);
-    return {predictedMs: ahead / unitsPerMs, order: now};
+    const isFeasible = this.queue.isFeasibleWith(work, startBy, unitsPerMs);
+    return {
+      predictedMs: isFeasible ? waitMs : Math.max(waitMs, startBy - now + 1),
+      order: startBy,
+    };
+  }
+
+  /** This entry's rate for a class of work, in units a millisecond. */
+  private computeRate(work: WorkEstimate, room: Room): number {
+    const slots = work.isLong
+      ? room.longAllowance
+      : Math.max(1, room.slots - room.longRunning);
+    return slots / room.typicalMs / this.margins.read(classify(work));
   }
 
   private computeStartBy(
--- a/packages/routing/src/lib/Router.ts
+++ b/packages/routing/src/lib/Router.ts
@@ -61,17 +61,15 @@
       this.listPossibleEngines(request),
     );
     const {context} = this;
-    this.hedges = HEDGE_POLICIES[options.hedgePolicy ?? 'never'](context);
+    this.hedges = HEDGE_POLICIES[options.hedgePolicy ?? 'budgeted'](context);
     this.priorityPolicy =
-      PRIORITY_POLICIES[options.priorityPolicy ?? 'equal'](context);
+      PRIORITY_POLICIES[options.priorityPolicy ?? 'by_work'](context);
     this.versionPolicy =
       VERSION_POLICIES[options.versionPolicy ?? 'fixed_best']();
     this.serverPolicy =
-      SERVER_POLICIES[options.serverPolicy ?? 'least_in_flight'](context);
+      SERVER_POLICIES[options.serverPolicy ?? 'expected_finish'](context);
     this.admissionPolicy =
-      ADMISSION_POLICIES[options.admissionPolicy ?? 'first_come_first_served'](
-        context,
-      );
+      ADMISSION_POLICIES[options.admissionPolicy ?? 'fair_work'](context);
   }
 
   /** Waits for leave to run a request. */
--- a/packages/routing/src/lib/WorkEstimator.ts
+++ b/packages/routing/src/lib/WorkEstimator.ts
@@ -6,7 +6,7 @@
 const MAX_KEYS = 4_096;
 const MIN_SAMPLES = 3;
 /** Tokens assumed for an answer of which nothing is known. */
-const DEFAULT_OUTPUT_TOKENS = 32;
+const DEFAULT_OUTPUT_TOKENS = 16;
 /** Prompt tokens that take as long as one generated token. */
 const PROMPT_TOKENS_PER_UNIT = 250;
 /** Long work exceeds this many times the median of the observed mix. */
