--- a/packages/bench/src/lib/experiments/experimentTable.ts
+++ b/packages/bench/src/lib/experiments/experimentTable.ts
@@ -2,7 +2,10 @@
 import {crest} from './crest.js';
 import {headOfLine} from './headOfLine.js';
 import {membership} from './membership.js';
+import {overhead} from './overhead.js';
+import {restart} from './restart.js';
 import {rollout} from './rollout.js';
+import {slopes} from './slopes.js';
 import {straggler} from './straggler.js';
 
 /** Experiments by name; each stands in a file of its own. @public */
@@ -10,6 +13,9 @@
   crest,
   'head-of-line': headOfLine,
   membership,
+  overhead,
+  restart,
   rollout,
+  slopes,
   straggler,
 };
