--- a/packages/entry/src/lib/AnswerSource.ts
+++ b/packages/entry/src/lib/AnswerSource.ts
@@ -101,7 +101,8 @@
   private ensureRepeatable(error: SycamoreheadError): void {
     const {aborted, reason} = this.signal;
     if (aborted) throw markRan(toSycamoreheadError(reason), this.hasRun);
-    if (this.attempts < MAX_ATTEMPTS && !this.isRefusedHere(error)) return;
+    const isLeft = this.attempts < MAX_ATTEMPTS && !this.isRefusedHere(error);
+    if (isLeft && this.takeRepeat()) return;
     if (this.hasRun || error.kind !== 'backend_failed') {
       throw markRan(error, this.hasRun);
     }
@@ -112,6 +113,12 @@
     );
   }
 
+  /** An answer that has begun is always finished; one that has not draws on the retry budget. */
+  private takeRepeat(): boolean {
+    if (this.delivered > 0) return true;
+    return this.parts.router.takeRetry(this.routed);
+  }
+
   private async *runAttempt(): AsyncGenerator<AnswerFrame> {
     const server = await this.chooseServer();
     if (this.signal.aborted) throw this.signal.reason;
--- a/packages/routing/src/lib/FairWork.ts
+++ b/packages/routing/src/lib/FairWork.ts
@@ -214,9 +214,11 @@
     const workClass = classify(work);
     const now = performance.now();
     const unitsPerMs = this.computeRate(work, room);
-    const part = room.slots / room.totalSlots;
-    const share = this.readShare(customer.customer, unitsPerMs / part);
-    const ownRate = Math.max(share.fair * share.part, MIN_RATE);
+    // Shares go by what the servers can do; the margin only concerns how long a wait is.
+    const capacity = room.totalSlots / room.typicalMs;
+    const share = this.readShare(customer.customer, capacity);
+    const margin = this.margins.read(workClass);
+    const ownRate = Math.max((share.fair * share.part) / margin, MIN_RATE);
     const own = this.queue.sumUnitsAhead(workClass, startBy, customer.customer);
     const isBurst =
       own > 0 && own + work.units > ownRate * (startBy - now) * BURST_SHARE;
@@ -304,7 +306,9 @@
 
 function hasRoom(workClass: WorkClass, room: Room): boolean {
   if (room.running >= room.allowance) return false;
-  return workClass === 'short' || room.longRunning < room.longAllowance;
+  // Rounded, so that the entries' parts together do not exceed the whole.
+  const longAllowance = Math.max(1, Math.round(room.longAllowance));
+  return workClass === 'short' || room.longRunning < longAllowance;
 }
 
 function createRefusal(waitMs: number, leftMs: number): SycamoreheadError {
--- a/packages/routing/src/lib/Router.ts
+++ b/packages/routing/src/lib/Router.ts
@@ -117,6 +117,12 @@
     return this.priorityPolicy(request);
   }
 
+  /** Takes a repeated attempt out of the retry budget; tells whether it may run. */
+  takeRetry(request: RoutedRequest): boolean {
+    const {retries, estimator} = this.context;
+    return retries.take(estimator.estimate(request).units);
+  }
+
   /** Notes that an attempt is dispatched. */
   beginAttempt(
     request: RoutedRequest,
--- a/packages/routing/src/lib/SlotReserve.ts
+++ b/packages/routing/src/lib/SlotReserve.ts
@@ -46,6 +46,7 @@
     const total = this.shortUnits + this.longUnits;
     const longShare = total > 0 ? this.longUnits / total : 0;
     const wanted = Math.max(1, slots - reserve, slots * longShare);
-    return Math.max(1, Math.min(wanted, slots * (1 - MIN_RESERVED_SHARE)));
+    const most = Math.floor(slots * (1 - MIN_RESERVED_SHARE));
+    return Math.max(1, Math.min(wanted, most));
   }
 }
