--- a/packages/control/src/lib/ControlClient.ts
+++ b/packages/control/src/lib/ControlClient.ts
@@ -2,6 +2,9 @@
   BeginResult,
   Bill,
   ControlApi,
+  EvidenceBatch,
+  EvidenceReceipt,
+  EvidenceSink,
   FinishResult,
   LeaseGrant,
   LeaseRequest,
@@ -50,7 +53,7 @@
  *
  * @public
  */
-export class ControlClient implements ControlApi, PlacementApi {
+export class ControlClient implements ControlApi, EvidenceSink, PlacementApi {
   private link: PeerLink | undefined;
   private connecting: Promise<PeerLink> | undefined;
   private nextInstance = 0;
@@ -92,6 +95,10 @@
     return this.call('control.recordBill', bill);
   }
 
+  reportEvidence(batch: EvidenceBatch): Promise<EvidenceReceipt> {
+    return this.call('control.reportEvidence', batch);
+  }
+
   reportServers(report: ServerReport): Promise<ServerReportAnswer> {
     return this.call('control.reportServers', report);
   }
--- a/packages/control/src/lib/ControlInstance.ts
+++ b/packages/control/src/lib/ControlInstance.ts
@@ -137,6 +137,14 @@
     await this.wireServer?.stop();
   }
 
+  /** Ends at once, as a killed process does: nothing is handed over or finished. */
+  async abort(): Promise<void> {
+    this.raft?.abort();
+    this.links.stop();
+    await this.wireServer?.stop();
+    await this.operatorServer?.stop();
+  }
+
   private async createNode(): Promise<ControlNode> {
     const {name, dataFolder, leaseMs, reconciler} = this.options;
     if (!dataFolder) {
@@ -148,8 +156,10 @@
         createLog: machine => new SingleVoterLog(name, machine),
       });
     }
-    const id = await loadMemberId(new FileDisk(dataFolder), name);
-    const shardFolder = path.join(dataFolder, `shard-${CONFIGURATION_SHARD}`);
+    // The identity stands beside what it vouches for: neither can be lost without the other.
+    const folder = path.join(dataFolder, `shard-${CONFIGURATION_SHARD}`);
+    const disk = new FileDisk(folder);
+    const id = await loadMemberId(disk, name);
     const {timing, onFailure} = this.options;
     return new ControlNode({
       name,
@@ -160,7 +170,7 @@
           shard: CONFIGURATION_SHARD,
           id,
           machine,
-          disk: new FileDisk(shardFolder),
+          disk,
           transport: this.transport,
           timing,
           onFailure,
--- a/packages/control/src/lib/ControlNode.ts
+++ b/packages/control/src/lib/ControlNode.ts
@@ -2,6 +2,9 @@
   BeginResult,
   Bill,
   ControlApi,
+  EvidenceBatch,
+  EvidenceReceipt,
+  EvidenceSink,
   FinishResult,
   JsonValue,
   LeaseGrant,
@@ -28,6 +31,7 @@
   PublishResult,
 } from './controlCommands.js';
 import {ControlState} from './ControlState.js';
+import {RolloutGuard} from './guard/RolloutGuard.js';
 import {
   ConfigurationService,
   DEFAULT_LEASE_MS,
@@ -54,12 +58,13 @@
  *
  * @public
  */
-export class ControlNode implements ControlApi, PlacementApi {
+export class ControlNode implements ControlApi, EvidenceSink, PlacementApi {
   readonly name: string;
   readonly reconciler: Reconciler;
   private readonly state = new ControlState();
   private readonly replicatedLog: ReplicatedLog & Partial<MembershipCommands>;
   private readonly configuration: ConfigurationService;
+  private readonly guard: RolloutGuard;
 
   constructor(options: ControlNodeOptions) {
     this.name = options.name;
@@ -71,6 +76,15 @@
       markInForce: revision => this.propose({type: 'mark_in_force', revision}),
     });
     this.reconciler = this.createReconciler(options.reconciler);
+    this.guard = new RolloutGuard({
+      getConfiguration: () => this.state.getConfiguration(),
+      isLeader: () => this.readStatus().role === 'leader',
+      quarantine: (version, reason) =>
+        this.propose({type: 'quarantine', version, reason}),
+      advance: (version, fromStep) =>
+        this.propose({type: 'advance_rollout', version, fromStep}),
+      isPlaced: version => this.reconciler.isPlacementReady(version),
+    });
   }
 
   // Commands.
@@ -128,12 +142,18 @@
     return this.propose({type: 'record_bill', bill});
   }
 
+  async reportEvidence(batch: EvidenceBatch): Promise<EvidenceReceipt> {
+    await this.replicatedLog.confirmLeadership();
+    return this.guard.accept(batch);
+  }
+
   async reportServers(report: ServerReport): Promise<ServerReportAnswer> {
     return this.reconciler.receive(report);
   }
 
   /** Hands leadership over and stops. */
   async stop(): Promise<void> {
+    this.guard.stop();
     this.reconciler.stop();
     this.configuration.stop();
     await this.replicatedLog.stop();
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -21,6 +21,19 @@
 export type {BackendTimeouts} from './lib/BackendClient.js';
 export {FrameChecker} from './lib/FrameChecker.js';
 export {computeModelBill} from './lib/computeBill.js';
+export {RatingClient} from './lib/feedback/RatingClient.js';
+export type {
+  RatingPriority,
+  RatingQuestion,
+  RatingSettings,
+} from './lib/feedback/RatingClient.js';
+export {EvidenceReporter} from './lib/feedback/EvidenceReporter.js';
+export type {EvidenceReporterParts} from './lib/feedback/EvidenceReporter.js';
+export {VersionFeedback} from './lib/feedback/VersionFeedback.js';
+export type {
+  GivenAnswer,
+  VersionFeedbackParts,
+} from './lib/feedback/VersionFeedback.js';
 export type {BillInput} from './lib/computeBill.js';
 export {DEFAULT_ENTRY_TIMEOUTS} from './lib/entryTimeouts.js';
 export type {EntryTimeouts} from './lib/entryTimeouts.js';
--- a/packages/routing/src/lib/Router.ts
+++ b/packages/routing/src/lib/Router.ts
@@ -24,6 +24,7 @@
   VersionPolicy,
 } from './routingTypes.js';
 import {SERVER_POLICIES, ServerPolicyName} from './serverPolicies.js';
+import {QualityTable} from './QualityTable.js';
 import {VERSION_POLICIES, VersionPolicyName} from './versionPolicies.js';
 
 const log = createLogger('routing');
@@ -36,6 +37,12 @@
   readonly versionPolicy?: VersionPolicyName;
   readonly serverPolicy?: ServerPolicyName;
   readonly admissionPolicy?: AdmissionPolicyName;
+  /** Learned quality; an empty one where absent. */
+  readonly quality?: QualityTable;
+  /** Tells whether ratings are coming back; never where absent. */
+  readonly canExplore?: () => boolean;
+  /** Called with what became of each attempt. */
+  readonly onOutcome?: (outcome: AttemptOutcome) => void;
   readonly hedgePolicy?: HedgePolicyName;
   readonly priorityPolicy?: PriorityPolicyName;
 }
@@ -55,7 +62,7 @@
   private readonly admissionPolicy: AdmissionPolicy;
   private readonly priorityPolicy: PriorityPolicy;
 
-  constructor(options: RouterOptions) {
+  constructor(private readonly options: RouterOptions) {
     this.directory = options.directory;
     this.context = new RoutingContext(options.dataCentre ?? '', request =>
       this.listPossibleEngines(request),
@@ -64,8 +71,13 @@
     this.hedges = HEDGE_POLICIES[options.hedgePolicy ?? 'budgeted'](context);
     this.priorityPolicy =
       PRIORITY_POLICIES[options.priorityPolicy ?? 'by_work'](context);
-    this.versionPolicy =
-      VERSION_POLICIES[options.versionPolicy ?? 'fixed_best']();
+    this.versionPolicy = VERSION_POLICIES[
+      options.versionPolicy ?? 'cheapest_at_target'
+    ]({
+      quality: options.quality ?? new QualityTable(),
+      hasReplica: version => options.directory.listEngines(version).length > 0,
+      canExplore: options.canExplore ?? (() => false),
+    });
     this.serverPolicy =
       SERVER_POLICIES[options.serverPolicy ?? 'expected_finish'](context);
     this.admissionPolicy =
@@ -146,6 +158,7 @@
 
   /** Learns from a finished attempt. */
   observe(outcome: AttemptOutcome): void {
+    this.options.onOutcome?.(outcome);
     const {request, result, outputTokens, resumedFrom = 0} = outcome;
     if (result === 'answered') {
       this.context.estimator.record(request, resumedFrom + outputTokens);
