--- a/apps/syc-bench/src/main.ts
+++ b/apps/syc-bench/src/main.ts
@@ -123,12 +123,14 @@
       long: 'seconds',
       description: 'time for fuzzing, over all targets',
       defaultValue: () => 60,
+      defaultValueIsSerializable: true,
     }),
     seeds: option({
       type: number,
       long: 'seeds',
       description: 'number of seeds, counted up from --seed',
       defaultValue: () => 1,
+      defaultValueIsSerializable: true,
     }),
   },
   handler: async ({name, once, seed, seeds, seconds, update}) => {
--- a/apps/syc-control/src/main.ts
+++ b/apps/syc-control/src/main.ts
@@ -1,16 +1,15 @@
-import {command, number, option, optional, run, string} from 'cmd-ts';
+import {command, number, option, run, string} from 'cmd-ts';
 import {z} from 'zod';
 import {ControlInstance} from '@sycamorehead/control';
+import {SycamoreheadError, getErrorAnswer} from '@sycamorehead/schema';
 import {
-  SycamoreheadError,
-  getErrorAnswer,
-  toSycamoreheadError,
-} from '@sycamorehead/schema';
-import {
+  instanceOptions,
+  readInstanceTls,
   readSecret,
   readSettings,
-  readTls,
+  runReporting,
   setLogPattern,
+  tlsOptions,
 } from '@sycamorehead/telemetry';
 import {parsePeerAddress} from '@sycamorehead/wire';
 import {buildReconcilerOptions, placementOptions} from './placementOptions.js';
@@ -30,11 +29,11 @@
   loadTimeout: z.number().gt(0),
   dataFolder: z.string(),
   firstMembers: z.string(),
-  tlsCert: z.string(),
-  tlsKey: z.string(),
-  peerTlsCert: z.string(),
-  peerTlsKey: z.string(),
-  peerTlsCa: z.string(),
+  tlsCert: z.string().optional(),
+  tlsKey: z.string().optional(),
+  peerTlsCert: z.string().optional(),
+  peerTlsKey: z.string().optional(),
+  peerTlsCa: z.string().optional(),
 });
 
 type Settings = z.infer<typeof settingsSchema>;
@@ -56,21 +55,15 @@
 }
 
 function createInstance(settings: Settings): ControlInstance {
+  const tls = readInstanceTls(settings);
   return new ControlInstance({
     ...settings,
     dataFolder: settings.dataFolder || undefined,
     reconciler: buildReconcilerOptions(settings),
     peerKey: readSecret('SYC_PEER_KEY'),
     operatorToken: readSecret('SYC_OPERATOR_TOKEN'),
-    operatorTls: readTls('tls', {
-      cert: settings.tlsCert,
-      key: settings.tlsKey,
-    }),
-    peerTls: readTls('peer-tls', {
-      cert: settings.peerTlsCert,
-      key: settings.peerTlsKey,
-      ca: settings.peerTlsCa,
-    }),
+    operatorTls: tls.clients,
+    peerTls: tls.peers,
     onFailure: endProcess,
   });
 }
@@ -103,25 +96,14 @@
   description:
     'A control instance. Secrets: SYC_PEER_KEY, SYC_OPERATOR_TOKEN (or …_FILE)',
   args: {
-    name: option({
-      type: string,
-      long: 'name',
-      env: 'SYC_NAME',
-      description: "this instance's name",
-    }),
-    host: option({
-      type: string,
-      long: 'host',
-      env: 'SYC_HOST',
-      description: 'IP address to listen on',
-      defaultValue: () => '127.0.0.1',
-    }),
+    ...instanceOptions,
     port: option({
       type: number,
       long: 'port',
       env: 'SYC_PORT',
       description: "operators' port; 0 takes any",
       defaultValue: () => 9080,
+      defaultValueIsSerializable: true,
     }),
     peerPort: option({
       type: number,
@@ -129,6 +111,7 @@
       env: 'SYC_PEER_PORT',
       description: "entries' and other control instances' port; 0 takes any",
       defaultValue: () => 9081,
+      defaultValueIsSerializable: true,
     }),
     ...placementOptions,
     dataFolder: option({
@@ -138,6 +121,7 @@
       description:
         "folder of this instance's state; without one the state lives in memory",
       defaultValue: () => '',
+      defaultValueIsSerializable: true,
     }),
     firstMembers: option({
       type: string,
@@ -146,59 +130,14 @@
       description:
         'first start of a new group only, on one instance: NAME=IP:PORT of every voter, separated by commas',
       defaultValue: () => '',
+      defaultValueIsSerializable: true,
     }),
-    tlsCert: option({
-      type: string,
-      long: 'tls-cert',
-      env: 'SYC_TLS_CERT',
-      description: 'certificate file towards operators',
-      defaultValue: () => '',
-    }),
-    tlsKey: option({
-      type: string,
-      long: 'tls-key',
-      env: 'SYC_TLS_KEY',
-      description: 'its key file',
-      defaultValue: () => '',
-    }),
-    peerTlsCert: option({
-      type: string,
-      long: 'peer-tls-cert',
-      env: 'SYC_PEER_TLS_CERT',
-      description: 'certificate file for links between instances',
-      defaultValue: () => '',
-    }),
-    peerTlsKey: option({
-      type: string,
-      long: 'peer-tls-key',
-      env: 'SYC_PEER_TLS_KEY',
-      description: 'its key file',
-      defaultValue: () => '',
-    }),
-    peerTlsCa: option({
-      type: string,
-      long: 'peer-tls-ca',
-      env: 'SYC_PEER_TLS_CA',
-      description:
-        "authority file that other instances' certificates are signed by",
-      defaultValue: () => '',
-    }),
-    log: option({
-      type: optional(string),
-      long: 'log',
-      env: 'SYC_LOG',
-      description: "pattern of the log modules, as 'sycamorehead:*'",
-    }),
+    ...tlsOptions,
   },
   handler: async ({log, ...settings}) => {
     if (log) setLogPattern(log);
-    try {
-      await startControl(settings);
-    } catch (thrown) {
-      const error = toSycamoreheadError(thrown);
-      console.error(`${error.kind}: ${error.message}`);
-      process.exit(getErrorAnswer(error.kind).exitCode);
-    }
+    const isStarted = await runReporting(() => startControl(settings));
+    if (!isStarted) process.exit();
   },
 });
 
--- a/apps/syc-control/src/placementOptions.ts
+++ b/apps/syc-control/src/placementOptions.ts
@@ -12,6 +12,7 @@
     env: 'SYC_WEIGHT_LOADS_PER_MINUTE',
     description: 'loads that the weight store allows to begin in a minute',
     defaultValue: () => 4,
+    defaultValueIsSerializable: true,
   }),
   loadTimeout: option({
     type: number,
@@ -19,6 +20,7 @@
     env: 'SYC_LOAD_TIMEOUT',
     description: 'seconds after which an unfinished load is given elsewhere',
     defaultValue: () => 300,
+    defaultValueIsSerializable: true,
   }),
 };
 
--- a/apps/syc-entry/src/main.ts
+++ b/apps/syc-entry/src/main.ts
@@ -2,12 +2,15 @@
 import {z} from 'zod';
 import {ControlClient} from '@sycamorehead/control';
 import {Entry, RatingSettings} from '@sycamorehead/entry';
-import {getErrorAnswer, toSycamoreheadError} from '@sycamorehead/schema';
 import {
+  instanceOptions,
+  readInstanceTls,
   readOptionalSecret,
   readSecret,
   readSettings,
+  runReporting,
   setLogPattern,
+  tlsOptions,
 } from '@sycamorehead/telemetry';
 import {PeerAddress, parsePeerAddress} from '@sycamorehead/wire';
 import {
@@ -30,6 +33,11 @@
   ratingsUrl: z.url({protocol: /^https?$/}).optional(),
   ratingTimeout: z.number().gt(0).max(600),
   ratingShare: z.number().min(0).max(1),
+  tlsCert: z.string().optional(),
+  tlsKey: z.string().optional(),
+  peerTlsCert: z.string().optional(),
+  peerTlsKey: z.string().optional(),
+  peerTlsCa: z.string().optional(),
   ...timeoutSettings,
 });
 
@@ -63,14 +71,18 @@
 async function startEntry(given: unknown): Promise<void> {
   const settings = readSettings(settingsSchema, given);
   const peerKey = readSecret('SYC_PEER_KEY');
+  const tls = readInstanceTls(settings);
   const {name} = settings;
   const control = new ControlClient({
     name,
     instances: parseInstances(settings.control),
     peerKey,
+    peerTls: tls.peers,
   });
   const entry = new Entry({
     ...settings,
+    tls: tls.clients,
+    peerTls: tls.peers,
     peers: parsePeers(settings.peers),
     peerKey,
     serverKey: readSecret('SYC_SERVER_KEY'),
@@ -99,31 +111,20 @@
   description:
     'An entry instance. Secrets: SYC_PEER_KEY, SYC_SERVER_KEY, SYC_DEBUG_KEY (optional) (or …_FILE)',
   args: {
-    name: option({
-      type: string,
-      long: 'name',
-      env: 'SYC_NAME',
-      description: "this instance's name",
-    }),
+    ...instanceOptions,
     dataCentre: option({
       type: string,
       long: 'data-centre',
       env: 'SYC_DATA_CENTRE',
       description: 'its data centre',
     }),
-    host: option({
-      type: string,
-      long: 'host',
-      env: 'SYC_HOST',
-      description: 'IP address to listen on',
-      defaultValue: () => '127.0.0.1',
-    }),
     port: option({
       type: number,
       long: 'port',
       env: 'SYC_PORT',
       description: "callers' port; 0 takes any",
       defaultValue: () => 8080,
+      defaultValueIsSerializable: true,
     }),
     peerPort: option({
       type: number,
@@ -131,6 +132,7 @@
       env: 'SYC_PEER_PORT',
       description: "other entries' port; 0 takes any",
       defaultValue: () => 8081,
+      defaultValueIsSerializable: true,
     }),
     peers: option({
       type: string,
@@ -138,6 +140,7 @@
       env: 'SYC_PEERS',
       description: 'IP:PORT of the other entries, separated by commas',
       defaultValue: () => '',
+      defaultValueIsSerializable: true,
     }),
     control: option({
       type: string,
@@ -151,6 +154,7 @@
       env: 'SYC_BALANCER_LAG',
       description: 'seconds to keep serving after SIGTERM',
       defaultValue: () => 5,
+      defaultValueIsSerializable: true,
     }),
     ratingsUrl: option({
       type: optional(string),
@@ -164,6 +168,7 @@
       env: 'SYC_RATING_TIMEOUT',
       description: 'seconds allowed for one rating',
       defaultValue: () => 10,
+      defaultValueIsSerializable: true,
     }),
     ratingShare: option({
       type: number,
@@ -171,24 +176,15 @@
       env: 'SYC_RATING_SHARE',
       description: 'share of the answers of settled versions that are rated',
       defaultValue: () => 0.2,
+      defaultValueIsSerializable: true,
     }),
     ...timeoutOptions,
-    log: option({
-      type: optional(string),
-      long: 'log',
-      env: 'SYC_LOG',
-      description: "pattern of the log modules, as 'sycamorehead:*'",
-    }),
+    ...tlsOptions,
   },
   handler: async ({log, ...settings}) => {
     if (log) setLogPattern(log);
-    try {
-      await startEntry(settings);
-    } catch (thrown) {
-      const error = toSycamoreheadError(thrown);
-      console.error(`${error.kind}: ${error.message}`);
-      process.exit(getErrorAnswer(error.kind).exitCode);
-    }
+    const isStarted = await runReporting(() => startEntry(settings));
+    if (!isStarted) process.exit();
   },
 });
 
--- a/apps/syc-entry/src/timeoutOptions.ts
+++ b/apps/syc-entry/src/timeoutOptions.ts
@@ -17,6 +17,7 @@
     env: `SYC_${long.replaceAll('-', '_').toUpperCase()}`,
     description: `seconds ${description}`,
     defaultValue: () => defaultMs / MS_PER_SECOND,
+    defaultValueIsSerializable: true,
   });
 }
 
--- a/apps/syc-report/src/main.ts
+++ b/apps/syc-report/src/main.ts
@@ -20,8 +20,7 @@
   renderHtml,
   renderText,
 } from '@sycamorehead/report';
-import {getErrorAnswer, toSycamoreheadError} from '@sycamorehead/schema';
-import {readSecret, readSettings} from '@sycamorehead/telemetry';
+import {readSecret, readSettings, runReporting} from '@sycamorehead/telemetry';
 
 const COMPACT_EVERY = 1_000;
 
@@ -31,6 +30,7 @@
   env: 'SYC_REPORT_STORE',
   description: 'file of samples',
   defaultValue: () => 'samples.jsonl',
+  defaultValueIsSerializable: true,
 });
 
 /** Formats of a report, by name. */
@@ -106,17 +106,6 @@
   else process.stdout.write(text);
 }
 
-/** Reports a failure on the standard error and sets the exit code of its kind. */
-async function runReporting(work: () => Promise<void>): Promise<void> {
-  try {
-    await work();
-  } catch (thrown) {
-    const error = toSycamoreheadError(thrown);
-    console.error(`${error.kind}: ${error.message}`);
-    process.exitCode = getErrorAnswer(error.kind).exitCode;
-  }
-}
-
 const collectCommand = command({
   name: 'collect',
   description: "samples the entries' counters into a file",
@@ -132,12 +121,14 @@
       long: 'interval',
       description: 'seconds between samples',
       defaultValue: () => 10,
+      defaultValueIsSerializable: true,
     }),
     count: option({
       type: number,
       long: 'count',
       description: 'samples to take; 0 goes on until stopped',
       defaultValue: () => 0,
+      defaultValueIsSerializable: true,
     }),
     store: storeOption,
   },
@@ -161,12 +152,14 @@
       long: 'results',
       description: 'folder of saved experiment results',
       defaultValue: () => 'bench-results',
+      defaultValueIsSerializable: true,
     }),
     format: option({
       type: oneOf(Object.keys(RENDERERS)),
       long: 'format',
       description: 'text, json or html',
       defaultValue: () => 'text',
+      defaultValueIsSerializable: true,
     }),
     out: option({
       type: optional(string),
@@ -178,6 +171,7 @@
       long: 'availability',
       description: 'objective: share of requests answered whole, 0 to 1',
       defaultValue: () => 0.999,
+      defaultValueIsSerializable: true,
     }),
     firstToken: option({
       type: number,
@@ -185,12 +179,14 @@
       description:
         'objective: time to first token in seconds; a bucket bound of the metrics',
       defaultValue: () => 1.6,
+      defaultValueIsSerializable: true,
     }),
     firstTokenShare: option({
       type: number,
       long: 'first-token-share',
       description: 'objective: share of answers within that time, 0 to 1',
       defaultValue: () => 0.95,
+      defaultValueIsSerializable: true,
     }),
   },
   handler: args => runReporting(() => show(args)),
--- a/apps/syc/src/billsCommand.ts
+++ b/apps/syc/src/billsCommand.ts
@@ -2,13 +2,13 @@
 import {boolean, command, flag, option, optional, string} from 'cmd-ts';
 import type {LedgerReport, OperatorClient} from '@sycamorehead/control';
 import {Bill, SycamoreheadError} from '@sycamorehead/schema';
+import {runReporting} from '@sycamorehead/telemetry';
 import {compareAnswers} from './compareAnswers.js';
 
 /** What the command needs of the program around it. @internal */
 export interface BillsParts {
   readonly control: ReturnType<typeof option<typeof string>>;
   readonly createClient: (urls: string) => OperatorClient;
-  readonly runReporting: (work: () => Promise<void>) => Promise<void>;
 }
 
 /** Builds `syc bills`. @internal */
@@ -37,7 +37,7 @@
       }),
     },
     handler: args =>
-      parts.runReporting(async () => {
+      runReporting(async () => {
         const client = parts.createClient(args.control);
         const [bills, report] = [
           await client.listBills(args.customer),
--- a/apps/syc/src/main.ts
+++ b/apps/syc/src/main.ts
@@ -17,12 +17,10 @@
   SycamoreheadError,
   applyReleaseNote,
   computeDigest,
-  getErrorAnswer,
   hashKey,
   parseReleaseNote,
-  toSycamoreheadError,
 } from '@sycamorehead/schema';
-import {readSecret} from '@sycamorehead/telemetry';
+import {readSecret, runReporting} from '@sycamorehead/telemetry';
 import {buildBillsCommand} from './billsCommand.js';
 import {describeChanges} from './describeChanges.js';
 import {formatRollout} from './formatRollout.js';
@@ -63,17 +61,6 @@
   }
 }
 
-/** Reports a failure on the standard error and sets the exit code of its kind. */
-async function runReporting(work: () => Promise<void>): Promise<void> {
-  try {
-    await work();
-  } catch (thrown) {
-    const error = toSycamoreheadError(thrown);
-    console.error(`${error.kind}: ${error.message}`);
-    process.exitCode = getErrorAnswer(error.kind).exitCode;
-  }
-}
-
 async function waitInForce(
   client: OperatorClient,
   revision: number,
@@ -137,6 +124,7 @@
       long: 'timeout',
       description: 'longest wait, in seconds',
       defaultValue: () => 30,
+      defaultValueIsSerializable: true,
     }),
   },
   handler: args =>
@@ -216,8 +204,8 @@
     publish,
     'in-force': inForce,
     status,
-    members: buildMembersCommand(createClient, runReporting),
-    bills: buildBillsCommand({control, createClient, runReporting}),
+    members: buildMembersCommand(createClient),
+    bills: buildBillsCommand({control, createClient}),
     'hash-key': hashKeyCommand,
   },
 });
--- a/apps/syc/src/membersCommand.ts
+++ b/apps/syc/src/membersCommand.ts
@@ -1,11 +1,10 @@
 import {command, option, positional, string, subcommands} from 'cmd-ts';
 import type {OperatorClient} from '@sycamorehead/control';
 import {SycamoreheadError} from '@sycamorehead/schema';
+import {runReporting} from '@sycamorehead/telemetry';
 
 /** Creates an operator's client from the settings of the command line. */
 export type CreateClient = (urls: string) => OperatorClient;
-/** Runs a command and reports its failure. */
-export type RunReporting = (work: () => Promise<void>) => Promise<void>;
 
 type Members = Awaited<ReturnType<OperatorClient['listMembers']>>;
 
@@ -71,13 +70,10 @@
  *
  * @example
  * ```ts
- * buildMembersCommand(createClient, runReporting);
+ * buildMembersCommand(createClient);
  * ```
  */
-export function buildMembersCommand(
-  createClient: CreateClient,
-  runReporting: RunReporting,
-) {
+export function buildMembersCommand(createClient: CreateClient) {
   const list = command({
     name: 'list',
     description: 'lists the control instances that hold the state',
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -7,7 +7,13 @@
 export type {LogFields, Logger} from './lib/createLogger.js';
 export {createEntryMetrics} from './lib/createMetrics.js';
 export type {EntryMetrics} from './lib/createMetrics.js';
-export {createTlsOptions} from './lib/createTlsOptions.js';
+export {
+  instanceOptions,
+  readInstanceTls,
+  tlsOptions,
+} from './lib/instanceOptions.js';
+export type {InstanceTls, TlsSettings} from './lib/instanceOptions.js';
+export {runReporting} from './lib/runReporting.js';
 export {readTls} from './lib/readTls.js';
 export type {TlsFiles, TlsMaterial} from './lib/readTls.js';
 export {
