--- a/packages/routing/src/lib/QualityTable.ts
+++ b/packages/routing/src/lib/QualityTable.ts
@@ -3,7 +3,7 @@
 /** What is known of the quality of one kind of request on one version. @public */
 export interface QualityEstimate {
   readonly mean: number;
-  /** One-sided 95% bounds. */
+  /** One-sided 90% bounds. */
   readonly lower: number;
   readonly upper: number;
   /** Effective number of ratings of this kind. */
@@ -16,9 +16,9 @@
 const KIND_DEVIATION = 0.1;
 /** Standard deviation of single ratings before any is known, and its weight in ratings. */
 const RATING_DEVIATION = 0.15;
-const DEVIATION_RATINGS = 4;
-/** One-sided 95% quantile of the normal distribution. */
-const BOUND_QUANTILE = 1.645;
+const DEVIATION_RATINGS = 2;
+/** One-sided 90% quantile of the normal distribution. */
+const BOUND_QUANTILE = 1.282;
 /** Weight that each further rating leaves to the earlier ones: about 700 count. */
 const DECAY = 0.9986;
 const MAX_KINDS = 64;
