--- a/packages/routing/src/lib/Router.ts
+++ b/packages/routing/src/lib/Router.ts
@@ -68,9 +68,9 @@
       this.listPossibleEngines(request),
     );
     const {context} = this;
-    this.hedges = HEDGE_POLICIES[options.hedgePolicy ?? 'never'](context);
+    this.hedges = HEDGE_POLICIES[options.hedgePolicy ?? 'budgeted'](context);
     this.priorityPolicy =
-      PRIORITY_POLICIES[options.priorityPolicy ?? 'equal'](context);
+      PRIORITY_POLICIES[options.priorityPolicy ?? 'by_work'](context);
     this.versionPolicy = VERSION_POLICIES[
       options.versionPolicy ?? 'cheapest_at_target'
     ]({
@@ -79,11 +79,9 @@
       canExplore: options.canExplore ?? (() => false),
     });
     this.serverPolicy =
-      SERVER_POLICIES[options.serverPolicy ?? 'least_in_flight'](context);
+      SERVER_POLICIES[options.serverPolicy ?? 'expected_finish'](context);
     this.admissionPolicy =
-      ADMISSION_POLICIES[options.admissionPolicy ?? 'first_come_first_served'](
-        context,
-      );
+      ADMISSION_POLICIES[options.admissionPolicy ?? 'fair_work'](context);
   }
 
   /** Waits for leave to run a request. */
@@ -131,6 +129,12 @@
     return this.priorityPolicy(request);
   }
 
+  /** Takes a repeated attempt out of the retry budget; tells whether it may run. */
+  takeRetry(request: RoutedRequest): boolean {
+    const {retries, estimator} = this.context;
+    return retries.take(estimator.estimate(request).units);
+  }
+
   /** Notes that an attempt is dispatched. */
   beginAttempt(
     request: RoutedRequest,
