--- a/packages/bench/src/lib/load/Fleet.ts
+++ b/packages/bench/src/lib/load/Fleet.ts
@@ -1,6 +1,6 @@
 import {ReplicatedLog, SingleVoterLog} from '@sycamorehead/consensus';
 import {ControlNode, ReconcilerOptions} from '@sycamorehead/control';
-import {Entry, EntryOptions} from '@sycamorehead/entry';
+import {Entry, EntryOptions, RatingSettings} from '@sycamorehead/entry';
 import {ReleaseNote, VersionRef} from '@sycamorehead/schema';
 import {
   EngineSpeed,
@@ -29,6 +29,12 @@
   readonly serviceCallMs?: number;
   /** Mean ratings by `model/version` or `model/version/kind`. */
   readonly quality?: Record<string, number>;
+  /** Has answers rated, with these settings. */
+  readonly ratings?: Omit<RatingSettings, 'url'>;
+  /** Whether evidence reaches control; true where absent. */
+  readonly isGuarded?: boolean;
+  /** Half width of the noise on each rating. */
+  readonly ratingNoise?: number;
   readonly entryOptions?: Partial<EntryOptions>;
   readonly engineOptions?: Partial<StandInEngineOptions>;
   readonly reconciler?: Partial<ReconcilerOptions>;
@@ -52,7 +58,10 @@
   log: ReplicatedLog | undefined;
 
   constructor(private readonly options: FleetOptions) {
-    this.ratings = new StandInRatingService({quality: options.quality ?? {}});
+    this.ratings = new StandInRatingService({
+      quality: options.quality ?? {},
+      noise: options.ratingNoise,
+    });
     this.control = new ControlNode({
       name: 'control-1',
       createLog: machine => {
@@ -99,6 +108,11 @@
         peerKey: PEER_KEY,
         serverKey: FLEET_SERVER_KEY,
         control: this.control,
+        evidence: this.options.isGuarded === false ? undefined : this.control,
+        ratings: this.options.ratings && {
+          ...this.options.ratings,
+          url: this.ratingsUrl,
+        },
         ...this.options.entryOptions,
       });
       const ports = await entry.start();
--- a/packages/control/src/lib/createControlMethods.ts
+++ b/packages/control/src/lib/createControlMethods.ts
@@ -8,6 +8,7 @@
     'control.pinSession': params => node.pinSession(params),
     'control.beginRequest': params => node.beginRequest(params),
     'control.finishRequest': params => node.finishRequest(params),
+    'control.reportEvidence': params => node.reportEvidence(params),
     'control.recordBill': params => node.recordBill(params),
     'control.reportServers': params => node.reportServers(params),
   };
--- a/packages/entry/src/lib/ChatService.ts
+++ b/packages/entry/src/lib/ChatService.ts
@@ -191,7 +191,12 @@
         seen.version = formatVersionKey(answer.version);
         this.observeFirstToken(task);
       });
-      await delivery.send((text, last) => commit(answer, text, last));
+      await delivery.send(async (text, last) => {
+        await commit(answer, text, last);
+        const {version, revision} = answer;
+        const {routed} = task;
+        this.parts.feedback?.observeAnswer({routed, version, revision, text});
+      });
       task.exchange.logReleased(task.requestKey);
     } finally {
       ticket.release();
--- a/packages/entry/src/lib/ConfigurationManager.ts
+++ b/packages/entry/src/lib/ConfigurationManager.ts
@@ -1,6 +1,7 @@
 import {randomBytes} from 'node:crypto';
 import {
   Configuration,
+  ConfiguredVersion,
   ControlApi,
   EMPTY_CONFIGURATION,
   LeaseGrant,
@@ -95,6 +96,11 @@
     return this.configuration;
   }
 
+  /** Finds a version of the newest known configuration, whether or not the lease is valid. */
+  findVersion(key: string): ConfiguredVersion | undefined {
+    return this.configuration.versions[key];
+  }
+
   /** Reads what this entry routes on. */
   read(): ConfigurationReading {
     return {
--- a/packages/entry/src/lib/VersionResolver.ts
+++ b/packages/entry/src/lib/VersionResolver.ts
@@ -8,7 +8,7 @@
   isPermitted,
   isServing,
 } from '@sycamorehead/schema';
-import type {RoutedRequest, Router} from '@sycamorehead/routing';
+import type {Decision, RoutedRequest, Router} from '@sycamorehead/routing';
 import type {ConfigurationManager} from './ConfigurationManager.js';
 import {SessionHints} from './SessionHints.js';
 
@@ -25,6 +25,8 @@
   readonly revision: number;
   /** The session's earlier version, where the pin to it has ended. */
   readonly endedPin?: VersionRef;
+  /** What the router weighed; absent where the session's pin was remembered. */
+  readonly decision?: Decision<VersionRef>;
 }
 
 /**
@@ -50,22 +52,29 @@
     const configuration = this.parts.configuration.get();
     const version = ensureDispatchable(configuration, routed, pin.ref);
     checkContext(routed, version);
-    return {version, revision: configuration.revision, endedPin: pin.endedPin};
+    const {endedPin, decision} = pin;
+    return {version, revision: configuration.revision, endedPin, decision};
   }
 
-  private async resolveRef(
-    routed: RoutedRequest,
-  ): Promise<{ref: VersionRef; endedPin?: VersionRef}> {
+  private async resolveRef(routed: RoutedRequest): Promise<{
+    ref: VersionRef;
+    endedPin?: VersionRef;
+    decision?: Decision<VersionRef>;
+  }> {
     const {router, configuration, control} = this.parts;
     const current = configuration.get();
     // A named model has a pin of its own, so that a session may use several models.
     const session = routed.session && `${routed.model}\n${routed.session}`;
     const {customer} = routed.customer;
-    if (!session) return {ref: router.chooseVersion(routed, current).choice};
+    if (!session) {
+      const decision = router.chooseVersion(routed, current);
+      return {ref: decision.choice, decision};
+    }
     const key = `${customer}\n${session}`;
     const hint = this.hints.get(key, current.revision);
     if (hint) return {ref: hint};
-    const {choice} = router.chooseVersion(routed, current);
+    const decision = router.chooseVersion(routed, current);
+    const {choice} = decision;
     try {
       const {model, version, endedPin} = await control.pinSession({
         session,
@@ -73,7 +82,7 @@
         version: choice,
       });
       this.hints.set(key, {model, version}, current.revision);
-      return {ref: {model, version}, endedPin};
+      return {ref: {model, version}, endedPin, decision};
     } catch (error) {
       throw new SycamoreheadError(
         'control_unavailable',
--- a/packages/entry/src/lib/answerPlanners.ts
+++ b/packages/entry/src/lib/answerPlanners.ts
@@ -8,6 +8,7 @@
   PlannedAnswer,
 } from './answerTypes.js';
 import {AnswerSource} from './AnswerSource.js';
+import {explainDecision} from './explainDecision.js';
 import type {ResolvedVersion} from './VersionResolver.js';
 
 /** Times that a request whose version is withdrawn before its first frame is resolved again. */
@@ -75,6 +76,7 @@
 const planSingleVersion: AnswerPlanner = async (parts, task) => {
   const resolved = await parts.versions.resolve(task.routed);
   task.exchange.setEndedPin(resolved.endedPin);
+  explainDecision(task.exchange, resolved, parts.debugKey);
   return new SingleVersionAnswer(parts, task, resolved);
 };
 
--- a/packages/entry/src/lib/answerTypes.ts
+++ b/packages/entry/src/lib/answerTypes.ts
@@ -16,6 +16,7 @@
 import type {CommitQueue} from './CommitQueue.js';
 import type {ConfigurationManager} from './ConfigurationManager.js';
 import type {Exchange} from './Exchange.js';
+import type {VersionFeedback} from './feedback/VersionFeedback.js';
 import type {VersionResolver} from './VersionResolver.js';
 
 /** One frame of an answer; the terminal one carries the usage. @public */
@@ -38,6 +39,10 @@
   readonly metrics: EntryMetrics;
   readonly versions: VersionResolver;
   readonly commits: CommitQueue;
+  /** Has answers rated and reports on versions. */
+  readonly feedback?: VersionFeedback;
+  /** Key of the operators' debug header; where absent, it is ignored. */
+  readonly debugKey?: string;
 }
 
 /** One admitted request on its way to an answer. @public */
--- a/packages/routing/src/lib/Router.ts
+++ b/packages/routing/src/lib/Router.ts
@@ -24,6 +24,7 @@
   VersionPolicy,
 } from './routingTypes.js';
 import {SERVER_POLICIES, ServerPolicyName} from './serverPolicies.js';
+import {QualityTable} from './QualityTable.js';
 import {VERSION_POLICIES, VersionPolicyName} from './versionPolicies.js';
 
 const log = createLogger('routing');
@@ -36,6 +37,12 @@
   readonly versionPolicy?: VersionPolicyName;
   readonly serverPolicy?: ServerPolicyName;
   readonly admissionPolicy?: AdmissionPolicyName;
+  /** Learned quality; an empty one where absent. */
+  readonly quality?: QualityTable;
+  /** Tells whether ratings are coming back; never where absent. */
+  readonly canExplore?: () => boolean;
+  /** Called with what became of each attempt. */
+  readonly onOutcome?: (outcome: AttemptOutcome) => void;
   readonly hedgePolicy?: HedgePolicyName;
   readonly priorityPolicy?: PriorityPolicyName;
 }
@@ -55,23 +62,26 @@
   private readonly admissionPolicy: AdmissionPolicy;
   private readonly priorityPolicy: PriorityPolicy;
 
-  constructor(options: RouterOptions) {
+  constructor(private readonly options: RouterOptions) {
     this.directory = options.directory;
     this.context = new RoutingContext(options.dataCentre ?? '', request =>
       this.listPossibleEngines(request),
     );
     const {context} = this;
-    this.hedges = HEDGE_POLICIES[options.hedgePolicy ?? 'never'](context);
+    this.hedges = HEDGE_POLICIES[options.hedgePolicy ?? 'budgeted'](context);
     this.priorityPolicy =
-      PRIORITY_POLICIES[options.priorityPolicy ?? 'equal'](context);
-    this.versionPolicy =
-      VERSION_POLICIES[options.versionPolicy ?? 'fixed_best']();
+      PRIORITY_POLICIES[options.priorityPolicy ?? 'by_work'](context);
+    this.versionPolicy = VERSION_POLICIES[
+      options.versionPolicy ?? 'cheapest_at_target'
+    ]({
+      quality: options.quality ?? new QualityTable(),
+      hasReplica: version => options.directory.listEngines(version).length > 0,
+      canExplore: options.canExplore ?? (() => false),
+    });
     this.serverPolicy =
-      SERVER_POLICIES[options.serverPolicy ?? 'least_in_flight'](context);
+      SERVER_POLICIES[options.serverPolicy ?? 'expected_finish'](context);
     this.admissionPolicy =
-      ADMISSION_POLICIES[options.admissionPolicy ?? 'first_come_first_served'](
-        context,
-      );
+      ADMISSION_POLICIES[options.admissionPolicy ?? 'fair_work'](context);
   }
 
   /** Waits for leave to run a request. */
@@ -119,6 +129,12 @@
     return this.priorityPolicy(request);
   }
 
+  /** Takes a repeated attempt out of the retry budget; tells whether it may run. */
+  takeRetry(request: RoutedRequest): boolean {
+    const {retries, estimator} = this.context;
+    return retries.take(estimator.estimate(request).units);
+  }
+
   /** Notes that an attempt is dispatched. */
   beginAttempt(
     request: RoutedRequest,
@@ -142,6 +158,7 @@
 
   /** Learns from a finished attempt. */
   observe(outcome: AttemptOutcome): void {
+    this.options.onOutcome?.(outcome);
     const {request, result, outputTokens, resumedFrom = 0} = outcome;
     if (result === 'answered') {
       this.context.estimator.record(request, resumedFrom + outputTokens);
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -52,6 +52,15 @@
   SessionPin,
   StoredAnswer,
 } from './lib/records.js';
+export type {
+  AttemptEvidence,
+  EvidenceBatch,
+  EvidenceItem,
+  EvidenceReceipt,
+  EvidenceSink,
+  QualitySummary,
+  RatingEvidence,
+} from './lib/evidence.js';
 export type {
   PlacementApi,
   ReportedServer,
