--- a/packages/bench/src/lib/Demo.ts
+++ b/packages/bench/src/lib/Demo.ts
@@ -70,7 +70,12 @@
   readonly entries: Entry[] = [];
   readonly entryUrls: string[] = [];
   readonly ratings = new StandInRatingService({
-    quality: {'inscription/v1': 0.8, 'inscription/v2': 0.93},
+    quality: {
+      'inscription/v1': 0.8,
+      'inscription/v2': 0.93,
+      // The version that the operators' page of a trial run publishes to see it quarantined.
+      'inscription/v3': 0.4,
+    },
   });
   readonly weights = new StandInWeightStore({
     loadMs: 200,
