--- a/packages/bench/src/lib/capacity/computeControlLoad.ts
+++ b/packages/bench/src/lib/capacity/computeControlLoad.ts
@@ -92,7 +92,7 @@
       what: 'shards at the measured commits of one log',
       amount: commits > 0 ? Math.ceil(bills / commits) : Number.NaN,
       unit: 'shards',
-      working: `bills / ${commits.toFixed(0)} commits/s`,
+      working: `bills / ${commits.toFixed(0)} small commits/s, three voters on one machine; not measured over a network`,
     },
   ];
 }
