--- a/packages/report/src/index.ts
+++ b/packages/report/src/index.ts
@@ -21,9 +21,9 @@
   ExposureRow,
   RefusalRow,
   ReportSources,
+  RolloutRow,
   SavedExperiment,
   ServiceReport,
-  VersionEvent,
 } from './lib/buildReport.js';
 export {readExperiments} from './lib/readExperiments.js';
 export {renderText} from './lib/renderText.js';
--- a/packages/report/src/lib/buildReport.ts
+++ b/packages/report/src/lib/buildReport.ts
@@ -29,13 +29,15 @@
   readonly answers: number;
 }
 
-/** One committed change of a version, from control. @public */
-export interface VersionEvent {
-  readonly revision: number;
-  /** Wall-clock time in milliseconds. */
-  readonly at: number;
+/** Where one version's roll-out stands. @public */
+export interface RolloutRow {
   readonly version: string;
-  readonly event: string;
+  readonly state: ConfiguredVersion['state'];
+  /** Step in force, counted from 1, of all steps; empty without a roll-out. */
+  readonly step: string;
+  /** Revision that began the present roll-out. */
+  readonly since?: number;
+  readonly reason: string;
 }
 
 /** A saved result of an experiment. @public */
@@ -69,7 +71,7 @@
   readonly cost: readonly CostRow[];
   readonly refusals: readonly RefusalRow[];
   readonly exposure: readonly ExposureRow[];
-  readonly versionEvents: readonly VersionEvent[];
+  readonly rollouts: readonly RolloutRow[];
   readonly experiments: readonly SavedExperiment[];
 }
 
@@ -78,7 +80,6 @@
   readonly samples: readonly Sample[];
   readonly objectives: Objectives;
   readonly versions?: Readonly<Record<string, ConfiguredVersion>>;
-  readonly versionEvents?: readonly VersionEvent[];
   readonly experiments?: readonly SavedExperiment[];
 }
 
@@ -120,6 +121,19 @@
     });
 }
 
+function buildRollouts(versions: ReportSources['versions'] = {}): RolloutRow[] {
+  return Object.entries(versions).map(([version, configured]) => {
+    const {state, step, rollout, since, reason} = configured;
+    return {
+      version,
+      state,
+      step: rollout ? `${step + 1}/${rollout.steps.length}` : '',
+      since,
+      reason: reason ?? '',
+    };
+  });
+}
+
 function buildHistory(
   samples: readonly Sample[],
   objectives: Objectives,
@@ -205,7 +219,7 @@
       }),
     ),
     exposure: buildExposure(whole, sources.versions),
-    versionEvents: sources.versionEvents ?? [],
+    rollouts: buildRollouts(sources.versions),
     experiments: sources.experiments ?? [],
   };
 }
--- a/packages/report/src/lib/renderHtml.ts
+++ b/packages/report/src/lib/renderHtml.ts
@@ -154,15 +154,11 @@
       })),
     ),
     renderTable(
-      'Roll-out history',
-      ['revision', 'at', 'version', 'event'],
-      report.versionEvents.map(row => ({
-        cells: [
-          row.revision,
-          new Date(row.at).toISOString(),
-          row.version,
-          row.event,
-        ],
+      'Roll-outs',
+      ['version', 'state', 'step', 'since revision', 'reason'],
+      report.rollouts.map(row => ({
+        isAlert: row.state === 'quarantined',
+        cells: [row.version, row.state, row.step, row.since, row.reason],
       })),
     ),
     renderExperiments(report),
--- a/packages/report/src/lib/renderText.ts
+++ b/packages/report/src/lib/renderText.ts
@@ -32,9 +32,9 @@
       row =>
         `exposure version=${row.version} answers=${row.answers} reason=${JSON.stringify(row.reason)}`,
     ),
-    ...report.versionEvents.map(
+    ...report.rollouts.map(
       row =>
-        `version_event revision=${row.revision} at=${new Date(row.at).toISOString()} version=${row.version} event=${row.event}`,
+        `rollout version=${row.version} state=${row.state} step=${row.step || '-'} since=${row.since ?? '-'} reason=${JSON.stringify(row.reason)}`,
     ),
     ...report.experiments.flatMap(({experiment, seed, targets}) =>
       targets.map(
--- a/packages/report/src/test/report.test.ts
+++ b/packages/report/src/test/report.test.ts
@@ -100,6 +100,10 @@
   assert.deepEqual(report.exposure, [
     {version: 'm/v2', reason: '<b>rated low</b>', answers: 7},
   ]);
+  assert.deepEqual(
+    report.rollouts.map(({state, reason}) => [state, reason]),
+    [['quarantined', '<b>rated low</b>']],
+  );
   const page = renderHtml(report);
   assert.ok(page.includes('&lt;b&gt;rated low'));
   assert.ok(!page.includes('<b>rated'));
