Authentication hashes once a request; one bounded reader for three places

Cause: read through the whole change: authenticateCustomer hashed both sides again for every customer, although both are hashes already; the loop that reads a stream up to a bound stood three times. Change: isSameHash compares the hashes themselves, still each of them and in constant time; readBounded in wire serves Exchange, OperatorServer and BackendClient with their own errors.

--- a/packages/control/src/lib/OperatorServer.ts
+++ b/packages/control/src/lib/OperatorServer.ts
@@ -5,7 +5,7 @@
   JSONRPCServer,
   isJSONRPCRequest,
 } from 'json-rpc-2.0';
-import {startListening} from '@sycamorehead/wire';
+import {readBounded, startListening} from '@sycamorehead/wire';
 import {
   SycamoreheadError,
   isSameKey,
@@ -165,19 +165,16 @@
 }
 
 async function readBody(request: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of request) {
-    size += chunk.length;
-    if (size > MAX_BODY_BYTES) {
-      throw new SycamoreheadError(
+  const body = await readBounded(
+    request,
+    MAX_BODY_BYTES,
+    () =>
+      new SycamoreheadError(
         'body_too_large',
         `expected at most ${MAX_BODY_BYTES} bytes`,
-      );
-    }
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks).toString('utf8');
+      ),
+  );
+  return body.toString('utf8');
 }
 
 function sendJson(
--- a/packages/entry/src/lib/BackendClient.ts
+++ b/packages/entry/src/lib/BackendClient.ts
@@ -1,6 +1,7 @@
 import {createParser} from 'eventsource-parser';
 import {Agent, Dispatcher, request} from 'undici';
 import {ChatChunk, RanState, SycamoreheadError} from '@sycamorehead/schema';
+import {readBounded} from '@sycamorehead/wire';
 import type {AnswerFrame} from './answerTypes.js';
 import type {FrameChecker} from './FrameChecker.js';
 import {parseChunk} from './parseChunk.js';
@@ -270,16 +271,13 @@
   }
 }
 
-async function readWhole(
+function readWhole(
   body: AsyncIterable<Buffer>,
   maxBytes: number,
 ): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of body) {
-    size += chunk.length;
-    if (size > maxBytes) throw new Error(`answer exceeds ${maxBytes} bytes`);
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
+  return readBounded(
+    body,
+    maxBytes,
+    () => new Error(`answer exceeds ${maxBytes} bytes`),
+  );
 }
--- a/packages/entry/src/lib/Exchange.ts
+++ b/packages/entry/src/lib/Exchange.ts
@@ -8,6 +8,7 @@
   getErrorAnswer,
   toSycamoreheadError,
 } from '@sycamorehead/schema';
+import {readBounded} from '@sycamorehead/wire';
 import {createLogger} from '@sycamorehead/telemetry';
 
 const log = createLogger('answers');
@@ -40,21 +41,17 @@
    *
    * @throws SycamoreheadError `body_too_large`.
    */
-  async readBody(maxBytes: number): Promise<Buffer> {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    for await (const chunk of this.request) {
-      size += chunk.length;
-      if (size > maxBytes) {
-        throw new SycamoreheadError(
+  readBody(maxBytes: number): Promise<Buffer> {
+    return readBounded(
+      this.request,
+      maxBytes,
+      () =>
+        new SycamoreheadError(
           'body_too_large',
           `body: expected at most ${maxBytes} bytes`,
           {field: 'body'},
-        );
-      }
-      chunks.push(chunk);
-    }
-    return Buffer.concat(chunks);
+        ),
+    );
   }
 
   /**
--- a/packages/entry/src/lib/authenticateCustomer.ts
+++ b/packages/entry/src/lib/authenticateCustomer.ts
@@ -4,7 +4,7 @@
   CustomerDeclaration,
   SycamoreheadError,
   hashKey,
-  isSameKey,
+  isSameHash,
 } from '@sycamorehead/schema';
 
 const BEARER = /^Bearer ([\x21-\x7e]{1,512})$/;
@@ -47,7 +47,7 @@
   let found: CustomerDeclaration | undefined;
   // Every hash is compared, so that the time taken tells nothing about which one matches.
   for (const customer of Object.values(configuration.customers)) {
-    if (isSameKey(given, customer.keyHash)) found = customer;
+    if (isSameHash(given, customer.keyHash)) found = customer;
   }
   if (found) return found;
   throw new SycamoreheadError('unauthenticated', 'the key is not known');
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -9,7 +9,7 @@
 export type {ErrorBody, ErrorDetails} from './lib/SycamoreheadError.js';
 export {computeDigest, formatCanonicalJson} from './lib/json.js';
 export type {JsonValue} from './lib/json.js';
-export {hashKey, isSameKey} from './lib/keys.js';
+export {hashKey, isSameHash, isSameKey} from './lib/keys.js';
 export {releaseNoteSchema} from './lib/releaseNote.js';
 export type {
   CustomerDeclaration,
--- a/packages/schema/src/lib/keys.ts
+++ b/packages/schema/src/lib/keys.ts
@@ -29,3 +29,18 @@
   const right = createHash('sha256').update(expected).digest();
   return timingSafeEqual(left, right);
 }
+
+/**
+ * Compares two hashes of keys in constant time. They need no second hashing: all have one length.
+ *
+ * @example
+ * ```ts
+ * isSameHash(hashKey('a'), hashKey('a')); // true
+ * ```
+ * @public
+ */
+export function isSameHash(given: string, expected: string): boolean {
+  const left = Buffer.from(given);
+  const right = Buffer.from(expected);
+  return left.length === right.length && timingSafeEqual(left, right);
+}
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -13,3 +13,4 @@
 export {connectPeer, parsePeerAddress} from './lib/connectPeer.js';
 export type {ConnectOptions, PeerAddress} from './lib/connectPeer.js';
 export {startListening} from './lib/startListening.js';
+export {readBounded} from './lib/readBounded.js';
