--- /dev/null
+++ b/apps/syc-bench/src/main.ts
@@ -0,0 +1,108 @@
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {
+  boolean,
+  command,
+  flag,
+  number,
+  option,
+  positional,
+  run,
+  string,
+} from 'cmd-ts';
+import {Demo, EXPERIMENTS, ExperimentResult} from '@sycamorehead/bench';
+import {request} from 'undici';
+
+const RESULTS_FOLDER = 'bench-results';
+
+/** Runs the demo: publishes a note, answers one request, then keeps serving. */
+async function runDemo(once: boolean): Promise<void> {
+  const demo = new Demo();
+  await demo.start();
+  const [entry = ''] = demo.entryUrls;
+  const {statusCode, body} = await request(`${entry}/v1/chat/completions`, {
+    method: 'POST',
+    headers: {
+      authorization: `Bearer ${demo.keys.customerKey}`,
+      'content-type': 'application/json',
+    },
+    body: JSON.stringify({
+      model: 'auto',
+      messages: [{role: 'user', content: 'Draft an inscription for a spoon'}],
+    }),
+  });
+  const text = await body.text();
+  if (statusCode !== 200) {
+    throw new Error(`the demo request was answered ${statusCode}: ${text}`);
+  }
+  console.log(`answered ${text}`);
+  if (once) {
+    await demo.stop();
+    return;
+  }
+  const {operatorToken, customerKey} = demo.keys;
+  console.log(
+    `ready entry=${entry} control=${demo.controlUrl} operator_token=${operatorToken} customer_key=${customerKey}`,
+  );
+  const stop = () => void demo.stop().then(() => process.exit(0));
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+}
+
+function listExperiments(): void {
+  for (const [name, {summary}] of Object.entries(EXPERIMENTS)) {
+    console.log(`${name}: ${summary}`);
+  }
+}
+
+function saveResult(result: ExperimentResult): void {
+  mkdirSync(RESULTS_FOLDER, {recursive: true});
+  const file = `${RESULTS_FOLDER}/${result.experiment}-${result.seed}.json`;
+  writeFileSync(file, JSON.stringify(result, null, 2));
+}
+
+async function runExperiment(name: string, seed: number, seeds: number) {
+  const experiment = EXPERIMENTS[name];
+  if (!experiment) {
+    throw new Error(`${name}: not an experiment; 'list' prints them`);
+  }
+  let isMet = true;
+  for (let offset = 0; offset < seeds; offset++) {
+    const result = await experiment.run({seed: seed + offset});
+    saveResult(result);
+    isMet &&= result.targets.every(({met}) => met);
+    console.log(JSON.stringify(result));
+  }
+  process.exitCode = isMet ? 0 : 1;
+}
+
+const app = command({
+  name: 'syc-bench',
+  description: 'Stand-ins, the demo, load and experiments',
+  args: {
+    name: positional({
+      type: string,
+      displayName: 'name',
+      description: "'demo', 'list', or the name of an experiment",
+    }),
+    once: flag({
+      type: boolean,
+      long: 'once',
+      description: 'stop the demo after one answered request',
+    }),
+    json: flag({type: boolean, long: 'json', description: 'print only JSON'}),
+    seed: option({type: number, long: 'seed', defaultValue: () => 1}),
+    seeds: option({
+      type: number,
+      long: 'seeds',
+      description: 'number of seeds, counted up from --seed',
+      defaultValue: () => 1,
+    }),
+  },
+  handler: async ({name, once, seed, seeds}) => {
+    if (name === 'demo') return runDemo(once);
+    if (name === 'list') return listExperiments();
+    return runExperiment(name, seed, seeds);
+  },
+});
+
+await run(app, process.argv.slice(2));
--- /dev/null
+++ b/apps/syc-entry/src/main.ts
@@ -0,0 +1,144 @@
+import {command, number, option, optional, run, string} from 'cmd-ts';
+import {z} from 'zod';
+import {ControlClient} from '@sycamorehead/control';
+import {Entry} from '@sycamorehead/entry';
+import {getErrorAnswer, toSycamoreheadError} from '@sycamorehead/schema';
+import {readSecret, readSettings, setLogPattern} from '@sycamorehead/telemetry';
+import {PeerAddress, parsePeerAddress} from '@sycamorehead/wire';
+
+const MAX_PORT = 65_535;
+
+const settingsSchema = z.object({
+  name: z.string().min(1, 'expected a name'),
+  dataCentre: z.string().min(1, 'expected a data centre'),
+  host: z.union([z.ipv4(), z.ipv6()], 'expected an IP address'),
+  port: z.number().int().min(0).max(MAX_PORT),
+  peerPort: z.number().int().min(0).max(MAX_PORT),
+  peers: z.string(),
+  control: z.string().min(1, 'expected NAME=IP:PORT, separated by commas'),
+  balancerLag: z.number().min(0).max(600),
+});
+
+function parsePeers(list: string): PeerAddress[] {
+  return list
+    .split(',')
+    .filter(text => text !== '')
+    .map(parsePeerAddress);
+}
+
+function parseInstances(list: string): Record<string, PeerAddress> {
+  const pairs = list.split(',').map(text => {
+    const [name = '', address = ''] = text.split('=');
+    return [name, parsePeerAddress(address)] as const;
+  });
+  return Object.fromEntries(pairs);
+}
+
+async function startEntry(given: unknown): Promise<void> {
+  const settings = readSettings(settingsSchema, given);
+  const peerKey = readSecret('SYC_PEER_KEY');
+  const {name} = settings;
+  const control = new ControlClient({
+    name,
+    instances: parseInstances(settings.control),
+    peerKey,
+  });
+  const entry = new Entry({
+    ...settings,
+    peers: parsePeers(settings.peers),
+    peerKey,
+    serverKey: readSecret('SYC_SERVER_KEY'),
+    control,
+    balancerLagMs: settings.balancerLag * 1_000,
+  });
+  const ports = await entry.start();
+  console.log(
+    `started entry=${name} port=${ports.port} peer_port=${ports.peerPort}`,
+  );
+  const stop = () =>
+    void entry.stop().then(() => {
+      control.stop();
+      process.exit(0);
+    });
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+}
+
+const app = command({
+  name: 'syc-entry',
+  description:
+    'An entry instance. Secrets: SYC_PEER_KEY, SYC_SERVER_KEY (or …_FILE)',
+  args: {
+    name: option({
+      type: string,
+      long: 'name',
+      env: 'SYC_NAME',
+      description: "this instance's name",
+    }),
+    dataCentre: option({
+      type: string,
+      long: 'data-centre',
+      env: 'SYC_DATA_CENTRE',
+      description: 'its data centre',
+    }),
+    host: option({
+      type: string,
+      long: 'host',
+      env: 'SYC_HOST',
+      description: 'IP address to listen on',
+      defaultValue: () => '127.0.0.1',
+    }),
+    port: option({
+      type: number,
+      long: 'port',
+      env: 'SYC_PORT',
+      description: "callers' port; 0 takes any",
+      defaultValue: () => 8080,
+    }),
+    peerPort: option({
+      type: number,
+      long: 'peer-port',
+      env: 'SYC_PEER_PORT',
+      description: "other entries' port; 0 takes any",
+      defaultValue: () => 8081,
+    }),
+    peers: option({
+      type: string,
+      long: 'peers',
+      env: 'SYC_PEERS',
+      description: 'IP:PORT of the other entries, separated by commas',
+      defaultValue: () => '',
+    }),
+    control: option({
+      type: string,
+      long: 'control',
+      env: 'SYC_CONTROL_PEERS',
+      description: 'NAME=IP:PORT of the control instances, separated by commas',
+    }),
+    balancerLag: option({
+      type: number,
+      long: 'balancer-lag',
+      env: 'SYC_BALANCER_LAG',
+      description: 'seconds to keep serving after SIGTERM',
+      defaultValue: () => 5,
+    }),
+    log: option({
+      type: optional(string),
+      long: 'log',
+      env: 'SYC_LOG',
+      description: "pattern of the log modules, as 'sycamorehead:*'",
+    }),
+  },
+  handler: async ({log, ...settings}) => {
+    if (log) setLogPattern(log);
+    try {
+      await startEntry(settings);
+    } catch (thrown) {
+      const error = toSycamoreheadError(thrown);
+      console.error(`${error.kind}: ${error.message}`);
+      process.exit(getErrorAnswer(error.kind).exitCode);
+    }
+  },
+});
+
+await run(app, process.argv.slice(2));
--- /dev/null
+++ b/apps/syc/src/main.ts
@@ -0,0 +1,250 @@
+import {readFileSync} from 'node:fs';
+import {
+  boolean,
+  command,
+  flag,
+  number,
+  option,
+  optional,
+  positional,
+  run,
+  string,
+  subcommands,
+} from 'cmd-ts';
+import {OperatorClient} from '@sycamorehead/control';
+import {
+  EMPTY_CONFIGURATION,
+  ReleaseNote,
+  SycamoreheadError,
+  applyReleaseNote,
+  computeDigest,
+  getErrorAnswer,
+  hashKey,
+  parseReleaseNote,
+  toSycamoreheadError,
+} from '@sycamorehead/schema';
+import {readSecret} from '@sycamorehead/telemetry';
+import {describeChanges} from './describeChanges.js';
+
+const POLL_MS = 200;
+
+const control = option({
+  type: string,
+  long: 'control',
+  env: 'SYC_CONTROL',
+  description: 'base URLs of the control instances, separated by commas',
+});
+const json = flag({type: boolean, long: 'json', description: 'print JSON'});
+const noteFile = positional({
+  type: string,
+  displayName: 'note.yaml',
+  description: 'release note; - reads the standard input',
+});
+
+function createClient(urls: string): OperatorClient {
+  return new OperatorClient({
+    urls: urls.split(',').map(url => url.trim()),
+    operatorToken: readSecret('SYC_OPERATOR_TOKEN'),
+  });
+}
+
+function readNote(file: string): ReleaseNote {
+  try {
+    return parseReleaseNote(readFileSync(file === '-' ? 0 : file, 'utf8'));
+  } catch (error) {
+    if (error instanceof SycamoreheadError) throw error;
+    throw new SycamoreheadError('note_invalid', `cannot read ${file}`, {
+      cause: error,
+    });
+  }
+}
+
+/** Reports a failure on the standard error and sets the exit code of its kind. */
+async function runReporting(work: () => Promise<void>): Promise<void> {
+  try {
+    await work();
+  } catch (thrown) {
+    const error = toSycamoreheadError(thrown);
+    console.error(`${error.kind}: ${error.message}`);
+    process.exitCode = getErrorAnswer(error.kind).exitCode;
+  }
+}
+
+async function waitInForce(
+  client: OperatorClient,
+  revision: number,
+  timeoutMs: number,
+): Promise<void> {
+  const deadline = performance.now() + timeoutMs;
+  for (;;) {
+    const report = await client.readInForce();
+    if (report.revision >= revision && report.inForce) return;
+    if (performance.now() > deadline) {
+      throw new SycamoreheadError(
+        'timeout',
+        `revision ${revision} is accepted, but not in force everywhere yet`,
+      );
+    }
+    await new Promise(resolve => setTimeout(resolve, POLL_MS));
+  }
+}
+
+const validate = command({
+  name: 'validate',
+  description: 'checks a release note by itself',
+  args: {noteFile},
+  handler: args =>
+    runReporting(async () => {
+      const note = readNote(args.noteFile);
+      if (note.follows === 0) applyReleaseNote(EMPTY_CONFIGURATION, note);
+      console.log(`valid number=${note.number} digest=${computeDigest(note)}`);
+    }),
+});
+
+const diff = command({
+  name: 'diff',
+  description: 'shows what a release note would change',
+  args: {noteFile, control},
+  handler: args =>
+    runReporting(async () => {
+      const note = readNote(args.noteFile);
+      const {configuration} = await createClient(args.control).readInForce();
+      const next = applyReleaseNote(configuration, note);
+      for (const line of describeChanges(configuration, next)) {
+        console.log(line);
+      }
+    }),
+});
+
+const publish = command({
+  name: 'publish',
+  description: 'publishes a release note; resending the same one is safe',
+  args: {
+    noteFile,
+    control,
+    json,
+    wait: flag({
+      type: boolean,
+      long: 'wait',
+      description: 'wait until the note is in force on every entry',
+    }),
+    timeout: option({
+      type: number,
+      long: 'timeout',
+      description: 'longest wait, in seconds',
+      defaultValue: () => 30,
+    }),
+  },
+  handler: args =>
+    runReporting(async () => {
+      const client = createClient(args.control);
+      const result = await client.publish(readNote(args.noteFile));
+      if (args.wait) {
+        await waitInForce(client, result.revision, args.timeout * 1_000);
+      }
+      const {number: noteNumber, revision, digest, state} = result;
+      const line = `${state} number=${noteNumber} revision=${revision} digest=${digest}`;
+      const waited = args.wait ? ' in_force=yes' : '';
+      console.log(args.json ? JSON.stringify(result) : line + waited);
+    }),
+});
+
+const inForce = command({
+  name: 'in-force',
+  description: 'reads back what is in force and which entries confirmed it',
+  args: {control, json},
+  handler: args =>
+    runReporting(async () => {
+      const report = await createClient(args.control).readInForce();
+      if (args.json) {
+        console.log(JSON.stringify(report));
+        return;
+      }
+      const {revision, noteNumber, configurationDigest} = report;
+      console.log(
+        `revision=${revision} note=${noteNumber} digest=${configurationDigest} in_force=${report.inForce ? 'yes' : 'no'}`,
+      );
+      for (const entry of report.entries) {
+        console.log(
+          `entry=${entry.entry} confirmed=${entry.confirmedRevision} leased=${entry.isLeased ? 'yes' : 'no'}`,
+        );
+      }
+      for (const [key, {state, step}] of Object.entries(
+        report.configuration.versions,
+      )) {
+        console.log(`version=${key} state=${state} step=${step}`);
+      }
+    }),
+});
+
+const status = command({
+  name: 'status',
+  description: "reads a control instance's view of its log",
+  args: {control},
+  handler: args =>
+    runReporting(async () => {
+      console.log(
+        JSON.stringify(await createClient(args.control).readStatus()),
+      );
+    }),
+});
+
+const bills = command({
+  name: 'bills',
+  description: 'lists the bills and their totals',
+  args: {
+    control,
+    json,
+    customer: option({
+      type: optional(string),
+      long: 'customer',
+      description: 'only the bills of this customer',
+    }),
+  },
+  handler: args =>
+    runReporting(async () => {
+      const list = await createClient(args.control).listBills(args.customer);
+      if (args.json) {
+        console.log(JSON.stringify(list));
+        return;
+      }
+      const totals = new Map<string, {count: number; micros: number}>();
+      for (const bill of list) {
+        const total = totals.get(bill.customer) ?? {count: 0, micros: 0};
+        total.count += 1;
+        total.micros += bill.amountMicros;
+        totals.set(bill.customer, total);
+      }
+      for (const [customer, {count, micros}] of totals) {
+        console.log(
+          `customer=${customer} bills=${count} amount_micros=${micros}`,
+        );
+      }
+    }),
+});
+
+const hashKeyCommand = command({
+  name: 'hash-key',
+  description: 'prints the hash of the key on the standard input',
+  args: {},
+  handler: () =>
+    runReporting(async () => {
+      console.log(hashKey(readFileSync(0, 'utf8').trim()));
+    }),
+});
+
+const app = subcommands({
+  name: 'syc',
+  description: "Operators' command line",
+  cmds: {
+    validate,
+    diff,
+    publish,
+    'in-force': inForce,
+    status,
+    bills,
+    'hash-key': hashKeyCommand,
+  },
+});
+
+await run(app, process.argv.slice(2));
--- /dev/null
+++ b/packages/bench/src/lib/experiments.ts
@@ -0,0 +1,31 @@
+/** One target of an experiment, as measured. @public */
+export interface ExperimentTarget {
+  readonly name: string;
+  /** The bound, in words with its unit. */
+  readonly target: string;
+  readonly value: number;
+  readonly met: boolean;
+}
+
+/** What an experiment prints as its last line. @public */
+export interface ExperimentResult {
+  readonly experiment: string;
+  readonly seed: number;
+  readonly baseline: Readonly<Record<string, unknown>>;
+  readonly candidate: Readonly<Record<string, unknown>>;
+  readonly targets: readonly ExperimentTarget[];
+}
+
+/** Settings of one run. @public */
+export interface ExperimentOptions {
+  readonly seed: number;
+}
+
+/** An experiment that `npm run bench -- NAME` runs. @public */
+export interface Experiment {
+  readonly summary: string;
+  run(options: ExperimentOptions): Promise<ExperimentResult>;
+}
+
+/** Experiments by name. @public */
+export const EXPERIMENTS: Readonly<Record<string, Experiment>> = {};
--- /dev/null
+++ b/packages/bench/src/test/SessionTranscript.ts
@@ -0,0 +1,89 @@
+import assert from 'node:assert/strict';
+import {existsSync, mkdirSync, readFileSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import {request} from 'undici';
+
+/** Golden files stand beside the sources, so they are found from the compiled tests too. */
+const GOLDEN_FOLDER = path.resolve(import.meta.dirname, '../../golden');
+
+const SHOWN_HEADERS = [
+  'content-type',
+  'retry-after',
+  'sycamorehead-request-id',
+  'sycamorehead-model',
+  'sycamorehead-version',
+  'sycamorehead-revision',
+];
+
+/** One call of a session. */
+export interface SessionCall {
+  readonly title: string;
+  readonly url: string;
+  readonly method?: string;
+  readonly headers?: Record<string, string>;
+  readonly body?: unknown;
+}
+
+/**
+ * Writes down a whole session as its caller and operator see it, with identifiers, keys and ports
+ * replaced by stable names, and compares it with a golden file.
+ */
+export class SessionTranscript {
+  private readonly lines: string[] = [];
+  private readonly names = new Map<string, string>();
+
+  /** Replaces a value by a name wherever it appears. */
+  hide(value: string, name: string): void {
+    this.names.set(value, name);
+  }
+
+  /** Adds a line. */
+  addLine(text: string): void {
+    this.lines.push(text);
+  }
+
+  /** Makes a call and writes down the request and the whole answer. */
+  async call(step: SessionCall): Promise<string> {
+    const text =
+      typeof step.body === 'string' ? step.body : JSON.stringify(step.body);
+    this.addLine(`## ${step.title}`);
+    this.addLine(`> ${step.method ?? 'GET'} ${step.url}`);
+    if (text !== undefined) this.addLine(`> ${text}`);
+    const {statusCode, headers, body} = await request(step.url, {
+      method: (step.method ?? 'GET') as 'GET',
+      headers: step.headers,
+      body: text,
+    });
+    const answer = await body.text();
+    this.addLine(`< ${statusCode}`);
+    for (const name of SHOWN_HEADERS) {
+      if (headers[name]) this.addLine(`< ${name}: ${headers[name]}`);
+    }
+    for (const line of answer.split('\n')) {
+      if (line !== '') this.addLine(`< ${line}`);
+    }
+    return answer;
+  }
+
+  /** Returns the transcript with its values replaced. */
+  format(): string {
+    let text = this.lines.join('\n') + '\n';
+    for (const [value, name] of this.names) text = text.replaceAll(value, name);
+    const seen = new Map<string, string>();
+    return text.replace(/req-[0-9a-f-]{36}/g, id => {
+      if (!seen.has(id)) seen.set(id, `REQUEST-${seen.size + 1}`);
+      return seen.get(id)!;
+    });
+  }
+
+  /** Compares the transcript with a golden file; UPDATE_GOLDEN=1 writes the file instead. */
+  compareWithGolden(name: string): void {
+    const file = path.join(GOLDEN_FOLDER, `${name}.txt`);
+    if (process.env.UPDATE_GOLDEN === '1') {
+      mkdirSync(GOLDEN_FOLDER, {recursive: true});
+      writeFileSync(file, this.format());
+    }
+    assert.ok(existsSync(file), `${file} is missing; run with UPDATE_GOLDEN=1`);
+    assert.equal(this.format(), readFileSync(file, 'utf8'));
+  }
+}
--- /dev/null
+++ b/packages/control/src/index.ts
@@ -0,0 +1,18 @@
+/** Commands and queries over the replicated control state. */
+export {ControlState} from './lib/ControlState.js';
+export {ControlNode, DEFAULT_LEASE_MS} from './lib/ControlNode.js';
+export type {ControlNodeOptions, InForceReport} from './lib/ControlNode.js';
+export type {EntryConfirmation} from './lib/LeaseTable.js';
+export type {
+  ControlCommand,
+  ControlCommandType,
+  ControlResults,
+  PublishResult,
+} from './lib/controlCommands.js';
+export {createControlMethods} from './lib/createControlMethods.js';
+export {ControlClient} from './lib/ControlClient.js';
+export type {ControlClientOptions} from './lib/ControlClient.js';
+export {OperatorServer} from './lib/OperatorServer.js';
+export type {OperatorServerOptions} from './lib/OperatorServer.js';
+export {OperatorClient} from './lib/OperatorClient.js';
+export type {OperatorClientOptions} from './lib/OperatorClient.js';
--- /dev/null
+++ b/packages/control/src/lib/ControlClient.ts
@@ -0,0 +1,136 @@
+import {
+  BeginResult,
+  Bill,
+  ControlApi,
+  LeaseGrant,
+  SessionPin,
+  SycamoreheadError,
+  toSycamoreheadError,
+} from '@sycamorehead/schema';
+import {PeerAddress, PeerLink, connectPeer} from '@sycamorehead/wire';
+
+/** Settings of a ControlClient. @public */
+export interface ControlClientOptions {
+  /** Own name. */
+  readonly name: string;
+  /** Control instances, by name. */
+  readonly instances: Readonly<Record<string, PeerAddress>>;
+  readonly peerKey: string;
+  /** Time allowed for one call with its retries, in milliseconds. */
+  readonly callTimeoutMs?: number;
+}
+
+const DEFAULT_CALL_TIMEOUT_MS = 5_000;
+const RETRY_PAUSE_MS = 50;
+
+/** Kinds after which another control instance is asked. All commands are safe to resend. */
+const RETRIED_KINDS = new Set([
+  'not_leader',
+  'link_closed',
+  'timeout',
+  'control_unavailable',
+]);
+
+/**
+ * Calls control through whichever instance leads, over one link kept open.
+ *
+ * @public
+ */
+export class ControlClient implements ControlApi {
+  private link: PeerLink | undefined;
+  private connecting: Promise<PeerLink> | undefined;
+  private nextInstance = 0;
+  private stopped = false;
+
+  constructor(private readonly options: ControlClientOptions) {}
+
+  renewLease(params: {
+    entry: string;
+    confirmedRevision: number;
+  }): Promise<LeaseGrant> {
+    return this.call('control.renewLease', params);
+  }
+
+  pinSession(
+    params: Parameters<ControlApi['pinSession']>[0],
+  ): Promise<SessionPin> {
+    return this.call('control.pinSession', params);
+  }
+
+  beginRequest(
+    params: Parameters<ControlApi['beginRequest']>[0],
+  ): Promise<BeginResult> {
+    return this.call('control.beginRequest', params);
+  }
+
+  finishRequest(
+    params: Parameters<ControlApi['finishRequest']>[0],
+  ): Promise<void> {
+    return this.call('control.finishRequest', params);
+  }
+
+  recordBill(bill: Bill): Promise<{isNew: boolean}> {
+    return this.call('control.recordBill', bill);
+  }
+
+  /** Closes the link. */
+  stop(): void {
+    this.stopped = true;
+    this.link?.close('client stops');
+  }
+
+  private async call<Result>(method: string, params: unknown): Promise<Result> {
+    const budgetMs = this.options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
+    const deadline = performance.now() + budgetMs;
+    for (;;) {
+      const remainingMs = deadline - performance.now();
+      try {
+        const link = await this.getLink();
+        return await link.request<Result>(method, params, remainingMs);
+      } catch (thrown) {
+        const error = toSycamoreheadError(thrown);
+        if (!RETRIED_KINDS.has(error.kind)) throw error;
+        if (this.stopped || remainingMs <= RETRY_PAUSE_MS) {
+          throw new SycamoreheadError(
+            'control_unavailable',
+            `${method}: ${error.message}`,
+            {cause: error},
+          );
+        }
+        this.selectNextInstance(error);
+        await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
+      }
+    }
+  }
+
+  private async getLink(): Promise<PeerLink> {
+    if (this.link && !this.link.isClosed) return this.link;
+    this.connecting ??= this.connect().finally(() => {
+      this.connecting = undefined;
+    });
+    return this.connecting;
+  }
+
+  private async connect(): Promise<PeerLink> {
+    const names = Object.keys(this.options.instances);
+    const name = names[this.nextInstance % names.length] ?? '';
+    const address = this.options.instances[name];
+    if (!address) {
+      throw new SycamoreheadError('control_unavailable', 'no control instance');
+    }
+    this.link = await connectPeer({
+      address,
+      name: this.options.name,
+      peerKey: this.options.peerKey,
+    });
+    return this.link;
+  }
+
+  private selectNextInstance(error: SycamoreheadError): void {
+    const names = Object.keys(this.options.instances);
+    const named = error.leader ? names.indexOf(error.leader) : -1;
+    this.nextInstance = named >= 0 ? named : this.nextInstance + 1;
+    this.link?.close(`turns to another instance after ${error.kind}`);
+    this.link = undefined;
+  }
+}
--- /dev/null
+++ b/packages/control/src/lib/OperatorServer.ts
@@ -0,0 +1,160 @@
+import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {
+  JSONRPCErrorException,
+  JSONRPCServer,
+  isJSONRPCRequest,
+} from 'json-rpc-2.0';
+import {
+  SycamoreheadError,
+  isSameKey,
+  releaseNoteSchema,
+  toSycamoreheadError,
+} from '@sycamorehead/schema';
+import type {ControlNode} from './ControlNode.js';
+
+const MAX_BODY_BYTES = 8 * 1024 * 1024;
+const APPLICATION_ERROR = -32000;
+
+/** Settings of an OperatorServer. @public */
+export interface OperatorServerOptions {
+  readonly node: ControlNode;
+  readonly host: string;
+  readonly port: number;
+  readonly operatorToken: string;
+}
+
+type OperatorHandler = (params: Record<string, unknown>) => Promise<unknown>;
+
+/**
+ * Operators' API: JSON-RPC 2.0 over `POST /rpc`, with a bearer token.
+ *
+ * @public
+ */
+export class OperatorServer {
+  private readonly server: Server;
+  private readonly rpc = new JSONRPCServer({errorListener: () => {}});
+
+  constructor(private readonly options: OperatorServerOptions) {
+    this.server = createServer((request, response) => {
+      void this.answer(request, response);
+    });
+    for (const [name, handler] of Object.entries(this.getHandlers())) {
+      this.rpc.addMethod(name, params => runHandler(handler, params));
+    }
+  }
+
+  /** Starts to listen and returns the port. */
+  async start(): Promise<number> {
+    const {host, port} = this.options;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Finishes open calls and stops. */
+  async stop(): Promise<void> {
+    await new Promise<void>(resolve => {
+      this.server.close(() => resolve());
+      this.server.closeIdleConnections();
+    });
+  }
+
+  private getHandlers(): Record<string, OperatorHandler> {
+    const {node} = this.options;
+    return {
+      publish: params => node.publish(parseNote(params.note)),
+      inForce: () => node.readInForce(),
+      status: async () => node.readStatus(),
+      bills: params =>
+        node.listBills(
+          typeof params.customer === 'string' ? params.customer : undefined,
+        ),
+    };
+  }
+
+  private async answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    try {
+      this.checkRequest(request);
+      const call = JSON.parse(await readBody(request));
+      if (!isJSONRPCRequest(call)) {
+        throw new SycamoreheadError(
+          'malformed_request',
+          'expected one JSON-RPC 2.0 request',
+        );
+      }
+      sendJson(response, 200, await this.rpc.receive(call));
+    } catch (thrown) {
+      const error =
+        thrown instanceof SyntaxError
+          ? new SycamoreheadError('malformed_request', 'body is not JSON')
+          : toSycamoreheadError(thrown);
+      sendJson(response, 400, {error: error.toBody()});
+    }
+  }
+
+  private checkRequest(request: IncomingMessage): void {
+    if (request.url !== '/rpc') {
+      throw new SycamoreheadError('not_found', `${request.url}: expected /rpc`);
+    }
+    if (request.method !== 'POST') {
+      throw new SycamoreheadError('method_not_allowed', 'expected POST');
+    }
+    const token = /^Bearer (.+)$/.exec(request.headers.authorization ?? '');
+    if (!token?.[1] || !isSameKey(token[1], this.options.operatorToken)) {
+      throw new SycamoreheadError('unauthenticated', 'wrong operator token');
+    }
+  }
+}
+
+function parseNote(given: unknown) {
+  const parsed = releaseNoteSchema.safeParse(given);
+  if (parsed.success) return parsed.data;
+  const issue = parsed.error.issues[0];
+  const field = issue?.path.join('.') || 'note';
+  throw new SycamoreheadError('note_invalid', `${field}: ${issue?.message}`, {
+    field,
+  });
+}
+
+async function runHandler(
+  handler: OperatorHandler,
+  params: unknown,
+): Promise<unknown> {
+  try {
+    return await handler((params ?? {}) as Record<string, unknown>);
+  } catch (error) {
+    const body = toSycamoreheadError(error).toBody();
+    throw new JSONRPCErrorException(body.message, APPLICATION_ERROR, body);
+  }
+}
+
+async function readBody(request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of request) {
+    size += chunk.length;
+    if (size > MAX_BODY_BYTES) {
+      throw new SycamoreheadError(
+        'body_too_large',
+        `expected at most ${MAX_BODY_BYTES} bytes`,
+      );
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
+
+function sendJson(
+  response: ServerResponse,
+  status: number,
+  body: unknown,
+): void {
+  response.writeHead(status, {'content-type': 'application/json'});
+  response.end(JSON.stringify(body));
+}
--- /dev/null
+++ b/packages/entry/src/lib/BackendClient.ts
@@ -0,0 +1,220 @@
+import {createParser} from 'eventsource-parser';
+import {Agent, Dispatcher, request} from 'undici';
+import {ChatChunk, RanState, SycamoreheadError} from '@sycamorehead/schema';
+
+/** Time limits on calls to backend servers, in milliseconds. @public */
+export interface BackendTimeouts {
+  readonly connectMs: number;
+  /** Until the answer's head. */
+  readonly firstByteMs: number;
+  /** Between two frames of an answer. */
+  readonly betweenFramesMs: number;
+}
+
+/** Timeouts used where the settings give none. @public */
+export const DEFAULT_BACKEND_TIMEOUTS: BackendTimeouts = {
+  connectMs: 1_000,
+  firstByteMs: 10_000,
+  betweenFramesMs: 5_000,
+};
+
+const CONNECTIONS_PER_SERVER = 512;
+const KEEP_ALIVE_MS = 10_000;
+
+/** Errors raised before any byte of the request reached the server. */
+const UNSENT_CODES = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** One attempt to get an answer, or the rest of it, from one engine. @public */
+export interface EngineAttempt {
+  readonly address: string;
+  /** Request and attempt number, unique for each attempt. */
+  readonly attemptId: string;
+  readonly body: string;
+  /** Tokens already delivered by earlier attempts. */
+  readonly resumeOffset: number;
+  /** Lower runs first. */
+  readonly priority: number;
+  readonly signal: AbortSignal;
+}
+
+/** A plain service's whole answer. @public */
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: Buffer;
+}
+
+/** A call to a plain service. @public */
+export interface ServiceCallAttempt {
+  readonly url: string;
+  readonly method: string;
+  readonly headers: Record<string, string>;
+  readonly body?: Buffer;
+  readonly maxAnswerBytes: number;
+}
+
+/**
+ * Speaks to backend servers over pooled connections.
+ *
+ * @public
+ */
+export class BackendClient {
+  private readonly agent: Agent;
+
+  constructor(timeouts: BackendTimeouts = DEFAULT_BACKEND_TIMEOUTS) {
+    this.agent = new Agent({
+      connections: CONNECTIONS_PER_SERVER,
+      pipelining: 1,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      connect: {timeout: timeouts.connectMs},
+      headersTimeout: timeouts.firstByteMs,
+      bodyTimeout: timeouts.betweenFramesMs,
+    });
+  }
+
+  /**
+   * Streams an engine's answer. Ends normally only after the terminal frame.
+   *
+   * @throws SycamoreheadError `backend_failed` with what is known of `ran`, or
+   * `incomplete_answer` where the stream ended without its terminal frame.
+   */
+  async *streamChat(attempt: EngineAttempt): AsyncGenerator<ChatChunk> {
+    const answer = await this.send(`${attempt.address}/v1/chat/completions`, {
+      method: 'POST',
+      signal: attempt.signal,
+      headers: {
+        'content-type': 'application/json',
+        'x-request-id': attempt.attemptId,
+        'x-resume-offset': String(attempt.resumeOffset),
+        'x-priority': String(attempt.priority),
+      },
+      body: attempt.body,
+    });
+    if (answer.statusCode !== 200) throw await readRefusal(answer);
+    let isComplete = false;
+    try {
+      for await (const chunk of parseChunks(answer.body)) {
+        isComplete ||= chunk.choices[0]?.finish_reason !== null;
+        yield chunk;
+        if (isComplete) return;
+      }
+    } catch (error) {
+      throw new SycamoreheadError('backend_failed', describeError(error), {
+        cause: error,
+      });
+    } finally {
+      if (!isComplete) answer.body.destroy();
+    }
+    throw new SycamoreheadError(
+      'incomplete_answer',
+      'the stream ended without its terminal frame',
+    );
+  }
+
+  /**
+   * Calls a plain service and reads its whole answer.
+   *
+   * @throws SycamoreheadError `backend_failed`; `ran` is `no` only where nothing was sent.
+   */
+  async callService(call: ServiceCallAttempt): Promise<ServiceAnswer> {
+    const answer = await this.send(call.url, {
+      method: call.method as Dispatcher.HttpMethod,
+      headers: call.headers,
+      body: call.body,
+    });
+    try {
+      const body = await readWhole(answer.body, call.maxAnswerBytes);
+      const contentType = String(
+        answer.headers['content-type'] ?? 'application/octet-stream',
+      );
+      return {status: answer.statusCode, contentType, body};
+    } catch (error) {
+      throw new SycamoreheadError('backend_failed', describeError(error), {
+        cause: error,
+      });
+    }
+  }
+
+  /** Closes the pooled connections once they are idle. */
+  async stop(): Promise<void> {
+    await this.agent.close();
+  }
+
+  private async send(
+    url: string,
+    options: Omit<Dispatcher.RequestOptions, 'origin' | 'path'>,
+  ): Promise<Dispatcher.ResponseData> {
+    try {
+      return await request(url, {...options, dispatcher: this.agent});
+    } catch (error) {
+      throw new SycamoreheadError('backend_failed', describeError(error), {
+        ran: isUnsent(error) ? 'no' : 'unknown',
+        cause: error,
+      });
+    }
+  }
+}
+
+function isUnsent(error: unknown): boolean {
+  const {code} = error as {code?: string};
+  return code !== undefined && UNSENT_CODES.has(code);
+}
+
+function describeError(error: unknown): string {
+  const {code, message} = error as {code?: string; message?: string};
+  return code ?? message ?? String(error);
+}
+
+async function readRefusal(
+  answer: Dispatcher.ResponseData,
+): Promise<SycamoreheadError> {
+  let ran: RanState = 'unknown';
+  try {
+    const body = (await answer.body.json()) as {error?: {ran?: unknown}};
+    if (body.error?.ran === 'no') ran = 'no';
+  } catch {
+    // A refusal without a readable body proves nothing, so `ran` stays unknown.
+  }
+  return new SycamoreheadError(
+    'backend_failed',
+    `the engine answered ${answer.statusCode}`,
+    {ran},
+  );
+}
+
+async function* parseChunks(
+  body: AsyncIterable<Buffer>,
+): AsyncGenerator<ChatChunk> {
+  let parsed: ChatChunk[] = [];
+  const parser = createParser({
+    onEvent({data}) {
+      if (data !== '[DONE]') parsed.push(JSON.parse(data) as ChatChunk);
+    },
+  });
+  const decoder = new TextDecoder();
+  for await (const bytes of body) {
+    parser.feed(decoder.decode(bytes, {stream: true}));
+    const ready = parsed;
+    parsed = [];
+    yield* ready;
+  }
+}
+
+async function readWhole(
+  body: AsyncIterable<Buffer>,
+  maxBytes: number,
+): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of body) {
+    size += chunk.length;
+    if (size > maxBytes) throw new Error(`answer exceeds ${maxBytes} bytes`);
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
--- /dev/null
+++ b/packages/entry/src/lib/Entry.ts
@@ -0,0 +1,239 @@
+import {
+  ControlApi,
+  SycamoreheadError,
+  isSameKey,
+  parseAnnouncement,
+} from '@sycamorehead/schema';
+import {
+  EntryMetrics,
+  createEntryMetrics,
+  createLogger,
+} from '@sycamorehead/telemetry';
+import {BackendServerDirectory, PeerGossip} from '@sycamorehead/membership';
+import {PeerAddress, WireServer} from '@sycamorehead/wire';
+import {Router, RouterOptions} from '@sycamorehead/routing';
+import {readBearerKey} from './authenticateCustomer.js';
+import {BackendClient, BackendTimeouts} from './BackendClient.js';
+import {ChatService} from './ChatService.js';
+import {ConfigurationManager} from './ConfigurationManager.js';
+import {EntryServer, Route} from './EntryServer.js';
+import type {Exchange} from './Exchange.js';
+import {PlainServiceProxy} from './PlainServiceProxy.js';
+
+const log = createLogger('entry');
+
+const MAX_ANNOUNCEMENT_BYTES = 64 * 1024;
+const EXPIRE_INTERVAL_MS = 1_000;
+
+/** Settings of an Entry. @public */
+export interface EntryOptions {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly host: string;
+  readonly port: number;
+  /** Port for links from other entries. */
+  readonly peerPort: number;
+  readonly peers: readonly PeerAddress[];
+  /** Key that links between the system's own instances prove. */
+  readonly peerKey: string;
+  /** Key that backend servers prove when they announce themselves. */
+  readonly serverKey: string;
+  readonly control: ControlApi;
+  readonly backendTimeouts?: BackendTimeouts;
+  readonly policies?: Omit<RouterOptions, 'directory'>;
+  /** Time for which requests are still served after a stop begins, in milliseconds. */
+  readonly balancerLagMs?: number;
+}
+
+/** Ports that a started entry listens on. @public */
+export interface EntryPorts {
+  readonly port: number;
+  readonly peerPort: number;
+}
+
+/**
+ * One entry instance: the owner of everything between a caller's connection and the backend
+ * servers.
+ *
+ * @public
+ */
+export class Entry {
+  readonly directory = new BackendServerDirectory();
+  readonly metrics: EntryMetrics = createEntryMetrics();
+  readonly configuration: ConfigurationManager;
+  readonly router: Router;
+  private readonly gossip: PeerGossip;
+  private readonly peerServer: WireServer;
+  private readonly backends: BackendClient;
+  private readonly server: EntryServer;
+  private readonly chat: ChatService;
+  private readonly services: PlainServiceProxy;
+  private expiry: NodeJS.Timeout | undefined;
+  private running = 0;
+  private isLeaving = false;
+  private isRefusing = false;
+
+  constructor(private readonly options: EntryOptions) {
+    const {name, peerKey, peers, control, policies} = options;
+    const {directory, metrics} = this;
+    this.configuration = new ConfigurationManager(name, control);
+    this.router = new Router({directory, ...policies});
+    this.backends = new BackendClient(options.backendTimeouts);
+    this.gossip = new PeerGossip({name, peers, peerKey, directory});
+    this.peerServer = new WireServer({
+      host: options.host,
+      port: options.peerPort,
+      peerKey,
+      methods: this.gossip.getMethods(),
+    });
+    const shared = {
+      backends: this.backends,
+      configuration: this.configuration,
+      control,
+      metrics,
+    };
+    this.chat = new ChatService({...shared, router: this.router});
+    this.services = new PlainServiceProxy({
+      ...shared,
+      entryName: name,
+      directory,
+    });
+    this.server = new EntryServer(this.getRoutes());
+  }
+
+  /** Starts everything and returns the ports. */
+  async start(): Promise<EntryPorts> {
+    const {host, port} = this.options;
+    const peerPort = await this.peerServer.start();
+    this.gossip.start();
+    this.configuration.start();
+    this.expiry = setInterval(
+      () => this.directory.expire(),
+      EXPIRE_INTERVAL_MS,
+    );
+    this.expiry.unref();
+    const ports = {port: await this.server.start(host, port), peerPort};
+    log('entry_started', {name: this.options.name, ...ports});
+    return ports;
+  }
+
+  /**
+   * Graceful shutdown: first not ready, while requests are still served for as long as the
+   * balancer needs to notice; then new requests are refused and running ones finish.
+   */
+  async stop(): Promise<void> {
+    this.isLeaving = true;
+    log('entry_leaving', {running: this.running});
+    await new Promise(resolve =>
+      setTimeout(resolve, this.options.balancerLagMs ?? 0),
+    );
+    this.isRefusing = true;
+    await this.server.stop();
+    this.configuration.stop();
+    this.gossip.stop();
+    clearInterval(this.expiry);
+    await this.peerServer.stop();
+    await this.backends.stop();
+    log('entry_stopped', {name: this.options.name});
+  }
+
+  /** Tells whether the balancer should send requests here. */
+  isReady(): boolean {
+    return !this.isLeaving && this.configuration.read().leaseLeftMs > 0;
+  }
+
+  private getRoutes(): Route[] {
+    return [
+      {
+        method: 'POST',
+        path: /^\/v1\/chat\/completions$/,
+        handler: exchange =>
+          this.track(exchange, () => this.chat.serve(exchange)),
+      },
+      {
+        path: /^\/services\//,
+        handler: exchange =>
+          this.track(exchange, () => this.services.serve(exchange)),
+      },
+      {
+        method: 'PUT',
+        path: /^\/v1\/backend-servers\/[^/]+$/,
+        handler: exchange => this.receiveAnnouncement(exchange),
+      },
+      {
+        method: 'GET',
+        path: /^\/v1\/in-force$/,
+        handler: exchange => exchange.sendJson(200, this.configuration.read()),
+      },
+      {
+        method: 'GET',
+        path: /^\/healthz$/,
+        handler: exchange => exchange.sendJson(200, {status: 'ok'}),
+      },
+      {
+        method: 'GET',
+        path: /^\/readyz$/,
+        handler: exchange => this.sendReadiness(exchange),
+      },
+      {
+        method: 'GET',
+        path: /^\/metrics$/,
+        handler: exchange => this.sendMetrics(exchange),
+      },
+    ];
+  }
+
+  private async track(
+    exchange: Exchange,
+    serve: () => Promise<void>,
+  ): Promise<void> {
+    if (this.isRefusing) {
+      exchange.response.setHeader('Connection', 'close');
+      throw new SycamoreheadError('stopping', 'this entry is shutting down');
+    }
+    if (this.isLeaving) exchange.response.setHeader('Connection', 'close');
+    this.running += 1;
+    this.metrics.running.set(this.running);
+    try {
+      await serve();
+    } finally {
+      this.running -= 1;
+      this.metrics.running.set(this.running);
+    }
+  }
+
+  private async receiveAnnouncement(exchange: Exchange): Promise<void> {
+    const key = readBearerKey(exchange.request.headers);
+    if (!isSameKey(key, this.options.serverKey)) {
+      throw new SycamoreheadError('unauthenticated', 'wrong server key');
+    }
+    const announcement = parseAnnouncement(
+      await exchange.readJson(MAX_ANNOUNCEMENT_BYTES),
+    );
+    const id = exchange.url.pathname.split('/').at(-1);
+    if (announcement.id !== id) {
+      throw new SycamoreheadError(
+        'malformed_request',
+        `id: expected ${id} as in the path`,
+        {field: 'id'},
+      );
+    }
+    const isNews = this.directory.receive(announcement);
+    if (isNews) this.gossip.announce(announcement);
+    exchange.sendJson(200, {accepted: isNews});
+  }
+
+  private sendReadiness(exchange: Exchange): void {
+    const isReady = this.isReady();
+    exchange.sendJson(isReady ? 200 : 503, {ready: isReady});
+  }
+
+  private async sendMetrics(exchange: Exchange): Promise<void> {
+    const {registry, revision, leaseSeconds} = this.metrics;
+    const reading = this.configuration.read();
+    revision.set(reading.revision);
+    leaseSeconds.set(reading.leaseLeftMs / 1_000);
+    exchange.response.writeHead(200, {'content-type': registry.contentType});
+    exchange.response.end(await registry.metrics());
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/EntryServer.ts
@@ -0,0 +1,89 @@
+import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
+import {createLogger} from '@sycamorehead/telemetry';
+import {Exchange} from './Exchange.js';
+
+const log = createLogger('http');
+
+const MAX_HEADER_BYTES = 16 * 1024;
+const HEAD_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 60_000;
+
+/** Serves one exchange; what it throws is sent as the answer. @public */
+export type RouteHandler = (exchange: Exchange) => Promise<void> | void;
+
+/** One row of the route table; the first row that matches serves. @public */
+export interface Route {
+  /** Absent for any method. */
+  readonly method?: string;
+  readonly path: RegExp;
+  readonly handler: RouteHandler;
+}
+
+/** The HTTP side of an entry: a route table over Node's server. @public */
+export class EntryServer {
+  private readonly server: Server;
+
+  constructor(private readonly routes: readonly Route[]) {
+    this.server = createServer(
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        headersTimeout: HEAD_TIMEOUT_MS,
+        requestTimeout: REQUEST_TIMEOUT_MS,
+      },
+      (request, response) => void this.answer(request, response),
+    );
+  }
+
+  /** Starts to listen and returns the port. */
+  async start(host: string, port: number): Promise<number> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Lets open exchanges finish and stops. */
+  async stop(): Promise<void> {
+    await new Promise<void>(resolve => {
+      this.server.close(() => resolve());
+      this.server.closeIdleConnections();
+    });
+  }
+
+  private async answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const exchange = new Exchange(request, response);
+    try {
+      await this.findHandler(exchange)(exchange);
+    } catch (thrown) {
+      const error = toSycamoreheadError(thrown);
+      log('request_failed', {
+        request: exchange.requestId,
+        kind: error.kind,
+        ran: error.ran,
+        message: error.message,
+      });
+      exchange.sendError(error);
+    }
+  }
+
+  private findHandler({request, url}: Exchange): RouteHandler {
+    const matching = this.routes.filter(({path}) => path.test(url.pathname));
+    if (matching.length === 0) {
+      throw new SycamoreheadError('not_found', `${url.pathname} is not served`);
+    }
+    const route = matching.find(
+      ({method}) => !method || method === request.method,
+    );
+    if (route) return route.handler;
+    throw new SycamoreheadError(
+      'method_not_allowed',
+      `${url.pathname}: expected ${matching.map(({method}) => method).join(' or ')}`,
+    );
+  }
+}
--- /dev/null
+++ b/packages/entry/src/lib/Exchange.ts
@@ -0,0 +1,120 @@
+import {randomUUID} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  SycamoreheadError,
+  VersionRef,
+  getErrorAnswer,
+  toSycamoreheadError,
+} from '@sycamorehead/schema';
+
+const MAX_KEY_LENGTH = 200;
+
+/** One caller's request with its response. @public */
+export class Exchange {
+  readonly requestId = `req-${randomUUID()}`;
+  readonly startedAt = performance.now();
+  readonly url: URL;
+  /** Aborted once the caller has gone. */
+  readonly callerGone: AbortSignal;
+
+  constructor(
+    readonly request: IncomingMessage,
+    readonly response: ServerResponse,
+  ) {
+    this.url = new URL(request.url ?? '/', 'http://entry');
+    const gone = new AbortController();
+    this.callerGone = gone.signal;
+    response.on('close', () => {
+      if (!response.writableFinished) gone.abort();
+    });
+    response.setHeader('Sycamorehead-Request-Id', this.requestId);
+  }
+
+  /**
+   * Reads the whole body.
+   *
+   * @throws SycamoreheadError `body_too_large`.
+   */
+  async readBody(maxBytes: number): Promise<Buffer> {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    for await (const chunk of this.request) {
+      size += chunk.length;
+      if (size > maxBytes) {
+        throw new SycamoreheadError(
+          'body_too_large',
+          `body: expected at most ${maxBytes} bytes`,
+          {field: 'body'},
+        );
+      }
+      chunks.push(chunk);
+    }
+    return Buffer.concat(chunks);
+  }
+
+  /**
+   * Reads the body as JSON.
+   *
+   * @throws SycamoreheadError `body_too_large` or `malformed_request`.
+   */
+  async readJson(maxBytes: number): Promise<unknown> {
+    const body = await this.readBody(maxBytes);
+    try {
+      return JSON.parse(body.toString('utf8'));
+    } catch (error) {
+      throw new SycamoreheadError('malformed_request', 'body: expected JSON', {
+        field: 'body',
+        cause: error,
+      });
+    }
+  }
+
+  /**
+   * Reads a key from a header.
+   *
+   * @throws SycamoreheadError `malformed_request` where it is too long.
+   */
+  readKeyHeader(name: string): string | undefined {
+    const value = this.request.headers[name.toLowerCase()];
+    if (value === undefined || value === '') return undefined;
+    const text = String(value);
+    if (text.length <= MAX_KEY_LENGTH) return text;
+    throw new SycamoreheadError(
+      'malformed_request',
+      `${name}: expected at most ${MAX_KEY_LENGTH} characters`,
+      {field: name},
+    );
+  }
+
+  /** Sets the headers that tell what the answer comes from. */
+  setOrigin(version: VersionRef, revision: number): void {
+    this.response.setHeader('Sycamorehead-Model', version.model);
+    this.response.setHeader('Sycamorehead-Version', version.version);
+    this.response.setHeader('Sycamorehead-Revision', revision);
+  }
+
+  /** Sends a whole JSON answer. */
+  sendJson(status: number, body: unknown): void {
+    this.response.writeHead(status, {'content-type': 'application/json'});
+    this.response.end(JSON.stringify(body));
+  }
+
+  /** Sends an error: as the answer, or as the last event of a stream that has begun. */
+  sendError(thrown: unknown): void {
+    const error = toSycamoreheadError(thrown);
+    const body = {error: error.toBody()};
+    if (this.response.headersSent) {
+      this.response.end(`data: ${JSON.stringify(body)}\n\n`);
+      return;
+    }
+    if (error.retryAfterMs !== undefined) {
+      this.response.setHeader(
+        'Retry-After',
+        Math.ceil(error.retryAfterMs / 1_000),
+      );
+    }
+    // An unread body would otherwise be taken for the connection's next request.
+    if (!this.request.complete) this.response.setHeader('Connection', 'close');
+    this.sendJson(getErrorAnswer(error.kind).status, body);
+  }
+}
--- /dev/null
+++ b/packages/membership/src/test/BackendServerDirectory.test.ts
@@ -0,0 +1,44 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import FakeTimers from '@sinonjs/fake-timers';
+import {Announcement} from '@sycamorehead/schema';
+import {BackendServerDirectory} from '../lib/BackendServerDirectory.js';
+
+function announce(over: Partial<Announcement>): Announcement {
+  return {
+    id: 'engine-1',
+    address: 'http://127.0.0.1:1',
+    dataCentre: 'dc-1',
+    kind: 'engine',
+    generation: 1,
+    sequence: 1,
+    state: 'ready',
+    versions: [{model: 'm', version: 'v1'}],
+    slots: 4,
+    fencing: 'checked',
+    ...over,
+  };
+}
+
+test('a late ready never brings back a leaving server; a new generation does', () => {
+  const directory = new BackendServerDirectory();
+  directory.receive(announce({sequence: 5, state: 'leaving'}));
+  assert.equal(directory.receive(announce({sequence: 4})), false);
+  assert.equal(directory.listReady().length, 0);
+  assert.equal(directory.receive(announce({generation: 2})), true);
+  assert.equal(directory.listEngines({model: 'm', version: 'v1'}).length, 1);
+});
+
+test('a server that stops announcing gets no new work', () => {
+  const clock = FakeTimers.install();
+  try {
+    const directory = new BackendServerDirectory();
+    directory.receive(announce({}));
+    clock.tick(3_900);
+    assert.equal(directory.listReady().length, 1);
+    clock.tick(200);
+    assert.equal(directory.listReady().length, 0);
+  } finally {
+    clock.uninstall();
+  }
+});
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,23 @@
+/** The routing decisions. */
+export type {
+  AdmissionPolicy,
+  AdmissionTicket,
+  AttemptOutcome,
+  Candidate,
+  Decision,
+  RoutedRequest,
+  ServerPolicy,
+  VersionPolicy,
+} from './lib/routingTypes.js';
+export {InFlightWork} from './lib/InFlightWork.js';
+export {
+  VERSION_POLICIES,
+  listPermittedVersions,
+} from './lib/versionPolicies.js';
+export type {VersionPolicyName} from './lib/versionPolicies.js';
+export {SERVER_POLICIES} from './lib/serverPolicies.js';
+export type {ServerPolicyName} from './lib/serverPolicies.js';
+export {ADMISSION_POLICIES} from './lib/admissionPolicies.js';
+export type {AdmissionPolicyName} from './lib/admissionPolicies.js';
+export {Router} from './lib/Router.js';
+export type {RouterOptions} from './lib/Router.js';
--- /dev/null
+++ b/packages/routing/src/lib/Router.ts
@@ -0,0 +1,114 @@
+import type {Configuration, VersionRef} from '@sycamorehead/schema';
+import {createLogger} from '@sycamorehead/telemetry';
+import type {
+  BackendServerDirectory,
+  KnownServer,
+} from '@sycamorehead/membership';
+import {ADMISSION_POLICIES, AdmissionPolicyName} from './admissionPolicies.js';
+import {InFlightWork} from './InFlightWork.js';
+import type {
+  AdmissionPolicy,
+  AdmissionTicket,
+  AttemptOutcome,
+  Decision,
+  RoutedRequest,
+  ServerPolicy,
+  VersionPolicy,
+} from './routingTypes.js';
+import {SERVER_POLICIES, ServerPolicyName} from './serverPolicies.js';
+import {VERSION_POLICIES, VersionPolicyName} from './versionPolicies.js';
+
+const log = createLogger('routing');
+
+/** Which policies a router uses. @public */
+export interface RouterOptions {
+  readonly directory: BackendServerDirectory;
+  readonly versionPolicy?: VersionPolicyName;
+  readonly serverPolicy?: ServerPolicyName;
+  readonly admissionPolicy?: AdmissionPolicyName;
+}
+
+/**
+ * The decisions of one entry: when a request runs, on which version, on which backend server.
+ *
+ * @public
+ */
+export class Router {
+  readonly work = new InFlightWork();
+  private readonly directory: BackendServerDirectory;
+  private readonly versionPolicy: VersionPolicy;
+  private readonly serverPolicy: ServerPolicy;
+  private readonly admissionPolicy: AdmissionPolicy;
+
+  constructor(options: RouterOptions) {
+    this.directory = options.directory;
+    this.versionPolicy =
+      VERSION_POLICIES[options.versionPolicy ?? 'fixed_best']();
+    this.serverPolicy = SERVER_POLICIES[
+      options.serverPolicy ?? 'least_in_flight'
+    ](this.work);
+    this.admissionPolicy =
+      ADMISSION_POLICIES[
+        options.admissionPolicy ?? 'first_come_first_served'
+      ]();
+  }
+
+  /** Waits for leave to run a request. */
+  admit(request: RoutedRequest): Promise<AdmissionTicket> {
+    return this.admissionPolicy.admit(request);
+  }
+
+  /** Chooses the version of a request that no session has pinned. */
+  chooseVersion(
+    request: RoutedRequest,
+    configuration: Configuration,
+  ): Decision<VersionRef> {
+    const decision = this.versionPolicy.choose(request, configuration);
+    log('version_chosen', {
+      request: request.requestId,
+      model: decision.choice.model,
+      version: decision.choice.version,
+      reason: decision.reason,
+      candidates: formatCandidates(decision),
+    });
+    return decision;
+  }
+
+  /** Chooses the engine of an attempt, leaving out the servers already tried. */
+  chooseEngine(
+    request: RoutedRequest,
+    version: VersionRef,
+    tried: ReadonlySet<string>,
+  ): Decision<KnownServer> {
+    const servers = this.directory
+      .listEngines(version)
+      .filter(({announcement}) => !tried.has(announcement.id));
+    const decision = this.serverPolicy.choose(request, servers);
+    log('server_chosen', {
+      request: request.requestId,
+      server: decision.choice.announcement.id,
+      reason: decision.reason,
+      candidates: formatCandidates(decision),
+    });
+    return decision;
+  }
+
+  /** Learns from a finished attempt. */
+  observe(outcome: AttemptOutcome): void {
+    log('attempt_done', {
+      request: outcome.request.requestId,
+      server: outcome.server,
+      result: outcome.result,
+      ms: Math.round(outcome.totalMs),
+      tokens: outcome.outputTokens,
+    });
+  }
+}
+
+function formatCandidates(decision: Decision<unknown>): string {
+  return decision.candidates
+    .map(({name, score, ruledOut}) =>
+      ruledOut ? `${name}:${ruledOut}` : `${name}:${score.toFixed(3)}`,
+    )
+    .join(',');
+}
--- /dev/null
+++ b/packages/routing/src/lib/routingTypes.ts
@@ -0,0 +1,85 @@
+/**
+ * The seam between the entry and the routing decisions.
+ *
+ * @public
+ */
+import type {
+  Configuration,
+  CustomerDeclaration,
+  VersionRef,
+} from '@sycamorehead/schema';
+import type {KnownServer} from '@sycamorehead/membership';
+
+/** A model request as the decisions see it. @public */
+export interface RoutedRequest {
+  readonly requestId: string;
+  readonly customer: CustomerDeclaration;
+  /** A model's name, or `auto`. */
+  readonly model: string;
+  /** Kind of work, for learned quality and for reports. */
+  readonly kind: string;
+  readonly promptTokens: number;
+  /** Upper bound on the answer's tokens, where the caller gave one. */
+  readonly maxTokens?: number;
+  readonly session?: string;
+  /** Hash of the conversation's beginning, for prefix affinity. */
+  readonly prefixKey: string;
+  /** Monotonic time by which the answer is wanted, in milliseconds. */
+  readonly deadlineAt: number;
+}
+
+/** One option that a decision weighed. @public */
+export interface Candidate {
+  readonly name: string;
+  /** Lower is better. */
+  readonly score: number;
+  /** Why it was ruled out, where it was. */
+  readonly ruledOut?: string;
+}
+
+/** A choice with what it was chosen from. @public */
+export interface Decision<Choice> {
+  readonly choice: Choice;
+  readonly candidates: readonly Candidate[];
+  readonly reason: string;
+}
+
+/** Chooses the version of a request. @public */
+export interface VersionPolicy {
+  /** @throws SycamoreheadError `unknown_model`, `not_permitted`, `no_backend_server`. */
+  choose(
+    request: RoutedRequest,
+    configuration: Configuration,
+  ): Decision<VersionRef>;
+}
+
+/** Chooses the backend server of an attempt. @public */
+export interface ServerPolicy {
+  /** @throws SycamoreheadError `no_backend_server`. */
+  choose(
+    request: RoutedRequest,
+    servers: readonly KnownServer[],
+  ): Decision<KnownServer>;
+}
+
+/** Leave to run one request; must be released exactly once. @public */
+export interface AdmissionTicket {
+  release(): void;
+}
+
+/** Decides when a request may run. @public */
+export interface AdmissionPolicy {
+  /** @throws SycamoreheadError `overloaded` or `rate_limited`, always with `ran: 'no'`. */
+  admit(request: RoutedRequest): Promise<AdmissionTicket>;
+}
+
+/** What became of one attempt. @public */
+export interface AttemptOutcome {
+  readonly request: RoutedRequest;
+  readonly version: VersionRef;
+  readonly server: string;
+  readonly result: 'answered' | 'failed' | 'truncated' | 'cancelled';
+  readonly firstTokenMs?: number;
+  readonly totalMs: number;
+  readonly outputTokens: number;
+}
--- /dev/null
+++ b/packages/routing/src/lib/serverPolicies.ts
@@ -0,0 +1,61 @@
+import {SycamoreheadError} from '@sycamorehead/schema';
+import type {KnownServer} from '@sycamorehead/membership';
+import type {InFlightWork} from './InFlightWork.js';
+import type {Decision, ServerPolicy} from './routingTypes.js';
+
+function describeChoice(
+  choice: KnownServer | undefined,
+  servers: readonly KnownServer[],
+  getScore: (server: KnownServer) => number,
+  reason: string,
+): Decision<KnownServer> {
+  if (!choice) {
+    throw new SycamoreheadError(
+      'no_backend_server',
+      'no ready backend server has the version or service',
+    );
+  }
+  return {
+    choice,
+    candidates: servers.map(server => ({
+      name: server.announcement.id,
+      score: getScore(server),
+    })),
+    reason,
+  };
+}
+
+/** Each server in turn: the baseline. */
+function createRoundRobin(): ServerPolicy {
+  let turn = 0;
+  return {
+    choose(request, servers) {
+      turn += 1;
+      const choice = servers[turn % Math.max(servers.length, 1)];
+      return describeChoice(choice, servers, () => 0, 'next in turn');
+    },
+  };
+}
+
+/** The server with the least unfinished work from this entry. */
+function createLeastInFlight(work: InFlightWork): ServerPolicy {
+  return {
+    choose(request, servers) {
+      const getScore = ({announcement}: KnownServer) =>
+        work.count(announcement.id) / announcement.slots;
+      const ranked = [...servers].sort(
+        (left, right) => getScore(left) - getScore(right),
+      );
+      return describeChoice(ranked[0], ranked, getScore, 'least in flight');
+    },
+  };
+}
+
+/** Server policies by name. @public */
+export const SERVER_POLICIES = {
+  round_robin: createRoundRobin,
+  least_in_flight: createLeastInFlight,
+} as const satisfies Record<string, (work: InFlightWork) => ServerPolicy>;
+
+/** Name of a server policy. @public */
+export type ServerPolicyName = keyof typeof SERVER_POLICIES;
--- /dev/null
+++ b/packages/schema/src/index.ts
@@ -0,0 +1,51 @@
+/** Words, release note, errors and validators shared by every other package. */
+export {ERROR_ANSWERS, getErrorAnswer, isErrorKind} from './lib/errorKinds.js';
+export type {ErrorAnswer, ErrorKind, RanState} from './lib/errorKinds.js';
+export {
+  SycamoreheadError,
+  readErrorBody,
+  toSycamoreheadError,
+} from './lib/SycamoreheadError.js';
+export type {ErrorBody, ErrorDetails} from './lib/SycamoreheadError.js';
+export {computeDigest, formatCanonicalJson} from './lib/json.js';
+export type {JsonValue} from './lib/json.js';
+export {hashKey, isSameKey} from './lib/keys.js';
+export {releaseNoteSchema} from './lib/releaseNote.js';
+export type {
+  CustomerDeclaration,
+  ReleaseNote,
+  RolloutDeclaration,
+  ServiceCall,
+  ServiceDeclaration,
+  VersionDeclaration,
+  VersionRef,
+} from './lib/releaseNote.js';
+export {parseReleaseNote} from './lib/parseReleaseNote.js';
+export {
+  EMPTY_CONFIGURATION,
+  formatVersionKey,
+  isPermitted,
+  isServing,
+} from './lib/configuration.js';
+export type {
+  Configuration,
+  ConfiguredVersion,
+  VersionState,
+} from './lib/configuration.js';
+export {applyReleaseNote} from './lib/applyReleaseNote.js';
+export {
+  chatRequestSchema,
+  estimatePromptTokens,
+  parseChatRequest,
+} from './lib/chat.js';
+export type {ChatChunk, ChatRequest, Usage} from './lib/chat.js';
+export {announcementSchema, parseAnnouncement} from './lib/announcement.js';
+export type {Announcement} from './lib/announcement.js';
+export type {
+  BeginResult,
+  Bill,
+  ControlApi,
+  LeaseGrant,
+  SessionPin,
+  StoredAnswer,
+} from './lib/records.js';
--- /dev/null
+++ b/packages/schema/src/lib/announcement.ts
@@ -0,0 +1,70 @@
+/**
+ * What a backend server announces about itself, once a second, to any entry.
+ *
+ * @public
+ */
+import {z} from 'zod';
+import {SycamoreheadError} from './SycamoreheadError.js';
+
+const MAX_LOADED = 64;
+
+const identifier = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._:-]{0,62}$/);
+
+const loadReport = z.strictObject({
+  running: z.number().int().min(0),
+  queued: z.number().int().min(0),
+  /** Generated tokens a second over all running requests. */
+  tokensPerSecond: z.number().min(0),
+  /** How old these figures were when they were sent, in milliseconds. */
+  ageMs: z.number().min(0),
+});
+
+/** Validator of an announcement. @public */
+export const announcementSchema = z.strictObject({
+  id: identifier,
+  /** Base URL with an IP address, as `http://10.0.0.7:8000`. */
+  address: z.url({protocol: /^https?$/}).max(200),
+  dataCentre: identifier,
+  kind: z.enum(['engine', 'service']),
+  /** The service's name; absent for engines. */
+  service: identifier.optional(),
+  /** Raised by the server each time it starts. */
+  generation: z.number().int().min(0),
+  /** Raised with every announcement of one generation. */
+  sequence: z.number().int().min(0),
+  state: z.enum(['ready', 'leaving']),
+  /** Versions that an engine has loaded. */
+  versions: z
+    .array(z.strictObject({model: identifier, version: identifier}))
+    .max(MAX_LOADED)
+    .default([]),
+  /** Requests that the server runs at once. */
+  slots: z.number().int().min(1).max(10_000),
+  fencing: z.enum(['checked', 'ignored']),
+  load: loadReport.optional(),
+});
+
+/** A validated announcement. @public */
+export type Announcement = z.infer<typeof announcementSchema>;
+
+/**
+ * Validates an announcement.
+ *
+ * @throws SycamoreheadError `malformed_request` naming the field.
+ * @example
+ * ```ts
+ * parseAnnouncement(body).id; // 'engine-1'
+ * ```
+ * @public
+ */
+export function parseAnnouncement(body: unknown): Announcement {
+  const parsed = announcementSchema.safeParse(body);
+  if (parsed.success) return parsed.data;
+  const issue = parsed.error.issues[0];
+  const field = issue?.path.join('.') || 'body';
+  throw new SycamoreheadError(
+    'malformed_request',
+    `${field}: ${issue?.message ?? 'invalid'}`,
+    {field},
+  );
+}
--- /dev/null
+++ b/packages/schema/src/lib/releaseNote.ts
@@ -0,0 +1,153 @@
+/**
+ * The release note: what an operator publishes. A note is a change to the configuration left by
+ * the note that it follows: entries added, changed and withdrawn.
+ *
+ * @public
+ */
+import {z} from 'zod';
+
+const MAX_ENTRIES = 1_000;
+const MAX_STEPS = 20;
+const DAY_SECONDS = 86_400;
+
+const name = z
+  .string()
+  .regex(
+    /^[a-z0-9][a-z0-9._-]{0,62}$/,
+    'expected lower-case letters, digits, dots, dashes or underscores, at most 63, beginning with a letter or digit',
+  );
+const keyHash = z
+  .string()
+  .regex(
+    /^sha256:[0-9a-f]{64}$/,
+    'expected sha256: and 64 hex digits (syc hash-key prints it)',
+  );
+const share = z.number().gt(0).max(1);
+const quality = z.number().min(0).max(1);
+const price = z.number().min(0).max(1_000_000);
+
+/** One step of a roll-out: the share of new sessions, and how long it is held at least. */
+const rolloutStep = z.strictObject({
+  share,
+  soakSeconds: z.number().min(0).max(DAY_SECONDS),
+});
+
+const guard = z.strictObject({
+  /** Lowest acceptable mean rating, 0 to 1. */
+  minQuality: quality,
+  /** Highest acceptable share of failed or truncated answers, 0 to 1. */
+  maxErrorRate: z.number().min(0).max(1),
+  /** Ratings that a step needs before the next one. */
+  minRatings: z.number().int().min(0).max(100_000).default(30),
+});
+
+const rollout = z.strictObject({
+  /** The version that keeps the rest of the traffic meanwhile. */
+  replaces: name,
+  steps: z.array(rolloutStep).min(1).max(MAX_STEPS),
+  guard,
+});
+
+const version = z.strictObject({
+  model: name,
+  version: name,
+  /** Currency units for a million prompt tokens (micro-units a token). */
+  inputPrice: price,
+  /** Currency units for a million generated tokens (micro-units a token). */
+  outputPrice: price,
+  contextTokens: z.number().int().min(1).max(10_000_000),
+  /** Expected rating before any is known, 0 to 1. */
+  qualityPrior: quality,
+  /** Replicas wanted at full share; 0 leaves placement to the operators of the servers. */
+  replicas: z.number().int().min(0).max(100_000).default(0),
+  rollout: rollout.optional(),
+});
+
+const permittedModel = z.strictObject({
+  model: name,
+  /** Versions this customer may use; `any` allows every version of the model. */
+  versions: z.union([z.literal('any'), z.array(name).min(1).max(MAX_ENTRIES)]),
+});
+
+const limits = z.strictObject({
+  requestsPerSecond: z.number().gt(0).max(1_000_000),
+  /** Generated tokens a second over the whole deployment. */
+  tokensPerSecond: z.number().gt(0).max(100_000_000),
+});
+
+const customer = z.strictObject({
+  customer: name,
+  keyHash,
+  models: z.array(permittedModel).max(MAX_ENTRIES).default([]),
+  services: z.array(name).max(MAX_ENTRIES).default([]),
+  /** Share of the capacity under contention, relative to the other customers. */
+  weight: z.number().gt(0).max(1_000).default(1),
+  limits,
+  /** Lowest acceptable expected rating, 0 to 1. */
+  qualityTarget: quality,
+});
+
+const serviceCall = z.strictObject({
+  method: z.enum(['GET', 'POST', 'PUT', 'PATCH', 'DELETE']),
+  /** Path prefix below the service, beginning with a slash. */
+  path: z.string().regex(/^\/[^\s?#]*$/, 'expected a path beginning with /'),
+  repeatable: z.boolean(),
+  /** Currency micro-units for each call. */
+  priceMicros: z.number().int().min(0).max(1_000_000_000).default(0),
+});
+
+const service = z.strictObject({
+  service: name,
+  /** The first matching call decides; a call that matches none is refused. */
+  calls: z.array(serviceCall).min(1).max(MAX_ENTRIES),
+});
+
+const versionRef = z.strictObject({model: name, version: name});
+
+const versionChange = version.partial().required({model: true, version: true});
+const customerChange = customer.partial().required({customer: true});
+const serviceChange = service.partial().required({service: true});
+
+const added = z.strictObject({
+  versions: z.array(version).max(MAX_ENTRIES).default([]),
+  customers: z.array(customer).max(MAX_ENTRIES).default([]),
+  services: z.array(service).max(MAX_ENTRIES).default([]),
+});
+
+const changed = z.strictObject({
+  versions: z.array(versionChange).max(MAX_ENTRIES).default([]),
+  customers: z.array(customerChange).max(MAX_ENTRIES).default([]),
+  services: z.array(serviceChange).max(MAX_ENTRIES).default([]),
+});
+
+const withdrawn = z.strictObject({
+  versions: z.array(versionRef).max(MAX_ENTRIES).default([]),
+  customers: z.array(name).max(MAX_ENTRIES).default([]),
+  services: z.array(name).max(MAX_ENTRIES).default([]),
+});
+
+/** Validator of a release note. @public */
+export const releaseNoteSchema = z.strictObject({
+  number: z.number().int().min(1).max(Number.MAX_SAFE_INTEGER),
+  /** Number of the note that this one follows; 0 for the first. */
+  follows: z.number().int().min(0),
+  summary: z.string().max(2_000).default(''),
+  add: added.prefault({}),
+  change: changed.prefault({}),
+  withdraw: withdrawn.prefault({}),
+});
+
+/** A validated release note. @public */
+export type ReleaseNote = z.infer<typeof releaseNoteSchema>;
+/** A version as a note declares it. @public */
+export type VersionDeclaration = z.infer<typeof version>;
+/** A customer as a note declares it. @public */
+export type CustomerDeclaration = z.infer<typeof customer>;
+/** A plain service as a note declares it. @public */
+export type ServiceDeclaration = z.infer<typeof service>;
+/** One kind of call of a plain service. @public */
+export type ServiceCall = z.infer<typeof serviceCall>;
+/** A roll-out as a note declares it. @public */
+export type RolloutDeclaration = z.infer<typeof rollout>;
+/** Names one version of one model. @public */
+export type VersionRef = z.infer<typeof versionRef>;
--- /dev/null
+++ b/packages/stand-ins/src/lib/Announcer.ts
@@ -0,0 +1,89 @@
+import {request} from 'undici';
+import type {Announcement} from '@sycamorehead/schema';
+
+const ANNOUNCE_INTERVAL_MS = 1_000;
+const ANNOUNCE_TIMEOUT_MS = 900;
+
+/** What an Announcer repeats; it fills in the sequence and the state. @public */
+export type AnnouncementSource = () => Omit<
+  Announcement,
+  'sequence' | 'state' | 'generation'
+>;
+
+/** Settings of an Announcer. @public */
+export interface AnnouncerOptions {
+  /** Base URLs of the entries; each announcement goes to the next one, as through a balancer. */
+  readonly entries: readonly string[];
+  readonly serverKey: string;
+  readonly source: AnnouncementSource;
+  readonly generation?: number;
+}
+
+/** Announces a stand-in backend server to the entries once a second. @public */
+export class Announcer {
+  private sequence = 0;
+  private turn = 0;
+  private state: Announcement['state'] = 'ready';
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: AnnouncerOptions) {}
+
+  /** Announces at once and then every second. */
+  async start(): Promise<void> {
+    await this.announce();
+    this.timer = setInterval(() => void this.announce(), ANNOUNCE_INTERVAL_MS);
+    this.timer.unref();
+  }
+
+  /** Announces that the server is leaving; it goes on announcing so. */
+  async leave(): Promise<void> {
+    this.state = 'leaving';
+    await this.announce();
+  }
+
+  /** Stops announcing without a word, as a crash would. */
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  /** Sends one announcement; tries the other entries where one does not answer. */
+  async announce(): Promise<void> {
+    const {entries, source, generation} = this.options;
+    this.sequence += 1;
+    const announcement: Announcement = {
+      ...source(),
+      generation: generation ?? 1,
+      sequence: this.sequence,
+      state: this.state,
+    };
+    for (let attempt = 0; attempt < entries.length; attempt++) {
+      this.turn += 1;
+      const entry = entries[this.turn % entries.length];
+      if (entry && (await this.put(entry, announcement))) return;
+    }
+  }
+
+  private async put(
+    entry: string,
+    announcement: Announcement,
+  ): Promise<boolean> {
+    try {
+      const {statusCode, body} = await request(
+        `${entry}/v1/backend-servers/${announcement.id}`,
+        {
+          method: 'PUT',
+          headersTimeout: ANNOUNCE_TIMEOUT_MS,
+          headers: {
+            authorization: `Bearer ${this.options.serverKey}`,
+            'content-type': 'application/json',
+          },
+          body: JSON.stringify(announcement),
+        },
+      );
+      await body.dump();
+      return statusCode === 200;
+    } catch {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/lib/PrefixCache.ts
@@ -0,0 +1,25 @@
+/** A bounded cache of prompt prefixes, oldest use dropped first. @public */
+export class PrefixCache {
+  private readonly prefixes = new Map<string, number>();
+
+  constructor(private readonly maxPrefixes: number) {}
+
+  /** Counts the tokens of the longest cached prefix of a prompt and caches all its prefixes. */
+  use(messages: ReadonlyArray<{readonly content: string}>): number {
+    let key = '';
+    let tokens = 0;
+    let cached = 0;
+    for (const {content} of messages) {
+      key += `${content}\n`;
+      tokens += Math.ceil(content.length / 4);
+      if (this.prefixes.delete(key)) cached = tokens;
+      this.prefixes.set(key, tokens);
+    }
+    while (this.prefixes.size > this.maxPrefixes) {
+      const [oldest] = this.prefixes.keys();
+      if (oldest === undefined) break;
+      this.prefixes.delete(oldest);
+    }
+    return cached;
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/lib/StandInEngine.ts
@@ -0,0 +1,309 @@
+import {createHash} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {request} from 'undici';
+import {
+  Announcement,
+  ChatRequest,
+  VersionRef,
+  estimatePromptTokens,
+  parseChatRequest,
+} from '@sycamorehead/schema';
+import {AnnouncementSource, Announcer} from './Announcer.js';
+import {EngineBatch, EngineJob, EngineSpeed} from './EngineBatch.js';
+import {EngineFaults, HEALTHY} from './engineFaults.js';
+import {PrefixCache} from './PrefixCache.js';
+import {StandInServer, sendJson} from './StandInServer.js';
+
+const DEFAULT_TOKENS = 24;
+const MAX_PREFIXES = 512;
+const WORDS =
+  'silver spoon rota bucket dawn clinic label note engrave initials script border oak leaf well turn'.split(
+    ' ',
+  );
+
+/** Settings of a stand-in engine. @public */
+export interface StandInEngineOptions {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly versions: readonly VersionRef[];
+  readonly speed: EngineSpeed;
+  readonly fencing: Announcement['fencing'];
+  /** Base URLs of the entries that it announces itself to. */
+  readonly entries: readonly string[];
+  readonly serverKey: string;
+  /** Base URL of the weight store; without one, loads are immediate. */
+  readonly weightStore?: string;
+  readonly generation?: number;
+}
+
+/** One request as the engine ran it, for checks from the other end. @public */
+export interface EngineRun {
+  readonly id: string;
+  readonly version: string;
+  readonly prompt: string;
+  readonly resumedFrom: number;
+  tokens: number;
+  outcome: 'running' | 'finished' | 'cancelled' | 'faulted';
+}
+
+/** An order as the engine took it. @public */
+export interface EngineOrder {
+  readonly action: 'load' | 'unload';
+  readonly model: string;
+  readonly version: string;
+  readonly fencing: number;
+}
+
+/**
+ * A small model engine: batches continuously, caches prompt prefixes, honours priorities, resumes
+ * and cancels, reports load late, and takes orders.
+ *
+ * @public
+ */
+export class StandInEngine {
+  readonly faults: EngineFaults = {...HEALTHY};
+  readonly runs: EngineRun[] = [];
+  readonly orders: EngineOrder[] = [];
+  readonly announcer: Announcer;
+  address = '';
+  private readonly server: StandInServer;
+  private readonly batch: EngineBatch;
+  private readonly prefixes = new PrefixCache(MAX_PREFIXES);
+  private readonly loads: Array<{at: number; running: number; queued: number}> =
+    [];
+  private versions: VersionRef[];
+  private highestFencing = 0;
+
+  constructor(private readonly options: StandInEngineOptions) {
+    this.versions = [...options.versions];
+    this.batch = new EngineBatch(options.speed, this.faults);
+    this.server = new StandInServer((incoming, response, body) =>
+      this.answer(incoming, response, body),
+    );
+    this.announcer = new Announcer({
+      entries: options.entries,
+      serverKey: options.serverKey,
+      generation: options.generation,
+      source: () => this.describe(),
+    });
+  }
+
+  /** Starts to serve and to announce. */
+  async start(): Promise<string> {
+    this.address = await this.server.start();
+    if (this.options.entries.length > 0) await this.announcer.start();
+    return this.address;
+  }
+
+  /** Stops as a crash would. */
+  async stop(): Promise<void> {
+    this.announcer.stop();
+    await this.server.stop();
+  }
+
+  private describe(): ReturnType<AnnouncementSource> {
+    const {id, dataCentre, speed, fencing} = this.options;
+    return {
+      id,
+      address: this.address,
+      dataCentre,
+      kind: 'engine',
+      versions: [...this.versions],
+      slots: speed.slots,
+      fencing,
+      load: this.readLaggedLoad(),
+    };
+  }
+
+  private readLaggedLoad(): Announcement['load'] {
+    const now = performance.now();
+    const {runningCount, queuedCount} = this.batch;
+    this.loads.push({at: now, running: runningCount, queued: queuedCount});
+    const old = now - this.faults.reportLagMs;
+    while (this.loads[1] && this.loads[1].at <= old) this.loads.shift();
+    const shown = this.loads[0];
+    return {
+      running: shown?.running ?? 0,
+      queued: shown?.queued ?? 0,
+      tokensPerSecond: 0,
+      ageMs: shown ? now - shown.at : 0,
+    };
+  }
+
+  private async answer(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+  ): Promise<void> {
+    const route = `${incoming.method} ${incoming.url}`;
+    if (route === 'POST /v1/chat/completions') {
+      this.answerChat(incoming, response, body);
+      return;
+    }
+    if (route === 'POST /v1/orders') {
+      await this.answerOrder(response, JSON.parse(body) as EngineOrder);
+      return;
+    }
+    sendJson(response, 404, {error: {message: 'no such path', ran: 'no'}});
+  }
+
+  private answerChat(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+  ): void {
+    const chat = parseChatRequest(JSON.parse(body));
+    const [model = '', version = ''] = chat.model.split('/');
+    const isLoaded = this.versions.some(
+      loaded => loaded.model === model && loaded.version === version,
+    );
+    if (!isLoaded || this.faults.refuses) {
+      const message = isLoaded ? 'engine is busy' : 'version is not loaded';
+      sendJson(response, 503, {error: {message, ran: 'no'}});
+      return;
+    }
+    const run: EngineRun = {
+      id: String(incoming.headers['x-request-id'] ?? ''),
+      version: chat.model,
+      prompt: chat.messages.map(({content}) => content).join('\n'),
+      resumedFrom: Number(incoming.headers['x-resume-offset'] ?? 0),
+      tokens: 0,
+      outcome: 'running',
+    };
+    this.runs.push(run);
+    this.startJob(incoming, response, chat, run);
+  }
+
+  private startJob(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    chat: ChatRequest,
+    run: EngineRun,
+  ): void {
+    const promptTokens = estimatePromptTokens(chat.messages);
+    const cachedTokens = this.prefixes.use(chat.messages);
+    const wanted = Number(chat.metadata?.stand_in_tokens ?? DEFAULT_TOKENS);
+    const totalTokens = Math.min(wanted, chat.max_tokens ?? wanted);
+    const finishReason = totalTokens < wanted ? 'length' : 'stop';
+    const stream = new EngineStream(response, run, chat, {
+      prompt_tokens: promptTokens,
+      completion_tokens: totalTokens,
+      cached_tokens: cachedTokens,
+    });
+    const job: EngineJob = {
+      id: `${run.id}#${this.runs.length}`,
+      priority: Number(incoming.headers['x-priority'] ?? 0),
+      prefillTokens: promptTokens - cachedTokens,
+      totalTokens,
+      generated: run.resumedFrom,
+      onToken: ({generated}) => {
+        run.tokens += 1;
+        if (this.showFault(response, run, job)) return;
+        stream.sendToken(generated, generated === totalTokens, finishReason);
+      },
+    };
+    response.on('close', () => {
+      this.batch.cancel(job.id);
+      if (run.outcome === 'running') run.outcome = 'cancelled';
+    });
+    if (!this.batch.add(job)) response.destroy();
+  }
+
+  /** Shows the fault that is due, if one is; the token is then not sent. */
+  private showFault(
+    response: ServerResponse,
+    run: EngineRun,
+    job: EngineJob,
+  ): boolean {
+    const {resetAfterTokens, truncateAfterTokens, silentAfterTokens} =
+      this.faults;
+    const isDue = (limit?: number) => limit !== undefined && run.tokens > limit;
+    if (isDue(resetAfterTokens)) {
+      run.outcome = 'faulted';
+      response.destroy();
+      return true;
+    }
+    if (isDue(truncateAfterTokens)) {
+      run.outcome = 'faulted';
+      response.end();
+      return true;
+    }
+    if (isDue(silentAfterTokens)) {
+      run.outcome = 'faulted';
+      this.batch.cancel(job.id);
+      return true;
+    }
+    return false;
+  }
+
+  private async answerOrder(
+    response: ServerResponse,
+    order: EngineOrder,
+  ): Promise<void> {
+    const isOld = order.fencing < this.highestFencing;
+    if (isOld && this.options.fencing === 'checked') {
+      sendJson(response, 409, {error: {message: 'old fencing number'}});
+      return;
+    }
+    this.highestFencing = Math.max(this.highestFencing, order.fencing);
+    this.orders.push(order);
+    if (order.action === 'load' && !(await this.fetchWeights(order))) {
+      sendJson(response, 503, {error: {message: 'weight store refused'}});
+      return;
+    }
+    const {model, version} = order;
+    this.versions = this.versions.filter(
+      loaded => loaded.model !== model || loaded.version !== version,
+    );
+    if (order.action === 'load') this.versions.push({model, version});
+    sendJson(response, 200, {loaded: this.versions});
+  }
+
+  private async fetchWeights({model, version}: EngineOrder): Promise<boolean> {
+    if (!this.options.weightStore) return true;
+    const {statusCode, body} = await request(
+      `${this.options.weightStore}/weights/${model}/${version}`,
+    );
+    await body.dump();
+    return statusCode === 200;
+  }
+}
+
+/** Writes one answer as server-sent events. */
+class EngineStream {
+  private readonly seed: string;
+
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly run: EngineRun,
+    private readonly chat: ChatRequest,
+    private readonly usage: object,
+  ) {
+    this.seed = `${chat.model}\n${run.prompt}`;
+    response.writeHead(200, {'content-type': 'text/event-stream'});
+    response.flushHeaders();
+  }
+
+  sendToken(offset: number, isLast: boolean, reason: string): void {
+    const digest = createHash('sha256').update(`${this.seed}${offset}`);
+    const word = WORDS[digest.digest()[0]! % WORDS.length] ?? '';
+    const chunk = {
+      id: this.run.id,
+      object: 'chat.completion.chunk',
+      model: this.chat.model,
+      offset,
+      choices: [
+        {
+          index: 0,
+          delta: {content: offset === 1 ? word : ` ${word}`},
+          finish_reason: isLast ? reason : null,
+        },
+      ],
+      ...(isLast && {usage: this.usage}),
+    };
+    this.response.write(`data: ${JSON.stringify(chunk)}\n\n`);
+    if (!isLast) return;
+    this.run.outcome = 'finished';
+    this.response.end('data: [DONE]\n\n');
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/lib/StandInWeightStore.ts
@@ -0,0 +1,48 @@
+import {StandInServer, sendJson} from './StandInServer.js';
+
+/** Settings of a stand-in weight store. @public */
+export interface StandInWeightStoreOptions {
+  /** Time of one load, in milliseconds. */
+  readonly loadMs: number;
+  /** Loads allowed to begin in a window; more get 429. */
+  readonly loadsPerWindow: number;
+  readonly windowMs: number;
+}
+
+/** A weight store limited by rate: `GET /weights/{model}/{version}`. @public */
+export class StandInWeightStore {
+  /** Loads that were refused. */
+  refused = 0;
+  /** Loads that were served. */
+  served = 0;
+  private starts: number[] = [];
+  private readonly server: StandInServer;
+
+  constructor(private readonly options: StandInWeightStoreOptions) {
+    this.server = new StandInServer(async (incoming, response) => {
+      const now = performance.now();
+      this.starts = this.starts.filter(at => at > now - options.windowMs);
+      if (this.starts.length >= options.loadsPerWindow) {
+        this.refused += 1;
+        const [oldest = now] = this.starts;
+        const retryAfterMs = Math.ceil(oldest + options.windowMs - now);
+        sendJson(response, 429, {error: {message: 'rate limit', retryAfterMs}});
+        return;
+      }
+      this.starts.push(now);
+      await new Promise(resolve => setTimeout(resolve, options.loadMs));
+      this.served += 1;
+      sendJson(response, 200, {weights: incoming.url});
+    });
+  }
+
+  /** Starts to serve. */
+  start(): Promise<string> {
+    return this.server.start();
+  }
+
+  /** Stops. */
+  stop(): Promise<void> {
+    return this.server.stop();
+  }
+}
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,10 @@
+/** Logs, metrics and settings. */
+export {
+  createLogger,
+  formatLogLine,
+  setLogPattern,
+} from './lib/createLogger.js';
+export type {LogFields, Logger} from './lib/createLogger.js';
+export {createEntryMetrics} from './lib/createMetrics.js';
+export type {EntryMetrics} from './lib/createMetrics.js';
+export {readSecret, readSettings} from './lib/readSettings.js';
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,14 @@
+/** Framed JSON-RPC links between the project's own processes. */
+export {
+  FrameDecoder,
+  MAX_FRAME_BYTES,
+  encodeFrame,
+} from './lib/FrameDecoder.js';
+export {createSocketChannel} from './lib/MessageChannel.js';
+export type {MessageChannel} from './lib/MessageChannel.js';
+export {DEFAULT_LINK_TIMEOUTS, PeerLink} from './lib/PeerLink.js';
+export type {LinkTimeouts, MethodHandler, MethodTable} from './lib/PeerLink.js';
+export {HELLO_METHOD, WireServer} from './lib/WireServer.js';
+export type {Hello, WireServerOptions} from './lib/WireServer.js';
+export {connectPeer, parsePeerAddress} from './lib/connectPeer.js';
+export type {ConnectOptions, PeerAddress} from './lib/connectPeer.js';
--- /dev/null
+++ b/packages/wire/src/lib/WireServer.ts
@@ -0,0 +1,104 @@
+import {Server, Socket, createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {createLogger} from '@sycamorehead/telemetry';
+import {SycamoreheadError, isSameKey} from '@sycamorehead/schema';
+import {createSocketChannel} from './MessageChannel.js';
+import {
+  DEFAULT_LINK_TIMEOUTS,
+  LinkTimeouts,
+  MethodTable,
+  PeerLink,
+} from './PeerLink.js';
+
+const log = createLogger('wire');
+
+const MAX_LINKS = 4_096;
+
+/** The method by which a connecting peer names itself and proves its key. @public */
+export const HELLO_METHOD = 'wire.hello';
+
+/** Parameters of the hello. @public */
+export interface Hello {
+  readonly name: string;
+  readonly key: string;
+}
+
+/** Settings of a WireServer. @public */
+export interface WireServerOptions {
+  readonly host: string;
+  /** 0 takes any free port. */
+  readonly port: number;
+  /** Shared key that peers must present. */
+  readonly peerKey: string;
+  readonly methods: MethodTable;
+  readonly timeouts?: LinkTimeouts;
+}
+
+/**
+ * Accepts links from peers. A link serves nothing until its hello has proved the peer key.
+ *
+ * @public
+ */
+export class WireServer {
+  private readonly server: Server;
+  private readonly links = new Set<PeerLink>();
+
+  constructor(private readonly options: WireServerOptions) {
+    this.server = createServer(socket => this.acceptSocket(socket));
+    this.server.maxConnections = MAX_LINKS;
+  }
+
+  /**
+   * Starts to listen and returns the port.
+   *
+   * @example
+   * ```ts
+   * const port = await server.start();
+   * ```
+   */
+  async start(): Promise<number> {
+    const {host, port} = this.options;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Closes every link and stops listening. */
+  async stop(): Promise<void> {
+    for (const link of this.links) link.close('server stops');
+    await new Promise<void>(resolve => this.server.close(() => resolve()));
+  }
+
+  private acceptSocket(socket: Socket): void {
+    let isProved = false;
+    const proveFirst = Object.fromEntries(
+      Object.entries(this.options.methods).map(([name, handler]) => [
+        name,
+        (params: never, link: PeerLink) => {
+          if (isProved) return handler(params, link);
+          throw new SycamoreheadError('unauthenticated', 'hello comes first');
+        },
+      ]),
+    );
+    const link = new PeerLink(
+      createSocketChannel(socket),
+      {
+        ...proveFirst,
+        [HELLO_METHOD]: (hello: Hello) => {
+          if (!isSameKey(String(hello.key), this.options.peerKey)) {
+            throw new SycamoreheadError('unauthenticated', 'wrong peer key');
+          }
+          isProved = true;
+          link.peerName = String(hello.name);
+          log('link_accepted', {peer: link.peerName});
+          return {};
+        },
+      },
+      this.options.timeouts ?? DEFAULT_LINK_TIMEOUTS,
+    );
+    this.links.add(link);
+    link.addCloseListener(() => this.links.delete(link));
+  }
+}
--- /dev/null
+++ b/scripts/checkRepository.mjs
@@ -0,0 +1,31 @@
+// Checks on what a commit carries: no download address, no path of one machine, context pages, known failures.
+import {execFileSync} from 'node:child_process';
+import {existsSync, readFileSync, readdirSync} from 'node:fs';
+
+const problems = [];
+const files = execFileSync('git', ['ls-files'], {encoding: 'utf8'})
+  .split('\n')
+  .filter(Boolean);
+
+// Built from parts so that this file does not match itself.
+const MACHINE_PATH = new RegExp(['/wo', 'rk/(main|given|shared)'].join(''));
+const DOWNLOAD_ADDRESS = new RegExp('"resolved": "' + 'https?:');
+
+for (const file of files) {
+  if (!existsSync(file)) continue;
+  const text = readFileSync(file, 'utf8');
+  if (MACHINE_PATH.test(text)) problems.push(`${file}: path of one machine`);
+  if (DOWNLOAD_ADDRESS.test(text)) problems.push(`${file}: download address`);
+  if (file.startsWith('given/')) problems.push(`${file}: given material`);
+}
+for (const name of readdirSync('packages')) {
+  if (!existsSync(`packages/${name}/CONTEXT.md`)) {
+    problems.push(`packages/${name}: no CONTEXT.md`);
+  }
+}
+if (existsSync('KNOWN-RED.txt')) {
+  const text = readFileSync('KNOWN-RED.txt', 'utf8').trim();
+  if (text) console.log(`known failures:\n${text}`);
+}
+for (const problem of problems) console.error(problem);
+process.exit(problems.length === 0 ? 0 : 1);
--- /dev/null
+++ b/scripts/ensure.mjs
@@ -0,0 +1,81 @@
+// Shared by `npm start` and `npm test`: installs and builds with Node's own modules only,
+// so that both work alone in a fresh clone.
+import {spawnSync} from 'node:child_process';
+import {existsSync, readFileSync, writeFileSync, readdirSync} from 'node:fs';
+import {createHash} from 'node:crypto';
+import path from 'node:path';
+
+export const ROOT = path.resolve(import.meta.dirname, '..');
+const MARKER = path.join(ROOT, 'node_modules', '.sycamorehead-lock');
+
+export function run(command, args, options = {}) {
+  const result = spawnSync(command, args, {
+    cwd: ROOT,
+    stdio: 'inherit',
+    ...options,
+  });
+  return result.status ?? 1;
+}
+
+function digestLock() {
+  const lock = readFileSync(path.join(ROOT, 'package-lock.json'));
+  return createHash('sha256').update(lock).digest('hex');
+}
+
+function isInstalled() {
+  if (!existsSync(MARKER)) return false;
+  return readFileSync(MARKER, 'utf8') === digestLock();
+}
+
+export function ensureInstalled() {
+  if (isInstalled()) return;
+  console.log(
+    'installing libraries (npm ci); a slow registry can take minutes',
+  );
+  const args = [
+    'ci',
+    '--no-audit',
+    '--no-fund',
+    '--ignore-scripts',
+    '--loglevel=http',
+  ];
+  if (run('npm', args) !== 0) {
+    console.error(
+      'npm ci failed: the libraries in package-lock.json could not be installed. ' +
+        'Check that the npm registry is reachable (npm ping) and run the command again.',
+    );
+    process.exit(1);
+  }
+  writeFileSync(MARKER, digestLock());
+}
+
+export function ensureBuilt() {
+  console.log('building (tsc -b)');
+  if (run('node', ['node_modules/typescript/bin/tsc', '-b']) !== 0) {
+    console.error('the build failed: see the compiler errors above');
+    process.exit(1);
+  }
+}
+
+export function findTests(folder = ROOT) {
+  const found = [];
+  for (const top of ['packages', 'apps']) {
+    for (const name of readdirSync(path.join(folder, top))) {
+      const dist = path.join(folder, top, name, 'dist');
+      if (!existsSync(dist)) continue;
+      for (const file of readdirSync(dist, {recursive: true})) {
+        if (!file.endsWith('.test.js')) continue;
+        // A compiled test whose source is gone is left over from an older build.
+        const source = path.join(
+          folder,
+          top,
+          name,
+          'src',
+          file.replace(/\.js$/, '.ts'),
+        );
+        if (existsSync(source)) found.push(path.join(top, name, 'dist', file));
+      }
+    }
+  }
+  return found.sort();
+}
