--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -8,6 +8,7 @@
     ignores: [
       '**/dist/',
       'bin/',
+      'target/',
       'node_modules/',
       'bench-results/',
       'scripts/',
@@ -17,7 +18,7 @@
   },
   ...gts,
   {
-    files: ['packages/**/*.ts', 'apps/**/*.ts'],
+    files: ['packages/**/*.ts', 'apps/**/*.ts', 'platform/**/*.ts'],
     plugins: {sycamorehead: sycamoreheadPlugin},
     languageOptions: {
       parserOptions: {
--- a/packages/consensus/src/lib/MembershipChange.ts
+++ b/packages/consensus/src/lib/MembershipChange.ts
@@ -123,7 +123,8 @@
    */
   private async waitUntilCaughtUp(id: string): Promise<void> {
     const {state, timing, getLeadership} = this.context;
-    const deadline = performance.now() + CATCH_UP_TIMEOUT_MS;
+    const deadline =
+      performance.now() + (timing.catchUpMs ?? CATCH_UP_TIMEOUT_MS);
     const pause = new Signal();
     for (;;) {
       const target = state.entries.lastIndex;
--- a/packages/consensus/src/lib/raftTiming.ts
+++ b/packages/consensus/src/lib/raftTiming.ts
@@ -10,6 +10,8 @@
   readonly callMs: number;
   /** Time allowed for one chunk of a snapshot. */
   readonly chunkMs: number;
+  /** Time allowed for a new member to catch up before its addition fails; absent: a minute. */
+  readonly catchUpMs?: number;
 }
 
 /** Times for members a few milliseconds apart. @public */
--- a/packages/consensus/src/lib/storage/identity.ts
+++ b/packages/consensus/src/lib/storage/identity.ts
@@ -13,6 +13,7 @@
 /**
  * Reads the member id that this disk gives an instance, and creates it on an empty disk. A wiped
  * disk gets another id, so that it can neither vote nor acknowledge in the place of its former self.
+ * `diskId` is the part of the id that names a new disk.
  *
  * @throws SycamoreheadError `storage_failed` where the disk belongs to another instance.
  * @internal
@@ -20,12 +21,13 @@
 export async function loadMemberId(
   disk: Disk,
   instance: string,
+  diskId: string = randomUUID(),
 ): Promise<string> {
   try {
     const names = await disk.list();
     if (!names.includes(IDENTITY_FILE)) {
       if (names.length > 0) throw new Error('files without an identity');
-      return await createMemberId(disk, instance);
+      return await createMemberId(disk, instance, diskId);
     }
     const data = await disk.read(IDENTITY_FILE);
     const {bodies} = readRecords(IDENTITY_FILE, data, false);
@@ -42,8 +44,12 @@
   }
 }
 
-async function createMemberId(disk: Disk, instance: string): Promise<string> {
-  const identity: Identity = {instance, disk: randomUUID()};
+async function createMemberId(
+  disk: Disk,
+  instance: string,
+  diskId: string,
+): Promise<string> {
+  const identity: Identity = {instance, disk: diskId};
   await disk.replace(IDENTITY_FILE, encodeRecord(JSON.stringify(identity)));
   return `${instance}/${identity.disk}`;
 }
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,22 @@
+/** Control plane of a fleet with declared routes. */
+export {FLEET_METHODS} from './lib/fleetMessages.js';
+export type {
+  ControlIdentity,
+  ExchangeReply,
+  ExchangeRequest,
+  FleetUpdate,
+  ServerListing,
+  StoredConfiguration,
+  SyncReply,
+  SyncRequest,
+} from './lib/fleetMessages.js';
+export {FleetLinks} from './lib/FleetLinks.js';
+export type {FleetLinksOptions} from './lib/FleetLinks.js';
+export {FleetNode} from './lib/FleetNode.js';
+export type {
+  ConfigurationDecoder,
+  FleetNodeOptions,
+  RolloutOrder,
+} from './lib/FleetNode.js';
+export {ServerRegistry} from './lib/ServerRegistry.js';
+export type {RegistryTimes} from './lib/ServerRegistry.js';
--- /dev/null
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -0,0 +1,462 @@
+import {randomUUID} from 'node:crypto';
+import {
+  LinkPool,
+  RaftTiming,
+  WireTransport,
+  createConsensusMethods,
+} from '@sycamorehead/consensus';
+import {
+  JsonValue,
+  RouteConfiguration,
+  ServerRegistration,
+  ServiceRollout,
+  SycamoreheadError,
+  checkRouteConfiguration,
+} from '@sycamorehead/schema';
+import {createLogger, writeDecision} from '@sycamorehead/telemetry';
+import {LinkTimeouts, PeerLink, WireServer} from '@sycamorehead/wire';
+import {ControlPeers} from './ControlPeers.js';
+import {EntryFeeds} from './EntryFeeds.js';
+import {
+  ControlIdentity,
+  ExchangeReply,
+  ExchangeRequest,
+  FLEET_METHODS,
+  FleetUpdate,
+  ServerListing,
+  StoredConfiguration,
+  SyncReply,
+  SyncRequest,
+} from './fleetMessages.js';
+import {GroupKeeper} from './GroupKeeper.js';
+import {LogHost, buildFirstMember} from './LogHost.js';
+import {RolloutDriver} from './RolloutDriver.js';
+import {RegistryTimes, ServerRegistry} from './ServerRegistry.js';
+import {UsageHub} from './UsageHub.js';
+
+const log = createLogger('fleet');
+
+/** Time allowed for a call to the leader, in milliseconds; operators wait a second for an answer. */
+const LEADER_CALL_MS = 850;
+const EXPIRY_INTERVAL_MS = 500;
+/** Links between instances some milliseconds apart; a silent one is replaced within a second. */
+const FLEET_LINK_TIMEOUTS: LinkTimeouts = {
+  heartbeatMs: 300,
+  silenceMs: 1_000,
+  requestMs: 1_000,
+};
+/** Consensus between instances some milliseconds apart, with disks of some milliseconds a sync. */
+const FLEET_RAFT_TIMING: RaftTiming = {
+  heartbeatMs: 100,
+  electionMinMs: 500,
+  electionMaxMs: 1_000,
+  callMs: 400,
+  chunkMs: 1_000,
+  catchUpMs: 4_000,
+};
+
+/** Turns an operator's document into a configuration; throws `note_invalid`. @public */
+export type ConfigurationDecoder = (document: JsonValue) => RouteConfiguration;
+
+/** Settings of a FleetNode. @public */
+export interface FleetNodeOptions {
+  readonly instance: string;
+  /** IP address on which links are accepted. */
+  readonly host: string;
+  readonly peerPort: number;
+  readonly peerKey: string;
+  /** Addresses of the links of some control instances. */
+  readonly seeds: readonly string[];
+  /** Whether this is the first start of the whole system, with empty disks. */
+  readonly isFirstStart: boolean;
+  readonly dataFolder: string;
+  /** Disks whose loss at the same time must be survived. */
+  readonly faults: number;
+  readonly registry: RegistryTimes;
+  readonly maxCanaryShare: number;
+  readonly decodeConfiguration: ConfigurationDecoder;
+}
+
+/** Order to move a service to a new version. @public */
+export interface RolloutOrder {
+  readonly service: string;
+  readonly target: string;
+  readonly durationMs: number;
+}
+
+/**
+ * One control instance of a fleet with declared routes: holds the configuration and the
+ * roll-outs in the replicated log, the backend servers in memory, and tells the entries.
+ *
+ * @public
+ */
+export class FleetNode {
+  private readonly links: LinkPool;
+  private readonly consensusLinks: LinkPool;
+  private readonly host: LogHost;
+  private readonly peers: ControlPeers;
+  private readonly registry: ServerRegistry;
+  private readonly feeds: EntryFeeds;
+  private readonly hub = new UsageHub();
+  private readonly keeper: GroupKeeper;
+  private readonly driver: RolloutDriver;
+  private readonly wireServer: WireServer;
+  private readonly incarnation = randomUUID();
+  private readonly address: string;
+  private expiryTimer: NodeJS.Timeout | undefined;
+  private isResetting = false;
+
+  constructor(private readonly options: FleetNodeOptions) {
+    const {instance, peerKey, host, peerPort} = options;
+    this.address = `${host}:${peerPort}`;
+    const pool = {name: instance, peerKey, timeouts: FLEET_LINK_TIMEOUTS};
+    this.links = new LinkPool(pool);
+    // Apart from other traffic, so that a large configuration does not hold up heartbeats.
+    this.consensusLinks = new LinkPool(pool);
+    this.registry = new ServerRegistry(options.registry);
+    this.feeds = new EntryFeeds({
+      listServers: () => this.registry.list(),
+      findServer: id => this.registry.find(id),
+      getConfigurationVersion: () => this.host.state.configuration.version,
+      listRollouts: () => this.host.state.listRollouts(),
+      listControls: () => this.peers.listAddresses(),
+      isLeading: () => this.host.isLeader,
+    });
+    this.host = new LogHost({
+      instance,
+      folder: `${options.dataFolder}/log`,
+      transport: new WireTransport(this.consensusLinks),
+      timing: FLEET_RAFT_TIMING,
+      onChange: () => this.feeds.noteState(),
+      onLeading: () => this.handleLeading(),
+    });
+    this.peers = new ControlPeers({
+      links: this.links,
+      seeds: options.seeds,
+      getIdentity: () => this.describeIdentity(),
+      listRegistrations: () =>
+        this.registry.list().map(({registration}) => registration),
+      onRemoved: () => this.resetMember(),
+    });
+    this.keeper = new GroupKeeper({
+      host: this.host,
+      peers: this.peers,
+      faults: options.faults,
+    });
+    this.driver = new RolloutDriver({
+      host: this.host,
+      registry: this.registry,
+      hub: this.hub,
+      maxCanaryShare: options.maxCanaryShare,
+    });
+    this.wireServer = new WireServer({
+      host,
+      port: peerPort,
+      peerKey,
+      timeouts: FLEET_LINK_TIMEOUTS,
+      methods: this.createMethods(),
+    });
+  }
+
+  // Commands.
+
+  /** Begins to take part. */
+  async start(): Promise<void> {
+    await this.wireServer.start();
+    this.peers.start();
+    this.expiryTimer = setInterval(
+      () => this.expireServers(),
+      EXPIRY_INTERVAL_MS,
+    );
+    void this.keeper.run();
+    void this.driver.run();
+    await this.host.start(this.describeFirstGroup());
+  }
+
+  /**
+   * Takes a whole configuration; one that is not higher than what is stored changes nothing.
+   *
+   * @throws SycamoreheadError `note_invalid`, or `control_unavailable` where the outcome is unknown.
+   */
+  async putConfiguration(document: JsonValue): Promise<void> {
+    const {version} = this.readDocument(document);
+    await this.runOnLeader(FLEET_METHODS.putConfiguration, document, () =>
+      this.commitConfiguration(version, document),
+    );
+  }
+
+  /** Takes the order to move a service to a new version; a repeated order changes nothing. */
+  async startRollout(order: RolloutOrder): Promise<void> {
+    await this.runOnLeader(FLEET_METHODS.startRollout, order, () =>
+      this.commitRollout(order),
+    );
+  }
+
+  /**
+   * Takes what a backend server says of itself. Returns once another instance knows of it too,
+   * where it says that it leaves.
+   *
+   * @throws SycamoreheadError `control_unavailable` where no other instance could be told.
+   */
+  async register(registration: ServerRegistration): Promise<void> {
+    const isChanged = this.takeRegistration(registration);
+    const known = this.registry.find(registration.id)?.registration;
+    if (known === undefined || known.state === 'ready') {
+      if (known) this.peers.publish(known);
+      return;
+    }
+    if (isChanged) {
+      writeDecision('server_leaves', {
+        server: known.id,
+        state: known.state,
+        sequence: known.sequence,
+      });
+    }
+    if (await this.peers.shareNow(known)) return;
+    throw new SycamoreheadError(
+      'control_unavailable',
+      'no other control instance holds this',
+    );
+  }
+
+  /** Takes a backend server's word that it has gone. */
+  async withdraw(id: string): Promise<void> {
+    const known = this.registry.find(id)?.registration;
+    if (!known) return;
+    await this.register({
+      ...known,
+      state: 'gone',
+      sequence: known.sequence + 1,
+    });
+  }
+
+  /** Hands leadership over and stops. */
+  async stop(): Promise<void> {
+    clearInterval(this.expiryTimer);
+    this.keeper.stop();
+    this.driver.stop();
+    this.peers.stop();
+    await this.host.stop();
+    this.links.stop();
+    this.consensusLinks.stop();
+    await this.wireServer.stop();
+  }
+
+  // Queries.
+
+  /** Reads the newest configuration, confirmed with a quorum. */
+  async readConfiguration(): Promise<StoredConfiguration> {
+    return this.runOnLeader(FLEET_METHODS.readConfiguration, {}, async () => {
+      await this.host.requireNode().confirmLeadership();
+      return this.host.state.configuration;
+    });
+  }
+
+  /** Reads the newest roll-out of a service, confirmed with a quorum. */
+  async readRollout(service: string): Promise<ServiceRollout | undefined> {
+    const reply = await this.runOnLeader<{rollout?: ServiceRollout}>(
+      FLEET_METHODS.readRollout,
+      {service},
+      async () => {
+        await this.host.requireNode().confirmLeadership();
+        return {rollout: this.host.state.findRollout(service)};
+      },
+    );
+    return reply.rollout;
+  }
+
+  /** Lists the backend servers that this instance knows. */
+  listServers(): ServerListing[] {
+    return this.registry.list();
+  }
+
+  // Links.
+
+  private createMethods() {
+    return {
+      ...this.createConsensusMethods(),
+      [FLEET_METHODS.sync]: (request: SyncRequest) => this.answerSync(request),
+      [FLEET_METHODS.subscribe]: (
+        {entry}: {entry: string},
+        link: PeerLink,
+      ): FleetUpdate => this.feeds.subscribe(link, entry),
+      [FLEET_METHODS.fetchConfiguration]: () => this.host.state.configuration,
+      [FLEET_METHODS.exchange]: (request: ExchangeRequest): ExchangeReply =>
+        this.hub.exchange(request),
+      [FLEET_METHODS.putConfiguration]: (document: JsonValue) => {
+        const {version} = this.readDocument(document);
+        return this.commitConfiguration(version, document);
+      },
+      [FLEET_METHODS.startRollout]: (order: RolloutOrder) =>
+        this.commitRollout(order),
+      [FLEET_METHODS.readConfiguration]: async () => {
+        await this.host.requireNode().confirmLeadership();
+        return this.host.state.configuration;
+      },
+      [FLEET_METHODS.readRollout]: async ({service}: {service: string}) => {
+        await this.host.requireNode().confirmLeadership();
+        return {rollout: this.host.state.findRollout(service)};
+      },
+    };
+  }
+
+  /** The member may be replaced while the process runs, so it is looked up for each message. */
+  private createConsensusMethods() {
+    const methods = createConsensusMethods([]);
+    return Object.fromEntries(
+      Object.keys(methods).map(name => [
+        name,
+        (params: never, link: PeerLink) => {
+          const node = this.host.requireNode();
+          return createConsensusMethods([node])[name]?.(params, link);
+        },
+      ]),
+    );
+  }
+
+  private async answerSync(request: SyncRequest): Promise<SyncReply> {
+    for (const registration of request.registrations) {
+      this.takeRegistration(registration);
+    }
+    this.peers.noteIdentity(request.from);
+    this.peers.addAddresses(request.peers);
+    return {
+      from: this.describeIdentity(),
+      peers: this.peers.listAddresses(),
+      isRemoved: await this.keeper.isRemoved(request.from),
+    };
+  }
+
+  // State.
+
+  private async commitConfiguration(
+    version: number,
+    document: JsonValue,
+  ): Promise<Record<string, never>> {
+    this.requireCompleteGroup();
+    const {host} = this;
+    if (version <= host.state.configuration.version) {
+      await host.requireNode().confirmLeadership();
+      if (version <= host.state.configuration.version) return {};
+    }
+    const isChanged = await host.propose({
+      type: 'put_configuration',
+      version,
+      document,
+    });
+    writeDecision('configuration_committed', {version, changed: isChanged});
+    return {};
+  }
+
+  private async commitRollout(
+    order: RolloutOrder,
+  ): Promise<Record<string, never>> {
+    this.requireCompleteGroup();
+    const isChanged = await this.host.propose({
+      type: 'start_rollout',
+      ...order,
+    });
+    writeDecision('rollout_ordered', {
+      service: order.service,
+      target: order.target,
+      changed: isChanged,
+    });
+    return {};
+  }
+
+  /** A commit in a smaller group would not survive the loss of as many disks as promised. */
+  private requireCompleteGroup(): void {
+    if (this.host.isLeader && !this.keeper.isComplete()) {
+      throw new SycamoreheadError(
+        'control_unavailable',
+        'the group is still being formed',
+        {ran: 'no'},
+      );
+    }
+  }
+
+  private readDocument(document: JsonValue): RouteConfiguration {
+    const configuration = this.options.decodeConfiguration(document);
+    checkRouteConfiguration(configuration);
+    return configuration;
+  }
+
+  private async runOnLeader<Result>(
+    method: string,
+    params: unknown,
+    runHere: () => Promise<Result>,
+  ): Promise<Result> {
+    if (this.host.isLeader) return runHere();
+    const {leader} = this.host;
+    if (leader === undefined) {
+      throw new SycamoreheadError('not_leader', 'no leader is known');
+    }
+    const address = `${leader}:${this.options.peerPort}`;
+    return this.links.request<Result>(address, method, params, LEADER_CALL_MS);
+  }
+
+  private takeRegistration(registration: ServerRegistration): boolean {
+    const known = this.registry.find(registration.id);
+    const isChanged = this.registry.accept(registration);
+    if (!isChanged) return false;
+    writeDecision('server_changed', {
+      server: registration.id,
+      service: registration.service,
+      state: registration.state,
+      was: known?.registration.state ?? 'unknown',
+      sequence: registration.sequence,
+    });
+    this.feeds.noteServer(registration.id);
+    return true;
+  }
+
+  private expireServers(): void {
+    const {changed, dropped} = this.registry.expire();
+    for (const id of [...changed, ...dropped]) {
+      writeDecision('server_silent', {server: id});
+      this.feeds.noteServer(id);
+    }
+  }
+
+  private describeIdentity(): ControlIdentity {
+    const identity = this.host.member?.getIdentity();
+    return {
+      address: this.address,
+      instance: this.options.instance,
+      incarnation: this.incarnation,
+      memberId: identity?.id ?? '',
+      group: identity?.group ?? '',
+      isStoring: true,
+    };
+  }
+
+  private describeFirstGroup() {
+    const {isFirstStart, seeds, peerPort} = this.options;
+    if (!isFirstStart || !seeds.includes(this.address)) return undefined;
+    const addresses = [...seeds].sort();
+    const members = addresses.map(address =>
+      buildFirstMember(address.slice(0, -`:${peerPort}`.length), address),
+    );
+    return {group: `first-${addresses.join('-')}`, members};
+  }
+
+  private handleLeading(): void {
+    writeDecision('leading', {
+      instance: this.options.instance,
+      term: this.host.member?.getStatus().term,
+    });
+    this.feeds.noteState();
+  }
+
+  private resetMember(): void {
+    if (this.isResetting) return;
+    this.isResetting = true;
+    this.host.reset().then(
+      () => (this.isResetting = false),
+      (error: unknown) => {
+        this.isResetting = false;
+        log('reset_failed', {error: String(error)});
+      },
+    );
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/lib/FleetState.ts
@@ -0,0 +1,169 @@
+import type {
+  JsonValue,
+  RolloutPhase,
+  ServiceRollout,
+} from '@sycamorehead/schema';
+import type {StateMachine} from '@sycamorehead/consensus';
+import type {StoredConfiguration} from './fleetMessages.js';
+
+/** A roll-out with the time that it has used, as the log keeps it. @public */
+export interface RolloutRecord extends ServiceRollout {
+  /** Time since the order, in milliseconds, as the leader last committed it. */
+  readonly elapsedMs: number;
+}
+
+/** A step of a roll-out. @public */
+export interface RolloutStep {
+  readonly phase: RolloutPhase;
+  readonly share: number;
+  readonly isEarly: boolean;
+  readonly elapsedMs: number;
+}
+
+/** Commands of the replicated fleet state. @public */
+export type FleetCommand =
+  | {
+      readonly type: 'put_configuration';
+      readonly version: number;
+      readonly document: JsonValue;
+    }
+  | {
+      readonly type: 'start_rollout';
+      readonly service: string;
+      readonly target: string;
+      readonly durationMs: number;
+    }
+  | {
+      readonly type: 'step_rollout';
+      readonly service: string;
+      readonly number: number;
+      readonly step: RolloutStep;
+    };
+
+/** Whether a command has changed something. @public */
+export interface CommandResult {
+  readonly isChanged: boolean;
+}
+
+interface FleetSnapshot {
+  readonly configuration: StoredConfiguration;
+  readonly rollouts: readonly RolloutRecord[];
+  readonly rolloutCount: number;
+}
+
+type Handlers = {
+  [Type in FleetCommand['type']]: (
+    command: Extract<FleetCommand, {type: Type}>,
+  ) => boolean;
+};
+
+/** Roll-outs kept; the ones ordered longest ago yield. */
+const MAX_ROLLOUTS = 200;
+
+/**
+ * The replicated state of the fleet: the configuration of the highest version and the roll-outs.
+ *
+ * @public
+ */
+export class FleetState implements StateMachine {
+  private stored: StoredConfiguration = {version: 0, document: null};
+  private rollouts = new Map<string, RolloutRecord>();
+  private rolloutCount = 0;
+  private readonly handlers: Handlers = {
+    put_configuration: command => this.putConfiguration(command),
+    start_rollout: command => this.startRollout(command),
+    step_rollout: command => this.stepRollout(command),
+  };
+
+  constructor(private readonly onChange: () => void = () => {}) {}
+
+  apply(command: JsonValue): JsonValue {
+    const known = command as unknown as FleetCommand;
+    const handler = this.handlers[known.type] as (
+      command: FleetCommand,
+    ) => boolean;
+    const isChanged = handler(known);
+    if (isChanged) this.onChange();
+    return {isChanged};
+  }
+
+  takeSnapshot(): JsonValue {
+    const snapshot: FleetSnapshot = {
+      configuration: this.stored,
+      rollouts: [...this.rollouts.values()],
+      rolloutCount: this.rolloutCount,
+    };
+    return snapshot as unknown as JsonValue;
+  }
+
+  restoreSnapshot(snapshot: JsonValue): void {
+    const known = snapshot as unknown as FleetSnapshot;
+    this.stored = known.configuration;
+    this.rolloutCount = known.rolloutCount;
+    this.rollouts = new Map(
+      known.rollouts.map(rollout => [rollout.service, rollout]),
+    );
+    this.onChange();
+  }
+
+  /** The configuration of the highest version. */
+  get configuration(): StoredConfiguration {
+    return this.stored;
+  }
+
+  /** Returns the newest roll-out of each service. */
+  listRollouts(): RolloutRecord[] {
+    return [...this.rollouts.values()];
+  }
+
+  /** Finds the newest roll-out of a service. */
+  findRollout(service: string): RolloutRecord | undefined {
+    return this.rollouts.get(service);
+  }
+
+  private putConfiguration({
+    version,
+    document,
+  }: Extract<FleetCommand, {type: 'put_configuration'}>): boolean {
+    if (version <= this.stored.version) return false;
+    this.stored = {version, document};
+    return true;
+  }
+
+  private startRollout({
+    service,
+    target,
+    durationMs,
+  }: Extract<FleetCommand, {type: 'start_rollout'}>): boolean {
+    const known = this.rollouts.get(service);
+    // The same order again: its acknowledgement was lost.
+    if (known?.target === target) return false;
+    this.rolloutCount += 1;
+    this.rollouts.delete(service);
+    this.rollouts.set(service, {
+      service,
+      target,
+      durationMs,
+      phase: 'in_progress',
+      share: 0,
+      isEarly: true,
+      number: this.rolloutCount,
+      elapsedMs: 0,
+    });
+    const [oldest] = this.rollouts.keys();
+    const isFull = this.rollouts.size > MAX_ROLLOUTS;
+    if (isFull && oldest !== undefined) this.rollouts.delete(oldest);
+    return true;
+  }
+
+  private stepRollout({
+    service,
+    number,
+    step,
+  }: Extract<FleetCommand, {type: 'step_rollout'}>): boolean {
+    const known = this.rollouts.get(service);
+    if (known?.number !== number || known.phase !== 'in_progress') return false;
+    this.rollouts.set(service, {...known, ...step});
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/lib/judgeRollout.ts
@@ -0,0 +1,96 @@
+import type {VersionCounts} from '@sycamorehead/schema';
+
+/** Answers of the new version below which nothing is said. */
+const MIN_ANSWERS = 6;
+/** Failures of the new version below which it is not called bad. */
+const MIN_FAILURES = 3;
+/** Standard deviations by which the new version's failure rate must exceed the old one's. */
+const FAILURE_Z = 3;
+/** Times by which the geometric mean of the new version's answer times must exceed the old one's. */
+const SLOWNESS_FACTOR = 2.2;
+/** Timed answers of the new version below which its times are not judged. */
+const MIN_TIMED = 8;
+/** Answers taken as seen of the old version before any were, with none failed but one. */
+const PRIOR_ANSWERS = 20;
+
+/** Why a version is bad. @public */
+export type BadReason = 'failures' | 'slow';
+
+/** Counts of the old and the new version on one route, or on all together. @public */
+export interface VersionPair {
+  readonly old: VersionCounts;
+  readonly new: VersionCounts;
+}
+
+/** No answers. @public */
+export const NO_COUNTS: VersionCounts = {
+  answers: 0,
+  failures: 0,
+  logTimeSum: 0,
+  timed: 0,
+};
+
+/**
+ * Adds counts.
+ *
+ * @example
+ * ```ts
+ * addCounts(NO_COUNTS, counts); // counts
+ * ```
+ * @public
+ */
+export function addCounts(
+  left: VersionCounts,
+  right: VersionCounts,
+): VersionCounts {
+  return {
+    answers: left.answers + right.answers,
+    failures: left.failures + right.failures,
+    logTimeSum: left.logTimeSum + right.logTimeSum,
+    timed: left.timed + right.timed,
+  };
+}
+
+/**
+ * Judges a new version against the old one, over all routes and on each route by itself, since a
+ * version may be bad on one only.
+ *
+ * @example
+ * ```ts
+ * judgeRollout([{old, new: failing}]); // 'failures'
+ * ```
+ * @public
+ */
+export function judgeRollout(
+  routes: readonly VersionPair[],
+): BadReason | undefined {
+  const total = routes.reduce(
+    (sum, pair) => ({
+      old: addCounts(sum.old, pair.old),
+      new: addCounts(sum.new, pair.new),
+    }),
+    {old: NO_COUNTS, new: NO_COUNTS},
+  );
+  for (const pair of [total, ...routes]) {
+    if (hasMoreFailures(pair)) return 'failures';
+    if (isSlower(pair)) return 'slow';
+  }
+  return undefined;
+}
+
+function hasMoreFailures({old, new: fresh}: VersionPair): boolean {
+  if (fresh.answers < MIN_ANSWERS || fresh.failures < MIN_FAILURES) {
+    return false;
+  }
+  const base = (old.failures + 1) / (old.answers + PRIOR_ANSWERS);
+  const expected = base * fresh.answers;
+  const deviation = Math.sqrt(expected * (1 - base));
+  return fresh.failures > expected + FAILURE_Z * deviation;
+}
+
+function isSlower({old, new: fresh}: VersionPair): boolean {
+  if (fresh.timed < MIN_TIMED || old.timed < MIN_TIMED) return false;
+  const oldMean = old.logTimeSum / old.timed;
+  const freshMean = fresh.logTimeSum / fresh.timed;
+  return freshMean - oldMean > Math.log(SLOWNESS_FACTOR);
+}
--- /dev/null
+++ b/packages/gateway/src/lib/CallerAnswer.ts
@@ -0,0 +1,98 @@
+import type {ServerResponse} from 'node:http';
+import {SycamoreheadError, getErrorAnswer} from '@sycamorehead/schema';
+
+const MS_PER_SECOND = 1_000;
+
+/**
+ * The one answer to a caller's request.
+ *
+ * @public
+ */
+export class CallerAnswer {
+  /** Aborted once the caller has gone before its answer was complete. */
+  readonly gone: AbortSignal;
+  private readonly controller = new AbortController();
+  private status = 0;
+
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly requestId: {name: string; value: string},
+    /** Whether the connection is to be closed behind this answer. */
+    private readonly shouldClose: () => boolean,
+  ) {
+    this.gone = this.controller.signal;
+    response.sendDate = false;
+    response.on('close', () => {
+      if (!response.writableFinished) this.controller.abort();
+    });
+    // A caller's reset arrives as 'close' as well.
+    response.on('error', () => this.controller.abort());
+  }
+
+  /** Whether the head has been sent; after it only the body can go on. */
+  get isBegun(): boolean {
+    return this.status !== 0;
+  }
+
+  /** The status sent, or 0. */
+  get sentStatus(): number {
+    return this.status;
+  }
+
+  /** Sends a whole answer. */
+  sendWhole(status: number, headers: readonly string[], body: Buffer): void {
+    if (this.isBegun || this.gone.aborted) return;
+    const length = ['Content-Length', String(body.length)];
+    this.writeHead(status, [...headers, ...length]);
+    this.response.end(body);
+  }
+
+  /** Begins an answer of unknown length. */
+  begin(status: number, headers: readonly string[]): void {
+    if (this.isBegun || this.gone.aborted) return;
+    this.writeHead(status, headers);
+  }
+
+  /** Sends a part of the body; resolves once the caller can take more. */
+  async write(bytes: Buffer): Promise<void> {
+    if (this.gone.aborted || this.response.write(bytes)) return;
+    await new Promise<void>(resolve => {
+      this.response.once('drain', resolve);
+      this.gone.addEventListener('abort', () => resolve(), {once: true});
+    });
+  }
+
+  /** Ends a complete answer. */
+  finish(): void {
+    if (!this.gone.aborted) this.response.end();
+  }
+
+  /** Sends an error, or cuts an answer that has begun so that it does not look complete. */
+  fail(error: SycamoreheadError): void {
+    if (this.gone.aborted) return;
+    if (this.isBegun) {
+      this.response.destroy();
+      return;
+    }
+    const {status} = getErrorAnswer(error.kind);
+    const body = Buffer.from(JSON.stringify({error: error.toBody()}));
+    const headers = [
+      this.requestId.name,
+      this.requestId.value,
+      'Content-Type',
+      'application/json',
+    ];
+    const promisesNotRun = status === 503 || status === 429;
+    if (promisesNotRun && error.retryAfterMs !== undefined) {
+      const seconds = (error.retryAfterMs / MS_PER_SECOND).toFixed(3);
+      headers.push('Retry-After', seconds);
+    }
+    this.sendWhole(status, headers, body);
+  }
+
+  private writeHead(status: number, headers: readonly string[]): void {
+    this.status = status;
+    if (this.shouldClose()) this.response.shouldKeepAlive = false;
+    this.response.writeHead(status, headers as string[]);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/CallerRequest.ts
@@ -0,0 +1,132 @@
+import type {IncomingMessage} from 'node:http';
+import {SycamoreheadError} from '@sycamorehead/schema';
+import type {HeaderNames} from './headerNames.js';
+
+/** A part of a prompt. @public */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** A caller's request, decoded. @public */
+export interface CallerRequest {
+  readonly id: string;
+  readonly method: string;
+  /** Path with query, as sent. */
+  readonly target: string;
+  readonly path: string;
+  /** In lower case, without a port. */
+  readonly host: string;
+  readonly rawHeaders: readonly string[];
+  readonly key: string | undefined;
+  readonly session: string | undefined;
+  readonly lastEventId: string | undefined;
+  /** When it arrived, on the monotonic clock. */
+  readonly arrivedAt: number;
+  /** How long the caller will wait from then, in milliseconds. */
+  readonly waitMs: number | undefined;
+  readonly promptTokens: number;
+  readonly maxAnswerTokens: number;
+  readonly parts: readonly PromptPart[];
+  body: Buffer;
+}
+
+/** Headers that may occur once; a second one could be read differently further on. */
+const SINGLE_HEADERS = ['host', 'content-length', 'transfer-encoding'];
+const MAX_PARTS = 64;
+
+/**
+ * Decodes a request's head.
+ *
+ * @throws SycamoreheadError `malformed_request` where it could be read in two ways.
+ * @example
+ * ```ts
+ * const request = decodeRequest(message, names);
+ * ```
+ * @public
+ */
+export function decodeRequest(
+  message: IncomingMessage,
+  names: HeaderNames,
+): CallerRequest {
+  const {headers, rawHeaders} = message;
+  checkFraming(message, names);
+  const target = message.url ?? '';
+  if (!target.startsWith('/')) refuse('expected a path as the target');
+  const read = (name: string) => {
+    const value = headers[name];
+    return typeof value === 'string' && value !== '' ? value : undefined;
+  };
+  const [promptTokens = 0, maxAnswerTokens = 0] = (read(names.tokenUsage) ?? '')
+    .split(',')
+    .map(readCount);
+  return {
+    id: read(names.requestId) ?? refuse('expected a request id'),
+    method: message.method ?? 'GET',
+    target,
+    path: target.split('?', 1)[0] ?? target,
+    host: readHost(headers.host),
+    rawHeaders,
+    key: read(names.key),
+    session: read(names.session),
+    lastEventId: read(names.lastEventId),
+    arrivedAt: performance.now(),
+    waitMs: readWait(read(names.deadlineMs)),
+    promptTokens,
+    maxAnswerTokens,
+    parts: readParts(read(names.prefix)),
+    body: Buffer.alloc(0),
+  };
+}
+
+function checkFraming(
+  {headers, rawHeaders}: IncomingMessage,
+  names: HeaderNames,
+): void {
+  for (const name of [...SINGLE_HEADERS, names.requestId, names.key]) {
+    if (countHeader(rawHeaders, name) > 1) refuse(`${name}: expected once`);
+  }
+  const coding = headers['transfer-encoding'];
+  if (coding === undefined) return;
+  if (headers['content-length'] !== undefined) {
+    refuse('expected a length or chunks, not both');
+  }
+  if (coding.toLowerCase() !== 'chunked') refuse('expected chunks only');
+}
+
+function countHeader(rawHeaders: readonly string[], name: string): number {
+  let count = 0;
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    if (rawHeaders[index]?.toLowerCase() === name) count += 1;
+  }
+  return count;
+}
+
+function readHost(host: string | undefined): string {
+  return (host ?? '').toLowerCase().replace(/:\d+$/, '');
+}
+
+function readWait(text: string | undefined): number | undefined {
+  const value = Number(text ?? NaN);
+  return Number.isFinite(value) && value >= 0 ? value : undefined;
+}
+
+function readCount(text: string): number {
+  const value = Number(text);
+  return Number.isFinite(value) && value > 0 ? value : 0;
+}
+
+function readParts(text: string | undefined): PromptPart[] {
+  if (text === undefined) return [];
+  return text
+    .split(',')
+    .slice(0, MAX_PARTS)
+    .map(part => {
+      const [id = '', tokens = ''] = part.trim().split(':');
+      return {id, tokens: readCount(tokens)};
+    });
+}
+
+function refuse(message: string): never {
+  throw new SycamoreheadError('malformed_request', message);
+}
--- /dev/null
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -0,0 +1,381 @@
+import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
+import {
+  ModelChoice,
+  chooseModel,
+  isWorthEscalating,
+} from '@sycamorehead/routing';
+import {writeDecision} from '@sycamorehead/telemetry';
+import {buildServerHeaders} from './buildServerHeaders.js';
+import type {CallerAnswer} from './CallerAnswer.js';
+import type {CallerRequest} from './CallerRequest.js';
+import {DeliveryResult, deliverAnswer} from './deliverAnswer.js';
+import type {ForwardContext} from './gatewayTypes.js';
+import type {Place} from './Placement.js';
+import {RequestTarget, resolveTarget} from './resolveTarget.js';
+import {AttemptOutcome, ServerAnswer, sendAttempt} from './sendAttempt.js';
+
+/** Longest wait for a place, as a part of the target latency. */
+const QUEUE_PART = 0.5;
+/** Time without the head of an answer after which another server is tried, as a part of the target. */
+const PATIENCE_PART = 0.8;
+/** Sends that may end without the request having run, beyond the attempts of the route. */
+const MAX_FRUITLESS_SENDS = 4;
+/** Advice to callers that are refused, in milliseconds, spread by as much again. */
+const RETRY_AFTER_MS = 250;
+
+type NextStep = 'done' | 'again';
+
+/**
+ * One caller's request on its way: sends it to backend servers, one after another, until one has
+ * answered, no further send is allowed or the time is up.
+ *
+ * @internal
+ */
+export class ForwardedRequest {
+  private readonly controller = new AbortController();
+  private readonly tried = new Set<string>();
+  private readonly history: string[] = [];
+  private limitAt = Infinity;
+  private isTimedOut = false;
+  /** Sends after which the request may have run. */
+  private runs = 0;
+  private fruitlessSends = 0;
+  private isSentBefore = false;
+  private model: string | undefined;
+  private isEscalated = false;
+  private lastEventId: string | undefined;
+  private waitedMs = 0;
+  private routeName = '';
+  private failure: SycamoreheadError | undefined;
+
+  constructor(
+    private readonly context: ForwardContext,
+    private readonly request: CallerRequest,
+    private readonly answer: CallerAnswer,
+  ) {
+    this.lastEventId = request.lastEventId;
+  }
+
+  /** Serves the request to its end. */
+  async run(): Promise<void> {
+    const {answer, controller} = this;
+    const handleGone = () => controller.abort();
+    answer.gone.addEventListener('abort', handleGone, {once: true});
+    let timer: NodeJS.Timeout | undefined;
+    try {
+      const target = this.resolve();
+      this.routeName = target.route.name;
+      const {timeoutMs} = target.route;
+      const allowedMs = Math.min(this.request.waitMs ?? Infinity, timeoutMs);
+      this.limitAt = this.request.arrivedAt + allowedMs;
+      this.context.budgets.noteRequest(target.service.name);
+      timer = setTimeout(() => {
+        this.isTimedOut = true;
+        controller.abort();
+      }, this.limitAt - performance.now());
+      while ((await this.takeStep()) === 'again');
+    } catch (thrown) {
+      this.failure = this.chooseFailure(toSycamoreheadError(thrown));
+      answer.fail(this.failure);
+    } finally {
+      clearTimeout(timer);
+      this.logEnd();
+    }
+  }
+
+  private resolve(): RequestTarget {
+    return resolveTarget(this.context.getRoutes(), this.request);
+  }
+
+  /** One send: takes a place, sends, and handles how that ended. */
+  private async takeStep(): Promise<NextStep> {
+    const target = this.resolve();
+    const {service} = target;
+    if (this.isSentBefore && !this.context.budgets.acquire(service.name)) {
+      throw this.buildRefusal('the retry budget is used up');
+    }
+    const model = this.chooseNextModel(target);
+    const waitStart = performance.now();
+    const place = await this.acquirePlace(target, model);
+    this.waitedMs += performance.now() - waitStart;
+    try {
+      const now = this.resolve();
+      const isMoved =
+        now.service.name !== service.name || now.customer !== target.customer;
+      if (isMoved || !this.context.servers.isReady(place.server)) {
+        return 'again';
+      }
+      const sentAt = performance.now();
+      const outcome = await this.send(now, place, model);
+      this.noteOutcome(place, outcome);
+      return await this.handleOutcome(outcome, now, place, model, sentAt);
+    } finally {
+      place.release();
+    }
+  }
+
+  private acquirePlace(
+    target: RequestTarget,
+    model: string | undefined,
+  ): Promise<Place> {
+    const {request, context, controller} = this;
+    const {route, service, priority} = target;
+    const side = context.versions.assignSide(
+      service.name,
+      request.session,
+      request.id,
+    );
+    const waitMs = route.targetLatencyMs * QUEUE_PART;
+    return context.placement.acquire({
+      request,
+      service,
+      side,
+      model,
+      priority,
+      tried: this.tried,
+      giveUpAt: Math.min(this.limitAt, performance.now() + waitMs),
+      signal: controller.signal,
+    });
+  }
+
+  private send(
+    target: RequestTarget,
+    {server}: Place,
+    model: string | undefined,
+  ): Promise<AttemptOutcome> {
+    const {request, context, controller} = this;
+    const leftMs = this.limitAt - performance.now();
+    const {address} = server.listing.registration;
+    return sendAttempt({
+      agent: server.agent,
+      address,
+      method: request.method,
+      target: request.target,
+      headers: buildServerHeaders(request, context.names, {
+        target,
+        server,
+        model,
+        leftMs,
+        resumeAfter: this.lastEventId,
+      }),
+      body: request.body,
+      requestId: request.id,
+      names: context.names,
+      headTimeoutMs: this.isRepeatAllowed(target, this.runs + 1)
+        ? Math.min(leftMs, target.route.targetLatencyMs * PATIENCE_PART)
+        : leftMs,
+      signal: controller.signal,
+    });
+  }
+
+  private noteOutcome({server}: Place, outcome: AttemptOutcome): void {
+    const {id, service} = server.listing.registration;
+    this.tried.add(id);
+    this.history.push(`${id}:${outcome.type}`);
+    this.context.metrics.noteAttempt(service, outcome.type);
+    if (outcome.type !== 'unsent') this.isSentBefore = true;
+    if (this.controller.signal.aborted) return;
+    if (outcome.type === 'unsent' || outcome.type === 'lost') {
+      this.context.servers.noteFailure(server, outcome.reason);
+    }
+  }
+
+  private async handleOutcome(
+    outcome: AttemptOutcome,
+    target: RequestTarget,
+    place: Place,
+    model: string | undefined,
+    sentAt: number,
+  ): Promise<NextStep> {
+    switch (outcome.type) {
+      case 'unsent':
+      case 'refused':
+        return this.handleFruitless(outcome);
+      case 'lost':
+        this.runs += 1;
+        this.noteEvidence(place, true, undefined);
+        return this.handleUnknownRun(target, outcome.reason);
+      case 'answered':
+        this.runs += 1;
+        return this.handleAnswer(outcome.answer, target, place, model, sentAt);
+    }
+  }
+
+  /** The request has not run there, so another server may have it. */
+  private handleFruitless(outcome: AttemptOutcome): NextStep {
+    this.checkTime();
+    this.fruitlessSends += 1;
+    if (this.fruitlessSends <= MAX_FRUITLESS_SENDS) return 'again';
+    throw this.buildRefusal(`${outcome.type} by several servers`);
+  }
+
+  /** The request may have run; only what may be repeated goes on. */
+  private handleUnknownRun(target: RequestTarget, reason: string): NextStep {
+    this.checkTime();
+    if (this.isRepeatAllowed(target, this.runs)) return 'again';
+    throw new SycamoreheadError('outcome_unknown', reason);
+  }
+
+  private async handleAnswer(
+    serverAnswer: ServerAnswer,
+    target: RequestTarget,
+    place: Place,
+    model: string | undefined,
+    sentAt: number,
+  ): Promise<NextStep> {
+    const {route} = target;
+    const choice: ModelChoice = {models: route.models, previous: model};
+    const {policies, metrics} = this.context;
+    const isWeak =
+      !this.isEscalated &&
+      serverAnswer.status === 200 &&
+      isWorthEscalating(policies.model, choice, serverAnswer.confidence);
+    if (isWeak && this.isRepeatAllowed(target, this.runs)) {
+      serverAnswer.cancel();
+      this.isEscalated = true;
+      this.model = model;
+      this.tried.clear();
+      metrics.noteEscalation(route.name);
+      this.history.push(`escalated:${serverAnswer.confidence}`);
+      return 'again';
+    }
+    const isError = serverAnswer.status >= 500;
+    if (isError && this.isRepeatAllowed(target, this.runs)) {
+      serverAnswer.cancel();
+      this.noteEvidence(place, true, undefined);
+      return 'again';
+    }
+    this.model = model;
+    const result = await deliverAnswer({
+      serverAnswer,
+      answer: this.answer,
+      method: this.request.method,
+      lastEventId: this.lastEventId,
+      names: this.context.names,
+      onFirstBytes: () => this.noteFirstBytes(target, place, model, sentAt),
+    });
+    return this.handleDelivery(result, target, place, isError);
+  }
+
+  private handleDelivery(
+    result: DeliveryResult,
+    target: RequestTarget,
+    place: Place,
+    isError: boolean,
+  ): NextStep {
+    this.lastEventId = result.lastEventId;
+    if (result.isComplete) {
+      if (isError) this.noteEvidence(place, true, undefined);
+      return 'done';
+    }
+    this.history.push('broken');
+    if (this.answer.gone.aborted) return 'done';
+    this.noteEvidence(place, true, undefined);
+    this.context.servers.noteFailure(place.server, result.reason);
+    return this.handleUnknownRun(target, result.reason);
+  }
+
+  private noteFirstBytes(
+    target: RequestTarget,
+    place: Place,
+    model: string | undefined,
+    sentAt: number,
+  ): void {
+    const {context, request} = this;
+    const timeMs = performance.now() - sentAt;
+    context.metrics.noteFirstByte(performance.now() - request.arrivedAt);
+    const kind = `${target.route.name} ${model ?? ''}`;
+    const ratio = context.times.noteTime(kind, timeMs);
+    context.servers.noteAnswer(place.server, ratio);
+    this.noteEvidence(place, false, timeMs);
+    if (model === undefined) return;
+    const keys = request.parts.map(({id}) => `${model} ${id}`);
+    context.servers.noteParts(place.server, keys);
+  }
+
+  private noteEvidence(
+    {server}: Place,
+    isFailure: boolean,
+    timeMs: number | undefined,
+  ): void {
+    const {versions} = this.context;
+    versions.noteAnswer(server, this.routeName, isFailure, timeMs);
+  }
+
+  private chooseNextModel({route}: RequestTarget): string | undefined {
+    const {models} = route;
+    if (models.length === 0) return undefined;
+    // A stream goes on with the model that began it.
+    if (this.answer.isBegun) return this.model;
+    const previous = this.isEscalated ? this.model : undefined;
+    return chooseModel(this.context.policies.model, {models, previous});
+  }
+
+  /** Whether the request may run once more after so many runs. */
+  private isRepeatAllowed(
+    {route, service}: RequestTarget,
+    runs: number,
+  ): boolean {
+    const isRepeatable =
+      route.kind === 'safe' ||
+      (route.kind === 'streaming' && route.isResumable);
+    return (
+      isRepeatable &&
+      runs < route.maxAttempts &&
+      this.context.budgets.hasRoom(service.name)
+    );
+  }
+
+  private checkTime(): void {
+    if (!this.controller.signal.aborted) return;
+    throw new SycamoreheadError('deadline_exceeded', 'the time is up');
+  }
+
+  private buildRefusal(message: string): SycamoreheadError {
+    const kind = this.runs > 0 ? 'outcome_unknown' : 'overloaded';
+    return new SycamoreheadError(kind, message);
+  }
+
+  /** A request that has run, or may have, is never answered as one that has not. */
+  private chooseFailure(error: SycamoreheadError): SycamoreheadError {
+    if (this.isTimedOut) {
+      return this.runs > 0
+        ? new SycamoreheadError('deadline_exceeded', 'the time is up')
+        : new SycamoreheadError('overloaded', 'no server in time', {
+            retryAfterMs: spreadRetryAfter(),
+          });
+    }
+    if (error.kind === 'overloaded') {
+      const kind = this.runs > 0 ? 'outcome_unknown' : 'overloaded';
+      return new SycamoreheadError(kind, error.message, {
+        retryAfterMs: spreadRetryAfter(),
+      });
+    }
+    return error;
+  }
+
+  private logEnd(): void {
+    const {request, answer, history} = this;
+    const status = answer.gone.aborted ? 0 : answer.sentStatus;
+    this.context.metrics.noteAnswer(this.routeName, status);
+    this.context.metrics.noteWait(this.waitedMs);
+    writeDecision('request', {
+      request: request.id,
+      route: this.routeName,
+      status,
+      kind: this.failure?.kind,
+      reason: this.failure?.message,
+      gone: answer.gone.aborted || undefined,
+      model: this.model,
+      sends: history.join(','),
+      waited_ms: Math.round(this.waitedMs),
+      ms: Math.round(performance.now() - request.arrivedAt),
+      version: this.context.getRoutes()?.version,
+    });
+  }
+}
+
+/** Spreads the return of refused callers. */
+function spreadRetryAfter(): number {
+  return RETRY_AFTER_MS * (1 + Math.random());
+}
--- /dev/null
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -0,0 +1,157 @@
+import type {JsonValue, RouteConfiguration} from '@sycamorehead/schema';
+import {
+  FleetLinks,
+  FleetUpdate,
+  StoredConfiguration,
+} from '@sycamorehead/fleet';
+import type {RetryBudgetOptions} from '@sycamorehead/routing';
+import {createLogger, writeDecision} from '@sycamorehead/telemetry';
+import {AnswerTimes} from './AnswerTimes.js';
+import {ForwardedRequest} from './ForwardedRequest.js';
+import {GatewayMetrics} from './GatewayMetrics.js';
+import {GatewayServer} from './GatewayServer.js';
+import type {ForwardContext, GatewayPolicies} from './gatewayTypes.js';
+import type {HeaderNames} from './headerNames.js';
+import {Placement} from './Placement.js';
+import {RetryBudgets} from './RetryBudgets.js';
+import {RouteTable} from './RouteTable.js';
+import {ServerTable} from './ServerTable.js';
+import {VersionSplit} from './VersionSplit.js';
+
+const log = createLogger('gateway');
+
+/** Time between two exchanges of load, in milliseconds. */
+const EXCHANGE_INTERVAL_MS = 200;
+
+/** Settings of a Gateway. @public */
+export interface GatewayOptions {
+  readonly name: string;
+  readonly dataCentre: string;
+  /** IP address and port for callers. */
+  readonly host: string;
+  readonly port: number;
+  readonly peerKey: string;
+  readonly seeds: readonly string[];
+  readonly names: HeaderNames;
+  readonly policies: GatewayPolicies;
+  readonly retryBudget: RetryBudgetOptions;
+  readonly sessionMs: number;
+  /** Time that a stop may take, in milliseconds. */
+  readonly graceMs: number;
+  readonly decodeConfiguration: (document: JsonValue) => RouteConfiguration;
+}
+
+/**
+ * One entry of a fleet with declared routes: takes callers' requests and forwards them to backend
+ * servers, by the configuration, roll-outs and servers that the control instances tell.
+ *
+ * @public
+ */
+export class Gateway {
+  readonly metrics = new GatewayMetrics();
+  private readonly servers = new ServerTable();
+  private readonly versions: VersionSplit;
+  private readonly budgets: RetryBudgets;
+  private readonly placement: Placement;
+  private readonly links: FleetLinks;
+  private readonly server: GatewayServer;
+  private routes: RouteTable | undefined;
+  private isStopping = false;
+  private exchangeTimer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: GatewayOptions) {
+    const {names, policies, dataCentre} = options;
+    this.versions = new VersionSplit(options.sessionMs);
+    this.budgets = new RetryBudgets(options.retryBudget);
+    this.placement = new Placement({
+      servers: this.servers,
+      versions: this.versions,
+      policy: policies.server,
+      dataCentre,
+    });
+    const context: ForwardContext = {
+      names,
+      policies,
+      servers: this.servers,
+      versions: this.versions,
+      placement: this.placement,
+      budgets: this.budgets,
+      times: new AnswerTimes(),
+      metrics: this.metrics,
+      getRoutes: () => this.routes,
+    };
+    this.server = new GatewayServer({
+      names,
+      serve: (request, answer) =>
+        new ForwardedRequest(context, request, answer).run(),
+    });
+    this.links = new FleetLinks({
+      entry: options.name,
+      peerKey: options.peerKey,
+      seeds: options.seeds,
+      onUpdate: update => this.takeUpdate(update),
+      onConfiguration: stored => this.takeConfiguration(stored),
+    });
+  }
+
+  // Commands.
+
+  /** Begins to serve. */
+  async start(): Promise<void> {
+    await this.server.listen(this.options.host, this.options.port);
+    this.links.start();
+    this.exchangeTimer = setInterval(
+      () => void this.exchangeLoad(),
+      EXCHANGE_INTERVAL_MS,
+    );
+  }
+
+  /** Says that it is not ready, serves what still comes, and ends. */
+  async stop(): Promise<void> {
+    this.isStopping = true;
+    await this.server.stop(this.options.graceMs);
+    clearInterval(this.exchangeTimer);
+    this.links.stop();
+  }
+
+  // Queries.
+
+  /** Whether new callers should be sent here. */
+  isReady(): boolean {
+    return (
+      !this.isStopping && this.routes !== undefined && !this.servers.isEmpty
+    );
+  }
+
+  private takeUpdate(update: FleetUpdate): void {
+    this.servers.update(update);
+    if (update.rollouts) this.versions.update(update.rollouts);
+    this.placement.offerPlaces();
+  }
+
+  private takeConfiguration({version, document}: StoredConfiguration): void {
+    if (this.routes && version <= this.routes.version) return;
+    const configuration = this.options.decodeConfiguration(document);
+    const previous = this.routes?.version;
+    this.routes = new RouteTable(configuration);
+    this.server.setLimits(configuration.limits);
+    writeDecision('configuration_in_force', {version, previous});
+    this.placement.offerPlaces();
+  }
+
+  private async exchangeLoad(): Promise<void> {
+    this.metrics.setWaiting(this.placement.countWaiting());
+    try {
+      const reply = await this.links.exchange({
+        entry: this.options.name,
+        inFlight: this.servers.listInFlight(),
+        evidence: this.versions.listEvidence(),
+      });
+      this.budgets.entryCount = reply.entries;
+      this.servers.setOthersInFlight(reply.inFlight);
+      this.placement.offerPlaces();
+    } catch (error) {
+      log('exchange_failed', {error: String(error)});
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/GatewayMetrics.ts
@@ -0,0 +1,80 @@
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+/** Bounds of the latency histograms, in seconds. */
+const LATENCY_BUCKETS = [
+  0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 3, 5, 10, 25,
+];
+
+/**
+ * Counters and latency histograms of one entry.
+ *
+ * @public
+ */
+export class GatewayMetrics {
+  readonly registry = new Registry();
+  private readonly answers = this.createCounter('answers_total', [
+    'route',
+    'status',
+  ]);
+  private readonly attempts = this.createCounter('attempts_total', [
+    'service',
+    'outcome',
+  ]);
+  private readonly escalations = this.createCounter('escalations_total', [
+    'route',
+  ]);
+  private readonly waits = this.createHistogram('queue_wait_seconds');
+  private readonly firstBytes = this.createHistogram('first_byte_seconds');
+  private readonly waiting = new Gauge({
+    name: 'syc_gateway_waiting',
+    help: 'Requests that wait for a place',
+    registers: [this.registry],
+  });
+
+  /** Counts a final answer; status 0 is a caller that has gone. */
+  noteAnswer(route: string, status: number): void {
+    this.answers.inc({route, status: String(status)});
+  }
+
+  /** Counts one send to a backend server. */
+  noteAttempt(service: string, outcome: string): void {
+    this.attempts.inc({service, outcome});
+  }
+
+  /** Counts an answer that was asked for again of a larger model. */
+  noteEscalation(route: string): void {
+    this.escalations.inc({route});
+  }
+
+  /** Notes how long a request waited for a place. */
+  noteWait(ms: number): void {
+    this.waits.observe(ms / 1_000);
+  }
+
+  /** Notes the time from arrival to the first byte of an answer. */
+  noteFirstByte(ms: number): void {
+    this.firstBytes.observe(ms / 1_000);
+  }
+
+  setWaiting(count: number): void {
+    this.waiting.set(count);
+  }
+
+  private createCounter(name: string, labelNames: string[]): Counter {
+    return new Counter({
+      name: `syc_gateway_${name}`,
+      help: name,
+      labelNames,
+      registers: [this.registry],
+    });
+  }
+
+  private createHistogram(name: string): Histogram {
+    return new Histogram({
+      name: `syc_gateway_${name}`,
+      help: name,
+      buckets: LATENCY_BUCKETS,
+      registers: [this.registry],
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/GatewayServer.ts
@@ -0,0 +1,177 @@
+import http from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {CallerLimits} from '@sycamorehead/schema';
+import {
+  SycamoreheadError,
+  getErrorAnswer,
+  toSycamoreheadError,
+} from '@sycamorehead/schema';
+import {createLogger, writeDecision} from '@sycamorehead/telemetry';
+import {CallerAnswer} from './CallerAnswer.js';
+import {CallerRequest, decodeRequest} from './CallerRequest.js';
+import type {HeaderNames} from './headerNames.js';
+import {readBody} from './readBody.js';
+
+const log = createLogger('gateway');
+
+/** Limits before the first configuration. */
+const DEFAULT_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4 * 1024 * 1024,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+/** Largest head that the parser takes; the configured limit may be lower. */
+const MAX_HEADER_BYTES = 64 * 1024;
+/** Time between looks for slow callers, in milliseconds. */
+const CHECK_INTERVAL_MS = 500;
+const MAX_BACKLOG = 1_024;
+const IDLE_POLL_MS = 50;
+/** Time without a request after which a stopping server counts as idle, in milliseconds. */
+const QUIET_MS = 3_000;
+
+/** Settings of a GatewayServer. @public */
+export interface GatewayServerOptions {
+  readonly names: HeaderNames;
+  serve(request: CallerRequest, answer: CallerAnswer): Promise<void>;
+}
+
+/**
+ * Accepts callers' requests, refuses what could be read in two ways, and stops without cutting
+ * off a request.
+ *
+ * @public
+ */
+export class GatewayServer {
+  private readonly server: Server;
+  private limits = DEFAULT_LIMITS;
+  private isStopping = false;
+  private open = 0;
+  private lastRequestAt = performance.now();
+
+  constructor(private readonly options: GatewayServerOptions) {
+    this.server = http.createServer(
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        connectionsCheckingInterval: CHECK_INTERVAL_MS,
+        keepAliveTimeout: DEFAULT_LIMITS.idleTimeoutMs,
+        headersTimeout: DEFAULT_LIMITS.headerTimeoutMs,
+        requestTimeout: 0,
+        noDelay: true,
+      },
+      (message, response) => void this.accept(message, response),
+    );
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
+      refuseUnread(error, socket as Socket),
+    );
+  }
+
+  // Commands.
+
+  /** Listens for callers. */
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen({host, port, backlog: MAX_BACKLOG}, () => resolve());
+    });
+  }
+
+  /** Takes the limits of a configuration. */
+  setLimits(limits: CallerLimits): void {
+    this.limits = limits;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.server.headersTimeout = limits.headerTimeoutMs;
+  }
+
+  /**
+   * Goes on serving until callers have stayed away for a while and nothing is under way, or until
+   * the time is up, then closes.
+   */
+  async stop(graceMs: number): Promise<void> {
+    this.isStopping = true;
+    const stoppedAt = performance.now();
+    const isQuiet = () =>
+      this.open === 0 &&
+      performance.now() - Math.max(this.lastRequestAt, stoppedAt) > QUIET_MS;
+    while (performance.now() - stoppedAt < graceMs && !isQuiet()) {
+      await new Promise(resolve => setTimeout(resolve, IDLE_POLL_MS));
+    }
+    writeDecision('gateway_closes', {open: this.open});
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  // Queries.
+
+  /** Requests under way. */
+  get openRequests(): number {
+    return this.open;
+  }
+
+  private async accept(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const {names} = this.options;
+    this.open += 1;
+    this.lastRequestAt = performance.now();
+    const value = message.headers[names.requestId];
+    const answer = new CallerAnswer(
+      response,
+      {name: names.requestId, value: String(value ?? '')},
+      () => this.isStopping,
+    );
+    try {
+      const request = decodeRequest(message, names);
+      this.checkHeaderSize(message);
+      request.body = await readBody(message, this.limits.maxBodyBytes);
+      await this.options.serve(request, answer);
+    } catch (thrown) {
+      const error = toSycamoreheadError(thrown);
+      writeDecision('request_refused', {
+        request: String(value ?? ''),
+        kind: error.kind,
+        reason: error.message,
+      });
+      // What is left of the body cannot be told from a next request.
+      response.shouldKeepAlive = false;
+      answer.fail(error);
+    } finally {
+      this.open -= 1;
+    }
+  }
+
+  private checkHeaderSize({rawHeaders, url = ''}: IncomingMessage): void {
+    const bytes = rawHeaders.reduce(
+      (sum, text) => sum + text.length + 2,
+      url.length,
+    );
+    if (bytes <= this.limits.maxHeaderBytes) return;
+    throw new SycamoreheadError(
+      'header_too_large',
+      `the head exceeds ${this.limits.maxHeaderBytes} bytes`,
+    );
+  }
+}
+
+const PARSER_STATUSES: Readonly<Record<string, number>> = {
+  HPE_HEADER_OVERFLOW: getErrorAnswer('header_too_large').status,
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+};
+
+/** Answers what the parser did not take; nothing of it was forwarded. */
+function refuseUnread(error: NodeJS.ErrnoException, socket: Socket): void {
+  const {code = ''} = error;
+  const isGone = code === 'ECONNRESET' || !socket.writable;
+  log('unread_request', {code});
+  if (isGone) {
+    socket.destroy();
+    return;
+  }
+  const status = PARSER_STATUSES[code] ?? 400;
+  const reason = http.STATUS_CODES[status] ?? '';
+  socket.end(
+    `HTTP/1.1 ${status} ${reason}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+  );
+}
--- /dev/null
+++ b/packages/gateway/src/lib/RetryBudgets.ts
@@ -0,0 +1,37 @@
+import {RetryBudget, RetryBudgetOptions} from '@sycamorehead/routing';
+
+/**
+ * One retry budget for each service.
+ *
+ * @public
+ */
+export class RetryBudgets {
+  /** Entries that share the budgets, as the last exchange told. */
+  entryCount = 1;
+  private readonly budgets = new Map<string, RetryBudget>();
+
+  constructor(private readonly options: RetryBudgetOptions) {}
+
+  /** Counts a request of a caller. */
+  noteRequest(service: string): void {
+    this.getBudget(service).noteRequest();
+  }
+
+  /** Takes one send beyond the first; returns whether the budget allows it. */
+  acquire(service: string): boolean {
+    return this.getBudget(service).acquire(this.entryCount);
+  }
+
+  /** Tells whether one more send would be allowed. */
+  hasRoom(service: string): boolean {
+    return this.getBudget(service).hasRoom(this.entryCount);
+  }
+
+  private getBudget(service: string): RetryBudget {
+    const known = this.budgets.get(service);
+    if (known) return known;
+    const budget = new RetryBudget(this.options);
+    this.budgets.set(service, budget);
+    return budget;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/lib/ServerAgent.ts
@@ -0,0 +1,68 @@
+import http from 'node:http';
+import type {ClientRequest, IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
+
+/** Idle time of a connection whose backend server names none, in milliseconds. */
+const DEFAULT_IDLE_MS = 4_000;
+/** Time before the backend server's own limit at which an idle connection is closed. */
+const IDLE_MARGIN_MS = 600;
+/** Time after which the kernel probes a silent connection, in milliseconds. */
+const KEEP_ALIVE_PROBE_MS = 2_000;
+
+interface IdleGuard {
+  readonly onData: () => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+/**
+ * The connections to one backend server. A connection on which anything arrives between requests
+ * is never used again.
+ *
+ * @public
+ */
+export class ServerAgent extends http.Agent {
+  private readonly guards = new WeakMap<Duplex, IdleGuard>();
+  private readonly idleSince = new WeakMap<Duplex, number>();
+
+  constructor(maxIdle: number) {
+    super({keepAlive: true, maxFreeSockets: maxIdle, noDelay: true});
+  }
+
+  /** Called by node:http once an answer is complete; decides whether to keep the connection. */
+
+  override keepSocketAlive(stream: Duplex): boolean {
+    const socket = stream as Socket & {_httpMessage?: {res?: IncomingMessage}};
+    const idleMs = readIdleLimit(socket._httpMessage?.res);
+    if (idleMs <= 0 || socket.destroyed) return false;
+    const close = () => socket.destroy();
+    socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
+    socket.unref();
+    const timer = setTimeout(close, idleMs);
+    timer.unref();
+    socket.on('data', close);
+    this.guards.set(socket, {onData: close, timer});
+    this.idleSince.set(socket, performance.now());
+    return true;
+  }
+
+  /** Called by node:http before an idle connection is used again. */
+  // eslint-disable-next-line sycamorehead/function-verb -- named by node:http
+  override reuseSocket(stream: Duplex, request: ClientRequest): void {
+    const socket = stream as Socket;
+    const guard = this.guards.get(socket);
+    if (guard) {
+      clearTimeout(guard.timer);
+      socket.removeListener('data', guard.onData);
+      this.guards.delete(socket);
+    }
+    super.reuseSocket(socket, request);
+  }
+}
+
+function readIdleLimit(response: IncomingMessage | undefined): number {
+  const hint = response?.headers['keep-alive'];
+  const seconds = /(?:^|[,;\s])timeout=(\d+)/i.exec(String(hint ?? ''))?.[1];
+  if (seconds === undefined) return DEFAULT_IDLE_MS;
+  return Number(seconds) * 1_000 - IDLE_MARGIN_MS;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/deliverAnswer.ts
@@ -0,0 +1,126 @@
+import type {IncomingMessage} from 'node:http';
+import type {CallerAnswer} from './CallerAnswer.js';
+import {EventSplitter} from './EventSplitter.js';
+import {HeaderNames, copyEndToEndHeaders} from './headerNames.js';
+import type {ServerAnswer} from './sendAttempt.js';
+
+/** Bytes of an answer that are gathered before any is delivered; a longer one is passed on. */
+const MAX_GATHERED_BYTES = 256 * 1024;
+const EVENT_STREAM = 'text/event-stream';
+const NO_LENGTH = new Set(['content-length']);
+
+/** What delivering an answer needs. @public */
+export interface Delivery {
+  readonly serverAnswer: ServerAnswer;
+  readonly answer: CallerAnswer;
+  readonly method: string;
+  /** Event behind which the stream goes on. */
+  readonly lastEventId: string | undefined;
+  readonly names: HeaderNames;
+  /** Called when the first bytes are there to be delivered. */
+  onFirstBytes(): void;
+}
+
+/** How far an answer was delivered. @public */
+export interface DeliveryResult {
+  readonly isComplete: boolean;
+  readonly reason: string;
+  /** Last event that was delivered whole. */
+  readonly lastEventId: string | undefined;
+}
+
+/**
+ * Delivers a server's answer to the caller. Streams go on event by event; other answers are
+ * gathered first, so that one that breaks off can still be asked for again.
+ *
+ * @example
+ * ```ts
+ * const {isComplete} = await deliverAnswer(delivery);
+ * ```
+ * @public
+ */
+export function deliverAnswer(delivery: Delivery): Promise<DeliveryResult> {
+  const {message, status} = delivery.serverAnswer;
+  const type = message.headers['content-type'] ?? '';
+  const isStream = status === 200 && type.startsWith(EVENT_STREAM);
+  return isStream ? relayEvents(delivery) : relayWhole(delivery);
+}
+
+async function relayEvents(delivery: Delivery): Promise<DeliveryResult> {
+  const {serverAnswer, answer} = delivery;
+  const {message, status} = serverAnswer;
+  const splitter = new EventSplitter();
+  let {lastEventId} = delivery;
+  let isFirst = true;
+  try {
+    for await (const chunk of message as AsyncIterable<Buffer>) {
+      const events = splitter.push(chunk);
+      if (!events) continue;
+      if (isFirst) delivery.onFirstBytes();
+      isFirst = false;
+      answer.begin(status, copyEndToEndHeaders(message.rawHeaders, NO_LENGTH));
+      await answer.write(events.bytes);
+      lastEventId = events.lastId ?? lastEventId;
+    }
+  } catch (error) {
+    serverAnswer.cancel();
+    return {isComplete: false, reason: String(error), lastEventId};
+  }
+  if (!serverAnswer.isWhole() || splitter.hasPartialEvent || !answer.isBegun) {
+    serverAnswer.cancel();
+    return {isComplete: false, reason: 'the stream broke off', lastEventId};
+  }
+  answer.finish();
+  return {isComplete: true, reason: '', lastEventId};
+}
+
+async function relayWhole(delivery: Delivery): Promise<DeliveryResult> {
+  const {serverAnswer, answer, lastEventId} = delivery;
+  const {message, status} = serverAnswer;
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  try {
+    for await (const chunk of message as AsyncIterable<Buffer>) {
+      if (answer.isBegun) {
+        await answer.write(chunk);
+        continue;
+      }
+      if (bytes === 0) delivery.onFirstBytes();
+      chunks.push(chunk);
+      bytes += chunk.length;
+      if (bytes <= MAX_GATHERED_BYTES) continue;
+      answer.begin(status, copyEndToEndHeaders(message.rawHeaders, new Set()));
+      await answer.write(Buffer.concat(chunks));
+    }
+  } catch (error) {
+    serverAnswer.cancel();
+    return {isComplete: false, reason: String(error), lastEventId};
+  }
+  if (!serverAnswer.isWhole()) {
+    serverAnswer.cancel();
+    return {isComplete: false, reason: 'the answer broke off', lastEventId};
+  }
+  if (bytes === 0) delivery.onFirstBytes();
+  finishWhole(delivery, message, Buffer.concat(chunks));
+  return {isComplete: true, reason: '', lastEventId};
+}
+
+function finishWhole(
+  {answer, method, serverAnswer}: Delivery,
+  message: IncomingMessage,
+  body: Buffer,
+): void {
+  const {status} = serverAnswer;
+  if (answer.isBegun) {
+    answer.finish();
+    return;
+  }
+  const hasNoBody = method === 'HEAD' || status === 204 || status === 304;
+  const {rawHeaders} = message;
+  if (hasNoBody) {
+    answer.begin(status, copyEndToEndHeaders(rawHeaders, new Set()));
+    answer.finish();
+    return;
+  }
+  answer.sendWhole(status, copyEndToEndHeaders(rawHeaders, NO_LENGTH), body);
+}
--- /dev/null
+++ b/packages/gateway/src/lib/gatewayTypes.ts
@@ -0,0 +1,29 @@
+import type {ForwardPolicy, ModelPolicy} from '@sycamorehead/routing';
+import type {AnswerTimes} from './AnswerTimes.js';
+import type {GatewayMetrics} from './GatewayMetrics.js';
+import type {HeaderNames} from './headerNames.js';
+import type {Placement} from './Placement.js';
+import type {RetryBudgets} from './RetryBudgets.js';
+import type {RouteTable} from './RouteTable.js';
+import type {ServerTable} from './ServerTable.js';
+import type {VersionSplit} from './VersionSplit.js';
+
+/** Policies of a gateway; each can be turned to a baseline. @public */
+export interface GatewayPolicies {
+  readonly server: ForwardPolicy;
+  readonly model: ModelPolicy;
+}
+
+/** What the forwarding of one request works with. @public */
+export interface ForwardContext {
+  readonly names: HeaderNames;
+  readonly policies: GatewayPolicies;
+  readonly servers: ServerTable;
+  readonly versions: VersionSplit;
+  readonly placement: Placement;
+  readonly budgets: RetryBudgets;
+  readonly times: AnswerTimes;
+  readonly metrics: GatewayMetrics;
+  /** The routes in force here, or undefined before the first configuration. */
+  getRoutes(): RouteTable | undefined;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/headerNames.ts
@@ -0,0 +1,79 @@
+/** Names of the headers that callers and backend servers use, in lower case. @public */
+export interface HeaderNames {
+  readonly requestId: string;
+  /** Milliseconds that the caller will wait. */
+  readonly deadlineMs: string;
+  /** A customer's key. */
+  readonly key: string;
+  /** The customer's name, towards backend servers. */
+  readonly customer: string;
+  /** Id of the backend server that is meant. */
+  readonly expectServer: string;
+  /** Present on an answer that promises that the request was not run. */
+  readonly notExecuted: string;
+  /** A backend server's signature of its answer. */
+  readonly signature: string;
+  readonly model: string;
+  /** Tokens of the prompt and most tokens of the answer, `IN,OUT`. */
+  readonly tokenUsage: string;
+  /** Parts of the prompt in order, `ID:TOKENS,...`. */
+  readonly prefix: string;
+  readonly session: string;
+  readonly lastEventId: string;
+  readonly priority: string;
+  /** A model's own opinion of its answer, 0 to 100. */
+  readonly confidence: string;
+  /** What only the router may set; stripped from callers' requests. */
+  readonly routerOwned: readonly string[];
+}
+
+/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
+const CONNECTION_HEADERS = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/**
+ * Copies the headers that go on to the other end, with their case and order.
+ *
+ * @example
+ * ```ts
+ * copyEndToEndHeaders(['Host', 'a', 'Connection', 'close'], new Set()); // ['Host', 'a']
+ * ```
+ * @public
+ */
+export function copyEndToEndHeaders(
+  rawHeaders: readonly string[],
+  dropped: ReadonlySet<string>,
+): string[] {
+  const named = listConnectionNames(rawHeaders);
+  const copied: string[] = [];
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index] ?? '';
+    const key = name.toLowerCase();
+    if (CONNECTION_HEADERS.has(key) || named.has(key) || dropped.has(key)) {
+      continue;
+    }
+    copied.push(name, rawHeaders[index + 1] ?? '');
+  }
+  return copied;
+}
+
+/** Names that a Connection header declares as its own. */
+function listConnectionNames(rawHeaders: readonly string[]): Set<string> {
+  const names = new Set<string>();
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    if (rawHeaders[index]?.toLowerCase() !== 'connection') continue;
+    for (const name of (rawHeaders[index + 1] ?? '').split(',')) {
+      names.add(name.trim().toLowerCase());
+    }
+  }
+  return names;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/resolveTarget.ts
@@ -0,0 +1,80 @@
+import {
+  RouteDeclaration,
+  RoutedService,
+  SycamoreheadError,
+} from '@sycamorehead/schema';
+import type {CallerRequest} from './CallerRequest.js';
+import type {RouteTable} from './RouteTable.js';
+
+/** Where a request goes by the configuration in force. @public */
+export interface RequestTarget {
+  readonly version: number;
+  readonly route: RouteDeclaration;
+  readonly service: RoutedService;
+  /** Absent where requests carry no keys. */
+  readonly customer: string | undefined;
+  readonly priority: number;
+}
+
+const FNV_OFFSET = 2_166_136_261;
+const FNV_PRIME = 16_777_619;
+const HASH_RANGE = 2 ** 32;
+
+/**
+ * Finds where a request goes. Called again before each send, so that a changed configuration is
+ * obeyed by requests that waited.
+ *
+ * @throws SycamoreheadError `no_configuration`, `not_found`, `unauthenticated`.
+ * @example
+ * ```ts
+ * resolveTarget(routes, request).service.name;
+ * ```
+ * @public
+ */
+export function resolveTarget(
+  routes: RouteTable | undefined,
+  request: CallerRequest,
+): RequestTarget {
+  if (!routes) {
+    throw new SycamoreheadError('no_configuration', 'no configuration yet');
+  }
+  const route = routes.findRoute(request.host, request.path);
+  if (!route) {
+    throw new SycamoreheadError('not_found', 'no route has this path');
+  }
+  const holder =
+    request.key === undefined ? undefined : routes.findHolder(request.key);
+  if (routes.hasKeys && !route.isPublic && !holder) {
+    throw new SycamoreheadError('unauthenticated', 'unknown key');
+  }
+  const service = routes.findService(pickService(route, request.id));
+  if (!service) throw new SycamoreheadError('unknown_service', route.name);
+  return {
+    version: routes.version,
+    route,
+    service,
+    customer: holder?.customer,
+    priority: holder?.priority ?? route.priority,
+  };
+}
+
+/** Spreads requests over the services by weight; one request always gets the same. */
+function pickService({services}: RouteDeclaration, id: string): string {
+  const total = services.reduce((sum, {weight}) => sum + weight, 0);
+  let left = hashToUnit(id) * total;
+  for (const {service, weight} of services) {
+    left -= weight;
+    if (left < 0) return service;
+  }
+  return services.find(({weight}) => weight > 0)?.service ?? '';
+}
+
+function hashToUnit(text: string): number {
+  let hash = FNV_OFFSET;
+  for (let index = 0; index < text.length; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+  }
+  // The low bits of this hash mix better than the high ones.
+  hash = Math.imul(hash ^ (hash >>> 15), FNV_PRIME);
+  return ((hash ^ (hash >>> 13)) >>> 0) / HASH_RANGE;
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -42,3 +42,19 @@
 export type {UsageReporterParts} from './lib/UsageReporter.js';
 export {Router} from './lib/Router.js';
 export type {RouterOptions} from './lib/Router.js';
+export {
+  MIN_CONFIDENCE,
+  chooseModel,
+  isWorthEscalating,
+} from './lib/forwarding/chooseModel.js';
+export type {ModelChoice, ModelPolicy} from './lib/forwarding/chooseModel.js';
+export {PlacementQueue} from './lib/forwarding/PlacementQueue.js';
+export type {WaitingWork} from './lib/forwarding/PlacementQueue.js';
+export {RetryBudget} from './lib/forwarding/RetryBudget.js';
+export type {RetryBudgetOptions} from './lib/forwarding/RetryBudget.js';
+export {scoreServer} from './lib/forwarding/scoreServer.js';
+export type {
+  ServerCandidate,
+  ForwardPolicy,
+  WorkShape,
+} from './lib/forwarding/scoreServer.js';
--- /dev/null
+++ b/packages/routing/src/lib/forwarding/RetryBudget.ts
@@ -0,0 +1,85 @@
+/** Buckets into which the window is divided. */
+const BUCKETS = 20;
+/** Part of the allowance that is used, so that counts that lag do not exceed it. */
+const SAFETY = 0.8;
+
+/** Settings of a RetryBudget. @public */
+export interface RetryBudgetOptions {
+  /** Sends beyond the first that are allowed for each request. */
+  readonly ratio: number;
+  /** Sends beyond that, in each window, over all entries together. */
+  readonly slack: number;
+  readonly windowMs: number;
+}
+
+interface Bucket {
+  tick: number;
+  requests: number;
+  extras: number;
+}
+
+/**
+ * The budget of one service for sends beyond the first of each request. Each entry counts its own
+ * requests and takes an equal share of the slack, so the sum over all entries keeps the bound
+ * without an exchange.
+ *
+ * @public
+ */
+export class RetryBudget {
+  private readonly buckets: Bucket[] = Array.from({length: BUCKETS}, () => ({
+    tick: -Infinity,
+    requests: 0,
+    extras: 0,
+  }));
+
+  constructor(private readonly options: RetryBudgetOptions) {}
+
+  // Commands.
+
+  /** Counts a request of a caller. */
+  noteRequest(): void {
+    this.getBucket().requests += 1;
+  }
+
+  /** Takes one send beyond the first; returns whether the budget allows it. */
+  acquire(entryCount: number): boolean {
+    if (!this.hasRoom(entryCount)) return false;
+    this.getBucket().extras += 1;
+    return true;
+  }
+
+  // Queries.
+
+  /** Tells whether one more send would be allowed. */
+  hasRoom(entryCount: number): boolean {
+    const {ratio, slack} = this.options;
+    const {requests, extras} = this.sumWindow();
+    const allowance = ratio * requests + slack / Math.max(1, entryCount);
+    return extras + 1 <= allowance * SAFETY;
+  }
+
+  private sumWindow(): {requests: number; extras: number} {
+    const oldest = this.getTick() - BUCKETS;
+    const sum = {requests: 0, extras: 0};
+    for (const {tick, requests, extras} of this.buckets) {
+      if (tick <= oldest) continue;
+      sum.requests += requests;
+      sum.extras += extras;
+    }
+    return sum;
+  }
+
+  private getBucket(): Bucket {
+    const tick = this.getTick();
+    const index = tick % BUCKETS;
+    const known = this.buckets[index];
+    if (known?.tick === tick) return known;
+    const fresh = {tick, requests: 0, extras: 0};
+    this.buckets[index] = fresh;
+    return fresh;
+  }
+
+  private getTick(): number {
+    return Math.floor((performance.now() * BUCKETS) / this.options.windowMs);
+  }
+}
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -74,3 +74,26 @@
 } from './lib/configurationDelta.js';
 export type {ConfigurationDelta, TableDelta} from './lib/configurationDelta.js';
 export {validateInput} from './lib/validateInput.js';
+export {checkRouteConfiguration} from './lib/routeConfiguration.js';
+export type {
+  CallerLimits,
+  CustomerKeys,
+  EngineDeclaration,
+  EngineModel,
+  RouteConfiguration,
+  RouteDeclaration,
+  RouteKind,
+  RoutedService,
+  WeightedService,
+} from './lib/routeConfiguration.js';
+export {isNewerRegistration} from './lib/serverRegistration.js';
+export type {
+  ServerRegistration,
+  ServerState,
+} from './lib/serverRegistration.js';
+export type {
+  RolloutEvidence,
+  RolloutPhase,
+  ServiceRollout,
+  VersionCounts,
+} from './lib/serviceRollout.js';
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -21,3 +21,8 @@
   readSecret,
   readSettings,
 } from './lib/readSettings.js';
+export {
+  flushDecisions,
+  startDecisions,
+  writeDecision,
+} from './lib/writeDecision.js';
--- /dev/null
+++ b/scripts/bundlePlatform.mjs
@@ -0,0 +1,45 @@
+// Bundles the programs for the users' platform into target/, straight from the sources.
+import path from 'node:path';
+import {ensureInstalled} from './ensure.mjs';
+
+const ROOT = path.resolve(import.meta.dirname, '..');
+const SCOPE = '@sycamorehead/';
+
+ensureInstalled();
+const {build} = await import('esbuild');
+
+/** Resolves packages of this workspace to their sources, so that no build goes first. */
+const workspaceSources = {
+  name: 'workspace-sources',
+  setup(builder) {
+    builder.onResolve({filter: /^@sycamorehead\//}, ({path: name}) => ({
+      path: path.join(
+        ROOT,
+        'packages',
+        name.slice(SCOPE.length),
+        'src/index.ts',
+      ),
+      sideEffects: false,
+    }));
+  },
+};
+
+await build({
+  entryPoints: {
+    entry: path.join(ROOT, 'platform/src/mainEntry.ts'),
+    control: path.join(ROOT, 'platform/src/mainControl.ts'),
+  },
+  outdir: path.join(ROOT, 'target'),
+  outExtension: {'.js': '.mjs'},
+  bundle: true,
+  minifySyntax: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  logLevel: 'warning',
+  plugins: [workspaceSources],
+  banner: {
+    js: "import {createRequire as createBundleRequire} from 'node:module';const require=createBundleRequire(import.meta.url);",
+  },
+});
+console.log('bundled the platform programs');
--- a/tools/eslint/plugin.mjs
+++ b/tools/eslint/plugin.mjs
@@ -53,6 +53,7 @@
 }
 
 function describeViolation(owner, target) {
+  if (target === 'platform') return 'Nothing imports the platform folder.';
   if (owner.kind === 'apps') {
     const isTool = owner.name === 'syc-bench';
     if (DEVELOPMENT_ONLY.includes(target) && !isTool) {
