--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -5,7 +5,9 @@
   ExchangeReply,
   ExchangeRequest,
   FleetUpdate,
+  LoadTable,
   ServerListing,
+  ServerLoad,
   StoredConfiguration,
   SyncReply,
   SyncRequest,
@@ -13,10 +15,8 @@
 export {FleetLinks} from './lib/FleetLinks.js';
 export type {FleetLinksOptions} from './lib/FleetLinks.js';
 export {FleetNode} from './lib/FleetNode.js';
-export type {
-  ConfigurationDecoder,
-  FleetNodeOptions,
-  RolloutOrder,
-} from './lib/FleetNode.js';
+export type {FleetNodeOptions} from './lib/FleetNode.js';
+export {FleetCommands} from './lib/FleetCommands.js';
+export type {ConfigurationDecoder, RolloutOrder} from './lib/FleetCommands.js';
 export {ServerRegistry} from './lib/ServerRegistry.js';
 export type {RegistryTimes} from './lib/ServerRegistry.js';
--- a/packages/fleet/src/lib/ControlPeers.ts
+++ b/packages/fleet/src/lib/ControlPeers.ts
@@ -103,7 +103,7 @@
    * Sends a registration at once; returns whether another instance that is present holds it, or
    * none is present at all.
    */
-  async shareNow(registration: ServerRegistration): Promise<boolean> {
+  async publishNow(registration: ServerRegistration): Promise<boolean> {
     this.publish(registration);
     const tasks = [...this.tasks.values()];
     const sends = tasks.map(async task => {
--- a/packages/fleet/src/lib/FleetLinks.ts
+++ b/packages/fleet/src/lib/FleetLinks.ts
@@ -117,7 +117,7 @@
         });
       }
       failures += 1;
-      this.forgetIfGone(task);
+      this.dropIfGone(task);
       await sleep(Math.min(MAX_RETRY_MS, failures * RETRY_MS));
     }
   }
@@ -193,7 +193,7 @@
     }
   }
 
-  private forgetIfGone(task: ControlTask): void {
+  private dropIfGone(task: ControlTask): void {
     const isSeed = this.options.seeds.includes(task.address);
     const silentMs = performance.now() - task.lastLinkedAt;
     if (!isSeed && silentMs > FORGET_MS) this.tasks.delete(task.address);
--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -5,17 +5,11 @@
   WireTransport,
   createConsensusMethods,
 } from '@sycamorehead/consensus';
-import {
-  JsonValue,
-  RouteConfiguration,
-  ServerRegistration,
-  ServiceRollout,
-  SycamoreheadError,
-  checkRouteConfiguration,
-} from '@sycamorehead/schema';
+import {ServerRegistration, SycamoreheadError} from '@sycamorehead/schema';
 import {createLogger, writeDecision} from '@sycamorehead/telemetry';
 import {LinkTimeouts, PeerLink, WireServer} from '@sycamorehead/wire';
 import {ControlPeers} from './ControlPeers.js';
+import {ConfigurationDecoder, FleetCommands} from './FleetCommands.js';
 import {EntryFeeds} from './EntryFeeds.js';
 import {
   ControlIdentity,
@@ -24,7 +18,6 @@
   FLEET_METHODS,
   FleetUpdate,
   ServerListing,
-  StoredConfiguration,
   SyncReply,
   SyncRequest,
 } from './fleetMessages.js';
@@ -36,8 +29,6 @@
 
 const log = createLogger('fleet');
 
-/** Time allowed for a call to the leader, in milliseconds; operators wait a second for an answer. */
-const LEADER_CALL_MS = 850;
 const EXPIRY_INTERVAL_MS = 500;
 /** Links between instances some milliseconds apart; a silent one is replaced within a second. */
 const FLEET_LINK_TIMEOUTS: LinkTimeouts = {
@@ -55,9 +46,6 @@
   catchUpMs: 4_000,
 };
 
-/** Turns an operator's document into a configuration; throws `note_invalid`. @public */
-export type ConfigurationDecoder = (document: JsonValue) => RouteConfiguration;
-
 /** Settings of a FleetNode. @public */
 export interface FleetNodeOptions {
   readonly instance: string;
@@ -77,13 +65,6 @@
   readonly decodeConfiguration: ConfigurationDecoder;
 }
 
-/** Order to move a service to a new version. @public */
-export interface RolloutOrder {
-  readonly service: string;
-  readonly target: string;
-  readonly durationMs: number;
-}
-
 /**
  * One control instance of a fleet with declared routes: holds the configuration and the
  * roll-outs in the replicated log, the backend servers in memory, and tells the entries.
@@ -91,6 +72,8 @@
  * @public
  */
 export class FleetNode {
+  /** Operators' commands and queries. */
+  readonly commands: FleetCommands;
   private readonly links: LinkPool;
   private readonly consensusLinks: LinkPool;
   private readonly host: LogHost;
@@ -143,6 +126,13 @@
       peers: this.peers,
       faults: options.faults,
     });
+    this.commands = new FleetCommands({
+      host: this.host,
+      keeper: this.keeper,
+      links: this.links,
+      peerPort,
+      decodeConfiguration: options.decodeConfiguration,
+    });
     this.driver = new RolloutDriver({
       host: this.host,
       registry: this.registry,
@@ -173,25 +163,6 @@
     await this.host.start(this.describeFirstGroup());
   }
 
-  /**
-   * Takes a whole configuration; one that is not higher than what is stored changes nothing.
-   *
-   * @throws SycamoreheadError `note_invalid`, or `control_unavailable` where the outcome is unknown.
-   */
-  async putConfiguration(document: JsonValue): Promise<void> {
-    const {version} = this.readDocument(document);
-    await this.runOnLeader(FLEET_METHODS.putConfiguration, document, () =>
-      this.commitConfiguration(version, document),
-    );
-  }
-
-  /** Takes the order to move a service to a new version; a repeated order changes nothing. */
-  async startRollout(order: RolloutOrder): Promise<void> {
-    await this.runOnLeader(FLEET_METHODS.startRollout, order, () =>
-      this.commitRollout(order),
-    );
-  }
-
   /**
    * Takes what a backend server says of itself. Returns once another instance knows of it too,
    * where it says that it leaves.
@@ -212,7 +183,7 @@
         sequence: known.sequence,
       });
     }
-    if (await this.peers.shareNow(known)) return;
+    if (await this.peers.publishNow(known)) return;
     throw new SycamoreheadError(
       'control_unavailable',
       'no other control instance holds this',
@@ -244,27 +215,6 @@
 
   // Queries.
 
-  /** Reads the newest configuration, confirmed with a quorum. */
-  async readConfiguration(): Promise<StoredConfiguration> {
-    return this.runOnLeader(FLEET_METHODS.readConfiguration, {}, async () => {
-      await this.host.requireNode().confirmLeadership();
-      return this.host.state.configuration;
-    });
-  }
-
-  /** Reads the newest roll-out of a service, confirmed with a quorum. */
-  async readRollout(service: string): Promise<ServiceRollout | undefined> {
-    const reply = await this.runOnLeader<{rollout?: ServiceRollout}>(
-      FLEET_METHODS.readRollout,
-      {service},
-      async () => {
-        await this.host.requireNode().confirmLeadership();
-        return {rollout: this.host.state.findRollout(service)};
-      },
-    );
-    return reply.rollout;
-  }
-
   /** Lists the backend servers that this instance knows. */
   listServers(): ServerListing[] {
     return this.registry.list();
@@ -275,6 +225,7 @@
   private createMethods() {
     return {
       ...this.createConsensusMethods(),
+      ...this.commands.createMethods(),
       [FLEET_METHODS.sync]: (request: SyncRequest) => this.answerSync(request),
       [FLEET_METHODS.subscribe]: (
         {entry}: {entry: string},
@@ -283,20 +234,6 @@
       [FLEET_METHODS.fetchConfiguration]: () => this.host.state.configuration,
       [FLEET_METHODS.exchange]: (request: ExchangeRequest): ExchangeReply =>
         this.hub.exchange(request),
-      [FLEET_METHODS.putConfiguration]: (document: JsonValue) => {
-        const {version} = this.readDocument(document);
-        return this.commitConfiguration(version, document);
-      },
-      [FLEET_METHODS.startRollout]: (order: RolloutOrder) =>
-        this.commitRollout(order),
-      [FLEET_METHODS.readConfiguration]: async () => {
-        await this.host.requireNode().confirmLeadership();
-        return this.host.state.configuration;
-      },
-      [FLEET_METHODS.readRollout]: async ({service}: {service: string}) => {
-        await this.host.requireNode().confirmLeadership();
-        return {rollout: this.host.state.findRollout(service)};
-      },
     };
   }
 
@@ -329,72 +266,6 @@
 
   // State.
 
-  private async commitConfiguration(
-    version: number,
-    document: JsonValue,
-  ): Promise<Record<string, never>> {
-    this.requireCompleteGroup();
-    const {host} = this;
-    if (version <= host.state.configuration.version) {
-      await host.requireNode().confirmLeadership();
-      if (version <= host.state.configuration.version) return {};
-    }
-    const isChanged = await host.propose({
-      type: 'put_configuration',
-      version,
-      document,
-    });
-    writeDecision('configuration_committed', {version, changed: isChanged});
-    return {};
-  }
-
-  private async commitRollout(
-    order: RolloutOrder,
-  ): Promise<Record<string, never>> {
-    this.requireCompleteGroup();
-    const isChanged = await this.host.propose({
-      type: 'start_rollout',
-      ...order,
-    });
-    writeDecision('rollout_ordered', {
-      service: order.service,
-      target: order.target,
-      changed: isChanged,
-    });
-    return {};
-  }
-
-  /** A commit in a smaller group would not survive the loss of as many disks as promised. */
-  private requireCompleteGroup(): void {
-    if (this.host.isLeader && !this.keeper.isComplete()) {
-      throw new SycamoreheadError(
-        'control_unavailable',
-        'the group is still being formed',
-        {ran: 'no'},
-      );
-    }
-  }
-
-  private readDocument(document: JsonValue): RouteConfiguration {
-    const configuration = this.options.decodeConfiguration(document);
-    checkRouteConfiguration(configuration);
-    return configuration;
-  }
-
-  private async runOnLeader<Result>(
-    method: string,
-    params: unknown,
-    runHere: () => Promise<Result>,
-  ): Promise<Result> {
-    if (this.host.isLeader) return runHere();
-    const {leader} = this.host;
-    if (leader === undefined) {
-      throw new SycamoreheadError('not_leader', 'no leader is known');
-    }
-    const address = `${leader}:${this.options.peerPort}`;
-    return this.links.request<Result>(address, method, params, LEADER_CALL_MS);
-  }
-
   private takeRegistration(registration: ServerRegistration): boolean {
     const known = this.registry.find(registration.id);
     const isChanged = this.registry.accept(registration);
--- a/packages/fleet/src/lib/UsageHub.ts
+++ b/packages/fleet/src/lib/UsageHub.ts
@@ -1,5 +1,9 @@
 import type {VersionCounts} from '@sycamorehead/schema';
-import type {ExchangeReply, ExchangeRequest} from './fleetMessages.js';
+import type {
+  ExchangeReply,
+  ExchangeRequest,
+  ServerLoad,
+} from './fleetMessages.js';
 import {NO_COUNTS, VersionPair, addCounts} from './judgeRollout.js';
 
 /** Age beyond which an entry's load no longer counts, in milliseconds. */
@@ -24,7 +28,7 @@
   exchange(request: ExchangeRequest): ExchangeReply {
     const now = performance.now();
     this.entries.set(request.entry, {request, heardAt: now});
-    const inFlight: Record<string, number> = {};
+    const load: Record<string, ServerLoad> = {};
     let entries = 0;
     for (const [name, usage] of this.entries) {
       const ageMs = now - usage.heardAt;
@@ -32,20 +36,21 @@
       if (ageMs > LOAD_EXPIRY_MS) continue;
       entries += 1;
       if (name === request.entry) continue;
-      for (const [id, count] of Object.entries(usage.request.inFlight)) {
-        inFlight[id] = (inFlight[id] ?? 0) + count;
+      for (const [id, [inFlight, pendingMs]] of listLoad(usage)) {
+        const known = load[id] ?? [0, 0];
+        load[id] = [known[0] + inFlight, known[1] + pendingMs];
       }
     }
-    return {entries, inFlight};
+    return {entries, load};
   }
 
   /** Counts the requests in flight on some backend servers, over all entries. */
   countInFlight(ids: ReadonlySet<string>): number {
     let total = 0;
-    for (const {request, heardAt} of this.entries.values()) {
-      if (performance.now() - heardAt > LOAD_EXPIRY_MS) continue;
-      for (const [id, count] of Object.entries(request.inFlight)) {
-        if (ids.has(id)) total += count;
+    for (const usage of this.entries.values()) {
+      if (performance.now() - usage.heardAt > LOAD_EXPIRY_MS) continue;
+      for (const [id, [inFlight]] of listLoad(usage)) {
+        if (ids.has(id)) total += inFlight;
       }
     }
     return total;
@@ -72,3 +77,7 @@
     return [...routes.values()];
   }
 }
+
+function listLoad({request}: EntryUsage): Array<[string, ServerLoad]> {
+  return Object.entries(request.load);
+}
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -85,16 +85,21 @@
   readonly isLeading?: boolean;
 }
 
+/** Requests in flight at a server, and their work that has not begun to answer, in ms. @public */
+export type ServerLoad = readonly [inFlight: number, pendingMs: number];
+
+/** Load by server id. @public */
+export type LoadTable = Readonly<Record<string, ServerLoad>>;
+
 /** Load that one entry has placed. @public */
 export interface ExchangeRequest {
   readonly entry: string;
-  /** Requests in flight by server id. */
-  readonly inFlight: Readonly<Record<string, number>>;
+  readonly load: LoadTable;
   readonly evidence: readonly RolloutEvidence[];
 }
 
 /** Load that the other entries have placed. @public */
 export interface ExchangeReply {
   readonly entries: number;
-  readonly inFlight: Readonly<Record<string, number>>;
+  readonly load: LoadTable;
 }
--- a/packages/fleet/src/lib/planRollout.ts
+++ b/packages/fleet/src/lib/planRollout.ts
@@ -9,6 +9,8 @@
 const HALF_SHARE = 0.5;
 /** Time of the step between canary and all, as a part of the duration. */
 const HALF_PART = 0.06;
+/** Part of the duration after which what still runs on the old version is no longer waited for. */
+const LAST_PART = 0.97;
 /** Time after the last step in which entries may still place work on the old version. */
 const SETTLE_MS = 1_000;
 
@@ -44,8 +46,8 @@
   if (verdict) {
     return {...step, phase: 'rolled_back', share: 0, isEarly: false};
   }
-  if (part >= 1) {
-    // Out of time: what has not been moved by now stays where it is.
+  const isMoved = rollout.share === 1;
+  if (part >= 1 && !isMoved) {
     return {...step, phase: 'rolled_back', share: 0, isEarly: false};
   }
   if (view.freshServers === 0) return {...step, share: rollout.share};
@@ -54,6 +56,7 @@
   }
   if (part < EARLY_PART + HALF_PART) return {...step, share: HALF_SHARE};
   const sinceAllMs = elapsedMs - (EARLY_PART + HALF_PART) * rollout.durationMs;
-  const isDone = sinceAllMs > SETTLE_MS && view.runningOnOld === 0;
+  const isDone =
+    sinceAllMs > SETTLE_MS && (view.runningOnOld === 0 || part > LAST_PART);
   return {...step, share: 1, phase: isDone ? 'completed' : 'in_progress'};
 }
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -1,7 +1,9 @@
 import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
 import {
   ModelChoice,
+  Patience,
   chooseModel,
+  computePatience,
   isWorthEscalating,
 } from '@sycamorehead/routing';
 import {writeDecision} from '@sycamorehead/telemetry';
@@ -12,12 +14,18 @@
 import type {ForwardContext} from './gatewayTypes.js';
 import type {Place} from './Placement.js';
 import {RequestTarget, resolveTarget} from './resolveTarget.js';
-import {AttemptOutcome, ServerAnswer, sendAttempt} from './sendAttempt.js';
+import {
+  AttemptOutcome,
+  ServerAnswer,
+  describeOutcome,
+  sendAttempt,
+} from './sendAttempt.js';
+import type {AnswerResult} from './VersionSplit.js';
 
 /** Longest wait for a place, as a part of the target latency. */
 const QUEUE_PART = 0.5;
-/** Time without the head of an answer after which another server is tried, as a part of the target. */
-const PATIENCE_PART = 0.8;
+/** Time for which a server counts as heard, in milliseconds. */
+const HEARD_MS = 400;
 /** Sends that may end without the request having run, beyond the attempts of the route. */
 const MAX_FRUITLESS_SENDS = 4;
 /** Advice to callers that are refused, in milliseconds, spread by as much again. */
@@ -129,6 +137,7 @@
     return context.placement.acquire({
       request,
       service,
+      route: route.name,
       side,
       model,
       priority,
@@ -140,12 +149,13 @@
 
   private send(
     target: RequestTarget,
-    {server}: Place,
+    place: Place,
     model: string | undefined,
   ): Promise<AttemptOutcome> {
     const {request, context, controller} = this;
+    const {server} = place;
     const leftMs = this.limitAt - performance.now();
-    const {address} = server.listing.registration;
+    const {address, id} = server.listing.registration;
     return sendAttempt({
       agent: server.agent,
       address,
@@ -160,20 +170,40 @@
       }),
       body: request.body,
       requestId: request.id,
+      expectedServer: id,
       names: context.names,
-      headTimeoutMs: this.isRepeatAllowed(target, this.runs + 1)
-        ? Math.min(leftMs, target.route.targetLatencyMs * PATIENCE_PART)
-        : leftMs,
+      patience: this.computePatience(target, place, model, leftMs),
+      isServerHeard: () => performance.now() - server.heardAt < HEARD_MS,
       signal: controller.signal,
     });
   }
 
+  /** How long to wait for the head of the answer. */
+  private computePatience(
+    target: RequestTarget,
+    {server}: Place,
+    model: string | undefined,
+    leftMs: number,
+  ): Patience {
+    const {targetLatencyMs, name} = target.route;
+    return computePatience({
+      isRepeatable: this.isRepeatAllowed(target, this.runs + 1),
+      targetLatencyMs,
+      usualMs: this.context.times.getUsual(`${name} ${model ?? ''}`),
+      pendingMs: server.pendingMs + server.othersPendingMs,
+      leftMs,
+    });
+  }
+
   private noteOutcome({server}: Place, outcome: AttemptOutcome): void {
     const {id, service} = server.listing.registration;
     this.tried.add(id);
-    this.history.push(`${id}:${outcome.type}`);
+    this.history.push(`${id}:${describeOutcome(outcome)}`);
     this.context.metrics.noteAttempt(service, outcome.type);
     if (outcome.type !== 'unsent') this.isSentBefore = true;
+    if (outcome.type === 'refused' && outcome.isMisdirected) {
+      this.context.servers.noteReplaced(server);
+    }
     if (this.controller.signal.aborted) return;
     if (outcome.type === 'unsent' || outcome.type === 'lost') {
       this.context.servers.noteFailure(server, outcome.reason);
@@ -193,7 +223,7 @@
         return this.handleFruitless(outcome);
       case 'lost':
         this.runs += 1;
-        this.noteEvidence(place, true, undefined);
+        this.noteEvidence(place, 'lost');
         return this.handleUnknownRun(target, outcome.reason);
       case 'answered':
         this.runs += 1;
@@ -224,6 +254,7 @@
     sentAt: number,
   ): Promise<NextStep> {
     const {route} = target;
+    this.model = model;
     const choice: ModelChoice = {models: route.models, previous: model};
     const {policies, metrics} = this.context;
     const isWeak =
@@ -233,19 +264,17 @@
     if (isWeak && this.isRepeatAllowed(target, this.runs)) {
       serverAnswer.cancel();
       this.isEscalated = true;
-      this.model = model;
       this.tried.clear();
       metrics.noteEscalation(route.name);
       this.history.push(`escalated:${serverAnswer.confidence}`);
       return 'again';
     }
     const isError = serverAnswer.status >= 500;
+    if (isError) this.noteEvidence(place, 'failed');
     if (isError && this.isRepeatAllowed(target, this.runs)) {
       serverAnswer.cancel();
-      this.noteEvidence(place, true, undefined);
       return 'again';
     }
-    this.model = model;
     const result = await deliverAnswer({
       serverAnswer,
       answer: this.answer,
@@ -253,24 +282,21 @@
       lastEventId: this.lastEventId,
       names: this.context.names,
       onFirstBytes: () => this.noteFirstBytes(target, place, model, sentAt),
+      onBytes: () => (place.server.heardAt = performance.now()),
     });
-    return this.handleDelivery(result, target, place, isError);
+    return this.handleDelivery(result, target, place);
   }
 
   private handleDelivery(
     result: DeliveryResult,
     target: RequestTarget,
     place: Place,
-    isError: boolean,
   ): NextStep {
     this.lastEventId = result.lastEventId;
-    if (result.isComplete) {
-      if (isError) this.noteEvidence(place, true, undefined);
-      return 'done';
-    }
+    if (result.isComplete) return 'done';
     this.history.push('broken');
     if (this.answer.gone.aborted) return 'done';
-    this.noteEvidence(place, true, undefined);
+    this.noteEvidence(place, 'lost');
     this.context.servers.noteFailure(place.server, result.reason);
     return this.handleUnknownRun(target, result.reason);
   }
@@ -283,11 +309,15 @@
   ): void {
     const {context, request} = this;
     const timeMs = performance.now() - sentAt;
+    place.noteStarted();
+    if (model !== undefined && place.isAlone) {
+      context.rates.noteRead(model, place.tokensToRead, timeMs);
+    }
     context.metrics.noteFirstByte(performance.now() - request.arrivedAt);
     const kind = `${target.route.name} ${model ?? ''}`;
     const ratio = context.times.noteTime(kind, timeMs);
     context.servers.noteAnswer(place.server, ratio);
-    this.noteEvidence(place, false, timeMs);
+    this.noteEvidence(place, 'answered', timeMs);
     if (model === undefined) return;
     const keys = request.parts.map(({id}) => `${model} ${id}`);
     context.servers.noteParts(place.server, keys);
@@ -295,11 +325,11 @@
 
   private noteEvidence(
     {server}: Place,
-    isFailure: boolean,
-    timeMs: number | undefined,
+    result: AnswerResult,
+    timeMs?: number,
   ): void {
-    const {versions} = this.context;
-    versions.noteAnswer(server, this.routeName, isFailure, timeMs);
+    const kind = `${this.routeName} ${this.model ?? ''}`;
+    this.context.versions.noteAnswer(server, kind, result, timeMs);
   }
 
   private chooseNextModel({route}: RequestTarget): string | undefined {
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -4,7 +4,7 @@
   FleetUpdate,
   StoredConfiguration,
 } from '@sycamorehead/fleet';
-import type {RetryBudgetOptions} from '@sycamorehead/routing';
+import {ReadRates, RetryBudgetOptions} from '@sycamorehead/routing';
 import {createLogger, writeDecision} from '@sycamorehead/telemetry';
 import {AnswerTimes} from './AnswerTimes.js';
 import {ForwardedRequest} from './ForwardedRequest.js';
@@ -63,7 +63,11 @@
     const {names, policies, dataCentre} = options;
     this.versions = new VersionSplit(options.sessionMs);
     this.budgets = new RetryBudgets(options.retryBudget);
+    const times = new AnswerTimes();
+    const rates = new ReadRates();
     this.placement = new Placement({
+      rates,
+      times,
       servers: this.servers,
       versions: this.versions,
       policy: policies.server,
@@ -76,7 +80,8 @@
       versions: this.versions,
       placement: this.placement,
       budgets: this.budgets,
-      times: new AnswerTimes(),
+      times,
+      rates,
       metrics: this.metrics,
       getRoutes: () => this.routes,
     };
@@ -144,11 +149,11 @@
     try {
       const reply = await this.links.exchange({
         entry: this.options.name,
-        inFlight: this.servers.listInFlight(),
+        load: this.servers.listLoad(),
         evidence: this.versions.listEvidence(),
       });
       this.budgets.entryCount = reply.entries;
-      this.servers.setOthersInFlight(reply.inFlight);
+      this.servers.setOthersLoad(reply.load);
       this.placement.offerPlaces();
     } catch (error) {
       log('exchange_failed', {error: String(error)});
--- a/packages/gateway/src/lib/GatewayServer.ts
+++ b/packages/gateway/src/lib/GatewayServer.ts
@@ -28,8 +28,13 @@
 const CHECK_INTERVAL_MS = 500;
 const MAX_BACKLOG = 1_024;
 const IDLE_POLL_MS = 50;
+/** Time after a stop begins in which new requests are still served, in milliseconds: until the
+ * balancer, which asks once a second and believes the second refusal, has sent callers elsewhere. */
+const STILL_SERVED_MS = 2_600;
 /** Time without a request after which a stopping server counts as idle, in milliseconds. */
 const QUIET_MS = 3_000;
+/** Advice to callers whose kept connection outlives that, in milliseconds. */
+const STOPPING_RETRY_MS = 20;
 
 /** Settings of a GatewayServer. @public */
 export interface GatewayServerOptions {
@@ -46,7 +51,7 @@
 export class GatewayServer {
   private readonly server: Server;
   private limits = DEFAULT_LIMITS;
-  private isStopping = false;
+  private stoppedAt = Infinity;
   private open = 0;
   private lastRequestAt = performance.now();
 
@@ -89,8 +94,8 @@
    * the time is up, then closes.
    */
   async stop(graceMs: number): Promise<void> {
-    this.isStopping = true;
     const stoppedAt = performance.now();
+    this.stoppedAt = stoppedAt;
     const isQuiet = () =>
       this.open === 0 &&
       performance.now() - Math.max(this.lastRequestAt, stoppedAt) > QUIET_MS;
@@ -120,10 +125,11 @@
     const answer = new CallerAnswer(
       response,
       {name: names.requestId, value: String(value ?? '')},
-      () => this.isStopping,
+      () => this.stoppedAt !== Infinity,
     );
     try {
       const request = decodeRequest(message, names);
+      this.checkStopping();
       this.checkHeaderSize(message);
       request.body = await readBody(message, this.limits.maxBodyBytes);
       await this.options.serve(request, answer);
@@ -142,6 +148,14 @@
     }
   }
 
+  /** What is taken late in a stop could not be finished. */
+  private checkStopping(): void {
+    if (performance.now() - this.stoppedAt < STILL_SERVED_MS) return;
+    throw new SycamoreheadError('stopping', 'this entry stops', {
+      retryAfterMs: STOPPING_RETRY_MS,
+    });
+  }
+
   private checkHeaderSize({rawHeaders, url = ''}: IncomingMessage): void {
     const bytes = rawHeaders.reduce(
       (sum, text) => sum + text.length + 2,
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -2,15 +2,19 @@
 import {
   ForwardPolicy,
   PlacementQueue,
-  ServerCandidate,
+  ReadRates,
+  chooseOwner,
   scoreServer,
 } from '@sycamorehead/routing';
+import type {AnswerTimes} from './AnswerTimes.js';
 import type {CallerRequest, PromptPart} from './CallerRequest.js';
 import type {KnownServer, ServerTable} from './ServerTable.js';
 import type {VersionSide, VersionSplit} from './VersionSplit.js';
 
 /** Requests that a plain server is given beyond its slots, as a part of them. */
 const PLAIN_OVERCOMMIT = 1;
+/** Part of the shared tokens that an owner is taken to have without a send of this entry. */
+const OWNER_SHARE = 0.6;
 /** Time after its last use for which a prompt part counts as kept, in milliseconds. */
 const PART_MEMORY_MS = 30_000;
 
@@ -18,6 +22,8 @@
 export interface PlacementRequest {
   readonly request: CallerRequest;
   readonly service: RoutedService;
+  /** Name of the route, by which times are compared. */
+  readonly route: string;
   readonly side: VersionSide;
   /** Model named to the server; absent for plain services. */
   readonly model: string | undefined;
@@ -31,6 +37,12 @@
 /** A place at a server, to be released once the request is done there. @public */
 export interface Place {
   readonly server: KnownServer;
+  /** Tokens of the prompt that the server probably has to read. */
+  readonly tokensToRead: number;
+  /** Whether nothing that waits for its first event was known there when the place was taken. */
+  readonly isAlone: boolean;
+  /** Notes that the server has begun to answer. */
+  noteStarted(): void;
   release(): void;
 }
 
@@ -38,10 +50,19 @@
 export interface PlacementOptions {
   readonly servers: ServerTable;
   readonly versions: VersionSplit;
+  readonly rates: ReadRates;
+  readonly times: AnswerTimes;
   readonly policy: ForwardPolicy;
   readonly dataCentre: string;
 }
 
+interface Choice {
+  readonly server: KnownServer;
+  readonly tokensToRead: number;
+  readonly ownMs: number;
+  readonly score: number;
+}
+
 /**
  * Gives requests a place at a backend server: chooses among those with room, or lets the request
  * wait for one.
@@ -81,52 +102,67 @@
   }
 
   private tryPlace(wanted: PlacementRequest): Place | undefined {
-    const server = this.chooseServer(wanted);
-    if (!server) return undefined;
+    const choice = this.chooseServer(wanted);
+    if (!choice) return undefined;
+    const {server, ownMs, tokensToRead} = choice;
+    const isAlone = server.pendingMs + server.othersPendingMs <= 0;
     server.inFlight += 1;
+    server.pendingMs += ownMs;
+    let isPending = true;
     let isHeld = true;
-    return {
-      server,
-      release: () => {
-        if (!isHeld) return;
-        isHeld = false;
-        server.inFlight -= 1;
-        this.queues.get(wanted.service.name)?.offerPlaces();
-      },
+    const noteStarted = () => {
+      if (isPending) server.pendingMs -= ownMs;
+      isPending = false;
     };
+    const release = () => {
+      noteStarted();
+      if (!isHeld) return;
+      isHeld = false;
+      server.inFlight -= 1;
+      this.queues.get(wanted.service.name)?.offerPlaces();
+    };
+    return {server, tokensToRead, isAlone, noteStarted, release};
   }
 
-  private chooseServer(wanted: PlacementRequest): KnownServer | undefined {
+  private chooseServer(wanted: PlacementRequest): Choice | undefined {
     const usable = this.listUsable(wanted);
-    const {policy, dataCentre} = this.options;
-    const work = {promptTokens: wanted.request.promptTokens};
-    let best: KnownServer | undefined;
-    let bestScore = Infinity;
+    const owner = findOwner(wanted, usable);
+    let best: Choice | undefined;
     for (const server of usable) {
-      const {registration, isSilent} = server.listing;
-      const candidate: ServerCandidate = {
-        id: registration.id,
-        load: server.inFlight + server.othersInFlight,
-        slots: registration.slots,
-        isSameDataCentre: registration.dataCentre === dataCentre,
-        isSilent,
-        slowness: server.slowness,
-        cachedTokens: countCachedTokens(
-          server,
-          wanted.model ?? '',
-          wanted.request.parts,
-        ),
-      };
-      const score = scoreServer(policy, candidate, work);
+      const choice = this.rateServer(wanted, server, server === owner);
       const isBetter =
-        score < bestScore || (score === bestScore && Math.random() < 0.5);
-      if (!isBetter) continue;
-      best = server;
-      bestScore = score;
+        !best ||
+        choice.score < best.score ||
+        (choice.score === best.score && Math.random() < 0.5);
+      if (isBetter) best = choice;
     }
     return best;
   }
 
+  private rateServer(
+    {request, model, service, route}: PlacementRequest,
+    server: KnownServer,
+    isOwner: boolean,
+  ): Choice {
+    const {policy, dataCentre, rates, times} = this.options;
+    const {registration, isSilent} = server.listing;
+    const kept = countKeptTokens(server, model ?? '', request.parts, isOwner);
+    const tokensToRead = Math.max(0, request.promptTokens - kept);
+    const ownMs = service.engine
+      ? rates.estimateMs(model ?? '', tokensToRead)
+      : (times.getUsual(`${route} `) ?? 0) / Math.max(1, registration.slots);
+    const score = scoreServer(policy, {
+      load: server.inFlight + server.othersInFlight,
+      slots: registration.slots,
+      pendingMs: server.pendingMs + server.othersPendingMs,
+      ownMs,
+      isSameDataCentre: registration.dataCentre === dataCentre,
+      isSilent,
+      slowness: server.slowness,
+    });
+    return {server, tokensToRead, ownMs, score};
+  }
+
   /** Servers with room that are neither barred nor left alone, nor tried where others are left. */
   private listUsable(wanted: PlacementRequest): readonly KnownServer[] {
     const {servers, versions} = this.options;
@@ -159,18 +195,38 @@
   return load < (engine ? slots : slots * (1 + PLAIN_OVERCOMMIT));
 }
 
-/** Tokens of the leading parts that a server was sent lately for the same model. */
-function countCachedTokens(
+/** The server that every entry prefers for the prompt's last shared part. */
+function findOwner(
+  {request, model}: PlacementRequest,
+  servers: readonly KnownServer[],
+): KnownServer | undefined {
+  // The last part is the request's own.
+  const shared = request.parts.at(-2);
+  if (!shared) return undefined;
+  const ids = servers.map(({listing}) => listing.registration.id);
+  const owner = chooseOwner(`${model ?? ''} ${shared.id}`, ids);
+  return servers.find(({listing}) => listing.registration.id === owner);
+}
+
+/**
+ * Tokens of the leading parts that a server probably has in memory for a model: those that this
+ * entry sent there lately, and the shared ones that other entries send to their owner.
+ */
+function countKeptTokens(
   server: KnownServer,
   model: string,
   parts: readonly PromptPart[],
+  isOwner: boolean,
 ): number {
   const oldest = performance.now() - PART_MEMORY_MS;
   let tokens = 0;
-  for (const part of parts) {
+  let isSent = true;
+  parts.forEach((part, index) => {
     const usedAt = server.parts.get(`${model} ${part.id}`);
-    if (usedAt === undefined || usedAt < oldest) break;
-    tokens += part.tokens;
-  }
+    isSent &&= usedAt !== undefined && usedAt >= oldest;
+    const isShared = index < parts.length - 1;
+    if (isSent) tokens += part.tokens;
+    else if (isOwner && isShared) tokens += part.tokens * OWNER_SHARE;
+  });
   return tokens;
 }
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -1,4 +1,9 @@
-import type {FleetUpdate, ServerListing} from '@sycamorehead/fleet';
+import type {
+  FleetUpdate,
+  LoadTable,
+  ServerListing,
+  ServerLoad,
+} from '@sycamorehead/fleet';
 import {ServerRegistration, isNewerRegistration} from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 import {ServerAgent} from './ServerAgent.js';
@@ -26,7 +31,12 @@
   inFlight: number;
   /** Requests of other entries in flight there, as the last exchange told. */
   othersInFlight: number;
-  /** Own sends since the last exchange, which the others do not know yet. */
+  /** Work of this entry that has not begun to answer, in milliseconds of the server. */
+  pendingMs: number;
+  /** The same of other entries, as the last exchange told. */
+  othersPendingMs: number;
+  /** When anything was last heard of it by this entry, on the monotonic clock. */
+  heardAt: number;
   failures: number;
   ejectedUntil: number;
   /** Answer times against those of its service; 1 is usual. */
@@ -52,15 +62,18 @@
   }
 
   /** Takes the load that the other entries have placed. */
-  setOthersInFlight(inFlight: Readonly<Record<string, number>>): void {
+  setOthersLoad(load: LoadTable): void {
     for (const [id, server] of this.servers) {
-      server.othersInFlight = inFlight[id] ?? 0;
+      const [inFlight, pendingMs] = load[id] ?? [0, 0];
+      server.othersInFlight = inFlight;
+      server.othersPendingMs = pendingMs;
     }
   }
 
   /** Notes that a server has answered, and how its time compares with the usual. */
   noteAnswer(server: KnownServer, timeRatio: number | undefined): void {
     server.failures = 0;
+    server.heardAt = performance.now();
     server.ejectedUntil = 0;
     if (timeRatio === undefined) return;
     const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, timeRatio));
@@ -82,6 +95,11 @@
     });
   }
 
+  /** Notes that another server has taken this one's address: this start of it is gone. */
+  noteReplaced({listing}: KnownServer): void {
+    this.markGone(listing);
+  }
+
   /** Notes that a server has read parts of a prompt for a model. */
   noteParts({parts}: KnownServer, keys: readonly string[]): void {
     const now = performance.now();
@@ -117,17 +135,42 @@
     return this.servers.size === 0;
   }
 
-  /** Own requests in flight by server id. */
-  listInFlight(): Record<string, number> {
-    const inFlight: Record<string, number> = {};
-    for (const [id, server] of this.servers) {
-      if (server.inFlight > 0) inFlight[id] = server.inFlight;
+  /** Own load by server id. */
+  listLoad(): LoadTable {
+    const load: Record<string, ServerLoad> = {};
+    for (const [id, {inFlight, pendingMs}] of this.servers) {
+      if (inFlight > 0) load[id] = [inFlight, Math.round(pendingMs)];
+    }
+    return load;
+  }
+
+  private markGone({registration, isSilent}: ServerListing): void {
+    const known = this.servers.get(registration.id);
+    if (known?.listing.registration !== registration) return;
+    known.listing = {registration: {...registration, state: 'gone'}, isSilent};
+    this.logChange(known.listing.registration);
+  }
+
+  /** An address belongs to the server that started there last. */
+  private dropPredecessor({
+    address,
+    startedAtMs,
+    id,
+  }: ServerRegistration): void {
+    for (const {listing} of this.servers.values()) {
+      const other = listing.registration;
+      const isPredecessor =
+        other.address === address &&
+        other.id !== id &&
+        other.state !== 'gone' &&
+        other.startedAtMs < startedAtMs;
+      if (isPredecessor) this.markGone(listing);
     }
-    return inFlight;
   }
 
   private takeListing(listing: ServerListing): void {
     const {registration} = listing;
+    this.dropPredecessor(registration);
     const known = this.servers.get(registration.id);
     if (!known) {
       this.servers.set(registration.id, createServer(listing));
@@ -176,6 +219,9 @@
     agent: new ServerAgent(MAX_IDLE_CONNECTIONS),
     inFlight: 0,
     othersInFlight: 0,
+    pendingMs: 0,
+    othersPendingMs: 0,
+    heardAt: -Infinity,
     failures: 0,
     ejectedUntil: 0,
     slowness: 1,
--- a/packages/gateway/src/lib/VersionSplit.ts
+++ b/packages/gateway/src/lib/VersionSplit.ts
@@ -1,14 +1,16 @@
-import {createHash} from 'node:crypto';
 import type {
   RolloutEvidence,
   ServiceRollout,
   VersionCounts,
 } from '@sycamorehead/schema';
+import {hashText} from '@sycamorehead/routing';
 import {writeDecision} from '@sycamorehead/telemetry';
 import type {KnownServer} from './ServerTable.js';
 
 /** Sessions remembered; the ones unused longest yield. */
 const MAX_SESSIONS = 20_000;
+/** Time within which further losses of a server's answers are taken for the same event, in ms. */
+const LOSS_PAUSE_MS = 2_000;
 const HASH_RANGE = 2 ** 32;
 
 /** Which version of a service a request goes to, as far as a roll-out says. @public */
@@ -19,6 +21,9 @@
   usedAt: number;
 }
 
+/** How a send ended, as evidence on a version. @public */
+export type AnswerResult = 'answered' | 'failed' | 'lost';
+
 interface Counts {
   answers: number;
   failures: number;
@@ -35,6 +40,7 @@
 export class VersionSplit {
   private readonly rollouts = new Map<string, ServiceRollout>();
   private readonly evidence = new Map<string, Map<string, Counts>>();
+  private readonly lossTimes = new WeakMap<KnownServer, number>();
   private readonly sessions = new Map<string, SessionPin>();
 
   constructor(
@@ -81,8 +87,8 @@
   /** Counts an answer of a server towards the evidence on its version. */
   noteAnswer(
     server: KnownServer,
-    route: string,
-    isFailure: boolean,
+    kind: string,
+    result: AnswerResult,
     timeMs: number | undefined,
   ): void {
     const {service, version} = server.listing.registration;
@@ -91,7 +97,8 @@
     const side = version === rollout.target ? 'new' : 'old';
     const table = this.evidence.get(service) ?? new Map<string, Counts>();
     this.evidence.set(service, table);
-    const key = `${route}|${side}`;
+    if (result === 'lost' && !this.isFirstLoss(server)) return;
+    const key = `${kind}|${side}`;
     const counts = table.get(key) ?? {
       answers: 0,
       failures: 0,
@@ -99,7 +106,7 @@
       timed: 0,
     };
     counts.answers += 1;
-    if (isFailure) counts.failures += 1;
+    if (result !== 'answered') counts.failures += 1;
     if (timeMs !== undefined) {
       counts.logTimeSum += Math.log(Math.max(1, timeMs));
       counts.timed += 1;
@@ -145,6 +152,15 @@
     return listed;
   }
 
+  /** A server that crashes loses all its answers at once; that counts as one. */
+  private isFirstLoss(server: KnownServer): boolean {
+    const now = performance.now();
+    const lastAt = this.lossTimes.get(server) ?? -Infinity;
+    if (now - lastAt < LOSS_PAUSE_MS) return false;
+    this.lossTimes.set(server, now);
+    return true;
+  }
+
   private chooseSide(
     rollout: ServiceRollout,
     session: string | undefined,
@@ -155,7 +171,9 @@
     const pin = this.findPin(rollout.service, session);
     if (pin === 'new') return 'new';
     if (pin === 'old' && rollout.isEarly) return 'old';
-    return hashToUnit(session ?? requestId) < rollout.share ? 'new' : 'old';
+    return hashText(session ?? requestId) / HASH_RANGE < rollout.share
+      ? 'new'
+      : 'old';
   }
 
   private findPin(
@@ -186,8 +204,3 @@
   if (heard.phase !== 'in_progress') return true;
   return heard.share >= known.share;
 }
-
-function hashToUnit(text: string): number {
-  const digest = createHash('sha1').update(text).digest();
-  return digest.readUInt32BE(0) / HASH_RANGE;
-}
--- a/packages/gateway/src/lib/deliverAnswer.ts
+++ b/packages/gateway/src/lib/deliverAnswer.ts
@@ -19,6 +19,8 @@
   readonly names: HeaderNames;
   /** Called when the first bytes are there to be delivered. */
   onFirstBytes(): void;
+  /** Called for each piece that has arrived. */
+  onBytes(): void;
 }
 
 /** How far an answer was delivered. @public */
@@ -54,6 +56,7 @@
   let isFirst = true;
   try {
     for await (const chunk of message as AsyncIterable<Buffer>) {
+      delivery.onBytes();
       const events = splitter.push(chunk);
       if (!events) continue;
       if (isFirst) delivery.onFirstBytes();
--- a/packages/gateway/src/lib/gatewayTypes.ts
+++ b/packages/gateway/src/lib/gatewayTypes.ts
@@ -1,4 +1,8 @@
-import type {ForwardPolicy, ModelPolicy} from '@sycamorehead/routing';
+import type {
+  ForwardPolicy,
+  ModelPolicy,
+  ReadRates,
+} from '@sycamorehead/routing';
 import type {AnswerTimes} from './AnswerTimes.js';
 import type {GatewayMetrics} from './GatewayMetrics.js';
 import type {HeaderNames} from './headerNames.js';
@@ -23,6 +27,7 @@
   readonly placement: Placement;
   readonly budgets: RetryBudgets;
   readonly times: AnswerTimes;
+  readonly rates: ReadRates;
   readonly metrics: GatewayMetrics;
   /** The routes in force here, or undefined before the first configuration. */
   getRoutes(): RouteTable | undefined;
--- a/packages/gateway/src/lib/headerNames.ts
+++ b/packages/gateway/src/lib/headerNames.ts
@@ -9,6 +9,8 @@
   readonly customer: string;
   /** Id of the backend server that is meant. */
   readonly expectServer: string;
+  /** Id of the backend server that answers, on some answers. */
+  readonly serverId: string;
   /** Present on an answer that promises that the request was not run. */
   readonly notExecuted: string;
   /** A backend server's signature of its answer. */
--- a/packages/gateway/src/lib/resolveTarget.ts
+++ b/packages/gateway/src/lib/resolveTarget.ts
@@ -3,6 +3,7 @@
   RoutedService,
   SycamoreheadError,
 } from '@sycamorehead/schema';
+import {hashText} from '@sycamorehead/routing';
 import type {CallerRequest} from './CallerRequest.js';
 import type {RouteTable} from './RouteTable.js';
 
@@ -16,8 +17,6 @@
   readonly priority: number;
 }
 
-const FNV_OFFSET = 2_166_136_261;
-const FNV_PRIME = 16_777_619;
 const HASH_RANGE = 2 ** 32;
 
 /**
@@ -61,20 +60,10 @@
 /** Spreads requests over the services by weight; one request always gets the same. */
 function pickService({services}: RouteDeclaration, id: string): string {
   const total = services.reduce((sum, {weight}) => sum + weight, 0);
-  let left = hashToUnit(id) * total;
+  let left = (hashText(id) / HASH_RANGE) * total;
   for (const {service, weight} of services) {
     left -= weight;
     if (left < 0) return service;
   }
   return services.find(({weight}) => weight > 0)?.service ?? '';
 }
-
-function hashToUnit(text: string): number {
-  let hash = FNV_OFFSET;
-  for (let index = 0; index < text.length; index += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
-  }
-  // The low bits of this hash mix better than the high ones.
-  hash = Math.imul(hash ^ (hash >>> 15), FNV_PRIME);
-  return ((hash ^ (hash >>> 13)) >>> 0) / HASH_RANGE;
-}
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import type {IncomingMessage} from 'node:http';
+import type {Patience} from '@sycamorehead/routing';
 import type {HeaderNames} from './headerNames.js';
 import type {ServerAgent} from './ServerAgent.js';
 
@@ -18,9 +19,13 @@
   readonly headers: readonly string[];
   readonly body: Buffer;
   readonly requestId: string;
+  /** Id of the server that is meant. */
+  readonly expectedServer: string;
   readonly names: HeaderNames;
-  /** Time allowed until the head of the answer, in milliseconds. */
-  readonly headTimeoutMs: number;
+  /** How long to wait for the head of the answer. */
+  readonly patience: Patience;
+  /** Whether the server was heard lately, on any connection. */
+  isServerHeard(): boolean;
   /** Aborted once the answer is no longer wanted. */
   readonly signal: AbortSignal;
 }
@@ -42,7 +47,12 @@
   /** No byte of the request has left. */
   | {readonly type: 'unsent'; readonly reason: string}
   /** The server says that it did not run the request. */
-  | {readonly type: 'refused'; readonly status: number}
+  | {
+      readonly type: 'refused';
+      readonly status: number;
+      /** Another server has the address by now. */
+      readonly isMisdirected: boolean;
+    }
   /** The request may have run. */
   | {readonly type: 'lost'; readonly reason: string}
   | {readonly type: 'answered'; readonly answer: ServerAnswer};
@@ -86,15 +96,21 @@
     };
     let timer = setTimeout(
       () => cancel('no connection in time'),
-      Math.min(CONNECT_TIMEOUT_MS, attempt.headTimeoutMs),
+      Math.min(CONNECT_TIMEOUT_MS, attempt.patience.heardMs),
     );
     const waitForHead = () => {
       mayHaveLeft = true;
       clearTimeout(timer);
-      timer = setTimeout(
-        () => cancel('no answer in time'),
-        attempt.headTimeoutMs,
-      );
+      const {silentMs, heardMs} = attempt.patience;
+      const giveUp = () => cancel('no answer in time');
+      const checkServer = () => {
+        if (!attempt.isServerHeard()) {
+          giveUp();
+          return;
+        }
+        timer = setTimeout(giveUp, heardMs - silentMs);
+      };
+      timer = setTimeout(checkServer, silentMs);
     };
     const handleAbort = () => cancel('no longer wanted');
     const settle = (outcome: AttemptOutcome) => {
@@ -129,7 +145,7 @@
 }
 
 function classifyHead(
-  {names, requestId}: AttemptRequest,
+  {names, requestId, expectedServer}: AttemptRequest,
   message: IncomingMessage,
   cancel: () => void,
 ): AttemptOutcome {
@@ -139,7 +155,12 @@
     return {type: 'lost', reason: 'the answer belongs to another request'};
   }
   if (status === MISDIRECTED || headers[names.notExecuted] !== undefined) {
-    return {type: 'refused', status};
+    const answering = headers[names.serverId];
+    const isMisdirected =
+      status === MISDIRECTED &&
+      answering !== undefined &&
+      answering !== expectedServer;
+    return {type: 'refused', status, isMisdirected};
   }
   if (echoed === undefined) {
     return {type: 'lost', reason: 'the answer names no request'};
@@ -154,7 +175,10 @@
   const confidence = Number(headers[names.confidence] ?? NaN);
   let isReset = false;
   // node:http takes a reset for the end of an answer that has no length.
-  message.socket.once('error', () => (isReset = true));
+  const {socket} = message;
+  const noteReset = () => (isReset = true);
+  socket.once('error', noteReset);
+  message.once('close', () => socket.removeListener('error', noteReset));
   return {
     type: 'answered',
     answer: {
@@ -175,3 +199,24 @@
   if (type === 'refused') message.resume();
   else message.destroy();
 }
+
+/**
+ * Describes an outcome in a log line.
+ *
+ * @example
+ * ```ts
+ * describeOutcome({type: 'lost', reason: 'closed'}); // 'lost (closed)'
+ * ```
+ * @public
+ */
+export function describeOutcome(outcome: AttemptOutcome): string {
+  switch (outcome.type) {
+    case 'answered':
+      return String(outcome.answer.status);
+    case 'refused':
+      return `refused ${outcome.status}`;
+    case 'unsent':
+    case 'lost':
+      return `${outcome.type} (${outcome.reason})`;
+  }
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -56,5 +56,8 @@
 export type {
   ServerCandidate,
   ForwardPolicy,
-  WorkShape,
 } from './lib/forwarding/scoreServer.js';
+export {chooseOwner, hashText} from './lib/forwarding/chooseOwner.js';
+export {ReadRates} from './lib/forwarding/ReadRates.js';
+export {computePatience} from './lib/forwarding/computePatience.js';
+export type {Patience, SendOutlook} from './lib/forwarding/computePatience.js';
--- /dev/null
+++ b/packages/routing/src/lib/forwarding/chooseOwner.ts
@@ -0,0 +1,47 @@
+const FNV_OFFSET = 2_166_136_261;
+const FNV_PRIME = 16_777_619;
+
+/**
+ * Chooses the owner of a key among servers by rendezvous hashing: every entry chooses the same
+ * one without an exchange, and a server that comes or goes moves only its own keys.
+ *
+ * @example
+ * ```ts
+ * chooseOwner('model part', ['a', 'b', 'c']); // 'b'
+ * ```
+ * @public
+ */
+export function chooseOwner(
+  key: string,
+  ids: readonly string[],
+): string | undefined {
+  let owner: string | undefined;
+  let highest = -1;
+  for (const id of ids) {
+    const rank = hashText(`${key} ${id}`);
+    if (rank <= highest) continue;
+    highest = rank;
+    owner = id;
+  }
+  return owner;
+}
+
+/**
+ * Hashes a text to 32 bits.
+ *
+ * @example
+ * ```ts
+ * hashText('a') === hashText('a'); // true
+ * ```
+ * @public
+ */
+export function hashText(text: string): number {
+  let hash = FNV_OFFSET;
+  for (let index = 0; index < text.length; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+  }
+  // FNV alone leaves the high bits of similar texts alike.
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+  return (hash ^ (hash >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/packages/routing/src/lib/forwarding/computePatience.ts
@@ -0,0 +1,51 @@
+/** Least time after which a silent server is given up, as a part of the target latency. */
+const LEAST_PART = 0.4;
+/** Times the usual answer time after which a silent server is given up. */
+const USUAL_FACTOR = 3;
+/** Time after which a server that is heard is given up, as a part of the target latency. */
+const LIVE_PART = 2;
+
+/** What is known of a send when it leaves. @public */
+export interface SendOutlook {
+  /** Whether the request may run again should this send be given up. */
+  readonly isRepeatable: boolean;
+  readonly targetLatencyMs: number;
+  /** Usual time to the first event of this kind of work; undefined before the first. */
+  readonly usualMs: number | undefined;
+  /** Work that waits at the server, in milliseconds. */
+  readonly pendingMs: number;
+  /** Time left for the request. */
+  readonly leftMs: number;
+}
+
+/** How long to wait for the head of an answer, in milliseconds. @public */
+export interface Patience {
+  /** From a server that is silent on all connections. */
+  readonly silentMs: number;
+  /** From a server that is heard on other connections. */
+  readonly heardMs: number;
+}
+
+/**
+ * Computes how long a send waits for the head of its answer. Under load a server that still
+ * answers others is waited for: giving up would only have the prompt read once more.
+ *
+ * @example
+ * ```ts
+ * computePatience({...outlook, isRepeatable: false}).silentMs; // all the time left
+ * ```
+ * @public
+ */
+export function computePatience(outlook: SendOutlook): Patience {
+  const {isRepeatable, targetLatencyMs, usualMs, pendingMs, leftMs} = outlook;
+  if (!isRepeatable) return {silentMs: leftMs, heardMs: leftMs};
+  const silentMs = Math.max(
+    targetLatencyMs * LEAST_PART,
+    (usualMs ?? targetLatencyMs) * USUAL_FACTOR + pendingMs,
+  );
+  const heardMs = Math.max(silentMs, targetLatencyMs * LIVE_PART);
+  return {
+    silentMs: Math.min(leftMs, silentMs),
+    heardMs: Math.min(leftMs, heardMs),
+  };
+}
--- a/packages/schema/src/lib/serviceRollout.ts
+++ b/packages/schema/src/lib/serviceRollout.ts
@@ -29,6 +29,6 @@
 export interface RolloutEvidence {
   readonly service: string;
   readonly number: number;
-  /** Keys are `route|old` and `route|new`. */
+  /** Keys are `kind|old` and `kind|new`, a kind being a route with a model. */
   readonly counts: Readonly<Record<string, VersionCounts>>;
 }
