A lost answer counts as evidence with the model that was asked

Ruled out: slowness after the move (times 0.9 to 1.1 of the old ones). Change: the model of the send names the kind; failures must exceed the old rate by a tenth; times from before the move are compared with more tolerance; work that would wait too long at every engine waits at the entry (admission by pending work).

--- a/packages/fleet/src/lib/RolloutDriver.ts
+++ b/packages/fleet/src/lib/RolloutDriver.ts
@@ -1,8 +1,8 @@
 import {createLogger, writeDecision} from '@sycamorehead/telemetry';
-import type {RolloutRecord, RolloutStep} from './FleetState.js';
-import {judgeRollout} from './judgeRollout.js';
+import type {RolloutRecord} from './FleetState.js';
+import {VersionPair, judgeRollout} from './judgeRollout.js';
 import type {LogHost} from './LogHost.js';
-import {planRollout} from './planRollout.js';
+import {RolloutView, planRollout} from './planRollout.js';
 import type {ServerRegistry} from './ServerRegistry.js';
 import type {UsageHub} from './UsageHub.js';
 
@@ -13,6 +13,9 @@
 /** Time after which the elapsed time is committed although nothing else has changed. */
 const COMMIT_INTERVAL_MS = 1_000;
 
+/** Share above which the new version carries the load. */
+const CANARY_LIMIT = 0.3;
+
 /** What the driver of roll-outs needs. @public */
 export interface RolloutDriverOptions {
   readonly host: LogHost;
@@ -64,7 +67,8 @@
   }
 
   private async advanceRollout(rollout: RolloutRecord): Promise<void> {
-    const step = this.planStep(rollout);
+    const view = this.describeView(rollout);
+    const step = planRollout(view);
     const isSame =
       step.phase === rollout.phase &&
       step.share === rollout.share &&
@@ -84,11 +88,15 @@
       target: rollout.target,
       phase: step.phase,
       share: step.share,
+      verdict: view.verdict,
+      evidence: describeEvidence(view.evidence),
+      fresh_servers: view.freshServers,
+      running_on_old: view.runningOnOld,
       elapsed_ms: Math.round(step.elapsedMs),
     });
   }
 
-  private planStep(rollout: RolloutRecord): RolloutStep {
+  private describeView(rollout: RolloutRecord): RolloutView {
     const {registry, hub, maxCanaryShare} = this.options;
     const servers = registry
       .list()
@@ -99,14 +107,15 @@
     );
     const old = servers.filter(({version}) => version !== rollout.target);
     const evidence = hub.listEvidence(rollout.service, rollout.number);
-    return planRollout({
+    return {
       rollout,
       elapsedMs: this.measureElapsed(rollout),
-      verdict: judgeRollout(evidence),
+      verdict: judgeRollout(evidence, rollout.share > CANARY_LIMIT),
+      evidence,
       freshServers: fresh.length,
       runningOnOld: hub.countInFlight(new Set(old.map(({id}) => id))),
       maxCanaryShare,
-    });
+    };
   }
 
   /** Time since the order; a new leader goes on from what the last one committed. */
@@ -123,3 +132,14 @@
     return known.elapsedMs;
   }
 }
+
+/** Failures of answers and mean time by kind of work, old then new. */
+function describeEvidence(pairs: readonly VersionPair[]): string {
+  return pairs
+    .flatMap(pair => [pair.old, pair.new])
+    .map(({answers, failures, logTimeSum, timed}) => {
+      const meanMs = timed > 0 ? Math.round(Math.exp(logTimeSum / timed)) : 0;
+      return `${failures}/${answers}@${meanMs}`;
+    })
+    .join(' ');
+}
--- a/packages/fleet/src/lib/judgeRollout.ts
+++ b/packages/fleet/src/lib/judgeRollout.ts
@@ -6,8 +6,15 @@
 const MIN_FAILURES = 3;
 /** Standard deviations by which the new version's failure rate must exceed the old one's. */
 const FAILURE_Z = 3;
-/** Times by which the geometric mean of the new version's answer times must exceed the old one's. */
-const SLOWNESS_FACTOR = 2.2;
+/** Part of the new version's answers by which its failures must exceed the old one's rate. */
+const MIN_EXCESS = 0.1;
+/**
+ * Times by which the geometric mean of the new version's answer times must exceed the old one's,
+ * while both answer side by side. Half of the answers eight times slower make 2.8.
+ */
+const SLOWNESS_FACTOR = 2;
+/** The same once the new version carries the load, and the old one's times are from before. */
+const MOVED_SLOWNESS_FACTOR = 4;
 /** Timed answers of the new version below which its times are not judged. */
 const MIN_TIMED = 8;
 /** Answers taken as seen of the old version before any were, with none failed but one. */
@@ -53,7 +60,7 @@
 
 /**
  * Judges a new version against the old one, over all routes and on each route by itself, since a
- * version may be bad on one only.
+ * version may be bad on one only. `isMoved` tells that the new version carries the load.
  *
  * @example
  * ```ts
@@ -63,6 +70,7 @@
  */
 export function judgeRollout(
   routes: readonly VersionPair[],
+  isMoved = false,
 ): BadReason | undefined {
   const total = routes.reduce(
     (sum, pair) => ({
@@ -72,7 +80,8 @@
     {old: NO_COUNTS, new: NO_COUNTS},
   );
   if ([total, ...routes].some(hasMoreFailures)) return 'failures';
-  return isSlower(routes) ? 'slow' : undefined;
+  const factor = isMoved ? MOVED_SLOWNESS_FACTOR : SLOWNESS_FACTOR;
+  return isSlower(routes, factor) ? 'slow' : undefined;
 }
 
 function hasMoreFailures({old, new: fresh}: VersionPair): boolean {
@@ -82,11 +91,14 @@
   const base = (old.failures + 1) / (old.answers + PRIOR_ANSWERS);
   const expected = base * fresh.answers;
   const deviation = Math.sqrt(expected * (1 - base));
-  return fresh.failures > expected + FAILURE_Z * deviation;
+  return (
+    fresh.failures > expected + FAILURE_Z * deviation &&
+    fresh.failures > expected + MIN_EXCESS * fresh.answers
+  );
 }
 
 /** Compares like with like: the mean difference over the kinds of work that both have answered. */
-function isSlower(routes: readonly VersionPair[]): boolean {
+function isSlower(routes: readonly VersionPair[], factor: number): boolean {
   let weight = 0;
   let sum = 0;
   for (const {old, new: fresh} of routes) {
@@ -97,5 +109,5 @@
     weight += samples;
     sum += samples * difference;
   }
-  return weight >= MIN_TIMED && sum / weight > Math.log(SLOWNESS_FACTOR);
+  return weight >= MIN_TIMED && sum / weight > Math.log(factor);
 }
--- a/packages/fleet/src/lib/planRollout.ts
+++ b/packages/fleet/src/lib/planRollout.ts
@@ -1,5 +1,5 @@
 import type {RolloutRecord, RolloutStep} from './FleetState.js';
-import type {BadReason} from './judgeRollout.js';
+import type {BadReason, VersionPair} from './judgeRollout.js';
 
 /** Share of the bound on the new version's requests that the canary takes. */
 const CANARY_MARGIN = 0.6;
@@ -20,6 +20,8 @@
   /** Time since the order, in milliseconds. */
   readonly elapsedMs: number;
   readonly verdict: BadReason | undefined;
+  /** What the verdict rests on. */
+  readonly evidence: readonly VersionPair[];
   /** Backend servers that are ready with the new version. */
   readonly freshServers: number;
   /** Requests in flight on the old version, over all entries. */
--- a/packages/fleet/src/test/rollouts.test.ts
+++ b/packages/fleet/src/test/rollouts.test.ts
@@ -36,6 +36,17 @@
   assert.equal(judgeRollout([{old, new: buildCounts(12, 0, 300)}]), undefined);
 });
 
+test('times from before the move are compared with more tolerance', () => {
+  const pair = {old: buildCounts(100, 0, 200), new: buildCounts(300, 0, 600)};
+  assert.equal(judgeRollout([pair]), 'slow');
+  assert.equal(judgeRollout([pair], true), undefined);
+});
+
+test('a few losses beside a faulty server do not make a version bad', () => {
+  const pair = {old: buildCounts(400, 1), new: buildCounts(90, 4)};
+  assert.equal(judgeRollout([pair]), undefined);
+});
+
 test('a version that got the longer work is not called slow', () => {
   const short = {old: buildCounts(90, 0, 100), new: buildCounts(10, 0, 100)};
   const long = {old: buildCounts(10, 0, 900), new: buildCounts(90, 0, 900)};
@@ -62,6 +73,7 @@
     rollout,
     elapsedMs: 1_000,
     verdict: undefined,
+    evidence: [],
     freshServers: 3,
     runningOnOld: 4,
     maxCanaryShare: 0.15,
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -23,7 +23,7 @@
 import type {AnswerResult} from './VersionSplit.js';
 
 /** Longest wait for a place, as a part of the target latency. */
-const QUEUE_PART = 0.5;
+const QUEUE_PART = 0.4;
 /** Time for which a server counts as heard, in milliseconds. */
 const HEARD_MS = 400;
 /** Sends that may end without the request having run, beyond the attempts of the route. */
@@ -49,7 +49,10 @@
   private runs = 0;
   private fruitlessSends = 0;
   private isSentBefore = false;
+  /** Model that answered last. */
   private model: string | undefined;
+  /** Model that the last send named. */
+  private sentModel: string | undefined;
   private isEscalated = false;
   private lastEventId: string | undefined;
   private waitedMs = 0;
@@ -114,6 +117,7 @@
         return 'again';
       }
       const sentAt = performance.now();
+      this.sentModel = model;
       const outcome = await this.send(now, place, model);
       this.noteOutcome(place, outcome);
       return await this.handleOutcome(outcome, now, place, model, sentAt);
@@ -141,6 +145,8 @@
       side,
       model,
       priority,
+      targetLatencyMs: route.targetLatencyMs,
+      isInvested: this.runs > 0,
       tried: this.tried,
       giveUpAt: Math.min(this.limitAt, performance.now() + waitMs),
       signal: controller.signal,
@@ -328,7 +334,7 @@
     result: AnswerResult,
     timeMs?: number,
   ): void {
-    const kind = `${this.routeName} ${this.model ?? ''}`;
+    const kind = `${this.routeName} ${this.sentModel ?? ''}`;
     this.context.versions.noteAnswer(server, kind, result, timeMs);
   }
 
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -4,6 +4,7 @@
   PlacementQueue,
   ReadRates,
   chooseOwner,
+  isAdmissible,
   scoreServer,
 } from '@sycamorehead/routing';
 import type {AnswerTimes} from './AnswerTimes.js';
@@ -28,6 +29,9 @@
   /** Model named to the server; absent for plain services. */
   readonly model: string | undefined;
   readonly priority: number;
+  readonly targetLatencyMs: number;
+  /** Whether servers have worked on this request before. */
+  readonly isInvested: boolean;
   /** Ids of servers that have already failed or refused this request. */
   readonly tried: ReadonlySet<string>;
   readonly giveUpAt: number;
@@ -130,6 +134,7 @@
     let best: Choice | undefined;
     for (const server of usable) {
       const choice = this.rateServer(wanted, server, server === owner);
+      if (!choice) continue;
       const isBetter =
         !best ||
         choice.score < best.score ||
@@ -140,10 +145,11 @@
   }
 
   private rateServer(
-    {request, model, service, route}: PlacementRequest,
+    wanted: PlacementRequest,
     server: KnownServer,
     isOwner: boolean,
-  ): Choice {
+  ): Choice | undefined {
+    const {request, model, service, route, targetLatencyMs} = wanted;
     const {policy, dataCentre, rates, times} = this.options;
     const {registration, isSilent} = server.listing;
     const kept = countKeptTokens(server, model ?? '', request.parts, isOwner);
@@ -151,10 +157,16 @@
     const ownMs = service.engine
       ? rates.estimateMs(model ?? '', tokensToRead)
       : (times.getUsual(`${route} `) ?? 0) / Math.max(1, registration.slots);
+    const pendingMs = server.pendingMs + server.othersPendingMs;
+    const {isInvested} = wanted;
+    const isTimely =
+      !service.engine ||
+      isAdmissible({pendingMs, ownMs, targetLatencyMs, isInvested});
+    if (!isTimely) return undefined;
     const score = scoreServer(policy, {
       load: server.inFlight + server.othersInFlight,
       slots: registration.slots,
-      pendingMs: server.pendingMs + server.othersPendingMs,
+      pendingMs,
       ownMs,
       isSameDataCentre: registration.dataCentre === dataCentre,
       isSilent,
--- /dev/null
+++ b/packages/gateway/src/test/versionSplit.test.ts
@@ -0,0 +1,94 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {ServiceRollout} from '@sycamorehead/schema';
+import {ServerTable} from '../lib/ServerTable.js';
+import {VersionSplit} from '../lib/VersionSplit.js';
+import {FakeServer, ServerScript} from './FakeServer.js';
+import {
+  GatewayHarness,
+  buildConfiguration,
+  buildRoute,
+  formatRequest,
+} from './GatewayHarness.js';
+
+function buildRollout(overrides: Partial<ServiceRollout> = {}): ServiceRollout {
+  return {
+    service: 'drafts',
+    target: 'v2',
+    durationMs: 20_000,
+    phase: 'in_progress',
+    share: 0,
+    number: 1,
+    isEarly: true,
+    ...overrides,
+  };
+}
+
+test('a session stays on its version through the first half, then may move on but not back', () => {
+  const split = new VersionSplit(5_000);
+  split.update([buildRollout()]);
+  assert.equal(split.assignSide('drafts', 'session', 'r1'), 'old');
+  split.update([buildRollout({share: 0.999})]);
+  assert.equal(split.assignSide('drafts', 'session', 'r2'), 'old');
+  split.update([buildRollout({share: 0.999, isEarly: false})]);
+  split.update([buildRollout({share: 1, isEarly: false})]);
+  assert.equal(split.assignSide('drafts', 'session', 'r3'), 'new');
+  split.update([buildRollout({share: 0.1, isEarly: false})]);
+  assert.equal(split.assignSide('drafts', 'session', 'r4'), 'new');
+});
+
+test('nothing goes to a version that was rolled back, whatever comes late', () => {
+  const split = new VersionSplit(5_000);
+  split.update([buildRollout({share: 1})]);
+  split.update([buildRollout({share: 0, phase: 'rolled_back'})]);
+  split.update([buildRollout({share: 1})]);
+  assert.equal(split.assignSide('drafts', 'session', 'r1'), 'old');
+  const server = new FakeServer('s2', () => {});
+  const table = new ServerTable();
+  const registration = {...buildListing(server, 'v2')};
+  table.update({servers: [registration]});
+  const [known] = table.listReady('drafts');
+  assert.ok(known && split.isBarred(known));
+});
+
+function buildListing(server: FakeServer, version: string) {
+  return {
+    isSilent: false,
+    registration: {
+      id: server.id,
+      service: 'drafts',
+      address: '127.0.0.1:9',
+      dataCentre: 'a',
+      version,
+      slots: 8,
+      state: 'ready' as const,
+      startedAtMs: 1,
+      sequence: 1,
+    },
+  };
+}
+
+test('an answer that was lost counts with the model that was asked, once for one event', async () => {
+  const answerNothing: ServerScript = (unused, socket) =>
+    socket.resetAndDestroy();
+  const server = new FakeServer('s1', answerNothing);
+  await server.start();
+  const gateway = new GatewayHarness(0);
+  try {
+    await gateway.start(
+      buildConfiguration([
+        buildRoute({kind: 'streaming', isResumable: true, models: ['small']}),
+      ]),
+      [server.describe({version: 'v2'})],
+    );
+    gateway.versions.update([buildRollout({share: 1})]);
+    await gateway.exchange(formatRequest({method: 'POST'}));
+    await gateway.exchange(formatRequest({method: 'POST', id: 'r2'}));
+    const [evidence] = gateway.versions.listEvidence();
+    assert.deepEqual(Object.keys(evidence?.counts ?? {}), ['drafts small|new']);
+    assert.equal(evidence?.counts['drafts small|new']?.failures, 1);
+  } finally {
+    await gateway.stop();
+    await server.stop();
+  }
+});
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -61,3 +61,5 @@
 export {ReadRates} from './lib/forwarding/ReadRates.js';
 export {computePatience} from './lib/forwarding/computePatience.js';
 export type {Patience, SendOutlook} from './lib/forwarding/computePatience.js';
+export {isAdmissible} from './lib/forwarding/isAdmissible.js';
+export type {AdmissionView} from './lib/forwarding/isAdmissible.js';
