--- a/packages/routing/src/lib/forwarding/chooseModel.ts
+++ b/packages/routing/src/lib/forwarding/chooseModel.ts
@@ -77,5 +77,6 @@
 
 function computeBound({idle, full}: ConfidenceBound, pressure: number): number {
   const part = Math.min(1, Math.max(0, pressure));
-  return idle + (full - idle) * part;
+  // Squared, so that the usual ups and downs of a quiet day change little.
+  return idle + (full - idle) * part ** 2;
 }
