--- /dev/null
+++ b/packages/gateway/src/test/eventSplitter.test.ts
@@ -0,0 +1,56 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {EventSplitter} from '../lib/EventSplitter.js';
+
+test('any cutting of a stream gives the same bytes, in whole events', () => {
+  const event = fc.record({
+    id: fc.option(fc.nat(999), {nil: undefined}),
+    data: fc.array(fc.stringMatching(/^[a-z ]{0,12}$/), {maxLength: 3}),
+    end: fc.constantFrom('\n', '\r\n'),
+  });
+  fc.assert(
+    fc.property(
+      fc.array(event, {maxLength: 8}),
+      fc.array(fc.integer({min: 1, max: 9}), {minLength: 1, maxLength: 40}),
+      (events, cuts) => {
+        const texts = events.map(({id, data, end}) =>
+          [
+            ...(id === undefined ? [] : [`id: ${id}`]),
+            ...data.map(line => `data: ${line}`),
+            'event: piece',
+            '',
+            '',
+          ].join(end),
+        );
+        const stream = Buffer.from(`${texts.join('')}id: 1000\ndata: part`);
+        const splitter = new EventSplitter();
+        let out = '';
+        let count = 0;
+        let lastId: string | undefined;
+        let at = 0;
+        for (let index = 0; at < stream.length; index += 1) {
+          const size = cuts[index % cuts.length] ?? 1;
+          const whole = splitter.push(stream.subarray(at, at + size));
+          at += size;
+          if (!whole) continue;
+          out += whole.bytes.toString();
+          count += whole.count;
+          lastId = whole.lastId ?? lastId;
+        }
+        assert.equal(out, texts.join(''));
+        assert.equal(count, events.length);
+        const ids = events.flatMap(({id}) => (id === undefined ? [] : [id]));
+        const last = ids.at(-1);
+        assert.equal(lastId, last === undefined ? undefined : String(last));
+        assert.equal(splitter.hasPartialEvent, true);
+      },
+    ),
+    {seed: 20_261_203, numRuns: 300},
+  );
+});
+
+test('an event beyond the bound breaks its stream', () => {
+  const splitter = new EventSplitter();
+  assert.throws(() => splitter.push(Buffer.alloc(1_100_000, 'x')));
+});
