--- a/packages/fleet/src/test/FleetNode.test.ts
+++ b/packages/fleet/src/test/FleetNode.test.ts
@@ -3,9 +3,10 @@
 import path from 'node:path';
 import {afterEach, test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {JsonValue, ServerRegistration} from '@sycamorehead/schema';
+import type {JsonValue} from '@sycamorehead/schema';
 import {FleetLinks} from '../lib/FleetLinks.js';
 import {FleetNode} from '../lib/FleetNode.js';
+import {buildRegistration} from './fixtures.js';
 
 const PEER_PORT = 17_340;
 const WAIT_LIMIT_MS = 15_000;
@@ -79,23 +80,6 @@
   }
 }
 
-function buildRegistration(
-  overrides: Partial<ServerRegistration> = {},
-): ServerRegistration {
-  return {
-    id: 's1',
-    service: 'drafts',
-    address: '10.0.0.1:80',
-    dataCentre: 'a',
-    version: 'v1',
-    slots: 8,
-    state: 'ready',
-    startedAtMs: 1_000,
-    sequence: 1,
-    ...overrides,
-  };
-}
-
 test('five instances form one group from three seeds, and a wiped one is replaced', async () => {
   const hosts = [1, 2, 3, 4, 5].map(number => `127.0.1.${number}`);
   const started = await Promise.all(hosts.map(host => startNode(host, true)));
--- a/packages/fleet/src/test/ServerRegistry.test.ts
+++ b/packages/fleet/src/test/ServerRegistry.test.ts
@@ -1,28 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import type {ServerRegistration} from '@sycamorehead/schema';
 import fakeTimers from '@sinonjs/fake-timers';
 import {ServerRegistry} from '../lib/ServerRegistry.js';
+import {buildRegistration} from './fixtures.js';
 
 const TIMES = {silentMs: 4_000, expiryMs: 20_000, tombstoneMs: 100_000};
 
-function buildRegistration(
-  overrides: Partial<ServerRegistration> = {},
-): ServerRegistration {
-  return {
-    id: 's1',
-    service: 'drafts',
-    address: '10.0.0.1:80',
-    dataCentre: 'a',
-    version: 'v1',
-    slots: 8,
-    state: 'ready',
-    startedAtMs: 1_000,
-    sequence: 1,
-    ...overrides,
-  };
-}
-
 function readState(registry: ServerRegistry, id = 's1') {
   return registry.find(id)?.registration.state;
 }
