--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -47,7 +47,7 @@
   readonly memberId: string;
   /** Group of its log; empty while it belongs to none. */
   readonly group: string;
-  /** Whether this process can lose its disk, and so may hold state. */
+  /** Whether this instance has a disk for a copy of the log. */
   readonly isStoring: boolean;
 }
 
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -39,13 +39,18 @@
  * @internal
  */
 export class ForwardedRequest {
+  /** Aborted once the caller has gone or the time is up. */
   private readonly controller = new AbortController();
+  /** Ids of servers that this request was sent to, for the model asked now. */
   private readonly tried = new Set<string>();
+  /** Each send with its outcome, for the log line. */
   private readonly history: string[] = [];
+  /** When the final answer is due, on the monotonic clock. */
   private limitAt = Infinity;
   private isTimedOut = false;
   /** Sends after which the request may have run. */
   private runs = 0;
+  /** Sends that provably did not run the request. */
   private fruitlessSends = 0;
   private isSentBefore = false;
   /** Model that answered last. */
@@ -53,6 +58,7 @@
   /** Model that the last send named. */
   private sentModel: string | undefined;
   private isEscalated = false;
+  /** What the model that answered last thought of its answer, 0 to 100. */
   private confidence: number | undefined;
   private lastEventId: string | undefined;
   private waitedMs = 0;
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -37,7 +37,9 @@
   othersPendingMs: number;
   /** When anything was last heard of it by this entry, on the monotonic clock. */
   heardAt: number;
+  /** Failed sends since the last answer. */
   failures: number;
+  /** Until when other servers are preferred, on the monotonic clock. */
   ejectedUntil: number;
   /** Answer times against those of its service; 1 is usual. */
   slowness: number;
