--- a/packages/fleet/src/lib/ControlPeers.ts
+++ b/packages/fleet/src/lib/ControlPeers.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {LinkPool} from '@sycamorehead/consensus';
 import type {ServerRegistration} from '@sycamorehead/schema';
 import {createLogger, writeDecision} from '@sycamorehead/telemetry';
@@ -156,12 +157,13 @@
       try {
         await this.runRound(task);
         failures = 0;
-        await sleep(SYNC_INTERVAL_MS);
+        await sleep(SYNC_INTERVAL_MS, undefined, {ref: false});
       } catch (error) {
         failures += 1;
         this.noteFailure(task, error);
         const pauseMs = failures * FAILURE_PAUSE_MS;
-        await sleep(Math.min(pauseMs, MAX_FAILURE_PAUSE_MS));
+        const limitedMs = Math.min(pauseMs, MAX_FAILURE_PAUSE_MS);
+        await sleep(limitedMs, undefined, {ref: false});
       }
     }
   }
@@ -221,9 +223,3 @@
 function isPresent({heardAt}: {heardAt: number}): boolean {
   return performance.now() - heardAt < PRESENT_MS;
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, ms).unref();
-  });
-}
--- a/packages/fleet/src/lib/FleetLinks.ts
+++ b/packages/fleet/src/lib/FleetLinks.ts
@@ -1,10 +1,6 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {createLogger, writeDecision} from '@sycamorehead/telemetry';
-import {
-  LinkTimeouts,
-  PeerLink,
-  connectPeer,
-  parsePeerAddress,
-} from '@sycamorehead/wire';
+import {PeerLink, connectPeer, parsePeerAddress} from '@sycamorehead/wire';
 import {
   ExchangeReply,
   ExchangeRequest,
@@ -12,15 +8,10 @@
   FleetUpdate,
   StoredConfiguration,
 } from './fleetMessages.js';
+import {FLEET_LINK_TIMEOUTS} from './linkTimeouts.js';
 
 const log = createLogger('fleet');
 
-/** A silent link is replaced within a second. */
-const LINK_TIMEOUTS: LinkTimeouts = {
-  heartbeatMs: 300,
-  silenceMs: 1_000,
-  requestMs: 1_000,
-};
 /** Pause before a control instance is tried again, in milliseconds; grows to the maximum. */
 const RETRY_MS = 200;
 const MAX_RETRY_MS = 1_500;
@@ -129,7 +120,7 @@
       address: parsePeerAddress(task.address),
       name: entry,
       peerKey,
-      timeouts: LINK_TIMEOUTS,
+      timeouts: FLEET_LINK_TIMEOUTS,
       methods: {
         [FLEET_METHODS.update]: (update: FleetUpdate) => {
           this.takeUpdate(task, update);
@@ -199,7 +190,3 @@
     if (!isSeed && silentMs > FORGET_MS) this.tasks.delete(task.address);
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -8,7 +8,7 @@
 } from '@sycamorehead/consensus';
 import {ServerRegistration, SycamoreheadError} from '@sycamorehead/schema';
 import {createLogger, writeDecision} from '@sycamorehead/telemetry';
-import {LinkTimeouts, PeerLink, WireServer} from '@sycamorehead/wire';
+import {PeerLink, WireServer} from '@sycamorehead/wire';
 import {ControlPeers} from './ControlPeers.js';
 import {ConfigurationDecoder, FleetCommands} from './FleetCommands.js';
 import {EntryFeeds} from './EntryFeeds.js';
@@ -22,6 +22,7 @@
   SyncReply,
   SyncRequest,
 } from './fleetMessages.js';
+import {FLEET_LINK_TIMEOUTS} from './linkTimeouts.js';
 import {GroupKeeper} from './GroupKeeper.js';
 import {LogHost, buildFirstMember} from './LogHost.js';
 import {RolloutDriver} from './RolloutDriver.js';
@@ -31,12 +32,6 @@
 const log = createLogger('fleet');
 
 const EXPIRY_INTERVAL_MS = 500;
-/** Links between instances some milliseconds apart; a silent one is replaced within a second. */
-const FLEET_LINK_TIMEOUTS: LinkTimeouts = {
-  heartbeatMs: 300,
-  silenceMs: 1_000,
-  requestMs: 1_000,
-};
 /** Consensus between instances some milliseconds apart, with disks of some milliseconds a sync. */
 const FLEET_RAFT_TIMING: RaftTiming = {
   heartbeatMs: 100,
--- a/packages/fleet/src/lib/LogHost.ts
+++ b/packages/fleet/src/lib/LogHost.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {randomUUID} from 'node:crypto';
 import {rm} from 'node:fs/promises';
 import {
@@ -213,7 +214,3 @@
   }
   return false;
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/packages/gateway/src/lib/GatewayServer.ts
+++ b/packages/gateway/src/lib/GatewayServer.ts
@@ -109,13 +109,6 @@
     this.server.closeAllConnections();
   }
 
-  // Queries.
-
-  /** Requests under way. */
-  get openRequests(): number {
-    return this.open;
-  }
-
   private async accept(
     message: IncomingMessage,
     response: ServerResponse,
--- a/packages/gateway/src/lib/ServerAgent.ts
+++ b/packages/gateway/src/lib/ServerAgent.ts
@@ -23,14 +23,12 @@
  */
 export class ServerAgent extends http.Agent {
   private readonly guards = new WeakMap<Duplex, IdleGuard>();
-  private readonly idleSince = new WeakMap<Duplex, number>();
 
   constructor(maxIdle: number) {
     super({keepAlive: true, maxFreeSockets: maxIdle, noDelay: true});
   }
 
   /** Called by node:http once an answer is complete; decides whether to keep the connection. */
-
   override keepSocketAlive(stream: Duplex): boolean {
     const socket = stream as Socket & {_httpMessage?: {res?: IncomingMessage}};
     const idleMs = readIdleLimit(socket._httpMessage?.res);
@@ -42,7 +40,6 @@
     timer.unref();
     socket.on('data', close);
     this.guards.set(socket, {onData: close, timer});
-    this.idleSince.set(socket, performance.now());
     return true;
   }
 
--- a/packages/routing/src/lib/forwarding/PlacementQueue.ts
+++ b/packages/routing/src/lib/forwarding/PlacementQueue.ts
@@ -13,7 +13,6 @@
 
 interface Waiter {
   readonly priority: number;
-  readonly order: number;
   /** Returns whether it is settled. */
   settle(): boolean;
   refuse(error: SycamoreheadError): void;
@@ -30,7 +29,6 @@
  */
 export class PlacementQueue {
   private waiters: Waiter[] = [];
-  private sequence = 0;
 
   /** Requests that wait. */
   get length(): number {
@@ -85,7 +83,6 @@
       const timer = setTimeout(() => waiter.refuse(buildOverloaded()), leftMs);
       const waiter: Waiter = {
         priority: work.priority,
-        order: (this.sequence += 1),
         settle: () => {
           const place = work.tryPlace();
           if (place === undefined) return false;
