--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -1,10 +1,8 @@
 import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
 import {
-  ModelChoice,
   Patience,
-  chooseModel,
   computePatience,
-  isWorthEscalating,
+  computePausePatience,
 } from '@sycamorehead/routing';
 import {writeDecision} from '@sycamorehead/telemetry';
 import {buildServerHeaders} from './buildServerHeaders.js';
@@ -12,6 +10,7 @@
 import type {CallerRequest} from './CallerRequest.js';
 import {DeliveryResult, deliverAnswer} from './deliverAnswer.js';
 import type {ForwardContext} from './gatewayTypes.js';
+import {ModelCascade} from './ModelCascade.js';
 import type {Place} from './Placement.js';
 import {buildRefusal, buildTimeout, limitPromise} from './refusals.js';
 import {RequestTarget, resolveTarget} from './resolveTarget.js';
@@ -21,6 +20,7 @@
   describeOutcome,
   sendAttempt,
 } from './sendAttempt.js';
+import type {KnownServer} from './ServerTable.js';
 import type {AnswerResult} from './VersionSplit.js';
 
 /** Longest wait for a place, as a part of the target latency. */
@@ -53,13 +53,9 @@
   /** Sends that provably did not run the request. */
   private fruitlessSends = 0;
   private isSentBefore = false;
-  /** Model that answered last. */
-  private model: string | undefined;
+  private readonly cascade: ModelCascade;
   /** Model that the last send named. */
   private sentModel: string | undefined;
-  private isEscalated = false;
-  /** What the model that answered last thought of its answer, 0 to 100. */
-  private confidence: number | undefined;
   private lastEventId: string | undefined;
   private waitedMs = 0;
   private routeName = '';
@@ -71,6 +67,8 @@
     private readonly answer: CallerAnswer,
   ) {
     this.lastEventId = request.lastEventId;
+    const {policies, placement} = context;
+    this.cascade = new ModelCascade(policies.model, placement);
   }
 
   /** Serves the request to its end. */
@@ -114,7 +112,10 @@
     if (this.isSentBefore && !this.context.budgets.acquire(service.name)) {
       throw buildRefusal('the retry budget is used up', this.runs > 0);
     }
-    const model = this.chooseNextModel(target);
+    // A stream goes on with the model that began it.
+    const model = this.answer.isBegun
+      ? this.cascade.answeredBy
+      : this.cascade.chooseNext(target);
     const waitStart = performance.now();
     const place = await this.acquirePlace(target, model);
     this.waitedMs += performance.now() - waitStart;
@@ -186,7 +187,7 @@
       expectedServer: id,
       names: context.names,
       patience: this.computePatience(target, place, model, leftMs),
-      isServerHeard: () => performance.now() - server.heardAt < HEARD_MS,
+      isServerHeard: () => isHeard(server),
       signal: controller.signal,
     });
   }
@@ -208,6 +209,15 @@
     });
   }
 
+  /** How long an answer that has begun may fall silent. */
+  private computePausePatience(target: RequestTarget): Patience {
+    return computePausePatience({
+      isRepeatable: this.isRepeatAllowed(target, this.runs),
+      longestPauseMs: target.route.longestPauseMs,
+      leftMs: this.limitAt - performance.now(),
+    });
+  }
+
   private noteOutcome({server}: Place, outcome: AttemptOutcome): void {
     const {id, service} = server.listing.registration;
     this.tried.add(id);
@@ -266,21 +276,15 @@
     model: string | undefined,
     sentAt: number,
   ): Promise<NextStep> {
-    const {route} = target;
-    this.model = model;
-    this.confidence = serverAnswer.confidence;
-    const choice = this.describeChoice(target, model);
-    const {policies, metrics} = this.context;
+    const {cascade} = this;
+    cascade.noteAnswer(model, serverAnswer.confidence);
     const isWeak =
-      !this.isEscalated &&
       serverAnswer.status === 200 &&
-      isWorthEscalating(policies.model, choice);
+      !this.answer.isBegun &&
+      cascade.isWeak(target);
     if (isWeak && this.isRepeatAllowed(target, this.runs)) {
       serverAnswer.cancel();
-      this.isEscalated = true;
-      this.tried.clear();
-      metrics.noteEscalation(route.name);
-      this.history.push(`escalated:${serverAnswer.confidence}`);
+      this.requestLarger(target);
       return 'again';
     }
     const isError = serverAnswer.status >= 500;
@@ -289,18 +293,33 @@
       serverAnswer.cancel();
       return 'again';
     }
+    const {server} = place;
+    let ownBytesAt = performance.now();
     const result = await deliverAnswer({
       serverAnswer,
       answer: this.answer,
       method: this.request.method,
       lastEventId: this.lastEventId,
       names: this.context.names,
+      patience: this.computePausePatience(target),
+      isServerHeard: () => server.heardAt > ownBytesAt && isHeard(server),
       onFirstBytes: () => this.noteFirstBytes(target, place, model, sentAt),
-      onBytes: () => (place.server.heardAt = performance.now()),
+      onBytes: () => {
+        ownBytesAt = performance.now();
+        server.heardAt = ownBytesAt;
+      },
     });
     return this.handleDelivery(result, target, place);
   }
 
+  /** Starts over with a larger model, which any server may be asked for. */
+  private requestLarger({route}: RequestTarget): void {
+    this.history.push(`escalated:${this.cascade.lastConfidence}`);
+    this.cascade.requestLarger();
+    this.tried.clear();
+    this.context.metrics.noteEscalation(route.name);
+  }
+
   private handleDelivery(
     result: DeliveryResult,
     target: RequestTarget,
@@ -346,33 +365,14 @@
     this.context.versions.noteAnswer(server, kind, result, timeMs);
   }
 
-  private chooseNextModel(target: RequestTarget): string | undefined {
-    const {models} = target.route;
-    if (models.length === 0) return undefined;
-    // A stream goes on with the model that began it.
-    if (this.answer.isBegun) return this.model;
-    const previous = this.isEscalated ? this.model : undefined;
-    const choice = this.describeChoice(target, previous);
-    return chooseModel(this.context.policies.model, choice);
-  }
-
-  private describeChoice(
-    {route, service}: RequestTarget,
-    previous: string | undefined,
-  ): ModelChoice {
-    const {models, targetLatencyMs} = route;
-    const {placement} = this.context;
-    const pressure = placement.measurePressure(service.name, targetLatencyMs);
-    return {models, previous, confidence: this.confidence, pressure};
-  }
-
   /** Whether the request may run once more after so many runs. */
   private isRepeatAllowed(
     {route, service}: RequestTarget,
     runs: number,
   ): boolean {
+    // Of an answer that has begun, only a stream can go on elsewhere.
     const isRepeatable =
-      route.kind === 'safe' ||
+      (route.kind === 'safe' && !this.answer.isBegun) ||
       (route.kind === 'streaming' && route.isResumable);
     return (
       isRepeatable &&
@@ -398,7 +398,7 @@
       kind: this.failure?.kind,
       reason: this.failure?.message,
       gone: answer.gone.aborted || undefined,
-      model: this.model,
+      model: this.cascade.answeredBy,
       sends: history.join(','),
       waited_ms: Math.round(this.waitedMs),
       ms: Math.round(performance.now() - request.arrivedAt),
@@ -406,3 +406,8 @@
     });
   }
 }
+
+/** Whether a server was heard lately, on any connection. */
+function isHeard({heardAt}: KnownServer): boolean {
+  return performance.now() - heardAt < HEARD_MS;
+}
--- a/packages/gateway/src/lib/deliverAnswer.ts
+++ b/packages/gateway/src/lib/deliverAnswer.ts
@@ -1,7 +1,9 @@
 import type {IncomingMessage} from 'node:http';
+import type {Patience} from '@sycamorehead/routing';
 import type {CallerAnswer} from './CallerAnswer.js';
 import {EventSplitter} from './EventSplitter.js';
 import {HeaderNames, copyEndToEndHeaders} from './headerNames.js';
+import {PatienceTimer} from './PatienceTimer.js';
 import type {ServerAnswer} from './sendAttempt.js';
 
 /** Bytes of an answer that are gathered before any is delivered; a longer one is passed on. */
@@ -17,6 +19,10 @@
   /** Event behind which the stream goes on. */
   readonly lastEventId: string | undefined;
   readonly names: HeaderNames;
+  /** How long the server may stay silent before the next piece. */
+  readonly patience: Patience;
+  /** Whether the server was heard lately, on any connection. */
+  isServerHeard(): boolean;
   /** Called when the first bytes are there to be delivered. */
   onFirstBytes(): void;
   /** Called for each piece that has arrived. */
@@ -48,6 +54,28 @@
   return isStream ? relayEvents(delivery) : relayWhole(delivery);
 }
 
+/** Reads the pieces of an answer, as long as the server does not stay silent for too long. */
+async function* readPieces(delivery: Delivery): AsyncGenerator<Buffer> {
+  const {serverAnswer, patience} = delivery;
+  const {message} = serverAnswer;
+  const timer = new PatienceTimer(
+    () => delivery.isServerHeard(),
+    () => message.destroy(new Error('the server fell silent')),
+  );
+  timer.start(patience);
+  try {
+    for await (const chunk of message as AsyncIterable<Buffer>) {
+      // A caller that reads slowly is no silence of the server.
+      timer.stop();
+      delivery.onBytes();
+      yield chunk;
+      timer.start(patience);
+    }
+  } finally {
+    timer.stop();
+  }
+}
+
 async function relayEvents(delivery: Delivery): Promise<DeliveryResult> {
   const {serverAnswer, answer} = delivery;
   const {message, status} = serverAnswer;
@@ -55,8 +83,7 @@
   let {lastEventId} = delivery;
   let isFirst = true;
   try {
-    for await (const chunk of message as AsyncIterable<Buffer>) {
-      delivery.onBytes();
+    for await (const chunk of readPieces(delivery)) {
       const events = splitter.push(chunk);
       if (!events) continue;
       if (isFirst) delivery.onFirstBytes();
@@ -83,7 +110,7 @@
   const chunks: Buffer[] = [];
   let bytes = 0;
   try {
-    for await (const chunk of message as AsyncIterable<Buffer>) {
+    for await (const chunk of readPieces(delivery)) {
       if (answer.isBegun) {
         await answer.write(chunk);
         continue;
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage} from 'node:http';
 import type {Patience} from '@sycamorehead/routing';
 import type {HeaderNames} from './headerNames.js';
+import {PatienceTimer} from './PatienceTimer.js';
 import type {ServerAgent} from './ServerAgent.js';
 
 /** Time allowed for a new connection, in milliseconds; data centres are milliseconds apart. */
@@ -94,27 +95,23 @@
       reason ||= why;
       request.destroy();
     };
-    let timer = setTimeout(
+    const connectTimer = setTimeout(
       () => cancel('no connection in time'),
       Math.min(CONNECT_TIMEOUT_MS, attempt.patience.heardMs),
     );
+    const headTimer = new PatienceTimer(
+      () => attempt.isServerHeard(),
+      () => cancel('no answer in time'),
+    );
     const waitForHead = () => {
       mayHaveLeft = true;
-      clearTimeout(timer);
-      const {silentMs, heardMs} = attempt.patience;
-      const giveUp = () => cancel('no answer in time');
-      const checkServer = () => {
-        if (!attempt.isServerHeard()) {
-          giveUp();
-          return;
-        }
-        timer = setTimeout(giveUp, heardMs - silentMs);
-      };
-      timer = setTimeout(checkServer, silentMs);
+      clearTimeout(connectTimer);
+      headTimer.start(attempt.patience);
     };
     const handleAbort = () => cancel('no longer wanted');
     const settle = (outcome: AttemptOutcome) => {
-      clearTimeout(timer);
+      clearTimeout(connectTimer);
+      headTimer.stop();
       resolve(outcome);
     };
     signal.addEventListener('abort', handleAbort, {once: true});
--- a/packages/gateway/src/test/GatewayHarness.ts
+++ b/packages/gateway/src/test/GatewayHarness.ts
@@ -45,6 +45,7 @@
     services: [{service: 'drafts', weight: 1}],
     timeoutMs: 2_000,
     targetLatencyMs: 400,
+    longestPauseMs: 1_000,
     priority: 1,
     maxAttempts: 3,
     isPublic: false,
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -2,7 +2,6 @@
 import {afterEach, test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-  FakeServer,
   LAST_CHUNK,
   ServerScript,
   formatAnswer,
@@ -11,41 +10,13 @@
   formatStreamHead,
 } from './FakeServer.js';
 import {
-  GatewayHarness,
   buildConfiguration,
   buildRoute,
   formatRequest,
 } from './GatewayHarness.js';
+import {startGateway, startServer, stopStarted} from './startGateway.js';
 
-const started: Array<{stop(): Promise<void>}> = [];
-
-afterEach(async () => {
-  await Promise.all(started.splice(0).map(item => item.stop()));
-});
-
-async function startServer(
-  id: string,
-  script: ServerScript,
-): Promise<FakeServer> {
-  const server = new FakeServer(id, script);
-  started.push(server);
-  await server.start();
-  return server;
-}
-
-async function startGateway(
-  route: Parameters<typeof buildRoute>[0],
-  servers: readonly FakeServer[],
-  budgetRatio?: number,
-): Promise<GatewayHarness> {
-  const gateway = new GatewayHarness(budgetRatio);
-  started.push(gateway);
-  await gateway.start(
-    buildConfiguration([buildRoute(route)]),
-    servers.map(server => server.describe()),
-  );
-  return gateway;
-}
+afterEach(stopStarted);
 
 const answerWell: ServerScript = (request, socket) => {
   socket.write(formatAnswer(request, 'whole'));
--- /dev/null
+++ b/packages/gateway/src/test/silence.test.ts
@@ -0,0 +1,64 @@
+import assert from 'node:assert/strict';
+import type {Socket} from 'node:net';
+import {afterEach, test} from 'node:test';
+import {
+  LAST_CHUNK,
+  ServerScript,
+  formatChunk,
+  formatEvent,
+  formatStreamHead,
+} from './FakeServer.js';
+import {formatRequest} from './GatewayHarness.js';
+import {startGateway, startServer, stopStarted} from './startGateway.js';
+
+afterEach(stopStarted);
+
+for (const eventsBefore of [0, 2]) {
+  test(`a stream that falls silent after ${eventsBefore} events goes on elsewhere within its time`, async () => {
+    const answerThenHang: ServerScript = (request, socket) => {
+      const from = Number(request.headers.get('last-event-id') ?? 0);
+      const isFirst = request.headers.get('last-event-id') === undefined;
+      const isHung =
+        isFirst && servers.every(({received}) => received.length < 2);
+      const events = isHung ? eventsBefore : 4;
+      socket.write(formatStreamHead(request));
+      if (hung === undefined && isHung) hung = socket;
+      for (let id = from + 1; id <= events; id += 1) {
+        socket.write(formatChunk(formatEvent(id)));
+      }
+      if (socket !== hung) socket.write(LAST_CHUNK);
+    };
+    let hung: Socket | undefined;
+    const servers = [
+      await startServer('s1', answerThenHang),
+      await startServer('s2', answerThenHang),
+    ];
+    const gateway = await startGateway(
+      {kind: 'streaming', isResumable: true, longestPauseMs: 200},
+      servers,
+    );
+    const startedAt = performance.now();
+    const text = await gateway.exchange(formatRequest({method: 'POST'}));
+    assert.deepEqual(
+      [...text.matchAll(/id: (\d+)/g)].map(match => Number(match[1])),
+      [1, 2, 3, 4],
+    );
+    assert.ok(text.endsWith(LAST_CHUNK));
+    assert.ok(performance.now() - startedAt < 600, 'waited for the deadline');
+    assert.equal(hung?.destroyed, true, 'the silent run is still at work');
+  });
+}
+
+test('a stream that may not go on elsewhere waits for a silent server', async () => {
+  const answerLate: ServerScript = (request, socket) => {
+    socket.write(formatStreamHead(request) + formatChunk(formatEvent(1)));
+    const finish = () => socket.write(formatChunk(formatEvent(2)) + LAST_CHUNK);
+    setTimeout(finish, 500);
+  };
+  const server = await startServer('s1', answerLate);
+  const gateway = await startGateway({kind: 'streaming', longestPauseMs: 100}, [
+    server,
+  ]);
+  const text = await gateway.exchange(formatRequest({method: 'POST'}));
+  assert.ok(text.endsWith(LAST_CHUNK));
+});
--- /dev/null
+++ b/packages/gateway/src/test/startGateway.ts
@@ -0,0 +1,39 @@
+import {FakeServer, ServerScript} from './FakeServer.js';
+import {
+  GatewayHarness,
+  buildConfiguration,
+  buildRoute,
+} from './GatewayHarness.js';
+
+const started: Array<{stop(): Promise<void>}> = [];
+
+/** Stops all that a test has started. */
+export async function stopStarted(): Promise<void> {
+  await Promise.all(started.splice(0).map(item => item.stop()));
+}
+
+/** Starts a fake server. */
+export async function startServer(
+  id: string,
+  script: ServerScript,
+): Promise<FakeServer> {
+  const server = new FakeServer(id, script);
+  started.push(server);
+  await server.start();
+  return server;
+}
+
+/** Starts a gateway with one route and the servers. */
+export async function startGateway(
+  route: Parameters<typeof buildRoute>[0],
+  servers: readonly FakeServer[],
+  budgetRatio?: number,
+): Promise<GatewayHarness> {
+  const gateway = new GatewayHarness(budgetRatio);
+  started.push(gateway);
+  await gateway.start(
+    buildConfiguration([buildRoute(route)]),
+    servers.map(server => server.describe()),
+  );
+  return gateway;
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -55,5 +55,12 @@
 } from './lib/forwarding/scoreServer.js';
 export {chooseOwner, hashText} from './lib/forwarding/chooseOwner.js';
 export {ReadRates} from './lib/forwarding/ReadRates.js';
-export {computePatience} from './lib/forwarding/computePatience.js';
-export type {Patience, SendOutlook} from './lib/forwarding/computePatience.js';
+export {
+  computePatience,
+  computePausePatience,
+} from './lib/forwarding/computePatience.js';
+export type {
+  Patience,
+  PauseOutlook,
+  SendOutlook,
+} from './lib/forwarding/computePatience.js';
--- a/packages/routing/src/lib/forwarding/computePatience.ts
+++ b/packages/routing/src/lib/forwarding/computePatience.ts
@@ -49,3 +49,35 @@
     heardMs: Math.min(leftMs, heardMs),
   };
 }
+
+/** Silence between events after which a silent server is given up, as a part of the pause. */
+const PAUSE_PART = 0.4;
+
+/** What is known of a stream or body that has begun. @public */
+export interface PauseOutlook {
+  /** Whether the request may run again, or go on, elsewhere. */
+  readonly isRepeatable: boolean;
+  readonly longestPauseMs: number;
+  /** Time left for the request. */
+  readonly leftMs: number;
+}
+
+/**
+ * Computes how long an answer that has begun may fall silent. Answers connections that die without
+ * a reset: a server that is silent everywhere is left early enough for another to go on in time;
+ * one that is heard may have put the request off, and is left once the pause is late anyway.
+ *
+ * @example
+ * ```ts
+ * computePausePatience({isRepeatable: true, longestPauseMs: 1_000, leftMs: 9_000}); // 400, 1000
+ * ```
+ * @public
+ */
+export function computePausePatience(outlook: PauseOutlook): Patience {
+  const {isRepeatable, longestPauseMs, leftMs} = outlook;
+  if (!isRepeatable) return {silentMs: leftMs, heardMs: leftMs};
+  return {
+    silentMs: Math.min(leftMs, longestPauseMs * PAUSE_PART),
+    heardMs: Math.min(leftMs, longestPauseMs),
+  };
+}
--- a/packages/schema/src/lib/routeConfiguration.ts
+++ b/packages/schema/src/lib/routeConfiguration.ts
@@ -28,6 +28,8 @@
   readonly timeoutMs: number;
   /** Time within which an answer, or a stream's first event, is on time, in milliseconds. */
   readonly targetLatencyMs: number;
+  /** Longest pause between events of a stream that is still on time, in milliseconds. */
+  readonly longestPauseMs: number;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Most backend servers on which one request may run. */
