An error no longer ends a begun stream as whole; silence is given up only where a resend is permitted

Change: an answer that is no event stream never continues one; silence bounds are 2 and 4 longest pauses and apply only while the configuration in force still permits a resend.

--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -13,7 +13,7 @@
 import {ModelCascade} from './ModelCascade.js';
 import type {Place} from './Placement.js';
 import {buildRefusal, buildTimeout, limitPromise} from './refusals.js';
-import {RequestTarget, resolveTarget} from './resolveTarget.js';
+import {RequestTarget, findTarget, resolveTarget} from './resolveTarget.js';
 import {
   AttemptOutcome,
   ServerAnswer,
@@ -25,8 +25,6 @@
 
 /** Longest wait for a place, as a part of the target latency. */
 const QUEUE_PART = 0.4;
-/** Time for which a server counts as heard, in milliseconds. */
-const HEARD_MS = 400;
 /** Sends that may end without the request having run, beyond the attempts of the route. */
 const MAX_FRUITLESS_SENDS = 4;
 
@@ -187,7 +185,7 @@
       expectedServer: id,
       names: context.names,
       patience: this.computePatience(target, place, model, leftMs),
-      isServerHeard: () => isHeard(server),
+      isServerHeard: () => context.servers.isHeard(server),
       signal: controller.signal,
     });
   }
@@ -293,6 +291,7 @@
       serverAnswer.cancel();
       return 'again';
     }
+    const {servers} = this.context;
     const {server} = place;
     let ownBytesAt = performance.now();
     const result = await deliverAnswer({
@@ -302,7 +301,9 @@
       lastEventId: this.lastEventId,
       names: this.context.names,
       patience: this.computePausePatience(target),
-      isServerHeard: () => server.heardAt > ownBytesAt && isHeard(server),
+      isServerHeard: () =>
+        server.heardAt > ownBytesAt && servers.isHeard(server),
+      isResendPermitted: () => this.isResendPermitted(target.service.name),
       onFirstBytes: () => this.noteFirstBytes(target, place, model, sentAt),
       onBytes: () => {
         ownBytesAt = performance.now();
@@ -381,6 +382,13 @@
     );
   }
 
+  /** Whether another send to the service would still be permitted. */
+  private isResendPermitted(service: string): boolean {
+    const target = findTarget(this.context.getRoutes(), this.request);
+    if (target?.service.name !== service) return false;
+    return this.isRepeatAllowed(target, this.runs);
+  }
+
   private checkTime(): void {
     if (!this.controller.signal.aborted) return;
     throw new SycamoreheadError('deadline_exceeded', 'the time is up');
@@ -406,8 +414,3 @@
     });
   }
 }
-
-/** Whether a server was heard lately, on any connection. */
-function isHeard({heardAt}: KnownServer): boolean {
-  return performance.now() - heardAt < HEARD_MS;
-}
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -17,6 +17,8 @@
 const MAX_EJECTION_MS = 4_000;
 /** Weight of the newest answer in a server's slowness. */
 const SLOWNESS_GAIN = 0.15;
+/** Time for which a server counts as heard, in milliseconds; a few steps of a busy engine. */
+const HEARD_MS = 400;
 /** Bounds within which a server's slowness is kept. */
 const MIN_SLOWNESS = 0.5;
 const MAX_SLOWNESS = 8;
@@ -118,6 +120,11 @@
 
   // Queries.
 
+  /** Whether a server was heard lately, on any connection. */
+  isHeard({heardAt}: KnownServer): boolean {
+    return performance.now() - heardAt < HEARD_MS;
+  }
+
   /** Lists the servers of a service that take new work. */
   listReady(service: string): KnownServer[] {
     return [...this.servers.values()].filter(
--- a/packages/gateway/src/lib/deliverAnswer.ts
+++ b/packages/gateway/src/lib/deliverAnswer.ts
@@ -8,6 +8,7 @@
 
 /** Bytes of an answer that are gathered before any is delivered; a longer one is passed on. */
 const MAX_GATHERED_BYTES = 256 * 1024;
+const SILENCE_REASON = 'the server fell silent';
 const EVENT_STREAM = 'text/event-stream';
 const NO_LENGTH = new Set(['content-length']);
 
@@ -23,6 +24,8 @@
   readonly patience: Patience;
   /** Whether the server was heard lately, on any connection. */
   isServerHeard(): boolean;
+  /** Whether the answer could go on, or be asked for again, elsewhere. */
+  isResendPermitted(): boolean;
   /** Called when the first bytes are there to be delivered. */
   onFirstBytes(): void;
   /** Called for each piece that has arrived. */
@@ -51,7 +54,13 @@
   const {message, status} = delivery.serverAnswer;
   const type = message.headers['content-type'] ?? '';
   const isStream = status === 200 && type.startsWith(EVENT_STREAM);
-  return isStream ? relayEvents(delivery) : relayWhole(delivery);
+  if (isStream) return relayEvents(delivery);
+  if (!delivery.answer.isBegun) return relayWhole(delivery);
+  // Bytes of another answer would make the one that has begun look complete.
+  delivery.serverAnswer.cancel();
+  const reason = `a stream that had begun was answered ${status}`;
+  const {lastEventId} = delivery;
+  return Promise.resolve({isComplete: false, reason, lastEventId});
 }
 
 /** Reads the pieces of an answer, as long as the server does not stay silent for too long. */
@@ -60,7 +69,10 @@
   const {message} = serverAnswer;
   const timer = new PatienceTimer(
     () => delivery.isServerHeard(),
-    () => message.destroy(new Error('the server fell silent')),
+    () => {
+      if (delivery.isResendPermitted())
+        message.destroy(new Error(SILENCE_REASON));
+    },
   );
   timer.start(patience);
   try {
--- a/packages/gateway/src/lib/resolveTarget.ts
+++ b/packages/gateway/src/lib/resolveTarget.ts
@@ -57,6 +57,27 @@
   };
 }
 
+/**
+ * Finds where a request goes, or undefined where no configuration in force permits it.
+ *
+ * @example
+ * ```ts
+ * findTarget(routes, request)?.service.name;
+ * ```
+ * @public
+ */
+export function findTarget(
+  routes: RouteTable | undefined,
+  request: CallerRequest,
+): RequestTarget | undefined {
+  try {
+    return resolveTarget(routes, request);
+  } catch (error) {
+    if (error instanceof SycamoreheadError) return undefined;
+    throw error;
+  }
+}
+
 /** Spreads requests over the services by weight; one request always gets the same. */
 function pickService({services}: RouteDeclaration, id: string): string {
   const total = services.reduce((sum, {weight}) => sum + weight, 0);
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -299,6 +299,33 @@
   assert.ok(text.endsWith(LAST_CHUNK));
 });
 
+test('an error in place of the rest of a stream does not make it look complete', async () => {
+  const servers = [];
+  for (const id of ['s1', 's2']) {
+    servers.push(
+      await startServer(id, (request, socket) => {
+        const isRest = request.headers.get('last-event-id') !== undefined;
+        if (isRest) {
+          socket.write(
+            formatAnswer(request, 'broken').replace('200 OK', '500 Error'),
+          );
+          return;
+        }
+        socket.write(formatStreamHead(request) + formatChunk(formatEvent(1)));
+        setTimeout(() => socket.resetAndDestroy(), 20);
+      }),
+    );
+  }
+  const gateway = await startGateway(
+    {kind: 'streaming', isResumable: true, maxAttempts: 2},
+    servers,
+  );
+  const text = await gateway.exchange(formatRequest({method: 'POST'}));
+  assert.match(text, /piece 1/);
+  assert.doesNotMatch(text, /broken/);
+  assert.equal(text.endsWith(LAST_CHUNK), false);
+});
+
 test('a stream that may not go on elsewhere is cut so that it does not look complete', async () => {
   const answerPart: ServerScript = (request, socket) => {
     socket.write(formatStreamHead(request) + formatChunk(formatEvent(1)));
--- a/packages/routing/src/lib/forwarding/computePatience.ts
+++ b/packages/routing/src/lib/forwarding/computePatience.ts
@@ -50,8 +50,13 @@
   };
 }
 
-/** Silence between events after which a silent server is given up, as a part of the pause. */
-const PAUSE_PART = 0.4;
+/**
+ * Times the longest pause on time after which a server that is silent everywhere is given up. An
+ * engine that reads long prompts lets all its streams pause, seen up to the pause itself.
+ */
+const SILENT_PAUSES = 2;
+/** The same for a server that is heard on other connections. */
+const HEARD_PAUSES = 4;
 
 /** What is known of a stream or body that has begun. @public */
 export interface PauseOutlook {
@@ -64,12 +69,11 @@
 
 /**
  * Computes how long an answer that has begun may fall silent. Answers connections that die without
- * a reset: a server that is silent everywhere is left early enough for another to go on in time;
- * one that is heard may have put the request off, and is left once the pause is late anyway.
+ * a reset. A pause that is only late is waited out: going on elsewhere reads the prompt once more.
  *
  * @example
  * ```ts
- * computePausePatience({isRepeatable: true, longestPauseMs: 1_000, leftMs: 9_000}); // 400, 1000
+ * computePausePatience({isRepeatable: true, longestPauseMs: 1_000, leftMs: 9_000}); // 2000, 4000
  * ```
  * @public
  */
@@ -77,7 +81,7 @@
   const {isRepeatable, longestPauseMs, leftMs} = outlook;
   if (!isRepeatable) return {silentMs: leftMs, heardMs: leftMs};
   return {
-    silentMs: Math.min(leftMs, longestPauseMs * PAUSE_PART),
-    heardMs: Math.min(leftMs, longestPauseMs),
+    silentMs: Math.min(leftMs, longestPauseMs * SILENT_PAUSES),
+    heardMs: Math.min(leftMs, longestPauseMs * HEARD_PAUSES),
   };
 }
