Requests wait a moment for the first configuration; the log line says tokens and pressure

Change: StartupWait holds a request for up to 750 ms without a configuration, then refuses it with Retry-After; limitPromise gives no_configuration one. Request lines carry prompt tokens and the pressure that decided the model.

--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -4,7 +4,6 @@
   computePatience,
   computePausePatience,
 } from '@sycamorehead/routing';
-import {writeDecision} from '@sycamorehead/telemetry';
 import {buildServerHeaders} from './buildServerHeaders.js';
 import type {CallerAnswer} from './CallerAnswer.js';
 import type {CallerRequest} from './CallerRequest.js';
@@ -20,8 +19,8 @@
   describeOutcome,
   sendAttempt,
 } from './sendAttempt.js';
-import type {KnownServer} from './ServerTable.js';
 import type {AnswerResult} from './VersionSplit.js';
+import {writeRequestLine} from './writeRequestLine.js';
 
 /** Longest wait for a place, as a part of the target latency. */
 const QUEUE_PART = 0.4;
@@ -76,6 +75,7 @@
     answer.gone.addEventListener('abort', handleGone, {once: true});
     let timer: NodeJS.Timeout | undefined;
     try {
+      await this.context.startup.awaitRoutes(controller.signal);
       const target = this.resolve();
       this.routeName = target.route.name;
       const {timeoutMs} = target.route;
@@ -399,17 +399,15 @@
     const status = answer.gone.aborted ? 0 : answer.sentStatus;
     this.context.metrics.noteAnswer(this.routeName, status);
     this.context.metrics.noteWait(this.waitedMs);
-    writeDecision('request', {
-      request: request.id,
-      route: this.routeName,
+    writeRequestLine({
+      request,
       status,
-      kind: this.failure?.kind,
-      reason: this.failure?.message,
-      gone: answer.gone.aborted || undefined,
-      model: this.cascade.answeredBy,
-      sends: history.join(','),
-      waited_ms: Math.round(this.waitedMs),
-      ms: Math.round(performance.now() - request.arrivedAt),
+      history,
+      failure: this.failure,
+      isGone: answer.gone.aborted,
+      cascade: this.cascade,
+      routeName: this.routeName,
+      waitedMs: this.waitedMs,
       version: this.context.getRoutes()?.version,
     });
   }
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -16,6 +16,7 @@
 import {RetryBudgets} from './RetryBudgets.js';
 import {RouteTable} from './RouteTable.js';
 import {ServerTable} from './ServerTable.js';
+import {StartupWait} from './StartupWait.js';
 import {VersionSplit} from './VersionSplit.js';
 
 const log = createLogger('gateway');
@@ -50,6 +51,7 @@
 export class Gateway {
   readonly metrics = new GatewayMetrics();
   private readonly servers = new ServerTable();
+  private readonly startup = new StartupWait();
   private readonly versions: VersionSplit;
   private readonly budgets: RetryBudgets;
   private readonly placement: Placement;
@@ -83,6 +85,7 @@
       times,
       rates,
       metrics: this.metrics,
+      startup: this.startup,
       getRoutes: () => this.routes,
     };
     this.server = new GatewayServer({
@@ -140,6 +143,7 @@
     const previous = this.routes?.version;
     this.routes = new RouteTable(configuration);
     this.server.setLimits(configuration.limits);
+    this.startup.end();
     writeDecision('configuration_in_force', {version, previous});
     this.placement.offerPlaces();
   }
--- a/packages/gateway/src/lib/ModelCascade.ts
+++ b/packages/gateway/src/lib/ModelCascade.ts
@@ -19,6 +19,8 @@
   /** What that model thought of its answer, 0 to 100. */
   private confidence: number | undefined;
   private isLargerWanted = false;
+  /** How full the engines were at the last choice. */
+  private pressure: number | undefined;
 
   constructor(
     private readonly policy: ModelPolicy,
@@ -64,15 +66,19 @@
     return isWorthEscalating(this.policy, choice);
   }
 
+  /** How full the engines were at the last choice of a model; 0 is idle. */
+  get lastPressure(): number | undefined {
+    return this.pressure;
+  }
+
   private describeChoice(
     {route, service}: RequestTarget,
     previous: string | undefined,
   ): ModelChoice {
     const {models, targetLatencyMs} = route;
-    const pressure = this.placement.measurePressure(
-      service.name,
-      targetLatencyMs,
-    );
-    return {models, previous, confidence: this.confidence, pressure};
+    const {placement, confidence} = this;
+    const pressure = placement.measurePressure(service.name, targetLatencyMs);
+    this.pressure = pressure;
+    return {models, previous, confidence, pressure};
   }
 }
--- a/packages/gateway/src/lib/gatewayTypes.ts
+++ b/packages/gateway/src/lib/gatewayTypes.ts
@@ -10,6 +10,7 @@
 import type {RetryBudgets} from './RetryBudgets.js';
 import type {RouteTable} from './RouteTable.js';
 import type {ServerTable} from './ServerTable.js';
+import type {StartupWait} from './StartupWait.js';
 import type {VersionSplit} from './VersionSplit.js';
 
 /** Policies of a gateway; each can be turned to a baseline. @public */
@@ -29,6 +30,7 @@
   readonly times: AnswerTimes;
   readonly rates: ReadRates;
   readonly metrics: GatewayMetrics;
+  readonly startup: StartupWait;
   /** The routes in force here, or undefined before the first configuration. */
   getRoutes(): RouteTable | undefined;
 }
--- a/packages/gateway/src/lib/refusals.ts
+++ b/packages/gateway/src/lib/refusals.ts
@@ -40,7 +40,8 @@
 }
 
 /**
- * Replaces a refusal that would promise too much, and spreads the return of refused callers.
+ * Replaces a refusal that would promise too much, and tells refused callers when to come back,
+ * spread so that they do not return all at once.
  *
  * @example
  * ```ts
@@ -52,6 +53,13 @@
   error: SycamoreheadError,
   mayHaveRun: boolean,
 ): SycamoreheadError {
+  if (error.kind === 'no_configuration') {
+    const retryAfterMs = spreadRetryAfter();
+    return new SycamoreheadError(error.kind, error.message, {
+      ran: 'no',
+      retryAfterMs,
+    });
+  }
   if (error.kind !== 'overloaded') return error;
   return buildRefusal(error.message, mayHaveRun);
 }
--- a/packages/gateway/src/test/GatewayHarness.ts
+++ b/packages/gateway/src/test/GatewayHarness.ts
@@ -13,6 +13,7 @@
 import {RetryBudgets} from '../lib/RetryBudgets.js';
 import {RouteTable} from '../lib/RouteTable.js';
 import {ServerTable} from '../lib/ServerTable.js';
+import {StartupWait} from '../lib/StartupWait.js';
 import {VersionSplit} from '../lib/VersionSplit.js';
 
 export const TEST_NAMES: HeaderNames = {
@@ -82,6 +83,7 @@
   readonly versions = new VersionSplit(5_000);
   private readonly server: GatewayServer;
   private readonly placement: Placement;
+  private readonly startup = new StartupWait();
   private routes: RouteTable | undefined;
   private port = 0;
 
@@ -110,6 +112,7 @@
       times,
       rates,
       metrics: new GatewayMetrics(),
+      startup: this.startup,
       getRoutes: () => this.routes,
     };
     this.server = new GatewayServer({
@@ -125,12 +128,18 @@
   ): Promise<void> {
     this.setConfiguration(configuration);
     this.list(listings);
+    await this.listen();
+  }
+
+  /** Takes callers, before any configuration is there. */
+  async listen(): Promise<void> {
     this.port = await this.server.listen('127.0.0.1', 0);
   }
 
   setConfiguration(configuration: RouteConfiguration): void {
     this.routes = new RouteTable(configuration);
     this.server.setLimits(configuration.limits);
+    this.startup.end();
   }
 
   list(listings: readonly ServerListing[]): void {
--- a/packages/gateway/src/test/startGateway.ts
+++ b/packages/gateway/src/test/startGateway.ts
@@ -12,13 +12,18 @@
   await Promise.all(started.splice(0).map(item => item.stop()));
 }
 
+/** Has something stopped at the end of the test. */
+export function track<Item extends {stop(): Promise<void>}>(item: Item): Item {
+  started.push(item);
+  return item;
+}
+
 /** Starts a fake server. */
 export async function startServer(
   id: string,
   script: ServerScript,
 ): Promise<FakeServer> {
-  const server = new FakeServer(id, script);
-  started.push(server);
+  const server = track(new FakeServer(id, script));
   await server.start();
   return server;
 }
@@ -29,8 +34,7 @@
   servers: readonly FakeServer[],
   budgetRatio?: number,
 ): Promise<GatewayHarness> {
-  const gateway = new GatewayHarness(budgetRatio);
-  started.push(gateway);
+  const gateway = track(new GatewayHarness(budgetRatio));
   await gateway.start(
     buildConfiguration([buildRoute(route)]),
     servers.map(server => server.describe()),
