A leader is not ended by memberships from before it joined; a restarted group elects at once

Cause: after a restart a leader applies its log once more. settleProposal took an old membership entry, in which a member that was added later is no voter, for its removal: leader_stops 'this member was removed', and a new election 0.6 s later, again and again while such a member won. Ruled out: links that were dead from before the restart (votes passed over them), disks (no storage_failed).

Change: whether the leader is still a voter is asked of the newest membership. firstElectionMs: a member that has heard no leader since its start stands within 300 ms; a live leader refutes its pre-vote. Test: leadership.test.ts, failed first.

--- a/packages/consensus/src/lib/Election.ts
+++ b/packages/consensus/src/lib/Election.ts
@@ -72,10 +72,15 @@
 
   /** Begins a new random timeout. */
   restartTimeout(): void {
-    const {electionMinMs, electionMaxMs} = this.context.timing;
+    const {electionMinMs, electionMaxMs, firstElectionMs} = this.context.timing;
+    const isFirst = this.lastHeardAt === -Infinity;
     this.timeoutStartedAt = performance.now();
+    // A live leader refutes an early pre-vote, so nothing is lost by it.
     this.timeoutMs =
-      electionMinMs + this.context.random() * (electionMaxMs - electionMinMs);
+      isFirst && firstElectionMs !== undefined
+        ? this.context.random() * firstElectionMs
+        : electionMinMs +
+          this.context.random() * (electionMaxMs - electionMinMs);
   }
 
   /** Lets the next election begin at once. */
--- a/packages/consensus/src/lib/Leadership.ts
+++ b/packages/consensus/src/lib/Leadership.ts
@@ -184,8 +184,10 @@
     waiter?.resolve(result);
     if (entry.type !== 'membership') return;
     this.updatePeers();
-    const {id} = this.context.state;
-    if (!isVoter(entry.members, id)) {
+    const {id, entries} = this.context.state;
+    // Not by the entry's own members: after a restart those from before this member joined are
+    // applied once more.
+    if (!isVoter(entries.members, id)) {
       this.context.onLost('this member was removed');
     }
   }
--- a/packages/consensus/src/lib/raftTiming.ts
+++ b/packages/consensus/src/lib/raftTiming.ts
@@ -6,6 +6,11 @@
   readonly electionMinMs: number;
   /** Longest random election timeout, and the time after which a leader without a quorum stops. */
   readonly electionMaxMs: number;
+  /**
+   * Longest election timeout of a member that has heard no leader since its start, so that a group
+   * that restarts as a whole soon has one; absent: as at any other time.
+   */
+  readonly firstElectionMs?: number;
   /** Time allowed for a vote or for entries. */
   readonly callMs: number;
   /** Time allowed for one chunk of a snapshot. */
--- a/packages/consensus/src/test/leadership.test.ts
+++ b/packages/consensus/src/test/leadership.test.ts
@@ -19,8 +19,21 @@
   role: 'voter',
 }));
 
+const EARLIER: readonly LogEntry[] = [
+  {index: 1, term: 1, type: 'membership', members: MEMBERS},
+  {index: 2, term: 2, type: 'command', command: 'of term 2'},
+];
+
+interface LeaderOptions {
+  readonly earlier?: readonly LogEntry[];
+  onLost?(reason: string): void;
+}
+
 /** A leader of term 4 whose log ends with an entry of term 2. */
-async function createLeader(transport: ConsensusTransport) {
+async function createLeader(
+  transport: ConsensusTransport,
+  {earlier = EARLIER, onLost = () => {}}: LeaderOptions = {},
+) {
   const machine = new RecordingMachine();
   const state = new RaftState({
     id: 'c1',
@@ -31,10 +44,6 @@
   });
   await state.load();
   await state.saveVote(4, 'c1', 'group');
-  const earlier: LogEntry[] = [
-    {index: 1, term: 1, type: 'membership', members: MEMBERS},
-    {index: 2, term: 2, type: 'command', command: 'of term 2'},
-  ];
   const texts = earlier.map(entry => state.entries.append(entry));
   await state.storage.append(texts, earlier[1]!);
   const leadership = new Leadership({
@@ -43,7 +52,7 @@
     timing: DEFAULT_RAFT_TIMING,
     shard: 0,
     onHigherTerm: () => {},
-    onLost: () => {},
+    onLost,
   });
   return {state, leadership, machine};
 }
@@ -100,3 +109,34 @@
     await clock.advance(500);
     assert.equal(group.get('c2').machine.applied.length, 21);
   }));
+
+test('a leader keeps its place while it applies memberships from before it was added', () =>
+  runPaused(3, async clock => {
+    const transport = {
+      call: (address: string, request: ConsensusRequest) =>
+        Promise.resolve({
+          term: 4,
+          isMatching: true,
+          index:
+            request.type === 'append'
+              ? request.previousIndex + request.entries.length
+              : 0,
+        }),
+      readIdentity: () => Promise.reject(new Error('unused')),
+    } as unknown as ConsensusTransport;
+    const losses: string[] = [];
+    const {state, leadership} = await clock.settle(
+      createLeader(transport, {
+        earlier: [
+          {index: 1, term: 1, type: 'membership', members: MEMBERS.slice(1)},
+          {index: 2, term: 2, type: 'membership', members: MEMBERS},
+        ],
+        onLost: reason => losses.push(reason),
+      }),
+    );
+    leadership.start();
+    await clock.advance(500);
+    assert.equal(state.commitIndex, 3);
+    assert.deepEqual(losses, []);
+    leadership.end(state.failure ?? (new Error('over') as never));
+  }));
--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -37,6 +37,8 @@
   heartbeatMs: 100,
   electionMinMs: 500,
   electionMaxMs: 1_000,
+  // Ten times a vote with its two syncs, so that two candidates seldom meet.
+  firstElectionMs: 300,
   callMs: 400,
   chunkMs: 1_000,
   catchUpMs: 4_000,
