--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -14,7 +14,7 @@
 /** Requests that a plain server is given beyond its slots, as a part of them. */
 const PLAIN_OVERCOMMIT = 1;
 /** Part of the target latency at which engines count as full. */
-const FULL_PART = 0.5;
+const FULL_PART = 0.8;
 /** Part of the shared tokens that an owner is taken to have without a send of this entry. */
 const OWNER_SHARE = 0.6;
 /** Time after its last use for which a prompt part counts as kept, in milliseconds. */
@@ -189,7 +189,7 @@
     const ready = servers
       .listReady(service.name)
       .filter(server => !versions.isBarred(server));
-    const permitted = versions.filterServers(service.name, side, ready);
+    const permitted = versions.filterServers(service.name, side, ready, tried);
     const open = permitted.filter(server => hasRoom(server, service));
     const fresh = open.filter(
       ({listing}) => !tried.has(listing.registration.id),
--- a/packages/routing/src/lib/forwarding/chooseModel.ts
+++ b/packages/routing/src/lib/forwarding/chooseModel.ts
@@ -19,6 +19,9 @@
   readonly full: number;
 }
 
+/** Pressure that the bursts of a quiet day reach; 75 of 100 choices there see less. */
+const USUAL_PRESSURE = 0.375;
+
 /** Below it an answer is asked for again; from measured rounds, see platform-worth.md. */
 const WEAK_BOUND: ConfidenceBound = {idle: 62, full: 48};
 /** Below it the largest model is asked, between the two the one before it. */
@@ -76,7 +79,6 @@
 }
 
 function computeBound({idle, full}: ConfidenceBound, pressure: number): number {
-  const part = Math.min(1, Math.max(0, pressure));
-  // Squared, so that the usual ups and downs of a quiet day change little.
-  return idle + (full - idle) * part ** 2;
+  const part = (pressure - USUAL_PRESSURE) / (1 - USUAL_PRESSURE);
+  return idle + (full - idle) * Math.min(1, Math.max(0, part));
 }
