--- /dev/null
+++ b/apps/syc/src/fleetCommand.ts
@@ -0,0 +1,79 @@
+import {
+  boolean,
+  command,
+  flag,
+  oneOf,
+  option,
+  optional,
+  positional,
+  string,
+} from 'cmd-ts';
+import {FLEET_METHODS, FleetDescription} from '@sycamorehead/fleet';
+import {readSecret, runReporting} from '@sycamorehead/telemetry';
+import {connectPeer, parsePeerAddress} from '@sycamorehead/wire';
+import {FleetViewName, formatFleetView} from './formatFleetView.js';
+
+const VIEWS = ['routes', 'servers', 'rollouts', 'members'] as const;
+/** Name under which the tool appears in a control instance's log. */
+const TOOL_NAME = 'syc';
+/** Time allowed for the description, in milliseconds; a person waits for it. */
+const DESCRIBE_TIMEOUT_MS = 3_000;
+
+/** Builds `syc fleet`, which reads back what a fleet with declared routes has in force. @internal */
+export function buildFleetCommand() {
+  return command({
+    name: 'fleet',
+    description:
+      'prints the declared routes, backend servers, roll-outs or members that a control instance has in force',
+    args: {
+      view: positional({
+        type: oneOf(VIEWS),
+        displayName: VIEWS.join('|'),
+      }),
+      peer: option({
+        type: string,
+        long: 'peer',
+        env: 'SYC_PEER',
+        description: 'IP:PORT of the links of a control instance',
+      }),
+      json: flag({type: boolean, long: 'json', description: 'print JSON'}),
+      filter: option({
+        type: optional(string),
+        long: 'filter',
+        description: 'only lines that contain this text',
+      }),
+    },
+    handler: args =>
+      runReporting(async () => {
+        const description = await readDescription(args.peer);
+        showView(args.view, description, args);
+      }),
+  });
+}
+
+async function readDescription(address: string): Promise<FleetDescription> {
+  const link = await connectPeer({
+    address: parsePeerAddress(address),
+    name: TOOL_NAME,
+    peerKey: readSecret('SYC_PEER_KEY'),
+    methods: {},
+  });
+  try {
+    return await link.request<FleetDescription>(
+      FLEET_METHODS.describe,
+      {},
+      DESCRIBE_TIMEOUT_MS,
+    );
+  } finally {
+    link.close('done');
+  }
+}
+
+function showView(
+  view: FleetViewName,
+  description: FleetDescription,
+  {json, filter = ''}: {json: boolean; filter: string | undefined},
+): void {
+  const lines = formatFleetView(view, description, json);
+  for (const line of lines) if (line.includes(filter)) console.log(line);
+}
--- a/apps/syc/src/main.ts
+++ b/apps/syc/src/main.ts
@@ -23,6 +23,7 @@
 import {readSecret, runReporting} from '@sycamorehead/telemetry';
 import {buildBillsCommand} from './billsCommand.js';
 import {describeChanges} from './describeChanges.js';
+import {buildFleetCommand} from './fleetCommand.js';
 import {formatRollout} from './formatRollout.js';
 import {buildMembersCommand} from './membersCommand.js';
 
@@ -205,6 +206,7 @@
     'in-force': inForce,
     status,
     members: buildMembersCommand(createClient),
+    fleet: buildFleetCommand(),
     bills: buildBillsCommand({control, createClient}),
     'hash-key': hashKeyCommand,
   },
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -4,6 +4,7 @@
   ControlIdentity,
   ExchangeReply,
   ExchangeRequest,
+  FleetDescription,
   FleetUpdate,
   LoadTable,
   ServerListing,
--- a/packages/fleet/src/lib/EntryFeeds.ts
+++ b/packages/fleet/src/lib/EntryFeeds.ts
@@ -54,6 +54,13 @@
     this.scheduleUpdate();
   }
 
+  // Queries.
+
+  /** Entries that are linked to this control instance. */
+  get entryCount(): number {
+    return this.links.size;
+  }
+
   private scheduleUpdate(): void {
     this.timer ??= setTimeout(() => this.sendUpdate(), GATHER_MS);
   }
--- a/packages/fleet/src/lib/FleetLinks.ts
+++ b/packages/fleet/src/lib/FleetLinks.ts
@@ -59,6 +59,23 @@
     this.addControls(this.options.seeds);
   }
 
+  /** Links to control instances that are not known yet. */
+  addControls(addresses: readonly string[]): void {
+    for (const address of addresses) {
+      if (this.tasks.has(address)) continue;
+      const task: ControlTask = {
+        address,
+        link: undefined,
+        isLeading: false,
+        configurationVersion: 0,
+        isFetching: false,
+        lastLinkedAt: performance.now(),
+      };
+      this.tasks.set(address, task);
+      void this.runTask(task);
+    }
+  }
+
   /** Reports the own load to the leader, or another control instance, for that of the others. */
   async exchange(request: ExchangeRequest): Promise<ExchangeReply> {
     const linked = [...this.tasks.values()].filter(({link}) => link);
@@ -79,22 +96,6 @@
     return [...this.tasks.values()].filter(({link}) => link).length;
   }
 
-  private addControls(addresses: readonly string[]): void {
-    for (const address of addresses) {
-      if (this.tasks.has(address)) continue;
-      const task: ControlTask = {
-        address,
-        link: undefined,
-        isLeading: false,
-        configurationVersion: 0,
-        isFetching: false,
-        lastLinkedAt: performance.now(),
-      };
-      this.tasks.set(address, task);
-      void this.runTask(task);
-    }
-  }
-
   private async runTask(task: ControlTask): Promise<void> {
     let failures = 0;
     while (!this.isStopped && this.tasks.has(task.address)) {
--- /dev/null
+++ b/packages/fleet/src/lib/FleetMetrics.ts
@@ -0,0 +1,59 @@
+import {Counter, Gauge, Registry} from 'prom-client';
+
+/** What the gauges of a control instance are read from. @public */
+export interface FleetGauges {
+  readonly configurationVersion: number;
+  readonly isLeader: boolean;
+  readonly members: number;
+  readonly servers: number;
+  readonly entries: number;
+}
+
+/**
+ * Counters and gauges of one control instance.
+ *
+ * @public
+ */
+export class FleetMetrics {
+  readonly registry = new Registry();
+  private readonly changes = new Counter({
+    name: 'syc_control_server_changes_total',
+    help: 'Changes that backend servers told of, by their state',
+    labelNames: ['state'],
+    registers: [this.registry],
+  });
+  private readonly elections = new Counter({
+    name: 'syc_control_elections_won_total',
+    help: 'Terms that this instance has led',
+    registers: [this.registry],
+  });
+
+  constructor(readGauges: () => FleetGauges) {
+    const names: Readonly<Record<keyof FleetGauges, string>> = {
+      configurationVersion: 'configuration_version',
+      isLeader: 'is_leader',
+      members: 'members',
+      servers: 'servers',
+      entries: 'entries_linked',
+    };
+    for (const [field, name] of Object.entries(names)) {
+      const gauge: Gauge = new Gauge({
+        name: `syc_control_${name}`,
+        help: name.replaceAll('_', ' '),
+        registers: [this.registry],
+        collect: () =>
+          gauge.set(Number(readGauges()[field as keyof FleetGauges])),
+      });
+    }
+  }
+
+  /** Counts a change that a backend server told of. */
+  noteServerChange(state: string): void {
+    this.changes.inc({state});
+  }
+
+  /** Counts a term that this instance leads. */
+  noteElected(): void {
+    this.elections.inc();
+  }
+}
--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -1,7 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {
   LinkPool,
-  Membership,
   RaftTiming,
   WireTransport,
   createConsensusMethods,
@@ -16,13 +15,14 @@
   ControlIdentity,
   ExchangeReply,
   ExchangeRequest,
+  FleetDescription,
   FLEET_METHODS,
   FleetUpdate,
-  ServerListing,
   SyncReply,
   SyncRequest,
 } from './fleetMessages.js';
 import {FLEET_LINK_TIMEOUTS} from './linkTimeouts.js';
+import {FleetMetrics} from './FleetMetrics.js';
 import {GroupKeeper} from './GroupKeeper.js';
 import {LogHost, buildFirstMember} from './LogHost.js';
 import {RolloutDriver} from './RolloutDriver.js';
@@ -72,6 +72,7 @@
 export class FleetNode {
   /** Operators' commands and queries. */
   readonly commands: FleetCommands;
+  readonly metrics = new FleetMetrics(() => this.readGauges());
   private readonly links: LinkPool;
   private readonly consensusLinks: LinkPool;
   private readonly host: LogHost;
@@ -199,6 +200,11 @@
     });
   }
 
+  /** Takes further seeds, after the settings have changed. */
+  addSeeds(seeds: readonly string[]): void {
+    this.peers.addAddresses(seeds);
+  }
+
   /** Hands leadership over and stops. */
   async stop(): Promise<void> {
     clearInterval(this.expiryTimer);
@@ -213,15 +219,22 @@
 
   // Queries.
 
-  /** Describes this instance's view of its group. */
-  readStatus(): {role: string; members: Membership} {
-    const status = this.host.member?.getStatus();
-    return {role: status?.role ?? 'opening', members: status?.members ?? []};
-  }
-
-  /** Lists the backend servers that this instance knows. */
-  listServers(): ServerListing[] {
-    return this.registry.list();
+  /** Describes what this instance has applied and knows; it may lag behind the leader. */
+  describe(): FleetDescription {
+    const {host, options} = this;
+    const status = host.member?.getStatus();
+    const {version, document} = host.state.configuration;
+    return {
+      instance: options.instance,
+      role: status?.role ?? 'opening',
+      leader: host.leader,
+      term: status?.term ?? 0,
+      members: status?.members ?? [],
+      configuration:
+        version > 0 ? options.decodeConfiguration(document) : undefined,
+      rollouts: host.state.listRollouts(),
+      servers: this.registry.list(),
+    };
   }
 
   // Links.
@@ -236,6 +249,7 @@
         link: PeerLink,
       ): FleetUpdate => this.feeds.subscribe(link, entry),
       [FLEET_METHODS.fetchConfiguration]: () => this.host.state.configuration,
+      [FLEET_METHODS.describe]: () => this.describe(),
       [FLEET_METHODS.exchange]: (request: ExchangeRequest): ExchangeReply =>
         this.hub.exchange(request),
     };
@@ -282,6 +296,7 @@
       sequence: registration.sequence,
     });
     this.feeds.noteServer(registration.id);
+    this.metrics.noteServerChange(registration.state);
     return true;
   }
 
@@ -320,9 +335,21 @@
       instance: this.options.instance,
       term: this.host.member?.getStatus().term,
     });
+    this.metrics.noteElected();
     this.feeds.noteState();
   }
 
+  private readGauges() {
+    const {host, registry, feeds} = this;
+    return {
+      configurationVersion: host.state.configuration.version,
+      isLeader: host.isLeader,
+      members: host.member?.getStatus().members?.length ?? 0,
+      servers: registry.list().length,
+      entries: feeds.entryCount,
+    };
+  }
+
   private resetMember(): void {
     if (this.isResetting) return;
     this.isResetting = true;
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -3,9 +3,11 @@
  *
  * @public
  */
+import type {Membership} from '@sycamorehead/consensus';
 import type {
   JsonValue,
   RolloutEvidence,
+  RouteConfiguration,
   ServerRegistration,
   ServiceRollout,
 } from '@sycamorehead/schema';
@@ -27,6 +29,8 @@
   readConfiguration: 'fleet.readConfiguration',
   startRollout: 'fleet.startRollout',
   readRollout: 'fleet.readRollout',
+  /** Tool to control: what this control instance has applied and knows. */
+  describe: 'fleet.describe',
 } as const;
 
 /** A configuration as the operator sent it. @public */
@@ -36,6 +40,21 @@
   readonly document: JsonValue;
 }
 
+/** What one control instance has applied and knows. @public */
+export interface FleetDescription {
+  readonly instance: string;
+  /** Its part in the replicated log. */
+  readonly role: string;
+  /** Instance that leads, where one is known. */
+  readonly leader: string | undefined;
+  readonly term: number;
+  readonly members: Membership;
+  /** Undefined before the first configuration. */
+  readonly configuration: RouteConfiguration | undefined;
+  readonly rollouts: readonly ServiceRollout[];
+  readonly servers: readonly ServerListing[];
+}
+
 /** Who a control instance is, as it tells its peers. @public */
 export interface ControlIdentity {
   /** Address of its links, `IP:PORT`. */
--- a/packages/fleet/src/test/FleetNode.test.ts
+++ b/packages/fleet/src/test/FleetNode.test.ts
@@ -4,7 +4,9 @@
 import {afterEach, test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {JsonValue} from '@sycamorehead/schema';
+import {connectPeer, parsePeerAddress} from '@sycamorehead/wire';
 import {FleetLinks} from '../lib/FleetLinks.js';
+import {FLEET_METHODS, FleetDescription} from '../lib/fleetMessages.js';
 import {FleetNode} from '../lib/FleetNode.js';
 import {buildRegistration} from './fixtures.js';
 
@@ -94,7 +96,7 @@
   nodes.splice(nodes.indexOf(first), 1);
   const wiped = await startNode('127.0.1.1', false);
   await retry(async () => {
-    const {members} = wiped.readStatus();
+    const {members} = wiped.describe();
     const own = members.filter(({instance}) => instance === '127.0.1.1');
     assert.equal(own.length, 1);
     assert.equal(own[0]?.role, 'voter');
@@ -115,6 +117,40 @@
   await assert.rejects(() => one.commands.readConfiguration());
 });
 
+test('a tool reads back over a link what an instance has in force', async () => {
+  const [first] = await Promise.all(
+    ['127.0.1.1', '127.0.1.2', '127.0.1.3'].map(host => startNode(host, true)),
+  );
+  assert.ok(first);
+  await startNode('127.0.1.4', true);
+  await startNode('127.0.1.5', true);
+  await retry(() => first.commands.putConfiguration({version: 7}));
+  await first.register(buildRegistration());
+  const link = await connectPeer({
+    address: parsePeerAddress(`127.0.1.1:${PEER_PORT}`),
+    name: 'tool',
+    peerKey: 'test',
+    methods: {},
+  });
+  try {
+    await retry(async () => {
+      const fleet = await link.request<FleetDescription>(
+        FLEET_METHODS.describe,
+        {},
+      );
+      assert.equal(fleet.configuration?.version, 7);
+      assert.equal(fleet.members.length, 5);
+      assert.ok(fleet.leader);
+      assert.equal(fleet.servers[0]?.registration.state, 'ready');
+    });
+  } finally {
+    link.close('done');
+  }
+  const text = await first.metrics.registry.metrics();
+  assert.match(text, /^syc_control_configuration_version 7$/m);
+  assert.match(text, /^syc_control_members 5$/m);
+});
+
 test('a server that leaves is acknowledged once another instance holds it, and entries learn of it', async () => {
   const [first, second] = await Promise.all(
     ['127.0.1.1', '127.0.1.2', '127.0.1.3'].map(host => startNode(host, true)),
@@ -136,7 +172,7 @@
   await first.register(buildRegistration());
   await first.register(buildRegistration({sequence: 2, state: 'leaving'}));
   const held = [second, nodes[2]].some(
-    node => node?.listServers()[0]?.registration.state === 'leaving',
+    node => node?.describe().servers[0]?.registration.state === 'leaving',
   );
   assert.ok(held);
   await retry(async () => assert.ok(states.includes('leaving')));
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -114,6 +114,15 @@
     );
   }
 
+  /** Takes settings that may change while it runs. */
+  updateSettings(settings: {
+    seeds: readonly string[];
+    retryBudget: RetryBudgetOptions;
+  }): void {
+    this.links.addControls(settings.seeds);
+    this.budgets.setOptions(settings.retryBudget);
+  }
+
   /** Says that it is not ready, serves what still comes, and ends. */
   async stop(): Promise<void> {
     this.isStopping = true;
--- a/packages/gateway/src/lib/RetryBudgets.ts
+++ b/packages/gateway/src/lib/RetryBudgets.ts
@@ -10,7 +10,14 @@
   entryCount = 1;
   private readonly budgets = new Map<string, RetryBudget>();
 
-  constructor(private readonly options: RetryBudgetOptions) {}
+  constructor(private options: RetryBudgetOptions) {}
+
+  /** Takes other bounds; what was counted under the old ones is forgotten. */
+  setOptions(options: RetryBudgetOptions): void {
+    if (JSON.stringify(options) === JSON.stringify(this.options)) return;
+    this.options = options;
+    this.budgets.clear();
+  }
 
   /** Counts a request of a caller. */
   noteRequest(service: string): void {
