--- a/packages/fleet/src/lib/planRollout.ts
+++ b/packages/fleet/src/lib/planRollout.ts
@@ -5,10 +5,13 @@
 const CANARY_MARGIN = 0.6;
 /** Part of the duration in which sessions stay on the old version. */
 const EARLY_PART = 0.5;
-/** Share of the new version in the step between canary and all. */
-const HALF_SHARE = 0.5;
+/**
+ * Share of the new version in the step between canary and all: entries put it on so few servers
+ * that each carries more than a usual load, so that failures under load show before all is moved.
+ */
+const MIDDLE_SHARE = 0.25;
 /** Time of the step between canary and all, as a part of the duration. */
-const HALF_PART = 0.06;
+const MIDDLE_PART = 0.1;
 /** Part of the duration after which what still runs on the old version is no longer waited for. */
 const LAST_PART = 0.97;
 /** Time after the last step in which entries may still place work on the old version. */
@@ -56,8 +59,9 @@
   if (isEarly) {
     return {...step, share: view.maxCanaryShare * CANARY_MARGIN};
   }
-  if (part < EARLY_PART + HALF_PART) return {...step, share: HALF_SHARE};
-  const sinceAllMs = elapsedMs - (EARLY_PART + HALF_PART) * rollout.durationMs;
+  if (part < EARLY_PART + MIDDLE_PART) return {...step, share: MIDDLE_SHARE};
+  const sinceAllMs =
+    elapsedMs - (EARLY_PART + MIDDLE_PART) * rollout.durationMs;
   const isDone =
     sinceAllMs > SETTLE_MS && (view.runningOnOld === 0 || part > LAST_PART);
   return {...step, share: 1, phase: isDone ? 'completed' : 'in_progress'};
