--- a/packages/bench/src/lib/experiments/exposure.ts
+++ b/packages/bench/src/lib/experiments/exposure.ts
@@ -1,4 +1,3 @@
-import {parseReleaseNote} from '@sycamorehead/schema';
 import type {ReleaseNote} from '@sycamorehead/schema';
 import type {
   Experiment,
@@ -14,6 +13,7 @@
   SCENARIO_CUSTOMERS,
   SCENARIO_KINDS,
   SCENARIO_SPEED,
+  buildRolloutNote,
   buildScenarioNote,
   getScenarioKey,
 } from './versionScenario.js';
@@ -60,22 +60,8 @@
 ]);
 
 function buildRollout(share: number): ReleaseNote {
-  return parseReleaseNote(`
-number: 2
-follows: 1
-add:
-  versions:
-    - model: m
-      version: v2
-      inputPrice: 1
-      outputPrice: 1
-      contextTokens: 8192
-      qualityPrior: 0.9
-      rollout:
-        replaces: v1
-        steps: [{share: ${share}, soakSeconds: 1}]
-        guard: {minQuality: 0.8, maxErrorRate: 0.03, minRatings: ${share < 1 ? 100_000 : 20}}
-`);
+  const minRatings = share < 1 ? 100_000 : 20;
+  return buildRolloutNote({share, soakSeconds: 1, minRatings});
 }
 
 async function runScenario(
--- a/packages/bench/src/lib/experiments/guardSimulation.ts
+++ b/packages/bench/src/lib/experiments/guardSimulation.ts
@@ -4,12 +4,12 @@
   EMPTY_CONFIGURATION,
   EvidenceItem,
   applyReleaseNote,
-  parseReleaseNote,
 } from '@sycamorehead/schema';
 import {Randomness} from '../load/arrivals.js';
 import {
   SCENARIO_CUSTOMERS,
   SCENARIO_KINDS,
+  buildRolloutNote,
   buildScenarioNote,
 } from './versionScenario.js';
 
@@ -67,22 +67,11 @@
   const first = buildScenarioNote([
     '{model: m, version: v1, inputPrice: 1, outputPrice: 1, contextTokens: 8192, qualityPrior: 0.9}',
   ]);
-  const second = parseReleaseNote(`
-number: 2
-follows: 1
-add:
-  versions:
-    - model: m
-      version: v2
-      inputPrice: 1
-      outputPrice: 1
-      contextTokens: 8192
-      qualityPrior: 0.9
-      rollout:
-        replaces: v1
-        steps: [{share: 0.05, soakSeconds: 0}]
-        guard: {minQuality: 0.8, maxErrorRate: 0.03, minRatings: 100000}
-`);
+  const second = buildRolloutNote({
+    share: 0.05,
+    soakSeconds: 0,
+    minRatings: 100_000,
+  });
   return applyReleaseNote(applyReleaseNote(EMPTY_CONFIGURATION, first), second);
 }
 
--- a/packages/bench/src/lib/experiments/versionScenario.ts
+++ b/packages/bench/src/lib/experiments/versionScenario.ts
@@ -93,3 +93,28 @@
   customers:${customers.join('')}
 `);
 }
+
+/** A note that replaces version v1 of the scenario's only model by v2, step by step. */
+export function buildRolloutNote(step: {
+  readonly share: number;
+  readonly soakSeconds: number;
+  readonly minRatings: number;
+}): ReleaseNote {
+  const {share, soakSeconds, minRatings} = step;
+  return parseReleaseNote(`
+number: 2
+follows: 1
+add:
+  versions:
+    - model: m
+      version: v2
+      inputPrice: 1
+      outputPrice: 1
+      contextTokens: 8192
+      qualityPrior: 0.9
+      rollout:
+        replaces: v1
+        steps: [{share: ${share}, soakSeconds: ${soakSeconds}}]
+        guard: {minQuality: 0.8, maxErrorRate: 0.03, minRatings: ${minRatings}}
+`);
+}
