--- a/packages/gateway/src/lib/ModelCascade.ts
+++ b/packages/gateway/src/lib/ModelCascade.ts
@@ -40,6 +40,18 @@
     this.isLargerWanted = true;
   }
 
+  /**
+   * Chooses the model of the next send, and notes how full the engines are; undefined where the
+   * caller names it.
+   */
+  chooseNext(target: RequestTarget): string | undefined {
+    if (target.route.models.length === 0) return undefined;
+    const previous = this.isLargerWanted ? this.answered : undefined;
+    const choice = this.describeChoice(target, previous);
+    this.pressure = choice.pressure;
+    return chooseModel(this.policy, choice);
+  }
+
   // Queries.
 
   /** Model that answered last. */
@@ -52,13 +64,6 @@
     return this.confidence;
   }
 
-  /** Chooses the model of the next send; undefined where the caller names it. */
-  chooseNext(target: RequestTarget): string | undefined {
-    if (target.route.models.length === 0) return undefined;
-    const previous = this.isLargerWanted ? this.answered : undefined;
-    return chooseModel(this.policy, this.describeChoice(target, previous));
-  }
-
   /** Whether the last answer is weak enough to ask a larger model, which happens once. */
   isWeak(target: RequestTarget): boolean {
     if (this.isLargerWanted) return false;
@@ -78,7 +83,6 @@
     const {models, targetLatencyMs} = route;
     const {placement, confidence} = this;
     const pressure = placement.measurePressure(service.name, targetLatencyMs);
-    this.pressure = pressure;
     return {models, previous, confidence, pressure};
   }
 }
