--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -8,8 +8,8 @@
 export type {AttemptOptions} from './lib/Attempt.js';
 export {ANSWER_PLANNERS} from './lib/answerPlanners.js';
 export type {AnswerPlannerName} from './lib/answerPlanners.js';
+export type {AnswerFrame} from './lib/AnswerFrame.js';
 export type {
-  AnswerFrame,
   AnswerPlanner,
   AnswerSourceParts,
   Charge,
--- a/packages/entry/src/lib/AnswerDelivery.ts
+++ b/packages/entry/src/lib/AnswerDelivery.ts
@@ -1,5 +1,6 @@
 import {SycamoreheadError} from '@sycamorehead/schema';
-import type {AnswerFrame, ChatTask, PlannedAnswer} from './answerTypes.js';
+import type {AnswerFrame} from './AnswerFrame.js';
+import type {ChatTask, PlannedAnswer} from './answerTypes.js';
 import {
   formatChunk,
   formatCompletion,
--- a/packages/entry/src/lib/AnswerSource.ts
+++ b/packages/entry/src/lib/AnswerSource.ts
@@ -9,7 +9,8 @@
 import type {KnownServer} from '@sycamorehead/membership';
 import type {RoutedRequest} from '@sycamorehead/routing';
 import {createLogger} from '@sycamorehead/telemetry';
-import type {AnswerFrame, AnswerSourceParts} from './answerTypes.js';
+import type {AnswerFrame} from './AnswerFrame.js';
+import type {AnswerSourceParts} from './answerTypes.js';
 import {HedgedAttempt} from './HedgedAttempt.js';
 import {sleepUnlessAborted} from './sleepUnlessAborted.js';
 import {ensureDispatchable} from './VersionResolver.js';
--- a/packages/entry/src/lib/Attempt.ts
+++ b/packages/entry/src/lib/Attempt.ts
@@ -6,7 +6,8 @@
 import type {KnownServer} from '@sycamorehead/membership';
 import type {RoutedRequest, TrackedAttempt} from '@sycamorehead/routing';
 import {createLogger} from '@sycamorehead/telemetry';
-import type {AnswerFrame, AnswerSourceParts} from './answerTypes.js';
+import type {AnswerFrame} from './AnswerFrame.js';
+import type {AnswerSourceParts} from './answerTypes.js';
 import {FrameChecker} from './FrameChecker.js';
 
 const log = createLogger('attempts');
--- a/packages/entry/src/lib/BackendClient.ts
+++ b/packages/entry/src/lib/BackendClient.ts
@@ -2,7 +2,7 @@
 import {Agent, Dispatcher, request} from 'undici';
 import {ChatChunk, RanState, SycamoreheadError} from '@sycamorehead/schema';
 import {readBounded} from '@sycamorehead/wire';
-import type {AnswerFrame} from './answerTypes.js';
+import type {AnswerFrame} from './AnswerFrame.js';
 import type {FrameChecker} from './FrameChecker.js';
 import {parseChunk} from './parseChunk.js';
 
--- a/packages/entry/src/lib/ChatService.ts
+++ b/packages/entry/src/lib/ChatService.ts
@@ -12,12 +12,8 @@
 import {RoutedRequest, listPermittedVersions} from '@sycamorehead/routing';
 import {AnswerDelivery} from './AnswerDelivery.js';
 import {ANSWER_PLANNERS, AnswerPlannerName} from './answerPlanners.js';
-import type {
-  AnswerFrame,
-  ChatParts,
-  ChatTask,
-  PlannedAnswer,
-} from './answerTypes.js';
+import type {AnswerFrame} from './AnswerFrame.js';
+import type {ChatParts, ChatTask, PlannedAnswer} from './answerTypes.js';
 import {authenticateCustomer} from './authenticateCustomer.js';
 import {ChatBilling} from './ChatBilling.js';
 import type {EntryTimeouts} from './entryTimeouts.js';
--- a/packages/entry/src/lib/FrameChecker.ts
+++ b/packages/entry/src/lib/FrameChecker.ts
@@ -1,5 +1,5 @@
 import {ChatChunk, SycamoreheadError} from '@sycamorehead/schema';
-import type {AnswerFrame} from './answerTypes.js';
+import type {AnswerFrame} from './AnswerFrame.js';
 
 /**
  * Checks that the frames of one attempt are its own and continue the answer: what repeats tokens
--- a/packages/entry/src/lib/HedgedAttempt.ts
+++ b/packages/entry/src/lib/HedgedAttempt.ts
@@ -1,6 +1,7 @@
 import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
 import {createLogger} from '@sycamorehead/telemetry';
-import type {AnswerFrame, AnswerSourceParts} from './answerTypes.js';
+import type {AnswerFrame} from './AnswerFrame.js';
+import type {AnswerSourceParts} from './answerTypes.js';
 import {Attempt, AttemptOptions} from './Attempt.js';
 import {ensureDispatchable} from './VersionResolver.js';
 
--- a/packages/entry/src/lib/PlainServiceProxy.ts
+++ b/packages/entry/src/lib/PlainServiceProxy.ts
@@ -2,7 +2,6 @@
   Bill,
   ControlApi,
   CustomerDeclaration,
-  ServiceCall,
   StoredAnswer,
   SycamoreheadError,
   computeDigest,
@@ -18,6 +17,7 @@
 import {findServiceCall, splitServicePath} from './findServiceCall.js';
 import {KeyedRequest} from './KeyedRequest.js';
 import {ServiceDispatcher} from './ServiceDispatcher.js';
+import type {ServiceTask} from './ServiceTask.js';
 
 const MAX_BODY_BYTES = 1024 * 1024;
 /** What an owner may take beyond its calls' limits to commit an outcome, in milliseconds. */
@@ -37,19 +37,6 @@
   readonly serviceMs: number;
 }
 
-/** One call on its way to a plain service. @public */
-export interface ServiceTask {
-  readonly exchange: Exchange;
-  readonly customer: CustomerDeclaration;
-  readonly service: string;
-  readonly path: string;
-  readonly call: ServiceCall;
-  readonly body: Buffer;
-  readonly revision: number;
-  readonly idempotencyKey?: string;
-  readonly requestKey: string;
-}
-
 /**
  * Serves `ANY /services/{service}/{path…}`. A call that may not be repeated runs at most once:
  * its intent is committed before its first byte leaves, its result together with its bill.
--- a/packages/entry/src/lib/ServiceDispatcher.ts
+++ b/packages/entry/src/lib/ServiceDispatcher.ts
@@ -11,7 +11,7 @@
 import type {BackendClient, ServiceAnswer} from './BackendClient.js';
 import type {ConfigurationManager} from './ConfigurationManager.js';
 import {findServiceCall} from './findServiceCall.js';
-import type {ServiceTask} from './PlainServiceProxy.js';
+import type {ServiceTask} from './ServiceTask.js';
 
 const log = createLogger('services');
 
--- a/packages/entry/src/lib/answerPlanners.ts
+++ b/packages/entry/src/lib/answerPlanners.ts
@@ -1,6 +1,6 @@
 import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
+import type {AnswerFrame} from './AnswerFrame.js';
 import type {
-  AnswerFrame,
   AnswerPlanner,
   ChatParts,
   ChatTask,
--- a/packages/entry/src/lib/answerTypes.ts
+++ b/packages/entry/src/lib/answerTypes.ts
@@ -12,6 +12,7 @@
 } from '@sycamorehead/schema';
 import type {RoutedRequest, Router} from '@sycamorehead/routing';
 import type {EntryMetrics} from '@sycamorehead/telemetry';
+import type {AnswerFrame} from './AnswerFrame.js';
 import type {BackendClient} from './BackendClient.js';
 import type {CommitQueue} from './CommitQueue.js';
 import type {ConfigurationManager} from './ConfigurationManager.js';
@@ -19,13 +20,6 @@
 import type {VersionFeedback} from './feedback/VersionFeedback.js';
 import type {VersionResolver} from './VersionResolver.js';
 
-/** One frame of an answer; the terminal one carries the usage. @public */
-export interface AnswerFrame {
-  readonly text: string;
-  readonly finishReason: 'stop' | 'length' | null;
-  readonly usage?: Usage;
-}
-
 /** What an AnswerSource works with. @public */
 export interface AnswerSourceParts {
   readonly router: Router;
--- a/packages/entry/src/lib/formatAnswer.ts
+++ b/packages/entry/src/lib/formatAnswer.ts
@@ -1,5 +1,6 @@
 import type {StoredAnswer} from '@sycamorehead/schema';
-import type {AnswerFrame, PlannedAnswer} from './answerTypes.js';
+import type {AnswerFrame} from './AnswerFrame.js';
+import type {PlannedAnswer} from './answerTypes.js';
 
 /** Formats one frame as a chunk of a streamed answer. @internal */
 export function formatChunk(id: string, model: string, frame: AnswerFrame) {
