A request is run or refused as unread, never both; bytes behind a whole request do not disturb its answer

Cause: after a freeze longer than the time for a head, node:http reports the head as late before it reads the bytes that have arrived; the refusal was written and the request taken afterwards. An unsafe request so ran after a 408, which promises that it never does. Found while reading: bytes that are no request behind a whole one put a 400 in front of its answer. Ruled out: the servers (one run, one good answer) and the retry budget (one send). Change: GatewayServer knows the request under way on each connection; a late head is refused only if nothing was read from its connection within 20 ms after, and nothing is taken from it after that.

--- a/packages/gateway/src/lib/GatewayServer.ts
+++ b/packages/gateway/src/lib/GatewayServer.ts
@@ -26,6 +26,10 @@
 const MAX_HEADER_BYTES = 64 * 1024;
 /** Time between looks for slow callers, in milliseconds. */
 const CHECK_INTERVAL_MS = 500;
+/** Time in which bytes that have arrived are read, in milliseconds. */
+const UNREAD_GRACE_MS = 20;
+/** What node:http calls a head that was not complete in time. */
+const HEAD_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
 const MAX_BACKLOG = 1_024;
 const IDLE_POLL_MS = 50;
 /** Time after a stop begins in which new requests are still served, in milliseconds: until the
@@ -54,6 +58,12 @@
   private stoppedAt = Infinity;
   private open = 0;
   private lastRequestAt = performance.now();
+  /** The request that is under way on each connection. */
+  private readonly underWay = new WeakMap<Socket, ServerResponse>();
+  /** The last request that was taken from each connection. */
+  private readonly taken = new WeakMap<Socket, IncomingMessage>();
+  /** Connections on which something unread was refused; nothing more is taken from them. */
+  private readonly refused = new WeakSet<Socket>();
 
   constructor(private readonly options: GatewayServerOptions) {
     this.server = http.createServer(
@@ -68,7 +78,7 @@
       (message, response) => void this.accept(message, response),
     );
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
-      refuseUnread(error, socket as Socket),
+      this.handleUnread(error, socket as Socket),
     );
   }
 
@@ -113,6 +123,11 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const {socket} = message;
+    if (this.refused.has(socket)) return;
+    this.underWay.set(socket, response);
+    this.taken.set(socket, message);
+    response.once('close', () => this.underWay.delete(socket));
     const {names} = this.options;
     this.open += 1;
     this.lastRequestAt = performance.now();
@@ -143,6 +158,31 @@
     }
   }
 
+  /** Handles bytes that are no request, and heads that come too slowly. */
+  private handleUnread(error: NodeJS.ErrnoException, socket: Socket): void {
+    const response = this.underWay.get(socket);
+    if (response?.req.complete) {
+      // The answer to the whole request before these bytes goes first.
+      response.shouldKeepAlive = false;
+      response.once('close', () => socket.destroySoon());
+      return;
+    }
+    const refuse = () => {
+      // Nothing that is still read from here may run.
+      this.refused.add(socket);
+      refuseUnread(error, socket);
+    };
+    if (error.code !== HEAD_TIMEOUT) {
+      refuse();
+      return;
+    }
+    // After a freeze the head may have arrived in time, and wait to be read.
+    const before = this.taken.get(socket);
+    setTimeout(() => {
+      if (this.taken.get(socket) === before) refuse();
+    }, UNREAD_GRACE_MS);
+  }
+
   /** What is taken late in a stop could not be finished. */
   private checkStopping(): void {
     if (performance.now() - this.stoppedAt < STILL_SERVED_MS) return;
@@ -166,7 +206,7 @@
 
 const PARSER_STATUSES: Readonly<Record<string, number>> = {
   HPE_HEADER_OVERFLOW: getErrorAnswer('header_too_large').status,
-  ERR_HTTP_REQUEST_TIMEOUT: 408,
+  [HEAD_TIMEOUT]: 408,
 };
 
 /** Answers what the parser did not take; nothing of it was forwarded. */
