--- a/packages/fleet/src/lib/planRollout.ts
+++ b/packages/fleet/src/lib/planRollout.ts
@@ -5,13 +5,10 @@
 const CANARY_MARGIN = 0.6;
 /** Part of the duration in which sessions stay on the old version. */
 const EARLY_PART = 0.5;
-/**
- * Share of the new version in the step between canary and all: entries put it on so few servers
- * that each carries more than a usual load, so that failures under load show before all is moved.
- */
-const MIDDLE_SHARE = 0.25;
+/** Share of the new version in the step between canary and all. */
+const MIDDLE_SHARE = 0.5;
 /** Time of the step between canary and all, as a part of the duration. */
-const MIDDLE_PART = 0.1;
+const MIDDLE_PART = 0.06;
 /** Part of the duration after which what still runs on the old version is no longer waited for. */
 const LAST_PART = 0.97;
 /** Time after the last step in which entries may still place work on the old version. */
--- a/packages/gateway/src/lib/VersionSplit.ts
+++ b/packages/gateway/src/lib/VersionSplit.ts
@@ -121,20 +121,13 @@
     service: string,
     side: VersionSide,
     servers: readonly KnownServer[],
-    tried: ReadonlySet<string> = new Set(),
   ): readonly KnownServer[] {
     const rollout = this.rollouts.get(service);
     if (!rollout) return servers;
     const isNew = ({listing}: KnownServer) =>
       listing.registration.version === rollout.target;
     const wanted = servers.filter(server => isNew(server) === (side === 'new'));
-    if (wanted.length > 0) {
-      const isSplit = side === 'new' && rollout.phase === 'in_progress';
-      const oldServers = servers.length - wanted.length;
-      return isSplit
-        ? pickCanaries(wanted, {oldServers, rollout, tried})
-        : wanted;
-    }
+    if (wanted.length > 0) return wanted;
     // Only what is completed or rolled back may fall back on the version that is left.
     return rollout.phase === 'in_progress' && side === 'old' ? wanted : servers;
   }
@@ -204,34 +197,6 @@
   }
 }
 
-interface CanaryLoad {
-  readonly oldServers: number;
-  readonly rollout: ServiceRollout;
-  /** Ids of servers that have already failed or refused the request. */
-  readonly tried: ReadonlySet<string>;
-}
-
-/**
- * Keeps as many servers of the new version as its share would load like those of the old one, the
- * same at every entry: a version that fails under load only shows it before it carries the load.
- */
-function pickCanaries(
-  servers: readonly KnownServer[],
-  {oldServers, rollout, tried}: CanaryLoad,
-): readonly KnownServer[] {
-  const {share, target} = rollout;
-  if (share >= 1 || oldServers === 0) return servers;
-  const count = Math.max(1, Math.floor((oldServers * share) / (1 - share)));
-  const rank = ({listing}: KnownServer) =>
-    hashText(`${target} ${listing.registration.id}`);
-  const ranked = [...servers].sort((left, right) => rank(left) - rank(right));
-  // What failed at one canary goes to another of the same version.
-  const fresh = ranked.filter(
-    ({listing}) => !tried.has(listing.registration.id),
-  );
-  return (fresh.length > 0 ? fresh : ranked).slice(0, count);
-}
-
 /** By order, then by how far it has come. */
 function isNewer(heard: ServiceRollout, known: ServiceRollout): boolean {
   if (heard.number !== known.number) return heard.number > known.number;
