--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -189,7 +189,7 @@
     const ready = servers
       .listReady(service.name)
       .filter(server => !versions.isBarred(server));
-    const permitted = versions.filterServers(service.name, side, ready, tried);
+    const permitted = versions.filterServers(service.name, side, ready);
     const open = permitted.filter(server => hasRoom(server, service));
     const fresh = open.filter(
       ({listing}) => !tried.has(listing.registration.id),
