--- a/packages/bench/src/lib/RouteDemo.ts
+++ b/packages/bench/src/lib/RouteDemo.ts
@@ -6,7 +6,11 @@
 import path from 'node:path';
 import {FleetNode} from '@sycamorehead/fleet';
 import {DEFAULT_HEADERS, Gateway} from '@sycamorehead/gateway';
-import type {JsonValue, RouteConfiguration} from '@sycamorehead/schema';
+import {
+  DEFAULT_CALLER_LIMITS,
+  JsonValue,
+  RouteConfiguration,
+} from '@sycamorehead/schema';
 
 const HOST = '127.0.0.1';
 const ROUTE_HOST = 'rota.example';
@@ -189,12 +193,7 @@
         engine: undefined,
       },
     ],
-    limits: {
-      maxHeaderBytes: 16_384,
-      maxBodyBytes: 1_048_576,
-      headerTimeoutMs: 3_000,
-      idleTimeoutMs: 15_000,
-    },
+    limits: DEFAULT_CALLER_LIMITS,
     customers: [{name: 'committee', keys: [key], priority: undefined}],
   };
 }
--- a/packages/consensus/src/lib/WireTransport.ts
+++ b/packages/consensus/src/lib/WireTransport.ts
@@ -41,19 +41,20 @@
 }
 
 /**
- * The methods that an instance offers to the other members of its shards.
+ * The methods that an instance offers to the other members of its shards. The members are listed
+ * for each message, as one may be replaced while the process runs.
  *
  * @example
  * ```ts
- * new WireServer({host, port, peerKey, methods: createConsensusMethods([node])});
+ * new WireServer({host, port, peerKey, methods: createConsensusMethods(() => [node])});
  * ```
  * @public
  */
 export function createConsensusMethods(
-  nodes: readonly RaftNode[],
+  listNodes: () => readonly RaftNode[],
 ): MethodTable {
   const findNode = (shard: number) => {
-    const node = nodes.find(({shard: own}) => own === shard);
+    const node = listNodes().find(({shard: own}) => own === shard);
     if (node) return node;
     throw new SycamoreheadError('not_found', `shard ${shard} is not here`);
   };
--- a/packages/control/src/lib/ControlInstance.ts
+++ b/packages/control/src/lib/ControlInstance.ts
@@ -106,7 +106,7 @@
       tls: this.options.peerTls,
       methods: {
         ...createControlMethods(node, forwarder),
-        ...createConsensusMethods(this.raft ? [this.raft] : []),
+        ...createConsensusMethods(() => (this.raft ? [this.raft] : [])),
       },
     });
     return {
--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -241,7 +241,7 @@
 
   private createMethods() {
     return {
-      ...this.createConsensusMethods(),
+      ...createConsensusMethods(() => [this.host.requireNode()]),
       ...this.commands.createMethods(),
       [FLEET_METHODS.sync]: (request: SyncRequest) => this.answerSync(request),
       [FLEET_METHODS.subscribe]: (
@@ -255,20 +255,6 @@
     };
   }
 
-  /** The member may be replaced while the process runs, so it is looked up for each message. */
-  private createConsensusMethods() {
-    const methods = createConsensusMethods([]);
-    return Object.fromEntries(
-      Object.keys(methods).map(name => [
-        name,
-        (params: never, link: PeerLink) => {
-          const node = this.host.requireNode();
-          return createConsensusMethods([node])[name]?.(params, link);
-        },
-      ]),
-    );
-  }
-
   private async answerSync(request: SyncRequest): Promise<SyncReply> {
     for (const registration of request.registrations) {
       this.takeRegistration(registration);
--- a/packages/fleet/src/lib/LogHost.ts
+++ b/packages/fleet/src/lib/LogHost.ts
@@ -11,7 +11,7 @@
 } from '@sycamorehead/consensus';
 import {JsonValue, SycamoreheadError} from '@sycamorehead/schema';
 import {createLogger, writeDecision} from '@sycamorehead/telemetry';
-import {FleetCommand, FleetState} from './FleetState.js';
+import {CommandResult, FleetCommand, FleetState} from './FleetState.js';
 
 const log = createLogger('fleet');
 
@@ -90,7 +90,7 @@
     const result = await this.requireNode().propose(
       command as unknown as JsonValue,
     );
-    return (result as {isChanged: boolean}).isChanged;
+    return (result as unknown as CommandResult).isChanged;
   }
 
   /** Hands leadership over and stops. */
--- a/packages/gateway/src/lib/AnswerTimes.ts
+++ b/packages/gateway/src/lib/AnswerTimes.ts
@@ -3,6 +3,22 @@
 /** Kinds of work remembered. */
 const MAX_KINDS = 2_000;
 
+/**
+ * Names a kind of work: a route, with the model that a send names.
+ *
+ * @example
+ * ```ts
+ * buildWorkKind('drafts', 'small'); // 'drafts small'
+ * ```
+ * @public
+ */
+export function buildWorkKind(
+  route: string,
+  model: string | undefined,
+): string {
+  return `${route} ${model ?? ''}`;
+}
+
 /**
  * The usual answer time of each kind of work, as a geometric mean that follows the load.
  *
--- a/packages/gateway/src/lib/CallerRequest.ts
+++ b/packages/gateway/src/lib/CallerRequest.ts
@@ -26,7 +26,6 @@
   /** How long the caller will wait from then, in milliseconds. */
   readonly waitMs: number | undefined;
   readonly promptTokens: number;
-  readonly maxAnswerTokens: number;
   readonly parts: readonly PromptPart[];
   body: Buffer;
 }
@@ -57,9 +56,7 @@
     const value = headers[name];
     return typeof value === 'string' && value !== '' ? value : undefined;
   };
-  const [promptTokens = 0, maxAnswerTokens = 0] = (read(names.tokenUsage) ?? '')
-    .split(',')
-    .map(readCount);
+  const [promptTokens = ''] = (read(names.tokenUsage) ?? '').split(',', 1);
   return {
     id: read(names.requestId) ?? refuse('expected a request id'),
     method: message.method ?? 'GET',
@@ -72,8 +69,7 @@
     lastEventId: read(names.lastEventId),
     arrivedAt: performance.now(),
     waitMs: readWait(read(names.deadlineMs)),
-    promptTokens,
-    maxAnswerTokens,
+    promptTokens: readCount(promptTokens),
     parts: readParts(read(names.prefix)),
     body: Buffer.alloc(0),
   };
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -19,7 +19,7 @@
   describeOutcome,
   sendAttempt,
 } from './sendAttempt.js';
-import type {AnswerResult} from './VersionSplit.js';
+import {SendRecord} from './SendRecord.js';
 import {writeRequestLine} from './writeRequestLine.js';
 
 /** Longest wait for a place, as a part of the target latency. */
@@ -51,8 +51,6 @@
   private fruitlessSends = 0;
   private isSentBefore = false;
   private readonly cascade: ModelCascade;
-  /** Model that the last send named. */
-  private sentModel: string | undefined;
   private lastEventId: string | undefined;
   private waitedMs = 0;
   private routeName = '';
@@ -124,11 +122,11 @@
       if (isMoved || !this.context.servers.isReady(place.server)) {
         return 'again';
       }
-      const sentAt = performance.now();
-      this.sentModel = model;
-      const outcome = await this.send(now, place, model);
-      this.noteOutcome(place, outcome);
-      return await this.handleOutcome(outcome, now, place, model, sentAt);
+      const {context, request} = this;
+      const send = new SendRecord(context, request, now, place, model);
+      const outcome = await this.runSend(send);
+      this.noteOutcome(send, outcome);
+      return await this.handleOutcome(outcome, send);
     } finally {
       place.release();
     }
@@ -159,12 +157,9 @@
     });
   }
 
-  private send(
-    target: RequestTarget,
-    place: Place,
-    model: string | undefined,
-  ): Promise<AttemptOutcome> {
+  private runSend(send: SendRecord): Promise<AttemptOutcome> {
     const {request, context, controller} = this;
+    const {target, place, model} = send;
     const {server} = place;
     const leftMs = this.limitAt - performance.now();
     const {address, id} = server.listing.registration;
@@ -184,7 +179,7 @@
       requestId: request.id,
       expectedServer: id,
       names: context.names,
-      patience: this.computePatience(target, place, model, leftMs),
+      patience: this.computePatience(send, leftMs),
       isServerHeard: () => context.servers.isHeard(server),
       signal: controller.signal,
     });
@@ -192,17 +187,15 @@
 
   /** How long to wait for the head of the answer. */
   private computePatience(
-    target: RequestTarget,
-    {server}: Place,
-    model: string | undefined,
+    {target, place, kind}: SendRecord,
     leftMs: number,
   ): Patience {
-    const {targetLatencyMs, name} = target.route;
+    const {pendingMs, othersPendingMs} = place.server;
     return computePatience({
       isRepeatable: this.isRepeatAllowed(target, this.runs + 1),
-      targetLatencyMs,
-      usualMs: this.context.times.getUsual(`${name} ${model ?? ''}`),
-      pendingMs: server.pendingMs + server.othersPendingMs,
+      targetLatencyMs: target.route.targetLatencyMs,
+      usualMs: this.context.times.getUsual(kind),
+      pendingMs: pendingMs + othersPendingMs,
       leftMs,
     });
   }
@@ -216,27 +209,17 @@
     });
   }
 
-  private noteOutcome({server}: Place, outcome: AttemptOutcome): void {
-    const {id, service} = server.listing.registration;
+  private noteOutcome(send: SendRecord, outcome: AttemptOutcome): void {
+    const {id} = send.place.server.listing.registration;
     this.tried.add(id);
     this.history.push(`${id}:${describeOutcome(outcome)}`);
-    this.context.metrics.noteAttempt(service, outcome.type);
     if (outcome.type !== 'unsent') this.isSentBefore = true;
-    if (outcome.type === 'refused' && outcome.isMisdirected) {
-      this.context.servers.noteReplaced(server);
-    }
-    if (this.controller.signal.aborted) return;
-    if (outcome.type === 'unsent' || outcome.type === 'lost') {
-      this.context.servers.noteFailure(server, outcome.reason);
-    }
+    send.noteOutcome(outcome, this.controller.signal.aborted);
   }
 
   private async handleOutcome(
     outcome: AttemptOutcome,
-    target: RequestTarget,
-    place: Place,
-    model: string | undefined,
-    sentAt: number,
+    send: SendRecord,
   ): Promise<NextStep> {
     switch (outcome.type) {
       case 'unsent':
@@ -244,11 +227,10 @@
         return this.handleFruitless(outcome);
       case 'lost':
         this.runs += 1;
-        this.noteEvidence(place, 'lost');
-        return this.handleUnknownRun(target, outcome.reason);
+        return this.handleUnknownRun(send.target, outcome.reason);
       case 'answered':
         this.runs += 1;
-        return this.handleAnswer(outcome.answer, target, place, model, sentAt);
+        return this.handleAnswer(outcome.answer, send);
     }
   }
 
@@ -269,13 +251,11 @@
 
   private async handleAnswer(
     serverAnswer: ServerAnswer,
-    target: RequestTarget,
-    place: Place,
-    model: string | undefined,
-    sentAt: number,
+    send: SendRecord,
   ): Promise<NextStep> {
     const {cascade} = this;
-    cascade.noteAnswer(model, serverAnswer.confidence);
+    const {target} = send;
+    cascade.noteAnswer(send.model, serverAnswer.confidence);
     const isWeak =
       serverAnswer.status === 200 &&
       !this.answer.isBegun &&
@@ -286,31 +266,38 @@
       return 'again';
     }
     const isError = serverAnswer.status >= 500;
-    if (isError) this.noteEvidence(place, 'failed');
+    if (isError) send.noteError();
     if (isError && this.isRepeatAllowed(target, this.runs)) {
       serverAnswer.cancel();
       return 'again';
     }
+    const result = await this.deliver(serverAnswer, send);
+    return this.handleDelivery(result, send);
+  }
+
+  private deliver(
+    serverAnswer: ServerAnswer,
+    send: SendRecord,
+  ): Promise<DeliveryResult> {
     const {servers} = this.context;
+    const {target, place} = send;
     const {server} = place;
     let ownBytesAt = performance.now();
-    const result = await deliverAnswer({
+    return deliverAnswer({
       serverAnswer,
       answer: this.answer,
       method: this.request.method,
       lastEventId: this.lastEventId,
-      names: this.context.names,
       patience: this.computePausePatience(target),
       isServerHeard: () =>
         server.heardAt > ownBytesAt && servers.isHeard(server),
       isResendPermitted: () => this.isResendPermitted(target.service.name),
-      onFirstBytes: () => this.noteFirstBytes(target, place, model, sentAt),
+      onFirstBytes: () => send.noteFirstBytes(),
       onBytes: () => {
         ownBytesAt = performance.now();
         server.heardAt = ownBytesAt;
       },
     });
-    return this.handleDelivery(result, target, place);
   }
 
   /** Starts over with a larger model, which any server may be asked for. */
@@ -321,49 +308,13 @@
     this.context.metrics.noteEscalation(route.name);
   }
 
-  private handleDelivery(
-    result: DeliveryResult,
-    target: RequestTarget,
-    place: Place,
-  ): NextStep {
+  private handleDelivery(result: DeliveryResult, send: SendRecord): NextStep {
     this.lastEventId = result.lastEventId;
     if (result.isComplete) return 'done';
     this.history.push('broken');
     if (this.answer.gone.aborted) return 'done';
-    this.noteEvidence(place, 'lost');
-    this.context.servers.noteFailure(place.server, result.reason);
-    return this.handleUnknownRun(target, result.reason);
-  }
-
-  private noteFirstBytes(
-    target: RequestTarget,
-    place: Place,
-    model: string | undefined,
-    sentAt: number,
-  ): void {
-    const {context, request} = this;
-    const timeMs = performance.now() - sentAt;
-    place.noteStarted();
-    if (model !== undefined && place.isAlone) {
-      context.rates.noteRead(model, place.tokensToRead, timeMs);
-    }
-    context.metrics.noteFirstByte(performance.now() - request.arrivedAt);
-    const kind = `${target.route.name} ${model ?? ''}`;
-    const ratio = context.times.noteTime(kind, timeMs);
-    context.servers.noteAnswer(place.server, ratio);
-    this.noteEvidence(place, 'answered', timeMs);
-    if (model === undefined) return;
-    const keys = request.parts.map(({id}) => `${model} ${id}`);
-    context.servers.noteParts(place.server, keys);
-  }
-
-  private noteEvidence(
-    {server}: Place,
-    result: AnswerResult,
-    timeMs?: number,
-  ): void {
-    const kind = `${this.routeName} ${this.sentModel ?? ''}`;
-    this.context.versions.noteAnswer(server, kind, result, timeMs);
+    send.noteBroken(result.reason);
+    return this.handleUnknownRun(send.target, result.reason);
   }
 
   /** Whether the request may run once more after so many runs. */
--- a/packages/gateway/src/lib/GatewayServer.ts
+++ b/packages/gateway/src/lib/GatewayServer.ts
@@ -3,6 +3,7 @@
 import type {AddressInfo, Socket} from 'node:net';
 import type {CallerLimits} from '@sycamorehead/schema';
 import {
+  DEFAULT_CALLER_LIMITS,
   SycamoreheadError,
   getErrorAnswer,
   toSycamoreheadError,
@@ -15,13 +16,6 @@
 
 const log = createLogger('gateway');
 
-/** Limits before the first configuration. */
-const DEFAULT_LIMITS: CallerLimits = {
-  maxHeaderBytes: 16_384,
-  maxBodyBytes: 4 * 1024 * 1024,
-  headerTimeoutMs: 3_000,
-  idleTimeoutMs: 15_000,
-};
 /** Largest head that the parser takes; the configured limit may be lower. */
 const MAX_HEADER_BYTES = 64 * 1024;
 /** Time between looks for slow callers, in milliseconds. */
@@ -54,14 +48,12 @@
  */
 export class GatewayServer {
   private readonly server: Server;
-  private limits = DEFAULT_LIMITS;
+  private limits: CallerLimits = DEFAULT_CALLER_LIMITS;
   private stoppedAt = Infinity;
   private open = 0;
   private lastRequestAt = performance.now();
-  /** The request that is under way on each connection. */
-  private readonly underWay = new WeakMap<Socket, ServerResponse>();
-  /** The last request that was taken from each connection. */
-  private readonly taken = new WeakMap<Socket, IncomingMessage>();
+  /** The answer to the last request that was taken from each connection. */
+  private readonly lastAnswers = new WeakMap<Socket, ServerResponse>();
   /** Connections on which something unread was refused; nothing more is taken from them. */
   private readonly refused = new WeakSet<Socket>();
 
@@ -70,8 +62,8 @@
       {
         maxHeaderSize: MAX_HEADER_BYTES,
         connectionsCheckingInterval: CHECK_INTERVAL_MS,
-        keepAliveTimeout: DEFAULT_LIMITS.idleTimeoutMs,
-        headersTimeout: DEFAULT_LIMITS.headerTimeoutMs,
+        keepAliveTimeout: DEFAULT_CALLER_LIMITS.idleTimeoutMs,
+        headersTimeout: DEFAULT_CALLER_LIMITS.headerTimeoutMs,
         requestTimeout: 0,
         noDelay: true,
       },
@@ -125,9 +117,7 @@
   ): Promise<void> {
     const {socket} = message;
     if (this.refused.has(socket)) return;
-    this.underWay.set(socket, response);
-    this.taken.set(socket, message);
-    response.once('close', () => this.underWay.delete(socket));
+    this.lastAnswers.set(socket, response);
     const {names} = this.options;
     this.open += 1;
     this.lastRequestAt = performance.now();
@@ -160,11 +150,11 @@
 
   /** Handles bytes that are no request, and heads that come too slowly. */
   private handleUnread(error: NodeJS.ErrnoException, socket: Socket): void {
-    const response = this.underWay.get(socket);
-    if (response?.req.complete) {
+    const last = this.lastAnswers.get(socket);
+    if (last && !last.closed && last.req.complete) {
       // The answer to the whole request before these bytes goes first.
-      response.shouldKeepAlive = false;
-      response.once('close', () => socket.destroySoon());
+      last.shouldKeepAlive = false;
+      last.once('close', () => socket.destroySoon());
       return;
     }
     const refuse = () => {
@@ -177,9 +167,8 @@
       return;
     }
     // After a freeze the head may have arrived in time, and wait to be read.
-    const before = this.taken.get(socket);
     setTimeout(() => {
-      if (this.taken.get(socket) === before) refuse();
+      if (this.lastAnswers.get(socket) === last) refuse();
     }, UNREAD_GRACE_MS);
   }
 
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -6,7 +6,7 @@
   chooseOwner,
   scoreServer,
 } from '@sycamorehead/routing';
-import type {AnswerTimes} from './AnswerTimes.js';
+import {AnswerTimes, buildWorkKind} from './AnswerTimes.js';
 import type {CallerRequest, PromptPart} from './CallerRequest.js';
 import type {KnownServer, ServerTable} from './ServerTable.js';
 import type {VersionSide, VersionSplit} from './VersionSplit.js';
@@ -167,7 +167,8 @@
     const tokensToRead = Math.max(0, request.promptTokens - kept);
     const ownMs = service.engine
       ? rates.estimateMs(model ?? '', tokensToRead)
-      : (times.getUsual(`${route} `) ?? 0) / Math.max(1, registration.slots);
+      : (times.getUsual(buildWorkKind(route, model)) ?? 0) /
+        Math.max(1, registration.slots);
     const pendingMs = server.pendingMs + server.othersPendingMs;
     const score = scoreServer(policy, {
       load: server.inFlight + server.othersInFlight,
--- a/packages/gateway/src/lib/RouteTable.ts
+++ b/packages/gateway/src/lib/RouteTable.ts
@@ -22,7 +22,7 @@
   private readonly holders = new Map<string, KeyHolder>();
   private readonly services = new Map<string, RoutedService>();
 
-  constructor(readonly configuration: RouteConfiguration) {
+  constructor(configuration: RouteConfiguration) {
     this.version = configuration.version;
     this.hasKeys = configuration.customers !== undefined;
     for (const route of configuration.routes) this.addRoute(route);
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -75,11 +75,10 @@
   }
 
   /** Notes that a server has answered, and how its time compares with the usual. */
-  noteAnswer(server: KnownServer, timeRatio: number | undefined): void {
+  noteAnswer(server: KnownServer, timeRatio: number): void {
     server.failures = 0;
     server.heardAt = performance.now();
     server.ejectedUntil = 0;
-    if (timeRatio === undefined) return;
     const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, timeRatio));
     server.slowness += (bounded - server.slowness) * SLOWNESS_GAIN;
   }
--- a/packages/gateway/src/lib/VersionSplit.ts
+++ b/packages/gateway/src/lib/VersionSplit.ts
@@ -3,7 +3,7 @@
   ServiceRollout,
   VersionCounts,
 } from '@sycamorehead/schema';
-import {hashText} from '@sycamorehead/routing';
+import {hashToShare} from '@sycamorehead/routing';
 import {writeDecision} from '@sycamorehead/telemetry';
 import type {KnownServer} from './ServerTable.js';
 
@@ -11,7 +11,6 @@
 const MAX_SESSIONS = 20_000;
 /** Time within which further losses of a server's answers are taken for the same event, in ms. */
 const LOSS_PAUSE_MS = 2_000;
-const HASH_RANGE = 2 ** 32;
 
 /** Which version of a service a request goes to, as far as a roll-out says. @public */
 export type VersionSide = 'old' | 'new';
@@ -171,9 +170,7 @@
     const pin = this.findPin(rollout.service, session);
     if (pin === 'new') return 'new';
     if (pin === 'old' && rollout.isEarly) return 'old';
-    return hashText(session ?? requestId) / HASH_RANGE < rollout.share
-      ? 'new'
-      : 'old';
+    return hashToShare(session ?? requestId) < rollout.share ? 'new' : 'old';
   }
 
   private findPin(
--- a/packages/gateway/src/lib/deliverAnswer.ts
+++ b/packages/gateway/src/lib/deliverAnswer.ts
@@ -2,7 +2,7 @@
 import type {Patience} from '@sycamorehead/routing';
 import type {CallerAnswer} from './CallerAnswer.js';
 import {EventSplitter} from './EventSplitter.js';
-import {HeaderNames, copyEndToEndHeaders} from './headerNames.js';
+import {copyEndToEndHeaders} from './headerNames.js';
 import {PatienceTimer} from './PatienceTimer.js';
 import type {ServerAnswer} from './sendAttempt.js';
 
@@ -19,7 +19,6 @@
   readonly method: string;
   /** Event behind which the stream goes on. */
   readonly lastEventId: string | undefined;
-  readonly names: HeaderNames;
   /** How long the server may stay silent before the next piece. */
   readonly patience: Patience;
   /** Whether the server was heard lately, on any connection. */
--- a/packages/gateway/src/lib/refusals.ts
+++ b/packages/gateway/src/lib/refusals.ts
@@ -24,6 +24,22 @@
   });
 }
 
+/**
+ * Builds the error of a request that arrives before the first configuration.
+ *
+ * @example
+ * ```ts
+ * buildUnconfigured().kind; // 'no_configuration'
+ * ```
+ * @public
+ */
+export function buildUnconfigured(): SycamoreheadError {
+  return new SycamoreheadError('no_configuration', 'no configuration yet', {
+    ran: 'no',
+    retryAfterMs: spreadRetryAfter(),
+  });
+}
+
 /**
  * Builds the error of a request whose time is up.
  *
@@ -40,8 +56,7 @@
 }
 
 /**
- * Replaces a refusal that would promise too much, and tells refused callers when to come back,
- * spread so that they do not return all at once.
+ * Replaces a refusal that would promise too much, and spreads the return of refused callers.
  *
  * @example
  * ```ts
@@ -53,13 +68,6 @@
   error: SycamoreheadError,
   mayHaveRun: boolean,
 ): SycamoreheadError {
-  if (error.kind === 'no_configuration') {
-    const retryAfterMs = spreadRetryAfter();
-    return new SycamoreheadError(error.kind, error.message, {
-      ran: 'no',
-      retryAfterMs,
-    });
-  }
   if (error.kind !== 'overloaded') return error;
   return buildRefusal(error.message, mayHaveRun);
 }
--- a/packages/gateway/src/lib/resolveTarget.ts
+++ b/packages/gateway/src/lib/resolveTarget.ts
@@ -3,13 +3,13 @@
   RoutedService,
   SycamoreheadError,
 } from '@sycamorehead/schema';
-import {hashText} from '@sycamorehead/routing';
+import {hashToShare} from '@sycamorehead/routing';
 import type {CallerRequest} from './CallerRequest.js';
+import {buildUnconfigured} from './refusals.js';
 import type {RouteTable} from './RouteTable.js';
 
 /** Where a request goes by the configuration in force. @public */
 export interface RequestTarget {
-  readonly version: number;
   readonly route: RouteDeclaration;
   readonly service: RoutedService;
   /** Absent where requests carry no keys. */
@@ -17,8 +17,6 @@
   readonly priority: number;
 }
 
-const HASH_RANGE = 2 ** 32;
-
 /**
  * Finds where a request goes. Called again before each send, so that a changed configuration is
  * obeyed by requests that waited.
@@ -34,9 +32,7 @@
   routes: RouteTable | undefined,
   request: CallerRequest,
 ): RequestTarget {
-  if (!routes) {
-    throw new SycamoreheadError('no_configuration', 'no configuration yet');
-  }
+  if (!routes) throw buildUnconfigured();
   const route = routes.findRoute(request.host, request.path);
   if (!route) {
     throw new SycamoreheadError('not_found', 'no route has this path');
@@ -49,7 +45,6 @@
   const service = routes.findService(pickService(route, request.id));
   if (!service) throw new SycamoreheadError('unknown_service', route.name);
   return {
-    version: routes.version,
     route,
     service,
     customer: holder?.customer,
@@ -81,7 +76,7 @@
 /** Spreads requests over the services by weight; one request always gets the same. */
 function pickService({services}: RouteDeclaration, id: string): string {
   const total = services.reduce((sum, {weight}) => sum + weight, 0);
-  let left = (hashText(id) / HASH_RANGE) * total;
+  let left = hashToShare(id) * total;
   for (const {service, weight} of services) {
     left -= weight;
     if (left < 0) return service;
--- a/packages/gateway/src/test/FakeServer.ts
+++ b/packages/gateway/src/test/FakeServer.ts
@@ -107,33 +107,36 @@
 
 /** A sound answer to a request, signed and with its id. */
 export function formatAnswer(
-  {headers}: ReceivedRequest,
+  request: ReceivedRequest,
   body: string,
   extra: readonly string[] = [],
 ): string {
-  return [
-    'HTTP/1.1 200 OK',
-    `X-Request-Id: ${headers.get('x-request-id')}`,
-    'X-Signature: signed',
-    `Content-Length: ${body.length}`,
-    ...extra,
-    '',
-    body,
-  ].join('\r\n');
+  return (
+    formatHead(request, [`Content-Length: ${body.length}`, ...extra]) + body
+  );
 }
 
 /** The head of a stream of events in chunks. */
 export function formatStreamHead(
-  {headers}: ReceivedRequest,
+  request: ReceivedRequest,
   extra: readonly string[] = [],
+): string {
+  return formatHead(request, [
+    'Content-Type: text/event-stream',
+    'Transfer-Encoding: chunked',
+    ...extra,
+  ]);
+}
+
+function formatHead(
+  {headers}: ReceivedRequest,
+  fields: readonly string[],
 ): string {
   return [
     'HTTP/1.1 200 OK',
     `X-Request-Id: ${headers.get('x-request-id')}`,
     'X-Signature: signed',
-    'Content-Type: text/event-stream',
-    'Transfer-Encoding: chunked',
-    ...extra,
+    ...fields,
     '',
     '',
   ].join('\r\n');
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -53,7 +53,7 @@
   ServerCandidate,
   ForwardPolicy,
 } from './lib/forwarding/scoreServer.js';
-export {chooseOwner, hashText} from './lib/forwarding/chooseOwner.js';
+export {chooseOwner, hashToShare} from './lib/forwarding/chooseOwner.js';
 export {ReadRates} from './lib/forwarding/ReadRates.js';
 export {
   computePatience,
--- a/packages/routing/src/lib/forwarding/chooseOwner.ts
+++ b/packages/routing/src/lib/forwarding/chooseOwner.ts
@@ -1,5 +1,6 @@
 const FNV_OFFSET = 2_166_136_261;
 const FNV_PRIME = 16_777_619;
+const HASH_RANGE = 2 ** 32;
 
 /**
  * Chooses the owner of a key among servers by rendezvous hashing: every entry chooses the same
@@ -26,6 +27,19 @@
   return owner;
 }
 
+/**
+ * Hashes a text to a number in [0, 1), the same at every entry.
+ *
+ * @example
+ * ```ts
+ * hashToShare(session) < share;
+ * ```
+ * @public
+ */
+export function hashToShare(text: string): number {
+  return hashText(text) / HASH_RANGE;
+}
+
 /**
  * Hashes a text to 32 bits.
  *
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -74,7 +74,10 @@
 } from './lib/configurationDelta.js';
 export type {ConfigurationDelta, TableDelta} from './lib/configurationDelta.js';
 export {validateInput} from './lib/validateInput.js';
-export {checkRouteConfiguration} from './lib/routeConfiguration.js';
+export {
+  DEFAULT_CALLER_LIMITS,
+  checkRouteConfiguration,
+} from './lib/routeConfiguration.js';
 export type {
   CallerLimits,
   CustomerKeys,
--- a/packages/schema/src/lib/routeConfiguration.ts
+++ b/packages/schema/src/lib/routeConfiguration.ts
@@ -75,6 +75,14 @@
   readonly idleTimeoutMs: number;
 }
 
+/** Limits before the first configuration, and where a configuration leaves them out. @public */
+export const DEFAULT_CALLER_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 4 * 1024 * 1024,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+
 /** A customer with the keys that name it. @public */
 export interface CustomerKeys {
   readonly name: string;
