A read of what is in force waits for a check that sees its revision

Not a change of leader, as suspected. Change: callers join the check that runs; a read first waits for one that began earlier, which may be about an older revision. Ruled out: the log (the commit came, after the read).

--- a/packages/control/src/lib/configuration/ConfigurationService.ts
+++ b/packages/control/src/lib/configuration/ConfigurationService.ts
@@ -55,7 +55,8 @@
   private readonly history = new ConfigurationHistory();
   private readonly watchers = new RevisionWatchers();
   private timer: NodeJS.Timeout | undefined;
-  private isChecking = false;
+  /** The check that is under way. */
+  private running: Promise<void> | undefined;
   private isStopped = false;
 
   constructor(private readonly options: ConfigurationServiceOptions) {
@@ -122,6 +123,8 @@
   /** Reads what is in force, confirmed with a quorum. */
   async readInForce(): Promise<InForceReport> {
     await this.confirm();
+    // A check that began earlier may be about an older revision.
+    await this.running;
     await this.check();
     const {state} = this.options;
     const configuration = state.getConfiguration();
@@ -158,13 +161,19 @@
     this.timer.unref();
   }
 
-  /** Commits that the newest revision is in force, once it is. */
-  private async check(): Promise<void> {
+  /** Commits that the newest revision is in force, once it is; one check runs at a time. */
+  private check(): Promise<void> {
+    this.running ??= this.runCheck().finally(() => {
+      this.running = undefined;
+    });
+    return this.running;
+  }
+
+  private async runCheck(): Promise<void> {
     const {log: replicatedLog, state, markInForce} = this.options;
     const {revision} = state.getConfiguration();
-    if (this.isChecking || this.isStopped) return;
+    if (this.isStopped) return;
     if (replicatedLog.getStatus().role !== 'leader') return;
-    this.isChecking = true;
     try {
       await this.confirm();
       if (state.getInForceRevision() >= revision) return;
@@ -173,8 +182,6 @@
     } catch (error) {
       log('in_force_not_checked', {error: String(error)});
       this.scheduleCheck();
-    } finally {
-      this.isChecking = false;
     }
   }
 }
