Servers that leave or ask for a pause in an answer get no new work from that entry

Change: sendAttempt reads both from the head of an answer of the expected server; ServerNotices keeps them by incarnation, apart from the listings, so that a listing that expires and returns brings no leaving server back. Held and leaving servers are out of placement, queued requests included; when none accepts, the caller is refused at once with the soonest time. After a pause a server gets one request at a time until it answers. A pause is neither a failure nor evidence. Entries tell each other what they heard in the exchange of load.

--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -29,6 +29,7 @@
     const now = performance.now();
     this.entries.set(request.entry, {request, receivedAt: now});
     const load: Record<string, ServerLoad> = {};
+    const leaving = new Set<string>();
     let entries = 0;
     for (const [name, usage] of this.entries) {
       const ageMs = now - usage.receivedAt;
@@ -36,12 +37,13 @@
       if (ageMs > LOAD_EXPIRY_MS) continue;
       entries += 1;
       if (name === request.entry) continue;
+      for (const key of usage.request.leaving ?? []) leaving.add(key);
       for (const [id, [inFlight, pendingMs]] of listLoad(usage)) {
         const known = load[id] ?? [0, 0];
         load[id] = [known[0] + inFlight, known[1] + pendingMs];
       }
     }
-    return {entries, load};
+    return {entries, load, leaving: [...leaving]};
   }
 
   /** Counts the requests of all entries in flight on the given backend servers. */
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -125,10 +125,17 @@
   readonly entry: string;
   readonly load: LoadTable;
   readonly evidence: readonly RolloutEvidence[];
+  /**
+   * Incarnations of servers that told this entry that they leave, `ID STARTED_AT_MS`; absent from
+   * earlier builds.
+   */
+  readonly leaving?: readonly string[];
 }
 
 /** Load of the other entries; answer to `fleet.exchange`. @public */
 export interface ExchangeReply {
   readonly entries: number;
   readonly load: LoadTable;
+  /** Incarnations of servers that told other entries that they leave; absent from earlier builds. */
+  readonly leaving?: readonly string[];
 }
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -126,7 +126,7 @@
         current.customer !== target.customer;
       if (
         hasTargetChanged ||
-        !this.context.servers.isReady(reservation.server)
+        !this.context.servers.isAccepting(reservation.server)
       ) {
         return 'again';
       }
@@ -195,6 +195,7 @@
       names: context.names,
       headTimeouts: this.computeHeadTimeouts(send, leftMs),
       isServerActive: () => context.servers.isActive(server),
+      onServerNotice: notice => send.recordNotice(notice),
       signal: controller.signal,
     });
   }
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -165,9 +165,11 @@
         entry: this.options.name,
         load: this.servers.listLoad(),
         evidence: this.versions.listEvidence(),
+        leaving: this.servers.notices.listLeaving(),
       });
       this.budgets.entryCount = reply.entries;
       this.servers.setOthersLoad(reply.load);
+      this.servers.notices.addLeaving(reply.leaving ?? []);
       this.placement.offerSlots();
     } catch (error) {
       log('exchange_failed', {error: String(error)});
--- a/packages/gateway/src/lib/GatewayMetrics.ts
+++ b/packages/gateway/src/lib/GatewayMetrics.ts
@@ -23,6 +23,9 @@
   private readonly escalations = this.createCounter('escalations_total', [
     'route',
   ]);
+  private readonly holds = this.createCounter('server_holds_total', [
+    'service',
+  ]);
   private readonly waits = this.createHistogram('queue_wait_seconds');
   private readonly firstBytes = this.createHistogram('first_byte_seconds');
   private readonly waiting = new Gauge({
@@ -46,6 +49,11 @@
     this.escalations.inc({route});
   }
 
+  /** Counts an answer by which a backend server asks for a pause. */
+  recordHold(service: string): void {
+    this.holds.inc({service});
+  }
+
   /** Records how long a request waited for a slot. */
   recordWait(ms: number): void {
     this.waits.observe(ms / 1_000);
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -8,6 +8,7 @@
 } from '@sycamorehead/routing';
 import {AnswerTimes, buildWorkKind} from './AnswerTimes.js';
 import type {CallerRequest, PromptSegment} from './CallerRequest.js';
+import {buildRefusal} from './refusals.js';
 import type {KnownServer, ServerTable} from './ServerTable.js';
 import type {VersionVariant, VersionSplit} from './VersionSplit.js';
 
@@ -126,6 +127,7 @@
   private tryReserveSlot(
     demand: PlacementRequest,
   ): SlotReservation | undefined {
+    this.refuseIfClosed(demand);
     const choice = this.chooseServer(demand);
     if (!choice) return undefined;
     const {server, ownMs, tokensToPrefill} = choice;
@@ -154,6 +156,26 @@
     };
   }
 
+  /**
+   * Refuses a request at once if all servers of its service leave or want no requests yet. While no
+   * server is known at all, the first listing may be on its way.
+   */
+  private refuseIfClosed({service}: PlacementRequest): void {
+    const {servers} = this.options;
+    const ready = servers.listReady(service.name);
+    if (ready.length === 0) {
+      if (!servers.hasServers(service.name)) return;
+      throw buildRefusal('every server leaves', false);
+    }
+    const holdMs = Math.min(
+      ...ready.map(({listing}) =>
+        servers.notices.getHoldMs(listing.registration),
+      ),
+    );
+    if (holdMs <= 0) return;
+    throw buildRefusal('every server wants a pause', false, holdMs);
+  }
+
   private chooseServer(demand: PlacementRequest): Choice | undefined {
     const usable = this.listUsable(demand);
     const preferred = findPreferredServer(demand, usable);
@@ -211,9 +233,13 @@
     const now = performance.now();
     const ready = servers
       .listReady(service.name)
-      .filter(server => !versions.isRolledBack(server));
+      .filter(
+        server => servers.isAccepting(server) && !versions.isRolledBack(server),
+      );
     const permitted = versions.filterServers(service.name, variant, ready);
-    const available = permitted.filter(server => hasCapacity(server, service));
+    const available = permitted.filter(server =>
+      this.hasCapacity(server, service),
+    );
     const untried = available.filter(
       ({listing}) => !tried.has(listing.registration.id),
     );
@@ -221,6 +247,16 @@
     return [healthy, untried, available].find(({length}) => length > 0) ?? [];
   }
 
+  private hasCapacity(server: KnownServer, {engine}: RoutedService): boolean {
+    const {registration} = server.listing;
+    const {slots} = registration;
+    if (this.options.servers.notices.isReturning(registration)) {
+      return server.inFlight === 0;
+    }
+    const load = server.inFlight + server.othersInFlight;
+    return load < (engine ? slots : slots * (1 + OVERCOMMIT_FRACTION));
+  }
+
   private getQueue(service: string): PlacementQueue {
     const known = this.queues.get(service);
     if (known) return known;
@@ -230,12 +266,6 @@
   }
 }
 
-function hasCapacity(server: KnownServer, {engine}: RoutedService): boolean {
-  const {slots} = server.listing.registration;
-  const load = server.inFlight + server.othersInFlight;
-  return load < (engine ? slots : slots * (1 + OVERCOMMIT_FRACTION));
-}
-
 /** Finds the server that every entry prefers for the last shared segment of the prompt. */
 function findPreferredServer(
   {request, model}: PlacementRequest,
--- a/packages/gateway/src/lib/SendRecord.ts
+++ b/packages/gateway/src/lib/SendRecord.ts
@@ -4,6 +4,7 @@
 import type {SlotReservation} from './Placement.js';
 import type {RequestTarget} from './resolveTarget.js';
 import type {AttemptOutcome} from './sendAttempt.js';
+import type {ServerNotice} from './ServerNotices.js';
 import type {AnswerResult} from './VersionSplit.js';
 
 /**
@@ -16,6 +17,7 @@
   /** Kind of work; answer times are tracked for each kind. */
   readonly kind: string;
   private readonly sentAt = performance.now();
+  private isHeld = false;
 
   constructor(
     private readonly context: ForwardContext,
@@ -46,8 +48,20 @@
     if (outcome.type === 'lost') this.recordEvidence('lost');
   }
 
-  /** Records that the server answered with an error of its own. */
+  /** Records that the server leaves or wants a pause; both concern waiting requests too. */
+  recordNotice(notice: ServerNotice): void {
+    const {servers, metrics, placement} = this.context;
+    const {registration} = this.reservation.server.listing;
+    if (notice.holdMs !== undefined) {
+      this.isHeld = true;
+      metrics.recordHold(registration.service);
+    }
+    if (servers.notices.record(registration, notice)) placement.offerSlots();
+  }
+
+  /** Records that the server answered with an error of its own; a request for a pause is none. */
   recordError(): void {
+    if (this.isHeld) return;
     this.recordEvidence('failed');
   }
 
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -7,6 +7,7 @@
 import {ServerRegistration, isNewerRegistration} from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 import {ServerAgent} from './ServerAgent.js';
+import {ServerNotices} from './ServerNotices.js';
 
 /** Maximum number of idle connections that are retained to one backend server. */
 const MAX_IDLE_CONNECTIONS = 24;
@@ -63,6 +64,7 @@
  * @public
  */
 export class ServerTable {
+  readonly notices = new ServerNotices();
   private readonly servers = new Map<string, KnownServer>();
 
   // Commands.
@@ -85,6 +87,7 @@
   /** Records that a server has answered, and the ratio of its time to the typical time. */
   recordAnswer(server: KnownServer, timeRatio: number): void {
     server.failures = 0;
+    this.notices.recordAnswer(server.listing.registration);
     server.lastReceivedAt = performance.now();
     server.ejectedUntil = 0;
     const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, timeRatio));
@@ -132,18 +135,32 @@
     return performance.now() - lastReceivedAt < ACTIVE_MS;
   }
 
-  /** Lists the servers of a service that accept new work. */
+  /** Lists the servers of a service that do not leave; some may be held. */
   listReady(service: string): KnownServer[] {
     return [...this.servers.values()].filter(
       ({listing: {registration}}) =>
-        registration.service === service && registration.state === 'ready',
+        registration.service === service &&
+        registration.state === 'ready' &&
+        !this.notices.isLeaving(registration),
     );
   }
 
-  /** Returns whether this incarnation of a server still accepts new work. */
-  isReady(server: KnownServer): boolean {
-    const {id, state} = server.listing.registration;
-    return this.servers.get(id) === server && state === 'ready';
+  /** Returns whether any server of a service is known, even one that leaves. */
+  hasServers(service: string): boolean {
+    return [...this.servers.values()].some(
+      ({listing}) => listing.registration.service === service,
+    );
+  }
+
+  /** Returns whether this incarnation of a server accepts new work now. */
+  isAccepting(server: KnownServer): boolean {
+    const {registration} = server.listing;
+    return (
+      this.servers.get(registration.id) === server &&
+      registration.state === 'ready' &&
+      !this.notices.isLeaving(registration) &&
+      this.notices.getHoldMs(registration) === 0
+    );
   }
 
   /** Whether no server is known. */
--- a/packages/gateway/src/lib/defaultHeaders.ts
+++ b/packages/gateway/src/lib/defaultHeaders.ts
@@ -9,6 +9,7 @@
   expectServer: 'syc-expect-server',
   serverId: 'syc-server-id',
   notExecuted: 'syc-not-executed',
+  serverLeaving: 'syc-server-leaving',
   signature: 'syc-signature',
   model: 'syc-model',
   tokenUsage: 'syc-token-usage',
--- a/packages/gateway/src/lib/headerNames.ts
+++ b/packages/gateway/src/lib/headerNames.ts
@@ -13,6 +13,8 @@
   readonly serverId: string;
   /** Present on an answer that guarantees that the request was not run. */
   readonly notExecuted: string;
+  /** Set to 1 on the answers of a backend server that is leaving. */
+  readonly serverLeaving: string;
   /** A backend server's signature of its answer. */
   readonly signature: string;
   readonly model: string;
--- a/packages/gateway/src/lib/refusals.ts
+++ b/packages/gateway/src/lib/refusals.ts
@@ -1,10 +1,12 @@
 import {SycamoreheadError} from '@sycamorehead/schema';
 
 /**
- * Minimum retry delay for refused callers, in milliseconds; a random delay of up to the same
- * length is added.
+ * Minimum retry delay for refused callers, in milliseconds, and minimum range of the random delay
+ * that is added.
  */
 const RETRY_AFTER_MS = 250;
+/** Maximum random prolongation of a longer retry delay, as a fraction. */
+const SPREAD_FRACTION = 0.25;
 
 /**
  * Builds the error of a request that is not sent to any further server. A request that may have
@@ -19,11 +21,12 @@
 export function buildRefusal(
   message: string,
   mayHaveRun: boolean,
+  retryAfterMs = RETRY_AFTER_MS,
 ): SycamoreheadError {
   if (mayHaveRun) return new SycamoreheadError('outcome_unknown', message);
   return new SycamoreheadError('overloaded', message, {
     ran: 'no',
-    retryAfterMs: computeRetryAfter(),
+    retryAfterMs: computeSpreadDelay(retryAfterMs),
   });
 }
 
@@ -39,7 +42,7 @@
 export function buildUnconfigured(): SycamoreheadError {
   return new SycamoreheadError('no_configuration', 'no configuration yet', {
     ran: 'no',
-    retryAfterMs: computeRetryAfter(),
+    retryAfterMs: computeSpreadDelay(RETRY_AFTER_MS),
   });
 }
 
@@ -73,9 +76,10 @@
   mayHaveRun: boolean,
 ): SycamoreheadError {
   if (error.kind !== 'overloaded') return error;
-  return buildRefusal(error.message, mayHaveRun);
+  return buildRefusal(error.message, mayHaveRun, error.retryAfterMs);
 }
 
-function computeRetryAfter(): number {
-  return RETRY_AFTER_MS * (1 + Math.random());
+/** Adds a random delay, so that refused callers do not return at the same moment. */
+function computeSpreadDelay(ms: number): number {
+  return ms + Math.max(ms * SPREAD_FRACTION, RETRY_AFTER_MS) * Math.random();
 }
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -1,9 +1,10 @@
 import http from 'node:http';
 import type {IncomingMessage} from 'node:http';
-import type {SilenceTimeouts} from '@sycamorehead/routing';
+import {SilenceTimeouts, parseRetryAfter} from '@sycamorehead/routing';
 import type {HeaderNames} from './headerNames.js';
 import {SilenceTimer} from './SilenceTimer.js';
 import type {ServerAgent} from './ServerAgent.js';
+import type {ServerNotice} from './ServerNotices.js';
 
 /** Time allowed for a new connection, in milliseconds; data centres are milliseconds apart. */
 const CONNECT_TIMEOUT_MS = 350;
@@ -27,6 +28,8 @@
   readonly headTimeouts: SilenceTimeouts;
   /** Returns whether anything was recently received from the server, on any connection. */
   isServerActive(): boolean;
+  /** Called before the outcome is known if the server says that it leaves or wants a pause. */
+  onServerNotice(notice: ServerNotice): void;
   /** Aborted once the answer is no longer needed. */
   readonly signal: AbortSignal;
 }
@@ -60,6 +63,8 @@
 
 /** Status that guarantees, even without the header `notExecuted`, that the request was not run. */
 const MISDIRECTED_STATUS = 421;
+const UNAVAILABLE_STATUS = 503;
+const LEAVING_VALUE = '1';
 
 /**
  * Sends a request to one backend server once and resolves when the head of an answer has arrived.
@@ -133,6 +138,8 @@
       });
     });
     request.on('response', message => {
+      const notice = readNotice(attempt, message);
+      if (notice) attempt.onServerNotice(notice);
       const outcome = classifyHead(attempt, message, () => cancel('cancelled'));
       if (outcome.type !== 'answered') dropAnswer(message, outcome);
       settle(outcome);
@@ -141,6 +148,29 @@
   });
 }
 
+/** Reads what the intended server says of itself in the head of an answer to this request. */
+function readNotice(
+  {names, requestId, expectedServer}: AttemptRequest,
+  {headers, statusCode}: IncomingMessage,
+): ServerNotice | undefined {
+  const answering = headers[names.serverId] ?? expectedServer;
+  const echoed = headers[names.requestId] ?? requestId;
+  const isFromExpected =
+    statusCode !== MISDIRECTED_STATUS &&
+    answering === expectedServer &&
+    echoed === requestId;
+  if (!isFromExpected) return undefined;
+  // node:http joins repeated headers with commas.
+  const leaving = String(headers[names.serverLeaving] ?? '').split(',');
+  const isLeaving = leaving.some(value => value.trim() === LEAVING_VALUE);
+  const holdMs =
+    statusCode === UNAVAILABLE_STATUS
+      ? parseRetryAfter(headers['retry-after'])
+      : undefined;
+  if (!isLeaving && holdMs === undefined) return undefined;
+  return {isLeaving, holdMs};
+}
+
 function classifyHead(
   {names, requestId, expectedServer}: AttemptRequest,
   message: IncomingMessage,
--- a/packages/gateway/src/test/GatewayHarness.ts
+++ b/packages/gateway/src/test/GatewayHarness.ts
@@ -24,6 +24,7 @@
   expectServer: 'x-expect-server',
   serverId: 'x-server-id',
   notExecuted: 'x-not-executed',
+  serverLeaving: 'x-leaving',
   signature: 'x-signature',
   model: 'x-model',
   tokenUsage: 'x-tokens',
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -60,6 +60,7 @@
   choosePreferredServer,
   hashToShare,
 } from './lib/forwarding/choosePreferredServer.js';
+export {parseRetryAfter} from './lib/forwarding/parseRetryAfter.js';
 export {PrefillRates} from './lib/forwarding/PrefillRates.js';
 export {
   computeHeadTimeouts,
--- a/packages/routing/src/lib/forwarding/PlacementQueue.ts
+++ b/packages/routing/src/lib/forwarding/PlacementQueue.ts
@@ -1,4 +1,4 @@
-import {SycamoreheadError} from '@sycamorehead/schema';
+import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
 
 /** Work that waits for a slot. @public */
 export interface WaitingWork<Slot> {
@@ -7,7 +7,11 @@
   /** The time at which the wait is abandoned, on the monotonic clock. */
   readonly abandonAt: number;
   readonly signal: AbortSignal;
-  /** Reserves a slot if one is free now. */
+  /**
+   * Reserves a slot if one is free now.
+   *
+   * @throws SycamoreheadError if waiting is pointless.
+   */
   tryReserveSlot(): Slot | undefined;
 }
 
@@ -38,21 +42,22 @@
   /**
    * Reserves a slot and waits for one if none is free.
    *
-   * @throws SycamoreheadError `overloaded` if no slot becomes free in time, `caller_gone`.
+   * @throws SycamoreheadError `overloaded` if no slot becomes free in time, `caller_gone`, or what
+   * `tryReserveSlot` throws.
    * @example
    * ```ts
    * const slot = await queue.acquire(work);
    * ```
    */
-  acquire<Slot>(work: WaitingWork<Slot>): Promise<Slot> {
+  async acquire<Slot>(work: WaitingWork<Slot>): Promise<Slot> {
     const isFirst = !this.waiters.some(
       ({priority}) => priority <= work.priority,
     );
     const slot = isFirst ? work.tryReserveSlot() : undefined;
-    if (slot !== undefined) return Promise.resolve(slot);
+    if (slot !== undefined) return slot;
     const leftMs = work.abandonAt - performance.now();
     if (leftMs <= 0 || this.waiters.length >= MAX_WAITING) {
-      return Promise.reject(buildOverloaded());
+      throw buildOverloaded();
     }
     return this.wait(work, leftMs);
   }
@@ -81,10 +86,14 @@
       const waiter: Waiter = {
         priority: work.priority,
         trySettle: () => {
-          const slot = work.tryReserveSlot();
-          if (slot === undefined) return false;
-          end();
-          resolve(slot);
+          try {
+            const slot = work.tryReserveSlot();
+            if (slot === undefined) return false;
+            end();
+            resolve(slot);
+          } catch (error) {
+            waiter.refuse(toSycamoreheadError(error));
+          }
           return true;
         },
         refuse: error => {
--- a/packages/routing/src/test/forwarding.test.ts
+++ b/packages/routing/src/test/forwarding.test.ts
@@ -6,6 +6,7 @@
 import {choosePreferredServer} from '../lib/forwarding/choosePreferredServer.js';
 import {computeHeadTimeouts} from '../lib/forwarding/computeSilenceTimeouts.js';
 import {PlacementQueue} from '../lib/forwarding/PlacementQueue.js';
+import {parseRetryAfter} from '../lib/forwarding/parseRetryAfter.js';
 import {PrefillRates} from '../lib/forwarding/PrefillRates.js';
 import {RetryBudget} from '../lib/forwarding/RetryBudget.js';
 import {scoreServer} from '../lib/forwarding/scoreServer.js';
@@ -205,3 +206,24 @@
     rates.estimateMs('large', 1_000) / rates.estimateMs('small', 1_000);
   assert.ok(ratio > 9 && ratio < 11);
 });
+
+const RETRY_AFTER_VALUES: ReadonlyArray<[string | undefined, unknown]> = [
+  ['2', 2_000],
+  [' 0.25 ', 250],
+  ['0', 0],
+  ['99999999999999999999', 600_000],
+  ['-1', undefined],
+  ['1e9', undefined],
+  ['NaN', undefined],
+  ['', undefined],
+  [undefined, undefined],
+  ['2, 3', undefined],
+  ['Wed, 21 Oct 2015 07:28:00 GMT', undefined],
+  ['\u0000\u00ff', undefined],
+];
+
+for (const [text, expected] of RETRY_AFTER_VALUES) {
+  test(`a retry delay of ${JSON.stringify(text)} is read as ${expected} ms`, () => {
+    assert.equal(parseRetryAfter(text), expected);
+  });
+}
