--- a/packages/gateway/src/lib/CallerAnswer.ts
+++ b/packages/gateway/src/lib/CallerAnswer.ts
@@ -13,6 +13,10 @@
   readonly disconnected: AbortSignal;
   private readonly controller = new AbortController();
   private status = 0;
+  /** When the first and the last bytes were written, on the monotonic clock. */
+  private firstWriteAt: number | undefined;
+  private lastWriteAt = 0;
+  private longestGapMs = 0;
 
   constructor(
     private readonly response: ServerResponse,
@@ -39,11 +43,22 @@
     return this.status;
   }
 
+  /** When the first bytes of the body were written, on the monotonic clock. */
+  get firstBytesAt(): number | undefined {
+    return this.firstWriteAt;
+  }
+
+  /** The longest pause between two writes of the body, in milliseconds. */
+  get longestPauseMs(): number {
+    return this.longestGapMs;
+  }
+
   /** Sends a complete answer. */
   sendComplete(status: number, headers: readonly string[], body: Buffer): void {
     if (this.isBegun || this.disconnected.aborted) return;
     const length = ['Content-Length', String(body.length)];
     this.writeHead(status, [...headers, ...length]);
+    this.recordWrite();
     this.response.end(body);
   }
 
@@ -55,6 +70,7 @@
 
   /** Sends a chunk of the body and resolves once the caller can receive more. */
   async write(bytes: Buffer): Promise<void> {
+    this.recordWrite();
     if (this.disconnected.aborted || this.response.write(bytes)) return;
     await new Promise<void>(resolve => {
       this.response.once('drain', resolve);
@@ -92,6 +108,15 @@
     this.sendComplete(status, headers, body);
   }
 
+  private recordWrite(): void {
+    const now = performance.now();
+    if (this.firstWriteAt !== undefined) {
+      this.longestGapMs = Math.max(this.longestGapMs, now - this.lastWriteAt);
+    }
+    this.firstWriteAt ??= now;
+    this.lastWriteAt = now;
+  }
+
   private writeHead(status: number, headers: readonly string[]): void {
     this.status = status;
     if (this.shouldClose()) this.response.shouldKeepAlive = false;
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -377,6 +377,7 @@
       history,
       failure: this.failure,
       isCallerDisconnected: answer.disconnected.aborted,
+      answer,
       cascade: this.cascade,
       routeName: this.routeName,
       waitedMs: this.waitedMs,
--- a/packages/gateway/src/lib/writeRequestLine.ts
+++ b/packages/gateway/src/lib/writeRequestLine.ts
@@ -1,5 +1,6 @@
 import type {SycamoreheadError} from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
+import type {CallerAnswer} from './CallerAnswer.js';
 import type {CallerRequest} from './CallerRequest.js';
 import type {ModelCascade} from './ModelCascade.js';
 
@@ -11,6 +12,7 @@
   readonly status: number;
   readonly failure: SycamoreheadError | undefined;
   readonly isCallerDisconnected: boolean;
+  readonly answer: CallerAnswer;
   readonly cascade: ModelCascade;
   /** Each send with its outcome. */
   readonly history: readonly string[];
@@ -21,7 +23,8 @@
 
 /** Writes the log line of a request; docs/OPERATIONS.md describes it. @internal */
 export function writeRequestLine(record: RequestRecord): void {
-  const {request, failure, cascade} = record;
+  const {request, failure, cascade, answer} = record;
+  const {firstBytesAt} = answer;
   writeDecision('request', {
     request: request.id,
     route: record.routeName,
@@ -31,9 +34,13 @@
     gone: record.isCallerDisconnected || undefined,
     tokens: request.promptTokens || undefined,
     model: cascade.answeredBy,
+    confidence: cascade.lastConfidence,
     pressure: cascade.lastPressure?.toFixed(2),
     sends: record.history.join(','),
     waited_ms: Math.round(record.waitedMs),
+    first_ms:
+      firstBytesAt && Math.round(firstBytesAt - request.arrivedAt),
+    pause_ms: Math.round(answer.longestPauseMs) || undefined,
     ms: Math.round(performance.now() - request.arrivedAt),
     version: record.version,
   });
