--- a/packages/gateway/src/lib/writeRequestLine.ts
+++ b/packages/gateway/src/lib/writeRequestLine.ts
@@ -38,8 +38,7 @@
     pressure: cascade.lastPressure?.toFixed(2),
     sends: record.history.join(','),
     waited_ms: Math.round(record.waitedMs),
-    first_ms:
-      firstBytesAt && Math.round(firstBytesAt - request.arrivedAt),
+    first_ms: firstBytesAt && Math.round(firstBytesAt - request.arrivedAt),
     pause_ms: Math.round(answer.longestPauseMs) || undefined,
     ms: Math.round(performance.now() - request.arrivedAt),
     version: record.version,
