--- a/packages/gateway/src/lib/CallerRequest.ts
+++ b/packages/gateway/src/lib/CallerRequest.ts
@@ -26,6 +26,8 @@
   /** Time for which the caller waits, counted from `arrivedAt`, in milliseconds. */
   readonly waitMs: number | undefined;
   readonly promptTokens: number;
+  /** Maximum number of answer tokens; 1 if the caller names none. */
+  readonly maxAnswerTokens: number;
   readonly promptSegments: readonly PromptSegment[];
   body: Buffer;
 }
@@ -59,7 +61,8 @@
     const value = headers[name];
     return typeof value === 'string' && value !== '' ? value : undefined;
   };
-  const [promptTokens = ''] = (read(names.tokenUsage) ?? '').split(',', 1);
+  const usage = (read(names.tokenUsage) ?? '').split(',');
+  const [promptTokens = '', maxAnswerTokens = ''] = usage;
   return {
     id: read(names.requestId) ?? refuse('expected a request id'),
     method: message.method ?? 'GET',
@@ -73,6 +76,7 @@
     arrivedAt: performance.now(),
     waitMs: readWait(read(names.deadlineMs)),
     promptTokens: readCount(promptTokens),
+    maxAnswerTokens: Math.max(1, readCount(maxAnswerTokens)),
     promptSegments: readSegments(read(names.prefix)),
     body: Buffer.alloc(0),
   };
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -64,8 +64,7 @@
     private readonly answer: CallerAnswer,
   ) {
     this.lastEventId = request.lastEventId;
-    const {policies, placement} = context;
-    this.cascade = new ModelCascade(policies.model, placement);
+    this.cascade = new ModelCascade(context, request);
   }
 
   /** Forwards the request until it has been answered or has failed. */
@@ -276,7 +275,7 @@
   ): Promise<NextStep> {
     const {cascade} = this;
     const {target} = send;
-    cascade.recordAnswer(send.model, serverAnswer.confidence);
+    cascade.recordAnswer(target, send.model, serverAnswer.confidence);
     const isWeak =
       serverAnswer.status === 200 &&
       !this.answer.isBegun &&
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -4,7 +4,12 @@
   FleetUpdate,
   StoredConfiguration,
 } from '@sycamorehead/fleet';
-import {PrefillRates, RetryBudgetOptions} from '@sycamorehead/routing';
+import {
+  AnswerValues,
+  ConfidenceGains,
+  PrefillRates,
+  RetryBudgetOptions,
+} from '@sycamorehead/routing';
 import {createLogger, writeDecision} from '@sycamorehead/telemetry';
 import {AnswerTimes} from './AnswerTimes.js';
 import {ForwardedRequest} from './ForwardedRequest.js';
@@ -85,6 +90,8 @@
       budgets: this.budgets,
       times,
       rates,
+      gains: new ConfidenceGains(),
+      values: new AnswerValues(policies.answerValue),
       metrics: this.metrics,
       startup: this.startup,
       getRoutes: () => this.routes,
--- a/packages/gateway/src/lib/ModelCascade.ts
+++ b/packages/gateway/src/lib/ModelCascade.ts
@@ -1,12 +1,18 @@
 import {
   ModelChoiceInput,
-  ModelPolicy,
+  ModelOption,
   chooseModel,
   isWorthEscalating,
 } from '@sycamorehead/routing';
-import type {Placement} from './Placement.js';
+import {buildWorkKind} from './AnswerTimes.js';
+import type {CallerRequest} from './CallerRequest.js';
+import type {ForwardContext} from './gatewayTypes.js';
 import type {RequestTarget} from './resolveTarget.js';
 
+const TOKENS_PER_PRICE = 1_000;
+/** Price of a prompt token, as a fraction of that of an answer token. */
+const PROMPT_PRICE_FRACTION = 0.25;
+
 /**
  * Tracks the models to which one request is sent, the smallest first, and the confidence of the
  * last one in its answer.
@@ -23,19 +29,27 @@
   private pressure: number | undefined;
 
   constructor(
-    private readonly policy: ModelPolicy,
-    private readonly placement: Placement,
+    private readonly context: ForwardContext,
+    private readonly request: CallerRequest,
   ) {}
 
   // Commands.
 
   /** Records which model has answered, and its confidence. */
   recordAnswer(
+    {route}: RequestTarget,
     model: string | undefined,
     confidence: number | undefined,
   ): void {
+    const {answered: smaller, confidence: smallerConfidence} = this;
     this.answered = model;
     this.confidence = confidence;
+    if (!this.isLargerRequested || smaller === model) return;
+    if (smaller === undefined || model === undefined) return;
+    if (smallerConfidence === undefined || confidence === undefined) return;
+    const isLargest = model === route.models.at(-1);
+    const pair = {smaller, larger: model};
+    this.context.gains.record(pair, smallerConfidence, confidence, isLargest);
   }
 
   /** Requests a larger model from now on. */
@@ -49,10 +63,14 @@
    */
   chooseNext(target: RequestTarget): string | undefined {
     if (target.route.models.length === 0) return undefined;
+    if (this.answered === undefined) {
+      const {maxAnswerTokens} = this.request;
+      this.context.values.record(target.route.name, maxAnswerTokens);
+    }
     const previous = this.isLargerRequested ? this.answered : undefined;
     const choice = this.describeChoice(target, previous);
     this.pressure = choice.pressure;
-    return chooseModel(this.policy, choice);
+    return chooseModel(this.context.policies.model, choice);
   }
 
   // Queries.
@@ -67,13 +85,10 @@
     return this.confidence;
   }
 
-  /**
-   * Returns whether the last answer is weak enough to ask a larger model, at most once per request.
-   */
+  /** Returns whether a larger model should be asked instead of accepting the last answer. */
   isWeak(target: RequestTarget): boolean {
-    if (this.isLargerRequested) return false;
     const choice = this.describeChoice(target, this.answered);
-    return isWorthEscalating(this.policy, choice);
+    return isWorthEscalating(this.context.policies.model, choice);
   }
 
   /** The load of the engines at the last choice of a model; 0 is idle. */
@@ -82,12 +97,43 @@
   }
 
   private describeChoice(
-    {route, service}: RequestTarget,
+    target: RequestTarget,
     previous: string | undefined,
   ): ModelChoiceInput {
-    const {models, targetLatencyMs} = route;
-    const {placement, confidence} = this;
-    const pressure = placement.measurePressure(service.name, targetLatencyMs);
-    return {models, previous, confidence, pressure};
+    const {route, service} = target;
+    const {placement, values} = this.context;
+    const {maxAnswerTokens} = this.request;
+    return {
+      models: route.models.map(model =>
+        this.describeModel(target, previous, model),
+      ),
+      previous,
+      confidence: this.confidence,
+      pressure: placement.measurePressure(service.name, route.targetLatencyMs),
+      answerValue: values.estimateValue(route.name, maxAnswerTokens),
+    };
+  }
+
+  private describeModel(
+    {route, service}: RequestTarget,
+    previous: string | undefined,
+    name: string,
+  ): ModelOption {
+    const {gains, times} = this.context;
+    const {promptTokens, maxAnswerTokens, arrivedAt} = this.request;
+    const known = service.engine?.models.find(model => model.name === name);
+    const tokens = maxAnswerTokens + promptTokens * PROMPT_PRICE_FRACTION;
+    const typicalMs = times.getTypicalMs(buildWorkKind(route.name, name)) ?? 0;
+    const beginsAfterMs = performance.now() - arrivedAt + typicalMs;
+    return {
+      name,
+      price: ((known?.cost ?? 0) * tokens) / TOKENS_PER_PRICE,
+      gain: gains.estimateGain(
+        previous ?? '',
+        name,
+        name === route.models.at(-1),
+      ),
+      isLate: beginsAfterMs > route.targetLatencyMs,
+    };
   }
 }
--- a/packages/gateway/src/lib/gatewayTypes.ts
+++ b/packages/gateway/src/lib/gatewayTypes.ts
@@ -1,4 +1,6 @@
 import type {
+  AnswerValues,
+  ConfidenceGains,
   ForwardPolicy,
   ModelPolicy,
   PrefillRates,
@@ -17,6 +19,8 @@
 export interface GatewayPolicies {
   readonly server: ForwardPolicy;
   readonly model: ModelPolicy;
+  /** What a thousand tokens of a good answer are worth, in the unit of the models' costs. */
+  readonly answerValue: number;
 }
 
 /** Dependencies of the forwarding of one request. @public */
@@ -29,6 +33,8 @@
   readonly budgets: RetryBudgets;
   readonly times: AnswerTimes;
   readonly rates: PrefillRates;
+  readonly gains: ConfidenceGains;
+  readonly values: AnswerValues;
   readonly metrics: GatewayMetrics;
   readonly startup: StartupGate;
   /** The routes in force here, or undefined before the first configuration. */
--- a/packages/gateway/src/test/GatewayHarness.ts
+++ b/packages/gateway/src/test/GatewayHarness.ts
@@ -2,7 +2,11 @@
 import {once} from 'node:events';
 import type {RouteConfiguration, RouteDeclaration} from '@sycamorehead/schema';
 import type {ServerListing} from '@sycamorehead/fleet';
-import {PrefillRates} from '@sycamorehead/routing';
+import {
+  AnswerValues,
+  ConfidenceGains,
+  PrefillRates,
+} from '@sycamorehead/routing';
 import {AnswerTimes} from '../lib/AnswerTimes.js';
 import {ForwardedRequest} from '../lib/ForwardedRequest.js';
 import {GatewayMetrics} from '../lib/GatewayMetrics.js';
@@ -101,7 +105,11 @@
     });
     const context: ForwardContext = {
       names: TEST_NAMES,
-      policies: {server: 'estimated', model: 'cascade'},
+      policies: {
+        server: 'estimated',
+        model: 'expected_value',
+        answerValue: 10,
+      },
       servers: this.servers,
       versions: this.versions,
       placement: this.placement,
@@ -112,6 +120,8 @@
       }),
       times,
       rates,
+      gains: new ConfidenceGains(),
+      values: new AnswerValues(10),
       metrics: new GatewayMetrics(),
       startup: this.startup,
       getRoutes: () => this.routes,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -43,8 +43,12 @@
 export {Router} from './lib/Router.js';
 export type {RouterOptions} from './lib/Router.js';
 export {chooseModel, isWorthEscalating} from './lib/forwarding/chooseModel.js';
+export {AnswerValues} from './lib/forwarding/AnswerValues.js';
+export {ConfidenceGains} from './lib/forwarding/ConfidenceGains.js';
+export {estimateQuality} from './lib/forwarding/estimateQuality.js';
 export type {
   ModelChoiceInput,
+  ModelOption,
   ModelPolicy,
 } from './lib/forwarding/chooseModel.js';
 export {PlacementQueue} from './lib/forwarding/PlacementQueue.js';
--- a/packages/routing/src/lib/forwarding/chooseModel.ts
+++ b/packages/routing/src/lib/forwarding/chooseModel.ts
@@ -1,16 +1,32 @@
+import {estimateQuality} from './estimateQuality.js';
+
 /** How models are chosen on routes that leave the choice to the router. @public */
-export type ModelPolicy = 'cascade' | 'smallest' | 'largest';
+export type ModelPolicy =
+  'expected_value' | 'thresholds' | 'smallest' | 'largest';
+
+/** A model that may answer a request. @public */
+export interface ModelOption {
+  readonly name: string;
+  /** Price of this request's answer by the model. */
+  readonly price: number;
+  /** How much more confident the model usually is than the one that answered last. */
+  readonly gain: number;
+  /** Whether its answer would begin later than the target latency. */
+  readonly isLate: boolean;
+}
 
 /** Inputs to the choice of a model. @public */
 export interface ModelChoiceInput {
-  /** Model names, the smallest model first. */
-  readonly models: readonly string[];
+  /** The models, the smallest one first. */
+  readonly models: readonly ModelOption[];
   /** The model whose answer was weak, if one has answered. */
   readonly previous: string | undefined;
   /** The confidence of that model in its answer, 0 to 100. */
   readonly confidence: number | undefined;
   /** The load of the engines: 0 is idle; at 1 as much work waits as the target latency allows. */
   readonly pressure: number;
+  /** What a good answer to this request is worth, in the unit of the prices. */
+  readonly answerValue: number;
 }
 
 /**
@@ -27,6 +43,11 @@
  */
 const USUAL_PRESSURE = 0.375;
 
+/** What a full pool adds to the price of a larger model, as a multiple of the price. */
+const FULL_POOL_SURCHARGE = 2;
+/** Value of a good answer that begins late, as a fraction of that of one in time. */
+const LATE_VALUE = 0.5;
+
 /** An answer of lower confidence is requested again from a larger model; see platform-worth.md. */
 const WEAK_BOUND: ConfidenceBound = {idle: 62, full: 48};
 /**
@@ -35,22 +56,35 @@
  */
 const LARGEST_BOUND: ConfidenceBound = {idle: 36, full: 24};
 
-const CHOOSERS: Readonly<
-  Record<ModelPolicy, (choice: ModelChoiceInput) => string | undefined>
-> = {
-  cascade: choice => chooseLarger(choice) ?? choice.models[0],
-  smallest: ({models}) => models[0],
-  largest: ({models}) => models.at(-1),
+interface PolicyHandlers {
+  /** Chooses the model of the next send. */
+  choose(choice: ModelChoiceInput): string | undefined;
+  /** Returns whether to ask a larger model rather than accept the last answer. */
+  isWeak(choice: ModelChoiceInput): boolean;
+}
+
+const POLICIES: Readonly<Record<ModelPolicy, PolicyHandlers>> = {
+  expected_value: {
+    choose: choice =>
+      findBestLarger(choice)?.name ?? chooseBySize(choice) ?? undefined,
+    isWeak: isLargerWorthMore,
+  },
+  thresholds: {
+    choose: choice => chooseByThreshold(choice) ?? choice.models[0]?.name,
+    isWeak: isBelowThreshold,
+  },
+  smallest: {choose: ({models}) => models[0]?.name, isWeak: () => false},
+  largest: {choose: ({models}) => models.at(-1)?.name, isWeak: () => false},
 };
 
 /**
- * Chooses the model for the next send of a request. While the engines are nearly full, the second
- * largest model takes requests that would otherwise go to the largest, since it needs a third of
- * the time.
+ * Chooses the model for the next send of a request: the smallest one first, then the larger model
+ * whose expected value less its price is highest. While the engines are nearly full, prices rise,
+ * since larger models delay all other requests.
  *
  * @example
  * ```ts
- * chooseModel('cascade', {models, previous: 'small', confidence: 5, pressure: 0}); // 'large'
+ * chooseModel('expected_value', {...choice, previous: 'small', confidence: 5}); // 'large'
  * ```
  * @public
  */
@@ -58,7 +92,7 @@
   policy: ModelPolicy,
   choice: ModelChoiceInput,
 ): string | undefined {
-  return CHOOSERS[policy](choice);
+  return POLICIES[policy].choose(choice);
 }
 
 /**
@@ -67,28 +101,77 @@
  *
  * @example
  * ```ts
- * isWorthEscalating('cascade', {models, previous: 'small', confidence: 90, pressure: 0}); // false
+ * isWorthEscalating('expected_value', {...choice, previous: 'small', confidence: 90}); // false
  * ```
  * @public
  */
 export function isWorthEscalating(
   policy: ModelPolicy,
-  {models, previous, confidence, pressure}: ModelChoiceInput,
+  choice: ModelChoiceInput,
 ): boolean {
-  if (policy !== 'cascade' || confidence === undefined) return false;
-  if (previous === undefined || previous === models.at(-1)) return false;
+  const {previous, confidence, models} = choice;
+  if (previous === undefined || confidence === undefined) return false;
+  if (previous === models.at(-1)?.name) return false;
+  return POLICIES[policy].isWeak(choice);
+}
+
+function chooseBySize({models, previous}: ModelChoiceInput) {
+  return (previous === undefined ? models[0] : models.at(-1))?.name;
+}
+
+/** Finds the model above the one that answered last whose expected value less its price is best. */
+function findBestLarger(choice: ModelChoiceInput): ModelOption | undefined {
+  const {models, previous} = choice;
+  if (previous === undefined) return undefined;
+  const index = models.findIndex(({name}) => name === previous);
+  let best: ModelOption | undefined;
+  for (const model of models.slice(index + 1)) {
+    const isBetter =
+      !best || computeSurplus(choice, model) > computeSurplus(choice, best);
+    if (isBetter) best = model;
+  }
+  return best;
+}
+
+function isLargerWorthMore(choice: ModelChoiceInput): boolean {
+  const best = findBestLarger(choice);
+  if (!best) return false;
+  const {answerValue, confidence = 0} = choice;
+  const acceptedValue = answerValue * estimateQuality(confidence);
+  return computeSurplus(choice, best) > acceptedValue;
+}
+
+/** Computes the expected value of a larger model's answer less its price. */
+function computeSurplus(
+  {answerValue, confidence = 0, pressure}: ModelChoiceInput,
+  {gain, price, isLate}: ModelOption,
+): number {
+  const value = answerValue * (isLate ? LATE_VALUE : 1);
+  const surcharge = FULL_POOL_SURCHARGE * computeLoadFraction(pressure);
+  return value * estimateQuality(confidence + gain) - price * (1 + surcharge);
+}
+
+function isBelowThreshold({
+  confidence = 0,
+  pressure,
+}: ModelChoiceInput): boolean {
   return confidence < computeBound(WEAK_BOUND, pressure);
 }
 
-function chooseLarger(choice: ModelChoiceInput): string | undefined {
+function chooseByThreshold(choice: ModelChoiceInput): string | undefined {
   const {models, previous, confidence = 0, pressure} = choice;
   if (previous === undefined) return undefined;
   const isNearlyGood = confidence >= computeBound(LARGEST_BOUND, pressure);
-  const middle = models.at(-2);
-  return isNearlyGood && middle !== previous ? middle : models.at(-1);
+  const middle = models.at(-2)?.name;
+  return isNearlyGood && middle !== previous ? middle : models.at(-1)?.name;
 }
 
 function computeBound({idle, full}: ConfidenceBound, pressure: number): number {
+  return idle + (full - idle) * computeLoadFraction(pressure);
+}
+
+/** Computes how far the load has risen from its usual value to a full pool, from 0 to 1. */
+function computeLoadFraction(pressure: number): number {
   const fraction = (pressure - USUAL_PRESSURE) / (1 - USUAL_PRESSURE);
-  return idle + (full - idle) * Math.min(1, Math.max(0, fraction));
+  return Math.min(1, Math.max(0, fraction));
 }
--- a/packages/routing/src/test/forwarding.test.ts
+++ b/packages/routing/src/test/forwarding.test.ts
@@ -2,6 +2,8 @@
 import {afterEach, beforeEach, test} from 'node:test';
 import fakeTimers from '@sinonjs/fake-timers';
 
+import {AnswerValues} from '../lib/forwarding/AnswerValues.js';
+import {ConfidenceGains} from '../lib/forwarding/ConfidenceGains.js';
 import {chooseModel, isWorthEscalating} from '../lib/forwarding/chooseModel.js';
 import {choosePreferredServer} from '../lib/forwarding/choosePreferredServer.js';
 import {computeHeadTimeouts} from '../lib/forwarding/computeSilenceTimeouts.js';
@@ -133,16 +135,22 @@
   }
 });
 
-const MODELS = ['small', 'middle', 'large'];
+const MODELS = [
+  {name: 'small', price: 0.06, gain: 0, isLate: false},
+  {name: 'middle', price: 0.44, gain: 17, isLate: false},
+  {name: 'large', price: 0.85, gain: 55, isLate: false},
+];
+const WEAK_CHOICE = {
+  models: MODELS,
+  previous: 'small',
+  confidence: 5,
+  pressure: 0,
+  answerValue: 3.8,
+};
 
-test('a weak answer goes to a larger model, a nearly good one to the middle model', () => {
+test('by thresholds, a weak answer goes to a larger model, a nearly good one to the middle model', () => {
   const chooseNext = (confidence: number, pressure = 0) =>
-    chooseModel('cascade', {
-      models: MODELS,
-      previous: 'small',
-      confidence,
-      pressure,
-    });
+    chooseModel('thresholds', {...WEAK_CHOICE, confidence, pressure});
   assert.equal(chooseNext(5), 'large');
   assert.equal(chooseNext(45), 'middle');
   // On a full pool the middle model takes more of the requests that would go to the largest.
@@ -150,32 +158,80 @@
   assert.equal(chooseNext(30, 1), 'middle');
 });
 
-test('a confident answer is accepted, on a full pool at a lower confidence', () => {
-  const isWeak = (confidence: number, pressure: number) =>
-    isWorthEscalating('cascade', {
-      models: MODELS,
-      previous: 'small',
-      confidence,
-      pressure,
-    });
-  assert.equal(isWeak(90, 0), false);
-  assert.equal(isWeak(55, 0), true);
-  assert.equal(isWeak(55, 1), false);
-  assert.equal(isWeak(10, 1), true);
-});
+for (const policy of ['thresholds', 'expected_value'] as const) {
+  test(`a confident answer is accepted, on a full pool at a lower confidence (${policy})`, () => {
+    const isWeak = (confidence: number, pressure: number) =>
+      isWorthEscalating(policy, {...WEAK_CHOICE, confidence, pressure});
+    assert.equal(isWeak(90, 0), false);
+    assert.equal(isWeak(55, 0), true);
+    assert.equal(isWeak(55, 1), false);
+    assert.equal(isWeak(10, 1), true);
+  });
+}
 
 test('an answer of the largest model never escalates, and baseline policies never do', () => {
-  const choice = {
-    models: MODELS,
-    previous: 'large',
-    confidence: 1,
-    pressure: 0,
-  };
-  assert.equal(isWorthEscalating('cascade', choice), false);
+  const choice = {...WEAK_CHOICE, previous: 'large', confidence: 1};
+  assert.equal(isWorthEscalating('expected_value', choice), false);
+  assert.equal(isWorthEscalating('thresholds', choice), false);
   const small = {...choice, previous: 'small'};
   assert.equal(isWorthEscalating('smallest', small), false);
 });
 
+test('the middle model is asked only where it probably suffices', () => {
+  const chooseNext = (confidence: number) =>
+    chooseModel('expected_value', {...WEAK_CHOICE, confidence});
+  assert.equal(chooseNext(0), 'large');
+  assert.equal(chooseNext(36), 'large');
+  assert.equal(chooseNext(52), 'middle');
+});
+
+test('an answer of little value is not requested again at a price above it', () => {
+  const choice = {...WEAK_CHOICE, answerValue: 0.4};
+  assert.equal(isWorthEscalating('expected_value', choice), false);
+  const cheap = MODELS.map(model => ({...model, price: model.price / 10}));
+  const isWeak = isWorthEscalating('expected_value', {
+    ...choice,
+    models: cheap,
+  });
+  assert.equal(isWeak, true);
+});
+
+test('a larger model that would answer late is asked only for a much better answer', () => {
+  const models = MODELS.map(model => ({...model, isLate: true}));
+  const isWeak = (confidence: number) =>
+    isWorthEscalating('expected_value', {...WEAK_CHOICE, models, confidence});
+  assert.equal(isWeak(50), false);
+  assert.equal(isWeak(10), true);
+});
+
+test('a weak answer of the middle model goes to the largest', () => {
+  const choice = {...WEAK_CHOICE, previous: 'middle', confidence: 30};
+  assert.equal(isWorthEscalating('expected_value', choice), true);
+  assert.equal(chooseModel('expected_value', choice), 'large');
+});
+
+test('gains in confidence are learned from pairs of answers, except from cut-off ones', () => {
+  const gains = new ConfidenceGains();
+  const pair = {smaller: 'small', larger: 'large'};
+  const assumed = gains.estimateGain('small', 'large', true);
+  for (let round = 0; round < 200; round += 1) {
+    gains.record(pair, 0, 30, true);
+    gains.record(pair, 60, 100, true);
+  }
+  assert.equal(gains.estimateGain('small', 'large', true), assumed);
+  for (let round = 0; round < 400; round += 1) gains.record(pair, 30, 60, true);
+  const learned = gains.estimateGain('small', 'large', true);
+  assert.ok(learned > 29 && learned < 33, `${learned}`);
+});
+
+test('the value of an answer follows its length and the typical one of its route', () => {
+  const values = new AnswerValues(10);
+  for (let round = 0; round < 300; round += 1) values.record('drafts', 400);
+  assert.equal(values.estimateValue('drafts', 400).toFixed(2), '4.00');
+  assert.equal(values.estimateValue('drafts', 0).toFixed(2), '1.20');
+  assert.equal(values.estimateValue('labels', 20).toFixed(2), '0.20');
+});
+
 test('a request that may not run again waits until its deadline', () => {
   const input = {
     isRepeatable: false,
