--- a/packages/gateway/src/lib/CallerRequest.ts
+++ b/packages/gateway/src/lib/CallerRequest.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage} from 'node:http';
+import type {RequestSize} from '@sycamorehead/routing';
 import {SycamoreheadError} from '@sycamorehead/schema';
 import type {HeaderNames} from './headerNames.js';
 
@@ -25,9 +26,8 @@
   readonly arrivedAt: number;
   /** Time for which the caller waits, counted from `arrivedAt`, in milliseconds. */
   readonly waitMs: number | undefined;
-  readonly promptTokens: number;
-  /** Maximum number of answer tokens; 1 if the caller names none. */
-  readonly maxAnswerTokens: number;
+  /** Its answer tokens are 1 if the caller names no maximum. */
+  readonly size: RequestSize;
   readonly promptSegments: readonly PromptSegment[];
   body: Buffer;
 }
@@ -75,8 +75,10 @@
     lastEventId: read(names.lastEventId),
     arrivedAt: performance.now(),
     waitMs: readWait(read(names.deadlineMs)),
-    promptTokens: readCount(promptTokens),
-    maxAnswerTokens: Math.max(1, readCount(maxAnswerTokens)),
+    size: {
+      promptTokens: readCount(promptTokens),
+      answerTokens: Math.max(1, readCount(maxAnswerTokens)),
+    },
     promptSegments: readSegments(read(names.prefix)),
     body: Buffer.alloc(0),
   };
--- a/packages/gateway/src/lib/ModelCascade.ts
+++ b/packages/gateway/src/lib/ModelCascade.ts
@@ -64,8 +64,7 @@
   chooseNext(target: RequestTarget): string | undefined {
     if (target.route.models.length === 0) return undefined;
     if (this.answered === undefined) {
-      const {maxAnswerTokens} = this.request;
-      this.context.values.record(target.route.name, maxAnswerTokens);
+      this.context.values.record(target.route.name, this.request.size);
     }
     const previous = this.isLargerRequested ? this.answered : undefined;
     const choice = this.describeChoice(target, previous);
@@ -102,7 +101,6 @@
   ): ModelChoiceInput {
     const {route, service} = target;
     const {placement, values} = this.context;
-    const {maxAnswerTokens} = this.request;
     return {
       models: route.models.map(model =>
         this.describeModel(target, previous, model),
@@ -110,7 +108,7 @@
       previous,
       confidence: this.confidence,
       pressure: placement.measurePressure(service.name, route.targetLatencyMs),
-      answerValue: values.estimateValue(route.name, maxAnswerTokens),
+      answerValue: values.estimateValue(route.name, this.request.size),
     };
   }
 
@@ -120,9 +118,10 @@
     name: string,
   ): ModelOption {
     const {gains, times} = this.context;
-    const {promptTokens, maxAnswerTokens, arrivedAt} = this.request;
+    const {size, arrivedAt} = this.request;
+    const {promptTokens, answerTokens} = size;
     const known = service.engine?.models.find(model => model.name === name);
-    const tokens = maxAnswerTokens + promptTokens * PROMPT_PRICE_FRACTION;
+    const tokens = answerTokens + promptTokens * PROMPT_PRICE_FRACTION;
     const typicalMs = times.getTypicalMs(buildWorkKind(route.name, name)) ?? 0;
     const beginsAfterMs = performance.now() - arrivedAt + typicalMs;
     return {
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -205,7 +205,7 @@
       request.promptSegments,
       isPreferred,
     );
-    const tokensToPrefill = Math.max(0, request.promptTokens - cached);
+    const tokensToPrefill = Math.max(0, request.size.promptTokens - cached);
     const ownMs = service.engine
       ? rates.estimateMs(model ?? '', tokensToPrefill)
       : (times.getTypicalMs(buildWorkKind(route, model)) ?? 0) /
--- a/packages/gateway/src/lib/writeRequestLine.ts
+++ b/packages/gateway/src/lib/writeRequestLine.ts
@@ -32,7 +32,7 @@
     kind: failure?.kind,
     reason: failure?.message,
     gone: record.isCallerDisconnected || undefined,
-    tokens: request.promptTokens || undefined,
+    tokens: request.size.promptTokens || undefined,
     model: cascade.answeredBy,
     confidence: cascade.lastConfidence,
     pressure: cascade.lastPressure?.toFixed(2),
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -44,6 +44,7 @@
 export type {RouterOptions} from './lib/Router.js';
 export {chooseModel, isWorthEscalating} from './lib/forwarding/chooseModel.js';
 export {AnswerValues} from './lib/forwarding/AnswerValues.js';
+export type {RequestSize} from './lib/forwarding/AnswerValues.js';
 export {ConfidenceGains} from './lib/forwarding/ConfidenceGains.js';
 export {estimateQuality} from './lib/forwarding/estimateQuality.js';
 export type {
--- a/packages/routing/src/test/forwarding.test.ts
+++ b/packages/routing/src/test/forwarding.test.ts
@@ -224,12 +224,17 @@
   assert.ok(learned > 29 && learned < 33, `${learned}`);
 });
 
-test('the value of an answer follows its length and the typical one of its route', () => {
+test('the value of an answer follows the size of its request and the typical one of its route', () => {
   const values = new AnswerValues(10);
-  for (let round = 0; round < 300; round += 1) values.record('drafts', 400);
-  assert.equal(values.estimateValue('drafts', 400).toFixed(2), '4.00');
-  assert.equal(values.estimateValue('drafts', 0).toFixed(2), '1.20');
-  assert.equal(values.estimateValue('labels', 20).toFixed(2), '0.20');
+  const usual = {promptTokens: 6_000, answerTokens: 400};
+  for (let round = 0; round < 300; round += 1) values.record('drafts', usual);
+  assert.equal(values.estimateValue('drafts', usual).toFixed(2), '4.00');
+  const double = {promptTokens: 12_000, answerTokens: 800};
+  assert.equal(values.estimateValue('drafts', double).toFixed(2), '6.80');
+  const tiny = {promptTokens: 0, answerTokens: 0};
+  assert.equal(values.estimateValue('drafts', tiny).toFixed(2), '1.20');
+  const other = {promptTokens: 2_000, answerTokens: 20};
+  assert.equal(values.estimateValue('labels', other).toFixed(2), '0.20');
 });
 
 test('a request that may not run again waits until its deadline', () => {
