Each control instance sums the load of its own data centre's entries and exchanges the sums with the others

Cause: every entry asked the leader five times a second, which walked all entries' reports for each answer (n squared), and four of five of these exchanges crossed data centres. Change: an entry reports to a control instance of its own data centre; each instance sums its entries' reports at most twenty times a second and sends the sum to the others every 200 ms. A lost instance's sum expires; an entry that reports elsewhere is named in the digests, so that its evidence counts once. An instance that hears less than half of the others says so and its entries ask another one. Tests: LoadExchange.test (load across instances, loss, move, isolation, size of a reply at 10 and 1,000 entries).

--- a/packages/bench/src/lib/RouteDemo.ts
+++ b/packages/bench/src/lib/RouteDemo.ts
@@ -96,6 +96,7 @@
   private createNode(peerKey: string): FleetNode {
     return new FleetNode({
       instance: HOST,
+      dataCentre: 'local',
       host: HOST,
       peerPort: this.peerPort,
       peerKey,
--- a/packages/fleet/src/lib/EntryFeeds.ts
+++ b/packages/fleet/src/lib/EntryFeeds.ts
@@ -14,6 +14,8 @@
   listRollouts(): ServiceRollout[];
   listControls(): string[];
   isLeading(): boolean;
+  /** Data centre of this control instance. */
+  readonly dataCentre: string;
 }
 
 /**
@@ -92,6 +94,7 @@
       rollouts: this.source.listRollouts(),
       controls: this.source.listControls(),
       isLeading: this.source.isLeading(),
+      dataCentre: this.source.dataCentre,
     };
   }
 }
--- a/packages/fleet/src/lib/FleetLinks.ts
+++ b/packages/fleet/src/lib/FleetLinks.ts
@@ -15,6 +15,8 @@
 /** Backoff before reconnecting to a control instance, in milliseconds; grows up to the maximum. */
 const BACKOFF_MS = 200;
 const MAX_BACKOFF_MS = 1_500;
+/** Time for which an instance that hears too few others is avoided, in milliseconds. */
+const ISOLATION_MS = 2_000;
 /** Timeout of fetching a whole configuration, in milliseconds. */
 const FETCH_TIMEOUT_MS = 1_500;
 /** Time after which an unlinked control instance that is not a seed is removed, in milliseconds. */
@@ -23,6 +25,7 @@
 /** Settings of the links from an entry to the control instances. @public */
 export interface FleetLinksOptions {
   readonly entry: string;
+  readonly dataCentre: string;
   readonly peerKey: string;
   readonly seeds: readonly string[];
   onUpdate(update: FleetUpdate): void;
@@ -34,6 +37,9 @@
   readonly address: string;
   link: PeerLink | undefined;
   isLeading: boolean;
+  dataCentre: string | undefined;
+  /** The time until which other instances are asked for load, on the monotonic clock. */
+  isolatedUntil: number;
   configurationVersion: number;
   isFetching: boolean;
   lastLinkedAt: number;
@@ -49,6 +55,7 @@
 export class FleetLinks {
   private readonly tasks = new Map<string, ControlTask>();
   private configurationVersion = 0;
+  private exchangeAddress: string | undefined;
   private isStopped = false;
 
   constructor(private readonly options: FleetLinksOptions) {}
@@ -68,6 +75,8 @@
         address,
         link: undefined,
         isLeading: false,
+        dataCentre: undefined,
+        isolatedUntil: -Infinity,
         configurationVersion: 0,
         isFetching: false,
         lastLinkedAt: performance.now(),
@@ -78,14 +87,20 @@
   }
 
   /**
-   * Reports this entry's load and returns the load of the others. The request goes to the leader,
-   * or to any linked control instance if no leader is linked.
+   * Reports this entry's load and returns the load of the others. The request goes to a control
+   * instance of the same data centre, else to the leader, else to any that is linked.
    */
   async exchange(request: ExchangeRequest): Promise<ExchangeReply> {
-    const linked = [...this.tasks.values()].filter(({link}) => link);
-    const task = linked.find(({isLeading}) => isLeading) ?? linked[0];
+    const task = this.chooseExchangeTask();
     if (!task?.link) throw new Error('no control instance is linked');
-    return task.link.request<ExchangeReply>(FLEET_METHODS.exchange, request);
+    const reply = await task.link.request<ExchangeReply>(
+      FLEET_METHODS.exchange,
+      request,
+    );
+    if (reply.isIsolated) {
+      task.isolatedUntil = performance.now() + ISOLATION_MS;
+    }
+    return reply;
   }
 
   stop(): void {
@@ -100,6 +115,23 @@
     return [...this.tasks.values()].filter(({link}) => link).length;
   }
 
+  /** Chooses the same instance again as long as it is linked and hears the others. */
+  private chooseExchangeTask(): ControlTask | undefined {
+    const {dataCentre} = this.options;
+    const now = performance.now();
+    const linked = [...this.tasks.values()].filter(({link}) => link);
+    const connected = linked.filter(({isolatedUntil}) => isolatedUntil <= now);
+    const candidates = connected.length > 0 ? connected : linked;
+    const near = candidates.filter(task => task.dataCentre === dataCentre);
+    const chosen =
+      near.find(({address}) => address === this.exchangeAddress) ??
+      near[0] ??
+      candidates.find(({isLeading}) => isLeading) ??
+      candidates[0];
+    this.exchangeAddress = chosen?.address;
+    return chosen;
+  }
+
   private async runTask(task: ControlTask): Promise<void> {
     let failures = 0;
     while (!this.isStopped && this.tasks.has(task.address)) {
@@ -155,6 +187,7 @@
   private applyUpdate(task: ControlTask, update: FleetUpdate): void {
     if (this.isStopped) return;
     if (update.isLeading !== undefined) task.isLeading = update.isLeading;
+    task.dataCentre = update.dataCentre ?? task.dataCentre;
     if (update.controls) this.addControls(update.controls);
     this.options.onUpdate(update);
     const {configurationVersion} = update;
--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -18,6 +18,7 @@
   FleetDescription,
   FLEET_METHODS,
   FleetUpdate,
+  LoadDigest,
   SyncReply,
   SyncRequest,
 } from './fleetMessages.js';
@@ -32,6 +33,10 @@
 const log = createLogger('fleet');
 
 const EXPIRY_INTERVAL_MS = 500;
+/** Interval between two digests of load to the other control instances, in milliseconds. */
+const DIGEST_INTERVAL_MS = 200;
+/** Timeout of sending one digest, in milliseconds. */
+const DIGEST_TIMEOUT_MS = 500;
 /** Raft timing for network latencies and disk syncs of a few milliseconds each. */
 const FLEET_RAFT_TIMING: RaftTiming = {
   heartbeatMs: 100,
@@ -47,6 +52,7 @@
 /** Settings of a FleetNode. @public */
 export interface FleetNodeOptions {
   readonly instance: string;
+  readonly dataCentre: string;
   /** IP address on which links are accepted. */
   readonly host: string;
   readonly peerPort: number;
@@ -79,13 +85,14 @@
   private readonly peers: ControlPeers;
   private readonly registry: ServerRegistry;
   private readonly feeds: EntryFeeds;
-  private readonly loadExchange = new LoadExchange();
+  private readonly loadExchange: LoadExchange;
   private readonly groupManager: GroupManager;
   private readonly rolloutDriver: RolloutDriver;
   private readonly wireServer: WireServer;
   private readonly incarnation = randomUUID();
   private readonly address: string;
   private expiryTimer: NodeJS.Timeout | undefined;
+  private digestTimer: NodeJS.Timeout | undefined;
   private isResetting = false;
 
   constructor(private readonly options: FleetNodeOptions) {
@@ -107,7 +114,12 @@
       listRollouts: () => this.logMember.state.listRollouts(),
       listControls: () => this.peers.listAddresses(),
       isLeading: () => this.logMember.isLeader,
+      dataCentre: options.dataCentre,
     });
+    this.loadExchange = new LoadExchange(
+      instance,
+      () => this.peers.listAddresses().length,
+    );
     this.logMember = new LogMember({
       instance,
       folder: `${options.dataFolder}/log`,
@@ -161,6 +173,7 @@
       () => this.expireServers(),
       EXPIRY_INTERVAL_MS,
     );
+    this.digestTimer = setInterval(() => this.sendDigest(), DIGEST_INTERVAL_MS);
     void this.groupManager.run();
     void this.rolloutDriver.run();
     await this.logMember.start(this.describeFirstGroup());
@@ -212,6 +225,7 @@
   /** Transfers leadership and stops. */
   async stop(): Promise<void> {
     clearInterval(this.expiryTimer);
+    clearInterval(this.digestTimer);
     this.groupManager.stop();
     this.rolloutDriver.stop();
     this.peers.stop();
@@ -257,6 +271,8 @@
       [FLEET_METHODS.describe]: () => this.describe(),
       [FLEET_METHODS.exchange]: (request: ExchangeRequest): ExchangeReply =>
         this.loadExchange.exchange(request),
+      [FLEET_METHODS.digest]: (digest: LoadDigest) =>
+        this.loadExchange.acceptDigest(digest),
     };
   }
 
@@ -299,6 +315,17 @@
     }
   }
 
+  private sendDigest(): void {
+    const digest = this.loadExchange.describeDigest();
+    for (const {address} of this.peers.listReachable()) {
+      this.links
+        .request(address, FLEET_METHODS.digest, digest, DIGEST_TIMEOUT_MS)
+        .catch((error: unknown) =>
+          log('digest_failed', {peer: address, error: String(error)}),
+        );
+    }
+  }
+
   private describeIdentity(): ControlIdentity {
     const identity = this.logMember.raftNode?.getIdentity();
     return {
--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -1,59 +1,123 @@
-import type {VersionCounts} from '@sycamorehead/schema';
+import type {RolloutEvidence, VersionCounts} from '@sycamorehead/schema';
+import {writeDecision} from '@sycamorehead/telemetry';
 import type {
   ExchangeReply,
   ExchangeRequest,
+  LoadDigest,
+  LoadTable,
   ServerLoad,
 } from './fleetMessages.js';
 import {NO_COUNTS, VersionPair, addCounts} from './evaluateRollout.js';
 
-/** Age above which an entry's load is ignored, in milliseconds. */
+/** Age above which a report or a digest is ignored, in milliseconds. */
 const LOAD_EXPIRY_MS = 1_500;
 /** Age above which an entry is removed with its evidence, in milliseconds. */
 const ENTRY_EXPIRY_MS = 60_000;
+/** Time for which totals over all reports are reused, in milliseconds. */
+const TOTALS_MS = 50;
+/** Time for which digests name an entry that has begun to report here, in milliseconds. */
+const ARRIVAL_MS = 2_000;
 
 interface EntryUsage {
   readonly request: ExchangeRequest;
   readonly receivedAt: number;
+  readonly arrivedAt: number;
+}
+
+interface ReceivedDigest {
+  readonly digest: LoadDigest;
+  readonly receivedAt: number;
+}
+
+interface Totals {
+  readonly computedAt: number;
+  readonly load: LoadTable;
+  readonly entries: number;
+  readonly leaving: readonly string[];
+  /** The reports that the totals contain. */
+  readonly included: ReadonlyMap<string, ExchangeRequest>;
 }
 
 /**
- * Aggregates the entries' reports: load by backend server, and evidence on roll-outs.
+ * Aggregates the load on backend servers and the evidence on roll-outs. Each control instance sums
+ * the reports of its own entries and exchanges the sums with the other instances, so that the work
+ * of an exchange does not grow with the number of entries. The loss of an instance costs only
+ * freshness: its entries report to another one, which names them to the others.
  *
  * @public
  */
 export class LoadExchange {
   private readonly entries = new Map<string, EntryUsage>();
+  private readonly digests = new Map<string, ReceivedDigest>();
+  private totals: Totals | undefined;
+
+  constructor(
+    private readonly instance: string,
+    /** Returns the number of known control instances, including this one. */
+    private readonly countControls: () => number,
+  ) {}
+
+  // Commands.
 
   /** Records one entry's report and returns the load of the other entries. */
   exchange(request: ExchangeRequest): ExchangeReply {
     const now = performance.now();
-    this.entries.set(request.entry, {request, receivedAt: now});
+    const {entry} = request;
+    const arrivedAt = this.entries.get(entry)?.arrivedAt ?? now;
+    this.entries.set(entry, {request, receivedAt: now, arrivedAt});
+    const {load, entries, leaving, included} = this.getTotals();
+    const own = included.get(entry)?.load ?? {};
+    return {
+      entries: included.has(entry) ? entries : entries + 1,
+      load: computeOthersLoad(load, own),
+      leaving,
+      isIsolated: this.isIsolated(),
+    };
+  }
+
+  /** Records the sums of another control instance, and forgets the entries that report there now. */
+  acceptDigest(digest: LoadDigest): void {
+    this.digests.set(digest.instance, {
+      digest,
+      receivedAt: performance.now(),
+    });
+    for (const entry of digest.arrived) {
+      if (!this.entries.delete(entry)) continue;
+      writeDecision('entry_moved', {entry, control: digest.instance});
+    }
+  }
+
+  // Queries.
+
+  /** Sums the reports of the entries that report to this instance. */
+  describeDigest(): LoadDigest {
+    const now = performance.now();
     const load: Record<string, ServerLoad> = {};
     const leaving = new Set<string>();
-    let entries = 0;
-    for (const [name, usage] of this.entries) {
-      const ageMs = now - usage.receivedAt;
-      if (ageMs > ENTRY_EXPIRY_MS) this.entries.delete(name);
-      if (ageMs > LOAD_EXPIRY_MS) continue;
-      entries += 1;
-      if (name === request.entry) continue;
-      for (const key of usage.request.leaving ?? []) leaving.add(key);
-      for (const [id, [inFlight, pendingMs]] of listLoad(usage)) {
-        const known = load[id] ?? [0, 0];
-        load[id] = [known[0] + inFlight, known[1] + pendingMs];
-      }
+    const arrived: string[] = [];
+    const usages = this.listFresh();
+    for (const {request, arrivedAt} of usages) {
+      addLoad(load, request.load);
+      for (const key of request.leaving ?? []) leaving.add(key);
+      if (now - arrivedAt < ARRIVAL_MS) arrived.push(request.entry);
     }
-    return {entries, load, leaving: [...leaving]};
+    return {
+      instance: this.instance,
+      entries: usages.length,
+      load,
+      leaving: [...leaving],
+      evidence: mergeEvidence(
+        [...this.entries.values()].flatMap(({request}) => request.evidence),
+      ),
+      arrived,
+    };
   }
 
   /** Counts the requests of all entries in flight on the given backend servers. */
   countInFlight(ids: ReadonlySet<string>): number {
     let total = 0;
-    for (const usage of this.entries.values()) {
-      if (performance.now() - usage.receivedAt > LOAD_EXPIRY_MS) continue;
-      for (const [id, [inFlight]] of listLoad(usage)) {
-        if (ids.has(id)) total += inFlight;
-      }
+    for (const [id, [inFlight]] of Object.entries(this.getTotals().load)) {
+      if (ids.has(id)) total += inFlight;
     }
     return total;
   }
@@ -61,26 +125,114 @@
   /** Sums the evidence of one roll-out by route. */
   listEvidence(service: string, number: number): VersionPair[] {
     const routes = new Map<string, {old: VersionCounts; new: VersionCounts}>();
-    for (const {request} of this.entries.values()) {
-      for (const evidence of request.evidence) {
-        if (evidence.service !== service || evidence.number !== number) {
-          continue;
-        }
-        for (const [key, counts] of Object.entries(evidence.counts)) {
-          const separatorIndex = key.lastIndexOf('|');
-          const route = key.slice(0, separatorIndex);
-          const variant =
-            key.slice(separatorIndex + 1) === 'new' ? 'new' : 'old';
-          const pair = routes.get(route) ?? {old: NO_COUNTS, new: NO_COUNTS};
-          pair[variant] = addCounts(pair[variant], counts);
-          routes.set(route, pair);
-        }
+    const lists = [
+      this.describeDigest().evidence,
+      ...this.listFreshDigests().map(digest => digest.evidence),
+    ];
+    for (const evidence of lists.flat()) {
+      if (evidence.service !== service || evidence.number !== number) continue;
+      for (const [key, counts] of Object.entries(evidence.counts)) {
+        const separatorIndex = key.lastIndexOf('|');
+        const route = key.slice(0, separatorIndex);
+        const variant = key.slice(separatorIndex + 1) === 'new' ? 'new' : 'old';
+        const pair = routes.get(route) ?? {old: NO_COUNTS, new: NO_COUNTS};
+        pair[variant] = addCounts(pair[variant], counts);
+        routes.set(route, pair);
       }
     }
     return [...routes.values()];
   }
+
+  /** Returns whether too few other instances are heard for the sums to be complete. */
+  private isIsolated(): boolean {
+    const heard = this.listFreshDigests().length + 1;
+    return heard * 2 <= this.countControls();
+  }
+
+  private getTotals(): Totals {
+    const now = performance.now();
+    if (this.totals && now - this.totals.computedAt < TOTALS_MS) {
+      return this.totals;
+    }
+    this.expireEntries(now);
+    const own = this.describeDigest();
+    const load: Record<string, ServerLoad> = {...own.load};
+    const leaving = new Set(own.leaving);
+    let {entries} = own;
+    for (const digest of this.listFreshDigests()) {
+      addLoad(load, digest.load);
+      for (const key of digest.leaving) leaving.add(key);
+      entries += digest.entries;
+    }
+    const included = new Map(
+      this.listFresh().map(({request}) => [request.entry, request]),
+    );
+    this.totals = {
+      computedAt: now,
+      load,
+      entries,
+      leaving: [...leaving],
+      included,
+    };
+    return this.totals;
+  }
+
+  private listFresh(): EntryUsage[] {
+    const oldest = performance.now() - LOAD_EXPIRY_MS;
+    return [...this.entries.values()].filter(
+      ({receivedAt}) => receivedAt >= oldest,
+    );
+  }
+
+  private listFreshDigests(): LoadDigest[] {
+    const oldest = performance.now() - LOAD_EXPIRY_MS;
+    return [...this.digests.values()]
+      .filter(({receivedAt}) => receivedAt >= oldest)
+      .map(({digest}) => digest);
+  }
+
+  private expireEntries(now: number): void {
+    const oldest = now - ENTRY_EXPIRY_MS;
+    for (const [entry, {receivedAt}] of this.entries) {
+      if (receivedAt < oldest) this.entries.delete(entry);
+    }
+    for (const [instance, {receivedAt}] of this.digests) {
+      if (receivedAt < oldest) this.digests.delete(instance);
+    }
+  }
 }
 
-function listLoad({request}: EntryUsage): Array<[string, ServerLoad]> {
-  return Object.entries(request.load);
+function addLoad(sum: Record<string, ServerLoad>, load: LoadTable): void {
+  for (const [id, [inFlight, pendingMs]] of Object.entries(load)) {
+    const known = sum[id] ?? [0, 0];
+    sum[id] = [known[0] + inFlight, known[1] + pendingMs];
+  }
+}
+
+/** Returns the load without a part of it; servers without load are left out. */
+function computeOthersLoad(load: LoadTable, part: LoadTable): LoadTable {
+  const rest: Record<string, ServerLoad> = {};
+  for (const [id, [inFlight, pendingMs]] of Object.entries(load)) {
+    const [ownInFlight, ownPendingMs] = part[id] ?? [0, 0];
+    const left = inFlight - ownInFlight;
+    if (left > 0) rest[id] = [left, pendingMs - ownPendingMs];
+  }
+  return rest;
+}
+
+/** Sums the evidence of several entries by roll-out and route. */
+function mergeEvidence(list: readonly RolloutEvidence[]): RolloutEvidence[] {
+  const merged = new Map<
+    string,
+    RolloutEvidence & {counts: Record<string, VersionCounts>}
+  >();
+  for (const {service, number, counts} of list) {
+    const rolloutKey = `${service} ${number}`;
+    const sum = merged.get(rolloutKey) ?? {service, number, counts: {}};
+    for (const [key, value] of Object.entries(counts)) {
+      sum.counts[key] = addCounts(sum.counts[key] ?? NO_COUNTS, value);
+    }
+    merged.set(rolloutKey, sum);
+  }
+  return [...merged.values()];
 }
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -27,6 +27,8 @@
    * entries.
    */
   exchange: 'fleet.exchange',
+  /** Control instance to control instance: the sums over the entries that report to it. */
+  digest: 'fleet.digest',
   /** Control instance to the leader: stores an operator's configuration. */
   putConfiguration: 'fleet.putConfiguration',
   /** Control instance to the leader: reads the newest configuration. */
@@ -108,6 +110,8 @@
   /** Peer addresses of the control instances. */
   readonly controls?: readonly string[];
   readonly isLeading?: boolean;
+  /** Data centre of the control instance. */
+  readonly dataCentre?: string;
 }
 
 /**
@@ -132,10 +136,24 @@
   readonly leaving?: readonly string[];
 }
 
+/** Sums over the entries that report to one control instance; parameters of `fleet.digest`. @public */
+export interface LoadDigest {
+  readonly instance: string;
+  /** Number of entries that have reported recently. */
+  readonly entries: number;
+  readonly load: LoadTable;
+  readonly evidence: readonly RolloutEvidence[];
+  readonly leaving: readonly string[];
+  /** Entries that have begun to report to this instance a short while ago. */
+  readonly arrived: readonly string[];
+}
+
 /** Load of the other entries; answer to `fleet.exchange`. @public */
 export interface ExchangeReply {
   readonly entries: number;
   readonly load: LoadTable;
   /** Incarnations of servers that told other entries that they leave; absent from earlier builds. */
   readonly leaving?: readonly string[];
+  /** Whether the instance hears too few others, so that load is missing. */
+  readonly isIsolated?: boolean;
 }
--- a/packages/fleet/src/test/FleetNode.test.ts
+++ b/packages/fleet/src/test/FleetNode.test.ts
@@ -42,6 +42,7 @@
 ): Promise<FleetNode> {
   const node = new FleetNode({
     instance: host,
+    dataCentre: 'a',
     host,
     peerPort: PEER_PORT,
     peerKey: 'test',
@@ -159,6 +160,7 @@
   const states: string[] = [];
   const entry = new FleetLinks({
     entry: 'e1',
+    dataCentre: 'a',
     peerKey: 'test',
     seeds: [`127.0.1.2:${PEER_PORT}`],
     onUpdate: ({servers = []}) => {
--- /dev/null
+++ b/packages/fleet/src/test/LoadExchange.test.ts
@@ -0,0 +1,143 @@
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, test} from 'node:test';
+import fakeTimers from '@sinonjs/fake-timers';
+import type {RolloutEvidence} from '@sycamorehead/schema';
+import type {ExchangeRequest, LoadTable} from '../lib/fleetMessages.js';
+import {LoadExchange} from '../lib/LoadExchange.js';
+
+let clock: ReturnType<typeof fakeTimers.install>;
+
+beforeEach(() => {
+  clock = fakeTimers.install({toFake: ['performance']});
+});
+
+afterEach(() => {
+  clock.uninstall();
+});
+
+function buildReport(
+  entry: string,
+  load: LoadTable,
+  overrides: Partial<ExchangeRequest> = {},
+): ExchangeRequest {
+  return {entry, load, evidence: [], ...overrides};
+}
+
+function buildEvidence(answers: number, failures: number): RolloutEvidence {
+  const counts = {answers, failures, logTimeSum: 0, timed: 0};
+  return {service: 'drafts', number: 1, counts: {'drafts |new': counts}};
+}
+
+function countAnswers(exchange: LoadExchange): number {
+  return exchange
+    .listEvidence('drafts', 1)
+    .reduce((sum, {new: fresh}) => sum + fresh.answers, 0);
+}
+
+/** Builds control instances that know each other. */
+function buildControls(...names: string[]): LoadExchange[] {
+  return names.map(name => new LoadExchange(name, () => names.length));
+}
+
+function exchangeDigests(...controls: LoadExchange[]): void {
+  const digests = controls.map(control => control.describeDigest());
+  controls.forEach((control, index) => {
+    digests.forEach((digest, other) => {
+      if (other !== index) control.acceptDigest(digest);
+    });
+  });
+}
+
+test('an entry learns the load of entries that report to other instances, without its own', () => {
+  const [first, second] = buildControls('c1', 'c2');
+  assert.ok(first && second);
+  first.exchange(buildReport('e1', {s1: [2, 100]}));
+  first.exchange(buildReport('e2', {s1: [1, 50], s2: [1, 10]}));
+  second.exchange(buildReport('e3', {s1: [4, 30]}));
+  exchangeDigests(first, second);
+  clock.tick(60);
+  const reply = first.exchange(buildReport('e1', {s1: [9, 900]}));
+  assert.deepEqual(reply.load, {s1: [5, 80], s2: [1, 10]});
+  assert.equal(reply.entries, 3);
+  assert.equal(reply.isIsolated, false);
+});
+
+test('the load of a lost instance expires, and its entries count once when they report elsewhere', () => {
+  const [first, second, third] = buildControls('c1', 'c2', 'c3');
+  assert.ok(first && second && third);
+  const evidence = [buildEvidence(10, 1)];
+  second.exchange(buildReport('e3', {s1: [4, 30]}, {evidence}));
+  exchangeDigests(first, second, third);
+  assert.equal(countAnswers(first), 10);
+  clock.tick(1_600);
+  third.exchange(buildReport('e4', {}));
+  exchangeDigests(first, third);
+  const reply = first.exchange(buildReport('e1', {}));
+  assert.deepEqual(reply.load, {});
+  first.exchange(buildReport('e3', {s1: [4, 30]}, {evidence}));
+  assert.equal(countAnswers(first), 10);
+  // The lost instance returns with its old reports.
+  exchangeDigests(first, second, third);
+  exchangeDigests(first, second, third);
+  clock.tick(60);
+  assert.equal(countAnswers(first), 10);
+  assert.equal(countAnswers(third), 10);
+});
+
+test('evidence of an entry outlives a pause of its reports', () => {
+  const [control] = buildControls('c1');
+  assert.ok(control);
+  const evidence = [buildEvidence(10, 4)];
+  control.exchange(buildReport('e1', {s1: [1, 1]}, {evidence}));
+  clock.tick(5_000);
+  assert.equal(countAnswers(control), 10);
+  assert.equal(control.countInFlight(new Set(['s1'])), 0);
+});
+
+test('an instance that hears less than half of the others says so', () => {
+  const controls = buildControls('c1', 'c2', 'c3', 'c4', 'c5');
+  const [first, second, third] = controls;
+  assert.ok(first && second && third);
+  assert.equal(first.exchange(buildReport('e1', {})).isIsolated, true);
+  exchangeDigests(first, second);
+  assert.equal(first.exchange(buildReport('e1', {})).isIsolated, true);
+  exchangeDigests(first, second, third);
+  assert.equal(first.exchange(buildReport('e1', {})).isIsolated, false);
+  clock.tick(1_600);
+  assert.equal(first.exchange(buildReport('e1', {})).isIsolated, true);
+});
+
+test('requests in flight on the old version are counted over all instances', () => {
+  const [first, second] = buildControls('c1', 'c2');
+  assert.ok(first && second);
+  first.exchange(buildReport('e1', {s1: [2, 0], s2: [7, 0]}));
+  second.exchange(buildReport('e2', {s1: [3, 0]}));
+  exchangeDigests(first, second);
+  clock.tick(60);
+  assert.equal(first.countInFlight(new Set(['s1'])), 5);
+});
+
+test('a server that leaves is named to the entries of other instances', () => {
+  const [first, second] = buildControls('c1', 'c2');
+  assert.ok(first && second);
+  first.exchange(buildReport('e1', {}, {leaving: ['s1 7']}));
+  exchangeDigests(first, second);
+  const reply = second.exchange(buildReport('e2', {}));
+  assert.deepEqual(reply.leaving, ['s1 7']);
+});
+
+test('a reply lists servers, not entries: its size does not grow with the fleet', () => {
+  const measureReply = (entries: number) => {
+    const [first, second] = buildControls('c1', 'c2');
+    assert.ok(first && second);
+    for (let index = 0; index < entries; index += 1) {
+      const control = index % 2 === 0 ? first : second;
+      control.exchange(buildReport(`e${index}`, {s1: [1, 1], s2: [1, 1]}));
+    }
+    exchangeDigests(first, second);
+    clock.tick(60);
+    const reply = first.exchange(buildReport('e0', {}));
+    return JSON.stringify(reply).length;
+  };
+  assert.ok(measureReply(1_000) < measureReply(10) + 20);
+});
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -103,6 +103,7 @@
     });
     this.links = new FleetLinks({
       entry: options.name,
+      dataCentre,
       peerKey: options.peerKey,
       seeds: options.seeds,
       onUpdate: update => this.applyUpdate(update),
