A request compares a few servers, most of its own data centre, instead of all

Cause: all entries read the same stale reports, so the server that seemed idle received the requests of all until the next one.

--- a/packages/bench/src/lib/RouteDemo.ts
+++ b/packages/bench/src/lib/RouteDemo.ts
@@ -123,7 +123,7 @@
       peerKey,
       seeds: [this.peer],
       names: DEFAULT_HEADERS,
-      policies: {server: 'estimated', model: 'expected_value', answerValue: 10},
+      policies: {server: 'sampled', model: 'expected_value', answerValue: 10},
       retryBudget: {ratio: 0.2, slack: 10, windowMs: 10_000},
       sessionMs: 5_000,
       graceMs: 1_000,
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -4,6 +4,7 @@
   PlacementQueue,
   PrefillRates,
   choosePreferredServer,
+  sampleServers,
   scoreServer,
 } from '@sycamorehead/routing';
 import {AnswerTimes, buildWorkKind} from './AnswerTimes.js';
@@ -179,8 +180,17 @@
   private chooseServer(demand: PlacementRequest): Choice | undefined {
     const usable = this.listUsable(demand);
     const preferred = findPreferredServer(demand, usable);
+    const {policy, dataCentre} = this.options;
+    const sample = new Set(
+      sampleServers(
+        policy,
+        usable,
+        ({listing}) => listing.registration.dataCentre === dataCentre,
+      ),
+    );
+    if (preferred) sample.add(preferred);
     let best: Choice | undefined;
-    for (const server of usable) {
+    for (const server of sample) {
       const choice = this.rateServer(demand, server, server === preferred);
       const isBetter =
         !best ||
--- a/packages/gateway/src/test/GatewayHarness.ts
+++ b/packages/gateway/src/test/GatewayHarness.ts
@@ -100,13 +100,13 @@
       versions: this.versions,
       rates,
       times,
-      policy: 'estimated',
+      policy: 'sampled',
       dataCentre: 'a',
     });
     const context: ForwardContext = {
       names: TEST_NAMES,
       policies: {
-        server: 'estimated',
+        server: 'sampled',
         model: 'expected_value',
         answerValue: 10,
       },
--- a/packages/routing/src/lib/forwarding/scoreServer.ts
+++ b/packages/routing/src/lib/forwarding/scoreServer.ts
@@ -15,8 +15,13 @@
   readonly slowness: number;
 }
 
-/** How servers are scored; the lowest score wins. @public */
-export type ForwardPolicy = 'estimated' | 'least_loaded';
+/**
+ * How servers are chosen: `sampled` compares a few by their estimated answer time, `estimated` all,
+ * and `least_loaded` all by their requests in flight.
+ *
+ * @public
+ */
+export type ForwardPolicy = 'sampled' | 'estimated' | 'least_loaded';
 
 /** Cost of a server with all slots taken, in milliseconds; each request slows down the others. */
 const FULL_SERVER_MS = 400;
@@ -29,22 +34,24 @@
   Record<ForwardPolicy, (server: ServerCandidate) => number>
 > = {
   least_loaded: ({load}) => load,
-  estimated: server => {
-    const {load, slots, pendingMs, ownMs, slowness} = server;
-    const utilization = load / Math.max(1, slots);
-    const workMs = pendingMs + ownMs + utilization * FULL_SERVER_MS;
-    return (
-      workMs * slowness +
-      (server.isSameDataCentre ? 0 : DISTANCE_MS) +
-      (server.isSilent ? SILENT_MS : 0)
-    );
-  },
+  estimated: estimateAnswerMs,
+  sampled: estimateAnswerMs,
 };
 
+function estimateAnswerMs(server: ServerCandidate): number {
+  const {load, slots, pendingMs, ownMs, slowness} = server;
+  const utilization = load / Math.max(1, slots);
+  const workMs = pendingMs + ownMs + utilization * FULL_SERVER_MS;
+  return (
+    workMs * slowness +
+    (server.isSameDataCentre ? 0 : DISTANCE_MS) +
+    (server.isSilent ? SILENT_MS : 0)
+  );
+}
+
 /**
- * Scores a backend server for a request; the lowest score wins. The `estimated` policy estimates
- * the time until the server would answer, in milliseconds; `least_loaded` counts the requests in
- * flight.
+ * Scores a backend server for a request; the lowest score wins. `least_loaded` counts the requests
+ * in flight; the other policies estimate the time until the server would answer, in milliseconds.
  *
  * @example
  * ```ts
