A server counts as active while any entry receives from it; roll-outs stop waiting for the old version earlier

Change: reports of load say from which servers an entry has just received; a silent send is abandoned once nobody hears the server, and checked again every 100 ms. Tests: silence (a slow answer, heard elsewhere or not), LoadExchange.

--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -203,19 +203,29 @@
 }
 
 function addLoad(sum: Record<string, ServerLoad>, load: LoadTable): void {
-  for (const [id, [inFlight, pendingMs]] of Object.entries(load)) {
-    const known = sum[id] ?? [0, 0];
-    sum[id] = [known[0] + inFlight, known[1] + pendingMs];
+  for (const [id, [inFlight, pendingMs, active = 0]] of Object.entries(load)) {
+    const [knownInFlight, knownPendingMs, knownActive = 0] = sum[id] ?? [0, 0];
+    sum[id] = [
+      knownInFlight + inFlight,
+      knownPendingMs + pendingMs,
+      knownActive + active,
+    ];
   }
 }
 
 /** Returns the load without a part of it; servers without load are left out. */
 function computeOthersLoad(load: LoadTable, part: LoadTable): LoadTable {
   const rest: Record<string, ServerLoad> = {};
-  for (const [id, [inFlight, pendingMs]] of Object.entries(load)) {
-    const [ownInFlight, ownPendingMs] = part[id] ?? [0, 0];
+  for (const [id, [inFlight, pendingMs, active = 0]] of Object.entries(load)) {
+    const [ownInFlight, ownPendingMs, ownActive = 0] = part[id] ?? [0, 0];
     const left = inFlight - ownInFlight;
-    if (left > 0) rest[id] = [left, pendingMs - ownPendingMs];
+    const leftActive = active - ownActive;
+    if (left <= 0 && leftActive <= 0) continue;
+    const leftPendingMs = pendingMs - ownPendingMs;
+    rest[id] =
+      leftActive > 0
+        ? [left, leftPendingMs, leftActive]
+        : [left, leftPendingMs];
   }
   return rest;
 }
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -115,11 +115,16 @@
 }
 
 /**
- * Requests in flight on a server, and the estimated work whose answers have not begun, in ms.
+ * Requests in flight on a server, the estimated work whose answers have not begun, in ms, and the
+ * number of entries that have just received something from it (absent from earlier builds).
  *
  * @public
  */
-export type ServerLoad = readonly [inFlight: number, pendingMs: number];
+export type ServerLoad = readonly [
+  inFlight: number,
+  pendingMs: number,
+  active?: number,
+];
 
 /** Load by server id. @public */
 export type LoadTable = Readonly<Record<string, ServerLoad>>;
--- a/packages/fleet/src/lib/planRollout.ts
+++ b/packages/fleet/src/lib/planRollout.ts
@@ -13,7 +13,7 @@
  * Fraction of the duration after which the roll-out no longer waits for requests on the old
  * version.
  */
-const LAST_FRACTION = 0.97;
+const LAST_FRACTION = 0.93;
 /** Time after the last step in which entries may still use the old version, in milliseconds. */
 const SETTLE_MS = 1_000;
 
--- a/packages/fleet/src/test/LoadExchange.test.ts
+++ b/packages/fleet/src/test/LoadExchange.test.ts
@@ -117,6 +117,17 @@
   assert.equal(first.countInFlight(new Set(['s1'])), 5);
 });
 
+test('an entry learns that others receive from a server, but not from itself', () => {
+  const [first, second] = buildControls('c1', 'c2');
+  assert.ok(first && second);
+  first.exchange(buildReport('e1', {s1: [0, 0, 1], s2: [1, 5, 1]}));
+  second.exchange(buildReport('e2', {s2: [1, 5, 1]}));
+  exchangeDigests(first, second);
+  clock.tick(60);
+  const reply = first.exchange(buildReport('e1', {}));
+  assert.deepEqual(reply.load, {s2: [1, 5, 1]});
+});
+
 test('a server that leaves is named to the entries of other instances', () => {
   const [first, second] = buildControls('c1', 'c2');
   assert.ok(first && second);
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -310,7 +310,8 @@
       lastEventId: this.lastEventId,
       stallTimeouts: this.computeStallTimeouts(target),
       isServerActive: () =>
-        server.lastReceivedAt > lastBytesAt && servers.isActive(server),
+        Math.max(server.lastReceivedAt, server.othersReceivedAt) >
+          lastBytesAt && servers.isActive(server),
       isResendPermitted: () => this.isResendPermitted(target.service.name),
       onFirstBytes: () => send.recordFirstBytes(),
       onBytes: () => {
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -48,6 +48,8 @@
   othersPendingMs: number;
   /** When this entry last received anything from it, on the monotonic clock. */
   lastReceivedAt: number;
+  /** When an exchange last said that another entry receives from it, on the monotonic clock. */
+  othersReceivedAt: number;
   /** Failed sends since the last answer. */
   failures: number;
   /** The time until which other servers are preferred, on the monotonic clock. */
@@ -78,7 +80,8 @@
   /** Sets the load that the other entries have placed on the servers. */
   setOthersLoad(load: LoadTable): void {
     for (const [id, server] of this.servers) {
-      const [inFlight, pendingMs] = load[id] ?? [0, 0];
+      const [inFlight, pendingMs, active = 0] = load[id] ?? [0, 0];
+      if (active > 0) server.othersReceivedAt = performance.now();
       server.othersInFlight = inFlight;
       server.othersPendingMs = pendingMs;
     }
@@ -130,9 +133,13 @@
 
   // Queries.
 
-  /** Returns whether anything was recently received from a server, on any connection. */
-  isActive({lastReceivedAt}: KnownServer): boolean {
-    return performance.now() - lastReceivedAt < ACTIVE_MS;
+  /**
+   * Returns whether anything was recently received from a server, on any connection of any entry.
+   * One of many entries alone hardly ever has two requests on the same server.
+   */
+  isActive({lastReceivedAt, othersReceivedAt}: KnownServer): boolean {
+    const receivedAt = Math.max(lastReceivedAt, othersReceivedAt);
+    return performance.now() - receivedAt < ACTIVE_MS;
   }
 
   /** Lists the servers of a service that do not leave; some may be held. */
@@ -171,8 +178,11 @@
   /** Lists this entry's load by server id. */
   listLoad(): LoadTable {
     const load: Record<string, ServerLoad> = {};
-    for (const [id, {inFlight, pendingMs}] of this.servers) {
-      if (inFlight > 0) load[id] = [inFlight, Math.round(pendingMs)];
+    const oldest = performance.now() - ACTIVE_MS;
+    for (const [id, {inFlight, pendingMs, lastReceivedAt}] of this.servers) {
+      const active = lastReceivedAt > oldest ? 1 : 0;
+      if (inFlight === 0 && active === 0) continue;
+      load[id] = [inFlight, Math.round(pendingMs), active];
     }
     return load;
   }
@@ -258,6 +268,7 @@
     pendingMs: 0,
     othersPendingMs: 0,
     lastReceivedAt: -Infinity,
+    othersReceivedAt: -Infinity,
     failures: 0,
     ejectedUntil: 0,
     slowness: 1,
--- a/packages/gateway/src/lib/SilenceTimer.ts
+++ b/packages/gateway/src/lib/SilenceTimer.ts
@@ -1,8 +1,11 @@
 import type {SilenceTimeouts} from '@sycamorehead/routing';
 
+/** Interval between two checks of whether a server is still active, in milliseconds. */
+const CHECK_MS = 100;
+
 /**
- * Reports a server that sends nothing: after the shorter timeout if it is silent on all
- * connections, after the longer one if it is active on others.
+ * Reports a server that sends nothing: after the shorter timeout, as soon as it is silent on all
+ * connections, and after the longer one in any case.
  *
  * @internal
  */
@@ -17,12 +20,14 @@
   /** Starts or restarts the timer. */
   start({silentServerMs, activeServerMs}: SilenceTimeouts): void {
     this.stop();
+    const abandonAt = performance.now() + activeServerMs;
     const checkServer = () => {
-      if (!this.isServerActive()) {
+      const leftMs = abandonAt - performance.now();
+      if (leftMs <= 0 || !this.isServerActive()) {
         this.onTimeout();
         return;
       }
-      this.timer = setTimeout(this.onTimeout, activeServerMs - silentServerMs);
+      this.timer = setTimeout(checkServer, Math.min(leftMs, CHECK_MS));
     };
     this.timer = setTimeout(checkServer, silentServerMs);
   }
--- a/packages/gateway/src/test/silence.test.ts
+++ b/packages/gateway/src/test/silence.test.ts
@@ -94,3 +94,37 @@
   const text = await gateway.exchange(formatRequest({method: 'POST'}));
   assert.ok(text.endsWith(LAST_CHUNK));
 });
+
+for (const isHeardElsewhere of [false, true]) {
+  test(`a slow answer ${isHeardElsewhere ? 'is awaited while other entries receive from its server' : 'of a server that nobody hears from goes to another server'}`, async () => {
+    const answerSlowly: ServerScript = (request, socket) => {
+      const finish = () =>
+        socket.write(
+          formatStreamHead(request) + formatChunk(formatEvent(1)) + LAST_CHUNK,
+        );
+      setTimeout(
+        finish,
+        request.headers.get('x-request-id') === 'first' ? 0 : 550,
+      );
+    };
+    const server = await startServer('s1', answerSlowly);
+    const gateway = await startGateway(
+      {kind: 'streaming', isResumable: true, targetLatencyMs: 400},
+      [server],
+    );
+    const update = () =>
+      gateway.servers.setOthersLoad(
+        isHeardElsewhere ? {s1: [1, 10, 3]} : {s1: [1, 10]},
+      );
+    await gateway.exchange(formatRequest({method: 'POST', id: 'first'}));
+    const timer = setInterval(update, 50);
+    await sleep(450);
+    const other = await startServer('s2', answerSlowly);
+    const exchange = gateway.exchange(formatRequest({method: 'POST'}));
+    setTimeout(() => gateway.list([other.describe()]), 100);
+    await exchange;
+    clearInterval(timer);
+    const sends = server.received.length + other.received.length;
+    assert.equal(sends > 2, !isHeardElsewhere, `${sends} sends`);
+  });
+}
