Preferred servers weigh more: what a long prompt delays counts, and a second one stands by

Without an exchange the first of a rendezvous order is assumed to hold 0.9 of them, the second half; the time to read a prompt counts also for the requests that it delays, so a preferred server may have some more requests than another.

--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -2,8 +2,9 @@
 import {
   ForwardPolicy,
   PlacementQueue,
+  PreferredServers,
   PrefillRates,
-  choosePreferredServer,
+  choosePreferredServers,
   sampleServers,
   scoreServer,
 } from '@sycamorehead/routing';
@@ -21,10 +22,10 @@
 /** Average pending work at which engines count as full, as a fraction of the target latency. */
 const FULL_FRACTION = 0.8;
 /**
- * Fraction of the tokens of shared segments that a preferred server is assumed to have cached
- * because of sends of other entries.
+ * Fraction of the tokens of shared segments that a server is assumed to have cached because of
+ * sends of other entries, by the preference of the entries for it.
  */
-const PREFERRED_CACHED_FRACTION = 0.6;
+const CACHED_FRACTIONS = {first: 0.9, second: 0.5, none: 0} as const;
 /** Time after its last use for which a prompt segment counts as cached, in milliseconds. */
 const SEGMENT_CACHED_MS = 30_000;
 
@@ -66,6 +67,9 @@
   readonly dataCentre: string;
 }
 
+/** The preference of the entries for a server, by the shared segments of a prompt. */
+type Preference = keyof typeof CACHED_FRACTIONS;
+
 interface Choice {
   readonly server: KnownServer;
   readonly tokensToPrefill: number;
@@ -179,7 +183,7 @@
 
   private chooseServer(demand: PlacementRequest): Choice | undefined {
     const usable = this.listUsable(demand);
-    const preferred = findPreferredServer(demand, usable);
+    const preferred = choosePreferred(demand, usable);
     const {policy, dataCentre} = this.options;
     const sample = new Set(
       sampleServers(
@@ -188,10 +192,16 @@
         ({listing}) => listing.registration.dataCentre === dataCentre,
       ),
     );
-    if (preferred) sample.add(preferred);
+    for (const server of usable) {
+      if (getPreference(preferred, server) !== 'none') sample.add(server);
+    }
     let best: Choice | undefined;
     for (const server of sample) {
-      const choice = this.rateServer(demand, server, server === preferred);
+      const choice = this.rateServer(
+        demand,
+        server,
+        getPreference(preferred, server),
+      );
       const isBetter =
         !best ||
         choice.score < best.score ||
@@ -204,7 +214,7 @@
   private rateServer(
     demand: PlacementRequest,
     server: KnownServer,
-    isPreferred: boolean,
+    preference: Preference,
   ): Choice {
     const {request, model, service, route} = demand;
     const {policy, dataCentre, rates, times} = this.options;
@@ -213,7 +223,7 @@
       server,
       model ?? '',
       request.promptSegments,
-      isPreferred,
+      CACHED_FRACTIONS[preference],
     );
     const tokensToPrefill = Math.max(0, request.size.promptTokens - cached);
     const ownMs = service.engine
@@ -276,29 +286,37 @@
   }
 }
 
-/** Finds the server that every entry prefers for the last shared segment of the prompt. */
-function findPreferredServer(
+/** Chooses the servers that every entry prefers for the last shared segment of the prompt. */
+function choosePreferred(
   {request, model}: PlacementRequest,
   servers: readonly KnownServer[],
-): KnownServer | undefined {
+): PreferredServers | undefined {
   // The last segment belongs to this request only.
   const shared = request.promptSegments.at(-2);
   if (!shared) return undefined;
   const ids = servers.map(({listing}) => listing.registration.id);
-  const preferredId = choosePreferredServer(`${model ?? ''} ${shared.id}`, ids);
-  return servers.find(({listing}) => listing.registration.id === preferredId);
+  return choosePreferredServers(`${model ?? ''} ${shared.id}`, ids);
+}
+
+function getPreference(
+  preferred: PreferredServers | undefined,
+  {listing}: KnownServer,
+): Preference {
+  const {id} = listing.registration;
+  if (id === preferred?.first) return 'first';
+  return id === preferred?.second ? 'second' : 'none';
 }
 
 /**
  * Estimates the prompt tokens that a server probably has cached for a model: those of the leading
- * segments that this entry sent there recently and, on the preferred server, a fraction of those of
+ * segments that this entry sent there recently and, on a preferred server, a fraction of those of
  * the other shared segments, which other entries send there.
  */
 function countCachedTokens(
   server: KnownServer,
   model: string,
   segments: readonly PromptSegment[],
-  isPreferred: boolean,
+  sharedFraction: number,
 ): number {
   const oldest = performance.now() - SEGMENT_CACHED_MS;
   let tokens = 0;
@@ -308,8 +326,7 @@
     isSent &&= usedAt !== undefined && usedAt >= oldest;
     const isShared = index < segments.length - 1;
     if (isSent) tokens += segment.tokens;
-    else if (isPreferred && isShared)
-      tokens += segment.tokens * PREFERRED_CACHED_FRACTION;
+    else if (isShared) tokens += segment.tokens * sharedFraction;
   });
   return tokens;
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -63,9 +63,10 @@
   ForwardPolicy,
 } from './lib/forwarding/scoreServer.js';
 export {
-  choosePreferredServer,
+  choosePreferredServers,
   hashToShare,
-} from './lib/forwarding/choosePreferredServer.js';
+} from './lib/forwarding/choosePreferredServers.js';
+export type {PreferredServers} from './lib/forwarding/choosePreferredServers.js';
 export {parseRetryAfter} from './lib/forwarding/parseRetryAfter.js';
 export {PrefillRates} from './lib/forwarding/PrefillRates.js';
 export {
--- a/packages/routing/src/lib/forwarding/scoreServer.ts
+++ b/packages/routing/src/lib/forwarding/scoreServer.ts
@@ -25,6 +25,8 @@
 
 /** Cost of a server with all slots taken, in milliseconds; each request slows down the others. */
 const FULL_SERVER_MS = 400;
+/** Cost of delaying one other request, as a fraction of the delay. */
+const DELAY_FRACTION = 0.25;
 /** Cost of a server in another data centre, in milliseconds. */
 const DISTANCE_MS = 5;
 /** Cost that ranks a silent server behind all others, in milliseconds. */
@@ -41,7 +43,9 @@
 function estimateAnswerMs(server: ServerCandidate): number {
   const {load, slots, pendingMs, ownMs, slowness} = server;
   const utilization = load / Math.max(1, slots);
-  const workMs = pendingMs + ownMs + utilization * FULL_SERVER_MS;
+  // While it reads a prompt, a server delays all requests that it runs.
+  const delayMs = ownMs * (1 + load * DELAY_FRACTION);
+  const workMs = pendingMs + delayMs + utilization * FULL_SERVER_MS;
   return (
     workMs * slowness +
     (server.isSameDataCentre ? 0 : DISTANCE_MS) +
--- a/packages/routing/src/test/forwarding.test.ts
+++ b/packages/routing/src/test/forwarding.test.ts
@@ -5,7 +5,7 @@
 import {AnswerValues} from '../lib/forwarding/AnswerValues.js';
 import {ConfidenceGains} from '../lib/forwarding/ConfidenceGains.js';
 import {chooseModel, isWorthEscalating} from '../lib/forwarding/chooseModel.js';
-import {choosePreferredServer} from '../lib/forwarding/choosePreferredServer.js';
+import {choosePreferredServers} from '../lib/forwarding/choosePreferredServers.js';
 import {computeHeadTimeouts} from '../lib/forwarding/computeSilenceTimeouts.js';
 import {PlacementQueue} from '../lib/forwarding/PlacementQueue.js';
 import {parseRetryAfter} from '../lib/forwarding/parseRetryAfter.js';
@@ -118,19 +118,22 @@
   assert.ok(busy < silent);
 });
 
-test('every entry chooses the same preferred server, and a lost server moves only its own keys', () => {
+test('every entry chooses the same preferred servers, and a lost server moves only its own keys', () => {
   const ids = ['a', 'b', 'c', 'd'];
   const keys = Array.from({length: 400}, (unused, index) => `part ${index}`);
-  const before = keys.map(key => choosePreferredServer(key, ids));
+  const before = keys.map(key => choosePreferredServers(key, ids));
   assert.deepEqual(
     before,
-    keys.map(key => choosePreferredServer(key, [...ids].reverse())),
+    keys.map(key => choosePreferredServers(key, [...ids].reverse())),
   );
-  const after = keys.map(key => choosePreferredServer(key, ['a', 'b', 'c']));
-  const moved = before.filter((server, index) => server !== after[index]);
-  assert.ok(moved.every(server => server === 'd'));
+  const after = keys.map(key => choosePreferredServers(key, ['a', 'b', 'c']));
+  before.forEach(({first, second}, index) => {
+    // The second choice takes over the keys of a lost server.
+    assert.equal(after[index]?.first, first === 'd' ? second : first);
+    assert.notEqual(second, first);
+  });
   for (const id of ids) {
-    const owned = before.filter(server => server === id).length;
+    const owned = before.filter(({first}) => first === id).length;
     assert.ok(owned > 60 && owned < 140, `${id} owns ${owned}`);
   }
 });
