Queued evidence is sent at a stop; a stopped pool of links says why it closes

Cause: VersionFeedback.stop ended the reporter with evidence still queued; LinkPool.stop closed links with 'a request timed out'. Test: feedback (fails before: the queued batch is missing).

--- a/packages/consensus/src/lib/LinkPool.ts
+++ b/packages/consensus/src/lib/LinkPool.ts
@@ -49,7 +49,9 @@
       return await link.request<Result>(method, params, timeoutMs);
     } catch (thrown) {
       const error = toSycamoreheadError(thrown);
-      if (error.kind === 'timeout') this.drop(address, opening);
+      if (error.kind === 'timeout') {
+        this.drop(address, opening, 'a request timed out');
+      }
       throw error;
     }
   }
@@ -57,7 +59,9 @@
   /** Closes every link. */
   stop(): void {
     this.isStopped = true;
-    for (const [address, opening] of this.links) this.drop(address, opening);
+    for (const [address, opening] of this.links) {
+      this.drop(address, opening, 'this instance stops');
+    }
   }
 
   private getLink(address: string): Promise<PeerLink> {
@@ -89,10 +93,14 @@
     }
   }
 
-  private drop(address: string, opening: Promise<PeerLink>): void {
+  private drop(
+    address: string,
+    opening: Promise<PeerLink>,
+    reason: string,
+  ): void {
     if (this.links.get(address) === opening) this.links.delete(address);
     opening.then(
-      link => link.close('a request timed out'),
+      link => link.close(reason),
       () => {},
     );
   }
--- a/packages/entry/src/lib/feedback/EvidenceReporter.ts
+++ b/packages/entry/src/lib/feedback/EvidenceReporter.ts
@@ -10,6 +10,8 @@
 const log = createLogger('evidence');
 
 const BATCH_INTERVAL_MS = 150;
+/** Time allowed at a stop for sending what is still queued, in milliseconds. */
+const STOP_FLUSH_MS = 500;
 /**
  * Interval at which empty batches are sent while there is no evidence, in milliseconds. Their
  * receipts contain the ratings of all entries.
@@ -46,7 +48,10 @@
   private nextIndex = 0;
   private pool: string | undefined;
   private lastSentAt = -Infinity;
-  private timer: NodeJS.Timeout | undefined;
+  /** Ends the pause between two batches. */
+  private wake: (() => void) | undefined;
+  private running: Promise<void> = Promise.resolve();
+  private isStopping = false;
   private stopped = false;
 
   constructor(private readonly options: EvidenceReporterOptions) {}
@@ -59,23 +64,39 @@
 
   /** Starts to send, until stopped. */
   start(): void {
-    void this.sendForever();
+    this.running = this.sendUntilStopped();
   }
 
-  /** Stops sending. */
-  stop(): void {
+  /** Sends what is still queued, within a short time, and stops. */
+  async stop(): Promise<void> {
+    this.isStopping = true;
+    this.wake?.();
+    let timer: NodeJS.Timeout | undefined;
+    const expired = new Promise<void>(resolve => {
+      timer = setTimeout(resolve, STOP_FLUSH_MS);
+    });
+    await Promise.race([this.running, expired]);
+    clearTimeout(timer);
     this.stopped = true;
-    clearTimeout(this.timer);
   }
 
-  private async sendForever(): Promise<void> {
-    while (!this.stopped) {
+  private async sendUntilStopped(): Promise<void> {
+    while (!this.isStopping) {
       await this.flush();
-      await new Promise<void>(resolve => {
-        this.timer = setTimeout(resolve, BATCH_INTERVAL_MS);
-        this.timer.unref();
-      });
+      if (!this.isStopping) await this.pause();
     }
+    await this.flush();
+  }
+
+  private pause(): Promise<void> {
+    return new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, BATCH_INTERVAL_MS);
+      timer.unref();
+      this.wake = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
   }
 
   /** Sends all queued evidence. Batches that could not be sent stay queued. */
--- a/packages/entry/src/lib/feedback/VersionFeedback.ts
+++ b/packages/entry/src/lib/feedback/VersionFeedback.ts
@@ -68,10 +68,10 @@
     this.reporter?.start();
   }
 
-  /** Stops requesting ratings and reporting. Queued evidence is not sent. */
+  /** Stops requesting ratings, and stops reporting once queued evidence has been sent. */
   async stop(): Promise<void> {
     await this.ratings?.stop();
-    this.reporter?.stop();
+    await this.reporter?.stop();
   }
 
   /** Reports the outcome of a finished attempt. */
--- a/packages/entry/src/test/feedback.test.ts
+++ b/packages/entry/src/test/feedback.test.ts
@@ -136,3 +136,27 @@
   service.closeAllConnections();
   await new Promise(resolve => service.close(resolve));
 });
+
+test('evidence that is queued at a stop is sent first, unless control does not answer', async () => {
+  const control = createControl();
+  const reporter = new EvidenceReporter({
+    entry: 'e',
+    sink: control,
+    onReceipt: () => {},
+  });
+  reporter.start();
+  reporter.record(ITEM);
+  await reporter.stop();
+  // The first batch, sent at the start, is empty.
+  assert.deepEqual(control.accepted, ['p1:1', 'p1:2']);
+  const hung = new EvidenceReporter({
+    entry: 'e',
+    sink: {reportEvidence: () => new Promise(() => {})},
+    onReceipt: () => {},
+  });
+  hung.start();
+  hung.record(ITEM);
+  const startedAt = performance.now();
+  await hung.stop();
+  assert.ok(performance.now() - startedAt < 2_000);
+});
