--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -226,7 +226,11 @@
   private recordOutcome(send: SendRecord, outcome: AttemptOutcome): void {
     const {id} = send.reservation.server.listing.registration;
     this.tried.add(id);
-    this.history.push(`${id}:${describeOutcome(outcome)}`);
+    const atMs = Math.round(performance.now() - this.request.arrivedAt);
+    const {estimatedMs} = send.reservation;
+    this.history.push(
+      `${id}:${describeOutcome(outcome)}@${atMs}~${Math.round(estimatedMs)}`,
+    );
     if (outcome.type !== 'unsent') this.hasSent = true;
     send.recordOutcome(outcome, this.controller.signal.aborted);
   }
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -50,6 +50,8 @@
   readonly server: KnownServer;
   /** Prompt tokens that the server probably has to prefill. */
   readonly tokensToPrefill: number;
+  /** The estimated work before the answer begins, in milliseconds. */
+  readonly estimatedMs: number;
   /** Whether no other request was known to wait for its first event when the slot was reserved. */
   readonly isUncontended: boolean;
   /** Marks that the server has begun to answer. */
@@ -136,7 +138,8 @@
     const choice = this.chooseServer(demand);
     if (!choice) return undefined;
     const {server, ownMs, tokensToPrefill} = choice;
-    const isUncontended = server.pendingMs + server.othersPendingMs <= 0;
+    const pendingMs = server.pendingMs + server.othersPendingMs;
+    const isUncontended = pendingMs <= 0;
     server.inFlight += 1;
     server.pendingMs += ownMs;
     let isPending = true;
@@ -155,6 +158,7 @@
     return {
       server,
       tokensToPrefill,
+      estimatedMs: pendingMs + ownMs,
       isUncontended,
       markStarted,
       release,
