A refusal's retry delay is spread once

Seen three times in serverNotices ('refused at once with the remaining pause', 3.24 s of at most 3.0): replaceUnsafeRefusal built the refusal again and added a second random delay to the first.

--- a/packages/gateway/src/lib/refusals.ts
+++ b/packages/gateway/src/lib/refusals.ts
@@ -76,7 +76,8 @@
   mayHaveRun: boolean,
 ): SycamoreheadError {
   if (error.kind !== 'overloaded') return error;
-  return buildRefusal(error.message, mayHaveRun, error.retryAfterMs);
+  if (!mayHaveRun && error.retryAfterMs !== undefined) return error;
+  return buildRefusal(error.message, mayHaveRun);
 }
 
 /** Adds a random delay, so that refused callers do not return at the same moment. */
