Prefill time is learned by regression; the wait for a slot of a nearly full server is part of its score

And the score rose by 33 ms with each request, at 1 of 12 as at 11 of 12, though only a full engine keeps a request waiting. Tests: forwarding (rates with delayed samples; a proportional rate misses by 2.5; scores of idle, half full and nearly full). The test 'prefill times are learned by model and bounded' assumed proportional times; two tests of rates and bounds replace it.

--- a/packages/routing/src/lib/forwarding/PrefillRates.ts
+++ b/packages/routing/src/lib/forwarding/PrefillRates.ts
@@ -1,48 +1,103 @@
 /** The prefill time assumed before the first measurement, in milliseconds per token. */
 const DEFAULT_MS_PER_TOKEN = 0.015;
-/** Weight of the newest measurement. */
-const GAIN = 0.1;
-/**
- * Minimum prompt length of a measurement, in tokens; the response time of shorter prompts is mostly
- * fixed.
- */
-const MIN_TOKENS = 500;
-/** Minimum of a plausible measurement, in milliseconds per token. */
+/** The part of the time to the first event that does not depend on the prompt, before the first measurement. */
+const DEFAULT_FIXED_MS = 50;
+/** Prompt length of the assumed measurement, in tokens. */
+const ASSUMED_TOKENS = 10_000;
+/** Weight of the assumed measurements; that of a real one is 1. */
+const ASSUMED_WEIGHT = 2;
+/** Fraction of their weight that earlier measurements lose with each new one. */
+const DECAY = 0.03;
+/** Measurements above this multiple of the expected time are cut off: something else delayed them. */
+const MAX_RATIO = 1.5;
+/** Minimum of a plausible rate, in milliseconds per token. */
 const MIN_MS_PER_TOKEN = 0.0005;
-/** Maximum of a plausible measurement, in milliseconds per token. */
+/** Maximum of a plausible rate, in milliseconds per token. */
 const MAX_MS_PER_TOKEN = 0.5;
 /** Maximum number of models that are tracked. */
 const MAX_MODELS = 1_000;
 
+/** Sums of a weighted linear regression of time on tokens. */
+interface Sums {
+  weight: number;
+  tokens: number;
+  timeMs: number;
+  tokensSquared: number;
+  product: number;
+}
+
+interface Line {
+  readonly fixedMs: number;
+  readonly msPerToken: number;
+}
+
 /**
  * Learns the prefill time per prompt token of each model from the time to the first event of
- * requests that did not compete for prefill on their server.
+ * requests that did not compete for prefill on their server. A regression separates it from the
+ * time that every request takes, which keeps no other request waiting.
  *
  * @public
  */
 export class PrefillRates {
-  private readonly logRates = new Map<string, number>();
+  private readonly sums = new Map<string, Sums>();
 
   /** Records the time to the first event of a prompt that no other prefill delayed. */
   recordPrefill(model: string, tokens: number, timeMs: number): void {
-    if (tokens < MIN_TOKENS || timeMs <= 0) return;
-    const rate = Math.min(
-      MAX_MS_PER_TOKEN,
-      Math.max(MIN_MS_PER_TOKEN, timeMs / tokens),
-    );
-    const known = this.logRates.get(model);
-    if (known === undefined && this.logRates.size >= MAX_MODELS) return;
-    const next =
-      known === undefined
-        ? Math.log(rate)
-        : known + (Math.log(rate) - known) * GAIN;
-    this.logRates.set(model, next);
+    if (tokens <= 0 || timeMs <= 0) return;
+    const known = this.sums.get(model);
+    if (!known && this.sums.size >= MAX_MODELS) return;
+    const {fixedMs, msPerToken} = estimateLine(known);
+    const expectedMs = fixedMs + msPerToken * tokens;
+    const sums = known ?? buildSums();
+    for (const key of SUM_KEYS) sums[key] *= 1 - DECAY;
+    addPoint(sums, tokens, Math.min(timeMs, expectedMs * MAX_RATIO), 1);
+    this.sums.set(model, sums);
   }
 
-  /** Estimates the prefill time of prompt tokens, in milliseconds. */
+  /** Estimates the time for which the prefill of prompt tokens occupies a server, in milliseconds. */
   estimateMs(model: string, tokens: number): number {
-    const known = this.logRates.get(model);
-    const rate = known === undefined ? DEFAULT_MS_PER_TOKEN : Math.exp(known);
-    return tokens * rate;
+    return tokens * estimateLine(this.sums.get(model)).msPerToken;
   }
 }
+
+const SUM_KEYS = [
+  'weight',
+  'tokens',
+  'timeMs',
+  'tokensSquared',
+  'product',
+] as const;
+
+function buildSums(): Sums {
+  return {weight: 0, tokens: 0, timeMs: 0, tokensSquared: 0, product: 0};
+}
+
+function addPoint(
+  sums: Sums,
+  tokens: number,
+  timeMs: number,
+  weight: number,
+): void {
+  sums.weight += weight;
+  sums.tokens += weight * tokens;
+  sums.timeMs += weight * timeMs;
+  sums.tokensSquared += weight * tokens * tokens;
+  sums.product += weight * tokens * timeMs;
+}
+
+/** Fits a line to the measurements and two assumed ones, which always count. */
+function estimateLine(known: Sums | undefined): Line {
+  const sums = {...(known ?? buildSums())};
+  const assumedMs = DEFAULT_FIXED_MS + ASSUMED_TOKENS * DEFAULT_MS_PER_TOKEN;
+  addPoint(sums, 0, DEFAULT_FIXED_MS, ASSUMED_WEIGHT);
+  addPoint(sums, ASSUMED_TOKENS, assumedMs, ASSUMED_WEIGHT);
+  const {weight, tokens, timeMs, tokensSquared, product} = sums;
+  const spread = weight * tokensSquared - tokens * tokens;
+  const slope = (weight * product - tokens * timeMs) / spread;
+  const msPerToken = Math.min(
+    MAX_MS_PER_TOKEN,
+    Math.max(MIN_MS_PER_TOKEN, slope),
+  );
+  const fixedMs = Math.max(0, (timeMs - msPerToken * tokens) / weight);
+  return {fixedMs, msPerToken};
+}
--- a/packages/routing/src/lib/forwarding/scoreServer.ts
+++ b/packages/routing/src/lib/forwarding/scoreServer.ts
@@ -24,7 +24,11 @@
 export type ForwardPolicy = 'sampled' | 'estimated' | 'least_loaded';
 
 /** Cost of a server with all slots taken, in milliseconds; each request slows down the others. */
-const FULL_SERVER_MS = 400;
+const FULL_SERVER_MS = 100;
+/** Time until a slot of a full server becomes free, in milliseconds. */
+const SLOT_WAIT_MS = 200;
+/** Typical error of the known load of a server, in requests, since reports are stale. */
+const LOAD_ERROR = 1.5;
 /** Cost of delaying one other request, as a fraction of the delay. */
 const DELAY_FRACTION = 0.25;
 /** Cost of a server in another data centre, in milliseconds. */
@@ -45,7 +49,11 @@
   const utilization = load / Math.max(1, slots);
   // While it reads a prompt, a server delays all requests that it runs.
   const delayMs = ownMs * (1 + load * DELAY_FRACTION);
-  const workMs = pendingMs + delayMs + utilization * FULL_SERVER_MS;
+  const workMs =
+    pendingMs +
+    delayMs +
+    utilization * FULL_SERVER_MS +
+    estimateSlotWaitMs(load, slots);
   return (
     workMs * slowness +
     (server.isSameDataCentre ? 0 : DISTANCE_MS) +
@@ -53,6 +61,15 @@
   );
 }
 
+/**
+ * Estimates how long a request would wait for a slot. The load is known roughly, so a server that
+ * seems to have one slot left may be full.
+ */
+function estimateSlotWaitMs(load: number, slots: number): number {
+  const excess = (load + 1 - slots) / LOAD_ERROR;
+  return SLOT_WAIT_MS * LOAD_ERROR * Math.log1p(Math.exp(excess));
+}
+
 /**
  * Scores a backend server for a request; the lowest score wins. `least_loaded` counts the requests
  * in flight; the other policies estimate the time until the server would answer, in milliseconds.
