A slow answer is awaited longer the fuller the engines are, and counts as slow, not as lost

Change: from half of the target on idle engines to twice on full ones; a send given up on an active server is a slow sample of its version and server, not a failure.

--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -205,9 +205,12 @@
     leftMs: number,
   ): SilenceTimeouts {
     const {pendingMs, othersPendingMs} = reservation.server;
+    const {route, service} = target;
+    const {placement} = this.context;
     return computeHeadTimeouts({
       isRepeatable: this.isRepeatAllowed(target, this.possibleRuns + 1),
-      targetLatencyMs: target.route.targetLatencyMs,
+      targetLatencyMs: route.targetLatencyMs,
+      pressure: placement.measurePressure(service.name, route.targetLatencyMs),
       typicalMs: this.context.times.getTypicalMs(kind),
       pendingMs: pendingMs + othersPendingMs,
       leftMs,
--- a/packages/gateway/src/lib/SendRecord.ts
+++ b/packages/gateway/src/lib/SendRecord.ts
@@ -42,12 +42,25 @@
     if (outcome.type === 'refused' && outcome.isMisdirected) {
       servers.markReplaced(server);
     }
+    if (outcome.type === 'lost' && outcome.isSlow) {
+      this.recordSlow();
+      return;
+    }
     const hasFailed = outcome.type === 'unsent' || outcome.type === 'lost';
     if (hasFailed && !isAbandoned)
       servers.recordFailure(server, outcome.reason);
     if (outcome.type === 'lost') this.recordEvidence('lost');
   }
 
+  /** Records a send that was abandoned as an answer that took as long as it was awaited. */
+  private recordSlow(): void {
+    const {context, reservation, kind} = this;
+    const timeMs = performance.now() - this.sentAt;
+    const ratio = context.times.recordTime(kind, timeMs);
+    context.servers.recordSlowness(reservation.server, ratio);
+    this.recordEvidence('answered', timeMs);
+  }
+
   /** Records that the server leaves or wants a pause; both concern waiting requests too. */
   recordNotice(notice: ServerNotice): void {
     const {servers, metrics, placement} = this.context;
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -93,6 +93,11 @@
     this.notices.recordAnswer(server.listing.registration);
     server.lastReceivedAt = performance.now();
     server.ejectedUntil = 0;
+    this.recordSlowness(server, timeRatio);
+  }
+
+  /** Records the ratio of a server's time to the typical time. */
+  recordSlowness(server: KnownServer, timeRatio: number): void {
     const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, timeRatio));
     server.slowness += (bounded - server.slowness) * SLOWNESS_GAIN;
   }
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -58,7 +58,12 @@
       readonly isMisdirected: boolean;
     }
   /** The request may have run. */
-  | {readonly type: 'lost'; readonly reason: string}
+  | {
+      readonly type: 'lost';
+      readonly reason: string;
+      /** Whether it was abandoned although the server is active. */
+      readonly isSlow?: boolean;
+    }
   | {readonly type: 'answered'; readonly answer: ServerAnswer};
 
 /** Status that guarantees, even without the header `notExecuted`, that the request was not run. */
@@ -86,6 +91,7 @@
     }
     let mayHaveSent = false;
     let reason = '';
+    let isSlow = false;
     const separator = address.lastIndexOf(':');
     const request = http.request({
       host: address.slice(0, separator),
@@ -106,7 +112,10 @@
     );
     const headTimer = new SilenceTimer(
       () => attempt.isServerActive(),
-      () => cancel('no answer in time'),
+      () => {
+        isSlow = attempt.isServerActive();
+        cancel('no answer in time');
+      },
     );
     const waitForHead = () => {
       mayHaveSent = true;
@@ -124,18 +133,16 @@
       if (socket.connecting) socket.once('connect', waitForHead);
       else waitForHead();
     });
-    request.on('error', error => {
-      settle({
-        type: mayHaveSent ? 'lost' : 'unsent',
-        reason: reason || error.message,
-      });
-    });
+    const settleFailure = (message: string) =>
+      settle(
+        mayHaveSent
+          ? {type: 'lost', reason: reason || message, isSlow}
+          : {type: 'unsent', reason: reason || message},
+      );
+    request.on('error', error => settleFailure(error.message));
     request.on('close', () => {
       signal.removeEventListener('abort', handleAbort);
-      settle({
-        type: mayHaveSent ? 'lost' : 'unsent',
-        reason: reason || 'closed',
-      });
+      settleFailure('closed');
     });
     request.on('response', message => {
       const notice = readNotice(attempt, message);
--- a/packages/routing/src/lib/forwarding/computeSilenceTimeouts.ts
+++ b/packages/routing/src/lib/forwarding/computeSilenceTimeouts.ts
@@ -2,8 +2,11 @@
 const MIN_SILENT_FRACTION = 0.4;
 /** The timeout for a silent server, as a multiple of the typical answer time. */
 const TYPICAL_FACTOR = 3;
-/** The shortest timeout for an active server, as a multiple of the target latency. */
-const MIN_ACTIVE_FACTOR = 2;
+/**
+ * The shortest timeout for an active server, as a multiple of the target latency. While the engines
+ * are idle, another one probably answers in time; on full ones a second send only adds work.
+ */
+const ACTIVE_FACTORS = {idle: 0.5, full: 2} as const;
 
 /** Inputs to the timeouts for the head of an answer. @public */
 export interface HeadTimeoutInput {
@@ -17,6 +20,8 @@
   readonly typicalMs: number | undefined;
   /** Work that is pending on the server, in milliseconds. */
   readonly pendingMs: number;
+  /** The load of the engines: 0 is idle; at 1 as much work waits as the target latency allows. */
+  readonly pressure: number;
   /** Time left for the request. */
   readonly leftMs: number;
 }
@@ -42,6 +47,7 @@
  */
 export function computeHeadTimeouts(input: HeadTimeoutInput): SilenceTimeouts {
   const {isRepeatable, targetLatencyMs, typicalMs, pendingMs, leftMs} = input;
+  const load = Math.min(1, Math.max(0, input.pressure));
   if (!isRepeatable) return {silentServerMs: leftMs, activeServerMs: leftMs};
   const silentServerMs = Math.max(
     targetLatencyMs * MIN_SILENT_FRACTION,
@@ -49,7 +55,9 @@
   );
   const activeServerMs = Math.max(
     silentServerMs,
-    targetLatencyMs * MIN_ACTIVE_FACTOR,
+    targetLatencyMs *
+      (ACTIVE_FACTORS.idle +
+        (ACTIVE_FACTORS.full - ACTIVE_FACTORS.idle) * load),
   );
   return {
     silentServerMs: Math.min(leftMs, silentServerMs),
--- a/packages/routing/src/test/forwarding.test.ts
+++ b/packages/routing/src/test/forwarding.test.ts
@@ -246,6 +246,7 @@
     targetLatencyMs: 300,
     typicalMs: 80,
     pendingMs: 0,
+    pressure: 1,
     leftMs: 2_000,
   };
   assert.deepEqual(computeHeadTimeouts(input), {
@@ -257,6 +258,20 @@
   assert.equal(repeatable.activeServerMs, 600);
 });
 
+test('an active server is abandoned sooner while the engines are idle', () => {
+  const input = {
+    isRepeatable: true,
+    targetLatencyMs: 1_000,
+    typicalMs: 60,
+    pendingMs: 0,
+    pressure: 0,
+    leftMs: 9_000,
+  };
+  assert.equal(computeHeadTimeouts(input).activeServerMs, 500);
+  const full = computeHeadTimeouts({...input, pressure: 3});
+  assert.equal(full.activeServerMs, 2_000);
+});
+
 test('prefill times are learned by model, apart from the time that every request takes', () => {
   const rates = new PrefillRates();
   const rateByModel = {small: 0.01, large: 0.05};
