--- a/packages/gateway/src/lib/ModelCascade.ts
+++ b/packages/gateway/src/lib/ModelCascade.ts
@@ -117,13 +117,15 @@
     previous: string | undefined,
     name: string,
   ): ModelOption {
-    const {gains, times} = this.context;
+    const {gains, times, rates} = this.context;
     const {size, arrivedAt} = this.request;
     const {promptTokens, answerTokens} = size;
     const known = service.engine?.models.find(model => model.name === name);
     const tokens = answerTokens + promptTokens * PROMPT_PRICE_FRACTION;
     const typicalMs = times.getTypicalMs(buildWorkKind(route.name, name)) ?? 0;
-    const beginsAfterMs = performance.now() - arrivedAt + typicalMs;
+    // A long prompt takes longer than what is typical on its route.
+    const answerMs = Math.max(typicalMs, rates.estimateMs(name, promptTokens));
+    const beginsAfterMs = performance.now() - arrivedAt + answerMs;
     return {
       name,
       price: ((known?.cost ?? 0) * tokens) / TOKENS_PER_PRICE,
