Measurements of prefill are pooled over all entries

Change: the sums of the regression travel with the load; each control instance adds them up. Test: LoadExchange (the sums of all others; a fresh entry's error falls to a third or less).

--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -1,4 +1,10 @@
 import type {RolloutEvidence, VersionCounts} from '@sycamorehead/schema';
+import {
+  PrefillSumTable,
+  PrefillSums,
+  addPrefillSums,
+  buildPrefillSums,
+} from '@sycamorehead/routing';
 import {writeDecision} from '@sycamorehead/telemetry';
 import type {
   ExchangeReply,
@@ -34,6 +40,7 @@
   readonly load: LoadTable;
   readonly entries: number;
   readonly leaving: readonly string[];
+  readonly prefill: PrefillSumTable;
   /** The reports that the totals contain. */
   readonly included: ReadonlyMap<string, ExchangeRequest>;
 }
@@ -65,12 +72,13 @@
     const {entry} = request;
     const arrivedAt = this.entries.get(entry)?.arrivedAt ?? now;
     this.entries.set(entry, {request, receivedAt: now, arrivedAt});
-    const {load, entries, leaving, included} = this.getTotals();
-    const own = included.get(entry)?.load ?? {};
+    const {load, entries, leaving, prefill, included} = this.getTotals();
+    const own = included.get(entry);
     return {
       entries: included.has(entry) ? entries : entries + 1,
-      load: computeOthersLoad(load, own),
+      load: computeOthersLoad(load, own?.load ?? {}),
       leaving,
+      prefill: computeOthersPrefill(prefill, own?.prefill ?? {}),
       isIsolated: this.isIsolated(),
     };
   }
@@ -94,10 +102,12 @@
     const now = performance.now();
     const load: Record<string, ServerLoad> = {};
     const leaving = new Set<string>();
+    const prefill: Record<string, PrefillSums> = {};
     const arrived: string[] = [];
     const usages = this.listFresh();
     for (const {request, arrivedAt} of usages) {
       addLoad(load, request.load);
+      addPrefill(prefill, request.prefill ?? {});
       for (const key of request.leaving ?? []) leaving.add(key);
       if (now - arrivedAt < ARRIVAL_MS) arrived.push(request.entry);
     }
@@ -106,6 +116,7 @@
       entries: usages.length,
       load,
       leaving: [...leaving],
+      prefill,
       evidence: mergeEvidence(
         [...this.entries.values()].flatMap(({request}) => request.evidence),
       ),
@@ -158,9 +169,12 @@
     const own = this.describeDigest();
     const load: Record<string, ServerLoad> = {...own.load};
     const leaving = new Set(own.leaving);
+    const prefill: Record<string, PrefillSums> = {};
+    addPrefill(prefill, own.prefill ?? {});
     let {entries} = own;
     for (const digest of this.listFreshDigests()) {
       addLoad(load, digest.load);
+      addPrefill(prefill, digest.prefill ?? {});
       for (const key of digest.leaving) leaving.add(key);
       entries += digest.entries;
     }
@@ -172,6 +186,7 @@
       load,
       entries,
       leaving: [...leaving],
+      prefill,
       included,
     };
     return this.totals;
@@ -230,6 +245,34 @@
   return rest;
 }
 
+function addPrefill(
+  sum: Record<string, PrefillSums>,
+  table: PrefillSumTable,
+): void {
+  for (const [model, sums] of Object.entries(table)) {
+    addPrefillSums((sum[model] ??= buildPrefillSums()), sums);
+  }
+}
+
+/** Returns the measurements without a part of them. */
+function computeOthersPrefill(
+  total: PrefillSumTable,
+  part: PrefillSumTable,
+): PrefillSumTable {
+  const rest: Record<string, PrefillSums> = {};
+  for (const [model, sums] of Object.entries(total)) {
+    const own = part[model] ?? buildPrefillSums();
+    rest[model] = {
+      weight: Math.max(0, sums.weight - own.weight),
+      tokens: Math.max(0, sums.tokens - own.tokens),
+      timeMs: Math.max(0, sums.timeMs - own.timeMs),
+      tokensSquared: Math.max(0, sums.tokensSquared - own.tokensSquared),
+      product: Math.max(0, sums.product - own.product),
+    };
+  }
+  return rest;
+}
+
 /** Sums the evidence of several entries by roll-out and route. */
 function mergeEvidence(list: readonly RolloutEvidence[]): RolloutEvidence[] {
   const merged = new Map<
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -4,6 +4,7 @@
  * @public
  */
 import type {Membership} from '@sycamorehead/consensus';
+import type {PrefillSumTable} from '@sycamorehead/routing';
 import type {
   JsonValue,
   RolloutEvidence,
@@ -139,6 +140,8 @@
    * earlier builds.
    */
   readonly leaving?: readonly string[];
+  /** Measurements of prefill by model; absent from earlier builds. */
+  readonly prefill?: PrefillSumTable;
 }
 
 /** Sums over the entries that report to one control instance; parameters of `fleet.digest`. @public */
@@ -149,6 +152,7 @@
   readonly load: LoadTable;
   readonly evidence: readonly RolloutEvidence[];
   readonly leaving: readonly string[];
+  readonly prefill?: PrefillSumTable;
   /** Entries that have begun to report to this instance a short while ago. */
   readonly arrived: readonly string[];
 }
@@ -159,6 +163,8 @@
   readonly load: LoadTable;
   /** Incarnations of servers that told other entries that they leave; absent from earlier builds. */
   readonly leaving?: readonly string[];
+  /** Measurements of prefill of the other entries. */
+  readonly prefill?: PrefillSumTable;
   /** Whether the instance hears too few others, so that load is missing. */
   readonly isIsolated?: boolean;
 }
--- a/packages/fleet/src/test/LoadExchange.test.ts
+++ b/packages/fleet/src/test/LoadExchange.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, test} from 'node:test';
 import fakeTimers from '@sinonjs/fake-timers';
+import {PrefillRates} from '@sycamorehead/routing';
 import type {RolloutEvidence} from '@sycamorehead/schema';
 import type {ExchangeRequest, LoadTable} from '../lib/fleetMessages.js';
 import {LoadExchange} from '../lib/LoadExchange.js';
@@ -128,6 +129,32 @@
   assert.deepEqual(reply.load, {s2: [1, 5, 1]});
 });
 
+test('an entry receives the measurements of prefill of all other entries', () => {
+  const [first, second] = buildControls('c1', 'c2');
+  assert.ok(first && second);
+  const rates = [new PrefillRates(), new PrefillRates(), new PrefillRates()];
+  rates.forEach(rate => {
+    for (let round = 0; round < 15; round += 1) {
+      const tokens = 1_000 * (1 + (round % 5));
+      rate.recordPrefill('large', tokens, 60 + tokens * 0.06);
+    }
+  });
+  const [own, near, far] = rates.map(rate => rate.listSums());
+  first.exchange(buildReport('e1', {}, {prefill: own}));
+  first.exchange(buildReport('e2', {}, {prefill: near}));
+  second.exchange(buildReport('e3', {}, {prefill: far}));
+  exchangeDigests(first, second);
+  clock.tick(60);
+  const reply = first.exchange(buildReport('e1', {}, {prefill: own}));
+  const weight = (own?.['large']?.weight ?? 0) * 2;
+  assert.equal(reply.prefill?.['large']?.weight.toFixed(6), weight.toFixed(6));
+  const fresh = new PrefillRates();
+  const assumedMs = fresh.estimateMs('large', 10_000);
+  fresh.setOthers(reply.prefill ?? {});
+  const learnedMs = fresh.estimateMs('large', 10_000);
+  assert.ok(Math.abs(learnedMs - 600) < Math.abs(assumedMs - 600) / 3);
+});
+
 test('a server that leaves is named to the entries of other instances', () => {
   const [first, second] = buildControls('c1', 'c2');
   assert.ok(first && second);
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -57,6 +57,7 @@
 export class Gateway {
   readonly metrics = new GatewayMetrics();
   private readonly servers = new ServerTable();
+  private readonly rates = new PrefillRates();
   private readonly startup = new StartupGate();
   private readonly versions: VersionSplit;
   private readonly budgets: RetryBudgets;
@@ -72,9 +73,8 @@
     this.versions = new VersionSplit(options.sessionMs);
     this.budgets = new RetryBudgets(options.retryBudget);
     const times = new AnswerTimes();
-    const rates = new PrefillRates();
     this.placement = new Placement({
-      rates,
+      rates: this.rates,
       times,
       servers: this.servers,
       versions: this.versions,
@@ -89,7 +89,7 @@
       placement: this.placement,
       budgets: this.budgets,
       times,
-      rates,
+      rates: this.rates,
       gains: new ConfidenceGains(),
       values: new AnswerValues(policies.answerValue),
       metrics: this.metrics,
@@ -174,9 +174,11 @@
         load: this.servers.listLoad(),
         evidence: this.versions.listEvidence(),
         leaving: this.servers.notices.listLeaving(),
+        prefill: this.rates.listSums(),
       });
       this.budgets.entryCount = reply.entries;
       this.servers.setOthersLoad(reply.load);
+      this.rates.setOthers(reply.prefill ?? {});
       this.servers.notices.addLeaving(reply.leaving ?? []);
       this.placement.offerSlots();
     } catch (error) {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -68,7 +68,15 @@
 } from './lib/forwarding/choosePreferredServers.js';
 export type {PreferredServers} from './lib/forwarding/choosePreferredServers.js';
 export {parseRetryAfter} from './lib/forwarding/parseRetryAfter.js';
-export {PrefillRates} from './lib/forwarding/PrefillRates.js';
+export {
+  PrefillRates,
+  addPrefillSums,
+  buildPrefillSums,
+} from './lib/forwarding/PrefillRates.js';
+export type {
+  PrefillSumTable,
+  PrefillSums,
+} from './lib/forwarding/PrefillRates.js';
 export {
   computeHeadTimeouts,
   computeStallTimeouts,
--- a/packages/routing/src/lib/forwarding/PrefillRates.ts
+++ b/packages/routing/src/lib/forwarding/PrefillRates.ts
@@ -3,13 +3,13 @@
 /** The part of the time to the first event that does not depend on the prompt, before the first measurement. */
 const DEFAULT_FIXED_MS = 50;
 /** Prompt length of the assumed measurement, in tokens. */
-const ASSUMED_TOKENS = 10_000;
+const ASSUMED_TOKENS = 5_000;
 /** Weight of the assumed measurements; that of a real one is 1. */
-const ASSUMED_WEIGHT = 2;
+const ASSUMED_WEIGHT = 0.5;
 /** Fraction of their weight that earlier measurements lose with each new one. */
 const DECAY = 0.03;
 /** Measurements above this multiple of the expected time are cut off: something else delayed them. */
-const MAX_RATIO = 1.5;
+const MAX_RATIO = 2;
 /** Minimum of a plausible rate, in milliseconds per token. */
 const MIN_MS_PER_TOKEN = 0.0005;
 /** Maximum of a plausible rate, in milliseconds per token. */
@@ -17,8 +17,12 @@
 /** Maximum number of models that are tracked. */
 const MAX_MODELS = 1_000;
 
-/** Sums of a weighted linear regression of time on tokens. */
-interface Sums {
+/**
+ * Sums of a weighted linear regression of time on tokens. Those of several entries may be added.
+ *
+ * @public
+ */
+export interface PrefillSums {
   weight: number;
   tokens: number;
   timeMs: number;
@@ -26,6 +30,9 @@
   product: number;
 }
 
+/** Sums by model. @public */
+export type PrefillSumTable = Readonly<Record<string, Readonly<PrefillSums>>>;
+
 interface Line {
   readonly fixedMs: number;
   readonly msPerToken: number;
@@ -39,24 +46,47 @@
  * @public
  */
 export class PrefillRates {
-  private readonly sums = new Map<string, Sums>();
+  private readonly sums = new Map<string, PrefillSums>();
+  private others: PrefillSumTable = {};
+
+  // Commands.
 
   /** Records the time to the first event of a prompt that no other prefill delayed. */
   recordPrefill(model: string, tokens: number, timeMs: number): void {
     if (tokens <= 0 || timeMs <= 0) return;
     const known = this.sums.get(model);
     if (!known && this.sums.size >= MAX_MODELS) return;
-    const {fixedMs, msPerToken} = estimateLine(known);
+    const {fixedMs, msPerToken} = this.estimateLine(model);
     const expectedMs = fixedMs + msPerToken * tokens;
-    const sums = known ?? buildSums();
+    const sums = known ?? buildPrefillSums();
     for (const key of SUM_KEYS) sums[key] *= 1 - DECAY;
     addPoint(sums, tokens, Math.min(timeMs, expectedMs * MAX_RATIO), 1);
     this.sums.set(model, sums);
   }
 
+  /** Sets the sums of the other entries, without which a single one of many learns too slowly. */
+  setOthers(others: PrefillSumTable): void {
+    this.others = others;
+  }
+
+  // Queries.
+
   /** Estimates the time for which the prefill of prompt tokens occupies a server, in milliseconds. */
   estimateMs(model: string, tokens: number): number {
-    return tokens * estimateLine(this.sums.get(model)).msPerToken;
+    return tokens * this.estimateLine(model).msPerToken;
+  }
+
+  /** Lists this entry's sums by model. */
+  listSums(): PrefillSumTable {
+    return Object.fromEntries(this.sums);
+  }
+
+  private estimateLine(model: string): Line {
+    const sums = buildPrefillSums();
+    for (const part of [this.sums.get(model), this.others[model]]) {
+      if (part) addPrefillSums(sums, part);
+    }
+    return computeLine(sums);
   }
 }
 
@@ -68,12 +98,37 @@
   'product',
 ] as const;
 
-function buildSums(): Sums {
+/**
+ * Builds the sums of no measurement.
+ *
+ * @example
+ * ```ts
+ * addPrefillSums(buildPrefillSums(), sums);
+ * ```
+ * @public
+ */
+export function buildPrefillSums(): PrefillSums {
   return {weight: 0, tokens: 0, timeMs: 0, tokensSquared: 0, product: 0};
 }
 
+/**
+ * Adds the sums of another entry.
+ *
+ * @example
+ * ```ts
+ * addPrefillSums(total, sums);
+ * ```
+ * @public
+ */
+export function addPrefillSums(
+  total: PrefillSums,
+  part: Readonly<PrefillSums>,
+): void {
+  for (const key of SUM_KEYS) total[key] += part[key];
+}
+
 function addPoint(
-  sums: Sums,
+  sums: PrefillSums,
   tokens: number,
   timeMs: number,
   weight: number,
@@ -86,8 +141,7 @@
 }
 
 /** Fits a line to the measurements and two assumed ones, which always count. */
-function estimateLine(known: Sums | undefined): Line {
-  const sums = {...(known ?? buildSums())};
+function computeLine(sums: PrefillSums): Line {
   const assumedMs = DEFAULT_FIXED_MS + ASSUMED_TOKENS * DEFAULT_MS_PER_TOKEN;
   addPoint(sums, 0, DEFAULT_FIXED_MS, ASSUMED_WEIGHT);
   addPoint(sums, ASSUMED_TOKENS, assumedMs, ASSUMED_WEIGHT);
