--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -34,7 +34,7 @@
 
 const EXPIRY_INTERVAL_MS = 500;
 /** Interval between two digests of load to the other control instances, in milliseconds. */
-const DIGEST_INTERVAL_MS = 200;
+const DIGEST_INTERVAL_MS = 100;
 /** Timeout of sending one digest, in milliseconds. */
 const DIGEST_TIMEOUT_MS = 500;
 /** Raft timing for network latencies and disk syncs of a few milliseconds each. */
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -27,7 +27,7 @@
 const log = createLogger('gateway');
 
 /** Time between two exchanges of load, in milliseconds. */
-const EXCHANGE_INTERVAL_MS = 200;
+const EXCHANGE_INTERVAL_MS = 100;
 
 /** Settings of a Gateway. @public */
 export interface GatewayOptions {
--- a/packages/routing/src/lib/forwarding/scoreServer.ts
+++ b/packages/routing/src/lib/forwarding/scoreServer.ts
@@ -29,8 +29,12 @@
 const SLOT_WAIT_MS = 200;
 /** Typical error of the known load of a server, in requests, since reports are stale. */
 const LOAD_ERROR = 1.5;
-/** Cost of delaying one other request, as a fraction of the delay. */
-const DELAY_FRACTION = 0.25;
+/**
+ * Weight of the work that a request itself brings. While a server reads its prompt, all requests that
+ * wait or run there are delayed, so that a longer wait at a server that has kept a part of the prompt
+ * pays for the pool as a whole.
+ */
+const OWN_WORK_WEIGHT = 4;
 /** Cost of a server in another data centre, in milliseconds. */
 const DISTANCE_MS = 5;
 /** Cost that ranks a silent server behind all others, in milliseconds. */
@@ -47,11 +51,9 @@
 function estimateAnswerMs(server: ServerCandidate): number {
   const {load, slots, pendingMs, ownMs, slowness} = server;
   const utilization = load / Math.max(1, slots);
-  // While it reads a prompt, a server delays all requests that it runs.
-  const delayMs = ownMs * (1 + load * DELAY_FRACTION);
   const workMs =
     pendingMs +
-    delayMs +
+    ownMs * OWN_WORK_WEIGHT +
     utilization * FULL_SERVER_MS +
     estimateSlotWaitMs(load, slots);
   return (
--- a/packages/routing/src/test/forwarding.test.ts
+++ b/packages/routing/src/test/forwarding.test.ts
@@ -118,6 +118,21 @@
   assert.ok(busy < silent);
 });
 
+test('a server that has kept a long part of the prompt is worth some wait, but not any', () => {
+  const server = {
+    load: 3,
+    slots: 12,
+    isSameDataCentre: true,
+    isSilent: false,
+    slowness: 1,
+  };
+  const idle = scoreServer('sampled', {...server, pendingMs: 0, ownMs: 250});
+  const rateKept = (pendingMs: number) =>
+    scoreServer('sampled', {...server, pendingMs, ownMs: 100});
+  assert.ok(rateKept(400) < idle);
+  assert.ok(rateKept(900) > idle);
+});
+
 test('every entry chooses the same preferred servers, and a lost server moves only its own keys', () => {
   const ids = ['a', 'b', 'c', 'd'];
   const keys = Array.from({length: 400}, (unused, index) => `part ${index}`);
