--- a/packages/routing/src/lib/forwarding/PrefillRates.ts
+++ b/packages/routing/src/lib/forwarding/PrefillRates.ts
@@ -1,6 +1,6 @@
 /** The prefill time assumed before the first measurement, in milliseconds per token. */
 const DEFAULT_MS_PER_TOKEN = 0.015;
-/** The part of the time to the first event that does not depend on the prompt, before the first measurement. */
+/** The part of that time that does not depend on the prompt, assumed before, in milliseconds. */
 const DEFAULT_FIXED_MS = 50;
 /** Prompt length of the assumed measurement, in tokens. */
 const ASSUMED_TOKENS = 5_000;
--- a/packages/routing/src/lib/forwarding/chooseModel.ts
+++ b/packages/routing/src/lib/forwarding/chooseModel.ts
@@ -37,10 +37,7 @@
   readonly full: number;
 }
 
-/**
- * The pressure up to which bounds stay at their idle value. Bursts on a quiet day reach it; 75% of
- * the choices on such a day are made below it.
- */
+/** The pressure up to which prices and bounds stay at their idle value; usual bursts reach it. */
 const USUAL_PRESSURE = 0.375;
 
 /** What a full pool adds to the price of a larger model, as a multiple of the price. */
@@ -48,7 +45,7 @@
 /** Value of a good answer that begins late, as a fraction of that of one in time. */
 const LATE_VALUE = 0.5;
 
-/** An answer of lower confidence is requested again from a larger model; see platform-worth.md. */
+/** By thresholds, an answer of lower confidence is requested again from a larger model. */
 const WEAK_BOUND: ConfidenceBound = {idle: 62, full: 48};
 /**
  * Below this confidence the largest model is asked, and between this bound and WEAK_BOUND the
@@ -65,8 +62,7 @@
 
 const POLICIES: Readonly<Record<ModelPolicy, PolicyHandlers>> = {
   expected_value: {
-    choose: choice =>
-      findBestLarger(choice)?.name ?? chooseBySize(choice) ?? undefined,
+    choose: choice => (findBestLarger(choice) ?? findBySize(choice))?.name,
     isWeak: isLargerWorthMore,
   },
   thresholds: {
@@ -115,8 +111,12 @@
   return POLICIES[policy].isWeak(choice);
 }
 
-function chooseBySize({models, previous}: ModelChoiceInput) {
-  return (previous === undefined ? models[0] : models.at(-1))?.name;
+/** Finds the smallest model for a first send, and the largest if no larger one is left. */
+function findBySize({
+  models,
+  previous,
+}: ModelChoiceInput): ModelOption | undefined {
+  return previous === undefined ? models[0] : models.at(-1);
 }
 
 /** Finds the model above the one that answered last whose expected value less its price is best. */
