--- a/packages/fleet/src/test/FleetLinks.test.ts
+++ b/packages/fleet/src/test/FleetLinks.test.ts
@@ -66,7 +66,7 @@
   return controls;
 }
 
-async function linkEntry(
+async function connectEntry(
   dataCentre: string,
   controls: readonly FakeControl[],
 ): Promise<FleetLinks> {
@@ -92,7 +92,10 @@
   }
 }
 
-async function exchangeTimes(links: FleetLinks, count: number): Promise<void> {
+async function exchangeRepeatedly(
+  links: FleetLinks,
+  count: number,
+): Promise<void> {
   for (let round = 0; round < count; round += 1) await links.exchange(REPORT);
 }
 
@@ -103,40 +106,40 @@
     ['c', false],
   );
   assert.ok(leader && near && far);
-  const links = await linkEntry('b', [leader, near, far]);
-  await exchangeTimes(links, 4);
+  const links = await connectEntry('b', [leader, near, far]);
+  await exchangeRepeatedly(links, 4);
   assert.deepEqual([leader.reports, near.reports, far.reports], [0, 4, 0]);
 });
 
 test('an entry reports to the leader if no control instance of its data centre is linked', async () => {
   const [leader, near] = await startControls(['a', true], ['b', false]);
   assert.ok(leader && near);
-  const links = await linkEntry('b', [leader, near]);
+  const links = await connectEntry('b', [leader, near]);
   started.splice(started.indexOf(near), 1);
   await near.stop();
   await waitForLinks(links, 1);
-  await exchangeTimes(links, 2);
+  await exchangeRepeatedly(links, 2);
   assert.deepEqual([leader.reports, near.reports], [2, 0]);
 });
 
 test('an entry leaves a control instance that hears too few others, and returns later', async () => {
   const [leader, near] = await startControls(['a', true], ['b', false]);
   assert.ok(leader && near);
-  const links = await linkEntry('b', [leader, near]);
+  const links = await connectEntry('b', [leader, near]);
   near.isIsolated = true;
-  await exchangeTimes(links, 3);
+  await exchangeRepeatedly(links, 3);
   assert.deepEqual([leader.reports, near.reports], [2, 1]);
   near.isIsolated = false;
   await sleep(2_100);
-  await exchangeTimes(links, 1);
+  await exchangeRepeatedly(links, 1);
   assert.deepEqual([leader.reports, near.reports], [2, 2]);
 });
 
 test('an entry goes on reporting if every control instance hears too few others', async () => {
   const controls = await startControls(['a', true], ['b', false]);
   for (const control of controls) control.isIsolated = true;
-  const links = await linkEntry('b', controls);
-  await exchangeTimes(links, 6);
+  const links = await connectEntry('b', controls);
+  await exchangeRepeatedly(links, 6);
   const total = controls.reduce((sum, {reports}) => sum + reports, 0);
   assert.equal(total, 6);
 });
