An answer counts as good from a confidence of 40; servers that are gone cost no request; a part of the retry budget is for failures

Budget: 311 requests ended with 'the retry budget is used up', most of which went into asking larger models. Change: the curve; 16 unsent sends before a request is refused (refused ones stay at 4) and ejection at the first failed connection; sends for a better answer use at most 0.8 of the budget.

--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -24,10 +24,10 @@
 
 /** Maximum wait for a slot, as a fraction of the target latency. */
 const MAX_QUEUE_FRACTION = 0.4;
-/**
- * Maximum number of sends that end without running the request; they are not counted as attempts.
- */
-const MAX_UNEXECUTED_SENDS = 4;
+/** Maximum number of sends that servers refuse without running the request; they are no attempts. */
+const MAX_REFUSED_SENDS = 4;
+/** Maximum number of sends that fail before a byte has left; a server that is gone costs little time. */
+const MAX_UNSENT_SENDS = 16;
 
 type NextStep = 'done' | 'again';
 
@@ -49,8 +49,8 @@
   private isTimedOut = false;
   /** Sends after which the request may have run. */
   private possibleRuns = 0;
-  /** Sends that provably did not run the request. */
-  private unexecutedSends = 0;
+  /** Sends that provably did not run the request, by their outcome. */
+  private readonly unexecutedSends = {refused: 0, unsent: 0};
   private hasSent = false;
   private readonly cascade: ModelCascade;
   private lastEventId: string | undefined;
@@ -245,7 +245,7 @@
     switch (outcome.type) {
       case 'unsent':
       case 'refused':
-        return this.handleUnexecuted(outcome);
+        return this.handleUnexecuted(outcome.type);
       case 'lost':
         this.possibleRuns += 1;
         return this.handleUnknownRun(send.target, outcome.reason);
@@ -256,14 +256,14 @@
   }
 
   /** Handles a send that did not run the request, which may then go to another server. */
-  private handleUnexecuted(outcome: AttemptOutcome): NextStep {
+  private handleUnexecuted(type: 'refused' | 'unsent'): NextStep {
     this.checkTime();
-    this.unexecutedSends += 1;
-    if (this.unexecutedSends <= MAX_UNEXECUTED_SENDS) return 'again';
-    throw buildRefusal(
-      `${outcome.type} by several servers`,
-      this.possibleRuns > 0,
-    );
+    this.unexecutedSends[type] += 1;
+    const {refused, unsent} = this.unexecutedSends;
+    if (refused <= MAX_REFUSED_SENDS && unsent <= MAX_UNSENT_SENDS) {
+      return 'again';
+    }
+    throw buildRefusal(`${type} by several servers`, this.possibleRuns > 0);
   }
 
   /**
@@ -286,6 +286,7 @@
     const isWeak =
       serverAnswer.status === 200 &&
       !this.answer.isBegun &&
+      this.context.budgets.hasEscalationCapacity(target.service.name) &&
       cascade.isWeak(target);
     if (isWeak && this.isRepeatAllowed(target, this.possibleRuns)) {
       serverAnswer.cancel();
--- a/packages/gateway/src/lib/RetryBudgets.ts
+++ b/packages/gateway/src/lib/RetryBudgets.ts
@@ -1,5 +1,8 @@
 import {RetryBudget, RetryBudgetOptions} from '@sycamorehead/routing';
 
+/** Fraction of a budget that sends for a better answer may use. */
+const ESCALATION_FRACTION = 0.8;
+
 /**
  * Manages one retry budget for each service.
  *
@@ -29,11 +32,22 @@
     return this.getBudget(service).acquire(this.entryCount);
   }
 
-  /** Returns whether one more send would be allowed. */
+  /** Returns whether one more send after a failure would be allowed. */
   hasCapacity(service: string): boolean {
     return this.getBudget(service).hasCapacity(this.entryCount);
   }
 
+  /**
+   * Returns whether one more send for a better answer would be allowed. A part of the budget is kept
+   * for requests that failed, which without it would get no answer at all.
+   */
+  hasEscalationCapacity(service: string): boolean {
+    return this.getBudget(service).hasCapacity(
+      this.entryCount,
+      ESCALATION_FRACTION,
+    );
+  }
+
   private getBudget(service: string): RetryBudget {
     const known = this.budgets.get(service);
     if (known) return known;
--- a/packages/gateway/src/lib/SendRecord.ts
+++ b/packages/gateway/src/lib/SendRecord.ts
@@ -48,7 +48,7 @@
     }
     const hasFailed = outcome.type === 'unsent' || outcome.type === 'lost';
     if (hasFailed && !isAbandoned)
-      servers.recordFailure(server, outcome.reason);
+      servers.recordFailure(server, outcome.reason, outcome.type === 'unsent');
     if (outcome.type === 'lost') this.recordEvidence('lost');
   }
 
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -102,9 +102,16 @@
     server.slowness += (bounded - server.slowness) * SLOWNESS_GAIN;
   }
 
-  /** Records a failure of a server, which is ejected for a while after consecutive failures. */
-  recordFailure(server: KnownServer, reason: string): void {
-    server.failures += 1;
+  /**
+   * Records a failure of a server, which is ejected for a while after consecutive failures, or at
+   * once if it cannot be reached: without requests in flight it would seem the least loaded one.
+   */
+  recordFailure(
+    server: KnownServer,
+    reason: string,
+    isUnreachable = false,
+  ): void {
+    server.failures += isUnreachable ? FAILURES_TO_EJECT : 1;
     if (server.failures < FAILURES_TO_EJECT) return;
     const doublings = Math.min(10, server.failures - FAILURES_TO_EJECT);
     const pauseMs = Math.min(MAX_EJECTION_MS, EJECTION_MS * 2 ** doublings);
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -71,6 +71,26 @@
   assert.equal(readStatus(text), 200);
 });
 
+test('a request goes past many servers that are gone to one that answers', async () => {
+  const gone = await Promise.all(
+    Array.from({length: 12}, (unused, index) =>
+      startServer(`gone-${index}`, answerWell),
+    ),
+  );
+  const listings = gone.map(server => server.describe());
+  await Promise.all(gone.map(server => server.stop()));
+  const alive = await startServer('s1', answerWell);
+  const gateway = await startGateway({kind: 'unsafe'}, [alive]);
+  // The one that answers is nearly full, so that all others seem better.
+  gateway.list([alive.describe({slots: 1, sequence: 2}), ...listings]);
+  const texts = await Promise.all(
+    ['a', 'b', 'c'].map(id =>
+      gateway.exchange(formatRequest({method: 'POST', id})),
+    ),
+  );
+  assert.deepEqual(texts.map(readStatus), [200, 200, 200]);
+});
+
 test('a refusal by all servers is returned with a retry delay', async () => {
   const server = await startServer('s1', answerFull);
   const gateway = await startGateway({kind: 'unsafe'}, [server]);
--- a/packages/routing/src/lib/forwarding/RetryBudget.ts
+++ b/packages/routing/src/lib/forwarding/RetryBudget.ts
@@ -50,12 +50,12 @@
 
   // Queries.
 
-  /** Returns whether one more send would be allowed. */
-  hasCapacity(entryCount: number): boolean {
+  /** Returns whether one more send would be allowed within a fraction of the budget. */
+  hasCapacity(entryCount: number, fraction = 1): boolean {
     const {ratio, slack} = this.options;
     const {requests, extras} = this.sumWindow();
     const allowance = ratio * requests + slack / Math.max(1, entryCount);
-    return extras + 1 <= allowance * SAFETY_FACTOR;
+    return extras + 1 <= allowance * SAFETY_FACTOR * fraction;
   }
 
   private sumWindow(): {requests: number; extras: number} {
--- a/packages/routing/src/lib/forwarding/estimateQuality.ts
+++ b/packages/routing/src/lib/forwarding/estimateQuality.ts
@@ -1,7 +1,7 @@
 /** Confidence at which an answer is as likely to be too weak as to be good enough. */
-const EVEN_CONFIDENCE = 50;
+const EVEN_CONFIDENCE = 40;
 /** Spread of the logistic curve; the noise of a confidence is about 1.7 times as large. */
-const CONFIDENCE_SPREAD = 6;
+const CONFIDENCE_SPREAD = 4;
 
 /**
  * Estimates the probability that an answer is good enough from the model's confidence in it, 0 to
@@ -9,7 +9,7 @@
  *
  * @example
  * ```ts
- * estimateQuality(50); // 0.5
+ * estimateQuality(40); // 0.5
  * ```
  * @public
  */
