An entry that sees a part of the fleet keeps to its share of the retry slack

Since load is summed by data centre, a control instance that is cut off answers with its own entries only; each of five parts would have taken the whole slack. The known number of entries falls by a fifth of a percent an exchange at most. Test: retryBudgets.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -176,7 +176,7 @@
         leaving: this.servers.notices.listLeaving(),
         prefill: this.rates.listSums(),
       });
-      this.budgets.entryCount = reply.entries;
+      this.budgets.updateEntryCount(reply.entries);
       this.servers.setOthersLoad(reply.load);
       this.rates.setOthers(reply.prefill ?? {});
       this.servers.notices.addLeaving(reply.leaving ?? []);
--- a/packages/gateway/src/lib/RetryBudgets.ts
+++ b/packages/gateway/src/lib/RetryBudgets.ts
@@ -3,14 +3,17 @@
 /** Fraction of a budget that sends for a better answer may use. */
 const ESCALATION_FRACTION = 0.8;
 
+/** Factor by which the known number of entries may fall from one exchange to the next. */
+const ENTRY_COUNT_DECAY = 0.998;
+
 /**
  * Manages one retry budget for each service.
  *
  * @public
  */
 export class RetryBudgets {
-  /** The number of entries that share the budgets, as of the last exchange. */
-  entryCount = 1;
+  /** The number of entries that share the budgets. */
+  private entryCount = 1;
   private readonly budgets = new Map<string, RetryBudget>();
 
   constructor(private options: RetryBudgetOptions) {}
@@ -22,6 +25,14 @@
     this.budgets.clear();
   }
 
+  /**
+   * Sets the number of entries as of an exchange. A lower number is taken over slowly: entries that
+   * are out of reach for a while still spend their shares.
+   */
+  updateEntryCount(count: number): void {
+    this.entryCount = Math.max(count, this.entryCount * ENTRY_COUNT_DECAY);
+  }
+
   /** Counts a request of a caller. */
   recordRequest(service: string): void {
     this.getBudget(service).recordRequest();
