--- a/packages/gateway/src/test/FakeServer.ts
+++ b/packages/gateway/src/test/FakeServer.ts
@@ -157,3 +157,8 @@
 
 /** The end of a chunked body. */
 export const LAST_CHUNK = '0\r\n\r\n';
+
+/** Answers every request with a valid answer. */
+export const answerWell: ServerScript = (request, socket) => {
+  socket.write(formatAnswer(request, 'whole'));
+};
--- a/packages/gateway/src/test/GatewayHarness.ts
+++ b/packages/gateway/src/test/GatewayHarness.ts
@@ -207,3 +207,8 @@
     body,
   ].join('\r\n');
 }
+
+/** Reads the status of an answer. */
+export function readStatus(text: string): number {
+  return Number(/^HTTP\/1\.1 (\d+)/.exec(text)?.[1]);
+}
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -8,20 +8,18 @@
   formatChunk,
   formatEvent,
   formatStreamHead,
+  answerWell,
 } from './FakeServer.js';
 import {
   buildConfiguration,
   buildRoute,
   formatRequest,
+  readStatus,
 } from './GatewayHarness.js';
 import {startGateway, startServer, stopStarted} from './startGateway.js';
 
 afterEach(stopStarted);
 
-const answerWell: ServerScript = (request, socket) => {
-  socket.write(formatAnswer(request, 'whole'));
-};
-
 const answerFull: ServerScript = ({headers}, socket) => {
   socket.write(
     `HTTP/1.1 503 Full\r\nX-Request-Id: ${headers.get('x-request-id')}\r\n` +
@@ -29,10 +27,6 @@
   );
 };
 
-function readStatus(text: string): number {
-  return Number(/^HTTP\/1\.1 (\d+)/.exec(text)?.[1]);
-}
-
 test('a request is forwarded unchanged, with the headers that the router sets', async () => {
   const server = await startServer('s1', answerWell);
   const gateway = await startGateway({kind: 'unsafe'}, [server]);
--- a/packages/gateway/src/test/serverNotices.test.ts
+++ b/packages/gateway/src/test/serverNotices.test.ts
@@ -11,8 +11,9 @@
   formatChunk,
   formatEvent,
   formatStreamHead,
+  answerWell,
 } from './FakeServer.js';
-import {GatewayHarness, formatRequest} from './GatewayHarness.js';
+import {GatewayHarness, formatRequest, readStatus} from './GatewayHarness.js';
 import {startGateway, startServer, stopStarted} from './startGateway.js';
 
 afterEach(stopStarted);
@@ -25,10 +26,6 @@
   timeoutMs: 4_000,
 } as const;
 
-const answerWell: ServerScript = (request, socket) => {
-  socket.write(formatAnswer(request, 'whole'));
-};
-
 const answerLeaving: ServerScript = (request, socket) => {
   socket.write(formatAnswer(request, 'whole', [LEAVING]));
 };
@@ -53,10 +50,6 @@
   return (request, socket) => socket.write(formatRefusal(request, fields));
 }
 
-function readStatus(text: string): number {
-  return Number(/^HTTP\/1\.1 (\d+)/.exec(text)?.[1]);
-}
-
 async function sendMany(
   gateway: GatewayHarness,
   count: number,
