Sessions from before a roll-out keep their version at every entry

Sessions from before the order were not pinned at all, and pins of one roll-out were read as those of the next. Change: every session is pinned, with or without a roll-out; a new roll-out makes all pins old; those that its share would move are listed in the reports of load and their digests, so that every entry keeps them; a pin outlives the longest request. Tests: versionSplit (before a roll-out, at another entry, next roll-out; size of the list), LoadExchange.

--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -40,6 +40,7 @@
   readonly load: LoadTable;
   readonly entries: number;
   readonly leaving: readonly string[];
+  readonly kept: readonly string[];
   readonly prefill: PrefillSumTable;
   /** The reports that the totals contain. */
   readonly included: ReadonlyMap<string, ExchangeRequest>;
@@ -72,12 +73,13 @@
     const {entry} = request;
     const arrivedAt = this.entries.get(entry)?.arrivedAt ?? now;
     this.entries.set(entry, {request, receivedAt: now, arrivedAt});
-    const {load, entries, leaving, prefill, included} = this.getTotals();
+    const {load, entries, leaving, kept, prefill, included} = this.getTotals();
     const own = included.get(entry);
     return {
       entries: included.has(entry) ? entries : entries + 1,
       load: computeOthersLoad(load, own?.load ?? {}),
       leaving,
+      kept,
       prefill: computeOthersPrefill(prefill, own?.prefill ?? {}),
       isIsolated: this.isIsolated(),
     };
@@ -102,6 +104,7 @@
     const now = performance.now();
     const load: Record<string, ServerLoad> = {};
     const leaving = new Set<string>();
+    const kept = new Set<string>();
     const prefill: Record<string, PrefillSums> = {};
     const arrived: string[] = [];
     const usages = this.listFresh();
@@ -109,6 +112,7 @@
       addLoad(load, request.load);
       addPrefill(prefill, request.prefill ?? {});
       for (const key of request.leaving ?? []) leaving.add(key);
+      for (const key of request.kept ?? []) kept.add(key);
       if (now - arrivedAt < ARRIVAL_MS) arrived.push(request.entry);
     }
     return {
@@ -116,6 +120,7 @@
       entries: usages.length,
       load,
       leaving: [...leaving],
+      kept: [...kept],
       prefill,
       evidence: mergeEvidence(
         [...this.entries.values()].flatMap(({request}) => request.evidence),
@@ -169,6 +174,7 @@
     const own = this.describeDigest();
     const load: Record<string, ServerLoad> = {...own.load};
     const leaving = new Set(own.leaving);
+    const kept = new Set(own.kept);
     const prefill: Record<string, PrefillSums> = {};
     addPrefill(prefill, own.prefill ?? {});
     let {entries} = own;
@@ -176,6 +182,7 @@
       addLoad(load, digest.load);
       addPrefill(prefill, digest.prefill ?? {});
       for (const key of digest.leaving) leaving.add(key);
+      for (const key of digest.kept ?? []) kept.add(key);
       entries += digest.entries;
     }
     const included = new Map(
@@ -186,6 +193,7 @@
       load,
       entries,
       leaving: [...leaving],
+      kept: [...kept],
       prefill,
       included,
     };
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -140,6 +140,8 @@
    * earlier builds.
    */
   readonly leaving?: readonly string[];
+  /** Sessions, by service, that a roll-out leaves on the old version; absent from earlier builds. */
+  readonly kept?: readonly string[];
   /** Measurements of prefill by model; absent from earlier builds. */
   readonly prefill?: PrefillSumTable;
 }
@@ -152,6 +154,7 @@
   readonly load: LoadTable;
   readonly evidence: readonly RolloutEvidence[];
   readonly leaving: readonly string[];
+  readonly kept?: readonly string[];
   readonly prefill?: PrefillSumTable;
   /** Entries that have begun to report to this instance a short while ago. */
   readonly arrived: readonly string[];
@@ -163,6 +166,8 @@
   readonly load: LoadTable;
   /** Incarnations of servers that told other entries that they leave; absent from earlier builds. */
   readonly leaving?: readonly string[];
+  /** Sessions that any entry keeps on the old version. */
+  readonly kept?: readonly string[];
   /** Measurements of prefill of the other entries. */
   readonly prefill?: PrefillSumTable;
   /** Whether the instance hears too few others, so that load is missing. */
--- a/packages/fleet/src/test/LoadExchange.test.ts
+++ b/packages/fleet/src/test/LoadExchange.test.ts
@@ -155,13 +155,15 @@
   assert.ok(Math.abs(learnedMs - 600) < Math.abs(assumedMs - 600) / 3);
 });
 
-test('a server that leaves is named to the entries of other instances', () => {
+test('servers that leave and kept sessions are named to the entries of other instances', () => {
   const [first, second] = buildControls('c1', 'c2');
   assert.ok(first && second);
-  first.exchange(buildReport('e1', {}, {leaving: ['s1 7']}));
+  const kept = ['drafts session'];
+  first.exchange(buildReport('e1', {}, {leaving: ['s1 7'], kept}));
   exchangeDigests(first, second);
   const reply = second.exchange(buildReport('e2', {}));
   assert.deepEqual(reply.leaving, ['s1 7']);
+  assert.deepEqual(reply.kept, kept);
 });
 
 test('a reply lists servers, not entries: its size does not grow with the fleet', () => {
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -174,10 +174,12 @@
         load: this.servers.listLoad(),
         evidence: this.versions.listEvidence(),
         leaving: this.servers.notices.listLeaving(),
+        kept: this.versions.listKept(),
         prefill: this.rates.listSums(),
       });
       this.budgets.updateEntryCount(reply.entries);
       this.servers.setOthersLoad(reply.load);
+      this.versions.addKept(reply.kept ?? []);
       this.rates.setOthers(reply.prefill ?? {});
       this.servers.notices.addLeaving(reply.leaving ?? []);
       this.placement.offerSlots();
--- a/packages/gateway/src/lib/VersionSplit.ts
+++ b/packages/gateway/src/lib/VersionSplit.ts
@@ -9,6 +9,12 @@
 
 /** Maximum number of sessions that are tracked; the least recently used one is evicted. */
 const MAX_SESSIONS = 20_000;
+/** Maximum duration of a request that a session's pin outlives, in ms. */
+const LONGEST_REQUEST_MS = 20_000;
+/** Time after its last report for which a session of another entry keeps its version, in ms. */
+const KEPT_EXPIRY_MS = 1_500;
+/** Maximum number of kept sessions in one report. */
+const MAX_KEPT = 1_000;
 /**
  * Time after a counted loss within which further losses on the same server count as the same event,
  * in ms.
@@ -48,11 +54,21 @@
   private readonly evidence = new Map<string, Map<string, Counts>>();
   private readonly lossTimes = new WeakMap<KnownServer, number>();
   private readonly sessions = new Map<string, SessionPin>();
+  /**
+   * Sessions on the old version that a roll-out would send to the new one, with the time of their
+   * last request here. Any entry may receive their next request, so all entries are told.
+   */
+  private readonly kept = new Map<string, number>();
+  /** Kept sessions of other entries, with the time at which they were last reported. */
+  private readonly othersKept = new Map<string, number>();
+
+  /** Time after the start of its last request for which a session stays pinned, in milliseconds. */
+  private readonly pinMs: number;
 
-  constructor(
-    /** Time after its last request for which a session stays pinned, in milliseconds. */
-    private readonly sessionMs: number,
-  ) {}
+  /** Expects the time after the end of its last request for which a session goes on, in ms. */
+  constructor(sessionMs: number) {
+    this.pinMs = sessionMs + LONGEST_REQUEST_MS;
+  }
 
   // Commands.
 
@@ -64,7 +80,9 @@
       this.rollouts.set(rollout.service, rollout);
       if (known?.number !== rollout.number) {
         this.evidence.set(rollout.service, new Map());
+        this.resetPins(rollout.service);
       }
+      if (known?.share !== rollout.share) this.keepSessions(rollout);
       if (known?.share === rollout.share && known.phase === rollout.phase) {
         continue;
       }
@@ -84,13 +102,25 @@
     requestId: string,
   ): VersionVariant {
     const rollout = this.rollouts.get(service);
-    if (!rollout) return 'old';
-    const variant = this.chooseVariant(rollout, session, requestId);
-    if (session !== undefined)
-      this.pinSession(`${service} ${session}`, variant);
+    const variant = rollout
+      ? this.chooseVariant(rollout, session, requestId)
+      : 'old';
+    if (session === undefined) return variant;
+    const key = `${service} ${session}`;
+    this.pinSession(key, variant);
+    if (rollout && isKept(rollout, session, variant)) this.keep(key);
     return variant;
   }
 
+  /** Records the sessions that other entries keep on the old version. */
+  addKept(keys: readonly string[]): void {
+    const now = performance.now();
+    for (const key of keys) this.othersKept.set(key, now);
+    for (const [key, reportedAt] of this.othersKept) {
+      if (now - reportedAt > KEPT_EXPIRY_MS) this.othersKept.delete(key);
+    }
+  }
+
   /** Counts an answer of a server towards the evidence on its version. */
   recordAnswer(
     server: KnownServer,
@@ -150,6 +180,15 @@
     return rollout?.phase === 'rolled_back' && rollout.target === version;
   }
 
+  /** Lists the sessions that this entry keeps on the old version. */
+  listKept(): string[] {
+    const oldest = performance.now() - this.pinMs;
+    for (const [key, usedAt] of this.kept) {
+      if (usedAt < oldest) this.kept.delete(key);
+    }
+    return [...this.kept.keys()].slice(0, MAX_KEPT);
+  }
+
   /** Lists the evidence on each roll-out that is in progress. */
   listEvidence(): RolloutEvidence[] {
     const listed: RolloutEvidence[] = [];
@@ -193,11 +232,35 @@
     session: string | undefined,
   ): VersionVariant | undefined {
     if (session === undefined) return undefined;
-    const pin = this.sessions.get(`${service} ${session}`);
-    if (!pin || performance.now() - pin.usedAt > this.sessionMs) {
-      return undefined;
+    const key = `${service} ${session}`;
+    const now = performance.now();
+    const pin = this.sessions.get(key);
+    if (pin && now - pin.usedAt <= this.pinMs) return pin.variant;
+    const reportedAt = this.othersKept.get(key) ?? -Infinity;
+    return now - reportedAt <= KEPT_EXPIRY_MS ? 'old' : undefined;
+  }
+
+  /** Makes the version of all pinned sessions the old one, since a new roll-out has begun. */
+  private resetPins(service: string): void {
+    for (const [key, pin] of this.sessions) {
+      if (key.startsWith(`${service} `)) pin.variant = 'old';
+    }
+  }
+
+  /** Keeps the running sessions on the old version that a new share would move. */
+  private keepSessions(rollout: ServiceRollout): void {
+    const prefix = `${rollout.service} `;
+    for (const [key, {variant, usedAt}] of this.sessions) {
+      if (!key.startsWith(prefix)) continue;
+      if (performance.now() - usedAt > this.pinMs) continue;
+      const session = key.slice(prefix.length);
+      if (isKept(rollout, session, variant)) this.kept.set(key, usedAt);
     }
-    return pin.variant;
+  }
+
+  private keep(key: string): void {
+    this.kept.delete(key);
+    this.kept.set(key, performance.now());
   }
 
   private pinSession(key: string, variant: VersionVariant): void {
@@ -209,6 +272,20 @@
   }
 }
 
+/** Returns whether a session stays on the old version that others of its share leave. */
+function isKept(
+  {phase, isEarly, share}: ServiceRollout,
+  session: string,
+  variant: VersionVariant,
+): boolean {
+  return (
+    phase === 'in_progress' &&
+    isEarly &&
+    variant === 'old' &&
+    hashToShare(session) < share
+  );
+}
+
 /** Returns whether a received state of a roll-out is newer: by its number, then by its progress. */
 function isNewer(received: ServiceRollout, known: ServiceRollout): boolean {
   if (received.number !== known.number) return received.number > known.number;
--- a/packages/gateway/src/test/versionSplit.test.ts
+++ b/packages/gateway/src/test/versionSplit.test.ts
@@ -37,6 +37,50 @@
   assert.equal(split.assignVariant('drafts', 'session', 'r4'), 'new');
 });
 
+test('a session from before a roll-out stays on its version', () => {
+  const split = new VersionSplit(5_000);
+  assert.equal(split.assignVariant('drafts', 'session', 'r1'), 'old');
+  split.update([buildRollout({share: 0.999})]);
+  assert.equal(split.assignVariant('drafts', 'session', 'r2'), 'old');
+  assert.equal(split.assignVariant('drafts', 'another', 'r3'), 'new');
+});
+
+test('a session stays on its version when another entry receives its next request', () => {
+  const first = new VersionSplit(5_000);
+  const second = new VersionSplit(5_000);
+  first.assignVariant('drafts', 'session', 'r1');
+  const rollout = buildRollout({share: 0.999});
+  for (const split of [first, second]) split.update([rollout]);
+  assert.deepEqual(first.listKept(), ['drafts session']);
+  second.addKept(first.listKept());
+  assert.equal(second.assignVariant('drafts', 'session', 'r2'), 'old');
+  assert.equal(second.assignVariant('drafts', 'another', 'r3'), 'new');
+  // It is known at the second entry from now on, without further reports.
+  assert.deepEqual(second.listKept(), ['drafts session']);
+  const late = {...rollout, isEarly: false, share: 1};
+  second.update([late]);
+  assert.equal(second.assignVariant('drafts', 'session', 'r4'), 'new');
+});
+
+test('sessions that a roll-out would leave on the old version anyway are not reported', () => {
+  const split = new VersionSplit(5_000);
+  for (let index = 0; index < 200; index += 1) {
+    split.assignVariant('drafts', `session-${index}`, 'r');
+  }
+  split.update([buildRollout({share: 0.05})]);
+  const kept = split.listKept().length;
+  assert.ok(kept > 0 && kept < 40, `${kept}`);
+});
+
+test('a session on the new version of one roll-out is on the old one of the next', () => {
+  const split = new VersionSplit(5_000);
+  split.update([buildRollout({share: 0.999})]);
+  assert.equal(split.assignVariant('drafts', 'session', 'r1'), 'new');
+  split.update([buildRollout({share: 1, phase: 'completed', isEarly: false})]);
+  split.update([buildRollout({number: 2, target: 'v3', share: 0.999})]);
+  assert.equal(split.assignVariant('drafts', 'session', 'r2'), 'old');
+});
+
 test('nothing goes to a version that was rolled back, even after late updates', () => {
   const split = new VersionSplit(5_000);
   split.update([buildRollout({share: 1})]);
