A few entries compare all servers, many compare a few

With 6 to 8 entries there is no herd to avoid. Change: the sample is 12 x servers / entries, at least three: all of 8 for 8 entries, 13 of 63 for 60, four of 69 for 195. Test: staleLoad (sizes; the herd of 195 entries as before).

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -80,6 +80,7 @@
       versions: this.versions,
       policy: policies.server,
       dataCentre,
+      countEntries: () => this.budgets.countEntries(),
     });
     const context: ForwardContext = {
       names,
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -67,6 +67,8 @@
   readonly times: AnswerTimes;
   readonly policy: ForwardPolicy;
   readonly dataCentre: string;
+  /** Returns the number of entries that choose among the servers. */
+  countEntries(): number;
 }
 
 /** The preference of the entries for a server, by the shared segments of a prompt. */
@@ -190,11 +192,11 @@
     const preferred = choosePreferred(demand, usable);
     const {policy, dataCentre} = this.options;
     const sample = new Set(
-      sampleServers(
+      sampleServers(usable, {
         policy,
-        usable,
-        ({listing}) => listing.registration.dataCentre === dataCentre,
-      ),
+        entries: this.options.countEntries(),
+        isNear: ({listing}) => listing.registration.dataCentre === dataCentre,
+      }),
     );
     for (const server of usable) {
       if (getPreference(preferred, server) !== 'none') sample.add(server);
--- a/packages/gateway/src/lib/RetryBudgets.ts
+++ b/packages/gateway/src/lib/RetryBudgets.ts
@@ -43,6 +43,11 @@
     return this.getBudget(service).acquire(this.entryCount);
   }
 
+  /** Returns the number of entries that share the budgets. */
+  countEntries(): number {
+    return this.entryCount;
+  }
+
   /** Returns whether one more send after a failure would be allowed. */
   hasCapacity(service: string): boolean {
     return this.getBudget(service).hasCapacity(this.entryCount);
--- a/packages/gateway/src/test/GatewayHarness.ts
+++ b/packages/gateway/src/test/GatewayHarness.ts
@@ -102,6 +102,7 @@
       times,
       policy: 'sampled',
       dataCentre: 'a',
+      countEntries: () => 1,
     });
     const context: ForwardContext = {
       names: TEST_NAMES,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -57,6 +57,7 @@
 export {RetryBudget} from './lib/forwarding/RetryBudget.js';
 export type {RetryBudgetOptions} from './lib/forwarding/RetryBudget.js';
 export {sampleServers} from './lib/forwarding/sampleServers.js';
+export type {SampleOptions} from './lib/forwarding/sampleServers.js';
 export {scoreServer} from './lib/forwarding/scoreServer.js';
 export type {
   ServerCandidate,
--- a/packages/routing/src/lib/forwarding/sampleServers.ts
+++ b/packages/routing/src/lib/forwarding/sampleServers.ts
@@ -1,46 +1,65 @@
 import type {ForwardPolicy} from './scoreServer.js';
 
-/** Number of servers that are compared for one request. */
-interface SampleSize {
-  /** In the same data centre. */
-  readonly near: number;
-  /** In other data centres. */
-  readonly far: number;
-}
+/** The smallest number of servers that are compared for one request. */
+const MIN_SAMPLE = 3;
+/** Number of entries that may compare the same server at a time, on average. */
+const ENTRIES_PER_SERVER = 12;
+/** Fraction of the compared servers that are in the same data centre. */
+const NEAR_FRACTION = 2 / 3;
 
-const SAMPLE_SIZES: Readonly<Record<ForwardPolicy, SampleSize>> = {
-  sampled: {near: 2, far: 1},
-  estimated: {near: Infinity, far: Infinity},
-  least_loaded: {near: Infinity, far: Infinity},
+const SAMPLE_SIZES: Readonly<
+  Record<ForwardPolicy, (servers: number, entries: number) => number>
+> = {
+  sampled: (servers, entries) =>
+    Math.max(
+      MIN_SAMPLE,
+      Math.round((ENTRIES_PER_SERVER * servers) / Math.max(1, entries)),
+    ),
+  estimated: () => Infinity,
+  least_loaded: () => Infinity,
 };
 
+/** Settings of a sample. @public */
+export interface SampleOptions<Server> {
+  readonly policy: ForwardPolicy;
+  /** Number of entries that choose among the servers. */
+  readonly entries: number;
+  /** Returns whether a server is in the same data centre. */
+  isNear(server: Server): boolean;
+  /** Returns a random number in [0, 1). */
+  readonly random?: () => number;
+}
+
 /**
  * Draws the servers that are compared for one request. Reports of load are stale, and all entries
- * read the same ones: if each compared all servers, the least loaded one would receive the requests
- * of all entries until the next report. A few servers at random spread them (the power of two
- * choices). Most are drawn from the same data centre, since traffic between data centres is dear;
- * one from another keeps the load of the data centres even.
+ * read the same ones: if each of many compared all servers, the least loaded one would receive the
+ * requests of all entries until the next report. A few servers at random spread them (the power of
+ * two choices); a few entries compare all. Most are drawn from the same data centre, since traffic
+ * between data centres is dear; the others keep the load of the data centres even.
  *
  * @example
  * ```ts
- * sampleServers('sampled', servers, server => server.isNear); // three of the servers
+ * sampleServers(servers, {policy: 'sampled', entries: 195, isNear}); // four of 69 servers
  * ```
  * @public
  */
 export function sampleServers<Server>(
-  policy: ForwardPolicy,
   servers: readonly Server[],
-  isNear: (server: Server) => boolean,
-  random: () => number = Math.random,
+  options: SampleOptions<Server>,
 ): readonly Server[] {
-  const {near, far} = SAMPLE_SIZES[policy];
-  if (servers.length <= near + far) return servers;
-  const nearServers = servers.filter(isNear);
+  const {policy, entries, isNear, random = Math.random} = options;
+  const size = SAMPLE_SIZES[policy](servers.length, entries);
+  if (servers.length <= size) return servers;
+  const nearServers = servers.filter(server => isNear(server));
   const farServers = servers.filter(server => !isNear(server));
-  const nearCount = Math.min(near, nearServers.length);
+  const wantedNear = Math.round(size * NEAR_FRACTION);
+  const farCount = Math.min(
+    farServers.length,
+    size - Math.min(wantedNear, nearServers.length),
+  );
   return [
-    ...pickRandomly(nearServers, nearCount, random),
-    ...pickRandomly(farServers, near + far - nearCount, random),
+    ...pickRandomly(nearServers, size - farCount, random),
+    ...pickRandomly(farServers, farCount, random),
   ];
 }
 
--- a/packages/routing/src/test/staleLoad.test.ts
+++ b/packages/routing/src/test/staleLoad.test.ts
@@ -51,9 +51,14 @@
     for (due += SENDS_PER_MS; due >= 1; due -= 1) {
       const entry = Math.floor(generateShare() * ENTRIES);
       const home = entry % DATA_CENTRES;
-      const isNear = ({dataCentre}: {dataCentre: number}) =>
-        dataCentre === home;
-      const sample = sampleServers(policy, servers, isNear, generateShare);
+      const isNear = (server: {index: number; dataCentre: number}) =>
+        server.dataCentre === home;
+      const sample = sampleServers(servers, {
+        policy,
+        entries: ENTRIES,
+        isNear,
+        random: generateShare,
+      });
       const scored = sample.map(server => ({
         server,
         score:
@@ -102,16 +107,20 @@
   assert.ok(simulateStaleLoad('estimated', 1).busyP95 > SLOTS);
 });
 
-test('a sample contains each server at most once, and all of a small pool', () => {
+test('a sample of many entries contains each server at most once, that of a few entries all', () => {
   const servers = [1, 2, 3, 4, 5, 6, 7, 8];
-  for (let round = 0; round < 200; round += 1) {
-    const sample = sampleServers('sampled', servers, server => server < 3);
-    assert.equal(new Set(sample).size, 3);
+  const buildSample = (isNear: (server: number) => boolean, entries: number) =>
+    sampleServers(servers, {policy: 'sampled', entries, isNear});
+  for (const isNear of [
+    (server: number) => server < 3,
+    () => false,
+    () => true,
+  ]) {
+    for (let round = 0; round < 100; round += 1) {
+      const sample = buildSample(isNear, 100);
+      assert.equal(new Set(sample).size, 3);
+    }
+    assert.deepEqual(buildSample(isNear, 8), servers);
   }
-  assert.deepEqual(
-    sampleServers('sampled', [1, 2, 3], () => true),
-    [1, 2, 3],
-  );
-  const far = sampleServers('sampled', servers, () => false);
-  assert.equal(new Set(far).size, 3);
+  assert.equal(buildSample(() => true, 5_000).length, 3);
 });
