--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -29,12 +29,11 @@
 import {RolloutDriver} from './RolloutDriver.js';
 import {RegistryTimeouts, ServerRegistry} from './ServerRegistry.js';
 import {LoadExchange} from './LoadExchange.js';
+import {computeDigestInterval} from './computeDigestInterval.js';
 
 const log = createLogger('fleet');
 
 const EXPIRY_INTERVAL_MS = 500;
-/** Interval between two digests of load to the other control instances, in milliseconds. */
-const DIGEST_INTERVAL_MS = 100;
 /** Timeout of sending one digest, in milliseconds. */
 const DIGEST_TIMEOUT_MS = 500;
 /** Raft timing for network latencies and disk syncs of a few milliseconds each. */
@@ -173,7 +172,7 @@
       () => this.expireServers(),
       EXPIRY_INTERVAL_MS,
     );
-    this.digestTimer = setInterval(() => this.sendDigest(), DIGEST_INTERVAL_MS);
+    this.scheduleDigest();
     void this.groupManager.run();
     void this.rolloutDriver.run();
     await this.logMember.start(this.describeFirstGroup());
@@ -225,7 +224,7 @@
   /** Transfers leadership and stops. */
   async stop(): Promise<void> {
     clearInterval(this.expiryTimer);
-    clearInterval(this.digestTimer);
+    clearTimeout(this.digestTimer);
     this.groupManager.stop();
     this.rolloutDriver.stop();
     this.peers.stop();
@@ -315,6 +314,13 @@
     }
   }
 
+  private scheduleDigest(): void {
+    this.digestTimer = setTimeout(() => {
+      this.sendDigest();
+      this.scheduleDigest();
+    }, computeDigestInterval(this.loadExchange.countEntries()));
+  }
+
   private sendDigest(): void {
     const digest = this.loadExchange.describeDigest();
     for (const {address} of this.peers.listReachable()) {
--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -129,6 +129,11 @@
     };
   }
 
+  /** Counts the entries that have reported recently, to any instance. */
+  countEntries(): number {
+    return this.getTotals().entries;
+  }
+
   /** Counts the requests of all entries in flight on the given backend servers. */
   countInFlight(ids: ReadonlySet<string>): number {
     let total = 0;
--- a/packages/fleet/src/test/LoadExchange.test.ts
+++ b/packages/fleet/src/test/LoadExchange.test.ts
@@ -5,6 +5,7 @@
 import type {RolloutEvidence} from '@sycamorehead/schema';
 import type {ExchangeRequest, LoadTable} from '../lib/fleetMessages.js';
 import {LoadExchange} from '../lib/LoadExchange.js';
+import {computeDigestInterval} from '../lib/computeDigestInterval.js';
 
 let clock: ReturnType<typeof fakeTimers.install>;
 
@@ -181,3 +182,15 @@
   };
   assert.ok(measureReply(1_000) < measureReply(10) + 20);
 });
+
+test('digests are rarer in a small fleet', () => {
+  const intervals = [0, 8, 60, 195, 1_482].map(computeDigestInterval);
+  assert.deepEqual(intervals, [400, 400, 200, 100, 100]);
+  const [first, second] = buildControls('c1', 'c2');
+  assert.ok(first && second);
+  first.exchange(buildReport('e1', {}));
+  second.exchange(buildReport('e2', {}));
+  exchangeDigests(first, second);
+  clock.tick(60);
+  assert.equal(first.countEntries(), 2);
+});
