Reports and digests of load are summed by one loop, evidence only where it is needed

getTotals and describeDigest held the same loop, and each refresh of the totals (up to 20 a second) merged all evidence for nothing. No behaviour changes.

--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -102,30 +102,15 @@
   /** Sums the reports of the entries that report to this instance. */
   describeDigest(): LoadDigest {
     const now = performance.now();
-    const load: Record<string, ServerLoad> = {};
-    const leaving = new Set<string>();
-    const kept = new Set<string>();
-    const prefill: Record<string, PrefillSums> = {};
-    const arrived: string[] = [];
     const usages = this.listFresh();
-    for (const {request, arrivedAt} of usages) {
-      addLoad(load, request.load);
-      addPrefill(prefill, request.prefill ?? {});
-      for (const key of request.leaving ?? []) leaving.add(key);
-      for (const key of request.kept ?? []) kept.add(key);
-      if (now - arrivedAt < ARRIVAL_MS) arrived.push(request.entry);
-    }
     return {
+      ...sumReports(usages.map(({request}) => request)),
       instance: this.instance,
       entries: usages.length,
-      load,
-      leaving: [...leaving],
-      kept: [...kept],
-      prefill,
-      evidence: mergeEvidence(
-        [...this.entries.values()].flatMap(({request}) => request.evidence),
-      ),
-      arrived,
+      evidence: this.mergeOwnEvidence(),
+      arrived: usages
+        .filter(({arrivedAt}) => now - arrivedAt < ARRIVAL_MS)
+        .map(({request}) => request.entry),
     };
   }
 
@@ -147,7 +132,7 @@
   listEvidence(service: string, number: number): VersionPair[] {
     const routes = new Map<string, {old: VersionCounts; new: VersionCounts}>();
     const lists = [
-      this.describeDigest().evidence,
+      this.mergeOwnEvidence(),
       ...this.listFreshDigests().map(digest => digest.evidence),
     ];
     for (const evidence of lists.flat()) {
@@ -170,37 +155,29 @@
     return heard * 2 <= this.countControls();
   }
 
+  /** Sums the evidence of the entries that report here, also of those that pause. */
+  private mergeOwnEvidence(): RolloutEvidence[] {
+    return mergeEvidence(
+      [...this.entries.values()].flatMap(({request}) => request.evidence),
+    );
+  }
+
   private getTotals(): Totals {
     const now = performance.now();
     if (this.totals && now - this.totals.computedAt < TOTALS_MS) {
       return this.totals;
     }
     this.expireEntries(now);
-    const own = this.describeDigest();
-    const load: Record<string, ServerLoad> = {...own.load};
-    const leaving = new Set(own.leaving);
-    const kept = new Set(own.kept);
-    const prefill: Record<string, PrefillSums> = {};
-    addPrefill(prefill, own.prefill ?? {});
-    let {entries} = own;
-    for (const digest of this.listFreshDigests()) {
-      addLoad(load, digest.load);
-      addPrefill(prefill, digest.prefill ?? {});
-      for (const key of digest.leaving) leaving.add(key);
-      for (const key of digest.kept ?? []) kept.add(key);
-      entries += digest.entries;
-    }
-    const included = new Map(
-      this.listFresh().map(({request}) => [request.entry, request]),
-    );
+    const requests = this.listFresh().map(({request}) => request);
+    const digests = this.listFreshDigests();
     this.totals = {
+      ...sumReports([...requests, ...digests]),
       computedAt: now,
-      load,
-      entries,
-      leaving: [...leaving],
-      kept: [...kept],
-      prefill,
-      included,
+      entries: digests.reduce(
+        (sum, {entries}) => sum + entries,
+        requests.length,
+      ),
+      included: new Map(requests.map(request => [request.entry, request])),
     };
     return this.totals;
   }
@@ -230,6 +207,24 @@
   }
 }
 
+/** What the reports of entries and the digests of control instances have in common. */
+type Report = Pick<ExchangeRequest, 'load' | 'leaving' | 'kept' | 'prefill'>;
+
+/** Sums reports or digests. */
+function sumReports(reports: readonly Report[]): Required<Report> {
+  const load: Record<string, ServerLoad> = {};
+  const prefill: Record<string, PrefillSums> = {};
+  const leaving = new Set<string>();
+  const kept = new Set<string>();
+  for (const report of reports) {
+    addLoad(load, report.load);
+    addPrefill(prefill, report.prefill ?? {});
+    for (const key of report.leaving ?? []) leaving.add(key);
+    for (const key of report.kept ?? []) kept.add(key);
+  }
+  return {load, prefill, leaving: [...leaving], kept: [...kept]};
+}
+
 function addLoad(sum: Record<string, ServerLoad>, load: LoadTable): void {
   for (const [id, [inFlight, pendingMs, active = 0]] of Object.entries(load)) {
     const [knownInFlight, knownPendingMs, knownActive = 0] = sum[id] ?? [0, 0];
