--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -194,6 +194,7 @@
       names: context.names,
       headTimeouts: this.computeHeadTimeouts(send, leftMs),
       isServerActive: () => context.servers.isActive(server),
+      onConnection: use => (send.connection = use),
       onServerNotice: notice => send.recordNotice(notice),
       signal: controller.signal,
     });
@@ -231,8 +232,10 @@
     this.tried.add(id);
     const atMs = Math.round(performance.now() - this.request.arrivedAt);
     const {estimatedMs} = send.reservation;
+    const {connection, use} = send.connection ?? {};
+    const place = connection === undefined ? '' : `#${connection}.${use}`;
     this.history.push(
-      `${id}:${describeOutcome(outcome)}@${atMs}~${Math.round(estimatedMs)}`,
+      `${id}:${describeOutcome(outcome)}@${atMs}~${Math.round(estimatedMs)}${place}`,
     );
     if (outcome.type !== 'unsent') this.hasSent = true;
     send.recordOutcome(outcome, this.controller.signal.aborted);
--- a/packages/gateway/src/lib/SendRecord.ts
+++ b/packages/gateway/src/lib/SendRecord.ts
@@ -4,6 +4,7 @@
 import type {SlotReservation} from './Placement.js';
 import type {RequestTarget} from './resolveTarget.js';
 import type {AttemptOutcome} from './sendAttempt.js';
+import type {ConnectionUse} from './ServerAgent.js';
 import type {ServerNotice} from './ServerNotices.js';
 import type {AnswerResult} from './VersionSplit.js';
 
@@ -16,6 +17,8 @@
 export class SendRecord {
   /** Kind of work; answer times are tracked for each kind. */
   readonly kind: string;
+  /** Undefined before the send has been assigned a connection. */
+  connection: ConnectionUse | undefined;
   private readonly sentAt = performance.now();
   private isHeld = false;
 
--- a/packages/gateway/src/lib/ServerAgent.ts
+++ b/packages/gateway/src/lib/ServerAgent.ts
@@ -13,6 +13,14 @@
 /** Time after which the kernel probes a silent connection, in milliseconds. */
 const KEEP_ALIVE_PROBE_MS = 2_000;
 
+/** One use of a connection for a request. @public */
+export interface ConnectionUse {
+  /** Number of the connection among those to its backend server, from 1. */
+  readonly connection: number;
+  /** Number of the use among those of the connection, from 1. */
+  readonly use: number;
+}
+
 interface IdleGuard {
   readonly onData: () => void;
   readonly timer: NodeJS.Timeout;
@@ -26,11 +34,22 @@
  */
 export class ServerAgent extends http.Agent {
   private readonly guards = new WeakMap<Duplex, IdleGuard>();
+  private readonly lastUses = new WeakMap<Duplex, ConnectionUse>();
+  private connectionCount = 0;
 
   constructor(maxIdle: number) {
     super({keepAlive: true, maxFreeSockets: maxIdle, noDelay: true});
   }
 
+  /** Records that a request uses a connection. */
+  recordUse(socket: Duplex): ConnectionUse {
+    const last = this.lastUses.get(socket);
+    const connection = last?.connection ?? (this.connectionCount += 1);
+    const use = {connection, use: (last?.use ?? 0) + 1};
+    this.lastUses.set(socket, use);
+    return use;
+  }
+
   /** Called by node:http once an answer is complete; decides whether to keep the connection. */
   override keepSocketAlive(stream: Duplex): boolean {
     const socket = stream as Socket & {_httpMessage?: {res?: IncomingMessage}};
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -3,7 +3,7 @@
 import {SilenceTimeouts, parseRetryAfter} from '@sycamorehead/routing';
 import type {HeaderNames} from './headerNames.js';
 import {SilenceTimer} from './SilenceTimer.js';
-import type {ServerAgent} from './ServerAgent.js';
+import type {ConnectionUse, ServerAgent} from './ServerAgent.js';
 import type {ServerNotice} from './ServerNotices.js';
 
 /** Time allowed for a new connection, in milliseconds; data centres are milliseconds apart. */
@@ -28,6 +28,8 @@
   readonly headTimeouts: SilenceTimeouts;
   /** Returns whether anything was recently received from the server, on any connection. */
   isServerActive(): boolean;
+  /** Called once the request has been assigned a connection. */
+  onConnection(use: ConnectionUse): void;
   /** Called before the outcome is known if the server says that it leaves or wants a pause. */
   onServerNotice(notice: ServerNotice): void;
   /** Aborted once the answer is no longer needed. */
@@ -130,6 +132,7 @@
     };
     signal.addEventListener('abort', handleAbort, {once: true});
     request.on('socket', socket => {
+      attempt.onConnection(agent.recordUse(socket));
       if (socket.connecting) socket.once('connect', waitForHead);
       else waitForHead();
     });
