--- a/packages/gateway/src/test/FakeServer.ts
+++ b/packages/gateway/src/test/FakeServer.ts
@@ -19,6 +19,8 @@
   /** Connections that the other end has closed. */
   closed = 0;
   connections = 0;
+  /** Whether connections that the other end has half closed are kept, and their work goes on. */
+  keepsHalfOpen = false;
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
 
@@ -26,7 +28,9 @@
     readonly id: string,
     private readonly script: ServerScript,
   ) {
-    this.server = createServer(socket => this.accept(socket));
+    this.server = createServer({allowHalfOpen: true}, socket =>
+      this.accept(socket),
+    );
   }
 
   async start(): Promise<string> {
@@ -72,6 +76,9 @@
     this.sockets.add(socket);
     let data = '';
     socket.on('error', () => {});
+    socket.on('end', () => {
+      if (!this.keepsHalfOpen) socket.end();
+    });
     socket.on('close', () => {
       this.closed += 1;
       this.sockets.delete(socket);
--- /dev/null
+++ b/packages/gateway/src/test/runsOnce.test.ts
@@ -0,0 +1,132 @@
+import assert from 'node:assert/strict';
+import type {Socket} from 'node:net';
+import {afterEach, test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  FakeServer,
+  ReceivedRequest,
+  answerWell,
+  formatAnswer,
+} from './FakeServer.js';
+import {
+  buildConfiguration,
+  buildRoute,
+  formatRequest,
+  readStatus,
+} from './GatewayHarness.js';
+import {startGateway, startServer, stopStarted} from './startGateway.js';
+
+afterEach(stopStarted);
+
+/** Time within which a cancelled run must have ended, in milliseconds. */
+const CANCEL_MS = 200;
+
+function formatRefusal(
+  {headers}: ReceivedRequest,
+  {status = 503, isNamed = true} = {},
+): string {
+  const id = `X-Request-Id: ${headers.get('x-request-id')}\r\n`;
+  return (
+    `HTTP/1.1 ${status} No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n` +
+    `${isNamed ? id : ''}\r\n`
+  );
+}
+
+/** A server that refuses the first request and repeats the refusal before its next answer. */
+async function startRepeatingServer(
+  id: string,
+  status: number,
+): Promise<{server: FakeServer; countRuns: () => number}> {
+  let runs = 0;
+  const refusals = new Map<Socket, string>();
+  const server = await startServer(id, (request, socket) => {
+    if (server.received.length === 1) {
+      const refusal = formatRefusal(request, {status});
+      refusals.set(socket, refusal);
+      socket.write(refusal);
+      return;
+    }
+    runs += 1;
+    socket.write((refusals.get(socket) ?? '') + formatAnswer(request, 'whole'));
+    refusals.delete(socket);
+  });
+  return {server, countRuns: () => runs};
+}
+
+for (const status of [503, 421]) {
+  test(`a repeated refusal ${status} does not count as the answer to the next send of its request`, async () => {
+    const {server, countRuns} = await startRepeatingServer('s1', status);
+    const gateway = await startGateway({kind: 'unsafe'}, [server]);
+    const text = await gateway.exchange(formatRequest({method: 'POST'}));
+    assert.equal(countRuns(), 1);
+    assert.equal(readStatus(text), 200);
+  });
+}
+
+test('a refusal that names no request does not count as proof that this one was not run', async () => {
+  const servers = await Promise.all(
+    ['s1', 's2'].map(id =>
+      startServer(id, (request, socket) =>
+        socket.write(formatRefusal(request, {isNamed: false})),
+      ),
+    ),
+  );
+  const gateway = await startGateway({kind: 'unsafe'}, servers);
+  const text = await gateway.exchange(formatRequest({method: 'POST'}));
+  assert.equal(servers[0]!.received.length + servers[1]!.received.length, 1);
+  assert.equal(readStatus(text), 502);
+});
+
+for (const status of [408, 429, 503]) {
+  test(`a ${status} of a server that may have run an unsafe request does not reach its caller as a promise`, async () => {
+    const server = await startServer('s1', (request, socket) =>
+      socket.write(
+        formatAnswer(request, 'busy').replace('200 OK', `${status} Busy`),
+      ),
+    );
+    const gateway = await startGateway({kind: 'unsafe'}, [server]);
+    const text = await gateway.exchange(formatRequest({method: 'POST'}));
+    assert.equal(server.received.length, 1);
+    assert.equal(readStatus(text), 502);
+    assert.doesNotMatch(text, /x-signature|retry-after/i);
+  });
+}
+
+test('a request whose route became unsafe after a send is not sent again', async () => {
+  const route = {kind: 'safe', targetLatencyMs: 100} as const;
+  const resetLater = (unused: ReceivedRequest, socket: Socket) => {
+    setTimeout(() => socket.resetAndDestroy(), 30);
+  };
+  const servers = [
+    await startServer('s1', resetLater),
+    await startServer('s2', resetLater),
+  ];
+  const gateway = await startGateway(route, servers);
+  const exchange = gateway.exchange(formatRequest());
+  await sleep(10);
+  gateway.setConfiguration(
+    buildConfiguration([buildRoute({...route, kind: 'unsafe'})], {version: 2}),
+  );
+  assert.equal(readStatus(await exchange), 502);
+  assert.equal(servers[0]!.received.length + servers[1]!.received.length, 1);
+});
+
+test('an abandoned run ends at a server that does not stop on a half-closed connection', async () => {
+  let running = 0;
+  const server = await startServer('s1', (unused, socket) => {
+    running += 1;
+    socket.once('error', () => (running -= 1));
+  });
+  server.keepsHalfOpen = true;
+  const gateway = await startGateway(
+    {kind: 'safe', targetLatencyMs: 100, maxAttempts: 2},
+    [server],
+  );
+  const exchange = gateway.exchange(formatRequest());
+  await sleep(50);
+  const other = await startServer('s2', answerWell);
+  gateway.list([other.describe()]);
+  assert.equal(readStatus(await exchange), 200);
+  await sleep(CANCEL_MS);
+  assert.equal(running, 0);
+});
