A request never reuses a connection on which its server has answered it before

Cause: all sends of a request carry the same id. After a refusal the request could go to the same server again, on the connection that had just become free, and a second copy of the refusal on it was taken for the answer to the new send, which ran. Why this works: a repeated send to a server gets a connection of its own, on which no earlier answer to the request can arrive. Ruled out: closing each connection after a refusal, since a server that sheds load would get a new connection for each refusal; never returning to a server, since it may be the only one.

--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -42,6 +42,8 @@
   private readonly controller = new AbortController();
   /** Ids of the servers to which this request was sent for the current model. */
   private readonly tried = new Set<string>();
+  /** Ids of the servers to which this request was sent for any model. */
+  private readonly contacted = new Set<string>();
   /** Each send with its outcome, for the log line. */
   private readonly history: string[] = [];
   /** The deadline for the final answer, on the monotonic clock. */
@@ -176,8 +178,11 @@
     const {server} = reservation;
     const leftMs = this.deadlineAt - performance.now();
     const {address, id} = server.listing.registration;
+    const isRepeated = this.contacted.has(id);
+    this.contacted.add(id);
     return sendAttempt({
       agent: server.agent,
+      isRepeated,
       address,
       method: request.method,
       target: request.target,
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -9,9 +9,14 @@
 /** Time allowed for a new connection, in milliseconds; data centres are milliseconds apart. */
 const CONNECT_TIMEOUT_MS = 350;
 
+/** Opens a connection for each request. */
+const UNSHARED_AGENT = new http.Agent({keepAlive: false, noDelay: true});
+
 /** One send of a request to one backend server. @public */
 export interface AttemptRequest {
   readonly agent: ServerAgent;
+  /** Whether the request was sent to the server before; it then gets a connection of its own. */
+  readonly isRepeated: boolean;
   /** `IP:PORT`. */
   readonly address: string;
   readonly method: string;
@@ -101,7 +106,8 @@
       method: attempt.method,
       path: attempt.target,
       headers: attempt.headers as string[],
-      agent,
+      // A copy of an earlier answer to the same request has the same id.
+      agent: attempt.isRepeated ? UNSHARED_AGENT : agent,
       setHost: false,
     });
     const cancel = (cause: string) => {
