A refusal counts as proof only if it names the request

Callers saw: an unsafe request runs at several servers. Cause: a refusal without a request id was taken for the answer to whatever was sent last on the connection. Evidence: runsOnce.test.ts, five sends that may have run. Servers name the request in every answer, so one that does not proves nothing: the send counts as lost, which is 502 for an unsafe request. After: the test passes.

--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -194,7 +194,10 @@
 ): AttemptOutcome {
   const {headers, statusCode: status = 0} = message;
   const echoed = headers[names.requestId];
-  if (echoed !== undefined && echoed !== requestId) {
+  if (echoed === undefined) {
+    return {type: 'lost', reason: 'the answer names no request'};
+  }
+  if (echoed !== requestId) {
     return {type: 'lost', reason: 'the answer belongs to another request'};
   }
   if (
@@ -208,9 +211,6 @@
       answering !== expectedServer;
     return {type: 'refused', status, isMisdirected};
   }
-  if (echoed === undefined) {
-    return {type: 'lost', reason: 'the answer names no request'};
-  }
   if (headers['content-encoding'] !== undefined) {
     return {type: 'lost', reason: 'the answer is encoded'};
   }
