--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -1,4 +1,8 @@
-import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
+import {
+  RouteDeclaration,
+  SycamoreheadError,
+  toSycamoreheadError,
+} from '@sycamorehead/schema';
 import {
   SilenceTimeouts,
   computeHeadTimeouts,
@@ -11,7 +15,12 @@
 import type {ForwardContext} from './gatewayTypes.js';
 import {ModelCascade} from './ModelCascade.js';
 import type {SlotReservation} from './Placement.js';
-import {buildRefusal, buildTimeout, replaceUnsafeRefusal} from './refusals.js';
+import {
+  buildRefusal,
+  buildTimeout,
+  isNotRunStatus,
+  replaceUnsafeRefusal,
+} from './refusals.js';
 import {RequestTarget, findTarget, resolveTarget} from './resolveTarget.js';
 import {
   AttemptOutcome,
@@ -307,6 +316,13 @@
       serverAnswer.cancel();
       return 'again';
     }
+    if (!isIdempotent(target.route) && isNotRunStatus(serverAnswer.status)) {
+      serverAnswer.cancel();
+      throw new SycamoreheadError(
+        'outcome_unknown',
+        `the server answered ${serverAnswer.status} and may have run it`,
+      );
+    }
     const result = await this.deliver(serverAnswer, send);
     return this.handleDelivery(result, send);
   }
@@ -360,11 +376,10 @@
     runs: number,
   ): boolean {
     // An answer that has begun can only continue on another server if it is a stream.
-    const isRepeatable =
-      (route.kind === 'safe' && !this.answer.isBegun) ||
-      (route.kind === 'streaming' && route.isResumable);
+    const isRepeatable = route.kind === 'streaming' || !this.answer.isBegun;
     return (
       isRepeatable &&
+      isIdempotent(route) &&
       runs < route.maxAttempts &&
       this.context.budgets.hasCapacity(service.name)
     );
@@ -401,3 +416,8 @@
     });
   }
 }
+
+/** Returns whether the requests of a route may run more than once. */
+function isIdempotent({kind, isResumable}: RouteDeclaration): boolean {
+  return kind === 'safe' || (kind === 'streaming' && isResumable);
+}
--- a/packages/gateway/src/lib/refusals.ts
+++ b/packages/gateway/src/lib/refusals.ts
@@ -8,6 +8,22 @@
 /** Maximum random prolongation of a longer retry delay, as a fraction. */
 const SPREAD_FRACTION = 0.25;
 
+/** Statuses by which a caller knows that its request has not run and never will. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/**
+ * Returns whether a status tells the caller that its request has not run.
+ *
+ * @example
+ * ```ts
+ * isNotRunStatus(429); // true
+ * ```
+ * @public
+ */
+export function isNotRunStatus(status: number): boolean {
+  return NOT_RUN_STATUSES.has(status);
+}
+
 /**
  * Builds the error of a request that is not sent to any further server. A request that may have
  * run is never reported as not run.
