Whether a request may be repeated is decided by the configuration in force at each send

Callers saw: a request on a route that had become unsafe ran twice. Cause: after a lost send the decision used the route as it was when that send was made, and the next send looked up the target again without asking whether it may be repeated. Why this works: RunTracker checks the route in force before a slot is sought and again right before the send; the route of the earlier send still has to allow it, too, so the stricter one of both decides. RunTracker takes the count of possible runs and the decision out of ForwardedRequest.

--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -1,8 +1,4 @@
-import {
-  RouteDeclaration,
-  SycamoreheadError,
-  toSycamoreheadError,
-} from '@sycamorehead/schema';
+import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
 import {
   SilenceTimeouts,
   computeHeadTimeouts,
@@ -28,6 +24,7 @@
   describeOutcome,
   sendAttempt,
 } from './sendAttempt.js';
+import {RunTracker, isIdempotent} from './RunTracker.js';
 import {SendRecord} from './SendRecord.js';
 import {writeRequestLine} from './writeRequestLine.js';
 
@@ -58,8 +55,7 @@
   /** The deadline for the final answer, on the monotonic clock. */
   private deadlineAt = Infinity;
   private isTimedOut = false;
-  /** Sends after which the request may have run. */
-  private possibleRuns = 0;
+  private readonly runs: RunTracker;
   /** Sends that provably did not run the request, by their outcome. */
   private readonly unexecutedSends = {refused: 0, unsent: 0};
   private hasSent = false;
@@ -76,6 +72,7 @@
   ) {
     this.lastEventId = request.lastEventId;
     this.cascade = new ModelCascade(context, request);
+    this.runs = new RunTracker(context.budgets, answer);
   }
 
   /** Forwards the request until it has been answered or has failed. */
@@ -101,9 +98,9 @@
       while ((await this.runSend()) === 'again');
     } catch (thrown) {
       const error = this.isTimedOut
-        ? buildTimeout(this.possibleRuns > 0)
+        ? buildTimeout(this.runs.mayHaveRun)
         : toSycamoreheadError(thrown);
-      this.failure = replaceUnsafeRefusal(error, this.possibleRuns > 0);
+      this.failure = replaceUnsafeRefusal(error, this.runs.mayHaveRun);
       answer.fail(this.failure);
     } finally {
       clearTimeout(timer);
@@ -118,9 +115,10 @@
   /** Performs one send: reserves a slot, sends the request and handles the outcome. */
   private async runSend(): Promise<NextStep> {
     const target = this.resolve();
+    this.runs.checkSend(target);
     const {service} = target;
     if (this.hasSent && !this.context.budgets.acquire(service.name)) {
-      throw buildRefusal('the retry budget is used up', this.possibleRuns > 0);
+      throw buildRefusal('the retry budget is used up', this.runs.mayHaveRun);
     }
     // A stream continues with the model that began it.
     const model = this.answer.isBegun
@@ -131,6 +129,7 @@
     this.waitedMs += performance.now() - waitStart;
     try {
       const current = this.resolve();
+      this.runs.checkSend(current);
       const hasTargetChanged =
         current.service.name !== service.name ||
         current.customer !== target.customer;
@@ -223,7 +222,7 @@
     const {route, service} = target;
     const {placement} = this.context;
     return computeHeadTimeouts({
-      isRepeatable: this.isRepeatAllowed(target, this.possibleRuns + 1),
+      isRepeatable: this.runs.isRepeatAllowedAfterSend(target),
       targetLatencyMs: route.targetLatencyMs,
       pressure: placement.measurePressure(service.name, route.targetLatencyMs),
       typicalMs: this.context.times.getTypicalMs(kind),
@@ -235,7 +234,7 @@
   /** Computes how long an answer that has begun may stall. */
   private computeStallTimeouts(target: RequestTarget): SilenceTimeouts {
     return computeStallTimeouts({
-      isRepeatable: this.isRepeatAllowed(target, this.possibleRuns),
+      isRepeatable: this.runs.isRepeatAllowed(target),
       longestPauseMs: target.route.longestPauseMs,
       leftMs: this.deadlineAt - performance.now(),
     });
@@ -264,10 +263,10 @@
       case 'refused':
         return this.handleUnexecuted(outcome.type);
       case 'lost':
-        this.possibleRuns += 1;
+        this.runs.recordPossibleRun();
         return this.handleUnknownRun(send.target, outcome.reason);
       case 'answered':
-        this.possibleRuns += 1;
+        this.runs.recordPossibleRun();
         return this.handleAnswer(outcome.answer, send);
     }
   }
@@ -280,7 +279,7 @@
     if (refused <= MAX_REFUSED_SENDS && unsent <= MAX_UNSENT_SENDS) {
       return 'again';
     }
-    throw buildRefusal(`${type} by several servers`, this.possibleRuns > 0);
+    throw buildRefusal(`${type} by several servers`, this.runs.mayHaveRun);
   }
 
   /**
@@ -289,7 +288,7 @@
    */
   private handleUnknownRun(target: RequestTarget, reason: string): NextStep {
     this.checkTime();
-    if (this.isRepeatAllowed(target, this.possibleRuns)) return 'again';
+    if (this.runs.isRepeatAllowed(target)) return 'again';
     throw new SycamoreheadError('outcome_unknown', reason);
   }
 
@@ -305,14 +304,14 @@
       !this.answer.isBegun &&
       this.context.budgets.hasEscalationCapacity(target.service.name) &&
       cascade.isWeak(target);
-    if (isWeak && this.isRepeatAllowed(target, this.possibleRuns)) {
+    if (isWeak && this.runs.isRepeatAllowed(target)) {
       serverAnswer.cancel();
       this.restartWithLargerModel(target);
       return 'again';
     }
     const isError = serverAnswer.status >= 500;
     if (isError) send.recordError();
-    if (isError && this.isRepeatAllowed(target, this.possibleRuns)) {
+    if (isError && this.runs.isRepeatAllowed(target)) {
       serverAnswer.cancel();
       return 'again';
     }
@@ -370,26 +369,11 @@
     return this.handleUnknownRun(send.target, result.reason);
   }
 
-  /** Returns whether the request may run once more after the given number of runs. */
-  private isRepeatAllowed(
-    {route, service}: RequestTarget,
-    runs: number,
-  ): boolean {
-    // An answer that has begun can only continue on another server if it is a stream.
-    const isRepeatable = route.kind === 'streaming' || !this.answer.isBegun;
-    return (
-      isRepeatable &&
-      isIdempotent(route) &&
-      runs < route.maxAttempts &&
-      this.context.budgets.hasCapacity(service.name)
-    );
-  }
-
   /** Returns whether another send to the service would still be permitted. */
   private isResendPermitted(service: string): boolean {
     const target = findTarget(this.context.getRoutes(), this.request);
     if (target?.service.name !== service) return false;
-    return this.isRepeatAllowed(target, this.possibleRuns);
+    return this.runs.isRepeatAllowed(target);
   }
 
   private checkTime(): void {
@@ -416,8 +400,3 @@
     });
   }
 }
-
-/** Returns whether the requests of a route may run more than once. */
-function isIdempotent({kind, isResumable}: RouteDeclaration): boolean {
-  return kind === 'safe' || (kind === 'streaming' && isResumable);
-}
--- /dev/null
+++ b/packages/gateway/src/lib/RunTracker.ts
@@ -0,0 +1,83 @@
+import {RouteDeclaration, SycamoreheadError} from '@sycamorehead/schema';
+import type {CallerAnswer} from './CallerAnswer.js';
+import type {RequestTarget} from './resolveTarget.js';
+import type {RetryBudgets} from './RetryBudgets.js';
+
+/**
+ * Tracks how often one request may have run, and decides whether it may run again.
+ *
+ * @internal
+ */
+export class RunTracker {
+  private possibleRuns = 0;
+
+  constructor(
+    private readonly budgets: RetryBudgets,
+    private readonly answer: CallerAnswer,
+  ) {}
+
+  // Commands.
+
+  /** Records a send after which the request may have run. */
+  recordPossibleRun(): void {
+    this.possibleRuns += 1;
+  }
+
+  /**
+   * Checks that the request may be sent by the configuration in force, which may be newer than that of
+   * its earlier sends.
+   *
+   * @throws SycamoreheadError `outcome_unknown` if it may have run and may not be repeated.
+   */
+  checkSend(target: RequestTarget): void {
+    if (!this.mayHaveRun || this.isRepeatAllowed(target)) return;
+    throw new SycamoreheadError(
+      'outcome_unknown',
+      'the request may have run and may no longer be repeated',
+    );
+  }
+
+  // Queries.
+
+  /** Whether the request may have run. */
+  get mayHaveRun(): boolean {
+    return this.possibleRuns > 0;
+  }
+
+  /** Returns whether the request may run once more. */
+  isRepeatAllowed(target: RequestTarget): boolean {
+    return this.isRunAllowedAfter(target, this.possibleRuns);
+  }
+
+  /** Returns whether the request may run once more even if the send under way runs it. */
+  isRepeatAllowedAfterSend(target: RequestTarget): boolean {
+    return this.isRunAllowedAfter(target, this.possibleRuns + 1);
+  }
+
+  private isRunAllowedAfter(
+    {route, service}: RequestTarget,
+    runs: number,
+  ): boolean {
+    // An answer that has begun can only continue on another server if it is a stream.
+    const canContinue = route.kind === 'streaming' || !this.answer.isBegun;
+    return (
+      canContinue &&
+      isIdempotent(route) &&
+      runs < route.maxAttempts &&
+      this.budgets.hasCapacity(service.name)
+    );
+  }
+}
+
+/**
+ * Returns whether the requests of a route may run more than once.
+ *
+ * @example
+ * ```ts
+ * isIdempotent(route); // false for a deposit
+ * ```
+ * @internal
+ */
+export function isIdempotent({kind, isResumable}: RouteDeclaration): boolean {
+  return kind === 'safe' || (kind === 'streaming' && isResumable);
+}
