A cancelled send resets its connection

Cause: a send was cancelled by closing its connection, which the server sees as the end of the sending side only. A server that keeps half-closed connections goes on until a write fails, which during a prefill takes longer than 400 ms; unsent bytes delay the close further. Why this works: a reset ends both directions, overtakes unsent bytes and reaches a server that is not reading as an error. All cancels (timeouts, weak answers, callers that leave, invalid answers) go through abortRequest.

--- a/packages/gateway/src/lib/deliverAnswer.ts
+++ b/packages/gateway/src/lib/deliverAnswer.ts
@@ -71,8 +71,9 @@
   const timer = new SilenceTimer(
     () => delivery.isServerActive(),
     () => {
-      if (delivery.isResendPermitted())
-        message.destroy(new Error(SILENCE_REASON));
+      if (!delivery.isResendPermitted()) return;
+      serverAnswer.cancel();
+      message.destroy(new Error(SILENCE_REASON));
     },
   );
   timer.start(stallTimeouts);
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -1,5 +1,5 @@
 import http from 'node:http';
-import type {IncomingMessage} from 'node:http';
+import type {ClientRequest, IncomingMessage} from 'node:http';
 import {SilenceTimeouts, parseRetryAfter} from '@sycamorehead/routing';
 import type {HeaderNames} from './headerNames.js';
 import {SilenceTimer} from './SilenceTimer.js';
@@ -112,7 +112,7 @@
     });
     const cancel = (cause: string) => {
       reason ||= cause;
-      request.destroy();
+      abortRequest(request);
     };
     const connectTimer = setTimeout(
       () => cancel('no connection in time'),
@@ -157,7 +157,8 @@
       const notice = readNotice(attempt, message);
       if (notice) attempt.onServerNotice(notice);
       const outcome = classifyHead(attempt, message, () => cancel('cancelled'));
-      if (outcome.type !== 'answered') dropAnswer(message, outcome);
+      if (outcome.type === 'refused') readRefusal(message);
+      if (outcome.type === 'lost') cancel(outcome.reason);
       settle(outcome);
     });
     request.end(body);
@@ -251,16 +252,24 @@
   return () => isReset;
 }
 
-/**
- * Reads a short refusal to its end, so that its connection can be reused; otherwise closes the
- * connection.
- */
-function dropAnswer(message: IncomingMessage, {type}: AttemptOutcome): void {
+/** Reads a short refusal to its end, so that its connection can be reused. */
+function readRefusal(message: IncomingMessage): void {
   message.on('error', () => {
     // The connection is closed with the message; the outcome is already settled.
   });
-  if (type === 'refused') message.resume();
-  else message.destroy();
+  message.resume();
+}
+
+/**
+ * Cancels a request and the server's work on it. The connection is reset, because a server may take
+ * a regular close for one of the sending side only, and go on.
+ */
+function abortRequest(request: ClientRequest): void {
+  // The connection of a request that is over may serve the next one.
+  if (request.destroyed) return;
+  const {socket} = request;
+  if (socket && !socket.connecting) socket.resetAndDestroy();
+  request.destroy();
 }
 
 /**
