Tests: what arrives during a pause of the process is not abandoned

Hypothesis of the incident, refuted: after a pause, timers were suspected to run before sockets are read, so that answers that had arrived would be abandoned and their requests sent again. Both tests pass without a change: Node.js 20 reads sockets before it runs timers, also when the pause was in a timer. A timer that waits once more after a pause was written and is not kept.

--- a/packages/gateway/src/test/runsOnce.test.ts
+++ b/packages/gateway/src/test/runsOnce.test.ts
@@ -4,9 +4,14 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
   FakeServer,
+  LAST_CHUNK,
   ReceivedRequest,
+  ServerScript,
   answerWell,
   formatAnswer,
+  formatChunk,
+  formatEvent,
+  formatStreamHead,
 } from './FakeServer.js';
 import {
   buildConfiguration,
@@ -21,6 +26,15 @@
 /** Time within which a cancelled run must have ended, in milliseconds. */
 const CANCEL_MS = 200;
 
+/** Longer than the timeout of a silent server, in milliseconds. */
+const PAUSE_MS = 600;
+
+/** Blocks this process, which simulates a paused instance. */
+function pauseProcess(): void {
+  const until = performance.now() + PAUSE_MS;
+  while (performance.now() < until);
+}
+
 function formatRefusal(
   {headers}: ReceivedRequest,
   {status = 503, isNamed = true} = {},
@@ -130,3 +144,40 @@
   await sleep(CANCEL_MS);
   assert.equal(running, 0);
 });
+
+for (const isBegun of [false, true]) {
+  test(`an answer that ${isBegun ? 'goes on' : 'begins'} during a pause of the process is not abandoned`, async () => {
+    const answer: ServerScript = (request, socket) => {
+      const head = formatStreamHead(request) + formatChunk(formatEvent(1));
+      const rest = formatChunk(formatEvent(2));
+      if (!isBegun) {
+        socket.write(head + rest);
+        pauseProcess();
+        setTimeout(() => socket.write(LAST_CHUNK), 100);
+        return;
+      }
+      socket.write(head);
+      setTimeout(() => {
+        socket.write(rest);
+        pauseProcess();
+        setTimeout(() => socket.write(LAST_CHUNK), 100);
+      }, 50);
+    };
+    const servers = [
+      await startServer('s1', answer),
+      await startServer('s2', answer),
+    ];
+    const gateway = await startGateway(
+      {
+        kind: 'streaming',
+        isResumable: true,
+        targetLatencyMs: 400,
+        longestPauseMs: 100,
+      },
+      servers,
+    );
+    const text = await gateway.exchange(formatRequest({method: 'POST'}));
+    assert.ok(text.endsWith(LAST_CHUNK));
+    assert.equal(servers[0]!.received.length + servers[1]!.received.length, 1);
+  });
+}
