A call of a plain service is repeated only if the release note in force still allows it

Now the call in force is checked before each attempt; one that may have run ends as outcome_unknown. Ruled out there: stale refusals (an unrepeatable call has a connection of its own, a chat attempt an id of its own) and false promises (the promise is ran=no in the body, and the result is kept under the caller's key).

--- a/packages/entry/src/lib/ServiceDispatcher.ts
+++ b/packages/entry/src/lib/ServiceDispatcher.ts
@@ -47,7 +47,7 @@
     let hasRun = false;
     for (;;) {
       try {
-        return await this.runAttempt(task, tried);
+        return await this.runAttempt(task, tried, hasRun);
       } catch (thrown) {
         const error = toSycamoreheadError(thrown);
         hasRun ||= error.ran !== 'no';
@@ -68,14 +68,21 @@
   private async runAttempt(
     task: ServiceTask,
     tried: Set<string>,
+    hasRun: boolean,
   ): Promise<StoredResponse> {
     const {exchange, customer, service, path, call} = task;
     // Checked at each dispatch, because the configuration may have changed since the first check.
-    findServiceCall(this.dependencies.configuration.get(), customer.customer, {
-      method: call.method,
-      service,
-      path,
-    });
+    const {repeatable} = findServiceCall(
+      this.dependencies.configuration.get(),
+      customer.customer,
+      {method: call.method, service, path},
+    );
+    if (hasRun && !repeatable) {
+      throw new SycamoreheadError(
+        'outcome_unknown',
+        'the call may have run and may no longer be repeated',
+      );
+    }
     const replica = this.chooseReplica(service, tried);
     tried.add(replica.announcement.id);
     const {status, contentType, body} =
@@ -85,7 +92,7 @@
         headers: buildHeaders(task),
         body: task.body.length > 0 ? task.body : undefined,
         maxResponseBytes: MAX_RESPONSE_BYTES,
-        isRepeatable: call.repeatable,
+        isRepeatable: call.repeatable && repeatable,
       });
     if (isRefusal({status, contentType, body})) {
       throw new SycamoreheadError('backend_failed', 'the service refused', {
