--- a/packages/gateway/src/lib/RunTracker.ts
+++ b/packages/gateway/src/lib/RunTracker.ts
@@ -30,7 +30,8 @@
    * @throws SycamoreheadError `outcome_unknown` if it may have run and may not be repeated.
    */
   checkSend(target: RequestTarget): void {
-    if (!this.mayHaveRun || this.isRepeatAllowed(target)) return;
+    const {mayHaveRun, possibleRuns} = this;
+    if (!mayHaveRun || this.isRunPermitted(target, possibleRuns)) return;
     throw new SycamoreheadError(
       'outcome_unknown',
       'the request may have run and may no longer be repeated',
@@ -46,38 +47,30 @@
 
   /** Returns whether the request may run once more. */
   isRepeatAllowed(target: RequestTarget): boolean {
-    return this.isRunAllowedAfter(target, this.possibleRuns);
+    return this.isRunAllowed(target, this.possibleRuns);
   }
 
   /** Returns whether the request may run once more even if the send under way runs it. */
   isRepeatAllowedAfterSend(target: RequestTarget): boolean {
-    return this.isRunAllowedAfter(target, this.possibleRuns + 1);
+    return this.isRunAllowed(target, this.possibleRuns + 1);
   }
 
-  private isRunAllowedAfter(
-    {route, service}: RequestTarget,
-    runs: number,
-  ): boolean {
-    // An answer that has begun can only continue on another server if it is a stream.
-    const canContinue = route.kind === 'streaming' || !this.answer.isBegun;
+  private isRunAllowed(target: RequestTarget, runs: number): boolean {
     return (
-      canContinue &&
-      isIdempotent(route) &&
-      runs < route.maxAttempts &&
-      this.budgets.hasCapacity(service.name)
+      this.isRunPermitted(target, runs) &&
+      this.budgets.hasCapacity(target.service.name)
     );
   }
+
+  /** Returns whether the route permits another run, whatever is left of the retry budget. */
+  private isRunPermitted({route}: RequestTarget, runs: number): boolean {
+    // An answer that has begun can only continue on another server if it is a stream.
+    const canContinue = route.kind === 'streaming' || !this.answer.isBegun;
+    return canContinue && isIdempotent(route) && runs < route.maxAttempts;
+  }
 }
 
-/**
- * Returns whether the requests of a route may run more than once.
- *
- * @example
- * ```ts
- * isIdempotent(route); // false for a deposit
- * ```
- * @internal
- */
-export function isIdempotent({kind, isResumable}: RouteDeclaration): boolean {
+/** Returns whether the requests of a route may run more than once. */
+function isIdempotent({kind, isResumable}: RouteDeclaration): boolean {
   return kind === 'safe' || (kind === 'streaming' && isResumable);
 }
