No 408, 429 or 503 of a server that may have run a request reaches its caller, whatever the kind of its route

Callers saw: a refusal that says "not run" and is not true, on safe and resumable routes whose attempts are used up. Cause: the check covered unsafe routes only.

--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -24,7 +24,7 @@
   describeOutcome,
   sendAttempt,
 } from './sendAttempt.js';
-import {RunTracker, isIdempotent} from './RunTracker.js';
+import {RunTracker} from './RunTracker.js';
 import {SendRecord} from './SendRecord.js';
 import {writeRequestLine} from './writeRequestLine.js';
 
@@ -315,7 +315,7 @@
       serverAnswer.cancel();
       return 'again';
     }
-    if (!isIdempotent(target.route) && isNotRunStatus(serverAnswer.status)) {
+    if (isNotRunStatus(serverAnswer.status)) {
       serverAnswer.cancel();
       throw new SycamoreheadError(
         'outcome_unknown',
--- a/packages/gateway/src/test/runsOnce.test.ts
+++ b/packages/gateway/src/test/runsOnce.test.ts
@@ -91,14 +91,18 @@
   assert.equal(readStatus(text), 502);
 });
 
-for (const status of [408, 429, 503]) {
-  test(`a ${status} of a server that may have run an unsafe request does not reach its caller as a promise`, async () => {
+const PROMISES = [408, 429, 503].flatMap(status =>
+  (['unsafe', 'safe'] as const).map(kind => ({status, kind})),
+);
+
+for (const {status, kind} of PROMISES) {
+  test(`a ${status} of a server that may have run a request of kind ${kind} does not reach its caller as a promise`, async () => {
     const server = await startServer('s1', (request, socket) =>
       socket.write(
         formatAnswer(request, 'busy').replace('200 OK', `${status} Busy`),
       ),
     );
-    const gateway = await startGateway({kind: 'unsafe'}, [server]);
+    const gateway = await startGateway({kind, maxAttempts: 1}, [server]);
     const text = await gateway.exchange(formatRequest({method: 'POST'}));
     assert.equal(server.received.length, 1);
     assert.equal(readStatus(text), 502);
