A stream goes on at another server only once the first has ended its work, or cannot be reached

Cause: the next send was bound to having asked for the cancellation, not to its effect. Behind a connection that delivers nothing, or at a server that does not react, the run goes on. Evidence: runsOnce.test.ts, "a stream does not go on elsewhere while its run goes on behind a connection that delivers nothing". Why this works: a cancelled stream closes the sending side of its connection and waits up to 200 ms for the server to close the other side. If it does not and still accepts connections, the stream fails honestly, and its caller may resume it; if it cannot be reached, the stream goes on. Other cancels reset the connection at once, since nothing depends on their effect; a reset first would leave no evidence, and a server that has read the end of the sending side may not notice a reset after it.

--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -205,6 +205,7 @@
       requestId: request.id,
       expectedServer: id,
       names: context.names,
+      awaitsEnd: target.route.kind === 'streaming',
       headTimeouts: this.computeHeadTimeouts(send, leftMs),
       isServerActive: () => context.servers.isActive(server),
       onConnection: use => (send.connection = use),
@@ -264,7 +265,7 @@
         return this.handleUnexecuted(outcome.type);
       case 'lost':
         this.runs.recordPossibleRun();
-        return this.handleUnknownRun(send.target, outcome.reason);
+        return this.handleUnknownRun(send, outcome);
       case 'answered':
         this.runs.recordPossibleRun();
         return this.handleAnswer(outcome.answer, send);
@@ -286,12 +287,30 @@
    * Handles a send after which the request may have run; it is sent again only if it may be
    * repeated.
    */
-  private handleUnknownRun(target: RequestTarget, reason: string): NextStep {
+  private async handleUnknownRun(
+    send: SendRecord,
+    {reason, isEnded}: {reason: string; isEnded: boolean},
+  ): Promise<NextStep> {
     this.checkTime();
-    if (this.runs.isRepeatAllowed(target)) return 'again';
+    if (this.runs.isRepeatAllowed(send.target)) {
+      return this.confirmNextSend(send, isEnded);
+    }
     throw new SycamoreheadError('outcome_unknown', reason);
   }
 
+  /** Returns once the request may go on to another server. */
+  private async confirmNextSend(
+    send: SendRecord,
+    isEnded: boolean,
+  ): Promise<NextStep> {
+    if (!isEnded && send.target.route.kind === 'streaming') {
+      this.history.push('unended');
+      await this.runs.checkUnreachable(send);
+    }
+    this.checkTime();
+    return 'again';
+  }
+
   private async handleAnswer(
     serverAnswer: ServerAnswer,
     send: SendRecord,
@@ -305,18 +324,16 @@
       this.context.budgets.hasEscalationCapacity(target.service.name) &&
       cascade.isWeak(target);
     if (isWeak && this.runs.isRepeatAllowed(target)) {
-      serverAnswer.cancel();
       this.restartWithLargerModel(target);
-      return 'again';
+      return this.confirmNextSend(send, await serverAnswer.cancel());
     }
     const isError = serverAnswer.status >= 500;
     if (isError) send.recordError();
     if (isError && this.runs.isRepeatAllowed(target)) {
-      serverAnswer.cancel();
-      return 'again';
+      return this.confirmNextSend(send, await serverAnswer.cancel());
     }
     if (isNotRunStatus(serverAnswer.status)) {
-      serverAnswer.cancel();
+      void serverAnswer.cancel();
       throw new SycamoreheadError(
         'outcome_unknown',
         `the server answered ${serverAnswer.status} and may have run it`,
@@ -360,13 +377,16 @@
     this.context.metrics.recordEscalation(route.name);
   }
 
-  private handleDelivery(result: DeliveryResult, send: SendRecord): NextStep {
+  private async handleDelivery(
+    result: DeliveryResult,
+    send: SendRecord,
+  ): Promise<NextStep> {
     this.lastEventId = result.lastEventId;
     if (result.isComplete) return 'done';
     this.history.push('broken');
     if (this.answer.disconnected.aborted) return 'done';
     send.recordInterruption(result.reason);
-    return this.handleUnknownRun(send.target, result.reason);
+    return this.handleUnknownRun(send, result);
   }
 
   /** Returns whether another send to the service would still be permitted. */
--- a/packages/gateway/src/lib/RunTracker.ts
+++ b/packages/gateway/src/lib/RunTracker.ts
@@ -1,7 +1,9 @@
 import {RouteDeclaration, SycamoreheadError} from '@sycamorehead/schema';
 import type {CallerAnswer} from './CallerAnswer.js';
 import type {RequestTarget} from './resolveTarget.js';
+import {queryReachable} from './queryReachable.js';
 import type {RetryBudgets} from './RetryBudgets.js';
+import type {SendRecord} from './SendRecord.js';
 
 /**
  * Tracks how often one request may have run, and decides whether it may run again.
@@ -38,6 +40,21 @@
     );
   }
 
+  /**
+   * Checks that a server that has not shown the end of its work on a stream cannot be reached; while
+   * it can, another server would work on the stream at the same time.
+   *
+   * @throws SycamoreheadError `outcome_unknown`.
+   */
+  async checkUnreachable({reservation}: SendRecord): Promise<void> {
+    const {address} = reservation.server.listing.registration;
+    if (!(await queryReachable(address))) return;
+    throw new SycamoreheadError(
+      'outcome_unknown',
+      'the server may still work on the request',
+    );
+  }
+
   // Queries.
 
   /** Whether the request may have run. */
--- /dev/null
+++ b/packages/gateway/src/lib/cancelExchange.ts
@@ -0,0 +1,58 @@
+import type {ClientRequest} from 'node:http';
+
+/** Time allowed for a server to close the connection of a cancelled request, in milliseconds. */
+const CONFIRM_MS = 200;
+
+/**
+ * Resets the connection of a request, which cancels the server's work on it. A server may take a
+ * regular close for one of the sending side only, and go on.
+ *
+ * @example
+ * ```ts
+ * resetExchange(request);
+ * ```
+ * @internal
+ */
+export function resetExchange(request: ClientRequest): void {
+  const {socket} = request;
+  if (isInUse(request) && !socket?.connecting) socket?.resetAndDestroy();
+  request.destroy();
+}
+
+/**
+ * Closes the sending side of a request's connection, which cancels the server's work on it, and waits
+ * until the server closes the other side. Resets the connection if it does not.
+ *
+ * @returns whether the server has closed the connection, which shows that it has ended the work.
+ * @example
+ * ```ts
+ * if (await endExchange(request)) sendElsewhere();
+ * ```
+ * @internal
+ */
+export function endExchange(request: ClientRequest): Promise<boolean> {
+  const {socket} = request;
+  if (!isInUse(request) || !socket || socket.connecting) {
+    request.destroy();
+    return Promise.resolve(true);
+  }
+  return new Promise(resolve => {
+    const finish = (isConfirmed: boolean) => {
+      clearTimeout(timer);
+      socket.removeListener('end', confirm);
+      socket.removeListener('close', confirm);
+      resetExchange(request);
+      resolve(isConfirmed);
+    };
+    const confirm = () => finish(true);
+    const timer = setTimeout(() => finish(false), CONFIRM_MS);
+    socket.once('end', confirm);
+    socket.once('close', confirm);
+    socket.end();
+  });
+}
+
+/** Returns whether a connection serves a request; that of a request that is over may serve the next. */
+function isInUse({destroyed, socket}: ClientRequest): boolean {
+  return !destroyed && socket !== null && !socket.destroyed;
+}
--- a/packages/gateway/src/lib/deliverAnswer.ts
+++ b/packages/gateway/src/lib/deliverAnswer.ts
@@ -36,6 +36,8 @@
 /** How far an answer was delivered. @public */
 export interface DeliveryResult {
   readonly isComplete: boolean;
+  /** Whether the server has ended its work on the answer, as far as its connection shows. */
+  readonly isEnded: boolean;
   readonly reason: string;
   /** The last event that was delivered completely. */
   readonly lastEventId: string | undefined;
@@ -51,29 +53,38 @@
  * ```
  * @public
  */
-export function deliverAnswer(delivery: Delivery): Promise<DeliveryResult> {
+export async function deliverAnswer(
+  delivery: Delivery,
+): Promise<DeliveryResult> {
   const {message, status} = delivery.serverAnswer;
   const type = message.headers['content-type'] ?? '';
   const isStream = status === 200 && type.startsWith(EVENT_STREAM);
   if (isStream) return relayEvents(delivery);
   if (!delivery.answer.isBegun) return relayBuffered(delivery);
   // Bytes of another answer would make the one that has begun look complete.
-  delivery.serverAnswer.cancel();
   const reason = `a stream that had begun was answered ${status}`;
-  const {lastEventId} = delivery;
-  return Promise.resolve({isComplete: false, reason, lastEventId});
+  return cancelDelivery(delivery, reason, delivery.lastEventId);
+}
+
+async function cancelDelivery(
+  {serverAnswer}: Delivery,
+  reason: string,
+  lastEventId: string | undefined,
+): Promise<DeliveryResult> {
+  const isEnded = await serverAnswer.cancel();
+  return {isComplete: false, isEnded, reason, lastEventId};
 }
 
 /** Reads the chunks of an answer until it ends or the server is silent for too long. */
 async function* readChunks(delivery: Delivery): AsyncGenerator<Buffer> {
   const {serverAnswer, stallTimeouts} = delivery;
   const {message} = serverAnswer;
+  let isSilent = false;
   const timer = new SilenceTimer(
     () => delivery.isServerActive(),
     () => {
-      if (!delivery.isResendPermitted()) return;
-      serverAnswer.cancel();
-      message.destroy(new Error(SILENCE_REASON));
+      isSilent = delivery.isResendPermitted();
+      if (isSilent) void serverAnswer.cancel();
     },
   );
   timer.start(stallTimeouts);
@@ -85,6 +96,8 @@
       yield chunk;
       timer.start(stallTimeouts);
     }
+  } catch (error) {
+    throw isSilent ? new Error(SILENCE_REASON) : error;
   } finally {
     timer.stop();
   }
@@ -110,19 +123,17 @@
       lastEventId = events.lastId ?? lastEventId;
     }
   } catch (error) {
-    serverAnswer.cancel();
-    return {isComplete: false, reason: String(error), lastEventId};
+    return cancelDelivery(delivery, String(error), lastEventId);
   }
   if (
     !serverAnswer.isComplete() ||
     splitter.hasPartialEvent ||
     !answer.isBegun
   ) {
-    serverAnswer.cancel();
-    return {isComplete: false, reason: 'the stream broke off', lastEventId};
+    return cancelDelivery(delivery, 'the stream broke off', lastEventId);
   }
   answer.finish();
-  return {isComplete: true, reason: '', lastEventId};
+  return {isComplete: true, isEnded: true, reason: '', lastEventId};
 }
 
 async function relayBuffered(delivery: Delivery): Promise<DeliveryResult> {
@@ -144,16 +155,14 @@
       await answer.write(Buffer.concat(chunks));
     }
   } catch (error) {
-    serverAnswer.cancel();
-    return {isComplete: false, reason: String(error), lastEventId};
+    return cancelDelivery(delivery, String(error), lastEventId);
   }
   if (!serverAnswer.isComplete()) {
-    serverAnswer.cancel();
-    return {isComplete: false, reason: 'the answer broke off', lastEventId};
+    return cancelDelivery(delivery, 'the answer broke off', lastEventId);
   }
   if (bytes === 0) delivery.onFirstBytes();
   finishBuffered(delivery, message, Buffer.concat(chunks));
-  return {isComplete: true, reason: '', lastEventId};
+  return {isComplete: true, isEnded: true, reason: '', lastEventId};
 }
 
 function finishBuffered(
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
-import type {ClientRequest, IncomingMessage} from 'node:http';
+import type {IncomingMessage} from 'node:http';
 import {SilenceTimeouts, parseRetryAfter} from '@sycamorehead/routing';
+import {endExchange, resetExchange} from './cancelExchange.js';
 import type {HeaderNames} from './headerNames.js';
 import {SilenceTimer} from './SilenceTimer.js';
 import type {ConnectionUse, ServerAgent} from './ServerAgent.js';
@@ -29,6 +30,8 @@
   /** Id of the intended server. */
   readonly expectedServer: string;
   readonly names: HeaderNames;
+  /** Whether a send that is abandoned is settled only once the server has ended the work. */
+  readonly awaitsEnd: boolean;
   /** How long to wait for the head of the answer. */
   readonly headTimeouts: SilenceTimeouts;
   /** Returns whether anything was recently received from the server, on any connection. */
@@ -49,8 +52,10 @@
   readonly confidence: number | undefined;
   /** Returns whether the body has arrived completely; called once it has ended. */
   isComplete(): boolean;
-  /** Cancels the answer and the server's work on it. */
-  cancel(): void;
+  /**
+   * Cancels the answer and the server's work on it; resolves to whether the server has ended the work.
+   */
+  cancel(): Promise<boolean>;
 }
 
 /** The outcome of one send. @public */
@@ -70,6 +75,8 @@
       readonly reason: string;
       /** Whether it was abandoned although the server is active. */
       readonly isSlow?: boolean;
+      /** Whether the server has ended the work, as far as its connection shows. */
+      readonly isEnded: boolean;
     }
   | {readonly type: 'answered'; readonly answer: ServerAnswer};
 
@@ -110,19 +117,44 @@
       agent: attempt.isRepeated ? UNSHARED_AGENT : agent,
       setHost: false,
     });
-    const cancel = (cause: string) => {
+    let cancellation: Promise<boolean> | undefined;
+    const abort = (cause: string) => {
       reason ||= cause;
-      abortRequest(request);
+      cancellation ??= Promise.resolve(false);
+      resetExchange(request);
+    };
+    const cancel = (cause: string): Promise<boolean> => {
+      if (!attempt.awaitsEnd) abort(cause);
+      reason ||= cause;
+      cancellation ??= endExchange(request);
+      return cancellation;
+    };
+    const settle = (outcome: AttemptOutcome) => {
+      clearTimeout(connectTimer);
+      headTimer.stop();
+      resolve(outcome);
+    };
+    const settleLost = (isEnded: boolean) =>
+      settle({type: 'lost', reason, isSlow, isEnded});
+    const settleFailure = (message: string) => {
+      reason ||= message;
+      if (!mayHaveSent) settle({type: 'unsent', reason});
+      else if (cancellation) void cancellation.then(settleLost);
+      else settleLost(true);
+    };
+    const handleAbort = () => {
+      abort('no longer wanted');
+      if (mayHaveSent) settleLost(false);
     };
     const connectTimer = setTimeout(
-      () => cancel('no connection in time'),
+      () => abort('no connection in time'),
       Math.min(CONNECT_TIMEOUT_MS, attempt.headTimeouts.activeServerMs),
     );
     const headTimer = new SilenceTimer(
       () => attempt.isServerActive(),
       () => {
         isSlow = attempt.isServerActive();
-        cancel('no answer in time');
+        void cancel('no answer in time').then(settleLost);
       },
     );
     const waitForHead = () => {
@@ -130,41 +162,49 @@
       clearTimeout(connectTimer);
       headTimer.start(attempt.headTimeouts);
     };
-    const handleAbort = () => cancel('no longer wanted');
-    const settle = (outcome: AttemptOutcome) => {
-      clearTimeout(connectTimer);
-      headTimer.stop();
-      resolve(outcome);
-    };
     signal.addEventListener('abort', handleAbort, {once: true});
     request.on('socket', socket => {
       attempt.onConnection(agent.recordUse(socket));
       if (socket.connecting) socket.once('connect', waitForHead);
       else waitForHead();
     });
-    const settleFailure = (message: string) =>
-      settle(
-        mayHaveSent
-          ? {type: 'lost', reason: reason || message, isSlow}
-          : {type: 'unsent', reason: reason || message},
-      );
     request.on('error', error => settleFailure(error.message));
     request.on('close', () => {
       signal.removeEventListener('abort', handleAbort);
       settleFailure('closed');
     });
     request.on('response', message => {
+      if (cancellation) {
+        dropBody(message);
+        return;
+      }
       const notice = readNotice(attempt, message);
       if (notice) attempt.onServerNotice(notice);
-      const outcome = classifyHead(attempt, message, () => cancel('cancelled'));
-      if (outcome.type === 'refused') readRefusal(message);
-      if (outcome.type === 'lost') cancel(outcome.reason);
-      settle(outcome);
+      const outcome = classifyHead(attempt, message, () => {
+        message.resume();
+        return cancel('cancelled');
+      });
+      if (outcome.type === 'answered') {
+        settle(outcome);
+        return;
+      }
+      dropBody(message);
+      if (outcome.type !== 'lost') {
+        settle(outcome);
+        return;
+      }
+      void cancel(outcome.reason).then(settleLost);
     });
     request.end(body);
   });
 }
 
+/** An answer that says nothing about the request. */
+interface InvalidAnswer {
+  readonly type: 'lost';
+  readonly reason: string;
+}
+
 /** Reads what the intended server says of itself in the head of an answer to this request. */
 function readNotice(
   {names, requestId, expectedServer}: AttemptRequest,
@@ -191,8 +231,8 @@
 function classifyHead(
   {names, requestId, expectedServer}: AttemptRequest,
   message: IncomingMessage,
-  cancel: () => void,
-): AttemptOutcome {
+  cancel: () => Promise<boolean>,
+): AttemptOutcome | InvalidAnswer {
   const {headers, statusCode: status = 0} = message;
   const echoed = headers[names.requestId];
   if (echoed === undefined) {
@@ -252,26 +292,14 @@
   return () => isReset;
 }
 
-/** Reads a short refusal to its end, so that its connection can be reused. */
-function readRefusal(message: IncomingMessage): void {
+/** Reads a body that is not needed, so that its connection can be reused or seen to close. */
+function dropBody(message: IncomingMessage): void {
   message.on('error', () => {
-    // The connection is closed with the message; the outcome is already settled.
+    // The connection is closed with the message; the outcome is settled otherwise.
   });
   message.resume();
 }
 
-/**
- * Cancels a request and the server's work on it. The connection is reset, because a server may take
- * a regular close for one of the sending side only, and go on.
- */
-function abortRequest(request: ClientRequest): void {
-  // The connection of a request that is over may serve the next one.
-  if (request.destroyed) return;
-  const {socket} = request;
-  if (socket && !socket.connecting) socket.resetAndDestroy();
-  request.destroy();
-}
-
 /**
  * Describes an outcome for a log line.
  *
--- a/packages/gateway/src/test/FakeServer.ts
+++ b/packages/gateway/src/test/FakeServer.ts
@@ -50,6 +50,11 @@
     await new Promise(resolve => this.server.close(resolve));
   }
 
+  /** Stops listening; its connections stay open. */
+  refuseConnections(): Promise<void> {
+    return new Promise(resolve => this.server.close(() => resolve()));
+  }
+
   /** Describes this server as a control instance lists it. */
   describe(
     overrides: Partial<ServerListing['registration']> = {},
