Only a send to a server that refused the request before gets a connection of its own

The fix of repeated refusals gave one to every later send to the same server, also after a cancelled answer, whose connection is closed anyway: an escalation to the engine that has the prompt cached then opened a connection that was not pooled. The tests of repeated refusals pass as before.

--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -48,8 +48,8 @@
   private readonly controller = new AbortController();
   /** Ids of the servers to which this request was sent for the current model. */
   private readonly tried = new Set<string>();
-  /** Ids of the servers to which this request was sent for any model. */
-  private readonly contacted = new Set<string>();
+  /** Ids of the servers that refused this request. */
+  private readonly refusedBy = new Set<string>();
   /** Each send with its outcome, for the log line. */
   private readonly history: string[] = [];
   /** The deadline for the final answer, on the monotonic clock. */
@@ -186,11 +186,9 @@
     const {server} = reservation;
     const leftMs = this.deadlineAt - performance.now();
     const {address, id} = server.listing.registration;
-    const isRepeated = this.contacted.has(id);
-    this.contacted.add(id);
     return sendAttempt({
       agent: server.agent,
-      isRepeated,
+      wasRefused: this.refusedBy.has(id),
       address,
       method: request.method,
       target: request.target,
@@ -252,6 +250,7 @@
       `${id}:${describeOutcome(outcome)}@${atMs}~${Math.round(estimatedMs)}${place}`,
     );
     if (outcome.type !== 'unsent') this.hasSent = true;
+    if (outcome.type === 'refused') this.refusedBy.add(id);
     send.recordOutcome(outcome, this.controller.signal.aborted);
   }
 
@@ -303,10 +302,10 @@
     send: SendRecord,
     isEnded: boolean,
   ): Promise<NextStep> {
-    if (!isEnded && send.target.route.kind === 'streaming') {
-      this.history.push('unended');
-      await this.runs.checkUnreachable(send);
-    }
+    this.checkTime();
+    if (isEnded || send.target.route.kind !== 'streaming') return 'again';
+    this.history.push('unended');
+    await this.runs.checkUnreachable(send);
     this.checkTime();
     return 'again';
   }
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -16,8 +16,8 @@
 /** One send of a request to one backend server. @public */
 export interface AttemptRequest {
   readonly agent: ServerAgent;
-  /** Whether the request was sent to the server before; it then gets a connection of its own. */
-  readonly isRepeated: boolean;
+  /** Whether the server refused the request before; this send then gets a connection of its own. */
+  readonly wasRefused: boolean;
   /** `IP:PORT`. */
   readonly address: string;
   readonly method: string;
@@ -113,8 +113,8 @@
       method: attempt.method,
       path: attempt.target,
       headers: attempt.headers as string[],
-      // A copy of an earlier answer to the same request has the same id.
-      agent: attempt.isRepeated ? UNSHARED_AGENT : agent,
+      // A copy of the refusal may follow on its connection, with the id of the same request.
+      agent: attempt.wasRefused ? UNSHARED_AGENT : agent,
       setHost: false,
     });
     let cancellation: Promise<boolean> | undefined;
--- a/packages/gateway/src/test/runsOnce.test.ts
+++ b/packages/gateway/src/test/runsOnce.test.ts
@@ -46,6 +46,15 @@
   );
 }
 
+/** Starts a server that sends the rest of a stream after its first event. */
+function startResumingServer(id: string): Promise<FakeServer> {
+  return startServer(id, (request, socket) => {
+    socket.write(
+      formatStreamHead(request) + formatChunk(formatEvent(2)) + LAST_CHUNK,
+    );
+  });
+}
+
 /** A server that refuses the first request and repeats the refusal before its next answer. */
 async function startRepeatingServer(
   id: string,
@@ -200,11 +209,7 @@
   );
   const exchange = gateway.exchange(formatRequest({method: 'POST'}));
   await sleep(50);
-  const other = await startServer('s2', (request, socket) => {
-    socket.write(
-      formatStreamHead(request) + formatChunk(formatEvent(2)) + LAST_CHUNK,
-    );
-  });
+  const other = await startResumingServer('s2');
   gateway.list([other.describe()]);
   while (other.received.length === 0 && isRunning) await sleep(10);
   if (isRunning) await sleep(CANCEL_MS);
@@ -225,11 +230,7 @@
   );
   const exchange = gateway.exchange(formatRequest({method: 'POST'}));
   await sleep(50);
-  const other = await startServer('s2', (request, socket) => {
-    socket.write(
-      formatStreamHead(request) + formatChunk(formatEvent(2)) + LAST_CHUNK,
-    );
-  });
+  const other = await startResumingServer('s2');
   gateway.list([other.describe()]);
   assert.ok((await exchange).endsWith(LAST_CHUNK));
 });
