A cancelled connection is never reset while the end of its sending side is pending

Cause: socket.resetAndDestroy() right after socket.end() fails inside Node.js 20, which then neither resets nor closes the connection. Now such a connection is closed regularly.

--- a/packages/gateway/src/lib/cancelExchange.ts
+++ b/packages/gateway/src/lib/cancelExchange.ts
@@ -15,13 +15,15 @@
  */
 export function resetExchange(request: ClientRequest): void {
   const {socket} = request;
-  if (isInUse(request) && !socket?.connecting) socket?.resetAndDestroy();
+  // Node.js leaks a socket that is reset while the end of its sending side is still pending.
+  const isResettable = !socket?.connecting && !socket?.writableEnded;
+  if (isInUse(request) && isResettable) socket?.resetAndDestroy();
   request.destroy();
 }
 
 /**
  * Closes the sending side of a request's connection, which cancels the server's work on it, and waits
- * until the server closes the other side. Resets the connection if it does not.
+ * until the server closes the other side. Closes the connection even if it does not.
  *
  * @returns whether the server has closed the connection, which shows that it has ended the work.
  * @example
@@ -41,7 +43,7 @@
       clearTimeout(timer);
       socket.removeListener('end', confirm);
       socket.removeListener('close', confirm);
-      resetExchange(request);
+      request.destroy();
       resolve(isConfirmed);
     };
     const confirm = () => finish(true);
