--- a/packages/gateway/src/lib/queryReachable.ts
+++ b/packages/gateway/src/lib/queryReachable.ts
@@ -1,4 +1,5 @@
 import {connect} from 'node:net';
+import {splitAddress} from './splitAddress.js';
 
 /** Time allowed for a connection, in milliseconds; data centres are milliseconds apart. */
 const CONNECT_MS = 150;
@@ -13,12 +14,7 @@
  * @internal
  */
 export function queryReachable(address: string): Promise<boolean> {
-  const separator = address.lastIndexOf(':');
-  const socket = connect({
-    host: address.slice(0, separator),
-    port: Number(address.slice(separator + 1)),
-    timeout: CONNECT_MS,
-  });
+  const socket = connect({...splitAddress(address), timeout: CONNECT_MS});
   return new Promise(resolve => {
     const finish = (isConnected: boolean) => {
       socket.destroy();
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -6,6 +6,7 @@
 import {SilenceTimer} from './SilenceTimer.js';
 import type {ConnectionUse, ServerAgent} from './ServerAgent.js';
 import type {ServerNotice} from './ServerNotices.js';
+import {splitAddress} from './splitAddress.js';
 
 /** Time allowed for a new connection, in milliseconds; data centres are milliseconds apart. */
 const CONNECT_TIMEOUT_MS = 350;
@@ -106,10 +107,8 @@
     let mayHaveSent = false;
     let reason = '';
     let isSlow = false;
-    const separator = address.lastIndexOf(':');
     const request = http.request({
-      host: address.slice(0, separator),
-      port: Number(address.slice(separator + 1)),
+      ...splitAddress(address),
       method: attempt.method,
       path: attempt.target,
       headers: attempt.headers as string[],
