--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -240,14 +240,14 @@
   }
 
   private recordOutcome(send: SendRecord, outcome: AttemptOutcome): void {
-    const {id} = send.reservation.server.listing.registration;
+    const {id, version} = send.reservation.server.listing.registration;
     this.tried.add(id);
     const atMs = Math.round(performance.now() - this.request.arrivedAt);
-    const {estimatedMs} = send.reservation;
+    const {estimatedMs, load} = send.reservation;
     const {connection, use} = send.connection ?? {};
     const place = connection === undefined ? '' : `#${connection}.${use}`;
     this.history.push(
-      `${id}:${describeOutcome(outcome)}@${atMs}~${Math.round(estimatedMs)}${place}`,
+      `${id}:${describeOutcome(outcome)}@${atMs}~${Math.round(estimatedMs)}+${load}${place}=${version}`,
     );
     if (outcome.type !== 'unsent') this.hasSent = true;
     if (outcome.type === 'refused') this.refusedBy.add(id);
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -52,6 +52,8 @@
   readonly tokensToPrefill: number;
   /** The estimated work before the answer begins, in milliseconds. */
   readonly estimatedMs: number;
+  /** The other requests that were known to be in flight on the server. */
+  readonly load: number;
   /** Whether no other request was known to wait for its first event when the slot was reserved. */
   readonly isUncontended: boolean;
   /** Marks that the server has begun to answer. */
@@ -142,6 +144,7 @@
     const {server, ownMs, tokensToPrefill} = choice;
     const pendingMs = server.pendingMs + server.othersPendingMs;
     const isUncontended = pendingMs <= 0;
+    const load = server.inFlight + server.othersInFlight;
     server.inFlight += 1;
     server.pendingMs += ownMs;
     let isPending = true;
@@ -161,6 +164,7 @@
       server,
       tokensToPrefill,
       estimatedMs: pendingMs + ownMs,
+      load,
       isUncontended,
       markStarted,
       release,
