A new version gets more than its canary share only once it is shown to be good

Cause: the absence of evidence counted as evidence. Times were compared as they were, although the new servers idle under the canary, and after the step to all requests the new version had to be four times slower, which half of the answers eight times slower never are (2.8). Failures were pooled, so one server in trouble spoke for its version; callers who left counted as losses.

Now the leader takes a step past the canary only while log likelihood ratios of failures and slowness, summed by server and without the worst fifth of them, show the version to be good, over all routes and on each; past the canary it rolls back on suspicion, and by the deadline if nothing is shown. The evidence of the last four seconds is evaluated on its own as well.

--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -1,4 +1,4 @@
-import type {RolloutEvidence, VersionCounts} from '@sycamorehead/schema';
+import type {RolloutEvidence} from '@sycamorehead/schema';
 import {
   PrefillSumTable,
   PrefillSums,
@@ -13,7 +13,7 @@
   LoadTable,
   ServerLoad,
 } from './fleetMessages.js';
-import {NO_COUNTS, VersionPair, addCounts} from './evaluateRollout.js';
+import {RouteEvidence, groupByRoute, mergeEvidence} from './rolloutEvidence.js';
 
 /** Age above which a report or a digest is ignored, in milliseconds. */
 const LOAD_EXPIRY_MS = 1_500;
@@ -129,24 +129,13 @@
   }
 
   /** Sums the evidence of one roll-out by route. */
-  listEvidence(service: string, number: number): VersionPair[] {
-    const routes = new Map<string, {old: VersionCounts; new: VersionCounts}>();
+  listEvidence(service: string, number: number): RouteEvidence[] {
+    const digests = this.listFreshDigests();
     const lists = [
       this.mergeOwnEvidence(),
-      ...this.listFreshDigests().map(digest => digest.evidence),
+      ...digests.map(({evidence}) => evidence),
     ];
-    for (const evidence of lists.flat()) {
-      if (evidence.service !== service || evidence.number !== number) continue;
-      for (const [key, counts] of Object.entries(evidence.counts)) {
-        const separatorIndex = key.lastIndexOf('|');
-        const route = key.slice(0, separatorIndex);
-        const variant = key.slice(separatorIndex + 1) === 'new' ? 'new' : 'old';
-        const pair = routes.get(route) ?? {old: NO_COUNTS, new: NO_COUNTS};
-        pair[variant] = addCounts(pair[variant], counts);
-        routes.set(route, pair);
-      }
-    }
-    return [...routes.values()];
+    return groupByRoute(lists.flat(), service, number);
   }
 
   /** Returns whether too few other instances are heard for the sums to be complete. */
@@ -280,20 +269,3 @@
   }
   return rest;
 }
-
-/** Sums the evidence of several entries by roll-out and route. */
-function mergeEvidence(list: readonly RolloutEvidence[]): RolloutEvidence[] {
-  const merged = new Map<
-    string,
-    RolloutEvidence & {counts: Record<string, VersionCounts>}
-  >();
-  for (const {service, number, counts} of list) {
-    const rolloutKey = `${service} ${number}`;
-    const sum = merged.get(rolloutKey) ?? {service, number, counts: {}};
-    for (const [key, value] of Object.entries(counts)) {
-      sum.counts[key] = addCounts(sum.counts[key] ?? NO_COUNTS, value);
-    }
-    merged.set(rolloutKey, sum);
-  }
-  return [...merged.values()];
-}
--- a/packages/fleet/src/lib/RolloutDriver.ts
+++ b/packages/fleet/src/lib/RolloutDriver.ts
@@ -1,10 +1,12 @@
 import {createLogger, writeDecision} from '@sycamorehead/telemetry';
 import type {RolloutRecord} from './FleetState.js';
-import {VersionPair, evaluateRollout} from './evaluateRollout.js';
+import type {VersionAssessment} from './evaluateRollout.js';
 import type {LogMember} from './LogMember.js';
 import {RolloutView, planRollout} from './planRollout.js';
 import type {ServerRegistry} from './ServerRegistry.js';
 import type {LoadExchange} from './LoadExchange.js';
+import {RouteEvidence, sumCounts} from './rolloutEvidence.js';
+import {RolloutJudge} from './RolloutJudge.js';
 
 const log = createLogger('fleet');
 
@@ -13,12 +15,6 @@
 /** Interval at which the elapsed time is committed if nothing else changes, in milliseconds. */
 const COMMIT_INTERVAL_MS = 1_000;
 
-/**
- * Share above which a roll-out is past its canary and the new version counts as serving most
- * requests.
- */
-const CANARY_SHARE_LIMIT = 0.3;
-
 /** Dependencies and settings of a RolloutDriver. @public */
 export interface RolloutDriverOptions {
   readonly logMember: LogMember;
@@ -33,6 +29,7 @@
   readonly term: number;
   elapsedMs: number;
   checkedAt: number;
+  readonly judge: RolloutJudge;
 }
 
 /**
@@ -70,7 +67,26 @@
   }
 
   private async advanceRollout(rollout: RolloutRecord): Promise<void> {
-    const view = this.describeView(rollout);
+    const {registry, loadExchange, maxCanaryShare, logMember} = this.options;
+    const {service, number, target} = rollout;
+    const {elapsedMs, judge} = this.measureProgress(rollout);
+    const servers = registry
+      .list()
+      .map(({registration}) => registration)
+      .filter(registration => registration.service === service);
+    const freshServers = servers.filter(
+      ({version, state}) => version === target && state === 'ready',
+    ).length;
+    const old = servers.filter(({version}) => version !== target);
+    const evidence = loadExchange.listEvidence(service, number);
+    const view: RolloutView = {
+      rollout,
+      elapsedMs,
+      ...judge.evaluate(evidence, rollout.share, freshServers),
+      freshServers,
+      runningOnOld: loadExchange.countInFlight(new Set(old.map(({id}) => id))),
+      maxCanaryShare,
+    };
     const step = planRollout(view);
     const isSame =
       step.phase === rollout.phase &&
@@ -78,71 +94,65 @@
       step.isEarly === rollout.isEarly;
     const isDue = step.elapsedMs - rollout.elapsedMs > COMMIT_INTERVAL_MS;
     if (isSame && !isDue) return;
-    const {service, number} = rollout;
-    await this.options.logMember.propose({
-      type: 'step_rollout',
+    await logMember.propose({type: 'step_rollout', service, number, step});
+    writeDecision(isSame ? 'rollout_waits' : 'rollout_step', {
       service,
-      number,
-      step,
-    });
-    if (isSame) return;
-    writeDecision('rollout_step', {
-      service,
-      target: rollout.target,
+      target,
       phase: step.phase,
       share: step.share,
-      verdict: view.verdict,
-      evidence: describeEvidence(view.evidence),
-      fresh_servers: view.freshServers,
+      verdict: describeAssessment(view.assessment),
+      recent: describeAssessment(view.recent),
+      since_step: view.answersSinceStep,
+      evidence: describeEvidence(evidence),
+      entries: loadExchange.countEntries(),
+      fresh_servers: freshServers,
       running_on_old: view.runningOnOld,
       elapsed_ms: Math.round(step.elapsedMs),
     });
   }
 
-  private describeView(rollout: RolloutRecord): RolloutView {
-    const {registry, loadExchange, maxCanaryShare} = this.options;
-    const servers = registry
-      .list()
-      .map(({registration}) => registration)
-      .filter(({service}) => service === rollout.service);
-    const fresh = servers.filter(
-      ({version, state}) => version === rollout.target && state === 'ready',
-    );
-    const old = servers.filter(({version}) => version !== rollout.target);
-    const evidence = loadExchange.listEvidence(rollout.service, rollout.number);
-    return {
-      rollout,
-      elapsedMs: this.measureElapsed(rollout),
-      verdict: evaluateRollout(evidence, rollout.share > CANARY_SHARE_LIMIT),
-      evidence,
-      freshServers: fresh.length,
-      runningOnOld: loadExchange.countInFlight(new Set(old.map(({id}) => id))),
-      maxCanaryShare,
-    };
-  }
-
-  /** Returns the time since the order; a new leader continues from the last committed time. */
-  private measureElapsed({service, number, elapsedMs}: RolloutRecord): number {
+  /** Measures the time since the order; a new leader continues from the last committed time. */
+  private measureProgress({
+    service,
+    number,
+    elapsedMs,
+  }: RolloutRecord): Progress {
     const now = performance.now();
     const term = this.options.logMember.raftNode?.getStatus().term ?? 0;
     const known = this.progress.get(service);
     if (known?.number !== number || known.term !== term) {
-      this.progress.set(service, {number, term, elapsedMs, checkedAt: now});
-      return elapsedMs;
+      const judge = new RolloutJudge();
+      const begun = {number, term, elapsedMs, checkedAt: now, judge};
+      this.progress.set(service, begun);
+      return begun;
     }
     known.elapsedMs += now - known.checkedAt;
     known.checkedAt = now;
-    return known.elapsedMs;
+    return known;
   }
 }
 
-/** Formats `failures/answers@meanMs` of the old and the new version for each route. */
-function describeEvidence(pairs: readonly VersionPair[]): string {
-  return pairs
-    .flatMap(pair => [pair.old, pair.new])
-    .map(({answers, failures, logTimeSum, timed}) => {
-      const meanMs = timed > 0 ? Math.round(Math.exp(logTimeSum / timed)) : 0;
-      return `${failures}/${answers}@${meanMs}`;
-    })
+/** Formats `VERDICT:failures,slow/answers`, with the log likelihood ratios of the regressions. */
+function describeAssessment({
+  verdict,
+  reason,
+  scores,
+  answers,
+}: VersionAssessment): string {
+  const {failures, slow} = scores;
+  return `${reason ?? verdict}:${failures.toFixed(1)},${slow.toFixed(1)}/${answers}`;
+}
+
+/**
+ * Formats `failures+losses/answers:times` of the old and the new version for each route; times is the
+ * histogram of the answer times relative to the expected ones.
+ */
+function describeEvidence(routes: readonly RouteEvidence[]): string {
+  return routes
+    .flatMap(({old, servers}) => [old, sumCounts(servers.values())])
+    .map(
+      ({answers, failures, losses, times}) =>
+        `${failures}+${losses}/${answers}:${times.join('-')}`,
+    )
     .join(' ');
 }
--- a/packages/fleet/src/lib/evaluateRollout.ts
+++ b/packages/fleet/src/lib/evaluateRollout.ts
@@ -1,119 +1,321 @@
-import type {VersionCounts} from '@sycamorehead/schema';
-
-/** Minimum number of answers of the new version for a verdict on failures. */
-const MIN_ANSWERS = 6;
-/** Minimum number of failures of the new version for a verdict on failures. */
-const MIN_FAILURES = 3;
-/** Standard deviations by which the new version's failures must exceed the old one's rate. */
-const FAILURE_Z = 3;
-/** Fraction of the new version's answers by which its failures must exceed the old one's rate. */
-const MIN_EXCESS_FRACTION = 0.1;
-/**
- * Factor by which the geometric mean of the new version's answer times must exceed the old one's
- * while both versions serve requests. If half of the answers are eight times slower, the mean rises
- * by a factor of 2.8.
- */
-const SLOWNESS_FACTOR = 2;
-/**
- * The factor used once the new version serves most requests and the old one's times are outdated.
- */
-const MAJORITY_SLOWNESS_FACTOR = 4;
-/** Minimum number of timed answers for a verdict on answer times. */
-const MIN_TIMED = 8;
-/** Prior of the old version's failure rate: this many answers, one of them failed. */
-const PRIOR_ANSWERS = 20;
+import {
+  AnswerCounts,
+  NO_COUNTS,
+  RouteEvidence,
+  sumCounts,
+} from './rolloutEvidence.js';
 
 /** Regression of a new version that causes its rollback. @public */
 export type RegressionReason = 'failures' | 'slow';
 
-/** Counts of the old and the new version on one route, or on all routes. @public */
-export interface VersionPair {
-  readonly old: VersionCounts;
-  readonly new: VersionCounts;
+/** Log likelihood ratios of a version with each regression to one without. */
+type Scores = Readonly<Record<RegressionReason, number>>;
+
+/** Limits of the scores over all routes and of those of one route. */
+interface ScoreLimits {
+  readonly total: Scores;
+  readonly route: Scores;
 }
 
-/** Counts of a version without answers. @public */
-export const NO_COUNTS: VersionCounts = {
-  answers: 0,
-  failures: 0,
-  logTimeSum: 0,
-  timed: 0,
+const REASONS: readonly RegressionReason[] = ['failures', 'slow'];
+
+/**
+ * Increase of the failure rate that a bad version shows at least, over all routes and on a single
+ * one.
+ */
+const FAILURE_INCREASES = {total: 0.25, route: 0.35} as const;
+const MAX_FAILURE_RATE = 0.95;
+/** Prior of the old version's failure rate: this many answers, one of them failed. */
+const PRIOR_ANSWERS = 20;
+/**
+ * Ways in which a bad version is slow at least: how many of its answers, by how many octaves. Times
+ * of different periods differ by the load, so that less can be concluded from them.
+ */
+const SLOW_KINDS = {
+  samePeriod: [
+    {share: 1, octaves: Math.log2(2.2)},
+    {share: 0.35, octaves: Math.log2(6)},
+  ],
+  otherPeriod: [
+    {share: 1, octaves: Math.log2(3)},
+    {share: 0.5, octaves: Math.log2(8)},
+  ],
+} as const;
+/** Prior distribution of the old version's answer times over the classes of their histogram. */
+const PRIOR_TIMES = [0.03, 0.2, 0.42, 0.22, 0.08, 0.03, 0.02] as const;
+/** Number of answers for which the prior counts. */
+const PRIOR_TIMED = 6;
+/** Bounds of the log likelihood ratio of one answer time, since no single answer is proof. */
+const MIN_TIME_GAIN = -1;
+const MAX_TIME_GAIN = 1.5;
+/**
+ * Minimum number of answers of the old version in the same period for a baseline. Otherwise its
+ * answers since the order are used.
+ */
+const MIN_BASELINE_ANSWERS = 20;
+/**
+ * Share of the new version's servers whose evidence is left out, the worst first, since servers of
+ * any version may be in trouble.
+ */
+const TRIMMED_SHARE = 0.2;
+/** Largest evidence of one server, as a log likelihood ratio. */
+const MAX_SERVER_SCORE = 5;
+/** The same for a server that only lost answers, which all are lost when it crashes. */
+const MAX_LOSS_SCORE = 2.6;
+/**
+ * Log likelihood ratios above which a version counts as bad. That of one of several routes is larger
+ * more often by chance.
+ */
+const BAD_SCORES: ScoreLimits = {
+  total: {failures: 7, slow: 7},
+  route: {failures: 9, slow: 9},
+};
+/** Log likelihood ratios above which a version may be bad. */
+const SUSPICIOUS_SCORES: ScoreLimits = {
+  total: {failures: 3, slow: 3},
+  route: {failures: 6, slow: 9},
 };
+/** Log likelihood ratios below which a version counts as good. */
+const GOOD_SCORES: ScoreLimits = {
+  total: {failures: -7, slow: -7},
+  route: {failures: -2.5, slow: -1.5},
+};
+/** Share of the old version's answers from which a route is evaluated on its own. */
+const MIN_ROUTE_SHARE = 0.05;
 
 /**
- * Adds the counts of two sets of answers.
+ * What the evidence says of a new version. `good` and `bad` are shown by it; `suspicious` means that
+ * it may be bad, `unknown` that there is too little evidence.
  *
- * @example
- * ```ts
- * addCounts(NO_COUNTS, counts); // counts
- * ```
  * @public
  */
-export function addCounts(
-  left: VersionCounts,
-  right: VersionCounts,
-): VersionCounts {
-  return {
-    answers: left.answers + right.answers,
-    failures: left.failures + right.failures,
-    logTimeSum: left.logTimeSum + right.logTimeSum,
-    timed: left.timed + right.timed,
-  };
+export type VersionVerdict = 'good' | 'unknown' | 'suspicious' | 'bad';
+
+/** Assessment of a new version. @public */
+export interface VersionAssessment {
+  readonly verdict: VersionVerdict;
+  /** The regression of a bad version. */
+  readonly reason: RegressionReason | undefined;
+  /** Over all routes. */
+  readonly scores: Scores;
+  /** Answers of the new version. */
+  readonly answers: number;
 }
 
 /**
  * Evaluates a new version against the old one, over all routes and on each route separately, since
- * a version may fail on one route only. Set `isMajority` once it serves most requests.
+ * a version may be bad on one route only. Answer times are compared by their ratio to the expected
+ * ones, so that the load of the servers and the prompts do not matter. The evidence is summed by
+ * server: one server in trouble does not speak for its version.
+ *
+ * The baseline is the old version in the same period where it had enough answers, else since the
+ * order.
  *
  * @example
  * ```ts
- * evaluateRollout([{old, new: failing}]); // 'failures'
+ * evaluateRollout(evidence, evidence, 8).verdict; // 'unknown'
  * ```
  * @public
  */
 export function evaluateRollout(
-  routes: readonly VersionPair[],
-  isMajority = false,
-): RegressionReason | undefined {
-  const total = routes.reduce(
-    (sum, pair) => ({
-      old: addCounts(sum.old, pair.old),
-      new: addCounts(sum.new, pair.new),
-    }),
-    {old: NO_COUNTS, new: NO_COUNTS},
+  routes: readonly RouteEvidence[],
+  sinceOrder: readonly RouteEvidence[],
+  freshServers: number,
+): VersionAssessment {
+  const baseline = buildBaseline(routes, sinceOrder);
+  const total = scoreRoutes(
+    routes,
+    baseline,
+    freshServers,
+    FAILURE_INCREASES.total,
+  );
+  const parts = routes
+    .filter(({route}) => baseline.isSignificant(route))
+    .map(group =>
+      scoreRoutes([group], baseline, freshServers, FAILURE_INCREASES.route),
+    );
+  const answers = sumCounts(
+    routes.flatMap(({servers}) => [...servers.values()]),
+  ).answers;
+  const isAbove = (name: RegressionReason, limits: ScoreLimits) =>
+    total[name] > limits.total[name] ||
+    parts.some(scores => scores[name] > limits.route[name]);
+  const reason = REASONS.find(name => isAbove(name, BAD_SCORES));
+  const isSuspicious = REASONS.some(name => isAbove(name, SUSPICIOUS_SCORES));
+  const isGood = REASONS.every(
+    name =>
+      total[name] < GOOD_SCORES.total[name] &&
+      parts.every(scores => scores[name] < GOOD_SCORES.route[name]),
   );
-  if ([total, ...routes].some(hasMoreFailures)) return 'failures';
-  const factor = isMajority ? MAJORITY_SLOWNESS_FACTOR : SLOWNESS_FACTOR;
-  return isSlower(routes, factor) ? 'slow' : undefined;
+  const verdict = chooseVerdict(reason !== undefined, isSuspicious, isGood);
+  return {verdict, reason, scores: total, answers};
 }
 
-function hasMoreFailures({old, new: fresh}: VersionPair): boolean {
-  if (fresh.answers < MIN_ANSWERS || fresh.failures < MIN_FAILURES) {
-    return false;
+/** The old version's rates, with which the new version's answers are compared. */
+interface Baseline {
+  /** Whether it is of the same period as the new version's answers. */
+  readonly period: keyof typeof SLOW_KINDS;
+  getFailureRate(route: string): number;
+  /** Returns the distribution of the answer times relative to the expected ones. */
+  getTimes(route: string): readonly number[];
+  /** Returns whether the route has a relevant share of the traffic. */
+  isSignificant(route: string): boolean;
+}
+
+function chooseVerdict(
+  isBad: boolean,
+  isSuspicious: boolean,
+  isGood: boolean,
+): VersionVerdict {
+  if (isBad) return 'bad';
+  if (isSuspicious) return 'suspicious';
+  return isGood ? 'good' : 'unknown';
+}
+
+function buildBaseline(
+  routes: readonly RouteEvidence[],
+  sinceOrder: readonly RouteEvidence[],
+): Baseline {
+  const recentTotal = sumCounts(routes.map(({old}) => old));
+  const isRecent = recentTotal.answers >= MIN_BASELINE_ANSWERS;
+  const groups = isRecent ? routes : sinceOrder;
+  const byRoute = new Map(groups.map(({route, old}) => [route, old]));
+  const total = sumCounts(byRoute.values());
+  const getCounts = (route: string) => byRoute.get(route) ?? NO_COUNTS;
+  const totalRate = computeFailureRate(total);
+  return {
+    period: isRecent ? 'samePeriod' : 'otherPeriod',
+    getFailureRate: route =>
+      Math.max(totalRate, computeFailureRate(getCounts(route))),
+    getTimes: route =>
+      computeDistribution(
+        getCounts(route).times,
+        computeDistribution(total.times, PRIOR_TIMES),
+      ),
+    isSignificant: route =>
+      getCounts(route).answers >= MIN_ROUTE_SHARE * total.answers,
+  };
+}
+
+function computeFailureRate({answers, failures, losses}: AnswerCounts): number {
+  return (failures + losses + 1) / (answers + PRIOR_ANSWERS);
+}
+
+/** Log likelihood ratios of one server. */
+interface ServerScores {
+  /** Whether the server has answered with an error. */
+  hasFailed: boolean;
+  failures: number;
+  /** One for each of the `SLOW_KINDS`. */
+  slow: number[];
+}
+
+/** Computes the log likelihood ratios of some routes, summed over the servers. */
+function scoreRoutes(
+  routes: readonly RouteEvidence[],
+  baseline: Baseline,
+  freshServers: number,
+  failureIncrease: number,
+): Scores {
+  const kinds = SLOW_KINDS[baseline.period];
+  const servers = new Map<string, ServerScores>();
+  for (const {route, servers: counts} of routes) {
+    const rate = baseline.getFailureRate(route);
+    const times = baseline.getTimes(route);
+    const gains = kinds.map(kind => computeTimeGains(times, kind));
+    for (const [id, own] of counts) {
+      if (own.answers === 0) continue;
+      const scores = servers.get(id) ?? {
+        hasFailed: false,
+        failures: 0,
+        slow: kinds.map(() => 0),
+      };
+      servers.set(id, scores);
+      scores.hasFailed ||= own.failures > 0;
+      scores.failures += scoreFailures(own, rate, failureIncrease);
+      gains.forEach((gain, index) => {
+        scores.slow[index]! += scoreTimes(own.times, gain);
+      });
+    }
   }
-  const baseRate = (old.failures + 1) / (old.answers + PRIOR_ANSWERS);
-  const expected = baseRate * fresh.answers;
-  const deviation = Math.sqrt(expected * (1 - baseRate));
+  const list = [...servers.values()];
+  const maxScore = freshServers > 1 ? MAX_SERVER_SCORE : Infinity;
+  const slowScores = kinds.map((_, index) =>
+    sumTrimmed(list.map(({slow}) => limit(slow[index]!, maxScore))),
+  );
+  return {
+    failures: sumTrimmed(
+      list.map(({failures, hasFailed}) =>
+        limit(failures, maxScore, hasFailed ? maxScore : MAX_LOSS_SCORE),
+      ),
+    ),
+    slow: Math.max(...slowScores),
+  };
+}
+
+function limit(score: number, max: number, positiveMax = max): number {
+  return Math.max(-max, Math.min(positiveMax, score));
+}
+
+function scoreFailures(
+  {answers, failures, losses}: AnswerCounts,
+  rate: number,
+  increase: number,
+): number {
+  const badRate = Math.min(MAX_FAILURE_RATE, rate + increase);
+  const failed = Math.min(answers, failures + losses);
   return (
-    fresh.failures > expected + FAILURE_Z * deviation &&
-    fresh.failures > expected + MIN_EXCESS_FRACTION * fresh.answers
+    failed * Math.log(badRate / rate) +
+    (answers - failed) * Math.log((1 - badRate) / (1 - rate))
   );
 }
 
-/**
- * Returns whether the new version is slower. Answer times are compared per route, so that a
- * different mix of routes does not count as slowness.
- */
-function isSlower(routes: readonly VersionPair[], factor: number): boolean {
-  let weight = 0;
-  let sum = 0;
-  for (const {old, new: fresh} of routes) {
-    const samples = Math.min(old.timed, fresh.timed);
-    if (samples === 0) continue;
-    const difference =
-      fresh.logTimeSum / fresh.timed - old.logTimeSum / old.timed;
-    weight += samples;
-    sum += samples * difference;
-  }
-  return weight >= MIN_TIMED && sum / weight > Math.log(factor);
+/** Sums the log likelihood ratios of the answers in each class of a histogram. */
+function scoreTimes(
+  times: readonly number[],
+  gains: readonly number[],
+): number {
+  return times.reduce((sum, count, index) => sum + count * gains[index]!, 0);
+}
+
+/** Computes the log likelihood ratio of a slow answer to a usual one for each class. */
+function computeTimeGains(
+  times: readonly number[],
+  {share, octaves}: {share: number; octaves: number},
+): number[] {
+  const slowTimes = times.map(() => 0);
+  times.forEach((probability, index) => {
+    const shifted = index + octaves;
+    const lower = Math.floor(shifted);
+    const last = times.length - 1;
+    const upperPart = probability * (shifted - lower);
+    slowTimes[Math.min(last, lower)]! += probability - upperPart;
+    slowTimes[Math.min(last, lower + 1)]! += upperPart;
+  });
+  return times.map((probability, index) => {
+    const slow = (1 - share) * probability + share * slowTimes[index]!;
+    const gain = Math.log(slow / probability);
+    return Math.max(MIN_TIME_GAIN, Math.min(MAX_TIME_GAIN, gain));
+  });
+}
+
+/** Computes a distribution from a histogram and a prior distribution. */
+function computeDistribution(
+  times: readonly number[],
+  prior: readonly number[],
+): number[] {
+  const total = times.reduce((sum, count) => sum + count, 0);
+  return times.map(
+    (count, index) =>
+      (count + PRIOR_TIMED * prior[index]!) / (total + PRIOR_TIMED),
+  );
+}
+
+/** Sums scores without those of the worst servers. */
+function sumTrimmed(scores: readonly number[]): number {
+  const trimmed = Math.floor(scores.length * TRIMMED_SHARE);
+  return [...scores]
+    .sort((left, right) => left - right)
+    .slice(0, scores.length - trimmed)
+    .reduce((sum, score) => sum + score, 0);
 }
--- a/packages/fleet/src/test/LoadExchange.test.ts
+++ b/packages/fleet/src/test/LoadExchange.test.ts
@@ -26,14 +26,15 @@
 }
 
 function buildEvidence(answers: number, failures: number): RolloutEvidence {
-  const counts = {answers, failures, logTimeSum: 0, timed: 0};
-  return {service: 'drafts', number: 1, counts: {'drafts |new': counts}};
+  const counts = {answers, failures};
+  return {service: 'drafts', number: 1, counts: {'drafts s1|new': counts}};
 }
 
 function countAnswers(exchange: LoadExchange): number {
   return exchange
     .listEvidence('drafts', 1)
-    .reduce((sum, {new: fresh}) => sum + fresh.answers, 0);
+    .flatMap(({servers}) => [...servers.values()])
+    .reduce((sum, {answers}) => sum + answers, 0);
 }
 
 /** Builds control instances that know each other. */
--- a/packages/fleet/src/test/RolloutSimulation.ts
+++ b/packages/fleet/src/test/RolloutSimulation.ts
@@ -1,7 +1,12 @@
-import type {RolloutEvidence, VersionCounts} from '@sycamorehead/schema';
+import {
+  NO_TIMES,
+  RolloutEvidence,
+  VersionCounts,
+  countTimeRatio,
+} from '@sycamorehead/schema';
 import {FleetState, RolloutRecord} from '../lib/FleetState.js';
 import {LoadExchange} from '../lib/LoadExchange.js';
-import {evaluateRollout} from '../lib/evaluateRollout.js';
+import {RolloutJudge} from '../lib/RolloutJudge.js';
 import {planRollout} from '../lib/planRollout.js';
 
 const STEP_MS = 20;
@@ -18,8 +23,12 @@
 const START_MS = 600;
 /** Fraction of answers that fail on any version. */
 const FAILURE_RATE = 0.01;
-/** Spread of the logarithm of an answer's time. */
-const TIME_SPREAD = 0.65;
+/** Spread of the logarithm of an answer's time on a server without load, and what full load adds. */
+const TIME_SPREAD = {idle: 0.35, load: 0.4} as const;
+/** Requests in flight that count as full load of a server. */
+const FULL_LOAD = 8;
+/** Time for which an answer goes on after its first bytes, in milliseconds. */
+const ANSWER_MS = 1_500;
 /** Share of the requests and typical answer time of each route. */
 const ROUTES = [
   {name: 'briefs', share: 0.25, baseMs: 180},
@@ -102,6 +111,7 @@
   private readonly servers: SimulatedServer[] = [];
   private readonly pending: Pending[] = [];
   private readonly steps: string[] = [];
+  private readonly judge = new RolloutJudge();
   /** The share that the entries obey, and from when. */
   private shares = [{at: 0, share: 0}];
   private nowMs = 0;
@@ -169,7 +179,7 @@
 
   private sendRequest(isCounted: boolean): void {
     const {random, options, nowMs} = this;
-    const isNew = random() < this.getShare();
+    const isNew = nowMs >= START_MS && random() < this.getShare();
     const candidates = this.servers.filter(server => server.isNew === isNew);
     const server = candidates[Math.floor(random() * candidates.length)]!;
     const route = chooseRoute(random());
@@ -194,18 +204,21 @@
       slowFactor *= version.slow.factor;
     }
     const hasFailed = failing.some(share => random() < share);
-    const expectedMs = route.baseMs * (1 + server.inFlight / 8);
-    const noise = Math.exp(0.3 + TIME_SPREAD * sampleNormal(random));
+    const load = Math.min(1, server.inFlight / FULL_LOAD);
+    const expectedMs = route.baseMs * (1 + load);
+    const spread = TIME_SPREAD.idle + TIME_SPREAD.load * load;
+    const noise = Math.exp(0.3 + spread * sampleNormal(random));
     const timeMs = expectedMs * noise * slowFactor;
     const counts = this.counts[Math.floor(random() * ENTRIES)]!;
     server.inFlight += 1;
-    this.pending.push({
-      endsAt: nowMs + timeMs,
-      finish: () => {
-        server.inFlight -= 1;
-        this.record(counts, route.name, server, hasFailed, timeMs);
-      },
+    this.schedule(timeMs, () => {
+      record(counts, route.name, server, hasFailed, timeMs / expectedMs);
     });
+    this.schedule(timeMs + ANSWER_MS, () => (server.inFlight -= 1));
+  }
+
+  private schedule(delayMs: number, finish: () => void): void {
+    this.pending.push({endsAt: this.nowMs + delayMs, finish});
   }
 
   private isBad(route: string, server: SimulatedServer): boolean {
@@ -217,23 +230,6 @@
     );
   }
 
-  private record(
-    table: Map<string, VersionCounts>,
-    route: string,
-    {isNew}: SimulatedServer,
-    hasFailed: boolean,
-    timeMs: number,
-  ): void {
-    const key = `${route} |${isNew ? 'new' : 'old'}`;
-    const known = table.get(key);
-    table.set(key, {
-      answers: (known?.answers ?? 0) + 1,
-      failures: (known?.failures ?? 0) + (hasFailed ? 1 : 0),
-      timed: (known?.timed ?? 0) + (hasFailed ? 0 : 1),
-      logTimeSum: (known?.logTimeSum ?? 0) + (hasFailed ? 0 : Math.log(timeMs)),
-    });
-  }
-
   private getShare(): number {
     const {nowMs} = this;
     return this.shares.filter(({at}) => at <= nowMs).at(-1)!.share;
@@ -265,12 +261,13 @@
     const {rollout, nowMs} = this;
     if (rollout.phase !== 'in_progress') return;
     const evidence = this.controls[0]!.listEvidence('drafts', 1);
+    const freshServers = nowMs < START_MS ? 0 : SERVERS;
+    const findings = this.judge.evaluate(evidence, rollout.share, freshServers);
     const step = planRollout({
       rollout,
       elapsedMs: nowMs,
-      verdict: evaluateRollout(evidence, rollout.share > 0.3),
-      evidence,
-      freshServers: nowMs < START_MS ? 0 : SERVERS,
+      ...findings,
+      freshServers,
       runningOnOld: this.servers
         .filter(({isNew}) => !isNew)
         .reduce((sum, {inFlight}) => sum + inFlight, 0),
@@ -278,7 +275,11 @@
     });
     if (step.share !== rollout.share || step.phase !== rollout.phase) {
       const {phase, share} = step;
-      this.steps.push(`${nowMs} ${phase} ${share}`);
+      const scores = [findings.assessment, findings.recent].map(
+        ({verdict, reason, scores: {failures, slow}}) =>
+          `${reason ?? verdict}:${failures.toFixed(1)},${slow.toFixed(1)}`,
+      );
+      this.steps.push(`${nowMs} ${phase} ${share} ${scores.join(' ')}`);
       const applied = {rolled_back: 0, completed: 1, in_progress: share};
       this.shares.push({at: nowMs + UPDATE_MS, share: applied[phase]});
     }
@@ -291,6 +292,29 @@
   }
 }
 
+function record(
+  table: Map<string, VersionCounts>,
+  route: string,
+  {id, isNew}: SimulatedServer,
+  hasFailed: boolean,
+  timeRatio: number,
+): void {
+  const key = isNew ? `${route} ${id}|new` : `${route}|old`;
+  const known = table.get(key);
+  const times = known?.times ?? NO_TIMES;
+  table.set(key, {
+    answers: (known?.answers ?? 0) + 1,
+    failures: (known?.failures ?? 0) + (hasFailed ? 1 : 0),
+    times: hasFailed ? times : countTime(times, timeRatio),
+  });
+}
+
+function countTime(times: readonly number[], timeRatio: number): number[] {
+  const counted = [...times];
+  countTimeRatio(counted, timeRatio);
+  return counted;
+}
+
 function chooseRoute(draw: number): (typeof ROUTES)[number] {
   let sum = 0;
   for (const route of ROUTES) {
--- a/packages/fleet/src/test/rolloutDecisions.test.ts
+++ b/packages/fleet/src/test/rolloutDecisions.test.ts
@@ -33,6 +33,10 @@
     slow: {share: 0.35, factor: 8},
   },
   'with all its answers three times slower': {slow: {share: 1, factor: 3}},
+  'with half of the answers of one route eight times slower': {
+    slow: {share: 0.5, factor: 8},
+    route: 'proofs',
+  },
   'that fails on half of its requests after three seconds': {
     failing: 0.5,
     fromMs: 3_000,
--- a/packages/gateway/src/lib/AnswerTimes.ts
+++ b/packages/gateway/src/lib/AnswerTimes.ts
@@ -39,6 +39,12 @@
     return Math.exp(logTime - mean);
   }
 
+  /** Returns the ratio of a time to the typical time without recording it. */
+  compareTime(kind: string, timeMs: number): number {
+    const typicalMs = this.getTypicalMs(kind);
+    return typicalMs === undefined ? 1 : Math.max(1, timeMs) / typicalMs;
+  }
+
   /** Returns the typical time in milliseconds, or undefined before the first answer. */
   getTypicalMs(kind: string): number | undefined {
     const logMean = this.logMeans.get(kind);
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -125,6 +125,7 @@
       ? this.cascade.answeredBy
       : this.cascade.chooseNext(target);
     const waitStart = performance.now();
+    let send: SendRecord | undefined;
     const reservation = await this.reserveSlot(target, model);
     this.waitedMs += performance.now() - waitStart;
     try {
@@ -140,17 +141,12 @@
         return 'again';
       }
       const {context, request} = this;
-      const send = new SendRecord(
-        context,
-        request,
-        current,
-        reservation,
-        model,
-      );
+      send = new SendRecord(context, request, current, reservation, model);
       const outcome = await this.dispatch(send);
       this.recordOutcome(send, outcome);
       return await this.handleOutcome(outcome, send);
     } finally {
+      send?.recordEnd();
       reservation.release();
     }
   }
@@ -323,6 +319,7 @@
       this.context.budgets.hasEscalationCapacity(target.service.name) &&
       cascade.isWeak(target);
     if (isWeak && this.runs.isRepeatAllowed(target)) {
+      send.recordWeakAnswer();
       this.restartWithLargerModel(target);
       return this.confirmNextSend(send, await serverAnswer.cancel());
     }
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -52,6 +52,11 @@
   readonly tokensToPrefill: number;
   /** The estimated work before the answer begins, in milliseconds. */
   readonly estimatedMs: number;
+  /**
+   * The expected time until the answer begins, in milliseconds; undefined if no similar answer is
+   * known.
+   */
+  readonly expectedMs: number | undefined;
   /** The other requests that were known to be in flight on the server. */
   readonly load: number;
   /** Whether no other request was known to wait for its first event when the slot was reserved. */
@@ -80,6 +85,8 @@
   readonly server: KnownServer;
   readonly tokensToPrefill: number;
   readonly ownMs: number;
+  /** Time until the answer begins if no other request waits; undefined if unknown. */
+  readonly aloneMs: number | undefined;
   readonly score: number;
 }
 
@@ -141,7 +148,7 @@
     this.refuseIfClosed(demand);
     const choice = this.chooseServer(demand);
     if (!choice) return undefined;
-    const {server, ownMs, tokensToPrefill} = choice;
+    const {server, ownMs, aloneMs, tokensToPrefill} = choice;
     const pendingMs = server.pendingMs + server.othersPendingMs;
     const isUncontended = pendingMs <= 0;
     const load = server.inFlight + server.othersInFlight;
@@ -164,6 +171,7 @@
       server,
       tokensToPrefill,
       estimatedMs: pendingMs + ownMs,
+      expectedMs: aloneMs === undefined ? undefined : pendingMs + aloneMs,
       load,
       isUncontended,
       markStarted,
@@ -236,10 +244,13 @@
       CACHED_FRACTIONS[preference],
     );
     const tokensToPrefill = Math.max(0, request.size.promptTokens - cached);
+    const typicalMs = times.getTypicalMs(buildWorkKind(route, model));
     const ownMs = service.engine
       ? rates.estimateMs(model ?? '', tokensToPrefill)
-      : (times.getTypicalMs(buildWorkKind(route, model)) ?? 0) /
-        Math.max(1, registration.slots);
+      : (typicalMs ?? 0) / Math.max(1, registration.slots);
+    const aloneMs = service.engine
+      ? rates.estimateFixedMs(model ?? '') + ownMs
+      : typicalMs;
     const pendingMs = server.pendingMs + server.othersPendingMs;
     const score = scoreServer(policy, {
       load: server.inFlight + server.othersInFlight,
@@ -250,7 +261,7 @@
       isSilent,
       slowness: server.slowness,
     });
-    return {server, tokensToPrefill, ownMs, score};
+    return {server, tokensToPrefill, ownMs, aloneMs, score};
   }
 
   /**
--- a/packages/gateway/src/lib/SendRecord.ts
+++ b/packages/gateway/src/lib/SendRecord.ts
@@ -6,7 +6,7 @@
 import type {AttemptOutcome} from './sendAttempt.js';
 import type {ConnectionUse} from './ServerAgent.js';
 import type {ServerNotice} from './ServerNotices.js';
-import type {AnswerResult} from './VersionSplit.js';
+import type {AnswerResult, AwaitedSend} from './VersionSplit.js';
 
 /**
  * One send of a request to one backend server. It records what the entry learns from the send:
@@ -20,6 +20,7 @@
   /** Undefined before the send has been assigned a connection. */
   connection: ConnectionUse | undefined;
   private readonly sentAt = performance.now();
+  private readonly awaited: AwaitedSend;
   private isHeld = false;
 
   constructor(
@@ -32,6 +33,10 @@
     readonly model: string | undefined,
   ) {
     this.kind = buildWorkKind(target.route.name, model);
+    const {server, expectedMs} = reservation;
+    const route = target.route.name;
+    this.awaited = {server, route, sentAt: this.sentAt, expectedMs};
+    context.versions.recordSend(this.awaited);
   }
 
   /**
@@ -52,18 +57,28 @@
     const hasFailed = outcome.type === 'unsent' || outcome.type === 'lost';
     if (hasFailed && !isAbandoned)
       servers.recordFailure(server, outcome.reason, outcome.type === 'unsent');
-    if (outcome.type === 'lost') this.recordEvidence('lost');
+    if (outcome.type === 'lost' && !isAbandoned) this.recordEvidence('lost');
+  }
+
+  /** Records that no answer of this send is awaited any more. */
+  recordEnd(): void {
+    this.context.versions.recordSendEnd(this.awaited);
   }
 
   /** Records a send that was abandoned as an answer that took as long as it was awaited. */
   private recordSlow(): void {
-    const {context, reservation, kind} = this;
+    const {context, reservation} = this;
     const timeMs = performance.now() - this.sentAt;
-    const ratio = context.times.recordTime(kind, timeMs);
+    const ratio = this.recordTime(timeMs);
     context.servers.recordSlowness(reservation.server, ratio);
     this.recordEvidence('answered', timeMs);
   }
 
+  /** Records an answer that is dropped because its model has little confidence in it. */
+  recordWeakAnswer(): void {
+    this.recordEvidence('answered', performance.now() - this.sentAt);
+  }
+
   /** Records that the server leaves or wants a pause; both concern waiting requests too. */
   recordNotice(notice: ServerNotice): void {
     const {servers, metrics, placement} = this.context;
@@ -86,11 +101,12 @@
     const {context, request, reservation, model} = this;
     const timeMs = performance.now() - this.sentAt;
     reservation.markStarted();
-    if (model !== undefined && reservation.isUncontended) {
+    const isTypical = !context.versions.isOnTrial(reservation.server);
+    if (model !== undefined && isTypical && reservation.isUncontended) {
       context.rates.recordPrefill(model, reservation.tokensToPrefill, timeMs);
     }
     context.metrics.recordFirstByte(performance.now() - request.arrivedAt);
-    const ratio = context.times.recordTime(this.kind, timeMs);
+    const ratio = this.recordTime(timeMs);
     context.servers.recordAnswer(reservation.server, ratio);
     this.recordEvidence('answered', timeMs);
     if (model === undefined) return;
@@ -104,8 +120,26 @@
     this.context.servers.recordFailure(this.reservation.server, reason);
   }
 
-  private recordEvidence(result: AnswerResult, timeMs?: number): void {
+  /**
+   * Records an answer time and returns its ratio to the typical one, to which a version on trial does
+   * not contribute.
+   */
+  private recordTime(timeMs: number): number {
     const {context, reservation, kind} = this;
-    context.versions.recordAnswer(reservation.server, kind, result, timeMs);
+    const {times, versions} = context;
+    return versions.isOnTrial(reservation.server)
+      ? times.compareTime(kind, timeMs)
+      : times.recordTime(kind, timeMs);
+  }
+
+  private recordEvidence(result: AnswerResult, timeMs?: number): void {
+    const {context, reservation, target} = this;
+    const {server, expectedMs} = reservation;
+    context.versions.recordSendResult(this.awaited);
+    const timeRatio =
+      timeMs === undefined || expectedMs === undefined
+        ? undefined
+        : timeMs / Math.max(1, expectedMs);
+    context.versions.recordAnswer(server, target.route.name, result, timeRatio);
   }
 }
--- a/packages/gateway/src/lib/VersionSplit.ts
+++ b/packages/gateway/src/lib/VersionSplit.ts
@@ -1,7 +1,9 @@
-import type {
+import {
+  NO_TIMES,
   RolloutEvidence,
   ServiceRollout,
   VersionCounts,
+  countTimeRatio,
 } from '@sycamorehead/schema';
 import {hashToShare} from '@sycamorehead/routing';
 import {writeDecision} from '@sycamorehead/telemetry';
@@ -20,6 +22,10 @@
  * in ms.
  */
 const LOSS_WINDOW_MS = 2_000;
+/** Multiple of the expected time after which an answer that is still awaited counts as slow. */
+const OVERDUE_RATIO = 4;
+/** Maximum number of kinds of answers that are counted for one roll-out. */
+const MAX_COUNTS = 1_000;
 
 /**
  * The version of a service in a roll-out to which a request is sent.
@@ -36,11 +42,20 @@
 /** The result of a send, as evidence on a version. @public */
 export type AnswerResult = 'answered' | 'failed' | 'lost';
 
+/** A send whose answer has not begun. @public */
+export interface AwaitedSend {
+  readonly server: KnownServer;
+  readonly route: string;
+  readonly sentAt: number;
+  /** Undefined if no similar answer is known. */
+  readonly expectedMs: number | undefined;
+}
+
 interface Counts {
   answers: number;
   failures: number;
-  logTimeSum: number;
-  timed: number;
+  losses: number;
+  readonly times: number[];
 }
 
 /**
@@ -52,6 +67,7 @@
 export class VersionSplit {
   private readonly rollouts = new Map<string, ServiceRollout>();
   private readonly evidence = new Map<string, Map<string, Counts>>();
+  private readonly awaited = new Set<AwaitedSend>();
   private readonly lossTimes = new WeakMap<KnownServer, number>();
   private readonly sessions = new Map<string, SessionPin>();
   /**
@@ -121,34 +137,41 @@
     }
   }
 
-  /** Counts an answer of a server towards the evidence on its version. */
+  /** Records that an answer is awaited; one that is long overdue is evidence before it has come. */
+  recordSend(send: AwaitedSend): void {
+    this.awaited.add(send);
+  }
+
+  /** Records that the answer to a send is no longer awaited; it counts if it was long overdue. */
+  recordSendEnd(send: AwaitedSend): void {
+    if (!this.awaited.delete(send)) return;
+    const timeRatio = computeOverdueRatio(send);
+    if (timeRatio === undefined) return;
+    this.recordAnswer(send.server, send.route, 'answered', timeRatio);
+  }
+
+  /** Records that the result of a send is known and is counted by itself. */
+  recordSendResult(send: AwaitedSend): void {
+    this.awaited.delete(send);
+  }
+
+  /**
+   * Counts the result of a send towards the evidence on the version of its server. `timeRatio` is the
+   * time of an answer relative to the expected one.
+   */
   recordAnswer(
     server: KnownServer,
-    kind: string,
+    route: string,
     result: AnswerResult,
-    timeMs: number | undefined,
+    timeRatio: number | undefined,
   ): void {
-    const {service, version} = server.listing.registration;
+    const {service} = server.listing.registration;
     const rollout = this.rollouts.get(service);
     if (rollout?.phase !== 'in_progress') return;
-    const variant = version === rollout.target ? 'new' : 'old';
+    if (result === 'lost' && !this.isFirstLoss(server)) return;
     const table = this.evidence.get(service) ?? new Map<string, Counts>();
     this.evidence.set(service, table);
-    if (result === 'lost' && !this.isFirstLoss(server)) return;
-    const key = `${kind}|${variant}`;
-    const counts = table.get(key) ?? {
-      answers: 0,
-      failures: 0,
-      logTimeSum: 0,
-      timed: 0,
-    };
-    counts.answers += 1;
-    if (result !== 'answered') counts.failures += 1;
-    if (timeMs !== undefined) {
-      counts.logTimeSum += Math.log(Math.max(1, timeMs));
-      counts.timed += 1;
-    }
-    table.set(key, counts);
+    countAnswer(table, buildKey(rollout, server, route), result, timeRatio);
   }
 
   // Queries.
@@ -189,19 +212,46 @@
     return [...this.kept.keys()].slice(0, MAX_KEPT);
   }
 
+  /** Returns whether a server runs a version whose roll-out is in progress. */
+  isOnTrial({listing}: KnownServer): boolean {
+    const {service, version} = listing.registration;
+    const rollout = this.rollouts.get(service);
+    return rollout?.phase === 'in_progress' && rollout.target === version;
+  }
+
   /** Lists the evidence on each roll-out that is in progress. */
   listEvidence(): RolloutEvidence[] {
     const listed: RolloutEvidence[] = [];
-    for (const [service, table] of this.evidence) {
-      const rollout = this.rollouts.get(service);
-      if (rollout?.phase !== 'in_progress') continue;
+    for (const rollout of this.rollouts.values()) {
+      const {service, number, phase} = rollout;
+      if (phase !== 'in_progress') continue;
+      const table = this.addOverdue(rollout);
       const counts: Record<string, VersionCounts> = {};
-      for (const [key, value] of table) counts[key] = {...value};
-      listed.push({service, number: rollout.number, counts});
+      for (const [key, value] of table) counts[key] = value;
+      listed.push({service, number, counts});
     }
     return listed;
   }
 
+  /** Returns the evidence on a roll-out together with the answers that are long overdue. */
+  private addOverdue(rollout: ServiceRollout): Map<string, Counts> {
+    const table = new Map(
+      [...(this.evidence.get(rollout.service) ?? [])].map(([key, counts]) => [
+        key,
+        {...counts, times: [...counts.times]},
+      ]),
+    );
+    for (const send of this.awaited) {
+      const {server, route} = send;
+      if (server.listing.registration.service !== rollout.service) continue;
+      const timeRatio = computeOverdueRatio(send);
+      if (timeRatio === undefined) continue;
+      const key = buildKey(rollout, server, route);
+      countAnswer(table, key, 'answered', timeRatio);
+    }
+    return table;
+  }
+
   /**
    * Returns whether a loss counts; a server that crashes loses all its answers at once, which
    * counts as one loss.
@@ -272,6 +322,46 @@
   }
 }
 
+/** Returns how many times the expected time an answer is awaited if it is long overdue. */
+function computeOverdueRatio({
+  sentAt,
+  expectedMs,
+}: AwaitedSend): number | undefined {
+  if (expectedMs === undefined) return undefined;
+  const timeRatio = (performance.now() - sentAt) / Math.max(1, expectedMs);
+  return timeRatio >= OVERDUE_RATIO ? timeRatio : undefined;
+}
+
+/** Builds the key of the counts to which an answer belongs, as in `RolloutEvidence`. */
+function buildKey(
+  {target}: ServiceRollout,
+  {listing}: KnownServer,
+  route: string,
+): string {
+  const {version, id} = listing.registration;
+  return version === target ? `${route} ${id}|new` : `${route}|old`;
+}
+
+function countAnswer(
+  table: Map<string, Counts>,
+  key: string,
+  result: AnswerResult,
+  timeRatio: number | undefined,
+): void {
+  const counts = table.get(key) ?? {
+    answers: 0,
+    failures: 0,
+    losses: 0,
+    times: [...NO_TIMES],
+  };
+  if (!table.has(key) && table.size >= MAX_COUNTS) return;
+  counts.answers += 1;
+  if (result === 'failed') counts.failures += 1;
+  if (result === 'lost') counts.losses += 1;
+  if (timeRatio !== undefined) countTimeRatio(counts.times, timeRatio);
+  table.set(key, counts);
+}
+
 /** Returns whether a session stays on the old version that others of its share leave. */
 function isKept(
   {phase, isEarly, share}: ServiceRollout,
--- a/packages/gateway/src/test/serverNotices.test.ts
+++ b/packages/gateway/src/test/serverNotices.test.ts
@@ -286,7 +286,7 @@
   const failures = gateway.versions
     .listEvidence()
     .flatMap(({counts}) => Object.values(counts))
-    .reduce((sum, counts) => sum + counts.failures, 0);
+    .reduce((sum, {failures, losses = 0}) => sum + failures + losses, 0);
   assert.equal(failures, 0);
 });
 
--- a/packages/gateway/src/test/versionSplit.test.ts
+++ b/packages/gateway/src/test/versionSplit.test.ts
@@ -112,7 +112,7 @@
   };
 }
 
-test('a lost answer counts for the model that was asked, once per event', async () => {
+test('lost answers count for the server, once per event', async () => {
   const answerNothing: ServerScript = (unused, socket) =>
     socket.resetAndDestroy();
   const server = new FakeServer('s1', answerNothing);
@@ -129,8 +129,9 @@
     await gateway.exchange(formatRequest({method: 'POST'}));
     await gateway.exchange(formatRequest({method: 'POST', id: 'r2'}));
     const [evidence] = gateway.versions.listEvidence();
-    assert.deepEqual(Object.keys(evidence?.counts ?? {}), ['drafts small|new']);
-    assert.equal(evidence?.counts['drafts small|new']?.failures, 1);
+    assert.deepEqual(Object.keys(evidence?.counts ?? {}), ['drafts s1|new']);
+    assert.equal(evidence?.counts['drafts s1|new']?.losses, 1);
+    assert.equal(evidence?.counts['drafts s1|new']?.failures, 0);
   } finally {
     await gateway.stop();
     await server.stop();
--- a/packages/routing/src/lib/forwarding/PrefillRates.ts
+++ b/packages/routing/src/lib/forwarding/PrefillRates.ts
@@ -76,6 +76,11 @@
     return tokens * this.estimateLine(model).msPerToken;
   }
 
+  /** Estimates the part of the time to the first event that does not depend on the prompt. */
+  estimateFixedMs(model: string): number {
+    return this.estimateLine(model).fixedMs;
+  }
+
   /** Lists this entry's sums by model. */
   listSums(): PrefillSumTable {
     return Object.fromEntries(this.sums);
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -102,6 +102,7 @@
   ServerRegistration,
   ServerState,
 } from './lib/serverRegistration.js';
+export {NO_TIMES, countTimeRatio} from './lib/serviceRollout.js';
 export type {
   RolloutEvidence,
   RolloutPhase,
