--- a/packages/consensus/src/lib/storage/Disk.ts
+++ b/packages/consensus/src/lib/storage/Disk.ts
@@ -16,6 +16,11 @@
 export interface Disk {
   list(): Promise<string[]>;
   read(name: string): Promise<Buffer>;
+  /**
+   * Returns once the content of some files and the names of all files would survive a power failure.
+   * A process that was killed may have left files that it had not synced.
+   */
+  sync(names: readonly string[]): Promise<void>;
   /** Creates an empty file whose name survives a power failure. */
   create(name: string): Promise<AppendFile>;
   /** Opens an existing file to append to it. */
--- a/packages/consensus/src/lib/storage/FileDisk.ts
+++ b/packages/consensus/src/lib/storage/FileDisk.ts
@@ -25,10 +25,15 @@
     return readFile(this.resolvePath(name));
   }
 
+  async sync(names: readonly string[]): Promise<void> {
+    for (const name of names) await syncPath(this.resolvePath(name));
+    await syncPath(this.folder);
+  }
+
   async create(name: string): Promise<AppendFile> {
     await this.ensureFolder();
     const handle = await open(this.resolvePath(name), 'ax');
-    await syncFolder(this.folder);
+    await syncPath(this.folder);
     return wrapHandle(handle);
   }
 
@@ -57,12 +62,12 @@
       await handle.close();
     }
     await rename(temporary, this.resolvePath(name));
-    await syncFolder(this.folder);
+    await syncPath(this.folder);
   }
 
   async remove(name: string): Promise<void> {
     await rm(this.resolvePath(name), {force: true});
-    await syncFolder(this.folder);
+    await syncPath(this.folder);
   }
 
   private resolvePath(name: string): string {
@@ -82,13 +87,14 @@
     const top = path.dirname(path.resolve(firstCreated));
     while (folder !== top) {
       folder = path.dirname(folder);
-      await syncFolder(folder);
+      await syncPath(folder);
     }
   }
 }
 
-async function syncFolder(folder: string): Promise<void> {
-  const handle = await open(folder, 'r');
+/** Syncs a file, or the names in a folder. */
+async function syncPath(name: string): Promise<void> {
+  const handle = await open(name, 'r');
   try {
     await handle.sync();
   } finally {
--- a/packages/consensus/src/lib/storage/LogStorage.ts
+++ b/packages/consensus/src/lib/storage/LogStorage.ts
@@ -72,24 +72,25 @@
   }
 
   /**
-   * Loads all state and removes a last record whose write was interrupted by a power failure.
+   * Loads all state and removes a last record whose write was interrupted by a power failure. What
+   * is loaded is durable: a killed process may have left a record or a name unsynced, and this member
+   * acknowledges what it has loaded without writing it again.
    *
    * @throws SycamoreheadError `storage_failed` if the data is damaged in any other way.
    */
   async load(): Promise<LoadedState> {
     return this.runGuarded(async () => {
       const names = await this.disk.list();
+      const segmentNames = listSegments(names);
+      // All other files are synced before they get their names or a successor.
+      await this.disk.sync(segmentNames.slice(-1));
       const vote = await this.readVote(names);
       const snapshot = await readSnapshot(this.disk, names);
       if (snapshot) {
         this.snapshotName = formatSnapshotName(snapshot);
         this.snapshotIndex = snapshot.index;
       }
-      const loaded = await loadSegments(
-        this.disk,
-        listSegments(names),
-        snapshot,
-      );
+      const loaded = await loadSegments(this.disk, segmentNames, snapshot);
       this.segments = loaded.segments;
       this.writtenBytes = loaded.bytes;
       this.last = loaded.entries.at(-1) ?? loaded.base;
--- a/packages/consensus/src/test/FaultScenario.ts
+++ b/packages/consensus/src/test/FaultScenario.ts
@@ -36,6 +36,7 @@
   | 'restore_links'
   | 'lossy'
   | 'lose_power'
+  | 'kill'
   | 'start'
   | 'stop'
   | 'lose_disk';
@@ -50,6 +51,7 @@
   'restore_links',
   'lossy',
   'lose_power',
+  'kill',
   'start',
   'stop',
   'lose_disk',
@@ -87,6 +89,7 @@
     restore_links: () => this.group.network.restoreLinks(),
     lossy: ({target, amount}) => this.setFaults(target, amount),
     lose_power: ({target}) => this.group.abort(pickName(target)),
+    kill: ({target}) => this.group.abortProcess(pickName(target)),
     start: ({target}) => this.start(pickName(target)),
     stop: ({target}) => this.stop(pickName(target)),
     lose_disk: ({target}) => this.replaceDisk(pickName(target)),
--- a/packages/consensus/src/test/storage.test.ts
+++ b/packages/consensus/src/test/storage.test.ts
@@ -3,6 +3,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {test} from 'node:test';
+import {setImmediate} from 'node:timers/promises';
 import type {LogEntry, Snapshot} from '../lib/logTypes.js';
 import {FileDisk} from '../lib/storage/FileDisk.js';
 import {LogStorage} from '../lib/storage/LogStorage.js';
@@ -169,6 +170,30 @@
   assert.equal(loaded.entries.length, 0);
 });
 
+test('what a killed process left unsynced survives a power failure once it has been loaded', async () => {
+  const {disk, storage} = await fillDisk(2);
+  disk.fault = 'sync_stalls';
+  void append(storage, [buildEntry(3)]);
+  await setImmediate();
+  const killed = disk.abortProcess();
+  const first = await new LogStorage(killed).load();
+  assert.equal(first.entries.length, 3, 'the write has reached the file');
+  const second = await new LogStorage(killed.abort(() => 0)).load();
+  assert.equal(second.entries.length, 3);
+});
+
+test('a vote that a killed process left without a synced name survives a power failure once it has been loaded', async () => {
+  const {disk, storage} = await fillDisk(1);
+  disk.fault = 'folder_sync_stalls';
+  void storage.saveVote({group: 'g', term: 7, votedFor: 'c2'});
+  await setImmediate();
+  const killed = disk.abortProcess();
+  const first = await new LogStorage(killed).load();
+  assert.equal(first.vote.term, 7, 'the vote has got its name');
+  const second = await new LogStorage(killed.abort(() => 0)).load();
+  assert.equal(second.vote.term, 7);
+});
+
 test('after a failed sync all writes are rejected', async () => {
   const {disk, storage} = await fillDisk(1);
   disk.fault = 'sync_fails';
--- a/packages/consensus/src/testing/FakeDisk.ts
+++ b/packages/consensus/src/testing/FakeDisk.ts
@@ -3,14 +3,20 @@
 interface FakeFile {
   synced: Buffer;
   unsynced: Buffer;
+  /** What a power failure may restore until the folder is synced: the file that this one replaced. */
+  replaced?: FakeFile | 'none';
 }
 
+/** Probability that a power failure undoes a replacement whose folder was not synced. */
+const NAME_LOSS_RATE = 0.5;
+
 /** The fault that the disk simulates. @internal */
-export type DiskFault = 'none' | 'sync_fails' | 'full';
+export type DiskFault =
+  'none' | 'sync_fails' | 'sync_stalls' | 'folder_sync_stalls' | 'full';
 
 /**
- * A disk in memory. A crash loses a random part of the data that was not synced. A crashed disk
- * never completes another operation, as the process that used it has ended.
+ * A disk in memory. A power failure loses a random part of what was not synced. After a crash the
+ * disk never completes another operation, as the process that used it has ended.
  *
  * @internal
  */
@@ -24,18 +30,30 @@
     private readonly files = new Map<string, FakeFile>(),
   ) {}
 
-  /** Crashes this disk and returns a disk with the content that the next process finds. */
+  /** Simulates a power failure and returns the disk that the next process finds. */
   abort(random: () => number): FakeDisk {
     this.isCrashed = true;
     const files = new Map<string, FakeFile>();
-    for (const [name, {synced, unsynced}] of this.files) {
-      const kept = Math.floor(random() * (unsynced.length + 1));
-      const data = Buffer.concat([synced, unsynced.subarray(0, kept)]);
-      files.set(name, {synced: data, unsynced: Buffer.alloc(0)});
+    for (const [name, file] of this.files) {
+      const kept = pickDurable(file, random);
+      if (kept) files.set(name, {synced: kept, unsynced: Buffer.alloc(0)});
     }
     return new FakeDisk(this.syncMs, files);
   }
 
+  /**
+   * Kills the process that uses the disk and returns the disk that the next process finds. It has
+   * all data, but a power failure may still lose what was not synced.
+   */
+  abortProcess(): FakeDisk {
+    this.isCrashed = true;
+    const copies = [...this.files].map(([name, file]): [string, FakeFile] => [
+      name,
+      {...file},
+    ]);
+    return new FakeDisk(this.syncMs, new Map(copies));
+  }
+
   /** Changes the content of a file, to simulate damage. */
   change(name: string, change: (data: Buffer) => Buffer): void {
     const file = this.find(name);
@@ -53,6 +71,12 @@
     return Buffer.concat([synced, unsynced]);
   }
 
+  async sync(names: readonly string[]): Promise<void> {
+    await this.waitForSync();
+    for (const name of names) syncContent(this.find(name));
+    for (const file of this.files.values()) delete file.replaced;
+  }
+
   async create(name: string): Promise<AppendFile> {
     await this.checkAlive();
     if (this.files.has(name)) throw new Error(`EEXIST: ${name}`);
@@ -72,8 +96,7 @@
       },
       sync: async () => {
         await this.waitForSync();
-        file.synced = Buffer.concat([file.synced, file.unsynced]);
-        file.unsynced = Buffer.alloc(0);
+        syncContent(file);
       },
       close: () => this.checkAlive(),
     };
@@ -90,8 +113,15 @@
     await this.checkAlive();
     this.checkSpace();
     await this.waitForSync();
-    const copy = Buffer.from(data);
-    this.files.set(name, {synced: copy, unsynced: Buffer.alloc(0)});
+    const file: FakeFile = {
+      synced: Buffer.from(data),
+      unsynced: Buffer.alloc(0),
+      replaced: this.files.get(name) ?? 'none',
+    };
+    this.files.set(name, file);
+    if (this.fault === 'folder_sync_stalls') await new Promise(() => {});
+    await this.waitForSync();
+    delete file.replaced;
   }
 
   async remove(name: string): Promise<void> {
@@ -109,6 +139,7 @@
       await new Promise(resolve => setTimeout(resolve, this.syncMs));
     }
     await this.checkAlive();
+    if (this.fault === 'sync_stalls') await new Promise(() => {});
     if (this.fault === 'sync_fails') throw new Error('EIO: sync failed');
     this.syncs += 1;
   }
@@ -123,3 +154,21 @@
     return file;
   }
 }
+
+function syncContent(file: FakeFile): void {
+  file.synced = Buffer.concat([file.synced, file.unsynced]);
+  file.unsynced = Buffer.alloc(0);
+}
+
+/** Returns the content of a file after a power failure, or undefined if the file is gone. */
+function pickDurable(
+  {synced, unsynced, replaced}: FakeFile,
+  random: () => number,
+): Buffer | undefined {
+  const isNameLost = replaced !== undefined && random() < NAME_LOSS_RATE;
+  if (isNameLost) {
+    return replaced === 'none' ? undefined : pickDurable(replaced, random);
+  }
+  const kept = Math.floor(random() * (unsynced.length + 1));
+  return Buffer.concat([synced, unsynced.subarray(0, kept)]);
+}
--- a/packages/consensus/src/testing/FakeGroup.ts
+++ b/packages/consensus/src/testing/FakeGroup.ts
@@ -96,12 +96,17 @@
   /** Stops an instance as a power failure would. */
   abort(name: string): void {
     const instance = this.get(name);
-    instance.node?.abort();
-    instance.node = undefined;
-    this.network.endpoints.delete(name);
+    this.stopNode(instance);
     instance.disk = instance.disk.abort(this.options.random);
   }
 
+  /** Stops an instance as the kill of its process would, which keeps data that was not synced. */
+  abortProcess(name: string): void {
+    const instance = this.get(name);
+    this.stopNode(instance);
+    instance.disk = instance.disk.abortProcess();
+  }
+
   /** Crashes an instance and replaces its disk with an empty one. */
   async resetDisk(name: string): Promise<void> {
     const instance = this.get(name);
@@ -149,6 +154,12 @@
     for (const {node} of this.instances.values()) node?.abort();
   }
 
+  private stopNode(instance: FakeInstance<Machine>): void {
+    instance.node?.abort();
+    instance.node = undefined;
+    this.network.endpoints.delete(instance.name);
+  }
+
   private handleFailure(name: string, error: SycamoreheadError): void {
     const instance = this.get(name);
     instance.failure = error;
--- a/packages/fleet/src/test/rolloutDurability.test.ts
+++ b/packages/fleet/src/test/rolloutDurability.test.ts
@@ -14,6 +14,8 @@
 };
 const OUTCOMES: readonly RolloutPhase[] = ['completed', 'rolled_back'];
 const SYNC_MS = 2;
+/** Time in which a message and a write that does not stall finish, in milliseconds. */
+const SETTLE_MS = 50;
 /** Multiples of it spread evenly over [0, 1), modulo 1. */
 const GOLDEN_RATIO_FRACTION = 0.618;
 
@@ -142,3 +144,20 @@
     await clock.advance(3_000);
     await assert.rejects(open, {kind: 'control_unavailable', ran: 'unknown'});
   }));
+
+test('an order that a killed process had not synced survives the power failure after its acknowledgement', () =>
+  runScenario(async scenario => {
+    const {clock, group} = scenario;
+    const {name: leader, node} = await group.waitForLeader();
+    const [killed = '', other = '', ...cutOff] = await listFollowers(scenario);
+    for (const name of cutOff) group.network.dropLinksOf(name);
+    group.get(killed).disk.fault = 'sync_stalls';
+    const ordered = node!.propose(ORDER as unknown as JsonValue);
+    await clock.advance(SETTLE_MS);
+    group.abortProcess(killed);
+    await group.start(killed);
+    await clock.settle(ordered);
+    group.network.restoreLinks();
+    await resetDisks(scenario, [leader, other]);
+    assert.equal(await readPhase(scenario), 'in_progress');
+  }));
