--- a/packages/gateway/src/lib/GatewayServer.ts
+++ b/packages/gateway/src/lib/GatewayServer.ts
@@ -12,6 +12,7 @@
 import {CallerAnswer} from './CallerAnswer.js';
 import {CallerRequest, decodeRequest} from './CallerRequest.js';
 import type {HeaderNames} from './headerNames.js';
+import {OpenAnswers} from './OpenAnswers.js';
 import {readBody} from './readBody.js';
 
 const log = createLogger('gateway');
@@ -51,7 +52,7 @@
   private readonly server: Server;
   private limits: CallerLimits = DEFAULT_CALLER_LIMITS;
   private stoppedAt = Infinity;
-  private openRequests = 0;
+  private readonly openAnswers = new OpenAnswers();
   private lastRequestAt = performance.now();
   /** The answer to the last request that was accepted from each connection. */
   private readonly lastAnswers = new WeakMap<Socket, ServerResponse>();
@@ -95,19 +96,19 @@
   }
 
   /**
-   * Continues to serve until no request is open and none has arrived for a while, or until the
+   * Continues to serve until no answer is owed and no request has arrived for a while, or until the
    * grace period ends, and then closes.
    */
   async stop(graceMs: number): Promise<void> {
     const stoppedAt = performance.now();
     this.stoppedAt = stoppedAt;
     const isIdle = () =>
-      this.openRequests === 0 &&
+      this.openAnswers.count === 0 &&
       performance.now() - Math.max(this.lastRequestAt, stoppedAt) > IDLE_MS;
     while (performance.now() - stoppedAt < graceMs && !isIdle()) {
       await new Promise(resolve => setTimeout(resolve, IDLE_POLL_MS));
     }
-    writeDecision('gateway_closes', {open: this.openRequests});
+    writeDecision('gateway_closes', {open: this.openAnswers.count});
     this.server.close();
     this.server.closeAllConnections();
   }
@@ -120,7 +121,6 @@
     if (this.refusedSockets.has(socket)) return;
     this.lastAnswers.set(socket, response);
     const {names} = this.options;
-    this.openRequests += 1;
     this.lastRequestAt = performance.now();
     const value = message.headers[names.requestId];
     const answer = new CallerAnswer(
@@ -128,6 +128,7 @@
       {name: names.requestId, value: String(value ?? '')},
       () => this.stoppedAt !== Infinity,
     );
+    this.openAnswers.add(response, answer);
     try {
       const request = decodeRequest(message, names);
       this.checkStopping();
@@ -144,8 +145,6 @@
       // The rest of the body cannot be distinguished from the next request.
       response.shouldKeepAlive = false;
       answer.fail(error);
-    } finally {
-      this.openRequests -= 1;
     }
   }
 
--- /dev/null
+++ b/packages/gateway/src/test/stopping.test.ts
@@ -0,0 +1,44 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {afterEach, test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {formatAnswer} from './FakeServer.js';
+import {formatRequest} from './GatewayHarness.js';
+import {startGateway, startServer, stopStarted} from './startGateway.js';
+
+afterEach(stopStarted);
+
+/** Size of an answer that an entry buffers whole, in bytes. */
+const ANSWER_BYTES = 200_000;
+/** Number of requests whose answers the buffers of a connection on loopback cannot hold. */
+const REQUEST_COUNT = 100;
+
+test('a stop waits until a slow caller has received the answers that are ready for it', async () => {
+  const body = 'x'.repeat(ANSWER_BYTES);
+  const server = await startServer('s1', (request, socket) =>
+    socket.write(formatAnswer(request, body)),
+  );
+  const gateway = await startGateway({}, [server]);
+  const socket = await gateway.open();
+  socket.pause();
+  for (let number = 1; number <= REQUEST_COUNT; number++) {
+    const request = formatRequest({id: `r${number}`});
+    socket.write(request.replace('Connection: close\r\n', ''));
+  }
+  // Node.js reads no further request of a connection once enough of its answers wait.
+  let answers = 0;
+  do {
+    answers = server.received.length;
+    await sleep(500);
+  } while (answers < server.received.length);
+  assert.ok(answers > 0 && answers < REQUEST_COUNT, `${answers} answers`);
+  const stopped = gateway.stop(8_000);
+  // Longer than the time without a request after which a stopping entry counts as idle.
+  await sleep(3_500);
+  let bytes = 0;
+  socket.on('data', chunk => (bytes += chunk.length));
+  socket.resume();
+  await once(socket, 'close');
+  await stopped;
+  assert.ok(bytes > answers * ANSWER_BYTES, `${bytes} bytes of ${answers}`);
+});
