--- a/packages/gateway/src/lib/GatewayServer.ts
+++ b/packages/gateway/src/lib/GatewayServer.ts
@@ -97,7 +97,8 @@
 
   /**
    * Continues to serve until no answer is owed and no request has arrived for a while, or until the
-   * grace period ends, and then closes.
+   * grace period ends. Then closes; a caller who has received nothing yet is told that the outcome
+   * is unknown.
    */
   async stop(graceMs: number): Promise<void> {
     const stoppedAt = performance.now();
@@ -109,6 +110,8 @@
       await new Promise(resolve => setTimeout(resolve, IDLE_POLL_MS));
     }
     writeDecision('gateway_closes', {open: this.openAnswers.count});
+    const error = new SycamoreheadError('outcome_unknown', 'this entry stops');
+    for (const answer of this.openAnswers.list()) answer.fail(error);
     this.server.close();
     this.server.closeAllConnections();
   }
--- a/packages/gateway/src/lib/OpenAnswers.ts
+++ b/packages/gateway/src/lib/OpenAnswers.ts
@@ -27,6 +27,11 @@
     response.once('finish', () => answers.delete(answer));
   }
 
+  /** Lists the owed answers. */
+  list(): CallerAnswer[] {
+    return [...this.bySocket.values()].flatMap(answers => [...answers]);
+  }
+
   private ensureSocket(socket: Socket): Set<CallerAnswer> {
     const known = this.bySocket.get(socket);
     if (known) return known;
--- a/packages/gateway/src/test/stopping.test.ts
+++ b/packages/gateway/src/test/stopping.test.ts
@@ -2,8 +2,9 @@
 import {once} from 'node:events';
 import {afterEach, test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {ServerScript} from './FakeServer.js';
 import {formatAnswer} from './FakeServer.js';
-import {formatRequest} from './GatewayHarness.js';
+import {formatRequest, readStatus} from './GatewayHarness.js';
 import {startGateway, startServer, stopStarted} from './startGateway.js';
 
 afterEach(stopStarted);
@@ -42,3 +43,13 @@
   await stopped;
   assert.ok(bytes > answers * ANSWER_BYTES, `${bytes} bytes of ${answers}`);
 });
+
+test('a request that is not answered when the grace period ends gets an answer in place of a closed connection', async () => {
+  const keepSilent: ServerScript = () => {};
+  const server = await startServer('s1', keepSilent);
+  const gateway = await startGateway({kind: 'unsafe'}, [server]);
+  const open = gateway.exchange(formatRequest({method: 'POST'}));
+  while (server.received.length === 0) await sleep(10);
+  await gateway.stop(200);
+  assert.equal(readStatus(await open), 502);
+});
