--- a/packages/fleet/src/lib/ControlPeers.ts
+++ b/packages/fleet/src/lib/ControlPeers.ts
@@ -190,7 +190,11 @@
     }
     this.applyIdentity(task, reply.from);
     this.addAddresses(reply.peers);
-    if (reply.isRemoved) this.options.onRemoved();
+    // A late reply may concern a member id that this instance has given up since.
+    const {memberId} = this.options.getIdentity();
+    if (reply.isRemoved && request.from.memberId === memberId) {
+      this.options.onRemoved();
+    }
   }
 
   private applyIdentity(task: PeerTask, identity: ControlIdentity): void {
