--- a/packages/consensus/src/lib/storage/segments.ts
+++ b/packages/consensus/src/lib/storage/segments.ts
@@ -117,6 +117,14 @@
   }
 
   private addEntry(name: string, entry: LogEntry): void {
+    // It replaced entries of a segment that was removed because the snapshot covers all of them.
+    const isCovered =
+      entry.index <= this.base.index && entry.index <= this.snapshotIndex;
+    if (isCovered) {
+      this.base = {index: entry.index, term: entry.term};
+      this.entries = [];
+      return;
+    }
     const offset = entry.index - this.base.index - 1;
     if (offset < 0 || offset > this.entries.length) {
       failLoading(name, entry.index);
--- a/packages/consensus/src/test/storage.test.ts
+++ b/packages/consensus/src/test/storage.test.ts
@@ -155,6 +155,19 @@
   );
 });
 
+test('a segment whose first entries replace earlier ones is loaded after those have been removed', async () => {
+  const {disk, storage} = await fillDisk(5);
+  const base = {members: [], data: Buffer.from('[]')};
+  await storage.saveSnapshot({index: 3, term: 1, ...base}, 0, false);
+  const replacing = [4, 5, 6, 7, 8, 9, 10].map(index => buildEntry(index, 2));
+  await append(storage, replacing);
+  await storage.saveSnapshot({index: 9, term: 2, ...base}, 7, false);
+  assert.ok(!(await disk.list()).includes(FIRST_LOG));
+  const {loaded} = await readBack(disk);
+  assert.equal(loaded.entries.at(-1)?.index, 10);
+  assert.equal(loaded.entries.at(-1)?.term, 2);
+});
+
 test('a power failure between a received snapshot and the new segment loses nothing', async () => {
   const {disk, storage} = await fillDisk(5);
   const base = {members: [], data: Buffer.from('[]')};
