--- a/packages/consensus/src/lib/storage/Disk.ts
+++ b/packages/consensus/src/lib/storage/Disk.ts
@@ -17,8 +17,8 @@
   list(): Promise<string[]>;
   read(name: string): Promise<Buffer>;
   /**
-   * Returns once the content of some files and the names of all files would survive a power failure.
-   * A process that was killed may have left files that it had not synced.
+   * Returns once the content of some files, the names of all files and the folder itself would
+   * survive a power failure. A process that was killed may have left them unsynced.
    */
   sync(names: readonly string[]): Promise<void>;
   /** Creates an empty file whose name survives a power failure. */
--- a/packages/consensus/src/lib/storage/FileDisk.ts
+++ b/packages/consensus/src/lib/storage/FileDisk.ts
@@ -28,6 +28,8 @@
   async sync(names: readonly string[]): Promise<void> {
     for (const name of names) await syncPath(this.resolvePath(name));
     await syncPath(this.folder);
+    // The process that created the folder may have been killed before it synced the parent.
+    await syncPath(path.dirname(path.resolve(this.folder)));
   }
 
   async create(name: string): Promise<AppendFile> {
--- a/packages/consensus/src/test/storage.test.ts
+++ b/packages/consensus/src/test/storage.test.ts
@@ -1,5 +1,13 @@
 import assert from 'node:assert/strict';
-import {mkdtemp, rm} from 'node:fs/promises';
+import {
+  type FileHandle,
+  mkdir,
+  mkdtemp,
+  open,
+  readlink,
+  realpath,
+  rm,
+} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {test} from 'node:test';
@@ -235,6 +243,30 @@
   await assert.rejects(loadMemberId(disk, 'c1'), {kind: 'storage_failed'});
 });
 
+test('a folder whose creator was killed before it synced the parent is made durable', async () => {
+  const parent = await mkdtemp(path.join(tmpdir(), 'sycamorehead-disk-'));
+  const folder = path.join(parent, 'log');
+  await mkdir(folder);
+  const probe = await open(folder, 'r');
+  const prototype = Object.getPrototypeOf(probe) as FileHandle;
+  await probe.close();
+  const {sync} = prototype;
+  const synced: string[] = [];
+  prototype.sync = async function (this: FileHandle) {
+    synced.push(await readlink(`/proc/self/fd/${this.fd}`));
+    return sync.call(this);
+  };
+  try {
+    const storage = new LogStorage(new FileDisk(folder));
+    await storage.load();
+    await storage.close();
+    assert.ok(synced.includes(await realpath(parent)), synced.join(' '));
+  } finally {
+    prototype.sync = sync;
+    await rm(parent, {recursive: true, force: true});
+  }
+});
+
 test('a folder of the file system persists log, vote, snapshot and identity', async () => {
   const parent = await mkdtemp(path.join(tmpdir(), 'sycamorehead-disk-'));
   const folder = path.join(parent, 'data', 'shard-0');
