--- a/packages/gateway/src/test/stopping.test.ts
+++ b/packages/gateway/src/test/stopping.test.ts
@@ -13,18 +13,24 @@
 const ANSWER_BYTES = 200_000;
 /** Number of requests whose answers the buffers of a connection on loopback cannot hold. */
 const REQUEST_COUNT = 100;
+/** Time limit of requests that must not reach it on a busy machine, in milliseconds. */
+const LONG_MS = 30_000;
 
 test('a stop waits until a slow caller has received the answers that are ready for it', async () => {
   const body = 'x'.repeat(ANSWER_BYTES);
   const server = await startServer('s1', (request, socket) =>
     socket.write(formatAnswer(request, body)),
   );
-  const gateway = await startGateway({}, [server]);
+  // An unsafe request is sent once, so that each arrival stands for one answer.
+  const route = {kind: 'unsafe', timeoutMs: LONG_MS} as const;
+  const gateway = await startGateway(route, [server]);
   const socket = await gateway.open();
   socket.pause();
   for (let number = 1; number <= REQUEST_COUNT; number++) {
-    const request = formatRequest({id: `r${number}`});
-    socket.write(request.replace('Connection: close\r\n', ''));
+    const request = formatRequest({method: 'POST', id: `r${number}`})
+      .replace('Connection: close\r\n', '')
+      .replace('X-Deadline-Ms: 1500', `X-Deadline-Ms: ${LONG_MS}`);
+    socket.write(request);
   }
   // Node.js reads no further request of a connection once enough of its answers wait.
   let answers = 0;
