--- a/packages/gateway/src/test/FakeServer.ts
+++ b/packages/gateway/src/test/FakeServer.ts
@@ -13,6 +13,29 @@
 /** Handles a request on a fake server; it may write the bytes of an answer. */
 export type ServerScript = (request: ReceivedRequest, socket: Socket) => void;
 
+/** Describes a server as a control instance lists it. */
+export function describeServer(
+  id: string,
+  address: string,
+  overrides: Partial<ServerListing['registration']> = {},
+): ServerListing {
+  return {
+    isSilent: false,
+    registration: {
+      id,
+      service: 'drafts',
+      address,
+      dataCentre: 'a',
+      version: 'v1',
+      slots: 8,
+      state: 'ready',
+      startedAtMs: 1,
+      sequence: 1,
+      ...overrides,
+    },
+  };
+}
+
 /** A backend server that answers with exactly the bytes that a test specifies. */
 export class FakeServer {
   readonly received: ReceivedRequest[] = [];
@@ -59,21 +82,7 @@
   describe(
     overrides: Partial<ServerListing['registration']> = {},
   ): ServerListing {
-    return {
-      isSilent: false,
-      registration: {
-        id: this.id,
-        service: 'drafts',
-        address: this.address,
-        dataCentre: 'a',
-        version: 'v1',
-        slots: 8,
-        state: 'ready',
-        startedAtMs: 1,
-        sequence: 1,
-        ...overrides,
-      },
-    };
+    return describeServer(this.id, this.address, overrides);
   }
 
   private accept(socket: Socket): void {
--- /dev/null
+++ b/packages/gateway/src/test/endlessPlaces.ts
@@ -0,0 +1,146 @@
+/** How a request must end whose first server sends an answer without end. */
+export type Verdict =
+  /** Another server answers it. */
+  | 'elsewhere'
+  /** An error of the router's own. */
+  | 'failed'
+  /** Another server answers it, or it fails if the first one may still be at work. */
+  | 'settled'
+  /** The answer was whole; only the bytes behind it have no end. */
+  | 'whole'
+  /** The answer had begun; it is cut off so that it does not look complete. */
+  | 'cut';
+
+/** Kind of the route on which a request is sent. */
+export type PlaceKind = 'safe' | 'unsafe' | 'streaming';
+
+/** A place of an answer at which bytes come without end. */
+export interface EndlessPlace {
+  readonly opening: string;
+  readonly filler: string;
+  /** Verdicts by the kind of the route; other kinds are not played. */
+  readonly verdicts: Readonly<Partial<Record<PlaceKind, Verdict>>>;
+  /** Verdicts that differ if the bytes come slowly. */
+  readonly slowVerdicts?: Readonly<Partial<Record<PlaceKind, Verdict>>>;
+  /** Whether the bytes are part of the answer and passed on, as fast as the caller reads. */
+  readonly isPassedOn?: boolean;
+  readonly method?: string;
+}
+
+const NAMED = 'X-Request-Id: {id}\r\nX-Signature: signed\r\n';
+const OK = `HTTP/1.1 200 OK\r\n${NAMED}`;
+const CHUNKED = 'Transfer-Encoding: chunked\r\n';
+const CHUNKED_OK = `${OK}${CHUNKED}\r\n`;
+const WHOLE = 'Content-Length: 5\r\n\r\nwhole';
+const STREAM_OK = `${OK}Content-Type: text/event-stream\r\n${CHUNKED}\r\n`;
+const EVENT = formatPiece('id: 1\ndata: piece 1\n\n');
+const BODY_PIECE = formatPiece('endless '.repeat(64));
+
+const STREAM_LOST = {streaming: 'settled'} as const;
+const UNREADABLE = {safe: 'elsewhere', unsafe: 'failed'} as const;
+const WHOLE_FOR_ALL = {safe: 'whole', unsafe: 'whole'} as const;
+const CUT_FOR_ALL = {safe: 'cut', unsafe: 'cut'} as const;
+
+function formatPiece(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+/** The places, by name. */
+export const ENDLESS_PLACES: Readonly<Record<string, EndlessPlace>> = {
+  'a status line': {
+    opening: 'HTTP/1.1 200 ',
+    filler: 'O',
+    verdicts: UNREADABLE,
+  },
+  'a header name': {opening: OK, filler: 'a', verdicts: UNREADABLE},
+  'a header value': {
+    opening: `${OK}X-Filler: `,
+    filler: 'a',
+    verdicts: UNREADABLE,
+  },
+  'a content length': {
+    opening: `${OK}Content-Length: `,
+    filler: '0',
+    verdicts: UNREADABLE,
+  },
+  'header fields': {opening: OK, filler: 'a: b\r\n', verdicts: UNREADABLE},
+  'bytes that are no HTTP': {
+    opening: '',
+    filler: 'garbage ',
+    verdicts: UNREADABLE,
+  },
+  'a chunk extension': {
+    opening: `${CHUNKED_OK}5;`,
+    filler: 'a',
+    verdicts: UNREADABLE,
+  },
+  'a trailer': {
+    opening: `${CHUNKED_OK}5\r\nwhole\r\n0\r\nX-Trailer: `,
+    filler: 'a',
+    verdicts: UNREADABLE,
+  },
+  trailers: {
+    opening: `${CHUNKED_OK}5\r\nwhole\r\n0\r\n`,
+    filler: 'a: b\r\n',
+    verdicts: UNREADABLE,
+  },
+  'bytes behind its length': {
+    opening: OK + WHOLE,
+    filler: 'x',
+    verdicts: WHOLE_FOR_ALL,
+  },
+  'bytes behind the answer to HEAD': {
+    opening: `${OK}Content-Length: 5\r\n\r\n`,
+    filler: 'x',
+    verdicts: {safe: 'whole'},
+    method: 'HEAD',
+  },
+  'copies of itself': {
+    opening: OK + WHOLE,
+    filler: `HTTP/1.1 200 OK\r\n${WHOLE}`,
+    verdicts: WHOLE_FOR_ALL,
+  },
+  'copies of itself behind a close': {
+    opening: `${OK}Connection: close\r\n${WHOLE}`,
+    filler: `HTTP/1.1 200 OK\r\n${WHOLE}`,
+    verdicts: WHOLE_FOR_ALL,
+  },
+  'a body in chunks': {
+    opening: CHUNKED_OK,
+    filler: BODY_PIECE,
+    verdicts: CUT_FOR_ALL,
+    slowVerdicts: {safe: 'settled', unsafe: 'failed'},
+    isPassedOn: true,
+  },
+  'a body without length': {
+    opening: `${OK}\r\n`,
+    filler: 'endless ',
+    verdicts: CUT_FOR_ALL,
+    slowVerdicts: {safe: 'settled', unsafe: 'failed'},
+    isPassedOn: true,
+  },
+  'events of a stream': {
+    opening: `${STREAM_OK}${EVENT}`,
+    filler: formatPiece('data: more\n\n'),
+    verdicts: {streaming: 'cut'},
+    slowVerdicts: STREAM_LOST,
+    isPassedOn: true,
+  },
+  'the body of a 503 that may have run': {
+    opening: `HTTP/1.1 503 Busy\r\n${NAMED}${CHUNKED}\r\n`,
+    filler: BODY_PIECE,
+    verdicts: {safe: 'elsewhere', unsafe: 'failed'},
+  },
+};
+
+/** A stream whose second event never ends. */
+export const ENDLESS_EVENT = {
+  opening: `${STREAM_OK}${EVENT}`,
+  filler: formatPiece('x'.repeat(500)),
+};
+
+/** An answer of a small model that is not confident. */
+export const ENDLESS_WEAK_ANSWER = {
+  opening: STREAM_OK.replace('\r\n', '\r\nX-Confidence: 10\r\n'),
+  filler: EVENT,
+};
