A send is given up when its server sends much and no head, and is not read for long after it is cancelled

Empty lines and interim answers count towards no limit of node:http: up to 112 MB of empty lines were read, and interim answers took so much of the event loop that a time limit of 700 ms was reached after 938 to 1,279 ms (busy machine). The same bytes went on after a cancellation, for 200 ms. Before the head 64 KiB are read, after a cancellation 256 KiB. The added cases failed before: read 4 to 112 MB, or 2 MiB in one turn of the loop.

--- a/packages/gateway/src/lib/cancelExchange.ts
+++ b/packages/gateway/src/lib/cancelExchange.ts
@@ -1,7 +1,10 @@
 import type {ClientRequest} from 'node:http';
+import {ReadLimit} from './ReadLimit.js';
 
 /** Time allowed for a server to close the connection of a cancelled request, in milliseconds. */
 const CONFIRM_MS = 200;
+/** Maximum number of bytes that are read meanwhile. */
+const MAX_CONFIRM_BYTES = 256 * 1024;
 
 /**
  * Resets the connection of a request, which cancels the server's work on it. A server may take a
@@ -23,7 +26,7 @@
 
 /**
  * Closes the sending side of a request's connection, which cancels the server's work on it, and waits
- * until the server closes the other side. Closes the connection even if it does not.
+ * until the server closes the other side. Closes the connection even if it does not, or sends on.
  *
  * @returns whether the server has closed the connection, which shows that it has ended the work.
  * @example
@@ -41,13 +44,16 @@
   return new Promise(resolve => {
     const finish = (isConfirmed: boolean) => {
       clearTimeout(timer);
+      limit.stop();
       socket.removeListener('end', confirm);
       socket.removeListener('close', confirm);
       request.destroy();
       resolve(isConfirmed);
     };
     const confirm = () => finish(true);
-    const timer = setTimeout(() => finish(false), CONFIRM_MS);
+    const abortRead = () => finish(false);
+    const timer = setTimeout(abortRead, CONFIRM_MS);
+    const limit = new ReadLimit(socket, MAX_CONFIRM_BYTES, abortRead);
     socket.once('end', confirm);
     socket.once('close', confirm);
     socket.end();
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -1,8 +1,10 @@
 import http from 'node:http';
 import type {IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
 import {SilenceTimeouts, parseRetryAfter} from '@sycamorehead/routing';
 import {endExchange, resetExchange} from './cancelExchange.js';
 import type {HeaderNames} from './headerNames.js';
+import {ReadLimit} from './ReadLimit.js';
 import {SilenceTimer} from './SilenceTimer.js';
 import type {ConnectionUse, ServerAgent} from './ServerAgent.js';
 import type {ServerNotice} from './ServerNotices.js';
@@ -11,6 +13,9 @@
 /** Time allowed for a new connection, in milliseconds; data centres are milliseconds apart. */
 const CONNECT_TIMEOUT_MS = 350;
 
+/** Maximum number of bytes before the end of the head, interim answers among them. */
+const MAX_HEAD_BYTES = 64 * 1024;
+
 /** Opens a connection for each request. */
 const UNSHARED_AGENT = new http.Agent({keepAlive: false, noDelay: true});
 
@@ -107,6 +112,7 @@
     let mayHaveSent = false;
     let reason = '';
     let isSlow = false;
+    let headLimit: ReadLimit | undefined;
     const request = http.request({
       ...splitAddress(address),
       method: attempt.method,
@@ -131,6 +137,7 @@
     const settle = (outcome: AttemptOutcome) => {
       clearTimeout(connectTimer);
       headTimer.stop();
+      headLimit?.stop();
       resolve(outcome);
     };
     const settleLost = (isEnded: boolean) =>
@@ -156,16 +163,19 @@
         void cancel('no answer in time').then(settleLost);
       },
     );
-    const waitForHead = () => {
+    const waitForHead = (socket: Socket) => {
       mayHaveSent = true;
       clearTimeout(connectTimer);
       headTimer.start(attempt.headTimeouts);
+      headLimit = new ReadLimit(socket, MAX_HEAD_BYTES, () => {
+        void cancel('no end of the head').then(settleLost);
+      });
     };
     signal.addEventListener('abort', handleAbort, {once: true});
     request.on('socket', socket => {
       attempt.onConnection(agent.recordUse(socket));
-      if (socket.connecting) socket.once('connect', waitForHead);
-      else waitForHead();
+      if (socket.connecting) socket.once('connect', () => waitForHead(socket));
+      else waitForHead(socket);
     });
     request.on('error', error => settleFailure(error.message));
     request.on('close', () => {
@@ -291,7 +301,7 @@
   return () => isReset;
 }
 
-/** Reads a body that is not needed, so that its connection can be reused or seen to close. */
+/** Reads the body of a cancelled answer, so that its connection is seen to close. */
 function dropBody(message: IncomingMessage): void {
   message.on('error', () => {
     // The connection is closed with the message; the outcome is settled otherwise.
--- a/packages/gateway/src/test/endlessPlaces.ts
+++ b/packages/gateway/src/test/endlessPlaces.ts
@@ -36,7 +36,14 @@
 const EVENT = formatPiece('id: 1\ndata: piece 1\n\n');
 const BODY_PIECE = formatPiece('endless '.repeat(64));
 
+const LOST = {
+  safe: 'elsewhere',
+  unsafe: 'failed',
+  streaming: 'settled',
+} as const;
 const STREAM_LOST = {streaming: 'settled'} as const;
+/** A slow server sees that its work is cancelled. */
+const STREAM_ELSEWHERE = {streaming: 'elsewhere'} as const;
 const UNREADABLE = {safe: 'elsewhere', unsafe: 'failed'} as const;
 const WHOLE_FOR_ALL = {safe: 'whole', unsafe: 'whole'} as const;
 const CUT_FOR_ALL = {safe: 'cut', unsafe: 'cut'} as const;
@@ -47,6 +54,12 @@
 
 /** The places, by name. */
 export const ENDLESS_PLACES: Readonly<Record<string, EndlessPlace>> = {
+  'empty lines before its head': {
+    opening: '',
+    filler: '\r\n',
+    verdicts: LOST,
+    slowVerdicts: STREAM_ELSEWHERE,
+  },
   'a status line': {
     opening: 'HTTP/1.1 200 ',
     filler: 'O',
@@ -64,6 +77,18 @@
     verdicts: UNREADABLE,
   },
   'header fields': {opening: OK, filler: 'a: b\r\n', verdicts: UNREADABLE},
+  'answers 100': {
+    opening: '',
+    filler: 'HTTP/1.1 100 Continue\r\n\r\n',
+    verdicts: LOST,
+    slowVerdicts: STREAM_ELSEWHERE,
+  },
+  'answers 103': {
+    opening: '',
+    filler: 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n',
+    verdicts: LOST,
+    slowVerdicts: STREAM_ELSEWHERE,
+  },
   'bytes that are no HTTP': {
     opening: '',
     filler: 'garbage ',
@@ -126,11 +151,23 @@
     slowVerdicts: STREAM_LOST,
     isPassedOn: true,
   },
+  'the body of an error': {
+    opening: `HTTP/1.1 500 Broken\r\n${NAMED}${CHUNKED}\r\n`,
+    filler: BODY_PIECE,
+    verdicts: {safe: 'elsewhere', ...STREAM_LOST},
+    slowVerdicts: STREAM_ELSEWHERE,
+  },
   'the body of a 503 that may have run': {
     opening: `HTTP/1.1 503 Busy\r\n${NAMED}${CHUNKED}\r\n`,
     filler: BODY_PIECE,
     verdicts: {safe: 'elsewhere', unsafe: 'failed'},
   },
+  'the body of an answer to another request': {
+    opening: `${CHUNKED_OK.replace('{id}', 'other')}`,
+    filler: BODY_PIECE,
+    verdicts: LOST,
+    slowVerdicts: STREAM_ELSEWHERE,
+  },
 };
 
 /** A stream whose second event never ends. */
