The rest of a refusal is read for a bounded time and number of bytes

The body of a refusal was read until its server ended it, also after the request had been answered elsewhere: the connection stayed open for ever. 200 ms and 64 KiB are allowed, then it is reset; a short rest still leaves the connection for the next request.

--- a/packages/gateway/src/lib/cancelExchange.ts
+++ b/packages/gateway/src/lib/cancelExchange.ts
@@ -1,10 +1,14 @@
-import type {ClientRequest} from 'node:http';
+import type {ClientRequest, IncomingMessage} from 'node:http';
 import {ReadLimit} from './ReadLimit.js';
 
 /** Time allowed for a server to close the connection of a cancelled request, in milliseconds. */
 const CONFIRM_MS = 200;
 /** Maximum number of bytes that are read meanwhile. */
 const MAX_CONFIRM_BYTES = 256 * 1024;
+/** Time allowed for the rest of an answer that is not needed, in milliseconds. */
+const DROP_MS = 200;
+/** Maximum number of bytes of such a rest. */
+const MAX_DROPPED_BYTES = 64 * 1024;
 
 /**
  * Resets the connection of a request, which cancels the server's work on it. A server may take a
@@ -60,6 +64,33 @@
   });
 }
 
+/**
+ * Reads the rest of an answer that is not needed, so that its connection can be reused. Resets the
+ * connection of a rest that is long or late.
+ *
+ * @example
+ * ```ts
+ * if (isRefusal(message)) dropRest(request, message);
+ * ```
+ * @internal
+ */
+export function dropRest(
+  request: ClientRequest,
+  message: IncomingMessage,
+): void {
+  const abortRead = () => resetExchange(request);
+  const timer = setTimeout(abortRead, DROP_MS);
+  const limit = new ReadLimit(message.socket, MAX_DROPPED_BYTES, abortRead);
+  message.on('error', () => {
+    // The connection is closed with the message; the outcome is settled otherwise.
+  });
+  message.once('close', () => {
+    clearTimeout(timer);
+    limit.stop();
+  });
+  message.resume();
+}
+
 /** Returns whether a connection serves a request; that of a request that is over may serve the next. */
 function isInUse({destroyed, socket}: ClientRequest): boolean {
   return !destroyed && socket !== null && !socket.destroyed;
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -2,7 +2,7 @@
 import type {IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import {SilenceTimeouts, parseRetryAfter} from '@sycamorehead/routing';
-import {endExchange, resetExchange} from './cancelExchange.js';
+import {dropRest, endExchange, resetExchange} from './cancelExchange.js';
 import type {HeaderNames} from './headerNames.js';
 import {ReadLimit} from './ReadLimit.js';
 import {SilenceTimer} from './SilenceTimer.js';
@@ -197,11 +197,12 @@
         settle(outcome);
         return;
       }
-      dropBody(message);
       if (outcome.type !== 'lost') {
+        dropRest(request, message);
         settle(outcome);
         return;
       }
+      dropBody(message);
       void cancel(outcome.reason).then(settleLost);
     });
     request.end(body);
--- a/packages/gateway/src/test/endlessPlaces.ts
+++ b/packages/gateway/src/test/endlessPlaces.ts
@@ -35,6 +35,7 @@
 const STREAM_OK = `${OK}Content-Type: text/event-stream\r\n${CHUNKED}\r\n`;
 const EVENT = formatPiece('id: 1\ndata: piece 1\n\n');
 const BODY_PIECE = formatPiece('endless '.repeat(64));
+const REFUSED = `HTTP/1.1 503 Busy\r\n${NAMED}X-Not-Executed: 1\r\n`;
 
 const LOST = {
   safe: 'elsewhere',
@@ -45,6 +46,7 @@
 /** A slow server sees that its work is cancelled. */
 const STREAM_ELSEWHERE = {streaming: 'elsewhere'} as const;
 const UNREADABLE = {safe: 'elsewhere', unsafe: 'failed'} as const;
+const REFUSED_BY_ONE = {safe: 'elsewhere', unsafe: 'elsewhere'} as const;
 const WHOLE_FOR_ALL = {safe: 'whole', unsafe: 'whole'} as const;
 const CUT_FOR_ALL = {safe: 'cut', unsafe: 'cut'} as const;
 
@@ -151,6 +153,16 @@
     slowVerdicts: STREAM_LOST,
     isPassedOn: true,
   },
+  'the body of a refusal, in chunks': {
+    opening: `${REFUSED}${CHUNKED}\r\n`,
+    filler: BODY_PIECE,
+    verdicts: REFUSED_BY_ONE,
+  },
+  'the body of a refusal, by length': {
+    opening: `${REFUSED}Content-Length: 999999999999\r\n\r\n`,
+    filler: 'x',
+    verdicts: REFUSED_BY_ONE,
+  },
   'the body of an error': {
     opening: `HTTP/1.1 500 Broken\r\n${NAMED}${CHUNKED}\r\n`,
     filler: BODY_PIECE,
