An answer is given up when its framing goes on without a byte of the body

A chunk size may begin with any number of zeros: 91 to 113 MB of them were read until the time limit, 8 to 14 MB until the stall timeout where the request may be repeated. 128 KiB are allowed. The added cases failed before.

--- a/packages/gateway/src/lib/deliverAnswer.ts
+++ b/packages/gateway/src/lib/deliverAnswer.ts
@@ -3,6 +3,7 @@
 import type {CallerAnswer} from './CallerAnswer.js';
 import {EventSplitter} from './EventSplitter.js';
 import {copyEndToEndHeaders} from './headerNames.js';
+import {ReadLimit} from './ReadLimit.js';
 import {SilenceTimer} from './SilenceTimer.js';
 import type {ServerAnswer} from './sendAttempt.js';
 
@@ -10,6 +11,8 @@
  * Maximum number of bytes of an answer that are buffered before delivery; a longer one is streamed.
  */
 const MAX_BUFFERED_BYTES = 256 * 1024;
+/** Maximum number of bytes read without a byte of the body, such as those of its framing. */
+const MAX_OVERHEAD_BYTES = 128 * 1024;
 const SILENCE_REASON = 'the server fell silent';
 const EVENT_STREAM = 'text/event-stream';
 const LENGTH_HEADERS = new Set(['content-length']);
@@ -87,12 +90,16 @@
       if (isSilent) void serverAnswer.cancel();
     },
   );
+  const limit = new ReadLimit(message.socket, MAX_OVERHEAD_BYTES, () => {
+    void serverAnswer.cancel();
+  });
   timer.start(stallTimeouts);
   try {
     for await (const chunk of message as AsyncIterable<Buffer>) {
       // A caller that reads slowly must not count as silence of the server.
       timer.stop();
       delivery.onBytes();
+      limit.restart();
       yield chunk;
       timer.start(stallTimeouts);
     }
@@ -100,6 +107,7 @@
     throw isSilent ? new Error(SILENCE_REASON) : error;
   } finally {
     timer.stop();
+    limit.stop();
   }
 }
 
--- a/packages/gateway/src/test/endlessPlaces.ts
+++ b/packages/gateway/src/test/endlessPlaces.ts
@@ -96,6 +96,7 @@
     filler: 'garbage ',
     verdicts: UNREADABLE,
   },
+  'a chunk size': {opening: CHUNKED_OK, filler: '0', verdicts: UNREADABLE},
   'a chunk extension': {
     opening: `${CHUNKED_OK}5;`,
     filler: 'a',
