A stream stalls between its events, and one that is given up is cancelled before it counts as ended

Each byte restarted the stall timeout, so an event that came byte by byte held a stream until the time limit ("byte by byte without end" failed before: waited for the deadline). And leaving the loop over a stream, for an event that is too long, closed its connection, which then passed for the server's own end of its work: the stream went on elsewhere although the first server had shown no end ("ignores its cancellation" failed before: the answer looks complete).

--- a/packages/gateway/src/lib/deliverAnswer.ts
+++ b/packages/gateway/src/lib/deliverAnswer.ts
@@ -78,8 +78,14 @@
   return {isComplete: false, isEnded, reason, lastEventId};
 }
 
-/** Reads the chunks of an answer until it ends or the server is silent for too long. */
-async function* readChunks(delivery: Delivery): AsyncGenerator<Buffer> {
+/**
+ * Reads an answer until it ends or its next piece takes too long. `assemble` returns the piece that a
+ * chunk completes, if any. A failure leaves the answer open, so that it can be cancelled.
+ */
+async function* readPieces<Piece>(
+  delivery: Delivery,
+  assemble: (chunk: Buffer) => Piece | undefined,
+): AsyncGenerator<Piece> {
   const {serverAnswer, stallTimeouts} = delivery;
   const {message} = serverAnswer;
   let isSilent = false;
@@ -95,12 +101,15 @@
   });
   timer.start(stallTimeouts);
   try {
-    for await (const chunk of message as AsyncIterable<Buffer>) {
-      // A caller that reads slowly must not count as silence of the server.
-      timer.stop();
+    const chunks = message.iterator({destroyOnReturn: false});
+    for await (const chunk of chunks as AsyncIterable<Buffer>) {
       delivery.onBytes();
       limit.restart();
-      yield chunk;
+      const piece = assemble(chunk);
+      if (piece === undefined) continue;
+      // A caller that reads slowly must not count as silence of the server.
+      timer.stop();
+      yield piece;
       timer.start(stallTimeouts);
     }
   } catch (error) {
@@ -118,9 +127,8 @@
   let {lastEventId} = delivery;
   let isFirst = true;
   try {
-    for await (const chunk of readChunks(delivery)) {
-      const events = splitter.push(chunk);
-      if (!events) continue;
+    const split = (chunk: Buffer) => splitter.push(chunk);
+    for await (const events of readPieces(delivery, split)) {
       if (isFirst) delivery.onFirstBytes();
       isFirst = false;
       answer.begin(
@@ -150,7 +158,7 @@
   const chunks: Buffer[] = [];
   let bytes = 0;
   try {
-    for await (const chunk of readChunks(delivery)) {
+    for await (const chunk of readPieces(delivery, chunk => chunk)) {
       if (answer.isBegun) {
         await answer.write(chunk);
         continue;
--- a/packages/gateway/src/test/endlessAnswers.test.ts
+++ b/packages/gateway/src/test/endlessAnswers.test.ts
@@ -9,6 +9,7 @@
   EndlessServer,
 } from '@sycamorehead/wire/testing';
 import {
+  ENDLESS_EVENT,
   ENDLESS_PLACES,
   ENDLESS_WEAK_ANSWER,
   EndlessPlace,
@@ -362,6 +363,21 @@
     assert.ok(endless.bytesRead <= MAX_READ_BYTES);
   });
 
+  test(`a stream without end, ${pace}, of a server that ignores its cancellation is closed`, async context => {
+    const {gateway, endless} = await startScene(
+      context,
+      {...ENDLESS_EVENT, keepsHalfOpen: true},
+      pace,
+    );
+    const answer = await sendRequest(
+      gateway,
+      formatRequest({method: 'POST', path: PATHS.streaming}),
+    );
+    VERDICTS.cut(answer);
+    await ensureClosed(endless);
+    assert.ok(endless.bytesRead <= MAX_READ_BYTES);
+  });
+
   test(`an answer without end, ${pace}, is closed when its caller leaves`, async context => {
     const {gateway, endless} = await startScene(
       context,
--- a/packages/gateway/src/test/endlessPlaces.ts
+++ b/packages/gateway/src/test/endlessPlaces.ts
@@ -147,6 +147,18 @@
     slowVerdicts: {safe: 'settled', unsafe: 'failed'},
     isPassedOn: true,
   },
+  'a line of an event': {
+    opening: `${STREAM_OK}${EVENT}`,
+    filler: formatPiece('x'.repeat(500)),
+    verdicts: STREAM_LOST,
+    slowVerdicts: STREAM_ELSEWHERE,
+  },
+  'lines of an event': {
+    opening: `${STREAM_OK}${EVENT}`,
+    filler: formatPiece('data: x\n'),
+    verdicts: STREAM_LOST,
+    slowVerdicts: STREAM_ELSEWHERE,
+  },
   'events of a stream': {
     opening: `${STREAM_OK}${EVENT}`,
     filler: formatPiece('data: more\n\n'),
--- a/packages/gateway/src/test/silence.test.ts
+++ b/packages/gateway/src/test/silence.test.ts
@@ -54,6 +54,33 @@
   });
 }
 
+test('a stream whose event comes byte by byte without end continues on another server in time', async context => {
+  const answerThenDrip: ServerScript = (request, socket) => {
+    socket.write(formatStreamHead(request));
+    if (request.headers.has('last-event-id')) {
+      socket.write(formatChunk(formatEvent(2)) + LAST_CHUNK);
+      return;
+    }
+    socket.write(formatChunk(formatEvent(1)));
+    const timer = setInterval(() => socket.write(formatChunk('x')), 20);
+    context.after(() => clearInterval(timer));
+  };
+  const servers = [
+    await startServer('s1', answerThenDrip),
+    await startServer('s2', answerThenDrip),
+  ];
+  const gateway = await startGateway(
+    {kind: 'streaming', isResumable: true, longestPauseMs: 100},
+    servers,
+  );
+  const startedAt = performance.now();
+  const text = await gateway.exchange(formatRequest({method: 'POST'}));
+  const ids = [...text.matchAll(/id: (\d+)/g)].map(match => Number(match[1]));
+  assert.deepEqual(ids, [1, 2]);
+  assert.ok(text.endsWith(LAST_CHUNK));
+  assert.ok(performance.now() - startedAt < 1_000, 'waited for the deadline');
+});
+
 test('a silent stream whose key was revoked is not abandoned, since it could not continue elsewhere', async () => {
   const answerLate: ServerScript = (request, socket) => {
     socket.write(formatStreamHead(request) + formatChunk(formatEvent(1)));
