An answer that was cancelled never counts as complete

A server may end a stream without a length when it is cancelled, and node:http then calls it complete. The test passed before on this kernel, only since a connection that both ends have closed has no remote address, which is taken for a reset.

--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -189,9 +189,12 @@
       }
       const notice = readNotice(attempt, message);
       if (notice) attempt.onServerNotice(notice);
-      const outcome = classifyHead(attempt, message, () => {
-        message.resume();
-        return cancel('cancelled');
+      const outcome = classifyHead(attempt, message, {
+        isCancelled: () => cancellation !== undefined,
+        cancel: () => {
+          message.resume();
+          return cancel('cancelled');
+        },
       });
       if (outcome.type === 'answered') {
         settle(outcome);
@@ -238,10 +241,15 @@
   return {isLeaving, holdMs};
 }
 
+interface Cancellation {
+  isCancelled(): boolean;
+  cancel(): Promise<boolean>;
+}
+
 function classifyHead(
   {names, requestId, expectedServer}: AttemptRequest,
   message: IncomingMessage,
-  cancel: () => Promise<boolean>,
+  {isCancelled, cancel}: Cancellation,
 ): AttemptOutcome | InvalidAnswer {
   const {headers, statusCode: status = 0} = message;
   const echoed = headers[names.requestId];
@@ -277,7 +285,8 @@
       status,
       message,
       confidence: Number.isFinite(confidence) ? confidence : undefined,
-      isComplete: () => message.complete && !wasReset(),
+      // The server may end an answer without a length because it was cancelled.
+      isComplete: () => message.complete && !wasReset() && !isCancelled(),
       cancel,
     },
   };
--- a/packages/gateway/src/test/silence.test.ts
+++ b/packages/gateway/src/test/silence.test.ts
@@ -81,6 +81,30 @@
   assert.ok(performance.now() - startedAt < 1_000, 'waited for the deadline');
 });
 
+test('a stream without a length that stalls and ends when it is cancelled does not look complete', async () => {
+  const answerThenHang: ServerScript = (request, socket) => {
+    const head = formatStreamHead(request);
+    if (request.headers.has('last-event-id')) {
+      socket.write(head + formatChunk(formatEvent(2)) + LAST_CHUNK);
+      return;
+    }
+    const unframed = head.replace('Transfer-Encoding: chunked\r\n', '');
+    socket.write(unframed + formatEvent(1));
+  };
+  const servers = [
+    await startServer('s1', answerThenHang),
+    await startServer('s2', answerThenHang),
+  ];
+  const gateway = await startGateway(
+    {kind: 'streaming', isResumable: true, longestPauseMs: 100},
+    servers,
+  );
+  const text = await gateway.exchange(formatRequest({method: 'POST'}));
+  const ids = [...text.matchAll(/id: (\d+)/g)].map(match => Number(match[1]));
+  assert.deepEqual(ids, [1, 2]);
+  assert.ok(text.endsWith(LAST_CHUNK));
+});
+
 test('a silent stream whose key was revoked is not abandoned, since it could not continue elsewhere', async () => {
   const answerLate: ServerScript = (request, socket) => {
     socket.write(formatStreamHead(request) + formatChunk(formatEvent(1)));
