--- a/packages/gateway/src/lib/EventSplitter.ts
+++ b/packages/gateway/src/lib/EventSplitter.ts
@@ -21,6 +21,8 @@
  */
 export class EventSplitter {
   private remainder: Buffer = NO_BYTES;
+  /** Start of the last line of the remainder, before which it has no boundary. */
+  private lineStart = 0;
 
   /** Adds a chunk and returns the events that it completes, if any. */
   push(chunk: Buffer): CompleteEvents | undefined {
@@ -28,8 +30,9 @@
       this.remainder.length === 0
         ? chunk
         : Buffer.concat([this.remainder, chunk]);
-    const {end, count} = findLastBoundary(data);
+    const {end, count, lineStart} = findLastBoundary(data, this.lineStart);
     this.remainder = data.subarray(end);
+    this.lineStart = lineStart - end;
     if (this.remainder.length > MAX_EVENT_BYTES) {
       throw new Error(`an event exceeds ${MAX_EVENT_BYTES} bytes`);
     }
@@ -44,14 +47,23 @@
   }
 }
 
+interface Boundary {
+  /** The end of the last complete event, or 0. */
+  readonly end: number;
+  /** The number of complete events. */
+  readonly count: number;
+  /** The start of the last line. */
+  readonly lineStart: number;
+}
+
 /** Finds the end of the last complete event, which is after an empty line. */
-function findLastBoundary(data: Buffer): {end: number; count: number} {
+function findLastBoundary(data: Buffer, from: number): Boundary {
   let end = 0;
   let count = 0;
-  let lineStart = 0;
+  let lineStart = from;
   for (;;) {
     const lineEnd = data.indexOf(LINE_FEED, lineStart);
-    if (lineEnd < 0) return {end, count};
+    if (lineEnd < 0) return {end, count, lineStart};
     const isEmpty =
       lineEnd === lineStart ||
       (lineEnd === lineStart + 1 && data[lineStart] === CARRIAGE_RETURN);
--- a/packages/gateway/src/test/eventSplitter.test.ts
+++ b/packages/gateway/src/test/eventSplitter.test.ts
@@ -54,3 +54,11 @@
   const splitter = new EventSplitter();
   assert.throws(() => splitter.push(Buffer.alloc(1_100_000, 'x')));
 });
+
+test('the lines of a long event are searched once each, not again with every chunk', context => {
+  const splitter = new EventSplitter();
+  const chunk = Buffer.from('data: x\n'.repeat(10));
+  const search = context.mock.method(Buffer.prototype, 'indexOf');
+  for (let count = 0; count < 100; count += 1) splitter.push(chunk);
+  assert.ok(search.mock.callCount() <= 100 * (10 + 1));
+});
