--- a/packages/gateway/src/lib/CallerAnswer.ts
+++ b/packages/gateway/src/lib/CallerAnswer.ts
@@ -73,10 +73,13 @@
     this.recordWrite();
     if (this.disconnected.aborted || this.response.write(bytes)) return;
     await new Promise<void>(resolve => {
-      this.response.once('drain', resolve);
-      this.disconnected.addEventListener('abort', () => resolve(), {
-        once: true,
-      });
+      const finish = () => {
+        this.response.off('drain', finish);
+        this.disconnected.removeEventListener('abort', finish);
+        resolve();
+      };
+      this.response.on('drain', finish);
+      this.disconnected.addEventListener('abort', finish);
     });
   }
 
