An engine's answer is bounded by its frames, not by its bytes

Each byte or interim answer restarted the timeouts of undici, so bytes without a frame (comments, an event without end, frames of another attempt, answers 103) held an attempt until the time limit of the request (120 s), and an error or an event without end filled the memory. Head and frames now have to arrive within their timeouts, at most 1 MiB may bring no frame, 64 KiB of an error are read, and 1 s is allowed for the rest behind the terminal frame.

--- a/packages/entry/src/lib/BackendClient.ts
+++ b/packages/entry/src/lib/BackendClient.ts
@@ -9,6 +9,7 @@
 import type {AnswerFrame} from './AnswerFrame.js';
 import type {FrameChecker} from './FrameChecker.js';
 import {parseChunk} from './parseChunk.js';
+import {StepTimer} from './StepTimer.js';
 
 /** Time limits on calls to backend servers, in milliseconds. @public */
 export interface BackendTimeouts {
@@ -33,6 +34,14 @@
 const KEEP_ALIVE_MS = 10_000;
 /** Maximum number of bytes read after the terminal frame so that a connection can be reused. */
 const MAX_DRAINED_BYTES = 16 * 1024;
+/** Time allowed for these bytes, in milliseconds. */
+const MAX_DRAIN_MS = 1_000;
+/** Maximum number of bytes of a stream that bring no frame. */
+const MAX_UNFRAMED_BYTES = 1024 * 1024;
+/** Maximum number of bytes of an engine's error that are read. */
+const MAX_ERROR_BYTES = 64 * 1024;
+/** Maximum number of interim answers to one request. */
+const MAX_INTERIM_ANSWERS = 16;
 
 /** Codes of errors that occur before any byte of the request reaches the server. */
 const UNSENT_CODES = new Set([
@@ -109,9 +118,24 @@
     attempt: EngineAttempt,
     checker: FrameChecker,
   ): AsyncGenerator<AnswerFrame> {
+    const timer = new StepTimer();
+    try {
+      yield* this.streamFrames(attempt, checker, timer);
+    } finally {
+      timer.stop();
+    }
+  }
+
+  private async *streamFrames(
+    attempt: EngineAttempt,
+    checker: FrameChecker,
+    timer: StepTimer,
+  ): AsyncGenerator<AnswerFrame> {
+    const {firstByteMs, betweenFramesMs} = this.timeouts;
+    timer.start(firstByteMs, 'no head in time');
     const response = await this.send(`${attempt.address}/v1/chat/completions`, {
       method: 'POST',
-      signal: attempt.signal,
+      signal: AbortSignal.any([attempt.signal, timer.signal]),
       headers: {
         'content-type': 'application/json',
         'x-request-id': attempt.attemptId,
@@ -120,19 +144,25 @@
       },
       body: attempt.body,
     });
+    timer.start(betweenFramesMs, 'no frame in time');
     if (response.statusCode !== 200) throw await readErrorResponse(response);
     const {body} = response;
     // Without a listener, an error after the last read would end the process.
     body.on('error', () => {});
     let isFinished = false;
+    const unframed = {bytes: 0};
     try {
-      for await (const chunk of parseChunks(body)) {
+      for await (const chunk of parseChunks(body, unframed)) {
         const frame = checker.check(chunk);
         if (!frame) continue;
+        unframed.bytes = 0;
+        // A caller that reads slowly must not count as silence of the engine.
+        timer.stop();
         isFinished = frame.finishReason !== null;
         if (isFinished) releaseConnection(body);
         yield frame;
         if (isFinished) return;
+        timer.start(betweenFramesMs, 'no frame in time');
       }
     } catch (error) {
       if (error instanceof SycamoreheadError) throw error;
@@ -207,8 +237,19 @@
     options: Omit<Dispatcher.RequestOptions, 'origin' | 'path'>,
     dispatcher: Agent = this.pooled,
   ): Promise<Dispatcher.ResponseData> {
+    let interimAnswers = 0;
+    const flood = new AbortController();
+    const signals = [flood.signal, options.signal as AbortSignal];
     try {
-      return await request(url, {...options, dispatcher});
+      return await request(url, {
+        ...options,
+        dispatcher,
+        signal: AbortSignal.any(signals),
+        onInfo: () => {
+          interimAnswers += 1;
+          if (interimAnswers > MAX_INTERIM_ANSWERS) flood.abort();
+        },
+      });
     } catch (error) {
       throw new SycamoreheadError('backend_failed', describeError(error), {
         ran: isUnsent(error) ? 'no' : 'unknown',
@@ -240,7 +281,10 @@
 ): Promise<SycamoreheadError> {
   let ran: ExecutionStatus = 'unknown';
   try {
-    const body = (await response.body.json()) as {error?: {ran?: unknown}};
+    const bytes = await readWholeBody(response.body, MAX_ERROR_BYTES);
+    const body = JSON.parse(bytes.toString('utf8')) as {
+      error?: {ran?: unknown};
+    };
     if (body.error?.ran === 'no') ran = 'no';
   } catch {
     // Without a readable body it is unknown whether the request ran.
@@ -254,11 +298,14 @@
 
 /** Reads the rest of a finished response, so that its connection can be reused. */
 function releaseConnection(body: Dispatcher.ResponseData['body']): void {
-  void body.dump({limit: MAX_DRAINED_BYTES}).catch(() => {});
+  const signal = AbortSignal.timeout(MAX_DRAIN_MS);
+  void body.dump({limit: MAX_DRAINED_BYTES, signal}).catch(() => {});
 }
 
+/** Parses a stream; `unframed` counts its bytes, and the reader sets it back with each frame. */
 async function* parseChunks(
   body: Dispatcher.ResponseData['body'],
+  unframed: {bytes: number},
 ): AsyncGenerator<ChatChunk> {
   let parsedChunks: ChatChunk[] = [];
   const parser = createParser({
@@ -269,6 +316,10 @@
   const decoder = new TextDecoder();
   // The end of this loop does not destroy the body, since the caller releases its connection.
   for await (const bytes of body.iterator({destroyOnReturn: false})) {
+    unframed.bytes += bytes.length;
+    if (unframed.bytes > MAX_UNFRAMED_BYTES) {
+      throw new Error(`no frame within ${MAX_UNFRAMED_BYTES} bytes`);
+    }
     parser.feed(decoder.decode(bytes, {stream: true}));
     const readyChunks = parsedChunks;
     parsedChunks = [];
