--- a/packages/report/src/lib/collectSamples.ts
+++ b/packages/report/src/lib/collectSamples.ts
@@ -1,5 +1,6 @@
 import {request} from 'undici';
 import {createLogger} from '@sycamorehead/telemetry';
+import {readBounded} from '@sycamorehead/wire';
 import {parseMetrics} from './parseMetrics.js';
 import type {Sample} from './SampleStore.js';
 
@@ -7,6 +8,8 @@
 
 const PREFIX = 'sycamorehead_';
 const SCRAPE_TIMEOUT_MS = 3_000;
+/** Maximum size of a page of metrics, in bytes. */
+const MAX_PAGE_BYTES = 16 * 1024 * 1024;
 
 /**
  * Formats the key of a series with its labels sorted by name.
@@ -30,10 +33,14 @@
 async function sampleEntry(url: string, at: number): Promise<Sample[]> {
   try {
     const {statusCode, body} = await request(new URL('/metrics', url), {
-      headersTimeout: SCRAPE_TIMEOUT_MS,
-      bodyTimeout: SCRAPE_TIMEOUT_MS,
+      signal: AbortSignal.timeout(SCRAPE_TIMEOUT_MS),
     });
-    const page = await body.text();
+    const bytes = await readBounded(
+      body,
+      MAX_PAGE_BYTES,
+      () => new Error('the page of metrics is too long'),
+    );
+    const page = bytes.toString('utf8');
     if (statusCode !== 200) throw new Error(`HTTP status ${statusCode}`);
     const values: Record<string, number> = {};
     for (const {name, labels, value} of parseMetrics(page)) {
