Operators' calls and orders to engines end although the answer does not

An operator's call bounded the pauses of an answer only, not its time nor its size; an order did not bound the size of its answer.

--- a/packages/control/src/lib/OperatorClient.ts
+++ b/packages/control/src/lib/OperatorClient.ts
@@ -5,6 +5,7 @@
   SycamoreheadError,
   readErrorBody,
 } from '@sycamorehead/schema';
+import {readBounded} from '@sycamorehead/wire';
 import type {LogStatus, Membership} from '@sycamorehead/consensus';
 import type {InForceReport} from './configuration/ConfigurationService.js';
 import type {LedgerReport} from './Ledger.js';
@@ -12,6 +13,8 @@
 import type {RolloutStatus} from './reconciler/describeRollout.js';
 
 const CALL_TIMEOUT_MS = 10_000;
+/** Maximum size of an answer, in bytes. */
+const MAX_ANSWER_BYTES = 256 * 1024 * 1024;
 /** Time for which a call is retried while there is no leader, in milliseconds. */
 const RETRY_TIMEOUT_MS = 5_000;
 /** Pause between two rounds of retries, in milliseconds. */
@@ -29,6 +32,10 @@
   readonly operatorToken: string;
   /** Certificate authority of the control instances, if it is a private one. */
   readonly ca?: Buffer;
+  /** Time allowed for a call to one instance that does not change the membership, in milliseconds. */
+  readonly callTimeoutMs?: number;
+  /** Maximum size of an answer, in bytes. */
+  readonly maxAnswerBytes?: number;
 }
 
 /**
@@ -93,7 +100,7 @@
   private async call<Result>(
     method: string,
     params: unknown,
-    timeoutMs = CALL_TIMEOUT_MS,
+    timeoutMs = this.options.callTimeoutMs ?? CALL_TIMEOUT_MS,
   ): Promise<Result> {
     let lastError: unknown = new SycamoreheadError(
       'control_unavailable',
@@ -132,15 +139,19 @@
     const {body} = await request(new URL('/rpc', url), {
       method: 'POST',
       dispatcher: this.dispatcher,
-      headersTimeout: timeoutMs,
-      bodyTimeout: timeoutMs,
+      signal: AbortSignal.timeout(timeoutMs),
       headers: {
         authorization: `Bearer ${this.options.operatorToken}`,
         'content-type': 'application/json',
       },
       body: JSON.stringify({jsonrpc: '2.0', id: 1, method, params}),
     });
-    const answer = (await body.json()) as {
+    const bytes = await readBounded(
+      body,
+      this.options.maxAnswerBytes ?? MAX_ANSWER_BYTES,
+      () => new Error('the answer of the control instance is too long'),
+    );
+    const answer = JSON.parse(bytes.toString('utf8')) as {
       result?: Result;
       error?: {data?: unknown; message?: string};
     };
--- a/packages/control/src/lib/reconciler/sendOrder.ts
+++ b/packages/control/src/lib/reconciler/sendOrder.ts
@@ -1,5 +1,6 @@
 import {request} from 'undici';
 import type {VersionRef} from '@sycamorehead/schema';
+import {readBounded} from '@sycamorehead/wire';
 
 /** An order as sent to an engine. @public */
 export interface EngineOrderMessage extends VersionRef {
@@ -28,6 +29,8 @@
 
 const DEFAULT_RETRY_MS = 1_000;
 const FENCED_STATUS = 409;
+/** Maximum size of an engine's answer, in bytes. */
+const MAX_ANSWER_BYTES = 64 * 1024;
 
 /**
  * Sends an order to an engine over HTTP. The engine answers once it has started to execute it and
@@ -51,10 +54,17 @@
       body: JSON.stringify(order),
       signal: AbortSignal.timeout(timeoutMs),
     });
-    const text = await body.text();
+    const bytes = await readBounded(
+      body,
+      MAX_ANSWER_BYTES,
+      () => new Error('the answer to an order is too long'),
+    );
     if (statusCode < 300) return {state: 'accepted'};
     if (statusCode === FENCED_STATUS) return {state: 'fenced'};
-    return {state: 'refused', retryAfterMs: readRetryAfter(text)};
+    return {
+      state: 'refused',
+      retryAfterMs: readRetryAfter(bytes.toString('utf8')),
+    };
   } catch {
     return {state: 'unknown'};
   }
