Answer times of a version that gets all requests are compared with more tolerance

Now times of different periods count as slow from four times (three before), fewer answers are enough on a single route, and the canary gets 0.9 of its limit.

--- a/packages/fleet/src/lib/RolloutJudge.ts
+++ b/packages/fleet/src/lib/RolloutJudge.ts
@@ -52,9 +52,10 @@
       this.findSample(now)?.evidence ?? [],
     );
     this.addSample({takenAt: now, evidence});
+    const input = {sinceOrder: evidence, freshServers, isSplit: share < 1};
     return {
-      assessment: evaluateRollout(evidence, evidence, freshServers),
-      recent: evaluateRollout(recentEvidence, evidence, freshServers),
+      assessment: evaluateRollout({...input, routes: evidence}),
+      recent: evaluateRollout({...input, routes: recentEvidence}),
       answersSinceStep: Math.max(0, answers - this.step.answers),
       sinceStepMs: now - this.step.startedAt,
     };
--- a/packages/fleet/src/lib/evaluateRollout.ts
+++ b/packages/fleet/src/lib/evaluateRollout.ts
@@ -37,8 +37,8 @@
     {share: 0.35, octaves: Math.log2(6)},
   ],
   otherPeriod: [
-    {share: 1, octaves: Math.log2(3)},
-    {share: 0.5, octaves: Math.log2(8)},
+    {share: 1, octaves: Math.log2(4)},
+    {share: 0.5, octaves: Math.log2(10)},
   ],
 } as const;
 /** Prior distribution of the old version's answer times over the classes of their histogram. */
@@ -77,8 +77,8 @@
 };
 /** Log likelihood ratios below which a version counts as good. */
 const GOOD_SCORES: ScoreLimits = {
-  total: {failures: -7, slow: -7},
-  route: {failures: -2.5, slow: -1.5},
+  total: {failures: -6, slow: -7},
+  route: {failures: -1.5, slow: -1},
 };
 /** Share of the old version's answers from which a route is evaluated on its own. */
 const MIN_ROUTE_SHARE = 0.05;
@@ -102,27 +102,33 @@
   readonly answers: number;
 }
 
+/** The input of an evaluation. @public */
+export interface EvaluationInput {
+  /** Evidence of the period that is evaluated. */
+  readonly routes: readonly RouteEvidence[];
+  /** All evidence, for a baseline if the old version had few answers in the period. */
+  readonly sinceOrder: readonly RouteEvidence[];
+  /** Backend servers that are ready with the new version. */
+  readonly freshServers: number;
+  /** Whether requests still go to both versions. */
+  readonly isSplit: boolean;
+}
+
 /**
  * Evaluates a new version against the old one, over all routes and on each route separately, since
  * a version may be bad on one route only. Answer times are compared by their ratio to the expected
- * ones, so that the load of the servers and the prompts do not matter. The evidence is summed by
+ * ones, so that the load of the servers and the prompts matter little. The evidence is summed by
  * server: one server in trouble does not speak for its version.
  *
- * The baseline is the old version in the same period where it had enough answers, else since the
- * order.
- *
  * @example
  * ```ts
- * evaluateRollout(evidence, evidence, 8).verdict; // 'unknown'
+ * evaluateRollout({routes, sinceOrder: routes, freshServers: 8, isSplit: true}).verdict; // 'unknown'
  * ```
  * @public
  */
-export function evaluateRollout(
-  routes: readonly RouteEvidence[],
-  sinceOrder: readonly RouteEvidence[],
-  freshServers: number,
-): VersionAssessment {
-  const baseline = buildBaseline(routes, sinceOrder);
+export function evaluateRollout(input: EvaluationInput): VersionAssessment {
+  const {routes, freshServers} = input;
+  const baseline = buildBaseline(input);
   const total = scoreRoutes(
     routes,
     baseline,
@@ -172,10 +178,11 @@
   return isGood ? 'good' : 'unknown';
 }
 
-function buildBaseline(
-  routes: readonly RouteEvidence[],
-  sinceOrder: readonly RouteEvidence[],
-): Baseline {
+function buildBaseline({
+  routes,
+  sinceOrder,
+  isSplit,
+}: EvaluationInput): Baseline {
   const recentTotal = sumCounts(routes.map(({old}) => old));
   const isRecent = recentTotal.answers >= MIN_BASELINE_ANSWERS;
   const groups = isRecent ? routes : sinceOrder;
@@ -184,7 +191,7 @@
   const getCounts = (route: string) => byRoute.get(route) ?? NO_COUNTS;
   const totalRate = computeFailureRate(total);
   return {
-    period: isRecent ? 'samePeriod' : 'otherPeriod',
+    period: isSplit && isRecent ? 'samePeriod' : 'otherPeriod',
     getFailureRate: route =>
       Math.max(totalRate, computeFailureRate(getCounts(route))),
     getTimes: route =>
--- a/packages/fleet/src/lib/planRollout.ts
+++ b/packages/fleet/src/lib/planRollout.ts
@@ -2,7 +2,7 @@
 import type {VersionAssessment} from './evaluateRollout.js';
 
 /** Fraction of `maxCanaryShare` that the canary receives. */
-const CANARY_MARGIN = 0.8;
+const CANARY_MARGIN = 0.9;
 /** Fraction of the duration, at its start, in which sessions stay on their version. */
 const EARLY_FRACTION = 0.5;
 /** Share of the new version in the step between the canary and all requests. */
