--- a/packages/fleet/src/lib/evaluateRollout.ts
+++ b/packages/fleet/src/lib/evaluateRollout.ts
@@ -54,14 +54,13 @@
  */
 const MIN_BASELINE_ANSWERS = 20;
 /**
- * Share of the new version's servers whose evidence is left out, the worst first, since servers of
- * any version may be in trouble.
+ * Bounds of the evidence of one server, as a log likelihood ratio. Servers of any version may be in
+ * trouble, so that several have to show that a version is bad; one alone can if it is the only one.
  */
-const TRIMMED_SHARE = 0.2;
-/** Largest evidence of one server, as a log likelihood ratio. */
-const MAX_SERVER_SCORE = 5;
-/** The same for a server that only lost answers, which all are lost when it crashes. */
-const MAX_LOSS_SCORE = 2.6;
+const MIN_SERVER_SCORE = -5;
+const MAX_SERVER_SCORE = 2.6;
+/** The bounds' sum over all servers with which a version of few servers can still be found bad. */
+const MIN_SUM_OF_MAX_SCORES = 10;
 /**
  * Log likelihood ratios above which a version counts as bad. That of one of several routes is larger
  * more often by chance.
@@ -78,7 +77,7 @@
 /** Log likelihood ratios below which a version counts as good. */
 const GOOD_SCORES: ScoreLimits = {
   total: {failures: -6, slow: -7},
-  route: {failures: -1.5, slow: -1},
+  route: {failures: -1.5, slow: 0.5},
 };
 /** Share of the old version's answers from which a route is evaluated on its own. */
 const MIN_ROUTE_SHARE = 0.05;
@@ -210,8 +209,6 @@
 
 /** Log likelihood ratios of one server. */
 interface ServerScores {
-  /** Whether the server has answered with an error. */
-  hasFailed: boolean;
   failures: number;
   /** One for each of the `SLOW_KINDS`. */
   slow: number[];
@@ -233,12 +230,10 @@
     for (const [id, own] of counts) {
       if (own.answers === 0) continue;
       const scores = servers.get(id) ?? {
-        hasFailed: false,
         failures: 0,
         slow: kinds.map(() => 0),
       };
       servers.set(id, scores);
-      scores.hasFailed ||= own.failures > 0;
       scores.failures += scoreFailures(own, rate, failureIncrease);
       gains.forEach((gain, index) => {
         scores.slow[index]! += scoreTimes(own.times, gain);
@@ -246,24 +241,25 @@
     }
   }
   const list = [...servers.values()];
-  const maxScore = freshServers > 1 ? MAX_SERVER_SCORE : Infinity;
+  const maxScore = Math.max(
+    MAX_SERVER_SCORE,
+    MIN_SUM_OF_MAX_SCORES / Math.max(1, freshServers),
+  );
+  const sumScores = (scores: readonly number[]) =>
+    scores.reduce(
+      (sum, score) =>
+        sum + Math.max(MIN_SERVER_SCORE, Math.min(maxScore, score)),
+      0,
+    );
   const slowScores = kinds.map((_, index) =>
-    sumTrimmed(list.map(({slow}) => limit(slow[index]!, maxScore))),
+    sumScores(list.map(({slow}) => slow[index]!)),
   );
   return {
-    failures: sumTrimmed(
-      list.map(({failures, hasFailed}) =>
-        limit(failures, maxScore, hasFailed ? maxScore : MAX_LOSS_SCORE),
-      ),
-    ),
+    failures: sumScores(list.map(({failures}) => failures)),
     slow: Math.max(...slowScores),
   };
 }
 
-function limit(score: number, max: number, positiveMax = max): number {
-  return Math.max(-max, Math.min(positiveMax, score));
-}
-
 function scoreFailures(
   {answers, failures, losses}: AnswerCounts,
   rate: number,
@@ -317,12 +313,3 @@
       (count + PRIOR_TIMED * prior[index]!) / (total + PRIOR_TIMED),
   );
 }
-
-/** Sums scores without those of the worst servers. */
-function sumTrimmed(scores: readonly number[]): number {
-  const trimmed = Math.floor(scores.length * TRIMMED_SHARE);
-  return [...scores]
-    .sort((left, right) => left - right)
-    .slice(0, scores.length - trimmed)
-    .reduce((sum, score) => sum + score, 0);
-}
