--- a/packages/gateway/src/lib/CallerRequest.ts
+++ b/packages/gateway/src/lib/CallerRequest.ts
@@ -32,6 +32,13 @@
   body: Buffer;
 }
 
+/** Returns the ids of the segments of a prompt that other prompts may share: all but the last. @internal */
+export function listSharedSegments({
+  promptSegments,
+}: Pick<CallerRequest, 'promptSegments'>): string[] {
+  return promptSegments.slice(0, -1).map(({id}) => id);
+}
+
 /**
  * Headers that may occur only once; of several, a backend server might use a different one than the
  * gateway.
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -379,7 +379,8 @@
   ): Promise<NextStep> {
     this.lastEventId = result.lastEventId;
     if (result.isComplete) return 'done';
-    this.history.push('broken');
+    const atMs = Math.round(performance.now() - this.request.arrivedAt);
+    this.history.push(`broken@${atMs}`);
     if (this.answer.disconnected.aborted) return 'done';
     send.recordInterruption(result.reason);
     return this.handleUnknownRun(send, result);
--- a/packages/gateway/src/lib/writeRequestLine.ts
+++ b/packages/gateway/src/lib/writeRequestLine.ts
@@ -1,9 +1,12 @@
 import type {SycamoreheadError} from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 import type {CallerAnswer} from './CallerAnswer.js';
-import type {CallerRequest} from './CallerRequest.js';
+import {CallerRequest, listSharedSegments} from './CallerRequest.js';
 import type {ModelCascade} from './ModelCascade.js';
 
+/** Maximum number of prompt segments in a line. */
+const MAX_SEGMENTS = 6;
+
 /** The outcome of one request. @internal */
 export interface RequestRecord {
   readonly request: CallerRequest;
@@ -33,6 +36,8 @@
     reason: failure?.message,
     gone: record.isCallerDisconnected || undefined,
     tokens: request.size.promptTokens || undefined,
+    segments:
+      listSharedSegments(request).slice(0, MAX_SEGMENTS).join(',') || undefined,
     model: cascade.answeredBy,
     confidence: cascade.lastConfidence,
     pressure: cascade.lastPressure?.toFixed(2),
