--- /dev/null
+++ b/packages/gateway/src/test/CrashFleet.ts
@@ -0,0 +1,161 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {ServerListing} from '@sycamorehead/fleet';
+import {CrashingServer} from './CrashingServer.js';
+import type {ReceivedRequest} from './FakeServer.js';
+import {
+  GatewayHarness,
+  buildConfiguration,
+  buildRoute,
+  formatRequest,
+  readStatus,
+} from './GatewayHarness.js';
+
+/** A segment that is in every prompt. */
+export const COMMON_SEGMENT = 'c0';
+/** The segment under which servers crash. */
+export const CRASHING_SEGMENT = 'bad1';
+
+/** One request of a caller, and what became of it. */
+export interface CallerResult {
+  readonly hasCrashingSegment: boolean;
+  readonly sentAt: number;
+  readonly status: number;
+  readonly text: string;
+}
+
+/** Settings of a CrashFleet. */
+export interface CrashFleetOptions {
+  readonly entries: number;
+  readonly servers: number;
+}
+
+/** Several entries in front of engines that crash under one prompt segment. */
+export class CrashFleet {
+  readonly results: CallerResult[] = [];
+  /** When servers have crashed, on the monotonic clock. */
+  readonly crashTimes: number[] = [];
+  /** When a request with the crashing segment has reached a server, on the monotonic clock. */
+  readonly crashingArrivals: number[] = [];
+  readonly entries: GatewayHarness[];
+  private readonly servers: CrashingServer[];
+  private readonly listings = new Map<string, ServerListing>();
+  private requestCount = 0;
+
+  constructor({entries, servers}: CrashFleetOptions) {
+    this.entries = Array.from({length: entries}, () => new GatewayHarness());
+    this.servers = Array.from(
+      {length: servers},
+      (_, index) =>
+        new CrashingServer(`s${index}`, CRASHING_SEGMENT, {
+          onStart: listing => this.list(listing),
+          onReceived: (server, request) => this.recordArrival(request),
+          onCrash: () => this.crashTimes.push(performance.now()),
+        }),
+    );
+  }
+
+  async start(): Promise<void> {
+    const configuration = buildConfiguration(
+      [
+        buildRoute({
+          kind: 'streaming',
+          isResumable: true,
+          targetLatencyMs: 1_500,
+        }),
+      ],
+      {
+        services: [
+          {
+            name: 'drafts',
+            healthPath: '/',
+            maxConnections: 400,
+            engine: {slots: 64, tokenCapacity: 500_000, models: []},
+          },
+        ],
+      },
+    );
+    await Promise.all(this.servers.map(server => server.start()));
+    await Promise.all(
+      this.entries.map(entry =>
+        entry.start(configuration, [...this.listings.values()]),
+      ),
+    );
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.entries.map(entry => entry.stop()));
+    await Promise.all(this.servers.map(server => server.stop()));
+  }
+
+  /** Ends the process of a server that has received nothing that it should crash under. */
+  crashServer(index: number): void {
+    void this.servers[index]?.crash();
+  }
+
+  /** Sends requests to the entries in turn, each `intervalMs`, until `durationMs` have passed. */
+  async sendRequests(
+    hasCrashingSegment: boolean,
+    intervalMs: number,
+    durationMs: number,
+  ): Promise<void> {
+    const end = performance.now() + durationMs;
+    const pending: Array<Promise<void>> = [];
+    while (performance.now() < end) {
+      pending.push(this.sendRequest(hasCrashingSegment));
+      await sleep(intervalMs);
+    }
+    await Promise.all(pending);
+  }
+
+  /** Sends one request; its segments but for the common and the crashing one are its own. */
+  async sendRequest(
+    hasCrashingSegment: boolean,
+    entry?: GatewayHarness,
+  ): Promise<void> {
+    this.requestCount += 1;
+    const count = this.requestCount;
+    const receiver = entry ?? this.entries[count % this.entries.length];
+    if (!receiver) return;
+    const crashing = hasCrashingSegment ? [`${CRASHING_SEGMENT}:400`] : [];
+    const segments = [
+      `${COMMON_SEGMENT}:800`,
+      ...crashing,
+      `d${count % 7}:100`,
+      `own${count}:50`,
+    ];
+    const sentAt = performance.now();
+    const text = await receiver.exchange(
+      formatRequest({
+        id: `r${count}`,
+        headers: [`X-Prefix: ${segments.join(',')}`, 'X-Tokens: 1350,20'],
+      }),
+      5_000,
+    );
+    const status = readStatus(text);
+    this.results.push({hasCrashingSegment, sentAt, status, text});
+  }
+
+  /** Counts the requests with the crashing segment that reached a server after a moment. */
+  countCrashingArrivals(after: number): number {
+    return this.crashingArrivals.filter(at => at > after).length;
+  }
+
+  /** Returns the fraction of the sound requests sent since a moment that were answered whole. */
+  measureSoundShare(since: number): number {
+    const sound = this.results.filter(
+      ({hasCrashingSegment, sentAt}) => !hasCrashingSegment && sentAt >= since,
+    );
+    const whole = sound.filter(({text}) => text.endsWith('0\r\n\r\n'));
+    return whole.length / sound.length;
+  }
+
+  private recordArrival({headers}: ReceivedRequest): void {
+    if (!headers.get('x-prefix')?.includes(`${CRASHING_SEGMENT}:`)) return;
+    this.crashingArrivals.push(performance.now());
+  }
+
+  private list(listing: ServerListing): void {
+    this.listings.set(listing.registration.id, listing);
+    for (const entry of this.entries) entry.list([listing]);
+  }
+}
