--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -2,17 +2,24 @@
 export {FLEET_METHODS} from './lib/fleetMessages.js';
 export type {
   ControlIdentity,
+  CrashEvidenceReport,
+  CrashReport,
   ExchangeReply,
   ExchangeRequest,
   FleetDescription,
   FleetUpdate,
   LoadTable,
+  QuarantinedSegments,
+  QuarantineState,
   ServerListing,
   ServerLoad,
   StoredConfiguration,
+  SurvivalTable,
   SyncReply,
   SyncRequest,
 } from './lib/fleetMessages.js';
+export {CrashPool} from './lib/CrashPool.js';
+export {LoadExchange} from './lib/LoadExchange.js';
 export {FleetLinks} from './lib/FleetLinks.js';
 export type {FleetLinksOptions} from './lib/FleetLinks.js';
 export {FleetNode} from './lib/FleetNode.js';
--- /dev/null
+++ b/packages/fleet/src/lib/CrashPool.ts
@@ -0,0 +1,207 @@
+import {CrashSuspect, findCrashSuspects} from '@sycamorehead/routing';
+import {evictOldest} from '@sycamorehead/schema';
+import type {
+  CrashEvidenceReport,
+  CrashReport,
+  SurvivalTable,
+} from './fleetMessages.js';
+
+/** Time for which a crash counts as evidence, in milliseconds. */
+const CRASH_EXPIRY_MS = 10 * 60_000;
+/** Maximum number of crashes that are retained; the oldest are removed first. */
+const MAX_CRASHES = 512;
+/** Maximum number of segments that are retained of one crash. */
+const MAX_SEGMENTS = 128;
+/** Maximum number of segments whose survival is retained; the oldest are removed first. */
+const MAX_SURVIVALS = 2_000;
+/** Time for which each digest repeats a crash, in milliseconds. */
+const FRESH_MS = 5_000;
+/** Older crashes in one digest, in turn, so that an instance that has restarted learns all of them. */
+const REPEATED_CRASHES = 4;
+/**
+ * Time for which entries can acquit a suspect before it is convicted, in milliseconds; several
+ * exchanges and digests of a large fleet.
+ */
+const HEARING_MS = 1_000;
+/** Maximum number of incarnations in a log line. */
+const MAX_LISTED = 8;
+/** Time for which an evaluation is reused, in milliseconds. */
+const EVALUATION_MS = 50;
+
+interface PooledCrash {
+  /** The earliest observation, on the monotonic clock. */
+  at: number;
+  readonly segments: Set<string>;
+}
+
+interface Evaluation {
+  readonly computedAt: number;
+  readonly suspects: readonly CrashSuspect[];
+}
+
+/**
+ * Pools what the entries know of crashed backend servers, in each control instance. Crashes are a
+ * union by incarnation, so a report that is lost, repeated or delayed changes nothing, and a crash that
+ * several entries observe counts once. Survivals keep the latest time; they are passed on once only,
+ * so that their ages do not drift.
+ *
+ * @public
+ */
+export class CrashPool {
+  private readonly crashes = new Map<string, PooledCrash>();
+  /** Reported by entries to this instance; on the monotonic clock, like the next. */
+  private readonly survivals = new Map<string, number>();
+  /** Reported by other control instances. */
+  private readonly othersSurvivals = new Map<string, number>();
+  private readonly suspectedSince = new Map<string, number>();
+  /** The segments in quarantine at the last evaluation. */
+  private quarantined: ReadonlySet<string> = new Set();
+  private evaluation: Evaluation | undefined;
+  private repeatIndex = 0;
+
+  constructor(
+    /** Lists the combinations of segments that are in quarantine. */
+    private readonly listQuarantined: () => ReadonlyArray<readonly string[]>,
+  ) {}
+
+  // Commands.
+
+  /** Adds an entry's report and returns the segments whose survivals it is to report. */
+  exchange({crashes = [], survivals = {}}: CrashEvidenceReport): string[] {
+    for (const crash of crashes) this.addCrash(crash);
+    addSurvivals(this.survivals, survivals);
+    return this.listSuspects().flatMap(({segments}) => segments);
+  }
+
+  /** Adds the evidence of another control instance. */
+  acceptDigest({crashes = [], survivals = {}}: CrashEvidenceReport): void {
+    for (const crash of crashes) this.addCrash(crash);
+    addSurvivals(this.othersSurvivals, survivals);
+  }
+
+  // Queries.
+
+  /** Describes the evidence for another control instance. */
+  describeDigest(): Required<CrashEvidenceReport> {
+    this.expireCrashes();
+    const now = performance.now();
+    const all = [...this.crashes];
+    const fresh = all.filter(([, {at}]) => now - at < FRESH_MS);
+    const older = all.filter(([, {at}]) => now - at >= FRESH_MS);
+    this.repeatIndex %= Math.max(1, older.length);
+    const repeated = older.slice(
+      this.repeatIndex,
+      this.repeatIndex + REPEATED_CRASHES,
+    );
+    this.repeatIndex += REPEATED_CRASHES;
+    const survivals: Record<string, number> = {};
+    for (const segment of this.listSuspects().flatMap(
+      ({segments}) => segments,
+    )) {
+      const at = this.survivals.get(segment);
+      if (at !== undefined) survivals[segment] = Math.round(now - at);
+    }
+    return {
+      crashes: [...fresh, ...repeated].map(([incarnation, {at, segments}]) => ({
+        incarnation,
+        ageMs: Math.round(now - at),
+        segments: [...segments],
+      })),
+      survivals,
+    };
+  }
+
+  /** Lists the segments under which servers crashed several times and no answer was completed. */
+  listSuspects(): readonly CrashSuspect[] {
+    const now = performance.now();
+    if (this.evaluation && now - this.evaluation.computedAt < EVALUATION_MS) {
+      return this.evaluation.suspects;
+    }
+    this.expireCrashes();
+    const quarantined = this.listQuarantined();
+    this.clearReleased(new Set(quarantined.flat()));
+    const suspects = findCrashSuspects({
+      crashes: [...this.crashes.values()],
+      quarantined,
+      getSurvivalAt: segment => this.getSurvivalAt(segment),
+    });
+    this.recordSuspects(suspects, now);
+    this.evaluation = {computedAt: now, suspects};
+    return suspects;
+  }
+
+  /** Lists the suspects whose crashes convict them and that no entry has acquitted in time. */
+  listConvicted(): CrashSuspect[] {
+    const now = performance.now();
+    const isHeard = (segment: string) =>
+      now - (this.suspectedSince.get(segment) ?? now) >= HEARING_MS;
+    return this.listSuspects().filter(
+      ({segments, isConvicted}) => isConvicted && segments.every(isHeard),
+    );
+  }
+
+  /** Lists the most recent servers that crashed while all of the segments were in progress there. */
+  listCrashed(suspected: readonly string[]): string[] {
+    return [...this.crashes]
+      .filter(([, {segments}]) => suspected.every(id => segments.has(id)))
+      .map(([incarnation]) => incarnation.split(' ', 1)[0] ?? incarnation)
+      .slice(-MAX_LISTED);
+  }
+
+  private addCrash({incarnation, ageMs, segments}: CrashReport): void {
+    const at = performance.now() - ageMs;
+    const known = this.crashes.get(incarnation) ?? {at, segments: new Set()};
+    known.at = Math.min(known.at, at);
+    for (const segment of segments) {
+      if (known.segments.size < MAX_SEGMENTS) known.segments.add(segment);
+    }
+    this.crashes.set(incarnation, known);
+    evictOldest(this.crashes, MAX_CRASHES);
+  }
+
+  /** Makes crashes from before the end of a quarantine count no longer, as an answer would. */
+  private clearReleased(quarantined: ReadonlySet<string>): void {
+    for (const segment of this.quarantined) {
+      if (!quarantined.has(segment)) {
+        addSurvivals(this.survivals, {[segment]: 0});
+      }
+    }
+    this.quarantined = quarantined;
+  }
+
+  private getSurvivalAt(segment: string): number | undefined {
+    const own = this.survivals.get(segment) ?? -Infinity;
+    const others = this.othersSurvivals.get(segment) ?? -Infinity;
+    return Math.max(own, others);
+  }
+
+  private recordSuspects(suspects: readonly CrashSuspect[], now: number): void {
+    const ids = new Set(suspects.flatMap(({segments}) => segments));
+    for (const id of this.suspectedSince.keys()) {
+      if (!ids.has(id)) this.suspectedSince.delete(id);
+    }
+    for (const id of ids) {
+      if (!this.suspectedSince.has(id)) this.suspectedSince.set(id, now);
+    }
+  }
+
+  private expireCrashes(): void {
+    const oldest = performance.now() - CRASH_EXPIRY_MS;
+    for (const [incarnation, {at}] of this.crashes) {
+      if (at < oldest) this.crashes.delete(incarnation);
+    }
+  }
+}
+
+function addSurvivals(
+  known: Map<string, number>,
+  survivals: SurvivalTable,
+): void {
+  const now = performance.now();
+  for (const [segment, ageMs] of Object.entries(survivals)) {
+    const at = Math.max(known.get(segment) ?? -Infinity, now - ageMs);
+    known.delete(segment);
+    known.set(segment, at);
+  }
+  evictOldest(known, MAX_SURVIVALS);
+}
--- a/packages/fleet/src/lib/EntryFeeds.ts
+++ b/packages/fleet/src/lib/EntryFeeds.ts
@@ -1,7 +1,12 @@
 import type {ServiceRollout} from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 import type {PeerLink} from '@sycamorehead/wire';
-import {FLEET_METHODS, FleetUpdate, ServerListing} from './fleetMessages.js';
+import {
+  FLEET_METHODS,
+  FleetUpdate,
+  QuarantineState,
+  ServerListing,
+} from './fleetMessages.js';
 
 /** Time for which changes are batched before they are sent, in milliseconds. */
 const BATCH_MS = 10;
@@ -12,6 +17,7 @@
   findServer(id: string): ServerListing | undefined;
   getConfigurationVersion(): number;
   listRollouts(): ServiceRollout[];
+  describeQuarantine(): QuarantineState;
   listControls(): string[];
   isLeading(): boolean;
   /** Data centre of this control instance. */
@@ -92,6 +98,7 @@
     return {
       configurationVersion: this.source.getConfigurationVersion(),
       rollouts: this.source.listRollouts(),
+      quarantine: this.source.describeQuarantine(),
       controls: this.source.listControls(),
       isLeading: this.source.isLeading(),
       dataCentre: this.source.dataCentre,
--- a/packages/fleet/src/lib/FleetCommands.ts
+++ b/packages/fleet/src/lib/FleetCommands.ts
@@ -34,6 +34,13 @@
   readonly decodeConfiguration: ConfigurationDecoder;
 }
 
+/** Parameters of `fleet.releaseSegments`. */
+interface ReleaseOrder {
+  readonly segments: readonly string[];
+  /** Set by a control instance that takes its receiver for the leader. */
+  readonly isForwarded?: boolean;
+}
+
 interface RolloutReply {
   readonly rollout?: ServiceRollout;
 }
@@ -68,6 +75,14 @@
     );
   }
 
+  /** Ends a quarantine of exactly these prompt segments; others are left alone. */
+  async releaseSegments(segments: readonly string[]): Promise<void> {
+    const order: ReleaseOrder = {segments, isForwarded: true};
+    await this.runOnLeader(FLEET_METHODS.releaseSegments, order, () =>
+      this.commitRelease(segments),
+    );
+  }
+
   // Queries.
 
   /** Reads the newest configuration, confirmed with a quorum. */
@@ -94,6 +109,14 @@
         this.commitConfiguration(this.readVersion(document), document),
       [FLEET_METHODS.startRollout]: (order: RolloutOrder) =>
         this.commitRollout(order),
+      [FLEET_METHODS.releaseSegments]: async ({
+        segments,
+        isForwarded,
+      }: ReleaseOrder) => {
+        if (isForwarded) await this.commitRelease(segments);
+        else await this.releaseSegments(segments);
+        return {};
+      },
       [FLEET_METHODS.readConfiguration]: () => this.confirmConfiguration(),
       [FLEET_METHODS.readRollout]: ({service}: {service: string}) =>
         this.confirmRollout(service),
@@ -132,6 +155,18 @@
     return {};
   }
 
+  private async commitRelease(segments: readonly string[]): Promise<void> {
+    const isChanged = await this.options.logMember.propose({
+      type: 'release_segments',
+      segments,
+    });
+    writeDecision('segments_released', {
+      segments: segments.join(','),
+      reason: 'ordered',
+      changed: isChanged,
+    });
+  }
+
   private async confirmConfiguration(): Promise<StoredConfiguration> {
     const {logMember} = this.options;
     await logMember.requireNode().confirmLeadership();
--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -9,6 +9,7 @@
 import {createLogger, writeDecision} from '@sycamorehead/telemetry';
 import {PeerLink, WireServer} from '@sycamorehead/wire';
 import {ControlPeers} from './ControlPeers.js';
+import {CrashPool} from './CrashPool.js';
 import {ConfigurationDecoder, FleetCommands} from './FleetCommands.js';
 import {EntryFeeds} from './EntryFeeds.js';
 import {
@@ -26,6 +27,7 @@
 import {FleetMetrics} from './FleetMetrics.js';
 import {GroupManager} from './GroupManager.js';
 import {LogMember, buildFirstMember} from './LogMember.js';
+import {QuarantineDriver} from './QuarantineDriver.js';
 import {RolloutDriver} from './RolloutDriver.js';
 import {RegistryTimeouts, ServerRegistry} from './ServerRegistry.js';
 import {LoadExchange} from './LoadExchange.js';
@@ -85,8 +87,10 @@
   private readonly registry: ServerRegistry;
   private readonly feeds: EntryFeeds;
   private readonly loadExchange: LoadExchange;
+  private readonly crashPool: CrashPool;
   private readonly groupManager: GroupManager;
   private readonly rolloutDriver: RolloutDriver;
+  private readonly quarantineDriver: QuarantineDriver;
   private readonly wireServer: WireServer;
   private readonly incarnation = randomUUID();
   private readonly address: string;
@@ -111,6 +115,7 @@
       findServer: id => this.registry.find(id),
       getConfigurationVersion: () => this.logMember.state.configuration.version,
       listRollouts: () => this.logMember.state.listRollouts(),
+      describeQuarantine: () => this.logMember.state.describeQuarantine(),
       listControls: () => this.peers.listAddresses(),
       isLeading: () => this.logMember.isLeader,
       dataCentre: options.dataCentre,
@@ -119,6 +124,9 @@
       instance,
       () => this.peers.listAddresses().length,
     );
+    this.crashPool = new CrashPool(
+      () => this.logMember.state.describeQuarantine().combinations,
+    );
     this.logMember = new LogMember({
       instance,
       folder: `${options.dataFolder}/log`,
@@ -153,6 +161,10 @@
       loadExchange: this.loadExchange,
       maxCanaryShare: options.maxCanaryShare,
     });
+    this.quarantineDriver = new QuarantineDriver({
+      logMember: this.logMember,
+      crashPool: this.crashPool,
+    });
     this.wireServer = new WireServer({
       host,
       port: peerPort,
@@ -175,6 +187,7 @@
     this.scheduleDigest();
     void this.groupManager.run();
     void this.rolloutDriver.run();
+    void this.quarantineDriver.run();
     await this.logMember.start(this.describeFirstGroup());
   }
 
@@ -227,6 +240,7 @@
     clearTimeout(this.digestTimer);
     this.groupManager.stop();
     this.rolloutDriver.stop();
+    this.quarantineDriver.stop();
     this.peers.stop();
     await this.logMember.stop();
     this.links.stop();
@@ -251,6 +265,7 @@
         version > 0 ? options.decodeConfiguration(document) : undefined,
       rollouts: logMember.state.listRollouts(),
       servers: this.registry.list(),
+      quarantined: logMember.state.listQuarantined(),
     };
   }
 
@@ -268,10 +283,14 @@
       [FLEET_METHODS.fetchConfiguration]: () =>
         this.logMember.state.configuration,
       [FLEET_METHODS.describe]: () => this.describe(),
-      [FLEET_METHODS.exchange]: (request: ExchangeRequest): ExchangeReply =>
-        this.loadExchange.exchange(request),
-      [FLEET_METHODS.digest]: (digest: LoadDigest) =>
-        this.loadExchange.acceptDigest(digest),
+      [FLEET_METHODS.exchange]: (request: ExchangeRequest): ExchangeReply => ({
+        ...this.loadExchange.exchange(request),
+        suspects: this.crashPool.exchange(request),
+      }),
+      [FLEET_METHODS.digest]: (digest: LoadDigest) => {
+        this.loadExchange.acceptDigest(digest);
+        this.crashPool.acceptDigest(digest);
+      },
     };
   }
 
@@ -322,7 +341,10 @@
   }
 
   private sendDigest(): void {
-    const digest = this.loadExchange.describeDigest();
+    const digest: LoadDigest = {
+      ...this.loadExchange.describeDigest(),
+      ...this.crashPool.describeDigest(),
+    };
     for (const {address} of this.peers.listReachable()) {
       this.links
         .request(address, FLEET_METHODS.digest, digest, DIGEST_TIMEOUT_MS)
--- a/packages/fleet/src/lib/FleetState.ts
+++ b/packages/fleet/src/lib/FleetState.ts
@@ -1,10 +1,15 @@
-import type {
+import {
   JsonValue,
   RolloutPhase,
   ServiceRollout,
+  evictOldest,
 } from '@sycamorehead/schema';
 import type {StateMachine} from '@sycamorehead/consensus';
-import type {StoredConfiguration} from './fleetMessages.js';
+import type {
+  QuarantinedSegments,
+  QuarantineState,
+  StoredConfiguration,
+} from './fleetMessages.js';
 
 /** A roll-out with its elapsed time, as stored in the log. @public */
 export interface RolloutRecord extends ServiceRollout {
@@ -38,7 +43,12 @@
       readonly service: string;
       readonly number: number;
       readonly step: RolloutStep;
-    };
+    }
+  | {
+      readonly type: 'quarantine_segments';
+      readonly quarantined: QuarantinedSegments;
+    }
+  | {readonly type: 'release_segments'; readonly segments: readonly string[]};
 
 /** Whether a command has changed something. @public */
 export interface CommandResult {
@@ -49,6 +59,9 @@
   readonly configuration: StoredConfiguration;
   readonly rollouts: readonly RolloutRecord[];
   readonly rolloutCount: number;
+  /** Absent from snapshots of earlier builds, like the revision. */
+  readonly quarantined?: readonly QuarantinedSegments[];
+  readonly quarantineRevision?: number;
 }
 
 type Handlers = {
@@ -59,9 +72,12 @@
 
 /** Maximum number of retained roll-outs; the oldest are removed first. */
 const MAX_ROLLOUTS = 200;
+/** Maximum number of prompt segments in quarantine; the oldest are released first. */
+const MAX_QUARANTINED = 500;
 
 /**
- * The replicated state of the fleet: the configuration of the highest version and the roll-outs.
+ * The replicated state of the fleet: the configuration of the highest version, the roll-outs and the
+ * prompt segments in quarantine.
  *
  * @public
  */
@@ -69,10 +85,14 @@
   private stored: StoredConfiguration = {version: 0, document: null};
   private rollouts = new Map<string, RolloutRecord>();
   private rolloutCount = 0;
+  private quarantined = new Map<string, QuarantinedSegments>();
+  private quarantineRevision = 0;
   private readonly handlers: Handlers = {
     put_configuration: command => this.putConfiguration(command),
     start_rollout: command => this.startRollout(command),
     step_rollout: command => this.stepRollout(command),
+    quarantine_segments: command => this.quarantineSegments(command),
+    release_segments: command => this.releaseSegments(command),
   };
 
   constructor(private readonly onChange: () => void = () => {}) {}
@@ -92,6 +112,8 @@
       configuration: this.stored,
       rollouts: [...this.rollouts.values()],
       rolloutCount: this.rolloutCount,
+      quarantined: [...this.quarantined.values()],
+      quarantineRevision: this.quarantineRevision,
     };
     return snapshot as unknown as JsonValue;
   }
@@ -103,6 +125,13 @@
     this.rollouts = new Map(
       known.rollouts.map(rollout => [rollout.service, rollout]),
     );
+    this.quarantined = new Map(
+      (known.quarantined ?? []).map(item => [
+        buildSegmentsKey(item.segments),
+        item,
+      ]),
+    );
+    this.quarantineRevision = known.quarantineRevision ?? 0;
     this.onChange();
   }
 
@@ -121,6 +150,23 @@
     return this.rollouts.get(service);
   }
 
+  /** Lists the prompt segments in quarantine. */
+  listQuarantined(): QuarantinedSegments[] {
+    return [...this.quarantined.values()];
+  }
+
+  /** Returns whether exactly these prompt segments are in quarantine. */
+  isQuarantined(segments: readonly string[]): boolean {
+    return this.quarantined.has(buildSegmentsKey(segments));
+  }
+
+  /** Describes the quarantine for the entries. */
+  describeQuarantine(): QuarantineState {
+    const revision = this.quarantineRevision;
+    const combinations = this.listQuarantined().map(({segments}) => segments);
+    return {revision, combinations};
+  }
+
   private putConfiguration({
     version,
     document,
@@ -166,4 +212,27 @@
     this.rollouts.set(service, {...known, ...step});
     return true;
   }
+
+  private quarantineSegments({
+    quarantined,
+  }: Extract<FleetCommand, {type: 'quarantine_segments'}>): boolean {
+    const key = buildSegmentsKey(quarantined.segments);
+    if (this.quarantined.has(key)) return false;
+    this.quarantined.set(key, quarantined);
+    this.quarantineRevision += 1;
+    evictOldest(this.quarantined, MAX_QUARANTINED);
+    return true;
+  }
+
+  private releaseSegments({
+    segments,
+  }: Extract<FleetCommand, {type: 'release_segments'}>): boolean {
+    if (!this.quarantined.delete(buildSegmentsKey(segments))) return false;
+    this.quarantineRevision += 1;
+    return true;
+  }
+}
+
+function buildSegmentsKey(segments: readonly string[]): string {
+  return [...segments].sort().join(',');
 }
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -38,6 +38,8 @@
   startRollout: 'fleet.startRollout',
   /** Control instance to the leader: reads the newest roll-out of a service. */
   readRollout: 'fleet.readRollout',
+  /** Tool to control instance, control instance to the leader: ends a quarantine of prompt segments. */
+  releaseSegments: 'fleet.releaseSegments',
   /** Tool to control instance: describes the state that the instance has applied. */
   describe: 'fleet.describe',
 } as const;
@@ -62,6 +64,8 @@
   readonly configuration: RouteConfiguration | undefined;
   readonly rollouts: readonly ServiceRollout[];
   readonly servers: readonly ServerListing[];
+  /** Prompt segments in quarantine; absent from earlier builds. */
+  readonly quarantined?: readonly QuarantinedSegments[];
 }
 
 /** Identity that a control instance reports to its peers. @public */
@@ -101,6 +105,49 @@
   readonly isSilent: boolean;
 }
 
+/**
+ * Prompt segments in quarantine, as stored in the log. A prompt that has all of them is sent to no
+ * backend server.
+ *
+ * @public
+ */
+export interface QuarantinedSegments {
+  readonly segments: readonly string[];
+  /** Crashes that led to the quarantine. */
+  readonly crashes: number;
+  /** Time for which the leader keeps it in quarantine, in milliseconds. */
+  readonly durationMs: number;
+}
+
+/** The prompt segments that no entry sends to backend servers. @public */
+export interface QuarantineState {
+  /** Number of changes so far; of two states the one with the higher revision is newer. */
+  readonly revision: number;
+  /** Prompts with all segments of one of these are in quarantine. */
+  readonly combinations: ReadonlyArray<readonly string[]>;
+}
+
+/** A crash of a backend server, as reported by an entry that had requests there. @public */
+export interface CrashReport {
+  /** Incarnation of the server, `ID STARTED_AT_MS`. */
+  readonly incarnation: string;
+  /** Time since the crash was first observed, in milliseconds. */
+  readonly ageMs: number;
+  /** Shared prompt segments that were in progress there and are not known to be sound. */
+  readonly segments: readonly string[];
+}
+
+/** Time since an answer to a prompt with a segment was last completed, in ms, by segment. @public */
+export type SurvivalTable = Readonly<Record<string, number>>;
+
+/** Evidence on the prompt segments under which backend servers crash. @public */
+export interface CrashEvidenceReport {
+  /** Absent from earlier builds. */
+  readonly crashes?: readonly CrashReport[];
+  /** Covers the suspected segments only; absent from earlier builds. */
+  readonly survivals?: SurvivalTable;
+}
+
 /** Update from a control instance to its entries: the whole state first, then changes. @public */
 export interface FleetUpdate {
   readonly servers?: readonly ServerListing[];
@@ -108,6 +155,7 @@
   readonly dropped?: readonly string[];
   readonly configurationVersion?: number;
   readonly rollouts?: readonly ServiceRollout[];
+  readonly quarantine?: QuarantineState;
   /** Peer addresses of the control instances. */
   readonly controls?: readonly string[];
   readonly isLeading?: boolean;
@@ -131,7 +179,7 @@
 export type LoadTable = Readonly<Record<string, ServerLoad>>;
 
 /** Load and evidence of one entry; parameters of `fleet.exchange`. @public */
-export interface ExchangeRequest {
+export interface ExchangeRequest extends CrashEvidenceReport {
   readonly entry: string;
   readonly load: LoadTable;
   readonly evidence: readonly RolloutEvidence[];
@@ -147,7 +195,7 @@
 }
 
 /** Sums over the entries that report to one control instance; parameters of `fleet.digest`. @public */
-export interface LoadDigest {
+export interface LoadDigest extends CrashEvidenceReport {
   readonly instance: string;
   /** Number of entries that have reported recently. */
   readonly entries: number;
@@ -170,6 +218,8 @@
   readonly kept?: readonly string[];
   /** Measurements of prefill of the other entries. */
   readonly prefill?: PrefillSumTable;
+  /** Suspected prompt segments, of which the entry reports the survivals; absent from earlier builds. */
+  readonly suspects?: readonly string[];
   /** Whether the instance hears too few others, so that load is missing. */
   readonly isIsolated?: boolean;
 }
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -7,6 +7,7 @@
 import {buildServerHeaders} from './buildServerHeaders.js';
 import type {CallerAnswer} from './CallerAnswer.js';
 import type {CallerRequest} from './CallerRequest.js';
+import {CrashGuard} from './CrashGuard.js';
 import {DeliveryResult, deliverAnswer} from './deliverAnswer.js';
 import type {ForwardContext} from './gatewayTypes.js';
 import {ModelCascade} from './ModelCascade.js';
@@ -18,12 +19,7 @@
   replaceUnsafeRefusal,
 } from './refusals.js';
 import {RequestTarget, findTarget, resolveTarget} from './resolveTarget.js';
-import {
-  AttemptOutcome,
-  ServerAnswer,
-  describeOutcome,
-  sendAttempt,
-} from './sendAttempt.js';
+import {AttemptOutcome, ServerAnswer, sendAttempt} from './sendAttempt.js';
 import {RunTracker} from './RunTracker.js';
 import {SendRecord} from './SendRecord.js';
 import {writeRequestLine} from './writeRequestLine.js';
@@ -56,6 +52,7 @@
   private deadlineAt = Infinity;
   private isTimedOut = false;
   private readonly runs: RunTracker;
+  private readonly guard: CrashGuard;
   /** Sends that provably did not run the request, by their outcome. */
   private readonly unexecutedSends = {refused: 0, unsent: 0};
   private hasSent = false;
@@ -73,16 +70,18 @@
     this.lastEventId = request.lastEventId;
     this.cascade = new ModelCascade(context, request);
     this.runs = new RunTracker(context.budgets, answer);
+    this.guard = new CrashGuard(context, request, this.runs);
   }
 
   /** Forwards the request until it has been answered or has failed. */
   async run(): Promise<void> {
     const {answer, controller} = this;
-    const handleDisconnect = () => controller.abort();
-    answer.disconnected.addEventListener('abort', handleDisconnect, {
-      once: true,
-    });
+    const abort = () => controller.abort();
+    answer.disconnected.addEventListener('abort', abort, {once: true});
     let timer: NodeJS.Timeout | undefined;
+    const unwatch = this.guard.watch(() => {
+      if (!answer.isBegun) controller.abort();
+    });
     try {
       await this.context.startup.waitForRoutes(controller.signal);
       const target = this.resolve();
@@ -97,17 +96,24 @@
       }, this.deadlineAt - performance.now());
       while ((await this.runSend()) === 'again');
     } catch (thrown) {
-      const error = this.isTimedOut
-        ? buildTimeout(this.runs.mayHaveRun)
-        : toSycamoreheadError(thrown);
-      this.failure = replaceUnsafeRefusal(error, this.runs.mayHaveRun);
+      this.failure = this.buildFailure(thrown);
       answer.fail(this.failure);
     } finally {
       clearTimeout(timer);
+      unwatch();
       this.logEnd();
     }
   }
 
+  private buildFailure(thrown: unknown): SycamoreheadError {
+    const {mayHaveRun} = this.runs;
+    if (this.guard.failure) return this.guard.failure;
+    const error = this.isTimedOut
+      ? buildTimeout(mayHaveRun)
+      : toSycamoreheadError(thrown);
+    return replaceUnsafeRefusal(error, mayHaveRun);
+  }
+
   private resolve(): RequestTarget {
     return resolveTarget(this.context.getRoutes(), this.request);
   }
@@ -115,6 +121,7 @@
   /** Performs one send: reserves a slot, sends the request and handles the outcome. */
   private async runSend(): Promise<NextStep> {
     const target = this.resolve();
+    this.guard.checkSend(target);
     this.runs.checkSend(target);
     const {service} = target;
     if (this.hasSent && !this.context.budgets.acquire(service.name)) {
@@ -236,15 +243,9 @@
   }
 
   private recordOutcome(send: SendRecord, outcome: AttemptOutcome): void {
-    const {id, version} = send.reservation.server.listing.registration;
+    const {id} = send.reservation.server.listing.registration;
     this.tried.add(id);
-    const atMs = Math.round(performance.now() - this.request.arrivedAt);
-    const {estimatedMs, load} = send.reservation;
-    const {connection, use} = send.connection ?? {};
-    const place = connection === undefined ? '' : `#${connection}.${use}`;
-    this.history.push(
-      `${id}:${describeOutcome(outcome)}@${atMs}~${Math.round(estimatedMs)}+${load}${place}=${version}`,
-    );
+    this.history.push(send.formatOutcome(outcome));
     if (outcome.type !== 'unsent') this.hasSent = true;
     if (outcome.type === 'refused') this.refusedBy.add(id);
     send.recordOutcome(outcome, this.controller.signal.aborted);
@@ -336,6 +337,7 @@
       );
     }
     const result = await this.deliver(serverAnswer, send);
+    if (result.isComplete) send.recordComplete(serverAnswer);
     return this.handleDelivery(result, send);
   }
 
@@ -361,6 +363,7 @@
       onBytes: () => {
         lastBytesAt = performance.now();
         server.lastReceivedAt = lastBytesAt;
+        send.recordBytes();
       },
     });
   }
@@ -383,6 +386,7 @@
     this.history.push(`broken@${atMs}`);
     if (this.answer.disconnected.aborted) return 'done';
     send.recordInterruption(result.reason);
+    this.guard.recordInterruption(send);
     return this.handleUnknownRun(send, result);
   }
 
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -12,14 +12,17 @@
 } from '@sycamorehead/routing';
 import {createLogger, writeDecision} from '@sycamorehead/telemetry';
 import {AnswerTimes} from './AnswerTimes.js';
+import {CrashObserver} from './CrashObserver.js';
 import {ForwardedRequest} from './ForwardedRequest.js';
 import {GatewayMetrics} from './GatewayMetrics.js';
 import {GatewayServer} from './GatewayServer.js';
 import type {ForwardContext, GatewayPolicies} from './gatewayTypes.js';
 import type {HeaderNames} from './headerNames.js';
+import {LoadReporter} from './LoadReporter.js';
 import {Placement} from './Placement.js';
 import {RetryBudgets} from './RetryBudgets.js';
 import {RouteTable} from './RouteTable.js';
+import {SegmentQuarantine} from './SegmentQuarantine.js';
 import {ServerTable} from './ServerTable.js';
 import {StartupGate} from './StartupGate.js';
 import {VersionSplit} from './VersionSplit.js';
@@ -59,10 +62,13 @@
   private readonly servers = new ServerTable();
   private readonly rates = new PrefillRates();
   private readonly startup = new StartupGate();
+  private readonly crashes = new CrashObserver();
+  private readonly quarantine = new SegmentQuarantine();
   private readonly versions: VersionSplit;
   private readonly budgets: RetryBudgets;
   private readonly placement: Placement;
   private readonly links: FleetLinks;
+  private readonly reporter: LoadReporter;
   private readonly server: GatewayServer;
   private routes: RouteTable | undefined;
   private isStopping = false;
@@ -95,6 +101,8 @@
       values: new AnswerValues(policies.answerValue),
       metrics: this.metrics,
       startup: this.startup,
+      crashes: this.crashes,
+      quarantine: this.quarantine,
       getRoutes: () => this.routes,
     };
     this.server = new GatewayServer({
@@ -110,6 +118,16 @@
       onUpdate: update => this.applyUpdate(update),
       onConfiguration: stored => this.applyConfiguration(stored),
     });
+    this.reporter = new LoadReporter({
+      entry: options.name,
+      servers: this.servers,
+      versions: this.versions,
+      rates: this.rates,
+      crashes: this.crashes,
+      budgets: this.budgets,
+      placement: this.placement,
+      exchange: request => this.links.exchange(request),
+    });
   }
 
   // Commands.
@@ -153,6 +171,7 @@
   private applyUpdate(update: FleetUpdate): void {
     this.servers.update(update);
     if (update.rollouts) this.versions.update(update.rollouts);
+    if (update.quarantine) this.quarantine.update(update.quarantine);
     this.placement.offerSlots();
   }
 
@@ -170,20 +189,7 @@
   private async exchangeLoad(): Promise<void> {
     this.metrics.setWaiting(this.placement.countWaiting());
     try {
-      const reply = await this.links.exchange({
-        entry: this.options.name,
-        load: this.servers.listLoad(),
-        evidence: this.versions.listEvidence(),
-        leaving: this.servers.notices.listLeaving(),
-        kept: this.versions.listKept(),
-        prefill: this.rates.listSums(),
-      });
-      this.budgets.updateEntryCount(reply.entries);
-      this.servers.setOthersLoad(reply.load);
-      this.versions.addKept(reply.kept ?? []);
-      this.rates.setOthers(reply.prefill ?? {});
-      this.servers.notices.addLeaving(reply.leaving ?? []);
-      this.placement.offerSlots();
+      await this.reporter.exchangeReports();
     } catch (error) {
       log('exchange_failed', {error: String(error)});
     }
--- a/packages/gateway/src/lib/GatewayMetrics.ts
+++ b/packages/gateway/src/lib/GatewayMetrics.ts
@@ -26,6 +26,9 @@
   private readonly holds = this.createCounter('server_holds_total', [
     'service',
   ]);
+  private readonly quarantined = this.createCounter('quarantined_total', [
+    'service',
+  ]);
   private readonly waits = this.createHistogram('queue_wait_seconds');
   private readonly firstBytes = this.createHistogram('first_byte_seconds');
   private readonly waiting = new Gauge({
@@ -54,6 +57,11 @@
     this.holds.inc({service});
   }
 
+  /** Counts a request that was refused because of a prompt segment in quarantine. */
+  recordQuarantined(service: string): void {
+    this.quarantined.inc({service});
+  }
+
   /** Records how long a request waited for a slot. */
   recordWait(ms: number): void {
     this.waits.observe(ms / 1_000);
--- /dev/null
+++ b/packages/gateway/src/lib/LoadReporter.ts
@@ -0,0 +1,65 @@
+import type {ExchangeReply, ExchangeRequest} from '@sycamorehead/fleet';
+import type {PrefillRates} from '@sycamorehead/routing';
+import type {CrashObserver} from './CrashObserver.js';
+import type {Placement} from './Placement.js';
+import type {RetryBudgets} from './RetryBudgets.js';
+import type {ServerTable} from './ServerTable.js';
+import type {VersionSplit} from './VersionSplit.js';
+
+/** What an entry reports of, and applies replies to. @internal */
+export interface LoadReporterOptions {
+  readonly entry: string;
+  readonly servers: ServerTable;
+  readonly versions: VersionSplit;
+  readonly rates: PrefillRates;
+  readonly crashes: CrashObserver;
+  readonly budgets: RetryBudgets;
+  readonly placement: Placement;
+  /** Sends a report to a control instance. */
+  exchange(request: ExchangeRequest): Promise<ExchangeReply>;
+}
+
+/**
+ * Reports what this entry has observed to the control instances, and applies what the others have.
+ *
+ * @internal
+ */
+export class LoadReporter {
+  /** Prompt segments of which the control instances want to know when they were answered. */
+  private suspects: readonly string[] = [];
+
+  constructor(private readonly options: LoadReporterOptions) {}
+
+  /** Performs one exchange. */
+  async exchangeReports(): Promise<void> {
+    const request = this.buildRequest();
+    const reply = await this.options.exchange(request);
+    this.options.crashes.confirmReport(request.crashes ?? []);
+    this.applyReply(reply);
+  }
+
+  private buildRequest(): ExchangeRequest {
+    const {entry, servers, versions, rates, crashes} = this.options;
+    return {
+      entry,
+      load: servers.listLoad(),
+      evidence: versions.listEvidence(),
+      leaving: servers.notices.listLeaving(),
+      kept: versions.listKept(),
+      prefill: rates.listSums(),
+      crashes: crashes.listCrashes(),
+      survivals: crashes.listSurvivals(this.suspects),
+    };
+  }
+
+  private applyReply(reply: ExchangeReply): void {
+    const {servers, versions, rates, budgets, placement} = this.options;
+    budgets.updateEntryCount(reply.entries);
+    servers.setOthersLoad(reply.load);
+    versions.addKept(reply.kept ?? []);
+    rates.setOthers(reply.prefill ?? {});
+    servers.notices.addLeaving(reply.leaving ?? []);
+    this.suspects = reply.suspects ?? [];
+    placement.offerSlots();
+  }
+}
--- a/packages/gateway/src/lib/RunTracker.ts
+++ b/packages/gateway/src/lib/RunTracker.ts
@@ -1,7 +1,7 @@
 import {RouteDeclaration, SycamoreheadError} from '@sycamorehead/schema';
 import type {CallerAnswer} from './CallerAnswer.js';
 import type {RequestTarget} from './resolveTarget.js';
-import {queryReachable} from './queryReachable.js';
+import {queryReachability} from './queryReachability.js';
 import type {RetryBudgets} from './RetryBudgets.js';
 import type {SendRecord} from './SendRecord.js';
 
@@ -48,7 +48,7 @@
    */
   async checkUnreachable({reservation}: SendRecord): Promise<void> {
     const {address} = reservation.server.listing.registration;
-    if (!(await queryReachable(address))) return;
+    if ((await queryReachability(address)) !== 'accepting') return;
     throw new SycamoreheadError(
       'outcome_unknown',
       'the server may still work on the request',
--- /dev/null
+++ b/packages/gateway/src/lib/SegmentQuarantine.ts
@@ -0,0 +1,53 @@
+import type {QuarantineState} from '@sycamorehead/fleet';
+import {writeDecision} from '@sycamorehead/telemetry';
+
+/** A prompt in progress. */
+interface WatchedPrompt {
+  readonly segments: readonly string[];
+  readonly onQuarantined: () => void;
+}
+
+/**
+ * The combinations of prompt segments that this entry sends to no backend server, since servers crash
+ * under them.
+ *
+ * @public
+ */
+export class SegmentQuarantine {
+  private state: QuarantineState = {revision: 0, combinations: []};
+  private readonly watched = new Set<WatchedPrompt>();
+
+  // Commands.
+
+  /** Applies the state of a control instance; an older one is ignored. */
+  update(state: QuarantineState): void {
+    if (state.revision <= this.state.revision) return;
+    this.state = state;
+    writeDecision('quarantine_in_force', {
+      revision: state.revision,
+      combinations: state.combinations.length,
+    });
+    for (const {segments, onQuarantined} of [...this.watched]) {
+      if (this.findQuarantined(segments)) onQuarantined();
+    }
+  }
+
+  /**
+   * Calls back once a prompt with these segments is in quarantine. Returns a function that ends this.
+   */
+  watch(segments: readonly string[], onQuarantined: () => void): () => void {
+    if (segments.length === 0) return () => {};
+    const prompt = {segments, onQuarantined};
+    this.watched.add(prompt);
+    return () => this.watched.delete(prompt);
+  }
+
+  // Queries.
+
+  /** Finds a combination in quarantine of which a prompt has all segments. */
+  findQuarantined(segments: readonly string[]): readonly string[] | undefined {
+    return this.state.combinations.find(combination =>
+      combination.every(segment => segments.includes(segment)),
+    );
+  }
+}
--- a/packages/gateway/src/lib/SendRecord.ts
+++ b/packages/gateway/src/lib/SendRecord.ts
@@ -1,9 +1,10 @@
-import type {CallerRequest} from './CallerRequest.js';
+import {CallerRequest, listSharedSegments} from './CallerRequest.js';
 import {buildWorkKind} from './AnswerTimes.js';
+import type {PromptSend} from './CrashObserver.js';
 import type {ForwardContext} from './gatewayTypes.js';
 import type {SlotReservation} from './Placement.js';
 import type {RequestTarget} from './resolveTarget.js';
-import type {AttemptOutcome} from './sendAttempt.js';
+import {AttemptOutcome, ServerAnswer, describeOutcome} from './sendAttempt.js';
 import type {ConnectionUse} from './ServerAgent.js';
 import type {ServerNotice} from './ServerNotices.js';
 import type {AnswerResult, AwaitedSend} from './VersionSplit.js';
@@ -21,6 +22,7 @@
   connection: ConnectionUse | undefined;
   private readonly sentAt = performance.now();
   private readonly awaited: AwaitedSend;
+  private readonly prompt: PromptSend;
   private isHeld = false;
 
   constructor(
@@ -37,6 +39,8 @@
     const route = target.route.name;
     this.awaited = {server, route, sentAt: this.sentAt, expectedMs};
     context.versions.recordSend(this.awaited);
+    const segments = target.service.engine ? listSharedSegments(request) : [];
+    this.prompt = context.crashes.recordSend(server, segments);
   }
 
   /**
@@ -47,6 +51,7 @@
     const {servers, metrics} = this.context;
     const {server} = this.reservation;
     metrics.recordAttempt(server.listing.registration.service, outcome.type);
+    if (outcome.type === 'answered') this.prompt.begunAt = performance.now();
     if (outcome.type === 'refused' && outcome.isMisdirected) {
       servers.markReplaced(server);
     }
@@ -55,14 +60,17 @@
       return;
     }
     const hasFailed = outcome.type === 'unsent' || outcome.type === 'lost';
-    if (hasFailed && !isAbandoned)
+    if (hasFailed && !isAbandoned) {
       servers.recordFailure(server, outcome.reason, outcome.type === 'unsent');
+      void this.context.crashes.checkServer(server);
+    }
     if (outcome.type === 'lost' && !isAbandoned) this.recordEvidence('lost');
   }
 
   /** Records that no answer of this send is awaited any more. */
   recordEnd(): void {
     this.context.versions.recordSendEnd(this.awaited);
+    this.context.crashes.recordEnd(this.prompt);
   }
 
   /** Records a send that was abandoned as an answer that took as long as it was awaited. */
@@ -114,10 +122,39 @@
     context.servers.recordSegments(reservation.server, keys);
   }
 
+  /** Formats the send with its outcome for the line of its request. */
+  formatOutcome(outcome: AttemptOutcome): string {
+    const {reservation, connection: usage, request} = this;
+    const {id, version} = reservation.server.listing.registration;
+    const {estimatedMs, load} = reservation;
+    const atMs = Math.round(performance.now() - request.arrivedAt);
+    const place = usage ? `#${usage.connection}.${usage.use}` : '';
+    return `${id}:${describeOutcome(outcome)}@${atMs}~${Math.round(estimatedMs)}+${load}${place}=${version}`;
+  }
+
+  /** Whether the answer to a prompt has not gone on for long enough to show that the prompt is sound. */
+  get isBeginning(): boolean {
+    return this.prompt.segments.length > 0 && !this.prompt.hasSurvived;
+  }
+
+  /** Records that bytes of an answer have arrived. */
+  recordBytes(): void {
+    this.context.crashes.recordProgress(this.prompt);
+  }
+
+  /** Records that an answer has arrived whole. */
+  recordComplete(answer: ServerAnswer): void {
+    if (answer.status !== 200 || !answer.isFramed) return;
+    this.context.crashes.recordSurvival(this.prompt);
+  }
+
   /** Records that an answer that had begun was interrupted. */
   recordInterruption(reason: string): void {
     this.recordEvidence('lost');
-    this.context.servers.recordFailure(this.reservation.server, reason);
+    const {servers, crashes} = this.context;
+    const {server} = this.reservation;
+    servers.recordFailure(server, reason);
+    void crashes.checkServer(server);
   }
 
   /**
--- a/packages/gateway/src/lib/ServerNotices.ts
+++ b/packages/gateway/src/lib/ServerNotices.ts
@@ -1,4 +1,8 @@
-import type {ServerRegistration} from '@sycamorehead/schema';
+import {
+  ServerRegistration,
+  buildIncarnationKey,
+  evictOldest,
+} from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 
 /** What a backend server says of itself in the head of an answer. @public */
@@ -46,14 +50,15 @@
 
   /** Records a notice of a server; returns whether anything has changed. */
   record(server: Incarnation, {isLeaving, holdMs}: ServerNotice): boolean {
-    const isNew = isLeaving && this.markLeaving(buildKey(server), true);
+    const isNew =
+      isLeaving && this.markLeaving(buildIncarnationKey(server), true);
     if (holdMs !== undefined) this.startHold(server, holdMs);
     return isNew || holdMs !== undefined;
   }
 
   /** Records that a server has answered, so that its hold is over. */
   recordAnswer(server: Incarnation): void {
-    const state = this.states.get(buildKey(server));
+    const state = this.states.get(buildIncarnationKey(server));
     if (!state || state.heldUntil > performance.now()) return;
     state.isReturning = false;
   }
@@ -67,18 +72,20 @@
 
   /** Returns whether a server leaves. */
   isLeaving(server: Incarnation): boolean {
-    return this.states.get(buildKey(server))?.leavingAt !== undefined;
+    return (
+      this.states.get(buildIncarnationKey(server))?.leavingAt !== undefined
+    );
   }
 
   /** Returns how long a server still wants no requests, in milliseconds; 0 if it accepts them. */
   getHoldMs(server: Incarnation): number {
-    const state = this.states.get(buildKey(server));
+    const state = this.states.get(buildIncarnationKey(server));
     return Math.max(0, (state?.heldUntil ?? 0) - performance.now());
   }
 
   /** Returns whether a server has not answered since its hold; it gets one request at a time. */
   isReturning(server: Incarnation): boolean {
-    return this.states.get(buildKey(server))?.isReturning ?? false;
+    return this.states.get(buildIncarnationKey(server))?.isReturning ?? false;
   }
 
   /** Lists the incarnations that recently told this entry that they leave. */
@@ -102,7 +109,7 @@
   }
 
   private startHold(server: Incarnation, holdMs: number): void {
-    const key = buildKey(server);
+    const key = buildIncarnationKey(server);
     const state = this.getState(key);
     const spreadMs = holdMs * MAX_HOLD_SPREAD * Math.random();
     const until = performance.now() + holdMs + spreadMs;
@@ -125,14 +132,7 @@
       isReturning: false,
     };
     this.states.set(key, state);
-    if (this.states.size > MAX_INCARNATIONS) {
-      const [oldest] = this.states.keys();
-      if (oldest !== undefined) this.states.delete(oldest);
-    }
+    evictOldest(this.states, MAX_INCARNATIONS);
     return state;
   }
 }
-
-function buildKey({id, startedAtMs}: Incarnation): string {
-  return `${id} ${startedAtMs}`;
-}
--- a/packages/gateway/src/lib/gatewayTypes.ts
+++ b/packages/gateway/src/lib/gatewayTypes.ts
@@ -6,11 +6,13 @@
   PrefillRates,
 } from '@sycamorehead/routing';
 import type {AnswerTimes} from './AnswerTimes.js';
+import type {CrashObserver} from './CrashObserver.js';
 import type {GatewayMetrics} from './GatewayMetrics.js';
 import type {HeaderNames} from './headerNames.js';
 import type {Placement} from './Placement.js';
 import type {RetryBudgets} from './RetryBudgets.js';
 import type {RouteTable} from './RouteTable.js';
+import type {SegmentQuarantine} from './SegmentQuarantine.js';
 import type {ServerTable} from './ServerTable.js';
 import type {StartupGate} from './StartupGate.js';
 import type {VersionSplit} from './VersionSplit.js';
@@ -37,6 +39,8 @@
   readonly values: AnswerValues;
   readonly metrics: GatewayMetrics;
   readonly startup: StartupGate;
+  readonly crashes: CrashObserver;
+  readonly quarantine: SegmentQuarantine;
   /** The routes in force here, or undefined before the first configuration. */
   getRoutes(): RouteTable | undefined;
 }
--- a/packages/gateway/src/lib/refusals.ts
+++ b/packages/gateway/src/lib/refusals.ts
@@ -77,6 +77,25 @@
   return buildRefusal(message, false);
 }
 
+/**
+ * Builds the error of a request whose prompt has segments in quarantine. A caller who returns soon
+ * would be refused again, so the retry delay is long.
+ *
+ * @example
+ * ```ts
+ * buildQuarantineRefusal(['5c1e07a2'], false).ran; // 'no'
+ * ```
+ * @public
+ */
+export function buildQuarantineRefusal(
+  segments: readonly string[],
+  mayHaveRun: boolean,
+): SycamoreheadError {
+  const message = `in quarantine: prompt segments ${segments.join(',')}`;
+  if (mayHaveRun) return new SycamoreheadError('outcome_unknown', message);
+  return new SycamoreheadError('segment_quarantined', message);
+}
+
 /**
  * Replaces a refusal that would wrongly report the request as not run, and spreads the retries of
  * refused callers.
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -56,6 +56,8 @@
   readonly message: IncomingMessage;
   /** The confidence of a model in its answer, 0 to 100. */
   readonly confidence: number | undefined;
+  /** Whether the end of the body is marked; otherwise the end of the connection is its end. */
+  readonly isFramed: boolean;
   /** Returns whether the body has arrived completely; called once it has ended. */
   isComplete(): boolean;
   /**
@@ -284,6 +286,9 @@
     answer: {
       status,
       message,
+      isFramed:
+        headers['content-length'] !== undefined ||
+        headers['transfer-encoding'] !== undefined,
       confidence: Number.isFinite(confidence) ? confidence : undefined,
       // The server may end an answer without a length because it was cancelled.
       isComplete: () => message.complete && !wasReset() && !isCancelled(),
--- /dev/null
+++ b/packages/gateway/src/test/CrashControls.ts
@@ -0,0 +1,94 @@
+import {
+  CrashPool,
+  ExchangeReply,
+  ExchangeRequest,
+  LoadExchange,
+  QuarantineState,
+} from '@sycamorehead/fleet';
+
+/** Time between two rounds of digests and verdicts, in milliseconds. */
+const ROUND_MS = 100;
+
+/** One control instance of a CrashControls. */
+interface Control {
+  readonly load: LoadExchange;
+  readonly pool: CrashPool;
+}
+
+/**
+ * Control instances that exchange digests in memory. The first one stands for the leader: what its pool
+ * convicts is in quarantine everywhere a round later.
+ */
+export class CrashControls {
+  private readonly controls: Control[];
+  private quarantine: QuarantineState = {
+    revision: 0,
+    combinations: [],
+  };
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    count: number,
+    /** Returns whether a message is lost. */
+    private readonly isLost: () => boolean,
+    private readonly onQuarantine: (state: QuarantineState) => void,
+  ) {
+    this.controls = Array.from({length: count}, (_, index) => ({
+      load: new LoadExchange(`c${index}`, () => count),
+      pool: new CrashPool(() => this.quarantine.combinations),
+    }));
+  }
+
+  start(): void {
+    this.timer = setInterval(() => this.runRound(), ROUND_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  /** The prompt segments in quarantine. */
+  get state(): QuarantineState {
+    return this.quarantine;
+  }
+
+  /** Answers an entry's report; the request or the reply may be lost. */
+  async exchange(
+    index: number,
+    request: ExchangeRequest,
+  ): Promise<ExchangeReply> {
+    const control = this.controls[index % this.controls.length];
+    if (!control || this.isLost()) throw new Error('request lost');
+    const reply = {
+      ...control.load.exchange(request),
+      suspects: control.pool.exchange(request),
+    };
+    if (this.isLost()) throw new Error('reply lost');
+    return Promise.resolve(reply);
+  }
+
+  private runRound(): void {
+    for (const sender of this.controls) {
+      const digest = {
+        ...sender.load.describeDigest(),
+        ...sender.pool.describeDigest(),
+      };
+      for (const receiver of this.controls) {
+        if (receiver === sender || this.isLost()) continue;
+        receiver.load.acceptDigest(digest);
+        receiver.pool.acceptDigest(digest);
+      }
+    }
+    const convicted = this.controls[0]?.pool.listConvicted() ?? [];
+    if (convicted.length === 0) return;
+    const {revision, combinations} = this.quarantine;
+    this.quarantine = {
+      revision: revision + 1,
+      combinations: [
+        ...combinations,
+        ...convicted.map(({segments}) => segments),
+      ],
+    };
+    this.onQuarantine(this.quarantine);
+  }
+}
--- a/packages/gateway/src/test/CrashFleet.ts
+++ b/packages/gateway/src/test/CrashFleet.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ServerListing} from '@sycamorehead/fleet';
+import {CrashControls} from './CrashControls.js';
 import {CrashingServer} from './CrashingServer.js';
 import type {ReceivedRequest} from './FakeServer.js';
 import {
@@ -15,6 +16,9 @@
 /** The segment under which servers crash. */
 export const CRASHING_SEGMENT = 'bad1';
 
+/** Time between two exchanges of an entry, in milliseconds. */
+const EXCHANGE_MS = 100;
+
 /** One request of a caller, and what became of it. */
 export interface CallerResult {
   readonly hasCrashingSegment: boolean;
@@ -27,6 +31,9 @@
 export interface CrashFleetOptions {
   readonly entries: number;
   readonly servers: number;
+  readonly controls?: number;
+  /** Probability with which a message between our own processes is lost. */
+  readonly lossRate?: number;
 }
 
 /** Several entries in front of engines that crash under one prompt segment. */
@@ -37,11 +44,25 @@
   /** When a request with the crashing segment has reached a server, on the monotonic clock. */
   readonly crashingArrivals: number[] = [];
   readonly entries: GatewayHarness[];
+  readonly controls: CrashControls;
+  private exchangeTimer: NodeJS.Timeout | undefined;
   private readonly servers: CrashingServer[];
   private readonly listings = new Map<string, ServerListing>();
   private requestCount = 0;
 
-  constructor({entries, servers}: CrashFleetOptions) {
+  constructor({
+    entries,
+    servers,
+    controls = 3,
+    lossRate = 0,
+  }: CrashFleetOptions) {
+    this.controls = new CrashControls(
+      controls,
+      () => Math.random() < lossRate,
+      state => {
+        for (const entry of this.entries) entry.quarantine.update(state);
+      },
+    );
     this.entries = Array.from({length: entries}, () => new GatewayHarness());
     this.servers = Array.from(
       {length: servers},
@@ -80,16 +101,31 @@
         entry.start(configuration, [...this.listings.values()]),
       ),
     );
+    const reporters = this.entries.map((entry, index) =>
+      entry.buildReporter(`e${index}`, request =>
+        this.controls.exchange(index, request),
+      ),
+    );
+    this.controls.start();
+    this.exchangeTimer = setInterval(() => {
+      for (const reporter of reporters) {
+        reporter.exchangeReports().catch(() => {
+          // The message was lost; the next exchange repeats what it said.
+        });
+      }
+    }, EXCHANGE_MS);
   }
 
   async stop(): Promise<void> {
+    clearInterval(this.exchangeTimer);
+    this.controls.stop();
     await Promise.all(this.entries.map(entry => entry.stop()));
     await Promise.all(this.servers.map(server => server.stop()));
   }
 
-  /** Ends the process of a server that has received nothing that it should crash under. */
-  crashServer(index: number): void {
-    void this.servers[index]?.crash();
+  /** Crashes a server, whatever it works on. */
+  stopServer(index: number): void {
+    void this.servers[index]?.restart();
   }
 
   /** Sends requests to the entries in turn, each `intervalMs`, until `durationMs` have passed. */
--- a/packages/gateway/src/test/CrashingServer.ts
+++ b/packages/gateway/src/test/CrashingServer.ts
@@ -57,8 +57,8 @@
     );
   }
 
-  /** Ends the process of the server for a while, whatever it works on. */
-  async crash(): Promise<void> {
+  /** Crashes the server, whatever it works on, and starts it again after a while. */
+  async restart(): Promise<void> {
     const {server} = this;
     if (!server) return;
     this.server = undefined;
@@ -83,7 +83,7 @@
     socket.write(formatStreamHead(request));
     if (request.headers.get('x-prefix')?.includes(`${this.segment}:`)) {
       await sleep(CRASH_MS);
-      if (this.server === server) await this.crash();
+      if (this.server === server) await this.restart();
       return;
     }
     for (let id = 1; id <= EVENTS; id += 1) {
--- a/packages/gateway/src/test/GatewayHarness.ts
+++ b/packages/gateway/src/test/GatewayHarness.ts
@@ -1,21 +1,28 @@
 import {Socket, connect} from 'node:net';
 import {once} from 'node:events';
 import type {RouteConfiguration, RouteDeclaration} from '@sycamorehead/schema';
-import type {ServerListing} from '@sycamorehead/fleet';
+import type {
+  ExchangeReply,
+  ExchangeRequest,
+  ServerListing,
+} from '@sycamorehead/fleet';
 import {
   AnswerValues,
   ConfidenceGains,
   PrefillRates,
 } from '@sycamorehead/routing';
 import {AnswerTimes} from '../lib/AnswerTimes.js';
+import {CrashObserver} from '../lib/CrashObserver.js';
 import {ForwardedRequest} from '../lib/ForwardedRequest.js';
 import {GatewayMetrics} from '../lib/GatewayMetrics.js';
 import {GatewayServer} from '../lib/GatewayServer.js';
 import type {ForwardContext} from '../lib/gatewayTypes.js';
 import type {HeaderNames} from '../lib/headerNames.js';
+import {LoadReporter} from '../lib/LoadReporter.js';
 import {Placement} from '../lib/Placement.js';
 import {RetryBudgets} from '../lib/RetryBudgets.js';
 import {RouteTable} from '../lib/RouteTable.js';
+import {SegmentQuarantine} from '../lib/SegmentQuarantine.js';
 import {ServerTable} from '../lib/ServerTable.js';
 import {StartupGate} from '../lib/StartupGate.js';
 import {VersionSplit} from '../lib/VersionSplit.js';
@@ -86,6 +93,10 @@
 export class GatewayHarness {
   readonly servers = new ServerTable();
   readonly versions = new VersionSplit(5_000);
+  readonly crashes = new CrashObserver();
+  readonly quarantine = new SegmentQuarantine();
+  private readonly rates = new PrefillRates();
+  private readonly budgets: RetryBudgets;
   private readonly server: GatewayServer;
   private readonly placement: Placement;
   private readonly startup = new StartupGate();
@@ -94,16 +105,20 @@
 
   constructor(private readonly budgetRatio = 1) {
     const times = new AnswerTimes();
-    const rates = new PrefillRates();
     this.placement = new Placement({
       servers: this.servers,
       versions: this.versions,
-      rates,
+      rates: this.rates,
       times,
       policy: 'sampled',
       dataCentre: 'a',
       countEntries: () => 1,
     });
+    this.budgets = new RetryBudgets({
+      ratio: this.budgetRatio,
+      slack: this.budgetRatio * 20,
+      windowMs: 10_000,
+    });
     const context: ForwardContext = {
       names: TEST_NAMES,
       policies: {
@@ -114,17 +129,15 @@
       servers: this.servers,
       versions: this.versions,
       placement: this.placement,
-      budgets: new RetryBudgets({
-        ratio: this.budgetRatio,
-        slack: this.budgetRatio * 20,
-        windowMs: 10_000,
-      }),
+      budgets: this.budgets,
       times,
-      rates,
+      rates: this.rates,
       gains: new ConfidenceGains(),
       values: new AnswerValues(10),
       metrics: new GatewayMetrics(),
       startup: this.startup,
+      crashes: this.crashes,
+      quarantine: this.quarantine,
       getRoutes: () => this.routes,
     };
     this.server = new GatewayServer({
@@ -134,6 +147,23 @@
     });
   }
 
+  /** Builds a reporter that exchanges reports as the entry of that name. */
+  buildReporter(
+    entry: string,
+    exchange: (request: ExchangeRequest) => Promise<ExchangeReply>,
+  ): LoadReporter {
+    return new LoadReporter({
+      entry,
+      servers: this.servers,
+      versions: this.versions,
+      rates: this.rates,
+      crashes: this.crashes,
+      budgets: this.budgets,
+      placement: this.placement,
+      exchange,
+    });
+  }
+
   async start(
     configuration: RouteConfiguration,
     listings: readonly ServerListing[],
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -42,6 +42,12 @@
 export type {UsageReporterOptions} from './lib/UsageReporter.js';
 export {Router} from './lib/Router.js';
 export type {RouterOptions} from './lib/Router.js';
+export {findCrashSuspects} from './lib/forwarding/findCrashSuspects.js';
+export type {
+  CrashEvidence,
+  CrashObservation,
+  CrashSuspect,
+} from './lib/forwarding/findCrashSuspects.js';
 export {chooseModel, isWorthEscalating} from './lib/forwarding/chooseModel.js';
 export {AnswerValues} from './lib/forwarding/AnswerValues.js';
 export type {RequestSize} from './lib/forwarding/AnswerValues.js';
--- /dev/null
+++ b/packages/routing/src/lib/forwarding/findCrashSuspects.ts
@@ -0,0 +1,149 @@
+/**
+ * Crashes within this time of each other count once, in milliseconds: servers that are lost together
+ * are more likely to have their rack or their network in common than a prompt.
+ */
+const EVENT_MS = 100;
+/**
+ * Time for which an answer shows that the segments of its prompt are sound, in milliseconds. Crashes
+ * that follow within this time do not count against them.
+ */
+const SURVIVAL_MS = 10_000;
+/** Crashes from which a segment is a suspect, so that evidence for it is asked of all entries. */
+const SUSPECT_CRASHES = 2;
+/** Crashes that convict suspects if no others have as many. */
+const CLEAR_CRASHES = 3;
+/** Crashes that convict suspects of different crashes at the same time. */
+const TIED_CRASHES = 4;
+
+/** A backend server that crashed, and the prompt segments it may have crashed under. @public */
+export interface CrashObservation {
+  /** When the crash was first observed, on the monotonic clock, in milliseconds. */
+  readonly at: number;
+  /** Shared segments of the prompts that the server had just begun to answer, or had yet to. */
+  readonly segments: ReadonlySet<string>;
+}
+
+/** What is known for and against the segments of prompts. @public */
+export interface CrashEvidence {
+  readonly crashes: readonly CrashObservation[];
+  /**
+   * Combinations of segments that already are in quarantine; crashes under all segments of one count
+   * against no others.
+   */
+  readonly quarantined: ReadonlyArray<readonly string[]>;
+  /** When an answer to a prompt with the segment was last completed, on the monotonic clock. */
+  getSurvivalAt(segment: string): number | undefined;
+}
+
+/** Prompt segments under which servers crashed and no answer was completed. @public */
+export interface CrashSuspect {
+  /**
+   * Segments that were in progress at the same crashes, in order. Any of them may be the cause, so
+   * only prompts with all of them are suspect.
+   */
+  readonly segments: readonly string[];
+  /** Crashes that count against them. */
+  readonly crashes: number;
+  /** Whether the crashes suffice to convict them. */
+  readonly isConvicted: boolean;
+}
+
+interface Tally {
+  /** Crashes that count against a segment. */
+  readonly counted: Set<CrashObservation>;
+  /** Those that are apart in time. */
+  events: number;
+  lastAt: number;
+}
+
+/** Segments with the same crashes. */
+interface Group {
+  readonly tally: Tally;
+  readonly segments: string[];
+}
+
+/**
+ * Finds the prompt segments under which backend servers crash: those in progress at several crashes,
+ * with no answer that acquits them. A segment that is in many prompts is in progress at most crashes,
+ * but is also answered.
+ *
+ * @example
+ * ```ts
+ * const [worst] = findCrashSuspects(evidence);
+ * if (worst?.isConvicted) quarantine(worst.segments);
+ * ```
+ * @public
+ */
+export function findCrashSuspects(evidence: CrashEvidence): CrashSuspect[] {
+  const groups = groupByCrashes(countCrashes(evidence)).sort(compareGroups);
+  const [first, second] = groups;
+  const isTied = first && second && compareGroups(first, second) === 0;
+  const required = isTied ? TIED_CRASHES : CLEAR_CRASHES;
+  return groups.map(group => ({
+    segments: [...group.segments].sort(),
+    crashes: group.tally.events,
+    // Crashes of the others may have the same cause; they are judged once it is in quarantine.
+    isConvicted:
+      first !== undefined &&
+      compareGroups(first, group) === 0 &&
+      group.tally.events >= required,
+  }));
+}
+
+/** Sorts the groups with the most crashes first. */
+function compareGroups({tally: one}: Group, {tally: other}: Group): number {
+  return other.events - one.events || other.counted.size - one.counted.size;
+}
+
+function countCrashes(evidence: CrashEvidence): Map<string, Tally> {
+  const tallies = new Map<string, Tally>();
+  const crashes = [...evidence.crashes].sort((one, other) => one.at - other.at);
+  for (const crash of crashes) {
+    const explained = evidence.quarantined.filter(combination =>
+      combination.every(segment => crash.segments.has(segment)),
+    );
+    for (const segment of crash.segments) {
+      const survivedAt = evidence.getSurvivalAt(segment) ?? -Infinity;
+      const isExplained = explained.some(
+        combination =>
+          combination.length === 1 || !combination.includes(segment),
+      );
+      if (isExplained || crash.at <= survivedAt + SURVIVAL_MS) continue;
+      countCrash(tallies, segment, crash);
+    }
+  }
+  return tallies;
+}
+
+function countCrash(
+  tallies: Map<string, Tally>,
+  segment: string,
+  crash: CrashObservation,
+): void {
+  const tally = tallies.get(segment) ?? {
+    counted: new Set<CrashObservation>(),
+    events: 0,
+    lastAt: -Infinity,
+  };
+  tallies.set(segment, tally);
+  tally.counted.add(crash);
+  if (crash.at - tally.lastAt < EVENT_MS) return;
+  tally.events += 1;
+  tally.lastAt = crash.at;
+}
+
+/** Groups the suspected segments that were in progress at the same crashes. */
+function groupByCrashes(tallies: ReadonlyMap<string, Tally>): Group[] {
+  const groups: Group[] = [];
+  for (const [segment, tally] of tallies) {
+    if (tally.events < SUSPECT_CRASHES) continue;
+    const group = groups.find(
+      ({tally: {counted}}) =>
+        counted.size === tally.counted.size &&
+        [...counted].every(crash => tally.counted.has(crash)),
+    );
+    if (group) group.segments.push(segment);
+    else groups.push({tally, segments: [segment]});
+  }
+  return groups;
+}
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -97,7 +97,11 @@
   RoutedService,
   WeightedService,
 } from './lib/routeConfiguration.js';
-export {isNewerRegistration} from './lib/serverRegistration.js';
+export {evictOldest} from './lib/evictOldest.js';
+export {
+  buildIncarnationKey,
+  isNewerRegistration,
+} from './lib/serverRegistration.js';
 export type {
   ServerRegistration,
   ServerState,
--- a/packages/schema/src/lib/errorKinds.ts
+++ b/packages/schema/src/lib/errorKinds.ts
@@ -57,6 +57,12 @@
     exitCode: 24,
   },
   overloaded: {status: 503, ran: 'no', retryAfterMs: 1_000, exitCode: 25},
+  segment_quarantined: {
+    status: 503,
+    ran: 'no',
+    retryAfterMs: 60_000,
+    exitCode: 38,
+  },
   rate_limited: {status: 429, ran: 'no', retryAfterMs: 1_000, exitCode: 26},
   deadline_exceeded: {status: 504, ran: 'unknown', exitCode: 27},
   backend_failed: {status: 502, ran: 'unknown', exitCode: 28},
--- a/packages/schema/src/lib/serverRegistration.ts
+++ b/packages/schema/src/lib/serverRegistration.ts
@@ -42,6 +42,22 @@
   return received.sequence > known.sequence;
 }
 
+/**
+ * Builds the key of one start of a server, by which the entries tell each other of it.
+ *
+ * @example
+ * ```ts
+ * buildIncarnationKey({id: 'i-1', startedAtMs: 17}); // 'i-1 17'
+ * ```
+ * @public
+ */
+export function buildIncarnationKey({
+  id,
+  startedAtMs,
+}: Pick<ServerRegistration, 'id' | 'startedAtMs'>): string {
+  return `${id} ${startedAtMs}`;
+}
+
 const STATE_RANKS: Readonly<Record<ServerState, number>> = {
   ready: 0,
   leaving: 1,
