--- a/packages/gateway/src/lib/CrashObserver.ts
+++ b/packages/gateway/src/lib/CrashObserver.ts
@@ -51,7 +51,7 @@
  * @public
  */
 export class CrashObserver {
-  private readonly sends = new Map<KnownServer, Set<PromptSend>>();
+  private readonly sends = new WeakMap<KnownServer, Set<PromptSend>>();
   /** Crashes by incarnation. */
   private readonly crashes = new Map<string, ObservedCrash>();
   private readonly checks = new Set<KnownServer>();
@@ -101,7 +101,6 @@
     for (const other of sends) {
       if (!isInProgress(other, send.endedAt)) sends.delete(other);
     }
-    if (sends.size === 0) this.sends.delete(send.server);
   }
 
   /**
