Tests of the verdict on prompt segments and of pooled crashes; digests pass on what acquits

An answer that one control instance knew did not reach the others: once it had acquitted the segment there, digests left it out.

--- a/packages/fleet/src/lib/CrashPool.ts
+++ b/packages/fleet/src/lib/CrashPool.ts
@@ -14,8 +14,8 @@
 const MAX_SEGMENTS = 128;
 /** Maximum number of segments whose survival is retained; the oldest are removed first. */
 const MAX_SURVIVALS = 2_000;
-/** Time for which each digest repeats a crash, in milliseconds. */
-const FRESH_MS = 5_000;
+/** Time for which each digest repeats a crash or a survival, in milliseconds. */
+const FRESH_MS = 15_000;
 /** Older crashes in one digest, in turn, so that an instance that has restarted learns all of them. */
 const REPEATED_CRASHES = 4;
 /**
@@ -94,12 +94,10 @@
       this.repeatIndex + REPEATED_CRASHES,
     );
     this.repeatIndex += REPEATED_CRASHES;
+    // Segments that an answer has acquitted are no suspects here any more, but may be elsewhere.
     const survivals: Record<string, number> = {};
-    for (const segment of this.listSuspects().flatMap(
-      ({segments}) => segments,
-    )) {
-      const at = this.survivals.get(segment);
-      if (at !== undefined) survivals[segment] = Math.round(now - at);
+    for (const [segment, at] of this.survivals) {
+      if (now - at < FRESH_MS) survivals[segment] = Math.round(now - at);
     }
     return {
       crashes: [...fresh, ...repeated].map(([incarnation, {at, segments}]) => ({
--- /dev/null
+++ b/packages/routing/src/test/findCrashSuspects.test.ts
@@ -0,0 +1,93 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  CrashEvidence,
+  CrashObservation,
+  findCrashSuspects,
+} from '../lib/forwarding/findCrashSuspects.js';
+
+function buildCrash(at: number, ...segments: string[]): CrashObservation {
+  return {at, segments: new Set(segments)};
+}
+
+function listConvicted(
+  crashes: CrashObservation[],
+  overrides: {
+    quarantined?: CrashEvidence['quarantined'];
+    survivals?: Readonly<Record<string, number>>;
+  } = {},
+): string[] {
+  const {quarantined = [], survivals = {}} = overrides;
+  return findCrashSuspects({
+    crashes,
+    quarantined,
+    getSurvivalAt: segment => survivals[segment],
+  })
+    .filter(({isConvicted}) => isConvicted)
+    .map(({segments}) => segments.join(','));
+}
+
+test('three crashes convict a segment that was never answered', () => {
+  const crashes = [
+    buildCrash(1_000, 'bad', 'a'),
+    buildCrash(2_000, 'b', 'bad'),
+    buildCrash(3_000, 'bad', 'c'),
+  ];
+  assert.deepEqual(listConvicted(crashes.slice(0, 2)), []);
+  assert.deepEqual(listConvicted(crashes), ['bad']);
+});
+
+test('a common segment that is in progress at every crash is acquitted by any answer', () => {
+  const crashes = Array.from({length: 9}, (_, index) =>
+    buildCrash(1_000 * index, 'common', ...(index > 5 ? ['bad'] : [])),
+  );
+  const survivals = {common: 8_900};
+  assert.deepEqual(listConvicted(crashes, {survivals}), ['bad']);
+});
+
+test('an answer shortly before the crashes acquits, a long time before them it does not', () => {
+  const crashes = [31_000, 32_000, 33_000].map(at => buildCrash(at, 'turned'));
+  assert.deepEqual(listConvicted(crashes, {survivals: {turned: 25_000}}), []);
+  assert.deepEqual(listConvicted(crashes, {survivals: {turned: 15_000}}), [
+    'turned',
+  ]);
+});
+
+test('servers that are lost together count once', () => {
+  const crashes = Array.from({length: 20}, (_, index) =>
+    buildCrash(1_000 + index * 4, 'hot'),
+  );
+  assert.deepEqual(listConvicted(crashes), []);
+});
+
+test('crashes under a segment in quarantine count against no other', () => {
+  const crashes = [1_000, 2_000, 3_000, 4_000].map(at =>
+    buildCrash(at, 'bad', 'rare'),
+  );
+  assert.deepEqual(listConvicted(crashes, {quarantined: [['bad']]}), []);
+});
+
+test('segments with the same crashes are convicted together, and apart once they differ', () => {
+  const crashes = [1_000, 2_000, 3_000].map(at =>
+    buildCrash(at, 'bad', 'companion'),
+  );
+  assert.deepEqual(listConvicted(crashes), ['bad,companion']);
+  const quarantined = [['bad', 'companion']];
+  crashes.push(buildCrash(4_000, 'bad', 'other'));
+  assert.deepEqual(listConvicted(crashes, {quarantined}), ['bad']);
+});
+
+test('a segment with fewer crashes than another is judged after it', () => {
+  const crashes = [1_000, 2_000, 3_000, 4_000, 5_000].map(at =>
+    buildCrash(at, 'bad', ...(at > 1_000 ? ['rare'] : [])),
+  );
+  assert.deepEqual(listConvicted(crashes), ['bad']);
+});
+
+test('two segments that crash servers in turn are both convicted', () => {
+  const crashes = Array.from({length: 8}, (_, index) =>
+    buildCrash(1_000 * index, index % 2 === 0 ? 'bad1' : 'bad2'),
+  );
+  assert.deepEqual(listConvicted(crashes.slice(0, 6)), []);
+  assert.deepEqual(listConvicted(crashes), ['bad1', 'bad2']);
+});
