--- /dev/null
+++ b/packages/gateway/src/test/crashObserver.test.ts
@@ -0,0 +1,231 @@
+import assert from 'node:assert/strict';
+import type {Socket} from 'node:net';
+import {afterEach, test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {CrashReport} from '@sycamorehead/fleet';
+import {
+  FakeServer,
+  LAST_CHUNK,
+  ServerScript,
+  formatChunk,
+  formatEvent,
+  formatStreamHead,
+} from './FakeServer.js';
+import {
+  GatewayHarness,
+  buildConfiguration,
+  buildRoute,
+  formatRequest,
+} from './GatewayHarness.js';
+import {startServer, stopStarted, track} from './startGateway.js';
+
+afterEach(stopStarted);
+
+const PREFIX = 'X-Prefix: common:500,part:100,own1:10';
+const ENGINE_CONFIGURATION = buildConfiguration(
+  [
+    buildRoute({
+      kind: 'streaming',
+      isResumable: true,
+      maxAttempts: 1,
+      targetLatencyMs: 3_000,
+      timeoutMs: 6_000,
+    }),
+  ],
+  {
+    services: [
+      {
+        name: 'drafts',
+        healthPath: '/',
+        maxConnections: 50,
+        engine: {slots: 8, tokenCapacity: 100_000, models: []},
+      },
+    ],
+  },
+);
+
+async function startEngineGateway(
+  ...servers: FakeServer[]
+): Promise<GatewayHarness> {
+  const gateway = track(new GatewayHarness());
+  await gateway.start(
+    ENGINE_CONFIGURATION,
+    servers.map(server => server.describe()),
+  );
+  return gateway;
+}
+
+function listSegments(gateway: GatewayHarness): string[] {
+  return gateway.crashes
+    .listCrashes()
+    .flatMap(({segments}: CrashReport) => [...segments])
+    .sort();
+}
+
+/** Ends a server's process: nothing listens any more, and its connections are reset. */
+function endProcess(server: FakeServer, socket: Socket): void {
+  void server.refuseConnections();
+  socket.resetAndDestroy();
+}
+
+const sendHead: ServerScript = (request, socket) => {
+  socket.write(formatStreamHead(request));
+};
+
+test('a crash makes suspects of the shared segments in progress, not of the last one', async () => {
+  const server = await startServer('s1', (request, socket) => {
+    sendHead(request, socket);
+    setTimeout(() => endProcess(server, socket), 30);
+  });
+  const gateway = await startEngineGateway(server);
+  await gateway.exchange(formatRequest({headers: [PREFIX]}));
+  await sleep(50);
+  assert.deepEqual(listSegments(gateway), ['common', 'part']);
+});
+
+test('a crash before the head of the answer makes suspects, too', async () => {
+  const server = await startServer('s1', (request, socket) => {
+    endProcess(server, socket);
+  });
+  const gateway = await startEngineGateway(server);
+  await gateway.exchange(formatRequest({headers: [PREFIX]}));
+  await sleep(50);
+  assert.deepEqual(listSegments(gateway), ['common', 'part']);
+});
+
+test('segments that were answered before are no suspects', async () => {
+  let isSound = true;
+  const server = await startServer('s1', (request, socket) => {
+    sendHead(request, socket);
+    if (isSound) socket.write(formatChunk(formatEvent(1)) + LAST_CHUNK);
+    else setTimeout(() => endProcess(server, socket), 30);
+    isSound = false;
+  });
+  const gateway = await startEngineGateway(server);
+  const sound = 'X-Prefix: common:500,other:70,own0:10';
+  await gateway.exchange(formatRequest({id: 'r0', headers: [sound]}));
+  await gateway.exchange(formatRequest({headers: [PREFIX]}));
+  await sleep(50);
+  assert.deepEqual(listSegments(gateway), ['part']);
+});
+
+/** Failures of a send that are no crash of its server. */
+const OTHER_FAILURES: Readonly<
+  Record<string, (server: FakeServer, socket: Socket) => void>
+> = {
+  'a connection that is reset': (server, socket) => socket.resetAndDestroy(),
+  'an answer that is cut short': (server, socket) => socket.end(),
+  'bytes that are no answer': (server, socket) =>
+    socket.write('spoilt\r\n\r\n'),
+};
+
+for (const [name, fail] of Object.entries(OTHER_FAILURES)) {
+  test(`${name} makes no suspects`, async () => {
+    const server = await startServer('s1', (request, socket) => {
+      sendHead(request, socket);
+      setTimeout(() => fail(server, socket), 30);
+    });
+    const gateway = await startEngineGateway(server);
+    await gateway.exchange(formatRequest({headers: [PREFIX]}), 1_000);
+    await sleep(50);
+    assert.deepEqual(listSegments(gateway), []);
+  });
+}
+
+test('a caller that hangs up makes no suspects', async () => {
+  const server = await startServer('s1', sendHead);
+  const gateway = await startEngineGateway(server);
+  const caller = await gateway.open();
+  caller.write(formatRequest({headers: [PREFIX]}));
+  await sleep(60);
+  caller.destroy();
+  await server.refuseConnections();
+  await sleep(60);
+  assert.deepEqual(listSegments(gateway), []);
+});
+
+test('a server that ends after it has said that it leaves makes no suspects', async () => {
+  const server = await startServer('s1', (request, socket) => {
+    sendHead(request, socket);
+    setTimeout(() => {
+      gateway.list([server.describe({state: 'leaving', sequence: 2})]);
+      endProcess(server, socket);
+    }, 30);
+  });
+  const gateway = await startEngineGateway(server);
+  await gateway.exchange(formatRequest({headers: [PREFIX]}));
+  await sleep(50);
+  assert.deepEqual(listSegments(gateway), []);
+});
+
+test('an answer that has gone on for a second acquits its prompt before the server crashes', async () => {
+  const server = await startServer('s1', (request, socket) => {
+    sendHead(request, socket);
+    let id = 0;
+    const timer = setInterval(() => {
+      id += 1;
+      socket.write(formatChunk(formatEvent(id)));
+      if (id < 7) return;
+      clearInterval(timer);
+      endProcess(server, socket);
+    }, 200);
+  });
+  const gateway = await startEngineGateway(server);
+  await gateway.exchange(formatRequest({headers: [PREFIX]}), 4_000);
+  await sleep(50);
+  assert.deepEqual(listSegments(gateway), []);
+  const survivals = gateway.crashes.listSurvivals(['common', 'part', 'own1']);
+  assert.deepEqual(Object.keys(survivals), ['common', 'part']);
+});
+
+test('an answer that ends with its connection acquits nothing, since a crash can end it so', async () => {
+  const server = await startServer('s1', (request, socket) => {
+    const head = formatStreamHead(request).replace(
+      'Transfer-Encoding: chunked\r\n',
+      '',
+    );
+    socket.end(head + formatEvent(1));
+  });
+  const gateway = await startEngineGateway(server);
+  const text = await gateway.exchange(formatRequest({headers: [PREFIX]}));
+  assert.match(text, /piece 1[^]*0\r\n\r\n$/);
+  assert.deepEqual(gateway.crashes.listSurvivals(['common', 'part']), {});
+});
+
+test('a prompt in quarantine is refused at once as not run, a part of it alone is not', async () => {
+  const server = await startServer('s1', (request, socket) => {
+    socket.write(
+      formatStreamHead(request) + formatChunk(formatEvent(1)) + LAST_CHUNK,
+    );
+  });
+  const gateway = await startEngineGateway(server);
+  const combinations = [['common', 'part']];
+  gateway.quarantine.update({revision: 2, combinations});
+  const refused = await gateway.exchange(formatRequest({headers: [PREFIX]}));
+  assert.match(refused, /^HTTP\/1\.1 503 [^]*Retry-After: 60\.000/);
+  assert.match(refused, /"kind":"segment_quarantined"[^]*"ran":"no"/);
+  const sound = 'X-Prefix: common:500,other:70,part:5';
+  const served = await gateway.exchange(
+    formatRequest({id: 'r2', headers: [sound]}),
+  );
+  assert.match(served, /^HTTP\/1\.1 200 /);
+  assert.equal(server.received.length, 1);
+  gateway.quarantine.update({revision: 1, combinations: []});
+  const later = await gateway.exchange(
+    formatRequest({id: 'r3', headers: [PREFIX]}),
+  );
+  assert.match(later, /^HTTP\/1\.1 503 /);
+});
+
+test('a request in progress whose prompt comes into quarantine is cancelled and not called unrun', async () => {
+  const server = await startServer('s1', () => {});
+  const gateway = await startEngineGateway(server);
+  const exchange = gateway.exchange(formatRequest({headers: [PREFIX]}));
+  await sleep(60);
+  assert.equal(server.received.length, 1);
+  gateway.quarantine.update({revision: 1, combinations: [['part']]});
+  const text = await exchange;
+  assert.match(text, /^HTTP\/1\.1 502 [^]*"ran":"unknown"/);
+  await sleep(20);
+  assert.equal(server.closed, 1);
+});
