An answer that is cut short is reset for a caller of HTTP/1.0

Callers of HTTP/1.0 get streams without chunks, whose end is that of the connection; a stream that broke off was closed in order and looked complete. The new tests cut answers without a length at every byte, by close, half-close and reset; all pass on the code before but this one.

--- a/packages/gateway/src/lib/CallerAnswer.ts
+++ b/packages/gateway/src/lib/CallerAnswer.ts
@@ -92,7 +92,7 @@
   fail(error: SycamoreheadError): void {
     if (this.disconnected.aborted) return;
     if (this.isBegun) {
-      this.response.destroy();
+      this.abortBody();
       return;
     }
     const {status} = getErrorResponse(error.kind);
@@ -111,6 +111,14 @@
     this.sendComplete(status, headers, body);
   }
 
+  private abortBody(): void {
+    const {response} = this;
+    const {socket} = response;
+    // A body without chunks ends with its connection, so a close in order would look complete.
+    if (response.chunkedEncoding || !socket) response.destroy();
+    else socket.resetAndDestroy();
+  }
+
   private recordWrite(): void {
     const now = performance.now();
     if (this.firstWriteAt !== undefined) {
