--- a/packages/gateway/src/test/CrashFleet.ts
+++ b/packages/gateway/src/test/CrashFleet.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ServerListing} from '@sycamorehead/fleet';
+import type {LoadReporter} from '../lib/LoadReporter.js';
 import {CrashControls} from './CrashControls.js';
 import {CrashingServer} from './CrashingServer.js';
 import type {ReceivedRequest} from './FakeServer.js';
@@ -34,8 +35,30 @@
   readonly controls?: number;
   /** Probability with which a message between our own processes is lost. */
   readonly lossRate?: number;
+  /** Time after which one of the entries is replaced by one without memory, in milliseconds. */
+  readonly restartMs?: number;
 }
 
+const CONFIGURATION = buildConfiguration(
+  [
+    buildRoute({
+      kind: 'streaming',
+      isResumable: true,
+      targetLatencyMs: 1_500,
+    }),
+  ],
+  {
+    services: [
+      {
+        name: 'drafts',
+        healthPath: '/',
+        maxConnections: 400,
+        engine: {slots: 64, tokenCapacity: 500_000, models: []},
+      },
+    ],
+  },
+);
+
 /** Several entries in front of engines that crash under one prompt segment. */
 export class CrashFleet {
   readonly results: CallerResult[] = [];
@@ -43,27 +66,25 @@
   readonly crashTimes: number[] = [];
   /** When a request with the crashing segment has reached a server, on the monotonic clock. */
   readonly crashingArrivals: number[] = [];
-  readonly entries: GatewayHarness[];
+  readonly entries: GatewayHarness[] = [];
   readonly controls: CrashControls;
-  private exchangeTimer: NodeJS.Timeout | undefined;
+  private readonly reporters: LoadReporter[] = [];
+  private readonly timers: NodeJS.Timeout[] = [];
+  private readonly replaced: GatewayHarness[] = [];
   private readonly servers: CrashingServer[];
   private readonly listings = new Map<string, ServerListing>();
   private requestCount = 0;
 
-  constructor({
-    entries,
-    servers,
-    controls = 3,
-    lossRate = 0,
-  }: CrashFleetOptions) {
+  constructor(private readonly options: CrashFleetOptions) {
+    const {servers, controls = 3, lossRate = 0} = options;
+    const random = createRandom();
     this.controls = new CrashControls(
       controls,
-      () => Math.random() < lossRate,
+      () => random() < lossRate,
       state => {
         for (const entry of this.entries) entry.quarantine.update(state);
       },
     );
-    this.entries = Array.from({length: entries}, () => new GatewayHarness());
     this.servers = Array.from(
       {length: servers},
       (_, index) =>
@@ -76,56 +97,41 @@
   }
 
   async start(): Promise<void> {
-    const configuration = buildConfiguration(
-      [
-        buildRoute({
-          kind: 'streaming',
-          isResumable: true,
-          targetLatencyMs: 1_500,
-        }),
-      ],
-      {
-        services: [
-          {
-            name: 'drafts',
-            healthPath: '/',
-            maxConnections: 400,
-            engine: {slots: 64, tokenCapacity: 500_000, models: []},
-          },
-        ],
-      },
-    );
     await Promise.all(this.servers.map(server => server.start()));
-    await Promise.all(
-      this.entries.map(entry =>
-        entry.start(configuration, [...this.listings.values()]),
-      ),
-    );
-    const reporters = this.entries.map((entry, index) =>
-      entry.buildReporter(`e${index}`, request =>
-        this.controls.exchange(index, request),
-      ),
-    );
+    for (let index = 0; index < this.options.entries; index += 1) {
+      await this.addEntry();
+    }
     this.controls.start();
-    this.exchangeTimer = setInterval(() => {
-      for (const reporter of reporters) {
-        reporter.exchangeReports().catch(() => {
-          // The message was lost; the next exchange repeats what it said.
-        });
-      }
-    }, EXCHANGE_MS);
+    this.startTimer(EXCHANGE_MS, () => this.exchangeReports());
+    const {restartMs} = this.options;
+    if (restartMs) this.startTimer(restartMs, () => void this.addEntry(0));
+  }
+
+  /** Starts an entry, in place of another one if an index is given, and returns it. */
+  async addEntry(index = this.entries.length): Promise<GatewayHarness> {
+    const entry = new GatewayHarness();
+    await entry.start(CONFIGURATION, [...this.listings.values()]);
+    entry.quarantine.update(this.controls.state);
+    const known = this.entries[index];
+    if (known) this.replaced.push(known);
+    this.entries[index] = entry;
+    this.reporters[index] = entry.buildReporter(`e${index}`, request =>
+      this.controls.exchange(index, request),
+    );
+    return entry;
   }
 
   async stop(): Promise<void> {
-    clearInterval(this.exchangeTimer);
+    for (const timer of this.timers) clearInterval(timer);
     this.controls.stop();
-    await Promise.all(this.entries.map(entry => entry.stop()));
+    const entries = [...this.entries, ...this.replaced];
+    await Promise.all(entries.map(entry => entry.stop()));
     await Promise.all(this.servers.map(server => server.stop()));
   }
 
   /** Crashes a server, whatever it works on. */
-  stopServer(index: number): void {
-    void this.servers[index]?.restart();
+  restartServer(index: number): void {
+    void this.servers[index % this.servers.length]?.restart();
   }
 
   /** Sends requests to the entries in turn, each `intervalMs`, until `durationMs` have passed. */
@@ -185,6 +191,18 @@
     return whole.length / sound.length;
   }
 
+  private startTimer(intervalMs: number, run: () => void): void {
+    this.timers.push(setInterval(run, intervalMs));
+  }
+
+  private exchangeReports(): void {
+    for (const reporter of this.reporters) {
+      reporter.exchangeReports().catch(() => {
+        // The message was lost; the next exchange repeats what it said.
+      });
+    }
+  }
+
   private recordArrival({headers}: ReceivedRequest): void {
     if (!headers.get('x-prefix')?.includes(`${CRASHING_SEGMENT}:`)) return;
     this.crashingArrivals.push(performance.now());
@@ -195,3 +213,12 @@
     for (const entry of this.entries) entry.list([listing]);
   }
 }
+
+/** Creates a deterministic random generator with values from 0 to 1. */
+function createRandom(): () => number {
+  let state = 1;
+  return () => {
+    state = (state * 1_103_515_245 + 12_345) % 2_147_483_648;
+    return state / 2_147_483_648;
+  };
+}
--- a/packages/gateway/src/test/promptSegmentCrashes.test.ts
+++ b/packages/gateway/src/test/promptSegmentCrashes.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {afterEach, test} from 'node:test';
-import {CrashFleet} from './CrashFleet.js';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {CRASHING_SEGMENT, CrashFleet, CrashFleetOptions} from './CrashFleet.js';
 import {stopStarted, track} from './startGateway.js';
 
 afterEach(stopStarted);
@@ -12,18 +13,75 @@
 /** Requests with the segment that may still reach servers after that time. */
 const MAX_ARRIVALS = 3;
 
-for (const entries of [1, 4]) {
-  test(`a prompt segment that crashes servers is no longer sent to them, ${entries} entries`, async () => {
-    const fleet = track(new CrashFleet({entries, servers: 6}));
+/** Fleets, by what is special about them. */
+const FLEETS: Readonly<Record<string, CrashFleetOptions>> = {
+  'one entry': {entries: 1, servers: 6},
+  'four entries': {entries: 4, servers: 6},
+  'four entries that lose a third of their messages': {
+    entries: 4,
+    servers: 6,
+    lossRate: 0.33,
+  },
+  'an entry that restarts all the time': {
+    entries: 4,
+    servers: 6,
+    restartMs: 400,
+  },
+};
+
+for (const [name, options] of Object.entries(FLEETS)) {
+  test(`a prompt segment that crashes servers is no longer sent to them, ${name}`, async () => {
+    const fleet = track(new CrashFleet(options));
     await fleet.start();
     await Promise.all([
       fleet.sendRequests(false, 25, 8_000),
-      fleet.sendRequests(true, 150, 8_000),
+      fleet.sendRequests(true, 160, 8_000),
     ]);
     const fifth = fleet.crashTimes[CRASHES - 1] ?? Infinity;
     const arrivals = fleet.countCrashingArrivals(fifth + TOUCH_MS);
     assert.ok(arrivals <= MAX_ARRIVALS, `${arrivals} arrivals`);
     const share = fleet.measureSoundShare(fifth + 2 * TOUCH_MS);
     assert.ok(share >= 0.95, `share ${share}`);
+    const {combinations} = fleet.controls.state;
+    assert.deepEqual(combinations.at(-1), [CRASHING_SEGMENT]);
+    // Segments that were only ever in progress together with it may be named with it first.
+    assert.ok(combinations.every(ids => ids.includes(CRASHING_SEGMENT)));
   });
 }
+
+test('servers that crash at random put no prompt segment into quarantine', async () => {
+  const fleet = track(new CrashFleet({entries: 4, servers: 6}));
+  await fleet.start();
+  const traffic = fleet.sendRequests(false, 10, 6_000);
+  for (let index = 0; index < 14; index += 1) {
+    await sleep(400);
+    fleet.restartServer(index);
+    if (index % 4 === 0) fleet.restartServer(index + 1);
+  }
+  await traffic;
+  assert.ok(fleet.crashTimes.length >= 14, `${fleet.crashTimes.length}`);
+  assert.deepEqual(fleet.controls.state.combinations, []);
+  const share = fleet.measureSoundShare(0);
+  assert.ok(share >= 0.95, `share ${share}`);
+});
+
+test('an entry that joins later refuses the segment without a crash', async () => {
+  const fleet = track(new CrashFleet({entries: 3, servers: 6}));
+  await fleet.start();
+  await Promise.all([
+    fleet.sendRequests(false, 40, 3_000),
+    fleet.sendRequests(true, 160, 3_000),
+  ]);
+  const crashes = fleet.crashTimes.length;
+  const entry = await fleet.addEntry();
+  for (let count = 0; count < 5; count += 1) {
+    await fleet.sendRequest(true, entry);
+    await fleet.sendRequest(false, entry);
+  }
+  assert.equal(fleet.crashTimes.length, crashes);
+  const statuses = fleet.results.slice(-10).map(({status}) => status);
+  assert.deepEqual(
+    statuses,
+    Array.from({length: 10}, (_, index) => (index % 2 === 0 ? 503 : 200)),
+  );
+});
