--- a/apps/syc/src/fleetCommand.ts
+++ b/apps/syc/src/fleetCommand.ts
@@ -9,22 +9,24 @@
   string,
 } from 'cmd-ts';
 import {FLEET_METHODS, FleetDescription} from '@sycamorehead/fleet';
-import {readSecret, runCommand} from '@sycamorehead/telemetry';
-import {connectPeer, parsePeerAddress} from '@sycamorehead/wire';
+import {runCommand} from '@sycamorehead/telemetry';
 import {FleetViewName, formatFleetView} from './formatFleetView.js';
+import {requestFleet} from './requestFleet.js';
 
-const VIEWS = ['routes', 'servers', 'rollouts', 'members'] as const;
-/** Peer name under which this tool connects; control instances log it. */
-const TOOL_NAME = 'syc';
-/** Timeout for reading the fleet's description, in milliseconds; short because a person waits. */
-const DESCRIBE_TIMEOUT_MS = 3_000;
+const VIEWS = [
+  'routes',
+  'servers',
+  'rollouts',
+  'members',
+  'quarantine',
+] as const;
 
 /** Builds `syc fleet`, which prints the state of a fleet with declared routes. @internal */
 export function buildFleetCommand() {
   return command({
     name: 'fleet',
     description:
-      'prints the declared routes, backend servers, roll-outs or members that a control instance knows',
+      'prints the declared routes, backend servers, roll-outs, members or quarantined prompt segments that a control instance knows',
     args: {
       view: positional({
         type: oneOf(VIEWS),
@@ -45,30 +47,16 @@
     },
     handler: args =>
       runCommand(async () => {
-        const description = await readDescription(args.peer);
+        const description = await requestFleet<FleetDescription>(
+          args.peer,
+          FLEET_METHODS.describe,
+          {},
+        );
         showView(args.view, description, args);
       }),
   });
 }
 
-async function readDescription(address: string): Promise<FleetDescription> {
-  const link = await connectPeer({
-    address: parsePeerAddress(address),
-    name: TOOL_NAME,
-    peerKey: readSecret('SYC_PEER_KEY'),
-    methods: {},
-  });
-  try {
-    return await link.request<FleetDescription>(
-      FLEET_METHODS.describe,
-      {},
-      DESCRIBE_TIMEOUT_MS,
-    );
-  } finally {
-    link.close('done');
-  }
-}
-
 function showView(
   view: FleetViewName,
   description: FleetDescription,
--- a/apps/syc/src/formatFleetView.ts
+++ b/apps/syc/src/formatFleetView.ts
@@ -1,7 +1,8 @@
 import type {FleetDescription} from '@sycamorehead/fleet';
 
 /** Name of a view, which is the kind of items that it lists. @internal */
-export type FleetViewName = 'routes' | 'servers' | 'rollouts' | 'members';
+export type FleetViewName =
+  'routes' | 'servers' | 'rollouts' | 'members' | 'quarantine';
 
 type Row = Readonly<Record<string, string | number | boolean | undefined>>;
 
@@ -48,6 +49,12 @@
       id,
       term,
     })),
+  quarantine: ({quarantined = []}) =>
+    quarantined.map(({segments, crashes, durationMs}) => ({
+      segments: segments.join(','),
+      crashes,
+      duration_ms: durationMs,
+    })),
 };
 
 function formatRow(row: Row): string {
--- a/apps/syc/src/main.ts
+++ b/apps/syc/src/main.ts
@@ -24,6 +24,7 @@
 import {buildBillsCommand} from './billsCommand.js';
 import {describeChanges} from './describeChanges.js';
 import {buildFleetCommand} from './fleetCommand.js';
+import {buildReleaseCommand} from './releaseCommand.js';
 import {formatRollout} from './formatRollout.js';
 import {buildMembersCommand} from './membersCommand.js';
 
@@ -208,6 +209,7 @@
     status,
     members: buildMembersCommand(createClient),
     fleet: buildFleetCommand(),
+    release: buildReleaseCommand(),
     bills: buildBillsCommand({control, createClient}),
     'hash-key': hashKeyCommand,
   },
--- a/apps/syc/src/test/formatFleetView.test.ts
+++ b/apps/syc/src/test/formatFleetView.test.ts
@@ -87,6 +87,12 @@
     'member=10.1.0.4 role=leader address=10.1.0.4:7 id=a/1 term=3',
     'member=10.1.0.5 role=learner address=10.1.0.5:7 id=b/2 term=3',
   ]);
+  assert.deepEqual(formatFleetView('quarantine', FLEET, false), []);
+  const quarantined = [{segments: ['a', 'b'], crashes: 3, durationMs: 900_000}];
+  assert.deepEqual(
+    formatFleetView('quarantine', {...FLEET, quarantined}, false),
+    ['segments=a,b crashes=3 duration_ms=900000'],
+  );
 });
 
 test('a view can be printed as JSON, and no view contains an API key', () => {
