--- a/packages/routing/src/lib/forwarding/findCrashSuspects.ts
+++ b/packages/routing/src/lib/forwarding/findCrashSuspects.ts
@@ -1,6 +1,7 @@
 /**
- * Crashes within this time of each other count once, in milliseconds: servers that are lost together
- * are more likely to have their rack or their network in common than a prompt.
+ * Crashes within this time of the first of them are one event, in milliseconds. Servers that are lost
+ * together are more likely to have their rack or their network in common than a prompt, so an event
+ * counts once, and only against segments that were in progress on all of its servers.
  */
 const EVENT_MS = 100;
 /**
@@ -8,11 +9,11 @@
  * that follow within this time do not count against them.
  */
 const SURVIVAL_MS = 10_000;
-/** Crashes from which a segment is a suspect, so that evidence for it is asked of all entries. */
+/** Events from which a segment is a suspect, so that evidence for it is asked of all entries. */
 const SUSPECT_CRASHES = 2;
-/** Crashes that convict suspects if no others have as many. */
+/** Events that convict suspects if no others have as many. */
 const CLEAR_CRASHES = 3;
-/** Crashes that convict suspects of different crashes at the same time. */
+/** Events that convict suspects of different crashes at the same time. */
 const TIED_CRASHES = 4;
 
 /** A backend server that crashed, and the prompt segments it may have crashed under. @public */
@@ -42,7 +43,7 @@
    * only prompts with all of them are suspect.
    */
   readonly segments: readonly string[];
-  /** Crashes that count against them. */
+  /** Crashes that count against them; those at the same time count once. */
   readonly crashes: number;
   /** Whether the crashes suffice to convict them. */
   readonly isConvicted: boolean;
@@ -51,9 +52,8 @@
 interface Tally {
   /** Crashes that count against a segment. */
   readonly counted: Set<CrashObservation>;
-  /** Those that are apart in time. */
+  /** The events that these crashes belong to. */
   events: number;
-  lastAt: number;
 }
 
 /** Segments with the same crashes. */
@@ -97,39 +97,63 @@
 
 function countCrashes(evidence: CrashEvidence): Map<string, Tally> {
   const tallies = new Map<string, Tally>();
-  const crashes = [...evidence.crashes].sort((one, other) => one.at - other.at);
-  for (const crash of crashes) {
-    const explained = evidence.quarantined.filter(combination =>
-      combination.every(segment => crash.segments.has(segment)),
-    );
-    for (const segment of crash.segments) {
-      const survivedAt = evidence.getSurvivalAt(segment) ?? -Infinity;
-      const isExplained = explained.some(
-        combination =>
-          combination.length === 1 || !combination.includes(segment),
+  for (const event of groupByTime(evidence.crashes)) {
+    const [first, ...others] = event;
+    for (const segment of first?.segments ?? []) {
+      const isShared = others.every(({segments}) => segments.has(segment));
+      if (!isShared) continue;
+      const counted = event.filter(crash =>
+        isCounted(evidence, segment, crash),
       );
-      if (isExplained || crash.at <= survivedAt + SURVIVAL_MS) continue;
-      countCrash(tallies, segment, crash);
+      if (counted.length > 0) countEvent(tallies, segment, counted);
     }
   }
   return tallies;
 }
 
-function countCrash(
+/** Groups crashes into events, in the order of time. */
+function groupByTime(
+  crashes: readonly CrashObservation[],
+): CrashObservation[][] {
+  const events: CrashObservation[][] = [];
+  let startedAt = -Infinity;
+  for (const crash of [...crashes].sort((one, other) => one.at - other.at)) {
+    if (crash.at - startedAt >= EVENT_MS) {
+      startedAt = crash.at;
+      events.push([]);
+    }
+    events.at(-1)?.push(crash);
+  }
+  return events;
+}
+
+/** Returns whether neither an answer nor a quarantine explains why a crash does not count. */
+function isCounted(
+  {quarantined, getSurvivalAt}: CrashEvidence,
+  segment: string,
+  {at, segments}: CrashObservation,
+): boolean {
+  const survivedAt = getSurvivalAt(segment) ?? -Infinity;
+  if (at <= survivedAt + SURVIVAL_MS) return false;
+  return !quarantined.some(
+    combination =>
+      combination.every(id => segments.has(id)) &&
+      (combination.length === 1 || !combination.includes(segment)),
+  );
+}
+
+function countEvent(
   tallies: Map<string, Tally>,
   segment: string,
-  crash: CrashObservation,
+  crashes: readonly CrashObservation[],
 ): void {
   const tally = tallies.get(segment) ?? {
     counted: new Set<CrashObservation>(),
     events: 0,
-    lastAt: -Infinity,
   };
   tallies.set(segment, tally);
-  tally.counted.add(crash);
-  if (crash.at - tally.lastAt < EVENT_MS) return;
+  for (const crash of crashes) tally.counted.add(crash);
   tally.events += 1;
-  tally.lastAt = crash.at;
 }
 
 /** Groups the suspected segments that were in progress at the same crashes. */
--- a/packages/routing/src/test/findCrashSuspects.test.ts
+++ b/packages/routing/src/test/findCrashSuspects.test.ts
@@ -60,6 +60,20 @@
   assert.deepEqual(listConvicted(crashes), []);
 });
 
+test('a crash of several servers counts only against what was in progress on all of them', () => {
+  const events = [1_000, 3_000, 5_000];
+  const crashes = events.flatMap(at => [
+    buildCrash(at, 'rare', 'a'),
+    buildCrash(at + 10, 'b'),
+  ]);
+  assert.deepEqual(listConvicted(crashes), []);
+  const burst = events.flatMap(at => [
+    buildCrash(at, 'bad', 'a'),
+    buildCrash(at + 10, 'bad', 'b'),
+  ]);
+  assert.deepEqual(listConvicted(burst), ['bad']);
+});
+
 test('crashes under a segment in quarantine count against no other', () => {
   const crashes = [1_000, 2_000, 3_000, 4_000].map(at =>
     buildCrash(at, 'bad', 'rare'),
