--- a/packages/gateway/src/lib/CrashObserver.ts
+++ b/packages/gateway/src/lib/CrashObserver.ts
@@ -4,10 +4,12 @@
   buildIncarnationKey,
   evictOldest,
 } from '@sycamorehead/schema';
-import {writeDecision} from '@sycamorehead/telemetry';
+import {createLogger, writeDecision} from '@sycamorehead/telemetry';
 import {queryReachability} from './queryReachability.js';
 import type {KnownServer} from './ServerTable.js';
 
+const log = createLogger('gateway');
+
 /**
  * Time after the head of an answer within which a crash of its server counts against the prompt, in
  * milliseconds. An answer that goes on for longer shows that the prompt is sound.
@@ -106,13 +108,13 @@
   /**
    * Checks whether a server on which a send has failed has crashed: its instance then refuses new
    * connections. A single connection that was reset, or a network that was cut, is no crash.
+   * Not to be called for a server that leaves.
    */
   async checkServer(server: KnownServer): Promise<void> {
     const {registration} = server.listing;
     const segments = this.listSuspects(server);
     const isDone = this.crashes.has(buildIncarnationKey(registration));
-    const isPlanned = registration.state !== 'ready';
-    if (isDone || isPlanned || segments.length === 0) return;
+    if (isDone || segments.length === 0) return;
     if (this.checks.has(server)) return;
     this.checks.add(server);
     const at = performance.now();
@@ -121,6 +123,8 @@
       if (reachability === 'refused') {
         this.recordCrash(registration, at, segments);
       }
+    } catch (error) {
+      log('check_failed', {server: registration.id, error: String(error)});
     } finally {
       this.checks.delete(server);
     }
--- a/packages/gateway/src/lib/SendRecord.ts
+++ b/packages/gateway/src/lib/SendRecord.ts
@@ -62,7 +62,7 @@
     const hasFailed = outcome.type === 'unsent' || outcome.type === 'lost';
     if (hasFailed && !isAbandoned) {
       servers.recordFailure(server, outcome.reason, outcome.type === 'unsent');
-      void this.context.crashes.checkServer(server);
+      this.checkCrash();
     }
     if (outcome.type === 'lost' && !isAbandoned) this.recordEvidence('lost');
   }
@@ -151,10 +151,8 @@
   /** Records that an answer that had begun was interrupted. */
   recordInterruption(reason: string): void {
     this.recordEvidence('lost');
-    const {servers, crashes} = this.context;
-    const {server} = this.reservation;
-    servers.recordFailure(server, reason);
-    void crashes.checkServer(server);
+    this.context.servers.recordFailure(this.reservation.server, reason);
+    this.checkCrash();
   }
 
   /**
@@ -169,6 +167,15 @@
       : times.recordTime(kind, timeMs);
   }
 
+  private checkCrash(): void {
+    const {servers, crashes} = this.context;
+    const {server} = this.reservation;
+    const {registration} = server.listing;
+    const isLeaving =
+      registration.state !== 'ready' || servers.notices.isLeaving(registration);
+    if (!isLeaving) void crashes.checkServer(server);
+  }
+
   private recordEvidence(result: AnswerResult, timeMs?: number): void {
     const {context, reservation, target} = this;
     const {server, expectedMs} = reservation;
--- a/packages/gateway/src/test/crashObserver.test.ts
+++ b/packages/gateway/src/test/crashObserver.test.ts
@@ -144,19 +144,29 @@
   assert.deepEqual(listSegments(gateway), []);
 });
 
-test('a server that ends after it has said that it leaves makes no suspects', async () => {
-  const server = await startServer('s1', (request, socket) => {
-    sendHead(request, socket);
-    setTimeout(() => {
-      gateway.list([server.describe({state: 'leaving', sequence: 2})]);
-      endProcess(server, socket);
-    }, 30);
+/** Ways in which a server announces that it leaves. */
+const DEPARTURES: Readonly<
+  Record<string, {fields: string[]; state: 'ready' | 'leaving'}>
+> = {
+  'its registration': {fields: [], state: 'leaving'},
+  'its answer': {fields: ['X-Leaving: 1'], state: 'ready'},
+};
+
+for (const [name, {fields, state}] of Object.entries(DEPARTURES)) {
+  test(`a server that ends after ${name} has said that it leaves makes no suspects`, async () => {
+    const server = await startServer('s1', (request, socket) => {
+      socket.write(formatStreamHead(request, fields));
+      setTimeout(() => {
+        gateway.list([server.describe({state, sequence: 2})]);
+        endProcess(server, socket);
+      }, 30);
+    });
+    const gateway = await startEngineGateway(server);
+    await gateway.exchange(formatRequest({headers: [PREFIX]}));
+    await sleep(50);
+    assert.deepEqual(listSegments(gateway), []);
   });
-  const gateway = await startEngineGateway(server);
-  await gateway.exchange(formatRequest({headers: [PREFIX]}));
-  await sleep(50);
-  assert.deepEqual(listSegments(gateway), []);
-});
+}
 
 test('an answer that has gone on for a second acquits its prompt before the server crashes', async () => {
   const server = await startServer('s1', (request, socket) => {
