Ids of prompt segments are kept up to 64 characters

An entry keeps many ids; with ids of some kilobytes a caller could have filled its memory. The header goes on unchanged. Test failed before.

--- a/packages/gateway/src/lib/CallerRequest.ts
+++ b/packages/gateway/src/lib/CallerRequest.ts
@@ -45,6 +45,8 @@
  */
 const SINGLE_HEADERS = ['host', 'content-length', 'transfer-encoding'];
 const MAX_SEGMENTS = 64;
+/** Maximum length of the id of a prompt segment, of which many are kept; the rest is ignored. */
+const MAX_SEGMENT_ID_LENGTH = 64;
 
 /**
  * Decodes a request's head.
@@ -135,7 +137,10 @@
     .slice(0, MAX_SEGMENTS)
     .map(segment => {
       const [id = '', tokens = ''] = segment.trim().split(':');
-      return {id, tokens: readCount(tokens)};
+      return {
+        id: id.slice(0, MAX_SEGMENT_ID_LENGTH),
+        tokens: readCount(tokens),
+      };
     });
 }
 
--- a/packages/gateway/src/test/crashObserver.test.ts
+++ b/packages/gateway/src/test/crashObserver.test.ts
@@ -168,6 +168,25 @@
   });
 }
 
+test('overlong ids of segments do not fill the memory', async () => {
+  const server = await startServer('s1', (request, socket) => {
+    socket.write(
+      formatStreamHead(request) + formatChunk(formatEvent(1)) + LAST_CHUNK,
+    );
+  });
+  const gateway = await startEngineGateway(server);
+  const long = 'a'.repeat(3_000);
+  const headers = [`X-Prefix: ${long}:5,own1:10`];
+  await gateway.exchange(formatRequest({headers}));
+  assert.equal(
+    server.received[0]?.headers.get('x-prefix'),
+    headers[0]?.slice(10),
+  );
+  const suspects = [long, long.slice(0, 64)];
+  const survivals = gateway.crashes.listSurvivals(suspects);
+  assert.deepEqual(Object.keys(survivals), [long.slice(0, 64)]);
+});
+
 test('an answer that has gone on for a second acquits its prompt before the server crashes', async () => {
   const server = await startServer('s1', (request, socket) => {
     sendHead(request, socket);
