--- a/packages/fleet/src/test/FleetNode.test.ts
+++ b/packages/fleet/src/test/FleetNode.test.ts
@@ -9,9 +9,9 @@
 import {FLEET_METHODS, FleetDescription} from '../lib/fleetMessages.js';
 import {FleetNode} from '../lib/FleetNode.js';
 import {buildRegistration} from './fixtures.js';
+import {buildNodeOptions, retry} from './fleetNodes.js';
 
 const PEER_PORT = 17_340;
-const WAIT_LIMIT_MS = 15_000;
 
 const nodes: FleetNode[] = [];
 const links: FleetLinks[] = [];
@@ -40,49 +40,20 @@
   isFirstStart: boolean,
   dataFolder?: string,
 ): Promise<FleetNode> {
-  const node = new FleetNode({
-    instance: host,
-    dataCentre: 'a',
-    host,
-    peerPort: PEER_PORT,
-    peerKey: 'test',
-    seeds: SEEDS,
-    isFirstStart,
-    dataFolder: dataFolder ?? (await createFolder()),
-    faults: 2,
-    registry: {silentMs: 4_000, expiryMs: 20_000, tombstoneMs: 60_000},
-    maxCanaryShare: 0.15,
-    decodeConfiguration: document => ({
-      version: (document as {version: number}).version,
-      routes: [],
-      services: [],
-      limits: {
-        maxHeaderBytes: 1,
-        maxBodyBytes: 1,
-        headerTimeoutMs: 1,
-        idleTimeoutMs: 1,
-      },
-      customers: undefined,
+  const node = new FleetNode(
+    buildNodeOptions(host, {
+      peerPort: PEER_PORT,
+      seeds: SEEDS,
+      isFirstStart,
+      dataFolder: dataFolder ?? (await createFolder()),
+      faults: 2,
     }),
-  });
+  );
   nodes.push(node);
   await node.start();
   return node;
 }
 
-/** Retries a call until it succeeds or the time limit is reached. */
-async function retry<Result>(call: () => Promise<Result>): Promise<Result> {
-  const deadline = performance.now() + WAIT_LIMIT_MS;
-  for (;;) {
-    try {
-      return await call();
-    } catch (error) {
-      if (performance.now() > deadline) throw error;
-      await sleep(50);
-    }
-  }
-}
-
 test('five instances form one group from three seeds, and an instance with a wiped disk is replaced', async () => {
   const hosts = [1, 2, 3, 4, 5].map(number => `127.0.1.${number}`);
   const started = await Promise.all(hosts.map(host => startNode(host, true)));
--- a/packages/fleet/src/test/quarantine.test.ts
+++ b/packages/fleet/src/test/quarantine.test.ts
@@ -10,11 +10,11 @@
 import type {CrashReport, QuarantineState} from '../lib/fleetMessages.js';
 import {FleetNode} from '../lib/FleetNode.js';
 import {FleetCommand, FleetState} from '../lib/FleetState.js';
+import {buildNodeOptions, retry} from './fleetNodes.js';
 
 const PEER_PORT = 17_390;
 const HOSTS = ['127.0.1.1', '127.0.1.2', '127.0.1.3'];
 const SEEDS = HOSTS.map(host => `${host}:${PEER_PORT}`);
-const WAIT_LIMIT_MS = 15_000;
 
 const stops: Array<() => Promise<void> | void> = [];
 
@@ -27,22 +27,15 @@
   dataFolder: string,
   isFirstStart: boolean,
 ): Promise<FleetNode> {
-  const node = new FleetNode({
-    instance: host,
-    dataCentre: 'a',
-    host,
-    peerPort: PEER_PORT,
-    peerKey: 'test',
-    seeds: SEEDS,
-    isFirstStart,
-    dataFolder,
-    faults: 1,
-    registry: {silentMs: 4_000, expiryMs: 20_000, tombstoneMs: 60_000},
-    maxCanaryShare: 0.15,
-    decodeConfiguration: () => {
-      throw new Error('no configuration is sent');
-    },
-  });
+  const node = new FleetNode(
+    buildNodeOptions(host, {
+      peerPort: PEER_PORT,
+      seeds: SEEDS,
+      isFirstStart,
+      dataFolder,
+      faults: 1,
+    }),
+  );
   await node.start();
   return node;
 }
@@ -78,18 +71,6 @@
   }
 }
 
-async function retry<Result>(call: () => Promise<Result>): Promise<Result> {
-  const deadline = performance.now() + WAIT_LIMIT_MS;
-  for (;;) {
-    try {
-      return await call();
-    } catch (error) {
-      if (performance.now() > deadline) throw error;
-      await sleep(50);
-    }
-  }
-}
-
 function waitForCombinations(
   entry: ReportingEntry,
   expected: string[][],
