A crash convicts prompt segments only after all entries could report it

Callers saw: sound requests refused as segment_quarantined.

Cause: all prompts with the crashing segment shared a companion for some seconds, so both were tied and put into quarantine as a combination. The next crash was reported first by the entry that had a prompt with the companion in progress there. Until the other report came, the companion led by one crash; as it had been a suspect for a second already, it was convicted alone at once. Dump of the pool: 12 crashes with both, a 13th, 169 ms old, with the companion only; 1.4 s later the same crash has both.

Now a crash convicts a second after its first report, and a verdict has to hold with and without the younger crashes. The time that suspects are given to be acquitted follows from it.

--- a/packages/fleet/src/lib/CrashPool.ts
+++ b/packages/fleet/src/lib/CrashPool.ts
@@ -19,10 +19,10 @@
 /** Older crashes in one digest, in turn, so that an instance that has restarted learns all of them. */
 const REPEATED_CRASHES = 4;
 /**
- * Time for which entries can acquit a suspect before it is convicted, in milliseconds; several
- * exchanges and digests of a large fleet.
+ * Time from the first report of a crash until it can convict, in milliseconds; several exchanges and
+ * digests of a large fleet. Other entries add segments of the crash, or answers that acquit them.
  */
-const HEARING_MS = 1_000;
+const SETTLING_MS = 1_000;
 /** Maximum number of incarnations in a log line. */
 const MAX_LISTED = 8;
 /** Time for which an evaluation is reused, in milliseconds. */
@@ -31,6 +31,8 @@
 interface PooledCrash {
   /** The earliest observation, on the monotonic clock. */
   at: number;
+  /** When this instance first learned of it, on the monotonic clock. */
+  readonly learnedAt: number;
   readonly segments: Set<string>;
 }
 
@@ -53,7 +55,6 @@
   private readonly survivals = new Map<string, number>();
   /** Reported by other control instances. */
   private readonly othersSurvivals = new Map<string, number>();
-  private readonly suspectedSince = new Map<string, number>();
   /** The segments in quarantine at the last evaluation. */
   private quarantined: ReadonlySet<string> = new Set();
   private evaluation: Evaluation | undefined;
@@ -116,26 +117,25 @@
       return this.evaluation.suspects;
     }
     this.expireCrashes();
-    const quarantined = this.listQuarantined();
-    this.clearReleased(new Set(quarantined.flat()));
-    const suspects = findCrashSuspects({
-      crashes: [...this.crashes.values()],
-      quarantined,
-      getSurvivalAt: segment => this.getSurvivalAt(segment),
-    });
-    this.recordSuspects(suspects, now);
+    this.clearReleased(new Set(this.listQuarantined().flat()));
+    const suspects = this.findSuspects([...this.crashes.values()]);
     this.evaluation = {computedAt: now, suspects};
     return suspects;
   }
 
-  /** Lists the suspects whose crashes convict them and that no entry has acquitted in time. */
+  /**
+   * Lists the suspects whose crashes convict them, both those that all entries have had the time to
+   * report and all that are known.
+   */
   listConvicted(): CrashSuspect[] {
-    const now = performance.now();
-    const isHeard = (segment: string) =>
-      now - (this.suspectedSince.get(segment) ?? now) >= HEARING_MS;
-    return this.listSuspects().filter(
-      ({segments, isConvicted}) => isConvicted && segments.every(isHeard),
+    const convicted = this.listSuspects().filter(isConvicted);
+    if (convicted.length === 0) return [];
+    const latest = performance.now() - SETTLING_MS;
+    const settled = this.findSuspects(
+      [...this.crashes.values()].filter(({learnedAt}) => learnedAt <= latest),
     );
+    const keys = new Set(settled.filter(isConvicted).map(buildKey));
+    return convicted.filter(suspect => keys.has(buildKey(suspect)));
   }
 
   /** Lists the most recent servers that crashed while all of the segments were in progress there. */
@@ -147,8 +147,13 @@
   }
 
   private addCrash({incarnation, ageMs, segments}: CrashReport): void {
-    const at = performance.now() - ageMs;
-    const known = this.crashes.get(incarnation) ?? {at, segments: new Set()};
+    const learnedAt = performance.now();
+    const at = learnedAt - ageMs;
+    const known = this.crashes.get(incarnation) ?? {
+      at,
+      learnedAt,
+      segments: new Set(),
+    };
     known.at = Math.min(known.at, at);
     for (const segment of segments) {
       if (known.segments.size < MAX_SEGMENTS) known.segments.add(segment);
@@ -173,14 +178,12 @@
     return Math.max(own, others);
   }
 
-  private recordSuspects(suspects: readonly CrashSuspect[], now: number): void {
-    const ids = new Set(suspects.flatMap(({segments}) => segments));
-    for (const id of this.suspectedSince.keys()) {
-      if (!ids.has(id)) this.suspectedSince.delete(id);
-    }
-    for (const id of ids) {
-      if (!this.suspectedSince.has(id)) this.suspectedSince.set(id, now);
-    }
+  private findSuspects(crashes: readonly PooledCrash[]): CrashSuspect[] {
+    return findCrashSuspects({
+      crashes,
+      quarantined: this.listQuarantined(),
+      getSurvivalAt: segment => this.getSurvivalAt(segment),
+    });
   }
 
   private expireCrashes(): void {
@@ -191,6 +194,14 @@
   }
 }
 
+function isConvicted(suspect: CrashSuspect): boolean {
+  return suspect.isConvicted;
+}
+
+function buildKey({segments}: CrashSuspect): string {
+  return segments.join(',');
+}
+
 function addSurvivals(
   known: Map<string, number>,
   survivals: SurvivalTable,
--- a/packages/fleet/src/test/CrashPool.test.ts
+++ b/packages/fleet/src/test/CrashPool.test.ts
@@ -15,8 +15,8 @@
   clock.uninstall();
 });
 
-/** Longer than the hearing of a suspect, in milliseconds. */
-const HEARING_MS = 1_100;
+/** Longer than the time after which a crash can convict, in milliseconds. */
+const SETTLING_MS = 1_100;
 
 function buildPools(count: number): CrashPool[] {
   return Array.from({length: count}, () => new CrashPool(() => []));
@@ -34,10 +34,10 @@
   return pool.listConvicted().map(({segments}) => segments.join(','));
 }
 
-/** Lists the suspects now, lets the hearing pass and returns who is convicted then. */
+/** Lists the suspects now, lets their crashes settle and returns who is convicted then. */
 function waitForVerdict(pool: CrashPool): string[] {
   pool.listSuspects();
-  clock.tick(HEARING_MS);
+  clock.tick(SETTLING_MS);
   return listConvicted(pool);
 }
 
@@ -67,7 +67,7 @@
   exchangeDigests(...pools);
   clock.tick(60);
   for (const pool of pools) pool.listSuspects();
-  clock.tick(HEARING_MS);
+  clock.tick(SETTLING_MS);
   for (const pool of pools) assert.deepEqual(listConvicted(pool), ['bad']);
 });
 
@@ -143,11 +143,31 @@
   second.exchange(report);
   clock.tick(400);
   exchangeDigests(first, second);
-  clock.tick(HEARING_MS);
+  clock.tick(SETTLING_MS);
   assert.deepEqual(listConvicted(first), ['bad']);
   assert.deepEqual(listConvicted(second), ['bad']);
 });
 
+test('a sound segment is not convicted by a crash that its entry reports before the others do', () => {
+  const quarantined: string[][] = [];
+  const pool = new CrashPool(() => quarantined);
+  for (let index = 0; index < 4; index += 1) {
+    pool.exchange({crashes: [buildReport(index, 0, 'bad', 'sound')]});
+    clock.tick(300);
+  }
+  // All prompts with either segment had both of them so far.
+  assert.deepEqual(waitForVerdict(pool), ['bad,sound']);
+  quarantined.push(['bad', 'sound']);
+  clock.tick(60);
+  pool.exchange({crashes: [buildReport(4, 0, 'sound', 'other')]});
+  for (let elapsedMs = 0; elapsedMs < 600; elapsedMs += 100) {
+    clock.tick(100);
+    assert.deepEqual(listConvicted(pool), []);
+  }
+  pool.exchange({crashes: [buildReport(4, 600, 'bad', 'third')]});
+  assert.deepEqual(waitForVerdict(pool), ['bad,sound']);
+});
+
 test('the age of an answer does not drift while the instances repeat it to each other', () => {
   const pools = buildPools(2);
   const crashes = [13_000, 12_500, 12_000].map((ageMs, index) =>
--- a/packages/gateway/src/test/CrashControls.ts
+++ b/packages/gateway/src/test/CrashControls.ts
@@ -79,9 +79,12 @@
         receiver.pool.acceptDigest(digest);
       }
     }
-    const convicted = this.controls[0]?.pool.listConvicted() ?? [];
-    if (convicted.length === 0) return;
     const {revision, combinations} = this.quarantine;
+    const known = new Set(combinations.map(segments => segments.join(',')));
+    const convicted = (this.controls[0]?.pool.listConvicted() ?? []).filter(
+      ({segments}) => !known.has(segments.join(',')),
+    );
+    if (convicted.length === 0) return;
     this.quarantine = {
       revision: revision + 1,
       combinations: [
--- a/packages/gateway/src/test/CrashFleet.ts
+++ b/packages/gateway/src/test/CrashFleet.ts
@@ -17,6 +17,11 @@
 /** The segment under which servers crash. */
 export const CRASHING_SEGMENT = 'bad1';
 
+/** The prompts of the sound requests have one of so many segments each, in turn. */
+const DOCUMENTS = 7;
+/** The document of all requests with the crashing segment while it has a companion. */
+const COMPANION = 2;
+
 /** Time between two exchanges of an entry, in milliseconds. */
 const EXCHANGE_MS = 100;
 
@@ -37,6 +42,11 @@
   readonly lossRate?: number;
   /** Time after which one of the entries is replaced by one without memory, in milliseconds. */
   readonly restartMs?: number;
+  /**
+   * Time after the start for which all requests with the crashing segment, and no others, have one
+   * further segment, in milliseconds.
+   */
+  readonly companionMs?: number;
 }
 
 const CONFIGURATION = buildConfiguration(
@@ -74,6 +84,7 @@
   private readonly servers: CrashingServer[];
   private readonly listings = new Map<string, ServerListing>();
   private requestCount = 0;
+  private readonly startedAt = performance.now();
 
   constructor(private readonly options: CrashFleetOptions) {
     const {servers, controls = 3, lossRate = 0} = options;
@@ -162,7 +173,7 @@
     const segments = [
       `${COMMON_SEGMENT}:800`,
       ...crashing,
-      `d${count % 7}:100`,
+      `d${this.chooseDocument(count, hasCrashingSegment)}:100`,
       `own${count}:50`,
     ];
     const sentAt = performance.now();
@@ -191,6 +202,14 @@
     return whole.length / sound.length;
   }
 
+  private chooseDocument(count: number, hasCrashingSegment: boolean): number {
+    const document = count % DOCUMENTS;
+    const {companionMs = 0} = this.options;
+    if (performance.now() - this.startedAt >= companionMs) return document;
+    if (hasCrashingSegment) return COMPANION;
+    return document === COMPANION ? document + 1 : document;
+  }
+
   private startTimer(intervalMs: number, run: () => void): void {
     this.timers.push(setInterval(run, intervalMs));
   }
--- a/packages/gateway/src/test/promptSegmentCrashes.test.ts
+++ b/packages/gateway/src/test/promptSegmentCrashes.test.ts
@@ -22,6 +22,13 @@
     servers: 6,
     lossRate: 0.33,
   },
+  'four entries that lose messages, and a segment that it comes with at first':
+    {
+      entries: 4,
+      servers: 6,
+      lossRate: 0.33,
+      companionMs: 1_500,
+    },
   'an entry that restarts all the time': {
     entries: 4,
     servers: 6,
