Test of a stop with a slow caller: more requests than a receive buffer of 32 MiB holds

Seen: "100 answers", every time on this machine, whose tcp_rmem allows 33.5 MB: the 20 MB of answers all fitted into the buffers of the connection, so that none waited in the entry. 1,000 requests offer 200 MB; the check is unchanged.

--- a/packages/gateway/src/test/stopping.test.ts
+++ b/packages/gateway/src/test/stopping.test.ts
@@ -12,7 +12,7 @@
 /** Size of an answer that an entry buffers whole, in bytes. */
 const ANSWER_BYTES = 200_000;
 /** Number of requests whose answers the buffers of a connection on loopback cannot hold. */
-const REQUEST_COUNT = 100;
+const REQUEST_COUNT = 1_000;
 /** Time limit of requests that must not reach it on a busy machine, in milliseconds. */
 const LONG_MS = 30_000;
 
