A server that has just started gets an equal share of the requests at most

Callers saw: slow answers from servers that had just started.

Cause: the heartbeat says how long a server stays slow after its start, and nobody read it. Such a server is idle, so between two exchanges of load all entries choose it.

While it lasts, each entry gives the server one request in as many as there are servers available to the request; no server is passed over if all have just started.

--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -12,6 +12,7 @@
 import type {CallerRequest, PromptSegment} from './CallerRequest.js';
 import {buildRefusal} from './refusals.js';
 import type {KnownServer, ServerTable} from './ServerTable.js';
+import {SlowStart} from './SlowStart.js';
 import type {VersionVariant, VersionSplit} from './VersionSplit.js';
 
 /**
@@ -98,6 +99,7 @@
  */
 export class Placement {
   private readonly queues = new Map<string, PlacementQueue>();
+  private readonly slowStart = new SlowStart();
 
   constructor(private readonly options: PlacementOptions) {}
 
@@ -146,9 +148,11 @@
     demand: PlacementRequest,
   ): SlotReservation | undefined {
     this.refuseIfClosed(demand);
-    const choice = this.chooseServer(demand);
+    const available = this.listAvailable(demand);
+    const choice = this.chooseServer(demand, available);
     if (!choice) return undefined;
     const {server, ownMs, aloneMs, tokensToPrefill} = choice;
+    this.slowStart.recordChoice(available, server);
     const pendingMs = server.pendingMs + server.othersPendingMs;
     const isUncontended = pendingMs <= 0;
     const load = server.inFlight + server.othersInFlight;
@@ -199,8 +203,11 @@
     throw buildRefusal('every server wants a pause', false, holdMs);
   }
 
-  private chooseServer(demand: PlacementRequest): Choice | undefined {
-    const usable = this.listUsable(demand);
+  private chooseServer(
+    demand: PlacementRequest,
+    available: readonly KnownServer[],
+  ): Choice | undefined {
+    const usable = this.slowStart.filterServers(available);
     const preferred = choosePreferred(demand, usable);
     const {policy, dataCentre} = this.options;
     const sample = new Set(
@@ -268,7 +275,7 @@
    * Lists the permitted servers with capacity, if possible those neither tried for this request
    * nor ejected.
    */
-  private listUsable(demand: PlacementRequest): readonly KnownServer[] {
+  private listAvailable(demand: PlacementRequest): readonly KnownServer[] {
     const {servers, versions} = this.options;
     const {service, variant, tried} = demand;
     const now = performance.now();
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -56,6 +56,8 @@
   ejectedUntil: number;
   /** Its answer times relative to those of its service; 1 is typical. */
   slowness: number;
+  /** The time until which it is slow because it has just started, on the monotonic clock. */
+  slowUntil: number;
   /** The time of the last send of each prompt segment to it, in the order of these times. */
   readonly cachedSegments: Map<string, number>;
 }
@@ -254,6 +256,7 @@
       this.servers.set(registration.id, createServer(listing));
     } else {
       known.listing = listing;
+      known.slowUntil = computeSlowUntil(registration);
     }
     if (registration.state !== old.state) this.logChange(registration);
   }
@@ -284,6 +287,11 @@
     failures: 0,
     ejectedUntil: 0,
     slowness: 1,
+    slowUntil: computeSlowUntil(listing.registration),
     cachedSegments: new Map(),
   };
 }
+
+function computeSlowUntil({slowStartMs = 0}: ServerRegistration): number {
+  return performance.now() + slowStartMs;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/SlowStart.ts
@@ -0,0 +1,49 @@
+import type {KnownServer} from './ServerTable.js';
+
+/**
+ * Limits backend servers that are slow because they have just started to an equal share of the
+ * requests. They are idle, so all entries would choose them at the same time, and each of their
+ * answers takes longer.
+ *
+ * @internal
+ */
+export class SlowStart {
+  /** The requests, in whole and in part, that each slow server may get from this entry. */
+  private readonly credits = new WeakMap<KnownServer, number>();
+
+  // Commands.
+
+  /** Records which of the servers gets a request; each slow one earns its share of it. */
+  recordChoice(servers: readonly KnownServer[], chosen: KnownServer): void {
+    for (const server of servers) {
+      if (!isSlow(server)) continue;
+      const credit = this.getCredit(server) + 1 / servers.length;
+      this.credits.set(server, Math.min(1, credit));
+    }
+    if (!isSlow(chosen)) return;
+    this.credits.set(chosen, Math.max(0, this.getCredit(chosen) - 1));
+  }
+
+  // Queries.
+
+  /** Lists the servers that may get the next request; all of them if none has earned it. */
+  filterServers(servers: readonly KnownServer[]): readonly KnownServer[] {
+    const permitted = servers.filter(
+      server => !isSlow(server) || this.getCredit(server) >= 1,
+    );
+    return permitted.length > 0 ? permitted : servers;
+  }
+
+  private getCredit(server: KnownServer): number {
+    const known = this.credits.get(server);
+    if (known !== undefined) return known;
+    // The first requests of many entries are spread over the time in which each earns one.
+    const credit = Math.random();
+    this.credits.set(server, credit);
+    return credit;
+  }
+}
+
+function isSlow({slowUntil}: KnownServer): boolean {
+  return performance.now() < slowUntil;
+}
--- a/packages/schema/src/lib/serverRegistration.ts
+++ b/packages/schema/src/lib/serverRegistration.ts
@@ -13,6 +13,11 @@
   readonly startedAtMs: number;
   /** Increases with each registration of one start. */
   readonly sequence: number;
+  /**
+   * Time after the registration for which the server is still slow because it has just started, in
+   * milliseconds; undefined if the server did not say.
+   */
+  readonly slowStartMs?: number;
 }
 
 /** `gone` means that the server has withdrawn itself and accepts no more requests. @public */
