--- a/packages/control/src/lib/ControlState.ts
+++ b/packages/control/src/lib/ControlState.ts
@@ -6,6 +6,7 @@
   SycamoreheadError,
   applyReleaseNote,
   computeDigest,
+  evictOldest,
   formatVersionKey,
   isServing,
   toSycamoreheadError,
@@ -172,16 +173,10 @@
     this.configuration = applyReleaseNote(this.configuration, note);
     const {revision} = this.configuration;
     this.accepted.set(note.number, {number: note.number, digest, revision});
-    this.dropOldestNote();
+    evictOldest(this.accepted, MAX_ACCEPTED_NOTES);
     return {state: 'accepted', number: note.number, digest, revision};
   }
 
-  private dropOldestNote(): void {
-    if (this.accepted.size <= MAX_ACCEPTED_NOTES) return;
-    const [oldest] = this.accepted.keys();
-    if (oldest !== undefined) this.accepted.delete(oldest);
-  }
-
   private markInForce({
     revision,
   }: CommandOf<'mark_in_force'>): ControlResults['mark_in_force'] {
--- a/packages/control/src/lib/configuration/ConfigurationHistory.ts
+++ b/packages/control/src/lib/configuration/ConfigurationHistory.ts
@@ -2,6 +2,7 @@
   Configuration,
   LeaseGrant,
   diffConfigurations,
+  evictOldest,
 } from '@sycamorehead/schema';
 
 const MAX_RETAINED = 256;
@@ -24,10 +25,7 @@
     this.newest = configuration.revision;
     this.updates.clear();
     this.retained.set(configuration.revision, configuration);
-    const [oldest] = this.retained.keys();
-    if (this.retained.size > MAX_RETAINED && oldest !== undefined) {
-      this.retained.delete(oldest);
-    }
+    evictOldest(this.retained, MAX_RETAINED);
   }
 
   /** Returns the fields of a grant that update an entry from its revision to the newest. */
--- a/packages/control/src/lib/guard/EvidencePool.ts
+++ b/packages/control/src/lib/guard/EvidencePool.ts
@@ -4,6 +4,7 @@
   EvidenceBatch,
   EvidenceItem,
   QualitySummary,
+  evictOldest,
   formatVersionKey,
   isPermitted,
   isServing,
@@ -36,7 +37,7 @@
     if (batch.sequence <= highest) return false;
     this.sequences.delete(run);
     this.sequences.set(run, batch.sequence);
-    this.dropOldestRun();
+    evictOldest(this.sequences, MAX_RUNS);
     for (const item of batch.items) this.observe(item, configuration);
     return true;
   }
@@ -102,10 +103,4 @@
     total.mean = total.count > 0 ? successes / total.count : 0;
     return total;
   }
-
-  private dropOldestRun(): void {
-    if (this.sequences.size <= MAX_RUNS) return;
-    const [oldest] = this.sequences.keys();
-    if (oldest !== undefined) this.sequences.delete(oldest);
-  }
 }
--- a/packages/fleet/src/lib/FleetState.ts
+++ b/packages/fleet/src/lib/FleetState.ts
@@ -196,9 +196,7 @@
       number: this.rolloutCount,
       elapsedMs: 0,
     });
-    const [oldest] = this.rollouts.keys();
-    const isFull = this.rollouts.size > MAX_ROLLOUTS;
-    if (isFull && oldest !== undefined) this.rollouts.delete(oldest);
+    evictOldest(this.rollouts, MAX_ROLLOUTS);
     return true;
   }
 
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -4,7 +4,11 @@
   ServerListing,
   ServerLoad,
 } from '@sycamorehead/fleet';
-import {ServerRegistration, isNewerRegistration} from '@sycamorehead/schema';
+import {
+  ServerRegistration,
+  evictOldest,
+  isNewerRegistration,
+} from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 import {ServerAgent} from './ServerAgent.js';
 import {ServerNotices} from './ServerNotices.js';
@@ -138,11 +142,7 @@
       cachedSegments.delete(key);
       cachedSegments.set(key, now);
     }
-    while (cachedSegments.size > MAX_SEGMENTS) {
-      const [oldest] = cachedSegments.keys();
-      if (oldest === undefined) return;
-      cachedSegments.delete(oldest);
-    }
+    evictOldest(cachedSegments, MAX_SEGMENTS);
   }
 
   // Queries.
--- a/packages/gateway/src/lib/VersionSplit.ts
+++ b/packages/gateway/src/lib/VersionSplit.ts
@@ -4,6 +4,7 @@
   ServiceRollout,
   VersionCounts,
   countTimeRatio,
+  evictOldest,
 } from '@sycamorehead/schema';
 import {hashToShare} from '@sycamorehead/routing';
 import {writeDecision} from '@sycamorehead/telemetry';
@@ -316,9 +317,7 @@
   private pinSession(key: string, variant: VersionVariant): void {
     this.sessions.delete(key);
     this.sessions.set(key, {variant, usedAt: performance.now()});
-    if (this.sessions.size <= MAX_SESSIONS) return;
-    const [oldest] = this.sessions.keys();
-    if (oldest !== undefined) this.sessions.delete(oldest);
+    evictOldest(this.sessions, MAX_SESSIONS);
   }
 }
 
--- a/packages/routing/src/lib/AffinityTable.ts
+++ b/packages/routing/src/lib/AffinityTable.ts
@@ -1,3 +1,5 @@
+import {evictOldest} from '@sycamorehead/schema';
+
 const MAX_KEYS = 8_192;
 
 /**
@@ -13,9 +15,7 @@
   record(key: string, server: string): void {
     this.servers.delete(key);
     this.servers.set(key, server);
-    if (this.servers.size <= MAX_KEYS) return;
-    const [oldest] = this.servers.keys();
-    this.servers.delete(oldest!);
+    evictOldest(this.servers, MAX_KEYS);
   }
 
   /** Finds the server that last ran a session or prefix. */
--- a/packages/routing/src/lib/WorkEstimator.ts
+++ b/packages/routing/src/lib/WorkEstimator.ts
@@ -1,3 +1,4 @@
+import {evictOldest} from '@sycamorehead/schema';
 import type {RoutedRequest} from './routingTypes.js';
 import {SampleWindow} from './SampleWindow.js';
 
@@ -47,10 +48,7 @@
       this.windows.set(key, window);
       window.add(outputTokens);
     }
-    while (this.windows.size > MAX_KEYS) {
-      const [oldest] = this.windows.keys();
-      this.windows.delete(oldest!);
-    }
+    evictOldest(this.windows, MAX_KEYS);
     this.mix.add(outputTokens + computePromptUnits(request));
     const median = this.mix.computeQuantile(0.5) ?? 0;
     this.longUnits = Math.max(MIN_LONG_UNITS, LONG_FACTOR * median);
--- a/packages/schema/src/lib/evictOldest.ts
+++ b/packages/schema/src/lib/evictOldest.ts
@@ -8,7 +8,10 @@
  * ```
  * @public
  */
-export function evictOldest(map: Map<string, unknown>, maxSize: number): void {
+export function evictOldest<Key>(
+  map: Map<Key, unknown>,
+  maxSize: number,
+): void {
   while (map.size > maxSize) {
     const [oldest] = map.keys();
     if (oldest === undefined) return;
--- a/packages/stand-ins/src/lib/PrefixCache.ts
+++ b/packages/stand-ins/src/lib/PrefixCache.ts
@@ -1,3 +1,5 @@
+import {evictOldest} from '@sycamorehead/schema';
+
 /** A bounded LRU cache of prompt prefixes. @public */
 export class PrefixCache {
   private readonly prefixes = new Map<string, number>();
@@ -15,11 +17,7 @@
       if (this.prefixes.delete(key)) cached = tokens;
       this.prefixes.set(key, tokens);
     }
-    while (this.prefixes.size > this.maxPrefixes) {
-      const [oldest] = this.prefixes.keys();
-      if (oldest === undefined) break;
-      this.prefixes.delete(oldest);
-    }
+    evictOldest(this.prefixes, this.maxPrefixes);
     return cached;
   }
 }
