--- a/packages/gateway/src/lib/CrashGuard.ts
+++ b/packages/gateway/src/lib/CrashGuard.ts
@@ -21,6 +21,7 @@
 export class CrashGuard {
   private readonly segments: readonly string[];
   private quarantined: readonly string[] | undefined;
+  private serviceName = '';
   private brokenBeginnings = 0;
 
   constructor(
@@ -41,7 +42,7 @@
     return context.quarantine.watch(this.segments, () => {
       const target = findTarget(context.getRoutes(), request);
       if (!target?.service.engine) return;
-      this.quarantined = context.quarantine.findQuarantined(this.segments);
+      this.recordQuarantine(target);
       onQuarantined();
     });
   }
@@ -51,11 +52,10 @@
    *
    * @throws SycamoreheadError `segment_quarantined`, or `outcome_unknown` if the request may have run.
    */
-  checkSend({service}: RequestTarget): void {
-    if (!service.engine) return;
-    this.quarantined = this.context.quarantine.findQuarantined(this.segments);
+  checkSend(target: RequestTarget): void {
+    if (!target.service.engine) return;
+    this.recordQuarantine(target);
     if (this.quarantined === undefined) return;
-    this.context.metrics.recordQuarantined(service.name);
     throw buildQuarantineRefusal(this.quarantined, this.runs.mayHaveRun);
   }
 
@@ -74,6 +74,12 @@
     );
   }
 
+  /** Counts the request, which has failed, if it ended because of a quarantine. */
+  recordFailure(): void {
+    if (this.quarantined === undefined) return;
+    this.context.metrics.recordQuarantined(this.serviceName);
+  }
+
   // Queries.
 
   /** The error of a request that ended because of a quarantine. */
@@ -81,4 +87,9 @@
     if (this.quarantined === undefined) return undefined;
     return buildQuarantineRefusal(this.quarantined, this.runs.mayHaveRun);
   }
+
+  private recordQuarantine({service}: RequestTarget): void {
+    this.quarantined = this.context.quarantine.findQuarantined(this.segments);
+    this.serviceName = service.name;
+  }
 }
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -97,6 +97,7 @@
       while ((await this.runSend()) === 'again');
     } catch (thrown) {
       this.failure = this.buildFailure(thrown);
+      this.guard.recordFailure();
       answer.fail(this.failure);
     } finally {
       clearTimeout(timer);
--- a/packages/gateway/src/lib/GatewayMetrics.ts
+++ b/packages/gateway/src/lib/GatewayMetrics.ts
@@ -57,7 +57,7 @@
     this.holds.inc({service});
   }
 
-  /** Counts a request that was refused because of a prompt segment in quarantine. */
+  /** Counts a request that was refused or cancelled because of a prompt segment in quarantine. */
   recordQuarantined(service: string): void {
     this.quarantined.inc({service});
   }
--- a/packages/gateway/src/test/GatewayHarness.ts
+++ b/packages/gateway/src/test/GatewayHarness.ts
@@ -95,6 +95,7 @@
   readonly versions = new VersionSplit(5_000);
   readonly crashes = new CrashObserver();
   readonly quarantine = new SegmentQuarantine();
+  readonly metrics = new GatewayMetrics();
   private readonly rates = new PrefillRates();
   private readonly budgets: RetryBudgets;
   private readonly server: GatewayServer;
@@ -134,7 +135,7 @@
       rates: this.rates,
       gains: new ConfidenceGains(),
       values: new AnswerValues(10),
-      metrics: new GatewayMetrics(),
+      metrics: this.metrics,
       startup: this.startup,
       crashes: this.crashes,
       quarantine: this.quarantine,
--- a/packages/gateway/src/test/crashObserver.test.ts
+++ b/packages/gateway/src/test/crashObserver.test.ts
@@ -221,6 +221,14 @@
   assert.deepEqual(gateway.crashes.listSurvivals(['common', 'part']), {});
 });
 
+async function countQuarantined({metrics}: GatewayHarness): Promise<number> {
+  const metric = metrics.registry.getSingleMetric(
+    'syc_gateway_quarantined_total',
+  );
+  const {values = []} = (await metric?.get()) ?? {};
+  return values.reduce((sum, {value}) => sum + value, 0);
+}
+
 test('a prompt in quarantine is refused at once as not run, a part of it alone is not', async () => {
   const server = await startServer('s1', (request, socket) => {
     socket.write(
@@ -244,6 +252,7 @@
     formatRequest({id: 'r3', headers: [PREFIX]}),
   );
   assert.match(later, /^HTTP\/1\.1 503 /);
+  assert.equal(await countQuarantined(gateway), 2);
 });
 
 test('a request in progress whose prompt comes into quarantine is cancelled and not called unrun', async () => {
@@ -257,4 +266,5 @@
   assert.match(text, /^HTTP\/1\.1 502 [^]*"ran":"unknown"/);
   await sleep(20);
   assert.equal(server.closed, 1);
+  assert.equal(await countQuarantined(gateway), 1);
 });
