Two crashes have to tell prompt segments apart before one of them is convicted alone

Callers saw: sound requests refused as segment_quarantined.

Cause, read from the code: an entry that ends before it reports a crash leaves the union of that crash without the crashing segment for good; a companion of it then leads by one crash and is convicted alone.

Segments that differ from the leading one in less than two crashes are now convicted with it, as a combination, which refuses prompts with all of them only.

--- a/packages/routing/src/lib/forwarding/findCrashSuspects.ts
+++ b/packages/routing/src/lib/forwarding/findCrashSuspects.ts
@@ -15,6 +15,11 @@
 const CLEAR_CRASHES = 3;
 /** Events that convict suspects of different crashes at the same time. */
 const TIED_CRASHES = 4;
+/**
+ * Events by which the segment with the most has to differ from another to be told apart from it. The
+ * entry that sent the crashing prompt may end before it reports a crash, so one event is no proof.
+ */
+const DISTINCT_EVENTS = 2;
 
 /** A backend server that crashed, and the prompt segments it may have crashed under. @public */
 export interface CrashObservation {
@@ -39,8 +44,8 @@
 /** Prompt segments under which servers crashed and no answer was completed. @public */
 export interface CrashSuspect {
   /**
-   * Segments that were in progress at the same crashes, in order. Any of them may be the cause, so
-   * only prompts with all of them are suspect.
+   * Segments that were in progress at the same crashes, or nearly so, in order. Any of them may be the
+   * cause, so only prompts with all of them are suspect.
    */
   readonly segments: readonly string[];
   /** Crashes that count against them; those at the same time count once. */
@@ -52,8 +57,8 @@
 interface Tally {
   /** Crashes that count against a segment. */
   readonly counted: Set<CrashObservation>;
-  /** The events that these crashes belong to. */
-  events: number;
+  /** The events that these crashes belong to, by their index. */
+  readonly events: Set<number>;
 }
 
 /** Segments with the same crashes. */
@@ -76,28 +81,71 @@
  */
 export function findCrashSuspects(evidence: CrashEvidence): CrashSuspect[] {
   const groups = groupByCrashes(countCrashes(evidence)).sort(compareGroups);
-  const [first, second] = groups;
-  const isTied = first && second && compareGroups(first, second) === 0;
-  const required = isTied ? TIED_CRASHES : CLEAR_CRASHES;
-  return groups.map(group => ({
+  const [first] = groups;
+  // Crashes of the others may have the same cause; they are judged once it is in quarantine.
+  const leaders = groups.filter(group => compareGroups(first!, group) === 0);
+  const convicted = findConvicted(leaders, groups);
+  const suspects = [...convicted, ...groups].map(group => ({
     segments: [...group.segments].sort(),
-    crashes: group.tally.events,
-    // Crashes of the others may have the same cause; they are judged once it is in quarantine.
+    crashes: group.tally.events.size,
     isConvicted:
-      first !== undefined &&
-      compareGroups(first, group) === 0 &&
-      group.tally.events >= required,
+      convicted.includes(group) && !isCovered(evidence, group.segments),
   }));
+  return removeDuplicates(suspects);
+}
+
+/** Finds the groups whose crashes convict them, each with those that it cannot be told apart from. */
+function findConvicted(
+  leaders: readonly Group[],
+  groups: readonly Group[],
+): Group[] {
+  const required = leaders.length > 1 ? TIED_CRASHES : CLEAR_CRASHES;
+  return leaders
+    .filter(({tally}) => tally.events.size >= required)
+    .map(leader => {
+      const similar = groups.filter(
+        group => countDistinctEvents(leader, group) < DISTINCT_EVENTS,
+      );
+      const segments = similar.flatMap(group => group.segments);
+      return {tally: leader.tally, segments};
+    });
+}
+
+/** Counts the events that count against the first group and not against the second. */
+function countDistinctEvents({tally: one}: Group, {tally: other}: Group) {
+  return [...one.events].filter(event => !other.events.has(event)).length;
+}
+
+/** Returns whether prompts with all of the segments are in quarantine already. */
+function isCovered(
+  {quarantined}: CrashEvidence,
+  segments: readonly string[],
+): boolean {
+  return quarantined.some(combination =>
+    combination.every(id => segments.includes(id)),
+  );
+}
+
+/** Keeps the first of the suspects with the same segments. */
+function removeDuplicates(suspects: readonly CrashSuspect[]): CrashSuspect[] {
+  const known = new Map<string, CrashSuspect>();
+  for (const suspect of suspects) {
+    const key = suspect.segments.join(',');
+    if (!known.has(key)) known.set(key, suspect);
+  }
+  return [...known.values()];
 }
 
 /** Sorts the groups with the most crashes first. */
 function compareGroups({tally: one}: Group, {tally: other}: Group): number {
-  return other.events - one.events || other.counted.size - one.counted.size;
+  return (
+    other.events.size - one.events.size || other.counted.size - one.counted.size
+  );
 }
 
 function countCrashes(evidence: CrashEvidence): Map<string, Tally> {
   const tallies = new Map<string, Tally>();
-  for (const event of groupByTime(evidence.crashes)) {
+  for (const [index, event] of groupByTime(evidence.crashes).entries()) {
     const [first, ...others] = event;
     for (const segment of first?.segments ?? []) {
       const isShared = others.every(({segments}) => segments.has(segment));
@@ -105,7 +153,7 @@
       const counted = event.filter(crash =>
         isCounted(evidence, segment, crash),
       );
-      if (counted.length > 0) countEvent(tallies, segment, counted);
+      if (counted.length > 0) countEvent(tallies, segment, index, counted);
     }
   }
   return tallies;
@@ -145,22 +193,23 @@
 function countEvent(
   tallies: Map<string, Tally>,
   segment: string,
+  index: number,
   crashes: readonly CrashObservation[],
 ): void {
   const tally = tallies.get(segment) ?? {
     counted: new Set<CrashObservation>(),
-    events: 0,
+    events: new Set<number>(),
   };
   tallies.set(segment, tally);
   for (const crash of crashes) tally.counted.add(crash);
-  tally.events += 1;
+  tally.events.add(index);
 }
 
 /** Groups the suspected segments that were in progress at the same crashes. */
 function groupByCrashes(tallies: ReadonlyMap<string, Tally>): Group[] {
   const groups: Group[] = [];
   for (const [segment, tally] of tallies) {
-    if (tally.events < SUSPECT_CRASHES) continue;
+    if (tally.events.size < SUSPECT_CRASHES) continue;
     const group = groups.find(
       ({tally: {counted}}) =>
         counted.size === tally.counted.size &&
