--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -261,8 +261,15 @@
     if (registration.state !== old.state) this.logChange(registration);
   }
 
-  private logChange({id, state, sequence, service}: ServerRegistration): void {
-    writeDecision('server_listed', {server: id, service, state, sequence});
+  private logChange(registration: ServerRegistration): void {
+    const {id, state, sequence, service, slowStartMs = 0} = registration;
+    writeDecision('server_listed', {
+      server: id,
+      service,
+      state,
+      sequence,
+      slow_start_ms: slowStartMs,
+    });
   }
 
   private drop(id: string): void {
