--- a/packages/fleet/src/lib/CrashPool.ts
+++ b/packages/fleet/src/lib/CrashPool.ts
@@ -71,7 +71,7 @@
   exchange({crashes = [], survivals = {}}: CrashEvidenceReport): string[] {
     for (const crash of crashes) this.addCrash(crash);
     addSurvivals(this.survivals, survivals);
-    return this.listSuspects().flatMap(({segments}) => segments);
+    return [...new Set(this.listSuspects().flatMap(({segments}) => segments))];
   }
 
   /** Adds the evidence of another control instance. */
--- a/packages/fleet/src/test/CrashPool.test.ts
+++ b/packages/fleet/src/test/CrashPool.test.ts
@@ -135,6 +135,7 @@
   const crashes = [0, 1, 2].map(index =>
     buildReport(index, index * 300, 'common', 'bad'),
   );
+  crashes.push(buildReport(3, 900, 'common'));
   const asked = first.exchange({crashes});
   assert.deepEqual(asked, ['bad', 'common']);
   clock.tick(400);
