--- a/packages/gateway/src/test/GatewayHarness.ts
+++ b/packages/gateway/src/test/GatewayHarness.ts
@@ -89,6 +89,23 @@
   };
 }
 
+/** Builds a configuration of one route, whose servers are engines. */
+export function buildEngineConfiguration(
+  route: Partial<RouteDeclaration> = {},
+  slots = 64,
+): RouteConfiguration {
+  return buildConfiguration([buildRoute(route)], {
+    services: [
+      {
+        name: 'drafts',
+        healthPath: '/',
+        maxConnections: 400,
+        engine: {slots, tokenCapacity: 500_000, models: []},
+      },
+    ],
+  });
+}
+
 /** Runs the request path of an entry on loopback, without control instances. */
 export class GatewayHarness {
   readonly servers = new ServerTable();
