A version that was rolled back gets no requests while the next one is rolled out

Cause: a service has one record of its newest roll-out. An order that follows a rollback replaced it, and every version other than the target counted as the old one; the rolled-back servers, which drain for seconds, got as many requests as the sound ones.

The record now names the versions that were not completed before it, so that it is committed, survives every process and reaches the entries with the state; an order for such a version puts it on trial again. Their answers are no evidence on the old version either.

Tests (failed before): versionSplit, two; FleetState.

--- a/packages/fleet/src/lib/FleetState.ts
+++ b/packages/fleet/src/lib/FleetState.ts
@@ -72,6 +72,8 @@
 
 /** Maximum number of retained roll-outs; the oldest are removed first. */
 const MAX_ROLLOUTS = 200;
+/** Maximum number of rejected versions that are retained of a service; the oldest are removed first. */
+const MAX_REJECTED = 20;
 /** Maximum number of prompt segments in quarantine; the oldest are released first. */
 const MAX_QUARANTINED = 500;
 
@@ -195,6 +197,7 @@
       isEarly: true,
       number: this.rolloutCount,
       elapsedMs: 0,
+      rejected: listRejected(known, target),
     });
     evictOldest(this.rollouts, MAX_ROLLOUTS);
     return true;
@@ -234,3 +237,16 @@
 function buildSegmentsKey(segments: readonly string[]): string {
   return [...segments].sort().join(',');
 }
+
+/** Lists the versions that were not completed when the roll-out of a version follows another one. */
+function listRejected(
+  previous: RolloutRecord | undefined,
+  target: string,
+): string[] {
+  if (!previous) return [];
+  const {rejected = [], phase} = previous;
+  const versions = new Set(rejected);
+  if (phase !== 'completed') versions.add(previous.target);
+  versions.delete(target);
+  return [...versions].slice(-MAX_REJECTED);
+}
--- a/packages/fleet/src/test/FleetState.test.ts
+++ b/packages/fleet/src/test/FleetState.test.ts
@@ -47,6 +47,32 @@
   assert.equal(state.findRollout('drafts')?.phase, 'in_progress');
 });
 
+test('versions that were not completed are rejected by the roll-outs that follow, until they are ordered again', () => {
+  const state = new FleetState();
+  let number = 0;
+  const start = (target: string) => {
+    number += 1;
+    const order = {service: 'drafts', target, durationMs: 9_000};
+    apply(state, {type: 'start_rollout', ...order});
+    return state.findRollout('drafts')?.rejected;
+  };
+  const finish = (phase: 'completed' | 'rolled_back') => {
+    const step = {phase, share: 0, isEarly: false, elapsedMs: 1};
+    apply(state, {type: 'step_rollout', service: 'drafts', number, step});
+  };
+  assert.deepEqual(start('v2'), []);
+  finish('rolled_back');
+  assert.deepEqual(start('v3'), ['v2']);
+  finish('completed');
+  assert.deepEqual(start('v4'), ['v2']);
+  // The next order supersedes this one, which is in progress.
+  assert.deepEqual(start('v5'), ['v2', 'v4']);
+  finish('rolled_back');
+  assert.deepEqual(start('v2'), ['v4', 'v5']);
+  finish('completed');
+  assert.deepEqual(start('v6'), ['v4', 'v5']);
+});
+
 test('a snapshot restores everything', () => {
   const state = new FleetState();
   apply(state, {type: 'put_configuration', version: 3, document: {a: 1}});
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -282,7 +282,7 @@
     const ready = servers
       .listReady(service.name)
       .filter(
-        server => servers.isAccepting(server) && !versions.isRolledBack(server),
+        server => servers.isAccepting(server) && !versions.isRejected(server),
       );
     const permitted = versions.filterServers(service.name, variant, ready);
     const available = permitted.filter(server =>
--- a/packages/gateway/src/lib/VersionSplit.ts
+++ b/packages/gateway/src/lib/VersionSplit.ts
@@ -168,7 +168,7 @@
   ): void {
     const {service} = server.listing.registration;
     const rollout = this.rollouts.get(service);
-    if (rollout?.phase !== 'in_progress') return;
+    if (rollout?.phase !== 'in_progress' || this.isRejected(server)) return;
     if (result === 'lost' && !this.isFirstLoss(server)) return;
     const table = this.evidence.get(service) ?? new Map<string, Counts>();
     this.evidence.set(service, table);
@@ -197,11 +197,18 @@
       : servers;
   }
 
-  /** Returns whether a server runs a version that was rolled back and gets no new work. */
-  isRolledBack(server: KnownServer): boolean {
-    const {service, version} = server.listing.registration;
+  /**
+   * Returns whether a server gets no new work, because this roll-out or an earlier one of its version
+   * was not completed.
+   */
+  isRejected({listing}: KnownServer): boolean {
+    const {service, version} = listing.registration;
     const rollout = this.rollouts.get(service);
-    return rollout?.phase === 'rolled_back' && rollout.target === version;
+    if (!rollout) return false;
+    const {target, phase, rejected = []} = rollout;
+    return target === version
+      ? phase === 'rolled_back'
+      : rejected.includes(version);
   }
 
   /** Lists the sessions that this entry keeps on the old version. */
--- a/packages/gateway/src/test/versionSplit.test.ts
+++ b/packages/gateway/src/test/versionSplit.test.ts
@@ -1,15 +1,23 @@
 import assert from 'node:assert/strict';
-import {test} from 'node:test';
+import {afterEach, test} from 'node:test';
 import type {ServiceRollout} from '@sycamorehead/schema';
 import {ServerTable} from '../lib/ServerTable.js';
 import {VersionSplit} from '../lib/VersionSplit.js';
-import {FakeServer, ServerScript} from './FakeServer.js';
+import {
+  FakeServer,
+  ServerScript,
+  answerWell,
+  describeServer,
+} from './FakeServer.js';
 import {
   GatewayHarness,
   buildConfiguration,
   buildRoute,
   formatRequest,
 } from './GatewayHarness.js';
+import {startServer, stopStarted, track} from './startGateway.js';
+
+afterEach(stopStarted);
 
 function buildRollout(overrides: Partial<ServiceRollout> = {}): ServiceRollout {
   return {
@@ -87,31 +95,61 @@
   split.update([buildRollout({share: 0, phase: 'rolled_back'})]);
   split.update([buildRollout({share: 1})]);
   assert.equal(split.assignVariant('drafts', 'session', 'r1'), 'old');
-  const server = new FakeServer('s2', () => {});
-  const table = new ServerTable();
-  const registration = {...buildListing(server, 'v2')};
-  table.update({servers: [registration]});
-  const [known] = table.listReady('drafts');
-  assert.ok(known && split.isRolledBack(known));
+  assert.deepEqual(listRejected(split), ['v2']);
 });
 
-function buildListing(server: FakeServer, version: string) {
-  return {
-    isSilent: false,
-    registration: {
-      id: server.id,
-      service: 'drafts',
-      address: '127.0.0.1:9',
-      dataCentre: 'a',
-      version,
-      slots: 8,
-      state: 'ready' as const,
-      startedAtMs: 1,
-      sequence: 1,
-    },
-  };
+test('nothing goes to a version that was rolled back while the next one is rolled out', () => {
+  const split = new VersionSplit(5_000);
+  split.update([buildRollout({share: 0, phase: 'rolled_back'})]);
+  const rejected = ['v2'];
+  split.update([buildRollout({number: 2, target: 'v3', rejected})]);
+  assert.deepEqual(listRejected(split), ['v2']);
+  split.update([
+    buildRollout({number: 2, target: 'v3', rejected, phase: 'completed'}),
+  ]);
+  assert.deepEqual(listRejected(split), ['v2']);
+  // An order that names the version again puts it on trial.
+  split.update([buildRollout({number: 3, rejected: ['v3']})]);
+  assert.deepEqual(listRejected(split), ['v3']);
+});
+
+/** Lists those of three versions whose servers get no work. */
+function listRejected(split: VersionSplit): string[] {
+  const table = new ServerTable();
+  const versions = ['v1', 'v2', 'v3'];
+  table.update({
+    servers: versions.map((version, index) =>
+      describeServer(`s-${version}`, `127.0.0.1:${index + 9}`, {version}),
+    ),
+  });
+  return table
+    .listReady('drafts')
+    .filter(server => split.isRejected(server))
+    .map(({listing}) => listing.registration.version);
 }
 
+test('a rolled-back server that is still listed gets no request while the next version is rolled out', async () => {
+  const [old, rejected] = await Promise.all([
+    startServer('s1', answerWell),
+    startServer('s2', answerWell),
+  ]);
+  const gateway = track(new GatewayHarness());
+  await gateway.start(buildConfiguration([buildRoute()]), [
+    old.describe(),
+    rejected.describe({version: 'v2'}),
+  ]);
+  gateway.versions.update([
+    buildRollout({number: 2, target: 'v3', rejected: ['v2']}),
+  ]);
+  for (let index = 0; index < 20; index += 1) {
+    await gateway.exchange(formatRequest({id: `r${index}`}));
+  }
+  assert.equal(rejected.received.length, 0);
+  assert.equal(old.received.length, 20);
+  const [evidence] = gateway.versions.listEvidence();
+  assert.equal(evidence?.counts['drafts|old']?.answers, 20);
+});
+
 test('lost answers count for the server, once per event', async () => {
   const answerNothing: ServerScript = (unused, socket) =>
     socket.resetAndDestroy();
--- a/packages/schema/src/lib/serviceRollout.ts
+++ b/packages/schema/src/lib/serviceRollout.ts
@@ -14,6 +14,11 @@
   readonly number: number;
   /** Whether sessions that began on the old version still stay on it. */
   readonly isEarly: boolean;
+  /**
+   * Versions of earlier roll-outs that were not completed; their servers get no work. Absent from
+   * earlier builds.
+   */
+  readonly rejected?: readonly string[];
 }
 
 /** Statistics of the answers of one version at one entry since the roll-out was ordered. @public */
