--- a/packages/gateway/src/lib/SlowStart.ts
+++ b/packages/gateway/src/lib/SlowStart.ts
@@ -17,8 +17,9 @@
   recordChoice(servers: readonly KnownServer[], chosen: KnownServer): void {
     for (const server of servers) {
       if (!isSlow(server)) continue;
-      const credit = this.getCredit(server) + 1 / servers.length;
-      this.credits.set(server, Math.min(1, credit));
+      // The first requests of many entries are spread over the time in which each earns one.
+      const credit = this.credits.get(server) ?? Math.random();
+      this.credits.set(server, Math.min(1, credit + 1 / servers.length));
     }
     if (!isSlow(chosen)) return;
     this.credits.set(chosen, Math.max(0, this.getCredit(chosen) - 1));
@@ -35,12 +36,7 @@
   }
 
   private getCredit(server: KnownServer): number {
-    const known = this.credits.get(server);
-    if (known !== undefined) return known;
-    // The first requests of many entries are spread over the time in which each earns one.
-    const credit = Math.random();
-    this.credits.set(server, credit);
-    return credit;
+    return this.credits.get(server) ?? 0;
   }
 }
 
