--- a/packages/gateway/src/test/stopping.test.ts
+++ b/packages/gateway/src/test/stopping.test.ts
@@ -37,8 +37,8 @@
   do {
     answers = server.received.length;
     await sleep(500);
-  } while (answers < server.received.length);
-  assert.ok(answers > 0 && answers < REQUEST_COUNT, `${answers} answers`);
+  } while (answers === 0 || answers < server.received.length);
+  assert.ok(answers < REQUEST_COUNT, `${answers} answers`);
   const stopped = gateway.stop(8_000);
   // Longer than the time without a request after which a stopping entry counts as idle.
   await sleep(3_500);
