--- a/packages/stand-ins/src/lib/StandInEngine.ts
+++ b/packages/stand-ins/src/lib/StandInEngine.ts
@@ -239,22 +239,15 @@
     const {resetAfterTokens, truncateAfterTokens, silentAfterTokens} =
       this.faults;
     const isDue = (limit?: number) => limit !== undefined && run.tokens > limit;
-    if (isDue(resetAfterTokens)) {
-      run.outcome = 'faulted';
-      response.destroy();
-      return true;
-    }
-    if (isDue(truncateAfterTokens)) {
-      run.outcome = 'faulted';
-      response.end();
-      return true;
-    }
-    if (isDue(silentAfterTokens)) {
-      run.outcome = 'faulted';
-      this.batch.cancel(job.id);
-      return true;
-    }
-    return false;
+    const isReset = isDue(resetAfterTokens);
+    const isTruncated = isDue(truncateAfterTokens);
+    if (!isReset && !isTruncated && !isDue(silentAfterTokens)) return false;
+    run.outcome = 'faulted';
+    // The next step may come before the connection's close event.
+    this.batch.cancel(job.id);
+    if (isReset) response.destroy();
+    else if (isTruncated) response.end();
+    return true;
   }
 }
 
