--- a/packages/gateway/src/lib/SlowStart.ts
+++ b/packages/gateway/src/lib/SlowStart.ts
@@ -1,8 +1,14 @@
 import type {KnownServer} from './ServerTable.js';
 
 /**
- * Limits backend servers that are slow because they have just started to an equal share of the
- * requests. They are idle, so all entries would choose them at the same time, and each of their
+ * Requests that a slow server may get, relative to an equal share. More than one, since the others may
+ * be overloaded.
+ */
+const MAX_SHARE = 1.4;
+
+/**
+ * Limits backend servers that are slow because they have just started to little more than an equal
+ * share of the requests. They are idle, so all entries would choose them at the same time, and each of their
  * answers takes longer.
  *
  * @internal
@@ -19,7 +25,8 @@
       if (!isSlow(server)) continue;
       // The first requests of many entries are spread over the time in which each earns one.
       const credit = this.credits.get(server) ?? Math.random();
-      this.credits.set(server, Math.min(1, credit + 1 / servers.length));
+      const earned = MAX_SHARE / servers.length;
+      this.credits.set(server, Math.min(1, credit + earned));
     }
     if (!isSlow(chosen)) return;
     this.credits.set(chosen, Math.max(0, this.getCredit(chosen) - 1));
