A description of the fleet says whether it includes all that is committed

What an operator saw: `syc fleet quarantine` right after a restart of all control instances listed nothing although a segment was in quarantine, and nothing told the list apart from a true one.

Cause: `fleet.describe` answered with what its instance had applied. After a restart a follower learns what is committed with the leader's next heartbeat; the test asked one instance once another one had told its entry.

Now an instance asks the leader for the confirmed commit index and describes the fleet once it has applied that much; without a leader it says that the description is not confirmed, and `syc fleet` warns. It answers all the same, since an instance that is cut off has to be looked into. The test retries until the description is confirmed and then expects exactly the quarantine. New test: an instance alone passed an empty list off as in force before (the field did not exist).

--- a/apps/syc/src/fleetCommand.ts
+++ b/apps/syc/src/fleetCommand.ts
@@ -13,6 +13,9 @@
 import {FleetViewName, formatFleetView} from './formatFleetView.js';
 import {requestFleet} from './requestFleet.js';
 
+const UNCONFIRMED_WARNING =
+  'not confirmed by a leader of the control instances: this may be out of date';
+
 const VIEWS = [
   'routes',
   'servers',
@@ -52,6 +55,7 @@
           FLEET_METHODS.describe,
           {},
         );
+        if (!description.isConfirmed) console.error(UNCONFIRMED_WARNING);
         showView(args.view, description, args);
       }),
   });
--- a/packages/fleet/src/lib/FleetCommands.ts
+++ b/packages/fleet/src/lib/FleetCommands.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {LinkPool} from '@sycamorehead/consensus';
 import {
   JsonValue,
@@ -13,6 +14,10 @@
 
 /** Timeout of a call to the leader, in milliseconds; operators' calls time out after a second. */
 const LEADER_CALL_TIMEOUT_MS = 850;
+/** Time limit for applying what the leader has committed, in milliseconds. */
+const CATCH_UP_TIMEOUT_MS = 1_000;
+/** Interval between two checks of what has been applied, in milliseconds. */
+const CATCH_UP_POLL_MS = 20;
 
 /** Parses an operator's document into a configuration; throws `note_invalid`. @public */
 export type ConfigurationDecoder = (document: JsonValue) => RouteConfiguration;
@@ -45,6 +50,10 @@
   readonly rollout?: ServiceRollout;
 }
 
+interface CommitReply {
+  readonly commitIndex: number;
+}
+
 /**
  * Operators' commands and queries on the replicated state. They run locally on the leader; any
  * other instance forwards them to it.
@@ -102,6 +111,30 @@
     return rollout;
   }
 
+  /**
+   * Waits until this instance has applied all that was committed before the call.
+   *
+   * @throws SycamoreheadError `control_unavailable` or `not_leader` if that cannot be confirmed in time.
+   */
+  async awaitCommitted(): Promise<void> {
+    const {commitIndex} = await this.runOnLeader(
+      FLEET_METHODS.confirmCommit,
+      {},
+      () => this.confirmCommit(),
+    );
+    const deadline = performance.now() + CATCH_UP_TIMEOUT_MS;
+    while (this.readCommitIndex() < commitIndex) {
+      if (performance.now() > deadline) {
+        throw new SycamoreheadError(
+          'control_unavailable',
+          `entry ${commitIndex} is not applied yet`,
+          {ran: 'no'},
+        );
+      }
+      await sleep(CATCH_UP_POLL_MS);
+    }
+  }
+
   /** Creates the methods that this instance serves to the others while it leads. */
   createMethods() {
     return {
@@ -120,6 +153,7 @@
       [FLEET_METHODS.readConfiguration]: () => this.confirmConfiguration(),
       [FLEET_METHODS.readRollout]: ({service}: {service: string}) =>
         this.confirmRollout(service),
+      [FLEET_METHODS.confirmCommit]: () => this.confirmCommit(),
     };
   }
 
@@ -179,6 +213,16 @@
     return {rollout: logMember.state.findRollout(service)};
   }
 
+  private async confirmCommit(): Promise<CommitReply> {
+    await this.options.logMember.requireNode().confirmLeadership();
+    return {commitIndex: this.readCommitIndex()};
+  }
+
+  /** Index of the last entry that this instance has applied. */
+  private readCommitIndex(): number {
+    return this.options.logMember.requireNode().getStatus().commitIndex;
+  }
+
   /**
    * Refuses commits while the group has fewer than 2f + 1 voters, since they might not survive the
    * loss of f disks.
--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -250,6 +250,20 @@
 
   // Queries.
 
+  /**
+   * Describes the state of the fleet once this instance has applied all that is committed. One that
+   * reaches no leader describes what it knows, as not confirmed.
+   */
+  async describeCommitted(): Promise<FleetDescription> {
+    try {
+      await this.commands.awaitCommitted();
+    } catch (error) {
+      log('not_confirmed', {error: String(error)});
+      return this.describe();
+    }
+    return {...this.describe(), isConfirmed: true};
+  }
+
   /** Describes the state that this instance has applied; it may lag behind the leader. */
   describe(): FleetDescription {
     const {logMember, options} = this;
@@ -257,6 +271,7 @@
     const {version, document} = logMember.state.configuration;
     return {
       instance: options.instance,
+      isConfirmed: false,
       role: status?.role ?? 'opening',
       leader: logMember.leader,
       term: status?.term ?? 0,
@@ -282,7 +297,7 @@
       ): FleetUpdate => this.feeds.subscribe(link, entry),
       [FLEET_METHODS.fetchConfiguration]: () =>
         this.logMember.state.configuration,
-      [FLEET_METHODS.describe]: () => this.describe(),
+      [FLEET_METHODS.describe]: () => this.describeCommitted(),
       [FLEET_METHODS.exchange]: (request: ExchangeRequest): ExchangeReply => ({
         ...this.loadExchange.exchange(request),
         suspects: this.crashPool.exchange(request),
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -40,7 +40,9 @@
   readRollout: 'fleet.readRollout',
   /** Tool to control instance, control instance to the leader: ends a quarantine of prompt segments. */
   releaseSegments: 'fleet.releaseSegments',
-  /** Tool to control instance: describes the state that the instance has applied. */
+  /** Control instance to the leader: returns the index of what is committed. */
+  confirmCommit: 'fleet.confirmCommit',
+  /** Tool to control instance: describes the state of the fleet as the instance knows it. */
   describe: 'fleet.describe',
 } as const;
 
@@ -51,9 +53,14 @@
   readonly document: JsonValue;
 }
 
-/** The state that one control instance has applied. @public */
+/** The state of a fleet as one control instance knows it. @public */
 export interface FleetDescription {
   readonly instance: string;
+  /**
+   * Whether the state includes all that was committed before the request. Otherwise it may be out of
+   * date. Absent from earlier builds.
+   */
+  readonly isConfirmed?: boolean;
   /** Its role in the Raft group. */
   readonly role: string;
   /** Instance of the leader, if it is known. */
--- a/packages/fleet/src/test/quarantine.test.ts
+++ b/packages/fleet/src/test/quarantine.test.ts
@@ -4,7 +4,7 @@
 import {afterEach, test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {JsonValue} from '@sycamorehead/schema';
-import {connectPeer, parsePeerAddress} from '@sycamorehead/wire';
+import {PeerLink, connectPeer, parsePeerAddress} from '@sycamorehead/wire';
 import {FleetLinks} from '../lib/FleetLinks.js';
 import {FLEET_METHODS, FleetDescription} from '../lib/fleetMessages.js';
 import type {CrashReport, QuarantineState} from '../lib/fleetMessages.js';
@@ -80,13 +80,33 @@
   });
 }
 
-test('crashes that three entries report put a segment into quarantine, which outlives all processes', async () => {
+async function connectTool(address: string): Promise<PeerLink> {
+  const link = await connectPeer({
+    address: parsePeerAddress(address),
+    name: 'tool',
+    peerKey: 'test',
+    methods: {},
+  });
+  stops.push(() => link.close('done'));
+  return link;
+}
+
+function describe(link: PeerLink): Promise<FleetDescription> {
+  return link.request<FleetDescription>(FLEET_METHODS.describe, {});
+}
+
+async function createFolders(): Promise<string[]> {
   const folders: string[] = [];
   for (const host of HOSTS) {
     const folder = await mkdtemp(path.resolve('bench-results-fleet-'));
     folders.push(path.join(folder, host));
     stops.push(() => rm(folder, {recursive: true, force: true}));
   }
+  return folders;
+}
+
+test('crashes that three entries report put a segment into quarantine, which outlives all processes', async () => {
+  const folders = await createFolders();
   const startAll = (isFirstStart: boolean) =>
     Promise.all(
       HOSTS.map((host, index) =>
@@ -115,17 +135,12 @@
   const joined = new ReportingEntry('e9', SEEDS[1] ?? '');
   await waitForCombinations(joined, [['bad']]);
 
-  const link = await connectPeer({
-    address: parsePeerAddress(SEEDS[2] ?? ''),
-    name: 'tool',
-    peerKey: 'test',
-    methods: {},
+  const link = await connectTool(SEEDS[2] ?? '');
+  const fleet = await retry(async () => {
+    const description = await describe(link);
+    assert.ok(description.isConfirmed);
+    return description;
   });
-  stops.push(() => link.close('done'));
-  const fleet = await link.request<FleetDescription>(
-    FLEET_METHODS.describe,
-    {},
-  );
   assert.deepEqual(fleet.quarantined, [
     {segments: ['bad'], crashes: 3, durationMs: 900_000},
   ]);
@@ -135,6 +150,19 @@
   await waitForCombinations(joined, []);
 });
 
+test('an instance that has not caught up does not pass off its quarantine as the one in force', async () => {
+  const folders = await createFolders();
+  const alone = await startNode(HOSTS[0] ?? '', folders[0] ?? '', true);
+  stops.push(() => alone.stop());
+  const link = await connectTool(SEEDS[0] ?? '');
+  const before = await describe(link);
+  assert.deepEqual([before.isConfirmed, before.quarantined], [false, []]);
+
+  const other = await startNode(HOSTS[1] ?? '', folders[1] ?? '', true);
+  stops.push(() => other.stop());
+  await retry(async () => assert.ok((await describe(link)).isConfirmed));
+});
+
 function apply(state: FleetState, command: FleetCommand): boolean {
   const result = state.apply(command as unknown as JsonValue);
   return (result as {isChanged: boolean}).isChanged;
