Crashes are reported again to control instances that have restarted

Cause: an entry repeats a crash in 20 exchanges, about two seconds, and then trusts the pool of the control instances, which is in memory. When all of them restart, every crash from before is forgotten, and the count begins anew. Class: evidence that is kept in one place and confirmed only once.

An exchange now names the incarnation of the instance that answers; if it changes, the entry reports all its crashes again, eight in each exchange at most. Crashes are a union by incarnation, so that repeating them changes nothing.

--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -301,6 +301,7 @@
       [FLEET_METHODS.exchange]: (request: ExchangeRequest): ExchangeReply => ({
         ...this.loadExchange.exchange(request),
         suspects: this.crashPool.exchange(request),
+        control: this.incarnation,
       }),
       [FLEET_METHODS.digest]: (digest: LoadDigest) => {
         this.loadExchange.acceptDigest(digest);
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -229,4 +229,6 @@
   readonly suspects?: readonly string[];
   /** Whether the instance hears too few others, so that load is missing. */
   readonly isIsolated?: boolean;
+  /** Incarnation of the control instance that answers; absent from earlier builds. */
+  readonly control?: string;
 }
--- a/packages/gateway/src/lib/CrashObserver.ts
+++ b/packages/gateway/src/lib/CrashObserver.ts
@@ -27,6 +27,8 @@
 const MAX_CRASHES = 64;
 /** Number of exchanges that carry a crash; several, because a receiver may be lost with it. */
 const REPORTS = 20;
+/** Maximum number of crashes in one exchange; those that were reported least come first. */
+const MAX_REPORTED = 8;
 
 /** One send of a prompt to a server, as far as it matters when the server crashes. @public */
 export interface PromptSend {
@@ -130,13 +132,28 @@
     }
   }
 
+  /** Makes all crashes be reported again, to a control instance that may know none of them. */
+  resetReports(): void {
+    for (const crash of this.crashes.values()) crash.reports = 0;
+  }
+
+  /** Records that a control instance has received a report. */
+  confirmReport(reported: readonly CrashReport[]): void {
+    for (const {incarnation} of reported) {
+      const crash = this.crashes.get(incarnation);
+      if (crash) crash.reports += 1;
+    }
+  }
+
   // Queries.
 
-  /** Lists the crashes that are still to be reported. */
+  /** Lists the crashes that the next exchange is to report. */
   listCrashes(): CrashReport[] {
     const now = performance.now();
     return [...this.crashes]
       .filter(([, {reports}]) => reports < REPORTS)
+      .sort(([, one], [, other]) => one.reports - other.reports)
+      .slice(0, MAX_REPORTED)
       .map(([incarnation, {at, segments}]) => ({
         incarnation,
         ageMs: Math.round(now - at),
@@ -155,14 +172,6 @@
     return table;
   }
 
-  /** Records that a control instance has received a report. */
-  confirmReport(reported: readonly CrashReport[]): void {
-    for (const {incarnation} of reported) {
-      const crash = this.crashes.get(incarnation);
-      if (crash) crash.reports += 1;
-    }
-  }
-
   private recordCrash(
     registration: ServerRegistration,
     at: number,
--- a/packages/gateway/src/lib/LoadReporter.ts
+++ b/packages/gateway/src/lib/LoadReporter.ts
@@ -27,6 +27,8 @@
 export class LoadReporter {
   /** Prompt segments of which the control instances want to know when they were answered. */
   private suspects: readonly string[] = [];
+  /** Incarnation of the control instance that answered last. */
+  private control: string | undefined;
 
   constructor(private readonly options: LoadReporterOptions) {}
 
@@ -34,7 +36,11 @@
   async exchangeReports(): Promise<void> {
     const request = this.buildRequest();
     const reply = await this.options.exchange(request);
-    this.options.crashes.confirmReport(request.crashes ?? []);
+    const {crashes} = this.options;
+    // All control instances may have restarted at the same time, which loses what they had pooled.
+    if (reply.control !== this.control) crashes.resetReports();
+    this.control = reply.control;
+    crashes.confirmReport(request.crashes ?? []);
     this.applyReply(reply);
   }
 
--- a/packages/gateway/src/test/CrashControls.ts
+++ b/packages/gateway/src/test/CrashControls.ts
@@ -11,6 +11,7 @@
 
 /** One control instance of a CrashControls. */
 interface Control {
+  readonly incarnation: string;
   readonly load: LoadExchange;
   readonly pool: CrashPool;
 }
@@ -20,7 +21,8 @@
  * convicts is in quarantine everywhere a round later.
  */
 export class CrashControls {
-  private readonly controls: Control[];
+  private controls: readonly Control[] = [];
+  private starts = 0;
   private quarantine: QuarantineState = {
     revision: 0,
     combinations: [],
@@ -28,12 +30,20 @@
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
-    count: number,
+    private readonly count: number,
     /** Returns whether a message is lost. */
     private readonly isLost: () => boolean,
     private readonly onQuarantine: (state: QuarantineState) => void,
   ) {
+    this.restart();
+  }
+
+  /** Replaces all instances by new ones, which know only what the log has stored. */
+  restart(): void {
+    const {count} = this;
+    this.starts += 1;
     this.controls = Array.from({length: count}, (_, index) => ({
+      incarnation: `c${index} ${this.starts}`,
       load: new LoadExchange(`c${index}`, () => count),
       pool: new CrashPool(() => this.quarantine.combinations),
     }));
@@ -62,6 +72,7 @@
     const reply = {
       ...control.load.exchange(request),
       suspects: control.pool.exchange(request),
+      control: control.incarnation,
     };
     if (this.isLost()) throw new Error('reply lost');
     return Promise.resolve(reply);
--- a/packages/gateway/src/test/promptSegmentCrashes.test.ts
+++ b/packages/gateway/src/test/promptSegmentCrashes.test.ts
@@ -8,6 +8,8 @@
 
 /** Time after the fifth crash from which requests with the segment are no longer sent on. */
 const TOUCH_MS = 3_000;
+/** Time after which an entry has reported a crash in as many exchanges as it does, in milliseconds. */
+const REPORTED_MS = 2_500;
 /** Number of crashes after which the segment must be known. */
 const CRASHES = 5;
 /** Requests with the segment that may still reach servers after that time. */
@@ -57,6 +59,25 @@
   });
 }
 
+test('crashes were forgotten when all control instances had restarted: they count together with later ones', async () => {
+  const fleet = track(new CrashFleet({entries: 3, servers: 6}));
+  await fleet.start();
+  const traffic = fleet.sendRequests(false, 25, 7_000);
+  await fleet.sendRequests(true, 300, 550);
+  const before = fleet.crashTimes.length;
+  await sleep(REPORTED_MS);
+  fleet.controls.restart();
+  assert.deepEqual(fleet.controls.state.combinations, []);
+  await fleet.sendRequests(true, 300, 550);
+  await traffic;
+  const crashes = `${before} crashes before, ${fleet.crashTimes.length} in all`;
+  assert.deepEqual(
+    fleet.controls.state.combinations,
+    [[CRASHING_SEGMENT]],
+    crashes,
+  );
+});
+
 test('servers that crash at random put no prompt segment into quarantine', async () => {
   const fleet = track(new CrashFleet({entries: 4, servers: 6}));
   await fleet.start();
