A prompt that reached no server is no suspect of its crash

What callers saw: requests with the crashing segment went on for longer than 3 s after five crashes.

Cause: an entry that had nothing in progress on the crashed server found the crash when its next connection was refused, and reported the prompt of that send as in progress, although no byte of it had been sent. With several entries, each crash so collected the segments of prompts that came after it, and a common sound one could not be told apart from the crashing one.

A send of which no byte went out now leaves the suspects. The new test failed before.

--- a/packages/gateway/src/lib/CrashObserver.ts
+++ b/packages/gateway/src/lib/CrashObserver.ts
@@ -79,6 +79,11 @@
     return send;
   }
 
+  /** Records that no byte of a prompt was sent, so that it cannot have crashed its server. */
+  dropSend(send: PromptSend): void {
+    this.sends.get(send.server)?.delete(send);
+  }
+
   /** Records that an answer goes on; one that has done so for long shows that its prompt is sound. */
   recordProgress(send: PromptSend): void {
     const {begunAt, hasSurvived} = send;
--- a/packages/gateway/src/lib/SendRecord.ts
+++ b/packages/gateway/src/lib/SendRecord.ts
@@ -59,6 +59,7 @@
       this.recordSlow();
       return;
     }
+    if (outcome.type === 'unsent') this.context.crashes.dropSend(this.prompt);
     const hasFailed = outcome.type === 'unsent' || outcome.type === 'lost';
     if (hasFailed && !isAbandoned) {
       servers.recordFailure(server, outcome.reason, outcome.type === 'unsent');
--- a/packages/gateway/src/test/crashObserver.test.ts
+++ b/packages/gateway/src/test/crashObserver.test.ts
@@ -81,6 +81,15 @@
   assert.deepEqual(listSegments(gateway), ['common', 'part']);
 });
 
+test('a sound segment was suspected: a prompt that reached no server makes no suspects', async () => {
+  const server = await startServer('s1', sendHead);
+  const gateway = await startEngineGateway(server);
+  await server.refuseConnections();
+  await gateway.exchange(formatRequest({headers: [PREFIX]}));
+  await sleep(50);
+  assert.deepEqual(listSegments(gateway), []);
+});
+
 test('segments that were answered before are no suspects', async () => {
   let isSound = true;
   const server = await startServer('s1', (request, socket) => {
