A released quarantine stays released after a restart of the control instances

What an operator would see: a segment that was released is in quarantine again once all control instances have restarted, although no server has crashed since.

An entry that learns of the release now takes the segments for sound until then, as the pool does, and reports that when it is asked. The test failed without it and passes with it.

--- a/packages/gateway/src/lib/CrashObserver.ts
+++ b/packages/gateway/src/lib/CrashObserver.ts
@@ -94,8 +94,13 @@
   /** Records an answer that shows that the segments of its prompt are sound. */
   recordSurvival(send: PromptSend): void {
     send.hasSurvived = true;
+    this.recordSound(send.segments);
+  }
+
+  /** Records that prompts with the segments are sound, so that crashes until now no longer count against them. */
+  recordSound(segments: readonly string[]): void {
     const now = performance.now();
-    for (const segment of send.segments) {
+    for (const segment of segments) {
       this.survivals.delete(segment);
       this.survivals.set(segment, now);
     }
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -63,7 +63,9 @@
   private readonly rates = new PrefillRates();
   private readonly startup = new StartupGate();
   private readonly crashes = new CrashObserver();
-  private readonly quarantine = new SegmentQuarantine();
+  private readonly quarantine = new SegmentQuarantine(segments =>
+    this.crashes.recordSound(segments),
+  );
   private readonly versions: VersionSplit;
   private readonly budgets: RetryBudgets;
   private readonly placement: Placement;
--- a/packages/gateway/src/lib/SegmentQuarantine.ts
+++ b/packages/gateway/src/lib/SegmentQuarantine.ts
@@ -17,12 +17,22 @@
   private state: QuarantineState = {revision: 0, combinations: []};
   private readonly watched = new Set<WatchedPrompt>();
 
+  constructor(
+    /** Called with the segments of a combination that is in quarantine no longer. */
+    private readonly onReleased: (segments: readonly string[]) => void,
+  ) {}
+
   // Commands.
 
   /** Applies the state of a control instance; an older one is ignored. */
   update(state: QuarantineState): void {
     if (state.revision <= this.state.revision) return;
+    const previous = this.state;
     this.state = state;
+    const kept = new Set(state.combinations.map(buildKey));
+    for (const segments of previous.combinations) {
+      if (!kept.has(buildKey(segments))) this.onReleased(segments);
+    }
     writeDecision('quarantine_in_force', {
       revision: state.revision,
       combinations: state.combinations.length,
@@ -51,3 +61,7 @@
     );
   }
 }
+
+function buildKey(segments: readonly string[]): string {
+  return segments.join(',');
+}
--- a/packages/gateway/src/test/CrashControls.ts
+++ b/packages/gateway/src/test/CrashControls.ts
@@ -57,6 +57,13 @@
     clearInterval(this.timer);
   }
 
+  /** Ends all quarantines, as an operator does. */
+  release(): void {
+    const {revision} = this.quarantine;
+    this.quarantine = {revision: revision + 1, combinations: []};
+    this.onQuarantine(this.quarantine);
+  }
+
   /** The prompt segments in quarantine. */
   get state(): QuarantineState {
     return this.quarantine;
--- a/packages/gateway/src/test/GatewayHarness.ts
+++ b/packages/gateway/src/test/GatewayHarness.ts
@@ -111,7 +111,9 @@
   readonly servers = new ServerTable();
   readonly versions = new VersionSplit(5_000);
   readonly crashes = new CrashObserver();
-  readonly quarantine = new SegmentQuarantine();
+  readonly quarantine = new SegmentQuarantine(segments =>
+    this.crashes.recordSound(segments),
+  );
   readonly metrics = new GatewayMetrics();
   private readonly rates = new PrefillRates();
   private readonly budgets: RetryBudgets;
--- a/packages/gateway/src/test/promptSegmentCrashes.test.ts
+++ b/packages/gateway/src/test/promptSegmentCrashes.test.ts
@@ -78,6 +78,19 @@
   );
 });
 
+test('a quarantine that was released came back: crashes from before do not count again after a restart', async () => {
+  const fleet = track(new CrashFleet({entries: 3, servers: 6}));
+  await fleet.start();
+  const traffic = fleet.sendRequests(false, 25, 7_500);
+  await fleet.sendRequests(true, 160, 3_000);
+  const {combinations} = fleet.controls.state;
+  assert.deepEqual(combinations.at(-1), [CRASHING_SEGMENT]);
+  fleet.controls.release();
+  fleet.controls.restart();
+  await traffic;
+  assert.deepEqual(fleet.controls.state.combinations, []);
+});
+
 test('servers that crash at random put no prompt segment into quarantine', async () => {
   const fleet = track(new CrashFleet({entries: 4, servers: 6}));
   await fleet.start();
