Logs: a limit of requests that a server names in its answers

One bounded line for each change of what an incarnation names, and a counter. Placement does not use it yet.

--- a/packages/gateway/src/lib/GatewayMetrics.ts
+++ b/packages/gateway/src/lib/GatewayMetrics.ts
@@ -26,6 +26,9 @@
   private readonly holds = this.createCounter('server_holds_total', [
     'service',
   ]);
+  private readonly limits = this.createCounter('server_limits_total', [
+    'service',
+  ]);
   private readonly quarantined = this.createCounter('quarantined_total', [
     'service',
   ]);
@@ -57,6 +60,11 @@
     this.holds.inc({service});
   }
 
+  /** Counts an answer by which a backend server limits the requests of all entries. */
+  recordLimit(service: string): void {
+    this.limits.inc({service});
+  }
+
   /** Counts a request that was refused or cancelled because of a prompt segment in quarantine. */
   recordQuarantined(service: string): void {
     this.quarantined.inc({service});
--- a/packages/gateway/src/lib/SendRecord.ts
+++ b/packages/gateway/src/lib/SendRecord.ts
@@ -88,7 +88,7 @@
     this.recordEvidence('answered', performance.now() - this.sentAt);
   }
 
-  /** Records that the server leaves or wants a pause; both concern waiting requests too. */
+  /** Records what the server says of itself; it concerns waiting requests too. */
   recordNotice(notice: ServerNotice): void {
     const {servers, metrics, placement} = this.context;
     const {registration} = this.reservation.server.listing;
@@ -96,6 +96,9 @@
       this.isHeld = true;
       metrics.recordHold(registration.service);
     }
+    const {limit} = notice;
+    if (limit.type === 'named') metrics.recordLimit(registration.service);
+    servers.limits.record(registration, limit);
     if (servers.notices.record(registration, notice)) placement.offerSlots();
   }
 
--- a/packages/gateway/src/lib/ServerNotices.ts
+++ b/packages/gateway/src/lib/ServerNotices.ts
@@ -1,3 +1,4 @@
+import type {RateLimitNotice} from '@sycamorehead/routing';
 import {
   ServerRegistration,
   buildIncarnationKey,
@@ -11,6 +12,8 @@
   readonly isLeaving: boolean;
   /** Time for which it wants no requests from this entry, in milliseconds. */
   readonly holdMs: number | undefined;
+  /** The requests that it accepts from all entries together. */
+  readonly limit: RateLimitNotice;
 }
 
 /** Incarnations that leave, as reported to other entries. @public */
@@ -49,7 +52,10 @@
   // Commands.
 
   /** Records a notice of a server; returns whether anything has changed. */
-  record(server: Incarnation, {isLeaving, holdMs}: ServerNotice): boolean {
+  record(
+    server: Incarnation,
+    {isLeaving, holdMs}: Pick<ServerNotice, 'isLeaving' | 'holdMs'>,
+  ): boolean {
     const isNew =
       isLeaving && this.markLeaving(buildIncarnationKey(server), true);
     if (holdMs !== undefined) this.startHold(server, holdMs);
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -11,6 +11,7 @@
 } from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 import {ServerAgent} from './ServerAgent.js';
+import {ServerLimits} from './ServerLimits.js';
 import {ServerNotices} from './ServerNotices.js';
 
 /** Maximum number of idle connections that are retained to one backend server. */
@@ -73,6 +74,7 @@
  */
 export class ServerTable {
   readonly notices = new ServerNotices();
+  readonly limits = new ServerLimits();
   private readonly servers = new Map<string, KnownServer>();
 
   // Commands.
--- a/packages/gateway/src/lib/defaultHeaders.ts
+++ b/packages/gateway/src/lib/defaultHeaders.ts
@@ -10,6 +10,7 @@
   serverId: 'syc-server-id',
   notExecuted: 'syc-not-executed',
   serverLeaving: 'syc-server-leaving',
+  serverLimit: 'syc-server-limit',
   signature: 'syc-signature',
   model: 'syc-model',
   tokenUsage: 'syc-token-usage',
--- a/packages/gateway/src/lib/headerNames.ts
+++ b/packages/gateway/src/lib/headerNames.ts
@@ -15,6 +15,8 @@
   readonly notExecuted: string;
   /** Set to 1 on the answers of a backend server that is leaving. */
   readonly serverLeaving: string;
+  /** Requests a second that a backend server accepts from all entries together, a decimal number. */
+  readonly serverLimit: string;
   /** A backend server's signature of its answer. */
   readonly signature: string;
   readonly model: string;
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -1,7 +1,11 @@
 import http from 'node:http';
 import type {IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
-import {SilenceTimeouts, parseRetryAfter} from '@sycamorehead/routing';
+import {
+  SilenceTimeouts,
+  parseRateLimit,
+  parseRetryAfter,
+} from '@sycamorehead/routing';
 import {dropRest, endExchange, resetExchange} from './cancelExchange.js';
 import type {HeaderNames} from './headerNames.js';
 import {ReadLimit} from './ReadLimit.js';
@@ -44,7 +48,7 @@
   isServerActive(): boolean;
   /** Called once the request has been assigned a connection. */
   onConnection(use: ConnectionUse): void;
-  /** Called before the outcome is known if the server says that it leaves or wants a pause. */
+  /** Called before the outcome is known with what the server says of itself in its answer. */
   onServerNotice(notice: ServerNotice): void;
   /** Aborted once the answer is no longer needed. */
   readonly signal: AbortSignal;
@@ -239,8 +243,8 @@
     statusCode === UNAVAILABLE_STATUS
       ? parseRetryAfter(headers['retry-after'])
       : undefined;
-  if (!isLeaving && holdMs === undefined) return undefined;
-  return {isLeaving, holdMs};
+  const limit = parseRateLimit(headers[names.serverLimit]);
+  return {isLeaving, holdMs, limit};
 }
 
 interface Cancellation {
--- a/packages/gateway/src/test/GatewayHarness.ts
+++ b/packages/gateway/src/test/GatewayHarness.ts
@@ -36,6 +36,7 @@
   serverId: 'x-server-id',
   notExecuted: 'x-not-executed',
   serverLeaving: 'x-leaving',
+  serverLimit: 'x-limit',
   signature: 'x-signature',
   model: 'x-model',
   tokenUsage: 'x-tokens',
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -75,6 +75,8 @@
 } from './lib/forwarding/choosePreferredServers.js';
 export type {PreferredServers} from './lib/forwarding/choosePreferredServers.js';
 export {parseRetryAfter} from './lib/forwarding/parseRetryAfter.js';
+export {parseRateLimit} from './lib/forwarding/parseRateLimit.js';
+export type {RateLimitNotice} from './lib/forwarding/parseRateLimit.js';
 export {
   PrefillRates,
   addPrefillSums,
