--- a/packages/gateway/src/test/CrashFleet.ts
+++ b/packages/gateway/src/test/CrashFleet.ts
@@ -1,7 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ServerListing} from '@sycamorehead/fleet';
 import type {LoadReporter} from '../lib/LoadReporter.js';
-import {CrashControls} from './CrashControls.js';
+import {FakeControls} from './FakeControls.js';
 import {CrashingServer} from './CrashingServer.js';
 import type {ReceivedRequest} from './FakeServer.js';
 import {
@@ -62,7 +62,7 @@
   /** When a request with the crashing segment has reached a server, on the monotonic clock. */
   readonly crashingArrivals: number[] = [];
   readonly entries: GatewayHarness[] = [];
-  readonly controls: CrashControls;
+  readonly controls: FakeControls;
   private readonly reporters: LoadReporter[] = [];
   private readonly timers: NodeJS.Timeout[] = [];
   private readonly replaced: GatewayHarness[] = [];
@@ -74,7 +74,7 @@
   constructor(private readonly options: CrashFleetOptions) {
     const {servers, controls = 3, lossRate = 0} = options;
     const random = createRandom();
-    this.controls = new CrashControls(
+    this.controls = new FakeControls(
       controls,
       () => random() < lossRate,
       state => {
--- a/packages/gateway/src/test/CrashControls.ts
+++ b/packages/gateway/src/test/FakeControls.ts
@@ -9,7 +9,7 @@
 /** Time between two rounds of digests and verdicts, in milliseconds. */
 const ROUND_MS = 100;
 
-/** One control instance of a CrashControls. */
+/** One control instance of FakeControls. */
 interface Control {
   readonly incarnation: string;
   readonly load: LoadExchange;
@@ -20,7 +20,7 @@
  * Control instances that exchange digests in memory. The first one stands for the leader: what its pool
  * convicts is in quarantine everywhere a round later.
  */
-export class CrashControls {
+export class FakeControls {
   private controls: readonly Control[] = [];
   private starts = 0;
   private quarantine: QuarantineState = {
--- /dev/null
+++ b/packages/gateway/src/test/LimitFleet.ts
@@ -0,0 +1,151 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {LoadReporter} from '../lib/LoadReporter.js';
+import {FakeControls} from './FakeControls.js';
+import {FakeServer, ServerScript, formatAnswer} from './FakeServer.js';
+import {
+  GatewayHarness,
+  buildConfiguration,
+  buildRoute,
+  formatRequest,
+  readStatus,
+} from './GatewayHarness.js';
+
+/** Time between two exchanges of an entry, in milliseconds. */
+const EXCHANGE_MS = 100;
+/** Time that a server works on a request, in milliseconds. */
+const WORK_MS = 20;
+
+/** One request of a caller, and what became of it. */
+export interface LimitResult {
+  readonly status: number;
+  readonly text: string;
+  /** Time until the answer, in milliseconds. */
+  readonly ms: number;
+}
+
+/** Settings of a LimitFleet. */
+export interface LimitFleetOptions {
+  readonly entries: number;
+  /** What each server names in its answers; undefined for those without a limit. */
+  readonly limits: ReadonlyArray<string | undefined>;
+  /** Probability with which a message between our own processes is lost. */
+  readonly lossRate?: number;
+}
+
+/** Several entries in front of servers, some of which name a limit. */
+export class LimitFleet {
+  readonly results: LimitResult[] = [];
+  readonly entries: GatewayHarness[] = [];
+  readonly limits: Array<string | undefined>;
+  /** When requests have arrived at each server, on the monotonic clock. */
+  readonly arrivals: number[][] = [];
+  /** Whether the control instances answer. */
+  isControlReachable = true;
+  private readonly servers: FakeServer[];
+  private readonly controls: FakeControls;
+  private readonly reporters: LoadReporter[] = [];
+  private timer: NodeJS.Timeout | undefined;
+  private requestCount = 0;
+
+  constructor(private readonly options: LimitFleetOptions) {
+    const {limits, lossRate = 0} = options;
+    this.limits = [...limits];
+    this.servers = limits.map(
+      (_, index) => new FakeServer(`s${index}`, this.buildScript(index)),
+    );
+    this.controls = new FakeControls(
+      3,
+      () => Math.random() < lossRate,
+      () => {
+        // Nothing crashes here.
+      },
+    );
+  }
+
+  async start(): Promise<void> {
+    await Promise.all(this.servers.map(server => server.start()));
+    for (let index = 0; index < this.options.entries; index += 1) {
+      await this.addEntry();
+    }
+    this.controls.start();
+    this.timer = setInterval(() => this.exchangeReports(), EXCHANGE_MS);
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    this.controls.stop();
+    await Promise.all(this.entries.map(entry => entry.stop()));
+    await Promise.all(this.servers.map(server => server.stop()));
+  }
+
+  /** Starts an entry, in place of another one if an index is given. */
+  async addEntry(index = this.entries.length): Promise<void> {
+    const entry = new GatewayHarness();
+    await entry.start(
+      buildConfiguration([buildRoute({targetLatencyMs: 1_000})]),
+      this.servers.map(server => server.describe()),
+    );
+    const known = this.entries[index];
+    this.entries[index] = entry;
+    this.reporters[index] = entry.buildReporter(`e${index}`, request =>
+      this.isControlReachable
+        ? this.controls.exchange(index, request)
+        : Promise.reject(new Error('unreachable')),
+    );
+    await known?.stop();
+  }
+
+  /** Sends requests to the entries in turn, each `intervalMs`, until `durationMs` have passed. */
+  async sendRequests(intervalMs: number, durationMs: number): Promise<void> {
+    const end = performance.now() + durationMs;
+    const pending: Array<Promise<void>> = [];
+    while (performance.now() < end) {
+      pending.push(this.sendRequest());
+      await sleep(intervalMs);
+    }
+    await Promise.all(pending);
+  }
+
+  /** Returns the most requests that a server got in some time after a moment. */
+  countMost(index: number, windowMs: number, after: number): number {
+    const times = (this.arrivals[index] ?? []).filter(at => at >= after);
+    const counts = times.map(
+      start => times.filter(at => at >= start && at < start + windowMs).length,
+    );
+    return Math.max(0, ...counts);
+  }
+
+  private async sendRequest(): Promise<void> {
+    this.requestCount += 1;
+    const entry = this.entries[this.requestCount % this.entries.length];
+    if (!entry) return;
+    const startedAt = performance.now();
+    const text = await entry.exchange(
+      formatRequest({id: `r${this.requestCount}`}),
+    );
+    const ms = performance.now() - startedAt;
+    this.results.push({status: readStatus(text), text, ms});
+  }
+
+  private buildScript(index: number): ServerScript {
+    const times: number[] = [];
+    this.arrivals[index] = times;
+    return (request, socket) => {
+      times.push(performance.now());
+      const limit = this.limits[index];
+      const fields = limit === undefined ? [] : [`X-Limit: ${limit}`];
+      setTimeout(
+        () => socket.write(formatAnswer(request, 'whole', fields)),
+        WORK_MS,
+      );
+    };
+  }
+
+  private exchangeReports(): void {
+    for (const reporter of this.reporters) {
+      reporter.exchangeReports().catch(() => {
+        // The message was lost; the next exchange repeats what it said.
+      });
+    }
+  }
+}
