The limit that a server names holds for all entries together

Class: a bound of the fleet that each entry can keep only in part.

Entries pool the newest limit of each incarnation through the exchange with the control instances, which grant the sends to it ahead as permits that expire; an entry without control paces itself at half of its share. Loss, delay and restarts make the sum less, not more. What a control instance pools of its entries' reports is one class now (EntryReports).

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -8,7 +8,10 @@
   ExchangeRequest,
   FleetDescription,
   FleetUpdate,
+  LimitReply,
+  LimitReport,
   LoadTable,
+  PermitTable,
   QuarantinedSegments,
   QuarantineState,
   ServerListing,
@@ -19,6 +22,9 @@
   SyncRequest,
 } from './lib/fleetMessages.js';
 export {CrashPool} from './lib/CrashPool.js';
+export {EntryReports} from './lib/EntryReports.js';
+export type {EntryReportsOptions} from './lib/EntryReports.js';
+export {LimitPool} from './lib/LimitPool.js';
 export {LoadExchange} from './lib/LoadExchange.js';
 export {FleetLinks} from './lib/FleetLinks.js';
 export type {FleetLinksOptions} from './lib/FleetLinks.js';
--- a/packages/fleet/src/lib/EntryFeeds.ts
+++ b/packages/fleet/src/lib/EntryFeeds.ts
@@ -1,3 +1,4 @@
+import type {LimitTable} from '@sycamorehead/routing';
 import type {ServiceRollout} from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 import type {PeerLink} from '@sycamorehead/wire';
@@ -18,6 +19,7 @@
   getConfigurationVersion(): number;
   listRollouts(): ServiceRollout[];
   describeQuarantine(): QuarantineState;
+  listLimits(): LimitTable;
   listControls(): string[];
   isLeading(): boolean;
   /** Data centre of this control instance. */
@@ -47,7 +49,11 @@
       this.links.delete(link);
       writeDecision('entry_unlinked', {entry});
     });
-    return {servers: this.source.listServers(), ...this.describeState()};
+    return {
+      servers: this.source.listServers(),
+      limits: this.source.listLimits(),
+      ...this.describeState(),
+    };
   }
 
   /** Includes a changed server in the next update. */
--- /dev/null
+++ b/packages/fleet/src/lib/EntryReports.ts
@@ -0,0 +1,69 @@
+import {CrashPool} from './CrashPool.js';
+import type {
+  ExchangeReply,
+  ExchangeRequest,
+  LoadDigest,
+} from './fleetMessages.js';
+import {LimitPool} from './LimitPool.js';
+import {LoadExchange} from './LoadExchange.js';
+
+/** Settings of EntryReports. @public */
+export interface EntryReportsOptions {
+  /** Name of this control instance. */
+  readonly instance: string;
+  /** Random id of this run of the process. */
+  readonly incarnation: string;
+  /** Returns the number of known control instances, including this one. */
+  countControls(): number;
+  /** Lists the combinations of prompt segments that are in quarantine. */
+  listQuarantined(): ReadonlyArray<readonly string[]>;
+}
+
+/**
+ * What one control instance pools of the reports of its entries, and exchanges with the other control
+ * instances in digests.
+ *
+ * @public
+ */
+export class EntryReports {
+  readonly load: LoadExchange;
+  readonly crashes: CrashPool;
+  readonly limits: LimitPool;
+
+  constructor(private readonly options: EntryReportsOptions) {
+    const {instance} = options;
+    this.load = new LoadExchange(instance, () => options.countControls());
+    this.crashes = new CrashPool(() => options.listQuarantined());
+    this.limits = new LimitPool(() => this.load.computeShare());
+  }
+
+  // Commands.
+
+  /** Adds an entry's report and returns what the other entries have reported. */
+  exchange(request: ExchangeRequest): ExchangeReply {
+    return {
+      ...this.load.exchange(request),
+      ...this.limits.exchange(request),
+      suspects: this.crashes.exchange(request),
+      control: this.options.incarnation,
+    };
+  }
+
+  /** Adds the digest of another control instance. */
+  acceptDigest(digest: LoadDigest): void {
+    this.load.acceptDigest(digest);
+    this.crashes.acceptDigest(digest);
+    this.limits.acceptDigest(digest);
+  }
+
+  // Queries.
+
+  /** Describes the reports of the entries that report to this instance. */
+  describeDigest(): LoadDigest {
+    return {
+      ...this.load.describeDigest(),
+      ...this.crashes.describeDigest(),
+      ...this.limits.describeDigest(),
+    };
+  }
+}
--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -9,9 +9,9 @@
 import {createLogger, writeDecision} from '@sycamorehead/telemetry';
 import {PeerLink, WireServer} from '@sycamorehead/wire';
 import {ControlPeers} from './ControlPeers.js';
-import {CrashPool} from './CrashPool.js';
 import {ConfigurationDecoder, FleetCommands} from './FleetCommands.js';
 import {EntryFeeds} from './EntryFeeds.js';
+import {EntryReports} from './EntryReports.js';
 import {
   ControlIdentity,
   ExchangeReply,
@@ -30,7 +30,6 @@
 import {QuarantineDriver} from './QuarantineDriver.js';
 import {RolloutDriver} from './RolloutDriver.js';
 import {RegistryTimeouts, ServerRegistry} from './ServerRegistry.js';
-import {LoadExchange} from './LoadExchange.js';
 import {computeDigestInterval} from './computeDigestInterval.js';
 
 const log = createLogger('fleet');
@@ -86,8 +85,7 @@
   private readonly peers: ControlPeers;
   private readonly registry: ServerRegistry;
   private readonly feeds: EntryFeeds;
-  private readonly loadExchange: LoadExchange;
-  private readonly crashPool: CrashPool;
+  private readonly reports: EntryReports;
   private readonly groupManager: GroupManager;
   private readonly rolloutDriver: RolloutDriver;
   private readonly quarantineDriver: QuarantineDriver;
@@ -116,17 +114,18 @@
       getConfigurationVersion: () => this.logMember.state.configuration.version,
       listRollouts: () => this.logMember.state.listRollouts(),
       describeQuarantine: () => this.logMember.state.describeQuarantine(),
+      listLimits: () => this.reports.limits.buildTable(),
       listControls: () => this.peers.listAddresses(),
       isLeading: () => this.logMember.isLeader,
       dataCentre: options.dataCentre,
     });
-    this.loadExchange = new LoadExchange(
+    this.reports = new EntryReports({
       instance,
-      () => this.peers.listAddresses().length,
-    );
-    this.crashPool = new CrashPool(
-      () => this.logMember.state.describeQuarantine().combinations,
-    );
+      incarnation: this.incarnation,
+      countControls: () => this.peers.listAddresses().length,
+      listQuarantined: () =>
+        this.logMember.state.describeQuarantine().combinations,
+    });
     this.logMember = new LogMember({
       instance,
       folder: `${options.dataFolder}/log`,
@@ -158,12 +157,12 @@
     this.rolloutDriver = new RolloutDriver({
       logMember: this.logMember,
       registry: this.registry,
-      loadExchange: this.loadExchange,
+      loadExchange: this.reports.load,
       maxCanaryShare: options.maxCanaryShare,
     });
     this.quarantineDriver = new QuarantineDriver({
       logMember: this.logMember,
-      crashPool: this.crashPool,
+      crashPool: this.reports.crashes,
     });
     this.wireServer = new WireServer({
       host,
@@ -281,6 +280,7 @@
       rollouts: logMember.state.listRollouts(),
       servers: this.registry.list(),
       quarantined: logMember.state.listQuarantined(),
+      limits: this.reports.limits.buildTable(),
     };
   }
 
@@ -298,15 +298,10 @@
       [FLEET_METHODS.fetchConfiguration]: () =>
         this.logMember.state.configuration,
       [FLEET_METHODS.describe]: () => this.describeCommitted(),
-      [FLEET_METHODS.exchange]: (request: ExchangeRequest): ExchangeReply => ({
-        ...this.loadExchange.exchange(request),
-        suspects: this.crashPool.exchange(request),
-        control: this.incarnation,
-      }),
-      [FLEET_METHODS.digest]: (digest: LoadDigest) => {
-        this.loadExchange.acceptDigest(digest);
-        this.crashPool.acceptDigest(digest);
-      },
+      [FLEET_METHODS.exchange]: (request: ExchangeRequest): ExchangeReply =>
+        this.reports.exchange(request),
+      [FLEET_METHODS.digest]: (digest: LoadDigest) =>
+        this.reports.acceptDigest(digest),
     };
   }
 
@@ -353,14 +348,11 @@
     this.digestTimer = setTimeout(() => {
       this.sendDigest();
       this.scheduleDigest();
-    }, computeDigestInterval(this.loadExchange.countEntries()));
+    }, computeDigestInterval(this.reports.load.countEntries()));
   }
 
   private sendDigest(): void {
-    const digest: LoadDigest = {
-      ...this.loadExchange.describeDigest(),
-      ...this.crashPool.describeDigest(),
-    };
+    const digest = this.reports.describeDigest();
     for (const {address} of this.peers.listReachable()) {
       this.links
         .request(address, FLEET_METHODS.digest, digest, DIGEST_TIMEOUT_MS)
--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -119,6 +119,15 @@
     return this.getTotals().entries;
   }
 
+  /**
+   * Computes the fraction of all entries that report to this instance; 0 if too few other instances are
+   * heard to know all entries.
+   */
+  computeShare(): number {
+    const {entries, included} = this.getTotals();
+    return this.isIsolated() || entries === 0 ? 0 : included.size / entries;
+  }
+
   /** Counts the requests of all entries in flight on the given backend servers. */
   countInFlight(ids: ReadonlySet<string>): number {
     let total = 0;
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -4,7 +4,7 @@
  * @public
  */
 import type {Membership} from '@sycamorehead/consensus';
-import type {PrefillSumTable} from '@sycamorehead/routing';
+import type {LimitTable, PrefillSumTable} from '@sycamorehead/routing';
 import type {
   JsonValue,
   RolloutEvidence,
@@ -73,6 +73,8 @@
   readonly servers: readonly ServerListing[];
   /** Prompt segments in quarantine; absent from earlier builds. */
   readonly quarantined?: readonly QuarantinedSegments[];
+  /** The limits that servers name, by incarnation; absent from earlier builds. */
+  readonly limits?: LimitTable;
 }
 
 /** Identity that a control instance reports to its peers. @public */
@@ -155,6 +157,31 @@
   readonly survivals?: SurvivalTable;
 }
 
+/** Numbers of sends, by incarnation. @public */
+export type PermitTable = Readonly<Record<string, number>>;
+
+/** What control instances tell each other of the limits that servers name. @public */
+export interface LimitDigest {
+  /** Observed by the entries of the sender; absent from earlier builds. */
+  readonly limits?: LimitTable;
+}
+
+/** What an entry reports of the limits that servers name. @public */
+export interface LimitReport extends LimitDigest {
+  /** What the entry was told and the last reply did not contain; absent from earlier builds. */
+  readonly hearsay?: LimitTable;
+  /** Sends for which it wants permits; absent from earlier builds. */
+  readonly wanted?: PermitTable;
+}
+
+/** What a control instance answers to a LimitReport. @public */
+export interface LimitReply {
+  /** The newest limits that any entry has observed; absent from earlier builds. */
+  readonly limits?: LimitTable;
+  /** Sends that the entry may make soon; absent from earlier builds. */
+  readonly permits?: PermitTable;
+}
+
 /** Update from a control instance to its entries: the whole state first, then changes. @public */
 export interface FleetUpdate {
   readonly servers?: readonly ServerListing[];
@@ -163,6 +190,8 @@
   readonly configurationVersion?: number;
   readonly rollouts?: readonly ServiceRollout[];
   readonly quarantine?: QuarantineState;
+  /** The limits that servers have named; in the first update only. */
+  readonly limits?: LimitTable;
   /** Peer addresses of the control instances. */
   readonly controls?: readonly string[];
   readonly isLeading?: boolean;
@@ -186,7 +215,7 @@
 export type LoadTable = Readonly<Record<string, ServerLoad>>;
 
 /** Load and evidence of one entry; parameters of `fleet.exchange`. @public */
-export interface ExchangeRequest extends CrashEvidenceReport {
+export interface ExchangeRequest extends CrashEvidenceReport, LimitReport {
   readonly entry: string;
   readonly load: LoadTable;
   readonly evidence: readonly RolloutEvidence[];
@@ -202,7 +231,7 @@
 }
 
 /** Sums over the entries that report to one control instance; parameters of `fleet.digest`. @public */
-export interface LoadDigest extends CrashEvidenceReport {
+export interface LoadDigest extends CrashEvidenceReport, LimitDigest {
   readonly instance: string;
   /** Number of entries that have reported recently. */
   readonly entries: number;
@@ -216,7 +245,7 @@
 }
 
 /** Load of the other entries; answer to `fleet.exchange`. @public */
-export interface ExchangeReply {
+export interface ExchangeReply extends LimitReply {
   readonly entries: number;
   readonly load: LoadTable;
   /** Incarnations of servers that told other entries that they leave; absent from earlier builds. */
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -174,6 +174,7 @@
     this.servers.update(update);
     if (update.rollouts) this.versions.update(update.rollouts);
     if (update.quarantine) this.quarantine.update(update.quarantine);
+    if (update.limits) this.servers.limits.addTable(update.limits);
     this.placement.offerSlots();
   }
 
@@ -194,6 +195,8 @@
       await this.reporter.exchangeReports();
     } catch (error) {
       log('exchange_failed', {error: String(error)});
+      // Sends to servers with a limit go on at a pace.
+      this.placement.offerSlots();
     }
   }
 }
--- a/packages/gateway/src/lib/LoadReporter.ts
+++ b/packages/gateway/src/lib/LoadReporter.ts
@@ -34,6 +34,7 @@
 
   /** Performs one exchange. */
   async exchangeReports(): Promise<void> {
+    const sentAt = performance.now();
     const request = this.buildRequest();
     const reply = await this.options.exchange(request);
     const {crashes} = this.options;
@@ -41,11 +42,12 @@
     if (reply.control !== this.control) crashes.resetReports();
     this.control = reply.control;
     crashes.confirmReport(request.crashes ?? []);
+    this.options.servers.limits.applyReply(reply, sentAt);
     this.applyReply(reply);
   }
 
   private buildRequest(): ExchangeRequest {
-    const {entry, servers, versions, rates, crashes} = this.options;
+    const {entry, servers, versions, rates, crashes, placement} = this.options;
     return {
       entry,
       load: servers.listLoad(),
@@ -55,6 +57,9 @@
       prefill: rates.listSums(),
       crashes: crashes.listCrashes(),
       survivals: crashes.listSurvivals(this.suspects),
+      ...servers.limits.takeReport(servers.listRegistrations(), service =>
+        placement.countWaiting(service),
+      ),
     };
   }
 
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -30,6 +30,10 @@
 /** Time after its last use for which a prompt segment counts as cached, in milliseconds. */
 const SEGMENT_CACHED_MS = 30_000;
 
+/** Maximum retry delay when every server limits its requests, in milliseconds. */
+const MAX_LIMIT_RETRY_MS = 5_000;
+const MS_PER_SECOND = 1_000;
+
 /** The requirements of a request for a slot. @public */
 export interface PlacementRequest {
   readonly request: CallerRequest;
@@ -99,17 +103,22 @@
  */
 export class Placement {
   private readonly queues = new Map<string, PlacementQueue>();
-  private readonly slowStart = new SlowStart();
+  private readonly slowStart: SlowStart;
 
-  constructor(private readonly options: PlacementOptions) {}
+  constructor(private readonly options: PlacementOptions) {
+    this.slowStart = new SlowStart(server => options.servers.isSlow(server));
+  }
 
   /**
    * Reserves a slot and waits for one if none is free.
    *
    * @throws SycamoreheadError `overloaded`, `caller_gone`.
    */
-  acquire(demand: PlacementRequest): Promise<SlotReservation> {
-    const queue = this.getQueue(demand.service.name);
+  async acquire(demand: PlacementRequest): Promise<SlotReservation> {
+    const service = demand.service.name;
+    const queue = this.getQueue(service);
+    this.options.servers.limits.recordDemand(service);
+    this.refuseIfLimited(demand, queue.countAhead(demand.priority));
     return queue.acquire({
       priority: demand.priority,
       abandonAt: demand.abandonAt,
@@ -128,7 +137,11 @@
    * fraction of the target latency that may pass before prefill begins.
    */
   measurePressure(service: string, targetLatencyMs: number): number {
-    const servers = this.options.servers.listReady(service);
+    const {servers: table} = this.options;
+    // A free slot of a server that limits its requests is no capacity.
+    const servers = table
+      .listReady(service)
+      .filter(({listing}) => !table.limits.isLimited(listing.registration));
     if (servers.length === 0) return 1;
     const waitingMs = servers.reduce(
       (sum, {pendingMs, othersPendingMs}) => sum + pendingMs + othersPendingMs,
@@ -137,8 +150,9 @@
     return waitingMs / servers.length / (targetLatencyMs * FULL_FRACTION);
   }
 
-  /** Counts the waiting requests. */
-  countWaiting(): number {
+  /** Counts the waiting requests, of one service if it is given. */
+  countWaiting(service?: string): number {
+    if (service !== undefined) return this.queues.get(service)?.length ?? 0;
     let total = 0;
     for (const {length} of this.queues.values()) total += length;
     return total;
@@ -153,6 +167,7 @@
     if (!choice) return undefined;
     const {server, ownMs, aloneMs, tokensToPrefill} = choice;
     this.slowStart.recordChoice(available, server);
+    this.options.servers.limits.takePermit(server.listing.registration);
     const pendingMs = server.pendingMs + server.othersPendingMs;
     const isUncontended = pendingMs <= 0;
     const load = server.inFlight + server.othersInFlight;
@@ -203,13 +218,40 @@
     throw buildRefusal('every server wants a pause', false, holdMs);
   }
 
+  /**
+   * Refuses a request at once if every server of its service limits its requests, and those that wait
+   * already use up what this entry may send in the time that the request may wait.
+   */
+  private refuseIfLimited(
+    {service, abandonAt}: PlacementRequest,
+    waiting: number,
+  ): void {
+    const {servers} = this.options;
+    const {limits} = servers;
+    const ready = servers.listReady(service.name);
+    let ownRate = 0;
+    for (const {listing} of ready) {
+      const perSecond = limits.getPerSecond(listing.registration);
+      if (perSecond === undefined) return;
+      ownRate += limits.computeOwnRate(perSecond);
+    }
+    if (ready.length === 0) return;
+    const waitMs = (waiting * MS_PER_SECOND) / ownRate;
+    if (performance.now() + waitMs <= abandonAt) return;
+    throw buildRefusal(
+      'every server limits its requests',
+      false,
+      Math.min(MAX_LIMIT_RETRY_MS, waitMs),
+    );
+  }
+
   private chooseServer(
     demand: PlacementRequest,
     available: readonly KnownServer[],
   ): Choice | undefined {
     const usable = this.slowStart.filterServers(available);
     const preferred = choosePreferred(demand, usable);
-    const {policy, dataCentre} = this.options;
+    const {policy, dataCentre, servers} = this.options;
     const sample = new Set(
       sampleServers(usable, {
         policy,
@@ -218,7 +260,12 @@
       }),
     );
     for (const server of usable) {
-      if (getPreference(preferred, server) !== 'none') sample.add(server);
+      const isPreferred = getPreference(preferred, server) !== 'none';
+      const {registration} = server.listing;
+      // A permit expires soon.
+      if (isPreferred || servers.limits.isLimited(registration)) {
+        sample.add(server);
+      }
     }
     let best: Choice | undefined;
     for (const server of sample) {
@@ -298,7 +345,9 @@
   private hasCapacity(server: KnownServer, {engine}: RoutedService): boolean {
     const {registration} = server.listing;
     const {slots} = registration;
-    if (this.options.servers.notices.isReturning(registration)) {
+    const {notices, limits} = this.options.servers;
+    if (!limits.isPermitted(registration)) return false;
+    if (notices.isReturning(registration)) {
       return server.inFlight === 0;
     }
     const load = server.inFlight + server.othersInFlight;
--- a/packages/gateway/src/lib/SendRecord.ts
+++ b/packages/gateway/src/lib/SendRecord.ts
@@ -98,7 +98,7 @@
     }
     const {limit} = notice;
     if (limit.type === 'named') metrics.recordLimit(registration.service);
-    servers.limits.record(registration, limit);
+    servers.limits.record(registration, limit, this.sentAt);
     if (servers.notices.record(registration, notice)) placement.offerSlots();
   }
 
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -186,6 +186,22 @@
     );
   }
 
+  /** Lists the registrations of the servers to which requests may be sent, now or later. */
+  listRegistrations(): ServerRegistration[] {
+    return [...this.servers.values()]
+      .map(({listing}) => listing.registration)
+      .filter(({state}) => state === 'ready');
+  }
+
+  /**
+   * Returns whether a server may get little more than an equal share: it has just started, or has just
+   * lifted its limit.
+   */
+  isSlow({slowUntil, listing}: KnownServer): boolean {
+    if (performance.now() < slowUntil) return true;
+    return this.limits.isReturning(listing.registration);
+  }
+
   /** Whether no server is known. */
   get isEmpty(): boolean {
     return this.servers.size === 0;
@@ -254,6 +270,7 @@
       registration.startedAtMs !== old.startedAtMs ||
       registration.address !== old.address;
     if (isRestarted) {
+      this.limits.remove(old);
       known.agent.destroy();
       this.servers.set(registration.id, createServer(listing));
     } else {
@@ -278,6 +295,7 @@
     const known = this.servers.get(id);
     if (!known) return;
     known.agent.destroy();
+    this.limits.remove(known.listing.registration);
     this.servers.delete(id);
     writeDecision('server_dropped', {server: id});
   }
--- a/packages/gateway/src/lib/SlowStart.ts
+++ b/packages/gateway/src/lib/SlowStart.ts
@@ -7,7 +7,7 @@
 const MAX_SHARE = 1.4;
 
 /**
- * Limits backend servers that are slow because they have just started to little more than an equal
+ * Limits backend servers that have just started, or return from a limit of their own, to little more than an equal
  * share of the requests. They are idle, so all entries would choose them at the same time, and each of their
  * answers takes longer.
  *
@@ -17,18 +17,20 @@
   /** The requests, in whole and in part, that each slow server may get from this entry. */
   private readonly credits = new WeakMap<KnownServer, number>();
 
+  constructor(private readonly isSlow: (server: KnownServer) => boolean) {}
+
   // Commands.
 
   /** Records which of the servers gets a request; each slow one earns its share of it. */
   recordChoice(servers: readonly KnownServer[], chosen: KnownServer): void {
     for (const server of servers) {
-      if (!isSlow(server)) continue;
+      if (!this.isSlow(server)) continue;
       // The first requests of many entries are spread over the time in which each earns one.
       const credit = this.credits.get(server) ?? Math.random();
       const earned = MAX_SHARE / servers.length;
       this.credits.set(server, Math.min(1, credit + earned));
     }
-    if (!isSlow(chosen)) return;
+    if (!this.isSlow(chosen)) return;
     this.credits.set(chosen, Math.max(0, this.getCredit(chosen) - 1));
   }
 
@@ -37,7 +39,7 @@
   /** Lists the servers that may get the next request; all of them if none has earned it. */
   filterServers(servers: readonly KnownServer[]): readonly KnownServer[] {
     const permitted = servers.filter(
-      server => !isSlow(server) || this.getCredit(server) >= 1,
+      server => !this.isSlow(server) || this.getCredit(server) >= 1,
     );
     return permitted.length > 0 ? permitted : servers;
   }
@@ -46,7 +48,3 @@
     return this.credits.get(server) ?? 0;
   }
 }
-
-function isSlow({slowUntil}: KnownServer): boolean {
-  return performance.now() < slowUntil;
-}
--- a/packages/gateway/src/test/FakeControls.ts
+++ b/packages/gateway/src/test/FakeControls.ts
@@ -1,27 +1,19 @@
 import {
-  CrashPool,
+  EntryReports,
   ExchangeReply,
   ExchangeRequest,
-  LoadExchange,
   QuarantineState,
 } from '@sycamorehead/fleet';
 
 /** Time between two rounds of digests and verdicts, in milliseconds. */
 const ROUND_MS = 100;
 
-/** One control instance of FakeControls. */
-interface Control {
-  readonly incarnation: string;
-  readonly load: LoadExchange;
-  readonly pool: CrashPool;
-}
-
 /**
  * Control instances that exchange digests in memory. The first one stands for the leader: what its pool
  * convicts is in quarantine everywhere a round later.
  */
 export class FakeControls {
-  private controls: readonly Control[] = [];
+  private controls: readonly EntryReports[] = [];
   private starts = 0;
   private quarantine: QuarantineState = {
     revision: 0,
@@ -42,11 +34,16 @@
   restart(): void {
     const {count} = this;
     this.starts += 1;
-    this.controls = Array.from({length: count}, (_, index) => ({
-      incarnation: `c${index} ${this.starts}`,
-      load: new LoadExchange(`c${index}`, () => count),
-      pool: new CrashPool(() => this.quarantine.combinations),
-    }));
+    this.controls = Array.from(
+      {length: count},
+      (_, index) =>
+        new EntryReports({
+          instance: `c${index}`,
+          incarnation: `c${index} ${this.starts}`,
+          countControls: () => count,
+          listQuarantined: () => this.quarantine.combinations,
+        }),
+    );
   }
 
   start(): void {
@@ -76,30 +73,22 @@
   ): Promise<ExchangeReply> {
     const control = this.controls[index % this.controls.length];
     if (!control || this.isLost()) throw new Error('request lost');
-    const reply = {
-      ...control.load.exchange(request),
-      suspects: control.pool.exchange(request),
-      control: control.incarnation,
-    };
+    const reply = control.exchange(request);
     if (this.isLost()) throw new Error('reply lost');
     return Promise.resolve(reply);
   }
 
   private runRound(): void {
     for (const sender of this.controls) {
-      const digest = {
-        ...sender.load.describeDigest(),
-        ...sender.pool.describeDigest(),
-      };
+      const digest = sender.describeDigest();
       for (const receiver of this.controls) {
         if (receiver === sender || this.isLost()) continue;
-        receiver.load.acceptDigest(digest);
-        receiver.pool.acceptDigest(digest);
+        receiver.acceptDigest(digest);
       }
     }
     const {revision, combinations} = this.quarantine;
     const known = new Set(combinations.map(segments => segments.join(',')));
-    const convicted = (this.controls[0]?.pool.listConvicted() ?? []).filter(
+    const convicted = (this.controls[0]?.crashes.listConvicted() ?? []).filter(
       ({segments}) => !known.has(segments.join(',')),
     );
     if (convicted.length === 0) return;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -95,3 +95,11 @@
   StallTimeoutInput,
   HeadTimeoutInput,
 } from './lib/forwarding/computeSilenceTimeouts.js';
+export {ObservedLimits} from './lib/forwarding/ObservedLimits.js';
+export type {
+  LimitTable,
+  ObservedLimit,
+} from './lib/forwarding/ObservedLimits.js';
+export {PermitBucket} from './lib/forwarding/PermitBucket.js';
+export {PERMIT_MS, SendPermits} from './lib/forwarding/SendPermits.js';
+export {computeSendRate} from './lib/forwarding/computeSendRate.js';
--- /dev/null
+++ b/packages/routing/src/lib/forwarding/PermitBucket.ts
@@ -0,0 +1,26 @@
+/** Permits that may accumulate while nobody wants them, at high rates, as a time in milliseconds. */
+const BURST_MS = 250;
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Grants permits at a rate that may change. It starts empty, so that a control instance that has
+ * restarted grants nothing twice.
+ *
+ * @public
+ */
+export class PermitBucket {
+  private tokens = 0;
+  private filledAt = performance.now();
+
+  /** Takes up to `wanted` permits at a rate of `perSecond`, and returns their number. */
+  take(wanted: number, perSecond: number): number {
+    const now = performance.now();
+    const burst = Math.max(1, (perSecond * BURST_MS) / MS_PER_SECOND);
+    const added = ((now - this.filledAt) * perSecond) / MS_PER_SECOND;
+    this.filledAt = now;
+    this.tokens = Math.min(burst, this.tokens + added);
+    const taken = Math.min(wanted, Math.floor(this.tokens));
+    this.tokens -= taken;
+    return taken;
+  }
+}
--- a/packages/routing/src/lib/forwarding/PlacementQueue.ts
+++ b/packages/routing/src/lib/forwarding/PlacementQueue.ts
@@ -39,6 +39,11 @@
     return this.waiters.length;
   }
 
+  /** Counts the waiting requests that go before one of that priority. */
+  countAhead(priority: number): number {
+    return this.waiters.filter(waiter => waiter.priority <= priority).length;
+  }
+
   /**
    * Reserves a slot and waits for one if none is free.
    *
--- /dev/null
+++ b/packages/routing/src/lib/forwarding/SendPermits.ts
@@ -0,0 +1,62 @@
+/** Time for which a permit may be used, in milliseconds; what is saved up does not come out at once. */
+export const PERMIT_MS = 1_000;
+
+/**
+ * The sends that one entry may make to one server that has named a limit: granted ones, and without
+ * a control instance one at each interval.
+ *
+ * @public
+ */
+export class SendPermits {
+  /** When each granted permit expires, on the monotonic clock. */
+  private expiries: number[] = [];
+  /** When the next send without a grant is allowed, on the monotonic clock. */
+  private pacedAt: number | undefined;
+
+  // Commands.
+
+  /** Adds granted permits that expire at a time. */
+  add(count: number, expiresAt: number): void {
+    for (let index = 0; index < count; index += 1) {
+      this.expiries.push(expiresAt);
+    }
+  }
+
+  /** Uses one permit. */
+  take(intervalMs: number | undefined): void {
+    this.advance(intervalMs);
+    const isGranted = this.expiries.shift() !== undefined;
+    if (isGranted || intervalMs === undefined) return;
+    if (this.pacedAt !== undefined) this.pacedAt += intervalMs;
+  }
+
+  /**
+   * Drops what has expired, and starts to pace sends if an interval is given: at a random time, so that
+   * the entries do not all begin together.
+   */
+  advance(intervalMs: number | undefined): void {
+    const now = performance.now();
+    this.expiries = this.expiries.filter(expiresAt => expiresAt > now);
+    if (intervalMs === undefined) {
+      this.pacedAt = undefined;
+      return;
+    }
+    this.pacedAt ??= now + Math.random() * intervalMs;
+    const missedMs = now - PERMIT_MS - this.pacedAt;
+    if (missedMs <= 0) return;
+    this.pacedAt += Math.ceil(missedMs / intervalMs) * intervalMs;
+  }
+
+  // Queries.
+
+  /** Counts the permits that were granted; call `advance` before. */
+  countGranted(): number {
+    return this.expiries.length;
+  }
+
+  /** Returns whether a send is permitted now; call `advance` before. */
+  isAvailable(): boolean {
+    if (this.expiries.length > 0) return true;
+    return this.pacedAt !== undefined && this.pacedAt <= performance.now();
+  }
+}
