--- a/packages/routing/src/lib/forwarding/PermitBucket.ts
+++ b/packages/routing/src/lib/forwarding/PermitBucket.ts
@@ -3,13 +3,13 @@
 const MS_PER_SECOND = 1_000;
 
 /**
- * Grants permits at a rate that may change. It starts empty, so that a control instance that has
- * restarted grants nothing twice.
+ * Grants permits at a rate that may change. It starts with a random part of a permit: on average, a
+ * control instance that restarts grants neither more nor less than one that does not.
  *
  * @public
  */
 export class PermitBucket {
-  private tokens = 0;
+  private tokens = Math.random();
   private filledAt = performance.now();
 
   /** Takes up to `wanted` permits at a rate of `perSecond`, and returns their number. */
