--- a/apps/syc/src/fleetCommand.ts
+++ b/apps/syc/src/fleetCommand.ts
@@ -22,6 +22,7 @@
   'rollouts',
   'members',
   'quarantine',
+  'limits',
 ] as const;
 
 /** Builds `syc fleet`, which prints the state of a fleet with declared routes. @internal */
@@ -29,7 +30,7 @@
   return command({
     name: 'fleet',
     description:
-      'prints the declared routes, backend servers, roll-outs, members or quarantined prompt segments that a control instance knows',
+      'prints the declared routes, backend servers, roll-outs, members, quarantined prompt segments or limits of backend servers that a control instance knows',
     args: {
       view: positional({
         type: oneOf(VIEWS),
--- a/apps/syc/src/formatFleetView.ts
+++ b/apps/syc/src/formatFleetView.ts
@@ -2,7 +2,7 @@
 
 /** Name of a view, which is the kind of items that it lists. @internal */
 export type FleetViewName =
-  'routes' | 'servers' | 'rollouts' | 'members' | 'quarantine';
+  'routes' | 'servers' | 'rollouts' | 'members' | 'quarantine' | 'limits';
 
 type Row = Readonly<Record<string, string | number | boolean | undefined>>;
 
@@ -55,6 +55,14 @@
       crashes,
       duration_ms: durationMs,
     })),
+  limits: ({limits = {}}) =>
+    Object.entries(limits).map(([incarnation, [perSecond, ageMs]]) => ({
+      // An incarnation is an id and the time of its start.
+      server: incarnation.split(' ')[0],
+      started_at: incarnation.split(' ')[1],
+      per_second: perSecond ?? 'none',
+      age_ms: ageMs,
+    })),
 };
 
 function formatRow(row: Row): string {
--- a/apps/syc/src/test/formatFleetView.test.ts
+++ b/apps/syc/src/test/formatFleetView.test.ts
@@ -43,6 +43,7 @@
     },
     customers: [{name: 'clinic', keys: ['secret-key'], priority: undefined}],
   },
+  limits: {'i-1 17': [2.5, 120], 'i-2 18': [null, 900]},
   rollouts: [
     {
       service: 'pool',
@@ -103,3 +104,10 @@
     assert.doesNotMatch(lines.join('\n'), /secret-key/);
   }
 });
+
+test('limits are listed by server, with their age', () => {
+  assert.deepEqual(formatFleetView('limits', FLEET, false), [
+    'server=i-1 started_at=17 per_second=2.5 age_ms=120',
+    'server=i-2 started_at=18 per_second=none age_ms=900',
+  ]);
+});
--- a/packages/gateway/src/lib/GatewayMetrics.ts
+++ b/packages/gateway/src/lib/GatewayMetrics.ts
@@ -29,6 +29,9 @@
   private readonly limits = this.createCounter('server_limits_total', [
     'service',
   ]);
+  private readonly limitedSends = this.createCounter('limited_sends_total', [
+    'service',
+  ]);
   private readonly quarantined = this.createCounter('quarantined_total', [
     'service',
   ]);
@@ -65,6 +68,11 @@
     this.limits.inc({service});
   }
 
+  /** Counts a send to a backend server that limits its requests. */
+  recordLimitedSend(service: string): void {
+    this.limitedSends.inc({service});
+  }
+
   /** Counts a request that was refused or cancelled because of a prompt segment in quarantine. */
   recordQuarantined(service: string): void {
     this.quarantined.inc({service});
--- a/packages/gateway/src/lib/SendRecord.ts
+++ b/packages/gateway/src/lib/SendRecord.ts
@@ -23,6 +23,8 @@
   private readonly sentAt = performance.now();
   private readonly awaited: AwaitedSend;
   private readonly prompt: PromptSend;
+  /** The limit that the server had named, in requests a second. */
+  private readonly limit: number | undefined;
   private isHeld = false;
 
   constructor(
@@ -39,6 +41,11 @@
     const route = target.route.name;
     this.awaited = {server, route, sentAt: this.sentAt, expectedMs};
     context.versions.recordSend(this.awaited);
+    const {registration} = server.listing;
+    this.limit = context.servers.limits.getPerSecond(registration);
+    if (this.limit !== undefined) {
+      context.metrics.recordLimitedSend(registration.service);
+    }
     const segments = target.service.engine ? listSharedSegments(request) : [];
     this.prompt = context.crashes.recordSend(server, segments);
   }
@@ -132,8 +139,9 @@
     const {id, version} = reservation.server.listing.registration;
     const {estimatedMs, load} = reservation;
     const atMs = Math.round(performance.now() - request.arrivedAt);
+    const limit = this.limit === undefined ? '' : `^${this.limit}`;
     const place = usage ? `#${usage.connection}.${usage.use}` : '';
-    return `${id}:${describeOutcome(outcome)}@${atMs}~${Math.round(estimatedMs)}+${load}${place}=${version}`;
+    return `${id}:${describeOutcome(outcome)}@${atMs}~${Math.round(estimatedMs)}+${load}${place}=${version}${limit}`;
   }
 
   /** Whether the answer to a prompt has not gone on for long enough to show that the prompt is sound. */
--- a/packages/gateway/src/test/LimitFleet.ts
+++ b/packages/gateway/src/test/LimitFleet.ts
@@ -30,6 +30,8 @@
   readonly limits: ReadonlyArray<string | undefined>;
   /** Probability with which a message between our own processes is lost. */
   readonly lossRate?: number;
+  /** Indexes of the servers that answer with an error of their own. */
+  readonly failing?: readonly number[];
 }
 
 /** Several entries in front of servers, some of which name a limit. */
@@ -134,10 +136,10 @@
       times.push(performance.now());
       const limit = this.limits[index];
       const fields = limit === undefined ? [] : [`X-Limit: ${limit}`];
-      setTimeout(
-        () => socket.write(formatAnswer(request, 'whole', fields)),
-        WORK_MS,
-      );
+      const answer = formatAnswer(request, 'whole', fields);
+      const isFailing = this.options.failing?.includes(index);
+      const text = isFailing ? answer.replace('200 OK', '500 Error') : answer;
+      setTimeout(() => socket.write(text), WORK_MS);
     };
   }
 
