Servers that return after a pause get about their share, not one request of each entry at once

Same class as the limits: a bound of the fleet that each entry keeps alone. A server that lifts its limit is in the same test.

--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -194,12 +194,15 @@
   }
 
   /**
-   * Returns whether a server may get little more than an equal share: it has just started, or has just
-   * lifted its limit.
+   * Returns whether a server may get little more than an equal share: it has just started, has just
+   * lifted its limit, or has not answered since a pause. All entries see it idle at the same time.
    */
-  isSlow({slowUntil, listing}: KnownServer): boolean {
-    if (performance.now() < slowUntil) return true;
-    return this.limits.isReturning(listing.registration);
+  isSlow({slowUntil, listing: {registration}}: KnownServer): boolean {
+    return (
+      performance.now() < slowUntil ||
+      this.limits.isReturning(registration) ||
+      this.notices.isReturning(registration)
+    );
   }
 
   /** Whether no server is known. */
--- /dev/null
+++ b/packages/gateway/src/test/returningServers.test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {PrefillRates} from '@sycamorehead/routing';
+import {AnswerTimes} from '../lib/AnswerTimes.js';
+import {Placement, PlacementRequest} from '../lib/Placement.js';
+import {ServerTable} from '../lib/ServerTable.js';
+import {VersionSplit} from '../lib/VersionSplit.js';
+import {describeServer} from './FakeServer.js';
+import {buildEngineConfiguration} from './GatewayHarness.js';
+
+const SERVERS = 69;
+const REQUESTS_PER_ENTRY = 2;
+const HOLD_MS = 10;
+/** What a server that returns may get, relative to the mean, and beyond it. */
+const MAX_OVERSHOOT = 1.5;
+const SLACK = 5;
+
+const [SERVICE] = buildEngineConfiguration().services;
+
+/** Makes a server return, as all entries learn of it at the same time. */
+const RETURNS: Readonly<Record<string, (table: ServerTable) => void>> = {
+  'wanted a pause': table => {
+    const {registration} = describeServer('s3', '10.0.0.4:80');
+    table.notices.record(registration, {isLeaving: false, holdMs: HOLD_MS});
+  },
+  'had a limit': table => {
+    table.limits.addTable({'s3 1': [2, 100]});
+    table.limits.addTable({'s3 1': [null, 50]});
+  },
+};
+
+function buildTable(): ServerTable {
+  const table = new ServerTable();
+  const ids = Array.from({length: SERVERS}, (_, index) => `s${index}`);
+  table.update({
+    servers: ids.map((id, index) =>
+      describeServer(id, `10.0.0.${index + 1}:80`, {slots: 64}),
+    ),
+  });
+  table.setOthersLoad(
+    Object.fromEntries(
+      ids.map(id => [id, id === 's3' ? [0, 0] : [12, 400]] as const),
+    ),
+  );
+  return table;
+}
+
+function buildDemand(id: string): PlacementRequest {
+  assert.ok(SERVICE);
+  return {
+    request: {
+      promptSegments: [{id, tokens: 1_000}],
+      size: {promptTokens: 1_000, answerTokens: 20},
+    } as unknown as PlacementRequest['request'],
+    service: SERVICE,
+    route: 'drafts',
+    variant: 'old',
+    model: undefined,
+    priority: 1,
+    tried: new Set(),
+    abandonAt: performance.now() + 1_000,
+    signal: new AbortController().signal,
+  };
+}
+
+for (const [name, returnServer] of Object.entries(RETURNS)) {
+  for (const entries of [7, 195]) {
+    test(`a server that ${name} gets about its share when it returns, from ${entries} entries`, async () => {
+      const tables = Array.from({length: entries}, buildTable);
+      const placements = tables.map(
+        servers =>
+          new Placement({
+            servers,
+            versions: new VersionSplit(5_000),
+            rates: new PrefillRates(),
+            times: new AnswerTimes(),
+            policy: 'sampled',
+            dataCentre: 'a',
+            countEntries: () => entries,
+          }),
+      );
+      for (const table of tables) returnServer(table);
+      await sleep(HOLD_MS * 2);
+      let received = 0;
+      for (let count = 0; count < REQUESTS_PER_ENTRY; count += 1) {
+        for (const [index, placement] of placements.entries()) {
+          const {server} = await placement.acquire(
+            buildDemand(`own${index}-${count}`),
+          );
+          if (server.listing.registration.id === 's3') received += 1;
+        }
+      }
+      const mean = (entries * REQUESTS_PER_ENTRY) / SERVERS;
+      assert.ok(received <= MAX_OVERSHOOT * mean + SLACK, `${received} sent`);
+    });
+  }
+}
