--- a/packages/fleet/src/lib/LimitPool.ts
+++ b/packages/fleet/src/lib/LimitPool.ts
@@ -45,7 +45,8 @@
   exchange({limits = {}, hearsay = {}, wanted = {}}: LimitReport): LimitReply {
     this.own.addTable(limits);
     this.own.addTable(this.selectUnknown(hearsay));
-    return {limits: this.buildTable(), permits: this.issuePermits(wanted)};
+    const permits = this.issuePermits(wanted);
+    return this.isEmpty ? {permits} : {limits: this.buildTable(), permits};
   }
 
   /** Adds what another control instance has learned from its entries. */
@@ -57,7 +58,7 @@
 
   /** Describes what the entries that report to this instance have observed. */
   describeDigest(): LimitDigest {
-    return {limits: this.own.buildTable()};
+    return this.own.isEmpty ? {} : {limits: this.own.buildTable()};
   }
 
   /** Builds a table of the newest limits that any entry has observed. */
@@ -94,6 +95,10 @@
     return permits;
   }
 
+  private get isEmpty(): boolean {
+    return this.own.isEmpty && this.others.isEmpty;
+  }
+
   private find(key: string): ObservedLimit | undefined {
     const own = this.own.find(key);
     const other = this.others.find(key);
--- a/packages/gateway/src/lib/ServerLimits.ts
+++ b/packages/gateway/src/lib/ServerLimits.ts
@@ -133,6 +133,10 @@
     servers: readonly ServerRegistration[],
     countWaiting: (service: string) => number,
   ): LimitReport {
+    if (this.known.isEmpty) {
+      this.demand.clear();
+      return {};
+    }
     const keys = new Set(servers.map(buildIncarnationKey));
     const limits: Record<string, LimitTable[string]> = {};
     const hearsay: Record<string, LimitTable[string]> = {};
--- a/packages/gateway/src/test/serverLimits.test.ts
+++ b/packages/gateway/src/test/serverLimits.test.ts
@@ -134,3 +134,10 @@
   }
   assert.ok(sent <= 1, `${sent} sent`);
 });
+
+test('an entry that knows no limit reports nothing', () => {
+  const limits = new ServerLimits();
+  limits.recordDemand('drafts');
+  limits.record(SERVER, NONE, 900);
+  assert.deepEqual(takeReport(limits), {});
+});
--- a/packages/routing/src/lib/forwarding/ObservedLimits.ts
+++ b/packages/routing/src/lib/forwarding/ObservedLimits.ts
@@ -67,6 +67,11 @@
 
   // Queries.
 
+  /** Whether nothing has been observed. */
+  get isEmpty(): boolean {
+    return this.limits.size === 0;
+  }
+
   /** Returns the newest observation of an incarnation. */
   find(incarnation: string): ObservedLimit | undefined {
     return this.limits.get(incarnation);
