--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -318,7 +318,6 @@
     const isWeak =
       serverAnswer.status === 200 &&
       !this.answer.isBegun &&
-      this.context.budgets.hasEscalationCapacity(target.service.name) &&
       cascade.isWeak(target);
     if (isWeak && this.runs.isRepeatAllowed(target)) {
       send.recordWeakAnswer();
--- a/packages/gateway/src/lib/ModelCascade.ts
+++ b/packages/gateway/src/lib/ModelCascade.ts
@@ -84,8 +84,15 @@
     return this.confidence;
   }
 
-  /** Returns whether a larger model should be asked instead of accepting the last answer. */
+  /**
+   * Returns whether a larger model should be asked, and can be, instead of accepting the last answer.
+   * An answer that was dropped for want of a server would be lost.
+   */
   isWeak(target: RequestTarget): boolean {
+    const {budgets, placement} = this.context;
+    const {service} = target;
+    if (!budgets.hasEscalationCapacity(service.name)) return false;
+    if (!placement.hasFreeServer(service)) return false;
     const choice = this.describeChoice(target, this.answered);
     return isWorthEscalating(this.context.policies.model, choice);
   }
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -150,6 +150,17 @@
     return waitingMs / servers.length / (targetLatencyMs * FULL_FRACTION);
   }
 
+  /** Returns whether a server of a service would take a request now. */
+  hasFreeServer(service: RoutedService): boolean {
+    const {servers} = this.options;
+    return servers
+      .listReady(service.name)
+      .some(
+        server =>
+          servers.isAccepting(server) && this.hasCapacity(server, service),
+      );
+  }
+
   /** Counts the waiting requests, of one service if it is given. */
   countWaiting(service?: string): number {
     if (service !== undefined) return this.queues.get(service)?.length ?? 0;
--- a/packages/gateway/src/test/LimitFleet.ts
+++ b/packages/gateway/src/test/LimitFleet.ts
@@ -30,6 +30,8 @@
   readonly limits: ReadonlyArray<string | undefined>;
   /** Probability with which a message between our own processes is lost. */
   readonly lossRate?: number;
+  /** Models of the route; the servers have little confidence in what they answer. */
+  readonly models?: readonly string[];
   /** Indexes of the servers that answer with an error of their own. */
   readonly failing?: readonly number[];
 }
@@ -83,8 +85,16 @@
   /** Starts an entry, in place of another one if an index is given. */
   async addEntry(index = this.entries.length): Promise<void> {
     const entry = new GatewayHarness();
+    const {models = []} = this.options;
     await entry.start(
-      buildConfiguration([buildRoute({targetLatencyMs: 1_000})]),
+      buildConfiguration([
+        buildRoute({
+          kind: models.length > 0 ? 'streaming' : 'safe',
+          isResumable: models.length > 0,
+          targetLatencyMs: 1_000,
+          models: [...models],
+        }),
+      ]),
       this.servers.map(server => server.describe()),
     );
     const known = this.entries[index];
@@ -123,7 +133,10 @@
     if (!entry) return;
     const startedAt = performance.now();
     const text = await entry.exchange(
-      formatRequest({id: `r${this.requestCount}`}),
+      formatRequest({
+        id: `r${this.requestCount}`,
+        headers: this.options.models ? ['X-Model: *', 'X-Tokens: 100,20'] : [],
+      }),
     );
     const ms = performance.now() - startedAt;
     this.results.push({status: readStatus(text), text, ms});
@@ -135,7 +148,8 @@
     return (request, socket) => {
       times.push(performance.now());
       const limit = this.limits[index];
-      const fields = limit === undefined ? [] : [`X-Limit: ${limit}`];
+      const fields = ['X-Confidence: 5'];
+      if (limit !== undefined) fields.push(`X-Limit: ${limit}`);
       const answer = formatAnswer(request, 'whole', fields);
       const isFailing = this.options.failing?.includes(index);
       const text = isFailing ? answer.replace('200 OK', '500 Error') : answer;
--- a/packages/gateway/src/test/serverLimitExceeded.test.ts
+++ b/packages/gateway/src/test/serverLimitExceeded.test.ts
@@ -91,3 +91,16 @@
   assert.ok((counts[0] ?? 0) > mean / 2, `${counts.join(' ')}`);
   assert.ok(fleet.countMost(0, 500, liftedAt) <= 2 * (500 / 15 / 4) + 5);
 });
+
+test('a weak answer is delivered if no server can take the request for a larger model', async () => {
+  const limits = ['2', '2', '2', '2'];
+  const models = ['small', 'large'];
+  const fleet = await startFleet({entries: 4, limits, models});
+  await fleet.sendRequests(20, TOUCH_MS);
+  const known = fleet.results.length;
+  await fleet.sendRequests(20, WINDOW_MS);
+  const later = fleet.results.slice(known);
+  const dropped = later.filter(({status}) => status === 502);
+  assert.equal(dropped.length, 0, `${dropped.length} of ${later.length}`);
+  assert.ok(later.some(({status}) => status === 200));
+});
