--- a/packages/gateway/src/test/CrashFleet.ts
+++ b/packages/gateway/src/test/CrashFleet.ts
@@ -3,6 +3,7 @@
 import type {LoadReporter} from '../lib/LoadReporter.js';
 import {FakeControls} from './FakeControls.js';
 import {CrashingServer} from './CrashingServer.js';
+import {createRandom} from './createRandom.js';
 import type {ReceivedRequest} from './FakeServer.js';
 import {
   GatewayHarness,
@@ -217,12 +218,3 @@
     for (const entry of this.entries) entry.list([listing]);
   }
 }
-
-/** Creates a deterministic random generator with values from 0 to 1. */
-function createRandom(): () => number {
-  let state = 1;
-  return () => {
-    state = (state * 1_103_515_245 + 12_345) % 2_147_483_648;
-    return state / 2_147_483_648;
-  };
-}
--- a/packages/gateway/src/test/returningServers.test.ts
+++ b/packages/gateway/src/test/returningServers.test.ts
@@ -3,11 +3,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {PrefillRates} from '@sycamorehead/routing';
 import {AnswerTimes} from '../lib/AnswerTimes.js';
-import {Placement, PlacementRequest} from '../lib/Placement.js';
+import {Placement} from '../lib/Placement.js';
 import {ServerTable} from '../lib/ServerTable.js';
 import {VersionSplit} from '../lib/VersionSplit.js';
+import {buildPlacementRequest} from './buildPlacementRequest.js';
 import {describeServer} from './FakeServer.js';
-import {buildEngineConfiguration} from './GatewayHarness.js';
 
 const SERVERS = 69;
 const REQUESTS_PER_ENTRY = 2;
@@ -16,8 +16,6 @@
 const MAX_OVERSHOOT = 1.5;
 const SLACK = 5;
 
-const [SERVICE] = buildEngineConfiguration().services;
-
 /** Makes a server return, as all entries learn of it at the same time. */
 const RETURNS: Readonly<Record<string, (table: ServerTable) => void>> = {
   'wanted a pause': table => {
@@ -46,24 +44,6 @@
   return table;
 }
 
-function buildDemand(id: string): PlacementRequest {
-  assert.ok(SERVICE);
-  return {
-    request: {
-      promptSegments: [{id, tokens: 1_000}],
-      size: {promptTokens: 1_000, answerTokens: 20},
-    } as unknown as PlacementRequest['request'],
-    service: SERVICE,
-    route: 'drafts',
-    variant: 'old',
-    model: undefined,
-    priority: 1,
-    tried: new Set(),
-    abandonAt: performance.now() + 1_000,
-    signal: new AbortController().signal,
-  };
-}
-
 for (const [name, returnServer] of Object.entries(RETURNS)) {
   for (const entries of [7, 195]) {
     test(`a server that ${name} gets about its share when it returns, from ${entries} entries`, async () => {
@@ -86,7 +66,7 @@
       for (let count = 0; count < REQUESTS_PER_ENTRY; count += 1) {
         for (const [index, placement] of placements.entries()) {
           const {server} = await placement.acquire(
-            buildDemand(`own${index}-${count}`),
+            buildPlacementRequest(`own${index}-${count}`),
           );
           if (server.listing.registration.id === 's3') received += 1;
         }
--- a/packages/gateway/src/test/serverLimitFleets.test.ts
+++ b/packages/gateway/src/test/serverLimitFleets.test.ts
@@ -2,6 +2,7 @@
 import {afterEach, beforeEach, mock, test} from 'node:test';
 import FakeTimers from '@sinonjs/fake-timers';
 import type {Clock} from '@sinonjs/fake-timers';
+import {createRandom} from './createRandom.js';
 import {SimulatedLimitFleet} from './SimulatedLimitFleet.js';
 
 /** Time after which all entries know a limit, in milliseconds. */
@@ -23,14 +24,6 @@
   mock.restoreAll();
 });
 
-function createRandom(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state * 1_103_515_245 + 12_345) % 2_147_483_648;
-    return state / 2_147_483_648;
-  };
-}
-
 function createFleet(entries: number, lossRate = 0, seed = 1) {
   const fleet = new SimulatedLimitFleet({
     clock,
--- a/packages/gateway/src/test/slowStart.test.ts
+++ b/packages/gateway/src/test/slowStart.test.ts
@@ -2,11 +2,11 @@
 import {test} from 'node:test';
 import {PrefillRates} from '@sycamorehead/routing';
 import {AnswerTimes} from '../lib/AnswerTimes.js';
-import {Placement, PlacementRequest} from '../lib/Placement.js';
+import {Placement} from '../lib/Placement.js';
 import {ServerTable} from '../lib/ServerTable.js';
 import {VersionSplit} from '../lib/VersionSplit.js';
+import {buildPlacementRequest} from './buildPlacementRequest.js';
 import {describeServer} from './FakeServer.js';
-import {buildEngineConfiguration} from './GatewayHarness.js';
 
 const ENTRIES = 8;
 const REQUESTS_PER_ENTRY = 10;
@@ -14,8 +14,6 @@
 const MAX_OVERSHOOT = 1.5;
 const SLACK = 5;
 
-const [SERVICE] = buildEngineConfiguration().services;
-
 /** An entry that knows some servers, each with its slow start in milliseconds, if any. */
 class Entry {
   readonly table = new ServerTable();
@@ -43,29 +41,13 @@
 
   /** Places a request and returns the id of its server. */
   async reserveServer(count: number): Promise<string> {
-    const {server} = await this.placement.acquire(buildDemand(count));
+    const {server} = await this.placement.acquire(
+      buildPlacementRequest(`own${count}`),
+    );
     return server.listing.registration.id;
   }
 }
 
-function buildDemand(count: number): PlacementRequest {
-  assert.ok(SERVICE);
-  return {
-    request: {
-      promptSegments: [{id: `own${count}`, tokens: 1_000}],
-      size: {promptTokens: 1_000, answerTokens: 20},
-    } as unknown as PlacementRequest['request'],
-    service: SERVICE,
-    route: 'drafts',
-    variant: 'old',
-    model: undefined,
-    priority: 1,
-    tried: new Set(),
-    abandonAt: performance.now() + 1_000,
-    signal: new AbortController().signal,
-  };
-}
-
 /** Places requests through all entries, between two exchanges of load, and counts them by server. */
 async function sendRequests(
   slowStarts: ReadonlyArray<number | undefined>,
