--- a/packages/gateway/src/lib/SlowStart.ts
+++ b/packages/gateway/src/lib/SlowStart.ts
@@ -7,9 +7,9 @@
 const MAX_SHARE = 1.4;
 
 /**
- * Limits backend servers that have just started, or return from a limit of their own, to little more than an equal
- * share of the requests. They are idle, so all entries would choose them at the same time, and each of their
- * answers takes longer.
+ * Limits backend servers that have just started, or return after a pause or a limit that they asked for,
+ * to little more than an equal share of the requests. They are idle, so all entries would choose them
+ * at the same time, and the answers of those that have just started take longer.
  *
  * @internal
  */
