Limits: one decoder of limit tables, the permit's duration in one place; test fleets share their loops

No change of behaviour. ServerLimits decoded a table through a temporary ObservedLimits; the time for which a permit may be used was added by its caller. LimitFleet had settings that no test used, and repeated two loops of CrashFleet.

--- a/packages/gateway/src/lib/ServerLimits.ts
+++ b/packages/gateway/src/lib/ServerLimits.ts
@@ -7,10 +7,10 @@
   LimitTable,
   ObservedLimit,
   ObservedLimits,
-  PERMIT_MS,
   RateLimitNotice,
   SendPermits,
   computeSendRate,
+  decodeLimitTable,
 } from '@sycamorehead/routing';
 import {
   ServerRegistration,
@@ -87,9 +87,7 @@
 
   /** Records what other entries have observed. */
   addTable(table: LimitTable): void {
-    const received = new ObservedLimits();
-    received.addTable(table);
-    for (const [key, limit] of received.list()) {
+    for (const [key, limit] of decodeLimitTable(table)) {
       if (this.update(key, limit, false)) this.ownKeys.delete(key);
     }
   }
@@ -105,7 +103,7 @@
     if (!permits || isIsolated) return;
     this.grantedAt = Math.max(this.grantedAt, sentAt);
     for (const [key, count] of Object.entries(permits)) {
-      this.getPermits(key).add(count, sentAt + PERMIT_MS);
+      this.getPermits(key).add(count, sentAt);
     }
   }
 
--- a/packages/gateway/src/test/CrashFleet.ts
+++ b/packages/gateway/src/test/CrashFleet.ts
@@ -1,8 +1,9 @@
-import {setTimeout as sleep} from 'node:timers/promises';
 import type {ServerListing} from '@sycamorehead/fleet';
 import type {LoadReporter} from '../lib/LoadReporter.js';
 import {FakeControls} from './FakeControls.js';
 import {CrashingServer} from './CrashingServer.js';
+import {exchangeAllReports} from './exchangeAllReports.js';
+import {sendAtIntervals} from './sendAtIntervals.js';
 import {createRandom} from './createRandom.js';
 import type {ReceivedRequest} from './FakeServer.js';
 import {
@@ -99,7 +100,7 @@
       await this.addEntry();
     }
     this.controls.start();
-    this.startTimer(EXCHANGE_MS, () => this.exchangeReports());
+    this.startTimer(EXCHANGE_MS, () => exchangeAllReports(this.reporters));
     const {restartMs} = this.options;
     if (restartMs) this.startTimer(restartMs, () => void this.addEntry(0));
   }
@@ -137,13 +138,9 @@
     intervalMs: number,
     durationMs: number,
   ): Promise<void> {
-    const end = performance.now() + durationMs;
-    const pending: Array<Promise<void>> = [];
-    while (performance.now() < end) {
-      pending.push(this.sendRequest(hasCrashingSegment));
-      await sleep(intervalMs);
-    }
-    await Promise.all(pending);
+    await sendAtIntervals(intervalMs, durationMs, () =>
+      this.sendRequest(hasCrashingSegment),
+    );
   }
 
   /** Sends one request; its segments but for the common and the crashing one are its own. */
@@ -200,14 +197,6 @@
     this.timers.push(setInterval(run, intervalMs));
   }
 
-  private exchangeReports(): void {
-    for (const reporter of this.reporters) {
-      reporter.exchangeReports().catch(() => {
-        // The message was lost; the next exchange repeats what it said.
-      });
-    }
-  }
-
   private recordArrival({headers}: ReceivedRequest): void {
     if (!headers.get('x-prefix')?.includes(`${CRASHING_SEGMENT}:`)) return;
     this.crashingArrivals.push(performance.now());
--- a/packages/gateway/src/test/LimitFleet.ts
+++ b/packages/gateway/src/test/LimitFleet.ts
@@ -1,5 +1,5 @@
-import {setTimeout as sleep} from 'node:timers/promises';
 import type {LoadReporter} from '../lib/LoadReporter.js';
+import {exchangeAllReports} from './exchangeAllReports.js';
 import {FakeControls} from './FakeControls.js';
 import {FakeServer, ServerScript, formatAnswer} from './FakeServer.js';
 import {
@@ -9,6 +9,7 @@
   formatRequest,
   readStatus,
 } from './GatewayHarness.js';
+import {sendAtIntervals} from './sendAtIntervals.js';
 
 /** Time between two exchanges of an entry, in milliseconds. */
 const EXCHANGE_MS = 100;
@@ -28,8 +29,6 @@
   readonly entries: number;
   /** What each server names in its answers; undefined for those without a limit. */
   readonly limits: ReadonlyArray<string | undefined>;
-  /** Probability with which a message between our own processes is lost. */
-  readonly lossRate?: number;
   /** Models of the route; the servers have little confidence in what they answer. */
   readonly models?: readonly string[];
   /** Indexes of the servers that answer with an error of their own. */
@@ -43,8 +42,6 @@
   readonly limits: Array<string | undefined>;
   /** When requests have arrived at each server, on the monotonic clock. */
   readonly arrivals: number[][] = [];
-  /** Whether the control instances answer. */
-  isControlReachable = true;
   private readonly servers: FakeServer[];
   private readonly controls: FakeControls;
   private readonly reporters: LoadReporter[] = [];
@@ -52,14 +49,14 @@
   private requestCount = 0;
 
   constructor(private readonly options: LimitFleetOptions) {
-    const {limits, lossRate = 0} = options;
+    const {limits} = options;
     this.limits = [...limits];
     this.servers = limits.map(
       (_, index) => new FakeServer(`s${index}`, this.buildScript(index)),
     );
     this.controls = new FakeControls(
       3,
-      () => Math.random() < lossRate,
+      () => false,
       () => {
         // Nothing crashes here.
       },
@@ -72,7 +69,10 @@
       await this.addEntry();
     }
     this.controls.start();
-    this.timer = setInterval(() => this.exchangeReports(), EXCHANGE_MS);
+    this.timer = setInterval(
+      () => exchangeAllReports(this.reporters),
+      EXCHANGE_MS,
+    );
   }
 
   async stop(): Promise<void> {
@@ -82,8 +82,21 @@
     await Promise.all(this.servers.map(server => server.stop()));
   }
 
-  /** Starts an entry, in place of another one if an index is given. */
-  async addEntry(index = this.entries.length): Promise<void> {
+  /** Sends requests to the entries in turn, each `intervalMs`, until `durationMs` have passed. */
+  async sendRequests(intervalMs: number, durationMs: number): Promise<void> {
+    await sendAtIntervals(intervalMs, durationMs, () => this.sendRequest());
+  }
+
+  /** Returns the most requests that a server got in some time after a moment. */
+  countMost(index: number, windowMs: number, after: number): number {
+    const times = (this.arrivals[index] ?? []).filter(at => at >= after);
+    const counts = times.map(
+      start => times.filter(at => at >= start && at < start + windowMs).length,
+    );
+    return Math.max(0, ...counts);
+  }
+
+  private async addEntry(): Promise<void> {
     const entry = new GatewayHarness();
     const {models = []} = this.options;
     await entry.start(
@@ -97,34 +110,12 @@
       ]),
       this.servers.map(server => server.describe()),
     );
-    const known = this.entries[index];
-    this.entries[index] = entry;
-    this.reporters[index] = entry.buildReporter(`e${index}`, request =>
-      this.isControlReachable
-        ? this.controls.exchange(index, request)
-        : Promise.reject(new Error('unreachable')),
+    const index = this.entries.push(entry) - 1;
+    this.reporters.push(
+      entry.buildReporter(`e${index}`, request =>
+        this.controls.exchange(index, request),
+      ),
     );
-    await known?.stop();
-  }
-
-  /** Sends requests to the entries in turn, each `intervalMs`, until `durationMs` have passed. */
-  async sendRequests(intervalMs: number, durationMs: number): Promise<void> {
-    const end = performance.now() + durationMs;
-    const pending: Array<Promise<void>> = [];
-    while (performance.now() < end) {
-      pending.push(this.sendRequest());
-      await sleep(intervalMs);
-    }
-    await Promise.all(pending);
-  }
-
-  /** Returns the most requests that a server got in some time after a moment. */
-  countMost(index: number, windowMs: number, after: number): number {
-    const times = (this.arrivals[index] ?? []).filter(at => at >= after);
-    const counts = times.map(
-      start => times.filter(at => at >= start && at < start + windowMs).length,
-    );
-    return Math.max(0, ...counts);
   }
 
   private async sendRequest(): Promise<void> {
@@ -156,12 +147,4 @@
       setTimeout(() => socket.write(text), WORK_MS);
     };
   }
-
-  private exchangeReports(): void {
-    for (const reporter of this.reporters) {
-      reporter.exchangeReports().catch(() => {
-        // The message was lost; the next exchange repeats what it said.
-      });
-    }
-  }
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -95,11 +95,12 @@
   StallTimeoutInput,
   HeadTimeoutInput,
 } from './lib/forwarding/computeSilenceTimeouts.js';
+export {decodeLimitTable} from './lib/forwarding/decodeLimitTable.js';
 export {ObservedLimits} from './lib/forwarding/ObservedLimits.js';
 export type {
   LimitTable,
   ObservedLimit,
 } from './lib/forwarding/ObservedLimits.js';
 export {PermitBucket} from './lib/forwarding/PermitBucket.js';
-export {PERMIT_MS, SendPermits} from './lib/forwarding/SendPermits.js';
+export {SendPermits} from './lib/forwarding/SendPermits.js';
 export {computeSendRate} from './lib/forwarding/computeSendRate.js';
--- a/packages/routing/src/lib/forwarding/ObservedLimits.ts
+++ b/packages/routing/src/lib/forwarding/ObservedLimits.ts
@@ -1,4 +1,5 @@
 import {evictOldest} from '@sycamorehead/schema';
+import {decodeLimitTable} from './decodeLimitTable.js';
 
 /** What an answer of a backend server said of its limit. @public */
 export interface ObservedLimit {
@@ -44,11 +45,8 @@
 
   /** Records what another process has observed. */
   addTable(table: LimitTable): void {
-    for (const [incarnation, [perSecond, ageMs]] of Object.entries(table)) {
-      this.record(incarnation, {
-        perSecond: perSecond ?? undefined,
-        observedAt: performance.now() - ageMs,
-      });
+    for (const [incarnation, limit] of decodeLimitTable(table)) {
+      this.record(incarnation, limit);
     }
   }
 
--- a/packages/routing/src/lib/forwarding/SendPermits.ts
+++ b/packages/routing/src/lib/forwarding/SendPermits.ts
@@ -1,5 +1,5 @@
 /** Time for which a permit may be used, in milliseconds; what is saved up does not come out at once. */
-export const PERMIT_MS = 1_000;
+const PERMIT_MS = 1_000;
 
 /**
  * The sends that one entry may make to one server that has named a limit: granted ones, and without
@@ -15,10 +15,10 @@
 
   // Commands.
 
-  /** Adds granted permits that expire at a time. */
-  add(count: number, expiresAt: number): void {
+  /** Adds permits that were granted in reply to a report that was sent at a time. */
+  add(count: number, reportedAt: number): void {
     for (let index = 0; index < count; index += 1) {
-      this.expiries.push(expiresAt);
+      this.expiries.push(reportedAt + PERMIT_MS);
     }
   }
 
