Logs: the fingerprint of a request

Request lines now name a digest of method, host, path, query, customer and body; never a key or a body.

--- a/packages/gateway/src/lib/CrashGuard.ts
+++ b/packages/gateway/src/lib/CrashGuard.ts
@@ -1,5 +1,6 @@
 import {SycamoreheadError} from '@sycamorehead/schema';
 import {CallerRequest, listSharedSegments} from './CallerRequest.js';
+import {computeFingerprint} from './computeFingerprint.js';
 import type {ForwardContext} from './gatewayTypes.js';
 import {buildQuarantineRefusal} from './refusals.js';
 import {RequestTarget, findTarget} from './resolveTarget.js';
@@ -22,6 +23,7 @@
   private readonly segments: readonly string[];
   private quarantined: readonly string[] | undefined;
   private serviceName = '';
+  private requestFingerprint: string | undefined;
   private brokenBeginnings = 0;
 
   constructor(
@@ -53,6 +55,10 @@
    * @throws SycamoreheadError `segment_quarantined`, or `outcome_unknown` if the request may have run.
    */
   checkSend(target: RequestTarget): void {
+    this.requestFingerprint ??= computeFingerprint(
+      this.request,
+      target.customer,
+    );
     if (!target.service.engine) return;
     this.recordQuarantine(target);
     if (this.quarantined === undefined) return;
@@ -82,6 +88,11 @@
 
   // Queries.
 
+  /** The fingerprint of the request; undefined if it was refused before its first send. */
+  get fingerprint(): string | undefined {
+    return this.requestFingerprint;
+  }
+
   /** The error of a request that ended because of a quarantine. */
   get failure(): SycamoreheadError | undefined {
     if (this.quarantined === undefined) return undefined;
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -416,6 +416,7 @@
       answer,
       cascade: this.cascade,
       routeName: this.routeName,
+      fingerprint: this.guard.fingerprint,
       waitedMs: this.waitedMs,
       version: this.context.getRoutes()?.version,
     });
--- a/packages/gateway/src/lib/writeRequestLine.ts
+++ b/packages/gateway/src/lib/writeRequestLine.ts
@@ -11,6 +11,8 @@
 export interface RequestRecord {
   readonly request: CallerRequest;
   readonly routeName: string;
+  /** Undefined if the request was refused before its first send. */
+  readonly fingerprint: string | undefined;
   /** The status sent, or 0 if the caller has disconnected. */
   readonly status: number;
   readonly failure: SycamoreheadError | undefined;
@@ -31,6 +33,7 @@
   writeDecision('request', {
     request: request.id,
     route: record.routeName,
+    fingerprint: record.fingerprint,
     status: record.status,
     kind: failure?.kind,
     reason: failure?.message,
