--- a/packages/gateway/src/test/CrashFleet.ts
+++ b/packages/gateway/src/test/CrashFleet.ts
@@ -1,39 +1,31 @@
 import type {ServerListing} from '@sycamorehead/fleet';
+import type {RouteConfiguration} from '@sycamorehead/schema';
 import type {LoadReporter} from '../lib/LoadReporter.js';
+import {CrashBehaviour, CrashingServer} from './CrashingServer.js';
 import {FakeControls} from './FakeControls.js';
-import {CrashingServer} from './CrashingServer.js';
-import {exchangeAllReports} from './exchangeAllReports.js';
-import {sendAtIntervals} from './sendAtIntervals.js';
+import {GatewayHarness, readStatus} from './GatewayHarness.js';
 import {createRandom} from './createRandom.js';
-import type {ReceivedRequest} from './FakeServer.js';
-import {
-  GatewayHarness,
-  buildEngineConfiguration,
-  formatRequest,
-  readStatus,
-} from './GatewayHarness.js';
-
-/** A segment that is in every prompt. */
-export const COMMON_SEGMENT = 'c0';
-/** The segment under which servers crash. */
-export const CRASHING_SEGMENT = 'bad1';
-
-/** The prompts of the sound requests have one of so many segments each, in turn. */
-const DOCUMENTS = 7;
-/** The document of all requests with the crashing segment while it has a companion. */
-const COMPANION = 2;
+import {exchangeAllReports} from './exchangeAllReports.js';
 
 /** Time between two exchanges of an entry, in milliseconds. */
 const EXCHANGE_MS = 100;
 
 /** One request of a caller, and what became of it. */
 export interface CallerResult {
-  readonly hasCrashingSegment: boolean;
+  /** What in it crashes servers; undefined for a sound request. */
+  readonly cause: string | undefined;
   readonly sentAt: number;
   readonly status: number;
   readonly text: string;
 }
 
+/** Something that happened because of one cause. */
+export interface CauseEvent {
+  readonly cause: string | undefined;
+  /** On the monotonic clock. */
+  readonly at: number;
+}
+
 /** Settings of a CrashFleet. */
 export interface CrashFleetOptions {
   readonly entries: number;
@@ -43,26 +35,14 @@
   readonly lossRate?: number;
   /** Time after which one of the entries is replaced by one without memory, in milliseconds. */
   readonly restartMs?: number;
-  /**
-   * Time after the start for which all requests with the crashing segment, and no others, have one
-   * further segment, in milliseconds.
-   */
-  readonly companionMs?: number;
 }
 
-const CONFIGURATION = buildEngineConfiguration({
-  kind: 'streaming',
-  isResumable: true,
-  targetLatencyMs: 1_500,
-});
-
-/** Several entries in front of engines that crash under one prompt segment. */
+/** Several entries in front of servers that crash when they run certain requests. */
 export class CrashFleet {
   readonly results: CallerResult[] = [];
-  /** When servers have crashed, on the monotonic clock. */
-  readonly crashTimes: number[] = [];
-  /** When a request with the crashing segment has reached a server, on the monotonic clock. */
-  readonly crashingArrivals: number[] = [];
+  readonly crashes: CauseEvent[] = [];
+  /** Requests that crash servers and have reached one. */
+  readonly crashingArrivals: CauseEvent[] = [];
   readonly entries: GatewayHarness[] = [];
   readonly controls: FakeControls;
   private readonly reporters: LoadReporter[] = [];
@@ -71,9 +51,12 @@
   private readonly servers: CrashingServer[];
   private readonly listings = new Map<string, ServerListing>();
   private requestCount = 0;
-  private readonly startedAt = performance.now();
 
-  constructor(private readonly options: CrashFleetOptions) {
+  constructor(
+    private readonly options: CrashFleetOptions,
+    private readonly configuration: RouteConfiguration,
+    behaviour: CrashBehaviour,
+  ) {
     const {servers, controls = 3, lossRate = 0} = options;
     const random = createRandom();
     this.controls = new FakeControls(
@@ -86,10 +69,14 @@
     this.servers = Array.from(
       {length: servers},
       (_, index) =>
-        new CrashingServer(`s${index}`, CRASHING_SEGMENT, {
+        new CrashingServer(`s${index}`, behaviour, {
           onStart: listing => this.list(listing),
-          onReceived: (server, request) => this.recordArrival(request),
-          onCrash: () => this.crashTimes.push(performance.now()),
+          onReceived: request => {
+            const cause = behaviour.findCause(request);
+            if (cause === undefined) return;
+            this.crashingArrivals.push({cause, at: performance.now()});
+          },
+          onCrash: cause => this.crashes.push({cause, at: performance.now()}),
         }),
     );
   }
@@ -108,7 +95,7 @@
   /** Starts an entry, in place of another one if an index is given, and returns it. */
   async addEntry(index = this.entries.length): Promise<GatewayHarness> {
     const entry = new GatewayHarness();
-    await entry.start(CONFIGURATION, [...this.listings.values()]);
+    await entry.start(this.configuration, [...this.listings.values()]);
     entry.quarantine.update(this.controls.state);
     const known = this.entries[index];
     if (known) this.replaced.push(known);
@@ -132,76 +119,48 @@
     void this.servers[index % this.servers.length]?.restart();
   }
 
-  /** Sends requests to the entries in turn, each `intervalMs`, until `durationMs` have passed. */
-  async sendRequests(
-    hasCrashingSegment: boolean,
-    intervalMs: number,
-    durationMs: number,
-  ): Promise<void> {
-    await sendAtIntervals(intervalMs, durationMs, () =>
-      this.sendRequest(hasCrashingSegment),
-    );
-  }
-
-  /** Sends one request; its segments but for the common and the crashing one are its own. */
-  async sendRequest(
-    hasCrashingSegment: boolean,
+  /** Sends a request, which is built from its number, to an entry, or to all of them in turn. */
+  async exchange(
+    cause: string | undefined,
+    build: (count: number) => string,
     entry?: GatewayHarness,
   ): Promise<void> {
     this.requestCount += 1;
     const count = this.requestCount;
     const receiver = entry ?? this.entries[count % this.entries.length];
     if (!receiver) return;
-    const crashing = hasCrashingSegment ? [`${CRASHING_SEGMENT}:400`] : [];
-    const segments = [
-      `${COMMON_SEGMENT}:800`,
-      ...crashing,
-      `d${this.chooseDocument(count, hasCrashingSegment)}:100`,
-      `own${count}:50`,
-    ];
     const sentAt = performance.now();
-    const text = await receiver.exchange(
-      formatRequest({
-        id: `r${count}`,
-        headers: [`X-Prefix: ${segments.join(',')}`, 'X-Tokens: 1350,20'],
-      }),
-      5_000,
-    );
-    const status = readStatus(text);
-    this.results.push({hasCrashingSegment, sentAt, status, text});
+    const text = await receiver.exchange(build(count), 5_000);
+    this.results.push({cause, sentAt, status: readStatus(text), text});
+  }
+
+  /** Counts the requests with a cause that reached a server after a moment. */
+  countArrivals(cause: string, after: number): number {
+    return this.crashingArrivals.filter(
+      arrival => arrival.cause === cause && arrival.at > after,
+    ).length;
   }
 
-  /** Counts the requests with the crashing segment that reached a server after a moment. */
-  countCrashingArrivals(after: number): number {
-    return this.crashingArrivals.filter(at => at > after).length;
+  /** Lists when servers crashed because of a cause, on the monotonic clock. */
+  listCrashTimes(cause: string): number[] {
+    return this.crashes
+      .filter(crash => crash.cause === cause)
+      .map(({at}) => at);
   }
 
   /** Returns the fraction of the sound requests sent since a moment that were answered whole. */
   measureSoundShare(since: number): number {
     const sound = this.results.filter(
-      ({hasCrashingSegment, sentAt}) => !hasCrashingSegment && sentAt >= since,
+      ({cause, sentAt}) => cause === undefined && sentAt >= since,
     );
-    const whole = sound.filter(({text}) => text.endsWith('0\r\n\r\n'));
+    const whole = sound.filter(({text}) => /(0\r\n\r\n|whole)$/.test(text));
     return whole.length / sound.length;
   }
 
-  private chooseDocument(count: number, hasCrashingSegment: boolean): number {
-    const document = count % DOCUMENTS;
-    const {companionMs = 0} = this.options;
-    if (performance.now() - this.startedAt >= companionMs) return document;
-    if (hasCrashingSegment) return COMPANION;
-    return document === COMPANION ? document + 1 : document;
-  }
-
   private startTimer(intervalMs: number, run: () => void): void {
     this.timers.push(setInterval(run, intervalMs));
   }
 
-  private recordArrival({headers}: ReceivedRequest): void {
-    if (!headers.get('x-prefix')?.includes(`${CRASHING_SEGMENT}:`)) return;
-    this.crashingArrivals.push(performance.now());
-  }
-
   private list(listing: ServerListing): void {
     this.listings.set(listing.registration.id, listing);
     for (const entry of this.entries) entry.list([listing]);
--- a/packages/gateway/src/test/CrashingServer.ts
+++ b/packages/gateway/src/test/CrashingServer.ts
@@ -4,6 +4,7 @@
   FakeServer,
   LAST_CHUNK,
   ReceivedRequest,
+  formatAnswer,
   formatChunk,
   formatEvent,
   formatStreamHead,
@@ -17,19 +18,33 @@
 /** Time between two events, in milliseconds. */
 const EVENT_MS = 20;
 const EVENTS = 3;
-/** Time from a crash to the next start, in milliseconds. */
-const DOWN_MS = 600;
+/** Shortest time from the arrival of a request at a plain service to the crash of its server, in milliseconds. */
+const MIN_RUN_MS = 20;
+/** Longest such time, in milliseconds. */
+const MAX_RUN_MS = 90;
+
+/** Which requests crash a server, and how. */
+export interface CrashBehaviour {
+  /** Returns what in a request crashes its server; undefined for a sound request. */
+  findCause(request: ReceivedRequest): string | undefined;
+  /** Whether the server answers with a stream, and crashes after the head; others crash before it. */
+  readonly isStreaming: boolean;
+  /** Time from a crash to the next start, in milliseconds. */
+  readonly downMs: number;
+  readonly slots: number;
+}
 
 /** What a crashing server tells its fleet. */
 export interface CrashListener {
   onStart(listing: ServerListing): void;
-  onReceived(server: string, request: ReceivedRequest): void;
-  onCrash(server: string): void;
+  onReceived(request: ReceivedRequest): void;
+  /** `cause` is undefined if no request crashed the server. */
+  onCrash(cause: string | undefined): void;
 }
 
 /**
- * An engine that crashes whenever it begins to answer a prompt with a certain segment, and starts
- * again after a while under another id and address.
+ * A server that crashes whenever it runs certain requests, and starts again after a while under another
+ * id and address.
  */
 export class CrashingServer {
   private server: FakeServer | undefined;
@@ -38,8 +53,7 @@
 
   constructor(
     private readonly name: string,
-    /** The segment whose prompts crash the server. */
-    private readonly segment: string,
+    private readonly behaviour: CrashBehaviour,
     private readonly listener: CrashListener,
   ) {}
 
@@ -53,18 +67,21 @@
     await server.start();
     this.server = server;
     this.listener.onStart(
-      server.describe({startedAtMs: this.starts, slots: 64}),
+      server.describe({
+        startedAtMs: this.starts,
+        slots: this.behaviour.slots,
+      }),
     );
   }
 
   /** Crashes the server, whatever it works on, and starts it again after a while. */
-  async restart(): Promise<void> {
+  async restart(cause?: string): Promise<void> {
     const {server} = this;
     if (!server) return;
     this.server = undefined;
-    this.listener.onCrash(server.id);
+    this.listener.onCrash(cause);
     await server.stop();
-    await sleep(DOWN_MS);
+    await sleep(this.behaviour.downMs);
     if (!this.isStopped) await this.start();
   }
 
@@ -78,14 +95,25 @@
     request: ReceivedRequest,
     socket: Socket,
   ): Promise<void> {
-    this.listener.onReceived(server.id, request);
-    await sleep(HEAD_MS);
-    socket.write(formatStreamHead(request));
-    if (request.headers.get('x-prefix')?.includes(`${this.segment}:`)) {
+    this.listener.onReceived(request);
+    const {isStreaming} = this.behaviour;
+    const cause = this.behaviour.findCause(request);
+    if (!isStreaming) {
+      await sleep(MIN_RUN_MS + Math.random() * (MAX_RUN_MS - MIN_RUN_MS));
+    } else {
+      await sleep(HEAD_MS);
+      socket.write(formatStreamHead(request));
       await sleep(CRASH_MS);
-      if (this.server === server) await this.restart();
+    }
+    if (cause !== undefined) {
+      if (this.server === server) await this.restart(cause);
       return;
     }
+    if (isStreaming) await this.stream(socket);
+    else socket.write(formatAnswer(request, 'whole'));
+  }
+
+  private async stream(socket: Socket): Promise<void> {
     for (let id = 1; id <= EVENTS; id += 1) {
       await sleep(EVENT_MS);
       socket.write(formatChunk(formatEvent(id)));
--- a/packages/gateway/src/test/promptSegmentCrashes.test.ts
+++ b/packages/gateway/src/test/promptSegmentCrashes.test.ts
@@ -1,7 +1,11 @@
 import assert from 'node:assert/strict';
 import {afterEach, test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {CRASHING_SEGMENT, CrashFleet, CrashFleetOptions} from './CrashFleet.js';
+import {
+  CRASHING_SEGMENT,
+  PromptFleet,
+  PromptFleetOptions,
+} from './PromptFleet.js';
 import {stopStarted, track} from './startGateway.js';
 
 afterEach(stopStarted);
@@ -16,7 +20,7 @@
 const MAX_ARRIVALS = 3;
 
 /** Fleets, by what is special about them. */
-const FLEETS: Readonly<Record<string, CrashFleetOptions>> = {
+const FLEETS: Readonly<Record<string, PromptFleetOptions>> = {
   'one entry': {entries: 1, servers: 6},
   'four entries': {entries: 4, servers: 6},
   'four entries that lose a third of their messages': {
@@ -40,7 +44,7 @@
 
 for (const [name, options] of Object.entries(FLEETS)) {
   test(`a prompt segment that crashes servers is no longer sent to them, ${name}`, async () => {
-    const fleet = track(new CrashFleet(options));
+    const fleet = track(new PromptFleet(options));
     await fleet.start();
     await Promise.all([
       fleet.sendRequests(false, 25, 8_000),
@@ -60,7 +64,7 @@
 }
 
 test('crashes were forgotten when all control instances had restarted: they count together with later ones', async () => {
-  const fleet = track(new CrashFleet({entries: 3, servers: 6}));
+  const fleet = track(new PromptFleet({entries: 3, servers: 6}));
   await fleet.start();
   const traffic = fleet.sendRequests(false, 25, 7_000);
   await fleet.sendRequests(true, 300, 550);
@@ -79,7 +83,7 @@
 });
 
 test('a quarantine that was released came back: crashes from before do not count again after a restart', async () => {
-  const fleet = track(new CrashFleet({entries: 3, servers: 6}));
+  const fleet = track(new PromptFleet({entries: 3, servers: 6}));
   await fleet.start();
   const traffic = fleet.sendRequests(false, 25, 7_500);
   await fleet.sendRequests(true, 160, 3_000);
@@ -92,7 +96,7 @@
 });
 
 test('servers that crash at random put no prompt segment into quarantine', async () => {
-  const fleet = track(new CrashFleet({entries: 4, servers: 6}));
+  const fleet = track(new PromptFleet({entries: 4, servers: 6}));
   await fleet.start();
   const traffic = fleet.sendRequests(false, 10, 6_000);
   for (let index = 0; index < 14; index += 1) {
@@ -101,14 +105,14 @@
     if (index % 4 === 0) fleet.restartServer(index + 1);
   }
   await traffic;
-  assert.ok(fleet.crashTimes.length >= 14, `${fleet.crashTimes.length}`);
+  assert.ok(fleet.crashes.length >= 14, `${fleet.crashes.length}`);
   assert.deepEqual(fleet.controls.state.combinations, []);
   const share = fleet.measureSoundShare(0);
   assert.ok(share >= 0.95, `share ${share}`);
 });
 
 test('an entry that joins later refuses the segment without a crash', async () => {
-  const fleet = track(new CrashFleet({entries: 3, servers: 6}));
+  const fleet = track(new PromptFleet({entries: 3, servers: 6}));
   await fleet.start();
   await Promise.all([
     fleet.sendRequests(false, 40, 3_000),
