--- a/packages/fleet/src/lib/CrashPool.ts
+++ b/packages/fleet/src/lib/CrashPool.ts
@@ -12,6 +12,8 @@
 const MAX_CRASHES = 512;
 /** Maximum number of segments that are retained of one crash. */
 const MAX_SEGMENTS = 128;
+/** Maximum number of segments whose survivals the entries are to report. */
+const MAX_SUSPECTS = 64;
 /** Maximum number of segments whose survival is retained; the oldest are removed first. */
 const MAX_SURVIVALS = 2_000;
 /** Time for which each digest repeats a crash or a survival, in milliseconds. */
@@ -34,6 +36,8 @@
   /** When this instance first learned of it, on the monotonic clock. */
   readonly learnedAt: number;
   readonly segments: Set<string>;
+  readonly resent: Set<string>;
+  service: string | undefined;
 }
 
 interface Evaluation {
@@ -71,7 +75,10 @@
   exchange({crashes = [], survivals = {}}: CrashEvidenceReport): string[] {
     for (const crash of crashes) this.addCrash(crash);
     addSurvivals(this.survivals, survivals);
-    return [...new Set(this.listSuspects().flatMap(({segments}) => segments))];
+    const suspects = [...this.listSuspects()]
+      .sort((one, other) => other.crashes - one.crashes)
+      .flatMap(({segments}) => segments);
+    return [...new Set(suspects)].slice(0, MAX_SUSPECTS);
   }
 
   /** Adds the evidence of another control instance. */
@@ -101,10 +108,12 @@
       if (now - at < FRESH_MS) survivals[segment] = Math.round(now - at);
     }
     return {
-      crashes: [...fresh, ...repeated].map(([incarnation, {at, segments}]) => ({
+      crashes: [...fresh, ...repeated].map(([incarnation, crash]) => ({
         incarnation,
-        ageMs: Math.round(now - at),
-        segments: [...segments],
+        ageMs: Math.round(now - crash.at),
+        segments: [...crash.segments],
+        resent: [...crash.resent],
+        ...(crash.service !== undefined && {service: crash.service}),
       })),
       survivals,
     };
@@ -146,18 +155,25 @@
       .slice(-MAX_LISTED);
   }
 
-  private addCrash({incarnation, ageMs, segments}: CrashReport): void {
+  private addCrash(report: CrashReport): void {
+    const {incarnation, ageMs, segments, resent = [], service} = report;
     const learnedAt = performance.now();
     const at = learnedAt - ageMs;
     const known = this.crashes.get(incarnation) ?? {
       at,
       learnedAt,
       segments: new Set(),
+      resent: new Set(),
+      service,
     };
     known.at = Math.min(known.at, at);
+    known.service ??= service;
     for (const segment of segments) {
       if (known.segments.size < MAX_SEGMENTS) known.segments.add(segment);
     }
+    for (const segment of resent) {
+      if (known.segments.has(segment)) known.resent.add(segment);
+    }
     this.crashes.set(incarnation, known);
     evictOldest(this.crashes, MAX_CRASHES);
   }
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -116,7 +116,7 @@
 
 /**
  * Prompt segments in quarantine, as stored in the log. A prompt that has all of them is sent to no
- * backend server.
+ * backend server. A whole request stands among them under an id of its own, here and below.
  *
  * @public
  */
@@ -142,8 +142,15 @@
   readonly incarnation: string;
   /** Time since the crash was first observed, in milliseconds. */
   readonly ageMs: number;
-  /** Shared prompt segments that were in progress there and are not known to be sound. */
+  /** Requests and shared prompt segments that were in progress there and are not known to be sound. */
   readonly segments: readonly string[];
+  /**
+   * Those of them that were sent there because another server had crashed under them; absent from
+   * earlier builds.
+   */
+  readonly resent?: readonly string[];
+  /** Absent from earlier builds. */
+  readonly service?: string;
 }
 
 /** Time since an answer to a prompt with a segment was last completed, in ms, by segment. @public */
--- a/packages/gateway/src/lib/CrashGuard.ts
+++ b/packages/gateway/src/lib/CrashGuard.ts
@@ -1,26 +1,35 @@
+import {buildRequestSegment} from '@sycamorehead/routing';
 import {SycamoreheadError} from '@sycamorehead/schema';
 import {CallerRequest, listSharedSegments} from './CallerRequest.js';
 import {computeFingerprint} from './computeFingerprint.js';
+import type {TrackedSend} from './CrashObserver.js';
 import type {ForwardContext} from './gatewayTypes.js';
 import {buildQuarantineRefusal} from './refusals.js';
 import {RequestTarget, findTarget} from './resolveTarget.js';
 import type {RunTracker} from './RunTracker.js';
 import type {SendRecord} from './SendRecord.js';
+import type {KnownServer} from './ServerTable.js';
 
 /**
- * Maximum number of servers whose answers break off as they begin, after which no further server is
- * exposed to the request: the servers may have crashed because of it.
+ * Maximum number of servers whose answers break off as they begin, or that crash, after which no further
+ * server is exposed to the request: the servers may have crashed because of it.
  */
-const MAX_BROKEN_BEGINNINGS = 2;
+const MAX_FAILED_SERVERS = 2;
+/** The same for servers that crash under a request that is suspected already. */
+const MAX_SUSPECT_FAILURES = 1;
 
 /**
- * Protects the backend servers from one request, if servers crash under a segment of its prompt or
- * may have crashed because of it.
+ * Protects the backend servers from one request, if servers crash under it or under a segment of its
+ * prompt, or may have crashed because of it.
  *
  * @internal
  */
 export class CrashGuard {
-  private readonly segments: readonly string[];
+  /** Segments of the prompt that others may share. */
+  private readonly sharedSegments: readonly string[];
+  private readonly sends: TrackedSend[] = [];
+  /** For each send that was lost, whether its server turns out to have crashed. */
+  private readonly losses: Array<Promise<boolean>> = [];
   private quarantined: readonly string[] | undefined;
   private serviceName = '';
   private requestFingerprint: string | undefined;
@@ -31,49 +40,91 @@
     private readonly request: CallerRequest,
     private readonly runs: RunTracker,
   ) {
-    this.segments = listSharedSegments(request);
+    this.sharedSegments = listSharedSegments(request);
   }
 
   // Commands.
 
   /**
-   * Calls back if segments of the prompt are put into quarantine. Returns a function that ends this.
+   * Calls back if the request or segments of its prompt are put into quarantine. Returns a function that
+   * ends this.
    */
   watch(onQuarantined: () => void): () => void {
     const {context, request} = this;
-    return context.quarantine.watch(this.segments, () => {
-      const target = findTarget(context.getRoutes(), request);
-      if (!target?.service.engine) return;
-      this.recordQuarantine(target);
-      onQuarantined();
-    });
+    const find = () => findTarget(context.getRoutes(), request);
+    return context.quarantine.watch(
+      () => {
+        const target = find();
+        return target ? this.listSegments(target) : [];
+      },
+      () => {
+        const target = find();
+        if (!target) return;
+        this.recordQuarantine(target);
+        onQuarantined();
+      },
+    );
   }
 
   /**
-   * Checks that the prompt is not in quarantine.
+   * Checks that neither the request nor its prompt is in quarantine.
    *
-   * @throws SycamoreheadError `segment_quarantined`, or `outcome_unknown` if the request may have run.
+   * @throws SycamoreheadError `request_quarantined`, `segment_quarantined`, or `outcome_unknown` if the
+   * request may have run.
    */
   checkSend(target: RequestTarget): void {
     this.requestFingerprint ??= computeFingerprint(
       this.request,
       target.customer,
     );
-    if (!target.service.engine) return;
     this.recordQuarantine(target);
     if (this.quarantined === undefined) return;
     throw buildQuarantineRefusal(this.quarantined, this.runs.mayHaveRun);
   }
 
+  /** Tracks a send of the request, after `checkSend`. */
+  trackSend(target: RequestTarget, server: KnownServer): TrackedSend {
+    const segments = this.listSegments(target);
+    const send = this.context.crashes.recordSend(server, segments, [
+      ...this.sends,
+    ]);
+    this.sends.push(send);
+    return send;
+  }
+
+  /** Records that a send was lost, and the check whether its server has crashed. */
+  recordLoss(check: Promise<boolean>): void {
+    this.losses.push(check);
+  }
+
+  /**
+   * Checks that the request may go on to another server after those that crashed under it. Most of the
+   * requests on a server that crashes are sound, so one such server is allowed.
+   *
+   * @throws SycamoreheadError `outcome_unknown` if no further server may be exposed to the request.
+   */
+  async checkResend(): Promise<void> {
+    const allowed = this.isSuspected
+      ? MAX_SUSPECT_FAILURES
+      : MAX_FAILED_SERVERS;
+    if (this.losses.length < allowed) return;
+    const results = await Promise.all(this.losses);
+    if (results.filter(hasCrashed => hasCrashed).length < allowed) return;
+    throw new SycamoreheadError(
+      'outcome_unknown',
+      'servers crashed while they had the request',
+    );
+  }
+
   /**
    * Counts an answer that broke off.
    *
    * @throws SycamoreheadError `outcome_unknown` if no further server may be exposed to the request.
    */
   recordInterruption(send: SendRecord): void {
-    if (!send.isBeginning) return;
+    if (!send.isBeginning || this.sharedSegments.length === 0) return;
     this.brokenBeginnings += 1;
-    if (this.brokenBeginnings < MAX_BROKEN_BEGINNINGS) return;
+    if (this.brokenBeginnings < MAX_FAILED_SERVERS) return;
     throw new SycamoreheadError(
       'outcome_unknown',
       'several servers failed as they began to answer',
@@ -99,8 +150,29 @@
     return buildQuarantineRefusal(this.quarantined, this.runs.mayHaveRun);
   }
 
-  private recordQuarantine({service}: RequestTarget): void {
-    this.quarantined = this.context.quarantine.findQuarantined(this.segments);
-    this.serviceName = service.name;
+  private get isSuspected(): boolean {
+    const {crashes} = this.context;
+    const id = this.requestSegment;
+    return id !== undefined && crashes.isSuspected(id);
+  }
+
+  /** The id under which the request itself is suspected. */
+  private get requestSegment(): string | undefined {
+    const {requestFingerprint} = this;
+    return requestFingerprint && buildRequestSegment(requestFingerprint);
+  }
+
+  /** Lists the ids of the request and of the segments of its prompt that others may share. */
+  private listSegments({service}: RequestTarget): string[] {
+    const id = this.requestSegment;
+    const shared = service.engine ? this.sharedSegments : [];
+    return id === undefined ? [...shared] : [...shared, id];
+  }
+
+  private recordQuarantine(target: RequestTarget): void {
+    this.quarantined = this.context.quarantine.findQuarantined(
+      this.listSegments(target),
+    );
+    this.serviceName = target.service.name;
   }
 }
--- a/packages/gateway/src/lib/CrashObserver.ts
+++ b/packages/gateway/src/lib/CrashObserver.ts
@@ -1,4 +1,5 @@
 import type {CrashReport, SurvivalTable} from '@sycamorehead/fleet';
+import {isRequestSegment} from '@sycamorehead/routing';
 import {
   ServerRegistration,
   buildIncarnationKey,
@@ -22,7 +23,9 @@
 /** Maximum number of segments whose survival is tracked; the least recent ones are evicted. */
 const MAX_SURVIVALS = 20_000;
 /** Maximum number of segments in the report of one crash. */
-const MAX_SEGMENTS = 32;
+const MAX_SEGMENTS = 64;
+/** Maximum number of segments in the log line of a crash. */
+const MAX_LISTED = 8;
 /** Maximum number of crashes that are kept for reports. */
 const MAX_CRASHES = 64;
 /** Number of exchanges that carry a crash; several, because a receiver may be lost with it. */
@@ -30,11 +33,13 @@
 /** Maximum number of crashes in one exchange; those that were reported least come first. */
 const MAX_REPORTED = 8;
 
-/** One send of a prompt to a server, as far as it matters when the server crashes. @public */
-export interface PromptSend {
+/** One send of a request to a server, as far as it matters when the server crashes. @public */
+export interface TrackedSend {
   readonly server: KnownServer;
-  /** Ids of the segments that other prompts may share. */
+  /** Ids of the request and of the segments of its prompt that others may share. */
   readonly segments: readonly string[];
+  /** The sends of the same request before this one. */
+  readonly earlier: readonly TrackedSend[];
   /** When the head of the answer arrived, on the monotonic clock. */
   begunAt: number | undefined;
   endedAt: number | undefined;
@@ -42,62 +47,81 @@
   hasSurvived: boolean;
 }
 
-interface ObservedCrash {
-  readonly at: number;
+/** What was in progress on a server, without what is known to be sound. */
+interface Suspects {
   readonly segments: readonly string[];
+  /** Those that were sent there because another server had crashed under them. */
+  readonly resent: readonly string[];
+}
+
+interface ObservedCrash extends Suspects {
+  readonly at: number;
+  readonly service: string;
   reports: number;
 }
 
 /**
- * Observes which prompts were in progress on backend servers that crashed, and which prompts were
+ * Observes which requests were in progress on backend servers that crashed, and which were
  * answered. Both are reported to the control instances, which alone know the crashes of all entries.
  *
  * @public
  */
 export class CrashObserver {
-  private readonly sends = new WeakMap<KnownServer, Set<PromptSend>>();
+  private readonly sends = new WeakMap<KnownServer, Set<TrackedSend>>();
   /** Crashes by incarnation. */
   private readonly crashes = new Map<string, ObservedCrash>();
-  private readonly checks = new Set<KnownServer>();
+  /** Checks in progress; each resolves to whether the server has crashed. */
+  private readonly checks = new Map<KnownServer, Promise<boolean>>();
+  /** What the control instances suspect, from the crashes of all entries. */
+  private suspects: ReadonlySet<string> = new Set();
   /** When a prompt with a segment was last answered, on the monotonic clock. */
   private readonly survivals = new Map<string, number>();
 
   // Commands.
 
   /** Records a send; the caller updates what becomes of it. */
-  recordSend(server: KnownServer, segments: readonly string[]): PromptSend {
-    const send: PromptSend = {
+  recordSend(
+    server: KnownServer,
+    segments: readonly string[],
+    earlier: readonly TrackedSend[] = [],
+  ): TrackedSend {
+    const send: TrackedSend = {
       server,
       segments,
+      earlier,
       begunAt: undefined,
       endedAt: undefined,
       hasSurvived: false,
     };
-    if (segments.length === 0) return send;
     const sends = this.sends.get(server) ?? new Set();
     this.sends.set(server, sends.add(send));
     return send;
   }
 
-  /** Records that no byte of a prompt was sent, so that it cannot have crashed its server. */
-  dropSend(send: PromptSend): void {
+  /** Records that no byte of a request was sent, so that it cannot have crashed its server. */
+  dropSend(send: TrackedSend): void {
     this.sends.get(send.server)?.delete(send);
   }
 
-  /** Records that an answer goes on; one that has done so for long shows that its prompt is sound. */
-  recordProgress(send: PromptSend): void {
+  /** Records that an answer goes on; one that has done so for long shows that its request is sound. */
+  recordProgress(send: TrackedSend): void {
     const {begunAt, hasSurvived} = send;
     if (hasSurvived || begunAt === undefined) return;
     if (performance.now() - begunAt >= BEGINNING_MS) this.recordSurvival(send);
   }
 
-  /** Records an answer that shows that the segments of its prompt are sound. */
-  recordSurvival(send: PromptSend): void {
+  /** Records an answer that shows that its request is sound, and the segments of its prompt. */
+  recordSurvival(send: TrackedSend): void {
     send.hasSurvived = true;
     this.recordSound(send.segments);
   }
 
-  /** Records that prompts with the segments are sound, so that crashes until now no longer count against them. */
+  /** Records an answer that shows that its request is sound, but not that its prompt was read. */
+  recordError(send: TrackedSend): void {
+    this.recordSound(send.segments.filter(isRequestSegment));
+  }
+
+  /** Records that requests and segments are sound, so that crashes until now no longer count against them. */
   recordSound(segments: readonly string[]): void {
     const now = performance.now();
     for (const segment of segments) {
@@ -108,7 +132,7 @@
   }
 
   /** Records that a send is over. */
-  recordEnd(send: PromptSend): void {
+  recordEnd(send: TrackedSend): void {
     send.endedAt = performance.now();
     const sends = this.sends.get(send.server);
     if (!sends) return;
@@ -118,28 +142,24 @@
   }
 
   /**
-   * Checks whether a server on which a send has failed has crashed: its instance then refuses new
-   * connections. A single connection that was reset, or a network that was cut, is no crash.
-   * Not to be called for a server that leaves.
+   * Checks whether a server on which a send has failed has crashed, and resolves to the result: its
+   * instance then refuses new connections. A single connection that was reset, or a network that was cut,
+   * is no crash. Not to be called for a server that leaves.
    */
-  async checkServer(server: KnownServer): Promise<void> {
-    const {registration} = server.listing;
-    const segments = this.listSuspects(server);
-    const isDone = this.crashes.has(buildIncarnationKey(registration));
-    if (isDone || segments.length === 0) return;
-    if (this.checks.has(server)) return;
-    this.checks.add(server);
-    const at = performance.now();
-    try {
-      const reachability = await queryReachability(registration.address);
-      if (reachability === 'refused') {
-        this.recordCrash(registration, at, segments);
-      }
-    } catch (error) {
-      log('check_failed', {server: registration.id, error: String(error)});
-    } finally {
-      this.checks.delete(server);
-    }
+  checkServer(server: KnownServer): Promise<boolean> {
+    if (this.hasCrashed(server)) return Promise.resolve(true);
+    const known = this.checks.get(server);
+    if (known) return known;
+    const suspects = this.listSuspects(server);
+    if (suspects.segments.length === 0) return Promise.resolve(false);
+    const check = this.runCheck(server, suspects);
+    this.checks.set(server, check);
+    return check;
+  }
+
+  /** Sets what the control instances suspect. */
+  setSuspects(suspects: readonly string[]): void {
+    this.suspects = new Set(suspects);
   }
 
   /** Makes all crashes be reported again, to a control instance that may know none of them. */
@@ -157,6 +177,11 @@
 
   // Queries.
 
+  /** Returns whether the control instances suspect a request, or a segment of prompts. */
+  isSuspected(id: string): boolean {
+    return this.suspects.has(id);
+  }
+
   /** Lists the crashes that the next exchange is to report. */
   listCrashes(): CrashReport[] {
     const now = performance.now();
@@ -164,10 +189,12 @@
       .filter(([, {reports}]) => reports < REPORTS)
       .sort(([, one], [, other]) => one.reports - other.reports)
       .slice(0, MAX_REPORTED)
-      .map(([incarnation, {at, segments}]) => ({
+      .map(([incarnation, {at, segments, resent, service}]) => ({
         incarnation,
         ageMs: Math.round(now - at),
         segments,
+        resent,
+        service,
       }));
   }
 
@@ -182,45 +209,81 @@
     return table;
   }
 
+  private async runCheck(
+    server: KnownServer,
+    suspects: Suspects,
+  ): Promise<boolean> {
+    const {registration} = server.listing;
+    const at = performance.now();
+    try {
+      const reachability = await queryReachability(registration.address);
+      if (reachability !== 'refused') return false;
+      this.recordCrash(registration, at, suspects);
+      return true;
+    } catch (error) {
+      log('check_failed', {server: registration.id, error: String(error)});
+      return false;
+    } finally {
+      this.checks.delete(server);
+    }
+  }
+
+  private hasCrashed({listing}: KnownServer): boolean {
+    return this.crashes.has(buildIncarnationKey(listing.registration));
+  }
+
   private recordCrash(
     registration: ServerRegistration,
     at: number,
-    segments: readonly string[],
+    suspects: Suspects,
   ): void {
-    this.crashes.set(buildIncarnationKey(registration), {
-      at,
-      segments,
-      reports: 0,
-    });
+    const {id, service} = registration;
+    const {segments, resent} = suspects;
+    const crash = {at, service, segments, resent, reports: 0};
+    this.crashes.set(buildIncarnationKey(registration), crash);
     evictOldest(this.crashes, MAX_CRASHES);
     writeDecision('server_crashed', {
-      server: registration.id,
-      service: registration.service,
-      suspects: segments.join(','),
+      server: id,
+      service,
+      in_progress: segments.length,
+      suspects: segments.slice(0, MAX_LISTED).join(','),
+      resent: resent.slice(0, MAX_LISTED).join(',') || undefined,
     });
   }
 
   /**
-   * Lists the segments that were in progress on a server and are not known to be sound, those of
-   * answers that had begun first.
+   * Lists what was in progress on a server and is not known to be sound: first what is suspected
+   * already, then what other servers have crashed under, then the answers that had begun.
    */
-  private listSuspects(server: KnownServer): string[] {
+  private listSuspects(server: KnownServer): Suspects {
     const now = performance.now();
-    const sends = [...(this.sends.get(server) ?? [])]
-      .filter(send => isInProgress(send, now))
-      .sort((one, other) => (other.begunAt ?? 0) - (one.begunAt ?? 0));
-    const suspects = new Set<string>();
-    for (const segment of sends.flatMap(({segments}) => segments)) {
-      const survivedAt = this.survivals.get(segment) ?? -Infinity;
-      if (now - survivedAt > SURVIVAL_MS) suspects.add(segment);
-    }
-    return [...suspects].slice(0, MAX_SEGMENTS);
+    const sends = [...(this.sends.get(server) ?? [])].filter(send =>
+      isInProgress(send, now),
+    );
+    const resent = new Set(
+      sends
+        .filter(send =>
+          send.earlier.some(other => this.hasCrashed(other.server)),
+        )
+        .flatMap(({segments}) => segments),
+    );
+    const getRank = (id: string) => {
+      if (this.isSuspected(id)) return 0;
+      return resent.has(id) ? 1 : 2;
+    };
+    const ids = sends
+      .sort((one, other) => (other.begunAt ?? 0) - (one.begunAt ?? 0))
+      .flatMap(({segments}) => segments)
+      .filter(id => now - (this.survivals.get(id) ?? -Infinity) > SURVIVAL_MS)
+      .sort((one, other) => getRank(one) - getRank(other));
+    const segments = [...new Set(ids)].slice(0, MAX_SEGMENTS);
+    return {segments, resent: segments.filter(id => resent.has(id))};
   }
 }
 
 /** Returns whether a crash of its server at the given time would count against a send. */
 function isInProgress(
-  {begunAt, endedAt, hasSurvived}: PromptSend,
+  {begunAt, endedAt, hasSurvived}: TrackedSend,
   now: number,
 ): boolean {
   if (hasSurvived) return false;
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -22,14 +22,11 @@
 import {AttemptOutcome, ServerAnswer, sendAttempt} from './sendAttempt.js';
 import {RunTracker} from './RunTracker.js';
 import {SendRecord} from './SendRecord.js';
+import {UnexecutedSends} from './UnexecutedSends.js';
 import {writeRequestLine} from './writeRequestLine.js';
 
 /** Maximum wait for a slot, as a fraction of the target latency. */
 const MAX_QUEUE_FRACTION = 0.4;
-/** Maximum number of sends that servers refuse without running the request; they are no attempts. */
-const MAX_REFUSED_SENDS = 4;
-/** Maximum number of sends that fail before a byte has left; a server that is gone costs little time. */
-const MAX_UNSENT_SENDS = 16;
 
 type NextStep = 'done' | 'again';
 
@@ -53,8 +50,7 @@
   private isTimedOut = false;
   private readonly runs: RunTracker;
   private readonly guard: CrashGuard;
-  /** Sends that provably did not run the request, by their outcome. */
-  private readonly unexecutedSends = {refused: 0, unsent: 0};
+  private readonly unexecuted = new UnexecutedSends();
   private hasSent = false;
   private readonly cascade: ModelCascade;
   private lastEventId: string | undefined;
@@ -149,7 +145,14 @@
         return 'again';
       }
       const {context, request} = this;
-      send = new SendRecord(context, request, current, reservation, model);
+      send = new SendRecord(
+        context,
+        request,
+        current,
+        reservation,
+        model,
+        this.guard,
+      );
       const outcome = await this.dispatch(send);
       this.recordOutcome(send, outcome);
       return await this.handleOutcome(outcome, send);
@@ -259,7 +262,9 @@
     switch (outcome.type) {
       case 'unsent':
       case 'refused':
-        return this.handleUnexecuted(outcome.type);
+        this.checkTime();
+        this.unexecuted.record(outcome.type, this.runs.mayHaveRun);
+        return 'again';
       case 'lost':
         this.runs.recordPossibleRun();
         return this.handleUnknownRun(send, outcome);
@@ -269,17 +274,6 @@
     }
   }
 
-  /** Handles a send that did not run the request, which may then go to another server. */
-  private handleUnexecuted(type: 'refused' | 'unsent'): NextStep {
-    this.checkTime();
-    this.unexecutedSends[type] += 1;
-    const {refused, unsent} = this.unexecutedSends;
-    if (refused <= MAX_REFUSED_SENDS && unsent <= MAX_UNSENT_SENDS) {
-      return 'again';
-    }
-    throw buildRefusal(`${type} by several servers`, this.runs.mayHaveRun);
-  }
-
   /**
    * Handles a send after which the request may have run; it is sent again only if it may be
    * repeated.
@@ -300,6 +294,7 @@
     send: SendRecord,
     isEnded: boolean,
   ): Promise<NextStep> {
+    await this.guard.checkResend();
     this.checkTime();
     if (isEnded || send.target.route.kind !== 'streaming') return 'again';
     this.history.push('unended');
--- a/packages/gateway/src/lib/LoadReporter.ts
+++ b/packages/gateway/src/lib/LoadReporter.ts
@@ -25,7 +25,7 @@
  * @internal
  */
 export class LoadReporter {
-  /** Prompt segments of which the control instances want to know when they were answered. */
+  /** What the control instances suspect, and want to know when it was answered. */
   private suspects: readonly string[] = [];
   /** Incarnation of the control instance that answered last. */
   private control: string | undefined;
@@ -64,13 +64,15 @@
   }
 
   private applyReply(reply: ExchangeReply): void {
-    const {servers, versions, rates, budgets, placement} = this.options;
+    const {servers, versions, rates, budgets, placement, crashes} =
+      this.options;
     budgets.updateEntryCount(reply.entries);
     servers.setOthersLoad(reply.load);
     versions.addKept(reply.kept ?? []);
     rates.setOthers(reply.prefill ?? {});
     servers.notices.addLeaving(reply.leaving ?? []);
     this.suspects = reply.suspects ?? [];
+    crashes.setSuspects(this.suspects);
     placement.offerSlots();
   }
 }
--- a/packages/gateway/src/lib/SegmentQuarantine.ts
+++ b/packages/gateway/src/lib/SegmentQuarantine.ts
@@ -1,21 +1,21 @@
 import type {QuarantineState} from '@sycamorehead/fleet';
 import {writeDecision} from '@sycamorehead/telemetry';
 
-/** A prompt in progress. */
-interface WatchedPrompt {
-  readonly segments: readonly string[];
+/** A request in progress. */
+interface WatchedRequest {
+  listSegments(): readonly string[];
   readonly onQuarantined: () => void;
 }
 
 /**
- * The combinations of prompt segments that this entry sends to no backend server, since servers crash
- * under them.
+ * The requests and the combinations of prompt segments that this entry sends to no backend server, since
+ * servers crash under them.
  *
  * @public
  */
 export class SegmentQuarantine {
   private state: QuarantineState = {revision: 0, combinations: []};
-  private readonly watched = new Set<WatchedPrompt>();
+  private readonly watched = new Set<WatchedRequest>();
 
   constructor(
     /** Called with the segments of a combination that is in quarantine no longer. */
@@ -37,19 +37,22 @@
       revision: state.revision,
       combinations: state.combinations.length,
     });
-    for (const {segments, onQuarantined} of [...this.watched]) {
-      if (this.findQuarantined(segments)) onQuarantined();
+    for (const {listSegments, onQuarantined} of [...this.watched]) {
+      if (this.findQuarantined(listSegments())) onQuarantined();
     }
   }
 
   /**
-   * Calls back once a prompt with these segments is in quarantine. Returns a function that ends this.
+   * Calls back once a request with the segments that are listed then is in quarantine. Returns a function
+   * that ends this.
    */
-  watch(segments: readonly string[], onQuarantined: () => void): () => void {
-    if (segments.length === 0) return () => {};
-    const prompt = {segments, onQuarantined};
-    this.watched.add(prompt);
-    return () => this.watched.delete(prompt);
+  watch(
+    listSegments: () => readonly string[],
+    onQuarantined: () => void,
+  ): () => void {
+    const request = {listSegments, onQuarantined};
+    this.watched.add(request);
+    return () => this.watched.delete(request);
   }
 
   // Queries.
--- a/packages/gateway/src/lib/SendRecord.ts
+++ b/packages/gateway/src/lib/SendRecord.ts
@@ -1,6 +1,7 @@
-import {CallerRequest, listSharedSegments} from './CallerRequest.js';
+import type {CallerRequest} from './CallerRequest.js';
 import {buildWorkKind} from './AnswerTimes.js';
-import type {PromptSend} from './CrashObserver.js';
+import type {CrashGuard} from './CrashGuard.js';
+import type {TrackedSend} from './CrashObserver.js';
 import type {ForwardContext} from './gatewayTypes.js';
 import type {SlotReservation} from './Placement.js';
 import type {RequestTarget} from './resolveTarget.js';
@@ -9,6 +10,9 @@
 import type {ServerNotice} from './ServerNotices.js';
 import type {AnswerResult, AwaitedSend} from './VersionSplit.js';
 
+/** Lowest status of an answer by which a server says that it has failed. */
+const MIN_FAILURE_STATUS = 500;
+
 /**
  * One send of a request to one backend server. It records what the entry learns from the send:
  * answer times, prefill rates, cached prompt segments, failures and evidence on versions.
@@ -22,7 +26,7 @@
   connection: ConnectionUse | undefined;
   private readonly sentAt = performance.now();
   private readonly awaited: AwaitedSend;
-  private readonly prompt: PromptSend;
+  private readonly tracked: TrackedSend;
   /** The limit that the server had named, in requests a second. */
   private readonly limit: number | undefined;
   private isHeld = false;
@@ -35,6 +39,7 @@
     readonly reservation: SlotReservation,
     /** Model that the send named, if any. */
     readonly model: string | undefined,
+    private readonly guard: CrashGuard,
   ) {
     this.kind = buildWorkKind(target.route.name, model);
     const {server, expectedMs} = reservation;
@@ -46,8 +51,7 @@
     if (this.limit !== undefined) {
       context.metrics.recordLimitedSend(registration.service);
     }
-    const segments = target.service.engine ? listSharedSegments(request) : [];
-    this.prompt = context.crashes.recordSend(server, segments);
+    this.tracked = guard.trackSend(target, server);
   }
 
   /**
@@ -58,7 +62,7 @@
     const {servers, metrics} = this.context;
     const {server} = this.reservation;
     metrics.recordAttempt(server.listing.registration.service, outcome.type);
-    if (outcome.type === 'answered') this.prompt.begunAt = performance.now();
+    if (outcome.type === 'answered') this.tracked.begunAt = performance.now();
     if (outcome.type === 'refused' && outcome.isMisdirected) {
       servers.markReplaced(server);
     }
@@ -66,11 +70,11 @@
       this.recordSlow();
       return;
     }
-    if (outcome.type === 'unsent') this.context.crashes.dropSend(this.prompt);
+    if (outcome.type === 'unsent') this.context.crashes.dropSend(this.tracked);
     const hasFailed = outcome.type === 'unsent' || outcome.type === 'lost';
     if (hasFailed && !isAbandoned) {
       servers.recordFailure(server, outcome.reason, outcome.type === 'unsent');
-      this.checkCrash();
+      this.checkCrash(outcome.type === 'lost');
     }
     if (outcome.type === 'lost' && !isAbandoned) this.recordEvidence('lost');
   }
@@ -78,7 +82,7 @@
   /** Records that no answer of this send is awaited any more. */
   recordEnd(): void {
     this.context.versions.recordSendEnd(this.awaited);
-    this.context.crashes.recordEnd(this.prompt);
+    this.context.crashes.recordEnd(this.tracked);
   }
 
   /** Records a send that was abandoned as an answer that took as long as it was awaited. */
@@ -144,27 +148,29 @@
     return `${id}:${describeOutcome(outcome)}@${atMs}~${Math.round(estimatedMs)}+${load}${place}=${version}${limit}`;
   }
 
-  /** Whether the answer to a prompt has not gone on for long enough to show that the prompt is sound. */
+  /** Whether the answer has not gone on for long enough to show that the request is sound. */
   get isBeginning(): boolean {
-    return this.prompt.segments.length > 0 && !this.prompt.hasSurvived;
+    return !this.tracked.hasSurvived;
   }
 
   /** Records that bytes of an answer have arrived. */
   recordBytes(): void {
-    this.context.crashes.recordProgress(this.prompt);
+    this.context.crashes.recordProgress(this.tracked);
   }
 
   /** Records that an answer has arrived whole. */
   recordComplete(answer: ServerAnswer): void {
-    if (answer.status !== 200 || !answer.isFramed) return;
-    this.context.crashes.recordSurvival(this.prompt);
+    const {crashes} = this.context;
+    if (!answer.isFramed || answer.status >= MIN_FAILURE_STATUS) return;
+    if (answer.status === 200) crashes.recordSurvival(this.tracked);
+    else crashes.recordError(this.tracked);
   }
 
   /** Records that an answer that had begun was interrupted. */
   recordInterruption(reason: string): void {
     this.recordEvidence('lost');
     this.context.servers.recordFailure(this.reservation.server, reason);
-    this.checkCrash();
+    this.checkCrash(true);
   }
 
   /**
@@ -179,13 +185,16 @@
       : times.recordTime(kind, timeMs);
   }
 
-  private checkCrash(): void {
+  /** Checks whether the server has crashed; `isLost` is whether it may have had the request. */
+  private checkCrash(isLost: boolean): void {
     const {servers, crashes} = this.context;
     const {server} = this.reservation;
     const {registration} = server.listing;
     const isLeaving =
       registration.state !== 'ready' || servers.notices.isLeaving(registration);
-    if (!isLeaving) void crashes.checkServer(server);
+    if (isLeaving) return;
+    const check = crashes.checkServer(server);
+    if (isLost) this.guard.recordLoss(check);
   }
 
   private recordEvidence(result: AnswerResult, timeMs?: number): void {
--- a/packages/gateway/src/lib/refusals.ts
+++ b/packages/gateway/src/lib/refusals.ts
@@ -1,3 +1,4 @@
+import {isRequestSegment} from '@sycamorehead/routing';
 import {SycamoreheadError} from '@sycamorehead/schema';
 
 /**
@@ -78,8 +79,8 @@
 }
 
 /**
- * Builds the error of a request whose prompt has segments in quarantine. A caller who returns soon
- * would be refused again, so the retry delay is long.
+ * Builds the error of a request that is in quarantine, or whose prompt has segments that are. A caller
+ * who returns soon would be refused again, so the retry delay is long.
  *
  * @example
  * ```ts
@@ -91,9 +92,14 @@
   segments: readonly string[],
   mayHaveRun: boolean,
 ): SycamoreheadError {
-  const message = `in quarantine: prompt segments ${segments.join(',')}`;
+  const isRequest = segments.some(isRequestSegment);
+  const subject = isRequest ? '' : 'prompt segments ';
+  const message = `in quarantine: ${subject}${segments.join(',')}`;
   if (mayHaveRun) return new SycamoreheadError('outcome_unknown', message);
-  return new SycamoreheadError('segment_quarantined', message);
+  return new SycamoreheadError(
+    isRequest ? 'request_quarantined' : 'segment_quarantined',
+    message,
+  );
 }
 
 /**
--- a/packages/gateway/src/test/crashObserver.test.ts
+++ b/packages/gateway/src/test/crashObserver.test.ts
@@ -3,10 +3,13 @@
 import {afterEach, test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {CrashReport} from '@sycamorehead/fleet';
+import {buildRequestSegment} from '@sycamorehead/routing';
+import {computeFingerprint} from '../lib/computeFingerprint.js';
 import {
   FakeServer,
   LAST_CHUNK,
   ServerScript,
+  formatAnswer,
   formatChunk,
   formatEvent,
   formatStreamHead,
@@ -16,11 +19,13 @@
   buildEngineConfiguration,
   formatRequest,
 } from './GatewayHarness.js';
-import {startServer, stopStarted, track} from './startGateway.js';
+import {startGateway, startServer, stopStarted, track} from './startGateway.js';
 
 afterEach(stopStarted);
 
 const PREFIX = 'X-Prefix: common:500,part:100,own1:10';
+/** The id of the request that `formatRequest` formats by default. */
+const REQUEST = buildRequestId('/drafts/1');
 const ENGINE_CONFIGURATION = buildEngineConfiguration(
   {
     kind: 'streaming',
@@ -43,6 +48,14 @@
   return gateway;
 }
 
+function buildRequestId(target: string): string {
+  const fingerprint = computeFingerprint(
+    {host: 'shop.example', method: 'GET', target, body: Buffer.alloc(0)},
+    'clinic',
+  );
+  return buildRequestSegment(fingerprint);
+}
+
 function listSegments(gateway: GatewayHarness): string[] {
   return gateway.crashes
     .listCrashes()
@@ -60,7 +73,7 @@
   socket.write(formatStreamHead(request));
 };
 
-test('a crash makes suspects of the shared segments in progress, not of the last one', async () => {
+test('a crash makes suspects of the request and of the shared segments in progress, not of the last one', async () => {
   const server = await startServer('s1', (request, socket) => {
     sendHead(request, socket);
     setTimeout(() => endProcess(server, socket), 30);
@@ -68,7 +81,7 @@
   const gateway = await startEngineGateway(server);
   await gateway.exchange(formatRequest({headers: [PREFIX]}));
   await sleep(50);
-  assert.deepEqual(listSegments(gateway), ['common', 'part']);
+  assert.deepEqual(listSegments(gateway), ['common', 'part', REQUEST]);
 });
 
 test('a crash before the head of the answer makes suspects, too', async () => {
@@ -78,7 +91,7 @@
   const gateway = await startEngineGateway(server);
   await gateway.exchange(formatRequest({headers: [PREFIX]}));
   await sleep(50);
-  assert.deepEqual(listSegments(gateway), ['common', 'part']);
+  assert.deepEqual(listSegments(gateway), ['common', 'part', REQUEST]);
 });
 
 test('a sound segment was suspected: a prompt that reached no server makes no suspects', async () => {
@@ -265,3 +278,118 @@
   assert.equal(server.closed, 1);
   assert.equal(await countQuarantined(gateway), 1);
 });
+
+/** Starts a gateway of a plain service. */
+function startPlainGateway(...servers: FakeServer[]): Promise<GatewayHarness> {
+  return startGateway({targetLatencyMs: 400}, servers);
+}
+
+test('a crash of a plain service makes suspects of the requests in progress there', async () => {
+  const server = await startServer('s1', (request, socket) => {
+    if (server.received.length === 2) endProcess(server, socket);
+  });
+  const gateway = await startPlainGateway(server);
+  await Promise.all(
+    ['/drafts/1', '/drafts/2'].map((path, index) =>
+      gateway.exchange(formatRequest({id: `r${index}`, path})),
+    ),
+  );
+  await sleep(50);
+  assert.deepEqual(
+    listSegments(gateway),
+    ['/drafts/1', '/drafts/2'].map(buildRequestId).sort(),
+  );
+});
+
+test('a request that went on after a crash is reported as resent, one that was there before is not', async () => {
+  const endBadly: ServerScript = (request, socket) => {
+    if (!request.head.includes('/drafts/bad')) return;
+    const server = servers.find(({id}) => request.head.includes(id));
+    setTimeout(() => server && endProcess(server, socket), 30);
+  };
+  const servers = await Promise.all(
+    ['s1', 's2'].map(id => startServer(id, endBadly)),
+  );
+  const gateway = await startPlainGateway(...servers);
+  const waiting = ['/drafts/a', '/drafts/b', '/drafts/c', '/drafts/d'];
+  await Promise.all([
+    ...waiting.map((path, index) =>
+      gateway.exchange(
+        formatRequest({id: `w${index}`, path, method: 'PUT'}),
+        600,
+      ),
+    ),
+    gateway.exchange(formatRequest({path: '/drafts/bad'})),
+  ]);
+  const reports = gateway.crashes.listCrashes();
+  assert.equal(reports.length, 2);
+  const [first, second] = reports.map(({resent = []}) => [...resent]);
+  assert.deepEqual(first, []);
+  assert.ok(second?.includes(buildRequestId('/drafts/bad')));
+});
+
+/** Answers of a server, and whether they acquit their request. */
+const ACQUITTING: Readonly<Record<string, boolean>> = {
+  '200 OK': true,
+  '404 Not Found': true,
+  '500 Error': false,
+};
+
+for (const [status, isAcquitting] of Object.entries(ACQUITTING)) {
+  test(`an answer ${status} ${isAcquitting ? 'acquits' : 'does not acquit'} its request`, async () => {
+    const server = await startServer('s1', (request, socket) => {
+      socket.write(formatAnswer(request, 'x').replace('200 OK', status));
+    });
+    const gateway = await startPlainGateway(server);
+    await gateway.exchange(formatRequest());
+    const survivals = gateway.crashes.listSurvivals([REQUEST]);
+    assert.deepEqual(Object.keys(survivals), isAcquitting ? [REQUEST] : []);
+  });
+}
+
+test('a request in quarantine is refused at once as not run, others of the same caller are not', async () => {
+  const server = await startServer('s1', (request, socket) => {
+    socket.write(formatAnswer(request, 'whole'));
+  });
+  const gateway = await startPlainGateway(server);
+  gateway.quarantine.update({revision: 1, combinations: [[REQUEST]]});
+  const refused = await gateway.exchange(formatRequest());
+  assert.match(refused, /^HTTP\/1\.1 503 [^]*Retry-After: 60\.000/);
+  assert.match(refused, /"kind":"request_quarantined"[^]*"ran":"no"/);
+  assert.equal(server.received.length, 0);
+  for (const options of [{path: '/drafts/2'}, {method: 'PUT', body: 'x'}]) {
+    const served = await gateway.exchange(formatRequest(options));
+    assert.match(served, /^HTTP\/1\.1 200 /);
+  }
+});
+
+test('an unsafe request in progress that comes into quarantine is not called unrun', async () => {
+  const server = await startServer('s1', () => {});
+  const gateway = await startGateway({kind: 'unsafe'}, [server]);
+  const exchange = gateway.exchange(formatRequest());
+  await sleep(60);
+  gateway.quarantine.update({revision: 1, combinations: [[REQUEST]]});
+  assert.match(await exchange, /^HTTP\/1\.1 502 [^]*"ran":"unknown"/);
+});
+
+test('a request that is suspected goes to no second server after one has crashed under it', async () => {
+  const servers = await Promise.all(
+    ['s1', 's2', 's3'].map(id =>
+      startServer(id, (request, socket) => {
+        const server = servers.find(known => known.received.includes(request));
+        if (server) endProcess(server, socket);
+      }),
+    ),
+  );
+  const countReceived = () =>
+    servers.reduce((sum, {received}) => sum + received.length, 0);
+  const gateway = await startPlainGateway(...servers);
+  gateway.crashes.setSuspects([REQUEST]);
+  const text = await gateway.exchange(formatRequest());
+  assert.match(text, /^HTTP\/1\.1 502 [^]*servers crashed/);
+  assert.equal(countReceived(), 1);
+  gateway.crashes.setSuspects([]);
+  await gateway.exchange(formatRequest({id: 'r2', path: '/drafts/2'}));
+  // The third server is spared.
+  assert.equal(countReceived(), 3);
+});
--- a/packages/gateway/src/test/repeatedRequestCrashes.test.ts
+++ b/packages/gateway/src/test/repeatedRequestCrashes.test.ts
@@ -60,13 +60,15 @@
   test(`a request that crashes servers is no longer sent to them, ${name}`, async () => {
     const fleet = track(new RepeatFleet(options));
     await fleet.start();
+    const startedAt = performance.now();
     await fleet.sendTraffic(DURATION_MS);
     const {combinations} = fleet.controls.state;
     const verdicts = `in quarantine: ${combinations.join(' ')}`;
     let knownAt = 0;
     for (const cause of fleet.causes) {
       const crashes = fleet.listCrashTimes(cause);
-      const third = crashes[CRASHES - 1] ?? Infinity;
+      // One that was on the servers that another crashed is known after fewer of its own.
+      const third = crashes.slice(0, CRASHES).at(-1) ?? startedAt;
       knownAt = Math.max(knownAt, third + TOUCH_MS);
       const arrivals = fleet.countArrivals(cause, third + TOUCH_MS);
       assert.ok(
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -42,6 +42,10 @@
 export type {UsageReporterOptions} from './lib/UsageReporter.js';
 export {Router} from './lib/Router.js';
 export type {RouterOptions} from './lib/Router.js';
+export {
+  buildRequestSegment,
+  isRequestSegment,
+} from './lib/forwarding/requestSegments.js';
 export {findCrashSuspects} from './lib/forwarding/findCrashSuspects.js';
 export type {
   CrashEvidence,
--- a/packages/routing/src/lib/forwarding/findCrashSuspects.ts
+++ b/packages/routing/src/lib/forwarding/findCrashSuspects.ts
@@ -1,3 +1,5 @@
+import {isRequestSegment} from './requestSegments.js';
+
 /**
  * Crashes within this time of the first of them are one event, in milliseconds. Servers that are lost
  * together are more likely to have their rack or their network in common than a prompt, so an event
@@ -11,9 +13,9 @@
 const SURVIVAL_MS = 10_000;
 /** Events from which a segment is a suspect, so that evidence for it is asked of all entries. */
 const SUSPECT_CRASHES = 2;
-/** Events that convict suspects if no others have as many. */
+/** Events that convict a suspect if no other can be the cause instead. */
 const CLEAR_CRASHES = 3;
-/** Events that convict suspects of different crashes at the same time. */
+/** Events that convict several suspects that may each be the cause. */
 const TIED_CRASHES = 4;
 /**
  * Events by which the segment with the most has to differ from another to be told apart from it. The
@@ -21,15 +23,22 @@
  */
 const DISTINCT_EVENTS = 2;
 
-/** A backend server that crashed, and the prompt segments it may have crashed under. @public */
+/** A backend server that crashed, and what it may have crashed under. @public */
 export interface CrashObservation {
   /** When the crash was first observed, on the monotonic clock, in milliseconds. */
   readonly at: number;
-  /** Shared segments of the prompts that the server had just begun to answer, or had yet to. */
+  /**
+   * The requests that the server had just begun to answer, or had yet to, and the shared segments of
+   * their prompts.
+   */
   readonly segments: ReadonlySet<string>;
+  /** Those of them that were sent there because another server had crashed under them. */
+  readonly resent?: ReadonlySet<string>;
+  /** Service of the server; undefined if it is not known. */
+  readonly service?: string | undefined;
 }
 
-/** What is known for and against the segments of prompts. @public */
+/** What is known for and against requests and the segments of prompts. @public */
 export interface CrashEvidence {
   readonly crashes: readonly CrashObservation[];
   /**
@@ -41,11 +50,11 @@
   getSurvivalAt(segment: string): number | undefined;
 }
 
-/** Prompt segments under which servers crashed and no answer was completed. @public */
+/** A request or prompt segments under which servers crashed and no answer was completed. @public */
 export interface CrashSuspect {
   /**
-   * Segments that were in progress at the same crashes, or nearly so, in order. Any of them may be the
-   * cause, so only prompts with all of them are suspect.
+   * A request by itself; or segments that were in progress at the same crashes, or nearly so, in order.
+   * Any of them may be the cause, so only prompts with all of them are suspect.
    */
   readonly segments: readonly string[];
   /** Crashes that count against them; those at the same time count once. */
@@ -57,8 +66,8 @@
 interface Tally {
   /** Crashes that count against a segment. */
   readonly counted: Set<CrashObservation>;
-  /** The events that these crashes belong to, by their index. */
-  readonly events: Set<number>;
+  /** The same crashes by event. */
+  readonly events: CrashObservation[][];
 }
 
 /** Segments with the same crashes. */
@@ -68,9 +77,10 @@
 }
 
 /**
- * Finds the prompt segments under which backend servers crash: those in progress at several crashes,
- * with no answer that acquits them. A segment that is in many prompts is in progress at most crashes,
- * but is also answered.
+ * Finds the requests and the prompt segments under which backend servers crash: those in progress at
+ * several crashes, with no answer that acquits them. A segment that is in many prompts is in progress
+ * at most crashes, but is also answered. Where one request explains the crashes, its segments are not
+ * convicted for them.
  *
  * @example
  * ```ts
@@ -80,40 +90,110 @@
  * @public
  */
 export function findCrashSuspects(evidence: CrashEvidence): CrashSuspect[] {
-  const groups = groupByCrashes(countCrashes(evidence)).sort(compareGroups);
-  const [first] = groups;
-  // Crashes of the others may have the same cause; they are judged once it is in quarantine.
-  const leaders = groups.filter(group => compareGroups(first!, group) === 0);
-  const convicted = findConvicted(leaders, groups);
-  const suspects = [...convicted, ...groups].map(group => ({
-    segments: [...group.segments].sort(),
-    crashes: group.tally.events.size,
-    isConvicted:
-      convicted.includes(group) && !isCovered(evidence, group.segments),
-  }));
+  const tallies = [...countCrashes(evidence)];
+  const requests = groupByCrashes(
+    tallies.filter(([id]) => isRequestSegment(id)),
+  );
+  const explanations = listExplanations(evidence, requests);
+  const groups = groupByCrashes(tallies.filter(([id]) => !isRequestSegment(id)))
+    .filter(group => !isExplained(group, explanations))
+    .sort(compareGroups);
+  const convicted = [
+    ...findConvictedRequests(requests),
+    ...findConvictedSegments(groups),
+  ];
+  const suspects = [...convicted, ...splitRequests(requests), ...groups].map(
+    group => ({
+      segments: [...group.segments].sort(),
+      crashes: group.tally.events.length,
+      isConvicted:
+        convicted.includes(group) && !isCovered(evidence, group.segments),
+    }),
+  );
   return removeDuplicates(suspects);
 }
 
-/** Finds the groups whose crashes convict them, each with those that it cannot be told apart from. */
-function findConvicted(
-  leaders: readonly Group[],
-  groups: readonly Group[],
-): Group[] {
+/**
+ * Finds the requests whose crashes convict them. Each is a cause by itself, so those that cannot be
+ * told apart are convicted separately, after one more crash.
+ */
+function findConvictedRequests(groups: readonly Group[]): Group[] {
+  const convicted = groups.filter(group => {
+    const rivals = groups.filter(
+      other =>
+        other !== group &&
+        other.tally.events.length >= group.tally.events.length &&
+        countDistinctEvents(group.tally, other.tally.counted) < DISTINCT_EVENTS,
+    );
+    const count = group.tally.events.length;
+    // A rival with more crashes is convicted first; it may explain the crashes of this one.
+    if (rivals.some(({tally}) => tally.events.length > count)) return false;
+    const isAlone = rivals.length === 0 && group.segments.length === 1;
+    return count >= (isAlone ? CLEAR_CRASHES : TIED_CRASHES);
+  });
+  return splitRequests(convicted);
+}
+
+/** Splits groups of requests into one for each request. */
+function splitRequests(groups: readonly Group[]): Group[] {
+  return groups.flatMap(({tally, segments}) =>
+    segments.map(segment => ({tally, segments: [segment]})),
+  );
+}
+
+/**
+ * Finds the groups of segments whose crashes convict them, each with those that it cannot be told
+ * apart from.
+ */
+function findConvictedSegments(groups: readonly Group[]): Group[] {
+  const [first] = groups;
+  // Crashes of the others may have the same cause; they are judged once it is in quarantine.
+  const leaders = groups.filter(group => compareGroups(first!, group) === 0);
   const required = leaders.length > 1 ? TIED_CRASHES : CLEAR_CRASHES;
   return leaders
-    .filter(({tally}) => tally.events.size >= required)
+    .filter(({tally}) => tally.events.length >= required)
     .map(leader => {
       const similar = groups.filter(
-        group => countDistinctEvents(leader, group) < DISTINCT_EVENTS,
+        group =>
+          countDistinctEvents(leader.tally, group.tally.counted) <
+          DISTINCT_EVENTS,
       );
       const segments = similar.flatMap(group => group.segments);
       return {tally: leader.tally, segments};
     });
 }
 
-/** Counts the events that count against the first group and not against the second. */
-function countDistinctEvents({tally: one}: Group, {tally: other}: Group) {
-  return [...one.events].filter(event => !other.events.has(event)).length;
+/** Lists the crashes at which each suspected request, or one in quarantine, was in progress. */
+function listExplanations(
+  {crashes, quarantined}: CrashEvidence,
+  requests: readonly Group[],
+): Array<ReadonlySet<CrashObservation>> {
+  const known = quarantined.flat().filter(isRequestSegment);
+  return [
+    ...requests.map(({tally}) => tally.counted),
+    ...known.map(
+      id => new Set(crashes.filter(({segments}) => segments.has(id))),
+    ),
+  ];
+}
+
+/** Returns whether one request was in progress at nearly all crashes of some segments. */
+function isExplained(
+  {tally}: Group,
+  explanations: ReadonlyArray<ReadonlySet<CrashObservation>>,
+): boolean {
+  return explanations.some(
+    crashes => countDistinctEvents(tally, crashes) < DISTINCT_EVENTS,
+  );
+}
+
+/** Counts the events that have none of some crashes. */
+function countDistinctEvents(
+  {events}: Tally,
+  crashes: ReadonlySet<CrashObservation>,
+): number {
+  return events.filter(event => !event.some(crash => crashes.has(crash)))
+    .length;
 }
 
 /** Returns whether prompts with all of the segments are in quarantine already. */
@@ -139,38 +219,55 @@
 /** Sorts the groups with the most crashes first. */
 function compareGroups({tally: one}: Group, {tally: other}: Group): number {
   return (
-    other.events.size - one.events.size || other.counted.size - one.counted.size
+    other.events.length - one.events.length ||
+    other.counted.size - one.counted.size
   );
 }
 
 function countCrashes(evidence: CrashEvidence): Map<string, Tally> {
   const tallies = new Map<string, Tally>();
-  for (const [index, event] of groupByTime(evidence.crashes).entries()) {
-    const [first, ...others] = event;
-    for (const segment of first?.segments ?? []) {
-      const isShared = others.every(({segments}) => segments.has(segment));
-      if (!isShared) continue;
-      const counted = event.filter(crash =>
-        isCounted(evidence, segment, crash),
-      );
-      if (counted.length > 0) countEvent(tallies, segment, index, counted);
+  for (const event of groupByTime(evidence.crashes)) {
+    const ids = new Set(event.flatMap(({segments}) => [...segments]));
+    for (const id of ids) {
+      for (const crashes of splitEvent(event, id)) {
+        const counted = crashes.filter(crash => isCounted(evidence, id, crash));
+        if (counted.length > 0) countEvent(tallies, id, counted);
+      }
     }
   }
   return tallies;
 }
 
-/** Groups crashes into events, in the order of time. */
+/**
+ * Splits an event into those that count against a segment by themselves. One that went on to a server
+ * after another had crashed under it has more in common with both than that they were lost together.
+ */
+function splitEvent(
+  event: readonly CrashObservation[],
+  id: string,
+): CrashObservation[][] {
+  const resent = event.filter(crash => crash.resent?.has(id));
+  const others = event.filter(crash => !crash.resent?.has(id));
+  const isShared = others.every(({segments}) => segments.has(id));
+  const split = resent.map(crash => [crash]);
+  return isShared && others.length > 0 ? [others, ...split] : split;
+}
+
+/** Groups the crashes of each service into events, in the order of time. */
 function groupByTime(
   crashes: readonly CrashObservation[],
 ): CrashObservation[][] {
   const events: CrashObservation[][] = [];
-  let startedAt = -Infinity;
+  const latest = new Map<string | undefined, CrashObservation[]>();
   for (const crash of [...crashes].sort((one, other) => one.at - other.at)) {
-    if (crash.at - startedAt >= EVENT_MS) {
-      startedAt = crash.at;
-      events.push([]);
+    const event = latest.get(crash.service);
+    if (event?.[0] && crash.at - event[0].at < EVENT_MS) {
+      event.push(crash);
+      continue;
     }
-    events.at(-1)?.push(crash);
+    const started = [crash];
+    latest.set(crash.service, started);
+    events.push(started);
   }
   return events;
 }
@@ -185,6 +282,8 @@
   if (at <= survivedAt + SURVIVAL_MS) return false;
   return !quarantined.some(
     combination =>
+      // Whether a request in quarantine explains the crashes of a segment is decided for all of them.
+      (isRequestSegment(segment) || !combination.some(isRequestSegment)) &&
       combination.every(id => segments.has(id)) &&
       (combination.length === 1 || !combination.includes(segment)),
   );
@@ -192,24 +291,23 @@
 
 function countEvent(
   tallies: Map<string, Tally>,
-  segment: string,
-  index: number,
-  crashes: readonly CrashObservation[],
+  id: string,
+  crashes: CrashObservation[],
 ): void {
-  const tally = tallies.get(segment) ?? {
+  const tally = tallies.get(id) ?? {
     counted: new Set<CrashObservation>(),
-    events: new Set<number>(),
+    events: [],
   };
-  tallies.set(segment, tally);
+  tallies.set(id, tally);
   for (const crash of crashes) tally.counted.add(crash);
-  tally.events.add(index);
+  tally.events.push(crashes);
 }
 
 /** Groups the suspected segments that were in progress at the same crashes. */
-function groupByCrashes(tallies: ReadonlyMap<string, Tally>): Group[] {
+function groupByCrashes(tallies: ReadonlyArray<[string, Tally]>): Group[] {
   const groups: Group[] = [];
   for (const [segment, tally] of tallies) {
-    if (tally.events.size < SUSPECT_CRASHES) continue;
+    if (tally.events.length < SUSPECT_CRASHES) continue;
     const group = groups.find(
       ({tally: {counted}}) =>
         counted.size === tally.counted.size &&
--- a/packages/routing/src/test/findCrashSuspects.test.ts
+++ b/packages/routing/src/test/findCrashSuspects.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {buildRequestSegment} from '../lib/forwarding/requestSegments.js';
 import {
   CrashEvidence,
   CrashObservation,
@@ -118,3 +119,98 @@
   assert.deepEqual(listConvicted(crashes.slice(0, 6)), []);
   assert.deepEqual(listConvicted(crashes), ['bad1', 'bad2']);
 });
+
+const BAD = buildRequestSegment('bad');
+const OTHER = buildRequestSegment('other');
+const SOUND = buildRequestSegment('sound');
+
+/** Builds a crash under requests that were sent on after another server had crashed under them. */
+function buildResent(at: number, ...segments: string[]): CrashObservation {
+  return {...buildCrash(at, ...segments), resent: new Set(segments)};
+}
+
+test('a request that crashes one server after the other within one event is convicted at the third', () => {
+  const crashes = [
+    buildCrash(1_000, BAD),
+    buildResent(1_040, BAD),
+    buildCrash(4_000, BAD),
+  ];
+  assert.deepEqual(listConvicted(crashes.slice(0, 2)), []);
+  assert.deepEqual(listConvicted(crashes), [BAD]);
+});
+
+test('servers that are lost together count once against a request that was on all of them', () => {
+  const crashes = Array.from({length: 6}, (_, index) =>
+    buildCrash(1_000 + index * 10, SOUND),
+  );
+  assert.deepEqual(listConvicted(crashes), []);
+});
+
+test('crashes of another service at the same moment do not hide those under a request', () => {
+  const crashes = [1_000, 2_000, 3_000].flatMap(at => [
+    {...buildCrash(at, `prompt${at}`), service: 'engines'},
+    {...buildCrash(at + 20, BAD), service: 'orders'},
+  ]);
+  assert.deepEqual(listConvicted(crashes), [BAD]);
+});
+
+test('two requests that were on the same servers are told apart by two crashes, and both convicted', () => {
+  const crashes = [
+    buildCrash(1_000, BAD, OTHER),
+    buildCrash(2_000, BAD),
+    buildCrash(3_000, OTHER),
+    buildCrash(4_000, BAD),
+    buildCrash(5_000, OTHER),
+  ];
+  assert.deepEqual(listConvicted(crashes).sort(), [BAD, OTHER].sort());
+});
+
+test('a sound request beside one that crashes servers is not convicted with it', () => {
+  const crashes = [1_000, 2_000, 3_000].map(at => buildCrash(at, BAD, SOUND));
+  assert.deepEqual(listConvicted(crashes), []);
+  crashes.push(buildCrash(4_000, BAD));
+  assert.deepEqual(listConvicted(crashes), [BAD]);
+});
+
+test('requests that were on the same servers at four crashes are convicted each by itself', () => {
+  const crashes = [1_000, 2_000, 3_000, 4_000].map(at =>
+    buildCrash(at, BAD, OTHER),
+  );
+  assert.deepEqual(listConvicted(crashes).sort(), [BAD, OTHER].sort());
+});
+
+test('where one request explains the crashes, no segment of its prompt is convicted', () => {
+  const crashes = [1_000, 2_000, 3_000, 4_000].map(at =>
+    buildCrash(at, BAD, 'rare'),
+  );
+  assert.deepEqual(listConvicted(crashes), [BAD]);
+  assert.deepEqual(listConvicted(crashes, {quarantined: [[BAD]]}), []);
+});
+
+test('a segment under which different requests crash servers is convicted, not the requests', () => {
+  const crashes = [
+    buildCrash(1_000, 'bad', BAD),
+    buildResent(1_040, 'bad', BAD),
+    buildCrash(2_000, 'bad', OTHER),
+    buildResent(2_040, 'bad', OTHER),
+  ];
+  assert.deepEqual(listConvicted(crashes.slice(0, 3)), []);
+  assert.deepEqual(listConvicted(crashes), ['bad']);
+});
+
+test('a segment is convicted by two more crashes after one request with it is in quarantine', () => {
+  const crashes = [1_000, 2_000, 3_000].map(at => buildCrash(at, 'bad', BAD));
+  const quarantined = [[BAD]];
+  crashes.push(buildCrash(4_000, 'bad', OTHER));
+  assert.deepEqual(listConvicted(crashes, {quarantined}), []);
+  crashes.push(buildCrash(5_000, 'bad', SOUND));
+  assert.deepEqual(listConvicted(crashes, {quarantined}), ['bad']);
+});
+
+test('an answer acquits a popular request that is in progress at every crash', () => {
+  const crashes = [1_000, 2_000, 3_000, 4_000, 5_000].map(at =>
+    buildCrash(at, SOUND, ...(at > 2_000 ? [BAD] : [])),
+  );
+  const survivals = {[SOUND]: 2_500};
+  assert.deepEqual(listConvicted(crashes, {survivals}), [BAD]);
+});
--- a/packages/schema/src/lib/errorKinds.ts
+++ b/packages/schema/src/lib/errorKinds.ts
@@ -63,6 +63,12 @@
     retryAfterMs: 60_000,
     exitCode: 38,
   },
+  request_quarantined: {
+    status: 503,
+    ran: 'no',
+    retryAfterMs: 60_000,
+    exitCode: 39,
+  },
   rate_limited: {status: 429, ran: 'no', retryAfterMs: 1_000, exitCode: 26},
   deadline_exceeded: {status: 504, ran: 'unknown', exitCode: 27},
   backend_failed: {status: 502, ran: 'unknown', exitCode: 28},
