A request counts at each crash that it was in progress at

In place of telling which sends came after another crash: a request that many callers send may be on all servers that are lost together, but is then answered shortly before or after, and verdicts wait a second for that; one that no answer acquits cannot be told from the cause anyway.

--- a/packages/fleet/src/lib/CrashPool.ts
+++ b/packages/fleet/src/lib/CrashPool.ts
@@ -36,7 +36,6 @@
   /** When this instance first learned of it, on the monotonic clock. */
   readonly learnedAt: number;
   readonly segments: Set<string>;
-  readonly resent: Set<string>;
   service: string | undefined;
 }
 
@@ -112,7 +111,6 @@
         incarnation,
         ageMs: Math.round(now - crash.at),
         segments: [...crash.segments],
-        resent: [...crash.resent],
         ...(crash.service !== undefined && {service: crash.service}),
       })),
       survivals,
@@ -156,14 +154,13 @@
   }
 
   private addCrash(report: CrashReport): void {
-    const {incarnation, ageMs, segments, resent = [], service} = report;
+    const {incarnation, ageMs, segments, service} = report;
     const learnedAt = performance.now();
     const at = learnedAt - ageMs;
     const known = this.crashes.get(incarnation) ?? {
       at,
       learnedAt,
       segments: new Set(),
-      resent: new Set(),
       service,
     };
     known.at = Math.min(known.at, at);
@@ -171,9 +168,6 @@
     for (const segment of segments) {
       if (known.segments.size < MAX_SEGMENTS) known.segments.add(segment);
     }
-    for (const segment of resent) {
-      if (known.segments.has(segment)) known.resent.add(segment);
-    }
     this.crashes.set(incarnation, known);
     evictOldest(this.crashes, MAX_CRASHES);
   }
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -144,11 +144,6 @@
   readonly ageMs: number;
   /** Requests and shared prompt segments that were in progress there and are not known to be sound. */
   readonly segments: readonly string[];
-  /**
-   * Those of them that were sent there because another server had crashed under them; absent from
-   * earlier builds.
-   */
-  readonly resent?: readonly string[];
   /** Absent from earlier builds. */
   readonly service?: string;
 }
--- a/packages/gateway/src/lib/CrashGuard.ts
+++ b/packages/gateway/src/lib/CrashGuard.ts
@@ -27,7 +27,6 @@
 export class CrashGuard {
   /** Segments of the prompt that others may share. */
   private readonly sharedSegments: readonly string[];
-  private readonly sends: TrackedSend[] = [];
   /** For each send that was lost, whether its server turns out to have crashed. */
   private readonly losses: Array<Promise<boolean>> = [];
   private quarantined: readonly string[] | undefined;
@@ -84,12 +83,7 @@
 
   /** Tracks a send of the request, after `checkSend`. */
   trackSend(target: RequestTarget, server: KnownServer): TrackedSend {
-    const segments = this.listSegments(target);
-    const send = this.context.crashes.recordSend(server, segments, [
-      ...this.sends,
-    ]);
-    this.sends.push(send);
-    return send;
+    return this.context.crashes.recordSend(server, this.listSegments(target));
   }
 
   /** Records that a send was lost, and the check whether its server has crashed. */
--- a/packages/gateway/src/lib/CrashObserver.ts
+++ b/packages/gateway/src/lib/CrashObserver.ts
@@ -23,7 +23,7 @@
 /** Maximum number of segments whose survival is tracked; the least recent ones are evicted. */
 const MAX_SURVIVALS = 20_000;
 /** Maximum number of segments in the report of one crash. */
-const MAX_SEGMENTS = 64;
+const MAX_SEGMENTS = 96;
 /** Maximum number of segments in the log line of a crash. */
 const MAX_LISTED = 8;
 /** Maximum number of crashes that are kept for reports. */
@@ -38,8 +38,6 @@
   readonly server: KnownServer;
   /** Ids of the request and of the segments of its prompt that others may share. */
   readonly segments: readonly string[];
-  /** The sends of the same request before this one. */
-  readonly earlier: readonly TrackedSend[];
   /** When the head of the answer arrived, on the monotonic clock. */
   begunAt: number | undefined;
   endedAt: number | undefined;
@@ -47,15 +45,9 @@
   hasSurvived: boolean;
 }
 
-/** What was in progress on a server, without what is known to be sound. */
-interface Suspects {
-  readonly segments: readonly string[];
-  /** Those that were sent there because another server had crashed under them. */
-  readonly resent: readonly string[];
-}
-
-interface ObservedCrash extends Suspects {
+interface ObservedCrash {
   readonly at: number;
+  readonly segments: readonly string[];
   readonly service: string;
   reports: number;
 }
@@ -80,15 +72,10 @@
   // Commands.
 
   /** Records a send; the caller updates what becomes of it. */
-  recordSend(
-    server: KnownServer,
-    segments: readonly string[],
-    earlier: readonly TrackedSend[] = [],
-  ): TrackedSend {
+  recordSend(server: KnownServer, segments: readonly string[]): TrackedSend {
     const send: TrackedSend = {
       server,
       segments,
-      earlier,
       begunAt: undefined,
       endedAt: undefined,
       hasSurvived: false,
@@ -151,7 +138,7 @@
     const known = this.checks.get(server);
     if (known) return known;
     const suspects = this.listSuspects(server);
-    if (suspects.segments.length === 0) return Promise.resolve(false);
+    if (suspects.length === 0) return Promise.resolve(false);
     const check = this.runCheck(server, suspects);
     this.checks.set(server, check);
     return check;
@@ -189,11 +176,10 @@
       .filter(([, {reports}]) => reports < REPORTS)
       .sort(([, one], [, other]) => one.reports - other.reports)
       .slice(0, MAX_REPORTED)
-      .map(([incarnation, {at, segments, resent, service}]) => ({
+      .map(([incarnation, {at, segments, service}]) => ({
         incarnation,
         ageMs: Math.round(now - at),
         segments,
-        resent,
         service,
       }));
   }
@@ -211,7 +197,7 @@
 
   private async runCheck(
     server: KnownServer,
-    suspects: Suspects,
+    suspects: readonly string[],
   ): Promise<boolean> {
     const {registration} = server.listing;
     const at = performance.now();
@@ -235,11 +221,10 @@
   private recordCrash(
     registration: ServerRegistration,
     at: number,
-    suspects: Suspects,
+    segments: readonly string[],
   ): void {
     const {id, service} = registration;
-    const {segments, resent} = suspects;
-    const crash = {at, service, segments, resent, reports: 0};
+    const crash = {at, service, segments, reports: 0};
     this.crashes.set(buildIncarnationKey(registration), crash);
     evictOldest(this.crashes, MAX_CRASHES);
     writeDecision('server_crashed', {
@@ -247,37 +232,29 @@
       service,
       in_progress: segments.length,
       suspects: segments.slice(0, MAX_LISTED).join(','),
-      resent: resent.slice(0, MAX_LISTED).join(',') || undefined,
     });
   }
 
   /**
-   * Lists what was in progress on a server and is not known to be sound: first what is suspected
-   * already, then what other servers have crashed under, then the answers that had begun.
+   * Lists the requests and segments that were in progress on a server and are not known to be sound:
+   * those that are suspected already first, then those of answers that had begun.
    */
-  private listSuspects(server: KnownServer): Suspects {
+  private listSuspects(server: KnownServer): string[] {
     const now = performance.now();
-    const sends = [...(this.sends.get(server) ?? [])].filter(send =>
-      isInProgress(send, now),
-    );
-    const resent = new Set(
-      sends
-        .filter(send =>
-          send.earlier.some(other => this.hasCrashed(other.server)),
-        )
-        .flatMap(({segments}) => segments),
-    );
-    const getRank = (id: string) => {
-      if (this.isSuspected(id)) return 0;
-      return resent.has(id) ? 1 : 2;
-    };
-    const ids = sends
+    const ids = [...(this.sends.get(server) ?? [])]
+      .filter(send => isInProgress(send, now))
       .sort((one, other) => (other.begunAt ?? 0) - (one.begunAt ?? 0))
       .flatMap(({segments}) => segments)
       .filter(id => now - (this.survivals.get(id) ?? -Infinity) > SURVIVAL_MS)
-      .sort((one, other) => getRank(one) - getRank(other));
-    const segments = [...new Set(ids)].slice(0, MAX_SEGMENTS);
-    return {segments, resent: segments.filter(id => resent.has(id))};
+      .sort(
+        (one, other) => this.getSuspectRank(one) - this.getSuspectRank(other),
+      );
+    return [...new Set(ids)].slice(0, MAX_SEGMENTS);
+  }
+
+  /** Returns 0 for what the control instances suspect already, and 1 otherwise. */
+  private getSuspectRank(id: string): number {
+    return this.isSuspected(id) ? 0 : 1;
   }
 }
 
--- a/packages/gateway/src/test/repeatedRequestCrashes.test.ts
+++ b/packages/gateway/src/test/repeatedRequestCrashes.test.ts
@@ -47,6 +47,13 @@
     servers: 6,
     lossRate: 0.33,
   },
+  'two safe requests, thirty entries and twelve servers': {
+    kind: 'safe',
+    crashing: 2,
+    entries: 30,
+    servers: 12,
+    controls: 5,
+  },
   'a safe request, an entry that restarts all the time': {
     kind: 'safe',
     crashing: 1,
--- a/packages/routing/src/lib/forwarding/findCrashSuspects.ts
+++ b/packages/routing/src/lib/forwarding/findCrashSuspects.ts
@@ -32,8 +32,6 @@
    * their prompts.
    */
   readonly segments: ReadonlySet<string>;
-  /** Those of them that were sent there because another server had crashed under them. */
-  readonly resent?: ReadonlySet<string>;
   /** Service of the server; undefined if it is not known. */
   readonly service?: string | undefined;
 }
@@ -239,18 +237,16 @@
 }
 
 /**
- * Splits an event into those that count against a segment by themselves. One that went on to a server
- * after another had crashed under it has more in common with both than that they were lost together.
+ * Splits an event into those that count against a segment by themselves. A request counts at each crash:
+ * one that many callers send is on several servers that are lost together, but is also answered.
  */
 function splitEvent(
-  event: readonly CrashObservation[],
+  event: CrashObservation[],
   id: string,
 ): CrashObservation[][] {
-  const resent = event.filter(crash => crash.resent?.has(id));
-  const others = event.filter(crash => !crash.resent?.has(id));
-  const isShared = others.every(({segments}) => segments.has(id));
-  const split = resent.map(crash => [crash]);
-  return isShared && others.length > 0 ? [others, ...split] : split;
+  const crashes = event.filter(({segments}) => segments.has(id));
+  if (isRequestSegment(id)) return crashes.map(crash => [crash]);
+  return crashes.length === event.length ? [event] : [];
 }
 
 /** Groups the crashes of each service into events, in the order of time. */
