--- a/packages/fleet/src/lib/CrashPool.ts
+++ b/packages/fleet/src/lib/CrashPool.ts
@@ -1,4 +1,8 @@
-import {CrashSuspect, findCrashSuspects} from '@sycamorehead/routing';
+import {
+  CrashSuspect,
+  findCrashSuspects,
+  isRequestSegment,
+} from '@sycamorehead/routing';
 import {evictOldest} from '@sycamorehead/schema';
 import type {
   CrashEvidenceReport,
@@ -145,6 +149,17 @@
     return convicted.filter(suspect => keys.has(buildKey(suspect)));
   }
 
+  /**
+   * Lists the requests whose crashes would convict them if all entries had reported. They are sent to no
+   * server until the crashes have settled, since each send may cost another one.
+   */
+  listSuspended(): string[] {
+    return this.listSuspects()
+      .filter(isConvicted)
+      .flatMap(({segments}) => segments)
+      .filter(isRequestSegment);
+  }
+
   /** Lists the most recent servers that crashed while all of the segments were in progress there. */
   listCrashed(suspected: readonly string[]): string[] {
     return [...this.crashes]
--- a/packages/fleet/src/lib/EntryReports.ts
+++ b/packages/fleet/src/lib/EntryReports.ts
@@ -45,6 +45,7 @@
       ...this.load.exchange(request),
       ...this.limits.exchange(request),
       suspects: this.crashes.exchange(request),
+      suspended: this.crashes.listSuspended(),
       control: this.options.incarnation,
     };
   }
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -258,6 +258,8 @@
   readonly prefill?: PrefillSumTable;
   /** Suspected prompt segments, of which the entry reports the survivals; absent from earlier builds. */
   readonly suspects?: readonly string[];
+  /** Requests that may come into quarantine within a moment; absent from earlier builds. */
+  readonly suspended?: readonly string[];
   /** Whether the instance hears too few others, so that load is missing. */
   readonly isIsolated?: boolean;
   /** Incarnation of the control instance that answers; absent from earlier builds. */
--- a/packages/fleet/src/test/CrashPool.test.ts
+++ b/packages/fleet/src/test/CrashPool.test.ts
@@ -220,3 +220,34 @@
   assert.ok(crashes.length <= 512);
   assert.ok(crashes.every(({segments}) => segments.length <= 128));
 });
+
+test('a request is suspended at its third crash, before the crashes have settled', () => {
+  const [pool] = buildPools(1);
+  assert.ok(pool);
+  const reports = [0, 1, 2].map(index =>
+    buildReport(index, 900 - index * 300, 'request:bad', 'rare'),
+  );
+  pool.exchange({crashes: reports.slice(0, 2)});
+  assert.deepEqual(pool.listSuspended(), []);
+  clock.tick(100);
+  pool.exchange({crashes: reports});
+  assert.deepEqual(pool.listSuspended(), ['request:bad']);
+  assert.deepEqual(listConvicted(pool), []);
+  clock.tick(SETTLING_MS);
+  assert.deepEqual(listConvicted(pool), ['request:bad']);
+});
+
+test('an answer that is reported while a request is suspended ends that', () => {
+  const [pool] = buildPools(1);
+  assert.ok(pool);
+  const crashes = [0, 1, 2].map(index =>
+    buildReport(index, 900 - index * 300, 'request:sound'),
+  );
+  const suspects = pool.exchange({crashes});
+  assert.deepEqual(suspects, ['request:sound']);
+  assert.deepEqual(pool.listSuspended(), ['request:sound']);
+  clock.tick(100);
+  pool.exchange({survivals: {'request:sound': 3_000}});
+  assert.deepEqual(pool.listSuspended(), []);
+  assert.deepEqual(waitForVerdict(pool), []);
+});
--- a/packages/gateway/src/lib/CrashGuard.ts
+++ b/packages/gateway/src/lib/CrashGuard.ts
@@ -4,7 +4,7 @@
 import {computeFingerprint} from './computeFingerprint.js';
 import type {TrackedSend} from './CrashObserver.js';
 import type {ForwardContext} from './gatewayTypes.js';
-import {buildQuarantineRefusal} from './refusals.js';
+import {buildQuarantineRefusal, buildSuspensionRefusal} from './refusals.js';
 import {RequestTarget, findTarget} from './resolveTarget.js';
 import type {RunTracker} from './RunTracker.js';
 import type {SendRecord} from './SendRecord.js';
@@ -66,7 +66,7 @@
   }
 
   /**
-   * Checks that neither the request nor its prompt is in quarantine.
+   * Checks that neither the request nor its prompt is in quarantine, nor the request suspended.
    *
    * @throws SycamoreheadError `request_quarantined`, `segment_quarantined`, or `outcome_unknown` if the
    * request may have run.
@@ -77,8 +77,12 @@
       target.customer,
     );
     this.recordQuarantine(target);
-    if (this.quarantined === undefined) return;
-    throw buildQuarantineRefusal(this.quarantined, this.runs.mayHaveRun);
+    if (this.quarantined !== undefined) {
+      throw buildQuarantineRefusal(this.quarantined, this.runs.mayHaveRun);
+    }
+    const id = this.requestSegment;
+    if (id === undefined || !this.context.crashes.isSuspended(id)) return;
+    throw buildSuspensionRefusal(id, this.runs.mayHaveRun);
   }
 
   /** Tracks a send of the request, after `checkSend`. */
--- a/packages/gateway/src/lib/CrashObserver.ts
+++ b/packages/gateway/src/lib/CrashObserver.ts
@@ -20,6 +20,8 @@
 const ENDED_MS = 1_000;
 /** Time for which an answer shows that the segments of its prompt are sound, in milliseconds. */
 const SURVIVAL_MS = 10_000;
+/** Time for which the suspensions of a control instance hold if it is not heard again, in milliseconds. */
+const SUSPENSION_MS = 2_000;
 /** Maximum number of segments whose survival is tracked; the least recent ones are evicted. */
 const MAX_SURVIVALS = 20_000;
 /** Maximum number of segments in the report of one crash. */
@@ -66,6 +68,9 @@
   private readonly checks = new Map<KnownServer, Promise<boolean>>();
   /** What the control instances suspect, from the crashes of all entries. */
   private suspects: ReadonlySet<string> = new Set();
+  /** Those that are sent to no server for a moment, until they are convicted or not. */
+  private suspended: ReadonlySet<string> = new Set();
+  private suspendedAt = -Infinity;
   /** When a prompt with a segment was last answered, on the monotonic clock. */
   private readonly survivals = new Map<string, number>();
 
@@ -162,8 +167,20 @@
     }
   }
 
+  /** Sets the requests that are sent to no server for a moment. */
+  setSuspended(suspended: readonly string[]): void {
+    this.suspended = new Set(suspended);
+    this.suspendedAt = performance.now();
+  }
+
   // Queries.
 
+  /** Returns whether a request is sent to no server at this moment. */
+  isSuspended(id: string): boolean {
+    const ageMs = performance.now() - this.suspendedAt;
+    return ageMs <= SUSPENSION_MS && this.suspended.has(id);
+  }
+
   /** Returns whether the control instances suspect a request, or a segment of prompts. */
   isSuspected(id: string): boolean {
     return this.suspects.has(id);
--- a/packages/gateway/src/lib/LoadReporter.ts
+++ b/packages/gateway/src/lib/LoadReporter.ts
@@ -73,6 +73,7 @@
     servers.notices.addLeaving(reply.leaving ?? []);
     this.suspects = reply.suspects ?? [];
     crashes.setSuspects(this.suspects);
+    crashes.setSuspended(reply.suspended ?? []);
     placement.offerSlots();
   }
 }
--- a/packages/gateway/src/lib/refusals.ts
+++ b/packages/gateway/src/lib/refusals.ts
@@ -6,6 +6,8 @@
  * that is added.
  */
 const RETRY_AFTER_MS = 250;
+/** Retry delay of a request that is suspended, in milliseconds; the verdict has been reached by then. */
+const SUSPENSION_RETRY_AFTER_MS = 2_000;
 /** Maximum random prolongation of a longer retry delay, as a fraction. */
 const SPREAD_FRACTION = 0.25;
 
@@ -102,6 +104,27 @@
   );
 }
 
+/**
+ * Builds the error of a request that may come into quarantine within a moment.
+ *
+ * @example
+ * ```ts
+ * buildSuspensionRefusal('request:q3V0b2xk9_aTz1Yc', false).retryAfterMs; // 2_000
+ * ```
+ * @public
+ */
+export function buildSuspensionRefusal(
+  id: string,
+  mayHaveRun: boolean,
+): SycamoreheadError {
+  const message = `suspended: servers crash under ${id}`;
+  if (mayHaveRun) return new SycamoreheadError('outcome_unknown', message);
+  return new SycamoreheadError('request_quarantined', message, {
+    ran: 'no',
+    retryAfterMs: SUSPENSION_RETRY_AFTER_MS,
+  });
+}
+
 /**
  * Replaces a refusal that would wrongly report the request as not run, and spreads the retries of
  * refused callers.
--- a/packages/gateway/src/test/crashObserver.test.ts
+++ b/packages/gateway/src/test/crashObserver.test.ts
@@ -9,6 +9,7 @@
   FakeServer,
   LAST_CHUNK,
   ServerScript,
+  answerWell,
   formatAnswer,
   formatChunk,
   formatEvent,
@@ -366,3 +367,17 @@
   // The third server is spared.
   assert.equal(countReceived(), 3);
 });
+
+test('a request that is suspended is refused for a moment as not run, and sent again after it', async () => {
+  const server = await startServer('s1', answerWell);
+  const gateway = await startPlainGateway(server);
+  gateway.crashes.setSuspended([REQUEST]);
+  const refused = await gateway.exchange(formatRequest());
+  assert.match(refused, /^HTTP\/1\.1 503 [^]*Retry-After: 2\.000/);
+  assert.match(refused, /"kind":"request_quarantined"[^]*"ran":"no"/);
+  const other = formatRequest({id: 'r2', path: '/drafts/2'});
+  assert.match(await gateway.exchange(other), /^HTTP\/1\.1 200 /);
+  gateway.crashes.setSuspended([]);
+  const served = await gateway.exchange(formatRequest({id: 'r3'}));
+  assert.match(served, /^HTTP\/1\.1 200 /);
+});
--- a/packages/routing/src/lib/forwarding/findCrashSuspects.ts
+++ b/packages/routing/src/lib/forwarding/findCrashSuspects.ts
@@ -117,17 +117,23 @@
  */
 function findConvictedRequests(groups: readonly Group[]): Group[] {
   const convicted = groups.filter(group => {
+    const {events} = group.tally;
     const rivals = groups.filter(
       other =>
         other !== group &&
-        other.tally.events.length >= group.tally.events.length &&
-        countDistinctEvents(group.tally, other.tally.counted) < DISTINCT_EVENTS,
+        other.tally.events.length >= events.length &&
+        countDistinctEvents(group.tally, other.tally.counted) < events.length,
     );
-    const count = group.tally.events.length;
-    // A rival with more crashes is convicted first; it may explain the crashes of this one.
-    if (rivals.some(({tally}) => tally.events.length > count)) return false;
-    const isAlone = rivals.length === 0 && group.segments.length === 1;
-    return count >= (isAlone ? CLEAR_CRASHES : TIED_CRASHES);
+    const explained = new Set(rivals.flatMap(({tally}) => [...tally.counted]));
+    const isDistinct =
+      group.segments.length === 1 &&
+      countDistinctEvents(group.tally, explained) >= DISTINCT_EVENTS;
+    if (isDistinct) return events.length >= CLEAR_CRASHES;
+    // Those with more crashes may explain the crashes of this one.
+    const isLeader = rivals.every(
+      ({tally}) => tally.events.length === events.length,
+    );
+    return isLeader && events.length >= TIED_CRASHES;
   });
   return splitRequests(convicted);
 }
@@ -278,8 +284,8 @@
   if (at <= survivedAt + SURVIVAL_MS) return false;
   return !quarantined.some(
     combination =>
-      // Whether a request in quarantine explains the crashes of a segment is decided for all of them.
-      (isRequestSegment(segment) || !combination.some(isRequestSegment)) &&
+      // Whether a request in quarantine explains the crashes of another suspect is decided for all of them.
+      !combination.some(isRequestSegment) &&
       combination.every(id => segments.has(id)) &&
       (combination.length === 1 || !combination.includes(segment)),
   );
--- a/packages/routing/src/test/findCrashSuspects.test.ts
+++ b/packages/routing/src/test/findCrashSuspects.test.ts
@@ -212,3 +212,16 @@
   const survivals = {[SOUND]: 2_500};
   assert.deepEqual(listConvicted(crashes, {survivals}), [BAD]);
 });
+
+test('a sound request that was beside three others that crash servers is not convicted with them', () => {
+  const others = ['one', 'two', 'three'].map(buildRequestSegment);
+  const crashes = others.flatMap((id, index) => {
+    const at = 10_000 * (index + 1);
+    return [
+      buildCrash(at, id, SOUND),
+      buildCrash(at + 1_000, id),
+      buildCrash(at + 2_000, id),
+    ];
+  });
+  assert.deepEqual(listConvicted(crashes).sort(), [...others].sort());
+});
