Verdicts cost less with many crashes

Segments that were in progress at one crash only, which are most, are passed over before they are judged, and combinations that do not matter are left out once.

--- a/packages/routing/src/lib/forwarding/findCrashSuspects.ts
+++ b/packages/routing/src/lib/forwarding/findCrashSuspects.ts
@@ -230,11 +230,18 @@
 
 function countCrashes(evidence: CrashEvidence): Map<string, Tally> {
   const tallies = new Map<string, Tally>();
+  // Whether a request in quarantine explains the crashes of another suspect is decided for all of them.
+  const quarantined = evidence.quarantined.filter(
+    combination => !combination.some(isRequestSegment),
+  );
+  const judged = {...evidence, quarantined};
+  const repeated = listRepeated(evidence.crashes);
   for (const event of groupByTime(evidence.crashes)) {
     const ids = new Set(event.flatMap(({segments}) => [...segments]));
     for (const id of ids) {
+      if (!repeated.has(id)) continue;
       for (const crashes of splitEvent(event, id)) {
-        const counted = crashes.filter(crash => isCounted(evidence, id, crash));
+        const counted = crashes.filter(crash => isCounted(judged, id, crash));
         if (counted.length > 0) countEvent(tallies, id, counted);
       }
     }
@@ -242,6 +249,22 @@
   return tallies;
 }
 
+/** Lists the segments that were in progress at enough crashes for a suspect; most were at one only. */
+function listRepeated(
+  crashes: readonly CrashObservation[],
+): ReadonlySet<string> {
+  const counts = new Map<string, number>();
+  const repeated = new Set<string>();
+  for (const {segments} of crashes) {
+    for (const id of segments) {
+      const count = (counts.get(id) ?? 0) + 1;
+      counts.set(id, count);
+      if (count >= SUSPECT_CRASHES) repeated.add(id);
+    }
+  }
+  return repeated;
+}
+
 /**
  * Splits an event into those that count against a segment by themselves. A request counts at each crash:
  * one that many callers send is on several servers that are lost together, but is also answered.
@@ -284,8 +307,6 @@
   if (at <= survivedAt + SURVIVAL_MS) return false;
   return !quarantined.some(
     combination =>
-      // Whether a request in quarantine explains the crashes of another suspect is decided for all of them.
-      !combination.some(isRequestSegment) &&
       combination.every(id => segments.has(id)) &&
       (combination.length === 1 || !combination.includes(segment)),
   );
