A request that is suspended while it waits for a slot reaches no server

Found by reading: the check before the wait was not repeated after it, as it is for the target of the request. The test got 200 from the server before.

--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -134,6 +134,7 @@
     this.waitedMs += performance.now() - waitStart;
     try {
       const current = this.resolve();
+      this.guard.checkSend(current);
       this.runs.checkSend(current);
       const hasTargetChanged =
         current.service.name !== service.name ||
--- a/packages/gateway/src/test/crashObserver.test.ts
+++ b/packages/gateway/src/test/crashObserver.test.ts
@@ -17,7 +17,9 @@
 } from './FakeServer.js';
 import {
   GatewayHarness,
+  buildConfiguration,
   buildEngineConfiguration,
+  buildRoute,
   formatRequest,
 } from './GatewayHarness.js';
 import {startGateway, startServer, stopStarted, track} from './startGateway.js';
@@ -381,3 +383,24 @@
   const served = await gateway.exchange(formatRequest({id: 'r3'}));
   assert.match(served, /^HTTP\/1\.1 200 /);
 });
+
+test('a request that is suspended while it waits for a slot reaches no server', async () => {
+  const server = await startServer('s1', (request, socket) => {
+    setTimeout(() => answerWell(request, socket), 80);
+  });
+  const gateway = track(new GatewayHarness());
+  const route = buildRoute({targetLatencyMs: 1_500});
+  await gateway.start(buildConfiguration([route]), [
+    server.describe({slots: 1}),
+  ]);
+  const others = ['/drafts/2', '/drafts/3'].map((path, index) =>
+    gateway.exchange(formatRequest({id: `w${index}`, path})),
+  );
+  await sleep(20);
+  const waiting = gateway.exchange(formatRequest());
+  await sleep(20);
+  gateway.crashes.setSuspended([REQUEST]);
+  assert.match(await waiting, /^HTTP\/1\.1 503 [^]*"ran":"no"/);
+  await Promise.all(others);
+  assert.ok(server.received.every(({head}) => !head.includes('/drafts/1 ')));
+});
