--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -50,8 +50,8 @@
 export type {
   CrashEvidence,
   CrashObservation,
-  CrashSuspect,
-} from './lib/forwarding/findCrashSuspects.js';
+} from './lib/forwarding/countCrashes.js';
+export type {CrashSuspect} from './lib/forwarding/findCrashSuspects.js';
 export {chooseModel, isWorthEscalating} from './lib/forwarding/chooseModel.js';
 export {AnswerValues} from './lib/forwarding/AnswerValues.js';
 export type {RequestSize} from './lib/forwarding/AnswerValues.js';
--- a/packages/routing/src/test/CrashSimulation.ts
+++ b/packages/routing/src/test/CrashSimulation.ts
@@ -1,5 +1,5 @@
+import type {CrashObservation} from '../lib/forwarding/countCrashes.js';
 import {
-  CrashObservation,
   CrashSuspect,
   findCrashSuspects,
 } from '../lib/forwarding/findCrashSuspects.js';
--- a/packages/routing/src/test/findCrashSuspects.test.ts
+++ b/packages/routing/src/test/findCrashSuspects.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {buildRequestSegment} from '../lib/forwarding/requestSegments.js';
-import {
+import type {
   CrashEvidence,
   CrashObservation,
-  findCrashSuspects,
-} from '../lib/forwarding/findCrashSuspects.js';
+} from '../lib/forwarding/countCrashes.js';
+import {findCrashSuspects} from '../lib/forwarding/findCrashSuspects.js';
 
 function buildCrash(at: number, ...segments: string[]): CrashObservation {
   return {at, segments: new Set(segments)};
