--- a/packages/gateway/src/lib/CrashObserver.ts
+++ b/packages/gateway/src/lib/CrashObserver.ts
@@ -12,13 +12,13 @@
 const log = createLogger('gateway');
 
 /**
- * Time after the head of an answer within which a crash of its server counts against the prompt, in
- * milliseconds. An answer that goes on for longer shows that the prompt is sound.
+ * Time after the head of an answer within which a crash of its server counts against the request, in
+ * milliseconds. An answer that goes on for longer shows that the request is sound.
  */
 const BEGINNING_MS = 1_000;
 /** Time after its end for which a send that was not answered counts as in progress, in milliseconds. */
 const ENDED_MS = 1_000;
-/** Time for which an answer shows that the segments of its prompt are sound, in milliseconds. */
+/** Time for which an answer shows that its request and the segments of its prompt are sound, in milliseconds. */
 const SURVIVAL_MS = 10_000;
 /** Time for which the suspensions of a control instance hold if it is not heard again, in milliseconds. */
 const SUSPENSION_MS = 2_000;
@@ -71,7 +71,7 @@
   /** Those that are sent to no server for a moment, until they are convicted or not. */
   private suspended: ReadonlySet<string> = new Set();
   private suspendedAt = -Infinity;
-  /** When a prompt with a segment was last answered, on the monotonic clock. */
+  /** When a request, or a prompt with a segment, was last answered, on the monotonic clock. */
   private readonly survivals = new Map<string, number>();
 
   // Commands.
--- a/packages/routing/src/lib/forwarding/countCrashes.ts
+++ b/packages/routing/src/lib/forwarding/countCrashes.ts
@@ -31,8 +31,8 @@
 export interface CrashEvidence {
   readonly crashes: readonly CrashObservation[];
   /**
-   * Combinations of segments that already are in quarantine; crashes under all segments of one count
-   * against no others.
+   * Requests and combinations of segments that already are in quarantine. Crashes under all segments of
+   * a combination count against no others.
    */
   readonly quarantined: ReadonlyArray<readonly string[]>;
   /** When an answer to a prompt with the segment was last completed, on the monotonic clock. */
