--- a/packages/gateway/src/lib/CrashObserver.ts
+++ b/packages/gateway/src/lib/CrashObserver.ts
@@ -109,7 +109,7 @@
   }
 
   /** Records an answer that shows that its request is sound, but not that its prompt was read. */
-  recordError(send: TrackedSend): void {
+  recordSoundRequest(send: TrackedSend): void {
     this.recordSound(send.segments.filter(isRequestSegment));
   }
 
--- a/packages/gateway/src/lib/SendRecord.ts
+++ b/packages/gateway/src/lib/SendRecord.ts
@@ -163,7 +163,7 @@
     const {crashes} = this.context;
     if (!answer.isFramed || answer.status >= MIN_FAILURE_STATUS) return;
     if (answer.status === 200) crashes.recordSurvival(this.tracked);
-    else crashes.recordError(this.tracked);
+    else crashes.recordSoundRequest(this.tracked);
   }
 
   /** Records that an answer that had begun was interrupted. */
