--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -185,20 +185,28 @@
     return deployment;
   }
 
+  get machines() {
+    return [...this.controls, ...this.entries];
+  }
+
   now() {
     return Math.round(performance.now() - this.startedAt);
   }
 
   start() {
-    for (const machine of [...this.controls, ...this.entries])
-      machine.start(true);
+    // No process outlives the script, however it ends.
+    process.once('exit', () => {
+      for (const {child} of this.machines) child?.kill('SIGKILL');
+    });
+    for (const name of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+      process.once(name, () => process.exit(2));
+    }
+    for (const machine of this.machines) machine.start(true);
   }
 
   async stop() {
     this.isStopped = true;
-    await Promise.all(
-      [...this.controls, ...this.entries].map(machine => machine.end()),
-    );
+    await Promise.all(this.machines.map(machine => machine.end()));
     rmSync(this.folder, {recursive: true, force: true});
   }
 
