Log: retained entries are limited by size, not only by number

Now at most 1 MiB of covered entries is retained, only the length of the JSON is kept, and a start drops covered entries. syc_control_log_bytes shows what is retained.

--- a/packages/consensus/src/lib/EntryLog.ts
+++ b/packages/consensus/src/lib/EntryLog.ts
@@ -3,8 +3,8 @@
 
 interface RetainedEntry {
   readonly entry: LogEntry;
-  /** The entry as JSON, encoded once for writing to disk and for limiting the size of batches. */
-  readonly text: string;
+  /** Length of the entry as JSON. */
+  readonly bytes: number;
 }
 
 interface PositionedMembership {
@@ -19,6 +19,7 @@
  */
 export class EntryLog {
   private retained: RetainedEntry[] = [];
+  private retainedBytes = 0;
   private start: LogPosition = {index: 0, term: 0};
   /** Memberships since `start`, oldest first. The first one is in force at `start` itself. */
   private memberships: PositionedMembership[] = [{index: 0, members: []}];
@@ -36,6 +37,11 @@
     return this.retained.at(-1)?.entry ?? this.start;
   }
 
+  /** Bytes of the retained entries as JSON. */
+  get bytes(): number {
+    return this.retainedBytes;
+  }
+
   /** The newest membership in the log, committed or not. */
   get members(): Membership {
     return this.memberships.at(-1)?.members ?? [];
@@ -71,13 +77,27 @@
     for (let index = from; index <= this.lastIndex; index++) {
       const retained = this.retained[index - this.start.index - 1];
       if (!retained || entries.length >= maxCount) break;
-      bytes += retained.text.length;
+      bytes += retained.bytes;
       if (entries.length > 0 && bytes > maxBytes) break;
       entries.push(retained.entry);
     }
     return entries;
   }
 
+  /**
+   * Returns the position after which at most a count and a size of entries remain up to an index.
+   */
+  findTrailingStart(index: number, maxCount: number, maxBytes: number): number {
+    let from = Math.min(index, this.lastIndex);
+    let bytes = 0;
+    while (from > this.start.index && index - from < maxCount) {
+      bytes += this.retained[from - this.start.index - 1]?.bytes ?? 0;
+      if (bytes > maxBytes) break;
+      from -= 1;
+    }
+    return from;
+  }
+
   /** Returns the first index of the consecutive entries with the same term as the given one. */
   findFirstOfTerm(index: number): number {
     const term = this.getTerm(index);
@@ -97,7 +117,9 @@
       );
     }
     const text = JSON.stringify(entry);
-    this.retained.push({entry, text});
+    const bytes = text.length;
+    this.retained.push({entry, bytes});
+    this.retainedBytes += bytes;
     if (entry.type === 'membership') {
       this.memberships.push({index: entry.index, members: entry.members});
     }
@@ -106,7 +128,8 @@
 
   /** Removes the entry at an index and all later ones. */
   truncate(from: number): void {
-    this.retained.length = Math.max(0, from - this.start.index - 1);
+    const kept = Math.max(0, from - this.start.index - 1);
+    this.dropRetained(kept, this.retained.length - kept);
     while ((this.memberships.at(-1)?.index ?? 0) >= from) {
       this.memberships.pop();
     }
@@ -116,7 +139,7 @@
   compact(index: number): void {
     const term = this.getTerm(index);
     if (term === undefined || index <= this.start.index) return;
-    this.retained.splice(0, index - this.start.index);
+    this.dropRetained(0, index - this.start.index);
     this.start = {index, term};
     this.dropOldMemberships(index);
   }
@@ -124,10 +147,17 @@
   /** Discards all entries. The log continues after `base` with the membership in force there. */
   reset(base: LogPosition, members: Membership): void {
     this.retained = [];
+    this.retainedBytes = 0;
     this.start = {index: base.index, term: base.term};
     this.memberships = [{index: base.index, members}];
   }
 
+  private dropRetained(start: number, count: number): void {
+    for (const {bytes} of this.retained.splice(start, count)) {
+      this.retainedBytes -= bytes;
+    }
+  }
+
   private dropOldMemberships(index: number): void {
     while ((this.memberships[1]?.index ?? Infinity) <= index) {
       this.memberships.shift();
--- a/packages/consensus/src/lib/RaftNode.ts
+++ b/packages/consensus/src/lib/RaftNode.ts
@@ -43,6 +43,7 @@
   readonly snapshotBytes?: number;
   readonly segmentBytes?: number;
   readonly trailingEntries?: number;
+  readonly trailingBytes?: number;
   readonly random?: () => number;
   /** Called once when the storage has failed; the process should exit. */
   readonly onFailure: (error: SycamoreheadError) => void;
@@ -76,6 +77,7 @@
       storage: new LogStorage(disk, options.segmentBytes),
       snapshotBytes: options.snapshotBytes ?? DEFAULT_SNAPSHOT_BYTES,
       trailingEntries: options.trailingEntries,
+      trailingBytes: options.trailingBytes,
       onFailure: error => this.handleFailure(error),
     });
     this.election = new Election({
@@ -201,6 +203,7 @@
       group: state.vote.group,
       members,
       snapshotIndex: state.snapshot?.index ?? 0,
+      retainedBytes: state.entries.bytes,
       storage: state.storage.getCounts(),
     };
   }
--- a/packages/consensus/src/lib/RaftState.ts
+++ b/packages/consensus/src/lib/RaftState.ts
@@ -12,6 +12,11 @@
  * needs no snapshot.
  */
 const TRAILING_ENTRIES = 1_000;
+/**
+ * Bytes of entries retained although a snapshot covers them. Entries hold whole documents, so their
+ * number alone does not limit the memory and disk space that they occupy.
+ */
+const TRAILING_BYTES = 1024 * 1024;
 
 /** Options of a RaftState. @internal */
 export interface RaftStateOptions {
@@ -24,6 +29,7 @@
    */
   readonly snapshotBytes: number;
   readonly trailingEntries?: number;
+  readonly trailingBytes?: number;
   /** Called once when the storage has failed. */
   readonly onFailure: (error: SycamoreheadError) => void;
 }
@@ -102,6 +108,7 @@
     const isReset = this.entries.getTerm(index) !== term;
     await this.storage.saveSnapshot(snapshot, index, isReset);
     if (isReset) this.entries.reset({index, term}, members);
+    else this.entries.compact(index);
     this.applySnapshot(snapshot);
     log('snapshot_installed', {index, term});
   }
@@ -161,10 +168,14 @@
       members: this.entries.getMembersAt(index),
       data: Buffer.from(JSON.stringify(state), 'utf8'),
     };
-    const trailing = this.options.trailingEntries ?? TRAILING_ENTRIES;
-    await this.storage.saveSnapshot(snapshot, index - trailing, false);
+    const retainAfter = this.entries.findTrailingStart(
+      index,
+      this.options.trailingEntries ?? TRAILING_ENTRIES,
+      this.options.trailingBytes ?? TRAILING_BYTES,
+    );
+    await this.storage.saveSnapshot(snapshot, retainAfter, false);
     if (index <= (this.snapshot?.index ?? 0)) return;
     this.snapshot = snapshot;
-    this.entries.compact(index - trailing);
+    this.entries.compact(retainAfter);
   }
 }
--- a/packages/consensus/src/lib/ReplicatedLog.ts
+++ b/packages/consensus/src/lib/ReplicatedLog.ts
@@ -38,6 +38,8 @@
   readonly group?: string;
   readonly members?: Membership;
   readonly snapshotIndex?: number;
+  /** Bytes of the entries in memory, as JSON. */
+  readonly retainedBytes?: number;
   readonly storage?: StorageCounts;
 }
 
--- a/packages/consensus/src/lib/storage/segments.ts
+++ b/packages/consensus/src/lib/storage/segments.ts
@@ -89,6 +89,7 @@
     }
     this.bytes += bytes;
     this.segments.push(segment);
+    this.dropCovered();
   }
 
   finish(snapshot: LogPosition | undefined): LoadedLog {
@@ -133,6 +134,15 @@
     this.entries.push(entry);
   }
 
+  /** Drops entries that the snapshot covers, so that the whole log need not fit into memory. */
+  private dropCovered(): void {
+    const last = Math.min(this.snapshotIndex, this.getLastIndex());
+    const entry = this.entries[last - this.base.index - 1];
+    if (!entry) return;
+    this.entries = this.entries.slice(last - this.base.index);
+    this.base = {index: entry.index, term: entry.term};
+  }
+
   private getLastIndex(): number {
     return this.base.index + this.entries.length;
   }
--- /dev/null
+++ b/packages/consensus/src/test/retainedEntries.test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {JsonValue} from '@sycamorehead/schema';
+import type {StateMachine} from '../lib/ReplicatedLog.js';
+import {LogStorage} from '../lib/storage/LogStorage.js';
+import {FakeDisk, FakeGroup} from '../testing/index.js';
+import {runPaused} from './runPaused.js';
+
+const NAMES = ['c1', 'c2', 'c3'];
+const DOCUMENT_BYTES = 50_000;
+const DOCUMENT = 'x'.repeat(DOCUMENT_BYTES);
+const SNAPSHOT_BYTES = 4 * DOCUMENT_BYTES;
+const TRAILING_BYTES = 2 * DOCUMENT_BYTES;
+/** The entries that a snapshot covers, those since, and those that arrive while it is written. */
+const MAX_RETAINED_BYTES = 2 * (TRAILING_BYTES + SNAPSHOT_BYTES);
+
+/** A state machine whose state is the last command, like that of a configuration. */
+class LastCommandMachine implements StateMachine {
+  last: JsonValue = '';
+
+  apply(command: JsonValue): JsonValue {
+    this.last = command;
+    return null;
+  }
+
+  takeSnapshot(): JsonValue {
+    return this.last;
+  }
+
+  restoreSnapshot(snapshot: JsonValue): void {
+    this.last = snapshot;
+  }
+}
+
+async function measureDisk(disk: FakeDisk): Promise<number> {
+  let bytes = 0;
+  for (const name of await disk.list()) bytes += (await disk.read(name)).length;
+  return bytes;
+}
+
+// Guards against control processes that run out of memory after some hundred large configurations.
+test('memory and disk space of the log do not grow with the number of large commands', () =>
+  runPaused(41, async (clock, random) => {
+    const group = new FakeGroup({
+      clock,
+      random,
+      createMachine: () => new LastCommandMachine(),
+      node: {snapshotBytes: SNAPSHOT_BYTES, trailingBytes: TRAILING_BYTES},
+    });
+    await group.createGroup(NAMES);
+    for (let count = 1; count <= 150; count++) {
+      await group.propose(`${count} ${DOCUMENT}`);
+    }
+    await clock.advance(1_000);
+    for (const name of NAMES) {
+      const {node, disk, machine} = group.get(name);
+      const retained = node!.getStatus().retainedBytes ?? Infinity;
+      assert.ok(retained <= MAX_RETAINED_BYTES, `${name}: ${retained} bytes`);
+      const stored = await measureDisk(disk);
+      assert.ok(stored <= 2 * MAX_RETAINED_BYTES, `${name}: ${stored} on disk`);
+      assert.equal(machine.last, `150 ${DOCUMENT}`);
+    }
+    for (const name of NAMES) group.abort(name);
+    for (const name of NAMES) await group.start(name);
+    const leader = await group.waitForLeader();
+    assert.equal(leader.machine.last, `150 ${DOCUMENT}`);
+    group.stop();
+  }));
+
+// Guards against a member that ends again whenever it loads the log of an earlier build.
+test('entries that a snapshot covers are not loaded, although their files remain', async () => {
+  const disk = new FakeDisk();
+  const storage = new LogStorage(disk, 3 * DOCUMENT_BYTES);
+  await storage.load();
+  await storage.saveVote({group: 'g', term: 1, votedFor: ''});
+  for (let index = 1; index <= 40; index++) {
+    const entry = {index, term: 1, type: 'command', command: DOCUMENT};
+    await storage.append([JSON.stringify(entry)], {index, term: 1});
+  }
+  const data = Buffer.from(JSON.stringify(DOCUMENT));
+  await storage.saveSnapshot({index: 37, term: 1, members: [], data}, 0, false);
+  const loaded = await new LogStorage(disk.abort(() => 0)).load();
+  assert.deepEqual(
+    loaded.entries.map(({index}) => index),
+    [38, 39, 40],
+  );
+  assert.deepEqual(loaded.base, {index: 37, term: 1});
+});
--- a/packages/fleet/src/lib/FleetMetrics.ts
+++ b/packages/fleet/src/lib/FleetMetrics.ts
@@ -7,6 +7,8 @@
   readonly members: number;
   readonly servers: number;
   readonly entries: number;
+  /** Bytes of the log entries in memory. */
+  readonly logBytes: number;
 }
 
 /**
@@ -35,6 +37,7 @@
       members: 'members',
       servers: 'servers',
       entries: 'entries_linked',
+      logBytes: 'log_bytes',
     };
     for (const [field, name] of Object.entries(names)) {
       const gauge: Gauge = new Gauge({
--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -395,10 +395,12 @@
 
   private readGauges() {
     const {logMember, registry, feeds} = this;
+    const status = logMember.raftNode?.getStatus();
     return {
       configurationVersion: logMember.state.configuration.version,
       isLeader: logMember.isLeader,
-      members: logMember.raftNode?.getStatus().members?.length ?? 0,
+      members: status?.members?.length ?? 0,
+      logBytes: status?.retainedBytes ?? 0,
       servers: registry.list().length,
       entries: feeds.entryCount,
     };
