Gateway: no header of a request or an answer is dropped silently

Cause: node:http keeps about 1,000 headers of a message and drops the others without an error; without Content-Length the body was taken for empty. Now the number is unlimited on both sides of the gateway and in the product's own servers; the size of the head is limited as before.

--- a/packages/control/src/lib/OperatorServer.ts
+++ b/packages/control/src/lib/OperatorServer.ts
@@ -48,6 +48,8 @@
       void this.answer(request, response);
     const {tls} = options;
     this.server = tls ? createTlsServer(tls, handle) : createServer(handle);
+    // Otherwise node:http drops headers beyond a number without an error.
+    this.server.maxHeadersCount = 0;
     for (const [name, handler] of Object.entries(this.getHandlers())) {
       const wrapped = this.wrapHandler(name, handler);
       this.rpc.addMethod(name, params => runHandler(wrapped, params));
--- a/packages/entry/src/lib/EntryServer.ts
+++ b/packages/entry/src/lib/EntryServer.ts
@@ -41,6 +41,8 @@
     this.server = tls
       ? createTlsServer({...limits, ...tls}, handle)
       : createServer(limits, handle);
+    // Otherwise node:http drops headers beyond a number without an error.
+    this.server.maxHeadersCount = 0;
   }
 
   /** Starts to listen and returns the port. */
--- a/packages/gateway/src/lib/GatewayServer.ts
+++ b/packages/gateway/src/lib/GatewayServer.ts
@@ -71,6 +71,8 @@
       },
       (message, response) => void this.accept(message, response),
     );
+    // The size of the head is limited; node:http would drop headers beyond a number without an error.
+    this.server.maxHeadersCount = 0;
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.handleUnparsed(error, socket as Socket),
     );
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -128,6 +128,8 @@
       agent: attempt.wasRefused ? UNSHARED_AGENT : agent,
       setHost: false,
     });
+    // Otherwise node:http drops headers beyond a number without an error.
+    request.maxHeadersCount = 0;
     let cancellation: Promise<boolean> | undefined;
     const abort = (cause: string) => {
       reason ||= cause;
