Streams: only events that continue the run reach the caller

Cause: the splitter finds empty lines and everything between two of them was passed on; nothing looked at ids or fields. Now each event of a streaming route must consist of fields and have one id above the one before, across a resume too. The first other bytes end the server's answer: cancelled, closed, the server's failure, resumed elsewhere if the route allows it, never complete in appearance.

--- a/packages/gateway/src/lib/EventSplitter.ts
+++ b/packages/gateway/src/lib/EventSplitter.ts
@@ -10,6 +10,8 @@
 export interface CompleteEvents {
   readonly bytes: Buffer;
   readonly count: number;
+  /** The position behind each event. */
+  readonly ends: readonly number[];
   /** The id of the last event that has one. */
   readonly lastId: string | undefined;
 }
@@ -30,7 +32,9 @@
       this.remainder.length === 0
         ? chunk
         : Buffer.concat([this.remainder, chunk]);
-    const {end, count, lineStart} = findLastBoundary(data, this.lineStart);
+    const {ends, lineStart} = findBoundaries(data, this.lineStart);
+    const count = ends.length;
+    const end = ends.at(-1) ?? 0;
     this.remainder = data.subarray(end);
     this.lineStart = lineStart - end;
     if (this.remainder.length > MAX_EVENT_BYTES) {
@@ -38,7 +42,7 @@
     }
     if (count === 0) return undefined;
     const bytes = data.subarray(0, end);
-    return {bytes, count, lastId: readLastId(bytes)};
+    return {bytes, count, ends, lastId: readLastId(bytes)};
   }
 
   /** Whether the stream stops in the middle of an event. */
@@ -47,30 +51,25 @@
   }
 }
 
-interface Boundary {
-  /** The end of the last complete event, or 0. */
-  readonly end: number;
-  /** The number of complete events. */
-  readonly count: number;
+interface Boundaries {
+  /** The position behind each complete event. */
+  readonly ends: readonly number[];
   /** The start of the last line. */
   readonly lineStart: number;
 }
 
-/** Finds the end of the last complete event, which is after an empty line. */
-function findLastBoundary(data: Buffer, from: number): Boundary {
-  let end = 0;
-  let count = 0;
+/** Finds the ends of the complete events, each of which is behind an empty line. */
+function findBoundaries(data: Buffer, from: number): Boundaries {
+  const ends: number[] = [];
   let lineStart = from;
   for (;;) {
     const lineEnd = data.indexOf(LINE_FEED, lineStart);
-    if (lineEnd < 0) return {end, count, lineStart};
+    if (lineEnd < 0) return {ends, lineStart};
     const isEmpty =
       lineEnd === lineStart ||
       (lineEnd === lineStart + 1 && data[lineStart] === CARRIAGE_RETURN);
     lineStart = lineEnd + 1;
-    if (!isEmpty) continue;
-    end = lineStart;
-    count += 1;
+    if (isEmpty) ends.push(lineStart);
   }
 }
 
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -7,6 +7,7 @@
 import {buildServerHeaders} from './buildServerHeaders.js';
 import type {CallerAnswer} from './CallerAnswer.js';
 import type {CallerRequest} from './CallerRequest.js';
+import {computeEventIdsAbove} from './computeEventIdsAbove.js';
 import {CrashGuard} from './CrashGuard.js';
 import {DeliveryResult, deliverAnswer} from './deliverAnswer.js';
 import type {ForwardContext} from './gatewayTypes.js';
@@ -350,6 +351,7 @@
       answer: this.answer,
       method: this.request.method,
       lastEventId: this.lastEventId,
+      eventIdsAbove: computeEventIdsAbove(target.route, this.lastEventId),
       stallTimeouts: this.computeStallTimeouts(target),
       isServerActive: () =>
         Math.max(server.lastReceivedAt, server.othersReceivedAt) >
@@ -379,7 +381,7 @@
     this.lastEventId = result.lastEventId;
     if (result.isComplete) return 'done';
     const atMs = Math.round(performance.now() - this.request.arrivedAt);
-    this.history.push(`broken@${atMs}`);
+    this.history.push(`broken (${result.reason})@${atMs}`);
     if (this.answer.disconnected.aborted) return 'done';
     send.recordInterruption(result.reason);
     this.guard.recordInterruption(send);
--- a/packages/gateway/src/lib/deliverAnswer.ts
+++ b/packages/gateway/src/lib/deliverAnswer.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage} from 'node:http';
 import type {SilenceTimeouts} from '@sycamorehead/routing';
 import type {CallerAnswer} from './CallerAnswer.js';
+import {EventSequence} from './EventSequence.js';
 import {EventSplitter} from './EventSplitter.js';
 import {copyEndToEndHeaders} from './headerNames.js';
 import {ReadLimit} from './ReadLimit.js';
@@ -24,6 +25,8 @@
   readonly method: string;
   /** The event after which the stream continues. */
   readonly lastEventId: string | undefined;
+  /** The id above which the events of a stream must be; undefined if they need no ids. */
+  readonly eventIdsAbove: number | undefined;
   /** How long the server may stay silent before the next chunk. */
   readonly stallTimeouts: SilenceTimeouts;
   /** Returns whether anything was recently received from the server, on any connection. */
@@ -124,19 +127,30 @@
   const {serverAnswer, answer} = delivery;
   const {message, status} = serverAnswer;
   const splitter = new EventSplitter();
+  const {eventIdsAbove} = delivery;
+  const sequence =
+    eventIdsAbove === undefined ? undefined : new EventSequence(eventIdsAbove);
   let {lastEventId} = delivery;
   let isFirst = true;
   try {
     const split = (chunk: Buffer) => splitter.push(chunk);
     for await (const events of readPieces(delivery, split)) {
-      if (isFirst) delivery.onFirstBytes();
-      isFirst = false;
-      answer.begin(
-        status,
-        copyEndToEndHeaders(message.rawHeaders, LENGTH_HEADERS),
-      );
-      await answer.write(events.bytes);
-      lastEventId = events.lastId ?? lastEventId;
+      const checked = sequence?.check(events);
+      const {bytes, lastId} = checked ?? events;
+      if (bytes.length > 0) {
+        if (isFirst) delivery.onFirstBytes();
+        isFirst = false;
+        answer.begin(
+          status,
+          copyEndToEndHeaders(message.rawHeaders, LENGTH_HEADERS),
+        );
+        await answer.write(bytes);
+      }
+      lastEventId = lastId ?? lastEventId;
+      const violation = checked?.violation;
+      if (violation !== undefined) {
+        return cancelDelivery(delivery, violation, lastEventId);
+      }
     }
   } catch (error) {
     return cancelDelivery(delivery, String(error), lastEventId);
