Planned stop: a late body is refused, and open requests are told whether they may have run

Here the check for a stop came before the body was read, so a request with a slow body was passed on at any time; requests that waited for a slot at the end got 502 instead of a refusal, and connections were closed in the turn in which they were answered.

--- a/packages/gateway/src/lib/CallerAnswer.ts
+++ b/packages/gateway/src/lib/CallerAnswer.ts
@@ -12,6 +12,7 @@
   /** Aborted if the caller disconnects before its answer is complete. */
   readonly disconnected: AbortSignal;
   private readonly controller = new AbortController();
+  private readonly stopController = new AbortController();
   private status = 0;
   /** When the first and the last bytes were written, on the monotonic clock. */
   private firstWriteAt: number | undefined;
@@ -53,6 +54,23 @@
     return this.longestGapMs;
   }
 
+  /** Whether the entry has stopped to wait for the answer. */
+  get isStopped(): boolean {
+    return this.stopController.signal.aborted;
+  }
+
+  /** Calls the listener when the caller disconnects or the entry stops to wait for the answer. */
+  addAbortListener(listener: () => void): void {
+    for (const {signal} of [this.controller, this.stopController]) {
+      signal.addEventListener('abort', listener, {once: true});
+    }
+  }
+
+  /** Stops the work on the answer, which is then failed. */
+  stop(): void {
+    this.stopController.abort();
+  }
+
   /** Sends a complete answer. */
   sendComplete(status: number, headers: readonly string[], body: Buffer): void {
     if (this.isBegun || this.disconnected.aborted) return;
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -74,7 +74,7 @@
   async run(): Promise<void> {
     const {answer, controller} = this;
     const abort = () => controller.abort();
-    answer.disconnected.addEventListener('abort', abort, {once: true});
+    answer.addAbortListener(abort);
     let timer: NodeJS.Timeout | undefined;
     const unwatch = this.guard.watch(() => {
       if (!answer.isBegun) controller.abort();
@@ -106,6 +106,7 @@
   private buildFailure(thrown: unknown): SycamoreheadError {
     const {mayHaveRun} = this.runs;
     if (this.guard.failure) return this.guard.failure;
+    if (this.answer.isStopped) return buildRefusal('stopping', mayHaveRun);
     const error = this.isTimedOut
       ? buildTimeout(mayHaveRun)
       : toSycamoreheadError(thrown);
--- a/packages/gateway/src/lib/GatewayServer.ts
+++ b/packages/gateway/src/lib/GatewayServer.ts
@@ -27,6 +27,9 @@
 const HEAD_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
 const MAX_BACKLOG = 1_024;
 const IDLE_POLL_MS = 50;
+/** Time allowed for telling the callers of requests that are given up in a stop, in milliseconds. */
+const STOP_ANSWERS_MS = 100;
+const STOP_POLL_MS = 5;
 /**
  * Time after a stop begins during which new requests are still served, in milliseconds. The load
  * balancer checks readiness once a second and redirects callers after the second failed check.
@@ -99,8 +102,8 @@
 
   /**
    * Continues to serve until no answer is owed and no request has arrived for a while, or until the
-   * grace period ends. Then closes; a caller who has received nothing yet is told that the outcome
-   * is unknown.
+   * grace period ends. Then closes; a caller who has received nothing yet is told whether the request
+   * may have run.
    */
   async stop(graceMs: number): Promise<void> {
     const stoppedAt = performance.now();
@@ -112,12 +115,25 @@
       await new Promise(resolve => setTimeout(resolve, IDLE_POLL_MS));
     }
     writeDecision('gateway_closes', {open: this.openAnswers.count});
+    await this.stopAnswers();
     const error = new SycamoreheadError('outcome_unknown', 'this entry stops');
     for (const answer of this.openAnswers.list()) answer.fail(error);
     this.server.close();
     this.server.closeAllConnections();
   }
 
+  /** Stops the work on all requests and waits for a moment until their callers have been told. */
+  private async stopAnswers(): Promise<void> {
+    const startedAt = performance.now();
+    for (const answer of this.openAnswers.list()) answer.stop();
+    while (
+      this.openAnswers.count > 0 &&
+      performance.now() - startedAt < STOP_ANSWERS_MS
+    ) {
+      await new Promise(resolve => setTimeout(resolve, STOP_POLL_MS));
+    }
+  }
+
   private async accept(
     message: IncomingMessage,
     response: ServerResponse,
@@ -139,6 +155,8 @@
       this.checkStopping();
       this.checkHeaderSize(message);
       request.body = await readBody(message, this.limits.maxBodyBytes);
+      // The body may have taken until late in the grace period.
+      this.checkStopping();
       await this.options.serve(request, answer);
     } catch (thrown) {
       const error = toSycamoreheadError(thrown);
--- a/packages/gateway/src/test/stopping.test.ts
+++ b/packages/gateway/src/test/stopping.test.ts
@@ -3,7 +3,7 @@
 import {afterEach, test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {ServerScript} from './FakeServer.js';
-import {formatAnswer} from './FakeServer.js';
+import {answerWell, formatAnswer} from './FakeServer.js';
 import {formatRequest, readStatus} from './GatewayHarness.js';
 import {startGateway, startServer, stopStarted} from './startGateway.js';
 
@@ -16,6 +16,16 @@
 /** Time limit of requests that must not reach it on a busy machine, in milliseconds. */
 const LONG_MS = 30_000;
 
+/** Longer than the time for which a stopping entry passes new requests on, in milliseconds. */
+const LATE_BODY_MS = 3_500;
+/** Number of requests for a server with one slot. */
+const WAITING_COUNT = 12;
+
+function formatLongRequest(id: string, body?: string): string {
+  const request = formatRequest({method: 'POST', id, body});
+  return request.replace('X-Deadline-Ms: 1500', `X-Deadline-Ms: ${LONG_MS}`);
+}
+
 test('a stop waits until a slow caller has received the answers that are ready for it', async () => {
   const body = 'x'.repeat(ANSWER_BYTES);
   const server = await startServer('s1', (request, socket) =>
@@ -27,10 +37,8 @@
   const socket = await gateway.open();
   socket.pause();
   for (let number = 1; number <= REQUEST_COUNT; number++) {
-    const request = formatRequest({method: 'POST', id: `r${number}`})
-      .replace('Connection: close\r\n', '')
-      .replace('X-Deadline-Ms: 1500', `X-Deadline-Ms: ${LONG_MS}`);
-    socket.write(request);
+    const request = formatLongRequest(`r${number}`);
+    socket.write(request.replace('Connection: close\r\n', ''));
   }
   // Node.js reads no further request of a connection once enough of its answers wait.
   let answers = 0;
@@ -59,3 +67,48 @@
   await gateway.stop(200);
   assert.equal(readStatus(await open), 502);
 });
+
+// Guards against a request that is passed on so late in the grace period that its answer is cut.
+test('a request whose body arrives late in the grace period is refused as not run and reaches no server', async () => {
+  const server = await startServer('s1', answerWell);
+  const route = {kind: 'unsafe', timeoutMs: LONG_MS} as const;
+  const gateway = await startGateway(route, [server]);
+  const request = formatLongRequest('r1', 'the body');
+  const socket = await gateway.open();
+  let text = '';
+  socket.on('data', chunk => (text += String(chunk)));
+  socket.write(request.slice(0, -1));
+  await sleep(100);
+  const stopped = gateway.stop(8_000);
+  await sleep(LATE_BODY_MS);
+  socket.write(request.slice(-1));
+  await once(socket, 'close');
+  await stopped;
+  assert.equal(readStatus(text), 503);
+  assert.match(text, /Retry-After: /);
+  assert.equal(server.received.length, 0);
+});
+
+test('a request that waits for a slot when the grace period ends is refused as not run and reaches no server', async () => {
+  const server = await startServer('s1', () => {});
+  const route = {
+    kind: 'unsafe',
+    timeoutMs: LONG_MS,
+    targetLatencyMs: LONG_MS,
+  } as const;
+  const gateway = await startGateway(route, [server]);
+  gateway.list([server.describe({slots: 1, sequence: 2})]);
+  const answers = Array.from({length: WAITING_COUNT}, (unused, index) =>
+    gateway.exchange(formatLongRequest(`r${index}`), LONG_MS),
+  );
+  await sleep(300);
+  const sent = server.received.length;
+  assert.ok(sent > 0 && sent < WAITING_COUNT, `${sent} sent`);
+  await gateway.stop(200);
+  const statuses = (await Promise.all(answers)).map(readStatus).sort();
+  assert.equal(server.received.length, sent);
+  assert.deepEqual(statuses, [
+    ...Array.from({length: sent}, () => 502),
+    ...Array.from({length: WAITING_COUNT - sent}, () => 503),
+  ]);
+});
