--- a/packages/gateway/src/lib/ReadLimit.ts
+++ b/packages/gateway/src/lib/ReadLimit.ts
@@ -8,6 +8,7 @@
  */
 export class ReadLimit {
   private startBytes: number;
+  private isStopped = false;
 
   constructor(
     private readonly socket: Socket,
@@ -25,10 +26,13 @@
 
   /** Stops counting. */
   stop(): void {
+    this.isStopped = true;
     this.socket.off('data', this.check);
   }
 
   private readonly check = (): void => {
+    // A listener that is removed while an event is emitted is still called for it.
+    if (this.isStopped) return;
     if (this.socket.bytesRead - this.startBytes <= this.maxBytes) return;
     this.stop();
     this.onExceeded();
