RouteTable: built in time proportional to the number of routes

Cause: all routes of a host were sorted after each one. Now they are indexed by prefix, and a look-up tries the distinct prefix lengths.

--- a/packages/gateway/src/lib/RouteTable.ts
+++ b/packages/gateway/src/lib/RouteTable.ts
@@ -10,6 +10,35 @@
   readonly priority: number | undefined;
 }
 
+/** The routes of one host. */
+class HostRoutes {
+  private readonly byPrefix = new Map<string, RouteDeclaration>();
+  /** The distinct lengths of the prefixes, longest first; computed by the first look-up. */
+  private lengths: readonly number[] | undefined;
+
+  add(route: RouteDeclaration): void {
+    this.lengths = undefined;
+    if (this.byPrefix.has(route.pathPrefix)) return;
+    this.byPrefix.set(route.pathPrefix, route);
+  }
+
+  find(path: string): RouteDeclaration | undefined {
+    this.lengths ??= this.listLengths();
+    for (const length of this.lengths) {
+      if (length > path.length) continue;
+      const route = this.byPrefix.get(path.slice(0, length));
+      if (route) return route;
+    }
+    return undefined;
+  }
+
+  private listLengths(): number[] {
+    const lengths = new Set<number>();
+    for (const prefix of this.byPrefix.keys()) lengths.add(prefix.length);
+    return [...lengths].sort((left, right) => right - left);
+  }
+}
+
 /**
  * A configuration indexed for look-ups by host, path, key and service.
  *
@@ -18,7 +47,7 @@
 export class RouteTable {
   readonly version: number;
   readonly hasKeys: boolean;
-  private readonly routesByHost = new Map<string, RouteDeclaration[]>();
+  private readonly routesByHost = new Map<string, HostRoutes>();
   private readonly holders = new Map<string, KeyHolder>();
   private readonly services = new Map<string, RoutedService>();
 
@@ -36,9 +65,7 @@
 
   /** Finds the route of a host whose prefix is the longest that matches the path. */
   findRoute(host: string, path: string): RouteDeclaration | undefined {
-    return this.routesByHost
-      .get(host)
-      ?.find(({pathPrefix}) => path.startsWith(pathPrefix));
+    return this.routesByHost.get(host)?.find(path);
   }
 
   findHolder(key: string): KeyHolder | undefined {
@@ -50,11 +77,9 @@
   }
 
   private addRoute(route: RouteDeclaration): void {
-    const routes = this.routesByHost.get(route.host) ?? [];
-    routes.push(route);
-    routes.sort((left, right) => {
-      return right.pathPrefix.length - left.pathPrefix.length;
-    });
-    this.routesByHost.set(route.host, routes);
+    const known = this.routesByHost.get(route.host);
+    const routes = known ?? new HostRoutes();
+    routes.add(route);
+    if (!known) this.routesByHost.set(route.host, routes);
   }
 }
