--- a/packages/consensus/src/lib/EntryLog.ts
+++ b/packages/consensus/src/lib/EntryLog.ts
@@ -84,6 +84,13 @@
     return entries;
   }
 
+  /** Returns the bytes of the retained entries from one index to another, both included. */
+  measure(from: number, to: number): number {
+    const first = Math.max(0, from - this.start.index - 1);
+    const retained = this.retained.slice(first, to - this.start.index);
+    return retained.reduce((sum, {bytes}) => sum + bytes, 0);
+  }
+
   /**
    * Returns the position after which at most a count and a size of entries remain up to an index.
    */
--- a/packages/consensus/src/lib/PeerReplicator.ts
+++ b/packages/consensus/src/lib/PeerReplicator.ts
@@ -13,8 +13,10 @@
 const log = createLogger('consensus');
 
 const MAX_BATCH_ENTRIES = 1_000;
-const MAX_BATCH_BYTES = 1024 * 1024;
-const CHUNK_BYTES = 256 * 1024;
+/** Maximum size of a batch of entries; a larger entry is sent alone. */
+const MAX_BATCH_BYTES = 256 * 1024;
+/** Size of the chunks of a snapshot; small, since a link that is lost loses the chunk under way. */
+const CHUNK_BYTES = 64 * 1024;
 
 /** The dependencies that the leader passes to the replicator of a peer. @internal */
 export interface ReplicatorContext {
@@ -31,8 +33,8 @@
 }
 
 /**
- * Sends entries, snapshots and heartbeats from the leader to one peer, one request at a time,
- * until stopped.
+ * Sends entries, snapshots and heartbeats from the leader to one peer until stopped. Entries and
+ * snapshots are sent one request at a time; heartbeats do not wait for a request that takes long.
  *
  * @internal
  */
@@ -46,7 +48,9 @@
   private nextIndex: number;
   private sentRound = 0;
   private isStopped = false;
+  private isSending = false;
   private readonly signal = new Signal();
+  private readonly heartbeatSignal = new Signal();
   private readonly stopSignal = new Signal();
 
   constructor(
@@ -59,10 +63,15 @@
 
   /** Replicates until stopped. */
   async run(): Promise<void> {
+    await Promise.all([this.runReplication(), this.runHeartbeats()]);
+  }
+
+  private async runReplication(): Promise<void> {
     const {heartbeatMs} = this.context.timing;
     while (!this.isStopped) {
       try {
-        await this.sendNext();
+        this.isSending = true;
+        await this.sendNext().finally(() => (this.isSending = false));
         if (!this.hasWork()) await this.signal.wait(heartbeatMs);
       } catch (error) {
         if (this.isStopped) return;
@@ -72,6 +81,21 @@
     }
   }
 
+  /** Sends heartbeats while a request of the replication is under way for longer than an interval. */
+  private async runHeartbeats(): Promise<void> {
+    const {heartbeatMs} = this.context.timing;
+    while (!this.isStopped) {
+      await this.heartbeatSignal.wait(heartbeatMs);
+      const isLate = performance.now() - this.lastAckAt > heartbeatMs;
+      if (this.isStopped || !this.isSending || !isLate) continue;
+      try {
+        await this.sendHeartbeat();
+      } catch (error) {
+        log('heartbeat_failed', {peer: this.member.id, error: String(error)});
+      }
+    }
+  }
+
   /** Wakes the replicator for new entries or a new confirmation round. */
   notify(): void {
     this.signal.notify();
@@ -81,6 +105,7 @@
   stop(): void {
     this.isStopped = true;
     this.signal.notify();
+    this.heartbeatSignal.notify();
     this.stopSignal.notify();
   }
 
@@ -92,11 +117,36 @@
   }
 
   private async sendNext(): Promise<void> {
-    const {entries} = this.context.state;
-    const isPreviousRetained =
-      entries.getTerm(this.nextIndex - 1) !== undefined;
-    if (isPreviousRetained) return this.sendEntries();
-    return this.sendSnapshot();
+    return this.isSnapshotShorter() ? this.sendSnapshot() : this.sendEntries();
+  }
+
+  /** Returns whether the peer lacks more bytes of entries than the newest snapshot has. */
+  private isSnapshotShorter(): boolean {
+    const {entries, snapshot} = this.context.state;
+    if (entries.getTerm(this.nextIndex - 1) === undefined) return true;
+    if (!snapshot || this.nextIndex > snapshot.index) return false;
+    const bytes = entries.measure(this.nextIndex, snapshot.index);
+    return bytes > snapshot.data.length;
+  }
+
+  /** Sends an append request without entries, which neither advances nor repeats the replication. */
+  private async sendHeartbeat(): Promise<void> {
+    const {state, transport, timing} = this.context;
+    const round = this.context.getRound();
+    const sentAt = performance.now();
+    const reply = await transport.call(
+      this.member.address,
+      {
+        type: 'append',
+        ...this.getHeader(),
+        previousIndex: this.matchIndex,
+        previousTerm: state.entries.getTerm(this.matchIndex) ?? 0,
+        entries: [],
+        commitIndex: state.commitIndex,
+      },
+      timing.requestTimeoutMs,
+    );
+    if (this.acceptReply(reply.term, round, sentAt)) this.context.onProgress();
   }
 
   private async sendEntries(): Promise<void> {
@@ -104,6 +154,15 @@
     const previousIndex = this.nextIndex - 1;
     const round = this.context.getRound();
     const sentAt = performance.now();
+    const entries = state.entries.listFrom(
+      this.nextIndex,
+      MAX_BATCH_ENTRIES,
+      MAX_BATCH_BYTES,
+    );
+    const bytes = state.entries.measure(
+      this.nextIndex,
+      previousIndex + entries.length,
+    );
     const reply = await transport.call(
       this.member.address,
       {
@@ -111,14 +170,10 @@
         ...this.getHeader(),
         previousIndex,
         previousTerm: state.entries.getTerm(previousIndex) ?? 0,
-        entries: state.entries.listFrom(
-          this.nextIndex,
-          MAX_BATCH_ENTRIES,
-          MAX_BATCH_BYTES,
-        ),
+        entries,
         commitIndex: state.commitIndex,
       },
-      timing.requestTimeoutMs,
+      timing.requestTimeoutMs + computeTransferMs(bytes, timing),
     );
     if (!this.acceptReply(reply.term, round, sentAt)) return;
     this.applyAppendReply(reply, previousIndex);
@@ -206,3 +261,11 @@
     return true;
   }
 }
+
+/** Computes the time allowed for the transfer of some bytes beyond that of a small request. */
+function computeTransferMs(
+  bytes: number,
+  {chunkTimeoutMs}: RaftTiming,
+): number {
+  return chunkTimeoutMs * Math.floor(bytes / CHUNK_BYTES);
+}
--- a/packages/consensus/src/lib/WireTransport.ts
+++ b/packages/consensus/src/lib/WireTransport.ts
@@ -14,19 +14,24 @@
 const IDENTIFY_TIMEOUT_MS = 1_000;
 
 /**
- * Sends consensus requests to other members over peer links.
+ * Sends consensus requests to other members over peer links. Requests that carry entries or snapshots
+ * have links of their own, so that none of the others waits behind them.
  *
  * @public
  */
 export class WireTransport implements ConsensusTransport {
-  constructor(private readonly links: LinkPool) {}
+  constructor(
+    private readonly links: LinkPool,
+    private readonly bulkLinks = links,
+  ) {}
 
   call<Request extends ConsensusRequest>(
     address: string,
     request: Request,
     timeoutMs: number,
   ): Promise<ReplyTo<Request>> {
-    return this.links.request(address, REQUEST_METHOD, request, timeoutMs);
+    const links = isBulk(request) ? this.bulkLinks : this.links;
+    return links.request(address, REQUEST_METHOD, request, timeoutMs);
   }
 
   readIdentity(address: string, shard: number): Promise<MemberIdentity> {
@@ -40,6 +45,11 @@
   }
 }
 
+function isBulk(request: ConsensusRequest): boolean {
+  if (request.type === 'append') return request.entries.length > 0;
+  return request.type === 'snapshot';
+}
+
 /**
  * Creates the methods that an instance serves to the other members of its shards. `listNodes` is
  * called for each message, since a node may be replaced while the process runs.
--- a/packages/consensus/src/test/retainedEntries.test.ts
+++ b/packages/consensus/src/test/retainedEntries.test.ts
@@ -1,9 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import type {JsonValue} from '@sycamorehead/schema';
-import type {StateMachine} from '../lib/ReplicatedLog.js';
 import {LogStorage} from '../lib/storage/LogStorage.js';
 import {FakeDisk, FakeGroup} from '../testing/index.js';
+import {LastCommandMachine} from './LastCommandMachine.js';
 import {runPaused} from './runPaused.js';
 
 const NAMES = ['c1', 'c2', 'c3'];
@@ -14,24 +13,6 @@
 /** The entries that a snapshot covers, those since, and those that arrive while it is written. */
 const MAX_RETAINED_BYTES = 2 * (TRAILING_BYTES + SNAPSHOT_BYTES);
 
-/** A state machine whose state is the last command, like that of a configuration. */
-class LastCommandMachine implements StateMachine {
-  last: JsonValue = '';
-
-  apply(command: JsonValue): JsonValue {
-    this.last = command;
-    return null;
-  }
-
-  takeSnapshot(): JsonValue {
-    return this.last;
-  }
-
-  restoreSnapshot(snapshot: JsonValue): void {
-    this.last = snapshot;
-  }
-}
-
 async function measureDisk(disk: FakeDisk): Promise<number> {
   let bytes = 0;
   for (const name of await disk.list()) bytes += (await disk.read(name)).length;
--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -81,6 +81,7 @@
   readonly metrics = new FleetMetrics(() => this.readGauges());
   private readonly links: LinkPool;
   private readonly consensusLinks: LinkPool;
+  private readonly bulkLinks: LinkPool;
   private readonly logMember: LogMember;
   private readonly peers: ControlPeers;
   private readonly registry: ServerRegistry;
@@ -107,6 +108,7 @@
     this.links = new LinkPool(poolOptions);
     // A separate pool, so that transferring a large configuration does not delay heartbeats.
     this.consensusLinks = new LinkPool(poolOptions);
+    this.bulkLinks = new LinkPool(poolOptions);
     this.registry = new ServerRegistry(options.registry);
     this.feeds = new EntryFeeds({
       listServers: () => this.registry.list(),
@@ -129,7 +131,7 @@
     this.logMember = new LogMember({
       instance,
       folder: `${options.dataFolder}/log`,
-      transport: new WireTransport(this.consensusLinks),
+      transport: new WireTransport(this.consensusLinks, this.bulkLinks),
       timing: FLEET_RAFT_TIMING,
       onChange: () => this.feeds.markStateChanged(),
       onLeading: () => this.handleLeading(),
@@ -244,6 +246,7 @@
     await this.logMember.stop();
     this.links.stop();
     this.consensusLinks.stop();
+    this.bulkLinks.stop();
     await this.wireServer.stop();
   }
 
--- a/packages/fleet/src/lib/LogMember.ts
+++ b/packages/fleet/src/lib/LogMember.ts
@@ -19,6 +19,11 @@
 const REOPEN_PAUSE_MS = 500;
 /** Suffix of the member ids of the first group; later members have a random suffix. */
 const FIRST_MEMBER_SUFFIX = 'first';
+/**
+ * Bytes of log after which a snapshot is taken, unless the state is larger. Most of the log consists of
+ * configurations, each of which replaces the one before, so that a snapshot is soon shorter than the log.
+ */
+const SNAPSHOT_BYTES = 512 * 1024;
 /** The fleet's log has one shard. */
 const SHARD = 0;
 
@@ -152,6 +157,7 @@
       disk,
       transport,
       timing,
+      snapshotBytes: SNAPSHOT_BYTES,
       onFailure: error => this.handleFailure(node, error),
     });
     node.addLeaderListener(this.options.onLeading);
--- a/packages/wire/src/lib/MessageChannel.ts
+++ b/packages/wire/src/lib/MessageChannel.ts
@@ -16,8 +16,15 @@
  * @public
  */
 export interface MessageChannel {
-  /** Starts the delivery of messages. Must not be called again. */
-  open(onMessage: (message: unknown) => void, onClose: () => void): void;
+  /**
+   * Starts the delivery of messages. Must not be called again. `onBytes` is called with the number of bytes
+   * whenever some have arrived, also those of a message that is not complete yet.
+   */
+  open(
+    onMessage: (message: unknown) => void,
+    onClose: () => void,
+    onBytes: (count: number) => void,
+  ): void;
   send(message: unknown): void;
   close(): void;
 }
@@ -35,8 +42,9 @@
   const decoder = new FrameDecoder();
   socket.setNoDelay(true);
   return {
-    open(onMessage, onClose) {
+    open(onMessage, onClose, onBytes) {
       socket.on('data', chunk => {
+        onBytes(chunk.length);
         try {
           for (const message of decoder.push(chunk)) onMessage(message);
         } catch (error) {
--- a/packages/wire/src/lib/PeerLink.ts
+++ b/packages/wire/src/lib/PeerLink.ts
@@ -16,6 +16,11 @@
 
 const log = createLogger('wire');
 
+/**
+ * Bytes of a message that count as a sign of life before it is complete. A large message may take longer
+ * than a link may be silent; a peer that sends single bytes must not keep a link open.
+ */
+const PROGRESS_BYTES = 4 * 1024;
 /** JSON-RPC code of application errors. The error data is an ErrorBody. */
 const APPLICATION_ERROR = -32000;
 /** The library's code for requests that were pending when the link closed. */
@@ -47,7 +52,7 @@
 
 /**
  * A bidirectional JSON-RPC link to a peer over one channel, with heartbeats. A link that receives
- * nothing for `silenceTimeoutMs` closes itself and fails its pending requests.
+ * neither a message nor much of one for `silenceTimeoutMs` closes itself and fails its pending requests.
  *
  * @public
  */
@@ -60,6 +65,7 @@
   private readonly closeListeners: Array<() => void> = [];
   private readonly heartbeat: NodeJS.Timeout;
   private lastReceivedAt = performance.now();
+  private bytesSinceProgress = 0;
   private closed = false;
   private serving = 0;
 
@@ -76,6 +82,7 @@
     channel.open(
       message => this.receive(message),
       () => this.close('closed by the other end'),
+      bytes => this.recordBytes(bytes),
     );
     this.heartbeat = setInterval(
       () => this.sendHeartbeat(),
@@ -167,9 +174,19 @@
     this.notify(HEARTBEAT_METHOD, {});
   }
 
+  private recordBytes(bytes: number): void {
+    this.bytesSinceProgress += bytes;
+    if (this.bytesSinceProgress >= PROGRESS_BYTES) this.recordProgress();
+  }
+
+  private recordProgress(): void {
+    this.bytesSinceProgress = 0;
+    this.lastReceivedAt = performance.now();
+  }
+
   private receive(message: unknown): void {
     if (this.closed) return;
-    this.lastReceivedAt = performance.now();
+    this.recordProgress();
     // The library's type guards throw on null, and the protocol has no batches.
     if (!isPlainObject(message)) {
       this.close('frame is not a JSON object');
--- a/packages/wire/src/test/PeerLink.test.ts
+++ b/packages/wire/src/test/PeerLink.test.ts
@@ -56,6 +56,34 @@
   }
 });
 
+// Guards against a large message that is begun anew again and again on a slow link.
+test('a link stays open while much of a large message arrives, and closes once nothing does', async () => {
+  const clock = FakeTimers.install();
+  try {
+    let receiveBytes: (count: number) => void = () => {};
+    const slow: MessageChannel = {
+      open: (onMessage, onClose, onBytes) => {
+        receiveBytes = onBytes;
+      },
+      send() {},
+      close() {},
+    };
+    const link = new PeerLink(slow, {});
+    for (let part = 0; part < 10; part++) {
+      await clock.tickAsync(1_500);
+      receiveBytes(10_000);
+    }
+    assert.equal(link.isClosed, false);
+    for (let part = 0; part < 10; part++) {
+      await clock.tickAsync(300);
+      receiveBytes(1);
+    }
+    assert.equal(link.isClosed, true);
+  } finally {
+    clock.uninstall();
+  }
+});
+
 test('a stopping server finishes the request that it serves', async () => {
   let finish = () => {};
   const served = new Promise<void>(resolve => {
