--- a/packages/consensus/src/lib/Leadership.ts
+++ b/packages/consensus/src/lib/Leadership.ts
@@ -81,8 +81,13 @@
     if (this.isEnded || this.isTransferring) {
       throw new SycamoreheadError('not_leader', 'leadership is ending');
     }
-    if (this.pending.size >= MAX_PENDING) {
-      throw new SycamoreheadError('overloaded', 'too many open proposals');
+    const isFull =
+      this.pending.size >= MAX_PENDING ||
+      (payload.type === 'command' && this.context.state.isFull);
+    if (isFull) {
+      throw new SycamoreheadError('overloaded', 'too many open proposals', {
+        ran: 'no',
+      });
     }
     const index = this.append(payload);
     return new Promise((resolve, reject) => {
--- a/packages/consensus/src/lib/RaftState.ts
+++ b/packages/consensus/src/lib/RaftState.ts
@@ -18,6 +18,11 @@
  */
 const TRAILING_BYTES = 1024 * 1024;
 
+/** Bytes of entries in memory below which a log is never full. */
+const MIN_CAPACITY_BYTES = 16 * 1024 * 1024;
+/** Bytes of entries in memory at which a log is full, in terms of those after which a snapshot is taken. */
+const CAPACITY_FACTOR = 4;
+
 /** Options of a RaftState. @internal */
 export interface RaftStateOptions {
   readonly id: string;
@@ -64,6 +69,15 @@
     return this.vote.term;
   }
 
+  /**
+   * Whether more entries would take too much memory. Commands may arrive faster than they are committed
+   * and snapshots are written.
+   */
+  get isFull(): boolean {
+    const capacity = CAPACITY_FACTOR * this.compactionBytes;
+    return this.entries.bytes >= Math.max(MIN_CAPACITY_BYTES, capacity);
+  }
+
   /** Loads the vote, the snapshot and the log from the disk. */
   async load(): Promise<void> {
     const {vote, snapshot, base, entries} = await this.storage.load();
@@ -144,12 +158,15 @@
     this.onApplied?.(entry, result);
   }
 
+  /** Bytes of log after which a snapshot is taken. */
+  private get compactionBytes(): number {
+    const snapshotBytes = this.snapshot?.data.length ?? 0;
+    return Math.max(this.options.snapshotBytes, snapshotBytes);
+  }
+
   private compactIfLarge(): void {
-    const limit = Math.max(
-      this.options.snapshotBytes,
-      this.snapshot?.data.length ?? 0,
-    );
-    if (this.isCompacting || this.storage.bytesSinceSnapshot < limit) return;
+    const isLarge = this.storage.bytesSinceSnapshot >= this.compactionBytes;
+    if (this.isCompacting || !isLarge) return;
     this.isCompacting = true;
     this.compact().then(
       () => (this.isCompacting = false),
--- a/packages/consensus/src/test/retainedEntries.test.ts
+++ b/packages/consensus/src/test/retainedEntries.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import type {SycamoreheadError} from '@sycamorehead/schema';
 import {LogStorage} from '../lib/storage/LogStorage.js';
 import {FakeDisk, FakeGroup} from '../testing/index.js';
 import {LastCommandMachine} from './LastCommandMachine.js';
@@ -10,6 +11,8 @@
 const DOCUMENT = 'x'.repeat(DOCUMENT_BYTES);
 const SNAPSHOT_BYTES = 4 * DOCUMENT_BYTES;
 const TRAILING_BYTES = 2 * DOCUMENT_BYTES;
+/** What a leader holds before it refuses commands, and one more of them. */
+const MAX_CAPACITY_BYTES = 18 * 1024 * 1024;
 /** The entries that a snapshot covers, those since, and those that arrive while it is written. */
 const MAX_RETAINED_BYTES = 2 * (TRAILING_BYTES + SNAPSHOT_BYTES);
 
@@ -48,6 +51,33 @@
     group.stop();
   }));
 
+// Guards against a leader that runs out of memory because commands arrive faster than they are committed.
+test('a leader whose commands are not committed refuses more of them than it can hold', () =>
+  runPaused(44, async (clock, random) => {
+    const group = new FakeGroup({
+      clock,
+      random,
+      createMachine: () => new LastCommandMachine(),
+      node: {snapshotBytes: SNAPSHOT_BYTES, trailingBytes: TRAILING_BYTES},
+    });
+    await group.createGroup(NAMES);
+    const {node} = await group.waitForLeader();
+    const large = 'x'.repeat(1024 * 1024);
+    const outcomes = Array.from({length: 40}, () =>
+      node!.propose(large).then(
+        () => 'committed',
+        (error: SycamoreheadError) => error.kind,
+      ),
+    );
+    const retained = node!.getStatus().retainedBytes ?? Infinity;
+    await clock.advance(60_000);
+    const kinds = await Promise.all(outcomes);
+    assert.deepEqual([...new Set(kinds)].sort(), ['committed', 'overloaded']);
+    await clock.settle(node!.propose('last'));
+    group.stop();
+    assert.ok(retained <= MAX_CAPACITY_BYTES, `${retained} bytes`);
+  }));
+
 // Guards against a member that ends again whenever it loads the log of an earlier build.
 test('entries that a snapshot covers are not loaded, although their files remain', async () => {
   const disk = new FakeDisk();
--- a/packages/fleet/src/lib/FleetCommands.ts
+++ b/packages/fleet/src/lib/FleetCommands.ts
@@ -50,6 +50,11 @@
   readonly rollout?: ServiceRollout;
 }
 
+interface PendingConfiguration {
+  readonly version: number;
+  readonly committed: Promise<boolean>;
+}
+
 interface CommitReply {
   readonly commitIndex: number;
 }
@@ -61,6 +66,9 @@
  * @public
  */
 export class FleetCommands {
+  /** The newest configuration that is proposed and not committed yet. */
+  private pending: PendingConfiguration | undefined;
+
   constructor(private readonly options: FleetCommandsOptions) {}
 
   // Commands.
@@ -167,13 +175,33 @@
       await logMember.requireNode().confirmLeadership();
       return {};
     }
-    const isChanged = await logMember.propose({
+    const {pending} = this;
+    if (pending && version <= pending.version) {
+      // Resent orders must not fill the log with copies while its commits take long.
+      await pending.committed;
+      return {};
+    }
+    const isChanged = await this.proposeConfiguration(version, document);
+    writeDecision('configuration_committed', {version, changed: isChanged});
+    return {};
+  }
+
+  private async proposeConfiguration(
+    version: number,
+    document: JsonValue,
+  ): Promise<boolean> {
+    const committed = this.options.logMember.propose({
       type: 'put_configuration',
       version,
       document,
     });
-    writeDecision('configuration_committed', {version, changed: isChanged});
-    return {};
+    const pending = {version, committed};
+    this.pending = pending;
+    try {
+      return await committed;
+    } finally {
+      if (this.pending === pending) this.pending = undefined;
+    }
   }
 
   private async commitRollout(
