--- a/packages/consensus/src/lib/RaftState.ts
+++ b/packages/consensus/src/lib/RaftState.ts
@@ -164,12 +164,29 @@
     return Math.max(this.options.snapshotBytes, snapshotBytes);
   }
 
+  private get trailingBytes(): number {
+    return this.options.trailingBytes ?? TRAILING_BYTES;
+  }
+
+  private get isLarge(): boolean {
+    const {compactionBytes, trailingBytes} = this;
+    return (
+      this.storage.bytesSinceSnapshot >= compactionBytes ||
+      // Entries that were written while the last snapshot was.
+      this.entries.bytes >= trailingBytes + compactionBytes
+    );
+  }
+
   private compactIfLarge(): void {
-    const isLarge = this.storage.bytesSinceSnapshot >= this.compactionBytes;
-    if (this.isCompacting || !isLarge) return;
+    const isCovered = this.commitIndex === this.snapshot?.index;
+    if (this.isCompacting || isCovered || !this.isLarge) return;
     this.isCompacting = true;
     this.compact().then(
-      () => (this.isCompacting = false),
+      () => {
+        this.isCompacting = false;
+        // Nothing more may be committed before what was committed meanwhile is compacted.
+        this.compactIfLarge();
+      },
       (error: unknown) => this.fail(error),
     );
   }
@@ -188,7 +205,7 @@
     const retainAfter = this.entries.findTrailingStart(
       index,
       this.options.trailingEntries ?? TRAILING_ENTRIES,
-      this.options.trailingBytes ?? TRAILING_BYTES,
+      this.trailingBytes,
     );
     await this.storage.saveSnapshot(snapshot, retainAfter, false);
     if (index <= (this.snapshot?.index ?? 0)) return;
--- a/packages/consensus/src/test/retainedEntries.test.ts
+++ b/packages/consensus/src/test/retainedEntries.test.ts
@@ -78,6 +78,35 @@
     assert.ok(retained <= MAX_CAPACITY_BYTES, `${retained} bytes`);
   }));
 
+// Guards against a leader that stays full, since nothing was committed after the snapshot that it was writing.
+test('a leader that became full while it wrote a snapshot accepts commands again', () =>
+  runPaused(45, async (clock, random) => {
+    const group = new FakeGroup({
+      clock,
+      random,
+      createMachine: () => new LastCommandMachine(),
+      node: {snapshotBytes: SNAPSHOT_BYTES, trailingBytes: TRAILING_BYTES},
+      syncMs: 40,
+    });
+    await group.createGroup(NAMES);
+    const {node} = await group.waitForLeader();
+    const large = 'x'.repeat(1024 * 1024);
+    await clock.settle(node!.propose(large));
+    const outcomes = Array.from({length: 20}, () =>
+      node!.propose(large).catch(() => {}),
+    );
+    await clock.settle(Promise.all(outcomes));
+    await clock.advance(60_000);
+    const last = node!.propose('last').then(
+      () => 'committed',
+      (error: SycamoreheadError) => error.kind,
+    );
+    assert.equal(await clock.settle(last), 'committed');
+    const retained = node!.getStatus().retainedBytes ?? Infinity;
+    group.stop();
+    assert.ok(retained <= MAX_RETAINED_BYTES, `${retained} bytes`);
+  }));
+
 // Guards against a member that ends again whenever it loads the log of an earlier build.
 test('entries that a snapshot covers are not loaded, although their files remain', async () => {
   const disk = new FakeDisk();
