--- a/packages/consensus/src/test/largeTransfers.test.ts
+++ b/packages/consensus/src/test/largeTransfers.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import type {ConsensusRequest} from '../lib/consensusMessages.js';
-import {FakeGroup} from '../testing/index.js';
-import {LastCommandMachine} from './LastCommandMachine.js';
-import {runPaused} from './runPaused.js';
+import type {FakeGroup} from '../testing/index.js';
+import type {LastCommandMachine} from './LastCommandMachine.js';
+import {createLastCommandGroup, runPaused} from './runPaused.js';
 
 const NAMES = ['c1', 'c2', 'c3'];
 const DOCUMENT_BYTES = 50_000;
@@ -37,11 +37,8 @@
 // Guards against a new member that is not ready in time, since it was sent every earlier document.
 test('a new member is sent the snapshot in place of a log that is longer', () =>
   runPaused(42, async (clock, random) => {
-    const group = new FakeGroup({
-      clock,
-      random,
-      createMachine: () => new LastCommandMachine(),
-      node: {snapshotBytes: SNAPSHOT_BYTES},
+    const group = createLastCommandGroup(clock, random, {
+      snapshotBytes: SNAPSHOT_BYTES,
     });
     await group.createGroup(NAMES);
     for (let count = 1; count <= 20; count++) {
@@ -62,11 +59,7 @@
 // Guards against a leader that is deposed, or never commits, while large entries are under way.
 test('an entry that takes long on its way is committed, and the leader confirms reads meanwhile', () =>
   runPaused(43, async (clock, random) => {
-    const group = new FakeGroup({
-      clock,
-      random,
-      createMachine: () => new LastCommandMachine(),
-    });
+    const group = createLastCommandGroup(clock, random);
     await group.createGroup(NAMES);
     const leader = await group.waitForLeader();
     const {term} = leader.node!.getStatus();
--- a/packages/consensus/src/test/retainedEntries.test.ts
+++ b/packages/consensus/src/test/retainedEntries.test.ts
@@ -2,9 +2,8 @@
 import {test} from 'node:test';
 import type {SycamoreheadError} from '@sycamorehead/schema';
 import {LogStorage} from '../lib/storage/LogStorage.js';
-import {FakeDisk, FakeGroup} from '../testing/index.js';
-import {LastCommandMachine} from './LastCommandMachine.js';
-import {runPaused} from './runPaused.js';
+import {FakeDisk} from '../testing/index.js';
+import {createLastCommandGroup, runPaused} from './runPaused.js';
 
 const NAMES = ['c1', 'c2', 'c3'];
 const DOCUMENT_BYTES = 50_000;
@@ -25,11 +24,9 @@
 // Guards against control processes that run out of memory after some hundred large configurations.
 test('memory and disk space of the log do not grow with the number of large commands', () =>
   runPaused(41, async (clock, random) => {
-    const group = new FakeGroup({
-      clock,
-      random,
-      createMachine: () => new LastCommandMachine(),
-      node: {snapshotBytes: SNAPSHOT_BYTES, trailingBytes: TRAILING_BYTES},
+    const group = createLastCommandGroup(clock, random, {
+      snapshotBytes: SNAPSHOT_BYTES,
+      trailingBytes: TRAILING_BYTES,
     });
     await group.createGroup(NAMES);
     for (let count = 1; count <= 150; count++) {
@@ -54,11 +51,9 @@
 // Guards against a leader that runs out of memory because commands arrive faster than they are committed.
 test('a leader whose commands are not committed refuses more of them than it can hold', () =>
   runPaused(44, async (clock, random) => {
-    const group = new FakeGroup({
-      clock,
-      random,
-      createMachine: () => new LastCommandMachine(),
-      node: {snapshotBytes: SNAPSHOT_BYTES, trailingBytes: TRAILING_BYTES},
+    const group = createLastCommandGroup(clock, random, {
+      snapshotBytes: SNAPSHOT_BYTES,
+      trailingBytes: TRAILING_BYTES,
     });
     await group.createGroup(NAMES);
     const {node} = await group.waitForLeader();
@@ -81,13 +76,12 @@
 // Guards against a leader that stays full, since nothing was committed after the snapshot that it was writing.
 test('a leader that became full while it wrote a snapshot accepts commands again', () =>
   runPaused(45, async (clock, random) => {
-    const group = new FakeGroup({
+    const group = createLastCommandGroup(
       clock,
       random,
-      createMachine: () => new LastCommandMachine(),
-      node: {snapshotBytes: SNAPSHOT_BYTES, trailingBytes: TRAILING_BYTES},
-      syncMs: 40,
-    });
+      {snapshotBytes: SNAPSHOT_BYTES, trailingBytes: TRAILING_BYTES},
+      40,
+    );
     await group.createGroup(NAMES);
     const {node} = await group.waitForLeader();
     const large = 'x'.repeat(1024 * 1024);
--- a/packages/consensus/src/test/runPaused.ts
+++ b/packages/consensus/src/test/runPaused.ts
@@ -1,6 +1,7 @@
 import {unsafeUniformIntDistribution, xoroshiro128plus} from 'pure-rand';
 import type {RaftNodeOptions} from '../lib/RaftNode.js';
 import {FakeGroup, PausedClock, RecordingMachine} from '../testing/index.js';
+import {LastCommandMachine} from './LastCommandMachine.js';
 
 const RANGE = 0x7fffffff;
 
@@ -40,3 +41,14 @@
   const createMachine = () => new RecordingMachine();
   return new FakeGroup({clock, random, createMachine, node, syncMs});
 }
+
+/** Creates a group whose state is its last command. @internal */
+export function createLastCommandGroup(
+  clock: PausedClock,
+  random: () => number,
+  node: Partial<RaftNodeOptions> = {},
+  syncMs = 0,
+): FakeGroup<LastCommandMachine> {
+  const createMachine = () => new LastCommandMachine();
+  return new FakeGroup({clock, random, createMachine, node, syncMs});
+}
