--- a/packages/gateway/src/lib/SendRecord.ts
+++ b/packages/gateway/src/lib/SendRecord.ts
@@ -2,6 +2,7 @@
 import {buildWorkKind} from './AnswerTimes.js';
 import type {CrashGuard} from './CrashGuard.js';
 import type {TrackedSend} from './CrashObserver.js';
+import {describeHead} from './describeHead.js';
 import type {ForwardContext} from './gatewayTypes.js';
 import type {SlotReservation} from './Placement.js';
 import type {RequestTarget} from './resolveTarget.js';
@@ -145,7 +146,10 @@
     const atMs = Math.round(performance.now() - request.arrivedAt);
     const limit = this.limit === undefined ? '' : `^${this.limit}`;
     const place = usage ? `#${usage.connection}.${usage.use}` : '';
-    return `${id}:${describeOutcome(outcome)}@${atMs}~${Math.round(estimatedMs)}+${load}${place}=${version}${limit}`;
+    const isStream =
+      outcome.type === 'answered' && this.target.route.kind === 'streaming';
+    const head = isStream ? ` (${describeHead(outcome.answer.message)})` : '';
+    return `${id}:${describeOutcome(outcome)}${head}@${atMs}~${Math.round(estimatedMs)}+${load}${place}=${version}${limit}`;
   }
 
   /** Whether the answer has not gone on for long enough to show that the request is sound. */
