Streams: an event has only its fields, in lines that every parser reads alike

The event-stream format ends lines at CR, LF and CRLF; the check knew LF and CRLF, so an event with two lone carriage returns was one event for us and two for a caller that follows the format. And a line with any field name passed. Now an event has data, event, id and retry, and in front the version of the weights as a number; a lone carriage return ends the stream.

--- a/packages/gateway/src/lib/EventSequence.ts
+++ b/packages/gateway/src/lib/EventSequence.ts
@@ -1,8 +1,12 @@
 import {isUtf8} from 'node:buffer';
 import type {CompleteEvents} from './EventSplitter.js';
 
-/** A field: a name, then a colon and a value, or one of the names that may stand alone. */
-const FIELD = /^(?:[\w.-]+:|(?:data|event|id|retry)$)/;
+/** A field that an event may have, with a colon and a value or alone. */
+const FIELD = /^(?:data|event|id|retry)(?::|$)/;
+/** The value of the field that names the version of a model's weights. */
+const VERSION_VALUE = /^: ?\d+$/;
+/** Ends a line for some parsers of event streams. */
+const LONE_CARRIAGE_RETURN = /\r(?!\n)/;
 const ID_FIELD = /^id:? ?(.*)$/;
 /** Ids stay exact as numbers up to this number of digits. */
 const ID_VALUE = /^\d{1,15}$/;
@@ -25,15 +29,18 @@
  * @internal
  */
 export class EventSequence {
-  /** Expects the id above which the first event must be. */
-  constructor(private lastId: number) {}
+  /** Expects the id above which the first event must be, and the name of the field for a version. */
+  constructor(
+    private lastId: number,
+    private readonly versionField: string,
+  ) {}
 
   /**
    * Checks the next events, in the order in which they arrived.
    *
    * @example
    * ```ts
-   * const {bytes, violation} = new EventSequence(-1).check(events);
+   * const {bytes, violation} = new EventSequence(-1, 'x-weight-version').check(events);
    * ```
    */
   check({bytes, ends}: CompleteEvents): CheckedEvents {
@@ -44,9 +51,10 @@
     for (const end of ends) {
       const event = bytes.subarray(start, end);
       start = end;
-      const lines = listLines(event);
+      const text = event.toString('latin1');
+      const lines = listLines(text);
       if (lines.length === 0) continue;
-      violation = this.checkEvent(event, lines);
+      violation = this.checkEvent(event, text, lines);
       if (violation !== undefined) break;
       accepted.push(event);
     }
@@ -60,11 +68,17 @@
   /** Checks one event and returns what is wrong with it, if anything. */
   private checkEvent(
     event: Buffer,
+    text: string,
     lines: readonly string[],
   ): string | undefined {
     const position = `the event behind ${this.lastId}`;
     if (!isUtf8(event)) return `${position} is not UTF-8`;
-    if (!lines.every(line => FIELD.test(line))) {
+    if (LONE_CARRIAGE_RETURN.test(text)) {
+      return `${position} has a line that ends with a lone carriage return`;
+    }
+    const [first = '', ...others] = lines;
+    const fields = this.isVersion(first) ? others : lines;
+    if (!fields.every(line => FIELD.test(line))) {
       return `${position} has a line that is no field`;
     }
     const ids = lines.flatMap(line => ID_FIELD.exec(line)?.[1] ?? []);
@@ -77,12 +91,19 @@
     this.lastId = Number(id);
     return undefined;
   }
+
+  private isVersion(line: string): boolean {
+    const {versionField} = this;
+    return (
+      line.startsWith(`${versionField}:`) &&
+      VERSION_VALUE.test(line.slice(versionField.length))
+    );
+  }
 }
 
 /** Lists the lines of an event, without comments. */
-function listLines(event: Buffer): string[] {
-  return event
-    .toString('latin1')
+function listLines(text: string): string[] {
+  return text
     .split('\n')
     .map(line => (line.endsWith('\r') ? line.slice(0, -1) : line))
     .filter(line => line !== '' && !line.startsWith(COMMENT));
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -7,8 +7,8 @@
 import {buildServerHeaders} from './buildServerHeaders.js';
 import type {CallerAnswer} from './CallerAnswer.js';
 import type {CallerRequest} from './CallerRequest.js';
-import {computeEventIdsAbove} from './computeEventIdsAbove.js';
 import {CrashGuard} from './CrashGuard.js';
+import {createEventSequence} from './createEventSequence.js';
 import {DeliveryResult, deliverAnswer} from './deliverAnswer.js';
 import type {ForwardContext} from './gatewayTypes.js';
 import {ModelCascade} from './ModelCascade.js';
@@ -343,7 +343,7 @@
     serverAnswer: ServerAnswer,
     send: SendRecord,
   ): Promise<DeliveryResult> {
-    const {servers} = this.context;
+    const {servers, names} = this.context;
     const {target, reservation} = send;
     const {server} = reservation;
     let lastBytesAt = performance.now();
@@ -352,7 +352,7 @@
       answer: this.answer,
       method: this.request.method,
       lastEventId: this.lastEventId,
-      eventIdsAbove: computeEventIdsAbove(target.route, this.lastEventId),
+      sequence: createEventSequence(target.route, names, this.lastEventId),
       stallTimeouts: this.computeStallTimeouts(target),
       isServerActive: () =>
         Math.max(server.lastReceivedAt, server.othersReceivedAt) >
--- a/packages/gateway/src/lib/defaultHeaders.ts
+++ b/packages/gateway/src/lib/defaultHeaders.ts
@@ -19,5 +19,6 @@
   lastEventId: 'last-event-id',
   priority: 'syc-priority',
   confidence: 'syc-confidence',
+  weightVersion: 'syc-weight-version',
   routerOwned: ['syc-customer', 'syc-expect-server', 'syc-priority'],
 };
--- a/packages/gateway/src/lib/deliverAnswer.ts
+++ b/packages/gateway/src/lib/deliverAnswer.ts
@@ -1,7 +1,7 @@
 import type {IncomingMessage} from 'node:http';
 import type {SilenceTimeouts} from '@sycamorehead/routing';
 import type {CallerAnswer} from './CallerAnswer.js';
-import {EventSequence} from './EventSequence.js';
+import type {EventSequence} from './EventSequence.js';
 import {EventSplitter} from './EventSplitter.js';
 import {copyEndToEndHeaders} from './headerNames.js';
 import {ReadLimit} from './ReadLimit.js';
@@ -25,8 +25,8 @@
   readonly method: string;
   /** The event after which the stream continues. */
   readonly lastEventId: string | undefined;
-  /** The id above which the events of a stream must be; undefined if they need no ids. */
-  readonly eventIdsAbove: number | undefined;
+  /** The sequence that the events of a stream must continue; undefined if the route does not stream. */
+  readonly sequence: EventSequence | undefined;
   /** How long the server may stay silent before the next chunk. */
   readonly stallTimeouts: SilenceTimeouts;
   /** Returns whether anything was recently received from the server, on any connection. */
@@ -127,9 +127,7 @@
   const {serverAnswer, answer} = delivery;
   const {message, status} = serverAnswer;
   const splitter = new EventSplitter();
-  const {eventIdsAbove} = delivery;
-  const sequence =
-    eventIdsAbove === undefined ? undefined : new EventSequence(eventIdsAbove);
+  const {sequence} = delivery;
   let {lastEventId} = delivery;
   let isFirst = true;
   try {
--- a/packages/gateway/src/lib/headerNames.ts
+++ b/packages/gateway/src/lib/headerNames.ts
@@ -29,6 +29,8 @@
   readonly priority: string;
   /** The confidence of a model in its answer, 0 to 100. */
   readonly confidence: string;
+  /** The version of a model's weights; also the name of a field of events, as their first line. */
+  readonly weightVersion: string;
   /** Headers that only the router may set; removed from callers' requests. */
   readonly routerOwned: readonly string[];
 }
--- a/packages/gateway/src/test/FakeServer.ts
+++ b/packages/gateway/src/test/FakeServer.ts
@@ -152,12 +152,14 @@
   ]);
 }
 
-function formatHead(
+/** Formats the head of a valid answer, signed and with the id of its request. */
+export function formatHead(
   {headers}: ReceivedRequest,
   fields: readonly string[],
+  status = '200 OK',
 ): string {
   return [
-    'HTTP/1.1 200 OK',
+    `HTTP/1.1 ${status}`,
     `X-Request-Id: ${headers.get('x-request-id')}`,
     'X-Signature: signed',
     ...fields,
--- a/packages/gateway/src/test/GatewayHarness.ts
+++ b/packages/gateway/src/test/GatewayHarness.ts
@@ -45,6 +45,7 @@
   lastEventId: 'last-event-id',
   priority: 'x-priority',
   confidence: 'x-confidence',
+  weightVersion: 'x-weight-versions',
   routerOwned: ['x-customer', 'x-expect-server', 'x-priority'],
 };
 
--- a/packages/gateway/src/test/garbledStreams.test.ts
+++ b/packages/gateway/src/test/garbledStreams.test.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 import {afterEach, test} from 'node:test';
 import {
-  FakeServer,
   LAST_CHUNK,
   ReceivedRequest,
   ServerScript,
@@ -9,12 +8,17 @@
   formatEvent,
   formatStreamHead,
 } from './FakeServer.js';
+import {
+  EVENT_COUNT,
+  listEvents,
+  readWhole,
+  startGarbled,
+} from './garbledStreams.js';
 import {formatRequest} from './GatewayHarness.js';
 import {startGateway, startServer, stopStarted} from './startGateway.js';
 
 afterEach(stopStarted);
 
-const EVENT_COUNT = 4;
 const DATA = 'data: spoiled\n\n';
 
 /** Bytes that no event of a stream consists of; each ends with an empty line, like an event. */
@@ -28,6 +32,13 @@
   'a line that is no field': `id: 9\n#@!\n${DATA}`,
   'a line with bytes before its field': `id: 9\n\u0001\u0002${DATA}`,
   'bytes that are no UTF-8': 'id: 9\ndata: \u00ff\u00fe\n\n',
+  'a field of another name': `id: 9\nspoiled: x\n${DATA}`,
+  'a field before the first one': `x-spoiled: 7\nid: 9\n${DATA}`,
+  'a version that is no number': `x-weight-versions: x\nid: 9\n${DATA}`,
+  'a version behind the id': `id: 9\nx-weight-versions: 7\n${DATA}`,
+  'lone carriage returns in an event': 'id: 9\ndata: a\r\rdata: spoiled\n\n',
+  'a lone carriage return at its end': 'id: 9\ndata: spoiled\r\r\n\n',
+  'a byte order mark': `\u00ef\u00bb\u00bfid: 9\n${DATA}`,
   'a head': 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n',
   'random bytes': '\u008f\u0003}\u00c4\u007f\n\n',
 };
@@ -49,11 +60,6 @@
 
 type Framing = (typeof FRAMINGS)[keyof typeof FRAMINGS];
 
-function listEvents(from: number): string[] {
-  const ids = Array.from({length: EVENT_COUNT}, (_, index) => index + 1);
-  return ids.filter(id => id >= from).map(formatEvent);
-}
-
 /** Sends a stream with garbage behind some of its events, in the same part as the last of them. */
 function buildGarbledStream(
   {formatHead, formatPart, end}: Framing,
@@ -71,33 +77,6 @@
   };
 }
 
-/** Sends the events behind the last one that the caller has. */
-const sendRest: ServerScript = (request, socket) => {
-  const last = Number(request.headers.get('last-event-id') ?? 0);
-  const parts = listEvents(last + 1).map(formatChunk);
-  socket.write(formatStreamHead(request) + parts.join('') + LAST_CHUNK);
-};
-
-/** Starts a server that garbles the first stream and then is listed as one that leaves. */
-async function startGarbled(isResumable: boolean, script: ServerScript) {
-  const garbling: FakeServer = await startServer('s1', (request, socket) => {
-    const isFirst = garbling.received.length === 1;
-    (isFirst ? script : sendRest)(request, socket);
-  });
-  const gateway = await startGateway({kind: 'streaming', isResumable}, [
-    garbling,
-  ]);
-  return {gateway, garbling};
-}
-
-/** Reads the body of a stream that has to be whole. */
-function readWhole(text: string): string {
-  assert.match(text, /^HTTP\/1\.1 200 /);
-  assert.ok(text.endsWith(LAST_CHUNK), text);
-  const body = text.slice(text.indexOf('\r\n\r\n') + 4, -LAST_CHUNK.length);
-  return body.replace(/[0-9a-f]+\r\n([^]*?\n\r?\n)\r\n/g, '$1');
-}
-
 // Guards against bytes of a faulty server that callers find among the events of their stream.
 for (const [name, garbage] of Object.entries(GARBAGE)) {
   for (const [framing, format] of Object.entries(FRAMINGS)) {
