Streams: the route says that events are checked, not the head of the answer

Cause: deliverAnswer chose the check by what the server says of itself, status 200 and a type that begins with 'text/event-stream'. Any other success on a route of streams was passed on as a body with a length, unchecked. Class: trust in a faulty server's own words. Now a success on a declared stream is an event stream (status 200, one content type in any spelling, one signature, no coding) or a failure of that server: nothing of it is delivered, it is cancelled and, where the route allows it, sent elsewhere. Failures pass unchanged. On other routes a body that calls itself an event stream is passed on byte for byte; its last event needs no empty line any more.

--- a/packages/gateway/src/lib/EventSplitter.ts
+++ b/packages/gateway/src/lib/EventSplitter.ts
@@ -4,16 +4,12 @@
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
 const NO_BYTES = Buffer.alloc(0);
-const ID_FIELD = /^id:[ ]?(.*)$/m;
 
 /** A sequence of complete events, as the backend server sent them. @public */
 export interface CompleteEvents {
   readonly bytes: Buffer;
-  readonly count: number;
   /** The position behind each event. */
   readonly ends: readonly number[];
-  /** The id of the last event that has one. */
-  readonly lastId: string | undefined;
 }
 
 /**
@@ -33,16 +29,14 @@
         ? chunk
         : Buffer.concat([this.remainder, chunk]);
     const {ends, lineStart} = findBoundaries(data, this.lineStart);
-    const count = ends.length;
     const end = ends.at(-1) ?? 0;
     this.remainder = data.subarray(end);
     this.lineStart = lineStart - end;
     if (this.remainder.length > MAX_EVENT_BYTES) {
       throw new Error(`an event exceeds ${MAX_EVENT_BYTES} bytes`);
     }
-    if (count === 0) return undefined;
-    const bytes = data.subarray(0, end);
-    return {bytes, count, ends, lastId: readLastId(bytes)};
+    if (ends.length === 0) return undefined;
+    return {bytes: data.subarray(0, end), ends};
   }
 
   /** Whether the stream stops in the middle of an event. */
@@ -72,9 +66,3 @@
     if (isEmpty) ends.push(lineStart);
   }
 }
-
-function readLastId(bytes: Buffer): string | undefined {
-  const text = bytes.toString('latin1');
-  const start = text.lastIndexOf('\nid:') + 1;
-  return ID_FIELD.exec(text.slice(start))?.[1]?.trim();
-}
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -213,7 +213,7 @@
       requestId: request.id,
       expectedServer: id,
       names: context.names,
-      awaitsEnd: target.route.kind === 'streaming',
+      isStream: target.route.kind === 'streaming',
       headTimeouts: this.computeHeadTimeouts(send, leftMs),
       isServerActive: () => context.servers.isActive(server),
       onConnection: use => (send.connection = use),
--- a/packages/gateway/src/lib/deliverAnswer.ts
+++ b/packages/gateway/src/lib/deliverAnswer.ts
@@ -4,6 +4,8 @@
 import type {EventSequence} from './EventSequence.js';
 import {EventSplitter} from './EventSplitter.js';
 import {copyEndToEndHeaders} from './headerNames.js';
+import {isEventStream} from './isEventStream.js';
+import {isSuccessStatus} from './isSuccessStatus.js';
 import {ReadLimit} from './ReadLimit.js';
 import {SilenceTimer} from './SilenceTimer.js';
 import type {ServerAnswer} from './sendAttempt.js';
@@ -15,7 +17,6 @@
 /** Maximum number of bytes read without a byte of the body, such as those of its framing. */
 const MAX_OVERHEAD_BYTES = 128 * 1024;
 const SILENCE_REASON = 'the server fell silent';
-const EVENT_STREAM = 'text/event-stream';
 const LENGTH_HEADERS = new Set(['content-length']);
 
 /** Inputs to the delivery of an answer. @public */
@@ -25,7 +26,7 @@
   readonly method: string;
   /** The event after which the stream continues. */
   readonly lastEventId: string | undefined;
-  /** The sequence that the events of a stream must continue; undefined if the route does not stream. */
+  /** The sequence that the events of a success must continue; undefined if the route does not stream. */
   readonly sequence: EventSequence | undefined;
   /** How long the server may stay silent before the next chunk. */
   readonly stallTimeouts: SilenceTimeouts;
@@ -50,8 +51,8 @@
 }
 
 /**
- * Delivers a server's answer to the caller. Streams are relayed event by event; other answers are
- * buffered first, so that an interrupted one can still be requested again.
+ * Delivers a server's answer to the caller. A success on a route of streams is relayed event by event;
+ * other answers are buffered first, so that an interrupted one can still be requested again.
  *
  * @example
  * ```ts
@@ -62,14 +63,17 @@
 export async function deliverAnswer(
   delivery: Delivery,
 ): Promise<DeliveryResult> {
-  const {message, status} = delivery.serverAnswer;
-  const type = message.headers['content-type'] ?? '';
-  const isStream = status === 200 && type.startsWith(EVENT_STREAM);
-  if (isStream) return relayEvents(delivery);
-  if (!delivery.answer.isBegun) return relayBuffered(delivery);
-  // Bytes of another answer would make the one that has begun look complete.
-  const reason = `a stream that had begun was answered ${status}`;
-  return cancelDelivery(delivery, reason, delivery.lastEventId);
+  const {serverAnswer, sequence, method} = delivery;
+  const {message, status} = serverAnswer;
+  const hasEvents = isSuccessStatus(status) && method !== 'HEAD';
+  if (sequence && hasEvents) return relayEvents(delivery, sequence);
+  if (delivery.answer.isBegun) {
+    // Bytes of another answer would make the one that has begun look complete.
+    const reason = `a stream that had begun was answered ${status}`;
+    return cancelDelivery(delivery, reason, delivery.lastEventId);
+  }
+  const isLive = isEventStream(message.headers['content-type'] ?? '');
+  return relayBody(delivery, isLive ? 0 : MAX_BUFFERED_BYTES);
 }
 
 async function cancelDelivery(
@@ -123,18 +127,19 @@
   }
 }
 
-async function relayEvents(delivery: Delivery): Promise<DeliveryResult> {
+async function relayEvents(
+  delivery: Delivery,
+  sequence: EventSequence,
+): Promise<DeliveryResult> {
   const {serverAnswer, answer} = delivery;
   const {message, status} = serverAnswer;
   const splitter = new EventSplitter();
-  const {sequence} = delivery;
   let {lastEventId} = delivery;
   let isFirst = true;
   try {
     const split = (chunk: Buffer) => splitter.push(chunk);
     for await (const events of readPieces(delivery, split)) {
-      const checked = sequence?.check(events);
-      const {bytes, lastId} = checked ?? events;
+      const {bytes, lastId, violation} = sequence.check(events);
       if (bytes.length > 0) {
         if (isFirst) delivery.onFirstBytes();
         isFirst = false;
@@ -145,7 +150,6 @@
         await answer.write(bytes);
       }
       lastEventId = lastId ?? lastEventId;
-      const violation = checked?.violation;
       if (violation !== undefined) {
         return cancelDelivery(delivery, violation, lastEventId);
       }
@@ -164,7 +168,11 @@
   return {isComplete: true, isEnded: true, reason: '', lastEventId};
 }
 
-async function relayBuffered(delivery: Delivery): Promise<DeliveryResult> {
+/** Relays an answer as it is, from the moment on at which more bytes have arrived than may be buffered. */
+async function relayBody(
+  delivery: Delivery,
+  maxBufferedBytes: number,
+): Promise<DeliveryResult> {
   const {serverAnswer, answer, lastEventId} = delivery;
   const {message, status} = serverAnswer;
   const chunks: Buffer[] = [];
@@ -178,7 +186,7 @@
       if (bytes === 0) delivery.onFirstBytes();
       chunks.push(chunk);
       bytes += chunk.length;
-      if (bytes <= MAX_BUFFERED_BYTES) continue;
+      if (bytes <= maxBufferedBytes) continue;
       answer.begin(status, copyEndToEndHeaders(message.rawHeaders, new Set()));
       await answer.write(Buffer.concat(chunks));
     }
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -7,7 +7,10 @@
   parseRetryAfter,
 } from '@sycamorehead/routing';
 import {dropRest, endExchange, resetExchange} from './cancelExchange.js';
+import {findHeadViolation} from './findHeadViolation.js';
 import type {HeaderNames} from './headerNames.js';
+import {isSuccessStatus} from './isSuccessStatus.js';
+import {listValues} from './listValues.js';
 import {ReadLimit} from './ReadLimit.js';
 import {SilenceTimer} from './SilenceTimer.js';
 import type {ConnectionUse, ServerAgent} from './ServerAgent.js';
@@ -40,8 +43,11 @@
   /** Id of the intended server. */
   readonly expectedServer: string;
   readonly names: HeaderNames;
-  /** Whether a send that is abandoned is settled only once the server has ended the work. */
-  readonly awaitsEnd: boolean;
+  /**
+   * Whether the route declares its answers as event streams. A send that is abandoned is then settled
+   * only once the server has ended the work.
+   */
+  readonly isStream: boolean;
   /** How long to wait for the head of the answer. */
   readonly headTimeouts: SilenceTimeouts;
   /** Returns whether anything was recently received from the server, on any connection. */
@@ -96,6 +102,7 @@
 const MISDIRECTED_STATUS = 421;
 const UNAVAILABLE_STATUS = 503;
 const LEAVING_VALUE = '1';
+const CHUNKED = 'chunked';
 
 /**
  * Sends a request to one backend server once and resolves when the head of an answer has arrived.
@@ -137,7 +144,7 @@
       resetExchange(request);
     };
     const cancel = (cause: string): Promise<boolean> => {
-      if (!attempt.awaitsEnd) abort(cause);
+      if (!attempt.isStream) abort(cause);
       reason ||= cause;
       cancellation ??= endExchange(request);
       return cancellation;
@@ -255,7 +262,7 @@
 }
 
 function classifyHead(
-  {names, requestId, expectedServer}: AttemptRequest,
+  {names, requestId, expectedServer, isStream, method}: AttemptRequest,
   message: IncomingMessage,
   {isCancelled, cancel}: Cancellation,
 ): AttemptOutcome | InvalidAnswer {
@@ -278,12 +285,18 @@
       answering !== expectedServer;
     return {type: 'refused', status, isMisdirected};
   }
-  if (headers['content-encoding'] !== undefined) {
+  if (isEncoded(message)) {
     return {type: 'lost', reason: 'the answer is encoded'};
   }
-  const isSuccess = status >= 200 && status < 300;
-  if (isSuccess && headers[names.signature] === undefined) {
-    return {type: 'lost', reason: 'the answer is not signed'};
+  if (isSuccessStatus(status)) {
+    const signatures = listValues(message, names.signature);
+    if (signatures.size !== 1) {
+      const reason = `the answer has ${signatures.size} signatures`;
+      return {type: 'lost', reason};
+    }
+    const violation =
+      isStream && method !== 'HEAD' ? findHeadViolation(message) : undefined;
+    if (violation !== undefined) return {type: 'lost', reason: violation};
   }
   const confidence = Number(headers[names.confidence] ?? NaN);
   const wasReset = watchForReset(message);
@@ -303,6 +316,15 @@
   };
 }
 
+/** Returns whether the bytes of the body are not those that the server has signed. */
+function isEncoded({headers}: IncomingMessage): boolean {
+  const coding = headers['transfer-encoding'] ?? CHUNKED;
+  return (
+    headers['content-encoding'] !== undefined ||
+    coding.toLowerCase() !== CHUNKED
+  );
+}
+
 /**
  * Watches for a reset of the connection, which node:http treats as the end of an answer without a
  * length. A reset that arrives together with the last bytes is even reported as a regular end.
