Answers: a head that cannot be passed on is its server's failure

An empty signature passed, and a Connection header that names signature or type took them off the answer. The rest of a head on a kept connection made the next head a value of its own field. Now such heads are refused as lost before anything is delivered, on every route: sent again where that is allowed, else 502.

--- a/packages/gateway/src/lib/CallerAnswer.ts
+++ b/packages/gateway/src/lib/CallerAnswer.ts
@@ -147,8 +147,9 @@
   }
 
   private writeHead(status: number, headers: readonly string[]): void {
-    this.status = status;
     if (this.shouldClose()) this.response.shouldKeepAlive = false;
+    // Throws on a head that cannot be sent; the answer has then not begun.
     this.response.writeHead(status, headers as string[]);
+    this.status = status;
   }
 }
--- a/packages/gateway/src/lib/headerNames.ts
+++ b/packages/gateway/src/lib/headerNames.ts
@@ -74,8 +74,18 @@
   return copied;
 }
 
-/** Lists the headers that a Connection header declares as specific to the connection. */
-function listConnectionNames(rawHeaders: readonly string[]): Set<string> {
+/**
+ * Lists the headers that a Connection header declares as specific to the connection, in lower case.
+ *
+ * @example
+ * ```ts
+ * listConnectionNames(['Connection', 'close, X-Hop']); // new Set(['close', 'x-hop'])
+ * ```
+ * @internal
+ */
+export function listConnectionNames(
+  rawHeaders: readonly string[],
+): Set<string> {
   const names = new Set<string>();
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
     if (rawHeaders[index]?.toLowerCase() !== 'connection') continue;
--- a/packages/gateway/src/lib/listValues.ts
+++ b/packages/gateway/src/lib/listValues.ts
@@ -13,6 +13,6 @@
 export function listValues(
   {headersDistinct}: IncomingMessage,
   name: string,
-): ReadonlySet<string> {
+): Set<string> {
   return new Set(headersDistinct[name]);
 }
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -7,6 +7,7 @@
   parseRetryAfter,
 } from '@sycamorehead/routing';
 import {dropRest, endExchange, resetExchange} from './cancelExchange.js';
+import {findHeadDefect} from './findHeadDefect.js';
 import {findHeadViolation} from './findHeadViolation.js';
 import type {HeaderNames} from './headerNames.js';
 import {isSuccessStatus} from './isSuccessStatus.js';
@@ -274,6 +275,8 @@
   if (echoed !== requestId) {
     return {type: 'lost', reason: 'the answer belongs to another request'};
   }
+  const defect = findHeadDefect(message, names);
+  if (defect !== undefined) return {type: 'lost', reason: defect};
   if (
     status === MISDIRECTED_STATUS ||
     headers[names.notExecuted] !== undefined
@@ -290,6 +293,7 @@
   }
   if (isSuccessStatus(status)) {
     const signatures = listValues(message, names.signature);
+    signatures.delete('');
     if (signatures.size !== 1) {
       const reason = `the answer has ${signatures.size} signatures`;
       return {type: 'lost', reason};
--- a/packages/gateway/src/test/streamHeads.test.ts
+++ b/packages/gateway/src/test/streamHeads.test.ts
@@ -45,6 +45,16 @@
   'status 201': {status: '201 Created', fields: [TYPE]},
   'status 206': {status: '206 Partial Content', fields: [TYPE]},
   'status 299': {status: '299 Other', fields: [TYPE]},
+  'an empty field name': {fields: [TYPE, ': spoiled']},
+  'a space in a field name': {fields: [TYPE, 'X Odd: spoiled']},
+  'a head in a field': {fields: [TYPE, 'X-Left: HTTP/1.1 200 OK']},
+  'a status below all': {status: '099 Odd', fields: [TYPE]},
+  'a signature for the connection': {
+    fields: [TYPE, 'Connection: close, x-signature'],
+  },
+  'a content type for the connection': {
+    fields: [TYPE, 'Connection: Content-Type'],
+  },
   'two signatures': {fields: [TYPE, 'X-Signature: other']},
 };
 
@@ -150,6 +160,43 @@
   }
 }
 
+/** Heads that cannot be passed on, whatever the route. */
+const DEFECTIVE_HEADS = [
+  'an empty field name',
+  'a space in a field name',
+  'a head in a field',
+  'a signature for the connection',
+];
+
+// Guards against a success without a head of its own, and against a reset in its place.
+for (const name of DEFECTIVE_HEADS) {
+  const fields = UNSOUND_HEADS[name]!.fields.slice(1);
+  test(`${name} in the answer on another route: a failure, or another send`, async () => {
+    const server = await startServer('s1', (request, socket) => {
+      const isFirst = server.received.length === 1;
+      const extra = isFirst ? fields : [];
+      socket.write(formatAnswer(request, 'whole', extra));
+    });
+    const safe = await startGateway({kind: 'safe'}, [server]);
+    assert.ok((await safe.exchange(formatRequest())).endsWith('whole'));
+    assert.equal(server.received.length, 2);
+    server.received.length = 0;
+    const unsafe = await startGateway({kind: 'unsafe'}, [server]);
+    const text = await unsafe.exchange(formatRequest(POST));
+    assert.match(text, /^HTTP\/1\.1 502 /);
+  });
+}
+
+test('an empty signature is none', async () => {
+  const server = await startServer('s1', (request, socket) => {
+    const answer = formatAnswer(request, 'whole');
+    socket.write(answer.replace('X-Signature: signed', 'X-Signature:'));
+  });
+  const gateway = await startGateway({kind: 'unsafe'}, [server]);
+  const text = await gateway.exchange(formatRequest(POST));
+  assert.match(text, /^HTTP\/1\.1 502 /);
+});
+
 test('an answer with a transfer coding beside chunks is not delivered', async () => {
   const server = await startServer('s1', (request, socket) => {
     const head = formatHead(request, ['Transfer-Encoding: gzip, chunked']);
