Streams: the events of all sends of a request are one sequence

A stream whose steps differ is not resumed any more. Even gaps are. - a piece lost to an event without data, or whose data field was cut; the rest then passed for a comment. Each event has data. - foreign data in front of an event's id, and comments inside events. The place of the id is that of the first event; comments are dropped. - 502 for a caller that has the last event already, and for odd last event ids that Number reads (1e3). - a stalled stream that never ended while its server sent comments or empty lines. Only events count against silence. One EventSequence lives as long as the request, so a resumed answer is measured by the events before it. garbledStreams.test: a data field without a colon is no sound event any more, since it cannot be told from one that was cut; the sound case has 'event' alone instead.

--- a/packages/gateway/src/lib/EventSplitter.ts
+++ b/packages/gateway/src/lib/EventSplitter.ts
@@ -30,7 +30,8 @@
         : Buffer.concat([this.remainder, chunk]);
     const {ends, lineStart} = findBoundaries(data, this.lineStart);
     const end = ends.at(-1) ?? 0;
-    this.remainder = data.subarray(end);
+    // A copy does not keep the memory of the chunk, which may be much larger.
+    this.remainder = end === 0 ? data : Buffer.from(data.subarray(end));
     this.lineStart = lineStart - end;
     if (this.remainder.length > MAX_EVENT_BYTES) {
       throw new Error(`an event exceeds ${MAX_EVENT_BYTES} bytes`);
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -1,15 +1,11 @@
 import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
-import {
-  SilenceTimeouts,
-  computeHeadTimeouts,
-  computeStallTimeouts,
-} from '@sycamorehead/routing';
 import {buildServerHeaders} from './buildServerHeaders.js';
 import type {CallerAnswer} from './CallerAnswer.js';
 import type {CallerRequest} from './CallerRequest.js';
 import {CrashGuard} from './CrashGuard.js';
 import {createEventSequence} from './createEventSequence.js';
 import {DeliveryResult, deliverAnswer} from './deliverAnswer.js';
+import type {EventSequence} from './EventSequence.js';
 import type {ForwardContext} from './gatewayTypes.js';
 import {ModelCascade} from './ModelCascade.js';
 import type {SlotReservation} from './Placement.js';
@@ -23,6 +19,7 @@
 import {AttemptOutcome, ServerAnswer, sendAttempt} from './sendAttempt.js';
 import {RunTracker} from './RunTracker.js';
 import {SendRecord} from './SendRecord.js';
+import {SendTimeouts} from './SendTimeouts.js';
 import {UnexecutedSends} from './UnexecutedSends.js';
 import {writeRequestLine} from './writeRequestLine.js';
 
@@ -51,10 +48,13 @@
   private isTimedOut = false;
   private readonly runs: RunTracker;
   private readonly guard: CrashGuard;
+  private readonly timeouts: SendTimeouts;
   private readonly unexecuted = new UnexecutedSends();
   private hasSent = false;
   private readonly cascade: ModelCascade;
   private lastEventId: string | undefined;
+  /** The events that the caller gets; undefined if none is expected. */
+  private sequence: EventSequence | undefined;
   private waitedMs = 0;
   private routeName = '';
   private failure: SycamoreheadError | undefined;
@@ -68,6 +68,7 @@
     this.cascade = new ModelCascade(context, request);
     this.runs = new RunTracker(context.budgets, answer);
     this.guard = new CrashGuard(context, request, this.runs);
+    this.timeouts = new SendTimeouts(context, this.runs);
   }
 
   /** Forwards the request until it has been answered or has failed. */
@@ -214,7 +215,7 @@
       expectedServer: id,
       names: context.names,
       isStream: target.route.kind === 'streaming',
-      headTimeouts: this.computeHeadTimeouts(send, leftMs),
+      headTimeouts: this.timeouts.computeHead(send, leftMs),
       isServerActive: () => context.servers.isActive(server),
       onConnection: use => (send.connection = use),
       onServerNotice: notice => send.recordNotice(notice),
@@ -222,33 +223,6 @@
     });
   }
 
-  /** Computes how long to wait for the head of the answer. */
-  private computeHeadTimeouts(
-    {target, reservation, kind}: SendRecord,
-    leftMs: number,
-  ): SilenceTimeouts {
-    const {pendingMs, othersPendingMs} = reservation.server;
-    const {route, service} = target;
-    const {placement} = this.context;
-    return computeHeadTimeouts({
-      isRepeatable: this.runs.isRepeatAllowedAfterSend(target),
-      targetLatencyMs: route.targetLatencyMs,
-      pressure: placement.measurePressure(service.name, route.targetLatencyMs),
-      typicalMs: this.context.times.getTypicalMs(kind),
-      pendingMs: pendingMs + othersPendingMs,
-      leftMs,
-    });
-  }
-
-  /** Computes how long an answer that has begun may stall. */
-  private computeStallTimeouts(target: RequestTarget): SilenceTimeouts {
-    return computeStallTimeouts({
-      isRepeatable: this.runs.isRepeatAllowed(target),
-      longestPauseMs: target.route.longestPauseMs,
-      leftMs: this.deadlineAt - performance.now(),
-    });
-  }
-
   private recordOutcome(send: SendRecord, outcome: AttemptOutcome): void {
     const {id} = send.reservation.server.listing.registration;
     this.tried.add(id);
@@ -346,14 +320,20 @@
     const {servers, names} = this.context;
     const {target, reservation} = send;
     const {server} = reservation;
+    this.sequence ??= createEventSequence(
+      target.route,
+      names,
+      this.lastEventId,
+    );
+    const leftMs = this.deadlineAt - performance.now();
     let lastBytesAt = performance.now();
     return deliverAnswer({
       serverAnswer,
       answer: this.answer,
       method: this.request.method,
       lastEventId: this.lastEventId,
-      sequence: createEventSequence(target.route, names, this.lastEventId),
-      stallTimeouts: this.computeStallTimeouts(target),
+      sequence: this.sequence,
+      stallTimeouts: this.timeouts.computeStall(target, leftMs),
       isServerActive: () =>
         Math.max(server.lastReceivedAt, server.othersReceivedAt) >
           lastBytesAt && servers.isActive(server),
@@ -386,6 +366,9 @@
     if (this.answer.disconnected.aborted) return 'done';
     send.recordInterruption(result.reason);
     this.guard.recordInterruption(send);
+    if (this.answer.isBegun && this.sequence?.isContinuable === false) {
+      throw new SycamoreheadError('outcome_unknown', result.reason);
+    }
     return this.handleUnknownRun(send, result);
   }
 
--- a/packages/gateway/src/lib/deliverAnswer.ts
+++ b/packages/gateway/src/lib/deliverAnswer.ts
@@ -132,21 +132,23 @@
   sequence: EventSequence,
 ): Promise<DeliveryResult> {
   const {serverAnswer, answer} = delivery;
-  const {message, status} = serverAnswer;
   const splitter = new EventSplitter();
   let {lastEventId} = delivery;
   let isFirst = true;
+  // Bytes that are no event of the stream do not count against its silence.
+  const readEvents = (chunk: Buffer) => {
+    const events = splitter.push(chunk);
+    const checked = events && sequence.check(events);
+    const hasNews = checked?.violation !== undefined || checked?.bytes.length;
+    return hasNews ? checked : undefined;
+  };
   try {
-    const split = (chunk: Buffer) => splitter.push(chunk);
-    for await (const events of readPieces(delivery, split)) {
-      const {bytes, lastId, violation} = sequence.check(events);
+    for await (const checked of readPieces(delivery, readEvents)) {
+      const {bytes, lastId, violation} = checked;
       if (bytes.length > 0) {
         if (isFirst) delivery.onFirstBytes();
         isFirst = false;
-        answer.begin(
-          status,
-          copyEndToEndHeaders(message.rawHeaders, LENGTH_HEADERS),
-        );
+        beginStream(delivery);
         await answer.write(bytes);
       }
       lastEventId = lastId ?? lastEventId;
@@ -157,17 +159,22 @@
   } catch (error) {
     return cancelDelivery(delivery, String(error), lastEventId);
   }
-  if (
-    !serverAnswer.isComplete() ||
-    splitter.hasPartialEvent ||
-    !answer.isBegun
-  ) {
+  const isWhole = serverAnswer.isComplete() && !splitter.hasPartialEvent;
+  if (!isWhole || !sequence.hasBegun) {
     return cancelDelivery(delivery, 'the stream broke off', lastEventId);
   }
+  // Nothing may follow the last event that the caller of a resumed stream has.
+  beginStream(delivery);
   answer.finish();
   return {isComplete: true, isEnded: true, reason: '', lastEventId};
 }
 
+/** Sends the head of a stream unless it has been sent. */
+function beginStream({answer, serverAnswer}: Delivery): void {
+  const {status, message} = serverAnswer;
+  answer.begin(status, copyEndToEndHeaders(message.rawHeaders, LENGTH_HEADERS));
+}
+
 /** Relays an answer as it is, from the moment on at which more bytes have arrived than may be buffered. */
 async function relayBody(
   delivery: Delivery,
--- a/packages/gateway/src/test/garbledStreams.test.ts
+++ b/packages/gateway/src/test/garbledStreams.test.ts
@@ -38,6 +38,9 @@
   'a version behind the id': `id: 9\nx-weight-versions: 7\n${DATA}`,
   'lone carriage returns in an event': 'id: 9\ndata: a\r\rdata: spoiled\n\n',
   'a lone carriage return at its end': 'id: 9\ndata: spoiled\r\r\n\n',
+  'an event without data': 'id: 9\nevent: spoiled\n\n',
+  'a data field without a colon': 'id: 9\nevent: spoiled\ndata\n\n',
+  'a retry that is no number': `id: 9\nretry: spoiled\n${DATA}`,
   'a byte order mark': `\u00ef\u00bb\u00bfid: 9\n${DATA}`,
   'a head': 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n',
   'random bytes': '\u008f\u0003}\u00c4\u007f\n\n',
@@ -142,7 +145,7 @@
   'no space behind the colon': 'id:1\ndata:a\n\nid:2\ndata:b\n\n',
   'the id behind the data': 'data: a\nid: 1\n\ndata: b\nid: 2\n\n',
   'text beyond ASCII': `id: 1\ndata: ${Buffer.from('año').toString('latin1')}\n\n`,
-  'an empty field': 'id: 1\ndata\n\nid: 2\nevent: end\ndata:\n\n',
+  'an empty field': 'id: 1\nevent\ndata:\n\nid: 2\nevent: end\ndata:\n\n',
 };
 
 for (const [name, events] of Object.entries(SOUND)) {
