A weak answer is given up only once the next send has all that it needs

Callers saw 502 (or 504, or 404 with "ran":"no") although a server had answered: a weak answer was cancelled for that of a larger model, which then could not be asked.

Cause: what the next send needs was looked at before the answer was cancelled, and taken only after it, up to 200 ms later; some of it was looked at by the configuration in force when the answer was requested, some not at all.

Now SendPlanner takes the slot (with its permit) and the charge to the budget before the answer is given up, in one step without a wait, under the configuration in force; whatever is missing leaves the answer to be delivered. It does not go before requests that wait for a slot. A charge counts once for each send that is made: a planned send that is not made, or of which no byte left, is not charged again on the same service.

--- a/packages/gateway/src/lib/CrashGuard.ts
+++ b/packages/gateway/src/lib/CrashGuard.ts
@@ -102,12 +102,10 @@
    * @throws SycamoreheadError `outcome_unknown` if no further server may be exposed to the request.
    */
   async checkResend(): Promise<void> {
-    const allowed = this.isSuspected
-      ? MAX_SUSPECT_FAILURES
-      : MAX_FAILED_SERVERS;
-    if (this.losses.length < allowed) return;
+    const {maxFailures} = this;
+    if (this.losses.length < maxFailures) return;
     const results = await Promise.all(this.losses);
-    if (results.filter(hasCrashed => hasCrashed).length < allowed) return;
+    if (results.filter(hasCrashed => hasCrashed).length < maxFailures) return;
     throw new SycamoreheadError(
       'outcome_unknown',
       'servers crashed while they had the request',
@@ -148,10 +146,24 @@
     return buildQuarantineRefusal(this.quarantined, this.runs.mayHaveRun);
   }
 
-  private get isSuspected(): boolean {
+  /**
+   * Returns whether the request may certainly go on to another server, as far as is known. It may not if
+   * the checks of the servers that failed under it have to be awaited.
+   */
+  isResendCertain(target: RequestTarget): boolean {
+    const {crashes, quarantine} = this.context;
+    if (this.losses.length >= this.maxFailures) return false;
+    if (quarantine.findQuarantined(this.listSegments(target))) return false;
+    const id = this.requestSegment;
+    return id === undefined || !crashes.isSuspended(id);
+  }
+
+  /** The number of servers that crash under the request after which no further one is exposed to it. */
+  private get maxFailures(): number {
     const {crashes} = this.context;
     const id = this.requestSegment;
-    return id !== undefined && crashes.isSuspected(id);
+    const isSuspected = id !== undefined && crashes.isSuspected(id);
+    return isSuspected ? MAX_SUSPECT_FAILURES : MAX_FAILED_SERVERS;
   }
 
   /** The id under which the request itself is suspected. */
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -1,9 +1,4 @@
 import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
-import {
-  SilenceTimeouts,
-  computeHeadTimeouts,
-  computeStallTimeouts,
-} from '@sycamorehead/routing';
 import {buildServerHeaders} from './buildServerHeaders.js';
 import type {CallerAnswer} from './CallerAnswer.js';
 import type {CallerRequest} from './CallerRequest.js';
@@ -12,7 +7,6 @@
 import {DeliveryResult, deliverAnswer} from './deliverAnswer.js';
 import type {ForwardContext} from './gatewayTypes.js';
 import {ModelCascade} from './ModelCascade.js';
-import type {SlotReservation} from './Placement.js';
 import {
   buildRefusal,
   buildTimeout,
@@ -22,13 +16,12 @@
 import {RequestTarget, findTarget, resolveTarget} from './resolveTarget.js';
 import {AttemptOutcome, ServerAnswer, sendAttempt} from './sendAttempt.js';
 import {RunTracker} from './RunTracker.js';
+import {SendPlanner} from './SendPlanner.js';
 import {SendRecord} from './SendRecord.js';
+import {SendTimeouts} from './SendTimeouts.js';
 import {UnexecutedSends} from './UnexecutedSends.js';
 import {writeRequestLine} from './writeRequestLine.js';
 
-/** Maximum wait for a slot, as a fraction of the target latency. */
-const MAX_QUEUE_FRACTION = 0.4;
-
 type NextStep = 'done' | 'again';
 
 /**
@@ -40,8 +33,6 @@
 export class ForwardedRequest {
   /** Aborted once the caller has disconnected or the time limit is reached. */
   private readonly controller = new AbortController();
-  /** Ids of the servers to which this request was sent for the current model. */
-  private readonly tried = new Set<string>();
   /** Ids of the servers that refused this request. */
   private readonly refusedBy = new Set<string>();
   /** Each send with its outcome, for the log line. */
@@ -52,10 +43,10 @@
   private readonly runs: RunTracker;
   private readonly guard: CrashGuard;
   private readonly unexecuted = new UnexecutedSends();
-  private hasSent = false;
+  private readonly planner: SendPlanner;
+  private readonly timeouts: SendTimeouts;
   private readonly cascade: ModelCascade;
   private lastEventId: string | undefined;
-  private waitedMs = 0;
   private routeName = '';
   private failure: SycamoreheadError | undefined;
 
@@ -68,6 +59,17 @@
     this.cascade = new ModelCascade(context, request);
     this.runs = new RunTracker(context.budgets, answer);
     this.guard = new CrashGuard(context, request, this.runs);
+    this.planner = new SendPlanner({
+      context,
+      request,
+      answer,
+      runs: this.runs,
+      guard: this.guard,
+      cascade: this.cascade,
+      signal: this.controller.signal,
+      getDeadline: () => this.deadlineAt,
+    });
+    this.timeouts = new SendTimeouts(context, this.runs);
   }
 
   /** Forwards the request until it has been answered or has failed. */
@@ -99,6 +101,7 @@
     } finally {
       clearTimeout(timer);
       unwatch();
+      this.planner.release();
       this.logEnd();
     }
   }
@@ -119,27 +122,14 @@
 
   /** Performs one send: reserves a slot, sends the request and handles the outcome. */
   private async runSend(): Promise<NextStep> {
-    const target = this.resolve();
-    this.guard.checkSend(target);
-    this.runs.checkSend(target);
-    const {service} = target;
-    if (this.hasSent && !this.context.budgets.acquire(service.name)) {
-      throw buildRefusal('the retry budget is used up', this.runs.mayHaveRun);
-    }
-    // A stream continues with the model that began it.
-    const model = this.answer.isBegun
-      ? this.cascade.answeredBy
-      : this.cascade.chooseNext(target);
-    const waitStart = performance.now();
+    const {target, model, reservation} = await this.planner.plan();
     let send: SendRecord | undefined;
-    const reservation = await this.reserveSlot(target, model);
-    this.waitedMs += performance.now() - waitStart;
     try {
       const current = this.resolve();
       this.guard.checkSend(current);
       this.runs.checkSend(current);
       const hasTargetChanged =
-        current.service.name !== service.name ||
+        current.service.name !== target.service.name ||
         current.customer !== target.customer;
       if (
         hasTargetChanged ||
@@ -165,36 +155,11 @@
     }
   }
 
-  private reserveSlot(
-    target: RequestTarget,
-    model: string | undefined,
-  ): Promise<SlotReservation> {
-    const {request, context, controller} = this;
-    const {route, service, priority} = target;
-    const variant = context.versions.assignVariant(
-      service.name,
-      request.session,
-      request.id,
-    );
-    const waitMs = route.targetLatencyMs * MAX_QUEUE_FRACTION;
-    return context.placement.acquire({
-      request,
-      service,
-      route: route.name,
-      variant,
-      model,
-      priority,
-      tried: this.tried,
-      abandonAt: Math.min(this.deadlineAt, performance.now() + waitMs),
-      signal: controller.signal,
-    });
-  }
-
   private dispatch(send: SendRecord): Promise<AttemptOutcome> {
     const {request, context, controller} = this;
     const {target, reservation, model} = send;
     const {server} = reservation;
-    const leftMs = this.deadlineAt - performance.now();
+    const {leftMs} = this;
     const {address, id} = server.listing.registration;
     return sendAttempt({
       agent: server.agent,
@@ -214,7 +179,7 @@
       expectedServer: id,
       names: context.names,
       isStream: target.route.kind === 'streaming',
-      headTimeouts: this.computeHeadTimeouts(send, leftMs),
+      headTimeouts: this.timeouts.computeHead(send, leftMs),
       isServerActive: () => context.servers.isActive(server),
       onConnection: use => (send.connection = use),
       onServerNotice: notice => send.recordNotice(notice),
@@ -222,38 +187,15 @@
     });
   }
 
-  /** Computes how long to wait for the head of the answer. */
-  private computeHeadTimeouts(
-    {target, reservation, kind}: SendRecord,
-    leftMs: number,
-  ): SilenceTimeouts {
-    const {pendingMs, othersPendingMs} = reservation.server;
-    const {route, service} = target;
-    const {placement} = this.context;
-    return computeHeadTimeouts({
-      isRepeatable: this.runs.isRepeatAllowedAfterSend(target),
-      targetLatencyMs: route.targetLatencyMs,
-      pressure: placement.measurePressure(service.name, route.targetLatencyMs),
-      typicalMs: this.context.times.getTypicalMs(kind),
-      pendingMs: pendingMs + othersPendingMs,
-      leftMs,
-    });
-  }
-
-  /** Computes how long an answer that has begun may stall. */
-  private computeStallTimeouts(target: RequestTarget): SilenceTimeouts {
-    return computeStallTimeouts({
-      isRepeatable: this.runs.isRepeatAllowed(target),
-      longestPauseMs: target.route.longestPauseMs,
-      leftMs: this.deadlineAt - performance.now(),
-    });
+  /** Time left for the final answer, in milliseconds. */
+  private get leftMs(): number {
+    return this.deadlineAt - performance.now();
   }
 
   private recordOutcome(send: SendRecord, outcome: AttemptOutcome): void {
     const {id} = send.reservation.server.listing.registration;
-    this.tried.add(id);
+    this.planner.recordSend(id, outcome.type !== 'unsent');
     this.history.push(send.formatOutcome(outcome));
-    if (outcome.type !== 'unsent') this.hasSent = true;
     if (outcome.type === 'refused') this.refusedBy.add(id);
     send.recordOutcome(outcome, this.controller.signal.aborted);
   }
@@ -310,14 +252,10 @@
     serverAnswer: ServerAnswer,
     send: SendRecord,
   ): Promise<NextStep> {
-    const {cascade} = this;
     const {target} = send;
-    cascade.recordAnswer(target, send.model, serverAnswer.confidence);
-    const isWeak =
-      serverAnswer.status === 200 &&
-      !this.answer.isBegun &&
-      cascade.isWeak(target);
-    if (isWeak && this.runs.isRepeatAllowed(target)) {
+    this.cascade.recordAnswer(target, send.model, serverAnswer.confidence);
+    const mayBeWeak = serverAnswer.status === 200 && !this.answer.isBegun;
+    if (mayBeWeak && this.planner.planLarger(send.reservation)) {
       send.recordWeakAnswer();
       this.restartWithLargerModel(target);
       return this.confirmNextSend(send, await serverAnswer.cancel());
@@ -353,7 +291,7 @@
       method: this.request.method,
       lastEventId: this.lastEventId,
       sequence: createEventSequence(target.route, names, this.lastEventId),
-      stallTimeouts: this.computeStallTimeouts(target),
+      stallTimeouts: this.timeouts.computeStall(target, this.leftMs),
       isServerActive: () =>
         Math.max(server.lastReceivedAt, server.othersReceivedAt) >
           lastBytesAt && servers.isActive(server),
@@ -367,11 +305,10 @@
     });
   }
 
-  /** Starts over with a larger model; the servers already tried may be chosen again. */
+  /** Starts over with a larger model. */
   private restartWithLargerModel({route}: RequestTarget): void {
     this.history.push(`escalated:${this.cascade.lastConfidence}`);
     this.cascade.requestLargerModel();
-    this.tried.clear();
     this.context.metrics.recordEscalation(route.name);
   }
 
@@ -405,7 +342,7 @@
     const {request, answer, history} = this;
     const status = answer.disconnected.aborted ? 0 : answer.sentStatus;
     this.context.metrics.recordAnswer(this.routeName, status);
-    this.context.metrics.recordWait(this.waitedMs);
+    this.context.metrics.recordWait(this.planner.waitedMs);
     writeRequestLine({
       request,
       status,
@@ -416,7 +353,7 @@
       cascade: this.cascade,
       routeName: this.routeName,
       fingerprint: this.guard.fingerprint,
-      waitedMs: this.waitedMs,
+      waitedMs: this.planner.waitedMs,
       version: this.context.getRoutes()?.version,
     });
   }
--- a/packages/gateway/src/lib/ModelCascade.ts
+++ b/packages/gateway/src/lib/ModelCascade.ts
@@ -72,6 +72,19 @@
     return chooseModel(this.context.policies.model, choice);
   }
 
+  /**
+   * Chooses the larger model that should be asked, and may be, instead of accepting the last answer, and
+   * records the load of the engines. Returns undefined if the answer is to be delivered.
+   */
+  chooseLarger(target: RequestTarget): string | undefined {
+    const {budgets, policies} = this.context;
+    if (!budgets.hasEscalationCapacity(target.service.name)) return undefined;
+    const choice = this.describeChoice(target, this.answered);
+    if (!isWorthEscalating(policies.model, choice)) return undefined;
+    this.pressure = choice.pressure;
+    return chooseModel(policies.model, choice);
+  }
+
   // Queries.
 
   /** Model that answered last. */
@@ -84,19 +97,6 @@
     return this.confidence;
   }
 
-  /**
-   * Returns whether a larger model should be asked, and can be, instead of accepting the last answer.
-   * An answer that was dropped for want of a server would be lost.
-   */
-  isWeak(target: RequestTarget): boolean {
-    const {budgets, placement} = this.context;
-    const {service} = target;
-    if (!budgets.hasEscalationCapacity(service.name)) return false;
-    if (!placement.hasFreeServer(service)) return false;
-    const choice = this.describeChoice(target, this.answered);
-    return isWorthEscalating(this.context.policies.model, choice);
-  }
-
   /** The load of the engines at the last choice of a model; 0 is idle. */
   get lastPressure(): number | undefined {
     return this.pressure;
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -1,4 +1,4 @@
-import type {RoutedService} from '@sycamorehead/schema';
+import type {RoutedService, SycamoreheadError} from '@sycamorehead/schema';
 import {
   ForwardPolicy,
   PlacementQueue,
@@ -127,6 +127,18 @@
     });
   }
 
+  /** Reserves a slot if one is free now and no other request waits for it. */
+  tryAcquire(demand: PlacementRequest): SlotReservation | undefined {
+    const service = demand.service.name;
+    if (this.getQueue(service).countAhead(demand.priority) > 0) {
+      return undefined;
+    }
+    if (this.findClosure(demand.service)) return undefined;
+    const reservation = this.tryReserveSlot(demand);
+    if (reservation) this.options.servers.limits.recordDemand(service);
+    return reservation;
+  }
+
   /** Offers slots to the waiting requests after the table of servers has changed. */
   offerSlots(): void {
     for (const queue of this.queues.values()) queue.offerSlots();
@@ -150,17 +162,6 @@
     return waitingMs / servers.length / (targetLatencyMs * FULL_FRACTION);
   }
 
-  /** Returns whether a server of a service would take a request now. */
-  hasFreeServer(service: RoutedService): boolean {
-    const {servers} = this.options;
-    return servers
-      .listReady(service.name)
-      .some(
-        server =>
-          servers.isAccepting(server) && this.hasCapacity(server, service),
-      );
-  }
-
   /** Counts the waiting requests, of one service if it is given. */
   countWaiting(service?: string): number {
     if (service !== undefined) return this.queues.get(service)?.length ?? 0;
@@ -172,7 +173,8 @@
   private tryReserveSlot(
     demand: PlacementRequest,
   ): SlotReservation | undefined {
-    this.refuseIfClosed(demand);
+    const closure = this.findClosure(demand.service);
+    if (closure) throw closure;
     const available = this.listAvailable(demand);
     const choice = this.chooseServer(demand, available);
     if (!choice) return undefined;
@@ -210,23 +212,23 @@
   }
 
   /**
-   * Refuses a request at once if all servers of its service leave or want no requests yet. While no
-   * server is known at all, the first listing may be on its way.
+   * Returns the refusal of all requests of a service whose servers all leave or want no requests yet.
+   * While no server is known at all, the first listing may be on its way.
    */
-  private refuseIfClosed({service}: PlacementRequest): void {
+  private findClosure({name}: RoutedService): SycamoreheadError | undefined {
     const {servers} = this.options;
-    const ready = servers.listReady(service.name);
+    const ready = servers.listReady(name);
     if (ready.length === 0) {
-      if (!servers.hasServers(service.name)) return;
-      throw buildRefusal('every server leaves', false);
+      if (!servers.hasServers(name)) return undefined;
+      return buildRefusal('every server leaves', false);
     }
     const holdMs = Math.min(
       ...ready.map(({listing}) =>
         servers.notices.getHoldMs(listing.registration),
       ),
     );
-    if (holdMs <= 0) return;
-    throw buildRefusal('every server wants a pause', false, holdMs);
+    if (holdMs <= 0) return undefined;
+    return buildRefusal('every server wants a pause', false, holdMs);
   }
 
   /**
