Streams: a long event costs time by its length, not by its length times its chunks

The remainder grows by doubling and is searched from where the last search ended; it no longer keeps the memory of whole chunks either.

--- a/packages/gateway/src/lib/EventSplitter.ts
+++ b/packages/gateway/src/lib/EventSplitter.ts
@@ -1,9 +1,10 @@
+import {GrowingBuffer} from './GrowingBuffer.js';
+
 /** The largest event that is buffered, in bytes; a longer one fails its stream. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
-const NO_BYTES = Buffer.alloc(0);
 
 /** A sequence of complete events, as the backend server sent them. @public */
 export interface CompleteEvents {
@@ -18,26 +19,27 @@
  * @public
  */
 export class EventSplitter {
-  private remainder: Buffer = NO_BYTES;
+  /** Holds the bytes behind the last complete event. */
+  private readonly remainder = new GrowingBuffer();
   /** Start of the last line of the remainder, before which it has no boundary. */
   private lineStart = 0;
 
   /** Adds a chunk and returns the events that it completes, if any. */
   push(chunk: Buffer): CompleteEvents | undefined {
-    const data =
-      this.remainder.length === 0
-        ? chunk
-        : Buffer.concat([this.remainder, chunk]);
-    const {ends, lineStart} = findBoundaries(data, this.lineStart);
+    const {remainder} = this;
+    const searched = remainder.length;
+    const isWhole = searched === 0;
+    if (!isWhole) remainder.append(chunk);
+    const data = isWhole ? chunk : remainder.bytes;
+    const {ends, lineStart} = findBoundaries(data, this.lineStart, searched);
     const end = ends.at(-1) ?? 0;
-    // A copy does not keep the memory of the chunk, which may be much larger.
-    this.remainder = end === 0 ? data : Buffer.from(data.subarray(end));
+    const bytes = isWhole ? data.subarray(0, end) : remainder.take(end);
+    if (isWhole) remainder.append(data.subarray(end));
     this.lineStart = lineStart - end;
-    if (this.remainder.length > MAX_EVENT_BYTES) {
+    if (remainder.length > MAX_EVENT_BYTES) {
       throw new Error(`an event exceeds ${MAX_EVENT_BYTES} bytes`);
     }
-    if (ends.length === 0) return undefined;
-    return {bytes: data.subarray(0, end), ends};
+    return ends.length === 0 ? undefined : {bytes, ends};
   }
 
   /** Whether the stream stops in the middle of an event. */
@@ -53,17 +55,26 @@
   readonly lineStart: number;
 }
 
-/** Finds the ends of the complete events, each of which is behind an empty line. */
-function findBoundaries(data: Buffer, from: number): Boundaries {
+/**
+ * Finds the ends of the complete events, each of which is behind an empty line. The last line begins at
+ * `lineStart` and has no end before `searched`.
+ */
+function findBoundaries(
+  data: Buffer,
+  lineStart: number,
+  searched: number,
+): Boundaries {
   const ends: number[] = [];
-  let lineStart = from;
+  let start = lineStart;
+  let from = searched;
   for (;;) {
-    const lineEnd = data.indexOf(LINE_FEED, lineStart);
-    if (lineEnd < 0) return {ends, lineStart};
+    const lineEnd = data.indexOf(LINE_FEED, from);
+    if (lineEnd < 0) return {ends, lineStart: start};
     const isEmpty =
-      lineEnd === lineStart ||
-      (lineEnd === lineStart + 1 && data[lineStart] === CARRIAGE_RETURN);
-    lineStart = lineEnd + 1;
-    if (isEmpty) ends.push(lineStart);
+      lineEnd === start ||
+      (lineEnd === start + 1 && data[start] === CARRIAGE_RETURN);
+    start = lineEnd + 1;
+    from = start;
+    if (isEmpty) ends.push(start);
   }
 }
--- a/packages/gateway/src/test/eventSplitter.test.ts
+++ b/packages/gateway/src/test/eventSplitter.test.ts
@@ -62,3 +62,19 @@
   for (let count = 0; count < 100; count += 1) splitter.push(chunk);
   assert.ok(search.mock.callCount() <= 100 * (10 + 1));
 });
+
+test('a long line in small chunks is not copied or searched again with every chunk', context => {
+  const concat = context.mock.method(Buffer, 'concat');
+  const copied = context.mock.method(Buffer.prototype, 'copy');
+  const search = context.mock.method(Buffer.prototype, 'indexOf');
+  const splitter = new EventSplitter();
+  const chunk = Buffer.from('data: 0123456789');
+  const count = 10_000;
+  for (let index = 0; index < count; index += 1) splitter.push(chunk);
+  assert.equal(concat.mock.callCount(), 0);
+  // One copy a chunk, and one each time that the memory doubles.
+  assert.ok(copied.mock.callCount() <= count + 20);
+  for (const [index, call] of search.mock.calls.entries()) {
+    assert.equal(call.arguments[1], index * chunk.length);
+  }
+});
