A request that may have run is never reported as not run, whatever refuses its repeat

A caller whose request had reached a server that broke off got 404 or 401 with "ran":"no" if the next configuration removed its route, withdrew its key or named an unknown service before the repeat: a promise that is false, after which a caller may safely do the work a second time.

Cause: only refusals of the kind "overloaded" were replaced once a request may have run. Now every error that says "ran":"no" is.

--- a/packages/gateway/src/lib/refusals.ts
+++ b/packages/gateway/src/lib/refusals.ts
@@ -139,8 +139,11 @@
   error: SycamoreheadError,
   mayHaveRun: boolean,
 ): SycamoreheadError {
-  if (error.kind !== 'overloaded') return error;
-  if (!mayHaveRun && error.retryAfterMs !== undefined) return error;
+  if (mayHaveRun && error.ran === 'no')
+    return buildRefusal(error.message, true);
+  if (error.kind !== 'overloaded' || error.retryAfterMs !== undefined) {
+    return error;
+  }
   return buildRefusal(error.message, mayHaveRun);
 }
 
--- a/packages/gateway/src/test/runsOnce.test.ts
+++ b/packages/gateway/src/test/runsOnce.test.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import {afterEach, test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {RouteConfiguration} from '@sycamorehead/schema';
 import {
   FakeServer,
   LAST_CHUNK,
@@ -234,3 +235,29 @@
   gateway.list([other.describe()]);
   assert.ok((await exchange).endsWith(LAST_CHUNK));
 });
+
+const WITHDRAWALS: Readonly<Record<string, RouteConfiguration>> = {
+  'removes the route': buildConfiguration([
+    buildRoute({pathPrefix: '/other/'}),
+  ]),
+  'withdraws the key': buildConfiguration([buildRoute()], {
+    customers: [{name: 'clinic', keys: ['key-2'], priority: undefined}],
+  }),
+  'names an unknown service': buildConfiguration([
+    buildRoute({services: [{service: 'unknown', weight: 1}]}),
+  ]),
+};
+
+for (const [change, configuration] of Object.entries(WITHDRAWALS)) {
+  test(`a request that may have run was reported as not run: a configuration ${change} before its repeat`, async () => {
+    const server = await startServer('s1', (unused, socket) => {
+      gateway.setConfiguration(configuration);
+      socket.resetAndDestroy();
+    });
+    const gateway = await startGateway({}, [server]);
+    const text = await gateway.exchange(formatRequest());
+    assert.equal(readStatus(text), 502);
+    assert.match(text, /"kind":"outcome_unknown"[^]*"ran":"unknown"/);
+    assert.equal(server.received.length, 1);
+  });
+}
