A server that was ejected returns with about an equal share, like one after a pause

A server that all entries had ejected together (a reset of all its connections, a short cut) was idle in the view of each when the pause ended, so all of them chose it at once: returningServers.test ("was ejected by all"), red before: 14 of the next 14 requests from 7 entries (share 0.2, 5.3 allowed), 25, 25 and 19 of 390 from 195 entries (share 5.7, 13.5 allowed). Callers could see it as waits at a server that has just come back, or as a second end of it.

Cause: an ejection only put the server behind the others for a while; SlowStart knew servers that have just started, have lifted a limit or return after a pause, but not these. Now a server that was ejected is slow until it answers this entry: SlowStart gives it 1.4 times an equal share at most. Where no other server may get the request, it still gets it. Within the bounds in three runs; all 763 tests of the package pass in one run (load 9).

--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -195,11 +195,15 @@
 
   /**
    * Returns whether a server may get little more than an equal share: it has just started, has just
-   * lifted its limit, or has not answered since a pause. All entries see it idle at the same time.
+   * lifted its limit, or has not answered since a pause or an ejection. All entries see it idle at the
+   * same time.
    */
-  isSlow({slowUntil, listing: {registration}}: KnownServer): boolean {
+  isSlow(server: KnownServer): boolean {
+    const {slowUntil, ejectedUntil} = server;
+    const {registration} = server.listing;
     return (
       performance.now() < slowUntil ||
+      ejectedUntil > 0 ||
       this.limits.isReturning(registration) ||
       this.notices.isReturning(registration)
     );
