A member's folder has one writer, also while its disk is full

Callers could see changes refused or unanswered long after a disk had room again: a failure that reached LogMember before its member was in use passed the guard, and a second start() ran beside the loop that was still retrying. Each of the two could do the same again. The members left over stayed candidates under the same id, with an entry in memory that no disk held, and wrote into the same segments. createGroup also gave up a group for good whose first entry had found no room after the vote had.

Now one task opens the log; a member that failed is closed, and its pending writes are over, before its folder is opened again; and createGroup may be repeated until the first entry is stored. The line storage_failed tells what the member decided (then=open_again or erase). FakeDisk fails as the system does: error codes, short writes, each kind of write by itself. The waits of LogMember, ControlPeers and FleetCommands are on the runtime's clock, so that tests can pause it.

--- a/packages/consensus/src/lib/RaftNode.ts
+++ b/packages/consensus/src/lib/RaftNode.ts
@@ -115,22 +115,39 @@
     log('member_started', {id, term, last: entries.lastIndex});
   }
 
-  /** Creates a new group with the given members, unless this member already belongs to a group. */
+  /**
+   * Creates a new group with the given members, unless this member already belongs to a group. A call
+   * that failed before the first entry was stored may be repeated.
+   */
   async createGroup(group: string, members: Membership): Promise<void> {
-    await this.lock.run(async () => {
-      if (this.state.vote.group !== '') return;
-      await this.state.saveVote(FIRST_TERM, '', group);
+    const isCreated = await this.lock.run(() =>
+      this.storeFirstEntry(group, members),
+    );
+    if (isCreated) this.election.expireTimeout();
+  }
+
+  private async storeFirstEntry(
+    group: string,
+    members: Membership,
+  ): Promise<boolean> {
+    const {state} = this;
+    const isOther = state.vote.group !== '' && state.vote.group !== group;
+    if (isOther || state.entries.lastIndex > 0) return false;
+    try {
+      if (state.vote.group === '') await state.saveVote(FIRST_TERM, '', group);
       const entry = {
         index: 1,
         term: FIRST_TERM,
         type: 'membership' as const,
         members,
       };
-      const text = this.state.entries.append(entry);
-      await this.state.storage.append([text], entry);
-      log('group_created', {group, members: members.length});
-    });
-    this.election.expireTimeout();
+      await state.storage.append([state.entries.append(entry)], entry);
+    } catch (error) {
+      state.fail(error);
+      throw error;
+    }
+    log('group_created', {group, members: members.length});
+    return true;
   }
 
   async propose(command: JsonValue): Promise<JsonValue> {
@@ -186,6 +203,12 @@
     void this.state.storage.close();
   }
 
+  /** Aborts and returns once no write is under way, so that the disk may be opened again. */
+  async close(): Promise<void> {
+    this.abort();
+    await this.state.storage.close();
+  }
+
   // Queries.
 
   getStatus(): LogStatus {
--- a/packages/consensus/src/lib/storage/Disk.ts
+++ b/packages/consensus/src/lib/storage/Disk.ts
@@ -30,4 +30,6 @@
   /** Replaces a whole file atomically, even in case of a power failure. */
   replace(name: string, data: Buffer): Promise<void>;
   remove(name: string): Promise<void>;
+  /** Removes all files, as far as possible. */
+  clear(): Promise<void>;
 }
--- a/packages/consensus/src/lib/storage/FileDisk.ts
+++ b/packages/consensus/src/lib/storage/FileDisk.ts
@@ -72,6 +72,11 @@
     await syncPath(this.folder);
   }
 
+  async clear(): Promise<void> {
+    this.isFolderCreated = false;
+    await rm(this.folder, {recursive: true, force: true});
+  }
+
   private resolvePath(name: string): string {
     return path.join(this.folder, name);
   }
--- a/packages/consensus/src/lib/storage/LogStorage.ts
+++ b/packages/consensus/src/lib/storage/LogStorage.ts
@@ -56,6 +56,8 @@
   private syncCount = 0;
   private entryCount = 0;
   private writtenBytes = 0;
+  /** The write of a snapshot's file, which runs beside the queue. */
+  private snapshotWrite: Promise<unknown> = Promise.resolve();
 
   constructor(
     private readonly disk: Disk,
@@ -145,29 +147,34 @@
     isReset: boolean,
   ): Promise<void> {
     await this.flush();
-    const name = formatSnapshotName(snapshot);
-    // Written outside of the queue, so that a large file does not delay entries and heartbeats.
-    await this.runGuarded(() =>
-      this.disk.replace(name, encodeSnapshot(snapshot)),
-    );
+    await this.runGuarded(() => this.writeSnapshot(snapshot));
     await this.enqueue(() =>
-      this.startSegmentAfterSnapshot(name, snapshot, retainAfter, isReset),
+      this.startSegmentAfterSnapshot(snapshot, retainAfter, isReset),
     );
   }
 
   /** Waits for pending writes and closes the file. */
   async close(): Promise<void> {
+    await this.snapshotWrite;
     await this.tail.catch(() => {});
     await this.file?.close().catch(() => {});
     this.file = undefined;
   }
 
+  /** Writes outside of the queue, so that a large file does not delay entries and heartbeats. */
+  private async writeSnapshot(snapshot: Snapshot): Promise<void> {
+    const name = formatSnapshotName(snapshot);
+    const write = this.disk.replace(name, encodeSnapshot(snapshot));
+    this.snapshotWrite = write.catch(() => {});
+    await write;
+  }
+
   private async startSegmentAfterSnapshot(
-    name: string,
     {index, term}: LogPosition,
     retainAfter: number,
     isReset: boolean,
   ): Promise<void> {
+    const name = formatSnapshotName({index, term});
     // A snapshot from the leader may have been saved while this one was being written.
     if (index <= this.snapshotIndex) {
       if (name !== this.snapshotName) await this.disk.remove(name);
--- a/packages/consensus/src/testing/FakeDisk.ts
+++ b/packages/consensus/src/testing/FakeDisk.ts
@@ -14,6 +14,18 @@
 export type DiskFault =
   'none' | 'sync_fails' | 'sync_stalls' | 'folder_sync_stalls' | 'full';
 
+/** A kind of operation that a full disk may refuse. @internal */
+export type DiskWrite = 'create' | 'append' | 'replace' | 'sync' | 'truncate';
+
+/** All kinds of operations that a full disk may refuse. @internal */
+export const DISK_WRITES: readonly DiskWrite[] = [
+  'create',
+  'append',
+  'replace',
+  'sync',
+  'truncate',
+];
+
 /**
  * A disk in memory. A power failure loses a random part of what was not synced. After a crash the
  * disk never completes another operation, as the process that used it has ended.
@@ -22,7 +34,15 @@
  */
 export class FakeDisk implements Disk {
   fault: DiskFault = 'none';
+  /** The operations that a full disk refuses. */
+  refused: readonly DiskWrite[] = DISK_WRITES;
+  /** Bytes that a full disk still takes: an append that does not fit is cut short. */
+  freeBytes = 0;
   syncs = 0;
+  /** Files that are open for appending. */
+  openFiles = 0;
+  /** Largest number of files that were open at once; a second one has a second writer. */
+  maxOpenFiles = 0;
   private isCrashed = false;
 
   constructor(
@@ -79,8 +99,8 @@
 
   async create(name: string): Promise<AppendFile> {
     await this.checkAlive();
-    if (this.files.has(name)) throw new Error(`EEXIST: ${name}`);
-    this.checkSpace();
+    if (this.files.has(name)) throw createError('EEXIST', name);
+    this.checkRefused('create');
     this.files.set(name, {synced: Buffer.alloc(0), unsynced: Buffer.alloc(0)});
     return this.open(name);
   }
@@ -88,21 +108,34 @@
   async open(name: string): Promise<AppendFile> {
     await this.checkAlive();
     const file = this.find(name);
+    let isOpen = true;
+    this.openFiles += 1;
+    this.maxOpenFiles = Math.max(this.maxOpenFiles, this.openFiles);
     return {
       append: async data => {
         await this.checkAlive();
-        this.checkSpace();
-        file.unsynced = Buffer.concat([file.unsynced, data]);
+        const written = this.takeSpace('append', data.length);
+        file.unsynced = Buffer.concat([
+          file.unsynced,
+          data.subarray(0, written),
+        ]);
+        if (written < data.length) throw createError('ENOSPC', 'write');
       },
       sync: async () => {
         await this.waitForSync();
         syncContent(file);
       },
-      close: () => this.checkAlive(),
+      close: async () => {
+        await this.checkAlive();
+        if (!isOpen) return;
+        isOpen = false;
+        this.openFiles -= 1;
+      },
     };
   }
 
   async truncate(name: string, length: number): Promise<void> {
+    this.checkRefused('truncate');
     await this.waitForSync();
     const file = this.find(name);
     file.synced = Buffer.from(file.synced.subarray(0, length));
@@ -111,7 +144,8 @@
 
   async replace(name: string, data: Buffer): Promise<void> {
     await this.checkAlive();
-    this.checkSpace();
+    const written = this.takeSpace('replace', data.length);
+    if (written < data.length) throw createError('ENOSPC', 'write');
     await this.waitForSync();
     const file: FakeFile = {
       synced: Buffer.from(data),
@@ -129,6 +163,11 @@
     this.files.delete(name);
   }
 
+  async clear(): Promise<void> {
+    await this.checkAlive();
+    this.files.clear();
+  }
+
   private async checkAlive(): Promise<void> {
     if (this.isCrashed) await new Promise(() => {});
   }
@@ -140,21 +179,41 @@
     }
     await this.checkAlive();
     if (this.fault === 'sync_stalls') await new Promise(() => {});
-    if (this.fault === 'sync_fails') throw new Error('EIO: sync failed');
+    if (this.fault === 'sync_fails') {
+      throw createError('EIO', 'fsync');
+    }
+    this.checkRefused('sync');
     this.syncs += 1;
   }
 
-  private checkSpace(): void {
-    if (this.fault === 'full') throw new Error('ENOSPC: no space left');
+  private isRefused(write: DiskWrite): boolean {
+    return this.fault === 'full' && this.refused.includes(write);
+  }
+
+  private checkRefused(write: DiskWrite): void {
+    if (this.isRefused(write)) throw createError('ENOSPC', write);
+  }
+
+  /** Takes space for some bytes and returns how many of them fit. */
+  private takeSpace(write: DiskWrite, bytes: number): number {
+    if (!this.isRefused(write)) return bytes;
+    const taken = Math.min(bytes, this.freeBytes);
+    this.freeBytes -= taken;
+    return taken;
   }
 
   private find(name: string): FakeFile {
     const file = this.files.get(name);
-    if (!file) throw new Error(`ENOENT: ${name}`);
+    if (!file) throw createError('ENOENT', name);
     return file;
   }
 }
 
+/** Creates an error as the file system throws it, with its code. */
+function createError(code: string, detail: string): Error {
+  return Object.assign(new Error(`${code}: ${detail}`), {code});
+}
+
 function syncContent(file: FakeFile): void {
   file.synced = Buffer.concat([file.synced, file.unsynced]);
   file.unsynced = Buffer.alloc(0);
--- a/packages/consensus/src/testing/index.ts
+++ b/packages/consensus/src/testing/index.ts
@@ -1,6 +1,6 @@
 /** Fakes of disk, network and clock, for tests of this package and of those that use it. */
-export {FakeDisk} from './FakeDisk.js';
-export type {DiskFault} from './FakeDisk.js';
+export {DISK_WRITES, FakeDisk} from './FakeDisk.js';
+export type {DiskFault, DiskWrite} from './FakeDisk.js';
 export {FakeGroup} from './FakeGroup.js';
 export type {FakeGroupOptions, FakeInstance} from './FakeGroup.js';
 export {FakeNetwork, NO_FAULTS} from './FakeNetwork.js';
--- a/packages/fleet/src/lib/ControlPeers.ts
+++ b/packages/fleet/src/lib/ControlPeers.ts
@@ -1,4 +1,3 @@
-import {setTimeout as sleep} from 'node:timers/promises';
 import {LinkPool} from '@sycamorehead/consensus';
 import type {ServerRegistration} from '@sycamorehead/schema';
 import {createLogger, writeDecision} from '@sycamorehead/telemetry';
@@ -160,13 +159,13 @@
       try {
         await this.runRound(task);
         failures = 0;
-        await sleep(SYNC_INTERVAL_MS, undefined, {ref: false});
+        await pauseUnreferenced(SYNC_INTERVAL_MS);
       } catch (error) {
         failures += 1;
         this.handleFailure(task, error);
         const backoffMs = failures * BACKOFF_MS;
         const limitedMs = Math.min(backoffMs, MAX_BACKOFF_MS);
-        await sleep(limitedMs, undefined, {ref: false});
+        await pauseUnreferenced(limitedMs);
       }
     }
   }
@@ -230,3 +229,8 @@
 function isReachable({lastContactAt}: {lastContactAt: number}): boolean {
   return performance.now() - lastContactAt < REACHABLE_MS;
 }
+
+/** Waits on the runtime's clock without keeping the process alive. */
+function pauseUnreferenced(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms).unref());
+}
--- a/packages/fleet/src/lib/FleetCommands.ts
+++ b/packages/fleet/src/lib/FleetCommands.ts
@@ -1,4 +1,3 @@
-import {setTimeout as sleep} from 'node:timers/promises';
 import type {LinkPool} from '@sycamorehead/consensus';
 import {
   JsonValue,
@@ -11,6 +10,7 @@
 import {FLEET_METHODS, StoredConfiguration} from './fleetMessages.js';
 import type {GroupManager} from './GroupManager.js';
 import type {LogMember} from './LogMember.js';
+import {pause} from './pause.js';
 
 /** Timeout of a call to the leader, in milliseconds; operators' calls time out after a second. */
 const LEADER_CALL_TIMEOUT_MS = 850;
@@ -139,7 +139,7 @@
           {ran: 'no'},
         );
       }
-      await sleep(CATCH_UP_POLL_MS);
+      await pause(CATCH_UP_POLL_MS);
     }
   }
 
--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {
+  FileDisk,
   LinkPool,
-  RaftTiming,
   WireTransport,
   createConsensusMethods,
 } from '@sycamorehead/consensus';
@@ -23,6 +23,7 @@
   SyncReply,
   SyncRequest,
 } from './fleetMessages.js';
+import {FLEET_RAFT_TIMING} from './fleetRaftTiming.js';
 import {FLEET_LINK_TIMEOUTS} from './linkTimeouts.js';
 import {FleetMetrics} from './FleetMetrics.js';
 import {GroupManager} from './GroupManager.js';
@@ -37,17 +38,6 @@
 const EXPIRY_INTERVAL_MS = 500;
 /** Timeout of sending one digest, in milliseconds. */
 const DIGEST_TIMEOUT_MS = 500;
-/** Raft timing for network latencies and disk syncs of a few milliseconds each. */
-const FLEET_RAFT_TIMING: RaftTiming = {
-  heartbeatMs: 100,
-  electionMinMs: 500,
-  electionMaxMs: 1_000,
-  // Ten times the duration of a vote with its two syncs, so that split votes are rare.
-  startupElectionMaxMs: 300,
-  requestTimeoutMs: 400,
-  chunkTimeoutMs: 1_000,
-  catchUpTimeoutMs: 4_000,
-};
 
 /** Settings of a FleetNode. @public */
 export interface FleetNodeOptions {
@@ -130,7 +120,7 @@
     });
     this.logMember = new LogMember({
       instance,
-      folder: `${options.dataFolder}/log`,
+      createDisk: () => new FileDisk(`${options.dataFolder}/log`),
       transport: new WireTransport(this.consensusLinks, this.bulkLinks),
       timing: FLEET_RAFT_TIMING,
       onChange: () => this.feeds.markStateChanged(),
--- a/packages/fleet/src/lib/LogMember.ts
+++ b/packages/fleet/src/lib/LogMember.ts
@@ -1,9 +1,7 @@
-import {setTimeout as sleep} from 'node:timers/promises';
 import {randomUUID} from 'node:crypto';
-import {rm} from 'node:fs/promises';
 import {
   ConsensusTransport,
-  FileDisk,
+  Disk,
   Membership,
   RaftNode,
   RaftTiming,
@@ -12,6 +10,7 @@
 import {JsonValue, SycamoreheadError} from '@sycamorehead/schema';
 import {createLogger, writeDecision} from '@sycamorehead/telemetry';
 import {CommandResult, FleetCommand, FleetState} from './FleetState.js';
+import {pause} from './pause.js';
 
 const log = createLogger('fleet');
 
@@ -30,7 +29,8 @@
 /** Settings of a LogMember. @public */
 export interface LogMemberOptions {
   readonly instance: string;
-  readonly folder: string;
+  /** Creates the access to this member's disk, each time that the log is opened. */
+  createDisk(): Disk;
   readonly transport: ConsensusTransport;
   readonly timing: RaftTiming;
   /** Called after the replicated state has changed. */
@@ -65,30 +65,19 @@
     members: Membership;
   }): Promise<void> {
     this.firstGroup = firstGroup;
-    while (!this.isStopped) {
-      try {
-        await this.openNode();
-        return;
-      } catch (error) {
-        writeDecision('storage_failed', {error: String(error)});
-        if (!isDiskError(error)) {
-          // Acknowledged entries are lost, so this member must not return under its old id.
-          this.firstGroup = undefined;
-          await this.clearFolder();
-        }
-        await sleep(REOPEN_PAUSE_MS);
-      }
-    }
+    await this.open();
   }
 
   /** Deletes all data and waits to be added under a new identity. */
   async reset(): Promise<void> {
-    writeDecision('member_reset', {id: this.node?.getIdentity().id});
-    this.node?.abort();
+    const {node} = this;
+    // While the log is being opened, there is no member that could have been removed.
+    if (!node) return;
+    writeDecision('member_reset', {id: node.getIdentity().id});
     this.node = undefined;
-    this.firstGroup = undefined;
-    await this.clearFolder();
-    await this.start();
+    await node.close();
+    await this.clearDisk();
+    await this.open();
   }
 
   /** Proposes a command and returns whether it has changed the state. */
@@ -138,10 +127,30 @@
     });
   }
 
+  /** Opens the log, however often that takes. One task at a time does, since the disk has one writer. */
+  private async open(): Promise<void> {
+    while (!this.isStopped) {
+      try {
+        await this.openNode();
+        return;
+      } catch (error) {
+        const isRetried = isDiskError(error);
+        writeDecision('storage_failed', {
+          error: String(error),
+          then: isRetried ? 'open_again' : 'erase',
+        });
+        // Acknowledged entries are lost, so this member must not return under its old id.
+        if (!isRetried) await this.clearDisk();
+        await pause(REOPEN_PAUSE_MS);
+      }
+    }
+  }
+
   private async openNode(): Promise<void> {
-    const {instance, folder, transport, timing} = this.options;
-    const disk = new FileDisk(folder);
-    const isFirst = this.firstGroup?.members.some(
+    const {instance, createDisk, transport, timing} = this.options;
+    const disk = createDisk();
+    const {firstGroup} = this;
+    const isFirst = firstGroup?.members.some(
       member => member.instance === instance,
     );
     const id = await loadMemberId(
@@ -158,13 +167,23 @@
       transport,
       timing,
       snapshotBytes: SNAPSHOT_BYTES,
-      onFailure: error => this.handleFailure(node, error),
+      onFailure: error => {
+        failure = error;
+        if (this.node === node) this.handleFailure(node, error);
+      },
     });
+    let failure: SycamoreheadError | undefined;
     node.addLeaderListener(this.options.onLeading);
-    await node.start();
-    const {firstGroup} = this;
-    if (firstGroup?.members.some(member => member.id === id)) {
-      await node.createGroup(firstGroup.group, firstGroup.members);
+    try {
+      await node.start();
+      if (firstGroup?.members.some(member => member.id === id)) {
+        await node.createGroup(firstGroup.group, firstGroup.members);
+      }
+      // An election may have failed to save its vote meanwhile.
+      if (failure) throw failure;
+    } catch (error) {
+      await node.close();
+      throw error;
     }
     this.node = node;
     const {group} = node.getIdentity();
@@ -176,22 +195,31 @@
     });
   }
 
+  /** Opens the log again from what the disk holds, once the failed member writes no more. */
   private handleFailure(node: RaftNode, error: SycamoreheadError): void {
-    if (this.isStopped || (this.node && this.node !== node)) return;
-    writeDecision('storage_failed', {error: error.message});
+    if (this.isStopped) return;
+    writeDecision('storage_failed', {
+      error: error.message,
+      then: 'open_again',
+    });
     this.node = undefined;
-    setTimeout(() => {
-      this.start(this.firstGroup).catch((failure: unknown) =>
-        log('log_reopen_failed', {error: String(failure)}),
-      );
-    }, REOPEN_PAUSE_MS);
+    this.openAgain(node).catch((failure: unknown) =>
+      log('log_reopen_failed', {error: String(failure)}),
+    );
   }
 
-  private async clearFolder(): Promise<void> {
+  private async openAgain(node: RaftNode): Promise<void> {
+    await pause(REOPEN_PAUSE_MS);
+    await node.close();
+    await this.open();
+  }
+
+  private async clearDisk(): Promise<void> {
+    this.firstGroup = undefined;
     try {
-      await rm(this.options.folder, {recursive: true, force: true});
+      await this.options.createDisk().clear();
     } catch (error) {
-      log('log_folder_clear_failed', {error: String(error)});
+      log('disk_clear_failed', {error: String(error)});
     }
   }
 }
