A member whose storage has failed lets the others stand for election first

Callers could see changes refused for as long as one disk was at its limit ('the log is not open', 'no leader is known'): where a disk takes votes and small entries, but no new segment, its member is opened again 500 ms after its failure, stands at once (startup timeout of 0 to 300 ms, or none after createGroup), and wins, since the others have refused each other until then and wait up to 1,000 ms.

A member that was opened again waits for one to two electionMaxMs before it first stands, so that any other that runs comes first; it still stands if none does.

--- a/packages/consensus/src/lib/Election.ts
+++ b/packages/consensus/src/lib/Election.ts
@@ -18,6 +18,8 @@
   readonly lock: Mutex;
   /** Returns numbers in [0, 1), which randomise the election timeouts. */
   readonly random: () => number;
+  /** Whether this member's storage has just failed; it then lets the others stand first. */
+  readonly isReopened: boolean;
   onHigherTerm(term: number): void;
   /** Called under the lock once a majority has voted for this member in its term. */
   onElected(): void;
@@ -77,6 +79,10 @@
       this.context.timing;
     const isFirst = this.lastLeaderContactAt === -Infinity;
     this.timeoutStartedAt = performance.now();
+    if (isFirst && this.context.isReopened) {
+      this.timeoutMs = electionMaxMs * (1 + this.context.random());
+      return;
+    }
     // Members that know a live leader reject the pre-vote, so a short first timeout is safe.
     this.timeoutMs =
       isFirst && startupElectionMaxMs !== undefined
--- a/packages/consensus/src/lib/RaftNode.ts
+++ b/packages/consensus/src/lib/RaftNode.ts
@@ -45,6 +45,11 @@
   readonly trailingEntries?: number;
   readonly trailingBytes?: number;
   readonly random?: () => number;
+  /**
+   * Whether the storage has just failed and is opened again. Such a member lets the others stand for
+   * election first: its disk may take a vote and still refuse the entries of a leader.
+   */
+  readonly isReopened?: boolean;
   /** Called once when the storage has failed; the process should exit. */
   readonly onFailure: (error: SycamoreheadError) => void;
 }
@@ -84,6 +89,7 @@
       ...this.getSharedContext(),
       lock: this.lock,
       random: options.random ?? Math.random,
+      isReopened: options.isReopened ?? false,
       onElected: () => this.startLeading(),
     });
     this.handlers = new RequestHandlers({
--- a/packages/fleet/src/lib/LogMember.ts
+++ b/packages/fleet/src/lib/LogMember.ts
@@ -128,10 +128,10 @@
   }
 
   /** Opens the log, however often that takes. One task at a time does, since the disk has one writer. */
-  private async open(): Promise<void> {
+  private async open(isReopened = false): Promise<void> {
     while (!this.isStopped) {
       try {
-        await this.openNode();
+        await this.openNode(isReopened);
         return;
       } catch (error) {
         const isRetried = isDiskError(error);
@@ -141,12 +141,13 @@
         });
         // Acknowledged entries are lost, so this member must not return under its old id.
         if (!isRetried) await this.clearDisk();
+        isReopened = true;
         await pause(REOPEN_PAUSE_MS);
       }
     }
   }
 
-  private async openNode(): Promise<void> {
+  private async openNode(isReopened: boolean): Promise<void> {
     const {instance, createDisk, transport, timing} = this.options;
     const disk = createDisk();
     const {firstGroup} = this;
@@ -167,6 +168,7 @@
       transport,
       timing,
       snapshotBytes: SNAPSHOT_BYTES,
+      isReopened,
       onFailure: error => {
         failure = error;
         if (this.node === node) this.handleFailure(node, error);
@@ -211,7 +213,7 @@
   private async openAgain(node: RaftNode): Promise<void> {
     await pause(REOPEN_PAUSE_MS);
     await node.close();
-    await this.open();
+    await this.open(true);
   }
 
   private async clearDisk(): Promise<void> {
