--- a/packages/consensus/src/lib/RaftState.ts
+++ b/packages/consensus/src/lib/RaftState.ts
@@ -23,6 +23,9 @@
 /** Bytes of entries in memory at which a log is full, in terms of those after which a snapshot is taken. */
 const CAPACITY_FACTOR = 4;
 
+/** Time after which a snapshot that the disk did not take is tried again, in milliseconds. */
+const SNAPSHOT_RETRY_MS = 1_000;
+
 /** Options of a RaftState. @internal */
 export interface RaftStateOptions {
   readonly id: string;
@@ -59,6 +62,8 @@
   /** Called with the result of each applied entry; set while this member leads. */
   onApplied: ((entry: LogEntry, result: JsonValue) => void) | undefined;
   private isCompacting = false;
+  /** Monotonic time before which no snapshot is tried. */
+  private nextSnapshotAt = -Infinity;
 
   constructor(private readonly options: RaftStateOptions) {
     this.id = options.id;
@@ -180,6 +185,7 @@
   private compactIfLarge(): void {
     const isCovered = this.commitIndex === this.snapshot?.index;
     if (this.isCompacting || isCovered || !this.isLarge) return;
+    if (performance.now() < this.nextSnapshotAt) return;
     this.isCompacting = true;
     this.compact().then(
       () => {
@@ -207,7 +213,11 @@
       this.options.trailingEntries ?? TRAILING_ENTRIES,
       this.trailingBytes,
     );
-    await this.storage.saveSnapshot(snapshot, retainAfter, false);
+    const isSaved = await this.storage.trySaveSnapshot(snapshot, retainAfter);
+    if (!isSaved) {
+      this.nextSnapshotAt = performance.now() + SNAPSHOT_RETRY_MS;
+      return;
+    }
     if (index <= (this.snapshot?.index ?? 0)) return;
     this.snapshot = snapshot;
     this.entries.compact(retainAfter);
--- a/packages/consensus/src/lib/storage/FileDisk.ts
+++ b/packages/consensus/src/lib/storage/FileDisk.ts
@@ -35,7 +35,12 @@
   async create(name: string): Promise<AppendFile> {
     await this.ensureFolder();
     const handle = await open(this.resolvePath(name), 'ax');
-    await syncPath(this.folder);
+    try {
+      await syncPath(this.folder);
+    } catch (error) {
+      await handle.close();
+      throw error;
+    }
     return wrapHandle(handle);
   }
 
@@ -56,14 +61,14 @@
   async replace(name: string, data: Buffer): Promise<void> {
     await this.ensureFolder();
     const temporary = this.resolvePath(name + TEMPORARY_SUFFIX);
-    const handle = await open(temporary, 'w');
     try {
-      await handle.writeFile(data);
-      await handle.sync();
-    } finally {
-      await handle.close();
+      await writeWhole(temporary, data);
+      await rename(temporary, this.resolvePath(name));
+    } catch (error) {
+      // On a full disk, what was written would hold the space that is missing.
+      await rm(temporary, {force: true}).catch(() => {});
+      throw error;
     }
-    await rename(temporary, this.resolvePath(name));
     await syncPath(this.folder);
   }
 
@@ -85,9 +90,18 @@
     if (this.isFolderCreated) return;
     const firstCreated = await mkdir(this.folder, {recursive: true});
     if (firstCreated) await this.syncParents(firstCreated);
+    await this.removeTemporaries();
     this.isFolderCreated = true;
   }
 
+  /** Removes what the replacements of an earlier process have left, which nothing would overwrite. */
+  private async removeTemporaries(): Promise<void> {
+    for (const name of await readdir(this.folder)) {
+      if (!name.endsWith(TEMPORARY_SUFFIX)) continue;
+      await rm(this.resolvePath(name), {force: true});
+    }
+  }
+
   /** Syncs the parents of all newly created folders, so that the folder names are durable. */
   private async syncParents(firstCreated: string): Promise<void> {
     let folder = path.resolve(this.folder);
@@ -99,6 +113,16 @@
   }
 }
 
+async function writeWhole(name: string, data: Buffer): Promise<void> {
+  const handle = await open(name, 'w');
+  try {
+    await handle.writeFile(data);
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+}
+
 /** Syncs a file, or the names in a folder. */
 async function syncPath(name: string): Promise<void> {
   const handle = await open(name, 'r');
--- a/packages/consensus/src/lib/storage/LogStorage.ts
+++ b/packages/consensus/src/lib/storage/LogStorage.ts
@@ -153,6 +153,27 @@
     );
   }
 
+  /**
+   * Persists a snapshot of the entries in the log, like `saveSnapshot`. Returns false if the disk does
+   * not take the file: the log does without it, so that this is no failure of the storage.
+   */
+  async trySaveSnapshot(
+    snapshot: Snapshot,
+    retainAfter: number,
+  ): Promise<boolean> {
+    await this.flush();
+    try {
+      await this.writeSnapshot(snapshot);
+    } catch (error) {
+      log('snapshot_put_off', {index: snapshot.index, error: String(error)});
+      return false;
+    }
+    await this.enqueue(() =>
+      this.startSegmentAfterSnapshot(snapshot, retainAfter, false),
+    );
+    return true;
+  }
+
   /** Waits for pending writes and closes the file. */
   async close(): Promise<void> {
     await this.snapshotWrite;
--- a/packages/consensus/src/test/failures.test.ts
+++ b/packages/consensus/src/test/failures.test.ts
@@ -138,6 +138,28 @@
   }
 });
 
+// A snapshot that found no room ended the member, which then failed again at the next commit.
+test('a leader whose disk has room for entries but for no snapshot goes on, and takes the snapshot later', () =>
+  runPaused(9, async (clock, random) => {
+    const group = createGroup(clock, random, {snapshotBytes: 500});
+    await group.createGroup(NAMES);
+    const leader = await group.waitForLeader();
+    leader.disk.refused = ['replace'];
+    leader.disk.fault = 'full';
+    for (let number = 1; number <= 40; number++) {
+      await group.propose(`full ${number}`);
+      await clock.advance(100);
+    }
+    assert.equal(leader.failure, undefined);
+    assert.equal(leader.node!.getStatus().role, 'leader');
+    assert.equal(leader.node!.getStatus().snapshotIndex, 0);
+    leader.disk.fault = 'none';
+    await clock.advance(1_000);
+    await group.propose('room');
+    await clock.advance(100);
+    assert.ok((leader.node!.getStatus().snapshotIndex ?? 0) >= 40);
+  }));
+
 test('a planned stop transfers leadership without waiting for an election timeout', () =>
   runPaused(8, async (clock, random) => {
     const group = createGroup(clock, random);
--- a/packages/consensus/src/test/storage.test.ts
+++ b/packages/consensus/src/test/storage.test.ts
@@ -4,9 +4,11 @@
   mkdir,
   mkdtemp,
   open,
+  readdir,
   readlink,
   realpath,
   rm,
+  writeFile,
 } from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -267,6 +269,23 @@
   }
 });
 
+// What a replacement had written before the disk was full held the space that was missing, for good.
+test('neither a replacement that fails nor a process that was killed in one leaves a file behind', async () => {
+  const folder = await mkdtemp(path.join(tmpdir(), 'sycamorehead-disk-'));
+  try {
+    const disk = new FileDisk(folder);
+    // A file can't replace a folder.
+    await mkdir(path.join(folder, 'vote'));
+    await assert.rejects(disk.replace('vote', Buffer.from('x')));
+    assert.deepEqual(await readdir(folder), ['vote']);
+    await writeFile(path.join(folder, 'snapshot-1.tmp'), 'half');
+    await new FileDisk(folder).list();
+    assert.deepEqual(await readdir(folder), ['vote']);
+  } finally {
+    await rm(folder, {recursive: true, force: true});
+  }
+});
+
 test('a folder of the file system persists log, vote, snapshot and identity', async () => {
   const parent = await mkdtemp(path.join(tmpdir(), 'sycamorehead-disk-'));
   const folder = path.join(parent, 'data', 'shard-0');
