--- a/packages/consensus/src/lib/storage/LogStorage.ts
+++ b/packages/consensus/src/lib/storage/LogStorage.ts
@@ -56,6 +56,8 @@
   private syncCount = 0;
   private entryCount = 0;
   private writtenBytes = 0;
+  /** The write of a snapshot's file, which runs beside the queue. */
+  private snapshotWrite: Promise<unknown> = Promise.resolve();
 
   constructor(
     private readonly disk: Disk,
@@ -145,29 +147,55 @@
     isReset: boolean,
   ): Promise<void> {
     await this.flush();
-    const name = formatSnapshotName(snapshot);
-    // Written outside of the queue, so that a large file does not delay entries and heartbeats.
-    await this.runGuarded(() =>
-      this.disk.replace(name, encodeSnapshot(snapshot)),
+    await this.runGuarded(() => this.writeSnapshot(snapshot));
+    await this.enqueue(() =>
+      this.startSegmentAfterSnapshot(snapshot, retainAfter, isReset),
     );
+  }
+
+  /**
+   * Persists a snapshot of the entries in the log, like `saveSnapshot`. Returns false if the disk does
+   * not take the file: the log does without it, so that this is no failure of the storage.
+   */
+  async trySaveSnapshot(
+    snapshot: Snapshot,
+    retainAfter: number,
+  ): Promise<boolean> {
+    await this.flush();
+    try {
+      await this.writeSnapshot(snapshot);
+    } catch (error) {
+      log('snapshot_put_off', {index: snapshot.index, error: String(error)});
+      return false;
+    }
     await this.enqueue(() =>
-      this.startSegmentAfterSnapshot(name, snapshot, retainAfter, isReset),
+      this.startSegmentAfterSnapshot(snapshot, retainAfter, false),
     );
+    return true;
   }
 
   /** Waits for pending writes and closes the file. */
   async close(): Promise<void> {
+    await this.snapshotWrite;
     await this.tail.catch(() => {});
     await this.file?.close().catch(() => {});
     this.file = undefined;
   }
 
+  /** Writes outside of the queue, so that a large file does not delay entries and heartbeats. */
+  private async writeSnapshot(snapshot: Snapshot): Promise<void> {
+    const name = formatSnapshotName(snapshot);
+    const write = this.disk.replace(name, encodeSnapshot(snapshot));
+    this.snapshotWrite = write.catch(() => {});
+    await write;
+  }
+
   private async startSegmentAfterSnapshot(
-    name: string,
     {index, term}: LogPosition,
     retainAfter: number,
     isReset: boolean,
   ): Promise<void> {
+    const name = formatSnapshotName({index, term});
     // A snapshot from the leader may have been saved while this one was being written.
     if (index <= this.snapshotIndex) {
       if (name !== this.snapshotName) await this.disk.remove(name);
