Configurations: bytes that came while an entry was busy count as progress

Seen once in seven runs of the fleet tests at a load of 22: the large transfer of configurationFetch.test.ts failed (output not kept). By reading: a timer of an entry whose event loop stood still runs before the reads that are due, so that a fetch counted as stalled though its bytes were there. The check now runs after the reads.

--- a/packages/fleet/src/lib/ConfigurationFetcher.ts
+++ b/packages/fleet/src/lib/ConfigurationFetcher.ts
@@ -97,7 +97,8 @@
       seenBytes = link.receivedBytes;
       if (fetch.isStalled) this.fetchNewer();
     };
-    return setInterval(check, STALL_MS);
+    // After the reads, so that bytes that came while this process was busy count.
+    return setInterval(() => setImmediate(check), STALL_MS);
   }
 
   private acceptConfiguration(stored: StoredConfiguration): void {
