Members: the replacements of lost members catch up at the same time

Cause: GroupManager replaced one member at a time and waited for its catch-up before it looked at the next, with a pause of 200 ms before each of the steps.

Why this works, and what it leaves as it was: a learner belongs to no majority, so that any number of them may be added and catch up at once. Voters still change one at a time, each change committed before the next, and a replacement is promoted before the member it replaces is removed. A learner is promoted on the same terms as before (it has what the log held less than an election timeout ago), and now only while it still answers. GroupManager takes the next step at once after a change. The members of a group, learners included, stay within MAX_MEMBERS.

It now also asks the leader to confirm a removal that it reports as made already. planMembership.test.ts: the step 'add' is now 'add_learner' and 'promote', and a learner that has not caught up is not promoted.

--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -29,6 +29,7 @@
   VoteReply,
   VoteRequest,
 } from './lib/consensusMessages.js';
+export {MAX_MEMBERS} from './lib/maxMembers.js';
 export {DEFAULT_RAFT_TIMING} from './lib/raftTiming.js';
 export type {RaftTiming} from './lib/raftTiming.js';
 export {RaftNode} from './lib/RaftNode.js';
--- a/packages/consensus/src/lib/Leadership.ts
+++ b/packages/consensus/src/lib/Leadership.ts
@@ -121,6 +121,12 @@
     return this.peers.get(id)?.matchIndex ?? 0;
   }
 
+  /** Returns whether a member has caught up with the log and answers. */
+  isCaughtUp(id: string): boolean {
+    if (id === this.context.state.id) return true;
+    return this.peers.get(id)?.isCaughtUp ?? false;
+  }
+
   /** Transfers leadership to the most up-to-date voter. Returns whether this one has ended. */
   async transfer(): Promise<boolean> {
     const {state, timing} = this.context;
--- a/packages/consensus/src/lib/MembershipChange.ts
+++ b/packages/consensus/src/lib/MembershipChange.ts
@@ -3,14 +3,14 @@
 import type {ConsensusTransport} from './consensusMessages.js';
 import type {Leadership} from './Leadership.js';
 import type {Member, Membership} from './logTypes.js';
-import {listVoters} from './quorum.js';
+import {MAX_MEMBERS} from './maxMembers.js';
+import {isVoter, listVoters} from './quorum.js';
 import type {RaftState} from './RaftState.js';
 import type {RaftTiming} from './raftTiming.js';
 import {Signal} from './Signal.js';
 
 const log = createLogger('consensus');
 
-const MAX_MEMBERS = 9;
 const CATCH_UP_TIMEOUT_MS = 60_000;
 
 /** The dependencies that a member passes to its membership changes. @internal */
@@ -24,7 +24,8 @@
 
 /**
  * Adds and removes one member at a time. Any majority before such a change shares a member with
- * any majority after it, so disjoint majorities can't elect two leaders.
+ * any majority after it, so disjoint majorities can't elect two leaders. Learners belong to no majority,
+ * so several of them may catch up at the same time.
  *
  * @internal
  */
@@ -36,15 +37,31 @@
   /** Adds an instance as a learner and promotes it to a voter once it has caught up. */
   add(instance: string, address: string): Promise<Membership> {
     return this.runAlone(async () => {
-      const learner = await this.findOrAddLearner(instance, address);
-      if (learner.role === 'learner') {
-        await this.waitUntilCaughtUp(learner.id);
-        await this.commit(
-          this.members.map(member =>
-            member.id === learner.id ? {...member, role: 'voter'} : member,
-          ),
-        );
+      const {id} = await this.findOrAddLearner(instance, address);
+      await this.waitUntilCaughtUp(id);
+      await this.commitPromotion(id);
+      return this.members;
+    });
+  }
+
+  /** Adds an instance as a learner. */
+  addLearner(instance: string, address: string): Promise<Membership> {
+    return this.runAlone(async () => {
+      await this.findOrAddLearner(instance, address);
+      return this.members;
+    });
+  }
+
+  /** Promotes a learner that has caught up to a voter. */
+  admitVoter(id: string): Promise<Membership> {
+    return this.runAlone(async () => {
+      if (!this.members.some(member => member.id === id)) {
+        refuse('not_found', `${id} is not a member`);
       }
+      if (!this.isVoterOrCaughtUp(id)) {
+        refuse('in_progress', `${id} has not caught up; repeat the command`);
+      }
+      await this.commitPromotion(id);
       return this.members;
     });
   }
@@ -117,30 +134,34 @@
     return learner;
   }
 
-  /**
-   * Waits until the learner is less than an election timeout behind the end of the log, so that
-   * the group does not wait for it once it is a voter.
-   */
   private async waitUntilCaughtUp(id: string): Promise<void> {
-    const {state, timing, getLeadership} = this.context;
+    const {timing} = this.context;
     const deadline =
       performance.now() + (timing.catchUpTimeoutMs ?? CATCH_UP_TIMEOUT_MS);
     const pause = new Signal();
-    for (;;) {
-      const target = state.entries.lastIndex;
-      const startedAt = performance.now();
-      while (getLeadership().getMatchIndex(id) < target) {
-        if (performance.now() > deadline) {
-          refuse('timeout', `${id} has not caught up; repeat the command`);
-        }
-        await pause.wait(timing.heartbeatMs);
+    while (!this.isVoterOrCaughtUp(id)) {
+      if (performance.now() > deadline) {
+        refuse('timeout', `${id} has not caught up; repeat the command`);
       }
-      const elapsedMs = performance.now() - startedAt;
-      log('learner_caught_up', {id, target, ms: Math.round(elapsedMs)});
-      if (elapsedMs < timing.electionMinMs) return;
+      await pause.wait(timing.heartbeatMs);
     }
   }
 
+  private isVoterOrCaughtUp(id: string): boolean {
+    const leadership = this.context.getLeadership();
+    return isVoter(this.members, id) || leadership.isCaughtUp(id);
+  }
+
+  private async commitPromotion(id: string): Promise<void> {
+    if (isVoter(this.members, id)) return;
+    log('learner_caught_up', {id});
+    await this.commit(
+      this.members.map(member =>
+        member.id === id ? {...member, role: 'voter'} : member,
+      ),
+    );
+  }
+
   private async commit(members: Membership): Promise<void> {
     const leadership = this.context.getLeadership();
     const {entries, commitIndex} = this.context.state;
--- a/packages/consensus/src/lib/PeerReplicator.ts
+++ b/packages/consensus/src/lib/PeerReplicator.ts
@@ -1,5 +1,6 @@
 import {createHash} from 'node:crypto';
 import {createLogger} from '@sycamorehead/telemetry';
+import {CatchUpProgress} from './CatchUpProgress.js';
 import type {
   AppendReply,
   ConsensusTransport,
@@ -45,6 +46,7 @@
   ackedRound = 0;
   /** Time at which the newest acknowledged request was sent. */
   lastAckAt = performance.now();
+  private readonly progress = new CatchUpProgress();
   private nextIndex: number;
   private sentRound = 0;
   private isStopped = false;
@@ -61,6 +63,20 @@
     this.nextIndex = Math.max(1, context.state.entries.lastIndex);
   }
 
+  /**
+   * Whether the peer still answers and has what the log held less than an election timeout before, so that
+   * the group does not wait for it once it is a voter.
+   */
+  get isCaughtUp(): boolean {
+    const {state, timing} = this.context;
+    const silentMs = performance.now() - this.lastAckAt;
+    if (silentMs > timing.electionMaxMs) return false;
+    return (
+      this.matchIndex >= state.entries.lastIndex ||
+      this.progress.getLagMs() < timing.electionMinMs
+    );
+  }
+
   /** Replicates until stopped. */
   async run(): Promise<void> {
     await Promise.all([this.runReplication(), this.runHeartbeats()]);
@@ -182,14 +198,19 @@
 
   private applyAppendReply(reply: AppendReply, previousIndex: number): void {
     if (reply.isMatching) {
-      this.matchIndex = Math.max(this.matchIndex, reply.index);
-      this.nextIndex = this.matchIndex + 1;
+      this.recordMatch(reply.index);
       return;
     }
     const next = Math.min(reply.index, previousIndex);
     this.nextIndex = Math.max(this.matchIndex + 1, next, 1);
   }
 
+  private recordMatch(index: number): void {
+    this.matchIndex = Math.max(this.matchIndex, index);
+    this.nextIndex = this.matchIndex + 1;
+    this.progress.record(this.matchIndex, this.context.state.entries.lastIndex);
+  }
+
   private async sendSnapshot(): Promise<void> {
     const {snapshot} = this.context.state;
     if (!snapshot)
@@ -208,10 +229,7 @@
         this.context.timing.chunkTimeoutMs,
       );
       if (!this.acceptReply(reply.term, round, sentAt)) return;
-      if (reply.isInstalled) {
-        this.matchIndex = Math.max(this.matchIndex, index);
-        this.nextIndex = this.matchIndex + 1;
-      }
+      if (reply.isInstalled) this.recordMatch(index);
       this.context.onProgress();
       if (reply.isInstalled) return;
       offset = Math.min(reply.nextOffset, data.length);
--- a/packages/consensus/src/lib/RaftNode.ts
+++ b/packages/consensus/src/lib/RaftNode.ts
@@ -145,6 +145,16 @@
     return this.changes.add(instance, address);
   }
 
+  /** Adds an instance as a learner. Several learners may catch up at the same time. */
+  addLearner(instance: string, address: string): Promise<Membership> {
+    return this.changes.addLearner(instance, address);
+  }
+
+  /** Promotes a learner that has caught up to a voter. */
+  admitVoter(id: string): Promise<Membership> {
+    return this.changes.admitVoter(id);
+  }
+
   removeMember(name: string): Promise<Membership> {
     return this.changes.remove(name);
   }
@@ -208,6 +218,11 @@
     };
   }
 
+  /** Returns whether this member leads and another one has caught up with its log. */
+  isCaughtUp(id: string): boolean {
+    return this.leadership?.isCaughtUp(id) ?? false;
+  }
+
   addLeaderListener(listener: () => void): void {
     this.leaderListeners.push(listener);
   }
--- a/packages/consensus/src/test/FaultScenario.ts
+++ b/packages/consensus/src/test/FaultScenario.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {SycamoreheadError} from '@sycamorehead/schema';
+import type {RaftNode} from '../lib/RaftNode.js';
 import {
   AppliedCommand,
   FakeGroup,
@@ -9,7 +10,8 @@
   RecordingMachine,
 } from '../testing/index.js';
 
-const NAMES = ['c1', 'c2', 'c3'];
+/** Number of disks that may be missing at a time, by the size of the group. */
+const FAULTS: Readonly<Record<GroupSize, number>> = {3: 1, 5: 2};
 const RECOVERY_MS = 120_000;
 /**
  * Time within which all members must catch up, in milliseconds. It exceeds the timeout of a
@@ -19,6 +21,9 @@
 const LAST_ATTEMPTS = 5;
 const RETRY_MS = 200;
 
+/** Number of members of a group. @internal */
+export type GroupSize = 3 | 5;
+
 /** One step of a scenario; its numbers select instances and sizes. @internal */
 export interface FaultStep {
   readonly type: FaultStepType;
@@ -58,7 +63,7 @@
 ];
 
 /**
- * Runs random steps on a group of three and checks the invariants: an acknowledged command keeps
+ * Runs random steps on a group of three or five and checks the invariants: an acknowledged command keeps
  * its index, no index has two commands, no term has two leaders, and no confirmed read sees fewer
  * commands than an earlier one.
  *
@@ -74,7 +79,9 @@
   /** Number of commands that every later confirmed read must see. */
   private minVisible = 0;
   private proposals = 0;
-  private isRepairing = false;
+  private readonly names: readonly string[];
+  /** Instances whose empty disk has not replaced the lost one in the group yet. */
+  private readonly repairs = new Set<string>();
 
   private readonly steps: Record<
     FaultStepType,
@@ -84,21 +91,24 @@
     propose: step => this.propose(step),
     read: step => this.read(step),
     drop_link: ({target, amount}) =>
-      this.group.network.dropLink(pickName(target), pickName(amount)),
-    isolate: ({target}) => this.group.network.dropLinksOf(pickName(target)),
+      this.group.network.dropLink(this.pickName(target), this.pickName(amount)),
+    isolate: ({target}) =>
+      this.group.network.dropLinksOf(this.pickName(target)),
     restore_links: () => this.group.network.restoreLinks(),
     lossy: ({target, amount}) => this.setFaults(target, amount),
-    lose_power: ({target}) => this.group.abort(pickName(target)),
-    kill: ({target}) => this.group.abortProcess(pickName(target)),
-    start: ({target}) => this.start(pickName(target)),
-    stop: ({target}) => this.stop(pickName(target)),
-    lose_disk: ({target}) => this.replaceDisk(pickName(target)),
+    lose_power: ({target}) => this.group.abort(this.pickName(target)),
+    kill: ({target}) => this.group.abortProcess(this.pickName(target)),
+    start: ({target}) => this.start(this.pickName(target)),
+    stop: ({target}) => this.stop(this.pickName(target)),
+    lose_disk: ({target}) => this.replaceDisk(this.pickName(target)),
   };
 
   constructor(
     private readonly clock: PausedClock,
     random: () => number,
+    private readonly size: GroupSize,
   ) {
+    this.names = ['c1', 'c2', 'c3', 'c4', 'c5'].slice(0, size);
     this.group = new FakeGroup({
       clock,
       random,
@@ -111,7 +121,7 @@
 
   /** Runs the steps, lets the group recover, and checks the outcome. */
   async run(steps: readonly FaultStep[]): Promise<void> {
-    await this.group.createGroup(NAMES);
+    await this.group.createGroup(this.names);
     for (const step of steps) {
       await this.steps[step.type](step);
       this.checkLeaders();
@@ -123,7 +133,7 @@
   }
 
   private propose({target, amount}: FaultStep): void {
-    const {node} = this.group.get(pickName(target));
+    const {node} = this.group.get(this.pickName(target));
     for (let count = 0; node && count <= amount % 5; count++) {
       const command = `p${(this.proposals += 1)}`;
       this.watch(
@@ -136,7 +146,7 @@
   }
 
   private read({target}: FaultStep): void {
-    const instance = this.group.get(pickName(target));
+    const instance = this.group.get(this.pickName(target));
     const {node, machine} = instance;
     if (!node) return;
     const expected = this.minVisible;
@@ -171,43 +181,62 @@
     this.group.abort(name);
   }
 
-  /** Replaces a disk, unless another is being replaced; no two may be missing at a time. */
+  /** Replaces a disk, unless as many are being replaced as may be missing at a time. */
   private async replaceDisk(name: string): Promise<void> {
-    if (this.isRepairing) return;
-    this.isRepairing = true;
+    const isRefused =
+      this.repairs.has(name) || this.repairs.size >= FAULTS[this.size];
+    if (isRefused) return;
+    this.repairs.add(name);
     const lostId = this.group.get(name).id;
     await this.group.resetDisk(name);
     await this.group.start(name);
     const repair = this.repair(name, lostId).finally(() => {
-      this.isRepairing = false;
+      this.repairs.delete(name);
     });
     this.watch(repair);
   }
 
   private async repair(name: string, lostId: string): Promise<void> {
-    for (;;) {
-      try {
-        const node = this.group.findLeader()?.node;
-        if (node) {
-          await node.addMember(name, name);
-          await node.removeMember(lostId);
-          return;
-        }
-      } catch (error) {
-        // The removal has been made already if the reply to an earlier attempt was lost.
-        const isRemoved = isKind(error, 'not_found');
-        if (isRemoved) return;
-      }
+    while (!(await this.tryRepair(name, lostId))) {
+      await new Promise(resolve => setTimeout(resolve, RETRY_MS));
+    }
+  }
+
+  private async tryRepair(name: string, lostId: string): Promise<boolean> {
+    const node = this.group.findLeader()?.node;
+    if (!node) return false;
+    try {
+      // Two members that are replaced catch up at the same time.
+      if (this.size === 3) await node.addMember(name, name);
+      else await this.addAndAdmit(node, name);
+      await node.removeMember(lostId);
+      return true;
+    } catch (error) {
+      // The removal has been made already if the reply to an earlier attempt was lost.
+      if (!isKind(error, 'not_found')) return false;
+    }
+    return node.confirmLeadership().then(
+      () => true,
+      () => false,
+    );
+  }
+
+  private async addAndAdmit(node: RaftNode, name: string): Promise<void> {
+    await node.addLearner(name, name);
+    const {id} = this.group.get(name);
+    while (!node.isCaughtUp(id)) {
+      if (node.getStatus().role !== 'leader') throw new Error('not leading');
       await new Promise(resolve => setTimeout(resolve, RETRY_MS));
     }
+    await node.admitVoter(id);
   }
 
   private async recover(): Promise<void> {
     this.group.network.faults = NO_FAULTS;
     this.group.network.restoreLinks();
-    for (const name of NAMES) await this.start(name);
+    for (const name of this.names) await this.start(name);
     const isIdle = await this.clock.advanceUntil(
-      () => !this.isRepairing && this.pendingWork.size === 0,
+      () => this.repairs.size === 0 && this.pendingWork.size === 0,
       RECOVERY_MS,
       200,
     );
@@ -215,7 +244,7 @@
     const index = await this.proposeLast();
     const isCaughtUp = await this.clock.advanceUntil(
       () =>
-        NAMES.every(
+        this.names.every(
           name => this.group.get(name).machine.applied.length >= index,
         ),
       CATCH_UP_MS,
@@ -240,7 +269,7 @@
 
   private async checkOutcome(): Promise<void> {
     assert.deepEqual(this.violations, []);
-    const lists = NAMES.map(name => this.group.get(name).machine.list());
+    const lists = this.names.map(name => this.group.get(name).machine.list());
     const [list = []] = lists;
     for (const other of lists) assert.deepEqual(other, list);
     for (const [index, command] of this.acknowledged) {
@@ -276,6 +305,10 @@
     if (failure) this.violations.push(`${id}: ${failure.message}`);
   }
 
+  private pickName(number: number): string {
+    return this.names[number % this.names.length]!;
+  }
+
   private watch(work: Promise<unknown>): void {
     const settled = work
       .catch((error: unknown) => {
@@ -290,10 +323,6 @@
   }
 }
 
-function pickName(number: number): string {
-  return NAMES[number % NAMES.length]!;
-}
-
 function isKind(error: unknown, kind: SycamoreheadError['kind']): boolean {
   return error instanceof SycamoreheadError && error.kind === kind;
 }
--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -1,7 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {
   LinkPool,
-  RaftTiming,
   WireTransport,
   createConsensusMethods,
 } from '@sycamorehead/consensus';
@@ -24,6 +23,7 @@
   SyncRequest,
 } from './fleetMessages.js';
 import {FLEET_LINK_TIMEOUTS} from './linkTimeouts.js';
+import {FLEET_RAFT_TIMING} from './fleetRaftTiming.js';
 import {FleetMetrics} from './FleetMetrics.js';
 import {GroupManager} from './GroupManager.js';
 import {LogMember, buildFirstMember} from './LogMember.js';
@@ -37,18 +37,6 @@
 const EXPIRY_INTERVAL_MS = 500;
 /** Timeout of sending one digest, in milliseconds. */
 const DIGEST_TIMEOUT_MS = 500;
-/** Raft timing for network latencies and disk syncs of a few milliseconds each. */
-const FLEET_RAFT_TIMING: RaftTiming = {
-  heartbeatMs: 100,
-  electionMinMs: 500,
-  electionMaxMs: 1_000,
-  // Ten times the duration of a vote with its two syncs, so that split votes are rare.
-  startupElectionMaxMs: 300,
-  requestTimeoutMs: 400,
-  chunkTimeoutMs: 1_000,
-  catchUpTimeoutMs: 4_000,
-};
-
 /** Settings of a FleetNode. @public */
 export interface FleetNodeOptions {
   readonly instance: string;
--- a/packages/fleet/src/lib/GroupManager.ts
+++ b/packages/fleet/src/lib/GroupManager.ts
@@ -1,3 +1,4 @@
+import type {Membership} from '@sycamorehead/consensus';
 import {createLogger, writeDecision} from '@sycamorehead/telemetry';
 import type {ControlPeers} from './ControlPeers.js';
 import type {ControlIdentity} from './fleetMessages.js';
@@ -36,16 +37,12 @@
 
   // Commands.
 
-  /** Checks the group at intervals until stopped. */
+  /** Checks the group at intervals until stopped, and at once after each change. */
   async run(): Promise<void> {
     while (!this.isStopped) {
+      const isChanged = this.options.logMember.isLeader && (await this.check());
+      if (isChanged) continue;
       await new Promise(resolve => setTimeout(resolve, CHECK_INTERVAL_MS));
-      if (!this.options.logMember.isLeader) continue;
-      try {
-        await this.takeStep();
-      } catch (error) {
-        log('membership_step_failed', {error: String(error)});
-      }
     }
   }
 
@@ -80,17 +77,27 @@
     return 2 * this.options.faults + 1;
   }
 
-  private async takeStep(): Promise<void> {
-    const node = this.options.logMember.requireNode();
-    const step = planMembership(this.describeView());
-    if (!step) return;
-    writeDecision('membership_step', describeStep(step));
-    if (step.type === 'remove') {
-      await node.removeMember(step.id);
-      return;
+  /** Takes the next step, if there is one, and returns whether the membership has changed. */
+  private async check(): Promise<boolean> {
+    try {
+      const node = this.options.logMember.requireNode();
+      const step = planMembership(this.describeView());
+      if (!step) return false;
+      writeDecision('membership_step', describeStep(step));
+      const before = node.getStatus().members;
+      return (await this.takeStep(step)) !== before;
+    } catch (error) {
+      log('membership_step_failed', {error: String(error)});
+      return false;
     }
+  }
+
+  private takeStep(step: MembershipStep): Promise<Membership> {
+    const node = this.options.logMember.requireNode();
+    if (step.type === 'remove') return node.removeMember(step.id);
+    if (step.type === 'promote') return node.admitVoter(step.id);
     const {instance, address} = step.candidate;
-    await node.addMember(instance, address);
+    return node.addLearner(instance, address);
   }
 
   private describeView(): MembershipView {
@@ -129,6 +136,9 @@
           )
           .map(({id}) => id),
       ),
+      caughtUp: new Set(
+        members.filter(({id}) => node.isCaughtUp(id)).map(({id}) => id),
+      ),
       lost: new Set(
         members
           .filter(({address}) => peers.getSilenceMs(address) > LOST_MS)
@@ -139,7 +149,7 @@
 }
 
 function describeStep(step: MembershipStep) {
-  return step.type === 'remove'
-    ? {step: step.type, member: step.id}
-    : {step: step.type, member: step.candidate.id};
+  return step.type === 'add_learner'
+    ? {step: step.type, member: step.candidate.id}
+    : {step: step.type, member: step.id};
 }
