Engines: a frame belongs to an attempt by the one id of its stream, not by any that a frame names

Cause: FrameChecker took an id without the request's own prefix for one that the engine assigns, beside frames with the request's id; so a frame of any other request, or with an empty id, passed anywhere in the stream. Now the first frame decides on the id of the stream, ids of attempts of other requests never count, and a chunk without an id is none. Open by design: a first frame under a foreign id that an engine assigned cannot be told from the stream's own.

--- a/packages/entry/src/lib/FrameChecker.ts
+++ b/packages/entry/src/lib/FrameChecker.ts
@@ -1,5 +1,6 @@
 import {ChatChunk, SycamoreheadError} from '@sycamorehead/schema';
 import type {AnswerFrame} from './AnswerFrame.js';
+import {isAttemptId} from './isAttemptId.js';
 
 /**
  * Checks that the frames of one attempt belong to it and continue the answer. Frames that repeat
@@ -56,12 +57,12 @@
 
   /**
    * Returns whether a chunk belongs to this attempt: its id is either that of the attempt, or one
-   * that the engine has assigned and that is the same in every frame.
+   * that the engine has assigned. The first frame decides which of them is the same in every frame.
    */
   private isFromAttempt({id}: ChatChunk): boolean {
     const [request = ''] = this.attemptId.split('.');
-    const hasRequestId = id.startsWith(`${request}.`);
-    if (hasRequestId) return id === this.attemptId;
+    const isOurs = id.startsWith(`${request}.`) || isAttemptId(id);
+    if (isOurs && id !== this.attemptId) return false;
     this.streamId ??= id;
     return id === this.streamId;
   }
--- a/packages/entry/src/lib/parseChunk.ts
+++ b/packages/entry/src/lib/parseChunk.ts
@@ -40,6 +40,7 @@
   return (
     isRecord(value) &&
     typeof value.id === 'string' &&
+    value.id !== '' &&
     Array.isArray(value.choices) &&
     value.choices.every(isChoice) &&
     isOptional(value.offset, isCount) &&
--- a/packages/entry/src/test/parseChunk.test.ts
+++ b/packages/entry/src/test/parseChunk.test.ts
@@ -7,6 +7,7 @@
     '',
     '{"id":"r.1"}',
     '{"id":1,"choices":[]}',
+    '{"id":"","choices":[]}',
     '{"id":"r.1","choices":[{"delta":{"content":7}}]}',
     '{"id":"r.1","choices":[{"delta":{},"finish_reason":"maybe"}]}',
     '{"id":"r.1","choices":[],"offset":-1}',
