Engines: nothing behind the end mark of a stream belongs to it

Callers could get a piece that an engine sent behind "[DONE]", under the right id, in an answer that ended as complete. Cause: BackendClient skipped the mark like a comment and read on, also before the terminal frame. Now the mark ends the stream: without a terminal frame before it the attempt fails as incomplete and is resumed elsewhere.

--- a/packages/entry/src/lib/BackendClient.ts
+++ b/packages/entry/src/lib/BackendClient.ts
@@ -43,6 +43,9 @@
 /** Maximum number of interim answers to one request. */
 const MAX_INTERIM_ANSWERS = 16;
 
+/** The data of the event that ends a stream. */
+const END_MARK = '[DONE]';
+
 /** Codes of errors that occur before any byte of the request reaches the server. */
 const UNSENT_CODES = new Set([
   'ECONNREFUSED',
@@ -302,15 +305,17 @@
   void body.dump({limit: MAX_DRAINED_BYTES, signal}).catch(() => {});
 }
 
-/** Parses a stream; `unframed` counts its bytes, and the reader sets it back with each frame. */
+/** Parses a stream up to its end mark; `unframed` counts its bytes, and the reader sets it back with each frame. */
 async function* parseChunks(
   body: Dispatcher.ResponseData['body'],
   unframed: {bytes: number},
 ): AsyncGenerator<ChatChunk> {
   let parsedChunks: ChatChunk[] = [];
+  let isEnded = false;
   const parser = createParser({
     onEvent({data}) {
-      if (data !== '[DONE]') parsedChunks.push(parseChunk(data));
+      isEnded ||= data === END_MARK;
+      if (!isEnded) parsedChunks.push(parseChunk(data));
     },
   });
   const decoder = new TextDecoder();
@@ -324,6 +329,7 @@
     const readyChunks = parsedChunks;
     parsedChunks = [];
     yield* readyChunks;
+    if (isEnded) return;
   }
 }
 
--- a/packages/entry/src/test/spoiledAnswers.test.ts
+++ b/packages/entry/src/test/spoiledAnswers.test.ts
@@ -63,6 +63,8 @@
   'a frame without id': offset =>
     formatFrame({id: undefined, offset: offset + 1, text: 'garbage'}),
   'an end mark': () => 'data: [DONE]\n\n',
+  'an end mark and another frame': offset =>
+    `data: [DONE]\n\n${formatFrame({id: ATTEMPT, offset: offset + 1, text: 'garbage'})}`,
   'lone carriage returns': offset =>
     `${formatFrame({id: `${OTHER_REQUEST}.1`, offset: offset + 1, text: 'garbage'}).replaceAll('\n', '\r')}`,
   'half a frame': offset =>
