Engines: bytes that are no UTF-8 fail the attempt instead of reaching the caller as replaced characters

Callers could get U+FFFD in place of what a run made, in answers that ended as complete. Cause: the decoder of the stream replaced what it could not decode; the JSON around it stayed valid. Now it is fatal: the attempt fails and is resumed elsewhere.

--- a/packages/entry/src/lib/BackendClient.ts
+++ b/packages/entry/src/lib/BackendClient.ts
@@ -318,7 +318,7 @@
       if (!isEnded) parsedChunks.push(parseChunk(data));
     },
   });
-  const decoder = new TextDecoder();
+  const decoder = new TextDecoder('utf-8', {fatal: true});
   // The end of this loop does not destroy the body, since the caller releases its connection.
   for await (const bytes of body.iterator({destroyOnReturn: false})) {
     unframed.bytes += bytes.length;
--- a/packages/entry/src/test/spoiledAnswers.test.ts
+++ b/packages/entry/src/test/spoiledAnswers.test.ts
@@ -65,6 +65,8 @@
   'an end mark': () => 'data: [DONE]\n\n',
   'an end mark and another frame': offset =>
     `data: [DONE]\n\n${formatFrame({id: ATTEMPT, offset: offset + 1, text: 'garbage'})}`,
+  'a frame that is no UTF-8': offset =>
+    formatFrame({id: ATTEMPT, offset: offset + 1, text: '\u00ff\u00fe'}),
   'lone carriage returns': offset =>
     `${formatFrame({id: `${OTHER_REQUEST}.1`, offset: offset + 1, text: 'garbage'}).replaceAll('\n', '\r')}`,
   'half a frame': offset =>
