Plain services: a body in a coding, or a part of one, is no answer

Callers could get compressed bytes as the text that the content type names, or a part (status 206) without its range, recorded and billed as whole. Cause: BackendClient passes on status, content type and body only, and dropped the fields by which the service said that the body is another. No call asks for a part; calls now ask for the coding identity, and a response in another one, or a part, is a failure of that service. Already refused before: two lengths, a length beside chunks, chunks without end, a body that is shorter than its length (kept or closed connection, end or reset); bytes behind an answer never became the next one.

--- a/packages/entry/src/lib/BackendClient.ts
+++ b/packages/entry/src/lib/BackendClient.ts
@@ -7,6 +7,7 @@
 } from '@sycamorehead/schema';
 import {readBounded} from '@sycamorehead/wire';
 import type {AnswerFrame} from './AnswerFrame.js';
+import {findServiceViolation} from './findServiceViolation.js';
 import type {FrameChecker} from './FrameChecker.js';
 import {parseChunk} from './parseChunk.js';
 import {StepTimer} from './StepTimer.js';
@@ -207,7 +208,7 @@
       call.url,
       {
         method: call.method as Dispatcher.HttpMethod,
-        headers: call.headers,
+        headers: {'accept-encoding': 'identity', ...call.headers},
         body: call.body,
         signal,
         // The timeout of the call covers the whole exchange; the pool's timeouts would race with
@@ -217,6 +218,12 @@
       },
       call.isRepeatable ? this.pooled : this.unpooled,
     );
+    const violation = findServiceViolation(response);
+    if (violation !== undefined) {
+      response.body.on('error', () => {});
+      response.body.destroy();
+      throw new SycamoreheadError('backend_failed', violation);
+    }
     try {
       const body = await readWholeBody(response.body, call.maxResponseBytes);
       const contentType = String(
--- a/packages/entry/src/test/spoiledAnswers.test.ts
+++ b/packages/entry/src/test/spoiledAnswers.test.ts
@@ -211,3 +211,124 @@
     assert.equal(text, WHOLE);
   });
 });
+
+const OK = 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n';
+const BODY = 'the whole answer of a plain service';
+const HALF = BODY.slice(0, BODY.length / 2);
+const CHUNKED = 'Transfer-Encoding: chunked\r\n\r\n';
+
+/** Answers of which no caller may get a success, with how the connection ends. */
+const SERVICE_ANSWERS: Readonly<Record<string, [string, 'end' | 'reset']>> = {
+  'a coding': [
+    `${OK}Content-Encoding: gzip\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`,
+    'end',
+  ],
+  'a coding of the transfer': [
+    `${OK}Transfer-Encoding: gzip, chunked\r\n\r\n${formatChunks([BODY])}0\r\n\r\n`,
+    'end',
+  ],
+  'a body that is shorter than its length': [
+    `${OK}Content-Length: ${BODY.length}\r\n\r\n${HALF}`,
+    'end',
+  ],
+  'a body that is shorter than its length, no reuse': [
+    `${OK}Connection: close\r\nContent-Length: ${BODY.length}\r\n\r\n${HALF}`,
+    'end',
+  ],
+  'a body that is shorter than its length, no reuse, reset': [
+    `${OK}Connection: close\r\nContent-Length: ${BODY.length}\r\n\r\n${HALF}`,
+    'reset',
+  ],
+  'chunks without end': [`${OK}${CHUNKED}${formatChunks([HALF])}`, 'end'],
+  'chunks without end, no reuse': [
+    `${OK}Connection: close\r\n${CHUNKED}${formatChunks([HALF])}`,
+    'end',
+  ],
+  'chunks without end, no reuse, reset': [
+    `${OK}Connection: close\r\n${CHUNKED}${formatChunks([HALF])}`,
+    'reset',
+  ],
+  'half a chunk': [
+    `${OK}Connection: close\r\n${CHUNKED}40\r\n${HALF}`,
+    'reset',
+  ],
+  'two lengths': [
+    `${OK}Content-Length: ${HALF.length}\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`,
+    'end',
+  ],
+  'a length and chunks': [
+    `${OK}Content-Length: ${HALF.length}\r\n${CHUNKED}${formatChunks([BODY])}0\r\n\r\n`,
+    'end',
+  ],
+  'a part of the body': [
+    `HTTP/1.1 206 Partial Content\r\nContent-Type: text/plain\r\nContent-Range: bytes 0-${HALF.length - 1}/${BODY.length}\r\nContent-Length: ${HALF.length}\r\n\r\n${HALF}`,
+    'end',
+  ],
+};
+
+// Guards against answers of a faulty service that look complete to callers and are not.
+describe('plain services that spoil their answers', () => {
+  for (const [name, [bytes, ending]] of Object.entries(SERVICE_ANSWERS)) {
+    for (const isRepeatable of [true, false]) {
+      test(`${name}: no success, ${isRepeatable ? 'kept' : 'new'} connection`, async context => {
+        const address = await startServer(context, socket => {
+          socket.write(bytes, () => {
+            // The body arrives before the connection ends.
+            setTimeout(() => {
+              if (ending === 'end') socket.end();
+              else socket.resetAndDestroy();
+            }, 50);
+          });
+        });
+        const call = createClient(context).callService({
+          url: `${address}/`,
+          method: 'GET',
+          headers: {},
+          maxResponseBytes: 1024,
+          isRepeatable,
+        });
+        await assert.rejects(call, {kind: 'backend_failed', ran: 'unknown'});
+      });
+    }
+  }
+
+  for (const isRepeatable of [true, false]) {
+    test(`bytes behind an answer do not become the next one, ${isRepeatable}`, async context => {
+      let count = 0;
+      const address = await startServer(context, socket => {
+        count += 1;
+        const answer = `${OK}Content-Length: 1\r\n\r\n`;
+        socket.write(`${answer}${count}${answer}x`);
+      });
+      const client = createClient(context);
+      for (let call = 0; call < 5; call += 1) {
+        const options = {method: 'GET', headers: {}, maxResponseBytes: 1024};
+        const outcome = await client
+          .callService({url: `${address}/`, ...options, isRepeatable})
+          .then(
+            ({body}) => body.toString(),
+            () => 'failed',
+          );
+        assert.notEqual(outcome, 'x');
+      }
+    });
+  }
+
+  for (const format of Object.values(FRAMINGS)) {
+    test(`an answer in the coding identity is delivered: ${format(['']).split(':')[0]}`, async context => {
+      const bytes = `${OK}Content-Encoding: identity\r\n${format([BODY])}`;
+      const address = await startServer(context, socket => {
+        socket.write(bytes);
+        if (!/length|chunked/i.test(bytes)) socket.end();
+      });
+      const {body} = await createClient(context).callService({
+        url: `${address}/`,
+        method: 'GET',
+        headers: {},
+        maxResponseBytes: 1024,
+        isRepeatable: true,
+      });
+      assert.equal(body.toString(), BODY);
+    });
+  }
+});
