Plain services: a reset is no end of an answer without a length

Callers could get the first part of an answer as a whole one, recorded and billed, if a service without a length or chunks was reset. Cause: undici takes ECONNRESET, and the end as which Node.js reports a reset that comes with the last bytes, for the regular end of such an answer. With a length or chunks it does not. Connections now report both as a failure of the connection. An answer without a length that ends regularly is delivered as before. Open by design: a service that ends the connection regularly in the middle of an answer without a length.

--- a/packages/entry/src/lib/BackendClient.ts
+++ b/packages/entry/src/lib/BackendClient.ts
@@ -7,6 +7,7 @@
 } from '@sycamorehead/schema';
 import {readBounded} from '@sycamorehead/wire';
 import type {AnswerFrame} from './AnswerFrame.js';
+import {buildResetConnector} from './buildResetConnector.js';
 import {findServiceViolation} from './findServiceViolation.js';
 import type {FrameChecker} from './FrameChecker.js';
 import {parseChunk} from './parseChunk.js';
@@ -103,7 +104,7 @@
     const options = {
       connections: CONNECTIONS_PER_SERVER,
       keepAliveTimeout: KEEP_ALIVE_MS,
-      connect: {timeout: timeouts.connectMs},
+      connect: buildResetConnector(timeouts.connectMs),
       headersTimeout: timeouts.firstByteMs,
       bodyTimeout: timeouts.betweenFramesMs,
     };
--- a/packages/entry/src/test/spoiledAnswers.test.ts
+++ b/packages/entry/src/test/spoiledAnswers.test.ts
@@ -212,13 +212,17 @@
   });
 });
 
+/** Time for which a connection rests before it ends, in milliseconds. */
+const REST_MS = 50;
 const OK = 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n';
 const BODY = 'the whole answer of a plain service';
 const HALF = BODY.slice(0, BODY.length / 2);
 const CHUNKED = 'Transfer-Encoding: chunked\r\n\r\n';
 
 /** Answers of which no caller may get a success, with how the connection ends. */
-const SERVICE_ANSWERS: Readonly<Record<string, [string, 'end' | 'reset']>> = {
+const SERVICE_ANSWERS: Readonly<
+  Record<string, [string, 'end' | 'reset' | 'reset at once']>
+> = {
   'a coding': [
     `${OK}Content-Encoding: gzip\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`,
     'end',
@@ -252,6 +256,12 @@
     `${OK}Connection: close\r\n${CHUNKED}40\r\n${HALF}`,
     'reset',
   ],
+  'no length, reset': [`${OK}\r\n${HALF}`, 'reset'],
+  'no length, reset at once': [`${OK}\r\n${HALF}`, 'reset at once'],
+  'no length, no reuse, reset': [
+    `${OK}Connection: close\r\n\r\n${HALF}`,
+    'reset',
+  ],
   'two lengths': [
     `${OK}Content-Length: ${HALF.length}\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`,
     'end',
@@ -272,13 +282,13 @@
     for (const isRepeatable of [true, false]) {
       test(`${name}: no success, ${isRepeatable ? 'kept' : 'new'} connection`, async context => {
         const address = await startServer(context, socket => {
-          socket.write(bytes, () => {
-            // The body arrives before the connection ends.
-            setTimeout(() => {
-              if (ending === 'end') socket.end();
-              else socket.resetAndDestroy();
-            }, 50);
-          });
+          socket.write(bytes);
+          if (ending === 'reset at once') socket.resetAndDestroy();
+          // The body arrives before the connection ends.
+          setTimeout(() => {
+            if (ending === 'end') socket.end();
+            else socket.resetAndDestroy();
+          }, REST_MS);
         });
         const call = createClient(context).callService({
           url: `${address}/`,
