Servers' answers: a head that cannot be written to the caller is a failure of that server

Callers saw (in a test; no report) their connection reset without an answer, on safe routes too, if a server answered with a status below 100 or a field name with a space: Node.js reads such heads and throws when it writes them, behind the point where a failure is sent elsewhere. Now such an answer is lost like any other that says nothing about the request: sent again where the route allows it, 502 or 504 elsewhere.

--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -7,6 +7,7 @@
   parseRetryAfter,
 } from '@sycamorehead/routing';
 import {dropRest, endExchange, resetExchange} from './cancelExchange.js';
+import {findFieldViolation} from './findFieldViolation.js';
 import {findHeadViolation} from './findHeadViolation.js';
 import type {HeaderNames} from './headerNames.js';
 import {isSuccessStatus} from './isSuccessStatus.js';
@@ -285,6 +286,8 @@
       answering !== expectedServer;
     return {type: 'refused', status, isMisdirected};
   }
+  const fault = findFieldViolation(message);
+  if (fault !== undefined) return {type: 'lost', reason: fault};
   if (isEncoded(message)) {
     return {type: 'lost', reason: 'the answer is encoded'};
   }
