--- a/packages/entry/src/lib/BackendClient.ts
+++ b/packages/entry/src/lib/BackendClient.ts
@@ -7,6 +7,8 @@
 } from '@sycamorehead/schema';
 import {readBounded} from '@sycamorehead/wire';
 import type {AnswerFrame} from './AnswerFrame.js';
+import {buildResetConnector} from './buildResetConnector.js';
+import {findServiceViolation} from './findServiceViolation.js';
 import type {FrameChecker} from './FrameChecker.js';
 import {parseChunk} from './parseChunk.js';
 import {StepTimer} from './StepTimer.js';
@@ -43,6 +45,9 @@
 /** Maximum number of interim answers to one request. */
 const MAX_INTERIM_ANSWERS = 16;
 
+/** The data of the event that ends a stream. */
+const END_MARK = '[DONE]';
+
 /** Codes of errors that occur before any byte of the request reaches the server. */
 const UNSENT_CODES = new Set([
   'ECONNREFUSED',
@@ -99,7 +104,7 @@
     const options = {
       connections: CONNECTIONS_PER_SERVER,
       keepAliveTimeout: KEEP_ALIVE_MS,
-      connect: {timeout: timeouts.connectMs},
+      connect: buildResetConnector(timeouts.connectMs),
       headersTimeout: timeouts.firstByteMs,
       bodyTimeout: timeouts.betweenFramesMs,
     };
@@ -204,7 +209,7 @@
       call.url,
       {
         method: call.method as Dispatcher.HttpMethod,
-        headers: call.headers,
+        headers: {'accept-encoding': 'identity', ...call.headers},
         body: call.body,
         signal,
         // The timeout of the call covers the whole exchange; the pool's timeouts would race with
@@ -214,6 +219,12 @@
       },
       call.isRepeatable ? this.pooled : this.unpooled,
     );
+    const violation = findServiceViolation(response);
+    if (violation !== undefined) {
+      response.body.on('error', () => {});
+      response.body.destroy();
+      throw new SycamoreheadError('backend_failed', violation);
+    }
     try {
       const body = await readWholeBody(response.body, call.maxResponseBytes);
       const contentType = String(
@@ -302,18 +313,20 @@
   void body.dump({limit: MAX_DRAINED_BYTES, signal}).catch(() => {});
 }
 
-/** Parses a stream; `unframed` counts its bytes, and the reader sets it back with each frame. */
+/** Parses a stream up to its end mark; `unframed` counts its bytes, and the reader sets it back with each frame. */
 async function* parseChunks(
   body: Dispatcher.ResponseData['body'],
   unframed: {bytes: number},
 ): AsyncGenerator<ChatChunk> {
   let parsedChunks: ChatChunk[] = [];
+  let isEnded = false;
   const parser = createParser({
     onEvent({data}) {
-      if (data !== '[DONE]') parsedChunks.push(parseChunk(data));
+      isEnded ||= data === END_MARK;
+      if (!isEnded) parsedChunks.push(parseChunk(data));
     },
   });
-  const decoder = new TextDecoder();
+  const decoder = new TextDecoder('utf-8', {fatal: true});
   // The end of this loop does not destroy the body, since the caller releases its connection.
   for await (const bytes of body.iterator({destroyOnReturn: false})) {
     unframed.bytes += bytes.length;
@@ -324,6 +337,7 @@
     const readyChunks = parsedChunks;
     parsedChunks = [];
     yield* readyChunks;
+    if (isEnded) return;
   }
 }
 
--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -25,7 +25,6 @@
 } from './fleetMessages.js';
 import {FLEET_RAFT_TIMING} from './fleetRaftTiming.js';
 import {FLEET_LINK_TIMEOUTS} from './linkTimeouts.js';
-import {FLEET_RAFT_TIMING} from './fleetRaftTiming.js';
 import {FleetMetrics} from './FleetMetrics.js';
 import {GroupManager} from './GroupManager.js';
 import {LogMember, buildFirstMember} from './LogMember.js';
--- a/packages/gateway/src/lib/findHeadDefect.ts
+++ b/packages/gateway/src/lib/findHeadDefect.ts
@@ -31,7 +31,8 @@
     }
   }
   const dropped = listConnectionNames(rawHeaders);
-  const owed = [names.signature, names.requestId, 'content-type'];
+  const {signature, requestId, weightVersion} = names;
+  const owed = [signature, requestId, weightVersion, 'content-type'];
   const missing = owed.find(name => dropped.has(name));
   return missing && `the header ${missing} is for this connection only`;
 }
