--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -254,7 +254,10 @@
   ): Promise<NextStep> {
     const {target} = send;
     this.cascade.recordAnswer(target, send.model, serverAnswer.confidence);
-    const mayBeWeak = serverAnswer.status === 200 && !this.answer.isBegun;
+    const mayBeWeak =
+      serverAnswer.status === 200 &&
+      send.model !== undefined &&
+      !this.answer.isBegun;
     if (mayBeWeak && this.planner.planLarger(send.reservation)) {
       send.recordWeakAnswer();
       this.restartWithLargerModel(target);
