Members: a learner is added under the identity that it has just reported

What callers could see: one of two replacements that could not be asked for its identity at once (a lost packet of a new connection takes a second) delayed both.

Why this works: the leader has the identity from the member itself, by the round of ControlPeers that found it. A learner belongs to no majority, and every message names its receiver's identity, so that a member that runs under another one by now answers nothing, never catches up and is removed as superseded.

--- a/packages/consensus/src/lib/MembershipChange.ts
+++ b/packages/consensus/src/lib/MembershipChange.ts
@@ -44,10 +44,11 @@
     });
   }
 
-  /** Adds an instance as a learner. */
-  addLearner(instance: string, address: string): Promise<Membership> {
+  /** Adds a member that belongs to no group yet as a learner. */
+  addLearner(member: Omit<Member, 'role'>): Promise<Membership> {
     return this.runAlone(async () => {
-      await this.findOrAddLearner(instance, address);
+      const isKnown = this.members.some(({id}) => id === member.id);
+      if (!isKnown) await this.commitLearner(member);
       return this.members;
     });
   }
@@ -121,15 +122,18 @@
     if (identity.group !== '' && identity.group !== state.vote.group) {
       refuse('malformed_request', `${instance} belongs to another group`);
     }
+    return this.commitLearner({id: identity.id, instance, address});
+  }
+
+  private async commitLearner({
+    id,
+    instance,
+    address,
+  }: Omit<Member, 'role'>): Promise<Member> {
     if (this.members.length >= MAX_MEMBERS) {
       refuse('malformed_request', `expected at most ${MAX_MEMBERS} members`);
     }
-    const learner: Member = {
-      id: identity.id,
-      instance,
-      address,
-      role: 'learner',
-    };
+    const learner: Member = {id, instance, address, role: 'learner'};
     await this.commit([...this.members, learner]);
     return learner;
   }
--- a/packages/consensus/src/lib/RaftNode.ts
+++ b/packages/consensus/src/lib/RaftNode.ts
@@ -9,7 +9,7 @@
 } from './consensusMessages.js';
 import {Election} from './Election.js';
 import {Leadership} from './Leadership.js';
-import type {Membership} from './logTypes.js';
+import type {Member, Membership} from './logTypes.js';
 import {isVoter, listVoters} from './quorum.js';
 import {MembershipChange} from './MembershipChange.js';
 import {Mutex} from './Mutex.js';
@@ -145,9 +145,12 @@
     return this.changes.add(instance, address);
   }
 
-  /** Adds an instance as a learner. Several learners may catch up at the same time. */
-  addLearner(instance: string, address: string): Promise<Membership> {
-    return this.changes.addLearner(instance, address);
+  /**
+   * Adds a member as a learner, under the identity that it has reported. Several learners may catch up at the
+   * same time. A learner that runs under another identity by now answers nothing and never catches up.
+   */
+  addLearner(member: Omit<Member, 'role'>): Promise<Membership> {
+    return this.changes.addLearner(member);
   }
 
   /** Promotes a learner that has caught up to a voter. */
--- a/packages/consensus/src/test/FaultScenario.ts
+++ b/packages/consensus/src/test/FaultScenario.ts
@@ -222,8 +222,8 @@
   }
 
   private async addAndAdmit(node: RaftNode, name: string): Promise<void> {
-    await node.addLearner(name, name);
     const {id} = this.group.get(name);
+    await node.addLearner({id, instance: name, address: name});
     while (!node.isCaughtUp(id)) {
       if (node.getStatus().role !== 'leader') throw new Error('not leading');
       await new Promise(resolve => setTimeout(resolve, RETRY_MS));
--- a/packages/fleet/src/lib/GroupManager.ts
+++ b/packages/fleet/src/lib/GroupManager.ts
@@ -96,8 +96,7 @@
     const node = this.options.logMember.requireNode();
     if (step.type === 'remove') return node.removeMember(step.id);
     if (step.type === 'promote') return node.admitVoter(step.id);
-    const {instance, address} = step.candidate;
-    return node.addLearner(instance, address);
+    return node.addLearner(step.candidate);
   }
 
   private describeView(): MembershipView {
--- a/packages/fleet/src/test/replacedMembers.test.ts
+++ b/packages/fleet/src/test/replacedMembers.test.ts
@@ -33,6 +33,8 @@
   readonly bytesPerMs: number;
   /** Share of the packets that are lost. */
   readonly lossRate: number;
+  /** Whether requests for the identity of a member fail. */
+  readonly isIdentityLost?: boolean;
 }
 
 type Receive = (request: ConsensusRequest) => Promise<never>;
@@ -107,7 +109,10 @@
     const endpoint = endpoints.get(name)!;
     const receive = endpoint.receive.bind(endpoint) as Receive;
     endpoints.set(name, {
-      getIdentity: () => endpoint.getIdentity(),
+      getIdentity: () => {
+        if (this.network.isIdentityLost) throw new Error('no identity');
+        return endpoint.getIdentity();
+      },
       receive: async request => {
         await this.transfer(name, request);
         return receive(request);
@@ -217,3 +222,10 @@
   const late = times.filter(ms => ms >= CATCH_UP_MS);
   assert.deepEqual(late, [], `of ${times.join(', ')} ms`);
 });
+
+// Guards against replacements that wait for one that cannot be asked again for the identity that it has reported.
+test('members that have reported their identities are replaced in time if they do not answer a request for them', async () => {
+  const network = {bytesPerMs: 1_000, lossRate: 0, isIdentityLost: true};
+  const ms = await measureReplacement(network, createRandom(1));
+  assert.ok(ms < CATCH_UP_MS, `${Math.round(ms)} ms`);
+});
