--- a/packages/consensus/src/lib/RaftState.ts
+++ b/packages/consensus/src/lib/RaftState.ts
@@ -178,7 +178,7 @@
   }
 
   private compactIfLarge(): void {
-    const isCovered = this.commitIndex === this.snapshot?.index;
+    const isCovered = this.commitIndex <= (this.snapshot?.index ?? 0);
     if (this.isCompacting || isCovered || !this.isLarge) return;
     this.isCompacting = true;
     this.compact().then(
--- a/packages/consensus/src/test/retainedEntries.test.ts
+++ b/packages/consensus/src/test/retainedEntries.test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import type {SycamoreheadError} from '@sycamorehead/schema';
+import type {LogEntry} from '../lib/logTypes.js';
+import {RaftState} from '../lib/RaftState.js';
 import {LogStorage} from '../lib/storage/LogStorage.js';
-import {FakeDisk} from '../testing/index.js';
+import {FakeDisk, RecordingMachine} from '../testing/index.js';
 import {createLastCommandGroup, runPaused} from './runPaused.js';
 
 const NAMES = ['c1', 'c2', 'c3'];
@@ -120,3 +122,35 @@
   );
   assert.deepEqual(loaded.base, {index: 37, term: 1});
 });
+
+// Guards against a member that writes snapshots of its empty state for as long as nothing is committed.
+test('a member whose log is large takes no snapshot before anything is committed', () =>
+  runPaused(46, async clock => {
+    const disk = new FakeDisk(1);
+    const state = new RaftState({
+      id: 'c1',
+      machine: new RecordingMachine(),
+      storage: new LogStorage(disk),
+      snapshotBytes: 10,
+      onFailure: () => {},
+    });
+    await clock.settle(state.load());
+    await clock.settle(state.saveVote(1, 'c1', 'group'));
+    const entry: LogEntry = {
+      index: 1,
+      term: 1,
+      type: 'command',
+      command: 'not committed yet',
+    };
+    const text = state.entries.append(entry);
+    await clock.settle(state.storage.append([text], entry));
+    let writes = 0;
+    const replace = disk.replace.bind(disk);
+    disk.replace = (name, bytes) => {
+      writes += 1;
+      return replace(name, bytes);
+    };
+    state.advanceCommit(0);
+    await clock.advance(200);
+    assert.equal(writes, 0);
+  }));
