Servers' answers: fields that callers are owed are not those of a connection

Callers could get (in a test; no report) a success without its signature, request id or content type, a stream among them. Cause: the server's Connection header may name any field as one of the connection, and those were dropped behind the checks that read them. Now an answer that names one of them, or the versions of the weights, there is lost, as one without it would be.

--- a/packages/gateway/src/lib/headerNames.ts
+++ b/packages/gateway/src/lib/headerNames.ts
@@ -1,3 +1,5 @@
+import {listConnectionNames} from './listConnectionNames.js';
+
 /** Names of the headers that callers and backend servers use, in lower case. @public */
 export interface HeaderNames {
   readonly requestId: string;
@@ -73,15 +75,3 @@
   }
   return copied;
 }
-
-/** Lists the headers that a Connection header declares as specific to the connection. */
-function listConnectionNames(rawHeaders: readonly string[]): Set<string> {
-  const names = new Set<string>();
-  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
-    if (rawHeaders[index]?.toLowerCase() !== 'connection') continue;
-    for (const name of (rawHeaders[index + 1] ?? '').split(',')) {
-      names.add(name.trim().toLowerCase());
-    }
-  }
-  return names;
-}
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -286,7 +286,7 @@
       answering !== expectedServer;
     return {type: 'refused', status, isMisdirected};
   }
-  const fault = findFieldViolation(message);
+  const fault = findFieldViolation(message, names);
   if (fault !== undefined) return {type: 'lost', reason: fault};
   if (isEncoded(message)) {
     return {type: 'lost', reason: 'the answer is encoded'};
--- a/packages/gateway/src/test/plainHeads.test.ts
+++ b/packages/gateway/src/test/plainHeads.test.ts
@@ -5,6 +5,7 @@
   ReceivedRequest,
   formatAnswer,
   formatChunk,
+  formatEvent,
   formatHead,
 } from './FakeServer.js';
 import {formatRequest} from './GatewayHarness.js';
@@ -16,6 +17,7 @@
 const HALF = BODY.slice(0, 10);
 const LENGTH = `Content-Length: ${BODY.length}`;
 const CHUNKED = 'Transfer-Encoding: chunked';
+const TYPE = 'Content-Type: text/plain';
 
 type BuildAnswer = (request: ReceivedRequest) => string;
 
@@ -48,6 +50,18 @@
   'a field name with a space': build([LENGTH, 'X Other: a'], BODY),
   'a field without colon': build([LENGTH, 'X-Other'], BODY),
   'two signatures': build([LENGTH, 'X-Signature: other'], BODY),
+  'a signature for the connection only': build(
+    [LENGTH, 'Connection: X-Signature'],
+    BODY,
+  ),
+  'a request id for the connection only': build(
+    [LENGTH, 'Connection: keep-alive, x-request-id'],
+    BODY,
+  ),
+  'a type for the connection only': build(
+    [LENGTH, TYPE, 'Connection: Content-Type'],
+    BODY,
+  ),
 };
 
 /** Answers with odd fields around a body that is whole. */
@@ -123,3 +137,15 @@
     assert.equal(readBody(second), BODY);
   });
 }
+
+test('a stream whose type is for the connection only is no stream', async () => {
+  const fields = ['Content-Type: text/event-stream', CHUNKED];
+  const server = await startServer('s1', (request, socket) => {
+    const head = [...fields, 'Connection: content-type'];
+    const events = formatChunk(formatEvent(1)) + LAST_CHUNK;
+    socket.write(formatHead(request, head) + events);
+  });
+  const gateway = await startGateway({kind: 'streaming'}, [server]);
+  const text = await gateway.exchange(formatRequest({method: 'POST'}));
+  assert.match(text, /^HTTP\/1\.1 50[24] /);
+});
