--- a/packages/gateway/src/lib/findHeadDefect.ts
+++ b/packages/gateway/src/lib/findHeadDefect.ts
@@ -1,6 +1,7 @@
 import {validateHeaderName, validateHeaderValue} from 'node:http';
 import type {IncomingMessage} from 'node:http';
-import {HeaderNames, listConnectionNames} from './headerNames.js';
+import type {HeaderNames} from './headerNames.js';
+import {listConnectionNames} from './listConnectionNames.js';
 
 const MIN_STATUS = 100;
 const MAX_STATUS = 599;
