--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -1,4 +1,6 @@
-// Bundles the programs for the users' platform into target/, directly from the TypeScript sources.
+// Bundles the programs for the users' platform into target/, directly from the TypeScript sources. A program that starts
+// meanwhile finds the old bundle or the new one.
+import {mkdirSync, renameSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import {ensureInstalled} from './ensure.mjs';
 
@@ -24,13 +26,14 @@
   },
 };
 
-await build({
+const {outputFiles} = await build({
   entryPoints: {
     entry: path.join(ROOT, 'platform/src/mainEntry.ts'),
     control: path.join(ROOT, 'platform/src/mainControl.ts'),
   },
   outdir: path.join(ROOT, 'target'),
   outExtension: {'.js': '.mjs'},
+  write: false,
   bundle: true,
   minifySyntax: true,
   platform: 'node',
@@ -42,4 +45,10 @@
     js: "import {createRequire as createBundleRequire} from 'node:module';const require=createBundleRequire(import.meta.url);",
   },
 });
+for (const {path: file, contents} of outputFiles) {
+  const unfinished = `${file}.${process.pid}.tmp`;
+  mkdirSync(path.dirname(file), {recursive: true});
+  writeFileSync(unfinished, contents);
+  renameSync(unfinished, file);
+}
 console.log('bundled the platform programs');
