--- a/packages/fleet/src/test/FullDiskGroup.ts
+++ b/packages/fleet/src/test/FullDiskGroup.ts
@@ -16,6 +16,7 @@
 import {FLEET_RAFT_TIMING} from '../lib/fleetRaftTiming.js';
 import {GroupManager} from '../lib/GroupManager.js';
 import {LogMember, buildFirstMember} from '../lib/LogMember.js';
+import {decodeTestConfiguration} from './decodeTestConfiguration.js';
 
 const PORT = 7_340;
 const FAULTS = 2;
@@ -195,18 +196,7 @@
       groupManager: manager,
       links,
       peerPort: PORT,
-      decodeConfiguration: document => ({
-        version: (document as {version: number}).version,
-        routes: [],
-        services: [],
-        limits: {
-          maxHeaderBytes: 1,
-          maxBodyBytes: 1,
-          headerTimeoutMs: 1,
-          idleTimeoutMs: 1,
-        },
-        customers: undefined,
-      }),
+      decodeConfiguration: decodeTestConfiguration,
     });
     this.methods.set(address, {
       ...createConsensusMethods((): RaftNode[] => [logMember.requireNode()]),
--- a/packages/fleet/src/test/fleetNodes.ts
+++ b/packages/fleet/src/test/fleetNodes.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {FleetNodeOptions} from '../lib/FleetNode.js';
+import {decodeTestConfiguration} from './decodeTestConfiguration.js';
 
 const WAIT_LIMIT_MS = 15_000;
 const RETRY_MS = 50;
@@ -23,18 +24,7 @@
     peerKey: 'test',
     registry: {silentMs: 4_000, expiryMs: 20_000, tombstoneMs: 60_000},
     maxCanaryShare: 0.15,
-    decodeConfiguration: document => ({
-      version: (document as {version: number}).version,
-      routes: [],
-      services: [],
-      limits: {
-        maxHeaderBytes: 1,
-        maxBodyBytes: 1,
-        headerTimeoutMs: 1,
-        idleTimeoutMs: 1,
-      },
-      customers: undefined,
-    }),
+    decodeConfiguration: decodeTestConfiguration,
   };
 }
 
