Placement split: ServerAvailability says who may get a request, ServerChooser who gets it

Change: no behaviour; code moved to two modules, the options of Placement extend those of the chooser.

--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -1,35 +1,15 @@
 import type {RoutedService, SycamoreheadError} from '@sycamorehead/schema';
-import {
-  ForwardPolicy,
-  PlacementQueue,
-  PreferredServers,
-  PrefillRates,
-  choosePreferredServers,
-  sampleServers,
-  scoreServer,
-} from '@sycamorehead/routing';
-import {AnswerTimes, buildWorkKind} from './AnswerTimes.js';
-import type {CallerRequest, PromptSegment} from './CallerRequest.js';
+import {PlacementQueue} from '@sycamorehead/routing';
+import type {CallerRequest} from './CallerRequest.js';
 import {buildRefusal} from './refusals.js';
-import type {KnownServer, ServerTable} from './ServerTable.js';
+import {ServerAvailability} from './ServerAvailability.js';
+import {ServerChooser, ServerChooserOptions} from './ServerChooser.js';
+import type {KnownServer} from './ServerTable.js';
 import {SlowStart} from './SlowStart.js';
 import type {VersionVariant, VersionSplit} from './VersionSplit.js';
 
-/**
- * Maximum number of requests beyond its slots that a server that is not an engine gets, as a
- * fraction of its slots.
- */
-const OVERCOMMIT_FRACTION = 1;
 /** Average pending work at which engines count as full, as a fraction of the target latency. */
 const FULL_FRACTION = 0.8;
-/**
- * Fraction of the tokens of shared segments that a server is assumed to have cached because of
- * sends of other entries, by the preference of the entries for it.
- */
-const CACHED_FRACTIONS = {first: 0.9, second: 0.5, none: 0} as const;
-/** Time after its last use for which a prompt segment counts as cached, in milliseconds. */
-const SEGMENT_CACHED_MS = 30_000;
-
 /** Maximum retry delay when every server limits its requests, in milliseconds. */
 const MAX_LIMIT_RETRY_MS = 5_000;
 const MS_PER_SECOND = 1_000;
@@ -72,27 +52,8 @@
 }
 
 /** Settings of a Placement. @public */
-export interface PlacementOptions {
-  readonly servers: ServerTable;
+export interface PlacementOptions extends ServerChooserOptions {
   readonly versions: VersionSplit;
-  readonly rates: PrefillRates;
-  readonly times: AnswerTimes;
-  readonly policy: ForwardPolicy;
-  readonly dataCentre: string;
-  /** Returns the number of entries that choose among the servers. */
-  countEntries(): number;
-}
-
-/** The preference of the entries for a server, by the shared segments of a prompt. */
-type Preference = keyof typeof CACHED_FRACTIONS;
-
-interface Choice {
-  readonly server: KnownServer;
-  readonly tokensToPrefill: number;
-  readonly ownMs: number;
-  /** Time until the answer begins if no other request waits; undefined if unknown. */
-  readonly aloneMs: number | undefined;
-  readonly score: number;
 }
 
 /**
@@ -104,9 +65,14 @@
 export class Placement {
   private readonly queues = new Map<string, PlacementQueue>();
   private readonly slowStart: SlowStart;
+  private readonly availability: ServerAvailability;
+  private readonly chooser: ServerChooser;
 
   constructor(private readonly options: PlacementOptions) {
-    this.slowStart = new SlowStart(server => options.servers.isSlow(server));
+    const {servers, versions} = options;
+    this.slowStart = new SlowStart(server => servers.isSlow(server));
+    this.availability = new ServerAvailability(servers, versions);
+    this.chooser = new ServerChooser(options);
   }
 
   /**
@@ -175,8 +141,9 @@
   ): SlotReservation | undefined {
     const closure = this.findClosure(demand.service);
     if (closure) throw closure;
-    const available = this.listAvailable(demand);
-    const choice = this.chooseServer(demand, available);
+    const available = this.availability.listAvailable(demand);
+    const usable = this.slowStart.filterServers(available);
+    const choice = this.chooser.choose(demand, usable);
     if (!choice) return undefined;
     const {server, ownMs, aloneMs, tokensToPrefill} = choice;
     this.slowStart.recordChoice(available, server);
@@ -258,115 +225,6 @@
     );
   }
 
-  private chooseServer(
-    demand: PlacementRequest,
-    available: readonly KnownServer[],
-  ): Choice | undefined {
-    const usable = this.slowStart.filterServers(available);
-    const preferred = choosePreferred(demand, usable);
-    const {policy, dataCentre, servers} = this.options;
-    const sample = new Set(
-      sampleServers(usable, {
-        policy,
-        entries: this.options.countEntries(),
-        isNear: ({listing}) => listing.registration.dataCentre === dataCentre,
-      }),
-    );
-    for (const server of usable) {
-      const isPreferred = getPreference(preferred, server) !== 'none';
-      const {registration} = server.listing;
-      // A permit expires soon.
-      if (isPreferred || servers.limits.isLimited(registration)) {
-        sample.add(server);
-      }
-    }
-    let best: Choice | undefined;
-    for (const server of sample) {
-      const choice = this.rateServer(
-        demand,
-        server,
-        getPreference(preferred, server),
-      );
-      const isBetter =
-        !best ||
-        choice.score < best.score ||
-        (choice.score === best.score && Math.random() < 0.5);
-      if (isBetter) best = choice;
-    }
-    return best;
-  }
-
-  private rateServer(
-    demand: PlacementRequest,
-    server: KnownServer,
-    preference: Preference,
-  ): Choice {
-    const {request, model, service, route} = demand;
-    const {policy, dataCentre, rates, times} = this.options;
-    const {registration, isSilent} = server.listing;
-    const cached = countCachedTokens(
-      server,
-      model ?? '',
-      request.promptSegments,
-      CACHED_FRACTIONS[preference],
-    );
-    const tokensToPrefill = Math.max(0, request.size.promptTokens - cached);
-    const typicalMs = times.getTypicalMs(buildWorkKind(route, model));
-    const ownMs = service.engine
-      ? rates.estimateMs(model ?? '', tokensToPrefill)
-      : (typicalMs ?? 0) / Math.max(1, registration.slots);
-    const aloneMs = service.engine
-      ? rates.estimateFixedMs(model ?? '') + ownMs
-      : typicalMs;
-    const pendingMs = server.pendingMs + server.othersPendingMs;
-    const score = scoreServer(policy, {
-      load: server.inFlight + server.othersInFlight,
-      slots: registration.slots,
-      pendingMs,
-      ownMs,
-      isSameDataCentre: registration.dataCentre === dataCentre,
-      isSilent,
-      slowness: server.slowness,
-    });
-    return {server, tokensToPrefill, ownMs, aloneMs, score};
-  }
-
-  /**
-   * Lists the permitted servers with capacity, if possible those neither tried for this request
-   * nor ejected.
-   */
-  private listAvailable(demand: PlacementRequest): readonly KnownServer[] {
-    const {servers, versions} = this.options;
-    const {service, variant, tried} = demand;
-    const now = performance.now();
-    const ready = servers
-      .listReady(service.name)
-      .filter(
-        server => servers.isAccepting(server) && !versions.isRejected(server),
-      );
-    const permitted = versions.filterServers(service.name, variant, ready);
-    const available = permitted.filter(server =>
-      this.hasCapacity(server, service),
-    );
-    const untried = available.filter(
-      ({listing}) => !tried.has(listing.registration.id),
-    );
-    const healthy = untried.filter(({ejectedUntil}) => ejectedUntil <= now);
-    return [healthy, untried, available].find(({length}) => length > 0) ?? [];
-  }
-
-  private hasCapacity(server: KnownServer, {engine}: RoutedService): boolean {
-    const {registration} = server.listing;
-    const {slots} = registration;
-    const {notices, limits} = this.options.servers;
-    if (!limits.isPermitted(registration)) return false;
-    if (notices.isReturning(registration)) {
-      return server.inFlight === 0;
-    }
-    const load = server.inFlight + server.othersInFlight;
-    return load < (engine ? slots : slots * (1 + OVERCOMMIT_FRACTION));
-  }
-
   private getQueue(service: string): PlacementQueue {
     const known = this.queues.get(service);
     if (known) return known;
@@ -375,48 +233,3 @@
     return queue;
   }
 }
-
-/** Chooses the servers that every entry prefers for the last shared segment of the prompt. */
-function choosePreferred(
-  {request, model}: PlacementRequest,
-  servers: readonly KnownServer[],
-): PreferredServers | undefined {
-  // The last segment belongs to this request only.
-  const shared = request.promptSegments.at(-2);
-  if (!shared) return undefined;
-  const ids = servers.map(({listing}) => listing.registration.id);
-  return choosePreferredServers(`${model ?? ''} ${shared.id}`, ids);
-}
-
-function getPreference(
-  preferred: PreferredServers | undefined,
-  {listing}: KnownServer,
-): Preference {
-  const {id} = listing.registration;
-  if (id === preferred?.first) return 'first';
-  return id === preferred?.second ? 'second' : 'none';
-}
-
-/**
- * Estimates the prompt tokens that a server probably has cached for a model: those of the leading
- * segments that this entry sent there recently and, on a preferred server, a fraction of those of
- * the other shared segments, which other entries send there.
- */
-function countCachedTokens(
-  server: KnownServer,
-  model: string,
-  segments: readonly PromptSegment[],
-  sharedFraction: number,
-): number {
-  const oldest = performance.now() - SEGMENT_CACHED_MS;
-  let tokens = 0;
-  let isSent = true;
-  segments.forEach((segment, index) => {
-    const usedAt = server.cachedSegments.get(`${model} ${segment.id}`);
-    isSent &&= usedAt !== undefined && usedAt >= oldest;
-    const isShared = index < segments.length - 1;
-    if (isSent) tokens += segment.tokens;
-    else if (isShared) tokens += segment.tokens * sharedFraction;
-  });
-  return tokens;
-}
