Tests of heads: a length among the trailers is whole or nothing, by the parser's version

Change: the sound case keeps its trailers with another second field; framing fields among trailers have a case of their own, as strict: the whole signed body with one signature, or an own 502 or 504 without a byte of it.

--- a/packages/gateway/src/test/plainHeads.test.ts
+++ b/packages/gateway/src/test/plainHeads.test.ts
@@ -68,7 +68,7 @@
 const SOUND_ANSWERS: Readonly<Record<string, BuildAnswer>> = {
   trailers: build(
     [CHUNKED, 'Trailer: X-Signature'],
-    `${formatChunk(BODY)}0\r\nX-Signature: other\r\nContent-Length: 3\r\n\r\n`,
+    `${formatChunk(BODY)}0\r\nX-Signature: other\r\nX-Other: 3\r\n\r\n`,
   ),
   'an interim answer': request =>
     'HTTP/1.1 103 Early Hints\r\nX-Request-Id: other\r\nX-Signature: other\r\n' +
@@ -121,6 +121,30 @@
   });
 }
 
+// RFC 9110 forbids framing fields in trailers; whether the parser accepts them depends on its version.
+for (const field of ['Content-Length: 3', 'Transfer-Encoding: gzip']) {
+  test(`${field} in a trailer: the caller gets the body or nothing of it`, async () => {
+    const server = await startServer('s1', (request, socket) =>
+      socket.write(
+        formatHead(request, [CHUNKED]) +
+          `${formatChunk(BODY)}0\r\nX-Signature: other\r\n${field}\r\n\r\n`,
+      ),
+    );
+    const gateway = await startGateway({kind: 'safe', maxAttempts: 1}, [
+      server,
+    ]);
+    const text = await gateway.exchange(formatRequest({}));
+    if (!text.startsWith('HTTP/1.1 200 ')) {
+      assert.match(text, /^HTTP\/1\.1 50[24] /);
+      assert.equal(text.includes(HALF), false, text);
+      return;
+    }
+    const signatures = text.match(/x-signature: .*/gi);
+    assert.deepEqual(signatures, ['X-Signature: signed']);
+    assert.equal(readBody(text).replace(/\r\n$/, ''), BODY);
+  });
+}
+
 for (const status of ['204 No Content', '304 Not Modified']) {
   test(`a body behind ${status} does not become the answer to the next request`, async () => {
     const server = await startServer('s1', (request, socket) => {
