Evacuation of a data centre: order, replicated state, obedience at entries

Change: `setEvacuation` is committed to the log (FleetState, with a revision that only grows) and told to the entries with the rest of the state; ServerTable leaves out the servers, Placement refuses at once what no other server may run (data_centre_evacuated).

--- a/apps/syc/src/fleetCommand.ts
+++ b/apps/syc/src/fleetCommand.ts
@@ -22,6 +22,7 @@
   'rollouts',
   'members',
   'quarantine',
+  'evacuations',
   'limits',
 ] as const;
 
@@ -30,7 +31,7 @@
   return command({
     name: 'fleet',
     description:
-      'prints the declared routes, backend servers, roll-outs, members, quarantined prompt segments or limits of backend servers that a control instance knows',
+      'prints the declared routes, backend servers, roll-outs, members, quarantined prompt segments, evacuated data centres or limits of backend servers that a control instance knows',
     args: {
       view: positional({
         type: oneOf(VIEWS),
--- a/apps/syc/src/formatFleetView.ts
+++ b/apps/syc/src/formatFleetView.ts
@@ -2,7 +2,13 @@
 
 /** Name of a view, which is the kind of items that it lists. @internal */
 export type FleetViewName =
-  'routes' | 'servers' | 'rollouts' | 'members' | 'quarantine' | 'limits';
+  | 'routes'
+  | 'servers'
+  | 'rollouts'
+  | 'members'
+  | 'quarantine'
+  | 'evacuations'
+  | 'limits';
 
 type Row = Readonly<Record<string, string | number | boolean | undefined>>;
 
@@ -55,6 +61,14 @@
       crashes,
       duration_ms: durationMs,
     })),
+  evacuations: ({evacuated = [], servers}) =>
+    evacuated.map(name => ({
+      data_centre: name,
+      servers: servers.filter(
+        ({registration: {dataCentre, state}}) =>
+          dataCentre === name && state !== 'gone',
+      ).length,
+    })),
   limits: ({limits = {}}) =>
     Object.entries(limits).map(([incarnation, [perSecond, ageMs]]) => ({
       // An incarnation is an id and the time of its start.
--- a/apps/syc/src/main.ts
+++ b/apps/syc/src/main.ts
@@ -23,6 +23,7 @@
 import {readSecret, runCommand} from '@sycamorehead/telemetry';
 import {buildBillsCommand} from './billsCommand.js';
 import {describeChanges} from './describeChanges.js';
+import {buildEvacuateCommand} from './evacuateCommand.js';
 import {buildFleetCommand} from './fleetCommand.js';
 import {buildReleaseCommand} from './releaseCommand.js';
 import {formatRollout} from './formatRollout.js';
@@ -210,6 +211,7 @@
     members: buildMembersCommand(createClient),
     fleet: buildFleetCommand(),
     release: buildReleaseCommand(),
+    evacuate: buildEvacuateCommand(),
     bills: buildBillsCommand({control, createClient}),
     'hash-key': hashKeyCommand,
   },
--- a/packages/bench/src/lib/RouteDemo.ts
+++ b/packages/bench/src/lib/RouteDemo.ts
@@ -97,6 +97,7 @@
     return new FleetNode({
       instance: HOST,
       dataCentre: 'local',
+      dataCentres: [],
       host: HOST,
       peerPort: this.peerPort,
       peerKey,
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -4,6 +4,7 @@
   ControlIdentity,
   CrashEvidenceReport,
   CrashReport,
+  EvacuationState,
   ExchangeReply,
   ExchangeRequest,
   FleetDescription,
@@ -31,6 +32,10 @@
 export {FleetNode} from './lib/FleetNode.js';
 export type {FleetNodeOptions} from './lib/FleetNode.js';
 export {FleetCommands} from './lib/FleetCommands.js';
-export type {ConfigurationDecoder, RolloutOrder} from './lib/FleetCommands.js';
+export type {
+  ConfigurationDecoder,
+  EvacuationOrder,
+  RolloutOrder,
+} from './lib/FleetCommands.js';
 export {ServerRegistry} from './lib/ServerRegistry.js';
 export type {RegistryTimeouts} from './lib/ServerRegistry.js';
--- a/packages/fleet/src/lib/EntryFeeds.ts
+++ b/packages/fleet/src/lib/EntryFeeds.ts
@@ -3,6 +3,7 @@
 import {writeDecision} from '@sycamorehead/telemetry';
 import type {PeerLink} from '@sycamorehead/wire';
 import {
+  EvacuationState,
   FLEET_METHODS,
   FleetUpdate,
   QuarantineState,
@@ -19,6 +20,8 @@
   getConfigurationVersion(): number;
   listRollouts(): ServiceRollout[];
   describeQuarantine(): QuarantineState;
+  /** Undefined while this instance does not know yet what was committed before it started. */
+  describeEvacuation(): EvacuationState | undefined;
   listLimits(): LimitTable;
   listControls(): string[];
   isLeading(): boolean;
@@ -101,7 +104,9 @@
   }
 
   private describeState(): FleetUpdate {
+    const evacuation = this.source.describeEvacuation();
     return {
+      ...(evacuation ? {evacuation} : {isCatchingUp: true}),
       configurationVersion: this.source.getConfigurationVersion(),
       rollouts: this.source.listRollouts(),
       quarantine: this.source.describeQuarantine(),
--- a/packages/fleet/src/lib/FleetCommands.ts
+++ b/packages/fleet/src/lib/FleetCommands.ts
@@ -37,6 +37,20 @@
   /** Port on which control instances accept links. */
   readonly peerPort: number;
   readonly decodeConfiguration: ConfigurationDecoder;
+  /** Returns whether a data centre of that name may be evacuated. */
+  isKnownDataCentre(name: string): boolean;
+}
+
+/** Order to send no requests to the backend servers of a data centre, or to end that. @public */
+export interface EvacuationOrder {
+  readonly dataCentre: string;
+  readonly isEvacuated: boolean;
+}
+
+/** Parameters of `fleet.setEvacuation`. */
+interface EvacuationCall extends EvacuationOrder {
+  /** Set by a control instance that takes its receiver for the leader. */
+  readonly isForwarded?: boolean;
 }
 
 /** Parameters of `fleet.releaseSegments`. */
@@ -100,6 +114,23 @@
     );
   }
 
+  /**
+   * Evacuates a data centre, or ends that; a repeated order changes nothing.
+   *
+   * @throws SycamoreheadError `note_invalid` if the data centre is unknown, or `control_unavailable` if
+   * the outcome is unknown.
+   * @example
+   * ```ts
+   * await commands.setEvacuation({dataCentre: 'a', isEvacuated: true});
+   * ```
+   */
+  async setEvacuation(order: EvacuationOrder): Promise<void> {
+    const call: EvacuationCall = {...order, isForwarded: true};
+    await this.runOnLeader(FLEET_METHODS.setEvacuation, call, () =>
+      this.commitEvacuation(order),
+    );
+  }
+
   // Queries.
 
   /** Reads the newest configuration, confirmed with a quorum. */
@@ -158,6 +189,14 @@
         else await this.releaseSegments(segments);
         return {};
       },
+      [FLEET_METHODS.setEvacuation]: async ({
+        isForwarded,
+        ...order
+      }: EvacuationCall) => {
+        if (isForwarded) await this.commitEvacuation(order);
+        else await this.setEvacuation(order);
+        return {};
+      },
       [FLEET_METHODS.readConfiguration]: () => this.confirmConfiguration(),
       [FLEET_METHODS.readRollout]: ({service}: {service: string}) =>
         this.confirmRollout(service),
@@ -229,6 +268,40 @@
     });
   }
 
+  /** Proposes repeated orders too: only the log knows whether an opposite order is before them. */
+  private async commitEvacuation({
+    dataCentre,
+    isEvacuated,
+  }: EvacuationOrder): Promise<void> {
+    const {logMember} = this.options;
+    await this.requireDataCentre(dataCentre);
+    this.requireCompleteGroup();
+    const isChanged = await logMember.propose({
+      type: 'set_evacuation',
+      dataCentre,
+      isEvacuated,
+    });
+    writeDecision('evacuation_ordered', {
+      data_centre: dataCentre,
+      evacuated: isEvacuated,
+      changed: isChanged,
+      revision: logMember.state.describeEvacuation().revision,
+    });
+  }
+
+  /** Accepts an evacuated data centre too, which the settings may no longer contain. */
+  private async requireDataCentre(name: string): Promise<void> {
+    const {logMember, isKnownDataCentre} = this.options;
+    if (isKnownDataCentre(name)) return;
+    await logMember.requireNode().confirmLeadership();
+    if (logMember.state.isEvacuated(name)) return;
+    throw new SycamoreheadError(
+      'note_invalid',
+      `unknown data centre: ${JSON.stringify(name)}`,
+      {field: 'dataCentre'},
+    );
+  }
+
   private async confirmConfiguration(): Promise<StoredConfiguration> {
     const {logMember} = this.options;
     await logMember.requireNode().confirmLeadership();
--- a/packages/fleet/src/lib/FleetMetrics.ts
+++ b/packages/fleet/src/lib/FleetMetrics.ts
@@ -7,6 +7,7 @@
   readonly members: number;
   readonly servers: number;
   readonly entries: number;
+  readonly evacuated: number;
   /** Bytes of the log entries in memory. */
   readonly logBytes: number;
 }
@@ -37,6 +38,7 @@
       members: 'members',
       servers: 'servers',
       entries: 'entries_linked',
+      evacuated: 'evacuated_data_centres',
       logBytes: 'log_bytes',
     };
     for (const [field, name] of Object.entries(names)) {
--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -27,10 +27,12 @@
 import {FLEET_LINK_TIMEOUTS} from './linkTimeouts.js';
 import {FleetMetrics} from './FleetMetrics.js';
 import {GroupManager} from './GroupManager.js';
-import {LogMember, buildFirstMember} from './LogMember.js';
+import {KnownDataCentres} from './KnownDataCentres.js';
+import {LogMember, buildFirstGroup} from './LogMember.js';
 import {QuarantineDriver} from './QuarantineDriver.js';
 import {RolloutDriver} from './RolloutDriver.js';
 import {RegistryTimeouts, ServerRegistry} from './ServerRegistry.js';
+import {StateConfirmation} from './StateConfirmation.js';
 import {computeDigestInterval} from './computeDigestInterval.js';
 
 const log = createLogger('fleet');
@@ -43,6 +45,8 @@
 export interface FleetNodeOptions {
   readonly instance: string;
   readonly dataCentre: string;
+  /** All data centres; empty if the settings list none. */
+  readonly dataCentres: readonly string[];
   /** IP address on which links are accepted. */
   readonly host: string;
   readonly peerPort: number;
@@ -80,6 +84,7 @@
   private readonly groupManager: GroupManager;
   private readonly rolloutDriver: RolloutDriver;
   private readonly quarantineDriver: QuarantineDriver;
+  private readonly confirmation: StateConfirmation;
   private readonly wireServer: WireServer;
   private readonly incarnation = randomUUID();
   private readonly address: string;
@@ -106,6 +111,7 @@
       getConfigurationVersion: () => this.logMember.state.configuration.version,
       listRollouts: () => this.logMember.state.listRollouts(),
       describeQuarantine: () => this.logMember.state.describeQuarantine(),
+      describeEvacuation: () => this.confirmation.state?.describeEvacuation(),
       listLimits: () => this.reports.limits.buildTable(),
       listControls: () => this.peers.listAddresses(),
       isLeading: () => this.logMember.isLeader,
@@ -139,12 +145,23 @@
       peers: this.peers,
       faults: options.faults,
     });
+    const dataCentres = new KnownDataCentres({
+      own: options.dataCentre,
+      configured: options.dataCentres,
+      registry: this.registry,
+    });
     this.commands = new FleetCommands({
       logMember: this.logMember,
       groupManager: this.groupManager,
       links: this.links,
       peerPort,
       decodeConfiguration: options.decodeConfiguration,
+      isKnownDataCentre: name => dataCentres.has(name),
+    });
+    this.confirmation = new StateConfirmation({
+      getState: () => this.logMember.state,
+      awaitCommitted: () => this.commands.awaitCommitted(),
+      onConfirmed: () => this.feeds.markStateChanged(),
     });
     this.rolloutDriver = new RolloutDriver({
       logMember: this.logMember,
@@ -179,7 +196,8 @@
     void this.groupManager.run();
     void this.rolloutDriver.run();
     void this.quarantineDriver.run();
-    await this.logMember.start(this.describeFirstGroup());
+    void this.confirmation.run();
+    await this.logMember.start(buildFirstGroup(this.options, this.address));
   }
 
   /**
@@ -232,6 +250,7 @@
     this.groupManager.stop();
     this.rolloutDriver.stop();
     this.quarantineDriver.stop();
+    this.confirmation.stop();
     this.peers.stop();
     await this.logMember.stop();
     this.links.stop();
@@ -273,6 +292,7 @@
       rollouts: logMember.state.listRollouts(),
       servers: this.registry.list(),
       quarantined: logMember.state.listQuarantined(),
+      evacuated: logMember.state.describeEvacuation().dataCentres,
       limits: this.reports.limits.buildTable(),
     };
   }
@@ -367,16 +387,6 @@
     };
   }
 
-  private describeFirstGroup() {
-    const {isFirstStart, seeds, peerPort} = this.options;
-    if (!isFirstStart || !seeds.includes(this.address)) return undefined;
-    const addresses = [...seeds].sort();
-    const members = addresses.map(address =>
-      buildFirstMember(address.slice(0, -`:${peerPort}`.length), address),
-    );
-    return {group: `first-${addresses.join('-')}`, members};
-  }
-
   private handleLeading(): void {
     writeDecision('leading', {
       instance: this.options.instance,
@@ -396,6 +406,7 @@
       logBytes: status?.retainedBytes ?? 0,
       servers: registry.list().length,
       entries: feeds.entryCount,
+      evacuated: logMember.state.describeEvacuation().dataCentres.length,
     };
   }
 
--- a/packages/fleet/src/lib/FleetState.ts
+++ b/packages/fleet/src/lib/FleetState.ts
@@ -6,6 +6,7 @@
 } from '@sycamorehead/schema';
 import type {StateMachine} from '@sycamorehead/consensus';
 import type {
+  EvacuationState,
   QuarantinedSegments,
   QuarantineState,
   StoredConfiguration,
@@ -48,7 +49,12 @@
       readonly type: 'quarantine_segments';
       readonly quarantined: QuarantinedSegments;
     }
-  | {readonly type: 'release_segments'; readonly segments: readonly string[]};
+  | {readonly type: 'release_segments'; readonly segments: readonly string[]}
+  | {
+      readonly type: 'set_evacuation';
+      readonly dataCentre: string;
+      readonly isEvacuated: boolean;
+    };
 
 /** Whether a command has changed something. @public */
 export interface CommandResult {
@@ -62,6 +68,8 @@
   /** Absent from snapshots of earlier builds, like the revision. */
   readonly quarantined?: readonly QuarantinedSegments[];
   readonly quarantineRevision?: number;
+  /** Absent from snapshots of earlier builds. */
+  readonly evacuation?: EvacuationState;
 }
 
 type Handlers = {
@@ -77,9 +85,11 @@
 /** Maximum number of prompt segments in quarantine; the oldest are released first. */
 const MAX_QUARANTINED = 500;
 
+const NO_EVACUATION: EvacuationState = {revision: 0, dataCentres: []};
+
 /**
- * The replicated state of the fleet: the configuration of the highest version, the roll-outs and the
- * prompt segments in quarantine.
+ * The replicated state of the fleet: the configuration of the highest version, the roll-outs, the
+ * prompt segments in quarantine and the evacuated data centres.
  *
  * @public
  */
@@ -89,12 +99,14 @@
   private rolloutCount = 0;
   private quarantined = new Map<string, QuarantinedSegments>();
   private quarantineRevision = 0;
+  private evacuation = NO_EVACUATION;
   private readonly handlers: Handlers = {
     put_configuration: command => this.putConfiguration(command),
     start_rollout: command => this.startRollout(command),
     step_rollout: command => this.stepRollout(command),
     quarantine_segments: command => this.quarantineSegments(command),
     release_segments: command => this.releaseSegments(command),
+    set_evacuation: command => this.setEvacuation(command),
   };
 
   constructor(private readonly onChange: () => void = () => {}) {}
@@ -116,6 +128,7 @@
       rolloutCount: this.rolloutCount,
       quarantined: [...this.quarantined.values()],
       quarantineRevision: this.quarantineRevision,
+      evacuation: this.evacuation,
     };
     return snapshot as unknown as JsonValue;
   }
@@ -134,6 +147,7 @@
       ]),
     );
     this.quarantineRevision = known.quarantineRevision ?? 0;
+    this.evacuation = known.evacuation ?? NO_EVACUATION;
     this.onChange();
   }
 
@@ -169,6 +183,16 @@
     return {revision, combinations};
   }
 
+  /** Describes the evacuated data centres for the entries. */
+  describeEvacuation(): EvacuationState {
+    return this.evacuation;
+  }
+
+  /** Returns whether entries send no requests to the servers of a data centre. */
+  isEvacuated(dataCentre: string): boolean {
+    return this.evacuation.dataCentres.includes(dataCentre);
+  }
+
   private putConfiguration({
     version,
     document,
@@ -232,6 +256,20 @@
     this.quarantineRevision += 1;
     return true;
   }
+
+  private setEvacuation({
+    dataCentre,
+    isEvacuated,
+  }: Extract<FleetCommand, {type: 'set_evacuation'}>): boolean {
+    if (this.isEvacuated(dataCentre) === isEvacuated) return false;
+    const {revision, dataCentres} = this.evacuation;
+    const others = dataCentres.filter(name => name !== dataCentre);
+    this.evacuation = {
+      revision: revision + 1,
+      dataCentres: isEvacuated ? [...others, dataCentre] : others,
+    };
+    return true;
+  }
 }
 
 function buildSegmentsKey(segments: readonly string[]): string {
--- a/packages/fleet/src/lib/LogMember.ts
+++ b/packages/fleet/src/lib/LogMember.ts
@@ -38,6 +38,14 @@
   readonly onLeading: () => void;
 }
 
+/** Settings on which the first group of a fleet depends. @public */
+export interface FirstGroupOptions {
+  readonly isFirstStart: boolean;
+  /** Peer addresses of the first members. */
+  readonly seeds: readonly string[];
+  readonly peerPort: number;
+}
+
 /**
  * Runs one member of the replicated log. Reopens it after its storage has failed, and restarts it
  * under a new identity after the group has removed it.
@@ -240,6 +248,28 @@
   return {id, instance, address, role: 'voter' as const};
 }
 
+/**
+ * Builds the first group of a fleet, whose members are the seeds; undefined for an instance at another
+ * address or that starts again.
+ *
+ * @example
+ * ```ts
+ * buildFirstGroup({isFirstStart: false, seeds: [], peerPort: 7340}, '10.1.0.4:7340'); // undefined
+ * ```
+ * @public
+ */
+export function buildFirstGroup(
+  {isFirstStart, seeds, peerPort}: FirstGroupOptions,
+  address: string,
+): {group: string; members: Membership} | undefined {
+  if (!isFirstStart || !seeds.includes(address)) return undefined;
+  const addresses = [...seeds].sort();
+  const members = addresses.map(seed =>
+    buildFirstMember(seed.slice(0, -`:${peerPort}`.length), seed),
+  );
+  return {group: `first-${addresses.join('-')}`, members};
+}
+
 /** Returns whether an error comes from the operating system; any other error means damaged files. */
 function isDiskError(error: unknown): boolean {
   let current = error;
--- a/packages/fleet/src/lib/RolloutDriver.ts
+++ b/packages/fleet/src/lib/RolloutDriver.ts
@@ -75,7 +75,10 @@
       .map(({registration}) => registration)
       .filter(registration => registration.service === service);
     const freshServers = servers.filter(
-      ({version, state}) => version === target && state === 'ready',
+      ({version, state, dataCentre}) =>
+        version === target &&
+        state === 'ready' &&
+        !logMember.state.isEvacuated(dataCentre),
     ).length;
     const old = servers.filter(({version}) => version !== target);
     const evidence = loadExchange.listEvidence(service, number);
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -40,6 +40,8 @@
   readRollout: 'fleet.readRollout',
   /** Tool to control instance, control instance to the leader: ends a quarantine of prompt segments. */
   releaseSegments: 'fleet.releaseSegments',
+  /** Tool to control instance, control instance to the leader: evacuates a data centre or ends that. */
+  setEvacuation: 'fleet.setEvacuation',
   /** Control instance to the leader: returns the index of what is committed. */
   confirmCommit: 'fleet.confirmCommit',
   /** Tool to control instance: describes the state of the fleet as the instance knows it. */
@@ -73,6 +75,8 @@
   readonly servers: readonly ServerListing[];
   /** Prompt segments in quarantine; absent from earlier builds. */
   readonly quarantined?: readonly QuarantinedSegments[];
+  /** Names of the evacuated data centres; absent from earlier builds. */
+  readonly evacuated?: readonly string[];
   /** The limits that servers name, by incarnation; absent from earlier builds. */
   readonly limits?: LimitTable;
 }
@@ -136,6 +140,13 @@
   readonly combinations: ReadonlyArray<readonly string[]>;
 }
 
+/** The data centres to whose backend servers entries send no requests. @public */
+export interface EvacuationState {
+  /** Number of changes so far; of two states the one with the higher revision is newer. */
+  readonly revision: number;
+  readonly dataCentres: readonly string[];
+}
+
 /** A crash of a backend server, as reported by an entry that had requests there. @public */
 export interface CrashReport {
   /** Incarnation of the server, `ID STARTED_AT_MS`. */
@@ -192,6 +203,13 @@
   readonly configurationVersion?: number;
   readonly rollouts?: readonly ServiceRollout[];
   readonly quarantine?: QuarantineState;
+  /** Absent from earlier builds. */
+  readonly evacuation?: EvacuationState;
+  /**
+   * Set in place of the evacuation while the instance does not know yet what was committed before it
+   * started; absent from earlier builds.
+   */
+  readonly isCatchingUp?: boolean;
   /** The limits that servers have named; in the first update only. */
   readonly limits?: LimitTable;
   /** Peer addresses of the control instances. */
--- a/packages/fleet/src/test/FullDiskGroup.ts
+++ b/packages/fleet/src/test/FullDiskGroup.ts
@@ -197,6 +197,7 @@
       links,
       peerPort: PORT,
       decodeConfiguration: decodeTestConfiguration,
+      isKnownDataCentre: () => true,
     });
     this.methods.set(address, {
       ...createConsensusMethods((): RaftNode[] => [logMember.requireNode()]),
--- a/packages/fleet/src/test/fleetNodes.ts
+++ b/packages/fleet/src/test/fleetNodes.ts
@@ -20,6 +20,7 @@
     ...options,
     instance: host,
     dataCentre: 'a',
+    dataCentres: ['a', 'b', 'c'],
     host,
     peerKey: 'test',
     registry: {silentMs: 4_000, expiryMs: 20_000, tombstoneMs: 60_000},
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -357,6 +357,9 @@
     const status = answer.disconnected.aborted ? 0 : answer.sentStatus;
     this.context.metrics.recordAnswer(this.routeName, status);
     this.context.metrics.recordWait(this.planner.waitedMs);
+    if (this.failure) {
+      this.context.metrics.recordFailure(this.routeName, this.failure.kind);
+    }
     writeRequestLine({
       request,
       status,
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -78,6 +78,7 @@
 
   constructor(private readonly options: GatewayOptions) {
     const {names, policies, dataCentre} = options;
+    this.servers.evacuation.expectState();
     this.versions = new VersionSplit(options.sessionMs);
     this.budgets = new RetryBudgets(options.retryBudget);
     const times = new AnswerTimes();
@@ -166,12 +167,16 @@
   /** Returns whether this entry is ready for new callers. */
   isReady(): boolean {
     return (
-      !this.isStopping && this.routes !== undefined && !this.servers.isEmpty
+      !this.isStopping &&
+      this.routes !== undefined &&
+      !this.servers.isEmpty &&
+      this.servers.evacuation.isKnown
     );
   }
 
   private applyUpdate(update: FleetUpdate): void {
     this.servers.update(update);
+    this.metrics.setEvacuated(this.servers.evacuation.count);
     if (update.rollouts) this.versions.update(update.rollouts);
     if (update.quarantine) this.quarantine.update(update.quarantine);
     if (update.limits) this.servers.limits.addTable(update.limits);
--- a/packages/gateway/src/lib/GatewayMetrics.ts
+++ b/packages/gateway/src/lib/GatewayMetrics.ts
@@ -1,3 +1,4 @@
+import type {ErrorKind} from '@sycamorehead/schema';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /** Upper bounds of the buckets of the latency histograms, in seconds. */
@@ -43,6 +44,16 @@
     registers: [this.registry],
   });
 
+  private readonly failures = this.createCounter('failures_total', [
+    'route',
+    'kind',
+  ]);
+  private readonly evacuated = new Gauge({
+    name: 'syc_gateway_evacuated_data_centres',
+    help: 'Data centres to whose servers nothing is sent',
+    registers: [this.registry],
+  });
+
   /** Counts a final answer; status 0 is a caller that has disconnected. */
   recordAnswer(route: string, status: number): void {
     this.answers.inc({route, status: String(status)});
@@ -88,6 +99,15 @@
     this.firstBytes.observe(ms / 1_000);
   }
 
+  /** Counts a request that ended with an error of this entry, by its kind. */
+  recordFailure(route: string, kind: ErrorKind): void {
+    this.failures.inc({route, kind});
+  }
+
+  setEvacuated(count: number): void {
+    this.evacuated.set(count);
+  }
+
   setWaiting(count: number): void {
     this.waiting.set(count);
   }
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -1,7 +1,7 @@
 import type {RoutedService, SycamoreheadError} from '@sycamorehead/schema';
 import {PlacementQueue} from '@sycamorehead/routing';
 import type {CallerRequest} from './CallerRequest.js';
-import {buildRefusal} from './refusals.js';
+import {buildEvacuationRefusal, buildRefusal} from './refusals.js';
 import {ServerAvailability} from './ServerAvailability.js';
 import {ServerChooser, ServerChooserOptions} from './ServerChooser.js';
 import type {KnownServer} from './ServerTable.js';
@@ -84,6 +84,7 @@
     const service = demand.service.name;
     const queue = this.getQueue(service);
     this.options.servers.limits.recordDemand(service);
+    this.refuseIfEvacuated(demand);
     this.refuseIfLimited(demand, queue.countAhead(demand.priority));
     return queue.acquire({
       priority: demand.priority,
@@ -99,7 +100,7 @@
     if (this.getQueue(service).countAhead(demand.priority) > 0) {
       return undefined;
     }
-    if (this.findClosure(demand.service)) return undefined;
+    if (this.findClosure(demand)) return undefined;
     const reservation = this.tryReserveSlot(demand);
     if (reservation) this.options.servers.limits.recordDemand(service);
     return reservation;
@@ -139,7 +140,7 @@
   private tryReserveSlot(
     demand: PlacementRequest,
   ): SlotReservation | undefined {
-    const closure = this.findClosure(demand.service);
+    const closure = this.findClosure(demand);
     if (closure) throw closure;
     const available = this.availability.listAvailable(demand);
     const usable = this.slowStart.filterServers(available);
@@ -179,11 +180,16 @@
   }
 
   /**
-   * Returns the refusal of all requests of a service whose servers all leave or want no requests yet.
-   * While no server is known at all, the first listing may be on its way.
+   * Returns the refusal of a request that no server may run now: those that might are in evacuated data
+   * centres, leave or want no requests yet. While no server or no evacuation is known at all, the first
+   * update may be on its way.
    */
-  private findClosure({name}: RoutedService): SycamoreheadError | undefined {
+  private findClosure(demand: PlacementRequest): SycamoreheadError | undefined {
     const {servers} = this.options;
+    if (!servers.evacuation.isKnown) return undefined;
+    const evacuated = this.availability.listEvacuated(demand);
+    if (evacuated.length > 0) return buildEvacuationRefusal(evacuated);
+    const {name} = demand.service;
     const ready = servers.listReady(name);
     if (ready.length === 0) {
       if (!servers.hasServers(name)) return undefined;
@@ -198,6 +204,12 @@
     return buildRefusal('every server wants a pause', false, holdMs);
   }
 
+  /** Refuses a request at once if only servers of evacuated data centres may run it. */
+  private refuseIfEvacuated(demand: PlacementRequest): void {
+    const evacuated = this.availability.listEvacuated(demand);
+    if (evacuated.length > 0) throw buildEvacuationRefusal(evacuated);
+  }
+
   /**
    * Refuses a request at once if every server of its service limits its requests, and those that wait
    * already use up what this entry may send in the time that the request may wait.
--- a/packages/gateway/src/lib/ServerAvailability.ts
+++ b/packages/gateway/src/lib/ServerAvailability.ts
@@ -25,15 +25,13 @@
    * nor ejected.
    */
   listAvailable(demand: PlacementRequest): readonly KnownServer[] {
-    const {servers, versions} = this;
-    const {service, variant, tried} = demand;
+    const {servers} = this;
+    const {service, tried} = demand;
     const now = performance.now();
-    const ready = servers
+    const accepting = servers
       .listReady(service.name)
-      .filter(
-        server => servers.isAccepting(server) && !versions.isRejected(server),
-      );
-    const permitted = versions.filterServers(service.name, variant, ready);
+      .filter(server => servers.isAccepting(server));
+    const permitted = this.filterPermitted(demand, accepting);
     const available = permitted.filter(server =>
       this.hasCapacity(server, service),
     );
@@ -44,6 +42,34 @@
     return [healthy, untried, available].find(({length}) => length > 0) ?? [];
   }
 
+  /**
+   * Lists the data centres of the servers that may run a request if only evacuated ones may, whatever
+   * their load; empty if others may, or if none may at all.
+   */
+  listEvacuated(demand: PlacementRequest): readonly string[] {
+    const {servers} = this;
+    const {name} = demand.service;
+    if (servers.evacuation.count === 0) return [];
+    const evacuated = servers.listEvacuated(name);
+    if (evacuated.length === 0) return [];
+    const ready = this.filterPermitted(demand, servers.listReady(name));
+    if (ready.length > 0) return [];
+    const permitted = this.filterPermitted(demand, evacuated);
+    return [
+      ...new Set(permitted.map(({listing}) => listing.registration.dataCentre)),
+    ];
+  }
+
+  /** Filters the servers that the roll-out of the service permits for a request. */
+  private filterPermitted(
+    {service, variant}: PlacementRequest,
+    servers: readonly KnownServer[],
+  ): readonly KnownServer[] {
+    const {versions} = this;
+    const unrejected = servers.filter(server => !versions.isRejected(server));
+    return versions.filterServers(service.name, variant, unrejected);
+  }
+
   private hasCapacity(server: KnownServer, {engine}: RoutedService): boolean {
     const {registration} = server.listing;
     const {slots} = registration;
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -10,6 +10,7 @@
   isNewerRegistration,
 } from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
+import {EvacuationView} from './EvacuationView.js';
 import {ServerAgent} from './ServerAgent.js';
 import {ServerLimits} from './ServerLimits.js';
 import {ServerNotices} from './ServerNotices.js';
@@ -36,6 +37,8 @@
 const MIN_SLOWNESS = 0.5;
 /** Upper bound of an answer's time ratio, and so of the slowness of a server. */
 const MAX_SLOWNESS = 8;
+/** Time for which the servers of a data centre return gradually after an evacuation, in milliseconds. */
+const RETURN_MS = 2_000;
 /** Maximum number of prompt segments that are tracked for one server. */
 const MAX_SEGMENTS = 4_000;
 
@@ -67,6 +70,11 @@
   readonly cachedSegments: Map<string, number>;
 }
 
+/** Called with the registrations of the servers to which requests may be sent again. @public */
+export type ReturnListener = (
+  registrations: readonly ServerRegistration[],
+) => void;
+
 /**
  * Tracks the backend servers to which an entry may send, and what it has observed of them.
  *
@@ -75,14 +83,27 @@
 export class ServerTable {
   readonly notices = new ServerNotices();
   readonly limits = new ServerLimits();
+  readonly evacuation = new EvacuationView();
+  private readonly returnListeners: ReturnListener[] = [];
   private readonly servers = new Map<string, KnownServer>();
 
   // Commands.
 
   /** Applies an update from a control instance. */
-  update({servers = [], dropped = []}: FleetUpdate): void {
+  update(update: FleetUpdate): void {
+    const {servers = [], dropped = []} = update;
+    const returned = this.evacuation.update(update);
     for (const listing of servers) this.applyListing(listing);
     for (const id of dropped) this.drop(id);
+    if (returned.length > 0) this.announceReturn(returned);
+  }
+
+  /**
+   * Calls back with the registrations of a data centre that is no longer evacuated. Its servers may have
+   * become cold and not have said so yet.
+   */
+  addReturnListener(listener: ReturnListener): void {
+    this.returnListeners.push(listener);
   }
 
   /** Sets the load that the other entries have placed on the servers. */
@@ -158,13 +179,20 @@
     return performance.now() - receivedAt < ACTIVE_MS;
   }
 
-  /** Lists the servers of a service that do not leave; some may be held. */
+  /**
+   * Lists the servers of a service that do not leave and whose data centres are not evacuated; some may
+   * be held.
+   */
   listReady(service: string): KnownServer[] {
-    return [...this.servers.values()].filter(
-      ({listing: {registration}}) =>
-        registration.service === service &&
-        registration.state === 'ready' &&
-        !this.notices.isLeaving(registration),
+    return this.listStaying(service).filter(
+      ({listing}) => !this.evacuation.isClosed(listing.registration.dataCentre),
+    );
+  }
+
+  /** Lists the servers of a service that would be ready if their data centres were not evacuated. */
+  listEvacuated(service: string): KnownServer[] {
+    return this.listStaying(service).filter(({listing}) =>
+      this.evacuation.isEvacuated(listing.registration.dataCentre),
     );
   }
 
@@ -182,6 +210,7 @@
       this.servers.get(registration.id) === server &&
       registration.state === 'ready' &&
       !this.notices.isLeaving(registration) &&
+      !this.evacuation.isClosed(registration.dataCentre) &&
       this.notices.getHoldMs(registration) === 0
     );
   }
@@ -190,13 +219,16 @@
   listRegistrations(): ServerRegistration[] {
     return [...this.servers.values()]
       .map(({listing}) => listing.registration)
-      .filter(({state}) => state === 'ready');
+      .filter(
+        ({state, dataCentre}) =>
+          state === 'ready' && !this.evacuation.isClosed(dataCentre),
+      );
   }
 
   /**
    * Returns whether a server may get little more than an equal share: it has just started, has just
-   * lifted its limit, or has not answered since a pause or an ejection. All entries see it idle at the
-   * same time.
+   * lifted its limit, its data centre was evacuated until now, or it has not answered since a pause or an
+   * ejection. All entries see it idle at the same time.
    */
   isSlow(server: KnownServer): boolean {
     const {slowUntil, ejectedUntil} = server;
@@ -226,6 +258,28 @@
     return load;
   }
 
+  private listStaying(service: string): KnownServer[] {
+    return [...this.servers.values()].filter(
+      ({listing: {registration}}) =>
+        registration.service === service &&
+        registration.state === 'ready' &&
+        !this.notices.isLeaving(registration),
+    );
+  }
+
+  private announceReturn(dataCentres: readonly string[]): void {
+    const registrations = this.listRegistrations().filter(({dataCentre}) =>
+      dataCentres.includes(dataCentre),
+    );
+    const slowUntil = performance.now() + RETURN_MS;
+    for (const {id} of registrations) {
+      const server = this.servers.get(id);
+      if (!server) continue;
+      server.slowUntil = Math.max(server.slowUntil, slowUntil);
+    }
+    for (const listener of this.returnListeners) listener(registrations);
+  }
+
   private markDeparted({registration, isSilent}: ServerListing): void {
     const known = this.servers.get(registration.id);
     if (known?.listing.registration !== registration) return;
--- a/packages/gateway/src/lib/refusals.ts
+++ b/packages/gateway/src/lib/refusals.ts
@@ -8,6 +8,8 @@
 const RETRY_AFTER_MS = 250;
 /** Retry delay of a request that is suspended, in milliseconds; the verdict has been reached by then. */
 const SUSPENSION_RETRY_AFTER_MS = 2_000;
+/** Retry delay of a request whose servers are in evacuated data centres, in milliseconds. */
+const EVACUATION_RETRY_AFTER_MS = 2_000;
 /** Maximum random prolongation of a longer retry delay, as a fraction. */
 const SPREAD_FRACTION = 0.25;
 
@@ -125,6 +127,28 @@
   });
 }
 
+/**
+ * Builds the error of a request that only servers of evacuated data centres may run.
+ *
+ * @example
+ * ```ts
+ * buildEvacuationRefusal(['a']).kind; // 'data_centre_evacuated'
+ * ```
+ * @public
+ */
+export function buildEvacuationRefusal(
+  dataCentres: readonly string[],
+): SycamoreheadError {
+  return new SycamoreheadError(
+    'data_centre_evacuated',
+    `only servers of evacuated data centres may run it: ${dataCentres.join(',')}`,
+    {
+      ran: 'no',
+      retryAfterMs: computeSpreadDelay(EVACUATION_RETRY_AFTER_MS),
+    },
+  );
+}
+
 /**
  * Replaces a refusal that would wrongly report the request as not run, and spreads the retries of
  * refused callers.
--- a/packages/schema/src/lib/errorKinds.ts
+++ b/packages/schema/src/lib/errorKinds.ts
@@ -69,6 +69,12 @@
     retryAfterMs: 60_000,
     exitCode: 39,
   },
+  data_centre_evacuated: {
+    status: 503,
+    ran: 'no',
+    retryAfterMs: 2_000,
+    exitCode: 40,
+  },
   rate_limited: {status: 429, ran: 'no', retryAfterMs: 1_000, exitCode: 26},
   deadline_exceeded: {status: 504, ran: 'unknown', exitCode: 27},
   backend_failed: {status: 502, ran: 'unknown', exitCode: 28},
