--- a/packages/gateway/src/test/GatewayHarness.ts
+++ b/packages/gateway/src/test/GatewayHarness.ts
@@ -4,6 +4,7 @@
 import type {
   ExchangeReply,
   ExchangeRequest,
+  FleetUpdate,
   ServerListing,
 } from '@sycamorehead/fleet';
 import {
@@ -207,7 +208,12 @@
   }
 
   list(listings: readonly ServerListing[]): void {
-    this.servers.update({servers: listings});
+    this.update({servers: listings});
+  }
+
+  /** Applies an update as from a control instance. */
+  update(update: FleetUpdate): void {
+    this.servers.update(update);
     this.placement.offerSlots();
   }
 
--- a/packages/gateway/src/test/weakAnswers.test.ts
+++ b/packages/gateway/src/test/weakAnswers.test.ts
@@ -169,6 +169,26 @@
   assert.ok(servers.every(({received}) => received.length > 0));
 });
 
+test('a weak answer was dropped: the larger model answers elsewhere if its server is evacuated meanwhile', async () => {
+  const scene: Scene = {};
+  const {gateway, servers} = await startScene(
+    scene,
+    ['s1', 's2'],
+    buildEngineConfiguration(ROUTE, 1),
+    {slots: 1},
+  );
+  const [first, second] = servers;
+  const evacuate = (revision: number, ...dataCentres: string[]) =>
+    gateway.update({evacuation: {revision, dataCentres}});
+  evacuate(1, 'b');
+  gateway.list([second!.describe({sequence: 2, dataCentre: 'b'})]);
+  scene.beforeAnswer = () => evacuate(2);
+  scene.beforeEnd = () => evacuate(3, 'b');
+  assertDelivered(await sendRequest(gateway, 'r1'), 'large');
+  assert.equal(first!.received.length, 2);
+  assert.equal(second!.received.length, 0);
+});
+
 test('a weak answer was dropped: it is delivered if the only free server has another version', async () => {
   const scene: Scene = {limit: '2'};
   const {gateway, servers} = await startScene(scene, ['s1', 's2']);
