--- a/packages/fleet/src/lib/FleetCommands.ts
+++ b/packages/fleet/src/lib/FleetCommands.ts
@@ -16,6 +16,8 @@
 const LEADER_CALL_TIMEOUT_MS = 850;
 /** Time limit for applying what the leader has committed, in milliseconds. */
 const CATCH_UP_TIMEOUT_MS = 1_000;
+/** Maximum length of an unknown name in an error. */
+const MAX_LOGGED_NAME = 64;
 /** Interval between two checks of what has been applied, in milliseconds. */
 const CATCH_UP_POLL_MS = 20;
 
@@ -297,7 +299,7 @@
     if (logMember.state.isEvacuated(name)) return;
     throw new SycamoreheadError(
       'note_invalid',
-      `unknown data centre: ${JSON.stringify(name)}`,
+      `unknown data centre: ${JSON.stringify(String(name).slice(0, MAX_LOGGED_NAME))}`,
       {field: 'dataCentre'},
     );
   }
