--- a/apps/syc/src/test/formatFleetView.test.ts
+++ b/apps/syc/src/test/formatFleetView.test.ts
@@ -105,6 +105,15 @@
   }
 });
 
+test('evacuated data centres are listed with the number of their servers', () => {
+  assert.deepEqual(formatFleetView('evacuations', FLEET, false), []);
+  const evacuated = ['a', 'b'];
+  assert.deepEqual(
+    formatFleetView('evacuations', {...FLEET, evacuated}, false),
+    ['data_centre=a servers=1', 'data_centre=b servers=0'],
+  );
+});
+
 test('limits are listed by server, with their age', () => {
   assert.deepEqual(formatFleetView('limits', FLEET, false), [
     'server=i-1 started_at=17 per_second=2.5 age_ms=120',
