--- a/packages/fleet/src/test/evacuationState.test.ts
+++ b/packages/fleet/src/test/evacuationState.test.ts
@@ -7,6 +7,9 @@
 import type {FleetCommandsOptions} from '../lib/FleetCommands.js';
 import {FleetState} from '../lib/FleetState.js';
 import {KnownDataCentres} from '../lib/KnownDataCentres.js';
+import type {LoadExchange} from '../lib/LoadExchange.js';
+import type {LogMember} from '../lib/LogMember.js';
+import {RolloutDriver} from '../lib/RolloutDriver.js';
 import {StateConfirmation} from '../lib/StateConfirmation.js';
 import {ServerRegistry} from '../lib/ServerRegistry.js';
 import {buildRegistration} from './fixtures.js';
@@ -227,6 +230,52 @@
   assert.deepEqual(state.describeEvacuation(), {revision: 2, dataCentres: []});
 });
 
+test('a roll-out gives no requests to a version that stands only in an evacuated data centre', async () => {
+  const state = new FleetState();
+  const registry = new ServerRegistry({
+    silentMs: 60_000,
+    expiryMs: 60_000,
+    tombstoneMs: 60_000,
+  });
+  registry.accept(buildRegistration());
+  const fresh = {id: 's2', address: '10.0.0.2:80', dataCentre: 'b'};
+  registry.accept(buildRegistration({...fresh, version: 'v2'}));
+  state.apply(EVACUATE_B);
+  state.apply({
+    type: 'start_rollout',
+    service: 'drafts',
+    target: 'v2',
+    durationMs: 60_000,
+  });
+  const clock = new PausedClock();
+  const driver = new RolloutDriver({
+    logMember: {
+      isLeader: true,
+      state,
+      raftNode: undefined,
+      propose: (command: JsonValue) => Promise.resolve(state.apply(command)),
+    } as unknown as LogMember,
+    registry,
+    loadExchange: {
+      listEvidence: () => [],
+      countInFlight: () => 0,
+      countEntries: () => 1,
+    } as unknown as LoadExchange,
+    maxCanaryShare: 0.1,
+  });
+  try {
+    void driver.run();
+    await clock.advance(3_000);
+    assert.equal(state.findRollout('drafts')?.share, 0);
+    state.apply(buildCommand('b', false));
+    await clock.advance(1_000);
+    assert.ok((state.findRollout('drafts')?.share ?? 0) > 0);
+  } finally {
+    driver.stop();
+    clock.restore();
+  }
+});
+
 test('a state is confirmed only by what was committed after its log was opened', async () => {
   const states = [new FleetState(), new FleetState()];
   let current = states[0]!;
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -184,15 +184,16 @@
    * be held.
    */
   listReady(service: string): KnownServer[] {
-    return this.listStaying(service).filter(
-      ({listing}) => !this.evacuation.isClosed(listing.registration.dataCentre),
+    return this.listStaying(
+      service,
+      dataCentre => !this.evacuation.isClosed(dataCentre),
     );
   }
 
   /** Lists the servers of a service that would be ready if their data centres were not evacuated. */
   listEvacuated(service: string): KnownServer[] {
-    return this.listStaying(service).filter(({listing}) =>
-      this.evacuation.isEvacuated(listing.registration.dataCentre),
+    return this.listStaying(service, dataCentre =>
+      this.evacuation.isEvacuated(dataCentre),
     );
   }
 
@@ -258,12 +259,16 @@
     return load;
   }
 
-  private listStaying(service: string): KnownServer[] {
+  private listStaying(
+    service: string,
+    isIncluded: (dataCentre: string) => boolean,
+  ): KnownServer[] {
     return [...this.servers.values()].filter(
       ({listing: {registration}}) =>
         registration.service === service &&
         registration.state === 'ready' &&
-        !this.notices.isLeaving(registration),
+        !this.notices.isLeaving(registration) &&
+        isIncluded(registration.dataCentre),
     );
   }
 
