Cold servers: permits of all entries together, granted by control instances

Cause: nothing bounded the sends of all entries to a server that says that it is cold; SlowStart gives shares of one entry, and all servers where none has earned a request.

Change: services carry a warm-up rate; control instances grant sends to cold servers (ColdPermitPool), entries make no others (ColdServers), checked at the reservation and right before the send. The listing passes on a coldness that begins, ends or changes while a server runs.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -8,6 +8,8 @@
   ExchangeRequest,
   FleetDescription,
   FleetUpdate,
+  ColdReply,
+  ColdReport,
   LimitReply,
   LimitReport,
   LoadTable,
@@ -24,6 +26,14 @@
 export {CrashPool} from './lib/CrashPool.js';
 export {EntryReports} from './lib/EntryReports.js';
 export type {EntryReportsOptions} from './lib/EntryReports.js';
+export {
+  COLD_PERMIT_MS,
+  DEFAULT_COLD_BOUND,
+  computeColdRate,
+} from './lib/computeColdRate.js';
+export type {ColdBound} from './lib/computeColdRate.js';
+export {ColdPermitPool} from './lib/ColdPermitPool.js';
+export type {ColdPermitPoolOptions} from './lib/ColdPermitPool.js';
 export {LimitPool} from './lib/LimitPool.js';
 export {LoadExchange} from './lib/LoadExchange.js';
 export {FleetLinks} from './lib/FleetLinks.js';
--- a/packages/fleet/src/lib/EntryReports.ts
+++ b/packages/fleet/src/lib/EntryReports.ts
@@ -1,3 +1,6 @@
+import type {ServerWarmup} from '@sycamorehead/schema';
+import {ColdPermitPool} from './ColdPermitPool.js';
+import {ColdBound, DEFAULT_COLD_BOUND} from './computeColdRate.js';
 import {CrashPool} from './CrashPool.js';
 import type {
   ExchangeReply,
@@ -17,6 +20,12 @@
   countControls(): number;
   /** Lists the combinations of prompt segments that are in quarantine. */
   listQuarantined(): ReadonlyArray<readonly string[]>;
+  /** The bound on sends to cold servers; the default if absent. */
+  readonly coldBound?: ColdBound | undefined;
+  /** Returns what an incarnation of a server bears while it is cold; absent if none is ever cold. */
+  findWarmup?(incarnation: string): ServerWarmup | undefined;
+  /** Called with the permits for a cold server that an entry wants, and how many are granted. */
+  onColdGrant?(wanted: number, granted: number): void;
 }
 
 /**
@@ -29,12 +38,20 @@
   readonly load: LoadExchange;
   readonly crashes: CrashPool;
   readonly limits: LimitPool;
+  private readonly cold: ColdPermitPool;
 
   constructor(private readonly options: EntryReportsOptions) {
     const {instance} = options;
     this.load = new LoadExchange(instance, () => options.countControls());
     this.crashes = new CrashPool(() => options.listQuarantined());
     this.limits = new LimitPool(() => this.load.computeShare());
+    this.cold = new ColdPermitPool({
+      bound: options.coldBound ?? DEFAULT_COLD_BOUND,
+      findWarmup: incarnation => options.findWarmup?.(incarnation),
+      computeShare: () => this.load.computeFirmShare(),
+      countControls: () => options.countControls(),
+      onGrant: (wanted, granted) => options.onColdGrant?.(wanted, granted),
+    });
   }
 
   // Commands.
@@ -44,6 +61,7 @@
     return {
       ...this.load.exchange(request),
       ...this.limits.exchange(request),
+      ...this.cold.exchange(request),
       suspects: this.crashes.exchange(request),
       suspended: this.crashes.listSuspended(),
       control: this.options.incarnation,
--- a/packages/fleet/src/lib/FleetMetrics.ts
+++ b/packages/fleet/src/lib/FleetMetrics.ts
@@ -30,6 +30,13 @@
     registers: [this.registry],
   });
 
+  private readonly coldPermits = new Counter({
+    name: 'syc_control_cold_permits_total',
+    help: 'Sends to cold servers that entries wanted, and that were granted',
+    labelNames: ['type'],
+    registers: [this.registry],
+  });
+
   constructor(readGauges: () => FleetGauges) {
     const names: Readonly<Record<keyof FleetGauges, string>> = {
       configurationVersion: 'configuration_version',
@@ -55,6 +62,12 @@
     this.changes.inc({state});
   }
 
+  /** Counts the sends to a cold server that an entry wanted, and that it was granted. */
+  countColdPermits(wanted: number, granted: number): void {
+    this.coldPermits.inc({type: 'wanted'}, wanted);
+    this.coldPermits.inc({type: 'granted'}, granted);
+  }
+
   /** Counts an election that this instance has won. */
   countElection(): void {
     this.elections.inc();
--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -31,6 +31,8 @@
 import {QuarantineDriver} from './QuarantineDriver.js';
 import {RolloutDriver} from './RolloutDriver.js';
 import {RegistryTimeouts, ServerRegistry} from './ServerRegistry.js';
+import {ServiceWarmups} from './ServiceWarmups.js';
+import type {ColdBound} from './computeColdRate.js';
 import {computeDigestInterval} from './computeDigestInterval.js';
 
 const log = createLogger('fleet');
@@ -56,6 +58,8 @@
   readonly faults: number;
   readonly registry: RegistryTimeouts;
   readonly maxCanaryShare: number;
+  /** The bound on sends to cold servers; the default if absent. */
+  readonly coldBound?: ColdBound | undefined;
   readonly decodeConfiguration: ConfigurationDecoder;
 }
 
@@ -111,7 +115,16 @@
       isLeading: () => this.logMember.isLeader,
       dataCentre: options.dataCentre,
     });
+    const warmups = new ServiceWarmups(
+      this.registry,
+      options.decodeConfiguration,
+      () => this.logMember.state.configuration,
+    );
     this.reports = new EntryReports({
+      coldBound: options.coldBound,
+      findWarmup: key => warmups.find(key),
+      onColdGrant: (wanted, granted) =>
+        this.metrics.countColdPermits(wanted, granted),
       instance,
       incarnation: this.incarnation,
       countControls: () => this.peers.listAddresses().length,
--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -21,6 +21,8 @@
 const ENTRY_EXPIRY_MS = 60_000;
 /** Time for which totals over all reports are reused, in milliseconds. */
 const TOTALS_MS = 50;
+/** Time for which the most entries that were known count at least, in milliseconds. */
+const PEAK_MS = 15_000;
 /** Time for which digests name an entry that has begun to report here, in milliseconds. */
 const ARRIVAL_MS = 2_000;
 
@@ -58,6 +60,8 @@
   private readonly entries = new Map<string, EntryUsage>();
   private readonly digests = new Map<string, ReceivedDigest>();
   private totals: Totals | undefined;
+  /** The most entries that were known, in this period and the one before it. */
+  private peaks = {current: 0, previous: 0, startedAt: performance.now()};
 
   constructor(
     private readonly instance: string,
@@ -128,6 +132,17 @@
     return this.isIsolated() || entries === 0 ? 0 : included.size / entries;
   }
 
+  /**
+   * Computes the fraction like `computeShare`, relative to the most entries that were known of late:
+   * two instances that do not hear each other do not both count as all there are.
+   */
+  computeFirmShare(): number {
+    const {entries, included} = this.getTotals();
+    const {current, previous} = this.peaks;
+    if (this.isIsolated() || entries === 0) return 0;
+    return included.size / Math.max(entries, current, previous);
+  }
+
   /** Counts the requests of all entries in flight on the given backend servers. */
   countInFlight(ids: ReadonlySet<string>): number {
     let total = 0;
@@ -177,9 +192,19 @@
       ),
       included: new Map(requests.map(request => [request.entry, request])),
     };
+    this.updatePeaks(this.totals.entries);
     return this.totals;
   }
 
+  private updatePeaks(entries: number): void {
+    const now = performance.now();
+    const {current, startedAt} = this.peaks;
+    if (now - startedAt > PEAK_MS) {
+      this.peaks = {current: entries, previous: current, startedAt: now};
+    }
+    this.peaks.current = Math.max(this.peaks.current, entries);
+  }
+
   private listFresh(): EntryUsage[] {
     const oldest = performance.now() - LOAD_EXPIRY_MS;
     return [...this.entries.values()].filter(
--- a/packages/fleet/src/lib/ServerRegistry.ts
+++ b/packages/fleet/src/lib/ServerRegistry.ts
@@ -13,10 +13,14 @@
 
 interface RegistryEntry {
   registration: ServerRegistration;
+  /** The time until which the server stays cold, as was last told, on the monotonic clock. */
+  coldUntil: number;
   receivedAt: number;
   isSilent: boolean;
 }
 
+/** Difference from which a server's remaining time of coldness is told again, in milliseconds. */
+const COLD_TOLERANCE_MS = 250;
 /** Maximum number of retained servers; further ones are rejected. */
 const MAX_SERVERS = 50_000;
 
@@ -42,12 +46,15 @@
     }
     if (!known && this.entries.size >= MAX_SERVERS) return false;
     if (!this.assignAddress(registration)) return false;
+    const coldUntil = performance.now() + (registration.slowStartMs ?? 0);
     const isChanged =
       !known ||
       known.isSilent ||
-      !isEquivalent(known.registration, registration);
+      !isEquivalent(known.registration, registration) ||
+      hasColdnessChanged(known.coldUntil, coldUntil);
     this.entries.set(registration.id, {
       registration,
+      coldUntil: isChanged ? coldUntil : known.coldUntil,
       receivedAt: performance.now(),
       isSilent: false,
     });
@@ -123,6 +130,14 @@
   return {registration, isSilent};
 }
 
+/** Returns whether what was told of a server's coldness no longer holds. */
+function hasColdnessChanged(toldUntil: number, coldUntil: number): boolean {
+  const now = performance.now();
+  const toldMs = Math.max(0, toldUntil - now);
+  const leftMs = Math.max(0, coldUntil - now);
+  return Math.abs(toldMs - leftMs) > COLD_TOLERANCE_MS;
+}
+
 function isEquivalent(
   left: ServerRegistration,
   right: ServerRegistration,
--- /dev/null
+++ b/packages/fleet/src/lib/ServiceWarmups.ts
@@ -0,0 +1,39 @@
+import type {ServerWarmup} from '@sycamorehead/schema';
+import type {ConfigurationDecoder} from './FleetCommands.js';
+import type {StoredConfiguration} from './fleetMessages.js';
+import type {ServerRegistry} from './ServerRegistry.js';
+
+/**
+ * Finds what a backend server bears while it is cold, by the configuration that this control instance
+ * has applied.
+ *
+ * @internal
+ */
+export class ServiceWarmups {
+  private version = 0;
+  private warmups: ReadonlyMap<string, ServerWarmup> = new Map();
+
+  constructor(
+    private readonly registry: ServerRegistry,
+    private readonly decode: ConfigurationDecoder,
+    private readonly getConfiguration: () => StoredConfiguration,
+  ) {}
+
+  /** Returns the warm-up of an incarnation, `ID STARTED_AT_MS`; undefined if it is not known. */
+  find(incarnation: string): ServerWarmup | undefined {
+    this.updateServices();
+    const id = incarnation.slice(0, incarnation.lastIndexOf(' '));
+    const service = this.registry.find(id)?.registration.service;
+    return service === undefined ? undefined : this.warmups.get(service);
+  }
+
+  private updateServices(): void {
+    const {version, document} = this.getConfiguration();
+    if (version === this.version) return;
+    this.version = version;
+    const {services} = this.decode(document);
+    this.warmups = new Map(
+      services.flatMap(({name, warmup}) => (warmup ? [[name, warmup]] : [])),
+    );
+  }
+}
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -184,6 +184,18 @@
   readonly permits?: PermitTable;
 }
 
+/** What an entry reports of cold servers. @public */
+export interface ColdReport {
+  /** Sends to cold servers for which it wants permits; absent from earlier builds. */
+  readonly coldWanted?: PermitTable;
+}
+
+/** What a control instance answers to a ColdReport. @public */
+export interface ColdReply {
+  /** Sends to cold servers that the entry may make at once; absent from earlier builds. */
+  readonly coldPermits?: PermitTable;
+}
+
 /** Update from a control instance to its entries: the whole state first, then changes. @public */
 export interface FleetUpdate {
   readonly servers?: readonly ServerListing[];
@@ -217,7 +229,8 @@
 export type LoadTable = Readonly<Record<string, ServerLoad>>;
 
 /** Load and evidence of one entry; parameters of `fleet.exchange`. @public */
-export interface ExchangeRequest extends CrashEvidenceReport, LimitReport {
+export interface ExchangeRequest
+  extends CrashEvidenceReport, LimitReport, ColdReport {
   readonly entry: string;
   readonly load: LoadTable;
   readonly evidence: readonly RolloutEvidence[];
@@ -247,7 +260,7 @@
 }
 
 /** Load of the other entries; answer to `fleet.exchange`. @public */
-export interface ExchangeReply extends LimitReply {
+export interface ExchangeReply extends LimitReply, ColdReply {
   readonly entries: number;
   readonly load: LoadTable;
   /** Incarnations of servers that told other entries that they leave; absent from earlier builds. */
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -136,7 +136,8 @@
         current.customer !== target.customer;
       if (
         hasTargetChanged ||
-        !this.context.servers.isAccepting(reservation.server)
+        !this.context.servers.isAccepting(reservation.server) ||
+        !reservation.confirmSend()
       ) {
         return 'again';
       }
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -183,6 +183,7 @@
     const configuration = this.options.decodeConfiguration(document);
     const previous = this.routes?.version;
     this.routes = new RouteTable(configuration);
+    this.servers.cold.setServices(configuration.services);
     this.server.setLimits(configuration.limits);
     this.startup.open();
     writeDecision('configuration_in_force', {version, previous});
@@ -190,7 +191,9 @@
   }
 
   private async exchangeLoad(): Promise<void> {
+    const {cold} = this.servers;
     this.metrics.setWaiting(this.placement.countWaiting());
+    this.metrics.recordCold(cold.countCold(), cold.takeCounts());
     try {
       await this.reporter.exchangeReports();
     } catch (error) {
--- a/packages/gateway/src/lib/GatewayMetrics.ts
+++ b/packages/gateway/src/lib/GatewayMetrics.ts
@@ -1,4 +1,5 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {ColdCounts} from './ColdServers.js';
 
 /** Upper bounds of the buckets of the latency histograms, in seconds. */
 const LATENCY_BUCKETS = [
@@ -43,6 +44,15 @@
     registers: [this.registry],
   });
 
+  private readonly coldPermits = this.createCounter('cold_permits_total', [
+    'type',
+  ]);
+  private readonly coldServers = new Gauge({
+    name: 'syc_gateway_cold_servers',
+    help: 'Backend servers that are known to be cold',
+    registers: [this.registry],
+  });
+
   /** Counts a final answer; status 0 is a caller that has disconnected. */
   recordAnswer(route: string, status: number): void {
     this.answers.inc({route, status: String(status)});
@@ -88,6 +98,14 @@
     this.firstBytes.observe(ms / 1_000);
   }
 
+  /** Records the servers that are cold, and the permits for sends to them since the last record. */
+  recordCold(servers: number, counts: ColdCounts): void {
+    this.coldServers.set(servers);
+    for (const [type, count] of Object.entries(counts)) {
+      this.coldPermits.inc({type}, Math.max(0, count));
+    }
+  }
+
   setWaiting(count: number): void {
     this.waiting.set(count);
   }
--- a/packages/gateway/src/lib/LoadReporter.ts
+++ b/packages/gateway/src/lib/LoadReporter.ts
@@ -43,6 +43,7 @@
     this.control = reply.control;
     crashes.confirmReport(request.crashes ?? []);
     this.options.servers.limits.applyReply(reply, sentAt);
+    this.options.servers.cold.applyReply(reply, sentAt);
     this.applyReply(reply);
   }
 
@@ -60,6 +61,9 @@
       ...servers.limits.takeReport(servers.listRegistrations(), service =>
         placement.countWaiting(service),
       ),
+      ...servers.cold.takeReport(servers.listCold(), service =>
+        placement.countWaiting(service),
+      ),
     };
   }
 
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -48,6 +48,13 @@
   readonly isUncontended: boolean;
   /** Marks that the server has begun to answer. */
   markStarted(): void;
+  /**
+   * Confirms right before the send that it may be made: the server may have become cold since, or its
+   * permit may have expired.
+   */
+  confirmSend(): boolean;
+  /** Gives back the permit of a send that its server did not get, or did not count. */
+  restorePermit(): void;
   release(): void;
 }
 
@@ -83,7 +90,7 @@
   async acquire(demand: PlacementRequest): Promise<SlotReservation> {
     const service = demand.service.name;
     const queue = this.getQueue(service);
-    this.options.servers.limits.recordDemand(service);
+    this.recordDemand(service);
     this.refuseIfLimited(demand, queue.countAhead(demand.priority));
     return queue.acquire({
       priority: demand.priority,
@@ -101,7 +108,7 @@
     }
     if (this.findClosure(demand.service)) return undefined;
     const reservation = this.tryReserveSlot(demand);
-    if (reservation) this.options.servers.limits.recordDemand(service);
+    if (reservation) this.recordDemand(service);
     return reservation;
   }
 
@@ -116,10 +123,14 @@
    */
   measurePressure(service: string, targetLatencyMs: number): number {
     const {servers: table} = this.options;
-    // A free slot of a server that limits its requests is no capacity.
+    // A free slot of a server whose requests are limited is no capacity.
     const servers = table
       .listReady(service)
-      .filter(({listing}) => !table.limits.isLimited(listing.registration));
+      .filter(
+        ({listing: {registration}}) =>
+          !table.limits.isLimited(registration) &&
+          !table.cold.isCold(registration),
+      );
     if (servers.length === 0) return 1;
     const waitingMs = servers.reduce(
       (sum, {pendingMs, othersPendingMs}) => sum + pendingMs + othersPendingMs,
@@ -136,6 +147,12 @@
     return total;
   }
 
+  private recordDemand(service: string): void {
+    const {limits, cold} = this.options.servers;
+    limits.recordDemand(service);
+    cold.recordDemand(service);
+  }
+
   private tryReserveSlot(
     demand: PlacementRequest,
   ): SlotReservation | undefined {
@@ -147,7 +164,11 @@
     if (!choice) return undefined;
     const {server, ownMs, aloneMs, tokensToPrefill} = choice;
     this.slowStart.recordChoice(available, server);
-    this.options.servers.limits.takePermit(server.listing.registration);
+    const {limits, cold} = this.options.servers;
+    const {registration} = server.listing;
+    limits.takePermit(registration);
+    let permit = cold.takePermit(registration);
+    let isConfirmed = false;
     const pendingMs = server.pendingMs + server.othersPendingMs;
     const isUncontended = pendingMs <= 0;
     const load = server.inFlight + server.othersInFlight;
@@ -159,10 +180,22 @@
       if (isPending) server.pendingMs -= ownMs;
       isPending = false;
     };
+    const confirmSend = () => {
+      if (!cold.isConfirmed(registration, permit)) {
+        permit = cold.takePermit(registration);
+      }
+      isConfirmed = cold.isConfirmed(registration, permit);
+      return isConfirmed;
+    };
+    const restorePermit = () => {
+      if (permit) cold.restorePermit(registration, permit);
+      permit = undefined;
+    };
     const release = () => {
       markStarted();
       if (!isReserved) return;
       isReserved = false;
+      if (!isConfirmed) restorePermit();
       server.inFlight -= 1;
       this.queues.get(demand.service.name)?.offerSlots();
     };
@@ -174,6 +207,8 @@
       load,
       isUncontended,
       markStarted,
+      confirmSend,
+      restorePermit,
       release,
     };
   }
--- a/packages/gateway/src/lib/SendRecord.ts
+++ b/packages/gateway/src/lib/SendRecord.ts
@@ -11,6 +11,8 @@
 import type {ServerNotice} from './ServerNotices.js';
 import type {AnswerResult, AwaitedSend} from './VersionSplit.js';
 
+/** Status of a server that does not run or count the request, since it is for another one. */
+const MISDIRECTED_STATUS = 421;
 /** Lowest status of an answer by which a server says that it has failed. */
 const MIN_FAILURE_STATUS = 500;
 
@@ -71,6 +73,10 @@
       this.recordSlow();
       return;
     }
+    const isUncounted =
+      outcome.type === 'unsent' ||
+      (outcome.type === 'refused' && outcome.status === MISDIRECTED_STATUS);
+    if (isUncounted) this.reservation.restorePermit();
     if (outcome.type === 'unsent') this.context.crashes.dropSend(this.tracked);
     const hasFailed = outcome.type === 'unsent' || outcome.type === 'lost';
     if (hasFailed && !isAbandoned) {
@@ -111,6 +117,7 @@
     const {limit} = notice;
     if (limit.type === 'named') metrics.recordLimit(registration.service);
     servers.limits.record(registration, limit, this.sentAt);
+    servers.cold.recordNotice(registration, notice.coldMs);
     if (servers.notices.record(registration, notice)) placement.offerSlots();
   }
 
--- a/packages/gateway/src/lib/ServerAvailability.ts
+++ b/packages/gateway/src/lib/ServerAvailability.ts
@@ -47,8 +47,9 @@
   private hasCapacity(server: KnownServer, {engine}: RoutedService): boolean {
     const {registration} = server.listing;
     const {slots} = registration;
-    const {notices, limits} = this.servers;
+    const {notices, limits, cold} = this.servers;
     if (!limits.isPermitted(registration)) return false;
+    if (!cold.isPermitted(registration)) return false;
     if (notices.isReturning(registration)) {
       return server.inFlight === 0;
     }
--- a/packages/gateway/src/lib/ServerChooser.ts
+++ b/packages/gateway/src/lib/ServerChooser.ts
@@ -69,7 +69,10 @@
       const isPreferred = getPreference(preferred, server) !== 'none';
       const {registration} = server.listing;
       // A permit expires soon.
-      if (isPreferred || servers.limits.isLimited(registration)) {
+      const isPermitNeeded =
+        servers.limits.isLimited(registration) ||
+        servers.cold.isCold(registration);
+      if (isPreferred || isPermitNeeded) {
         sample.add(server);
       }
     }
--- a/packages/gateway/src/lib/ServerNotices.ts
+++ b/packages/gateway/src/lib/ServerNotices.ts
@@ -14,6 +14,8 @@
   readonly holdMs: number | undefined;
   /** The requests that it accepts from all entries together. */
   readonly limit: RateLimitNotice;
+  /** Time for which it stays cold, in milliseconds; undefined if it did not say. */
+  readonly coldMs?: number | undefined;
 }
 
 /** Incarnations that leave, as reported to other entries. @public */
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -10,6 +10,7 @@
   isNewerRegistration,
 } from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
+import {ColdServers} from './ColdServers.js';
 import {ServerAgent} from './ServerAgent.js';
 import {ServerLimits} from './ServerLimits.js';
 import {ServerNotices} from './ServerNotices.js';
@@ -75,6 +76,7 @@
 export class ServerTable {
   readonly notices = new ServerNotices();
   readonly limits = new ServerLimits();
+  readonly cold = new ColdServers();
   private readonly servers = new Map<string, KnownServer>();
 
   // Commands.
@@ -193,6 +195,23 @@
       .filter(({state}) => state === 'ready');
   }
 
+  /** Lists the registrations of the cold servers that accept a request now if it has a permit. */
+  listCold(): ServerRegistration[] {
+    const now = performance.now();
+    return [...this.servers.values()]
+      .filter(server => {
+        const {registration} = server.listing;
+        const load = server.inFlight + server.othersInFlight;
+        return (
+          this.cold.isCold(registration) &&
+          load < registration.slots &&
+          server.ejectedUntil <= now &&
+          this.isAccepting(server)
+        );
+      })
+      .map(({listing}) => listing.registration);
+  }
+
   /**
    * Returns whether a server may get little more than an equal share: it has just started, has just
    * lifted its limit, or has not answered since a pause or an ejection. All entries see it idle at the
@@ -201,6 +220,8 @@
   isSlow(server: KnownServer): boolean {
     const {slowUntil, ejectedUntil} = server;
     const {registration} = server.listing;
+    // Their permits bound the sends of all entries.
+    if (this.cold.isCold(registration)) return false;
     return (
       performance.now() < slowUntil ||
       ejectedUntil > 0 ||
@@ -259,6 +280,7 @@
     const known = this.servers.get(registration.id);
     if (!known) {
       this.servers.set(registration.id, createServer(listing));
+      this.cold.recordRegistration(registration);
       this.logChange(registration);
       return;
     }
@@ -278,12 +300,14 @@
       registration.address !== old.address;
     if (isRestarted) {
       this.limits.remove(old);
+      this.cold.remove(old);
       known.agent.destroy();
       this.servers.set(registration.id, createServer(listing));
     } else {
       known.listing = listing;
       known.slowUntil = computeSlowUntil(registration);
     }
+    this.cold.recordRegistration(registration);
     if (registration.state !== old.state) this.logChange(registration);
   }
 
@@ -303,6 +327,7 @@
     if (!known) return;
     known.agent.destroy();
     this.limits.remove(known.listing.registration);
+    this.cold.remove(known.listing.registration);
     this.servers.delete(id);
     writeDecision('server_dropped', {server: id});
   }
--- a/packages/gateway/src/lib/defaultHeaders.ts
+++ b/packages/gateway/src/lib/defaultHeaders.ts
@@ -11,6 +11,7 @@
   notExecuted: 'syc-not-executed',
   serverLeaving: 'syc-server-leaving',
   serverLimit: 'syc-server-limit',
+  coldMs: 'syc-cold-ms',
   signature: 'syc-signature',
   model: 'syc-model',
   tokenUsage: 'syc-token-usage',
--- a/packages/gateway/src/lib/headerNames.ts
+++ b/packages/gateway/src/lib/headerNames.ts
@@ -19,6 +19,8 @@
   readonly serverLeaving: string;
   /** Requests a second that a backend server accepts from all entries together, a decimal number. */
   readonly serverLimit: string;
+  /** Time for which a backend server stays cold, in whole milliseconds. */
+  readonly coldMs: string;
   /** A backend server's signature of its answer. */
   readonly signature: string;
   readonly model: string;
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -254,7 +254,14 @@
       ? parseRetryAfter(headers['retry-after'])
       : undefined;
   const limit = parseRateLimit(headers[names.serverLimit]);
-  return {isLeaving, holdMs, limit};
+  const coldMs = parseColdMs(headers[names.coldMs]);
+  return {isLeaving, holdMs, limit, coldMs};
+}
+
+/** Reads for how long a server stays cold; undefined if the header is absent or malformed. */
+function parseColdMs(value: unknown): number | undefined {
+  const isNumber = typeof value === 'string' && /^\d{1,9}$/.test(value);
+  return isNumber ? Number(value) : undefined;
 }
 
 interface Cancellation {
--- a/packages/gateway/src/test/GatewayHarness.ts
+++ b/packages/gateway/src/test/GatewayHarness.ts
@@ -37,6 +37,7 @@
   notExecuted: 'x-not-executed',
   serverLeaving: 'x-leaving',
   serverLimit: 'x-limit',
+  coldMs: 'x-cold-ms',
   signature: 'x-signature',
   model: 'x-model',
   tokenUsage: 'x-tokens',
@@ -202,6 +203,7 @@
 
   setConfiguration(configuration: RouteConfiguration): void {
     this.routes = new RouteTable(configuration);
+    this.servers.cold.setServices(configuration.services);
     this.server.setLimits(configuration.limits);
     this.startup.open();
   }
--- a/packages/routing/src/lib/forwarding/PermitBucket.ts
+++ b/packages/routing/src/lib/forwarding/PermitBucket.ts
@@ -12,10 +12,12 @@
   private tokens = Math.random();
   private filledAt = performance.now();
 
+  constructor(private readonly burstMs = BURST_MS) {}
+
   /** Takes up to `wanted` permits at a rate of `perSecond`, and returns their number. */
   take(wanted: number, perSecond: number): number {
     const now = performance.now();
-    const burst = Math.max(1, (perSecond * BURST_MS) / MS_PER_SECOND);
+    const burst = Math.max(1, (perSecond * this.burstMs) / MS_PER_SECOND);
     const added = ((now - this.filledAt) * perSecond) / MS_PER_SECOND;
     this.filledAt = now;
     this.tokens = Math.min(burst, this.tokens + added);
--- a/packages/routing/src/lib/forwarding/SendPermits.ts
+++ b/packages/routing/src/lib/forwarding/SendPermits.ts
@@ -1,4 +1,4 @@
-/** Time for which a permit may be used, in milliseconds; what is saved up does not come out at once. */
+/** Time for which a permit of a limit may be used, in ms; what is saved up does not come out at once. */
 const PERMIT_MS = 1_000;
 
 /**
@@ -13,28 +13,41 @@
   /** When the next send without a grant is allowed, on the monotonic clock. */
   private pacedAt: number | undefined;
 
+  constructor(private readonly lifetimeMs = PERMIT_MS) {}
+
   // Commands.
 
   /** Adds permits that were granted in reply to a report that was sent at a time. */
   add(count: number, reportedAt: number): void {
     for (let index = 0; index < count; index += 1) {
-      this.expiries.push(reportedAt + PERMIT_MS);
+      this.expiries.push(reportedAt + this.lifetimeMs);
     }
   }
 
-  /** Uses one permit. */
-  take(intervalMs: number | undefined): void {
+  /** Uses one permit; returns when it would have expired if it was granted. */
+  take(intervalMs?: number): number | undefined {
     this.advance(intervalMs);
-    const isGranted = this.expiries.shift() !== undefined;
-    if (isGranted || intervalMs === undefined) return;
-    if (this.pacedAt !== undefined) this.pacedAt += intervalMs;
+    const expiresAt = this.expiries.shift();
+    const isPaced = expiresAt === undefined && intervalMs !== undefined;
+    if (isPaced && this.pacedAt !== undefined) this.pacedAt += intervalMs;
+    return expiresAt;
+  }
+
+  /** Gives back a permit that was taken and not used. */
+  restore(expiresAt: number): void {
+    this.expiries.unshift(expiresAt);
+  }
+
+  /** Drops all permits that were granted. */
+  clear(): void {
+    this.expiries = [];
   }
 
   /**
    * Drops what has expired, and starts to pace sends if an interval is given: at a random time, so that
    * the entries do not all begin together.
    */
-  advance(intervalMs: number | undefined): void {
+  advance(intervalMs?: number): void {
     const now = performance.now();
     this.expiries = this.expiries.filter(expiresAt => expiresAt > now);
     if (intervalMs === undefined) {
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -95,6 +95,7 @@
   RouteDeclaration,
   RouteKind,
   RoutedService,
+  ServerWarmup,
   WeightedService,
 } from './lib/routeConfiguration.js';
 export {evictOldest} from './lib/evictOldest.js';
--- a/packages/schema/src/lib/routeConfiguration.ts
+++ b/packages/schema/src/lib/routeConfiguration.ts
@@ -60,6 +60,14 @@
   readonly models: readonly EngineModel[];
 }
 
+/** What the servers of a service bear while they are cold. @public */
+export interface ServerWarmup {
+  /** Time for which a server that has just started is cold, in milliseconds. */
+  readonly durationMs: number;
+  /** Requests a second that a cold server bears from all entries together. */
+  readonly perSecond: number;
+}
+
 /** A service that routes can refer to. @public */
 export interface RoutedService {
   readonly name: string;
@@ -67,6 +75,8 @@
   /** Maximum number of connections that one backend server accepts from all callers together. */
   readonly maxConnections: number;
   readonly engine: EngineDeclaration | undefined;
+  /** Absent if cold servers get requests like others. */
+  readonly warmup?: ServerWarmup;
 }
 
 /** Limits on the size and duration of a caller's request. @public */
