--- a/packages/fleet/src/test/LoadExchange.test.ts
+++ b/packages/fleet/src/test/LoadExchange.test.ts
@@ -195,3 +195,33 @@
   clock.tick(60);
   assert.equal(first.countEntries(), 2);
 });
+
+test('two instances that do not hear each other do not both count as all there are', () => {
+  const [left, right, middle] = ['c1', 'c2', 'c3'].map(
+    name => new LoadExchange(name, () => 3),
+  ) as [LoadExchange, LoadExchange, LoadExchange];
+  const all = [left, right, middle];
+  const exchangeAll = (isCut: boolean) => {
+    clock.tick(100);
+    all.forEach((exchange, index) => {
+      exchange.exchange(buildReport(`e${index}`, {}));
+      exchange.exchange(buildReport(`f${index}`, {}));
+    });
+    for (const sender of all) {
+      for (const receiver of all) {
+        const isMiddle = sender === middle || receiver === middle;
+        if (sender === receiver || (isCut && !isMiddle)) continue;
+        receiver.acceptDigest(sender.describeDigest());
+      }
+    }
+  };
+  const sumShares = () =>
+    all.reduce((sum, exchange) => sum + exchange.computeFirmShare(), 0);
+  for (let round = 0; round < 5; round += 1) exchangeAll(false);
+  clock.tick(60);
+  assert.ok(Math.abs(sumShares() - 1) < 1e-9, `${sumShares()} in all`);
+  for (let round = 0; round < 100; round += 1) {
+    exchangeAll(true);
+    assert.ok(sumShares() <= 1 + 1e-9, `${sumShares()} in all, cut`);
+  }
+});
--- a/packages/fleet/src/test/ServerRegistry.test.ts
+++ b/packages/fleet/src/test/ServerRegistry.test.ts
@@ -63,3 +63,42 @@
     clock.uninstall();
   }
 });
+
+test('a coldness that begins, ends or lasts longer is reported as a change, one that passes is not', () => {
+  const clock = fakeTimers.install({toFake: ['performance']});
+  try {
+    const registry = new ServerRegistry(TIMEOUTS);
+    let sequence = 0;
+    const acceptAfter = (passedMs: number, slowStartMs: number) => {
+      clock.tick(passedMs);
+      sequence += 1;
+      return registry.accept(buildRegistration({sequence, slowStartMs}));
+    };
+    acceptAfter(0, 0);
+    assert.equal(acceptAfter(1_000, 3_000), true);
+    assert.equal(acceptAfter(1_000, 2_000), false);
+    assert.equal(acceptAfter(1_000, 900), false);
+    assert.equal(acceptAfter(100, 3_000), true);
+    assert.equal(acceptAfter(1_000, 0), true);
+    assert.equal(acceptAfter(1_000, 0), false);
+  } finally {
+    clock.uninstall();
+  }
+});
+
+test('a coldness that is told a little longer each time is reported in the end', () => {
+  const clock = fakeTimers.install({toFake: ['performance']});
+  try {
+    const registry = new ServerRegistry(TIMEOUTS);
+    registry.accept(buildRegistration({slowStartMs: 3_000}));
+    let changes = 0;
+    for (let sequence = 2; sequence < 12; sequence += 1) {
+      clock.tick(200);
+      const registration = buildRegistration({sequence, slowStartMs: 3_000});
+      if (registry.accept(registration)) changes += 1;
+    }
+    assert.equal(changes, 5);
+  } finally {
+    clock.uninstall();
+  }
+});
