--- a/packages/gateway/src/test/coldServers.test.ts
+++ b/packages/gateway/src/test/coldServers.test.ts
@@ -203,3 +203,32 @@
     {},
   );
 });
+
+test('permits are wanted of the cold servers that can take a request now', () => {
+  const table = new ServerTable();
+  table.cold.setServices([SERVICE]);
+  const ids = ['free', 'full', 'ejected', 'held', 'leaving', 'warm'];
+  table.update({
+    servers: ids.map((id, index) =>
+      describeServer(id, `10.0.0.${index + 1}:80`, {
+        slots: 8,
+        slowStartMs: id === 'warm' ? 0 : 2_000,
+      }),
+    ),
+  });
+  table.setOthersLoad({full: [8, 0]});
+  for (const server of table.listReady('drafts')) {
+    const {registration} = server.listing;
+    const {id} = registration;
+    if (id === 'ejected') table.recordFailure(server, 'refused', true);
+    if (id !== 'held' && id !== 'leaving') continue;
+    table.notices.record(registration, {
+      isLeaving: id === 'leaving',
+      holdMs: id === 'held' ? 500 : undefined,
+    });
+  }
+  assert.deepEqual(
+    table.listCold().map(({id}) => id),
+    ['free'],
+  );
+});
