--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -10,6 +10,7 @@
 import {PeerLink, WireServer} from '@sycamorehead/wire';
 import {ControlPeers} from './ControlPeers.js';
 import {ConfigurationDecoder, FleetCommands} from './FleetCommands.js';
+import {DigestSender} from './DigestSender.js';
 import {EntryFeeds} from './EntryFeeds.js';
 import {EntryReports} from './EntryReports.js';
 import {
@@ -33,13 +34,10 @@
 import {RegistryTimeouts, ServerRegistry} from './ServerRegistry.js';
 import {ServiceWarmups} from './ServiceWarmups.js';
 import type {ColdBound} from './computeColdRate.js';
-import {computeDigestInterval} from './computeDigestInterval.js';
 
 const log = createLogger('fleet');
 
 const EXPIRY_INTERVAL_MS = 500;
-/** Timeout of sending one digest, in milliseconds. */
-const DIGEST_TIMEOUT_MS = 500;
 
 /** Settings of a FleetNode. @public */
 export interface FleetNodeOptions {
@@ -81,6 +79,7 @@
   private readonly registry: ServerRegistry;
   private readonly feeds: EntryFeeds;
   private readonly reports: EntryReports;
+  private readonly digests: DigestSender;
   private readonly groupManager: GroupManager;
   private readonly rolloutDriver: RolloutDriver;
   private readonly quarantineDriver: QuarantineDriver;
@@ -88,7 +87,6 @@
   private readonly incarnation = randomUUID();
   private readonly address: string;
   private expiryTimer: NodeJS.Timeout | undefined;
-  private digestTimer: NodeJS.Timeout | undefined;
   private isResetting = false;
 
   constructor(private readonly options: FleetNodeOptions) {
@@ -103,7 +101,15 @@
     // A separate pool, so that transferring a large configuration does not delay heartbeats.
     this.consensusLinks = new LinkPool(poolOptions);
     this.bulkLinks = new LinkPool(poolOptions);
-    this.registry = new ServerRegistry(options.registry);
+    const warmups = new ServiceWarmups(
+      options.decodeConfiguration,
+      () => this.logMember.state.configuration,
+      id => this.registry.find(id)?.registration,
+    );
+    this.registry = new ServerRegistry(
+      options.registry,
+      service => warmups.findByService(service) !== undefined,
+    );
     this.feeds = new EntryFeeds({
       listServers: () => this.registry.list(),
       findServer: id => this.registry.find(id),
@@ -115,11 +121,6 @@
       isLeading: () => this.logMember.isLeader,
       dataCentre: options.dataCentre,
     });
-    const warmups = new ServiceWarmups(
-      this.registry,
-      options.decodeConfiguration,
-      () => this.logMember.state.configuration,
-    );
     this.reports = new EntryReports({
       coldBound: options.coldBound,
       findWarmup: key => warmups.find(key),
@@ -147,6 +148,11 @@
         this.registry.list().map(({registration}) => registration),
       onRemoved: () => this.resetMember(),
     });
+    this.digests = new DigestSender({
+      reports: this.reports,
+      peers: this.peers,
+      links: this.links,
+    });
     this.groupManager = new GroupManager({
       logMember: this.logMember,
       peers: this.peers,
@@ -188,7 +194,7 @@
       () => this.expireServers(),
       EXPIRY_INTERVAL_MS,
     );
-    this.scheduleDigest();
+    this.digests.start();
     void this.groupManager.run();
     void this.rolloutDriver.run();
     void this.quarantineDriver.run();
@@ -241,7 +247,7 @@
   /** Transfers leadership and stops. */
   async stop(): Promise<void> {
     clearInterval(this.expiryTimer);
-    clearTimeout(this.digestTimer);
+    this.digests.stop();
     this.groupManager.stop();
     this.rolloutDriver.stop();
     this.quarantineDriver.stop();
@@ -350,24 +356,6 @@
     }
   }
 
-  private scheduleDigest(): void {
-    this.digestTimer = setTimeout(() => {
-      this.sendDigest();
-      this.scheduleDigest();
-    }, computeDigestInterval(this.reports.load.countEntries()));
-  }
-
-  private sendDigest(): void {
-    const digest = this.reports.describeDigest();
-    for (const {address} of this.peers.listReachable()) {
-      this.links
-        .request(address, FLEET_METHODS.digest, digest, DIGEST_TIMEOUT_MS)
-        .catch((error: unknown) =>
-          log('digest_failed', {peer: address, error: String(error)}),
-        );
-    }
-  }
-
   private describeIdentity(): ControlIdentity {
     const identity = this.logMember.raftNode?.getIdentity();
     return {
--- a/packages/fleet/src/lib/ServerRegistry.ts
+++ b/packages/fleet/src/lib/ServerRegistry.ts
@@ -34,7 +34,11 @@
   private readonly entries = new Map<string, RegistryEntry>();
   private readonly idsByAddress = new Map<string, string>();
 
-  constructor(private readonly timeouts: RegistryTimeouts) {}
+  constructor(
+    private readonly timeouts: RegistryTimeouts,
+    /** Returns whether the requests to cold servers of a service are bounded. */
+    private readonly hasWarmup: (service: string) => boolean = () => false,
+  ) {}
 
   // Commands.
 
@@ -51,7 +55,8 @@
       !known ||
       known.isSilent ||
       !isEquivalent(known.registration, registration) ||
-      hasColdnessChanged(known.coldUntil, coldUntil);
+      (this.hasWarmup(registration.service) &&
+        hasColdnessChanged(known.coldUntil, coldUntil));
     this.entries.set(registration.id, {
       registration,
       coldUntil: isChanged ? coldUntil : known.coldUntil,
--- a/packages/fleet/src/lib/ServiceWarmups.ts
+++ b/packages/fleet/src/lib/ServiceWarmups.ts
@@ -1,7 +1,6 @@
-import type {ServerWarmup} from '@sycamorehead/schema';
+import type {ServerRegistration, ServerWarmup} from '@sycamorehead/schema';
 import type {ConfigurationDecoder} from './FleetCommands.js';
 import type {StoredConfiguration} from './fleetMessages.js';
-import type {ServerRegistry} from './ServerRegistry.js';
 
 /**
  * Finds what a backend server bears while it is cold, by the configuration that this control instance
@@ -14,17 +13,24 @@
   private warmups: ReadonlyMap<string, ServerWarmup> = new Map();
 
   constructor(
-    private readonly registry: ServerRegistry,
     private readonly decode: ConfigurationDecoder,
     private readonly getConfiguration: () => StoredConfiguration,
+    private readonly findRegistration: (
+      id: string,
+    ) => ServerRegistration | undefined,
   ) {}
 
   /** Returns the warm-up of an incarnation, `ID STARTED_AT_MS`; undefined if it is not known. */
   find(incarnation: string): ServerWarmup | undefined {
-    this.updateServices();
     const id = incarnation.slice(0, incarnation.lastIndexOf(' '));
-    const service = this.registry.find(id)?.registration.service;
-    return service === undefined ? undefined : this.warmups.get(service);
+    const registration = this.findRegistration(id);
+    return registration && this.findByService(registration.service);
+  }
+
+  /** Returns the warm-up of the servers of a service; undefined if they have none. */
+  findByService(service: string): ServerWarmup | undefined {
+    this.updateServices();
+    return this.warmups.get(service);
   }
 
   private updateServices(): void {
--- a/packages/fleet/src/test/ServerRegistry.test.ts
+++ b/packages/fleet/src/test/ServerRegistry.test.ts
@@ -67,7 +67,7 @@
 test('a coldness that begins, ends or lasts longer is reported as a change, one that passes is not', () => {
   const clock = fakeTimers.install({toFake: ['performance']});
   try {
-    const registry = new ServerRegistry(TIMEOUTS);
+    const registry = new ServerRegistry(TIMEOUTS, () => true);
     let sequence = 0;
     const acceptAfter = (passedMs: number, slowStartMs: number) => {
       clock.tick(passedMs);
@@ -89,7 +89,7 @@
 test('a coldness that is told a little longer each time is reported in the end', () => {
   const clock = fakeTimers.install({toFake: ['performance']});
   try {
-    const registry = new ServerRegistry(TIMEOUTS);
+    const registry = new ServerRegistry(TIMEOUTS, () => true);
     registry.accept(buildRegistration({slowStartMs: 3_000}));
     let changes = 0;
     for (let sequence = 2; sequence < 12; sequence += 1) {
@@ -102,3 +102,10 @@
     clock.uninstall();
   }
 });
+
+test('a coldness of servers without a warm-up is not reported', () => {
+  const registry = new ServerRegistry(TIMEOUTS);
+  registry.accept(buildRegistration({sequence: 1}));
+  const registration = buildRegistration({sequence: 2, slowStartMs: 3_000});
+  assert.equal(registry.accept(registration), false);
+});
--- a/packages/fleet/src/test/serviceWarmups.test.ts
+++ b/packages/fleet/src/test/serviceWarmups.test.ts
@@ -14,13 +14,13 @@
   let version = 1;
   let decodings = 0;
   const warmups = new ServiceWarmups(
-    registry,
     document => {
       decodings += 1;
       const services = [{name: 'drafts', ...(document as object)}];
       return {services} as unknown as RouteConfiguration;
     },
     () => ({version, document: version === 2 ? {warmup: WARMUP} : {}}),
+    id => registry.find(id)?.registration,
   );
   assert.equal(warmups.find('s1 7'), undefined);
   version = 2;
@@ -34,9 +34,9 @@
 
 test('before the first configuration no server is known to be cold', () => {
   const warmups = new ServiceWarmups(
-    new ServerRegistry(TIMEOUTS),
     () => assert.fail('there is nothing to decode'),
     () => ({version: 0, document: null}),
+    () => buildRegistration(),
   );
   assert.equal(warmups.find('s1 7'), undefined);
 });
--- a/packages/gateway/src/lib/ColdServers.ts
+++ b/packages/gateway/src/lib/ColdServers.ts
@@ -146,7 +146,7 @@
     }
     for (const [key, count] of Object.entries(coldPermits)) {
       const state = this.states.get(key);
-      if (!state || !(count <= MAX_WANTED)) continue;
+      if (!state || !(count > 0 && count <= MAX_WANTED)) continue;
       state.permits.add(count, sentAt);
       this.counts.granted += count;
     }
