--- a/packages/fleet/src/lib/ServerRegistry.ts
+++ b/packages/fleet/src/lib/ServerRegistry.ts
@@ -19,8 +19,10 @@
   isSilent: boolean;
 }
 
-/** Difference from which a server's remaining time of coldness is told again, in milliseconds. */
-const COLD_TOLERANCE_MS = 250;
+/** Prolongation from which it is told again how long a server stays cold, in milliseconds. */
+const COLD_LONGER_MS = 20;
+/** The same if it is cold for a shorter time, which breaks no bound. */
+const COLD_SHORTER_MS = 250;
 /** Maximum number of retained servers; further ones are rejected. */
 const MAX_SERVERS = 50_000;
 
@@ -140,7 +142,7 @@
   const now = performance.now();
   const toldMs = Math.max(0, toldUntil - now);
   const leftMs = Math.max(0, coldUntil - now);
-  return Math.abs(toldMs - leftMs) > COLD_TOLERANCE_MS;
+  return leftMs - toldMs > COLD_LONGER_MS || toldMs - leftMs > COLD_SHORTER_MS;
 }
 
 function isEquivalent(
