--- a/packages/gateway/src/test/coldServers.test.ts
+++ b/packages/gateway/src/test/coldServers.test.ts
@@ -3,8 +3,13 @@
 import FakeTimers from '@sinonjs/fake-timers';
 import type {Clock} from '@sinonjs/fake-timers';
 import type {RoutedService, ServerRegistration} from '@sycamorehead/schema';
+import {PrefillRates} from '@sycamorehead/routing';
+import {AnswerTimes} from '../lib/AnswerTimes.js';
 import {ColdServers} from '../lib/ColdServers.js';
+import {Placement} from '../lib/Placement.js';
 import {ServerTable} from '../lib/ServerTable.js';
+import {VersionSplit} from '../lib/VersionSplit.js';
+import {buildPlacementRequest} from './buildPlacementRequest.js';
 import {describeServer} from './FakeServer.js';
 
 const KEY = 's1 1';
@@ -232,3 +237,58 @@
     ['free'],
   );
 });
+
+/** Reserves a slot of a server that is cold if it is told so before. */
+function reserve(table: ServerTable) {
+  const placement = new Placement({
+    servers: table,
+    versions: new VersionSplit(5_000),
+    rates: new PrefillRates(),
+    times: new AnswerTimes(),
+    policy: 'sampled',
+    dataCentre: 'a',
+    countEntries: () => 1,
+  });
+  const reservation = placement.tryAcquire({
+    ...buildPlacementRequest('own'),
+    service: SERVICE,
+  });
+  assert.ok(reservation);
+  return reservation;
+}
+
+/** Builds a table with a cold server, and grants a permit for it. */
+function buildColdTable(): ServerTable {
+  const table = new ServerTable();
+  cold = table.cold;
+  cold.setServices([SERVICE]);
+  table.update({
+    servers: [describeServer('s1', '10.0.0.1:80', {slowStartMs: 9_000})],
+  });
+  issuePermits(1);
+  return table;
+}
+
+test('a reservation without a send gives its permit back', () => {
+  const table = buildColdTable();
+  const reservation = reserve(table);
+  assert.equal(cold.isPermitted(build()), false);
+  reservation.release();
+  assert.equal(cold.isPermitted(build()), true);
+});
+
+test('a permit of a send that was made is not given back with its slot', () => {
+  const reservation = reserve(buildColdTable());
+  assert.equal(reservation.confirmSend(), true);
+  reservation.release();
+  assert.equal(cold.isPermitted(build()), false);
+});
+
+test('a send whose permit has expired takes another one that is in hand', () => {
+  const reservation = reserve(buildColdTable());
+  clock.tick(300);
+  assert.equal(reservation.confirmSend(), false);
+  issuePermits(1);
+  assert.equal(reservation.confirmSend(), true);
+  assert.equal(cold.isPermitted(build()), false);
+});
--- a/packages/gateway/src/test/weakAnswers.test.ts
+++ b/packages/gateway/src/test/weakAnswers.test.ts
@@ -319,3 +319,21 @@
   const statuses = (await Promise.all(others)).map(readStatus);
   assert.deepEqual(statuses, [200, 200]);
 });
+
+test('a weak answer was dropped: a server that has become cold since gets no second request', async () => {
+  const scene: Scene = {};
+  const configuration = buildConfiguration([buildRoute(ROUTE)]);
+  const {gateway, servers} = await startScene(scene, ['s1'], {
+    ...configuration,
+    services: configuration.services.map(service => ({
+      ...service,
+      warmup: {durationMs: 3_000, perSecond: 10},
+    })),
+  });
+  const [server] = servers as [FakeServer];
+  scene.beforeEnd = () =>
+    gateway.list([server.describe({sequence: 2, slowStartMs: 30_000})]);
+  const text = await sendRequest(gateway, 'r1');
+  assert.ok(readStatus(text) >= 500, text);
+  assert.equal(server.received.length, 1);
+});
