--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -10,6 +10,7 @@
 import {PeerLink, WireServer} from '@sycamorehead/wire';
 import {ControlPeers} from './ControlPeers.js';
 import {ConfigurationDecoder, FleetCommands} from './FleetCommands.js';
+import {DigestSender} from './DigestSender.js';
 import {EntryFeeds} from './EntryFeeds.js';
 import {EntryReports} from './EntryReports.js';
 import {
@@ -32,14 +33,13 @@
 import {QuarantineDriver} from './QuarantineDriver.js';
 import {RolloutDriver} from './RolloutDriver.js';
 import {RegistryTimeouts, ServerRegistry} from './ServerRegistry.js';
+import {ServiceWarmups} from './ServiceWarmups.js';
 import {StateConfirmation} from './StateConfirmation.js';
-import {computeDigestInterval} from './computeDigestInterval.js';
+import type {ColdBound} from './computeColdRate.js';
 
 const log = createLogger('fleet');
 
 const EXPIRY_INTERVAL_MS = 500;
-/** Timeout of sending one digest, in milliseconds. */
-const DIGEST_TIMEOUT_MS = 500;
 
 /** Settings of a FleetNode. @public */
 export interface FleetNodeOptions {
@@ -60,6 +60,8 @@
   readonly faults: number;
   readonly registry: RegistryTimeouts;
   readonly maxCanaryShare: number;
+  /** The bound on sends to cold servers; the default if absent. */
+  readonly coldBound?: ColdBound | undefined;
   readonly decodeConfiguration: ConfigurationDecoder;
 }
 
@@ -81,6 +83,7 @@
   private readonly registry: ServerRegistry;
   private readonly feeds: EntryFeeds;
   private readonly reports: EntryReports;
+  private readonly digests: DigestSender;
   private readonly groupManager: GroupManager;
   private readonly rolloutDriver: RolloutDriver;
   private readonly quarantineDriver: QuarantineDriver;
@@ -89,7 +92,6 @@
   private readonly incarnation = randomUUID();
   private readonly address: string;
   private expiryTimer: NodeJS.Timeout | undefined;
-  private digestTimer: NodeJS.Timeout | undefined;
   private isResetting = false;
 
   constructor(private readonly options: FleetNodeOptions) {
@@ -104,7 +106,15 @@
     // A separate pool, so that transferring a large configuration does not delay heartbeats.
     this.consensusLinks = new LinkPool(poolOptions);
     this.bulkLinks = new LinkPool(poolOptions);
-    this.registry = new ServerRegistry(options.registry);
+    const warmups = new ServiceWarmups(
+      options.decodeConfiguration,
+      () => this.logMember.state.configuration,
+      id => this.registry.find(id)?.registration,
+    );
+    this.registry = new ServerRegistry(
+      options.registry,
+      service => warmups.findByService(service) !== undefined,
+    );
     this.feeds = new EntryFeeds({
       listServers: () => this.registry.list(),
       findServer: id => this.registry.find(id),
@@ -118,6 +128,10 @@
       dataCentre: options.dataCentre,
     });
     this.reports = new EntryReports({
+      coldBound: options.coldBound,
+      findWarmup: key => warmups.find(key),
+      onColdGrant: (wanted, granted) =>
+        this.metrics.countColdPermits(wanted, granted),
       instance,
       incarnation: this.incarnation,
       countControls: () => this.peers.listAddresses().length,
@@ -140,6 +154,11 @@
         this.registry.list().map(({registration}) => registration),
       onRemoved: () => this.resetMember(),
     });
+    this.digests = new DigestSender({
+      reports: this.reports,
+      peers: this.peers,
+      links: this.links,
+    });
     this.groupManager = new GroupManager({
       logMember: this.logMember,
       peers: this.peers,
@@ -192,7 +211,7 @@
       () => this.expireServers(),
       EXPIRY_INTERVAL_MS,
     );
-    this.scheduleDigest();
+    this.digests.start();
     void this.groupManager.run();
     void this.rolloutDriver.run();
     void this.quarantineDriver.run();
@@ -246,16 +265,15 @@
   /** Transfers leadership and stops. */
   async stop(): Promise<void> {
     clearInterval(this.expiryTimer);
-    clearTimeout(this.digestTimer);
+    this.digests.stop();
     this.groupManager.stop();
     this.rolloutDriver.stop();
     this.quarantineDriver.stop();
     this.confirmation.stop();
     this.peers.stop();
     await this.logMember.stop();
-    this.links.stop();
-    this.consensusLinks.stop();
-    this.bulkLinks.stop();
+    const {links, consensusLinks, bulkLinks} = this;
+    for (const pool of [links, consensusLinks, bulkLinks]) pool.stop();
     await this.wireServer.stop();
   }
 
@@ -357,24 +375,6 @@
     }
   }
 
-  private scheduleDigest(): void {
-    this.digestTimer = setTimeout(() => {
-      this.sendDigest();
-      this.scheduleDigest();
-    }, computeDigestInterval(this.reports.load.countEntries()));
-  }
-
-  private sendDigest(): void {
-    const digest = this.reports.describeDigest();
-    for (const {address} of this.peers.listReachable()) {
-      this.links
-        .request(address, FLEET_METHODS.digest, digest, DIGEST_TIMEOUT_MS)
-        .catch((error: unknown) =>
-          log('digest_failed', {peer: address, error: String(error)}),
-        );
-    }
-  }
-
   private describeIdentity(): ControlIdentity {
     const identity = this.logMember.raftNode?.getIdentity();
     return {
--- a/packages/fleet/src/lib/ServerRegistry.ts
+++ b/packages/fleet/src/lib/ServerRegistry.ts
@@ -13,10 +13,16 @@
 
 interface RegistryEntry {
   registration: ServerRegistration;
+  /** The time until which the server stays cold, as was last told, on the monotonic clock. */
+  coldUntil: number;
   receivedAt: number;
   isSilent: boolean;
 }
 
+/** Prolongation from which it is told again how long a server stays cold, in milliseconds. */
+const COLD_LONGER_MS = 20;
+/** The same if it is cold for a shorter time, which breaks no bound. */
+const COLD_SHORTER_MS = 250;
 /** Maximum number of retained servers; further ones are rejected. */
 const MAX_SERVERS = 50_000;
 
@@ -30,7 +36,11 @@
   private readonly entries = new Map<string, RegistryEntry>();
   private readonly idsByAddress = new Map<string, string>();
 
-  constructor(private readonly timeouts: RegistryTimeouts) {}
+  constructor(
+    private readonly timeouts: RegistryTimeouts,
+    /** Returns whether the requests to cold servers of a service are bounded. */
+    private readonly hasWarmup: (service: string) => boolean = () => false,
+  ) {}
 
   // Commands.
 
@@ -42,12 +52,16 @@
     }
     if (!known && this.entries.size >= MAX_SERVERS) return false;
     if (!this.assignAddress(registration)) return false;
+    const coldUntil = performance.now() + (registration.slowStartMs ?? 0);
     const isChanged =
       !known ||
       known.isSilent ||
-      !isEquivalent(known.registration, registration);
+      !isEquivalent(known.registration, registration) ||
+      (this.hasWarmup(registration.service) &&
+        hasColdnessChanged(known.coldUntil, coldUntil));
     this.entries.set(registration.id, {
       registration,
+      coldUntil: isChanged ? coldUntil : known.coldUntil,
       receivedAt: performance.now(),
       isSilent: false,
     });
@@ -123,6 +137,14 @@
   return {registration, isSilent};
 }
 
+/** Returns whether what was told of a server's coldness no longer holds. */
+function hasColdnessChanged(toldUntil: number, coldUntil: number): boolean {
+  const now = performance.now();
+  const toldMs = Math.max(0, toldUntil - now);
+  const leftMs = Math.max(0, coldUntil - now);
+  return leftMs - toldMs > COLD_LONGER_MS || toldMs - leftMs > COLD_SHORTER_MS;
+}
+
 function isEquivalent(
   left: ServerRegistration,
   right: ServerRegistration,
