Waiting: whose turn it is by urgency, time left, customer and size; what can't be served is refused at once

Cause: strict priority, then arrival; the queue stopped at the first waiter that found no server; a waiter was refused only once 0.4 of its objective had passed, whatever stood ahead of it; callers came back when they liked.

Change: PlacementQueue orders by QueuePolicy (computeUrgency, FairShares, KindShares, chooseNextWaiter); estimateQueueWait refuses on arrival and while waiting; ReturnSchedule spreads the returns; a request may wait as long as its answer can still begin in time (computeWaitLimits). Entries report demand, queues and outcomes in the exchange of load (optional fields); YieldWindows leave places to more urgent requests elsewhere.

--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -1,9 +1,12 @@
 import type {RolloutEvidence} from '@sycamorehead/schema';
 import {
+  DemandTable,
   PrefillSumTable,
   PrefillSums,
   addPrefillSums,
   buildPrefillSums,
+  computeOthersDemand,
+  sumDemand,
 } from '@sycamorehead/routing';
 import {writeDecision} from '@sycamorehead/telemetry';
 import type {
@@ -42,6 +45,7 @@
   readonly leaving: readonly string[];
   readonly kept: readonly string[];
   readonly prefill: PrefillSumTable;
+  readonly demand: DemandTable;
   /** The reports that the totals contain. */
   readonly included: ReadonlyMap<string, ExchangeRequest>;
 }
@@ -73,7 +77,8 @@
     const {entry} = request;
     const arrivedAt = this.entries.get(entry)?.arrivedAt ?? now;
     this.entries.set(entry, {request, receivedAt: now, arrivedAt});
-    const {load, entries, leaving, kept, prefill, included} = this.getTotals();
+    const {load, entries, leaving, kept, prefill, demand, included} =
+      this.getTotals();
     const own = included.get(entry);
     return {
       entries: included.has(entry) ? entries : entries + 1,
@@ -81,6 +86,7 @@
       leaving,
       kept,
       prefill: computeOthersPrefill(prefill, own?.prefill ?? {}),
+      demand: computeOthersDemand(demand, own?.demand ?? {}),
       isIsolated: this.isIsolated(),
     };
   }
@@ -206,7 +212,10 @@
 }
 
 /** What the reports of entries and the digests of control instances have in common. */
-type Report = Pick<ExchangeRequest, 'load' | 'leaving' | 'kept' | 'prefill'>;
+type Report = Pick<
+  ExchangeRequest,
+  'load' | 'leaving' | 'kept' | 'prefill' | 'demand'
+>;
 
 /** Sums reports or digests. */
 function sumReports(reports: readonly Report[]): Required<Report> {
@@ -220,7 +229,13 @@
     for (const key of report.leaving ?? []) leaving.add(key);
     for (const key of report.kept ?? []) kept.add(key);
   }
-  return {load, prefill, leaving: [...leaving], kept: [...kept]};
+  return {
+    load,
+    prefill,
+    leaving: [...leaving],
+    kept: [...kept],
+    demand: sumDemand(reports.map(({demand = {}}) => demand)),
+  };
 }
 
 function addLoad(sum: Record<string, ServerLoad>, load: LoadTable): void {
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -4,7 +4,11 @@
  * @public
  */
 import type {Membership} from '@sycamorehead/consensus';
-import type {LimitTable, PrefillSumTable} from '@sycamorehead/routing';
+import type {
+  DemandTable,
+  LimitTable,
+  PrefillSumTable,
+} from '@sycamorehead/routing';
 import type {
   JsonValue,
   RolloutEvidence,
@@ -230,6 +234,8 @@
   readonly kept?: readonly string[];
   /** Measurements of prefill by model; absent from earlier builds. */
   readonly prefill?: PrefillSumTable;
+  /** Demand and waiting requests by service; absent from earlier builds. */
+  readonly demand?: DemandTable;
 }
 
 /** Sums over the entries that report to one control instance; parameters of `fleet.digest`. @public */
@@ -242,6 +248,8 @@
   readonly leaving: readonly string[];
   readonly kept?: readonly string[];
   readonly prefill?: PrefillSumTable;
+  /** Demand and waiting requests by service; absent from earlier builds. */
+  readonly demand?: DemandTable;
   /** Entries that have begun to report to this instance a short while ago. */
   readonly arrived: readonly string[];
 }
@@ -256,6 +264,8 @@
   readonly kept?: readonly string[];
   /** Measurements of prefill of the other entries. */
   readonly prefill?: PrefillSumTable;
+  /** Demand and waiting requests at the other entries; absent from earlier builds. */
+  readonly demand?: DemandTable;
   /** Suspected prompt segments, of which the entry reports the survivals; absent from earlier builds. */
   readonly suspects?: readonly string[];
   /** Requests that may come into quarantine within a moment; absent from earlier builds. */
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -368,6 +368,7 @@
       routeName: this.routeName,
       fingerprint: this.guard.fingerprint,
       waitedMs: this.planner.waitedMs,
+      queueNote: this.planner.queueNote,
       version: this.context.getRoutes()?.version,
     });
   }
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -191,6 +191,7 @@
 
   private async exchangeLoad(): Promise<void> {
     this.metrics.setWaiting(this.placement.countWaiting());
+    this.metrics.setWaitingByUrgency(this.placement.countByUrgency());
     try {
       await this.reporter.exchangeReports();
     } catch (error) {
--- a/packages/gateway/src/lib/GatewayMetrics.ts
+++ b/packages/gateway/src/lib/GatewayMetrics.ts
@@ -1,3 +1,4 @@
+import type {QueueRefusalReason} from '@sycamorehead/routing';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /** Upper bounds of the buckets of the latency histograms, in seconds. */
@@ -35,6 +36,10 @@
   private readonly quarantined = this.createCounter('quarantined_total', [
     'service',
   ]);
+  private readonly queueRefusals = this.createCounter('queue_refusals_total', [
+    'service',
+    'reason',
+  ]);
   private readonly waits = this.createHistogram('queue_wait_seconds');
   private readonly firstBytes = this.createHistogram('first_byte_seconds');
   private readonly waiting = new Gauge({
@@ -42,6 +47,12 @@
     help: 'Requests that wait for a place',
     registers: [this.registry],
   });
+  private readonly waitingByUrgency = new Gauge({
+    name: 'syc_gateway_waiting_by_urgency',
+    help: 'Requests that wait for a place, by service and urgency class',
+    labelNames: ['service', 'urgency'],
+    registers: [this.registry],
+  });
 
   /** Counts a final answer; status 0 is a caller that has disconnected. */
   recordAnswer(route: string, status: number): void {
@@ -78,6 +89,11 @@
     this.quarantined.inc({service});
   }
 
+  /** Counts a request that got no place. */
+  recordQueueRefusal(service: string, reason: QueueRefusalReason): void {
+    this.queueRefusals.inc({service, reason});
+  }
+
   /** Records how long a request waited for a slot. */
   recordWait(ms: number): void {
     this.waits.observe(ms / 1_000);
@@ -92,6 +108,16 @@
     this.waiting.set(count);
   }
 
+  /** Sets the requests that wait, by service and urgency class. */
+  setWaitingByUrgency(counts: ReadonlyMap<string, readonly number[]>): void {
+    this.waitingByUrgency.reset();
+    for (const [service, classes] of counts) {
+      classes.forEach((count, urgency) =>
+        this.waitingByUrgency.set({service, urgency}, count),
+      );
+    }
+  }
+
   private createCounter(name: string, labelNames: string[]): Counter {
     return new Counter({
       name: `syc_gateway_${name}`,
--- a/packages/gateway/src/lib/LoadReporter.ts
+++ b/packages/gateway/src/lib/LoadReporter.ts
@@ -57,6 +57,7 @@
       prefill: rates.listSums(),
       crashes: crashes.listCrashes(),
       survivals: crashes.listSurvivals(this.suspects),
+      demand: placement.describeDemand(),
       ...servers.limits.takeReport(servers.listRegistrations(), service =>
         placement.countWaiting(service),
       ),
@@ -74,6 +75,7 @@
     this.suspects = reply.suspects ?? [];
     crashes.setSuspects(this.suspects);
     crashes.setSuspended(reply.suspended ?? []);
+    placement.updateOthersDemand(reply.demand ?? {});
     placement.offerSlots();
   }
 }
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -1,5 +1,12 @@
 import type {RoutedService, SycamoreheadError} from '@sycamorehead/schema';
-import {PlacementQueue} from '@sycamorehead/routing';
+import {
+  DemandTable,
+  PlacementQueue,
+  QueueNote,
+  ServiceDemand,
+  WaitingWork,
+  hashToShare,
+} from '@sycamorehead/routing';
 import type {CallerRequest} from './CallerRequest.js';
 import {buildRefusal} from './refusals.js';
 import {ServerAvailability} from './ServerAvailability.js';
@@ -13,6 +20,8 @@
 /** Maximum retry delay when every server limits its requests, in milliseconds. */
 const MAX_LIMIT_RETRY_MS = 5_000;
 const MS_PER_SECOND = 1_000;
+/** What a prompt token costs a server, as a fraction of an answer token. */
+const PROMPT_TOKEN_WORK = 0.25;
 
 /** The requirements of a request for a slot. @public */
 export interface PlacementRequest {
@@ -24,10 +33,18 @@
   /** Model named to the server; undefined for services without models. */
   readonly model: string | undefined;
   readonly priority: number;
+  /** Undefined if requests carry no keys. */
+  readonly customer: string | undefined;
   /** Ids of servers that have already failed or refused this request. */
   readonly tried: ReadonlySet<string>;
+  /** The time until which a send is probably answered in time, on the monotonic clock. */
+  readonly startBy: number;
   readonly abandonAt: number;
+  /** The time until which the caller waits for the answer, on the monotonic clock. */
+  readonly deadlineAt: number;
   readonly signal: AbortSignal;
+  /** Called when the request begins to wait. */
+  onQueued?(note: QueueNote): void;
 }
 
 /** A reserved slot of a server, to be released once the request is done there. @public */
@@ -85,22 +102,15 @@
     const queue = this.getQueue(service);
     this.options.servers.limits.recordDemand(service);
     this.refuseIfLimited(demand, queue.countAhead(demand.priority));
-    return queue.acquire({
-      priority: demand.priority,
-      abandonAt: demand.abandonAt,
-      signal: demand.signal,
-      tryReserveSlot: () => this.tryReserveSlot(demand),
-    });
+    return queue.acquire(this.buildWork(demand));
   }
 
   /** Reserves a slot if one is free now and no other request waits for it. */
   tryAcquire(demand: PlacementRequest): SlotReservation | undefined {
     const service = demand.service.name;
-    if (this.getQueue(service).countAhead(demand.priority) > 0) {
-      return undefined;
-    }
     if (this.findClosure(demand.service)) return undefined;
-    const reservation = this.tryReserveSlot(demand);
+    const work = this.buildWork(demand);
+    const reservation = this.getQueue(service).tryAcquire(work);
     if (reservation) this.options.servers.limits.recordDemand(service);
     return reservation;
   }
@@ -110,6 +120,13 @@
     for (const queue of this.queues.values()) queue.offerSlots();
   }
 
+  /** Applies what the other entries have reported of the demand, by service. */
+  updateOthersDemand(table: DemandTable): void {
+    for (const [service, queue] of this.queues) {
+      queue.updateOthers(table[service]);
+    }
+  }
+
   /**
    * Measures the load of a service's engines: the average work pending on each, relative to the
    * fraction of the target latency that may pass before prefill begins.
@@ -136,6 +153,42 @@
     return total;
   }
 
+  /** Counts the waiting requests of each service by urgency class. */
+  countByUrgency(): ReadonlyMap<string, readonly number[]> {
+    const entries = [...this.queues].map(
+      ([service, queue]) => [service, queue.countByUrgency()] as const,
+    );
+    return new Map(entries);
+  }
+
+  /** Describes the demand here to the other entries, by service. */
+  describeDemand(): DemandTable {
+    const table: Record<string, ServiceDemand> = {};
+    for (const [service, queue] of this.queues) {
+      table[service] = queue.describeDemand();
+    }
+    return table;
+  }
+
+  private buildWork(demand: PlacementRequest): WaitingWork<SlotReservation> {
+    const {request, variant, model} = demand;
+    const {promptTokens, answerTokens} = request.size;
+    return {
+      priority: demand.priority,
+      customer: demand.customer,
+      kind: demand.route,
+      work: answerTokens + promptTokens * PROMPT_TOKEN_WORK,
+      draw: hashToShare(`draw ${request.id}`),
+      startBy: demand.startBy,
+      abandonAt: demand.abandonAt,
+      deadlineAt: demand.deadlineAt,
+      needs: `${variant} ${model ?? ''}`,
+      signal: demand.signal,
+      tryReserveSlot: () => this.tryReserveSlot(demand),
+      onQueued: demand.onQueued,
+    };
+  }
+
   private tryReserveSlot(
     demand: PlacementRequest,
   ): SlotReservation | undefined {
@@ -164,7 +217,7 @@
       if (!isReserved) return;
       isReserved = false;
       server.inFlight -= 1;
-      this.queues.get(demand.service.name)?.offerSlots();
+      this.queues.get(demand.service.name)?.recordFreed();
     };
     return {
       server,
--- a/packages/gateway/src/lib/SendPlanner.ts
+++ b/packages/gateway/src/lib/SendPlanner.ts
@@ -1,6 +1,8 @@
+import {QueueNote, QueueRefusal} from '@sycamorehead/routing';
 import {buildWorkKind} from './AnswerTimes.js';
 import type {CallerAnswer} from './CallerAnswer.js';
 import type {CallerRequest} from './CallerRequest.js';
+import {computeWaitLimits} from './computeWaitLimits.js';
 import type {CrashGuard} from './CrashGuard.js';
 import {ExtraSends} from './ExtraSends.js';
 import type {ForwardContext} from './gatewayTypes.js';
@@ -9,8 +11,6 @@
 import {RequestTarget, findTarget, resolveTarget} from './resolveTarget.js';
 import type {RunTracker} from './RunTracker.js';
 
-/** Maximum wait for a slot, as a fraction of the target latency. */
-const MAX_QUEUE_FRACTION = 0.4;
 /** Time that the cancellation of an answer may take, in milliseconds. */
 const MAX_CANCELLATION_MS = 250;
 
@@ -48,6 +48,7 @@
   /** The next send, if it was planned before the last answer was given up. */
   private planned: PlannedSend | undefined;
   private totalWaitMs = 0;
+  private note: QueueNote | undefined;
 
   constructor(private readonly options: SendPlannerOptions) {
     this.extras = new ExtraSends(options.context.budgets);
@@ -75,9 +76,17 @@
       : cascade.chooseNext(target);
     const waitStart = performance.now();
     const demand = this.buildDemand(target, model, this.tried);
-    const reservation = await context.placement.acquire(demand);
-    this.totalWaitMs += performance.now() - waitStart;
-    return {target, model, reservation};
+    try {
+      const reservation = await context.placement.acquire(demand);
+      return {target, model, reservation};
+    } catch (error) {
+      if (error instanceof QueueRefusal) {
+        context.metrics.recordQueueRefusal(target.service.name, error.reason);
+      }
+      throw error;
+    } finally {
+      this.totalWaitMs += performance.now() - waitStart;
+    }
   }
 
   /**
@@ -127,6 +136,11 @@
     return this.totalWaitMs;
   }
 
+  /** How the last send that waited for its slot began to wait. */
+  get queueNote(): QueueNote | undefined {
+    return this.note;
+  }
+
   /** Returns whether a larger model can probably answer in time after the last answer is cancelled. */
   private hasTime({route}: RequestTarget, model: string): boolean {
     const kind = buildWorkKind(route.name, model);
@@ -140,14 +154,23 @@
     model: string | undefined,
     tried: ReadonlySet<string>,
   ): PlacementRequest {
-    const {request, context, signal, getDeadline} = this.options;
-    const {route, service, priority} = target;
+    const {request, context, answer, signal} = this.options;
+    const {route, service, priority, customer} = target;
     const variant = context.versions.assignVariant(
       service.name,
       request.session,
       request.id,
     );
-    const waitMs = route.targetLatencyMs * MAX_QUEUE_FRACTION;
+    const deadlineAt = this.options.getDeadline();
+    const kind = buildWorkKind(route.name, model);
+    const limits = computeWaitLimits({
+      now: performance.now(),
+      arrivedAt: request.arrivedAt,
+      targetLatencyMs: route.targetLatencyMs,
+      typicalMs: context.times.getTypicalMs(kind),
+      deadlineAt,
+      longestPauseMs: answer.isBegun ? route.longestPauseMs : undefined,
+    });
     return {
       request,
       service,
@@ -155,9 +178,12 @@
       variant,
       model,
       priority,
+      customer,
       tried,
-      abandonAt: Math.min(getDeadline(), performance.now() + waitMs),
+      ...limits,
+      deadlineAt,
       signal,
+      onQueued: note => (this.note = note),
     };
   }
 }
--- /dev/null
+++ b/packages/gateway/src/lib/computeWaitLimits.ts
@@ -0,0 +1,58 @@
+/** Minimum wait for a slot before a request is refused, as a fraction of the target latency. */
+const MIN_WAIT_FRACTION = 0.4;
+/** Time allowed for the answer to a send, relative to the typical one. */
+const ANSWER_TIME_FACTOR = 1.25;
+
+/** What the time that a request may wait for a slot depends on. @internal */
+export interface WaitLimitInput {
+  /** Times are on the monotonic clock, in milliseconds. */
+  readonly now: number;
+  readonly arrivedAt: number;
+  readonly targetLatencyMs: number;
+  /** The typical time from a send to the beginning of its answer; undefined if unknown. */
+  readonly typicalMs: number | undefined;
+  readonly deadlineAt: number;
+  /** The longest pause of an answer that has begun and is to go on; undefined for a new one. */
+  readonly longestPauseMs: number | undefined;
+}
+
+/** The limits of a wait, on the monotonic clock. @internal */
+export interface WaitLimits {
+  /** The time until which a send is probably answered in time. */
+  readonly startBy: number;
+  /** The time at which the request is refused. */
+  readonly abandonAt: number;
+}
+
+/**
+ * Computes how long a request may wait for a slot, under a load that exceeds the slots: as long as its
+ * answer can still begin in time. One that can't be in time anyway waits a while for slots that nobody
+ * else needs.
+ *
+ * @example
+ * ```ts
+ * computeWaitLimits({
+ *   now: 0,
+ *   arrivedAt: 0,
+ *   targetLatencyMs: 8_000,
+ *   typicalMs: 800,
+ *   deadlineAt: 20_000,
+ *   longestPauseMs: undefined,
+ * }).startBy; // 7_000
+ * ```
+ * @internal
+ */
+export function computeWaitLimits(input: WaitLimitInput): WaitLimits {
+  const {now, arrivedAt, targetLatencyMs, deadlineAt, longestPauseMs} = input;
+  const answerMs = (input.typicalMs ?? 0) * ANSWER_TIME_FACTOR;
+  const dueAt =
+    longestPauseMs === undefined
+      ? arrivedAt + targetLatencyMs
+      : now + longestPauseMs;
+  const startBy = dueAt - answerMs;
+  const leastUntil = now + targetLatencyMs * MIN_WAIT_FRACTION;
+  return {
+    startBy,
+    abandonAt: Math.min(deadlineAt, Math.max(startBy, leastUntil)),
+  };
+}
--- a/packages/gateway/src/lib/writeRequestLine.ts
+++ b/packages/gateway/src/lib/writeRequestLine.ts
@@ -1,3 +1,4 @@
+import type {QueueNote} from '@sycamorehead/routing';
 import type {SycamoreheadError} from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 import type {CallerAnswer} from './CallerAnswer.js';
@@ -22,6 +23,8 @@
   /** Each send with its outcome. */
   readonly history: readonly string[];
   readonly waitedMs: number;
+  /** How it began to wait; undefined if it did not. */
+  readonly queueNote: QueueNote | undefined;
   /** Version of the configuration in force. */
   readonly version: number | undefined;
 }
@@ -46,9 +49,17 @@
     pressure: cascade.lastPressure?.toFixed(2),
     sends: record.history.join(','),
     waited_ms: Math.round(record.waitedMs),
+    queued: formatQueueNote(record.queueNote),
     first_ms: firstBytesAt && Math.round(firstBytesAt - request.arrivedAt),
     pause_ms: Math.round(answer.longestPauseMs) || undefined,
     ms: Math.round(performance.now() - request.arrivedAt),
     version: record.version,
   });
 }
+
+function formatQueueNote(note: QueueNote | undefined): string | undefined {
+  if (!note) return undefined;
+  const {urgencyClass, ahead, expectedMs} = note;
+  const expected = expectedMs === undefined ? '?' : Math.round(expectedMs);
+  return `${urgencyClass}:${ahead}~${expected}`;
+}
--- a/packages/gateway/src/test/buildPlacementRequest.ts
+++ b/packages/gateway/src/test/buildPlacementRequest.ts
@@ -9,6 +9,7 @@
   assert.ok(SERVICE);
   return {
     request: {
+      id: segmentId,
       promptSegments: [{id: segmentId, tokens: 1_000}],
       size: {promptTokens: 1_000, answerTokens: 20},
     } as unknown as PlacementRequest['request'],
@@ -17,8 +18,11 @@
     variant: 'old',
     model: undefined,
     priority: 1,
+    customer: undefined,
     tried: new Set(),
+    startBy: performance.now() + 1_000,
     abandonAt: performance.now() + 1_000,
+    deadlineAt: performance.now() + 2_000,
     signal: new AbortController().signal,
   };
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -63,7 +63,18 @@
   ModelPolicy,
 } from './lib/forwarding/chooseModel.js';
 export {PlacementQueue} from './lib/forwarding/PlacementQueue.js';
-export type {WaitingWork} from './lib/forwarding/PlacementQueue.js';
+export type {QueueNote, WaitingWork} from './lib/forwarding/PlacementQueue.js';
+export {QueueRefusal} from './lib/forwarding/QueueRefusal.js';
+export type {QueueRefusalReason} from './lib/forwarding/QueueRefusal.js';
+export {
+  computeOthersDemand,
+  sumDemand,
+} from './lib/forwarding/serviceDemand.js';
+export type {
+  CustomerTable,
+  DemandTable,
+  ServiceDemand,
+} from './lib/forwarding/serviceDemand.js';
 export {RetryBudget} from './lib/forwarding/RetryBudget.js';
 export type {RetryBudgetOptions} from './lib/forwarding/RetryBudget.js';
 export {sampleServers} from './lib/forwarding/sampleServers.js';
--- /dev/null
+++ b/packages/routing/src/lib/forwarding/FairShares.ts
@@ -0,0 +1,124 @@
+import {evictOldest} from '@sycamorehead/schema';
+import {DecayingSum} from './DecayingSum.js';
+import {CustomerTable, limitNames} from './serviceDemand.js';
+
+/** Time in which what a customer asks for counts as lately, in milliseconds. */
+const RECENT_MS = 2_000;
+/** Time over which the usual demand of a customer is averaged, in milliseconds. */
+const USUAL_MS = 60_000;
+/** Time for which demand has to be observed before any of it counts as unusual, in milliseconds. */
+const MIN_HISTORY_MS = 20_000;
+/** Demand that counts as usual, relative to the average. */
+const USUAL_FACTOR = 1.2;
+/** What a burst adds to the average at most, relative to it. */
+const MAX_LEARNED_FACTOR = 2;
+/** Maximum number of customers that are tracked. */
+const MAX_CUSTOMERS = 2_000;
+
+/**
+ * Shares the places of one service between customers, under the load of one customer that sends many
+ * times its usual: what exceeds both its usual demand and an equal share gives way to all others.
+ *
+ * @public
+ */
+export class FairShares {
+  private readonly asked = new Map<string, DecayingSum>();
+  private readonly served = new Map<string, DecayingSum>();
+  /** The average of what all entries are asked for, by customer. */
+  private readonly usual = new Map<string, number>();
+  private others: CustomerTable = {};
+  /** An equal share of what all customers with demand ask for. */
+  private equalShare = 0;
+  private readonly startedAt = performance.now();
+  private averagedAt = performance.now();
+
+  // Commands.
+
+  recordRequest(customer: string, work: number): void {
+    getSum(this.asked, customer).add(work);
+  }
+
+  recordServed(customer: string, work: number): void {
+    getSum(this.served, customer).add(work);
+  }
+
+  /** Sets what other entries are asked for, and averages the demand; to be called regularly. */
+  updateOthers(others: CustomerTable): void {
+    this.others = others;
+    const now = performance.now();
+    const gain = 1 - Math.exp((this.averagedAt - now) / USUAL_MS);
+    // At the beginning the average is one over the time so far.
+    const firstGain = (now - this.averagedAt) / (now - this.startedAt);
+    this.averagedAt = now;
+    const active = this.listCustomers();
+    this.equalShare = this.computeEqualShare(active);
+    const customers = [...this.usual.keys(), ...active];
+    for (const customer of new Set(customers)) {
+      const usual = this.usual.get(customer) ?? 0;
+      const most = Math.max(usual, this.equalShare) * MAX_LEARNED_FACTOR;
+      const seen = Math.min(this.getDemand(customer), most);
+      const change = (seen - usual) * Math.max(gain, firstGain || 0);
+      this.usual.set(customer, usual + change);
+    }
+    evictOldest(this.usual, MAX_CUSTOMERS);
+  }
+
+  // Queries.
+
+  /** What the customer got lately at this entry. */
+  getServed(customer: string): number {
+    return this.served.get(customer)?.value ?? 0;
+  }
+
+  /**
+   * Computes the fraction of a customer's requests that are within what is usual, or within an equal
+   * share if that is more.
+   *
+   * @example
+   * ```ts
+   * shares.computeAllowed('clinic'); // 0.2 while it sends seven times its usual
+   * ```
+   */
+  computeAllowed(customer: string): number {
+    if (performance.now() - this.startedAt < MIN_HISTORY_MS) return 1;
+    const usual = (this.usual.get(customer) ?? 0) * USUAL_FACTOR;
+    const allowed = Math.max(usual, this.equalShare);
+    return Math.min(1, allowed / Math.max(1, this.getDemand(customer)));
+  }
+
+  /** Lists what customers asked this entry for lately. */
+  listAsked(): CustomerTable {
+    const table: Record<string, number> = {};
+    for (const [customer, {value}] of this.asked) {
+      table[customer] = Math.round(value);
+    }
+    return limitNames(table, work => work);
+  }
+
+  private computeEqualShare(customers: readonly string[]): number {
+    const total = customers.reduce(
+      (sum, customer) => sum + this.getDemand(customer),
+      0,
+    );
+    return total / Math.max(1, customers.length);
+  }
+
+  private listCustomers(): string[] {
+    const names = [...this.asked.keys(), ...Object.keys(this.others)];
+    return [...new Set(names)].filter(name => this.getDemand(name) >= 1);
+  }
+
+  private getDemand(customer: string): number {
+    const own = this.asked.get(customer)?.value ?? 0;
+    return own + (this.others[customer] ?? 0);
+  }
+}
+
+function getSum(sums: Map<string, DecayingSum>, customer: string): DecayingSum {
+  const known = sums.get(customer);
+  if (known) return known;
+  const sum = new DecayingSum(RECENT_MS);
+  sums.set(customer, sum);
+  evictOldest(sums, MAX_CUSTOMERS);
+  return sum;
+}
--- a/packages/routing/src/lib/forwarding/PlacementQueue.ts
+++ b/packages/routing/src/lib/forwarding/PlacementQueue.ts
@@ -1,11 +1,32 @@
-import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
+import {
+  SycamoreheadError,
+  evictOldest,
+  toSycamoreheadError,
+} from '@sycamorehead/schema';
+import {
+  RankedWaiter,
+  WaiterRank,
+  chooseNextWaiter,
+  compareRanks,
+} from './chooseNextWaiter.js';
+import {classifyUrgency} from './computeUrgency.js';
+import {ClassifiedRequest, QueuePolicy, QueuedRequest} from './QueuePolicy.js';
+import type {ServiceDemand} from './serviceDemand.js';
+
+/** How a request began to wait. @public */
+export interface QueueNote {
+  readonly ahead: number;
+  readonly urgencyClass: number;
+  /** The wait that was expected, in milliseconds; undefined if too little was known. */
+  readonly expectedMs: number | undefined;
+}
 
 /** Work that waits for a slot. @public */
-export interface WaitingWork<Slot> {
-  /** 0 is the most urgent. */
-  readonly priority: number;
+export interface WaitingWork<Slot> extends QueuedRequest {
   /** The time at which the wait is abandoned, on the monotonic clock. */
   readonly abandonAt: number;
+  /** Work with the same needs can be sent to the same servers, but for its size. */
+  readonly needs: string;
   readonly signal: AbortSignal;
   /**
    * Reserves a slot if one is free now.
@@ -13,10 +34,14 @@
    * @throws SycamoreheadError if waiting is pointless.
    */
   tryReserveSlot(): Slot | undefined;
+  /** Called when the work begins to wait. */
+  onQueued?(note: QueueNote): void;
 }
 
-interface Waiter {
-  readonly priority: number;
+interface Waiter extends RankedWaiter {
+  readonly classified: ClassifiedRequest;
+  readonly abandonAt: number;
+  rank: WaiterRank;
   /** Tries to reserve a slot and returns whether the waiter is settled. */
   trySettle(): boolean;
   refuse(error: SycamoreheadError): void;
@@ -24,30 +49,35 @@
 
 /** Maximum number of requests that wait at one entry for one service. */
 const MAX_WAITING = 500;
+/** Maximum number of needs for which places are tried in one offer. */
+const MAX_BLOCKED_NEEDS = 8;
+/** Maximum number of needs of which the last place is known. */
+const MAX_NEEDS = 100;
+/** How far the expected wait of a waiting request has to exceed its limit for a refusal. */
+const REVIEW_MARGIN = 1.5;
+/** Time in which some request with the same needs must have got a place for others to yield, in ms. */
+const SERVED_NEEDS_MS = 5_000;
 
 /**
- * Queues the requests of one service that wait for a slot, ordered by priority and then by
- * arrival. A request whose wait times out is refused immediately.
+ * Queues the requests of one service that wait for a slot. `QueuePolicy` decides whose turn it is; a
+ * request that can't be served in time is refused as soon as that is known.
  *
  * @public
  */
 export class PlacementQueue {
-  private waiters: Waiter[] = [];
+  private readonly waiters = new Set<Waiter>();
+  /** When a request with these needs last got a place, on the monotonic clock. */
+  private readonly placedAt = new Map<string, number>();
+  private offerTimer: NodeJS.Timeout | undefined;
 
-  /** The number of waiting requests. */
-  get length(): number {
-    return this.waiters.length;
-  }
+  constructor(private readonly policy = new QueuePolicy()) {}
 
-  /** Counts the waiting requests that go before one of that priority. */
-  countAhead(priority: number): number {
-    return this.waiters.filter(waiter => waiter.priority <= priority).length;
-  }
+  // Commands.
 
   /**
    * Reserves a slot and waits for one if none is free.
    *
-   * @throws SycamoreheadError `overloaded` if no slot becomes free in time, `caller_gone`, or what
+   * @throws QueueRefusal if no slot becomes free in time; SycamoreheadError `caller_gone`, or what
    * `tryReserveSlot` throws.
    * @example
    * ```ts
@@ -55,31 +85,167 @@
    * ```
    */
   async acquire<Slot>(work: WaitingWork<Slot>): Promise<Slot> {
-    const isFirst = !this.waiters.some(
-      ({priority}) => priority <= work.priority,
-    );
-    const slot = isFirst ? work.tryReserveSlot() : undefined;
+    const {policy} = this;
+    const classified = policy.classifyRequest(work);
+    const slot = this.tryReserve(work, classified);
     if (slot !== undefined) return slot;
-    const leftMs = work.abandonAt - performance.now();
-    if (leftMs <= 0 || this.waiters.length >= MAX_WAITING) {
-      throw buildOverloaded();
+    const now = performance.now();
+    const rank = policy.rateRequest(classified);
+    const note = this.describeQueue(rank);
+    const waitMs = note.expectedMs ?? 0;
+    if (now >= work.abandonAt) throw policy.refuse(classified, 'expired');
+    if (now + waitMs > work.abandonAt) {
+      throw policy.refuse(classified, 'hopeless', waitMs);
     }
-    return this.wait(work, leftMs);
+    if (this.waiters.size >= MAX_WAITING) {
+      this.refuseLast(classified, rank, waitMs);
+    }
+    work.onQueued?.(note);
+    return this.wait(work, classified, rank);
+  }
+
+  /** Reserves a slot if one is free now and no other request waits for it. */
+  tryAcquire<Slot>(work: WaitingWork<Slot>): Slot | undefined {
+    return this.tryReserve(work, this.policy.classifyRequest(work));
+  }
+
+  /** Records that a place came free, and offers it. */
+  recordFreed(): void {
+    this.policy.recordFreed();
+    this.offerSlots();
   }
 
   /** Offers slots that may have become free to the waiting requests. */
   offerSlots(): void {
-    for (const waiter of [...this.waiters]) {
-      if (!waiter.trySettle()) return;
+    if (this.waiters.size === 0) return;
+    this.updateRanks();
+    const blocked = new Map<string, number>();
+    let failures = 0;
+    while (failures < MAX_BLOCKED_NEEDS) {
+      const next = chooseNextWaiter(this.waiters, blocked);
+      if (!next) return;
+      if (this.policy.checkYield(next.rank)) return this.scheduleOffer();
+      if (next.trySettle()) continue;
+      blocked.set(next.needs, next.sizeClass);
+      failures += 1;
     }
   }
 
-  private wait<Slot>(work: WaitingWork<Slot>, leftMs: number): Promise<Slot> {
+  /** Applies what the other entries have reported, and refuses requests that can't be served in time. */
+  updateOthers(demand: ServiceDemand | undefined): void {
+    this.policy.updateOthers(demand);
+    this.refuseOutpaced();
+  }
+
+  // Queries.
+
+  /** The number of waiting requests. */
+  get length(): number {
+    return this.waiters.size;
+  }
+
+  /** Counts the waiting requests that are at least as urgent as one of that priority. */
+  countAhead(priority: number): number {
+    let ahead = 0;
+    for (const {classified} of this.waiters) {
+      if (classified.request.priority <= priority) ahead += 1;
+    }
+    return ahead;
+  }
+
+  /** Counts the waiting requests by urgency class. */
+  countByUrgency(): number[] {
+    this.updateRanks();
+    return this.countWaiters(() => true);
+  }
+
+  /** Describes the demand here to the other entries. */
+  describeDemand(): ServiceDemand {
+    this.updateRanks();
+    const oldest = performance.now() - SERVED_NEEDS_MS;
+    // Others need not yield to requests that no server can take.
+    const waiting = this.countWaiters(
+      ({needs}) => (this.placedAt.get(needs) ?? -Infinity) >= oldest,
+    );
+    return this.policy.describeDemand(waiting);
+  }
+
+  private describeQueue(rank: WaiterRank): QueueNote {
+    this.updateRanks();
+    let ahead = 0;
+    for (const waiter of this.waiters) {
+      if (compareRanks(waiter.rank, rank) <= 0) ahead += 1;
+    }
+    const urgencyClass = classifyUrgency(rank.urgency);
+    const counts = {ahead, urgencyClass};
+    return {...counts, expectedMs: this.policy.estimateWait(counts)};
+  }
+
+  private countWaiters(isCounted: (waiter: Waiter) => boolean): number[] {
+    const counts: number[] = [];
+    for (const waiter of this.waiters) {
+      if (!isCounted(waiter)) continue;
+      const urgencyClass = classifyUrgency(waiter.rank.urgency);
+      while (counts.length <= urgencyClass) counts.push(0);
+      counts[urgencyClass] = (counts[urgencyClass] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  private tryReserve<Slot>(
+    work: WaitingWork<Slot>,
+    classified: ClassifiedRequest,
+  ): Slot | undefined {
+    const rank = this.policy.rateRequest(classified);
+    if (this.isBehindOthers(work, rank)) return undefined;
+    if (this.policy.checkYield(rank)) {
+      this.scheduleOffer();
+      return undefined;
+    }
+    const slot = work.tryReserveSlot();
+    if (slot !== undefined) this.recordPlaced(work.needs, classified);
+    return slot;
+  }
+
+  /** Returns whether a request with the same needs waits that goes first, and found no place. */
+  private isBehindOthers(
+    work: WaitingWork<unknown>,
+    rank: WaiterRank,
+  ): boolean {
+    if (this.waiters.size === 0) return false;
+    this.updateRanks();
+    const sizeClass = classifyWork(work);
+    for (const waiter of this.waiters) {
+      if (waiter.needs !== work.needs || waiter.sizeClass > sizeClass) continue;
+      if (compareRanks(waiter.rank, rank) <= 0) return true;
+    }
+    return false;
+  }
+
+  private updateRanks(): void {
+    for (const waiter of this.waiters) {
+      waiter.rank = this.policy.rateRequest(waiter.classified);
+    }
+  }
+
+  private recordPlaced(needs: string, classified: ClassifiedRequest): void {
+    this.placedAt.delete(needs);
+    this.placedAt.set(needs, performance.now());
+    evictOldest(this.placedAt, MAX_NEEDS);
+    this.policy.recordPlaced(classified);
+  }
+
+  private wait<Slot>(
+    work: WaitingWork<Slot>,
+    classified: ClassifiedRequest,
+    rank: WaiterRank,
+  ): Promise<Slot> {
     return new Promise((resolve, reject) => {
       const end = () => {
         clearTimeout(timer);
         work.signal.removeEventListener('abort', handleAbort);
-        this.waiters = this.waiters.filter(other => other !== waiter);
+        this.waiters.delete(waiter);
+        this.policy.recordQueue(this.waiters.size > 0);
       };
       const handleAbort = () =>
         waiter.refuse(
@@ -87,13 +253,21 @@
             ran: 'no',
           }),
         );
-      const timer = setTimeout(() => waiter.refuse(buildOverloaded()), leftMs);
+      const timer = setTimeout(
+        () => waiter.refuse(this.policy.refuse(classified, 'expired')),
+        work.abandonAt - performance.now(),
+      );
       const waiter: Waiter = {
-        priority: work.priority,
+        classified,
+        rank,
+        needs: work.needs,
+        sizeClass: classifyWork(work),
+        abandonAt: work.abandonAt,
         trySettle: () => {
           try {
             const slot = work.tryReserveSlot();
             if (slot === undefined) return false;
+            this.recordPlaced(work.needs, classified);
             end();
             resolve(slot);
           } catch (error) {
@@ -107,20 +281,57 @@
         },
       };
       work.signal.addEventListener('abort', handleAbort, {once: true});
-      this.insert(waiter);
+      this.waiters.add(waiter);
+      this.policy.recordQueue(true);
     });
   }
 
-  private insert(waiter: Waiter): void {
-    const index = this.waiters.findIndex(
-      ({priority}) => priority > waiter.priority,
+  /** Refuses the last of a full queue: the new request, or one that would go after it. */
+  private refuseLast(
+    classified: ClassifiedRequest,
+    rank: WaiterRank,
+    waitMs: number,
+  ): void {
+    const last = this.listRanked().at(-1);
+    if (!last || compareRanks(rank, last.rank) >= 0) {
+      throw this.policy.refuse(classified, 'displaced', waitMs);
+    }
+    last.refuse(this.policy.refuse(last.classified, 'displaced', waitMs));
+  }
+
+  /** Refuses waiting requests that so many others have overtaken that they can't be served in time. */
+  private refuseOutpaced(): void {
+    const now = performance.now();
+    let ahead = 0;
+    for (const waiter of this.listRanked()) {
+      const urgencyClass = classifyUrgency(waiter.rank.urgency);
+      const waitMs = this.policy.estimateWait({ahead, urgencyClass}) ?? 0;
+      ahead += 1;
+      if (waitMs <= (waiter.abandonAt - now) * REVIEW_MARGIN) continue;
+      ahead -= 1;
+      waiter.refuse(this.policy.refuse(waiter.classified, 'outpaced', waitMs));
+    }
+  }
+
+  /** Lists the waiting requests in the order of their turns. */
+  private listRanked(): Waiter[] {
+    this.updateRanks();
+    return [...this.waiters].sort((first, second) =>
+      compareRanks(first.rank, second.rank),
     );
-    this.waiters.splice(index < 0 ? this.waiters.length : index, 0, waiter);
+  }
+
+  /** Offers places once they are no longer left to other entries. */
+  private scheduleOffer(): void {
+    if (this.offerTimer) return;
+    this.offerTimer = setTimeout(() => {
+      this.offerTimer = undefined;
+      this.offerSlots();
+    }, this.policy.yieldsUntil - performance.now());
   }
 }
 
-function buildOverloaded(): SycamoreheadError {
-  return new SycamoreheadError('overloaded', 'no place came free in time', {
-    ran: 'no',
-  });
+/** Returns the size class of work: its size in powers of two. */
+function classifyWork({work}: QueuedRequest): number {
+  return Math.floor(Math.log2(Math.max(1, work)));
 }
--- /dev/null
+++ b/packages/routing/src/lib/forwarding/QueuePolicy.ts
@@ -0,0 +1,222 @@
+import {WaiterRank} from './chooseNextWaiter.js';
+import {classifyUrgency, computeUrgency} from './computeUrgency.js';
+import {estimateQueueWait} from './estimateQueueWait.js';
+import {FairShares} from './FairShares.js';
+import {KindShares, SizeClass} from './KindShares.js';
+import {QueueFlow} from './QueueFlow.js';
+import {QueueRefusal, QueueRefusalReason} from './QueueRefusal.js';
+import {ReturnSchedule} from './ReturnSchedule.js';
+import {NO_DEMAND, ServiceDemand} from './serviceDemand.js';
+import {YieldWindows} from './YieldWindows.js';
+
+/** Time for which the standing of a kind and a customer is reused, in milliseconds. */
+const STANDING_MS = 20;
+
+/** What the turn of a request depends on. @public */
+export interface QueuedRequest {
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Requests without one share the places of one customer. */
+  readonly customer: string | undefined;
+  /** Kinds are served alike often, as far as their priorities permit. */
+  readonly kind: string;
+  /** What it costs a server, in any unit that is the same for all requests of the service. */
+  readonly work: number;
+  /** A number of its own, evenly spread over [0, 1). */
+  readonly draw: number;
+  /** The time until which it can be sent and be answered in time, on the monotonic clock. */
+  readonly startBy: number;
+  /** The time until which its caller waits for the answer, on the monotonic clock. */
+  readonly deadlineAt: number;
+}
+
+/** A request with what was decided on its arrival. @public */
+export interface ClassifiedRequest {
+  readonly request: QueuedRequest;
+  readonly size: SizeClass;
+}
+
+/** How a customer stands against the others. */
+interface CustomerStanding {
+  /** What it got lately. */
+  readonly served: number;
+  /** The fraction of its requests that are within its share. */
+  readonly allowed: number;
+}
+
+/** What entries count of each other's queues, beside the customers. @public */
+export interface QueueCounts {
+  readonly ahead: number;
+  readonly urgencyClass: number;
+}
+
+/**
+ * Decides on the requests of one service that compete for its places: whose turn it is, who is refused
+ * and when refused callers return.
+ *
+ * @public
+ */
+export class QueuePolicy {
+  private readonly flow = new QueueFlow();
+  private readonly customers = new FairShares();
+  private readonly kinds = new KindShares();
+  private readonly returns: ReturnSchedule;
+  private readonly yields: YieldWindows;
+  private starved = new Map<string, boolean>();
+  private standings = new Map<string, CustomerStanding>();
+  private standingAt = -Infinity;
+
+  constructor(random: () => number = Math.random) {
+    this.returns = new ReturnSchedule(random);
+    this.yields = new YieldWindows(random);
+  }
+
+  // Commands.
+
+  /** Records a request and classifies it. */
+  classifyRequest(request: QueuedRequest): ClassifiedRequest {
+    const {kind, priority, work} = request;
+    const customer = getCustomer(request);
+    this.customers.recordRequest(customer, work);
+    const size = this.kinds.classifySize(kind, priority, work);
+    return {request, size};
+  }
+
+  /** Records that a request got a place. */
+  recordPlaced(classified: ClassifiedRequest): void {
+    const {request, size} = classified;
+    const customer = getCustomer(request);
+    const {urgency} = this.rateRequest(classified);
+    this.flow.recordPlaced(classifyUrgency(urgency));
+    this.customers.recordServed(customer, request.work);
+    this.kinds.recordOutcome(request.kind, size, true);
+    this.standings.delete(customer);
+  }
+
+  /** Records whether requests wait. */
+  recordQueue(isQueued: boolean): void {
+    this.flow.recordQueue(isQueued);
+  }
+
+  /** Records that a place came free. */
+  recordFreed(): void {
+    this.flow.recordFreed();
+  }
+
+  /** Records a refusal, and builds it with the time after which the caller may return. */
+  refuse(
+    {request, size}: ClassifiedRequest,
+    reason: QueueRefusalReason,
+    waitMs = 0,
+  ): QueueRefusal {
+    this.kinds.recordOutcome(request.kind, size, false);
+    const retryAfterMs = this.returns.reserveDelay({
+      waitMs,
+      leftMs: request.deadlineAt - performance.now(),
+      placesPerSecond: this.flow.placesPerSecond,
+    });
+    return new QueueRefusal(reason, retryAfterMs);
+  }
+
+  /** Sets what the other entries have reported. */
+  updateOthers(demand: ServiceDemand | undefined): void {
+    this.flow.setOthers(demand ?? NO_DEMAND);
+    this.customers.updateOthers(demand?.customers ?? {});
+    this.kinds.setOthers(demand?.outcomes ?? {});
+  }
+
+  /** Returns whether a request leaves free places to more urgent ones of other entries for now. */
+  checkYield(rank: WaiterRank): boolean {
+    const {waiting, placesPerSecond} = this.flow.getOthers();
+    return this.yields.checkYield({
+      urgencyClass: classifyUrgency(rank.urgency),
+      othersWaiting: waiting,
+      placesPerSecond: placesPerSecond + this.flow.placesPerSecond,
+    });
+  }
+
+  // Queries.
+
+  /** The end of the time for which places are left to others, on the monotonic clock. */
+  get yieldsUntil(): number {
+    return this.yields.endsAt;
+  }
+
+  /** Rates where a request stands now. */
+  rateRequest({request, size}: ClassifiedRequest): WaiterRank {
+    const {priority, startBy} = request;
+    this.expireStandings();
+    const {served, allowed} = this.getStanding(getCustomer(request));
+    const urgency = computeUrgency({
+      priority,
+      isLate: performance.now() > startBy,
+      isExcess: request.draw >= allowed,
+      isStarved: this.isStarved(request.kind, size),
+    });
+    return {urgency, served, startBy};
+  }
+
+  /** Estimates the wait of a request with so many ahead here; undefined if too little is known. */
+  estimateWait({ahead, urgencyClass}: QueueCounts): number | undefined {
+    const {flow} = this;
+    if (!flow.isSaturated) return undefined;
+    const others = flow.getOthers();
+    const hasOthers = others.placesPerSecond > 0;
+    const own = {ahead, placesPerSecond: flow.saturatedPerSecond ?? 0};
+    const aheadElsewhere = others.waiting
+      .slice(0, urgencyClass + 1)
+      .reduce((sum, count) => sum + count, 0);
+    return estimateQueueWait({
+      own,
+      pooled: {
+        ahead: ahead + aheadElsewhere,
+        placesPerSecond: hasOthers
+          ? flow.placesPerSecond + others.placesPerSecond
+          : 0,
+      },
+      overtakenFraction: flow.estimateOvertaken(urgencyClass),
+    });
+  }
+
+  /** Describes the demand here to the other entries, with the requests that wait. */
+  describeDemand(waiting: readonly number[]): ServiceDemand {
+    return {
+      waiting,
+      placesPerSecond: Number(this.flow.placesPerSecond.toFixed(1)),
+      customers: this.customers.listAsked(),
+      outcomes: this.kinds.listOutcomes(),
+    };
+  }
+
+  private isStarved(kind: string, size: SizeClass): boolean {
+    const key = `${size} ${kind}`;
+    const known = this.starved.get(key);
+    if (known !== undefined) return known;
+    const isStarved = this.kinds.isStarved(kind, size);
+    this.starved.set(key, isStarved);
+    return isStarved;
+  }
+
+  private getStanding(customer: string): CustomerStanding {
+    const known = this.standings.get(customer);
+    if (known !== undefined) return known;
+    const standing = {
+      served: this.customers.getServed(customer),
+      allowed: this.customers.computeAllowed(customer),
+    };
+    this.standings.set(customer, standing);
+    return standing;
+  }
+
+  private expireStandings(): void {
+    const now = performance.now();
+    if (now - this.standingAt < STANDING_MS) return;
+    this.standingAt = now;
+    this.starved = new Map();
+    this.standings = new Map();
+  }
+}
+
+function getCustomer({customer}: QueuedRequest): string {
+  return customer ?? '';
+}
--- /dev/null
+++ b/packages/routing/src/lib/forwarding/serviceDemand.ts
@@ -0,0 +1,121 @@
+/** Work asked for lately, by customer; the unit is that of the work of a request. @public */
+export type CustomerTable = Readonly<Record<string, number>>;
+
+/** Requests that ended lately, and how many of them got a place. @public */
+export type OutcomeCounts = readonly [ended: number, served: number];
+
+/** Outcomes by kind of request, and by kind and size. @public */
+export type OutcomeTable = Readonly<Record<string, OutcomeCounts>>;
+
+/** What entries know of the demand for one service and of the places that it gets. @public */
+export interface ServiceDemand {
+  /** Places that requests take, or that come free, in a second. */
+  readonly placesPerSecond: number;
+  /** Waiting requests by urgency class, the most urgent first. */
+  readonly waiting: readonly number[];
+  readonly customers: CustomerTable;
+  readonly outcomes: OutcomeTable;
+}
+
+/** Demand by service. @public */
+export type DemandTable = Readonly<Record<string, ServiceDemand>>;
+
+/** The demand for a service of which nothing is known. @public */
+export const NO_DEMAND: ServiceDemand = {
+  placesPerSecond: 0,
+  waiting: [],
+  customers: {},
+  outcomes: {},
+};
+
+/** Maximum number of customers, or of outcomes, in the demand for one service: the largest ones. */
+const MAX_DEMAND_NAMES = 64;
+
+/**
+ * Sums tables of demand.
+ *
+ * @example
+ * ```ts
+ * sumDemand([{drafts: mine}, {drafts: theirs}]).drafts;
+ * ```
+ * @public
+ */
+export function sumDemand(tables: readonly DemandTable[]): DemandTable {
+  const sum: Record<string, ServiceDemand> = {};
+  for (const [service, demand] of tables.flatMap(
+    Object.entries<ServiceDemand>,
+  )) {
+    sum[service] = mergeDemand(sum[service] ?? NO_DEMAND, demand, 1);
+  }
+  return sum;
+}
+
+/**
+ * Computes the demand that is left of a total without a part of it.
+ *
+ * @example
+ * ```ts
+ * computeOthersDemand(total, own).drafts?.waiting;
+ * ```
+ * @public
+ */
+export function computeOthersDemand(
+  total: DemandTable,
+  part: DemandTable,
+): DemandTable {
+  const entries = Object.entries(total).map(([service, demand]) => [
+    service,
+    mergeDemand(demand, part[service] ?? NO_DEMAND, -1),
+  ]);
+  return Object.fromEntries(entries) as DemandTable;
+}
+
+/** Adds the other demand with a sign; nothing becomes negative. */
+function mergeDemand(
+  demand: ServiceDemand,
+  other: ServiceDemand,
+  sign: 1 | -1,
+): ServiceDemand {
+  const add = (mine = 0, theirs = 0) => Math.max(0, mine + sign * theirs);
+  const length = Math.max(demand.waiting.length, other.waiting.length);
+  const customers: Record<string, number> = {...demand.customers};
+  for (const [customer, work] of Object.entries(other.customers)) {
+    customers[customer] = add(customers[customer], work);
+  }
+  const outcomes: Record<string, OutcomeCounts> = {...demand.outcomes};
+  for (const [name, [ended, served]] of Object.entries(other.outcomes)) {
+    const [knownEnded, knownServed] = outcomes[name] ?? [0, 0];
+    outcomes[name] = [add(knownEnded, ended), add(knownServed, served)];
+  }
+  return {
+    placesPerSecond: add(demand.placesPerSecond, other.placesPerSecond),
+    waiting: Array.from({length}, (_, index) =>
+      add(demand.waiting[index], other.waiting[index]),
+    ),
+    customers: limitNames(customers, work => work),
+    outcomes: limitNames(outcomes, ([ended]) => ended),
+  };
+}
+
+/**
+ * Leaves out the names without a value, and all but those with the largest ones.
+ *
+ * @example
+ * ```ts
+ * limitNames({clinic: 3, shop: 0}, work => work); // {clinic: 3}
+ * ```
+ * @public
+ */
+export function limitNames<Value>(
+  table: Readonly<Record<string, Value>>,
+  getSize: (value: Value) => number,
+): Readonly<Record<string, Value>> {
+  const entries = Object.entries(table)
+    .map(([name, value]) => ({name, value, size: getSize(value)}))
+    .filter(({size}) => size > 0);
+  if (entries.length > MAX_DEMAND_NAMES) {
+    entries.sort((first, second) => second.size - first.size);
+  }
+  const kept = entries.slice(0, MAX_DEMAND_NAMES);
+  return Object.fromEntries(kept.map(({name, value}) => [name, value]));
+}
--- a/packages/routing/src/test/forwarding.test.ts
+++ b/packages/routing/src/test/forwarding.test.ts
@@ -66,7 +66,14 @@
 function buildWork(priority: number, slot: {isFree: boolean}, waitMs = 100) {
   return {
     priority,
+    customer: undefined,
+    kind: 'drafts',
+    work: 1,
+    draw: 0,
+    needs: '',
+    startBy: performance.now() + waitMs,
     abandonAt: performance.now() + waitMs,
+    deadlineAt: performance.now() + 2 * waitMs,
     signal: new AbortController().signal,
     tryReserveSlot: () => {
       if (!slot.isFree) return undefined;
