--- a/packages/bench/src/lib/experiments/experimentTable.ts
+++ b/packages/bench/src/lib/experiments/experimentTable.ts
@@ -6,6 +6,7 @@
 import {headOfLine} from './headOfLine.js';
 import {membership} from './membership.js';
 import {overhead} from './overhead.js';
+import {queue} from './queue.js';
 import {restart} from './restart.js';
 import {rollout} from './rollout.js';
 import {slopes} from './slopes.js';
@@ -20,6 +21,7 @@
   'head-of-line': headOfLine,
   membership,
   overhead,
+  queue,
   restart,
   rollout,
   slopes,
