A decision with 500 waiting requests: full servers are not scanned twice, ranks are computed once

Cause: each offer tried each model's requests against all 600 servers and looked for a closure every time; ranks were computed per waiter with string keys and the clock.

Change: hasFreeSlot before the scan, the closure looked for once in 20 ms, needs without the model, two tries for the same needs; experiment `queue` (npm run bench -- queue).

--- a/packages/bench/src/lib/experiments/queue.ts
+++ b/packages/bench/src/lib/experiments/queue.ts
@@ -155,6 +155,7 @@
   const figures = Object.entries(times).map(([name, values]) => ({
     name,
     meanMs: computeMean(values),
+    p50Ms: computeQuantile(values, 0.5),
     p99Ms: computeQuantile(values, 0.99),
   }));
   return {
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -20,6 +20,8 @@
 /** Maximum retry delay when every server limits its requests, in milliseconds. */
 const MAX_LIMIT_RETRY_MS = 5_000;
 const MS_PER_SECOND = 1_000;
+/** Time for which a service without free slots counts as open, in milliseconds. */
+const OPEN_MS = 20;
 /** What a prompt token costs a server, as a fraction of an answer token. */
 const PROMPT_TOKEN_WORK = 0.25;
 
@@ -80,6 +82,8 @@
  * @public
  */
 export class Placement {
+  /** When some server of a service was last known to take requests, on the monotonic clock. */
+  private readonly openAt = new Map<string, number>();
   private readonly queues = new Map<string, PlacementQueue>();
   private readonly slowStart: SlowStart;
   private readonly availability: ServerAvailability;
@@ -171,7 +175,7 @@
   }
 
   private buildWork(demand: PlacementRequest): WaitingWork<SlotReservation> {
-    const {request, variant, model} = demand;
+    const {request, variant} = demand;
     const {promptTokens, answerTokens} = request.size;
     return {
       priority: demand.priority,
@@ -182,7 +186,7 @@
       startBy: demand.startBy,
       abandonAt: demand.abandonAt,
       deadlineAt: demand.deadlineAt,
-      needs: `${variant} ${model ?? ''}`,
+      needs: variant,
       signal: demand.signal,
       tryReserveSlot: () => this.tryReserveSlot(demand),
       onQueued: demand.onQueued,
@@ -192,12 +196,17 @@
   private tryReserveSlot(
     demand: PlacementRequest,
   ): SlotReservation | undefined {
-    const closure = this.findClosure(demand.service);
-    if (closure) throw closure;
+    if (!this.availability.hasFreeSlot(demand.service)) {
+      this.checkOpen(demand.service);
+      return undefined;
+    }
     const available = this.availability.listAvailable(demand);
     const usable = this.slowStart.filterServers(available);
     const choice = this.chooser.choose(demand, usable);
-    if (!choice) return undefined;
+    if (!choice) {
+      this.checkOpen(demand.service);
+      return undefined;
+    }
     const {server, ownMs, aloneMs, tokensToPrefill} = choice;
     this.slowStart.recordChoice(available, server);
     this.options.servers.limits.takePermit(server.listing.registration);
@@ -231,6 +240,16 @@
     };
   }
 
+  /** Throws the refusal of all requests of a service if no server takes any. */
+  private checkOpen(service: RoutedService): void {
+    const now = performance.now();
+    const checkedAt = this.openAt.get(service.name) ?? -Infinity;
+    if (now - checkedAt < OPEN_MS) return;
+    const closure = this.findClosure(service);
+    if (closure) throw closure;
+    this.openAt.set(service.name, now);
+  }
+
   /**
    * Returns the refusal of all requests of a service whose servers all leave or want no requests yet.
    * While no server is known at all, the first listing may be on its way.
@@ -259,6 +278,7 @@
     {service, abandonAt}: PlacementRequest,
     waiting: number,
   ): void {
+    if (waiting === 0) return;
     const {servers} = this.options;
     const {limits} = servers;
     const ready = servers.listReady(service.name);
--- a/packages/gateway/src/lib/ServerAvailability.ts
+++ b/packages/gateway/src/lib/ServerAvailability.ts
@@ -44,6 +44,15 @@
     return [healthy, untried, available].find(({length}) => length > 0) ?? [];
   }
 
+  /** Returns whether any server of a service, whatever its state, has a free slot. */
+  hasFreeSlot({name, engine}: RoutedService): boolean {
+    return this.servers.matchAny(({listing, inFlight, othersInFlight}) => {
+      const {service, slots} = listing.registration;
+      const load = inFlight + othersInFlight;
+      return service === name && load < countSlots(slots, engine);
+    });
+  }
+
   private hasCapacity(server: KnownServer, {engine}: RoutedService): boolean {
     const {registration} = server.listing;
     const {slots} = registration;
@@ -53,6 +62,11 @@
       return server.inFlight === 0;
     }
     const load = server.inFlight + server.othersInFlight;
-    return load < (engine ? slots : slots * (1 + OVERCOMMIT_FRACTION));
+    return load < countSlots(slots, engine);
   }
 }
+
+/** Counts the requests that a server may have at a time. */
+function countSlots(slots: number, engine: RoutedService['engine']): number {
+  return engine ? slots : slots * (1 + OVERCOMMIT_FRACTION);
+}
--- a/packages/gateway/src/lib/ServerNotices.ts
+++ b/packages/gateway/src/lib/ServerNotices.ts
@@ -86,7 +86,8 @@
   /** Returns how long a server still wants no requests, in milliseconds; 0 if it accepts them. */
   getHoldMs(server: Incarnation): number {
     const state = this.states.get(buildIncarnationKey(server));
-    return Math.max(0, (state?.heldUntil ?? 0) - performance.now());
+    if (!state) return 0;
+    return Math.max(0, state.heldUntil - performance.now());
   }
 
   /** Returns whether a server has not answered since its hold; it gets one request at a time. */
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -168,6 +168,14 @@
     );
   }
 
+  /** Returns whether a condition holds for any server. */
+  matchAny(matches: (server: KnownServer) => boolean): boolean {
+    for (const server of this.servers.values()) {
+      if (matches(server)) return true;
+    }
+    return false;
+  }
+
   /** Returns whether any server of a service is known, even one that leaves. */
   hasServers(service: string): boolean {
     return [...this.servers.values()].some(
--- a/packages/routing/src/lib/forwarding/PlacementQueue.ts
+++ b/packages/routing/src/lib/forwarding/PlacementQueue.ts
@@ -53,6 +53,8 @@
 const MAX_BLOCKED_NEEDS = 8;
 /** Maximum number of needs of which the last place is known. */
 const MAX_NEEDS = 100;
+/** Time for which ranks are reused when a request arrives, in milliseconds. */
+const RANK_MS = 20;
 /** How far the expected wait of a waiting request has to exceed its limit for a refusal. */
 const REVIEW_MARGIN = 1.5;
 /** Time in which some request with the same needs must have got a place for others to yield, in ms. */
@@ -68,6 +70,7 @@
   private readonly waiters = new Set<Waiter>();
   /** When a request with these needs last got a place, on the monotonic clock. */
   private readonly placedAt = new Map<string, number>();
+  private rankedAt = -Infinity;
   private offerTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly policy = new QueuePolicy()) {}
@@ -120,14 +123,14 @@
     if (this.waiters.size === 0) return;
     this.updateRanks();
     const blocked = new Map<string, number>();
-    let failures = 0;
-    while (failures < MAX_BLOCKED_NEEDS) {
+    while (blocked.size < MAX_BLOCKED_NEEDS) {
       const next = chooseNextWaiter(this.waiters, blocked);
       if (!next) return;
       if (this.policy.checkYield(next.rank)) return this.scheduleOffer();
       if (next.trySettle()) continue;
-      blocked.set(next.needs, next.sizeClass);
-      failures += 1;
+      // The second try is one for a smaller request.
+      const isLastTry = blocked.has(next.needs);
+      blocked.set(next.needs, isLastTry ? 0 : next.sizeClass);
     }
   }
 
@@ -171,7 +174,7 @@
   }
 
   private describeQueue(rank: WaiterRank): QueueNote {
-    this.updateRanks();
+    this.updateRanks(RANK_MS);
     let ahead = 0;
     for (const waiter of this.waiters) {
       if (compareRanks(waiter.rank, rank) <= 0) ahead += 1;
@@ -213,7 +216,7 @@
     rank: WaiterRank,
   ): boolean {
     if (this.waiters.size === 0) return false;
-    this.updateRanks();
+    this.updateRanks(RANK_MS);
     const sizeClass = classifyWork(work);
     for (const waiter of this.waiters) {
       if (waiter.needs !== work.needs || waiter.sizeClass > sizeClass) continue;
@@ -222,9 +225,12 @@
     return false;
   }
 
-  private updateRanks(): void {
+  private updateRanks(maxAgeMs = 0): void {
+    const now = performance.now();
+    if (now - this.rankedAt < maxAgeMs) return;
+    this.rankedAt = now;
     for (const waiter of this.waiters) {
-      waiter.rank = this.policy.rateRequest(waiter.classified);
+      waiter.rank = this.policy.rateRequest(waiter.classified, now);
     }
   }
 
--- a/packages/routing/src/lib/forwarding/QueuePolicy.ts
+++ b/packages/routing/src/lib/forwarding/QueuePolicy.ts
@@ -34,6 +34,9 @@
 export interface ClassifiedRequest {
   readonly request: QueuedRequest;
   readonly size: SizeClass;
+  readonly customer: string;
+  /** Names its kind and size. */
+  readonly kindAndSize: string;
 }
 
 /** How a customer stands against the others. */
@@ -76,16 +79,15 @@
   /** Records a request and classifies it. */
   classifyRequest(request: QueuedRequest): ClassifiedRequest {
     const {kind, priority, work} = request;
-    const customer = getCustomer(request);
+    const customer = request.customer ?? '';
     this.customers.recordRequest(customer, work);
     const size = this.kinds.classifySize(kind, priority, work);
-    return {request, size};
+    return {request, size, customer, kindAndSize: `${size} ${kind}`};
   }
 
   /** Records that a request got a place. */
   recordPlaced(classified: ClassifiedRequest): void {
-    const {request, size} = classified;
-    const customer = getCustomer(request);
+    const {request, size, customer} = classified;
     const {urgency} = this.rateRequest(classified);
     this.flow.recordPlaced(classifyUrgency(urgency));
     this.customers.recordServed(customer, request.work);
@@ -143,15 +145,19 @@
   }
 
   /** Rates where a request stands now. */
-  rateRequest({request, size}: ClassifiedRequest): WaiterRank {
-    const {priority, startBy} = request;
-    this.expireStandings();
-    const {served, allowed} = this.getStanding(getCustomer(request));
+  rateRequest(
+    classified: ClassifiedRequest,
+    now = performance.now(),
+  ): WaiterRank {
+    const {request, customer} = classified;
+    const {priority, startBy, draw} = request;
+    this.expireStandings(now);
+    const {served, allowed} = this.getStanding(customer);
     const urgency = computeUrgency({
       priority,
-      isLate: performance.now() > startBy,
-      isExcess: request.draw >= allowed,
-      isStarved: this.isStarved(request.kind, size),
+      isLate: now > startBy,
+      isExcess: draw >= allowed,
+      isStarved: this.isStarved(classified),
     });
     return {urgency, served, startBy};
   }
@@ -188,12 +194,12 @@
     };
   }
 
-  private isStarved(kind: string, size: SizeClass): boolean {
-    const key = `${size} ${kind}`;
-    const known = this.starved.get(key);
+  private isStarved(classified: ClassifiedRequest): boolean {
+    const {request, size, kindAndSize} = classified;
+    const known = this.starved.get(kindAndSize);
     if (known !== undefined) return known;
-    const isStarved = this.kinds.isStarved(kind, size);
-    this.starved.set(key, isStarved);
+    const isStarved = this.kinds.isStarved(request.kind, size);
+    this.starved.set(kindAndSize, isStarved);
     return isStarved;
   }
 
@@ -208,15 +214,10 @@
     return standing;
   }
 
-  private expireStandings(): void {
-    const now = performance.now();
+  private expireStandings(now: number): void {
     if (now - this.standingAt < STANDING_MS) return;
     this.standingAt = now;
     this.starved = new Map();
     this.standings = new Map();
   }
 }
-
-function getCustomer({customer}: QueuedRequest): string {
-  return customer ?? '';
-}
