--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -20,6 +20,11 @@
 /** Maximum retry delay when every server limits its requests, in milliseconds. */
 const MAX_LIMIT_RETRY_MS = 5_000;
 const MS_PER_SECOND = 1_000;
+/**
+ * Part of its wait for which a request waits if every server limits its requests: permits come at a
+ * known pace.
+ */
+const LIMITED_WAIT_FRACTION = 0.4;
 /** Time for which a service without free slots counts as open, in milliseconds. */
 const OPEN_MS = 20;
 /** What a prompt token costs a server, as a fraction of an answer token. */
@@ -105,8 +110,13 @@
     const service = demand.service.name;
     const queue = this.getQueue(service);
     this.options.servers.limits.recordDemand(service);
-    this.refuseIfLimited(demand, queue.countAhead(demand.priority));
-    return queue.acquire(this.buildWork(demand));
+    const work = this.buildWork(demand);
+    if (!this.isLimited(service)) return queue.acquire(work);
+    const now = performance.now();
+    const abandonAt = now + (demand.abandonAt - now) * LIMITED_WAIT_FRACTION;
+    const limited = {...demand, abandonAt};
+    this.refuseIfLimited(limited, queue.countAhead(demand.priority));
+    return queue.acquire({...work, abandonAt});
   }
 
   /** Reserves a slot if one is free now and no other request waits for it. */
@@ -270,6 +280,17 @@
     return buildRefusal('every server wants a pause', false, holdMs);
   }
 
+  /** Returns whether all servers of a service that may take requests limit them. */
+  private isLimited(service: string): boolean {
+    const {servers} = this.options;
+    return !servers.matchAny(
+      ({listing: {registration}}) =>
+        registration.service === service &&
+        registration.state === 'ready' &&
+        servers.limits.getPerSecond(registration) === undefined,
+    );
+  }
+
   /**
    * Refuses a request at once if every server of its service limits its requests, and those that wait
    * already use up what this entry may send in the time that the request may wait.
@@ -278,7 +299,6 @@
     {service, abandonAt}: PlacementRequest,
     waiting: number,
   ): void {
-    if (waiting === 0) return;
     const {servers} = this.options;
     const {limits} = servers;
     const ready = servers.listReady(service.name);
