--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -199,6 +199,7 @@
     const {cold} = this.servers;
     this.metrics.setWaiting(this.placement.countWaiting());
     this.metrics.recordCold(cold.countCold(), cold.takeCounts());
+    this.metrics.setWaitingByUrgency(this.placement.countByUrgency());
     try {
       await this.reporter.exchangeReports();
     } catch (error) {
--- a/packages/gateway/src/lib/GatewayMetrics.ts
+++ b/packages/gateway/src/lib/GatewayMetrics.ts
@@ -1,3 +1,4 @@
+import type {QueueRefusalReason} from '@sycamorehead/routing';
 import type {ErrorKind} from '@sycamorehead/schema';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {ColdCounts} from './ColdServers.js';
@@ -37,6 +38,10 @@
   private readonly quarantined = this.createCounter('quarantined_total', [
     'service',
   ]);
+  private readonly queueRefusals = this.createCounter('queue_refusals_total', [
+    'service',
+    'reason',
+  ]);
   private readonly waits = this.createHistogram('queue_wait_seconds');
   private readonly firstBytes = this.createHistogram('first_byte_seconds');
   private readonly waiting = new Gauge({
@@ -44,6 +49,12 @@
     help: 'Requests that wait for a place',
     registers: [this.registry],
   });
+  private readonly waitingByUrgency = new Gauge({
+    name: 'syc_gateway_waiting_by_urgency',
+    help: 'Requests that wait for a place, by service and urgency class',
+    labelNames: ['service', 'urgency'],
+    registers: [this.registry],
+  });
 
   private readonly failures = this.createCounter('failures_total', [
     'route',
@@ -98,6 +109,11 @@
     this.quarantined.inc({service});
   }
 
+  /** Counts a request that got no place. */
+  recordQueueRefusal(service: string, reason: QueueRefusalReason): void {
+    this.queueRefusals.inc({service, reason});
+  }
+
   /** Records how long a request waited for a slot. */
   recordWait(ms: number): void {
     this.waits.observe(ms / 1_000);
@@ -129,6 +145,16 @@
     this.waiting.set(count);
   }
 
+  /** Sets the requests that wait, by service and urgency class. */
+  setWaitingByUrgency(counts: ReadonlyMap<string, readonly number[]>): void {
+    this.waitingByUrgency.reset();
+    for (const [service, classes] of counts) {
+      classes.forEach((count, urgency) =>
+        this.waitingByUrgency.set({service, urgency}, count),
+      );
+    }
+  }
+
   private createCounter(name: string, labelNames: string[]): Counter {
     return new Counter({
       name: `syc_gateway_${name}`,
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -1,5 +1,12 @@
 import type {RoutedService, SycamoreheadError} from '@sycamorehead/schema';
-import {PlacementQueue} from '@sycamorehead/routing';
+import {
+  DemandTable,
+  PlacementQueue,
+  QueueNote,
+  ServiceDemand,
+  WaitingWork,
+  hashToShare,
+} from '@sycamorehead/routing';
 import type {CallerRequest} from './CallerRequest.js';
 import {buildEvacuationRefusal, buildRefusal} from './refusals.js';
 import {ServerAvailability} from './ServerAvailability.js';
@@ -13,6 +20,15 @@
 /** Maximum retry delay when every server limits its requests, in milliseconds. */
 const MAX_LIMIT_RETRY_MS = 5_000;
 const MS_PER_SECOND = 1_000;
+/**
+ * Part of its wait for which a request waits if every server limits its requests: permits come at a
+ * known pace.
+ */
+const LIMITED_WAIT_FRACTION = 0.4;
+/** Time for which a service without free slots counts as open, in milliseconds. */
+const OPEN_MS = 20;
+/** What a prompt token costs a server, as a fraction of an answer token. */
+const PROMPT_TOKEN_WORK = 0.25;
 
 /** The requirements of a request for a slot. @public */
 export interface PlacementRequest {
@@ -24,10 +40,18 @@
   /** Model named to the server; undefined for services without models. */
   readonly model: string | undefined;
   readonly priority: number;
+  /** Undefined if requests carry no keys. */
+  readonly customer: string | undefined;
   /** Ids of servers that have already failed or refused this request. */
   readonly tried: ReadonlySet<string>;
+  /** The time until which a send is probably answered in time, on the monotonic clock. */
+  readonly startBy: number;
   readonly abandonAt: number;
+  /** The time until which the caller waits for the answer, on the monotonic clock. */
+  readonly deadlineAt: number;
   readonly signal: AbortSignal;
+  /** Called when the request begins to wait. */
+  onQueued?(note: QueueNote): void;
 }
 
 /** A reserved slot of a server, to be released once the request is done there. @public */
@@ -70,6 +94,8 @@
  * @public
  */
 export class Placement {
+  /** When some server of a service was last known to take requests, on the monotonic clock. */
+  private readonly openAt = new Map<string, number>();
   private readonly queues = new Map<string, PlacementQueue>();
   private readonly slowStart: SlowStart;
   private readonly availability: ServerAvailability;
@@ -92,23 +118,21 @@
     const queue = this.getQueue(service);
     this.recordDemand(service);
     this.refuseIfEvacuated(demand);
-    this.refuseIfLimited(demand, queue.countAhead(demand.priority));
-    return queue.acquire({
-      priority: demand.priority,
-      abandonAt: demand.abandonAt,
-      signal: demand.signal,
-      tryReserveSlot: () => this.tryReserveSlot(demand),
-    });
+    const work = this.buildWork(demand);
+    if (!this.isLimited(service)) return queue.acquire(work);
+    const now = performance.now();
+    const abandonAt = now + (demand.abandonAt - now) * LIMITED_WAIT_FRACTION;
+    const limited = {...demand, abandonAt};
+    this.refuseIfLimited(limited, queue.countAhead(demand.priority));
+    return queue.acquire({...work, abandonAt});
   }
 
   /** Reserves a slot if one is free now and no other request waits for it. */
   tryAcquire(demand: PlacementRequest): SlotReservation | undefined {
     const service = demand.service.name;
-    if (this.getQueue(service).countAhead(demand.priority) > 0) {
-      return undefined;
-    }
     if (this.findClosure(demand)) return undefined;
-    const reservation = this.tryReserveSlot(demand);
+    const work = this.buildWork(demand);
+    const reservation = this.getQueue(service).tryAcquire(work);
     if (reservation) this.recordDemand(service);
     return reservation;
   }
@@ -118,6 +142,13 @@
     for (const queue of this.queues.values()) queue.offerSlots();
   }
 
+  /** Applies what the other entries have reported of the demand, by service. */
+  updateOthersDemand(table: DemandTable): void {
+    for (const [service, queue] of this.queues) {
+      queue.updateOthers(table[service]);
+    }
+  }
+
   /**
    * Measures the load of a service's engines: the average work pending on each, relative to the
    * fraction of the target latency that may pass before prefill begins.
@@ -148,21 +179,63 @@
     return total;
   }
 
+  /** Counts the waiting requests of each service by urgency class. */
+  countByUrgency(): ReadonlyMap<string, readonly number[]> {
+    const entries = [...this.queues].map(
+      ([service, queue]) => [service, queue.countByUrgency()] as const,
+    );
+    return new Map(entries);
+  }
+
+  /** Describes the demand here to the other entries, by service. */
+  describeDemand(): DemandTable {
+    const table: Record<string, ServiceDemand> = {};
+    for (const [service, queue] of this.queues) {
+      table[service] = queue.describeDemand();
+    }
+    return table;
+  }
+
   private recordDemand(service: string): void {
     const {limits, cold} = this.options.servers;
     limits.recordDemand(service);
     cold.recordDemand(service);
   }
 
+  private buildWork(demand: PlacementRequest): WaitingWork<SlotReservation> {
+    const {request, variant} = demand;
+    const {promptTokens, answerTokens} = request.size;
+    return {
+      priority: demand.priority,
+      customer: demand.customer,
+      kind: demand.route,
+      work: answerTokens + promptTokens * PROMPT_TOKEN_WORK,
+      draw: hashToShare(`draw ${request.id}`),
+      startBy: demand.startBy,
+      abandonAt: demand.abandonAt,
+      deadlineAt: demand.deadlineAt,
+      needs: variant,
+      signal: demand.signal,
+      tryReserveSlot: () => this.tryReserveSlot(demand),
+      onQueued: demand.onQueued,
+    };
+  }
+
   private tryReserveSlot(
     demand: PlacementRequest,
   ): SlotReservation | undefined {
-    const closure = this.findClosure(demand);
-    if (closure) throw closure;
+    this.refuseIfEvacuated(demand);
+    if (!this.availability.hasFreeSlot(demand.service)) {
+      this.checkOpen(demand);
+      return undefined;
+    }
     const available = this.availability.listAvailable(demand);
     const usable = this.slowStart.filterServers(available);
     const choice = this.chooser.choose(demand, usable);
-    if (!choice) return undefined;
+    if (!choice) {
+      this.checkOpen(demand);
+      return undefined;
+    }
     const {server, ownMs, aloneMs, tokensToPrefill} = choice;
     this.slowStart.recordChoice(available, server);
     const {limits, cold} = this.options.servers;
@@ -198,7 +271,7 @@
       isReserved = false;
       if (!isConfirmed) restorePermit();
       server.inFlight -= 1;
-      this.queues.get(demand.service.name)?.offerSlots();
+      this.queues.get(demand.service.name)?.recordFreed();
     };
     return {
       server,
@@ -214,6 +287,17 @@
     };
   }
 
+  /** Throws the refusal of all requests of a service if no server takes any. */
+  private checkOpen(demand: PlacementRequest): void {
+    const {name} = demand.service;
+    const now = performance.now();
+    const checkedAt = this.openAt.get(name) ?? -Infinity;
+    if (now - checkedAt < OPEN_MS) return;
+    const closure = this.findClosure(demand);
+    if (closure) throw closure;
+    this.openAt.set(name, now);
+  }
+
   /**
    * Returns the refusal of a request that no server may run now: those that might are in evacuated data
    * centres, leave or want no requests yet. While no server or no evacuation is known at all, the first
@@ -245,6 +329,17 @@
     if (evacuated.length > 0) throw buildEvacuationRefusal(evacuated);
   }
 
+  /** Returns whether all servers of a service that may take requests limit them. */
+  private isLimited(service: string): boolean {
+    const {servers} = this.options;
+    return !servers.matchAny(
+      ({listing: {registration}}) =>
+        registration.service === service &&
+        registration.state === 'ready' &&
+        servers.limits.getPerSecond(registration) === undefined,
+    );
+  }
+
   /**
    * Refuses a request at once if every server of its service limits its requests, and those that wait
    * already use up what this entry may send in the time that the request may wait.
