--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -196,6 +196,7 @@
       await this.reporter.exchangeReports();
     } catch (error) {
       log('exchange_failed', {error: String(error)});
+      this.placement.updateOthersDemand(undefined);
       // Sends to servers with a limit go on at a pace.
       this.placement.offerSlots();
     }
--- a/packages/gateway/src/lib/LoadReporter.ts
+++ b/packages/gateway/src/lib/LoadReporter.ts
@@ -75,7 +75,7 @@
     this.suspects = reply.suspects ?? [];
     crashes.setSuspects(this.suspects);
     crashes.setSuspended(reply.suspended ?? []);
-    placement.updateOthersDemand(reply.demand ?? {});
+    placement.updateOthersDemand(reply.isIsolated ? undefined : reply.demand);
     placement.offerSlots();
   }
 }
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -1,6 +1,7 @@
 import type {RoutedService, SycamoreheadError} from '@sycamorehead/schema';
 import {
   DemandTable,
+  NO_DEMAND,
   PlacementQueue,
   QueueNote,
   ServiceDemand,
@@ -134,10 +135,10 @@
     for (const queue of this.queues.values()) queue.offerSlots();
   }
 
-  /** Applies what the other entries have reported of the demand, by service. */
-  updateOthersDemand(table: DemandTable): void {
+  /** Applies what the other entries have reported of the demand; undefined if that is unknown. */
+  updateOthersDemand(table: DemandTable | undefined): void {
     for (const [service, queue] of this.queues) {
-      queue.updateOthers(table[service]);
+      queue.updateOthers(table && (table[service] ?? NO_DEMAND));
     }
   }
 
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -67,6 +67,7 @@
 export {QueueRefusal} from './lib/forwarding/QueueRefusal.js';
 export type {QueueRefusalReason} from './lib/forwarding/QueueRefusal.js';
 export {
+  NO_DEMAND,
   computeOthersDemand,
   sumDemand,
 } from './lib/forwarding/serviceDemand.js';
--- a/packages/routing/src/lib/forwarding/FairShares.ts
+++ b/packages/routing/src/lib/forwarding/FairShares.ts
@@ -42,9 +42,13 @@
     getSum(this.served, customer).add(work);
   }
 
-  /** Sets what other entries are asked for, and averages the demand; to be called regularly. */
-  updateOthers(others: CustomerTable): void {
+  /** Sets what other entries are asked for. */
+  setOthers(others: CustomerTable): void {
     this.others = others;
+  }
+
+  /** Averages the demand at all entries; to be called regularly. */
+  updateUsual(): void {
     const now = performance.now();
     const gain = 1 - Math.exp((this.averagedAt - now) / USUAL_MS);
     // At the beginning the average is one over the time so far.
--- a/packages/routing/src/lib/forwarding/QueuePolicy.ts
+++ b/packages/routing/src/lib/forwarding/QueuePolicy.ts
@@ -120,11 +120,14 @@
     return new QueueRefusal(reason, retryAfterMs);
   }
 
-  /** Sets what the other entries have reported. */
+  /** Sets what the other entries have reported; undefined if that is unknown. */
   updateOthers(demand: ServiceDemand | undefined): void {
+    const {customers, outcomes} = demand ?? NO_DEMAND;
     this.flow.setOthers(demand ?? NO_DEMAND);
-    this.customers.updateOthers(demand?.customers ?? {});
-    this.kinds.setOthers(demand?.outcomes ?? {});
+    this.kinds.setOthers(outcomes);
+    this.customers.setOthers(customers);
+    // The demand at this entry alone is not what is usual.
+    if (demand) this.customers.updateUsual();
   }
 
   /** Returns whether a request leaves free places to more urgent ones of other entries for now. */
--- a/packages/routing/src/lib/forwarding/computeUrgency.ts
+++ b/packages/routing/src/lib/forwarding/computeUrgency.ts
@@ -1,7 +1,7 @@
 /** What a request that would be answered late gives way by, in levels of priority. */
 const LATE_PENALTY = 1.5;
-/** Behind all levels of priority: what a customer asks for beyond its share. */
-const EXCESS_PENALTY = 10;
+/** Behind all levels of priority, late or not: what a customer asks for beyond its share. */
+const EXCESS_PENALTY = 11;
 /** Before all levels of priority: kinds and sizes that are hardly served. */
 const STARVED_BONUS = 10;
 /** Number of the classes in which entries count waiting requests for each other. @public */
--- a/packages/routing/src/test/QueueReplay.ts
+++ b/packages/routing/src/test/QueueReplay.ts
@@ -2,6 +2,7 @@
 import {SycamoreheadError} from '@sycamorehead/schema';
 import {PlacementQueue} from '../lib/forwarding/PlacementQueue.js';
 import {QueuePolicy} from '../lib/forwarding/QueuePolicy.js';
+import {NO_DEMAND} from '../lib/forwarding/serviceDemand.js';
 
 /** A kind of request that callers send. */
 export interface ReplayedKind {
@@ -120,7 +121,7 @@
         }
       }
       await this.clock.tickAsync(stepMs);
-      if (ms % 100 === 0) this.queue.updateOthers(undefined);
+      if (ms % 100 === 0) this.queue.updateOthers(NO_DEMAND);
       const free = this.free.get('') ?? 0;
       if (this.queue.length > 0) this.idleMs += free * stepMs;
     }
