--- a/packages/fleet/src/lib/StateConfirmation.ts
+++ b/packages/fleet/src/lib/StateConfirmation.ts
@@ -5,7 +5,7 @@
 const log = createLogger('fleet');
 
 /** Time between two attempts, in milliseconds. */
-const ATTEMPT_INTERVAL_MS = 50;
+const ATTEMPT_INTERVAL_MS = 100;
 
 /** Dependencies of a StateConfirmation. @internal */
 export interface StateConfirmationOptions {
