Memory of engines: room for running requests, belief about kept prompts, pooled pace

Cause: slots alone counted, a prompt's part was taken as kept for 30 s whatever the server read since, and a server's slowness came from the few answers that one entry sees. Change: ServerMemory counts what running requests need to their end (own sends exactly, others' by the load exchange); filterByMemory keeps requests from engines without room; KeptPrompts believes what fits beside them; scoreServer weighs displaced reading and lateness; ServerPace pools time ratios of all entries. ServerLoad grew by optional numbers.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,5 +1,6 @@
 /** Control plane of a fleet with declared routes. */
 export {FLEET_METHODS} from './lib/fleetMessages.js';
+export {buildServerLoad} from './lib/serverLoad.js';
 export type {
   ControlIdentity,
   CrashEvidenceReport,
--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -14,6 +14,7 @@
   ServerLoad,
 } from './fleetMessages.js';
 import {RouteEvidence, groupByRoute, mergeEvidence} from './rolloutEvidence.js';
+import {addLoad, computeOthersLoad} from './serverLoad.js';
 
 /** Age above which a report or a digest is ignored, in milliseconds. */
 const LOAD_EXPIRY_MS = 1_500;
@@ -223,34 +224,6 @@
   return {load, prefill, leaving: [...leaving], kept: [...kept]};
 }
 
-function addLoad(sum: Record<string, ServerLoad>, load: LoadTable): void {
-  for (const [id, [inFlight, pendingMs, active = 0]] of Object.entries(load)) {
-    const [knownInFlight, knownPendingMs, knownActive = 0] = sum[id] ?? [0, 0];
-    sum[id] = [
-      knownInFlight + inFlight,
-      knownPendingMs + pendingMs,
-      knownActive + active,
-    ];
-  }
-}
-
-/** Returns the load without a part of it; servers without load are left out. */
-function computeOthersLoad(load: LoadTable, part: LoadTable): LoadTable {
-  const rest: Record<string, ServerLoad> = {};
-  for (const [id, [inFlight, pendingMs, active = 0]] of Object.entries(load)) {
-    const [ownInFlight, ownPendingMs, ownActive = 0] = part[id] ?? [0, 0];
-    const left = inFlight - ownInFlight;
-    const leftActive = active - ownActive;
-    if (left <= 0 && leftActive <= 0) continue;
-    const leftPendingMs = pendingMs - ownPendingMs;
-    rest[id] =
-      leftActive > 0
-        ? [left, leftPendingMs, leftActive]
-        : [left, leftPendingMs];
-  }
-  return rest;
-}
-
 function addPrefill(
   sum: Record<string, PrefillSums>,
   table: PrefillSumTable,
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -202,8 +202,11 @@
 }
 
 /**
- * Requests in flight on a server, the estimated work whose answers have not begun, in ms, and the
- * number of entries that have just received something from it (absent from earlier builds).
+ * Requests in flight on a server, and the estimated work whose answers have not begun, in ms. Absent
+ * from earlier builds, and where they and all behind them are 0: the number of entries that have just
+ * received something from it; the tokens that the requests need to their end; the tokens that it was
+ * recently given to read; the number of its recent answers and the sum of the logarithms of their time
+ * ratios, in hundredths (`ServerPace`).
  *
  * @public
  */
@@ -211,6 +214,10 @@
   inFlight: number,
   pendingMs: number,
   active?: number,
+  heldTokens?: number,
+  readTokens?: number,
+  answers?: number,
+  logRatios?: number,
 ];
 
 /** Load by server id. @public */
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -89,6 +89,7 @@
       policy: policies.server,
       dataCentre,
       countEntries: () => this.budgets.countEntries(),
+      onMemoryFull: service => this.metrics.recordMemoryFull(service),
     });
     const context: ForwardContext = {
       names,
--- a/packages/gateway/src/lib/GatewayMetrics.ts
+++ b/packages/gateway/src/lib/GatewayMetrics.ts
@@ -35,6 +35,13 @@
   private readonly quarantined = this.createCounter('quarantined_total', [
     'service',
   ]);
+  private readonly promptTokens = this.createCounter('prompt_tokens_total', [
+    'service',
+    'source',
+  ]);
+  private readonly memoryFull = this.createCounter('memory_full_total', [
+    'service',
+  ]);
   private readonly waits = this.createHistogram('queue_wait_seconds');
   private readonly firstBytes = this.createHistogram('first_byte_seconds');
   private readonly waiting = new Gauge({
@@ -78,6 +85,17 @@
     this.quarantined.inc({service});
   }
 
+  /** Counts the tokens of a prompt that a server is believed to have kept, and those it has to read. */
+  recordPrompt(service: string, kept: number, read: number): void {
+    this.promptTokens.inc({service, source: 'kept'}, kept);
+    this.promptTokens.inc({service, source: 'read'}, read);
+  }
+
+  /** Counts a request that found no memory at servers that had slots left. */
+  recordMemoryFull(service: string): void {
+    this.memoryFull.inc({service});
+  }
+
   /** Records how long a request waited for a slot. */
   recordWait(ms: number): void {
     this.waits.observe(ms / 1_000);
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -1,5 +1,5 @@
 import type {RoutedService, SycamoreheadError} from '@sycamorehead/schema';
-import {PlacementQueue} from '@sycamorehead/routing';
+import {PlacementQueue, countNeededTokens} from '@sycamorehead/routing';
 import type {CallerRequest} from './CallerRequest.js';
 import {buildRefusal} from './refusals.js';
 import {ServerAvailability} from './ServerAvailability.js';
@@ -27,6 +27,8 @@
   /** Ids of servers that have already failed or refused this request. */
   readonly tried: ReadonlySet<string>;
   readonly abandonAt: number;
+  /** The latency objective of the first event, on the monotonic clock; undefined if it has gone out. */
+  readonly objectiveAt?: number;
   readonly signal: AbortSignal;
 }
 
@@ -35,6 +37,10 @@
   readonly server: KnownServer;
   /** Prompt tokens that the server probably has to prefill. */
   readonly tokensToPrefill: number;
+  /** Prompt tokens that the server is believed to have kept. */
+  readonly keptTokens: number;
+  /** Reading time that they save there, in milliseconds. */
+  readonly savedMs: number;
   /** The estimated work before the answer begins, in milliseconds. */
   readonly estimatedMs: number;
   /**
@@ -54,6 +60,8 @@
 /** Settings of a Placement. @public */
 export interface PlacementOptions extends ServerChooserOptions {
   readonly versions: VersionSplit;
+  /** Called when a request finds no memory at servers that have slots left. */
+  readonly onMemoryFull?: (service: string) => void;
 }
 
 /**
@@ -71,7 +79,9 @@
   constructor(private readonly options: PlacementOptions) {
     const {servers, versions} = options;
     this.slowStart = new SlowStart(server => servers.isSlow(server));
-    this.availability = new ServerAvailability(servers, versions);
+    this.availability = new ServerAvailability(servers, versions, service =>
+      options.onMemoryFull?.(service),
+    );
     this.chooser = new ServerChooser(options);
   }
 
@@ -84,6 +94,7 @@
     const service = demand.service.name;
     const queue = this.getQueue(service);
     this.options.servers.limits.recordDemand(service);
+    this.refuseIfTooLarge(demand);
     this.refuseIfLimited(demand, queue.countAhead(demand.priority));
     return queue.acquire({
       priority: demand.priority,
@@ -146,6 +157,7 @@
     const choice = this.chooser.choose(demand, usable);
     if (!choice) return undefined;
     const {server, ownMs, aloneMs, tokensToPrefill} = choice;
+    const {keptTokens, savedMs} = choice;
     this.slowStart.recordChoice(available, server);
     this.options.servers.limits.takePermit(server.listing.registration);
     const pendingMs = server.pendingMs + server.othersPendingMs;
@@ -153,22 +165,32 @@
     const load = server.inFlight + server.othersInFlight;
     server.inFlight += 1;
     server.pendingMs += ownMs;
+    const neededTokens = countNeededTokens(demand.request.size);
+    server.memory.reserve(neededTokens);
+    const awaited =
+      aloneMs === undefined
+        ? undefined
+        : server.pace.recordSend(pendingMs + aloneMs);
     let isPending = true;
     let isReserved = true;
     const markStarted = () => {
       if (isPending) server.pendingMs -= ownMs;
       isPending = false;
+      if (awaited) server.pace.recordStart(awaited);
     };
     const release = () => {
       markStarted();
       if (!isReserved) return;
       isReserved = false;
       server.inFlight -= 1;
+      server.memory.release(neededTokens);
       this.queues.get(demand.service.name)?.offerSlots();
     };
     return {
       server,
       tokensToPrefill,
+      keptTokens,
+      savedMs,
       estimatedMs: pendingMs + ownMs,
       expectedMs: aloneMs === undefined ? undefined : pendingMs + aloneMs,
       load,
@@ -198,6 +220,18 @@
     return buildRefusal('every server wants a pause', false, holdMs);
   }
 
+  /** Refuses a request at once that is larger than the memory of every server. */
+  private refuseIfTooLarge({request, service}: PlacementRequest): void {
+    const capacity = service.engine?.tokenCapacity ?? 0;
+    if (capacity <= 0 || countNeededTokens(request.size) <= capacity) return;
+    this.options.onMemoryFull?.(service.name);
+    throw buildRefusal(
+      'the request is larger than the memory of every server',
+      false,
+      MAX_LIMIT_RETRY_MS,
+    );
+  }
+
   /**
    * Refuses a request at once if every server of its service limits its requests, and those that wait
    * already use up what this entry may send in the time that the request may wait.
--- a/packages/gateway/src/lib/SendPlanner.ts
+++ b/packages/gateway/src/lib/SendPlanner.ts
@@ -157,6 +157,9 @@
       priority,
       tried,
       abandonAt: Math.min(getDeadline(), performance.now() + waitMs),
+      objectiveAt: this.options.answer.isBegun
+        ? undefined
+        : request.arrivedAt + route.targetLatencyMs,
       signal,
     };
   }
--- a/packages/gateway/src/lib/SendRecord.ts
+++ b/packages/gateway/src/lib/SendRecord.ts
@@ -52,6 +52,14 @@
     if (this.limit !== undefined) {
       context.metrics.recordLimitedSend(registration.service);
     }
+    if (target.service.engine) {
+      const {keptTokens, tokensToPrefill} = reservation;
+      context.metrics.recordPrompt(
+        registration.service,
+        keptTokens,
+        tokensToPrefill,
+      );
+    }
     this.tracked = guard.trackSend(target, server);
   }
 
@@ -88,10 +96,9 @@
 
   /** Records a send that was abandoned as an answer that took as long as it was awaited. */
   private recordSlow(): void {
-    const {context, reservation} = this;
+    const {reservation} = this;
     const timeMs = performance.now() - this.sentAt;
-    const ratio = this.recordTime(timeMs);
-    context.servers.recordSlowness(reservation.server, ratio);
+    reservation.server.pace.recordRatio(this.recordPaceRatio(timeMs));
     this.recordEvidence('answered', timeMs);
   }
 
@@ -130,26 +137,32 @@
       context.rates.recordPrefill(model, reservation.tokensToPrefill, timeMs);
     }
     context.metrics.recordFirstByte(performance.now() - request.arrivedAt);
-    const ratio = this.recordTime(timeMs);
+    const ratio = this.recordPaceRatio(timeMs);
     context.servers.recordAnswer(reservation.server, ratio);
     this.recordEvidence('answered', timeMs);
     if (model === undefined) return;
-    const keys = request.promptSegments.map(({id}) => `${model} ${id}`);
-    context.servers.recordSegments(reservation.server, keys);
+    reservation.server.memory.kept.recordPrompt(
+      {model, segments: request.promptSegments},
+      reservation.tokensToPrefill,
+    );
   }
 
   /** Formats the send with its outcome for the line of its request. */
   formatOutcome(outcome: AttemptOutcome): string {
     const {reservation, connection: usage, request} = this;
     const {id, version} = reservation.server.listing.registration;
-    const {estimatedMs, load} = reservation;
+    const {estimatedMs, load, keptTokens, savedMs} = reservation;
+    const kept =
+      keptTokens >= 1
+        ? `*${Math.round(keptTokens)}:${Math.round(savedMs)}`
+        : '';
     const atMs = Math.round(performance.now() - request.arrivedAt);
     const limit = this.limit === undefined ? '' : `^${this.limit}`;
     const place = usage ? `#${usage.connection}.${usage.use}` : '';
     const isStream =
       outcome.type === 'answered' && this.target.route.kind === 'streaming';
     const head = isStream ? ` (${describeHead(outcome.answer.message)})` : '';
-    return `${id}:${describeOutcome(outcome)}${head}@${atMs}~${Math.round(estimatedMs)}+${load}${place}=${version}${limit}`;
+    return `${id}:${describeOutcome(outcome)}${head}@${atMs}~${Math.round(estimatedMs)}${kept}+${load}${place}=${version}${limit}`;
   }
 
   /** Whether the answer has not gone on for long enough to show that the request is sound. */
@@ -198,9 +211,23 @@
       registration.state !== 'ready' || servers.notices.isLeaving(registration);
     if (isLeaving) return;
     const check = crashes.checkServer(server);
+    void check.then(hasCrashed => {
+      if (hasCrashed) server.memory.kept.clear();
+    });
     if (isLost) this.guard.recordLoss(check);
   }
 
+  /**
+   * Records an answer time and returns its ratio to the time expected of a typical server: for an
+   * engine, by the prompt and the work that was pending there.
+   */
+  private recordPaceRatio(timeMs: number): number {
+    const ratio = this.recordTime(timeMs);
+    const {expectedMs} = this.reservation;
+    if (!this.target.service.engine || expectedMs === undefined) return ratio;
+    return timeMs / Math.max(1, expectedMs);
+  }
+
   private recordEvidence(result: AnswerResult, timeMs?: number): void {
     const {context, reservation, target} = this;
     const {server, expectedMs} = reservation;
--- a/packages/gateway/src/lib/ServerAvailability.ts
+++ b/packages/gateway/src/lib/ServerAvailability.ts
@@ -1,4 +1,5 @@
 import type {RoutedService} from '@sycamorehead/schema';
+import {filterByMemory} from './filterByMemory.js';
 import type {PlacementRequest} from './Placement.js';
 import type {KnownServer, ServerTable} from './ServerTable.js';
 import type {VersionSplit} from './VersionSplit.js';
@@ -10,7 +11,7 @@
 const OVERCOMMIT_FRACTION = 1;
 
 /**
- * Determines which backend servers may get a request now: permitted, accepting and with capacity.
+ * Determines which backend servers may get a request now: permitted, accepting, with capacity and memory.
  *
  * @internal
  */
@@ -18,6 +19,8 @@
   constructor(
     private readonly servers: ServerTable,
     private readonly versions: VersionSplit,
+    /** Called when servers of a service have slots left but no memory. */
+    private readonly onMemoryFull: (service: string) => void,
   ) {}
 
   /**
@@ -34,9 +37,17 @@
         server => servers.isAccepting(server) && !versions.isRejected(server),
       );
     const permitted = versions.filterServers(service.name, variant, ready);
-    const available = permitted.filter(server =>
+    const withSlots = permitted.filter(server =>
       this.hasCapacity(server, service),
     );
+    const available = filterByMemory(
+      withSlots,
+      service.engine?.tokenCapacity ?? 0,
+      demand.request.size,
+    );
+    if (withSlots.length > available.length && available.length === 0) {
+      this.onMemoryFull(service.name);
+    }
     const untried = available.filter(
       ({listing}) => !tried.has(listing.registration.id),
     );
--- a/packages/gateway/src/lib/ServerChooser.ts
+++ b/packages/gateway/src/lib/ServerChooser.ts
@@ -1,23 +1,22 @@
 import {
   ForwardPolicy,
+  KeptPrompt,
   PreferredServers,
   PrefillRates,
   choosePreferredServers,
+  countNeededTokens,
   sampleServers,
   scoreServer,
 } from '@sycamorehead/routing';
 import {AnswerTimes, buildWorkKind} from './AnswerTimes.js';
-import type {PromptSegment} from './CallerRequest.js';
 import type {PlacementRequest} from './Placement.js';
 import type {KnownServer, ServerTable} from './ServerTable.js';
 
 /**
- * Fraction of the tokens of shared segments that a server is assumed to have cached because of
+ * Fraction of the tokens of shared segments that a server is assumed to have kept because of
  * sends of other entries, by the preference of the entries for it.
  */
-const CACHED_FRACTIONS = {first: 0.9, second: 0.5, none: 0} as const;
-/** Time after its last use for which a prompt segment counts as cached, in milliseconds. */
-const SEGMENT_CACHED_MS = 30_000;
+const KEPT_FRACTIONS = {first: 0.9, second: 0.5, none: 0} as const;
 
 /** Settings of a ServerChooser. @internal */
 export interface ServerChooserOptions {
@@ -30,8 +29,25 @@
   countEntries(): number;
 }
 
+/** What the rating of all servers for a request has in common. */
+interface PromptCost extends KeptPrompt {
+  readonly tokens: number;
+  /** Tokens that the request needs in memory to its end. */
+  readonly neededTokens: number;
+  /** Tokens in the memory of each server; 0 if unknown. */
+  readonly capacity: number;
+  readonly isEngine: boolean;
+  readonly msPerToken: number;
+  readonly fixedMs: number;
+  /** Answer time of such requests; undefined before the first answer. */
+  readonly typicalMs: number | undefined;
+  /** Time left until the latency objective, without the fixed time. */
+  readonly objectiveMs: number | undefined;
+  readonly now: number;
+}
+
 /** The preference of the entries for a server, by the shared segments of a prompt. */
-type Preference = keyof typeof CACHED_FRACTIONS;
+type Preference = keyof typeof KEPT_FRACTIONS;
 
 /** The server chosen for a request, and the work that the request brings. @internal */
 export interface ServerChoice {
@@ -40,6 +56,10 @@
   readonly ownMs: number;
   /** Time until the answer begins if no other request waits; undefined if unknown. */
   readonly aloneMs: number | undefined;
+  /** Prompt tokens that the server is believed to have kept. */
+  readonly keptTokens: number;
+  /** Reading time that they save there, in milliseconds. */
+  readonly savedMs: number;
   readonly score: number;
 }
 
@@ -73,10 +93,11 @@
         sample.add(server);
       }
     }
+    const prompt = this.describePrompt(demand);
     let best: ServerChoice | undefined;
     for (const server of sample) {
       const choice = this.rateServer(
-        demand,
+        prompt,
         server,
         getPreference(preferred, server),
       );
@@ -90,38 +111,73 @@
   }
 
   private rateServer(
-    demand: PlacementRequest,
+    prompt: PromptCost,
     server: KnownServer,
     preference: Preference,
   ): ServerChoice {
-    const {request, model, service, route} = demand;
-    const {policy, dataCentre, rates, times} = this.options;
+    const {policy, dataCentre} = this.options;
     const {registration, isSilent} = server.listing;
-    const cached = countCachedTokens(
-      server,
-      model ?? '',
-      request.promptSegments,
-      CACHED_FRACTIONS[preference],
+    const {kept} = server.memory;
+    // The memory that the request itself needs is no longer left to kept prompts.
+    const room =
+      server.memory.countRoom(prompt.capacity, prompt.now) -
+      prompt.neededTokens;
+    const keptTokens = Math.min(
+      prompt.tokens,
+      kept.countKept(prompt, KEPT_FRACTIONS[preference], room, prompt.now),
     );
-    const tokensToPrefill = Math.max(0, request.size.promptTokens - cached);
-    const typicalMs = times.getTypicalMs(buildWorkKind(route, model));
-    const ownMs = service.engine
-      ? rates.estimateMs(model ?? '', tokensToPrefill)
+    const tokensToPrefill = prompt.tokens - keptTokens;
+    const {isEngine, msPerToken, fixedMs, typicalMs} = prompt;
+    const ownMs = isEngine
+      ? tokensToPrefill * msPerToken
       : (typicalMs ?? 0) / Math.max(1, registration.slots);
-    const aloneMs = service.engine
-      ? rates.estimateFixedMs(model ?? '') + ownMs
-      : typicalMs;
-    const pendingMs = server.pendingMs + server.othersPendingMs;
+    const {slowness} = server.pace;
     const score = scoreServer(policy, {
       load: server.inFlight + server.othersInFlight,
       slots: registration.slots,
-      pendingMs,
+      pendingMs: server.pendingMs + server.othersPendingMs,
       ownMs,
       isSameDataCentre: registration.dataCentre === dataCentre,
       isSilent,
-      slowness: server.slowness,
+      slowness,
+      displacedMs: isEngine ? ownMs * kept.estimateDisplacement(room) : 0,
+      objectiveMs: prompt.objectiveMs,
     });
-    return {server, tokensToPrefill, ownMs, aloneMs, score};
+    return {
+      server,
+      tokensToPrefill,
+      ownMs,
+      aloneMs: isEngine ? fixedMs + ownMs : typicalMs,
+      keptTokens,
+      savedMs: isEngine ? keptTokens * msPerToken * slowness : 0,
+      score,
+    };
+  }
+
+  /** Determines what the rating of all servers has in common. */
+  private describePrompt(demand: PlacementRequest): PromptCost {
+    const {request, service, route, objectiveAt} = demand;
+    const {rates, times} = this.options;
+    const {engine} = service;
+    const model = demand.model ?? '';
+    const now = performance.now();
+    const fixedMs = rates.estimateFixedMs(model);
+    return {
+      model,
+      segments: request.promptSegments,
+      tokens: request.size.promptTokens,
+      neededTokens: countNeededTokens(request.size),
+      capacity: engine?.tokenCapacity ?? 0,
+      isEngine: engine !== undefined,
+      msPerToken: rates.estimateMs(model, 1),
+      fixedMs,
+      typicalMs: times.getTypicalMs(buildWorkKind(route, demand.model)),
+      objectiveMs:
+        engine && objectiveAt !== undefined
+          ? objectiveAt - now - fixedMs
+          : undefined,
+      now,
+    };
   }
 }
 
@@ -145,27 +201,3 @@
   if (id === preferred?.first) return 'first';
   return id === preferred?.second ? 'second' : 'none';
 }
-
-/**
- * Estimates the prompt tokens that a server probably has cached for a model: those of the leading
- * segments that this entry sent there recently and, on a preferred server, a fraction of those of
- * the other shared segments, which other entries send there.
- */
-function countCachedTokens(
-  server: KnownServer,
-  model: string,
-  segments: readonly PromptSegment[],
-  sharedFraction: number,
-): number {
-  const oldest = performance.now() - SEGMENT_CACHED_MS;
-  let tokens = 0;
-  let isSent = true;
-  segments.forEach((segment, index) => {
-    const usedAt = server.cachedSegments.get(`${model} ${segment.id}`);
-    isSent &&= usedAt !== undefined && usedAt >= oldest;
-    const isShared = index < segments.length - 1;
-    if (isSent) tokens += segment.tokens;
-    else if (isShared) tokens += segment.tokens * sharedFraction;
-  });
-  return tokens;
-}
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -1,14 +1,16 @@
-import type {
+import {
   FleetUpdate,
   LoadTable,
   ServerListing,
   ServerLoad,
+  buildServerLoad,
 } from '@sycamorehead/fleet';
 import {
-  ServerRegistration,
-  evictOldest,
-  isNewerRegistration,
-} from '@sycamorehead/schema';
+  ServerMemory,
+  ServerPace,
+  updateTypicalPace,
+} from '@sycamorehead/routing';
+import {ServerRegistration, isNewerRegistration} from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 import {ServerAgent} from './ServerAgent.js';
 import {ServerLimits} from './ServerLimits.js';
@@ -25,19 +27,11 @@
 const EJECTION_MS = 400;
 /** Maximum duration of an ejection, in milliseconds. */
 const MAX_EJECTION_MS = 4_000;
-/** Weight of the newest answer in a server's slowness. */
-const SLOWNESS_GAIN = 0.15;
 /**
  * Time after its last bytes for which a server counts as active, in milliseconds; a few steps of
  * a busy engine.
  */
 const ACTIVE_MS = 400;
-/** Lower bound of an answer's time ratio, and so of the slowness of a server. */
-const MIN_SLOWNESS = 0.5;
-/** Upper bound of an answer's time ratio, and so of the slowness of a server. */
-const MAX_SLOWNESS = 8;
-/** Maximum number of prompt segments that are tracked for one server. */
-const MAX_SEGMENTS = 4_000;
 
 /** The state of one backend server as this entry knows it. @public */
 export interface KnownServer {
@@ -59,12 +53,12 @@
   failures: number;
   /** The time until which other servers are preferred, on the monotonic clock. */
   ejectedUntil: number;
-  /** Its answer times relative to those of its service; 1 is typical. */
-  slowness: number;
+  /** Its answer times relative to those of its service. */
+  readonly pace: ServerPace;
   /** The time until which it is slow because it has just started, on the monotonic clock. */
   slowUntil: number;
-  /** The time of the last send of each prompt segment to it, in the order of these times. */
-  readonly cachedSegments: Map<string, number>;
+  /** What its running requests need, and what it is believed to keep of prompts. */
+  readonly memory: ServerMemory;
 }
 
 /**
@@ -88,11 +82,18 @@
   /** Sets the load that the other entries have placed on the servers. */
   setOthersLoad(load: LoadTable): void {
     for (const [id, server] of this.servers) {
-      const [inFlight, pendingMs, active = 0] = load[id] ?? [0, 0];
+      const [inFlight, pendingMs, active = 0, heldTokens = 0, ...recent] = load[
+        id
+      ] ?? [0, 0];
+      const [readTokens = 0, answers = 0, logRatios = 0] = recent;
       if (active > 0) server.othersReceivedAt = performance.now();
       server.othersInFlight = inFlight;
       server.othersPendingMs = pendingMs;
+      server.memory.setOthersHeld(heldTokens);
+      server.memory.kept.setOthersRead(readTokens);
+      server.pace.setOthers(answers, logRatios);
     }
+    this.updatePaces();
   }
 
   /** Records that a server has answered, and the ratio of its time to the typical time. */
@@ -101,13 +102,7 @@
     this.notices.recordAnswer(server.listing.registration);
     server.lastReceivedAt = performance.now();
     server.ejectedUntil = 0;
-    this.recordSlowness(server, timeRatio);
-  }
-
-  /** Records the ratio of a server's time to the typical time. */
-  recordSlowness(server: KnownServer, timeRatio: number): void {
-    const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, timeRatio));
-    server.slowness += (bounded - server.slowness) * SLOWNESS_GAIN;
+    server.pace.recordRatio(timeRatio);
   }
 
   /**
@@ -137,16 +132,6 @@
     this.markDeparted(listing);
   }
 
-  /** Records that a server has prefilled segments of a prompt for a model. */
-  recordSegments({cachedSegments}: KnownServer, keys: readonly string[]): void {
-    const now = performance.now();
-    for (const key of keys) {
-      cachedSegments.delete(key);
-      cachedSegments.set(key, now);
-    }
-    evictOldest(cachedSegments, MAX_SEGMENTS);
-  }
-
   // Queries.
 
   /**
@@ -218,14 +203,36 @@
   listLoad(): LoadTable {
     const load: Record<string, ServerLoad> = {};
     const oldest = performance.now() - ACTIVE_MS;
-    for (const [id, {inFlight, pendingMs, lastReceivedAt}] of this.servers) {
+    for (const [id, server] of this.servers) {
+      const {inFlight, pendingMs, lastReceivedAt, memory, pace} = server;
       const active = lastReceivedAt > oldest ? 1 : 0;
-      if (inFlight === 0 && active === 0) continue;
-      load[id] = [inFlight, Math.round(pendingMs), active];
+      const {answers, logRatios} = pace.describeOwn();
+      if (inFlight === 0 && active === 0 && answers === 0) continue;
+      load[id] = buildServerLoad([
+        inFlight,
+        Math.round(pendingMs),
+        active,
+        memory.ownTokens,
+        memory.kept.describeRead(),
+        answers,
+        logRatios,
+      ]);
     }
     return load;
   }
 
+  /** Relates the servers of each service to each other. */
+  private updatePaces(): void {
+    const paces = new Map<string, ServerPace[]>();
+    for (const {listing, pace} of this.servers.values()) {
+      const {service} = listing.registration;
+      const known = paces.get(service);
+      if (known) known.push(pace);
+      else paces.set(service, [pace]);
+    }
+    for (const group of paces.values()) updateTypicalPace(group);
+  }
+
   private markDeparted({registration, isSilent}: ServerListing): void {
     const known = this.servers.get(registration.id);
     if (known?.listing.registration !== registration) return;
@@ -320,12 +327,17 @@
     othersReceivedAt: -Infinity,
     failures: 0,
     ejectedUntil: 0,
-    slowness: 1,
+    pace: new ServerPace(),
     slowUntil: computeSlowUntil(listing.registration),
-    cachedSegments: new Map(),
+    memory: new ServerMemory(computeAgeMs(listing.registration)),
   };
 }
 
 function computeSlowUntil({slowStartMs = 0}: ServerRegistration): number {
   return performance.now() + slowStartMs;
 }
+
+/** Computes the time since a server started; 0 if the clocks disagree. */
+function computeAgeMs({startedAtMs}: ServerRegistration): number {
+  return Math.max(0, Date.now() - startedAtMs);
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -68,6 +68,15 @@
 export type {RetryBudgetOptions} from './lib/forwarding/RetryBudget.js';
 export {sampleServers} from './lib/forwarding/sampleServers.js';
 export type {SampleOptions} from './lib/forwarding/sampleServers.js';
+export {DecayingSum} from './lib/forwarding/DecayingSum.js';
+export {KeptPrompts} from './lib/forwarding/KeptPrompts.js';
+export type {KeptPrompt, SegmentTokens} from './lib/forwarding/KeptPrompts.js';
+export {
+  ServerMemory,
+  countNeededTokens,
+} from './lib/forwarding/ServerMemory.js';
+export {ServerPace, updateTypicalPace} from './lib/forwarding/ServerPace.js';
+export type {AwaitedStart, PaceSums} from './lib/forwarding/ServerPace.js';
 export {scoreServer} from './lib/forwarding/scoreServer.js';
 export type {
   ServerCandidate,
--- a/packages/routing/src/lib/forwarding/scoreServer.ts
+++ b/packages/routing/src/lib/forwarding/scoreServer.ts
@@ -13,6 +13,10 @@
   readonly isSilent: boolean;
   /** Its answer times relative to those of its service; 1 is typical. */
   readonly slowness: number;
+  /** Reading of the prompt segments that this one would push out, in milliseconds of server time. */
+  readonly displacedMs?: number;
+  /** Time left until the latency objective, in milliseconds; undefined if there is none. */
+  readonly objectiveMs?: number;
 }
 
 /**
@@ -35,6 +39,10 @@
  * pays for the pool as a whole.
  */
 const OWN_WORK_WEIGHT = 4;
+/** Fraction of the time left until the objective within which an answer probably is in time. */
+const SAFE_FRACTION = 0.8;
+/** Weight of the time by which an answer would probably miss that. */
+const LATE_WEIGHT = 8;
 /** Cost of a server in another data centre, in milliseconds. */
 const DISTANCE_MS = 5;
 /** Cost that ranks a silent server behind all others, in milliseconds. */
@@ -49,20 +57,29 @@
 };
 
 function estimateAnswerMs(server: ServerCandidate): number {
-  const {load, slots, pendingMs, ownMs, slowness} = server;
+  const {load, slots, pendingMs, ownMs, slowness, displacedMs = 0} = server;
   const utilization = load / Math.max(1, slots);
+  const waitMs = pendingMs + estimateSlotWaitMs(load, slots);
   const workMs =
-    pendingMs +
-    ownMs * OWN_WORK_WEIGHT +
-    utilization * FULL_SERVER_MS +
-    estimateSlotWaitMs(load, slots);
+    waitMs +
+    (ownMs + displacedMs) * OWN_WORK_WEIGHT +
+    utilization * FULL_SERVER_MS;
   return (
     workMs * slowness +
+    estimateLateMs(server, (waitMs + ownMs) * slowness) * LATE_WEIGHT +
     (server.isSameDataCentre ? 0 : DISTANCE_MS) +
     (server.isSilent ? SILENT_MS : 0)
   );
 }
 
+/** Estimates how late an answer would be that begins after `answerMs`. */
+function estimateLateMs(
+  {objectiveMs = Infinity}: ServerCandidate,
+  answerMs: number,
+): number {
+  return Math.max(0, answerMs - Math.max(0, objectiveMs) * SAFE_FRACTION);
+}
+
 /**
  * Estimates how long a request would wait for a slot. The load is known roughly, so a server that
  * seems to have one slot left may be full.
