--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -13,6 +13,7 @@
   LimitReport,
   LoadTable,
   PermitTable,
+  PromptNewsTable,
   QuarantinedSegments,
   QuarantineState,
   ServerListing,
--- a/packages/fleet/src/lib/EntryReports.ts
+++ b/packages/fleet/src/lib/EntryReports.ts
@@ -6,6 +6,7 @@
 } from './fleetMessages.js';
 import {LimitPool} from './LimitPool.js';
 import {LoadExchange} from './LoadExchange.js';
+import {PromptNewsPool} from './PromptNewsPool.js';
 
 /** Settings of EntryReports. @public */
 export interface EntryReportsOptions {
@@ -29,6 +30,7 @@
   readonly load: LoadExchange;
   readonly crashes: CrashPool;
   readonly limits: LimitPool;
+  private readonly prompts = new PromptNewsPool();
 
   constructor(private readonly options: EntryReportsOptions) {
     const {instance} = options;
@@ -46,6 +48,7 @@
       ...this.limits.exchange(request),
       suspects: this.crashes.exchange(request),
       suspended: this.crashes.listSuspended(),
+      prompts: this.prompts.exchange(request),
       control: this.options.incarnation,
     };
   }
@@ -55,6 +58,7 @@
     this.load.acceptDigest(digest);
     this.crashes.acceptDigest(digest);
     this.limits.acceptDigest(digest);
+    this.prompts.acceptDigest(digest);
   }
 
   // Queries.
@@ -65,6 +69,7 @@
       ...this.load.describeDigest(),
       ...this.crashes.describeDigest(),
       ...this.limits.describeDigest(),
+      ...this.prompts.describeDigest(),
     };
   }
 }
--- a/packages/fleet/src/lib/computeDigestInterval.ts
+++ b/packages/fleet/src/lib/computeDigestInterval.ts
@@ -1,6 +1,7 @@
 /** Bounds of the interval, in milliseconds. */
 const MIN_INTERVAL_MS = 100;
-const MAX_INTERVAL_MS = 400;
+/** The longest interval between two digests, in milliseconds. @internal */
+export const MAX_INTERVAL_MS = 400;
 /** The interval times the number of entries, between the bounds. */
 const ENTRY_INTERVALS_MS = 12_000;
 
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -223,8 +223,18 @@
 /** Load by server id. @public */
 export type LoadTable = Readonly<Record<string, ServerLoad>>;
 
+/** Shared prompt segments that servers have just read, by server id, as hashes of model and id. @public */
+export type PromptNewsTable = Readonly<Record<string, readonly number[]>>;
+
+/** What is passed on of the prompts that servers have read. @public */
+export interface PromptNews {
+  /** Absent from earlier builds. */
+  readonly prompts?: PromptNewsTable;
+}
+
 /** Load and evidence of one entry; parameters of `fleet.exchange`. @public */
-export interface ExchangeRequest extends CrashEvidenceReport, LimitReport {
+export interface ExchangeRequest
+  extends CrashEvidenceReport, LimitReport, PromptNews {
   readonly entry: string;
   readonly load: LoadTable;
   readonly evidence: readonly RolloutEvidence[];
@@ -240,7 +250,8 @@
 }
 
 /** Sums over the entries that report to one control instance; parameters of `fleet.digest`. @public */
-export interface LoadDigest extends CrashEvidenceReport, LimitDigest {
+export interface LoadDigest
+  extends CrashEvidenceReport, LimitDigest, PromptNews {
   readonly instance: string;
   /** Number of entries that have reported recently. */
   readonly entries: number;
@@ -254,7 +265,7 @@
 }
 
 /** Load of the other entries; answer to `fleet.exchange`. @public */
-export interface ExchangeReply extends LimitReply {
+export interface ExchangeReply extends LimitReply, PromptNews {
   readonly entries: number;
   readonly load: LoadTable;
   /** Incarnations of servers that told other entries that they leave; absent from earlier builds. */
--- a/packages/fleet/src/test/LoadExchange.test.ts
+++ b/packages/fleet/src/test/LoadExchange.test.ts
@@ -131,6 +131,22 @@
   assert.deepEqual(reply.load, {s2: [1, 5, 1]});
 });
 
+test('what servers hold and their pace are summed, also with reports of earlier builds', () => {
+  const [first, second] = buildControls('c1', 'c2');
+  assert.ok(first && second);
+  first.exchange(buildReport('e1', {s1: [1, 10, 1, 900, 50, 100, -30]}));
+  first.exchange(buildReport('e2', {s1: [2, 20]}));
+  second.exchange(buildReport('e3', {s1: [1, 10, 0, 700, 20, 300, 90]}));
+  second.exchange(buildReport('e4', {s2: [0, 0, 0, 0, 0, 40, -20]}));
+  exchangeDigests(first, second);
+  clock.tick(60);
+  const reply = first.exchange(buildReport('e1', {}));
+  assert.deepEqual(reply.load, {
+    s1: [3, 30, 0, 700, 20, 300, 90],
+    s2: [0, 0, 0, 0, 0, 40, -20],
+  });
+});
+
 test('an entry receives the measurements of prefill of all other entries', () => {
   const [first, second] = buildControls('c1', 'c2');
   assert.ok(first && second);
--- a/packages/gateway/src/lib/LoadReporter.ts
+++ b/packages/gateway/src/lib/LoadReporter.ts
@@ -55,6 +55,7 @@
       leaving: servers.notices.listLeaving(),
       kept: versions.listKept(),
       prefill: rates.listSums(),
+      prompts: servers.takePromptNews(),
       crashes: crashes.listCrashes(),
       survivals: crashes.listSurvivals(this.suspects),
       ...servers.limits.takeReport(servers.listRegistrations(), service =>
@@ -69,6 +70,7 @@
     budgets.updateEntryCount(reply.entries);
     servers.setOthersLoad(reply.load);
     versions.addKept(reply.kept ?? []);
+    servers.addPromptNews(reply.prompts ?? {});
     rates.setOthers(reply.prefill ?? {});
     servers.notices.addLeaving(reply.leaving ?? []);
     this.suspects = reply.suspects ?? [];
--- a/packages/gateway/src/lib/SendRecord.ts
+++ b/packages/gateway/src/lib/SendRecord.ts
@@ -1,3 +1,4 @@
+import {buildKeptPrompt} from '@sycamorehead/routing';
 import type {CallerRequest} from './CallerRequest.js';
 import {buildWorkKind} from './AnswerTimes.js';
 import type {CrashGuard} from './CrashGuard.js';
@@ -142,7 +143,7 @@
     this.recordEvidence('answered', timeMs);
     if (model === undefined) return;
     reservation.server.memory.kept.recordPrompt(
-      {model, segments: request.promptSegments},
+      buildKeptPrompt(model, request.promptSegments),
       reservation.tokensToPrefill,
     );
   }
--- a/packages/gateway/src/lib/ServerChooser.ts
+++ b/packages/gateway/src/lib/ServerChooser.ts
@@ -3,6 +3,7 @@
   KeptPrompt,
   PreferredServers,
   PrefillRates,
+  buildKeptPrompt,
   choosePreferredServers,
   countNeededTokens,
   sampleServers,
@@ -163,8 +164,7 @@
     const now = performance.now();
     const fixedMs = rates.estimateFixedMs(model);
     return {
-      model,
-      segments: request.promptSegments,
+      ...buildKeptPrompt(model, request.promptSegments),
       tokens: request.size.promptTokens,
       neededTokens: countNeededTokens(request.size),
       capacity: engine?.tokenCapacity ?? 0,
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -1,6 +1,7 @@
 import {
   FleetUpdate,
   LoadTable,
+  PromptNewsTable,
   ServerListing,
   ServerLoad,
   buildServerLoad,
@@ -32,6 +33,8 @@
  * a busy engine.
  */
 const ACTIVE_MS = 400;
+/** Maximum number of prompt segments that one report names. */
+const MAX_PROMPT_NEWS = 64;
 
 /** The state of one backend server as this entry knows it. @public */
 export interface KnownServer {
@@ -132,6 +135,26 @@
     this.markDeparted(listing);
   }
 
+  /** Records the prompt segments that other entries have sent to the servers. */
+  addPromptNews(table: PromptNewsTable): void {
+    for (const [id, hashes] of Object.entries(table)) {
+      this.servers.get(id)?.memory.kept.recordNews(hashes);
+    }
+  }
+
+  /** Takes the prompt segments that this entry has sent, which are news to the others. */
+  takePromptNews(): PromptNewsTable {
+    const table: Record<string, readonly number[]> = {};
+    let left = MAX_PROMPT_NEWS;
+    for (const [id, {memory}] of this.servers) {
+      const hashes = memory.kept.takeNews(left);
+      if (hashes.length > 0) table[id] = hashes;
+      left -= hashes.length;
+      if (left === 0) break;
+    }
+    return table;
+  }
+
   // Queries.
 
   /**
--- /dev/null
+++ b/packages/gateway/src/test/memoryPlacement.test.ts
@@ -0,0 +1,122 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {PrefillRates, buildKeptPrompt} from '@sycamorehead/routing';
+import {AnswerTimes} from '../lib/AnswerTimes.js';
+import {Placement, PlacementRequest} from '../lib/Placement.js';
+import {ServerTable} from '../lib/ServerTable.js';
+import {VersionSplit} from '../lib/VersionSplit.js';
+import {buildPlacementRequest} from './buildPlacementRequest.js';
+import {describeServer} from './FakeServer.js';
+
+/** Tokens in the memory of each engine of the test's configuration. */
+const CAPACITY = 500_000;
+
+function buildPlacement(servers: number) {
+  const table = new ServerTable();
+  const listings = Array.from({length: servers}, (_, index) =>
+    describeServer(`s${index}`, `10.0.0.${index + 1}:80`, {slots: 64}),
+  );
+  table.update({servers: listings});
+  const full: string[] = [];
+  const placement = new Placement({
+    servers: table,
+    versions: new VersionSplit(5_000),
+    rates: new PrefillRates(),
+    times: new AnswerTimes(),
+    policy: 'sampled',
+    dataCentre: 'a',
+    countEntries: () => 8,
+    onMemoryFull: service => full.push(service),
+  });
+  return {table, placement, full};
+}
+
+function buildDemand(promptTokens: number, waitMs = 1_000): PlacementRequest {
+  const demand = buildPlacementRequest('own');
+  const size = {promptTokens, answerTokens: 500};
+  return {
+    ...demand,
+    request: {...demand.request, size},
+    abandonAt: performance.now() + waitMs,
+  };
+}
+
+test('an engine whose running requests leave no room is not chosen, though it has slots and less work', async () => {
+  const {table, placement} = buildPlacement(2);
+  table.setOthersLoad({
+    s0: [2, 0, 1, CAPACITY - 10_000],
+    s1: [30, 900, 1, 100_000],
+  });
+  for (let count = 0; count < 20; count += 1) {
+    const {server, release} = await placement.acquire(buildDemand(12_000));
+    assert.equal(server.listing.registration.id, 's1');
+    release();
+  }
+});
+
+test('a request that fits nowhere waits until a running one has ended', async () => {
+  const {placement, full} = buildPlacement(1);
+  const running = await placement.acquire(buildDemand(400_000));
+  const waiting = placement.acquire(buildDemand(200_000));
+  assert.equal(placement.countWaiting(), 1);
+  assert.deepEqual(full, ['drafts']);
+  running.release();
+  const {server, release} = await waiting;
+  assert.equal(server.memory.ownTokens, 200_500);
+  release();
+  assert.equal(server.memory.ownTokens, 0);
+});
+
+test('the margin for unseen sends gives way at the server with the most room', async () => {
+  const {table, placement} = buildPlacement(2);
+  table.setOthersLoad({
+    s0: [9, 0, 1, 480_000, 200_000],
+    s1: [9, 0, 1, 470_000, 200_000],
+  });
+  const {server} = await placement.acquire(buildDemand(20_000));
+  assert.equal(server.listing.registration.id, 's1');
+});
+
+test('a request larger than the memory of every server is refused at once, as not run', async () => {
+  const {placement, full} = buildPlacement(2);
+  await assert.rejects(placement.acquire(buildDemand(CAPACITY)), {
+    kind: 'overloaded',
+    ran: 'no',
+  });
+  assert.equal(placement.countWaiting(), 0);
+  assert.deepEqual(full, ['drafts']);
+});
+
+test('a server that starts again under its id is believed to hold and keep nothing', async () => {
+  const {table, placement} = buildPlacement(1);
+  const prompt = buildKeptPrompt('', [{id: 'own', tokens: 1_000}]);
+  const [before] = table.listReady('drafts');
+  before?.memory.kept.recordPrompt(prompt, 1_000);
+  const kept = await placement.acquire(buildPlacementRequest('own'));
+  assert.equal(kept.keptTokens, 1_000);
+  table.update({
+    servers: [
+      describeServer('s0', '10.0.0.1:80', {
+        slots: 64,
+        sequence: 2,
+        startedAtMs: Date.now(),
+      }),
+    ],
+  });
+  const lost = await placement.acquire(buildPlacementRequest('own'));
+  assert.equal(lost.keptTokens, 0);
+  assert.equal(lost.server.memory.ownTokens, 1_020);
+});
+
+test('a decision tells what is kept and what it saves, and reports carry what is held', async () => {
+  const {table, placement} = buildPlacement(1);
+  const first = await placement.acquire(buildPlacementRequest('own'));
+  assert.equal(first.keptTokens, 0);
+  assert.deepEqual(table.listLoad()['s0']?.slice(3, 4), [1_020]);
+  const prompt = buildKeptPrompt('', [{id: 'own', tokens: 1_000}]);
+  first.server.memory.kept.recordPrompt(prompt, 1_000);
+  first.release();
+  const second = await placement.acquire(buildPlacementRequest('own'));
+  assert.equal(second.tokensToPrefill, 0);
+  assert.ok(second.savedMs > 0);
+});
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -69,8 +69,8 @@
 export {sampleServers} from './lib/forwarding/sampleServers.js';
 export type {SampleOptions} from './lib/forwarding/sampleServers.js';
 export {DecayingSum} from './lib/forwarding/DecayingSum.js';
-export {KeptPrompts} from './lib/forwarding/KeptPrompts.js';
-export type {KeptPrompt, SegmentTokens} from './lib/forwarding/KeptPrompts.js';
+export {KeptPrompts, buildKeptPrompt} from './lib/forwarding/KeptPrompts.js';
+export type {KeptPrompt, KeptSegmentId} from './lib/forwarding/KeptPrompts.js';
 export {
   ServerMemory,
   countNeededTokens,
--- a/packages/routing/src/lib/forwarding/KeptPrompts.ts
+++ b/packages/routing/src/lib/forwarding/KeptPrompts.ts
@@ -1,4 +1,5 @@
 import {evictOldest} from '@sycamorehead/schema';
+import {hashText} from './choosePreferredServers.js';
 import {DecayingSum} from './DecayingSum.js';
 
 /** Time after its last use for which a prompt segment counts as kept, in milliseconds. */
@@ -16,18 +17,42 @@
 const FILL_MS = 5_000;
 /** Time after a server's start beyond which it makes no difference, in milliseconds. */
 const MAX_AGE_MS = 60_000;
+/** Time after which the use of a segment is news to the other entries again, in milliseconds. */
+const NEWS_INTERVAL_MS = 3_000;
+/** Maximum number of segments that are news. */
+const MAX_NEWS = 64;
 const MS_PER_SECOND = 1_000;
 
-/** A segment of a prompt with its length. @public */
-export interface SegmentTokens {
-  readonly id: string;
+/** A segment of a prompt; the number stands for its id and model. @public */
+export interface KeptSegmentId {
+  readonly hash: number;
   readonly tokens: number;
 }
 
-/** A prompt as an engine keeps it. @public */
+/** A prompt as an engine keeps it; all segments but the last may be shared. @public */
 export interface KeptPrompt {
-  readonly model: string;
-  readonly segments: readonly SegmentTokens[];
+  readonly segments: readonly KeptSegmentId[];
+}
+
+/**
+ * Builds the description of a prompt by which its segments are found again, at any entry.
+ *
+ * @example
+ * ```ts
+ * kept.recordPrompt(buildKeptPrompt('small', [{id: '5c1e07a2', tokens: 800}]), 800);
+ * ```
+ * @public
+ */
+export function buildKeptPrompt(
+  model: string,
+  segments: ReadonlyArray<{readonly id: string; readonly tokens: number}>,
+): KeptPrompt {
+  return {
+    segments: segments.map(({id, tokens}) => ({
+      hash: hashText(`${model} ${id}`),
+      tokens,
+    })),
+  };
 }
 
 interface KeptSegment {
@@ -37,14 +62,16 @@
 }
 
 /**
- * What one server is believed to keep of the prompts that it has read: exactly for the sends of this
- * entry, by their total for those of the others. The least recently used segments give way.
+ * What one server is believed to keep of the prompts that it has read, by the sends of this entry and
+ * what the others tell of theirs. The least recently used segments give way.
  *
  * @public
  */
 export class KeptPrompts {
   /** The newest last. */
-  private readonly segments = new Map<string, KeptSegment>();
+  private readonly segments = new Map<number, KeptSegment>();
+  /** Shared segments of this entry's sends that the other entries do not know to be here. */
+  private readonly news = new Set<number>();
   private readonly recentRead = new DecayingSum(READ_LIFETIME_MS);
   /** Tokens that the server was given to read until `countedAt`, by all entries. */
   private readTokens = 0;
@@ -63,20 +90,30 @@
   // Commands.
 
   /** Records that the server has read a prompt, of which `readTokens` were new to it. */
-  recordPrompt({model, segments}: KeptPrompt, readTokens: number): void {
+  recordPrompt({segments}: KeptPrompt, readTokens: number): void {
     const now = performance.now();
     this.readTokens = this.countRead(now) + readTokens;
     this.countedAt = now;
     this.recentRead.add(readTokens);
     this.updateRate();
-    const kept = {usedAt: now, readBefore: this.readTokens};
-    // The last segment gives way first.
-    for (const {id} of [...segments].reverse()) {
-      const key = buildKey(model, id);
-      this.segments.delete(key);
-      this.segments.set(key, kept);
+    for (const {hash} of segments.slice(0, -1)) {
+      const known = this.segments.get(hash);
+      const isNews = !known || now - known.usedAt >= NEWS_INTERVAL_MS;
+      if (isNews && this.news.size < MAX_NEWS) this.news.add(hash);
     }
-    this.expireSegments(now);
+    this.markUsed(segments.map(({hash}) => hash));
+  }
+
+  /** Records the shared segments that other entries have sent, as taken from their news. */
+  recordNews(hashes: readonly number[]): void {
+    this.markUsed(hashes);
+  }
+
+  /** Takes up to so many shared segments of this entry's sends that are news to the others. */
+  takeNews(count: number): number[] {
+    const taken = [...this.news].slice(0, count);
+    for (const hash of taken) this.news.delete(hash);
+    return taken;
   }
 
   /** Sets what the other entries have recently given the server to read, as `describeRead` describes it. */
@@ -92,6 +129,7 @@
   /** Records that the server has lost its memory. */
   clear(): void {
     this.segments.clear();
+    this.news.clear();
     this.emptySince = performance.now();
   }
 
@@ -108,31 +146,24 @@
   }
 
   /**
-   * Estimates how many tokens of a prompt the server keeps: those of the leading segments that this
-   * entry sent, and a fraction of those of the other shared segments, which other entries send.
+   * Estimates how many tokens of a prompt the server keeps: those of the leading segments that are
+   * known to have been sent there, and a fraction of those of the other shared segments.
    *
+   * @param othersFraction - Expectation that other entries have sent segments of which nothing is known.
    * @param room - Tokens that the running requests leave to kept prompts; Infinity if unknown.
    */
   countKept(
-    {model, segments}: KeptPrompt,
+    {segments}: KeptPrompt,
     othersFraction: number,
     room: number,
     now: number,
   ): number {
-    const read = this.countRead(now);
+    const known = this.countKnown(segments, room, now);
     const othersShare = othersFraction * this.estimateConfidence(room, now);
     let tokens = 0;
-    let isSent = true;
     segments.forEach((segment, index) => {
-      const kept = isSent
-        ? this.segments.get(buildKey(model, segment.id))
-        : undefined;
-      isSent =
-        kept !== undefined &&
-        now - kept.usedAt < KEPT_MS &&
-        read - kept.readBefore <= room;
       const isShared = index < segments.length - 1;
-      if (isSent) tokens += segment.tokens;
+      if (index < known) tokens += segment.tokens;
       else if (isShared) tokens += segment.tokens * othersShare;
     });
     return tokens;
@@ -148,12 +179,44 @@
     return Math.max(0, 1 - lifetimeMs / REUSE_MS);
   }
 
-  /** Estimates how far what other entries sent is still kept, between 0 and 1. */
+  /**
+   * Estimates how far the server has read what other entries send it, between 0 and 1. How soon it is
+   * pushed out does not count: shared segments live for as long as their requests go to the same server.
+   */
   private estimateConfidence(room: number, now: number): number {
     if (room === Infinity) return 1;
     if (room <= 0) return 0;
-    const filled = Math.min(1, (now - this.emptySince) / FILL_MS);
-    return filled * (1 - this.estimateDisplacement(room));
+    return Math.min(1, (now - this.emptySince) / FILL_MS);
+  }
+
+  /** Counts the leading segments up to the last one that is known to be kept. */
+  private countKnown(
+    segments: readonly KeptSegmentId[],
+    room: number,
+    now: number,
+  ): number {
+    const read = this.countRead(now);
+    for (let index = segments.length - 1; index >= 0; index -= 1) {
+      const hash = segments[index]?.hash;
+      const kept = hash === undefined ? undefined : this.segments.get(hash);
+      const isKept =
+        kept !== undefined &&
+        now - kept.usedAt < KEPT_MS &&
+        read - kept.readBefore <= room;
+      if (isKept) return index + 1;
+    }
+    return 0;
+  }
+
+  /** Marks segments as used now, the last of a prompt as the first to give way. */
+  private markUsed(hashes: readonly number[]): void {
+    const now = performance.now();
+    const kept = {usedAt: now, readBefore: this.countRead(now)};
+    for (const hash of [...hashes].reverse()) {
+      this.segments.delete(hash);
+      this.segments.set(hash, kept);
+    }
+    this.expireSegments(now);
   }
 
   private countRead(now: number): number {
@@ -168,14 +231,10 @@
   }
 
   private expireSegments(now: number): void {
-    for (const [key, {usedAt}] of this.segments) {
+    for (const [hash, {usedAt}] of this.segments) {
       if (now - usedAt < KEPT_MS) break;
-      this.segments.delete(key);
+      this.segments.delete(hash);
     }
     evictOldest(this.segments, MAX_SEGMENTS);
   }
 }
-
-function buildKey(model: string, id: string): string {
-  return `${model} ${id}`;
-}
--- a/packages/routing/src/lib/forwarding/scoreServer.ts
+++ b/packages/routing/src/lib/forwarding/scoreServer.ts
@@ -39,10 +39,8 @@
  * pays for the pool as a whole.
  */
 const OWN_WORK_WEIGHT = 4;
-/** Fraction of the time left until the objective within which an answer probably is in time. */
-const SAFE_FRACTION = 0.8;
-/** Weight of the time by which an answer would probably miss that. */
-const LATE_WEIGHT = 8;
+/** Weight of the time by which an answer would miss its latency objective. */
+const LATE_WEIGHT = 4;
 /** Cost of a server in another data centre, in milliseconds. */
 const DISTANCE_MS = 5;
 /** Cost that ranks a silent server behind all others, in milliseconds. */
@@ -77,7 +75,7 @@
   {objectiveMs = Infinity}: ServerCandidate,
   answerMs: number,
 ): number {
-  return Math.max(0, answerMs - Math.max(0, objectiveMs) * SAFE_FRACTION);
+  return Math.max(0, answerMs - Math.max(0, objectiveMs));
 }
 
 /**
