--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -168,7 +168,7 @@
     const neededTokens = countNeededTokens(demand.request.size);
     server.memory.reserve(neededTokens);
     const awaited =
-      aloneMs === undefined
+      aloneMs === undefined || !demand.service.engine
         ? undefined
         : server.pace.recordSend(pendingMs + aloneMs);
     let isPending = true;
--- a/packages/gateway/src/lib/SendRecord.ts
+++ b/packages/gateway/src/lib/SendRecord.ts
@@ -99,7 +99,9 @@
   private recordSlow(): void {
     const {reservation} = this;
     const timeMs = performance.now() - this.sentAt;
-    reservation.server.pace.recordRatio(this.recordPaceRatio(timeMs));
+    const ratio = this.recordTime(timeMs);
+    this.context.servers.recordSlowness(reservation.server, ratio);
+    this.recordPace(timeMs);
     this.recordEvidence('answered', timeMs);
   }
 
@@ -138,7 +140,8 @@
       context.rates.recordPrefill(model, reservation.tokensToPrefill, timeMs);
     }
     context.metrics.recordFirstByte(performance.now() - request.arrivedAt);
-    const ratio = this.recordPaceRatio(timeMs);
+    const ratio = this.recordTime(timeMs);
+    this.recordPace(timeMs);
     context.servers.recordAnswer(reservation.server, ratio);
     this.recordEvidence('answered', timeMs);
     if (model === undefined) return;
@@ -218,15 +221,11 @@
     if (isLost) this.guard.recordLoss(check);
   }
 
-  /**
-   * Records an answer time and returns its ratio to the time expected of a typical server: for an
-   * engine, by the prompt and the work that was pending there.
-   */
-  private recordPaceRatio(timeMs: number): number {
-    const ratio = this.recordTime(timeMs);
-    const {expectedMs} = this.reservation;
-    if (!this.target.service.engine || expectedMs === undefined) return ratio;
-    return timeMs / Math.max(1, expectedMs);
+  /** Records the time of an engine relative to that expected by the prompt and the work pending there. */
+  private recordPace(timeMs: number): void {
+    const {expectedMs, server} = this.reservation;
+    if (!this.target.service.engine || expectedMs === undefined) return;
+    server.pace.recordRatio(timeMs / Math.max(1, expectedMs));
   }
 
   private recordEvidence(result: AnswerResult, timeMs?: number): void {
--- a/packages/gateway/src/lib/ServerChooser.ts
+++ b/packages/gateway/src/lib/ServerChooser.ts
@@ -132,7 +132,8 @@
     const ownMs = isEngine
       ? tokensToPrefill * msPerToken
       : (typicalMs ?? 0) / Math.max(1, registration.slots);
-    const {slowness} = server.pace;
+    const slowness =
+      prompt.capacity > 0 ? server.pace.slowness : server.slowness;
     const score = scoreServer(policy, {
       load: server.inFlight + server.othersInFlight,
       slots: registration.slots,
--- a/packages/gateway/src/lib/ServerLimits.ts
+++ b/packages/gateway/src/lib/ServerLimits.ts
@@ -155,7 +155,7 @@
 
   /** Returns the requests a second that a server accepts; undefined if it has no limit. */
   getPerSecond(server: Incarnation): number | undefined {
-    return this.known.find(buildIncarnationKey(server))?.perSecond;
+    return this.findLimit(server)?.perSecond;
   }
 
   /** Returns whether a server limits its requests. */
@@ -179,7 +179,7 @@
 
   /** Returns whether a server has just lifted its limit; all entries learn of it together. */
   isReturning(server: Incarnation): boolean {
-    const limit = this.known.find(buildIncarnationKey(server));
+    const limit = this.findLimit(server);
     if (!limit || limit.perSecond !== undefined) return false;
     return performance.now() - limit.observedAt < RETURN_MS;
   }
@@ -189,6 +189,12 @@
     return computeSendRate(perSecond) / this.entries;
   }
 
+  private findLimit(server: Incarnation): ObservedLimit | undefined {
+    // Each decision asks for all servers, and hardly ever has any of them a limit.
+    if (this.known.isEmpty) return undefined;
+    return this.known.find(buildIncarnationKey(server));
+  }
+
   private update(
     key: string,
     limit: ObservedLimit,
--- a/packages/gateway/src/lib/ServerNotices.ts
+++ b/packages/gateway/src/lib/ServerNotices.ts
@@ -78,20 +78,19 @@
 
   /** Returns whether a server leaves. */
   isLeaving(server: Incarnation): boolean {
-    return (
-      this.states.get(buildIncarnationKey(server))?.leavingAt !== undefined
-    );
+    return this.findState(server)?.leavingAt !== undefined;
   }
 
   /** Returns how long a server still wants no requests, in milliseconds; 0 if it accepts them. */
   getHoldMs(server: Incarnation): number {
-    const state = this.states.get(buildIncarnationKey(server));
-    return Math.max(0, (state?.heldUntil ?? 0) - performance.now());
+    const state = this.findState(server);
+    if (!state) return 0;
+    return Math.max(0, state.heldUntil - performance.now());
   }
 
   /** Returns whether a server has not answered since its hold; it gets one request at a time. */
   isReturning(server: Incarnation): boolean {
-    return this.states.get(buildIncarnationKey(server))?.isReturning ?? false;
+    return this.findState(server)?.isReturning ?? false;
   }
 
   /** Lists the incarnations that recently told this entry that they leave. */
@@ -105,6 +104,12 @@
     return keys;
   }
 
+  private findState(server: Incarnation): IncarnationState | undefined {
+    // Each decision asks for all servers, and hardly ever has any of them said anything.
+    if (this.states.size === 0) return undefined;
+    return this.states.get(buildIncarnationKey(server));
+  }
+
   private markLeaving(key: string, isFirstHand: boolean): boolean {
     const state = this.getState(key);
     if (state.leavingAt !== undefined) return false;
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -28,6 +28,12 @@
 const EJECTION_MS = 400;
 /** Maximum duration of an ejection, in milliseconds. */
 const MAX_EJECTION_MS = 4_000;
+/** Weight of the newest answer in a server's slowness. */
+const SLOWNESS_GAIN = 0.15;
+/** Lower bound of an answer's time ratio, and so of the slowness of a server. */
+const MIN_SLOWNESS = 0.5;
+/** Upper bound of an answer's time ratio, and so of the slowness of a server. */
+const MAX_SLOWNESS = 8;
 /**
  * Time after its last bytes for which a server counts as active, in milliseconds; a few steps of
  * a busy engine.
@@ -56,9 +62,11 @@
   failures: number;
   /** The time until which other servers are preferred, on the monotonic clock. */
   ejectedUntil: number;
-  /** Its answer times relative to those of its service. */
+  /** Its answer times to this entry relative to those of its service; 1 is typical. */
+  slowness: number;
+  /** Its answer times to all entries relative to those of its service, for engines. */
   readonly pace: ServerPace;
-  /** The time until which it is slow because it has just started, on the monotonic clock. */
+  /** The time until which it is slow because it has just started, on the monotonic clock; 0 if it is not. */
   slowUntil: number;
   /** What its running requests need, and what it is believed to keep of prompts. */
   readonly memory: ServerMemory;
@@ -105,7 +113,13 @@
     this.notices.recordAnswer(server.listing.registration);
     server.lastReceivedAt = performance.now();
     server.ejectedUntil = 0;
-    server.pace.recordRatio(timeRatio);
+    this.recordSlowness(server, timeRatio);
+  }
+
+  /** Records the ratio of a server's time to the typical time. */
+  recordSlowness(server: KnownServer, timeRatio: number): void {
+    const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, timeRatio));
+    server.slowness += (bounded - server.slowness) * SLOWNESS_GAIN;
   }
 
   /**
@@ -210,7 +224,7 @@
     const {slowUntil, ejectedUntil} = server;
     const {registration} = server.listing;
     return (
-      performance.now() < slowUntil ||
+      (slowUntil > 0 && performance.now() < slowUntil) ||
       ejectedUntil > 0 ||
       this.limits.isReturning(registration) ||
       this.notices.isReturning(registration)
@@ -350,14 +364,16 @@
     othersReceivedAt: -Infinity,
     failures: 0,
     ejectedUntil: 0,
+    slowness: 1,
     pace: new ServerPace(),
     slowUntil: computeSlowUntil(listing.registration),
     memory: new ServerMemory(computeAgeMs(listing.registration)),
   };
 }
 
+/** Computes until when a server is slow because it has just started; 0 if it is not. */
 function computeSlowUntil({slowStartMs = 0}: ServerRegistration): number {
-  return performance.now() + slowStartMs;
+  return slowStartMs > 0 ? performance.now() + slowStartMs : 0;
 }
 
 /** Computes the time since a server started; 0 if the clocks disagree. */
--- a/packages/routing/src/lib/forwarding/KeptPrompts.ts
+++ b/packages/routing/src/lib/forwarding/KeptPrompts.ts
@@ -5,7 +5,7 @@
 /** Time after its last use for which a prompt segment counts as kept, in milliseconds. */
 const KEPT_MS = 30_000;
 /** Maximum number of prompt segments that are tracked for one server. */
-const MAX_SEGMENTS = 4_000;
+const MAX_SEGMENTS = 1_000;
 /** Time in which the tokens that a server was given to read decay to 1/e, in milliseconds. */
 const READ_LIFETIME_MS = 2_000;
 /**
@@ -161,11 +161,13 @@
     const known = this.countKnown(segments, room, now);
     const othersShare = othersFraction * this.estimateConfidence(room, now);
     let tokens = 0;
-    segments.forEach((segment, index) => {
+    let index = 0;
+    for (const segment of segments) {
       const isShared = index < segments.length - 1;
       if (index < known) tokens += segment.tokens;
       else if (isShared) tokens += segment.tokens * othersShare;
-    });
+      index += 1;
+    }
     return tokens;
   }
 
