--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,5 +1,6 @@
 /** Control plane of a fleet with declared routes. */
 export {FLEET_METHODS} from './lib/fleetMessages.js';
+export {buildServerLoad} from './lib/serverLoad.js';
 export type {
   ControlIdentity,
   CrashEvidenceReport,
@@ -15,6 +16,7 @@
   LimitReport,
   LoadTable,
   PermitTable,
+  PromptNewsTable,
   QuarantinedSegments,
   QuarantineState,
   ServerListing,
--- a/packages/fleet/src/lib/EntryReports.ts
+++ b/packages/fleet/src/lib/EntryReports.ts
@@ -9,6 +9,7 @@
 } from './fleetMessages.js';
 import {LimitPool} from './LimitPool.js';
 import {LoadExchange} from './LoadExchange.js';
+import {PromptNewsPool} from './PromptNewsPool.js';
 
 /** Settings of EntryReports. @public */
 export interface EntryReportsOptions {
@@ -39,6 +40,7 @@
   readonly crashes: CrashPool;
   readonly limits: LimitPool;
   private readonly cold: ColdPermitPool;
+  private readonly prompts = new PromptNewsPool();
 
   constructor(private readonly options: EntryReportsOptions) {
     const {instance} = options;
@@ -64,6 +66,7 @@
       ...this.cold.exchange(request),
       suspects: this.crashes.exchange(request),
       suspended: this.crashes.listSuspended(),
+      prompts: this.prompts.exchange(request),
       control: this.options.incarnation,
     };
   }
@@ -73,6 +76,7 @@
     this.load.acceptDigest(digest);
     this.crashes.acceptDigest(digest);
     this.limits.acceptDigest(digest);
+    this.prompts.acceptDigest(digest);
   }
 
   // Queries.
@@ -83,6 +87,7 @@
       ...this.load.describeDigest(),
       ...this.crashes.describeDigest(),
       ...this.limits.describeDigest(),
+      ...this.prompts.describeDigest(),
     };
   }
 }
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -236,8 +236,11 @@
 }
 
 /**
- * Requests in flight on a server, the estimated work whose answers have not begun, in ms, and the
- * number of entries that have just received something from it (absent from earlier builds).
+ * Requests in flight on a server, and the estimated work whose answers have not begun, in ms. Absent
+ * from earlier builds, and where they and all behind them are 0: the number of entries that have just
+ * received something from it; the tokens that the requests need to their end; the tokens that it was
+ * recently given to read; the number of its recent answers and the sum of the logarithms of their time
+ * ratios, in hundredths (`ServerPace`).
  *
  * @public
  */
@@ -245,14 +248,27 @@
   inFlight: number,
   pendingMs: number,
   active?: number,
+  heldTokens?: number,
+  readTokens?: number,
+  answers?: number,
+  logRatios?: number,
 ];
 
 /** Load by server id. @public */
 export type LoadTable = Readonly<Record<string, ServerLoad>>;
 
+/** Shared prompt segments that servers have just read, by server id, as hashes of model and id. @public */
+export type PromptNewsTable = Readonly<Record<string, readonly number[]>>;
+
+/** What is passed on of the prompts that servers have read. @public */
+export interface PromptNews {
+  /** Absent from earlier builds. */
+  readonly prompts?: PromptNewsTable;
+}
+
 /** Load and evidence of one entry; parameters of `fleet.exchange`. @public */
 export interface ExchangeRequest
-  extends CrashEvidenceReport, LimitReport, ColdReport {
+  extends CrashEvidenceReport, LimitReport, ColdReport, PromptNews {
   readonly entry: string;
   readonly load: LoadTable;
   readonly evidence: readonly RolloutEvidence[];
@@ -270,7 +286,8 @@
 }
 
 /** Sums over the entries that report to one control instance; parameters of `fleet.digest`. @public */
-export interface LoadDigest extends CrashEvidenceReport, LimitDigest {
+export interface LoadDigest
+  extends CrashEvidenceReport, LimitDigest, PromptNews {
   readonly instance: string;
   /** Number of entries that have reported recently. */
   readonly entries: number;
@@ -286,7 +303,7 @@
 }
 
 /** Load of the other entries; answer to `fleet.exchange`. @public */
-export interface ExchangeReply extends LimitReply, ColdReply {
+export interface ExchangeReply extends LimitReply, ColdReply, PromptNews {
   readonly entries: number;
   readonly load: LoadTable;
   /** Incarnations of servers that told other entries that they leave; absent from earlier builds. */
--- a/packages/gateway/src/lib/CrashGuard.ts
+++ b/packages/gateway/src/lib/CrashGuard.ts
@@ -8,7 +8,7 @@
 import {RequestTarget, findTarget} from './resolveTarget.js';
 import type {RunTracker} from './RunTracker.js';
 import type {SendRecord} from './SendRecord.js';
-import type {KnownServer} from './ServerTable.js';
+import type {KnownServer} from './KnownServer.js';
 
 /**
  * Maximum number of servers whose answers break off as they begin, or that crash, after which no further
--- a/packages/gateway/src/lib/CrashObserver.ts
+++ b/packages/gateway/src/lib/CrashObserver.ts
@@ -7,7 +7,7 @@
 } from '@sycamorehead/schema';
 import {createLogger, writeDecision} from '@sycamorehead/telemetry';
 import {queryReachability} from './queryReachability.js';
-import type {KnownServer} from './ServerTable.js';
+import type {KnownServer} from './KnownServer.js';
 
 const log = createLogger('gateway');
 
--- /dev/null
+++ b/packages/gateway/src/lib/KnownServer.ts
@@ -0,0 +1,85 @@
+import type {ServerListing} from '@sycamorehead/fleet';
+import {ServerMemory, ServerPace} from '@sycamorehead/routing';
+import type {ServerRegistration} from '@sycamorehead/schema';
+import {ServerAgent} from './ServerAgent.js';
+
+/** Maximum number of idle connections that are retained to one backend server. */
+const MAX_IDLE_CONNECTIONS = 24;
+
+/** The state of one backend server as this entry knows it. @public */
+export interface KnownServer {
+  listing: ServerListing;
+  readonly agent: ServerAgent;
+  /** Requests of this entry in flight there. */
+  inFlight: number;
+  /** Requests of other entries in flight there, as of the last exchange. */
+  othersInFlight: number;
+  /** Work of this entry whose answer has not begun, in milliseconds of server time. */
+  pendingMs: number;
+  /** Work of other entries whose answer has not begun, in milliseconds, as of the last exchange. */
+  othersPendingMs: number;
+  /** When this entry last received anything from it, on the monotonic clock. */
+  lastReceivedAt: number;
+  /** When an exchange last said that another entry receives from it, on the monotonic clock. */
+  othersReceivedAt: number;
+  /** Failed sends since the last answer. */
+  failures: number;
+  /** The time until which other servers are preferred, on the monotonic clock. */
+  ejectedUntil: number;
+  /** Its answer times to this entry relative to those of its service; 1 is typical. */
+  slowness: number;
+  /** Its answer times to all entries relative to those of its service, for engines. */
+  readonly pace: ServerPace;
+  /** The time until which it is slow because it has just started, on the monotonic clock; 0 if it is not. */
+  slowUntil: number;
+  /** What its running requests need, and what it is believed to keep of prompts. */
+  readonly memory: ServerMemory;
+}
+
+/**
+ * Creates the state of a server that has just been listed.
+ *
+ * @example
+ * ```ts
+ * createServer(listing).inFlight; // 0
+ * ```
+ * @internal
+ */
+export function createServer(listing: ServerListing): KnownServer {
+  return {
+    listing,
+    agent: new ServerAgent(MAX_IDLE_CONNECTIONS),
+    inFlight: 0,
+    othersInFlight: 0,
+    pendingMs: 0,
+    othersPendingMs: 0,
+    lastReceivedAt: -Infinity,
+    othersReceivedAt: -Infinity,
+    failures: 0,
+    ejectedUntil: 0,
+    slowness: 1,
+    pace: new ServerPace(),
+    slowUntil: computeSlowUntil(listing.registration),
+    memory: new ServerMemory(computeAgeMs(listing.registration)),
+  };
+}
+
+/**
+ * Computes until when a server is slow because it has just started, on the monotonic clock; 0 if it is not.
+ *
+ * @example
+ * ```ts
+ * computeSlowUntil({...registration, slowStartMs: 0}); // 0
+ * ```
+ * @internal
+ */
+export function computeSlowUntil({
+  slowStartMs = 0,
+}: ServerRegistration): number {
+  return slowStartMs > 0 ? performance.now() + slowStartMs : 0;
+}
+
+/** Computes the time since a server started; 0 if the clocks disagree. */
+function computeAgeMs({startedAtMs}: ServerRegistration): number {
+  return Math.max(0, Date.now() - startedAtMs);
+}
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -6,13 +6,14 @@
   QueueNote,
   ServiceDemand,
   WaitingWork,
+  countNeededTokens,
   hashToShare,
 } from '@sycamorehead/routing';
 import type {CallerRequest} from './CallerRequest.js';
 import {buildEvacuationRefusal, buildRefusal} from './refusals.js';
 import {ServerAvailability} from './ServerAvailability.js';
 import {ServerChooser, ServerChooserOptions} from './ServerChooser.js';
-import type {KnownServer} from './ServerTable.js';
+import type {KnownServer} from './KnownServer.js';
 import {SlowStart} from './SlowStart.js';
 import type {VersionVariant, VersionSplit} from './VersionSplit.js';
 
@@ -50,6 +51,8 @@
   readonly abandonAt: number;
   /** The time until which the caller waits for the answer, on the monotonic clock. */
   readonly deadlineAt: number;
+  /** The latency objective of the first event, on the monotonic clock; undefined if it has gone out. */
+  readonly objectiveAt?: number;
   readonly signal: AbortSignal;
   /** Called when the request begins to wait. */
   onQueued?(note: QueueNote): void;
@@ -60,6 +63,10 @@
   readonly server: KnownServer;
   /** Prompt tokens that the server probably has to prefill. */
   readonly tokensToPrefill: number;
+  /** Prompt tokens that the server is believed to have kept. */
+  readonly keptTokens: number;
+  /** Reading time that they save there, in milliseconds. */
+  readonly savedMs: number;
   /** The estimated work before the answer begins, in milliseconds. */
   readonly estimatedMs: number;
   /**
@@ -86,6 +93,8 @@
 /** Settings of a Placement. @public */
 export interface PlacementOptions extends ServerChooserOptions {
   readonly versions: VersionSplit;
+  /** Called when a request finds no memory at servers that have slots left. */
+  readonly onMemoryFull?: (service: string) => void;
 }
 
 /**
@@ -105,7 +114,9 @@
   constructor(private readonly options: PlacementOptions) {
     const {servers, versions} = options;
     this.slowStart = new SlowStart(server => servers.isSlow(server));
-    this.availability = new ServerAvailability(servers, versions);
+    this.availability = new ServerAvailability(servers, versions, service =>
+      options.onMemoryFull?.(service),
+    );
     this.chooser = new ServerChooser(options);
   }
 
@@ -119,6 +130,7 @@
     const queue = this.getQueue(service);
     this.recordDemand(service);
     this.refuseIfEvacuated(demand);
+    this.refuseIfTooLarge(demand);
     const work = this.buildWork(demand);
     if (!this.isLimited(service)) return queue.acquire(work);
     const now = performance.now();
@@ -238,6 +250,7 @@
       return undefined;
     }
     const {server, ownMs, aloneMs, tokensToPrefill} = choice;
+    const {keptTokens, savedMs} = choice;
     this.slowStart.recordChoice(available, server);
     const {limits, cold} = this.options.servers;
     const {registration} = server.listing;
@@ -249,11 +262,18 @@
     const load = server.inFlight + server.othersInFlight;
     server.inFlight += 1;
     server.pendingMs += ownMs;
+    const neededTokens = countNeededTokens(demand.request.size);
+    server.memory.reserve(neededTokens);
+    const awaited =
+      aloneMs === undefined || !demand.service.engine
+        ? undefined
+        : server.pace.recordSend(pendingMs + aloneMs);
     let isPending = true;
     let isReserved = true;
     const markStarted = () => {
       if (isPending) server.pendingMs -= ownMs;
       isPending = false;
+      if (awaited) server.pace.recordStart(awaited);
     };
     const confirmSend = () => {
       if (!cold.isConfirmed(registration, permit)) {
@@ -272,11 +292,14 @@
       isReserved = false;
       if (!isConfirmed) restorePermit();
       server.inFlight -= 1;
+      server.memory.release(neededTokens);
       this.queues.get(demand.service.name)?.recordFreed();
     };
     return {
       server,
       tokensToPrefill,
+      keptTokens,
+      savedMs,
       estimatedMs: pendingMs + ownMs,
       expectedMs: aloneMs === undefined ? undefined : pendingMs + aloneMs,
       load,
@@ -341,6 +364,18 @@
     );
   }
 
+  /** Refuses a request at once that is larger than the memory of every server. */
+  private refuseIfTooLarge({request, service}: PlacementRequest): void {
+    const capacity = service.engine?.tokenCapacity ?? 0;
+    if (capacity <= 0 || countNeededTokens(request.size) <= capacity) return;
+    this.options.onMemoryFull?.(service.name);
+    throw buildRefusal(
+      'the request is larger than the memory of every server',
+      false,
+      MAX_LIMIT_RETRY_MS,
+    );
+  }
+
   /**
    * Refuses a request at once if every server of its service limits its requests, and those that wait
    * already use up what this entry may send in the time that the request may wait.
--- a/packages/gateway/src/lib/SendPlanner.ts
+++ b/packages/gateway/src/lib/SendPlanner.ts
@@ -182,6 +182,9 @@
       tried,
       ...limits,
       deadlineAt,
+      objectiveAt: this.options.answer.isBegun
+        ? undefined
+        : request.arrivedAt + route.targetLatencyMs,
       signal,
       onQueued: note => (this.note = note),
     };
--- a/packages/gateway/src/lib/SendRecord.ts
+++ b/packages/gateway/src/lib/SendRecord.ts
@@ -1,3 +1,4 @@
+import {buildKeptPrompt} from '@sycamorehead/routing';
 import type {CallerRequest} from './CallerRequest.js';
 import {buildWorkKind} from './AnswerTimes.js';
 import type {CrashGuard} from './CrashGuard.js';
@@ -54,6 +55,14 @@
     if (this.limit !== undefined) {
       context.metrics.recordLimitedSend(registration.service);
     }
+    if (target.service.engine) {
+      const {keptTokens, tokensToPrefill} = reservation;
+      context.metrics.recordPrompt(
+        registration.service,
+        keptTokens,
+        tokensToPrefill,
+      );
+    }
     this.tracked = guard.trackSend(target, server);
   }
 
@@ -94,10 +103,11 @@
 
   /** Records a send that was abandoned as an answer that took as long as it was awaited. */
   private recordSlow(): void {
-    const {context, reservation} = this;
+    const {reservation} = this;
     const timeMs = performance.now() - this.sentAt;
     const ratio = this.recordTime(timeMs);
-    context.servers.recordSlowness(reservation.server, ratio);
+    this.context.servers.recordSlowness(reservation.server, ratio);
+    this.recordPace(timeMs);
     this.recordEvidence('answered', timeMs);
   }
 
@@ -138,25 +148,32 @@
     }
     context.metrics.recordFirstByte(performance.now() - request.arrivedAt);
     const ratio = this.recordTime(timeMs);
+    this.recordPace(timeMs);
     context.servers.recordAnswer(reservation.server, ratio);
     this.recordEvidence('answered', timeMs);
     if (model === undefined) return;
-    const keys = request.promptSegments.map(({id}) => `${model} ${id}`);
-    context.servers.recordSegments(reservation.server, keys);
+    reservation.server.memory.kept.recordPrompt(
+      buildKeptPrompt(model, request.promptSegments),
+      reservation.tokensToPrefill,
+    );
   }
 
   /** Formats the send with its outcome for the line of its request. */
   formatOutcome(outcome: AttemptOutcome): string {
     const {reservation, connection: usage, request} = this;
     const {id, version} = reservation.server.listing.registration;
-    const {estimatedMs, load} = reservation;
+    const {estimatedMs, load, keptTokens, savedMs} = reservation;
+    const kept =
+      keptTokens >= 1
+        ? `*${Math.round(keptTokens)}:${Math.round(savedMs)}`
+        : '';
     const atMs = Math.round(performance.now() - request.arrivedAt);
     const limit = this.limit === undefined ? '' : `^${this.limit}`;
     const place = usage ? `#${usage.connection}.${usage.use}` : '';
     const isStream =
       outcome.type === 'answered' && this.target.route.kind === 'streaming';
     const head = isStream ? ` (${describeHead(outcome.answer.message)})` : '';
-    return `${id}:${describeOutcome(outcome)}${head}@${atMs}~${Math.round(estimatedMs)}+${load}${place}=${version}${limit}`;
+    return `${id}:${describeOutcome(outcome)}${head}@${atMs}~${Math.round(estimatedMs)}${kept}+${load}${place}=${version}${limit}`;
   }
 
   /** Whether the answer has not gone on for long enough to show that the request is sound. */
@@ -205,9 +222,19 @@
       registration.state !== 'ready' || servers.notices.isLeaving(registration);
     if (isLeaving) return;
     const check = crashes.checkServer(server);
+    void check.then(hasCrashed => {
+      if (hasCrashed) server.memory.kept.clear();
+    });
     if (isLost) this.guard.recordLoss(check);
   }
 
+  /** Records the time of an engine relative to that expected by the prompt and the work pending there. */
+  private recordPace(timeMs: number): void {
+    const {expectedMs, server} = this.reservation;
+    if (!this.target.service.engine || expectedMs === undefined) return;
+    server.pace.recordRatio(timeMs / Math.max(1, expectedMs));
+  }
+
   private recordEvidence(result: AnswerResult, timeMs?: number): void {
     const {context, reservation, target} = this;
     const {server, expectedMs} = reservation;
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -1,23 +1,20 @@
-import type {
+import {
   FleetUpdate,
   LoadTable,
+  PromptNewsTable,
   ServerListing,
   ServerLoad,
+  buildServerLoad,
 } from '@sycamorehead/fleet';
-import {
-  ServerRegistration,
-  evictOldest,
-  isNewerRegistration,
-} from '@sycamorehead/schema';
+import {ServerPace, updateTypicalPace} from '@sycamorehead/routing';
+import {ServerRegistration, isNewerRegistration} from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 import {ColdServers} from './ColdServers.js';
 import {EvacuationView} from './EvacuationView.js';
-import {ServerAgent} from './ServerAgent.js';
+import {KnownServer, computeSlowUntil, createServer} from './KnownServer.js';
 import {ServerLimits} from './ServerLimits.js';
 import {ServerNotices} from './ServerNotices.js';
 
-/** Maximum number of idle connections that are retained to one backend server. */
-const MAX_IDLE_CONNECTIONS = 24;
 /** Consecutive failures after which a server is ejected for a while. */
 const FAILURES_TO_EJECT = 2;
 /**
@@ -29,47 +26,19 @@
 const MAX_EJECTION_MS = 4_000;
 /** Weight of the newest answer in a server's slowness. */
 const SLOWNESS_GAIN = 0.15;
+/** Lower bound of an answer's time ratio, and so of the slowness of a server. */
+const MIN_SLOWNESS = 0.5;
+/** Upper bound of an answer's time ratio, and so of the slowness of a server. */
+const MAX_SLOWNESS = 8;
 /**
  * Time after its last bytes for which a server counts as active, in milliseconds; a few steps of
  * a busy engine.
  */
 const ACTIVE_MS = 400;
-/** Lower bound of an answer's time ratio, and so of the slowness of a server. */
-const MIN_SLOWNESS = 0.5;
-/** Upper bound of an answer's time ratio, and so of the slowness of a server. */
-const MAX_SLOWNESS = 8;
 /** Time for which the servers of a data centre return gradually after an evacuation, in milliseconds. */
 const RETURN_MS = 2_000;
-/** Maximum number of prompt segments that are tracked for one server. */
-const MAX_SEGMENTS = 4_000;
-
-/** The state of one backend server as this entry knows it. @public */
-export interface KnownServer {
-  listing: ServerListing;
-  readonly agent: ServerAgent;
-  /** Requests of this entry in flight there. */
-  inFlight: number;
-  /** Requests of other entries in flight there, as of the last exchange. */
-  othersInFlight: number;
-  /** Work of this entry whose answer has not begun, in milliseconds of server time. */
-  pendingMs: number;
-  /** Work of other entries whose answer has not begun, in milliseconds, as of the last exchange. */
-  othersPendingMs: number;
-  /** When this entry last received anything from it, on the monotonic clock. */
-  lastReceivedAt: number;
-  /** When an exchange last said that another entry receives from it, on the monotonic clock. */
-  othersReceivedAt: number;
-  /** Failed sends since the last answer. */
-  failures: number;
-  /** The time until which other servers are preferred, on the monotonic clock. */
-  ejectedUntil: number;
-  /** Its answer times relative to those of its service; 1 is typical. */
-  slowness: number;
-  /** The time until which it is slow because it has just started, on the monotonic clock. */
-  slowUntil: number;
-  /** The time of the last send of each prompt segment to it, in the order of these times. */
-  readonly cachedSegments: Map<string, number>;
-}
+/** Maximum number of prompt segments that one report names. */
+const MAX_PROMPT_NEWS = 64;
 
 /** Called with the registrations of the servers to which requests may be sent again. @public */
 export type ReturnListener = (
@@ -113,11 +82,18 @@
   /** Sets the load that the other entries have placed on the servers. */
   setOthersLoad(load: LoadTable): void {
     for (const [id, server] of this.servers) {
-      const [inFlight, pendingMs, active = 0] = load[id] ?? [0, 0];
+      const [inFlight, pendingMs, active = 0, heldTokens = 0, ...recent] = load[
+        id
+      ] ?? [0, 0];
+      const [readTokens = 0, answers = 0, logRatios = 0] = recent;
       if (active > 0) server.othersReceivedAt = performance.now();
       server.othersInFlight = inFlight;
       server.othersPendingMs = pendingMs;
+      server.memory.setOthersHeld(heldTokens);
+      server.memory.kept.setOthersRead(readTokens);
+      server.pace.setOthers(answers, logRatios);
     }
+    this.updatePaces();
   }
 
   /** Records that a server has answered, and the ratio of its time to the typical time. */
@@ -162,14 +138,24 @@
     this.markDeparted(listing);
   }
 
-  /** Records that a server has prefilled segments of a prompt for a model. */
-  recordSegments({cachedSegments}: KnownServer, keys: readonly string[]): void {
-    const now = performance.now();
-    for (const key of keys) {
-      cachedSegments.delete(key);
-      cachedSegments.set(key, now);
+  /** Records the prompt segments that other entries have sent to the servers. */
+  addPromptNews(table: PromptNewsTable): void {
+    for (const [id, hashes] of Object.entries(table)) {
+      this.servers.get(id)?.memory.kept.recordNews(hashes);
     }
-    evictOldest(cachedSegments, MAX_SEGMENTS);
+  }
+
+  /** Takes the prompt segments that this entry has sent, which are news to the others. */
+  takePromptNews(): PromptNewsTable {
+    const table: Record<string, readonly number[]> = {};
+    let left = MAX_PROMPT_NEWS;
+    for (const [id, {memory}] of this.servers) {
+      const hashes = memory.kept.takeNews(left);
+      if (hashes.length > 0) table[id] = hashes;
+      left -= hashes.length;
+      if (left === 0) break;
+    }
+    return table;
   }
 
   // Queries.
@@ -266,7 +252,7 @@
     // Their permits bound the sends of all entries.
     if (this.cold.isCold(registration)) return false;
     return (
-      performance.now() < slowUntil ||
+      (slowUntil > 0 && performance.now() < slowUntil) ||
       ejectedUntil > 0 ||
       this.limits.isReturning(registration) ||
       this.notices.isReturning(registration)
@@ -282,10 +268,20 @@
   listLoad(): LoadTable {
     const load: Record<string, ServerLoad> = {};
     const oldest = performance.now() - ACTIVE_MS;
-    for (const [id, {inFlight, pendingMs, lastReceivedAt}] of this.servers) {
+    for (const [id, server] of this.servers) {
+      const {inFlight, pendingMs, lastReceivedAt, memory, pace} = server;
       const active = lastReceivedAt > oldest ? 1 : 0;
-      if (inFlight === 0 && active === 0) continue;
-      load[id] = [inFlight, Math.round(pendingMs), active];
+      const {answers, logRatios} = pace.describeOwn();
+      if (inFlight === 0 && active === 0 && answers === 0) continue;
+      load[id] = buildServerLoad([
+        inFlight,
+        Math.round(pendingMs),
+        active,
+        memory.ownTokens,
+        memory.kept.describeRead(),
+        answers,
+        logRatios,
+      ]);
     }
     return load;
   }
@@ -316,6 +312,18 @@
     for (const listener of this.returnListeners) listener(registrations);
   }
 
+  /** Relates the servers of each service to each other. */
+  private updatePaces(): void {
+    const paces = new Map<string, ServerPace[]>();
+    for (const {listing, pace} of this.servers.values()) {
+      const {service} = listing.registration;
+      const known = paces.get(service);
+      if (known) known.push(pace);
+      else paces.set(service, [pace]);
+    }
+    for (const group of paces.values()) updateTypicalPace(group);
+  }
+
   private markDeparted({registration, isSilent}: ServerListing): void {
     const known = this.servers.get(registration.id);
     if (known?.listing.registration !== registration) return;
@@ -401,25 +409,3 @@
     writeDecision('server_dropped', {server: id});
   }
 }
-
-function createServer(listing: ServerListing): KnownServer {
-  return {
-    listing,
-    agent: new ServerAgent(MAX_IDLE_CONNECTIONS),
-    inFlight: 0,
-    othersInFlight: 0,
-    pendingMs: 0,
-    othersPendingMs: 0,
-    lastReceivedAt: -Infinity,
-    othersReceivedAt: -Infinity,
-    failures: 0,
-    ejectedUntil: 0,
-    slowness: 1,
-    slowUntil: computeSlowUntil(listing.registration),
-    cachedSegments: new Map(),
-  };
-}
-
-function computeSlowUntil({slowStartMs = 0}: ServerRegistration): number {
-  return performance.now() + slowStartMs;
-}
--- a/packages/gateway/src/lib/SlowStart.ts
+++ b/packages/gateway/src/lib/SlowStart.ts
@@ -1,4 +1,4 @@
-import type {KnownServer} from './ServerTable.js';
+import type {KnownServer} from './KnownServer.js';
 
 /**
  * Requests that a slow server may get, relative to an equal share. More than one, since the others may
--- a/packages/gateway/src/lib/VersionSplit.ts
+++ b/packages/gateway/src/lib/VersionSplit.ts
@@ -8,7 +8,7 @@
 } from '@sycamorehead/schema';
 import {hashToShare} from '@sycamorehead/routing';
 import {writeDecision} from '@sycamorehead/telemetry';
-import type {KnownServer} from './ServerTable.js';
+import type {KnownServer} from './KnownServer.js';
 
 /** Maximum number of sessions that are tracked; the least recently used one is evicted. */
 const MAX_SESSIONS = 20_000;
--- a/packages/gateway/src/lib/buildServerHeaders.ts
+++ b/packages/gateway/src/lib/buildServerHeaders.ts
@@ -1,6 +1,6 @@
 import type {CallerRequest} from './CallerRequest.js';
 import {HeaderNames, copyEndToEndHeaders} from './headerNames.js';
-import type {KnownServer} from './ServerTable.js';
+import type {KnownServer} from './KnownServer.js';
 import type {RequestTarget} from './resolveTarget.js';
 
 const MAX_PRIORITY = 9;
--- a/packages/gateway/src/test/versionEvidence.test.ts
+++ b/packages/gateway/src/test/versionEvidence.test.ts
@@ -3,7 +3,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import fakeTimers from '@sinonjs/fake-timers';
 import type {ServiceRollout, VersionCounts} from '@sycamorehead/schema';
-import {KnownServer, ServerTable} from '../lib/ServerTable.js';
+import type {KnownServer} from '../lib/KnownServer.js';
+import {ServerTable} from '../lib/ServerTable.js';
 import {VersionSplit} from '../lib/VersionSplit.js';
 import {
   FakeServer,
--- a/packages/routing/src/lib/forwarding/DecayingSum.ts
+++ b/packages/routing/src/lib/forwarding/DecayingSum.ts
@@ -7,24 +7,31 @@
  * ```ts
  * const placed = new DecayingSum(2_000);
  * placed.add(1);
+ * placed.value; // 0.37 two seconds later
  * ```
  * @public
  */
 export class DecayingSum {
-  private sum = 0;
-  private updatedAt = performance.now();
+  private total = 0;
+  private setAt = performance.now();
 
   /** Creates a sum whose parts lose two thirds of their weight within `decayMs` milliseconds. */
   constructor(private readonly decayMs: number) {}
 
   add(amount: number): void {
-    this.sum = this.value + amount;
-    this.updatedAt = performance.now();
+    this.set(this.value + amount);
+  }
+
+  /** Replaces the sum. */
+  set(total: number): void {
+    this.total = total;
+    this.setAt = performance.now();
   }
 
   get value(): number {
-    const ageMs = performance.now() - this.updatedAt;
-    return this.sum * Math.exp(-ageMs / this.decayMs);
+    if (this.total === 0) return 0;
+    const ageMs = performance.now() - this.setAt;
+    return this.total * Math.exp(-ageMs / this.decayMs);
   }
 
   get perSecond(): number {
