Waiting: what the exchange of queues brings, as measured

The replay of bad luck at one entry compares entries that know each other's queues with entries that do not.

--- a/packages/routing/src/test/queueExchange.test.ts
+++ b/packages/routing/src/test/queueExchange.test.ts
@@ -137,7 +137,7 @@
   return {served: served / sent, others, freeMs: shared.freeMs};
 }
 
-test('urgent requests at one of sixty entries that has no places of its own are served', async t => {
+test("urgent requests at one of sixty entries without places are served if entries know each other's queues", async t => {
   const alone = await runBadLuck(false);
   const pooled = await runBadLuck(true);
   const note = JSON.stringify({alone, pooled});
