An answer without a length that ends during the upload is not complete

Cause: the end of an answer without a length is the end of its connection. Change: such an answer is complete only once the whole request has been written; a reset, and a close with unread bytes, were noticed before.

--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -206,6 +206,7 @@
       const notice = readNotice(attempt, message);
       if (notice) attempt.onServerNotice(notice);
       const outcome = classifyHead(attempt, message, {
+        isUploaded: () => request.writableFinished,
         isCancelled: () => cancellation !== undefined,
         cancel: () => {
           message.resume();
@@ -257,7 +258,10 @@
   return {isLeaving, holdMs, limit};
 }
 
-interface Cancellation {
+/** The state of a send whose answer has begun. */
+interface SendProgress {
+  /** Returns whether the whole request has been written. */
+  isUploaded(): boolean;
   isCancelled(): boolean;
   cancel(): Promise<boolean>;
 }
@@ -265,7 +269,7 @@
 function classifyHead(
   {names, requestId, expectedServer, isStream, method}: AttemptRequest,
   message: IncomingMessage,
-  {isCancelled, cancel}: Cancellation,
+  {isUploaded, isCancelled, cancel}: SendProgress,
 ): AttemptOutcome | InvalidAnswer {
   const {headers, statusCode: status = 0} = message;
   const echoed = headers[names.requestId];
@@ -304,17 +308,21 @@
   }
   const confidence = Number(headers[names.confidence] ?? NaN);
   const wasReset = watchForReset(message);
+  const isFramed =
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined;
+  // Before the request was written, the end of the connection may be a server that gives up.
+  const hasEnd = () => isFramed || isUploaded();
   return {
     type: 'answered',
     answer: {
       status,
       message,
-      isFramed:
-        headers['content-length'] !== undefined ||
-        headers['transfer-encoding'] !== undefined,
+      isFramed,
       confidence: Number.isFinite(confidence) ? confidence : undefined,
       // The server may end an answer without a length because it was cancelled.
-      isComplete: () => message.complete && !wasReset() && !isCancelled(),
+      isComplete: () =>
+        message.complete && hasEnd() && !wasReset() && !isCancelled(),
       cancel,
     },
   };
--- a/packages/gateway/src/test/plainHeads.test.ts
+++ b/packages/gateway/src/test/plainHeads.test.ts
@@ -108,6 +108,87 @@
   }
 }
 
+/** What may stand where the status of a final answer is due. */
+const NO_FINAL_STATUSES = [
+  ...['000', '001', '099', '600', '601', '999', '0200', '2000', '20', '2'],
+  ...['+200', '-200', ' 200', '2 00', '2e2', '0x0c8', 'abc', ''],
+];
+const STREAM_TYPE = 'Content-Type: text/event-stream';
+
+for (const status of NO_FINAL_STATUSES) {
+  for (const framing of ['a length', 'chunks', 'no length'] as const) {
+    test(`status '${status}' with ${framing}: no answer, on any route`, async () => {
+      const buildFraming = (body: string) =>
+        ({
+          'a length': `Content-Length: ${body.length}\r\n\r\n${body}`,
+          chunks: `${CHUNKED}\r\n\r\n${formatChunk(body)}${LAST_CHUNK}`,
+          'no length': `\r\n${body}`,
+        })[framing];
+      for (const kind of ['safe', 'unsafe', 'streaming'] as const) {
+        const body = kind === 'streaming' ? formatEvent(1) : BODY;
+        const server = await startServer('s1', (request, socket) => {
+          const id = request.headers.get('x-request-id') ?? '';
+          const head = `HTTP/1.1 ${status} Odd\r\nX-Request-Id: ${id}\r\nX-Signature: signed\r\n${STREAM_TYPE}\r\n`;
+          socket.end(head + buildFraming(body));
+        });
+        const gateway = await startGateway({kind, maxAttempts: 1}, [server]);
+        const text = await gateway.exchange(formatRequest({method: 'POST'}));
+        assert.match(text, /^HTTP\/1\.1 50[24] /, kind);
+        assert.equal(text.includes(body), false, text);
+        await stopStarted();
+      }
+    });
+  }
+
+  test(`status '${status}': a safe request is answered by another server`, async () => {
+    const odd = await startServer('s1', (request, socket) =>
+      socket.end(build([LENGTH], BODY, `${status} Odd`)(request)),
+    );
+    const sound = await startServer('s2', (request, socket) =>
+      socket.write(formatAnswer(request, 'sound')),
+    );
+    const gateway = await startGateway({kind: 'safe'}, [odd, sound]);
+    for (let run = 0; run < 4; run += 1) {
+      const text = await gateway.exchange(formatRequest({id: `r${run}`}));
+      assert.match(text, /^HTTP\/1\.1 200 [^]*sound$/);
+    }
+  });
+
+  test(`status '${status}': a stream that is resumed there does not go on with it`, async () => {
+    const server = await startServer('s1', (request, socket) => {
+      const after = Number(request.headers.get('last-event-id') ?? 0);
+      const events = formatChunk(formatEvent(after + 1));
+      const fields = [STREAM_TYPE, CHUNKED];
+      if (after === 0) socket.end(formatHead(request, fields) + events);
+      else if (server.received.length > 2) {
+        socket.write(formatHead(request, fields) + events + LAST_CHUNK);
+      } else {
+        const odd = formatHead(request, fields, `${status} Odd`);
+        socket.end(odd + formatChunk(formatEvent(9)) + LAST_CHUNK);
+      }
+    });
+    const route = {kind: 'streaming', isResumable: true} as const;
+    const gateway = await startGateway(route, [server]);
+    const text = await gateway.exchange(formatRequest({method: 'POST'}));
+    assert.equal(text.includes(formatEvent(9)), false, text);
+  });
+}
+
+for (const isClosed of [true, false]) {
+  test(`interim answers alone are no answer, ${isClosed ? 'then a close' : 'then silence'}`, async () => {
+    const server = await startServer('s1', (request, socket) => {
+      const interim = build([LENGTH], BODY, '103 Early Hints')(request);
+      if (isClosed) socket.end(interim);
+      else socket.write(interim);
+    });
+    const route = {kind: 'unsafe', timeoutMs: 400} as const;
+    const gateway = await startGateway(route, [server]);
+    const text = await gateway.exchange(formatRequest({method: 'POST'}));
+    assert.match(text, /^HTTP\/1\.1 50[24] /);
+    assert.equal(text.includes(BODY), false, text);
+  });
+}
+
 for (const [name, answer] of Object.entries(SOUND_ANSWERS)) {
   test(`${name}: the caller gets the body and one signature`, async () => {
     const server = await startServer('s1', (request, socket) =>
