Plain services: an end during the upload and a status above 599 are no answers

Cause: the same class in packages/entry. undici took the end of a connection whose request was still being written for the end of an answer without a length, and passed on statuses that are not final HTTP statuses. Change: the connector treats such an end like a reset; findServiceViolation refuses statuses outside 200 to 599. Result: earlyAnswers.test of the entry failed 4 of 16 before (half-close and reset, repeatable or not; 600; 999), none after.

--- a/packages/entry/src/lib/buildResetConnector.ts
+++ b/packages/entry/src/lib/buildResetConnector.ts
@@ -3,10 +3,12 @@
 import {buildConnector, errors} from 'undici';
 
 const RESET_REASON = 'the connection was reset';
+const EARLY_END_REASON = 'the connection ended before the request was written';
 
 /**
- * Builds a connector for undici whose connections report a reset as a failure. undici takes it for the end
- * of an answer without a length, which then looks complete.
+ * Builds a connector for undici whose connections report as a failure that they are reset, or end before
+ * the request has been written. undici takes both for the end of an answer without a length, which then
+ * looks complete.
  *
  * @example
  * ```ts
@@ -36,9 +38,15 @@
   // remote address then. A listener could not keep the event from those of undici.
   const emit = socket.emit.bind(socket) as EventEmitter['emit'];
   socket.emit = (event: string | symbol, ...values: unknown[]) => {
-    const isReset = event === 'end' && socket.remoteAddress === undefined;
-    if (!isReset) return emit(event, ...values);
-    socket.destroy(new errors.SocketError(RESET_REASON));
+    const reason = event === 'end' ? findEndDefect(socket) : undefined;
+    if (reason === undefined) return emit(event, ...values);
+    socket.destroy(new errors.SocketError(reason));
     return true;
   };
 }
+
+/** Returns why the end of a connection is not the regular end of an answer; undefined if it may be. */
+function findEndDefect(socket: Socket): string | undefined {
+  if (socket.remoteAddress === undefined) return RESET_REASON;
+  return socket.writableLength > 0 ? EARLY_END_REASON : undefined;
+}
--- a/packages/entry/src/lib/findServiceViolation.ts
+++ b/packages/entry/src/lib/findServiceViolation.ts
@@ -1,6 +1,8 @@
 import type {Dispatcher} from 'undici';
 
 const PARTIAL_STATUS = 206;
+const MIN_FINAL_STATUS = 200;
+const MAX_FINAL_STATUS = 599;
 /** The body as it is. */
 const IDENTITY = 'identity';
 const CHUNKED = 'chunked';
@@ -19,6 +21,9 @@
   statusCode,
   headers,
 }: Dispatcher.ResponseData): string | undefined {
+  if (statusCode < MIN_FINAL_STATUS || statusCode > MAX_FINAL_STATUS) {
+    return `the status ${statusCode} is not that of a final response`;
+  }
   const coding = String(headers['content-encoding'] ?? IDENTITY);
   const transferCoding = String(headers['transfer-encoding'] ?? CHUNKED);
   const isEncoded =
