Entries refuse what they would answer late themselves

Cause: entries with a third of the processor or of the link get as many callers as the others; nothing measured what an entry's own delay costs its callers. Change: EntryMonitor measures how late timers fire and what is queued for the link; computeRefusedShare (no input or output) refuses a growing part of the requests whose objective the delay half uses up, as not run; above a second the entry is not ready. Result: entryMonitor.test, a replay of 1.5 times an entry's capacity: more than twice as many in time as without; calm, one pause and a freeze refuse nothing.

--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -92,6 +92,7 @@
       const allowedMs = Math.min(this.request.waitMs ?? Infinity, timeoutMs);
       this.deadlineAt = this.request.arrivedAt + allowedMs;
       this.context.budgets.recordRequest(target.service.name);
+      this.checkPace(target);
       timer = setTimeout(() => {
         this.isTimedOut = true;
         controller.abort();
@@ -119,6 +120,12 @@
     return replaceUnsafeRefusal(error, mayHaveRun);
   }
 
+  /** Refuses a request that this entry itself would probably answer late. */
+  private checkPace({route}: RequestTarget): void {
+    if (this.context.monitor.isTaking(route.targetLatencyMs)) return;
+    throw buildRefusal('this entry does not keep up', false);
+  }
+
   private resolve(): RequestTarget {
     return resolveTarget(this.context.getRoutes(), this.request);
   }
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -13,6 +13,7 @@
 import {createLogger, writeDecision} from '@sycamorehead/telemetry';
 import {AnswerTimes} from './AnswerTimes.js';
 import {CrashObserver} from './CrashObserver.js';
+import {EntryMonitor} from './EntryMonitor.js';
 import {ForwardedRequest} from './ForwardedRequest.js';
 import {GatewayMetrics} from './GatewayMetrics.js';
 import {GatewayServer} from './GatewayServer.js';
@@ -47,6 +48,8 @@
   readonly sessionMs: number;
   /** The longest time that a stop may take, in milliseconds. */
   readonly graceMs: number;
+  /** Bandwidth of this entry's link, in megabits a second; undefined if it is not known. */
+  readonly linkMbps?: number;
   readonly decodeConfiguration: (document: JsonValue) => RouteConfiguration;
 }
 
@@ -72,6 +75,7 @@
   private readonly links: FleetLinks;
   private readonly reporter: LoadReporter;
   private readonly server: GatewayServer;
+  private readonly monitor: EntryMonitor;
   private routes: RouteTable | undefined;
   private isStopping = false;
   private exchangeTimer: NodeJS.Timeout | undefined;
@@ -90,8 +94,13 @@
       dataCentre,
       countEntries: () => this.budgets.countEntries(),
     });
+    this.monitor = new EntryMonitor({
+      linkMbps: options.linkMbps,
+      countQueuedBytes: () => this.server.countQueuedBytes(),
+    });
     const context: ForwardContext = {
       names,
+      monitor: this.monitor,
       policies,
       servers: this.servers,
       versions: this.versions,
@@ -138,6 +147,7 @@
   async start(): Promise<void> {
     await this.server.listen(this.options.host, this.options.port);
     this.links.start();
+    this.monitor.start();
     this.exchangeTimer = setInterval(
       () => void this.exchangeLoad(),
       EXCHANGE_INTERVAL_MS,
@@ -158,6 +168,7 @@
     this.isStopping = true;
     await this.server.stop(this.options.graceMs);
     clearInterval(this.exchangeTimer);
+    this.monitor.stop();
     this.links.stop();
   }
 
@@ -165,9 +176,8 @@
 
   /** Returns whether this entry is ready for new callers. */
   isReady(): boolean {
-    return (
-      !this.isStopping && this.routes !== undefined && !this.servers.isEmpty
-    );
+    if (this.isStopping || this.monitor.isOverloaded) return false;
+    return this.routes !== undefined && !this.servers.isEmpty;
   }
 
   private applyUpdate(update: FleetUpdate): void {
@@ -191,6 +201,7 @@
 
   private async exchangeLoad(): Promise<void> {
     this.metrics.setWaiting(this.placement.countWaiting());
+    this.metrics.setPace(this.monitor.pace);
     try {
       await this.reporter.exchangeReports();
     } catch (error) {
--- a/packages/gateway/src/lib/GatewayMetrics.ts
+++ b/packages/gateway/src/lib/GatewayMetrics.ts
@@ -1,3 +1,4 @@
+import type {EntryPace} from '@sycamorehead/routing';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 /** Upper bounds of the buckets of the latency histograms, in seconds. */
@@ -37,11 +38,19 @@
   ]);
   private readonly waits = this.createHistogram('queue_wait_seconds');
   private readonly firstBytes = this.createHistogram('first_byte_seconds');
-  private readonly waiting = new Gauge({
-    name: 'syc_gateway_waiting',
-    help: 'Requests that wait for a place',
-    registers: [this.registry],
-  });
+  private readonly waiting = this.createGauge(
+    'waiting',
+    'Requests that wait for a place',
+  );
+
+  private readonly processorDelay = this.createGauge(
+    'processor_delay_seconds',
+    'Time for which ready work waits for the processor',
+  );
+  private readonly linkDelay = this.createGauge(
+    'link_delay_seconds',
+    'Time that the bytes queued for callers need on the link',
+  );
 
   /** Counts a final answer; status 0 is a caller that has disconnected. */
   recordAnswer(route: string, status: number): void {
@@ -92,6 +101,20 @@
     this.waiting.set(count);
   }
 
+  /** Records how the entry keeps up with its own work. */
+  setPace({processorDelayMs, linkDelayMs}: EntryPace): void {
+    this.processorDelay.set(processorDelayMs / 1_000);
+    this.linkDelay.set(linkDelayMs / 1_000);
+  }
+
+  private createGauge(name: string, help: string): Gauge {
+    return new Gauge({
+      name: `syc_gateway_${name}`,
+      help,
+      registers: [this.registry],
+    });
+  }
+
   private createCounter(name: string, labelNames: string[]): Counter {
     return new Counter({
       name: `syc_gateway_${name}`,
--- a/packages/gateway/src/lib/GatewayServer.ts
+++ b/packages/gateway/src/lib/GatewayServer.ts
@@ -134,6 +134,13 @@
     }
   }
 
+  // Queries.
+
+  /** Counts the bytes that wait to be sent to callers. */
+  countQueuedBytes(): number {
+    return this.openAnswers.countQueuedBytes();
+  }
+
   private async accept(
     message: IncomingMessage,
     response: ServerResponse,
--- a/packages/gateway/src/lib/OpenAnswers.ts
+++ b/packages/gateway/src/lib/OpenAnswers.ts
@@ -2,6 +2,9 @@
 import type {Socket} from 'node:net';
 import type {CallerAnswer} from './CallerAnswer.js';
 
+/** Bytes of one connection that count as waiting for the link; a caller that does not read has more. */
+const MAX_QUEUED_BYTES = 64 * 1024;
+
 /**
  * The answers that are still owed to callers: those to requests being served, and those whose last
  * bytes the operating system has not taken yet because the caller reads slowly.
@@ -27,6 +30,15 @@
     response.once('finish', () => answers.delete(answer));
   }
 
+  /** Counts the bytes that wait to be sent to callers. */
+  countQueuedBytes(): number {
+    let bytes = 0;
+    for (const {writableLength} of this.bySocket.keys()) {
+      bytes += Math.min(MAX_QUEUED_BYTES, writableLength);
+    }
+    return bytes;
+  }
+
   /** Lists the owed answers. */
   list(): CallerAnswer[] {
     return [...this.bySocket.values()].flatMap(answers => [...answers]);
--- a/packages/gateway/src/lib/gatewayTypes.ts
+++ b/packages/gateway/src/lib/gatewayTypes.ts
@@ -7,6 +7,7 @@
 } from '@sycamorehead/routing';
 import type {AnswerTimes} from './AnswerTimes.js';
 import type {CrashObserver} from './CrashObserver.js';
+import type {EntryMonitor} from './EntryMonitor.js';
 import type {GatewayMetrics} from './GatewayMetrics.js';
 import type {HeaderNames} from './headerNames.js';
 import type {Placement} from './Placement.js';
@@ -28,6 +29,7 @@
 /** Dependencies of the forwarding of one request. @public */
 export interface ForwardContext {
   readonly names: HeaderNames;
+  readonly monitor: EntryMonitor;
   readonly policies: GatewayPolicies;
   readonly servers: ServerTable;
   readonly versions: VersionSplit;
--- a/packages/gateway/src/test/GatewayHarness.ts
+++ b/packages/gateway/src/test/GatewayHarness.ts
@@ -13,6 +13,7 @@
 } from '@sycamorehead/routing';
 import {AnswerTimes} from '../lib/AnswerTimes.js';
 import {CrashObserver} from '../lib/CrashObserver.js';
+import {EntryMonitor} from '../lib/EntryMonitor.js';
 import {ForwardedRequest} from '../lib/ForwardedRequest.js';
 import {GatewayMetrics} from '../lib/GatewayMetrics.js';
 import {GatewayServer} from '../lib/GatewayServer.js';
@@ -117,6 +118,12 @@
     this.crashes.recordSound(segments),
   );
   readonly metrics = new GatewayMetrics();
+  /** Bytes that seem to wait for the link; read once the monitor has been started. */
+  queuedBytes = 0;
+  readonly monitor = new EntryMonitor({
+    linkMbps: 1,
+    countQueuedBytes: () => this.queuedBytes,
+  });
   private readonly rates = new PrefillRates();
   private readonly budgets: RetryBudgets;
   private readonly server: GatewayServer;
@@ -143,6 +150,7 @@
     });
     const context: ForwardContext = {
       names: TEST_NAMES,
+      monitor: this.monitor,
       policies: {
         server: 'sampled',
         model: 'expected_value',
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -68,6 +68,12 @@
 export type {RetryBudgetOptions} from './lib/forwarding/RetryBudget.js';
 export {sampleServers} from './lib/forwarding/sampleServers.js';
 export type {SampleOptions} from './lib/forwarding/sampleServers.js';
+export {
+  computeRefusedShare,
+  estimateOwnDelay,
+  isEntryOverloaded,
+} from './lib/forwarding/judgeEntryPace.js';
+export type {EntryPace} from './lib/forwarding/judgeEntryPace.js';
 export {scoreServer} from './lib/forwarding/scoreServer.js';
 export type {
   ServerCandidate,
