--- a/packages/gateway/src/lib/GatewayMetrics.ts
+++ b/packages/gateway/src/lib/GatewayMetrics.ts
@@ -1,4 +1,4 @@
-import type {QueueRefusalReason} from '@sycamorehead/routing';
+import type {EntryPace, QueueRefusalReason} from '@sycamorehead/routing';
 import type {ErrorKind} from '@sycamorehead/schema';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {ColdCounts} from './ColdServers.js';
@@ -51,35 +51,38 @@
   ]);
   private readonly waits = this.createHistogram('queue_wait_seconds');
   private readonly firstBytes = this.createHistogram('first_byte_seconds');
-  private readonly waiting = new Gauge({
-    name: 'syc_gateway_waiting',
-    help: 'Requests that wait for a place',
-    registers: [this.registry],
-  });
-  private readonly waitingByUrgency = new Gauge({
-    name: 'syc_gateway_waiting_by_urgency',
-    help: 'Requests that wait for a place, by service and urgency class',
-    labelNames: ['service', 'urgency'],
-    registers: [this.registry],
-  });
-
+  private readonly waiting = this.createGauge(
+    'waiting',
+    'Requests that wait for a place',
+  );
+  private readonly waitingByUrgency = this.createGauge(
+    'waiting_by_urgency',
+    'Requests that wait for a place, by service and urgency class',
+    ['service', 'urgency'],
+  );
   private readonly failures = this.createCounter('failures_total', [
     'route',
     'kind',
   ]);
-  private readonly evacuated = new Gauge({
-    name: 'syc_gateway_evacuated_data_centres',
-    help: 'Data centres to whose servers nothing is sent',
-    registers: [this.registry],
-  });
+  private readonly evacuated = this.createGauge(
+    'evacuated_data_centres',
+    'Data centres to whose servers nothing is sent',
+  );
   private readonly coldPermits = this.createCounter('cold_permits_total', [
     'type',
   ]);
-  private readonly coldServers = new Gauge({
-    name: 'syc_gateway_cold_servers',
-    help: 'Backend servers that are known to be cold',
-    registers: [this.registry],
-  });
+  private readonly coldServers = this.createGauge(
+    'cold_servers',
+    'Backend servers that are known to be cold',
+  );
+  private readonly processorDelay = this.createGauge(
+    'processor_delay_seconds',
+    'Time for which ready work waits for the processor',
+  );
+  private readonly linkDelay = this.createGauge(
+    'link_delay_seconds',
+    'Time that the bytes queued for callers need on the link',
+  );
 
   /** Counts a final answer; status 0 is a caller that has disconnected. */
   recordAnswer(route: string, status: number): void {
@@ -173,6 +176,25 @@
     }
   }
 
+  /** Records how the entry keeps up with its own work. */
+  setPace({processorDelayMs, linkDelayMs}: EntryPace): void {
+    this.processorDelay.set(processorDelayMs / 1_000);
+    this.linkDelay.set(linkDelayMs / 1_000);
+  }
+
+  private createGauge(
+    name: string,
+    help: string,
+    labelNames: string[] = [],
+  ): Gauge {
+    return new Gauge({
+      name: `syc_gateway_${name}`,
+      help,
+      labelNames,
+      registers: [this.registry],
+    });
+  }
+
   private createCounter(name: string, labelNames: string[]): Counter {
     return new Counter({
       name: `syc_gateway_${name}`,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -89,6 +89,12 @@
 } from './lib/forwarding/ServerMemory.js';
 export {ServerPace, updateTypicalPace} from './lib/forwarding/ServerPace.js';
 export type {AwaitedStart, PaceSums} from './lib/forwarding/ServerPace.js';
+export {
+  computeRefusedShare,
+  estimateOwnDelay,
+  isEntryOverloaded,
+} from './lib/forwarding/judgeEntryPace.js';
+export type {EntryPace} from './lib/forwarding/judgeEntryPace.js';
 export {scoreServer} from './lib/forwarding/scoreServer.js';
 export type {
   ServerCandidate,
