Crowd tests: clients that end a process, as evidence before the fix

Cause: an entry or a control instance holds whatever clients send: bodies of legal size, any number of them; tiny chunks, each an object of its own; connections without a bound; frames of strangers. Answers to requests one behind the other wait unread. Change: tests that start the programs of the platform and the product's own on loopback addresses and play a crowd against each port; they check that the process lives, its peak memory, its descriptors, and that an ordinary request is served. Crowds and bounds are fixed here. scripts/test.mjs runs *.crowd.test.js one at a time after the other tests.

--- a/packages/wire/src/testing/index.ts
+++ b/packages/wire/src/testing/index.ts
@@ -1,3 +1,5 @@
-/** Servers that fail on purpose, for tests of the packages that read answers. */
+/** Servers that fail and clients that overload on purpose, for the tests of all packages. */
+export {CrowdProgram} from './CrowdProgram.js';
 export {EndlessServer} from './EndlessServer.js';
 export type {EndlessAnswer, EndlessPace} from './EndlessServer.js';
+export type {CrowdOptions, HostileInput} from './HostileCrowd.js';
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,7 +1,11 @@
 import {ensureBuilt, ensureInstalled, findTests, run} from './ensure.mjs';
 
+/** Marks tests that overload a process and run one at a time, after the others. */
+const CROWD_MARK = '.crowd.test.js';
+
 const TEST_CONCURRENCY = 4;
 const TEST_TIMEOUT_MS = 120_000;
+const CROWD_TIMEOUT_MS = 300_000;
 
 ensureInstalled();
 ensureBuilt();
@@ -11,10 +15,21 @@
   console.error('no tests found');
   process.exit(1);
 }
-const status = run('node', [
-  '--test',
-  `--test-concurrency=${TEST_CONCURRENCY}`,
-  `--test-timeout=${TEST_TIMEOUT_MS}`,
-  ...tests,
-]);
-process.exit(status);
+
+function runTests(files, concurrency, timeoutMs) {
+  if (files.length === 0) return 0;
+  return run('node', [
+    '--test',
+    `--test-concurrency=${concurrency}`,
+    `--test-timeout=${timeoutMs}`,
+    ...files,
+  ]);
+}
+
+const crowds = tests.filter(file => file.endsWith(CROWD_MARK));
+const others = tests.filter(file => !crowds.includes(file));
+const statuses = [
+  runTests(others, TEST_CONCURRENCY, TEST_TIMEOUT_MS),
+  runTests(crowds, 1, CROWD_TIMEOUT_MS),
+];
+process.exit(Math.max(...statuses));
