Clients that we don't control can't end a process: one account of what is held for them

Cause: nothing bounded the bodies, connections, open requests and unread answers that a process held for its clients; each tiny chunk was an object of its own; a stranger on the peer port could have a frame of 16 MB buffered; a service call's body was copied to base64 for its digest. Change: ClientLimits, one account a process for all its ports (bodies, answers not yet read, connections, open requests), with bounds from the machine's memory and descriptors. HeldBytes decides on bodies (no I/O): small ones at once, large ones when there is room for all of each, one without progress gives way while others wait. ConnectionGuard bounds connections, open requests, and bytes without a request. Frames before the hello are at most 16 KB. Settings SYC_MEMORY_MB and SYC_MAX_FDS; metrics syc_client_*; log line clients_refused; error kind request_timeout (408).

--- a/apps/syc-control/src/main.ts
+++ b/apps/syc-control/src/main.ts
@@ -4,6 +4,8 @@
 import {SycamoreheadError, getErrorResponse} from '@sycamorehead/schema';
 import {
   instanceOptions,
+  machineOptions,
+  machineSettings,
   readInstanceTls,
   readSecret,
   readSettings,
@@ -11,7 +13,7 @@
   setLogPattern,
   tlsOptions,
 } from '@sycamorehead/telemetry';
-import {parsePeerAddress} from '@sycamorehead/wire';
+import {ClientLimits, parsePeerAddress} from '@sycamorehead/wire';
 import {buildReconcilerOptions, placementOptions} from './placementOptions.js';
 
 const MAX_PORT = 65_535;
@@ -34,6 +36,7 @@
   peerTlsCert: z.string().optional(),
   peerTlsKey: z.string().optional(),
   peerTlsCa: z.string().optional(),
+  ...machineSettings,
 });
 
 type Settings = z.infer<typeof settingsSchema>;
@@ -63,6 +66,7 @@
     peerKey: readSecret('SYC_PEER_KEY'),
     operatorToken: readSecret('SYC_OPERATOR_TOKEN'),
     operatorTls: tls.clients,
+    clientLimits: new ClientLimits(settings),
     peerTls: tls.peers,
     onFailure: endProcess,
   });
@@ -133,6 +137,7 @@
       defaultValue: () => '',
       defaultValueIsSerializable: true,
     }),
+    ...machineOptions,
     ...tlsOptions,
   },
   handler: async ({log, ...settings}) => {
--- a/apps/syc-entry/src/main.ts
+++ b/apps/syc-entry/src/main.ts
@@ -4,6 +4,8 @@
 import {Entry, RatingSettings} from '@sycamorehead/entry';
 import {
   instanceOptions,
+  machineOptions,
+  machineSettings,
   readInstanceTls,
   readOptionalSecret,
   readSecret,
@@ -12,7 +14,7 @@
   setLogPattern,
   tlsOptions,
 } from '@sycamorehead/telemetry';
-import {PeerAddress, parsePeerAddress} from '@sycamorehead/wire';
+import {ClientLimits, PeerAddress, parsePeerAddress} from '@sycamorehead/wire';
 import {
   buildTimeouts,
   timeoutOptions,
@@ -38,6 +40,7 @@
   peerTlsCert: z.string().optional(),
   peerTlsKey: z.string().optional(),
   peerTlsCa: z.string().optional(),
+  ...machineSettings,
   ...timeoutSettings,
 });
 
@@ -82,6 +85,7 @@
   const entry = new Entry({
     ...settings,
     tls: tls.clients,
+    clientLimits: new ClientLimits(settings),
     peerTls: tls.peers,
     peers: parsePeers(settings.peers),
     peerKey,
@@ -182,6 +186,7 @@
       defaultValueIsSerializable: true,
     }),
     ...timeoutOptions,
+    ...machineOptions,
     ...tlsOptions,
   },
   handler: async ({log, ...settings}) => {
--- a/packages/control/src/lib/ControlInstance.ts
+++ b/packages/control/src/lib/ControlInstance.ts
@@ -12,7 +12,7 @@
 } from '@sycamorehead/consensus';
 import type {SycamoreheadError} from '@sycamorehead/schema';
 import {TlsMaterial, createLogger} from '@sycamorehead/telemetry';
-import {WireServer} from '@sycamorehead/wire';
+import {ClientLimits, WireServer} from '@sycamorehead/wire';
 import {ControlNode, ControlNodeOptions} from './ControlNode.js';
 import {createControlMethods} from './createControlMethods.js';
 import {LeaderForwarder} from './LeaderForwarder.js';
@@ -37,6 +37,8 @@
   readonly peerTls?: TlsMaterial;
   /** Enables TLS on the operators' port. */
   readonly operatorTls?: TlsMaterial;
+  /** What operators' connections may cost; by default what the machine allows. */
+  readonly clientLimits?: ClientLimits;
   /**
    * Folder of the replicated state; without it, the state is in memory and on this instance only.
    */
@@ -100,6 +102,7 @@
       port,
       operatorToken,
       tls: this.options.operatorTls,
+      clientLimits: this.options.clientLimits,
     });
     this.wireServer = new WireServer({
       host,
--- a/packages/control/src/lib/OperatorServer.ts
+++ b/packages/control/src/lib/OperatorServer.ts
@@ -5,9 +5,11 @@
   JSONRPCServer,
   isJSONRPCRequest,
 } from 'json-rpc-2.0';
-import {readBounded, startListening} from '@sycamorehead/wire';
+import {ClientLimits, readHeldBody, startListening} from '@sycamorehead/wire';
 import {
+  ErrorKind,
   SycamoreheadError,
+  getErrorResponse,
   isSameKey,
   ReleaseNote,
   releaseNoteSchema,
@@ -30,6 +32,8 @@
   readonly port: number;
   readonly operatorToken: string;
   readonly tls?: TlsMaterial;
+  /** What operators' connections may cost; by default what the machine allows. */
+  readonly clientLimits?: ClientLimits;
 }
 
 type OperatorHandler = (params: Record<string, unknown>) => Promise<unknown>;
@@ -41,6 +45,7 @@
  */
 export class OperatorServer {
   private readonly server: Server;
+  private readonly clientLimits: ClientLimits;
   private readonly rpc = new JSONRPCServer({errorListener: () => {}});
 
   constructor(private readonly options: OperatorServerOptions) {
@@ -50,6 +55,8 @@
     this.server = tls ? createTlsServer(tls, handle) : createServer(handle);
     // Otherwise node:http drops headers beyond a number without an error.
     this.server.maxHeadersCount = 0;
+    this.clientLimits = options.clientLimits ?? new ClientLimits();
+    this.clientLimits.limitServer(this.server);
     for (const [name, handler] of Object.entries(this.getHandlers())) {
       const wrapped = this.wrapHandler(name, handler);
       this.rpc.addMethod(name, params => runHandler(wrapped, params));
@@ -107,23 +114,41 @@
   ): Promise<void> {
     try {
       this.checkRequest(request);
-      const call = JSON.parse(await readBody(request));
+      const body = await readHeldBody(request, response, {
+        held: this.clientLimits.bodies,
+        maxBytes: MAX_BODY_BYTES,
+      });
+      const call = JSON.parse(body.toString('utf8'));
       if (!isJSONRPCRequest(call)) {
         throw new SycamoreheadError(
           'malformed_request',
           'expected one JSON-RPC 2.0 request',
         );
       }
-      sendJson(response, 200, await this.rpc.receive(call));
+      this.sendJson(response, 200, await this.rpc.receive(call));
     } catch (thrown) {
       const error =
         thrown instanceof SyntaxError
           ? new SycamoreheadError('malformed_request', 'body is not JSON')
           : toSycamoreheadError(thrown);
-      sendJson(response, 400, {error: error.toBody()});
+      this.sendJson(response, getFailureStatus(error.kind), {
+        error: error.toBody(),
+      });
     }
   }
 
+  private sendJson(
+    response: ServerResponse,
+    status: number,
+    body: unknown,
+  ): void {
+    if (response.destroyed) return;
+    const text = JSON.stringify(body);
+    response.writeHead(status, {'content-type': 'application/json'});
+    this.clientLimits.answers.add(response, text.length);
+    response.end(text);
+  }
+
   private checkRequest(request: IncomingMessage): void {
     if (request.url !== '/rpc') {
       throw new SycamoreheadError('not_found', `${request.url}: expected /rpc`);
@@ -166,24 +191,8 @@
   }
 }
 
-async function readBody(request: IncomingMessage): Promise<string> {
-  const body = await readBounded(
-    request,
-    MAX_BODY_BYTES,
-    () =>
-      new SycamoreheadError(
-        'body_too_large',
-        `expected at most ${MAX_BODY_BYTES} bytes`,
-      ),
-  );
-  return body.toString('utf8');
-}
-
-function sendJson(
-  response: ServerResponse,
-  status: number,
-  body: unknown,
-): void {
-  response.writeHead(status, {'content-type': 'application/json'});
-  response.end(JSON.stringify(body));
+/** Returns the status of a call that failed before its method ran. */
+function getFailureStatus(kind: ErrorKind): number {
+  const {status} = getErrorResponse(kind);
+  return status === 408 || status === 503 ? status : 400;
 }
--- a/packages/entry/src/lib/Entry.ts
+++ b/packages/entry/src/lib/Entry.ts
@@ -8,6 +8,7 @@
 } from '@sycamorehead/schema';
 import {
   EntryMetrics,
+  createClientMetrics,
   createEntryMetrics,
   createLogger,
   TlsMaterial,
@@ -17,7 +18,7 @@
   PEER_LINK_TIMEOUTS,
   PeerGossip,
 } from '@sycamorehead/membership';
-import {PeerAddress, WireServer} from '@sycamorehead/wire';
+import {ClientLimits, PeerAddress, WireServer} from '@sycamorehead/wire';
 import {
   Router,
   RouterOptions,
@@ -66,6 +67,8 @@
   readonly peerTls?: TlsMaterial;
   /** TLS on connections from callers and backend servers. */
   readonly tls?: TlsMaterial;
+  /** What callers may cost this process; by default what its machine allows. */
+  readonly clientLimits?: ClientLimits;
   /** Key that authenticates the announcements of backend servers. */
   readonly serverKey: string;
   readonly control: ControlApi & Partial<PlacementApi>;
@@ -182,7 +185,9 @@
       directory,
       serviceMs: backendTimeouts.serviceMs,
     });
-    this.server = new EntryServer(this.getRoutes(), options.tls);
+    const clientLimits = options.clientLimits ?? new ClientLimits();
+    createClientMetrics(metrics.registry, () => clientLimits.readUsage());
+    this.server = new EntryServer(this.getRoutes(), clientLimits, options.tls);
   }
 
   /** Starts all components and returns the ports. */
--- a/packages/entry/src/lib/EntryServer.ts
+++ b/packages/entry/src/lib/EntryServer.ts
@@ -1,6 +1,6 @@
 import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
 import {createServer as createTlsServer} from 'node:https';
-import {startListening} from '@sycamorehead/wire';
+import {ClientLimits, startListening} from '@sycamorehead/wire';
 import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
 import {TlsMaterial, createLogger} from '@sycamorehead/telemetry';
 import {HttpExchange} from './HttpExchange.js';
@@ -29,6 +29,7 @@
 
   constructor(
     private readonly routes: readonly Route[],
+    private readonly clientLimits: ClientLimits,
     tls?: TlsMaterial,
   ) {
     const limits = {
@@ -39,10 +40,14 @@
     const handle = (request: IncomingMessage, response: ServerResponse) =>
       void this.serveRequest(request, response);
     this.server = tls
-      ? createTlsServer({...limits, ...tls}, handle)
+      ? createTlsServer(
+          {...limits, ...tls, handshakeTimeout: HEAD_TIMEOUT_MS},
+          handle,
+        )
       : createServer(limits, handle);
     // Otherwise node:http drops headers beyond a number without an error.
     this.server.maxHeadersCount = 0;
+    clientLimits.limitServer(this.server);
   }
 
   /** Starts to listen and returns the port. */
@@ -68,7 +73,8 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const exchange = new HttpExchange(request, response);
+    if (request.socket.destroyed) return;
+    const exchange = new HttpExchange(request, response, this.clientLimits);
     try {
       await this.findHandler(exchange)(exchange);
     } catch (thrown) {
--- a/packages/entry/src/lib/HttpExchange.ts
+++ b/packages/entry/src/lib/HttpExchange.ts
@@ -8,7 +8,7 @@
   getErrorResponse,
   toSycamoreheadError,
 } from '@sycamorehead/schema';
-import {readBounded} from '@sycamorehead/wire';
+import {ClientLimits, readHeldBody} from '@sycamorehead/wire';
 import {createLogger} from '@sycamorehead/telemetry';
 
 const log = createLogger('answers');
@@ -26,6 +26,7 @@
   constructor(
     readonly request: IncomingMessage,
     readonly response: ServerResponse,
+    private readonly clientLimits: ClientLimits,
   ) {
     this.url = new URL(request.url ?? '/', 'http://entry');
     const disconnection = new AbortController();
@@ -39,19 +40,14 @@
   /**
    * Reads the whole body.
    *
-   * @throws SycamoreheadError `body_too_large`.
+   * @throws SycamoreheadError `body_too_large`, `request_timeout` or `overloaded`.
    */
   readBody(maxBytes: number): Promise<Buffer> {
-    return readBounded(
-      this.request,
+    return readHeldBody(this.request, this.response, {
+      held: this.clientLimits.bodies,
       maxBytes,
-      () =>
-        new SycamoreheadError(
-          'body_too_large',
-          `body: expected at most ${maxBytes} bytes`,
-          {field: 'body'},
-        ),
-    );
+      field: 'body',
+    });
   }
 
   /**
@@ -124,13 +120,17 @@
   /** Sends a complete response. */
   sendBody(status: number, contentType: string, body: Buffer): void {
     this.response.writeHead(status, {'content-type': contentType});
+    this.clientLimits.answers.add(this.response, body.length);
     this.response.end(body);
   }
 
   /** Sends a complete JSON response. */
   sendJson(status: number, body: unknown): void {
-    this.response.writeHead(status, {'content-type': 'application/json'});
-    this.response.end(JSON.stringify(body));
+    this.sendBody(
+      status,
+      'application/json',
+      Buffer.from(JSON.stringify(body)),
+    );
   }
 
   /** Sends an error as the response, or as the last event of a stream that has begun. */
--- a/packages/entry/src/lib/PlainServiceProxy.ts
+++ b/packages/entry/src/lib/PlainServiceProxy.ts
@@ -4,7 +4,6 @@
   CustomerDeclaration,
   StoredResponse,
   SycamoreheadError,
-  computeDigest,
   toSycamoreheadError,
 } from '@sycamorehead/schema';
 import type {BackendServerDirectory} from '@sycamorehead/membership';
@@ -13,6 +12,7 @@
 import type {BackendClient} from './BackendClient.js';
 import type {CommitQueue} from './CommitQueue.js';
 import type {ConfigurationManager} from './ConfigurationManager.js';
+import {digestServiceCall} from './digestServiceCall.js';
 import {findServiceCall, splitServicePath} from './findServiceCall.js';
 import type {HttpExchange} from './HttpExchange.js';
 import {IdempotentRequest} from './IdempotentRequest.js';
@@ -173,8 +173,7 @@
 
 function digestTask({exchange, service, path, body, call}: ServiceTask) {
   const {search} = exchange.url;
-  const content = body.toString('base64');
-  return computeDigest([call.method, service, path, search, content]);
+  return digestServiceCall([call.method, service, path, search], body);
 }
 
 function sendAnswer(
--- a/packages/gateway/src/lib/CallerAnswer.ts
+++ b/packages/gateway/src/lib/CallerAnswer.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import {SycamoreheadError, getErrorResponse} from '@sycamorehead/schema';
+import type {UnreadAnswers} from '@sycamorehead/wire';
 
 const MS_PER_SECOND = 1_000;
 
@@ -24,6 +25,7 @@
     private readonly requestId: {name: string; value: string},
     /** Returns whether the connection is to be closed after this answer. */
     private readonly shouldClose: () => boolean,
+    private readonly unread?: UnreadAnswers,
   ) {
     this.disconnected = this.controller.signal;
     response.sendDate = false;
@@ -77,6 +79,7 @@
     const length = ['Content-Length', String(body.length)];
     this.writeHead(status, [...headers, ...length]);
     this.recordWrite();
+    this.unread?.add(this.response, body.length);
     this.response.end(body);
   }
 
@@ -90,6 +93,7 @@
   async write(bytes: Buffer): Promise<void> {
     this.recordWrite();
     if (this.disconnected.aborted || this.response.write(bytes)) return;
+    this.unread?.add(this.response, bytes.length);
     await new Promise<void>(resolve => {
       const finish = () => {
         this.response.off('drain', finish);
--- a/packages/gateway/src/lib/EventSplitter.ts
+++ b/packages/gateway/src/lib/EventSplitter.ts
@@ -1,4 +1,4 @@
-import {GrowingBuffer} from './GrowingBuffer.js';
+import {GrowingBuffer} from '@sycamorehead/wire';
 
 /** The largest event that is buffered, in bytes; a longer one fails its stream. */
 const MAX_EVENT_BYTES = 1024 * 1024;
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -10,7 +10,12 @@
   PrefillRates,
   RetryBudgetOptions,
 } from '@sycamorehead/routing';
-import {createLogger, writeDecision} from '@sycamorehead/telemetry';
+import {
+  createClientMetrics,
+  createLogger,
+  writeDecision,
+} from '@sycamorehead/telemetry';
+import {ClientLimits} from '@sycamorehead/wire';
 import {AnswerTimes} from './AnswerTimes.js';
 import {CrashObserver} from './CrashObserver.js';
 import {ForwardedRequest} from './ForwardedRequest.js';
@@ -47,6 +52,8 @@
   readonly sessionMs: number;
   /** The longest time that a stop may take, in milliseconds. */
   readonly graceMs: number;
+  /** What callers may cost this process; by default what its machine allows. */
+  readonly clientLimits?: ClientLimits;
   readonly decodeConfiguration: (document: JsonValue) => RouteConfiguration;
 }
 
@@ -107,8 +114,11 @@
       quarantine: this.quarantine,
       getRoutes: () => this.routes,
     };
+    const clientLimits = options.clientLimits ?? new ClientLimits();
+    createClientMetrics(this.metrics.registry, () => clientLimits.readUsage());
     this.server = new GatewayServer({
       names,
+      clientLimits,
       serve: (request, answer) =>
         new ForwardedRequest(context, request, answer).run(),
     });
--- a/packages/gateway/src/lib/GatewayServer.ts
+++ b/packages/gateway/src/lib/GatewayServer.ts
@@ -9,11 +9,11 @@
   toSycamoreheadError,
 } from '@sycamorehead/schema';
 import {createLogger, writeDecision} from '@sycamorehead/telemetry';
+import {ClientLimits, readHeldBody} from '@sycamorehead/wire';
 import {CallerAnswer} from './CallerAnswer.js';
 import {CallerRequest, decodeRequest} from './CallerRequest.js';
 import type {HeaderNames} from './headerNames.js';
 import {OpenAnswers} from './OpenAnswers.js';
-import {readBody} from './readBody.js';
 
 const log = createLogger('gateway');
 
@@ -43,6 +43,8 @@
 /** Settings of a GatewayServer. @public */
 export interface GatewayServerOptions {
   readonly names: HeaderNames;
+  /** What callers may cost this process; by default what its machine allows. */
+  readonly clientLimits?: ClientLimits;
   serve(request: CallerRequest, answer: CallerAnswer): Promise<void>;
 }
 
@@ -53,6 +55,7 @@
  */
 export class GatewayServer {
   private readonly server: Server;
+  private readonly clientLimits: ClientLimits;
   private limits: CallerLimits = DEFAULT_CALLER_LIMITS;
   private stoppedAt = Infinity;
   private readonly openAnswers = new OpenAnswers();
@@ -63,6 +66,7 @@
   private readonly refusedSockets = new WeakSet<Socket>();
 
   constructor(private readonly options: GatewayServerOptions) {
+    this.clientLimits = options.clientLimits ?? new ClientLimits();
     this.server = http.createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
@@ -76,6 +80,7 @@
     );
     // The size of the head is limited; node:http would drop headers beyond a number without an error.
     this.server.maxHeadersCount = 0;
+    this.clientLimits.limitServer(this.server);
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.handleUnparsed(error, socket as Socket),
     );
@@ -139,8 +144,9 @@
     response: ServerResponse,
   ): Promise<void> {
     const {socket} = message;
-    if (this.refusedSockets.has(socket)) return;
+    if (socket.destroyed || this.refusedSockets.has(socket)) return;
     this.lastAnswers.set(socket, response);
+    const {clientLimits} = this;
     const {names} = this.options;
     this.lastRequestAt = performance.now();
     const value = message.headers[names.requestId];
@@ -148,13 +154,17 @@
       response,
       {name: names.requestId, value: String(value ?? '')},
       () => this.stoppedAt !== Infinity,
+      clientLimits.answers,
     );
     this.openAnswers.add(response, answer);
     try {
       const request = decodeRequest(message, names);
       this.checkStopping();
       this.checkHeaderSize(message);
-      request.body = await readBody(message, this.limits.maxBodyBytes);
+      request.body = await readHeldBody(message, response, {
+        held: clientLimits.bodies,
+        maxBytes: this.limits.maxBodyBytes,
+      });
       // The body may have taken until late in the grace period.
       this.checkStopping();
       await this.options.serve(request, answer);
--- a/packages/schema/src/lib/errorKinds.ts
+++ b/packages/schema/src/lib/errorKinds.ts
@@ -24,6 +24,7 @@
   malformed_request: {status: 400, ran: 'no', exitCode: 10},
   body_too_large: {status: 413, ran: 'no', exitCode: 11},
   header_too_large: {status: 431, ran: 'no', exitCode: 11},
+  request_timeout: {status: 408, ran: 'no', exitCode: 40},
   unauthenticated: {status: 401, ran: 'no', exitCode: 12},
   not_permitted: {status: 403, ran: 'no', exitCode: 13},
   unknown_model: {status: 404, ran: 'no', exitCode: 14},
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -6,6 +6,7 @@
 } from './lib/createLogger.js';
 export type {LogFields, Logger} from './lib/createLogger.js';
 export {createEntryMetrics} from './lib/createEntryMetrics.js';
+export {createClientMetrics} from './lib/createClientMetrics.js';
 export type {EntryMetrics} from './lib/createEntryMetrics.js';
 export {
   instanceOptions,
@@ -13,6 +14,7 @@
   tlsOptions,
 } from './lib/instanceOptions.js';
 export type {InstanceTls, TlsSettings} from './lib/instanceOptions.js';
+export {machineOptions, machineSettings} from './lib/machineOptions.js';
 export {runCommand} from './lib/runCommand.js';
 export {readTls} from './lib/readTls.js';
 export type {TlsFiles, TlsMaterial} from './lib/readTls.js';
--- /dev/null
+++ b/packages/wire/src/lib/ConnectionGuard.ts
@@ -0,0 +1,156 @@
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import {Server as TlsServer} from 'node:tls';
+import type {ClientRefusal} from './HeldBytes.js';
+
+/** Bytes that a connection may send without beginning a request that is accepted. */
+const MAX_BYTES_WITHOUT_REQUEST = 256 * 1024;
+/** Requests that each connection may have open, however many there are in all. */
+const MIN_OPEN_REQUESTS = 8;
+/** Time between checks of all connections, in milliseconds. */
+const CHECK_INTERVAL_MS = 250;
+/** Connections of a server with TLS, with those whose handshake is not over, as a multiple of the maximum. */
+const HANDSHAKE_FACTOR = 1.1;
+/** Allowance beyond the server's own timeouts for a connection without a request, in milliseconds. */
+const IDLE_MARGIN_MS = 1_000;
+
+/** Limits of a ConnectionGuard. @public */
+export interface ConnectionLimits {
+  readonly maxConnections: number;
+  /** Maximum number of open requests of all connections that have more than a few. */
+  readonly maxRequests: number;
+}
+
+interface Connection {
+  readonly open: Set<ServerResponse>;
+  /** Bytes that had been read when the last request or its body was complete. */
+  readBytes: number;
+  /** When it last had no request left, on the monotonic clock. */
+  idleSince: number;
+}
+
+/**
+ * Bounds the connections of one HTTP server: their number, the requests of each one, and the bytes and the
+ * time that each may take without a request. It answers many connections that stay open without a request,
+ * heads and empty lines without end, and requests sent one behind the other. Above the maximum, the
+ * connection without a request for the longest time gives way to a new one.
+ *
+ * @public
+ */
+export class ConnectionGuard {
+  /** Those without a request for the longest time first. */
+  private readonly connections = new Map<Socket, Connection>();
+  /** Open requests of all connections. */
+  private openCount = 0;
+
+  constructor(
+    private readonly server: Server,
+    private readonly limits: ConnectionLimits,
+    private readonly onRefusal: (refusal: ClientRefusal) => void,
+  ) {
+    const {maxConnections} = limits;
+    const isTls = server instanceof TlsServer;
+    // A server with TLS reports its connections once their handshake is over.
+    if (isTls && Number.isFinite(maxConnections)) {
+      server.maxConnections = Math.ceil(maxConnections * HANDSHAKE_FACTOR);
+    }
+    const event = isTls ? 'secureConnection' : 'connection';
+    server.on(event, (socket: Socket) => this.addConnection(socket));
+    server.prependListener('request', (message, response) =>
+      this.addRequest(message, response),
+    );
+    const timer = setInterval(() => this.checkConnections(), CHECK_INTERVAL_MS);
+    timer.unref();
+    server.on('close', () => clearInterval(timer));
+  }
+
+  /** Number of connections. */
+  get count(): number {
+    return this.connections.size;
+  }
+
+  private addConnection(socket: Socket): void {
+    this.connections.set(socket, {
+      open: new Set(),
+      readBytes: 0,
+      idleSince: performance.now(),
+    });
+    socket.once('close', () => this.release(socket));
+    if (this.connections.size <= this.limits.maxConnections) return;
+    this.close(this.findIdle() ?? socket, 'too_many_connections');
+  }
+
+  private addRequest(message: IncomingMessage, response: ServerResponse): void {
+    const {socket} = message;
+    const connection = this.connections.get(socket);
+    if (!connection) return;
+    const markRead = () => (connection.readBytes = socket.bytesRead);
+    markRead();
+    // The bytes of its body count with the request.
+    message.once('end', markRead);
+    connection.open.add(response);
+    response.once('close', () => {
+      markRead();
+      if (connection.open.delete(response)) this.openCount -= 1;
+      connection.idleSince = performance.now();
+      // Moves it behind those that have been idle for longer.
+      if (this.connections.delete(socket)) {
+        this.connections.set(socket, connection);
+      }
+    });
+    this.openCount += 1;
+    if (connection.open.size <= MIN_OPEN_REQUESTS) return;
+    if (this.openCount <= this.limits.maxRequests) return;
+    this.close(socket, 'too_many_requests');
+  }
+
+  private findIdle(): Socket | undefined {
+    for (const [socket, {open}] of this.connections) {
+      if (open.size === 0) return socket;
+    }
+    // Of those with a request, one whose body has not arrived costs its client the least.
+    for (const [socket, {open}] of this.connections) {
+      if ([...open].some(({req}) => !req.complete)) return socket;
+    }
+    return undefined;
+  }
+
+  private checkConnections(): void {
+    const idleBefore = performance.now() - this.idleLimitMs;
+    for (const [socket, connection] of this.connections) {
+      const {open, readBytes, idleSince} = connection;
+      if ([...open].some(({req}) => !req.complete)) {
+        connection.readBytes = socket.bytesRead;
+      } else if (socket.bytesRead - readBytes > MAX_BYTES_WITHOUT_REQUEST) {
+        this.close(socket, 'bytes_without_request');
+      } else if (open.size === 0 && idleSince < idleBefore) {
+        this.close(socket, 'idle');
+      }
+    }
+  }
+
+  /**
+   * Time that the server's own timeouts allow between two requests, in milliseconds. The server restarts them
+   * with each byte that it reads.
+   */
+  private get idleLimitMs(): number {
+    const {keepAliveTimeout, headersTimeout} = this.server;
+    if (keepAliveTimeout === 0 || headersTimeout === 0) return Infinity;
+    return keepAliveTimeout + headersTimeout + IDLE_MARGIN_MS;
+  }
+
+  private release(socket: Socket): void {
+    const connection = this.connections.get(socket);
+    if (!connection) return;
+    this.connections.delete(socket);
+    this.openCount -= connection.open.size;
+    connection.open.clear();
+  }
+
+  private close(socket: Socket, refusal: ClientRefusal): void {
+    if (socket.destroyed) return;
+    this.onRefusal(refusal);
+    this.release(socket);
+    socket.destroy();
+  }
+}
--- a/packages/wire/src/lib/FrameDecoder.ts
+++ b/packages/wire/src/lib/FrameDecoder.ts
@@ -1,4 +1,5 @@
 import {SycamoreheadError} from '@sycamorehead/schema';
+import {GrowingBuffer} from './GrowingBuffer.js';
 
 const HEADER_BYTES = 4;
 
@@ -35,8 +36,15 @@
  * @public
  */
 export class FrameDecoder {
-  private chunks: Buffer[] = [];
-  private buffered = 0;
+  private readonly buffer = new GrowingBuffer();
+
+  /** @param maxBytes Maximum size of a frame body, in bytes. */
+  constructor(private maxBytes = MAX_FRAME_BYTES) {}
+
+  /** Changes the maximum size of a frame body. */
+  setMaxBytes(maxBytes: number): void {
+    this.maxBytes = maxBytes;
+  }
 
   /**
    * Adds the next bytes of the stream and returns the messages that they complete.
@@ -48,45 +56,32 @@
    * ```
    */
   push(chunk: Buffer): unknown[] {
-    this.chunks.push(chunk);
-    this.buffered += chunk.length;
+    const {buffer} = this;
+    const isWhole = buffer.length === 0;
+    if (!isWhole) buffer.append(chunk);
+    const data = isWhole ? chunk : buffer.bytes;
     const messages: unknown[] = [];
+    let start = 0;
     for (;;) {
-      const body = this.takeFrame();
-      if (!body) return messages;
-      messages.push(parseBody(body));
-    }
-  }
-
-  private takeFrame(): Buffer | undefined {
-    if (this.buffered < HEADER_BYTES) return undefined;
-    const length = this.readLength();
-    if (length > MAX_FRAME_BYTES) {
-      throw new SycamoreheadError(
-        'frame_invalid',
-        `frame of ${length} bytes exceeds ${MAX_FRAME_BYTES}`,
-      );
+      const end = this.findEnd(data, start);
+      if (end === undefined || end > data.length) break;
+      messages.push(parseBody(data.subarray(start + HEADER_BYTES, end)));
+      start = end;
     }
-    const size = HEADER_BYTES + length;
-    if (this.buffered < size) return undefined;
-    const all = this.joinChunks();
-    this.chunks = all.length > size ? [all.subarray(size)] : [];
-    this.buffered = all.length - size;
-    return all.subarray(HEADER_BYTES, size);
+    if (!isWhole) buffer.drop(start);
+    else if (start < chunk.length) buffer.append(chunk.subarray(start));
+    return messages;
   }
 
-  private readLength(): number {
-    const first = this.chunks[0];
-    if (first && first.length >= HEADER_BYTES) return first.readUInt32BE(0);
-    return this.joinChunks().readUInt32BE(0);
-  }
-
-  private joinChunks(): Buffer {
-    const first = this.chunks[0];
-    if (first && this.chunks.length === 1) return first;
-    const all = Buffer.concat(this.chunks);
-    this.chunks = [all];
-    return all;
+  /** Returns the position behind the frame at `start`, or undefined if its length has not arrived. */
+  private findEnd(data: Buffer, start: number): number | undefined {
+    if (data.length - start < HEADER_BYTES) return undefined;
+    const length = data.readUInt32BE(start);
+    if (length <= this.maxBytes) return start + HEADER_BYTES + length;
+    throw new SycamoreheadError(
+      'frame_invalid',
+      `frame of ${length} bytes exceeds ${this.maxBytes}`,
+    );
   }
 }
 
--- a/packages/wire/src/lib/MessageChannel.ts
+++ b/packages/wire/src/lib/MessageChannel.ts
@@ -38,8 +38,10 @@
  * ```
  * @public
  */
-export function createSocketChannel(socket: Socket): MessageChannel {
-  const decoder = new FrameDecoder();
+export function createSocketChannel(
+  socket: Socket,
+  decoder = new FrameDecoder(),
+): MessageChannel {
   socket.setNoDelay(true);
   return {
     open(onMessage, onClose, onBytes) {
--- a/packages/wire/src/lib/WireServer.ts
+++ b/packages/wire/src/lib/WireServer.ts
@@ -3,6 +3,7 @@
 import {TlsMaterial, createLogger} from '@sycamorehead/telemetry';
 import {SycamoreheadError, isSameKey} from '@sycamorehead/schema';
 import {startListening} from './startListening.js';
+import {FrameDecoder, MAX_FRAME_BYTES} from './FrameDecoder.js';
 import {createSocketChannel} from './MessageChannel.js';
 import {
   DEFAULT_LINK_TIMEOUTS,
@@ -17,6 +18,12 @@
 /** Time for which `stop` waits for requests that are being served, in milliseconds. */
 const DRAIN_LIMIT_MS = 1_000;
 const DRAIN_POLL_MS = 5;
+/** Maximum size of a frame of a peer that has not sent the peer key, in bytes. */
+const MAX_HELLO_BYTES = 16 * 1024;
+/** Time within which a peer has to send the peer key, in milliseconds. */
+const HELLO_TIMEOUT_MS = 5_000;
+/** Links whose peers have not sent the peer key; the oldest gives way to a new one. */
+const MAX_STRANGERS = 256;
 
 /** The method with which a connecting peer sends its name and the peer key. @public */
 export const HELLO_METHOD = 'wire.hello';
@@ -49,6 +56,8 @@
 export class WireServer {
   private readonly server: Server;
   private readonly links = new Set<PeerLink>();
+  /** Links whose peers have not sent the peer key, the oldest first. */
+  private readonly strangers = new Set<PeerLink>();
 
   constructor(private readonly options: WireServerOptions) {
     const accept = (socket: Socket) => this.acceptSocket(socket);
@@ -94,6 +103,7 @@
 
   private acceptSocket(socket: Socket): void {
     let isAuthenticated = false;
+    const decoder = new FrameDecoder(MAX_HELLO_BYTES);
     const guardedMethods = Object.fromEntries(
       Object.entries(this.options.methods).map(([name, handler]) => [
         name,
@@ -104,7 +114,7 @@
       ]),
     );
     const link = new PeerLink(
-      createSocketChannel(socket),
+      createSocketChannel(socket, decoder),
       {
         ...guardedMethods,
         [HELLO_METHOD]: (hello: Hello) => {
@@ -112,6 +122,8 @@
             throw new SycamoreheadError('unauthenticated', 'wrong peer key');
           }
           isAuthenticated = true;
+          decoder.setMaxBytes(MAX_FRAME_BYTES);
+          this.strangers.delete(link);
           link.peerName = String(hello.name);
           log('link_accepted', {peer: link.peerName});
           return {};
@@ -120,6 +132,22 @@
       this.options.timeouts ?? DEFAULT_LINK_TIMEOUTS,
     );
     this.links.add(link);
+    this.addStranger(link);
     link.addCloseListener(() => this.links.delete(link));
   }
+
+  private addStranger(link: PeerLink): void {
+    this.strangers.add(link);
+    const timer = setTimeout(() => {
+      if (this.strangers.has(link)) link.close('no hello in time');
+    }, HELLO_TIMEOUT_MS);
+    timer.unref();
+    link.addCloseListener(() => {
+      clearTimeout(timer);
+      this.strangers.delete(link);
+    });
+    if (this.strangers.size <= MAX_STRANGERS) return;
+    const [oldest] = this.strangers;
+    oldest?.close('too many links without a hello');
+  }
 }
--- /dev/null
+++ b/packages/wire/src/lib/readHeldBody.ts
@@ -0,0 +1,178 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {SycamoreheadError} from '@sycamorehead/schema';
+import type {ErrorKind} from '@sycamorehead/schema';
+import {GrowingBuffer} from './GrowingBuffer.js';
+import type {ClientRefusal, HeldBody, HeldBytes} from './HeldBytes.js';
+
+/**
+ * Time within which a body has to be whole, in milliseconds. No client waits for an answer longer than
+ * 25 s.
+ */
+const BODY_TIMEOUT_MS = 30_000;
+const NO_BYTES = Buffer.alloc(0);
+
+const REFUSALS: Partial<Record<ClientRefusal, [ErrorKind, string]>> = {
+  body_slow: ['request_timeout', 'the body took too long'],
+  body_stalled: ['request_timeout', 'the body made no progress'],
+};
+const NO_ROOM: [ErrorKind, string] = ['overloaded', 'no room for the body'];
+
+/** Settings of readHeldBody. @public */
+export interface HeldBodyOptions {
+  readonly held: HeldBytes;
+  readonly maxBytes: number;
+  /** Additional details of the error of a body that is too large. */
+  readonly field?: string;
+}
+
+/**
+ * Reads the complete body of a request into memory. Its bytes count as held until the response is closed.
+ * After an error the connection is closed with the response, since the rest of the body could not be told
+ * from the next request.
+ *
+ * @throws SycamoreheadError `body_too_large`, `request_timeout` or `overloaded`, or `caller_gone` if it ends
+ *     early.
+ * @example
+ * ```ts
+ * const body = await readHeldBody(message, response, {held, maxBytes: 4_194_304});
+ * ```
+ * @public
+ */
+export async function readHeldBody(
+  message: IncomingMessage,
+  response: ServerResponse,
+  options: HeldBodyOptions,
+): Promise<Buffer> {
+  const declared = Number(message.headers['content-length'] ?? 0);
+  const isChunked = message.headers['transfer-encoding'] !== undefined;
+  try {
+    if (declared > options.maxBytes) throw buildTooLarge(options);
+    if (declared === 0 && !isChunked) {
+      message.resume();
+      return NO_BYTES;
+    }
+    const capacity = isChunked ? options.maxBytes : declared;
+    const reader = new HeldBodyReader(message, options, capacity);
+    closeWith(message, response, () => reader.close());
+    return await reader.read();
+  } catch (error) {
+    response.shouldKeepAlive = false;
+    throw error;
+  }
+}
+
+/** Calls `close` once the response or its connection is closed; a response that waits has no event of its own. */
+function closeWith(
+  {socket}: IncomingMessage,
+  response: ServerResponse,
+  close: () => void,
+): void {
+  socket.once('close', close);
+  response.once('close', () => {
+    socket.off('close', close);
+    close();
+  });
+}
+
+/** Reads one body, and pauses its connection while there is no room for it. */
+class HeldBodyReader {
+  private readonly buffer = new GrowingBuffer();
+  private readonly body: HeldBody;
+  private isPaused = false;
+  private reject: (error: SycamoreheadError) => void = () => {};
+
+  constructor(
+    private readonly message: IncomingMessage,
+    private readonly options: HeldBodyOptions,
+    private readonly capacity: number,
+  ) {
+    this.body = options.held.openBody(capacity, {
+      onRoom: () => this.resume(),
+      onRefused: refusal => this.refuse(refusal),
+    });
+  }
+
+  async read(): Promise<Buffer> {
+    const {message, body, buffer, options} = this;
+    const timer = setTimeout(() => this.expire(), BODY_TIMEOUT_MS);
+    try {
+      await new Promise<void>((resolve, reject) => {
+        this.reject = reject;
+        message.on('data', this.append);
+        message.on('end', resolve);
+        const fail = () =>
+          reject(new SycamoreheadError('caller_gone', 'the body ended early'));
+        message.on('error', fail);
+        message.on('close', fail);
+      });
+    } catch (error) {
+      this.close();
+      // The bytes that still arrive are not kept.
+      message.off('data', this.append);
+      this.pause();
+      throw error;
+    } finally {
+      clearTimeout(timer);
+    }
+    options.held.finishBody(body);
+    return buffer.bytes;
+  }
+
+  close(): void {
+    this.options.held.closeBody(this.body);
+  }
+
+  private readonly append = (chunk: Buffer): void => {
+    const {held, maxBytes} = this.options;
+    const {body, buffer} = this;
+    if (buffer.length + chunk.length > maxBytes) {
+      this.reject(buildTooLarge(this.options));
+      return;
+    }
+    buffer.append(chunk);
+    held.addBytes(body, chunk.length);
+    if (body.state === 'waiting') this.pause();
+  };
+
+  /**
+   * Stops to read from the connection. The message stays in flow, so that the chunks that have been read
+   * already are copied rather than queued one by one.
+   */
+  private pause(): void {
+    if (this.isPaused) return;
+    this.isPaused = true;
+    const {message} = this;
+    message._read = () => {};
+    // Reading the chunk may have scheduled to resume the socket, which a pause before that does not prevent.
+    process.nextTick(() => {
+      if (this.isPaused) message.socket.pause();
+    });
+  }
+
+  private resume(): void {
+    this.buffer.reserve(this.capacity);
+    if (!this.isPaused) return;
+    this.isPaused = false;
+    Reflect.deleteProperty(this.message, '_read');
+    this.message.socket.resume();
+  }
+
+  private expire(): void {
+    const isWaiting = this.body.state === 'waiting';
+    const refusal = isWaiting ? 'no_room' : 'body_slow';
+    this.options.held.refuseBody(this.body, refusal);
+  }
+
+  private refuse(refusal: ClientRefusal): void {
+    const [kind, text] = REFUSALS[refusal] ?? NO_ROOM;
+    this.reject(new SycamoreheadError(kind, text));
+  }
+}
+
+function buildTooLarge({maxBytes, field}: HeldBodyOptions): SycamoreheadError {
+  return new SycamoreheadError(
+    'body_too_large',
+    `body: expected at most ${maxBytes} bytes`,
+    {field},
+  );
+}
--- /dev/null
+++ b/packages/wire/src/test/clientLimits.test.ts
@@ -0,0 +1,205 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import http, {IncomingMessage, ServerResponse} from 'node:http';
+import {AddressInfo, Socket, connect} from 'node:net';
+import {test} from 'node:test';
+import type {TestContext} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {SycamoreheadError, getErrorResponse} from '@sycamorehead/schema';
+import {ConnectionGuard} from '../lib/ConnectionGuard.js';
+import {ClientRefusal, HeldBytes} from '../lib/HeldBytes.js';
+import {readHeldBody} from '../lib/readHeldBody.js';
+import {UnreadAnswers} from '../lib/UnreadAnswers.js';
+
+const HOST = '127.0.0.1';
+const MB = 1024 * 1024;
+const KB = 1024;
+const POLL_MS = 5;
+
+interface TestServer {
+  readonly port: number;
+  readonly held: HeldBytes;
+  readonly unread: UnreadAnswers;
+  readonly refusals: ClientRefusal[];
+  readonly bodies: Buffer[];
+}
+
+/** Starts a server that answers each body with its length, or with `answer`. */
+async function startServer(
+  context: TestContext,
+  {maxConnections = 100, maxRequests = 1_000, answer = ''} = {},
+): Promise<TestServer> {
+  const refusals: ClientRefusal[] = [];
+  const bodies: Buffer[] = [];
+  const record = (refusal: ClientRefusal) => refusals.push(refusal);
+  const held = new HeldBytes(8 * MB, record);
+  const unread = new UnreadAnswers(MB, record);
+  const serve = async (message: IncomingMessage, response: ServerResponse) => {
+    const body = await readHeldBody(message, response, {
+      held,
+      maxBytes: 4 * MB,
+    });
+    bodies.push(body);
+    const text = answer || String(body.length);
+    unread.add(response, text.length);
+    response.end(text);
+  };
+  const server = http.createServer((message, response) => {
+    if (message.socket.destroyed) return;
+    serve(message, response).catch((error: SycamoreheadError) => {
+      const {status} = getErrorResponse(error.kind);
+      response.writeHead(status, {'Content-Length': 0}).end();
+    });
+  });
+  new ConnectionGuard(server, {maxConnections, maxRequests}, record);
+  server.listen(0, HOST);
+  await once(server, 'listening');
+  context.after(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  const {port} = server.address() as AddressInfo;
+  return {port, held, unread, refusals, bodies};
+}
+
+interface TestClient {
+  readonly socket: Socket;
+  received: string;
+}
+
+async function openClient(
+  context: TestContext,
+  port: number,
+): Promise<TestClient> {
+  const client = {socket: connect({host: HOST, port}), received: ''};
+  client.socket.on('error', () => {});
+  client.socket.on('data', data => (client.received += String(data)));
+  context.after(() => client.socket.destroy());
+  await once(client.socket, 'connect');
+  return client;
+}
+
+async function waitFor(condition: () => boolean): Promise<void> {
+  while (!condition()) await sleep(POLL_MS);
+}
+
+const LARGE = Buffer.alloc(4 * MB, 'abcdefg');
+const LARGE_HEAD = `POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ${LARGE.length}\r\n\r\n`;
+const GET = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
+
+test('a body that waited for room arrives unchanged, and its connection serves the next request', async context => {
+  const {port, held, bodies} = await startServer(context);
+  const first = await openClient(context, port);
+  first.socket.write(LARGE_HEAD);
+  first.socket.write(LARGE.subarray(0, MB));
+  await waitFor(() => held.totalBytes >= LARGE.length);
+  const second = await openClient(context, port);
+  second.socket.write(LARGE_HEAD);
+  second.socket.write(LARGE);
+  await waitFor(() => held.waitingCount === 1);
+  first.socket.destroy();
+  await waitFor(() => second.received.includes(String(LARGE.length)));
+  assert.ok(bodies[0]!.equals(LARGE));
+  second.socket.write(GET);
+  await waitFor(() => second.received.split('HTTP/1.1 200').length === 3);
+});
+
+test('a large body in tiny chunks that waited for room arrives unchanged', async context => {
+  const {port, held, bodies} = await startServer(context);
+  const first = await openClient(context, port);
+  first.socket.write(LARGE_HEAD);
+  first.socket.write(LARGE.subarray(0, MB));
+  await waitFor(() => held.totalBytes >= LARGE.length);
+  const second = await openClient(context, port);
+  const letters = 'abcdefghij'.repeat(10 * KB);
+  const chunks = [...letters].map(letter => `1\r\n${letter}\r\n`).join('');
+  second.socket.write(
+    `POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n${chunks}0\r\n\r\n`,
+  );
+  await waitFor(() => held.waitingCount === 1);
+  first.socket.destroy();
+  await waitFor(() => second.received.includes(String(letters.length)));
+  assert.equal(bodies[0]!.toString(), letters);
+});
+
+test('a stalled body is answered 408 while another waits, and its connection is closed', async context => {
+  const {port, held, refusals} = await startServer(context);
+  const stalled = await openClient(context, port);
+  stalled.socket.write(LARGE_HEAD);
+  stalled.socket.write(LARGE.subarray(0, MB));
+  await waitFor(() => held.totalBytes >= LARGE.length);
+  const closed = once(stalled.socket, 'close');
+  const next = await openClient(context, port);
+  next.socket.write(LARGE_HEAD);
+  next.socket.write(LARGE);
+  await closed;
+  assert.match(stalled.received, /^HTTP\/1\.1 408 /);
+  await waitFor(() => next.received.includes(String(LARGE.length)));
+  assert.deepEqual(refusals, ['body_stalled']);
+});
+
+test('the connection that has been idle for longest gives way to a new one', async context => {
+  const {port, refusals} = await startServer(context, {maxConnections: 2});
+  const used = await openClient(context, port);
+  const silent = await openClient(context, port);
+  used.socket.write(GET);
+  await waitFor(() => used.received !== '');
+  const closed = once(silent.socket, 'close');
+  const next = await openClient(context, port);
+  await closed;
+  next.socket.write(GET);
+  await waitFor(() => next.received !== '');
+  assert.equal(used.socket.destroyed, false);
+  assert.deepEqual(refusals, ['too_many_connections']);
+});
+
+test('a connection that sends empty lines without end is closed', async context => {
+  const {port, refusals} = await startServer(context);
+  const {socket} = await openClient(context, port);
+  const closed = once(socket, 'close');
+  const lines = Buffer.from('\r\n'.repeat(32 * KB));
+  const timer = setInterval(() => socket.write(lines), POLL_MS);
+  await closed;
+  clearInterval(timer);
+  assert.deepEqual(refusals, ['bytes_without_request']);
+});
+
+test('a large body does not count as bytes without a request', async context => {
+  const {port, refusals} = await startServer(context);
+  const {socket} = await openClient(context, port);
+  socket.write(LARGE_HEAD);
+  for (let start = 0; start < LARGE.length; start += MB) {
+    socket.write(LARGE.subarray(start, start + MB));
+    await sleep(300);
+  }
+  await sleep(600);
+  assert.equal(socket.destroyed, false);
+  assert.deepEqual(refusals, []);
+});
+
+test('a connection with many open requests is closed when there are too many in all', async context => {
+  const {port, refusals} = await startServer(context, {maxRequests: 50});
+  const {socket} = await openClient(context, port);
+  const closed = once(socket, 'close');
+  socket.write(GET.repeat(100));
+  await closed;
+  assert.deepEqual(refusals, ['too_many_requests']);
+});
+
+test('of answers that are not read, the oldest is dropped, and others are delivered', async context => {
+  const answer = 'a'.repeat(400 * KB);
+  const {port, refusals, unread} = await startServer(context, {answer});
+  const slow: TestClient[] = [];
+  for (let index = 0; index < 40; index += 1) {
+    const client = await openClient(context, port);
+    client.socket.pause();
+    client.socket.write(GET.repeat(8));
+    slow.push(client);
+  }
+  await waitFor(() => refusals.length > 0);
+  const reader = await openClient(context, port);
+  reader.socket.write(GET);
+  await waitFor(() => reader.received.length > answer.length);
+  assert.ok(unread.totalBytes <= MB);
+  assert.deepEqual(new Set(refusals), new Set(['answers_unread']));
+});
