--- a/packages/wire/src/lib/ClientLimits.ts
+++ b/packages/wire/src/lib/ClientLimits.ts
@@ -20,8 +20,8 @@
 const ANSWER_SHARE = 0.25;
 /** Part of the bytes held for clients that heads which are not complete may take at each port. */
 const HEAD_SHARE = 0.25;
-/** Memory that one open request takes beside its body and its answer, in bytes. */
-const REQUEST_BYTES = 32 * 1024;
+/** Memory that one open request may take with the answer that is buffered for it, in bytes. */
+const REQUEST_BYTES = 256 * 1024;
 /** Descriptors kept for files. */
 const FILE_FDS = 200;
 /** Part of the other descriptors that clients' connections may take; the rest is for the process's own. */
