--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -10,7 +10,12 @@
   PrefillRates,
   RetryBudgetOptions,
 } from '@sycamorehead/routing';
-import {createLogger, writeDecision} from '@sycamorehead/telemetry';
+import {
+  createClientMetrics,
+  createLogger,
+  writeDecision,
+} from '@sycamorehead/telemetry';
+import {ClientLimits} from '@sycamorehead/wire';
 import {AnswerTimes} from './AnswerTimes.js';
 import {CrashObserver} from './CrashObserver.js';
 import {EntryMonitor} from './EntryMonitor.js';
@@ -50,6 +55,8 @@
   readonly graceMs: number;
   /** Bandwidth of this entry's link, in megabits a second; undefined if it is not known. */
   readonly linkMbps?: number;
+  /** What callers may cost this process; by default what its machine allows. */
+  readonly clientLimits?: ClientLimits;
   readonly decodeConfiguration: (document: JsonValue) => RouteConfiguration;
 }
 
@@ -118,8 +125,11 @@
       quarantine: this.quarantine,
       getRoutes: () => this.routes,
     };
+    const clientLimits = options.clientLimits ?? new ClientLimits();
+    createClientMetrics(this.metrics.registry, () => clientLimits.readUsage());
     this.server = new GatewayServer({
       names,
+      clientLimits,
       serve: (request, answer) =>
         new ForwardedRequest(context, request, answer).run(),
     });
--- a/packages/gateway/src/lib/GatewayServer.ts
+++ b/packages/gateway/src/lib/GatewayServer.ts
@@ -9,11 +9,11 @@
   toSycamoreheadError,
 } from '@sycamorehead/schema';
 import {createLogger, writeDecision} from '@sycamorehead/telemetry';
+import {ClientLimits, readHeldBody} from '@sycamorehead/wire';
 import {CallerAnswer} from './CallerAnswer.js';
 import {CallerRequest, decodeRequest} from './CallerRequest.js';
 import type {HeaderNames} from './headerNames.js';
 import {OpenAnswers} from './OpenAnswers.js';
-import {readBody} from './readBody.js';
 
 const log = createLogger('gateway');
 
@@ -43,9 +43,16 @@
 /** Settings of a GatewayServer. @public */
 export interface GatewayServerOptions {
   readonly names: HeaderNames;
+  /** What callers may cost this process; by default what its machine allows. */
+  readonly clientLimits?: ClientLimits;
   serve(request: CallerRequest, answer: CallerAnswer): Promise<void>;
 }
 
+/** A request of a connection; its answer is forgotten once it is closed. */
+interface LastAnswer {
+  response: ServerResponse | undefined;
+}
+
 /**
  * Accepts callers' requests, refuses ambiguous ones, and stops without interrupting a request.
  *
@@ -53,16 +60,18 @@
  */
 export class GatewayServer {
   private readonly server: Server;
+  private readonly clientLimits: ClientLimits;
   private limits: CallerLimits = DEFAULT_CALLER_LIMITS;
   private stoppedAt = Infinity;
   private readonly openAnswers = new OpenAnswers();
   private lastRequestAt = performance.now();
-  /** The answer to the last request that was accepted from each connection. */
-  private readonly lastAnswers = new WeakMap<Socket, ServerResponse>();
+  /** The last request that was accepted from each connection. */
+  private readonly lastAnswers = new WeakMap<Socket, LastAnswer>();
   /** Connections on which unparsed input was refused; no further request is accepted from them. */
   private readonly refusedSockets = new WeakSet<Socket>();
 
   constructor(private readonly options: GatewayServerOptions) {
+    this.clientLimits = options.clientLimits ?? new ClientLimits();
     this.server = http.createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
@@ -76,6 +85,7 @@
     );
     // The size of the head is limited; node:http would drop headers beyond a number without an error.
     this.server.maxHeadersCount = 0;
+    this.clientLimits.limitServer(this.server);
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.handleUnparsed(error, socket as Socket),
     );
@@ -146,8 +156,12 @@
     response: ServerResponse,
   ): Promise<void> {
     const {socket} = message;
-    if (this.refusedSockets.has(socket)) return;
-    this.lastAnswers.set(socket, response);
+    if (socket.destroyed || this.refusedSockets.has(socket)) return;
+    const last: LastAnswer = {response};
+    this.lastAnswers.set(socket, last);
+    // An idle connection must not keep the body of its last request.
+    response.once('close', () => (last.response = undefined));
+    const {clientLimits} = this;
     const {names} = this.options;
     this.lastRequestAt = performance.now();
     const value = message.headers[names.requestId];
@@ -155,13 +169,17 @@
       response,
       {name: names.requestId, value: String(value ?? '')},
       () => this.stoppedAt !== Infinity,
+      clientLimits.answers,
     );
     this.openAnswers.add(response, answer);
     try {
       const request = decodeRequest(message, names);
       this.checkStopping();
       this.checkHeaderSize(message);
-      request.body = await readBody(message, this.limits.maxBodyBytes);
+      request.body = await readHeldBody(message, response, {
+        held: clientLimits.bodies,
+        maxBytes: this.limits.maxBodyBytes,
+      });
       // The body may have taken until late in the grace period.
       this.checkStopping();
       await this.options.serve(request, answer);
@@ -181,10 +199,11 @@
   /** Handles input that is not a request and heads that arrive too slowly. */
   private handleUnparsed(error: NodeJS.ErrnoException, socket: Socket): void {
     const last = this.lastAnswers.get(socket);
-    if (last && !last.closed && last.req.complete) {
+    const response = last?.response;
+    if (response && !response.closed && response.req.complete) {
       // The answer to the complete request before this input is sent first.
-      last.shouldKeepAlive = false;
-      last.once('close', () => socket.destroySoon());
+      response.shouldKeepAlive = false;
+      response.once('close', () => socket.destroySoon());
       return;
     }
     const refuse = () => {
