--- a/packages/schema/src/lib/errorKinds.ts
+++ b/packages/schema/src/lib/errorKinds.ts
@@ -74,7 +74,7 @@
     status: 503,
     ran: 'no',
     retryAfterMs: 2_000,
-    exitCode: 40,
+    exitCode: 41,
   },
   rate_limited: {status: 429, ran: 'no', retryAfterMs: 1_000, exitCode: 26},
   deadline_exceeded: {status: 504, ran: 'unknown', exitCode: 27},
