Requests one behind the other on a connection are served in turn

Change: RequestTurns serves one request of a connection at a time, and closes a connection on which more than 32 wait.

--- a/packages/gateway/src/lib/GatewayServer.ts
+++ b/packages/gateway/src/lib/GatewayServer.ts
@@ -14,6 +14,7 @@
 import {CallerRequest, decodeRequest} from './CallerRequest.js';
 import type {HeaderNames} from './headerNames.js';
 import {OpenAnswers} from './OpenAnswers.js';
+import {RequestTurns} from './RequestTurns.js';
 
 const log = createLogger('gateway');
 
@@ -64,6 +65,7 @@
   private limits: CallerLimits = DEFAULT_CALLER_LIMITS;
   private stoppedAt = Infinity;
   private readonly openAnswers = new OpenAnswers();
+  private readonly turns = new RequestTurns();
   private lastRequestAt = performance.now();
   /** The last request that was accepted from each connection. */
   private readonly lastAnswers = new WeakMap<Socket, LastAnswer>();
@@ -172,8 +174,10 @@
       clientLimits.answers,
     );
     this.openAnswers.add(response, answer);
+    const turn = this.turns.wait(response);
     try {
       const request = decodeRequest(message, names);
+      if (!(await turn)) return;
       this.checkStopping();
       this.checkHeaderSize(message);
       request.body = await readHeldBody(message, response, {
