Cold servers: entries that have just begun to report earn no permits yet, and the connection is asked for

Cause (review of the merged code): an instance counted entries that had just arrived while the others did not know them, so that the shares of all added up to far more than one when all entries returned together; an entry believed a heartbeat for a minute although control passes a countdown on only when it changes; a permit was checked before the connection was opened; a log that is opened again had no configuration to decode, and the registration was lost; a later listing ended the gradual return after an evacuation. Change: LoadExchange counts entries for permits after 0.5 s, and anew after a pause; ten minutes are believed of a heartbeat, one of an answer; sendAttempt asks once more when the connection is open; permits are for the registered incarnation only. Test replaced: a heartbeat of absurd length is believed for ten minutes now, for the reason above, and the test says both bounds. The share of three instances is judged from the first round on, with two rounds more.

--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -9,6 +9,7 @@
   sumDemand,
 } from '@sycamorehead/routing';
 import {writeDecision} from '@sycamorehead/telemetry';
+import {MAX_INTERVAL_MS} from './computeDigestInterval.js';
 import type {
   ExchangeReply,
   ExchangeRequest,
@@ -30,6 +31,9 @@
 /** Time for which digests name an entry that has begun to report here, in milliseconds. */
 const ARRIVAL_MS = 2_000;
 
+/** Time in which the other instances learn of an entry that has begun to report here, in milliseconds. */
+const SETTLING_MS = MAX_INTERVAL_MS + 100;
+
 interface EntryUsage {
   readonly request: ExchangeRequest;
   readonly receivedAt: number;
@@ -51,6 +55,8 @@
   readonly demand: DemandTable;
   /** The reports that the totals contain. */
   readonly included: ReadonlyMap<string, ExchangeRequest>;
+  /** The number of these that the other instances know. */
+  readonly settled: number;
 }
 
 /**
@@ -80,7 +86,9 @@
   exchange(request: ExchangeRequest): ExchangeReply {
     const now = performance.now();
     const {entry} = request;
-    const arrivedAt = this.entries.get(entry)?.arrivedAt ?? now;
+    const known = this.entries.get(entry);
+    const isPresent = known && now - known.receivedAt <= LOAD_EXPIRY_MS;
+    const arrivedAt = isPresent ? known.arrivedAt : now;
     this.entries.set(entry, {request, receivedAt: now, arrivedAt});
     const {load, entries, leaving, kept, prefill, demand, included} =
       this.getTotals();
@@ -144,10 +152,10 @@
    * two instances that do not hear each other do not both count as all there are.
    */
   computeFirmShare(): number {
-    const {entries, included} = this.getTotals();
+    const {entries, settled} = this.getTotals();
     const {current, previous} = this.peaks;
     if (this.isIsolated() || entries === 0) return 0;
-    return included.size / Math.max(entries, current, previous);
+    return settled / Math.max(entries, current, previous);
   }
 
   /** Counts the requests of all entries in flight on the given backend servers. */
@@ -198,11 +206,18 @@
         requests.length,
       ),
       included: new Map(requests.map(request => [request.entry, request])),
+      settled: this.countSettled(now),
     };
     this.updatePeaks(this.totals.entries);
     return this.totals;
   }
 
+  /** Counts the entries that report here for so long that the other instances count them too. */
+  private countSettled(now: number): number {
+    const latest = now - SETTLING_MS;
+    return this.listFresh().filter(({arrivedAt}) => arrivedAt <= latest).length;
+  }
+
   private updatePeaks(entries: number): void {
     const now = performance.now();
     const {current, startedAt} = this.peaks;
--- a/packages/fleet/src/lib/ServiceWarmups.ts
+++ b/packages/fleet/src/lib/ServiceWarmups.ts
@@ -1,4 +1,8 @@
-import type {ServerRegistration, ServerWarmup} from '@sycamorehead/schema';
+import {
+  ServerRegistration,
+  ServerWarmup,
+  buildIncarnationKey,
+} from '@sycamorehead/schema';
 import type {ConfigurationDecoder} from './FleetCommands.js';
 import type {StoredConfiguration} from './fleetMessages.js';
 
@@ -24,7 +28,9 @@
   find(incarnation: string): ServerWarmup | undefined {
     const id = incarnation.slice(0, incarnation.lastIndexOf(' '));
     const registration = this.findRegistration(id);
-    return registration && this.findByService(registration.service);
+    if (!registration) return undefined;
+    if (buildIncarnationKey(registration) !== incarnation) return undefined;
+    return this.findByService(registration.service);
   }
 
   /** Returns the warm-up of the servers of a service; undefined if they have none. */
@@ -35,7 +41,8 @@
 
   private updateServices(): void {
     const {version, document} = this.getConfiguration();
-    if (version === this.version) return;
+    // A log that is opened again has no configuration yet.
+    if (version === 0 || version === this.version) return;
     this.version = version;
     const {services} = this.decode(document);
     this.warmups = new Map(
--- a/packages/fleet/src/test/LoadExchange.test.ts
+++ b/packages/fleet/src/test/LoadExchange.test.ts
@@ -233,7 +233,10 @@
   };
   const sumShares = () =>
     all.reduce((sum, exchange) => sum + exchange.computeFirmShare(), 0);
-  for (let round = 0; round < 5; round += 1) exchangeAll(false);
+  for (let round = 0; round < 7; round += 1) {
+    exchangeAll(false);
+    assert.ok(sumShares() <= 1 + 1e-9, `${sumShares()} in all, new entries`);
+  }
   clock.tick(60);
   assert.ok(Math.abs(sumShares() - 1) < 1e-9, `${sumShares()} in all`);
   for (let round = 0; round < 100; round += 1) {
--- a/packages/gateway/src/lib/ColdServers.ts
+++ b/packages/gateway/src/lib/ColdServers.ts
@@ -16,8 +16,10 @@
 
 /** Maximum number of incarnations that are tracked; the oldest are removed first. */
 const MAX_INCARNATIONS = 20_000;
-/** Longest coldness that is believed of one heartbeat or answer, in milliseconds. */
-const MAX_COLD_MS = 60_000;
+/** Longest coldness that is believed of one heartbeat, in milliseconds; the next may end it. */
+const MAX_TOLD_MS = 10 * 60_000;
+/** Longest coldness that is believed of one answer, in milliseconds; no heartbeat ends it. */
+const MAX_NOTICED_MS = 60_000;
 /** Maximum number of permits that are wanted of one server at a time. */
 const MAX_WANTED = 20;
 /** Minimum time between two lines on one incarnation or service, in milliseconds. */
@@ -90,7 +92,7 @@
     const wasCold = this.isCold(registration);
     if (slowStartMs <= 0 && !this.states.has(key)) return;
     const state = this.getState(key);
-    state.toldUntil = performance.now() + Math.min(MAX_COLD_MS, slowStartMs);
+    state.toldUntil = performance.now() + Math.min(MAX_TOLD_MS, slowStartMs);
     if (sequence > state.expectedSequence) state.expectedUntil = -Infinity;
     this.logChange(registration, wasCold, 'heartbeat');
   }
@@ -103,7 +105,7 @@
     if (leftMs === undefined || leftMs <= 0) return;
     const wasCold = this.isCold(server);
     const state = this.getState(buildIncarnationKey(server));
-    const until = performance.now() + Math.min(MAX_COLD_MS, leftMs);
+    const until = performance.now() + Math.min(MAX_NOTICED_MS, leftMs);
     state.noticedUntil = Math.max(state.noticedUntil, until);
     this.logChange(server, wasCold, 'answer');
   }
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -192,6 +192,7 @@
       isStream: target.route.kind === 'streaming',
       headTimeouts: this.timeouts.computeHead(send, leftMs),
       isServerActive: () => context.servers.isActive(server),
+      mayStillSend: () => reservation.confirmSend(),
       onConnection: use => (send.connection = use),
       onServerNotice: notice => send.recordNotice(notice),
       signal: controller.signal,
--- a/packages/gateway/src/lib/KnownServer.ts
+++ b/packages/gateway/src/lib/KnownServer.ts
@@ -32,6 +32,8 @@
   readonly pace: ServerPace;
   /** The time until which it is slow because it has just started, on the monotonic clock; 0 if it is not. */
   slowUntil: number;
+  /** The time until which it returns gradually after an evacuation, on the monotonic clock. */
+  returningUntil: number;
   /** What its running requests need, and what it is believed to keep of prompts. */
   readonly memory: ServerMemory;
 }
@@ -60,6 +62,7 @@
     slowness: 1,
     pace: new ServerPace(),
     slowUntil: computeSlowUntil(listing.registration),
+    returningUntil: 0,
     memory: new ServerMemory(computeAgeMs(listing.registration)),
   };
 }
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -247,12 +247,13 @@
    * ejection. All entries see it idle at the same time.
    */
   isSlow(server: KnownServer): boolean {
-    const {slowUntil, ejectedUntil} = server;
+    const {slowUntil, returningUntil, ejectedUntil} = server;
     const {registration} = server.listing;
     // Their permits bound the sends of all entries.
     if (this.cold.isCold(registration)) return false;
     return (
       (slowUntil > 0 && performance.now() < slowUntil) ||
+      (returningUntil > 0 && performance.now() < returningUntil) ||
       ejectedUntil > 0 ||
       this.limits.isReturning(registration) ||
       this.notices.isReturning(registration)
@@ -303,11 +304,9 @@
     const registrations = this.listRegistrations().filter(({dataCentre}) =>
       dataCentres.includes(dataCentre),
     );
-    const slowUntil = performance.now() + RETURN_MS;
     for (const {id} of registrations) {
       const server = this.servers.get(id);
-      if (!server) continue;
-      server.slowUntil = Math.max(server.slowUntil, slowUntil);
+      if (server) server.returningUntil = performance.now() + RETURN_MS;
     }
     for (const listener of this.returnListeners) listener(registrations);
   }
--- a/packages/gateway/src/lib/sendAttempt.ts
+++ b/packages/gateway/src/lib/sendAttempt.ts
@@ -53,6 +53,8 @@
   readonly headTimeouts: SilenceTimeouts;
   /** Returns whether anything was recently received from the server, on any connection. */
   isServerActive(): boolean;
+  /** Returns whether the send may still be made; asked once a new connection is open. */
+  mayStillSend(): boolean;
   /** Called once the request has been assigned a connection. */
   onConnection(use: ConnectionUse): void;
   /** Called before the outcome is known with what the server says of itself in its answer. */
@@ -190,8 +192,14 @@
     signal.addEventListener('abort', handleAbort, {once: true});
     request.on('socket', socket => {
       attempt.onConnection(agent.recordUse(socket));
-      if (socket.connecting) socket.once('connect', () => waitForHead(socket));
-      else waitForHead(socket);
+      if (!socket.connecting) {
+        waitForHead(socket);
+        return;
+      }
+      socket.once('connect', () => {
+        if (attempt.mayStillSend()) waitForHead(socket);
+        else abort('no longer permitted');
+      });
     });
     request.on('error', error => settleFailure(error.message));
     request.on('close', () => {
@@ -315,11 +323,12 @@
   }
   const confidence = Number(headers[names.confidence] ?? NaN);
   const wasReset = watchForReset(message);
+  const hasNoBody = method === 'HEAD' || status === 204 || status === 304;
   const isFramed =
     headers['content-length'] !== undefined ||
     headers['transfer-encoding'] !== undefined;
   // Before the request was written, the end of the connection may be a server that gives up.
-  const hasEnd = () => isFramed || isUploaded();
+  const hasEnd = () => isFramed || hasNoBody || isUploaded();
   return {
     type: 'answered',
     answer: {
--- a/packages/gateway/src/test/SimulatedColdFleet.ts
+++ b/packages/gateway/src/test/SimulatedColdFleet.ts
@@ -11,7 +11,6 @@
 
 const STEP_MS = 10;
 const EXCHANGE_MS = 100;
-const DIGEST_MS = 100;
 const HEARTBEAT_MS = 1_200;
 const ONE_WAY_MS = 10;
 /** Time for which a server works on a request, in milliseconds. */
@@ -66,6 +65,8 @@
   readonly entries: SimulatedEntry[] = [];
   /** Requests of callers a second, at all entries together. */
   requestsPerSecond = 0;
+  /** Time between two digests of a control instance, in milliseconds. */
+  digestMs = 100;
   /** Probability with which a message between our own processes is lost. */
   lossRate = 0;
   private readonly controls: EntryReports[] = [];
@@ -187,7 +188,7 @@
     if (now % HEARTBEAT_MS < STEP_MS) {
       for (const server of this.servers) this.sendHeartbeat(server);
     }
-    if (now % DIGEST_MS < STEP_MS) this.exchangeDigests();
+    if (now % this.digestMs < STEP_MS) this.exchangeDigests();
     const expected = (this.requestsPerSecond * STEP_MS) / MS_PER_SECOND;
     let count = Math.floor(expected + this.options.random());
     for (; count > 0; count -= 1) this.receiveRequest();
@@ -254,6 +255,8 @@
 
   private exchangeDigests(): void {
     for (const sender of this.controls) {
+      // The number of entries sets the time of the next digest.
+      sender.load.countEntries();
       const digest = sender.describeDigest();
       for (const receiver of this.controls) {
         if (receiver === sender || this.isLost()) continue;
--- a/packages/gateway/src/test/coldFleets.test.ts
+++ b/packages/gateway/src/test/coldFleets.test.ts
@@ -135,3 +135,22 @@
     });
   }
 }
+
+test('the bound of cold servers holds when all entries return together', () => {
+  const servers = 5;
+  const fleet = startFleet(servers, 0);
+  // Without entries, digests are rare.
+  fleet.digestMs = 400;
+  for (const entry of fleet.entries) entry.isLinked = false;
+  fleet.run(40_000);
+  for (const entry of fleet.entries) entry.isLinked = true;
+  const since = performance.now() + TOLD_MS;
+  fleet.startColdness(servers, COLD_MS);
+  fleet.run(TOLD_MS);
+  fleet.requestsPerSecond = 1_500;
+  fleet.run(COLD_MS - TOLD_MS);
+  const most = assertBound(fleet, servers, since);
+  const used = fleet.measureRate(servers, since) / PER_SECOND;
+  console.log('returned together', most, used.toFixed(2));
+  assert.ok(used >= 0.5, `${used} used`);
+});
--- a/packages/gateway/src/test/coldServers.test.ts
+++ b/packages/gateway/src/test/coldServers.test.ts
@@ -2,6 +2,7 @@
 import {afterEach, beforeEach, test} from 'node:test';
 import FakeTimers from '@sinonjs/fake-timers';
 import type {Clock} from '@sinonjs/fake-timers';
+import {ServerRegistry} from '@sycamorehead/fleet';
 import type {RoutedService, ServerRegistration} from '@sycamorehead/schema';
 import {PrefillRates} from '@sycamorehead/routing';
 import {AnswerTimes} from '../lib/AnswerTimes.js';
@@ -62,13 +63,33 @@
   assert.equal(cold.isCold(build()), false);
 });
 
-test('a server that names an absurd time is believed for a minute', () => {
+test('a server that names an absurd time is believed for ten minutes, in an answer for one', () => {
   cold.recordRegistration(build({slowStartMs: 1e12}));
+  clock.tick(10 * 60_000 - 1);
+  assert.equal(cold.isCold(build()), true);
+  clock.tick(1);
+  assert.equal(cold.isCold(build()), false);
   cold.recordNotice(build(), 999_999_999);
-  clock.tick(60_000);
+  clock.tick(59_999);
+  assert.equal(cold.isCold(build()), true);
+  clock.tick(1);
   assert.equal(cold.isCold(build()), false);
 });
 
+test('a server that counts down a long warm-up stays cold to its end', () => {
+  const registry = new ServerRegistry(
+    {silentMs: 5_000, expiryMs: 20_000, tombstoneMs: 20_000},
+    () => true,
+  );
+  for (let second = 0; second < 120; second += 1) {
+    const slowStartMs = 120_000 - second * 1_000;
+    const registration = build({slowStartMs, sequence: second + 1});
+    if (registry.accept(registration)) cold.recordRegistration(registration);
+    assert.equal(cold.isCold(build()), true, `after ${second} s`);
+    clock.tick(1_000);
+  }
+});
+
 test('a later start of a server says for itself whether it is cold', () => {
   cold.recordRegistration(build({slowStartMs: 2_000}));
   assert.equal(cold.isCold(build({startedAtMs: 2})), false);
