--- a/packages/control/src/lib/OperatorServer.ts
+++ b/packages/control/src/lib/OperatorServer.ts
@@ -145,7 +145,7 @@
     if (response.destroyed) return;
     const text = JSON.stringify(body);
     response.writeHead(status, {'content-type': 'application/json'});
-    this.clientLimits.answers.add(response, text.length);
+    this.clientLimits.answers.add(response, Buffer.byteLength(text));
     response.end(text);
   }
 
--- a/packages/gateway/src/lib/EntryMonitor.ts
+++ b/packages/gateway/src/lib/EntryMonitor.ts
@@ -35,6 +35,7 @@
 export class EntryMonitor {
   private timer: NodeJS.Timeout | undefined;
   private sampledAt = 0;
+  private lastSampleMs = 0;
   private processorDelayMs = 0;
   private linkDelayMs = 0;
   /** When it was last seen overloaded; undefined once it keeps up again. */
@@ -78,7 +79,10 @@
     const elapsedMs = now - this.sampledAt;
     this.sampledAt = now;
     if (elapsedMs > FREEZE_MS) return;
-    const lateMs = Math.max(0, elapsedMs - SAMPLE_INTERVAL_MS);
+    const sampleMs = Math.max(0, elapsedMs - SAMPLE_INTERVAL_MS);
+    // A single pause is followed by a sample that is on time.
+    const lateMs = Math.min(sampleMs, this.lastSampleMs);
+    this.lastSampleMs = sampleMs;
     const gain = Math.min(1, elapsedMs / AVERAGE_MS);
     this.processorDelayMs += (lateMs - this.processorDelayMs) * gain;
     this.linkDelayMs += (this.measureQueueMs() - this.linkDelayMs) * gain;
--- a/packages/gateway/src/lib/OpenAnswers.ts
+++ b/packages/gateway/src/lib/OpenAnswers.ts
@@ -13,6 +13,8 @@
  */
 export class OpenAnswers {
   private readonly bySocket = new Map<Socket, Set<CallerAnswer>>();
+  /** The bytes of each connection that had been taken at the last count. */
+  private readonly sentBytes = new WeakMap<Socket, number>();
 
   /** Number of owed answers. */
   get count(): number {
@@ -30,11 +32,18 @@
     response.once('finish', () => answers.delete(answer));
   }
 
-  /** Counts the bytes that wait to be sent to callers. */
+  /**
+   * Counts the bytes that wait to be sent to callers who read: connections of which nothing was taken
+   * since the last count are left out.
+   */
   countQueuedBytes(): number {
     let bytes = 0;
-    for (const {writableLength} of this.bySocket.keys()) {
-      bytes += Math.min(MAX_QUEUED_BYTES, writableLength);
+    for (const socket of this.bySocket.keys()) {
+      const {writableLength} = socket;
+      const sentBytes = socket.bytesWritten - writableLength;
+      const isRead = sentBytes !== this.sentBytes.get(socket);
+      this.sentBytes.set(socket, sentBytes);
+      if (isRead) bytes += Math.min(MAX_QUEUED_BYTES, writableLength);
     }
     return bytes;
   }
--- a/packages/wire/src/lib/HeldBytes.ts
+++ b/packages/wire/src/lib/HeldBytes.ts
@@ -34,6 +34,8 @@
   /** `bytes` when it last made progress, and when that was, on the monotonic clock. */
   progressBytes: number;
   progressAt: number;
+  /** When it began to wait for room, on the monotonic clock. */
+  waitingAt: number;
 }
 
 /** Size up to which a body needs no room of its own, in bytes. */
@@ -44,6 +46,8 @@
 const PROGRESS_BYTES = 64 * 1024;
 /** Time without progress after which a body gives way to those that wait for room, in milliseconds. */
 const STALL_MS = 1_000;
+/** Longest wait of a large body for room, in milliseconds. */
+const MAX_WAIT_MS = 5_000;
 /** Time between checks for stalled bodies while others wait, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
 
@@ -87,6 +91,7 @@
       bytes: 0,
       progressBytes: 0,
       progressAt: performance.now(),
+      waitingAt: Infinity,
     };
     this.entries.add(entry);
     return entry;
@@ -103,6 +108,7 @@
     }
     if (entry.state === 'small' && entry.bytes > SMALL_BODY_BYTES) {
       entry.state = 'waiting';
+      entry.waitingAt = performance.now();
       this.waiting.add(entry);
     }
     this.countIn(entry);
@@ -174,10 +180,21 @@
       this.timer = undefined;
       return;
     }
-    this.timer ??= setInterval(() => this.refuseStalled(), CHECK_INTERVAL_MS);
+    this.timer ??= setInterval(() => {
+      this.refuseLate();
+      this.refuseStalled();
+    }, CHECK_INTERVAL_MS);
     this.timer.unref();
   }
 
+  /** Refuses large bodies that have waited for room so long that their clients do better elsewhere. */
+  private refuseLate(): void {
+    const latest = performance.now() - MAX_WAIT_MS;
+    for (const entry of [...this.waiting]) {
+      if (entry.waitingAt <= latest) this.refuseBody(entry, 'no_room');
+    }
+  }
+
   /** Refuses large bodies without progress as long as others wait. */
   private refuseStalled(): void {
     const stalledBefore = performance.now() - STALL_MS;
--- a/packages/wire/src/lib/UnreadAnswers.ts
+++ b/packages/wire/src/lib/UnreadAnswers.ts
@@ -23,12 +23,13 @@
 
   /** Counts bytes that are about to be written, until the operating system has taken them. */
   add(response: ServerResponse, bytes: number): void {
-    if (response.destroyed) return;
+    if (response.destroyed || response.req.socket.destroyed) return;
     this.watch(response);
     this.answers.set(response, (this.answers.get(response) ?? 0) + bytes);
     this.total += bytes;
     for (const oldest of this.answers.keys()) {
-      if (this.total <= this.maxBytes) return;
+      // A single answer may be larger than the limit.
+      if (this.total <= this.maxBytes || this.answers.size === 1) return;
       this.onRefusal('answers_unread');
       this.release(oldest);
       oldest.req.socket.destroy();
--- a/packages/wire/src/test/heldBytes.test.ts
+++ b/packages/wire/src/test/heldBytes.test.ts
@@ -127,3 +127,16 @@
   assert.equal(held.waitingCount, 0);
   assert.equal(clock.countTimers(), 0);
 });
+
+test('a large body that finds no room for seconds is refused, while those that are whole keep theirs', () => {
+  const [first, second, waiting] = openLarge(3);
+  for (const {body} of [first!, second!]) {
+    held.addBytes(body, LARGE_BYTES - 20 * KB);
+    held.finishBody(body);
+  }
+  clock.tick(4_900);
+  assert.deepEqual(waiting!.events, []);
+  clock.tick(200);
+  assert.deepEqual(waiting!.events, ['no_room']);
+  assert.equal(held.waitingCount, 0);
+});
