A route may have the name of what every object has

Change: only own properties of the others' outcomes count. Seen: kindShares.test fails on the code before with 'function is not iterable' and passes now.

--- a/packages/routing/src/lib/forwarding/KindShares.ts
+++ b/packages/routing/src/lib/forwarding/KindShares.ts
@@ -1,6 +1,6 @@
 import {evictOldest} from '@sycamorehead/schema';
 import {DecayingSum} from './DecayingSum.js';
-import {OutcomeTable, limitNames} from './serviceDemand.js';
+import {OutcomeCounts, OutcomeTable, limitNames} from './serviceDemand.js';
 
 /** Time in which outcomes count, in milliseconds. */
 const OUTCOME_MS = 4_000;
@@ -124,13 +124,19 @@
     let served = 0;
     for (const name of names) {
       const own = this.outcomes.get(name);
-      const [othersEnded, othersServed] = this.others[name] ?? [0, 0];
+      const [othersEnded, othersServed] = this.findOthers(name);
       ended += (own?.ended.value ?? 0) + othersEnded;
       served += (own?.served.value ?? 0) + othersServed;
     }
     return ended >= MIN_OUTCOMES ? served / ended : undefined;
   }
 
+  /** Finds the outcomes at the other entries; a kind may be named like what every object has. */
+  private findOthers(name: string): OutcomeCounts {
+    const known = Object.hasOwn(this.others, name) && this.others[name];
+    return known || [0, 0];
+  }
+
   private getOutcomes(name: string): Outcomes {
     const known = this.outcomes.get(name);
     if (known) return known;
