Reports and digests are filtered before control instances store them

Change: EntryReports filters each report and digest once (filterReport): what has the wrong shape is left out, numbers are limited, lists are cut, waiting requests count up to 500 an entry and class. Entries filter the demand in replies likewise.

--- a/packages/fleet/src/lib/EntryReports.ts
+++ b/packages/fleet/src/lib/EntryReports.ts
@@ -1,7 +1,8 @@
-import type {ServerWarmup} from '@sycamorehead/schema';
+import {ServerWarmup, limitCount} from '@sycamorehead/schema';
 import {ColdPermitPool} from './ColdPermitPool.js';
 import {ColdBound, DEFAULT_COLD_BOUND} from './computeColdRate.js';
 import {CrashPool} from './CrashPool.js';
+import {filterReport} from './filterReport.js';
 import type {
   ExchangeReply,
   ExchangeRequest,
@@ -59,7 +60,8 @@
   // Commands.
 
   /** Adds an entry's report and returns what the other entries have reported. */
-  exchange(request: ExchangeRequest): ExchangeReply {
+  exchange(received: ExchangeRequest): ExchangeReply {
+    const request = filterReport(received, 1);
     return {
       ...this.load.exchange(request),
       ...this.limits.exchange(request),
@@ -72,7 +74,9 @@
   }
 
   /** Adds the digest of another control instance. */
-  acceptDigest(digest: LoadDigest): void {
+  acceptDigest(received: LoadDigest): void {
+    const entries = limitCount(received.entries);
+    const digest = {...filterReport(received, entries), entries};
     this.load.acceptDigest(digest);
     this.crashes.acceptDigest(digest);
     this.limits.acceptDigest(digest);
--- a/packages/gateway/src/lib/LoadReporter.ts
+++ b/packages/gateway/src/lib/LoadReporter.ts
@@ -1,5 +1,5 @@
 import type {ExchangeReply, ExchangeRequest} from '@sycamorehead/fleet';
-import type {PrefillRates} from '@sycamorehead/routing';
+import {PrefillRates, filterDemand} from '@sycamorehead/routing';
 import type {CrashObserver} from './CrashObserver.js';
 import type {Placement} from './Placement.js';
 import type {RetryBudgets} from './RetryBudgets.js';
@@ -81,7 +81,10 @@
     this.suspects = reply.suspects ?? [];
     crashes.setSuspects(this.suspects);
     crashes.setSuspended(reply.suspended ?? []);
-    placement.updateOthersDemand(reply.isIsolated ? undefined : reply.demand);
+    const {entries, demand, isIsolated} = reply;
+    placement.updateOthersDemand(
+      isIsolated || !demand ? undefined : filterDemand(demand, entries),
+    );
     placement.offerSlots();
   }
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -69,6 +69,7 @@
 export {
   NO_DEMAND,
   computeOthersDemand,
+  filterDemand,
   sumDemand,
 } from './lib/forwarding/serviceDemand.js';
 export type {
--- a/packages/routing/src/lib/forwarding/serviceDemand.ts
+++ b/packages/routing/src/lib/forwarding/serviceDemand.ts
@@ -1,3 +1,6 @@
+import {filterTable, isTable, limitCount} from '@sycamorehead/schema';
+import {URGENCY_CLASSES} from './computeUrgency.js';
+
 /** Work asked for lately, by customer; the unit is that of the work of a request. @public */
 export type CustomerTable = Readonly<Record<string, number>>;
 
@@ -30,6 +33,53 @@
 
 /** Maximum number of customers, or of outcomes, in the demand for one service: the largest ones. */
 const MAX_DEMAND_NAMES = 64;
+/** Maximum number of waiting requests that count of one entry, for each urgency class. */
+const MAX_WAITING = 500;
+
+/**
+ * Filters the demand that another process has sent: what has not the shape of a demand is left out, and
+ * numbers are limited.
+ *
+ * @param entries - Number of entries over which it is summed.
+ * @example
+ * ```ts
+ * filterDemand({drafts: {waiting: [-1, 1e9]}}, 1).drafts?.waiting; // [0, 500]
+ * ```
+ * @public
+ */
+export function filterDemand(table: unknown, entries: number): DemandTable {
+  const maxWaiting = MAX_WAITING * Math.max(1, entries);
+  return filterTable(table, value => filterService(value, maxWaiting));
+}
+
+function filterService(
+  value: unknown,
+  maxWaiting: number,
+): ServiceDemand | undefined {
+  if (!isTable(value)) return undefined;
+  const {placesPerSecond, waiting, customers, outcomes} = value;
+  const classes: readonly unknown[] = Array.isArray(waiting) ? waiting : [];
+  return {
+    placesPerSecond: limitCount(placesPerSecond),
+    waiting: classes
+      .slice(0, URGENCY_CLASSES)
+      .map(count => limitCount(count, maxWaiting)),
+    customers: limitNames(
+      filterTable(customers, work => limitCount(work)),
+      work => work,
+    ),
+    outcomes: limitNames(
+      filterTable(outcomes, filterOutcome),
+      ([ended]) => ended,
+    ),
+  };
+}
+
+function filterOutcome(value: unknown): OutcomeCounts | undefined {
+  if (!Array.isArray(value)) return undefined;
+  const ended = limitCount(value[0]);
+  return [ended, limitCount(value[1], ended)];
+}
 
 /**
  * Sums tables of demand.
