Memory is looked at among healthy, untried servers first

Cause: the memory filter ran before the preference for servers that are neither ejected nor tried, and a dead server holds nothing: under shortage of memory each request went to it, also again after it failed there. Change: memory is looked at in the best group that has a slot; a later group counts only if the earlier one has none. The margin is dropped at a random one of the servers with enough room. Seen: two new tests of memoryPlacement fail on the code before ('Missing expected rejection'; one server chosen) and pass now.

--- a/packages/gateway/src/lib/ServerAvailability.ts
+++ b/packages/gateway/src/lib/ServerAvailability.ts
@@ -26,7 +26,7 @@
 
   /**
    * Lists the permitted servers with capacity, if possible those neither tried for this request
-   * nor ejected.
+   * nor ejected. Where only memory is missing at those, the request waits for it.
    */
   listAvailable(demand: PlacementRequest): readonly KnownServer[] {
     const {servers} = this;
@@ -39,19 +39,22 @@
     const withSlots = permitted.filter(server =>
       this.hasCapacity(server, service),
     );
+    // A failed server holds nothing: by memory alone, it would get all that fits nowhere else.
+    const untried = withSlots.filter(
+      ({listing}) => !tried.has(listing.registration.id),
+    );
+    const healthy = untried.filter(({ejectedUntil}) => ejectedUntil <= now);
+    const preferred =
+      [healthy, untried, withSlots].find(({length}) => length > 0) ?? [];
     const available = filterByMemory(
-      withSlots,
+      preferred,
       service.engine?.tokenCapacity ?? 0,
       demand.request.size,
     );
-    if (withSlots.length > available.length && available.length === 0) {
+    if (preferred.length > 0 && available.length === 0) {
       this.onMemoryFull(service.name);
     }
-    const untried = available.filter(
-      ({listing}) => !tried.has(listing.registration.id),
-    );
-    const healthy = untried.filter(({ejectedUntil}) => ejectedUntil <= now);
-    return [healthy, untried, available].find(({length}) => length > 0) ?? [];
+    return available;
   }
 
   /**
--- a/packages/gateway/src/lib/filterByMemory.ts
+++ b/packages/gateway/src/lib/filterByMemory.ts
@@ -3,8 +3,9 @@
 
 /**
  * Filters servers by whether their memory holds a request beside those that run there, so that no
- * engine has to preempt streams. Where it fits nowhere, the server with the most room may get it if only
- * the margin for unseen sends is missing, or if nothing is known to run there.
+ * engine has to preempt streams. Where it fits nowhere, a random one of the servers where only the margin
+ * for unseen sends is missing may get it, since all entries drop the margin at the same time; or a
+ * random one of those where nothing is known to run.
  *
  * @param capacity - Tokens in the memory of each server; 0 if unknown.
  * @example
@@ -17,6 +18,7 @@
   servers: readonly KnownServer[],
   capacity: number,
   size: RequestSize,
+  random: () => number = Math.random,
 ): readonly KnownServer[] {
   if (capacity <= 0) return servers;
   const now = performance.now();
@@ -25,14 +27,20 @@
     memory.hasRoom(capacity, tokens, now),
   );
   if (fitting.length > 0) return fitting;
-  const [first, ...others] = servers;
-  if (!first) return [];
-  const emptiest = others.reduce(
-    (best, server) =>
-      server.memory.countHeld(now) < best.memory.countHeld(now) ? server : best,
-    first,
+  const withoutMargin = servers.filter(
+    ({memory}) => tokens <= memory.countRoom(capacity, now),
   );
-  const isIdle = emptiest.inFlight + emptiest.othersInFlight === 0;
-  const room = emptiest.memory.countRoom(capacity, now);
-  return isIdle || tokens <= room ? [emptiest] : [];
+  if (withoutMargin.length > 0) return pickOne(withoutMargin, random);
+  const idle = servers.filter(
+    ({inFlight, othersInFlight}) => inFlight + othersInFlight <= 0,
+  );
+  return pickOne(idle, random);
+}
+
+function pickOne(
+  servers: readonly KnownServer[],
+  random: () => number,
+): readonly KnownServer[] {
+  const index = Math.floor(random() * servers.length);
+  return servers.slice(index, index + 1);
 }
--- a/packages/gateway/src/test/memoryPlacement.test.ts
+++ b/packages/gateway/src/test/memoryPlacement.test.ts
@@ -2,10 +2,12 @@
 import {test} from 'node:test';
 import {PrefillRates, buildKeptPrompt} from '@sycamorehead/routing';
 import {AnswerTimes} from '../lib/AnswerTimes.js';
+import {filterByMemory} from '../lib/filterByMemory.js';
 import {Placement, PlacementRequest} from '../lib/Placement.js';
 import {ServerTable} from '../lib/ServerTable.js';
 import {VersionSplit} from '../lib/VersionSplit.js';
 import {buildPlacementRequest} from './buildPlacementRequest.js';
+import {createRandom} from './createRandom.js';
 import {describeServer} from './FakeServer.js';
 
 /** Tokens in the memory of each engine of the test's configuration. */
@@ -120,3 +122,44 @@
   assert.equal(second.tokensToPrefill, 0);
   assert.ok(second.savedMs > 0);
 });
+
+test('a request waits for the memory of healthy servers rather than go to an ejected or a tried one', async () => {
+  const {table, placement, full} = buildPlacement(2);
+  const [first, second] = table.listReady('drafts');
+  assert.ok(first && second);
+  table.setOthersLoad({s1: [30, 900, 1, CAPACITY - 10_000]});
+  first.ejectedUntil = performance.now() + 60_000;
+  const held = {...buildDemand(12_000, 50), tried: new Set<string>()};
+  await assert.rejects(placement.acquire(held), {ran: 'no'});
+  first.ejectedUntil = 0;
+  const repeated = {...buildDemand(12_000, 50), tried: new Set(['s0'])};
+  await assert.rejects(placement.acquire(repeated), {ran: 'no'});
+  assert.ok(full.length >= 2);
+  table.setOthersLoad({s1: [64, 900, 1, CAPACITY - 10_000]});
+  const {server} = await placement.acquire(repeated);
+  assert.equal(server, first);
+});
+
+test('entries that drop the margin at the same time do not choose the same server', () => {
+  const {table} = buildPlacement(4);
+  table.setOthersLoad(
+    Object.fromEntries(
+      [460_000, 470_000, 475_000, 490_000].map((held, index) => [
+        `s${index}`,
+        [9, 0, 1, held, 400_000] as const,
+      ]),
+    ),
+  );
+  const servers = table.listReady('drafts');
+  const size = {promptTokens: 20_000, answerTokens: 500};
+  const random = createRandom(1);
+  const counts = new Map<string, number>();
+  for (let entry = 0; entry < 90; entry += 1) {
+    const [server, ...others] = filterByMemory(servers, CAPACITY, size, random);
+    assert.ok(server && others.length === 0);
+    const {id} = server.listing.registration;
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  assert.deepEqual([...counts.keys()].sort(), ['s0', 's1', 's2']);
+  assert.ok(Math.max(...counts.values()) <= 45);
+});
