What others give a server to read expires like what they hold

Change: it counts for 2 s after the report that brought it, also in what was read since; afterwards the rate is the entry's own, which decays.

--- a/packages/routing/src/lib/forwarding/KeptPrompts.ts
+++ b/packages/routing/src/lib/forwarding/KeptPrompts.ts
@@ -17,6 +17,8 @@
 const FILL_MS = 5_000;
 /** Time after a server's start beyond which it makes no difference, in milliseconds. */
 const MAX_AGE_MS = 60_000;
+/** Time after which what other entries have reported of a server is not believed any more, in milliseconds. @internal */
+export const OTHERS_EXPIRY_MS = 2_000;
 /** Time after which the use of a segment is news to the other entries again, in milliseconds. */
 const NEWS_INTERVAL_MS = 3_000;
 /** Maximum number of segments that are news. */
@@ -77,6 +79,8 @@
   private readTokens = 0;
   private countedAt = performance.now();
   private othersPerSecond = 0;
+  private othersAt = -Infinity;
+  /** As of the last change, which reports bring often. */
   private readPerSecond = 0;
   private emptySince: number;
 
@@ -123,6 +127,7 @@
     this.countedAt = now;
     const bounded = Number.isFinite(tokens) ? Math.max(0, tokens) : 0;
     this.othersPerSecond = (bounded * MS_PER_SECOND) / READ_LIFETIME_MS;
+    this.othersAt = now;
     this.updateRate();
   }
 
@@ -140,9 +145,10 @@
     return Math.round(this.recentRead.value);
   }
 
-  /** Tokens that the server is given to read in a second, by all entries. */
-  get tokensPerSecond(): number {
-    return this.readPerSecond;
+  /** Computes the tokens that the server is given to read in a second, by all entries that are heard of. */
+  computeReadRate(now: number): number {
+    const isFresh = now - this.othersAt < OTHERS_EXPIRY_MS;
+    return isFresh ? this.readPerSecond : this.recentRead.perSecond;
   }
 
   /**
@@ -176,8 +182,10 @@
    * used.
    */
   estimateDisplacement(room: number): number {
-    if (room === Infinity || this.readPerSecond <= 0) return 0;
-    const lifetimeMs = (Math.max(0, room) * MS_PER_SECOND) / this.readPerSecond;
+    if (room === Infinity) return 0;
+    const rate = this.computeReadRate(performance.now());
+    if (rate <= 0) return 0;
+    const lifetimeMs = (Math.max(0, room) * MS_PER_SECOND) / rate;
     return Math.max(0, 1 - lifetimeMs / REUSE_MS);
   }
 
@@ -222,14 +230,15 @@
   }
 
   private countRead(now: number): number {
-    const sinceMs = now - this.countedAt;
+    const until = Math.min(now, this.othersAt + OTHERS_EXPIRY_MS);
+    const sinceMs = Math.max(0, until - this.countedAt);
     return this.readTokens + (this.othersPerSecond * sinceMs) / MS_PER_SECOND;
   }
 
   private updateRate(): void {
-    const ownPerSecond =
-      (this.recentRead.value * MS_PER_SECOND) / READ_LIFETIME_MS;
-    this.readPerSecond = ownPerSecond + this.othersPerSecond;
+    const isFresh = performance.now() - this.othersAt < OTHERS_EXPIRY_MS;
+    const othersPerSecond = isFresh ? this.othersPerSecond : 0;
+    this.readPerSecond = this.recentRead.perSecond + othersPerSecond;
   }
 
   private expireSegments(now: number): void {
--- a/packages/routing/src/lib/forwarding/ServerMemory.ts
+++ b/packages/routing/src/lib/forwarding/ServerMemory.ts
@@ -1,8 +1,6 @@
 import type {RequestSize} from './AnswerValues.js';
-import {KeptPrompts} from './KeptPrompts.js';
+import {KeptPrompts, OTHERS_EXPIRY_MS} from './KeptPrompts.js';
 
-/** Time after which what other entries hold is not believed any more, in milliseconds. */
-const OTHERS_EXPIRY_MS = 2_000;
 /** Age of what is known of the other entries' sends, in milliseconds. */
 const REPORT_AGE_MS = 400;
 const MS_PER_SECOND = 1_000;
@@ -80,7 +78,8 @@
    * meanwhile, so that the engine need not preempt any.
    */
   hasRoom(capacity: number, tokens: number, now: number): boolean {
-    const unseen = (this.kept.tokensPerSecond * REPORT_AGE_MS) / MS_PER_SECOND;
+    const rate = this.kept.computeReadRate(now);
+    const unseen = (rate * REPORT_AGE_MS) / MS_PER_SECOND;
     return tokens + unseen <= this.countRoom(capacity, now);
   }
 }
--- a/packages/routing/src/test/engineMemory.test.ts
+++ b/packages/routing/src/test/engineMemory.test.ts
@@ -60,6 +60,23 @@
   assert.ok(!hasRoom());
 });
 
+test('what other entries give a server to read is not believed without fresh reports', () => {
+  const memory = new ServerMemory(LONG_AGE_MS);
+  memory.kept.recordPrompt(PROMPT, 11_800);
+  memory.kept.setOthersRead(60_000);
+  const hasRoom = () => memory.hasRoom(CAPACITY, 90_000, performance.now());
+  assert.ok(!hasRoom());
+  assert.ok(memory.kept.estimateDisplacement(CAPACITY) > 0.5);
+  clock.tick(1_900);
+  assert.ok(!hasRoom());
+  clock.tick(200);
+  assert.ok(hasRoom());
+  // Two seconds of reading by the others leave room for the parts; twelve would have pushed them out.
+  clock.tick(10_000);
+  assert.equal(countKept(memory), 5_800);
+  assert.equal(memory.kept.estimateDisplacement(CAPACITY), 0);
+});
+
 test('what other entries hold is not believed without fresh reports, nor if it makes no sense', () => {
   const memory = new ServerMemory(LONG_AGE_MS);
   memory.setOthersHeld(90_000);
