A request that finds no memory holds up no smaller one

Cause: after two failed tries for the same needs the queue stopped for all of them, and sizes were compared by work (answer and a quarter of the prompt), not by the memory that decides. Waiting requests expired beside free slots. Change: WaitingWork.size is the unit of fit; five sizes of the same needs are tried, then the smallest; where no slot is free one try stays.

--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -216,7 +216,8 @@
   }
 
   private buildWork(demand: PlacementRequest): WaitingWork<SlotReservation> {
-    const {request, variant} = demand;
+    const {request, variant, service} = demand;
+    const isMemoryBound = (service.engine?.tokenCapacity ?? 0) > 0;
     const {promptTokens, answerTokens} = request.size;
     return {
       priority: demand.priority,
@@ -228,8 +229,10 @@
       abandonAt: demand.abandonAt,
       deadlineAt: demand.deadlineAt,
       needs: variant,
+      size: isMemoryBound ? countNeededTokens(request.size) : 1,
       signal: demand.signal,
       tryReserveSlot: () => this.tryReserveSlot(demand),
+      hasFreeSlot: () => this.availability.hasFreeSlot(service),
       onQueued: demand.onQueued,
     };
   }
--- a/packages/gateway/src/test/memoryPlacement.test.ts
+++ b/packages/gateway/src/test/memoryPlacement.test.ts
@@ -77,6 +77,41 @@
   assert.equal(server.listing.registration.id, 's1');
 });
 
+test('requests that find no memory hold up no smaller ones behind them', async () => {
+  const {placement} = buildPlacement(1);
+  const running = await placement.acquire(buildDemand(430_000));
+  const held = await placement.acquire(buildDemand(69_000));
+  // Each is of a size class of its own, and larger than the 69,500 tokens that come free.
+  const large = [400_000, 200_000, 100_000].map(tokens =>
+    placement.acquire(buildDemand(tokens)),
+  );
+  const small = Array.from({length: 3}, () =>
+    placement.acquire(buildDemand(600)),
+  );
+  const outcomes = Promise.allSettled(large);
+  held.release();
+  for (const reservation of await Promise.all(small)) reservation.release();
+  running.release();
+  const statuses = (await outcomes).map(({status}) => status);
+  assert.deepEqual(statuses.slice(0, 1), ['fulfilled']);
+});
+
+test('a long prompt that finds no memory holds up no long answer that needs less', async () => {
+  const {placement} = buildPlacement(1);
+  await placement.acquire(buildDemand(479_000));
+  const held = await placement.acquire(buildDemand(20_000));
+  const prompt = placement.acquire(buildDemand(30_000, 200));
+  const demand = buildDemand(300, 200);
+  const size = {promptTokens: 300, answerTokens: 8_000};
+  const answer = placement.acquire({
+    ...demand,
+    request: {...demand.request, size},
+  });
+  held.release();
+  await answer;
+  await assert.rejects(prompt);
+});
+
 test('a request larger than the memory of every server is refused at once, as not run', async () => {
   const {placement, full} = buildPlacement(2);
   await assert.rejects(placement.acquire(buildDemand(CAPACITY)), {
--- a/packages/routing/src/lib/forwarding/PlacementQueue.ts
+++ b/packages/routing/src/lib/forwarding/PlacementQueue.ts
@@ -27,6 +27,8 @@
   readonly abandonAt: number;
   /** Work with the same needs can be sent to the same servers, but for its size. */
   readonly needs: string;
+  /** Its size, in the unit that decides where it fits; the same for all if only slots do. */
+  readonly size: number;
   readonly signal: AbortSignal;
   /**
    * Reserves a slot if one is free now.
@@ -34,6 +36,8 @@
    * @throws SycamoreheadError if waiting is pointless.
    */
   tryReserveSlot(): Slot | undefined;
+  /** Returns whether any server has a slot; without one no smaller request would fit either. */
+  hasFreeSlot?(): boolean;
   /** Called when the work begins to wait. */
   onQueued?(note: QueueNote): void;
 }
@@ -44,6 +48,7 @@
   rank: WaiterRank;
   /** Tries to reserve a slot and returns whether the waiter is settled. */
   trySettle(): boolean;
+  hasFreeSlot(): boolean;
   refuse(error: SycamoreheadError): void;
 }
 
@@ -51,6 +56,8 @@
 const MAX_WAITING = 500;
 /** Maximum number of needs for which places are tried in one offer. */
 const MAX_BLOCKED_NEEDS = 8;
+/** Number of sizes for which places are tried in one offer before only the smallest is. */
+const MAX_TRIED_SIZES = 5;
 /** Maximum number of needs of which the last place is known. */
 const MAX_NEEDS = 100;
 /** Time for which ranks are reused when a request arrives, in milliseconds. */
@@ -123,14 +130,16 @@
     if (this.waiters.size === 0) return;
     this.updateRanks();
     const blocked = new Map<string, number>();
+    const tries = new Map<string, number>();
     while (blocked.size < MAX_BLOCKED_NEEDS) {
       const next = chooseNextWaiter(this.waiters, blocked);
       if (!next) return;
       if (this.policy.checkYield(next.rank)) return this.scheduleOffer();
       if (next.trySettle()) continue;
-      // The second try is one for a smaller request.
-      const isLastTry = blocked.has(next.needs);
-      blocked.set(next.needs, isLastTry ? 0 : next.sizeClass);
+      const {needs} = next;
+      const tried = (tries.get(needs) ?? 0) + 1;
+      tries.set(needs, tried);
+      blocked.set(needs, this.findBlockedSize(next, tried));
     }
   }
 
@@ -173,6 +182,16 @@
     return this.policy.describeDemand(waiting);
   }
 
+  /** Returns the size class from which on no place is tried after one was not found. */
+  private findBlockedSize(failed: Waiter, tried: number): number {
+    if (!failed.hasFreeSlot()) return 0;
+    if (tried < MAX_TRIED_SIZES) return failed.sizeClass;
+    const sizes = [...this.waiters]
+      .filter(({needs}) => needs === failed.needs)
+      .map(({sizeClass}) => sizeClass);
+    return Math.min(failed.sizeClass, Math.min(...sizes) + 1);
+  }
+
   private describeQueue(rank: WaiterRank): QueueNote {
     this.updateRanks(RANK_MS);
     let ahead = 0;
@@ -217,7 +236,7 @@
   ): boolean {
     if (this.waiters.size === 0) return false;
     this.updateRanks(RANK_MS);
-    const sizeClass = classifyWork(work);
+    const sizeClass = classifySize(work.size);
     for (const waiter of this.waiters) {
       if (waiter.needs !== work.needs || waiter.sizeClass > sizeClass) continue;
       if (compareRanks(waiter.rank, rank) <= 0) return true;
@@ -267,7 +286,7 @@
         classified,
         rank,
         needs: work.needs,
-        sizeClass: classifyWork(work),
+        sizeClass: classifySize(work.size),
         abandonAt: work.abandonAt,
         trySettle: () => {
           try {
@@ -281,6 +300,7 @@
           }
           return true;
         },
+        hasFreeSlot: () => work.hasFreeSlot?.() ?? true,
         refuse: error => {
           end();
           reject(error);
@@ -337,7 +357,7 @@
   }
 }
 
-/** Returns the size class of work: its size in powers of two. */
-function classifyWork({work}: QueuedRequest): number {
-  return Math.floor(Math.log2(Math.max(1, work)));
+/** Returns the size class of a request: its size in powers of two. */
+function classifySize(size: number): number {
+  return Math.floor(Math.log2(Math.max(1, size)));
 }
--- a/packages/routing/src/test/QueueReplay.ts
+++ b/packages/routing/src/test/QueueReplay.ts
@@ -75,6 +75,7 @@
       work,
       draw: this.random(),
       needs,
+      size: work,
       startBy: now + (kind.startMs ?? kind.targetMs),
       abandonAt: now + kind.targetMs,
       deadlineAt: now + 5 * kind.targetMs,
--- a/packages/routing/src/test/forwarding.test.ts
+++ b/packages/routing/src/test/forwarding.test.ts
@@ -71,6 +71,7 @@
     work: 1,
     draw: 0,
     needs: '',
+    size: 1,
     startBy: performance.now() + waitMs,
     abandonAt: performance.now() + waitMs,
     deadlineAt: performance.now() + 2 * waitMs,
--- a/packages/routing/src/test/queueExchange.test.ts
+++ b/packages/routing/src/test/queueExchange.test.ts
@@ -64,6 +64,7 @@
         work: 1,
         draw: 0,
         needs: '',
+        size: 1,
         startBy: now + 1_500,
         abandonAt: now + 1_500,
         deadlineAt: now + 10_000,
