Where no places come free, a request is held 0.4 of its objective at most

Cause: with fewer than three places seen, no wait is estimated, so 'hopeless' and 'outpaced' never hold, and a request was held until its answer could no longer begin in time (objective 8 s: 7 s). A typical time that is unknown counted as none. Change: computeWaitLimits gives a time of review; from then on the wait ends as soon as requests have waited here for 200 ms and no rate is known. An answer of unknown time is taken to need 0.2 of the objective.

--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -49,6 +49,8 @@
   /** The time until which a send is probably answered in time, on the monotonic clock. */
   readonly startBy: number;
   readonly abandonAt: number;
+  /** The time at which it is refused if no places are known to come free; `abandonAt` if undefined. */
+  readonly reviewAt?: number;
   /** The time until which the caller waits for the answer, on the monotonic clock. */
   readonly deadlineAt: number;
   /** The latency objective of the first event, on the monotonic clock; undefined if it has gone out. */
@@ -227,6 +229,7 @@
       draw: hashToShare(`draw ${request.id}`),
       startBy: demand.startBy,
       abandonAt: demand.abandonAt,
+      reviewAt: demand.reviewAt,
       deadlineAt: demand.deadlineAt,
       needs: variant,
       size: isMemoryBound ? countNeededTokens(request.size) : 1,
--- a/packages/gateway/src/lib/computeWaitLimits.ts
+++ b/packages/gateway/src/lib/computeWaitLimits.ts
@@ -1,5 +1,7 @@
 /** Minimum wait for a slot before a request is refused, as a fraction of the target latency. */
 const MIN_WAIT_FRACTION = 0.4;
+/** Time that an answer is taken to need while that is unknown, as a fraction of the time allowed. */
+const UNKNOWN_ANSWER_FRACTION = 0.2;
 /** Time allowed for the answer to a send, relative to the typical one. */
 const ANSWER_TIME_FACTOR = 1.25;
 
@@ -22,12 +24,15 @@
   readonly startBy: number;
   /** The time at which the request is refused. */
   readonly abandonAt: number;
+  /** The time at which the request is refused if no places are known to come free. */
+  readonly reviewAt: number;
 }
 
 /**
  * Computes how long a request may wait for a slot, under a load that exceeds the slots: as long as its
  * answer can still begin in time. One that can't be in time anyway waits a while for slots that nobody
- * else needs.
+ * else needs. As long as no places are known to come free, a request is held no longer than that while, so
+ * that its caller has time to return.
  *
  * @example
  * ```ts
@@ -44,15 +49,15 @@
  */
 export function computeWaitLimits(input: WaitLimitInput): WaitLimits {
   const {now, arrivedAt, targetLatencyMs, deadlineAt, longestPauseMs} = input;
-  const answerMs = (input.typicalMs ?? 0) * ANSWER_TIME_FACTOR;
+  const allowedMs = longestPauseMs ?? targetLatencyMs;
+  const typicalMs = input.typicalMs ?? allowedMs * UNKNOWN_ANSWER_FRACTION;
+  const answerMs = typicalMs * ANSWER_TIME_FACTOR;
   const dueAt =
     longestPauseMs === undefined
       ? arrivedAt + targetLatencyMs
       : now + longestPauseMs;
   const startBy = dueAt - answerMs;
   const leastUntil = now + targetLatencyMs * MIN_WAIT_FRACTION;
-  return {
-    startBy,
-    abandonAt: Math.min(deadlineAt, Math.max(startBy, leastUntil)),
-  };
+  const abandonAt = Math.min(deadlineAt, Math.max(startBy, leastUntil));
+  return {startBy, abandonAt, reviewAt: Math.min(abandonAt, leastUntil)};
 }
--- a/packages/routing/src/lib/forwarding/PlacementQueue.ts
+++ b/packages/routing/src/lib/forwarding/PlacementQueue.ts
@@ -25,6 +25,11 @@
 export interface WaitingWork<Slot> extends QueuedRequest {
   /** The time at which the wait is abandoned, on the monotonic clock. */
   readonly abandonAt: number;
+  /**
+   * The time from which the wait is abandoned if no places are known to come free, on the monotonic
+   * clock; `abandonAt` unless it is given.
+   */
+  readonly reviewAt?: number;
   /** Work with the same needs can be sent to the same servers, but for its size. */
   readonly needs: string;
   /** Its size, in the unit that decides where it fits; the same for all if only slots do. */
@@ -62,6 +67,8 @@
 const MAX_NEEDS = 100;
 /** Time for which ranks are reused when a request arrives, in milliseconds. */
 const RANK_MS = 20;
+/** Time after which it is looked again whether places come free, in milliseconds. */
+const REVIEW_MS = 100;
 /** How far the expected wait of a waiting request has to exceed its limit for a refusal. */
 const REVIEW_MARGIN = 1.5;
 /** Time in which some request with the same needs must have got a place for others to yield, in ms. */
@@ -278,10 +285,16 @@
             ran: 'no',
           }),
         );
-      const timer = setTimeout(
-        () => waiter.refuse(this.policy.refuse(classified, 'expired')),
-        work.abandonAt - performance.now(),
-      );
+      const handleReview = () => {
+        const leftMs = work.abandonAt - performance.now();
+        if (leftMs <= 0 || this.policy.isStalled) {
+          waiter.refuse(this.policy.refuse(classified, 'expired'));
+          return;
+        }
+        timer = setTimeout(handleReview, Math.min(REVIEW_MS, leftMs));
+      };
+      const reviewAt = Math.min(work.abandonAt, work.reviewAt ?? Infinity);
+      let timer = setTimeout(handleReview, reviewAt - performance.now());
       const waiter: Waiter = {
         classified,
         rank,
--- a/packages/routing/src/lib/forwarding/QueuePolicy.ts
+++ b/packages/routing/src/lib/forwarding/QueuePolicy.ts
@@ -147,6 +147,12 @@
     return this.yields.endsAt;
   }
 
+  /** Whether requests have waited for a while, and no places are known to come free for them. */
+  get isStalled(): boolean {
+    const first = this.estimateWait({ahead: 0, urgencyClass: 0});
+    return this.flow.isSaturated && first === undefined;
+  }
+
   /** Rates where a request stands now. */
   rateRequest(
     classified: ClassifiedRequest,
--- a/packages/routing/src/test/QueueReplay.ts
+++ b/packages/routing/src/test/QueueReplay.ts
@@ -13,6 +13,8 @@
   readonly targetMs: number;
   /** Time in which it has to be sent to be answered in time; `targetMs` unless it is given. */
   readonly startMs?: number;
+  /** Time for which it waits if no places come free; `targetMs` unless it is given. */
+  readonly reviewMs?: number;
   readonly work?: number;
   readonly customer?: string;
   readonly needs?: string;
@@ -78,6 +80,7 @@
       size: work,
       startBy: now + (kind.startMs ?? kind.targetMs),
       abandonAt: now + kind.targetMs,
+      reviewAt: now + (kind.reviewMs ?? kind.targetMs),
       deadlineAt: now + 5 * kind.targetMs,
       signal: new AbortController().signal,
       tryReserveSlot: () => {
--- a/packages/routing/src/test/placementQueue.test.ts
+++ b/packages/routing/src/test/placementQueue.test.ts
@@ -220,3 +220,18 @@
     assert.ok(fraction > all / 4, fractions.join(' '));
   }
 });
+
+test('a request is held for its whole wait only where places come free', async () => {
+  const kind = {...REVIEW, reviewMs: 3_200, targetMs: 7_000};
+  const stalled = new QueueReplay(clock, 0).send(kind);
+  const replay = new QueueReplay(clock, 0);
+  const served = replay.send({...kind, needs: 'large'});
+  for (let ms = 0; ms < 6_000; ms += 200) {
+    replay.send(CHAT);
+    replay.release();
+    await clock.tickAsync(200);
+  }
+  assert.equal(stalled.outcome, 'refused');
+  assert.ok((stalled.endedAt ?? 0) - stalled.sentAt < 3_400);
+  assert.equal(served.outcome, undefined);
+});
