An entry that never heard of the demand elsewhere calls none excess

Cause: the 20 s of history counted from the start of the queue, also where no exchange ever averaged: what is usual and the equal share were 0, so all demand was excess. Change: the history begins at the first average. Measured: the new test of queueDecisions fails with the former start, passes now.

--- a/packages/routing/src/lib/forwarding/FairShares.ts
+++ b/packages/routing/src/lib/forwarding/FairShares.ts
@@ -29,8 +29,9 @@
   private others: CustomerTable = {};
   /** An equal share of what all customers with demand ask for. */
   private equalShare = 0;
-  private readonly startedAt = performance.now();
-  private averagedAt = performance.now();
+  /** When the demand at all entries was first averaged, on the monotonic clock. */
+  private startedAt = Infinity;
+  private averagedAt = Infinity;
 
   // Commands.
 
@@ -50,6 +51,8 @@
   /** Averages the demand at all entries; to be called regularly. */
   updateUsual(): void {
     const now = performance.now();
+    this.startedAt = Math.min(this.startedAt, now);
+    this.averagedAt = Math.min(this.averagedAt, now);
     const gain = 1 - Math.exp((this.averagedAt - now) / USUAL_MS);
     // At the beginning the average is one over the time so far.
     const firstGain = (now - this.averagedAt) / (now - this.startedAt);
--- a/packages/routing/src/test/queueDecisions.test.ts
+++ b/packages/routing/src/test/queueDecisions.test.ts
@@ -63,6 +63,19 @@
   assert.equal(shares.computeAllowed('small'), 1);
 });
 
+test('an entry that never heard of the demand elsewhere calls none excess', () => {
+  const shares = new FairShares();
+  for (let at = 0; at < 60_000; at += 100) {
+    shares.recordRequest('large', 1);
+    clock.tick(100);
+  }
+  assert.equal(shares.computeAllowed('large'), 1);
+  // Nor does it at once when it begins to hear of it.
+  shares.updateUsual();
+  shares.setOthers({large: 1_000});
+  assert.equal(shares.computeAllowed('large'), 1);
+});
+
 test('callers refused together return apart, and within the time that they heed', () => {
   const returns = new ReturnSchedule(() => 0.5);
   const delays = Array.from({length: 40}, () =>
