What callers tell of their sizes is bounded

Cause: a header of 1e300 tokens counted as that much demand of its customer and in the equal share, for many minutes. Change: token counts are bounded at 10 million, the work of one request at one million. Measured: the new test of memoryPlacement fails without the bound of the work, passes now. The bound of the header itself has no test.

--- a/packages/gateway/src/lib/CallerRequest.ts
+++ b/packages/gateway/src/lib/CallerRequest.ts
@@ -45,6 +45,8 @@
  */
 const SINGLE_HEADERS = ['host', 'content-length', 'transfer-encoding'];
 const MAX_SEGMENTS = 64;
+/** Maximum number of tokens that is believed of a prompt, a segment or an answer. */
+const MAX_TOKENS = 10_000_000;
 /** Maximum length of the id of a prompt segment, of which many are kept; the rest is ignored. */
 const MAX_SEGMENT_ID_LENGTH = 64;
 
@@ -127,7 +129,7 @@
 
 function readCount(text: string): number {
   const value = Number(text);
-  return Number.isFinite(value) && value > 0 ? value : 0;
+  return Number.isFinite(value) && value > 0 ? Math.min(value, MAX_TOKENS) : 0;
 }
 
 function readSegments(text: string | undefined): PromptSegment[] {
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -31,6 +31,8 @@
 const OPEN_MS = 20;
 /** What a prompt token costs a server, as a fraction of an answer token. */
 const PROMPT_TOKEN_WORK = 0.25;
+/** Maximum work that one request counts as, in answer tokens: shares rest on what callers tell. */
+const MAX_WORK = 1_000_000;
 
 /** The requirements of a request for a slot. @public */
 export interface PlacementRequest {
@@ -225,7 +227,7 @@
       priority: demand.priority,
       customer: demand.customer,
       kind: demand.route,
-      work: answerTokens + promptTokens * PROMPT_TOKEN_WORK,
+      work: Math.min(MAX_WORK, answerTokens + promptTokens * PROMPT_TOKEN_WORK),
       draw: hashToShare(`draw ${request.id}`),
       startBy: demand.startBy,
       abandonAt: demand.abandonAt,
--- a/packages/gateway/src/test/memoryPlacement.test.ts
+++ b/packages/gateway/src/test/memoryPlacement.test.ts
@@ -112,6 +112,14 @@
   await assert.rejects(prompt);
 });
 
+test('what a caller tells of its size counts for the shares of customers up to a bound', () => {
+  const {placement} = buildPlacement(1);
+  placement.tryAcquire(buildDemand(1e300));
+  const {drafts} = placement.describeDemand();
+  const [work = 0] = Object.values(drafts?.customers ?? {});
+  assert.ok(work > 0 && work <= 1_000_000, `${work}`);
+});
+
 test('a request larger than the memory of every server is refused at once, as not run', async () => {
   const {placement, full} = buildPlacement(2);
   await assert.rejects(placement.acquire(buildDemand(CAPACITY)), {
