--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -31,6 +31,8 @@
 const OPEN_MS = 20;
 /** What a prompt token costs a server, as a fraction of an answer token. */
 const PROMPT_TOKEN_WORK = 0.25;
+/** Maximum work that one request counts as, in answer tokens: shares rest on what callers tell. */
+const MAX_WORK = 1_000_000;
 
 /** The requirements of a request for a slot. @public */
 export interface PlacementRequest {
@@ -49,6 +51,8 @@
   /** The time until which a send is probably answered in time, on the monotonic clock. */
   readonly startBy: number;
   readonly abandonAt: number;
+  /** The time at which it is refused if no places are known to come free; `abandonAt` if undefined. */
+  readonly reviewAt?: number;
   /** The time until which the caller waits for the answer, on the monotonic clock. */
   readonly deadlineAt: number;
   /** The latency objective of the first event, on the monotonic clock; undefined if it has gone out. */
@@ -216,20 +220,24 @@
   }
 
   private buildWork(demand: PlacementRequest): WaitingWork<SlotReservation> {
-    const {request, variant} = demand;
+    const {request, variant, service} = demand;
+    const isMemoryBound = (service.engine?.tokenCapacity ?? 0) > 0;
     const {promptTokens, answerTokens} = request.size;
     return {
       priority: demand.priority,
       customer: demand.customer,
       kind: demand.route,
-      work: answerTokens + promptTokens * PROMPT_TOKEN_WORK,
+      work: Math.min(MAX_WORK, answerTokens + promptTokens * PROMPT_TOKEN_WORK),
       draw: hashToShare(`draw ${request.id}`),
       startBy: demand.startBy,
       abandonAt: demand.abandonAt,
+      reviewAt: demand.reviewAt,
       deadlineAt: demand.deadlineAt,
       needs: variant,
+      size: isMemoryBound ? countNeededTokens(request.size) : 1,
       signal: demand.signal,
       tryReserveSlot: () => this.tryReserveSlot(demand),
+      hasFreeSlot: () => this.availability.hasFreeSlot(service),
       onQueued: demand.onQueued,
     };
   }
--- a/packages/routing/src/lib/forwarding/PlacementQueue.ts
+++ b/packages/routing/src/lib/forwarding/PlacementQueue.ts
@@ -25,8 +25,15 @@
 export interface WaitingWork<Slot> extends QueuedRequest {
   /** The time at which the wait is abandoned, on the monotonic clock. */
   readonly abandonAt: number;
+  /**
+   * The time from which the wait is abandoned if no places are known to come free, on the monotonic
+   * clock; `abandonAt` unless it is given.
+   */
+  readonly reviewAt?: number;
   /** Work with the same needs can be sent to the same servers, but for its size. */
   readonly needs: string;
+  /** Its size, in the unit that decides where it fits; the same for all if only slots do. */
+  readonly size: number;
   readonly signal: AbortSignal;
   /**
    * Reserves a slot if one is free now.
@@ -34,6 +41,8 @@
    * @throws SycamoreheadError if waiting is pointless.
    */
   tryReserveSlot(): Slot | undefined;
+  /** Returns whether any server has a slot; without one no smaller request would fit either. */
+  hasFreeSlot?(): boolean;
   /** Called when the work begins to wait. */
   onQueued?(note: QueueNote): void;
 }
@@ -44,6 +53,7 @@
   rank: WaiterRank;
   /** Tries to reserve a slot and returns whether the waiter is settled. */
   trySettle(): boolean;
+  hasFreeSlot(): boolean;
   refuse(error: SycamoreheadError): void;
 }
 
@@ -51,10 +61,14 @@
 const MAX_WAITING = 500;
 /** Maximum number of needs for which places are tried in one offer. */
 const MAX_BLOCKED_NEEDS = 8;
+/** Number of sizes for which places are tried in one offer before only the smallest is. */
+const MAX_TRIED_SIZES = 5;
 /** Maximum number of needs of which the last place is known. */
 const MAX_NEEDS = 100;
 /** Time for which ranks are reused when a request arrives, in milliseconds. */
 const RANK_MS = 20;
+/** Time after which it is looked again whether places come free, in milliseconds. */
+const REVIEW_MS = 100;
 /** How far the expected wait of a waiting request has to exceed its limit for a refusal. */
 const REVIEW_MARGIN = 1.5;
 /** Time in which some request with the same needs must have got a place for others to yield, in ms. */
@@ -123,14 +137,16 @@
     if (this.waiters.size === 0) return;
     this.updateRanks();
     const blocked = new Map<string, number>();
+    const tries = new Map<string, number>();
     while (blocked.size < MAX_BLOCKED_NEEDS) {
       const next = chooseNextWaiter(this.waiters, blocked);
       if (!next) return;
       if (this.policy.checkYield(next.rank)) return this.scheduleOffer();
       if (next.trySettle()) continue;
-      // The second try is one for a smaller request.
-      const isLastTry = blocked.has(next.needs);
-      blocked.set(next.needs, isLastTry ? 0 : next.sizeClass);
+      const {needs} = next;
+      const tried = (tries.get(needs) ?? 0) + 1;
+      tries.set(needs, tried);
+      blocked.set(needs, this.findBlockedSize(next, tried));
     }
   }
 
@@ -173,6 +189,16 @@
     return this.policy.describeDemand(waiting);
   }
 
+  /** Returns the size class from which on no place is tried after one was not found. */
+  private findBlockedSize(failed: Waiter, tried: number): number {
+    if (!failed.hasFreeSlot()) return 0;
+    if (tried < MAX_TRIED_SIZES) return failed.sizeClass;
+    const sizes = [...this.waiters]
+      .filter(({needs}) => needs === failed.needs)
+      .map(({sizeClass}) => sizeClass);
+    return Math.min(failed.sizeClass, Math.min(...sizes) + 1);
+  }
+
   private describeQueue(rank: WaiterRank): QueueNote {
     this.updateRanks(RANK_MS);
     let ahead = 0;
@@ -217,7 +243,7 @@
   ): boolean {
     if (this.waiters.size === 0) return false;
     this.updateRanks(RANK_MS);
-    const sizeClass = classifyWork(work);
+    const sizeClass = classifySize(work.size);
     for (const waiter of this.waiters) {
       if (waiter.needs !== work.needs || waiter.sizeClass > sizeClass) continue;
       if (compareRanks(waiter.rank, rank) <= 0) return true;
@@ -259,15 +285,21 @@
             ran: 'no',
           }),
         );
-      const timer = setTimeout(
-        () => waiter.refuse(this.policy.refuse(classified, 'expired')),
-        work.abandonAt - performance.now(),
-      );
+      const handleReview = () => {
+        const leftMs = work.abandonAt - performance.now();
+        if (leftMs <= 0 || this.policy.isStalled) {
+          waiter.refuse(this.policy.refuse(classified, 'expired'));
+          return;
+        }
+        timer = setTimeout(handleReview, Math.min(REVIEW_MS, leftMs));
+      };
+      const reviewAt = Math.min(work.abandonAt, work.reviewAt ?? Infinity);
+      let timer = setTimeout(handleReview, reviewAt - performance.now());
       const waiter: Waiter = {
         classified,
         rank,
         needs: work.needs,
-        sizeClass: classifyWork(work),
+        sizeClass: classifySize(work.size),
         abandonAt: work.abandonAt,
         trySettle: () => {
           try {
@@ -281,6 +313,7 @@
           }
           return true;
         },
+        hasFreeSlot: () => work.hasFreeSlot?.() ?? true,
         refuse: error => {
           end();
           reject(error);
@@ -337,7 +370,7 @@
   }
 }
 
-/** Returns the size class of work: its size in powers of two. */
-function classifyWork({work}: QueuedRequest): number {
-  return Math.floor(Math.log2(Math.max(1, work)));
+/** Returns the size class of a request: its size in powers of two. */
+function classifySize(size: number): number {
+  return Math.floor(Math.log2(Math.max(1, size)));
 }
