Requests that no server can take do not count as ahead of others

Cause: a waiting request whose needs no server meets takes no place, but others behind it were refused as hopeless or outpaced. Change: in the estimates, as in what is reported, only waiting requests count whose needs got a place within 5 s (on arrival also those with the same needs). Measured: the new test of placementQueue fails when all count, passes now.

--- a/packages/routing/src/lib/forwarding/PlacementQueue.ts
+++ b/packages/routing/src/lib/forwarding/PlacementQueue.ts
@@ -108,7 +108,7 @@
     if (slot !== undefined) return slot;
     const now = performance.now();
     const rank = policy.rateRequest(classified);
-    const note = this.describeQueue(rank);
+    const note = this.describeQueue(rank, work.needs);
     const waitMs = note.expectedMs ?? 0;
     if (now >= work.abandonAt) throw policy.refuse(classified, 'expired');
     if (now + waitMs > work.abandonAt) {
@@ -181,11 +181,8 @@
   /** Describes the demand here to the other entries. */
   describeDemand(): ServiceDemand {
     this.updateRanks();
-    const oldest = performance.now() - SERVED_NEEDS_MS;
     // Others need not yield to requests that no server can take.
-    const waiting = this.countWaiters(
-      ({needs}) => (this.placedAt.get(needs) ?? -Infinity) >= oldest,
-    );
+    const waiting = this.countWaiters(({needs}) => this.isServed(needs));
     return this.policy.describeDemand(waiting);
   }
 
@@ -199,10 +196,19 @@
     return Math.min(failed.sizeClass, Math.min(...sizes) + 1);
   }
 
-  private describeQueue(rank: WaiterRank): QueueNote {
+  /** Returns whether a request with these needs got a place lately. */
+  private isServed(needs: string): boolean {
+    const placedAt = this.placedAt.get(needs) ?? -Infinity;
+    return performance.now() - placedAt <= SERVED_NEEDS_MS;
+  }
+
+  private describeQueue(rank: WaiterRank, ownNeeds: string): QueueNote {
     this.updateRanks(RANK_MS);
     let ahead = 0;
     for (const waiter of this.waiters) {
+      // Those that no server can take take no places.
+      const {needs} = waiter;
+      if (needs !== ownNeeds && !this.isServed(needs)) continue;
       if (compareRanks(waiter.rank, rank) <= 0) ahead += 1;
     }
     const urgencyClass = classifyUrgency(rank.urgency);
@@ -345,9 +351,10 @@
     for (const waiter of this.listRanked()) {
       const urgencyClass = classifyUrgency(waiter.rank.urgency);
       const waitMs = this.policy.estimateWait({ahead, urgencyClass}) ?? 0;
-      ahead += 1;
-      if (waitMs <= (waiter.abandonAt - now) * REVIEW_MARGIN) continue;
-      ahead -= 1;
+      if (waitMs <= (waiter.abandonAt - now) * REVIEW_MARGIN) {
+        if (this.isServed(waiter.needs)) ahead += 1;
+        continue;
+      }
       waiter.refuse(this.policy.refuse(waiter.classified, 'outpaced', waitMs));
     }
   }
--- a/packages/routing/src/test/placementQueue.test.ts
+++ b/packages/routing/src/test/placementQueue.test.ts
@@ -235,3 +235,20 @@
   assert.ok((stalled.endedAt ?? 0) - stalled.sentAt < 3_400);
   assert.equal(served.outcome, undefined);
 });
+
+test('requests that no server can take do not count as ahead of others', async () => {
+  const replay = new QueueReplay(clock, {'': 0, none: 0});
+  for (let count = 0; count < 40; count += 1) {
+    replay.send({...CHAT, needs: 'none', targetMs: 60_000});
+  }
+  const sent = [];
+  for (let ms = 0; ms < 4_000; ms += 200) {
+    sent.push(replay.send({...TAG, holdMs: 60_000}));
+    await clock.tickAsync(200);
+    replay.release();
+    replay.queue.updateOthers(undefined);
+  }
+  await clock.tickAsync(1);
+  const outcomes = new Set(sent.map(({outcome}) => outcome));
+  assert.deepEqual([...outcomes], ['in time']);
+});
