Only servers that take requests decide whether a service is limited

Cause: isLimited looked at all registrations that are ready, also those of evacuated data centres; one without a limit there turned off the short wait. Change: it looks at listReady, as refuseIfLimited does. Measured: the new test of evacuationPlacement fails with the former Placement, passes now (11 of 11); serverLimitExceeded passes 6 of 6 with this change.

--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -364,12 +364,12 @@
   /** Returns whether all servers of a service that may take requests limit them. */
   private isLimited(service: string): boolean {
     const {servers} = this.options;
-    return !servers.matchAny(
-      ({listing: {registration}}) =>
-        registration.service === service &&
-        registration.state === 'ready' &&
-        servers.limits.getPerSecond(registration) === undefined,
-    );
+    return servers
+      .listReady(service)
+      .every(
+        ({listing: {registration}}) =>
+          servers.limits.getPerSecond(registration) !== undefined,
+      );
   }
 
   /** Refuses a request at once that is larger than the memory of every server. */
--- a/packages/gateway/src/test/evacuationPlacement.test.ts
+++ b/packages/gateway/src/test/evacuationPlacement.test.ts
@@ -265,3 +265,18 @@
   update({evacuation: {revision: 2, dataCentres: ['c']}});
   assert.equal(returned.length, 1);
 });
+
+test('an evacuated server without a limit does not lengthen the wait for limited ones', async () => {
+  const {placement, table, servers, update, find} = buildEntry({slots: 1}, [
+    'a',
+    'b',
+  ]);
+  update({servers, ...EVACUATED});
+  const {registration} = find('sa').listing;
+  table.limits.record(registration, {type: 'named', perSecond: 100}, 0);
+  find('sa').inFlight = 1;
+  const refused = assert.rejects(placement.acquire(buildDemand()));
+  await clock.tickAsync(450);
+  assert.equal(placement.countWaiting(), 0);
+  await refused;
+});
