Requests one behind the other: none is closed for their number

Change: no limit of their number; node:http stops to read the connection, and the account of open requests bounds the rest.

--- a/packages/gateway/src/lib/RequestTurns.ts
+++ b/packages/gateway/src/lib/RequestTurns.ts
@@ -1,9 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
-/** Maximum number of requests of one connection that wait for the answers before theirs. */
-const MAX_WAITING = 32;
-
 interface Turn {
   readonly response: ServerResponse;
   start(mayServe: boolean): void;
@@ -19,8 +16,7 @@
   private readonly turns = new WeakMap<Socket, Turn[]>();
 
   /**
-   * Waits until the answers before this one have been handed over. Closes the connection of a client
-   * that sends too many.
+   * Waits until the answers before this one have been handed over.
    *
    * @returns whether the request is to be served; its connection may have been closed.
    * @example
@@ -31,10 +27,6 @@
   wait(response: ServerResponse): Promise<boolean> {
     const {socket} = response.req;
     const turns = this.ensureTurns(socket);
-    if (turns.length > MAX_WAITING) {
-      socket.destroy();
-      return Promise.resolve(false);
-    }
     return new Promise(resolve => {
       turns.push({response, start: resolve});
       response.once('close', () => finishTurn(turns, response));
