--- a/packages/gateway/src/lib/SendPlanner.ts
+++ b/packages/gateway/src/lib/SendPlanner.ts
@@ -181,6 +181,8 @@
       customer,
       tried,
       ...limits,
+      // A refusal would cut the stream.
+      ...(answer.isBegun && {reviewAt: limits.abandonAt}),
       deadlineAt,
       objectiveAt: this.options.answer.isBegun
         ? undefined
