Exchange of load: sums in place, one read of the clock, only new prompt news looked at

Now the sums of load are added in place, what is left without an entry is computed in one pass, the paces of servers are summed once an exchange, and prompt news are read from the newest back.

--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -14,11 +14,14 @@
   ExchangeReply,
   ExchangeRequest,
   LoadDigest,
-  LoadTable,
-  ServerLoad,
 } from './fleetMessages.js';
 import {RouteEvidence, groupByRoute, mergeEvidence} from './rolloutEvidence.js';
-import {addLoad, computeOthersLoad} from './serverLoad.js';
+import {
+  LoadSums,
+  addLoad,
+  buildLoadTable,
+  computeOthersLoad,
+} from './serverLoad.js';
 
 /** Age above which a report or a digest is ignored, in milliseconds. */
 const LOAD_EXPIRY_MS = 1_500;
@@ -47,7 +50,7 @@
 
 interface Totals {
   readonly computedAt: number;
-  readonly load: LoadTable;
+  readonly load: LoadSums;
   readonly entries: number;
   readonly leaving: readonly string[];
   readonly kept: readonly string[];
@@ -122,8 +125,10 @@
   describeDigest(): LoadDigest {
     const now = performance.now();
     const usages = this.listFresh();
+    const sums = sumReports(usages.map(({request}) => request));
     return {
-      ...sumReports(usages.map(({request}) => request)),
+      ...sums,
+      load: buildLoadTable(sums.load),
       instance: this.instance,
       entries: usages.length,
       evidence: this.mergeOwnEvidence(),
@@ -161,9 +166,8 @@
   /** Counts the requests of all entries in flight on the given backend servers. */
   countInFlight(ids: ReadonlySet<string>): number {
     let total = 0;
-    for (const [id, [inFlight]] of Object.entries(this.getTotals().load)) {
-      if (ids.has(id)) total += inFlight;
-    }
+    const {load} = this.getTotals();
+    for (const id of ids) total += load.get(id)?.[0] ?? 0;
     return total;
   }
 
@@ -259,8 +263,10 @@
 >;
 
 /** Sums reports or digests. */
-function sumReports(reports: readonly Report[]): Required<Report> {
-  const load: Record<string, ServerLoad> = {};
+function sumReports(
+  reports: readonly Report[],
+): Required<Omit<Report, 'load'>> & {readonly load: LoadSums} {
+  const load: LoadSums = new Map();
   const prefill: Record<string, PrefillSums> = {};
   const leaving = new Set<string>();
   const kept = new Set<string>();
--- a/packages/fleet/src/lib/PromptNewsPool.ts
+++ b/packages/fleet/src/lib/PromptNewsPool.ts
@@ -45,7 +45,10 @@
     this.delivered.set(entry, {number: this.lastNumber, at: now});
     this.expire(now);
     return buildTable(
-      this.items.filter(item => item.number > after && item.entry !== entry),
+      this.listNewest(
+        item => item.number > after,
+        item => item.entry !== entry,
+      ),
     );
   }
 
@@ -59,12 +62,27 @@
   /** Describes the news that entries have sent here since about the last digest. */
   describeDigest(): {prompts: PromptNewsTable} {
     const oldest = performance.now() - MAX_INTERVAL_MS;
-    const items = this.items.filter(
-      ({entry, receivedAt}) => entry !== undefined && receivedAt >= oldest,
+    const items = this.listNewest(
+      ({receivedAt}) => receivedAt >= oldest,
+      ({entry}) => entry !== undefined,
     );
     return {prompts: buildTable(items)};
   }
 
+  /** Lists the newest items that are wanted, the oldest of them first; only new ones are looked at. */
+  private listNewest(
+    isNew: (item: PromptNewsItem) => boolean,
+    isWanted: (item: PromptNewsItem) => boolean,
+  ): PromptNewsItem[] {
+    const newest: PromptNewsItem[] = [];
+    for (let index = this.items.length - 1; index >= 0; index -= 1) {
+      const item = this.items[index];
+      if (!item || !isNew(item) || newest.length === MAX_LISTED) break;
+      if (isWanted(item)) newest.push(item);
+    }
+    return newest.reverse();
+  }
+
   private add(table: PromptNewsTable, entry: string | undefined): void {
     const receivedAt = performance.now();
     for (const [server, hashes] of Object.entries(table)) {
@@ -80,8 +98,9 @@
 
   private expire(now: number): void {
     const oldest = now - NEWS_EXPIRY_MS;
-    const first = this.items.findIndex(({receivedAt}) => receivedAt >= oldest);
-    this.items = first < 0 ? [] : this.items.slice(first);
+    let expired = 0;
+    while ((this.items[expired]?.receivedAt ?? Infinity) < oldest) expired += 1;
+    if (expired > 0) this.items.splice(0, expired);
     for (const [entry, {at}] of this.delivered) {
       if (at >= oldest) break;
       this.delivered.delete(entry);
@@ -92,7 +111,7 @@
 /** Builds the table of the newest items, each segment of a server once. */
 function buildTable(items: readonly PromptNewsItem[]): PromptNewsTable {
   const table: Record<string, number[]> = {};
-  for (const {server, hash} of items.slice(-MAX_LISTED)) {
+  for (const {server, hash} of items) {
     const hashes = (table[server] ??= []);
     if (!hashes.includes(hash)) hashes.push(hash);
   }
--- a/packages/fleet/src/lib/filterReport.ts
+++ b/packages/fleet/src/lib/filterReport.ts
@@ -17,12 +17,10 @@
   LoadDigest,
   ServerLoad,
 } from './fleetMessages.js';
-import {buildServerLoad} from './serverLoad.js';
+import {LOAD_NUMBERS, buildServerLoad} from './serverLoad.js';
 
 /** Maximum number of elements of a list in a report that are looked at. */
 const MAX_LISTED = 10_000;
-/** Numbers in the load of a server. */
-const LOAD_NUMBERS = 7;
 /** Position of the sum of logarithms in the load of a server; it alone may be below 0. */
 const LOG_RATIOS_INDEX = 6;
 /** Maximum of the logarithm of one time ratio, in hundredths. */
@@ -93,19 +91,21 @@
 
 function filterLoad(value: unknown): ServerLoad | undefined {
   if (!Array.isArray(value)) return undefined;
-  const given: readonly unknown[] = value.slice(0, LOAD_NUMBERS);
-  const numbers = given
-    .slice(0, LOG_RATIOS_INDEX)
-    .map(number => limitCount(number));
+  const given: readonly unknown[] = value;
+  const length = Math.min(LOAD_NUMBERS, given.length);
+  const numbers: number[] = [];
+  for (let index = 0; index < Math.min(length, LOG_RATIOS_INDEX); index += 1) {
+    numbers.push(limitCount(given[index]));
+  }
   const logRatios = given[LOG_RATIOS_INDEX];
   if (logRatios === undefined) return buildServerLoad(numbers);
   const answers = numbers.at(-1) ?? 0;
   const bound = MAX_LOG_RATIO * Math.max(1, answers);
   const isBelow = typeof logRatios === 'number' && logRatios < 0;
-  const limited = isBelow
-    ? -limitCount(-logRatios, bound)
-    : limitCount(logRatios, bound);
-  return buildServerLoad([...numbers, limited]);
+  numbers.push(
+    isBelow ? -limitCount(-logRatios, bound) : limitCount(logRatios, bound),
+  );
+  return buildServerLoad(numbers);
 }
 
 function filterEvidence(value: unknown): RolloutEvidence | undefined {
--- a/packages/fleet/src/lib/serverLoad.ts
+++ b/packages/fleet/src/lib/serverLoad.ts
@@ -1,40 +1,70 @@
 import type {LoadTable, ServerLoad} from './fleetMessages.js';
 
+/** Numbers in the load of a server. @internal */
+export const LOAD_NUMBERS = 7;
+
+/** Sums of the numbers of `ServerLoad`, by server id. Reports are added in place, many times a second. @internal */
+export type LoadSums = Map<string, number[]>;
+
 /**
  * Adds the load of others to that of servers.
  *
  * @example
  * ```ts
- * addLoad(sum, {s1: [2, 100]});
+ * addLoad(sums, {s1: [2, 100]});
  * ```
  * @internal
  */
-export function addLoad(
-  sum: Record<string, ServerLoad>,
-  load: LoadTable,
-): void {
-  for (const [id, part] of Object.entries(load)) {
-    sum[id] = mergeLoad(sum[id] ?? [0, 0], part, (left, right) => left + right);
+export function addLoad(sums: LoadSums, load: LoadTable): void {
+  for (const id of Object.keys(load)) {
+    const part = load[id];
+    if (!part) continue;
+    let sum = sums.get(id);
+    if (!sum) {
+      sum = [0, 0, 0, 0, 0, 0, 0];
+      sums.set(id, sum);
+    }
+    for (let index = 0; index < part.length; index += 1) {
+      sum[index] = (sum[index] ?? 0) + (part[index] ?? 0);
+    }
   }
 }
 
+/**
+ * Builds the table of sums.
+ *
+ * @example
+ * ```ts
+ * buildLoadTable(new Map([['s1', [2, 100, 0, 0, 0, 0, 0]]])); // {s1: [2, 100]}
+ * ```
+ * @internal
+ */
+export function buildLoadTable(sums: LoadSums): LoadTable {
+  const table: Record<string, ServerLoad> = {};
+  for (const [id, numbers] of sums) table[id] = buildServerLoad(numbers);
+  return table;
+}
+
 /**
  * Computes the load without a part of it; servers of which nothing is left are left out.
  *
  * @example
  * ```ts
- * computeOthersLoad({s1: [5, 100]}, {s1: [2, 60]}); // {s1: [3, 40]}
+ * computeOthersLoad(new Map([['s1', [5, 100, 0, 0, 0, 0, 0]]]), {s1: [2, 60]}); // {s1: [3, 40]}
  * ```
  * @internal
  */
-export function computeOthersLoad(load: LoadTable, part: LoadTable): LoadTable {
+export function computeOthersLoad(sums: LoadSums, part: LoadTable): LoadTable {
   const rest: Record<string, ServerLoad> = {};
-  for (const [id, total] of Object.entries(load)) {
-    const own = part[id] ?? [0, 0];
-    const left = mergeLoad(total, own, (sum, mine) => sum - mine);
-    const [inFlight, , active = 0, , , answers = 0] = left;
+  const left = new Array<number>(LOAD_NUMBERS).fill(0);
+  for (const [id, total] of sums) {
+    const own = part[id];
+    for (let index = 0; index < LOAD_NUMBERS; index += 1) {
+      left[index] = (total[index] ?? 0) - (own?.[index] ?? 0);
+    }
+    const [inFlight = 0, , active = 0, , , answers = 0] = left;
     if (inFlight <= 0 && active <= 0 && answers <= 0) continue;
-    rest[id] = left;
+    rest[id] = buildServerLoad(left);
   }
   return rest;
 }
@@ -49,31 +79,20 @@
  * @public
  */
 export function buildServerLoad(numbers: readonly number[]): ServerLoad {
-  const [inFlight = 0, pendingMs = 0, ...optional] = numbers;
-  while (optional.at(-1) === 0) optional.pop();
-  const [active, heldTokens, readTokens, answers, logRatios] = optional;
-  if (active === undefined) return [inFlight, pendingMs];
-  if (heldTokens === undefined) return [inFlight, pendingMs, active];
+  let length = Math.min(LOAD_NUMBERS, numbers.length);
+  while (length > 2 && numbers[length - 1] === 0) length -= 1;
+  const inFlight = numbers[0] ?? 0;
+  const pendingMs = numbers[1] ?? 0;
+  if (length <= 2) return [inFlight, pendingMs];
+  const active = numbers[2] ?? 0;
+  if (length === 3) return [inFlight, pendingMs, active];
   return [
     inFlight,
     pendingMs,
     active,
-    heldTokens,
-    readTokens ?? 0,
-    answers ?? 0,
-    logRatios ?? 0,
+    numbers[3] ?? 0,
+    numbers[4] ?? 0,
+    numbers[5] ?? 0,
+    numbers[6] ?? 0,
   ];
 }
-
-function mergeLoad(
-  left: ServerLoad,
-  right: ServerLoad,
-  compute: (left: number, right: number) => number,
-): ServerLoad {
-  const numbers: number[] = [];
-  const length = Math.max(left.length, right.length);
-  for (let index = 0; index < length; index += 1) {
-    numbers.push(compute(left[index] ?? 0, right[index] ?? 0));
-  }
-  return buildServerLoad(numbers);
-}
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -40,6 +40,8 @@
 /** Maximum number of prompt segments that one report names. */
 const MAX_PROMPT_NEWS = 64;
 
+const NO_LOAD: ServerLoad = [0, 0];
+
 /** Called with the registrations of the servers to which requests may be sent again. @public */
 export type ReturnListener = (
   registrations: readonly ServerRegistration[],
@@ -81,17 +83,15 @@
 
   /** Sets the load that the other entries have placed on the servers. */
   setOthersLoad(load: LoadTable): void {
+    const now = performance.now();
     for (const [id, server] of this.servers) {
-      const [inFlight, pendingMs, active = 0, heldTokens = 0, ...recent] = load[
-        id
-      ] ?? [0, 0];
-      const [readTokens = 0, answers = 0, logRatios = 0] = recent;
-      if (active > 0) server.othersReceivedAt = performance.now();
-      server.othersInFlight = inFlight;
-      server.othersPendingMs = pendingMs;
-      server.memory.setOthersHeld(heldTokens);
-      server.memory.kept.setOthersRead(readTokens);
-      server.pace.setOthers(answers, logRatios);
+      const numbers = load[id] ?? NO_LOAD;
+      if ((numbers[2] ?? 0) > 0) server.othersReceivedAt = now;
+      server.othersInFlight = numbers[0];
+      server.othersPendingMs = numbers[1];
+      server.memory.setOthersHeld(numbers[3] ?? 0, now);
+      server.memory.kept.setOthersRead(numbers[4] ?? 0, now);
+      server.pace.setOthers(numbers[5] ?? 0, numbers[6] ?? 0, now);
     }
     this.updatePaces();
   }
@@ -268,18 +268,19 @@
   /** Lists this entry's load by server id. */
   listLoad(): LoadTable {
     const load: Record<string, ServerLoad> = {};
-    const oldest = performance.now() - ACTIVE_MS;
+    const now = performance.now();
+    const oldest = now - ACTIVE_MS;
     for (const [id, server] of this.servers) {
       const {inFlight, pendingMs, lastReceivedAt, memory, pace} = server;
       const active = lastReceivedAt > oldest ? 1 : 0;
-      const {answers, logRatios} = pace.describeOwn();
+      const {answers, logRatios} = pace.describeOwn(now);
       if (inFlight === 0 && active === 0 && answers === 0) continue;
       load[id] = buildServerLoad([
         inFlight,
         Math.round(pendingMs),
         active,
         memory.ownTokens,
-        memory.kept.describeRead(),
+        memory.kept.describeRead(now),
         answers,
         logRatios,
       ]);
--- a/packages/routing/src/lib/forwarding/DecayingSum.ts
+++ b/packages/routing/src/lib/forwarding/DecayingSum.ts
@@ -23,15 +23,19 @@
   }
 
   /** Replaces the sum. */
-  set(total: number): void {
+  set(total: number, now = performance.now()): void {
     this.total = total;
-    this.setAt = performance.now();
+    this.setAt = now;
   }
 
   get value(): number {
+    return this.total === 0 ? 0 : this.readAt(performance.now());
+  }
+
+  /** Returns the value at a time, for callers that read many sums at the same time. */
+  readAt(now: number): number {
     if (this.total === 0) return 0;
-    const ageMs = performance.now() - this.setAt;
-    return this.total * Math.exp(-ageMs / this.decayMs);
+    return this.total * Math.exp((this.setAt - now) / this.decayMs);
   }
 
   get perSecond(): number {
--- a/packages/routing/src/lib/forwarding/FairShares.ts
+++ b/packages/routing/src/lib/forwarding/FairShares.ts
@@ -63,14 +63,17 @@
     // At the beginning the average is one over the time so far.
     const firstGain = (now - this.averagedAt) / (now - this.startedAt);
     this.averagedAt = now;
-    const active = this.listCustomers();
-    this.equalShare = this.computeEqualShare(active);
+    const demands = this.sumDemands(now);
+    const active = [...demands].filter(([, demand]) => demand >= 1);
+    const total = active.reduce((sum, [, demand]) => sum + demand, 0);
+    this.equalShare = total / Math.max(1, active.length);
     this.activeCustomers = active.length;
-    const customers = [...this.usual.keys(), ...active];
-    for (const customer of new Set(customers)) {
-      const usual = this.usual.get(customer) ?? 0;
+    for (const [customer] of active) {
+      if (!this.usual.has(customer)) this.usual.set(customer, 0);
+    }
+    for (const [customer, usual] of this.usual) {
       const most = Math.max(usual, this.equalShare) * MAX_LEARNED_FACTOR;
-      const seen = Math.min(this.getDemand(customer), most);
+      const seen = Math.min(demands.get(customer) ?? 0, most);
       const change = (seen - usual) * Math.max(gain, firstGain || 0);
       this.usual.set(customer, usual + change);
     }
@@ -106,23 +109,24 @@
   /** Lists what customers asked this entry for lately. */
   listAsked(): CustomerTable {
     const table: Record<string, number> = {};
-    for (const [customer, {value}] of this.asked) {
-      table[customer] = Math.round(value);
+    const now = performance.now();
+    for (const [customer, sum] of this.asked) {
+      table[customer] = Math.round(sum.readAt(now));
     }
     return limitNames(table, work => work);
   }
 
-  private computeEqualShare(customers: readonly string[]): number {
-    const total = customers.reduce(
-      (sum, customer) => sum + this.getDemand(customer),
-      0,
-    );
-    return total / Math.max(1, customers.length);
-  }
-
-  private listCustomers(): string[] {
-    const names = [...this.asked.keys(), ...Object.keys(this.others)];
-    return [...new Set(names)].filter(name => this.getDemand(name) >= 1);
+  /** Sums what all entries are asked for, by customer. */
+  private sumDemands(now: number): Map<string, number> {
+    const demands = new Map<string, number>();
+    for (const [customer, sum] of this.asked) {
+      demands.set(customer, sum.readAt(now));
+    }
+    for (const customer of Object.keys(this.others)) {
+      const own = demands.get(customer) ?? 0;
+      demands.set(customer, own + (this.others[customer] ?? 0));
+    }
+    return demands;
   }
 
   private getDemand(customer: string): number {
--- a/packages/routing/src/lib/forwarding/KeptPrompts.ts
+++ b/packages/routing/src/lib/forwarding/KeptPrompts.ts
@@ -24,6 +24,7 @@
 /** Maximum number of segments that are news. */
 const MAX_NEWS = 64;
 const MS_PER_SECOND = 1_000;
+const NO_NEWS: readonly number[] = [];
 
 /** A segment of a prompt; the number stands for its id and model. @public */
 export interface KeptSegmentId {
@@ -99,7 +100,7 @@
     this.readTokens = this.countRead(now) + readTokens;
     this.countedAt = now;
     this.recentRead.add(readTokens);
-    this.updateRate();
+    this.updateRate(now);
     for (const {hash} of segments.slice(0, -1)) {
       const known = this.segments.get(hash);
       const isNews = !known || now - known.usedAt >= NEWS_INTERVAL_MS;
@@ -114,21 +115,21 @@
   }
 
   /** Takes up to so many shared segments of this entry's sends that are news to the others. */
-  takeNews(count: number): number[] {
+  takeNews(count: number): readonly number[] {
+    if (this.news.size === 0) return NO_NEWS;
     const taken = [...this.news].slice(0, count);
     for (const hash of taken) this.news.delete(hash);
     return taken;
   }
 
   /** Sets what the other entries have recently given the server to read, as `describeRead` describes it. */
-  setOthersRead(tokens: number): void {
-    const now = performance.now();
+  setOthersRead(tokens: number, now = performance.now()): void {
     this.readTokens = this.countRead(now);
     this.countedAt = now;
     const bounded = Number.isFinite(tokens) ? Math.max(0, tokens) : 0;
     this.othersPerSecond = (bounded * MS_PER_SECOND) / READ_LIFETIME_MS;
     this.othersAt = now;
-    this.updateRate();
+    this.updateRate(now);
   }
 
   /** Records that the server has lost its memory. */
@@ -141,8 +142,8 @@
   // Queries.
 
   /** Describes what this entry has recently given the server to read, in tokens. */
-  describeRead(): number {
-    return Math.round(this.recentRead.value);
+  describeRead(now = performance.now()): number {
+    return Math.round(this.recentRead.readAt(now));
   }
 
   /** Computes the tokens that the server is given to read in a second, by all entries that are heard of. */
@@ -222,7 +223,9 @@
   private markUsed(hashes: readonly number[]): void {
     const now = performance.now();
     const kept = {usedAt: now, readBefore: this.countRead(now)};
-    for (const hash of [...hashes].reverse()) {
+    for (let index = hashes.length - 1; index >= 0; index -= 1) {
+      const hash = hashes[index];
+      if (hash === undefined) continue;
       this.segments.delete(hash);
       this.segments.set(hash, kept);
     }
@@ -235,10 +238,11 @@
     return this.readTokens + (this.othersPerSecond * sinceMs) / MS_PER_SECOND;
   }
 
-  private updateRate(): void {
-    const isFresh = performance.now() - this.othersAt < OTHERS_EXPIRY_MS;
+  private updateRate(now: number): void {
+    const isFresh = now - this.othersAt < OTHERS_EXPIRY_MS;
     const othersPerSecond = isFresh ? this.othersPerSecond : 0;
-    this.readPerSecond = this.recentRead.perSecond + othersPerSecond;
+    const own = this.recentRead.readAt(now) / READ_LIFETIME_MS;
+    this.readPerSecond = own * MS_PER_SECOND + othersPerSecond;
   }
 
   private expireSegments(now: number): void {
--- a/packages/routing/src/lib/forwarding/KindShares.ts
+++ b/packages/routing/src/lib/forwarding/KindShares.ts
@@ -101,8 +101,12 @@
   /** Lists the outcomes here. */
   listOutcomes(): OutcomeTable {
     const table: Record<string, readonly [number, number]> = {};
+    const now = performance.now();
     for (const [name, {ended, served}] of this.outcomes) {
-      table[name] = [limitDigits(ended.value), limitDigits(served.value)];
+      table[name] = [
+        limitDigits(ended.readAt(now)),
+        limitDigits(served.readAt(now)),
+      ];
     }
     return limitNames(table, ([ended]) => ended);
   }
--- a/packages/routing/src/lib/forwarding/ServerMemory.ts
+++ b/packages/routing/src/lib/forwarding/ServerMemory.ts
@@ -50,9 +50,9 @@
   }
 
   /** Sets the tokens that requests of other entries need. */
-  setOthersHeld(tokens: number): void {
+  setOthersHeld(tokens: number, now = performance.now()): void {
     this.othersHeld = Number.isFinite(tokens) ? Math.max(0, tokens) : 0;
-    this.othersAt = performance.now();
+    this.othersAt = now;
   }
 
   // Queries.
--- a/packages/routing/src/lib/forwarding/ServerPace.ts
+++ b/packages/routing/src/lib/forwarding/ServerPace.ts
@@ -64,24 +64,24 @@
   }
 
   /** Sets the sums that the other entries have reported, as described by `describeOwn`. */
-  setOthers(answers: number, logRatios: number): void {
+  setOthers(answers: number, logRatios: number, now = performance.now()): void {
     const isValid =
       Number.isFinite(answers) && Number.isFinite(logRatios) && answers > 0;
-    this.othersAnswers.set(isValid ? answers / REPORT_SCALE : 0);
-    this.othersLogRatios.set(isValid ? logRatios / REPORT_SCALE : 0);
+    this.othersAnswers.set(isValid ? answers / REPORT_SCALE : 0, now);
+    this.othersLogRatios.set(isValid ? logRatios / REPORT_SCALE : 0, now);
   }
 
-  /** Sets the mean logarithm of the time ratios of its service. */
-  setTypicalLog(typicalLog: number): void {
+  /** Sets the mean logarithm of the time ratios of its service; its own sums may be known already. */
+  setTypicalLog(typicalLog: number, sums = this.sumAll()): void {
     this.typicalLog = typicalLog;
-    this.updateSlowness();
+    this.updateSlowness(sums);
   }
 
   // Queries.
 
   /** Describes this entry's sums in hundredths, including the sends that are overdue. */
-  describeOwn(): PaceSums {
-    const {answers, logRatios} = this.sumOwn();
+  describeOwn(now = performance.now()): PaceSums {
+    const {answers, logRatios} = this.sumOwn(now);
     return {
       answers: Math.round(answers * REPORT_SCALE),
       logRatios: Math.round(logRatios * REPORT_SCALE),
@@ -89,11 +89,11 @@
   }
 
   /** Sums the time ratios of all entries. */
-  sumAll(): PaceSums {
-    const own = this.sumOwn();
+  sumAll(now = performance.now()): PaceSums {
+    const own = this.sumOwn(now);
     return {
-      answers: own.answers + this.othersAnswers.value,
-      logRatios: own.logRatios + this.othersLogRatios.value,
+      answers: own.answers + this.othersAnswers.readAt(now),
+      logRatios: own.logRatios + this.othersLogRatios.readAt(now),
     };
   }
 
@@ -102,17 +102,15 @@
     return this.currentSlowness;
   }
 
-  private updateSlowness(): void {
-    const {answers, logRatios} = this.sumAll();
+  private updateSlowness({answers, logRatios} = this.sumAll()): void {
     const excess = logRatios - answers * this.typicalLog;
     const slowness = Math.exp(excess / (answers + TYPICAL_WEIGHT));
     this.currentSlowness = Math.min(MAX_RATIO, Math.max(MIN_RATIO, slowness));
   }
 
-  private sumOwn(): PaceSums {
-    const now = performance.now();
-    let answers = this.answers.value;
-    let logRatios = this.logRatios.value;
+  private sumOwn(now: number): PaceSums {
+    let answers = this.answers.readAt(now);
+    let logRatios = this.logRatios.readAt(now);
     for (const {sentAt, expectedMs} of this.awaited) {
       const ratio = (now - sentAt) / Math.max(1, expectedMs);
       // The answer takes at least that long.
@@ -134,14 +132,17 @@
  * @public
  */
 export function updateTypicalPace(paces: readonly ServerPace[]): void {
+  const now = performance.now();
+  const sums = paces.map(pace => pace.sumAll(now));
   let answers = TYPICAL_WEIGHT;
   let logRatios = 0;
-  for (const pace of paces) {
-    const sums = pace.sumAll();
-    answers += sums.answers;
-    logRatios += sums.logRatios;
+  for (const sum of sums) {
+    answers += sum.answers;
+    logRatios += sum.logRatios;
   }
-  for (const pace of paces) pace.setTypicalLog(logRatios / answers);
+  paces.forEach((pace, index) =>
+    pace.setTypicalLog(logRatios / answers, sums[index]),
+  );
 }
 
 function computeLog(timeRatio: number): number {
--- a/packages/routing/src/lib/forwarding/serviceDemand.ts
+++ b/packages/routing/src/lib/forwarding/serviceDemand.ts
@@ -31,6 +31,8 @@
   outcomes: {},
 };
 
+const NO_OUTCOMES: OutcomeCounts = [0, 0];
+
 /** Maximum number of customers, or of outcomes, in the demand for one service: the largest ones. */
 const MAX_DEMAND_NAMES = 64;
 /** Maximum number of waiting requests that count of one entry, for each urgency class. */
@@ -94,7 +96,7 @@
   const sums: Record<string, DemandSum> = {};
   for (const table of tables) {
     for (const [service, demand] of Object.entries(table)) {
-      addDemand((sums[service] ??= copyDemand(NO_DEMAND)), demand, 1);
+      addDemand((sums[service] ??= buildDemandSum()), demand);
     }
   }
   const entries = Object.entries(sums).map(([service, sum]) => [
@@ -117,12 +119,37 @@
   total: DemandTable,
   part: DemandTable,
 ): DemandTable {
-  const entries = Object.entries(total).map(([service, demand]) => {
-    const rest = copyDemand(demand);
-    addDemand(rest, part[service] ?? NO_DEMAND, -1);
-    return [service, limitDemand(rest)];
-  });
-  return Object.fromEntries(entries) as DemandTable;
+  const rest: Record<string, ServiceDemand> = {};
+  for (const service of Object.keys(total)) {
+    const demand = total[service];
+    if (!demand) continue;
+    rest[service] = computeRest(demand, part[service] ?? NO_DEMAND);
+  }
+  return rest;
+}
+
+/** The total has the largest names only, so that none has to be left out of the rest. */
+function computeRest(total: ServiceDemand, part: ServiceDemand): ServiceDemand {
+  const customers: Record<string, number> = {};
+  for (const name of Object.keys(total.customers)) {
+    const left = (total.customers[name] ?? 0) - (part.customers[name] ?? 0);
+    if (left > 0) customers[name] = left;
+  }
+  const outcomes: Record<string, OutcomeCounts> = {};
+  for (const name of Object.keys(total.outcomes)) {
+    const [ended, served] = total.outcomes[name] ?? NO_OUTCOMES;
+    const [ownEnded, ownServed] = part.outcomes[name] ?? NO_OUTCOMES;
+    const left = ended - ownEnded;
+    if (left > 0) outcomes[name] = [left, Math.max(0, served - ownServed)];
+  }
+  return {
+    placesPerSecond: Math.max(0, total.placesPerSecond - part.placesPerSecond),
+    waiting: total.waiting.map((count, index) =>
+      Math.max(0, count - (part.waiting[index] ?? 0)),
+    ),
+    customers,
+    outcomes,
+  };
 }
 
 /** A demand to which others are added in place. */
@@ -130,32 +157,32 @@
   placesPerSecond: number;
   readonly waiting: number[];
   readonly customers: Record<string, number>;
-  readonly outcomes: Record<string, OutcomeCounts>;
+  readonly outcomes: Record<string, [ended: number, served: number]>;
 }
 
-function copyDemand(demand: ServiceDemand): DemandSum {
-  return {
-    placesPerSecond: demand.placesPerSecond,
-    waiting: [...demand.waiting],
-    customers: {...demand.customers},
-    outcomes: {...demand.outcomes},
-  };
+function buildDemandSum(): DemandSum {
+  return {placesPerSecond: 0, waiting: [], customers: {}, outcomes: {}};
 }
 
-/** Adds the other demand with a sign; nothing becomes negative. */
-function addDemand(sum: DemandSum, other: ServiceDemand, sign: 1 | -1): void {
-  const add = (mine = 0, theirs = 0) => Math.max(0, mine + sign * theirs);
+function addDemand(sum: DemandSum, other: ServiceDemand): void {
   const {customers, outcomes, waiting} = sum;
-  sum.placesPerSecond = add(sum.placesPerSecond, other.placesPerSecond);
+  sum.placesPerSecond += other.placesPerSecond;
   other.waiting.forEach((count, index) => {
-    waiting[index] = add(waiting[index], count);
+    waiting[index] = (waiting[index] ?? 0) + count;
   });
-  for (const [customer, work] of Object.entries(other.customers)) {
-    customers[customer] = add(customers[customer], work);
+  for (const customer of Object.keys(other.customers)) {
+    const work = other.customers[customer] ?? 0;
+    customers[customer] = (customers[customer] ?? 0) + work;
   }
-  for (const [name, [ended, served]] of Object.entries(other.outcomes)) {
-    const [knownEnded, knownServed] = outcomes[name] ?? [0, 0];
-    outcomes[name] = [add(knownEnded, ended), add(knownServed, served)];
+  for (const name of Object.keys(other.outcomes)) {
+    const [ended, served] = other.outcomes[name] ?? NO_OUTCOMES;
+    const known = outcomes[name];
+    if (known) {
+      known[0] += ended;
+      known[1] += served;
+    } else {
+      outcomes[name] = [ended, served];
+    }
   }
 }
 
@@ -180,12 +207,15 @@
   table: Readonly<Record<string, Value>>,
   getSize: (value: Value) => number,
 ): Readonly<Record<string, Value>> {
-  const entries = Object.entries(table)
-    .map(([name, value]) => ({name, value, size: getSize(value)}))
-    .filter(({size}) => size > 0);
-  if (entries.length > MAX_DEMAND_NAMES) {
-    entries.sort((first, second) => second.size - first.size);
+  const names = Object.keys(table).filter(
+    name => getSize(table[name] as Value) > 0,
+  );
+  if (names.length > MAX_DEMAND_NAMES) {
+    const getNameSize = (name: string) => getSize(table[name] as Value);
+    names.sort((first, second) => getNameSize(second) - getNameSize(first));
+    names.length = MAX_DEMAND_NAMES;
   }
-  const kept = entries.slice(0, MAX_DEMAND_NAMES);
-  return Object.fromEntries(kept.map(({name, value}) => [name, value]));
+  const kept: Record<string, Value> = {};
+  for (const name of names) kept[name] = table[name] as Value;
+  return kept;
 }
