Exchange of load: four of five reports are brief

A brief report leaves it out, and the control instance completes it by the last one; a process of an earlier build sends and gets whole reports.

Tests: random series of brief reports give the others the same as whole ones; an instance without a report to complete, a lost exchange, isolation and earlier builds lead to whole ones.

--- a/packages/fleet/src/lib/EntryReports.ts
+++ b/packages/fleet/src/lib/EntryReports.ts
@@ -62,13 +62,14 @@
   /** Adds an entry's report and returns what the other entries have reported. */
   exchange(received: ExchangeRequest): ExchangeReply {
     const request = filterReport(received, 1);
+    const reply = this.load.exchange(request);
     return {
-      ...this.load.exchange(request),
+      ...reply,
       ...this.limits.exchange(request),
       ...this.cold.exchange(request),
       suspects: this.crashes.exchange(request),
       suspended: this.crashes.listSuspended(),
-      prompts: this.prompts.exchange(request),
+      ...(!reply.isBrief && {prompts: this.prompts.exchange(request)}),
       control: this.options.incarnation,
     };
   }
--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -6,9 +6,11 @@
   addPrefillSums,
   buildPrefillSums,
   computeOthersDemand,
+  computeOthersWaiting,
   sumDemand,
 } from '@sycamorehead/routing';
 import {writeDecision} from '@sycamorehead/telemetry';
+import {completeReport} from './completeReport.js';
 import {MAX_INTERVAL_MS} from './computeDigestInterval.js';
 import type {
   ExchangeReply,
@@ -17,6 +19,7 @@
 } from './fleetMessages.js';
 import {RouteEvidence, groupByRoute, mergeEvidence} from './rolloutEvidence.js';
 import {
+  BRIEF_NUMBERS,
   LoadSums,
   addLoad,
   buildLoadTable,
@@ -86,23 +89,24 @@
   // Commands.
 
   /** Records one entry's report and returns the load of the other entries. */
-  exchange(request: ExchangeRequest): ExchangeReply {
+  exchange(received: ExchangeRequest): ExchangeReply {
     const now = performance.now();
-    const {entry} = request;
-    const known = this.entries.get(entry);
-    const isPresent = known && now - known.receivedAt <= LOAD_EXPIRY_MS;
-    const arrivedAt = isPresent ? known.arrivedAt : now;
+    const {entry} = received;
+    const last = this.entries.get(entry);
+    const isPresent = last && now - last.receivedAt <= LOAD_EXPIRY_MS;
+    const arrivedAt = isPresent ? last.arrivedAt : now;
+    // Without a report to complete it by, the reply is a whole one, and asks for one.
+    const isBrief = received.isBrief === true && isPresent === true;
+    const request = isBrief ? completeReport(received, last.request) : received;
     this.entries.set(entry, {request, receivedAt: now, arrivedAt});
-    const {load, entries, leaving, kept, prefill, demand, included} =
-      this.getTotals();
+    const {entries, leaving, kept, included} = this.getTotals();
     const own = included.get(entry);
     return {
       entries: included.has(entry) ? entries : entries + 1,
-      load: computeOthersLoad(load, own?.load ?? {}),
       leaving,
       kept,
-      prefill: computeOthersPrefill(prefill, own?.prefill ?? {}),
-      demand: computeOthersDemand(demand, own?.demand ?? {}),
+      ...(isBrief ? this.describeBriefly(own) : this.describeOthers(own)),
+      takesBrief: isBrief || received.isBrief !== true,
       isIsolated: this.isIsolated(),
     };
   }
@@ -181,6 +185,26 @@
     return groupByRoute(lists.flat(), service, number);
   }
 
+  /** Describes what the other entries have reported. */
+  private describeOthers(own: ExchangeRequest | undefined) {
+    const {load, prefill, demand} = this.getTotals();
+    return {
+      load: computeOthersLoad(load, own?.load ?? {}),
+      prefill: computeOthersPrefill(prefill, own?.prefill ?? {}),
+      demand: computeOthersDemand(demand, own?.demand ?? {}),
+    };
+  }
+
+  /** Describes of what the other entries have reported what changes within moments. */
+  private describeBriefly(own: ExchangeRequest | undefined) {
+    const {load, demand} = this.getTotals();
+    return {
+      load: computeOthersLoad(load, own?.load ?? {}, BRIEF_NUMBERS),
+      waiting: computeOthersWaiting(demand, own?.demand ?? {}),
+      isBrief: true,
+    };
+  }
+
   /** Returns whether too few other instances are heard for the sums to be complete. */
   private isIsolated(): boolean {
     const heard = this.listFreshDigests().length + 1;
--- a/packages/fleet/src/lib/filterReport.ts
+++ b/packages/fleet/src/lib/filterReport.ts
@@ -2,6 +2,7 @@
   PrefillSums,
   buildPrefillSums,
   filterDemand,
+  filterWaiting,
 } from '@sycamorehead/routing';
 import {
   RolloutEvidence,
@@ -40,6 +41,7 @@
   crashes: value => filterList(value, filterCrash),
   survivals: value => filterTable(value, filterAge),
   demand: filterDemand,
+  waiting: filterWaiting,
   limits: value => filterTable(value, filterLimit),
   hearsay: value => filterTable(value, filterLimit),
   wanted: value => filterTable(value, count => limitCount(count)),
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -8,6 +8,7 @@
   DemandTable,
   LimitTable,
   PrefillSumTable,
+  WaitingTable,
 } from '@sycamorehead/routing';
 import type {
   JsonValue,
@@ -283,6 +284,13 @@
   readonly prefill?: PrefillSumTable;
   /** Demand and waiting requests by service; absent from earlier builds. */
   readonly demand?: DemandTable;
+  /**
+   * Whether it leaves out what the last report told and what changes slowly: prefill, prompts, demand but
+   * for the requests that wait, and all but the first four numbers of the load. Absent from earlier builds.
+   */
+  readonly isBrief?: boolean;
+  /** In place of the demand of a brief report. */
+  readonly waiting?: WaitingTable;
 }
 
 /** Sums over the entries that report to one control instance; parameters of `fleet.digest`. @public */
@@ -314,6 +322,15 @@
   readonly prefill?: PrefillSumTable;
   /** Demand and waiting requests at the other entries; absent from earlier builds. */
   readonly demand?: DemandTable;
+  /**
+   * Whether the instance keeps what the entry told, so that its next reports may be brief; absent from
+   * earlier builds.
+   */
+  readonly takesBrief?: boolean;
+  /** Whether it leaves out what a brief report does, in answer to one; absent from earlier builds. */
+  readonly isBrief?: boolean;
+  /** In place of the demand of a brief reply. */
+  readonly waiting?: WaitingTable;
   /** Suspected prompt segments, of which the entry reports the survivals; absent from earlier builds. */
   readonly suspects?: readonly string[];
   /** Requests that may come into quarantine within a moment; absent from earlier builds. */
--- a/packages/fleet/src/lib/serverLoad.ts
+++ b/packages/fleet/src/lib/serverLoad.ts
@@ -3,6 +3,9 @@
 /** Numbers in the load of a server. @internal */
 export const LOAD_NUMBERS = 7;
 
+/** The first of them, which brief reports and replies have. @internal */
+export const BRIEF_NUMBERS = 4;
+
 /** Sums of the numbers of `ServerLoad`, by server id. Reports are added in place, many times a second. @internal */
 export type LoadSums = Map<string, number[]>;
 
@@ -48,18 +51,23 @@
 /**
  * Computes the load without a part of it; servers of which nothing is left are left out.
  *
+ * @param count - The first numbers of each server to compute.
  * @example
  * ```ts
  * computeOthersLoad(new Map([['s1', [5, 100, 0, 0, 0, 0, 0]]]), {s1: [2, 60]}); // {s1: [3, 40]}
  * ```
  * @internal
  */
-export function computeOthersLoad(sums: LoadSums, part: LoadTable): LoadTable {
+export function computeOthersLoad(
+  sums: LoadSums,
+  part: LoadTable,
+  count = LOAD_NUMBERS,
+): LoadTable {
   const rest: Record<string, ServerLoad> = {};
-  const left = new Array<number>(LOAD_NUMBERS).fill(0);
+  const left = new Array<number>(count).fill(0);
   for (const [id, total] of sums) {
     const own = part[id];
-    for (let index = 0; index < LOAD_NUMBERS; index += 1) {
+    for (let index = 0; index < count; index += 1) {
       left[index] = (total[index] ?? 0) - (own?.[index] ?? 0);
     }
     const [inFlight = 0, , active = 0, , , answers = 0] = left;
@@ -86,11 +94,15 @@
   if (length <= 2) return [inFlight, pendingMs];
   const active = numbers[2] ?? 0;
   if (length === 3) return [inFlight, pendingMs, active];
+  const heldTokens = numbers[3] ?? 0;
+  if (length === BRIEF_NUMBERS) {
+    return [inFlight, pendingMs, active, heldTokens];
+  }
   return [
     inFlight,
     pendingMs,
     active,
-    numbers[3] ?? 0,
+    heldTokens,
     numbers[4] ?? 0,
     numbers[5] ?? 0,
     numbers[6] ?? 0,
--- a/packages/gateway/src/lib/LoadReporter.ts
+++ b/packages/gateway/src/lib/LoadReporter.ts
@@ -1,11 +1,14 @@
 import type {ExchangeReply, ExchangeRequest} from '@sycamorehead/fleet';
-import {PrefillRates, filterDemand} from '@sycamorehead/routing';
+import {PrefillRates, filterDemand, filterWaiting} from '@sycamorehead/routing';
 import type {CrashObserver} from './CrashObserver.js';
 import type {Placement} from './Placement.js';
 import type {RetryBudgets} from './RetryBudgets.js';
 import type {ServerTable} from './ServerTable.js';
 import type {VersionSplit} from './VersionSplit.js';
 
+/** Brief reports after each whole one, if the control instance takes them. */
+const BRIEF_REPORTS = 4;
+
 /** What an entry reports of, and applies replies to. @internal */
 export interface LoadReporterOptions {
   readonly entry: string;
@@ -29,14 +32,23 @@
   private suspects: readonly string[] = [];
   /** Incarnation of the control instance that answered last. */
   private control: string | undefined;
+  /** The brief reports that may follow before the next whole one. */
+  private briefLeft = 0;
 
   constructor(private readonly options: LoadReporterOptions) {}
 
   /** Performs one exchange. */
   async exchangeReports(): Promise<void> {
     const sentAt = performance.now();
-    const request = this.buildRequest();
+    const {briefLeft} = this;
+    const request = this.buildRequest(briefLeft > 0);
+    // A report that is lost may have been a whole one.
+    this.briefLeft = 0;
     const reply = await this.options.exchange(request);
+    // What the others told is not believed once the instance is isolated.
+    if (reply.takesBrief && !reply.isIsolated) {
+      this.briefLeft = briefLeft > 0 ? briefLeft - 1 : BRIEF_REPORTS;
+    }
     const {crashes} = this.options;
     // All control instances may have restarted at the same time, which loses what they had pooled.
     if (reply.control !== this.control) crashes.resetReports();
@@ -47,19 +59,23 @@
     this.applyReply(reply);
   }
 
-  private buildRequest(): ExchangeRequest {
+  private buildRequest(isBrief: boolean): ExchangeRequest {
     const {entry, servers, versions, rates, crashes, placement} = this.options;
     return {
       entry,
-      load: servers.listLoad(),
+      load: servers.listLoad(isBrief),
       evidence: versions.listEvidence(),
       leaving: servers.notices.listLeaving(),
       kept: versions.listKept(),
-      prefill: rates.listSums(),
-      prompts: servers.takePromptNews(),
+      ...(isBrief
+        ? {isBrief, waiting: placement.describeWaiting()}
+        : {
+            prefill: rates.listSums(),
+            prompts: servers.takePromptNews(),
+            demand: placement.describeDemand(),
+          }),
       crashes: crashes.listCrashes(),
       survivals: crashes.listSurvivals(this.suspects),
-      demand: placement.describeDemand(),
       ...servers.limits.takeReport(servers.listRegistrations(), service =>
         placement.countWaiting(service),
       ),
@@ -73,18 +89,27 @@
     const {servers, versions, rates, budgets, placement, crashes} =
       this.options;
     budgets.updateEntryCount(reply.entries);
-    servers.setOthersLoad(reply.load);
+    servers.setOthersLoad(reply.load, reply.isBrief);
     versions.addKept(reply.kept ?? []);
     servers.addPromptNews(reply.prompts ?? {});
-    rates.setOthers(reply.prefill ?? {});
+    if (!reply.isBrief) rates.setOthers(reply.prefill ?? {});
     servers.notices.addLeaving(reply.leaving ?? []);
     this.suspects = reply.suspects ?? [];
     crashes.setSuspects(this.suspects);
     crashes.setSuspended(reply.suspended ?? []);
-    const {entries, demand, isIsolated} = reply;
+    this.applyDemand(reply);
+    placement.offerSlots();
+  }
+
+  private applyDemand(reply: ExchangeReply): void {
+    const {placement} = this.options;
+    const {entries, demand, waiting, isIsolated} = reply;
+    if (reply.isBrief && !isIsolated) {
+      placement.updateOthersWaiting(filterWaiting(waiting, entries));
+      return;
+    }
     placement.updateOthersDemand(
       isIsolated || !demand ? undefined : filterDemand(demand, entries),
     );
-    placement.offerSlots();
   }
 }
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -4,12 +4,14 @@
   NO_DEMAND,
   PlacementQueue,
   QueueNote,
-  ServiceDemand,
+  WaitingTable,
   WaitingWork,
   countNeededTokens,
   hashToShare,
 } from '@sycamorehead/routing';
 import type {CallerRequest} from './CallerRequest.js';
+import {buildQueueTable} from './buildQueueTable.js';
+import {computeWork} from './computeWork.js';
 import {buildEvacuationRefusal, buildRefusal} from './refusals.js';
 import {ServerAvailability} from './ServerAvailability.js';
 import {ServerChooser, ServerChooserOptions} from './ServerChooser.js';
@@ -29,10 +31,6 @@
 const LIMITED_WAIT_FRACTION = 0.4;
 /** Time for which a service without free slots counts as open, in milliseconds. */
 const OPEN_MS = 20;
-/** What a prompt token costs a server, as a fraction of an answer token. */
-const PROMPT_TOKEN_WORK = 0.25;
-/** Maximum work that one request counts as, in answer tokens: shares rest on what callers tell. */
-const MAX_WORK = 1_000_000;
 
 /** The requirements of a request for a slot. @public */
 export interface PlacementRequest {
@@ -166,6 +164,13 @@
     }
   }
 
+  /** Applies which requests of other entries wait; the rest of the demand is as reported before. */
+  updateOthersWaiting(table: WaitingTable): void {
+    for (const [service, queue] of this.queues) {
+      queue.updateOthersWaiting(table[service] ?? NO_DEMAND);
+    }
+  }
+
   /**
    * Measures the load of a service's engines: the average work pending on each, relative to the
    * fraction of the target latency that may pass before prefill begins.
@@ -198,19 +203,18 @@
 
   /** Counts the waiting requests of each service by urgency class. */
   countByUrgency(): ReadonlyMap<string, readonly number[]> {
-    const entries = [...this.queues].map(
-      ([service, queue]) => [service, queue.countByUrgency()] as const,
-    );
-    return new Map(entries);
+    const countQueue = (queue: PlacementQueue) => queue.countByUrgency();
+    return new Map(Object.entries(buildQueueTable(this.queues, countQueue)));
   }
 
   /** Describes the demand here to the other entries, by service. */
   describeDemand(): DemandTable {
-    const table: Record<string, ServiceDemand> = {};
-    for (const [service, queue] of this.queues) {
-      table[service] = queue.describeDemand();
-    }
-    return table;
+    return buildQueueTable(this.queues, queue => queue.describeDemand());
+  }
+
+  /** Describes the requests that wait here to the other entries, by service. */
+  describeWaiting(): WaitingTable {
+    return buildQueueTable(this.queues, queue => queue.describeWaiting());
   }
 
   private recordDemand(service: string): void {
@@ -222,12 +226,11 @@
   private buildWork(demand: PlacementRequest): WaitingWork<SlotReservation> {
     const {request, variant, service} = demand;
     const isMemoryBound = (service.engine?.tokenCapacity ?? 0) > 0;
-    const {promptTokens, answerTokens} = request.size;
     return {
       priority: demand.priority,
       customer: demand.customer,
       kind: demand.route,
-      work: Math.min(MAX_WORK, answerTokens + promptTokens * PROMPT_TOKEN_WORK),
+      work: computeWork(request.size),
       draw: hashToShare(`draw ${request.id}`),
       startBy: demand.startBy,
       abandonAt: demand.abandonAt,
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -81,8 +81,11 @@
     this.returnListeners.push(listener);
   }
 
-  /** Sets the load that the other entries have placed on the servers. */
-  setOthersLoad(load: LoadTable): void {
+  /**
+   * Sets the load that the other entries have placed on the servers. A brief table says nothing of what
+   * the servers have read and how fast they answered.
+   */
+  setOthersLoad(load: LoadTable, isBrief = false): void {
     const now = performance.now();
     for (const [id, server] of this.servers) {
       const numbers = load[id] ?? NO_LOAD;
@@ -90,10 +93,11 @@
       server.othersInFlight = numbers[0];
       server.othersPendingMs = numbers[1];
       server.memory.setOthersHeld(numbers[3] ?? 0, now);
+      if (isBrief) continue;
       server.memory.kept.setOthersRead(numbers[4] ?? 0, now);
       server.pace.setOthers(numbers[5] ?? 0, numbers[6] ?? 0, now);
     }
-    this.updatePaces();
+    if (!isBrief) this.updatePaces();
   }
 
   /** Records that a server has answered, and the ratio of its time to the typical time. */
@@ -265,16 +269,23 @@
     return this.servers.size === 0;
   }
 
-  /** Lists this entry's load by server id. */
-  listLoad(): LoadTable {
+  /** Lists this entry's load by server id; briefly, without what the servers have read and their paces. */
+  listLoad(isBrief = false): LoadTable {
     const load: Record<string, ServerLoad> = {};
     const now = performance.now();
     const oldest = now - ACTIVE_MS;
     for (const [id, server] of this.servers) {
       const {inFlight, pendingMs, lastReceivedAt, memory, pace} = server;
       const active = lastReceivedAt > oldest ? 1 : 0;
+      const isIdle = inFlight === 0 && active === 0;
+      if (isBrief) {
+        if (isIdle) continue;
+        const pending = Math.round(pendingMs);
+        load[id] = [inFlight, pending, active, memory.ownTokens];
+        continue;
+      }
       const {answers, logRatios} = pace.describeOwn(now);
-      if (inFlight === 0 && active === 0 && answers === 0) continue;
+      if (isIdle && answers === 0) continue;
       load[id] = buildServerLoad([
         inFlight,
         Math.round(pendingMs),
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -69,13 +69,17 @@
 export {
   NO_DEMAND,
   computeOthersDemand,
+  computeOthersWaiting,
   filterDemand,
+  filterWaiting,
   sumDemand,
 } from './lib/forwarding/serviceDemand.js';
 export type {
   CustomerTable,
   DemandTable,
+  QueuedDemand,
   ServiceDemand,
+  WaitingTable,
 } from './lib/forwarding/serviceDemand.js';
 export {RetryBudget} from './lib/forwarding/RetryBudget.js';
 export type {RetryBudgetOptions} from './lib/forwarding/RetryBudget.js';
--- a/packages/routing/src/lib/forwarding/PlacementQueue.ts
+++ b/packages/routing/src/lib/forwarding/PlacementQueue.ts
@@ -11,7 +11,7 @@
 } from './chooseNextWaiter.js';
 import {classifyUrgency} from './computeUrgency.js';
 import {ClassifiedRequest, QueuePolicy, QueuedRequest} from './QueuePolicy.js';
-import type {ServiceDemand} from './serviceDemand.js';
+import type {QueuedDemand, ServiceDemand} from './serviceDemand.js';
 
 /** How a request began to wait. @public */
 export interface QueueNote {
@@ -156,6 +156,12 @@
     this.refuseOutpaced();
   }
 
+  /** Applies which requests of other entries wait, like `updateOthers`. */
+  updateOthersWaiting(queued: QueuedDemand): void {
+    this.policy.updateOthersWaiting(queued);
+    this.refuseOutpaced();
+  }
+
   // Queries.
 
   /** The number of waiting requests. */
@@ -180,10 +186,18 @@
 
   /** Describes the demand here to the other entries. */
   describeDemand(): ServiceDemand {
+    return this.policy.describeDemand(this.countServed());
+  }
+
+  /** Describes the requests that wait here to the other entries. */
+  describeWaiting(): QueuedDemand {
+    return this.policy.describeWaiting(this.countServed());
+  }
+
+  /** Counts the waiting requests by urgency class; others need not yield to those that no server can take. */
+  private countServed(): number[] {
     this.updateRanks();
-    // Others need not yield to requests that no server can take.
-    const waiting = this.countWaiters(({needs}) => this.isServed(needs));
-    return this.policy.describeDemand(waiting);
+    return this.countWaiters(({needs}) => this.isServed(needs));
   }
 
   /** Returns the size class from which on no place is tried after one was not found. */
--- a/packages/routing/src/lib/forwarding/QueueFlow.ts
+++ b/packages/routing/src/lib/forwarding/QueueFlow.ts
@@ -1,6 +1,6 @@
 import {DecayingSum} from './DecayingSum.js';
 import {SaturatedRate} from './SaturatedRate.js';
-import {NO_DEMAND, ServiceDemand} from './serviceDemand.js';
+import {NO_DEMAND, QueuedDemand} from './serviceDemand.js';
 import {URGENCY_CLASSES} from './computeUrgency.js';
 
 /** Time in which places and requests count as lately, in milliseconds. */
@@ -21,7 +21,7 @@
     {length: URGENCY_CLASSES},
     () => new DecayingSum(FLOW_MS),
   );
-  private others = NO_DEMAND;
+  private others: QueuedDemand = NO_DEMAND;
   private othersAt = -Infinity;
 
   // Commands.
@@ -40,7 +40,7 @@
     this.saturated.recordQueue(isQueued);
   }
 
-  setOthers(demand: ServiceDemand): void {
+  setOthers(demand: QueuedDemand): void {
     this.others = demand;
     this.othersAt = performance.now();
   }
@@ -64,7 +64,7 @@
   }
 
   /** What the other entries reported; nothing if it is out of date. */
-  getOthers(): ServiceDemand {
+  getOthers(): QueuedDemand {
     const isFresh = performance.now() - this.othersAt < OTHERS_EXPIRY_MS;
     return isFresh ? this.others : NO_DEMAND;
   }
--- a/packages/routing/src/lib/forwarding/QueuePolicy.ts
+++ b/packages/routing/src/lib/forwarding/QueuePolicy.ts
@@ -6,7 +6,7 @@
 import {QueueFlow} from './QueueFlow.js';
 import {QueueRefusal, QueueRefusalReason} from './QueueRefusal.js';
 import {ReturnSchedule} from './ReturnSchedule.js';
-import {NO_DEMAND, ServiceDemand} from './serviceDemand.js';
+import {NO_DEMAND, QueuedDemand, ServiceDemand} from './serviceDemand.js';
 import {YieldWindows} from './YieldWindows.js';
 
 /** Time for which the standing of a kind and a customer is reused, in milliseconds. */
@@ -130,6 +130,11 @@
     if (demand) this.customers.updateUsual();
   }
 
+  /** Sets which requests of other entries wait; the rest of their demand is as reported before. */
+  updateOthersWaiting(queued: QueuedDemand): void {
+    this.flow.setOthers(queued);
+  }
+
   /** Returns whether a request leaves free places to more urgent ones of other entries for now. */
   checkYield(rank: WaiterRank): boolean {
     const {waiting, placesPerSecond} = this.flow.getOthers();
@@ -196,13 +201,18 @@
   /** Describes the demand here to the other entries, with the requests that wait. */
   describeDemand(waiting: readonly number[]): ServiceDemand {
     return {
-      waiting,
-      placesPerSecond: Number(this.flow.placesPerSecond.toFixed(1)),
+      ...this.describeWaiting(waiting),
       customers: this.customers.listAsked(),
       outcomes: this.kinds.listOutcomes(),
     };
   }
 
+  /** Describes the requests that wait here to the other entries. */
+  describeWaiting(waiting: readonly number[]): QueuedDemand {
+    const placesPerSecond = Number(this.flow.placesPerSecond.toFixed(1));
+    return {waiting, placesPerSecond};
+  }
+
   private isStarved(classified: ClassifiedRequest): boolean {
     const {request, size, kindAndSize} = classified;
     const known = this.starved.get(kindAndSize);
--- a/packages/routing/src/lib/forwarding/serviceDemand.ts
+++ b/packages/routing/src/lib/forwarding/serviceDemand.ts
@@ -23,6 +23,12 @@
 /** Demand by service. @public */
 export type DemandTable = Readonly<Record<string, ServiceDemand>>;
 
+/** The part of a demand that changes within moments. @public */
+export type QueuedDemand = Pick<ServiceDemand, 'placesPerSecond' | 'waiting'>;
+
+/** Waiting requests and places by service. @public */
+export type WaitingTable = Readonly<Record<string, QueuedDemand>>;
+
 /** The demand for a service of which nothing is known. @public */
 export const NO_DEMAND: ServiceDemand = {
   placesPerSecond: 0,
@@ -59,13 +65,9 @@
   maxWaiting: number,
 ): ServiceDemand | undefined {
   if (!isTable(value)) return undefined;
-  const {placesPerSecond, waiting, customers, outcomes} = value;
-  const classes: readonly unknown[] = Array.isArray(waiting) ? waiting : [];
+  const {customers, outcomes} = value;
   return {
-    placesPerSecond: limitCount(placesPerSecond),
-    waiting: classes
-      .slice(0, URGENCY_CLASSES)
-      .map(count => limitCount(count, maxWaiting)),
+    ...filterQueued(value, maxWaiting),
     customers: limitNames(
       filterTable(customers, work => limitCount(work)),
       work => work,
@@ -77,6 +79,35 @@
   };
 }
 
+/**
+ * Filters the waiting requests that another process has sent, like `filterDemand`.
+ *
+ * @example
+ * ```ts
+ * filterWaiting({drafts: {waiting: [-1, 1e9]}}, 1).drafts?.waiting; // [0, 500]
+ * ```
+ * @public
+ */
+export function filterWaiting(table: unknown, entries: number): WaitingTable {
+  const maxWaiting = MAX_WAITING * Math.max(1, entries);
+  return filterTable(table, value =>
+    isTable(value) ? filterQueued(value, maxWaiting) : undefined,
+  );
+}
+
+function filterQueued(
+  {placesPerSecond, waiting}: Readonly<Record<string, unknown>>,
+  maxWaiting: number,
+): QueuedDemand {
+  const classes: readonly unknown[] = Array.isArray(waiting) ? waiting : [];
+  return {
+    placesPerSecond: limitCount(placesPerSecond),
+    waiting: classes
+      .slice(0, URGENCY_CLASSES)
+      .map(count => limitCount(count, maxWaiting)),
+  };
+}
+
 function filterOutcome(value: unknown): OutcomeCounts | undefined {
   if (!Array.isArray(value)) return undefined;
   const ended = limitCount(value[0]);
@@ -142,13 +173,40 @@
     const left = ended - ownEnded;
     if (left > 0) outcomes[name] = [left, Math.max(0, served - ownServed)];
   }
+  return {...computeQueuedRest(total, part), customers, outcomes};
+}
+
+/**
+ * Computes the waiting requests that are left of a total without a part of it.
+ *
+ * @example
+ * ```ts
+ * computeOthersWaiting(total, own).drafts?.waiting;
+ * ```
+ * @public
+ */
+export function computeOthersWaiting(
+  total: WaitingTable,
+  part: WaitingTable,
+): WaitingTable {
+  const rest: Record<string, QueuedDemand> = {};
+  for (const service of Object.keys(total)) {
+    const queued = total[service];
+    if (!queued) continue;
+    rest[service] = computeQueuedRest(queued, part[service] ?? NO_DEMAND);
+  }
+  return rest;
+}
+
+function computeQueuedRest(
+  total: QueuedDemand,
+  part: QueuedDemand,
+): QueuedDemand {
   return {
     placesPerSecond: Math.max(0, total.placesPerSecond - part.placesPerSecond),
     waiting: total.waiting.map((count, index) =>
       Math.max(0, count - (part.waiting[index] ?? 0)),
     ),
-    customers,
-    outcomes,
   };
 }
 
