Brief reports: the load of the last whole one is added apart

The control instance merged each brief report's load with the last whole one; now the sums take the first numbers from the one and the others from the other, without a table for each report. Odd values are tested in brief reports too.

--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -16,11 +16,13 @@
   ExchangeReply,
   ExchangeRequest,
   LoadDigest,
+  LoadTable,
 } from './fleetMessages.js';
 import {RouteEvidence, groupByRoute, mergeEvidence} from './rolloutEvidence.js';
 import {
   BRIEF_NUMBERS,
   LoadSums,
+  ToldLoad,
   addLoad,
   buildLoadTable,
   computeOthersLoad,
@@ -42,6 +44,8 @@
 
 interface EntryUsage {
   readonly request: ExchangeRequest;
+  /** The load of its last whole report, if a brief one has followed. */
+  readonly fullLoad: LoadTable | undefined;
   readonly receivedAt: number;
   readonly arrivedAt: number;
 }
@@ -60,7 +64,7 @@
   readonly prefill: PrefillSumTable;
   readonly demand: DemandTable;
   /** The reports that the totals contain. */
-  readonly included: ReadonlyMap<string, ExchangeRequest>;
+  readonly included: ReadonlyMap<string, EntryUsage>;
   /** The number of these that the other instances know. */
   readonly settled: number;
 }
@@ -97,8 +101,13 @@
     const arrivedAt = isPresent ? last.arrivedAt : now;
     // Without a report to complete it by, the reply is a whole one, and asks for one.
     const isBrief = received.isBrief === true && isPresent === true;
-    const request = isBrief ? completeReport(received, last.request) : received;
-    this.entries.set(entry, {request, receivedAt: now, arrivedAt});
+    const usage: EntryUsage = {
+      request: isBrief ? completeReport(received, last.request) : received,
+      fullLoad: isBrief ? (last.fullLoad ?? last.request.load) : undefined,
+      receivedAt: now,
+      arrivedAt,
+    };
+    this.entries.set(entry, usage);
     const {entries, leaving, kept, included} = this.getTotals();
     const own = included.get(entry);
     return {
@@ -129,7 +138,7 @@
   describeDigest(): LoadDigest {
     const now = performance.now();
     const usages = this.listFresh();
-    const sums = sumReports(usages.map(({request}) => request));
+    const sums = sumReports(usages, []);
     return {
       ...sums,
       load: buildLoadTable(sums.load),
@@ -186,21 +195,22 @@
   }
 
   /** Describes what the other entries have reported. */
-  private describeOthers(own: ExchangeRequest | undefined) {
+  private describeOthers(own: EntryUsage | undefined) {
     const {load, prefill, demand} = this.getTotals();
+    const request = own?.request;
     return {
-      load: computeOthersLoad(load, own?.load ?? {}),
-      prefill: computeOthersPrefill(prefill, own?.prefill ?? {}),
-      demand: computeOthersDemand(demand, own?.demand ?? {}),
+      load: computeOthersLoad(load, describeLoad(own)),
+      prefill: computeOthersPrefill(prefill, request?.prefill ?? {}),
+      demand: computeOthersDemand(demand, request?.demand ?? {}),
     };
   }
 
   /** Describes of what the other entries have reported what changes within moments. */
-  private describeBriefly(own: ExchangeRequest | undefined) {
+  private describeBriefly(own: EntryUsage | undefined) {
     const {load, demand} = this.getTotals();
     return {
-      load: computeOthersLoad(load, own?.load ?? {}, BRIEF_NUMBERS),
-      waiting: computeOthersWaiting(demand, own?.demand ?? {}),
+      load: computeOthersLoad(load, describeLoad(own), BRIEF_NUMBERS),
+      waiting: computeOthersWaiting(demand, own?.request.demand ?? {}),
       isBrief: true,
     };
   }
@@ -224,16 +234,13 @@
       return this.totals;
     }
     this.expireEntries(now);
-    const requests = this.listFresh().map(({request}) => request);
+    const usages = this.listFresh();
     const digests = this.listFreshDigests();
     this.totals = {
-      ...sumReports([...requests, ...digests]),
+      ...sumReports(usages, digests),
       computedAt: now,
-      entries: digests.reduce(
-        (sum, {entries}) => sum + entries,
-        requests.length,
-      ),
-      included: new Map(requests.map(request => [request.entry, request])),
+      entries: digests.reduce((sum, {entries}) => sum + entries, usages.length),
+      included: new Map(usages.map(usage => [usage.request.entry, usage])),
       settled: this.countSettled(now),
     };
     this.updatePeaks(this.totals.entries);
@@ -281,21 +288,29 @@
 }
 
 /** What the reports of entries and the digests of control instances have in common. */
-type Report = Pick<
-  ExchangeRequest,
-  'load' | 'leaving' | 'kept' | 'prefill' | 'demand'
->;
+type Report = Pick<ExchangeRequest, 'leaving' | 'kept' | 'prefill' | 'demand'>;
+
+/** Returns what an entry has told of its load; nothing if it is not known. */
+function describeLoad(usage: EntryUsage | undefined): ToldLoad {
+  return {load: usage?.request.load ?? {}, fullLoad: usage?.fullLoad};
+}
 
-/** Sums reports or digests. */
+/** Sums the reports of entries and the digests of other instances. */
 function sumReports(
-  reports: readonly Report[],
-): Required<Omit<Report, 'load'>> & {readonly load: LoadSums} {
+  usages: readonly EntryUsage[],
+  digests: readonly LoadDigest[],
+): Required<Report> & {readonly load: LoadSums} {
   const load: LoadSums = new Map();
   const prefill: Record<string, PrefillSums> = {};
   const leaving = new Set<string>();
   const kept = new Set<string>();
+  for (const usage of usages) addLoad(load, describeLoad(usage));
+  for (const digest of digests) addLoad(load, digest);
+  const reports: readonly Report[] = [
+    ...usages.map(({request}) => request),
+    ...digests,
+  ];
   for (const report of reports) {
-    addLoad(load, report.load);
     addPrefill(prefill, report.prefill ?? {});
     for (const key of report.leaving ?? []) leaving.add(key);
     for (const key of report.kept ?? []) kept.add(key);
--- a/packages/fleet/src/lib/serverLoad.ts
+++ b/packages/fleet/src/lib/serverLoad.ts
@@ -9,25 +9,48 @@
 /** Sums of the numbers of `ServerLoad`, by server id. Reports are added in place, many times a second. @internal */
 export type LoadSums = Map<string, number[]>;
 
+/** What one entry has told of its load. @internal */
+export interface ToldLoad {
+  readonly load: LoadTable;
+  /** The last load that was told in full, if a brief one has followed. */
+  readonly fullLoad?: LoadTable | undefined;
+}
+
 /**
- * Adds the load of others to that of servers.
+ * Adds the load of others to that of servers; of a brief report the first numbers, the others from the
+ * last full one.
  *
  * @example
  * ```ts
- * addLoad(sums, {s1: [2, 100]});
+ * addLoad(sums, {load: {s1: [2, 100]}});
  * ```
  * @internal
  */
-export function addLoad(sums: LoadSums, load: LoadTable): void {
+export function addLoad(sums: LoadSums, {load, fullLoad}: ToldLoad): void {
+  if (!fullLoad) {
+    addNumbers(sums, load, 0, LOAD_NUMBERS);
+    return;
+  }
+  addNumbers(sums, load, 0, BRIEF_NUMBERS);
+  addNumbers(sums, fullLoad, BRIEF_NUMBERS, LOAD_NUMBERS);
+}
+
+function addNumbers(
+  sums: LoadSums,
+  load: LoadTable,
+  from: number,
+  to: number,
+): void {
   for (const id of Object.keys(load)) {
     const part = load[id];
-    if (!part) continue;
+    if (!part || part.length <= from) continue;
     let sum = sums.get(id);
     if (!sum) {
       sum = [0, 0, 0, 0, 0, 0, 0];
       sums.set(id, sum);
     }
-    for (let index = 0; index < part.length; index += 1) {
+    const end = Math.min(to, part.length);
+    for (let index = from; index < end; index += 1) {
       sum[index] = (sum[index] ?? 0) + (part[index] ?? 0);
     }
   }
@@ -54,21 +77,23 @@
  * @param count - The first numbers of each server to compute.
  * @example
  * ```ts
- * computeOthersLoad(new Map([['s1', [5, 100, 0, 0, 0, 0, 0]]]), {s1: [2, 60]}); // {s1: [3, 40]}
+ * computeOthersLoad(new Map([['s1', [5, 100, 0, 0, 0, 0, 0]]]), {load: {s1: [2, 60]}}); // {s1: [3, 40]}
  * ```
  * @internal
  */
 export function computeOthersLoad(
   sums: LoadSums,
-  part: LoadTable,
+  {load, fullLoad = load}: ToldLoad,
   count = LOAD_NUMBERS,
 ): LoadTable {
   const rest: Record<string, ServerLoad> = {};
   const left = new Array<number>(count).fill(0);
   for (const [id, total] of sums) {
-    const own = part[id];
+    const own = load[id];
+    const ownFull = fullLoad[id];
     for (let index = 0; index < count; index += 1) {
-      left[index] = (total[index] ?? 0) - (own?.[index] ?? 0);
+      const part = index < BRIEF_NUMBERS ? own : ownFull;
+      left[index] = (total[index] ?? 0) - (part?.[index] ?? 0);
     }
     const [inFlight = 0, , active = 0, , , answers = 0] = left;
     if (inFlight <= 0 && active <= 0 && answers <= 0) continue;
--- a/packages/fleet/src/test/briefReports.test.ts
+++ b/packages/fleet/src/test/briefReports.test.ts
@@ -175,3 +175,37 @@
     clock.tick(INTERVAL_MS);
   }
 });
+
+test('a brief report of odd shape leaves the other entries their load and demand', () => {
+  const draw = createDraw(3);
+  for (const odd of [
+    'null',
+    '7',
+    '{"drafts":null}',
+    '{"drafts":{"waiting":{"length":1e8},"placesPerSecond":"x"}}',
+    '{"constructor":{"waiting":[7],"placesPerSecond":1}}',
+    '{"drafts":{"waiting":[-5,1e300],"placesPerSecond":-3}}',
+  ]) {
+    const reports = buildReports();
+    const whole = buildWhole('e1', buildSlow(draw), draw);
+    reports.exchange(whole);
+    reports.exchange(buildWhole('odd', buildSlow(draw), draw));
+    const waiting = JSON.parse(odd) as ExchangeRequest['waiting'];
+    const load = JSON.parse('{"s1":null,"s2":["x",-1]}') as object;
+    const report = {...buildBrief(whole), entry: 'odd', load, waiting};
+    reports.exchange(report as ExchangeRequest);
+    clock.tick(60);
+    const {load: left, demand} = reports.exchange({
+      entry: 'e2',
+      load: {},
+      evidence: [],
+    });
+    for (const [id, numbers] of Object.entries(whole.load)) {
+      assert.ok((left[id]?.[0] ?? 0) >= numbers[0], odd);
+    }
+    const [first = 0] = demand?.['drafts']?.waiting ?? [];
+    const [own = 0] = whole.demand?.['drafts']?.waiting ?? [];
+    assert.ok(first >= own && first <= 1_000, odd);
+    assert.ok(!/:-\d/.test(JSON.stringify(demand)), odd);
+  }
+});
--- a/packages/fleet/src/test/oddReports.test.ts
+++ b/packages/fleet/src/test/oddReports.test.ts
@@ -51,6 +51,8 @@
   'wanted',
   'coldWanted',
   'arrived',
+  'waiting',
+  'isBrief',
 ] as const;
 
 let clock: ReturnType<typeof fakeTimers.install>;
--- a/packages/fleet/src/test/serverLoad.test.ts
+++ b/packages/fleet/src/test/serverLoad.test.ts
@@ -72,9 +72,9 @@
     const [own = {}] = tables;
     const before = JSON.stringify(tables);
     const sums: LoadSums = new Map();
-    for (const table of tables) addLoad(sums, table);
+    for (const load of tables) addLoad(sums, {load});
     for (const part of [own, {}]) {
-      const rest = computeOthersLoad(sums, part);
+      const rest = computeOthersLoad(sums, {load: part});
       assert.deepEqual(
         fillNumbers(rest),
         computeExpected(tables, part),
