--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,4 +1,8 @@
-import {ensureBuilt, ensureInstalled, findTests, run} from './ensure.mjs';
+import {mkdtempSync, rmSync} from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import {ROOT, ensureBuilt, ensureInstalled, findTests, run} from './ensure.mjs';
+import {checkFailures} from './knownFailures.mjs';
 
 /** Marks tests that overload a process and run one at a time, after the others. */
 const CROWD_MARK = '.crowd.test.js';
@@ -16,14 +20,24 @@
   process.exit(1);
 }
 
+const reports = mkdtempSync(path.join(os.tmpdir(), 'test-'));
+process.on('exit', () => rmSync(reports, {recursive: true, force: true}));
+
 function runTests(files, concurrency, timeoutMs) {
   if (files.length === 0) return 0;
-  return run('node', [
+  const report = path.join(reports, `${concurrency}.jsonl`);
+  const status = run('node', [
     '--test',
     `--test-concurrency=${concurrency}`,
     `--test-timeout=${timeoutMs}`,
+    '--test-reporter=tap',
+    '--test-reporter-destination=stdout',
+    `--test-reporter=${path.join(ROOT, 'scripts/failureReporter.mjs')}`,
+    `--test-reporter-destination=${report}`,
     ...files,
   ]);
+  if (status === 0) return 0;
+  return checkFailures(report) ? 0 : status;
 }
 
 const crowds = tests.filter(file => file.endsWith(CROWD_MARK));
