Choice of a server: decisions and reservations apart

Cause: an operator is to ask where a request would go without sending it. The classes that decide also advanced permits, drew the start of a pace, pinned sessions and counted while they looked. Change: VersionSplit.findVariant, SendPermits.isAvailable, ServerLimits.isPermitted and ColdServers.isPermitted only read; listAvailable advances the permits of limited servers before. ServerTable.findObstacle and ServerAvailability name what rules a server out, by the predicates that listAvailable uses; ServerChooser.explain rates all usable servers; a score is the sum of computeScoreTerms (equal but for rounding). The refusals that need no look at the load stand in PlacementRefusals. A request larger than every server is now counted as memory_full also if only evacuated servers may run it. Requests get the same servers and refusals. Tests: serverLimits.test and SimulatedLimitFleet call advance before they ask, as the product does; the bounds are the same.

--- a/packages/gateway/src/lib/ColdServers.ts
+++ b/packages/gateway/src/lib/ColdServers.ts
@@ -72,7 +72,7 @@
   private readonly loggedAt = new Map<string, number>();
   private counts = {wanted: 0, granted: 0, used: 0};
   /** The time of day less the monotonic clock, in milliseconds. */
-  private clockOffset = Date.now() - performance.now();
+  private clockOffset = computeClockOffset();
   private sleeps = 0;
   private sleepsAtReport = 0;
 
@@ -219,7 +219,9 @@
   /** Returns whether a request may be sent to a server now, as far as it is cold. */
   isPermitted(server: ServiceServer): boolean {
     if (!this.isCold(server)) return true;
-    return this.findPermits(server)?.isAvailable() ?? false;
+    if (this.hasSlept(computeClockOffset())) return false;
+    const state = this.states.get(buildIncarnationKey(server));
+    return state?.permits.isAvailable() ?? false;
   }
 
   /** Returns whether a send may still be made that was planned with a permit, or without one. */
@@ -293,14 +295,19 @@
 
   /** Drops all permits if the machine was suspended, for which the monotonic clock may stand still. */
   private checkClock(): void {
-    const offset = Date.now() - performance.now();
-    const hasSlept = offset - this.clockOffset > SLEEP_MS;
+    const offset = computeClockOffset();
+    const hasSlept = this.hasSlept(offset);
     this.clockOffset = offset;
     if (!hasSlept) return;
     this.sleeps += 1;
     for (const {permits} of this.states.values()) permits.clear();
   }
 
+  /** Returns whether the machine was suspended since the clocks were last compared. */
+  private hasSlept(offset: number): boolean {
+    return offset - this.clockOffset > SLEEP_MS;
+  }
+
   private getState(key: string): ColdState {
     const known = this.states.get(key);
     if (known) return known;
@@ -345,6 +352,11 @@
   }
 }
 
+/** Computes the time of day less the monotonic clock, in milliseconds. */
+function computeClockOffset(): number {
+  return Date.now() - performance.now();
+}
+
 function getColdUntil(state: ColdState): number {
   return Math.max(state.toldUntil, state.noticedUntil, state.expectedUntil);
 }
--- a/packages/gateway/src/lib/EvacuationView.ts
+++ b/packages/gateway/src/lib/EvacuationView.ts
@@ -59,7 +59,7 @@
 
   /** Returns whether nothing may be sent to the servers of a data centre, or may be for all that is known. */
   isClosed(dataCentre: string): boolean {
-    return this.isExpected || this.isEvacuated(dataCentre);
+    return !this.isKnown || this.isEvacuated(dataCentre);
   }
 
   /** Returns whether a data centre is known to be evacuated. */
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -1,4 +1,4 @@
-import type {RoutedService, SycamoreheadError} from '@sycamorehead/schema';
+import type {RoutedService} from '@sycamorehead/schema';
 import {
   DemandTable,
   NO_DEMAND,
@@ -10,7 +10,7 @@
   hashToShare,
 } from '@sycamorehead/routing';
 import type {CallerRequest} from './CallerRequest.js';
-import {buildEvacuationRefusal, buildRefusal} from './refusals.js';
+import {PlacementRefusals, isTooLarge} from './PlacementRefusals.js';
 import {ServerAvailability} from './ServerAvailability.js';
 import {ServerChooser, ServerChooserOptions} from './ServerChooser.js';
 import type {KnownServer} from './KnownServer.js';
@@ -19,14 +19,6 @@
 
 /** Average pending work at which engines count as full, as a fraction of the target latency. */
 const FULL_FRACTION = 0.8;
-/** Maximum retry delay when every server limits its requests, in milliseconds. */
-const MAX_LIMIT_RETRY_MS = 5_000;
-const MS_PER_SECOND = 1_000;
-/**
- * Part of its wait for which a request waits if every server limits its requests: permits come at a
- * known pace.
- */
-const LIMITED_WAIT_FRACTION = 0.4;
 /** Time for which a service without free slots counts as open, in milliseconds. */
 const OPEN_MS = 20;
 /** What a prompt token costs a server, as a fraction of an answer token. */
@@ -113,6 +105,7 @@
   private readonly queues = new Map<string, PlacementQueue>();
   private readonly slowStart: SlowStart;
   private readonly availability: ServerAvailability;
+  private readonly refusals: PlacementRefusals;
   private readonly chooser: ServerChooser;
 
   constructor(private readonly options: PlacementOptions) {
@@ -121,6 +114,7 @@
     this.availability = new ServerAvailability(servers, versions, service =>
       options.onMemoryFull?.(service),
     );
+    this.refusals = new PlacementRefusals(servers, this.availability);
     this.chooser = new ServerChooser(options);
   }
 
@@ -133,21 +127,15 @@
     const service = demand.service.name;
     const queue = this.getQueue(service);
     this.recordDemand(service);
-    this.refuseIfEvacuated(demand);
-    this.refuseIfTooLarge(demand);
-    const work = this.buildWork(demand);
-    if (!this.isLimited(service)) return queue.acquire(work);
-    const now = performance.now();
-    const abandonAt = now + (demand.abandonAt - now) * LIMITED_WAIT_FRACTION;
-    const limited = {...demand, abandonAt};
-    this.refuseIfLimited(limited, queue.countAhead(demand.priority));
-    return queue.acquire({...work, abandonAt});
+    if (isTooLarge(demand)) this.options.onMemoryFull?.(service);
+    const abandonAt = this.refusals.checkDemand(demand, queue);
+    return queue.acquire({...this.buildWork(demand), abandonAt});
   }
 
   /** Reserves a slot if one is free now and no other request waits for it. */
   tryAcquire(demand: PlacementRequest): SlotReservation | undefined {
     const service = demand.service.name;
-    if (this.findClosure(demand)) return undefined;
+    if (this.refusals.findClosure(demand)) return undefined;
     const work = this.buildWork(demand);
     const reservation = this.getQueue(service).tryAcquire(work);
     if (reservation) this.recordDemand(service);
@@ -245,7 +233,7 @@
   private tryReserveSlot(
     demand: PlacementRequest,
   ): SlotReservation | undefined {
-    this.refuseIfEvacuated(demand);
+    this.refusals.checkEvacuation(demand);
     if (!this.availability.hasFreeSlot(demand.service)) {
       this.checkOpen(demand);
       return undefined;
@@ -325,92 +313,11 @@
     const now = performance.now();
     const checkedAt = this.openAt.get(name) ?? -Infinity;
     if (now - checkedAt < OPEN_MS) return;
-    const closure = this.findClosure(demand);
+    const closure = this.refusals.findClosure(demand);
     if (closure) throw closure;
     this.openAt.set(name, now);
   }
 
-  /**
-   * Returns the refusal of a request that no server may run now: those that might are in evacuated data
-   * centres, leave or want no requests yet. While no server or no evacuation is known at all, the first
-   * update may be on its way.
-   */
-  private findClosure(demand: PlacementRequest): SycamoreheadError | undefined {
-    const {servers} = this.options;
-    if (!servers.evacuation.isKnown) return undefined;
-    const evacuated = this.availability.listEvacuated(demand);
-    if (evacuated.length > 0) return buildEvacuationRefusal(evacuated);
-    const {name} = demand.service;
-    const ready = servers.listReady(name);
-    if (ready.length === 0) {
-      if (!servers.hasServers(name)) return undefined;
-      return buildRefusal('every server leaves', false);
-    }
-    const holdMs = Math.min(
-      ...ready.map(({listing}) =>
-        servers.notices.getHoldMs(listing.registration),
-      ),
-    );
-    if (holdMs <= 0) return undefined;
-    return buildRefusal('every server wants a pause', false, holdMs);
-  }
-
-  /** Refuses a request at once if only servers of evacuated data centres may run it. */
-  private refuseIfEvacuated(demand: PlacementRequest): void {
-    const evacuated = this.availability.listEvacuated(demand);
-    if (evacuated.length > 0) throw buildEvacuationRefusal(evacuated);
-  }
-
-  /** Returns whether all servers of a service that may take requests limit them. */
-  private isLimited(service: string): boolean {
-    const {servers} = this.options;
-    return servers
-      .listReady(service)
-      .every(
-        ({listing: {registration}}) =>
-          servers.limits.getPerSecond(registration) !== undefined,
-      );
-  }
-
-  /** Refuses a request at once that is larger than the memory of every server. */
-  private refuseIfTooLarge({request, service}: PlacementRequest): void {
-    const capacity = service.engine?.tokenCapacity ?? 0;
-    if (capacity <= 0 || countNeededTokens(request.size) <= capacity) return;
-    this.options.onMemoryFull?.(service.name);
-    throw buildRefusal(
-      'the request is larger than the memory of every server',
-      false,
-      MAX_LIMIT_RETRY_MS,
-    );
-  }
-
-  /**
-   * Refuses a request at once if every server of its service limits its requests, and those that wait
-   * already use up what this entry may send in the time that the request may wait.
-   */
-  private refuseIfLimited(
-    {service, abandonAt}: PlacementRequest,
-    waiting: number,
-  ): void {
-    const {servers} = this.options;
-    const {limits} = servers;
-    const ready = servers.listReady(service.name);
-    let ownRate = 0;
-    for (const {listing} of ready) {
-      const perSecond = limits.getPerSecond(listing.registration);
-      if (perSecond === undefined) return;
-      ownRate += limits.computeOwnRate(perSecond);
-    }
-    if (ready.length === 0) return;
-    const waitMs = (waiting * MS_PER_SECOND) / ownRate;
-    if (performance.now() + waitMs <= abandonAt) return;
-    throw buildRefusal(
-      'every server limits its requests',
-      false,
-      Math.min(MAX_LIMIT_RETRY_MS, waitMs),
-    );
-  }
-
   private getQueue(service: string): PlacementQueue {
     const known = this.queues.get(service);
     if (known) return known;
--- a/packages/gateway/src/lib/ServerAvailability.ts
+++ b/packages/gateway/src/lib/ServerAvailability.ts
@@ -1,7 +1,8 @@
 import type {RoutedService} from '@sycamorehead/schema';
-import {filterByMemory} from './filterByMemory.js';
+import {MemoryGroup, filterByMemory, groupByMemory} from './filterByMemory.js';
 import type {PlacementRequest} from './Placement.js';
 import type {KnownServer} from './KnownServer.js';
+import type {ServerObstacle} from './serverObstacles.js';
 import type {ServerTable} from './ServerTable.js';
 import type {VersionSplit} from './VersionSplit.js';
 
@@ -11,6 +12,11 @@
  */
 const OVERCOMMIT_FRACTION = 1;
 
+/** The servers that may get a request, and why the others of its service may not. @internal */
+export interface ExplainedAvailability extends MemoryGroup {
+  readonly obstacles: Map<KnownServer, ServerObstacle>;
+}
+
 /**
  * Determines which backend servers may get a request now: permitted, accepting, with capacity and memory.
  *
@@ -29,34 +35,61 @@
    * nor ejected. Where only memory is missing at those, the request waits for it.
    */
   listAvailable(demand: PlacementRequest): readonly KnownServer[] {
-    const {servers} = this;
-    const {service, tried} = demand;
-    const now = performance.now();
-    const accepting = servers
-      .listReady(service.name)
-      .filter(server => servers.isAccepting(server));
-    const permitted = this.filterPermitted(demand, accepting);
-    const withSlots = permitted.filter(server =>
-      this.hasCapacity(server, service),
-    );
-    // A failed server holds nothing: by memory alone, it would get all that fits nowhere else.
-    const untried = withSlots.filter(
-      ({listing}) => !tried.has(listing.registration.id),
+    const {limits} = this.servers;
+    const permitted = this.listPermitted(demand);
+    for (const {listing} of permitted) limits.advance(listing.registration);
+    const preferred = this.selectPreferred(
+      demand,
+      permitted.filter(server => this.hasCapacity(server, demand.service)),
     );
-    const healthy = untried.filter(({ejectedUntil}) => ejectedUntil <= now);
-    const preferred =
-      [healthy, untried, withSlots].find(({length}) => length > 0) ?? [];
     const available = filterByMemory(
       preferred,
-      service.engine?.tokenCapacity ?? 0,
+      demand.service.engine?.tokenCapacity ?? 0,
       demand.request.size,
     );
     if (preferred.length > 0 && available.length === 0) {
-      this.onMemoryFull(service.name);
+      this.onMemoryFull(demand.service.name);
     }
     return available;
   }
 
+  /**
+   * Explains what `listAvailable` returns: the servers that it may return, and why it leaves out the
+   * others. Nothing is changed.
+   */
+  explain(demand: PlacementRequest): ExplainedAvailability {
+    const {servers, versions} = this;
+    const {service, tried} = demand;
+    const obstacles = new Map<KnownServer, ServerObstacle>();
+    const permitted = new Set(this.listPermitted(demand));
+    const withSlots: KnownServer[] = [];
+    for (const server of servers.listKnown(service.name)) {
+      const obstacle =
+        servers.findObstacle(server) ??
+        (versions.isRejected(server) ? 'version_rejected' : undefined) ??
+        (permitted.has(server) ? undefined : 'other_version') ??
+        this.findCapacityObstacle(server, service);
+      if (obstacle) obstacles.set(server, obstacle);
+      else withSlots.push(server);
+    }
+    const preferred = new Set(this.selectPreferred(demand, withSlots));
+    for (const server of withSlots) {
+      if (preferred.has(server)) continue;
+      const isTried = tried.has(server.listing.registration.id);
+      obstacles.set(server, isTried ? 'tried' : 'ejected');
+    }
+    const group = groupByMemory(
+      [...preferred],
+      service.engine?.tokenCapacity ?? 0,
+      demand.request.size,
+    );
+    const withMemory = new Set(group.servers);
+    for (const server of preferred) {
+      if (!withMemory.has(server)) obstacles.set(server, 'no_memory');
+    }
+    return {...group, obstacles};
+  }
+
   /**
    * Lists the data centres of the servers that may run a request if only evacuated ones may, whatever
    * their load; empty if others may, or if none may at all.
@@ -84,6 +117,29 @@
     });
   }
 
+  /** Lists the servers that accept work and that the roll-out of the service permits for a request. */
+  private listPermitted(demand: PlacementRequest): readonly KnownServer[] {
+    const {servers} = this;
+    const accepting = servers
+      .listReady(demand.service.name)
+      .filter(server => servers.isAccepting(server));
+    return this.filterPermitted(demand, accepting);
+  }
+
+  /** Selects the servers with slots that are neither tried for a request nor ejected, if there are any. */
+  private selectPreferred(
+    {tried}: PlacementRequest,
+    withSlots: readonly KnownServer[],
+  ): readonly KnownServer[] {
+    const now = performance.now();
+    // A failed server holds nothing: by memory alone, it would get all that fits nowhere else.
+    const untried = withSlots.filter(
+      ({listing}) => !tried.has(listing.registration.id),
+    );
+    const healthy = untried.filter(({ejectedUntil}) => ejectedUntil <= now);
+    return [healthy, untried, withSlots].find(({length}) => length > 0) ?? [];
+  }
+
   /** Filters the servers that the roll-out of the service permits for a request. */
   private filterPermitted(
     {service, variant}: PlacementRequest,
@@ -94,17 +150,26 @@
     return versions.filterServers(service.name, variant, unrejected);
   }
 
-  private hasCapacity(server: KnownServer, {engine}: RoutedService): boolean {
+  private hasCapacity(server: KnownServer, service: RoutedService): boolean {
+    return this.findCapacityObstacle(server, service) === undefined;
+  }
+
+  /** Finds why a server that accepts work has no capacity for one more request, whatever its size. */
+  private findCapacityObstacle(
+    server: KnownServer,
+    {engine}: RoutedService,
+  ): ServerObstacle | undefined {
     const {registration} = server.listing;
-    const {slots} = registration;
     const {notices, limits, cold} = this.servers;
-    if (!limits.isPermitted(registration)) return false;
-    if (!cold.isPermitted(registration)) return false;
+    if (!limits.isPermitted(registration)) return 'limit';
+    if (!cold.isPermitted(registration)) return 'cold';
     if (notices.isReturning(registration)) {
-      return server.inFlight === 0;
+      return server.inFlight === 0 ? undefined : 'returning';
     }
     const load = server.inFlight + server.othersInFlight;
-    return load < countSlots(slots, engine);
+    return load < countSlots(registration.slots, engine)
+      ? undefined
+      : 'no_slot';
   }
 }
 
--- a/packages/gateway/src/lib/ServerChooser.ts
+++ b/packages/gateway/src/lib/ServerChooser.ts
@@ -3,9 +3,11 @@
   KeptPrompt,
   PreferredServers,
   PrefillRates,
+  ServerCandidate,
   buildKeptPrompt,
   choosePreferredServers,
   countNeededTokens,
+  countSampled,
   sampleServers,
   scoreServer,
 } from '@sycamorehead/routing';
@@ -62,9 +64,21 @@
   readonly keptTokens: number;
   /** Reading time that they save there, in milliseconds. */
   readonly savedMs: number;
+  /** What the score rests on. */
+  readonly candidate: ServerCandidate;
   readonly score: number;
 }
 
+/** How the server of a request is chosen among those usable. @internal */
+export interface ExplainedChoice {
+  /** All usable servers, the best first. */
+  readonly choices: readonly ServerChoice[];
+  /** Number of servers that are drawn at random to be compared; all of them if there are no more. */
+  readonly drawn: number;
+  /** Servers that are compared even if they are not drawn. */
+  readonly alwaysCompared: ReadonlySet<KnownServer>;
+}
+
 /**
  * Chooses the backend server of a request among those that are available.
  *
@@ -79,7 +93,7 @@
     usable: readonly KnownServer[],
   ): ServerChoice | undefined {
     const preferred = choosePreferred(demand, usable);
-    const {policy, dataCentre, servers} = this.options;
+    const {policy, dataCentre} = this.options;
     const sample = new Set(
       sampleServers(usable, {
         policy,
@@ -88,15 +102,7 @@
       }),
     );
     for (const server of usable) {
-      const isPreferred = getPreference(preferred, server) !== 'none';
-      const {registration} = server.listing;
-      // A permit expires soon.
-      const isPermitNeeded =
-        servers.limits.isLimited(registration) ||
-        servers.cold.isCold(registration);
-      if (isPreferred || isPermitNeeded) {
-        sample.add(server);
-      }
+      if (this.isAlwaysCompared(preferred, server)) sample.add(server);
     }
     const prompt = this.describePrompt(demand);
     let best: ServerChoice | undefined;
@@ -115,6 +121,47 @@
     return best;
   }
 
+  /**
+   * Rates all usable servers for a request, the best first, and tells how many of them `choose` compares.
+   * Nothing is drawn or changed.
+   */
+  explain(
+    demand: PlacementRequest,
+    usable: readonly KnownServer[],
+  ): ExplainedChoice {
+    const preferred = choosePreferred(demand, usable);
+    const {policy} = this.options;
+    const entries = this.options.countEntries();
+    const prompt = this.describePrompt(demand);
+    const choices = usable
+      .map(server =>
+        this.rateServer(prompt, server, getPreference(preferred, server)),
+      )
+      .sort((first, second) => first.score - second.score);
+    return {
+      choices,
+      drawn: countSampled(usable.length, {policy, entries}),
+      alwaysCompared: new Set(
+        usable.filter(server => this.isAlwaysCompared(preferred, server)),
+      ),
+    };
+  }
+
+  /** Returns whether a server is compared even if it is not drawn. */
+  private isAlwaysCompared(
+    preferred: PreferredServers | undefined,
+    server: KnownServer,
+  ): boolean {
+    const {limits, cold} = this.options.servers;
+    const {registration} = server.listing;
+    return (
+      getPreference(preferred, server) !== 'none' ||
+      // A permit expires soon.
+      limits.isLimited(registration) ||
+      cold.isCold(registration)
+    );
+  }
+
   private rateServer(
     prompt: PromptCost,
     server: KnownServer,
@@ -138,7 +185,7 @@
       : (typicalMs ?? 0) / Math.max(1, registration.slots);
     const slowness =
       prompt.capacity > 0 ? server.pace.slowness : server.slowness;
-    const score = scoreServer(policy, {
+    const candidate = {
       load: server.inFlight + server.othersInFlight,
       slots: registration.slots,
       pendingMs: server.pendingMs + server.othersPendingMs,
@@ -148,15 +195,16 @@
       slowness,
       displacedMs: isEngine ? ownMs * kept.estimateDisplacement(room) : 0,
       objectiveMs: prompt.objectiveMs,
-    });
+    };
     return {
       server,
+      candidate,
       tokensToPrefill,
       ownMs,
       aloneMs: isEngine ? fixedMs + ownMs : typicalMs,
       keptTokens,
       savedMs: isEngine ? keptTokens * msPerToken * slowness : 0,
-      score,
+      score: scoreServer(policy, candidate),
     };
   }
 
--- a/packages/gateway/src/lib/ServerLimits.ts
+++ b/packages/gateway/src/lib/ServerLimits.ts
@@ -107,6 +107,14 @@
     }
   }
 
+  /** Drops the permits that have expired, and starts to pace sends if no control instance grants any. */
+  advance(server: Incarnation): void {
+    const perSecond = this.getPerSecond(server);
+    if (perSecond === undefined) return;
+    const permits = this.getPermits(buildIncarnationKey(server));
+    permits.advance(this.computePaceMs(perSecond));
+  }
+
   /** Uses a permit for a send to a server; does nothing if the server has no limit. */
   takePermit(server: Incarnation): void {
     const key = buildIncarnationKey(server);
@@ -168,13 +176,15 @@
     return !this.isLimited(server) || this.hasPermit(server);
   }
 
-  /** Returns whether a server has a limit and this entry may send it a request now. */
+  /**
+   * Returns whether a server has a limit and this entry may send it a request now; sends are paced once
+   * `advance` was called.
+   */
   hasPermit(server: Incarnation): boolean {
     const perSecond = this.getPerSecond(server);
     if (perSecond === undefined) return false;
-    const permits = this.getPermits(buildIncarnationKey(server));
-    permits.advance(this.computePaceMs(perSecond));
-    return permits.isAvailable();
+    const permits = this.permits.get(buildIncarnationKey(server));
+    return permits?.isAvailable(this.computePaceMs(perSecond)) ?? false;
   }
 
   /** Returns whether a server has just lifted its limit; all entries learn of it together. */
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -14,6 +14,7 @@
 import {KnownServer, computeSlowUntil, createServer} from './KnownServer.js';
 import {ServerLimits} from './ServerLimits.js';
 import {ServerNotices} from './ServerNotices.js';
+import type {ServerObstacle} from './serverObstacles.js';
 
 /** Consecutive failures after which a server is ejected for a while. */
 const FAILURES_TO_EJECT = 2;
@@ -197,21 +198,34 @@
 
   /** Returns whether any server of a service is known, even one that leaves. */
   hasServers(service: string): boolean {
-    return [...this.servers.values()].some(
+    return this.matchAny(
+      ({listing}) => listing.registration.service === service,
+    );
+  }
+
+  /** Lists all known servers of a service, whatever their state. */
+  listKnown(service: string): KnownServer[] {
+    return [...this.servers.values()].filter(
       ({listing}) => listing.registration.service === service,
     );
   }
 
   /** Returns whether this incarnation of a server accepts new work now. */
   isAccepting(server: KnownServer): boolean {
+    return this.findObstacle(server) === undefined;
+  }
+
+  /** Finds why this incarnation of a server accepts no new work now, whatever its load. */
+  findObstacle(server: KnownServer): ServerObstacle | undefined {
     const {registration} = server.listing;
-    return (
-      this.servers.get(registration.id) === server &&
-      registration.state === 'ready' &&
-      !this.notices.isLeaving(registration) &&
-      !this.evacuation.isClosed(registration.dataCentre) &&
-      this.notices.getHoldMs(registration) === 0
-    );
+    const {evacuation, notices} = this;
+    if (this.servers.get(registration.id) !== server) return 'unlisted';
+    if (registration.state !== 'ready') return 'not_ready';
+    if (notices.isLeaving(registration)) return 'leaving';
+    if (evacuation.isEvacuated(registration.dataCentre)) return 'evacuated';
+    if (!evacuation.isKnown) return 'evacuation_unknown';
+    if (notices.getHoldMs(registration) > 0) return 'pause';
+    return undefined;
   }
 
   /** Lists the registrations of the servers to which requests may be sent, now or later. */
--- a/packages/gateway/src/lib/VersionSplit.ts
+++ b/packages/gateway/src/lib/VersionSplit.ts
@@ -119,9 +119,7 @@
     requestId: string,
   ): VersionVariant {
     const rollout = this.rollouts.get(service);
-    const variant = rollout
-      ? this.chooseVariant(rollout, session, requestId)
-      : 'old';
+    const variant = this.findVariant(service, session, requestId);
     if (session === undefined) return variant;
     const key = `${service} ${session}`;
     this.pinSession(key, variant);
@@ -177,6 +175,17 @@
 
   // Queries.
 
+  /** Finds the variant for a request, without pinning its session. */
+  findVariant(
+    service: string,
+    session: string | undefined,
+    requestId: string,
+  ): VersionVariant {
+    const rollout = this.rollouts.get(service);
+    if (!rollout) return 'old';
+    return this.chooseVariant(rollout, session, requestId);
+  }
+
   /** Returns the servers that a variant may use, or those of the other variant if it has none. */
   filterServers(
     service: string,
--- a/packages/gateway/src/test/SimulatedLimitFleet.ts
+++ b/packages/gateway/src/test/SimulatedLimitFleet.ts
@@ -141,6 +141,7 @@
     if (!entry?.isRunning) return;
     const {limits} = entry;
     limits.recordDemand(this.server.service);
+    limits.advance(this.server);
     if (!limits.isPermitted(this.server)) return;
     // Without a limit, it is one of many servers.
     if (!limits.isLimited(this.server) && random() > 0.1) return;
--- a/packages/gateway/src/test/serverLimits.test.ts
+++ b/packages/gateway/src/test/serverLimits.test.ts
@@ -126,10 +126,12 @@
   const limits = new ServerLimits();
   limits.record(SERVER, buildNamed(1), 900);
   clock.tick(2_000);
-  limits.hasPermit(SERVER);
+  limits.advance(SERVER);
   clock.tick(60_000);
   let sent = 0;
-  for (; limits.hasPermit(SERVER) && sent < 10; sent += 1) {
+  for (; sent < 10; sent += 1) {
+    limits.advance(SERVER);
+    if (!limits.hasPermit(SERVER)) break;
     limits.takePermit(SERVER);
   }
   assert.ok(sent <= 1, `${sent} sent`);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -79,7 +79,7 @@
 } from './lib/forwarding/serviceDemand.js';
 export {RetryBudget} from './lib/forwarding/RetryBudget.js';
 export type {RetryBudgetOptions} from './lib/forwarding/RetryBudget.js';
-export {sampleServers} from './lib/forwarding/sampleServers.js';
+export {countSampled, sampleServers} from './lib/forwarding/sampleServers.js';
 export type {SampleOptions} from './lib/forwarding/sampleServers.js';
 export {DecayingSum} from './lib/forwarding/DecayingSum.js';
 export {KeptPrompts, buildKeptPrompt} from './lib/forwarding/KeptPrompts.js';
@@ -96,8 +96,9 @@
   isEntryOverloaded,
 } from './lib/forwarding/judgeEntryPace.js';
 export type {EntryPace} from './lib/forwarding/judgeEntryPace.js';
-export {scoreServer} from './lib/forwarding/scoreServer.js';
+export {computeScoreTerms, scoreServer} from './lib/forwarding/scoreServer.js';
 export type {
+  ScoreTerms,
   ServerCandidate,
   ForwardPolicy,
 } from './lib/forwarding/scoreServer.js';
--- a/packages/routing/src/lib/forwarding/SendPermits.ts
+++ b/packages/routing/src/lib/forwarding/SendPermits.ts
@@ -67,9 +67,11 @@
     return this.expiries.length;
   }
 
-  /** Returns whether a send is permitted now; call `advance` before. */
-  isAvailable(): boolean {
-    if (this.expiries.length > 0) return true;
-    return this.pacedAt !== undefined && this.pacedAt <= performance.now();
+  /** Returns whether a send is permitted now; with an interval, sends are paced once `advance` was called. */
+  isAvailable(intervalMs?: number): boolean {
+    const now = performance.now();
+    if (this.expiries.some(expiresAt => expiresAt > now)) return true;
+    if (intervalMs === undefined || this.pacedAt === undefined) return false;
+    return this.pacedAt <= now;
   }
 }
--- a/packages/routing/src/lib/forwarding/sampleServers.ts
+++ b/packages/routing/src/lib/forwarding/sampleServers.ts
@@ -30,6 +30,22 @@
   readonly random?: () => number;
 }
 
+/**
+ * Counts the servers of those usable that are drawn for one request.
+ *
+ * @example
+ * ```ts
+ * countSampled(69, {policy: 'sampled', entries: 195}); // 4
+ * ```
+ * @public
+ */
+export function countSampled(
+  servers: number,
+  {policy, entries}: Pick<SampleOptions<unknown>, 'policy' | 'entries'>,
+): number {
+  return Math.min(servers, SAMPLE_SIZES[policy](servers, entries));
+}
+
 /**
  * Draws the servers that are compared for one request. Reports of load are stale, and all entries
  * read the same ones: if each of many compared all servers, the least loaded one would receive the
@@ -47,8 +63,8 @@
   servers: readonly Server[],
   options: SampleOptions<Server>,
 ): readonly Server[] {
-  const {policy, entries, isNear, random = Math.random} = options;
-  const size = SAMPLE_SIZES[policy](servers.length, entries);
+  const {isNear, random = Math.random} = options;
+  const size = countSampled(servers.length, options);
   if (servers.length <= size) return servers;
   const nearServers = servers.filter(server => isNear(server));
   const farServers = servers.filter(server => !isNear(server));
--- a/packages/routing/src/lib/forwarding/scoreServer.ts
+++ b/packages/routing/src/lib/forwarding/scoreServer.ts
@@ -46,28 +46,58 @@
 /** Cost that ranks a silent server behind all others, in milliseconds. */
 const SILENT_MS = 100_000;
 
-const SCORERS: Readonly<
-  Record<ForwardPolicy, (server: ServerCandidate) => number>
+/** What a score consists of, in its unit. @public */
+export interface ScoreTerms {
+  /** The work that waits there. */
+  readonly pending: number;
+  /** The expected wait for a slot. */
+  readonly slotWait: number;
+  /** The work that the request itself brings, weighted. */
+  readonly ownWork: number;
+  /** The kept prompts that it would push out, weighted. */
+  readonly displaced: number;
+  /** The requests in flight. */
+  readonly load: number;
+  /** The expected lateness, weighted. */
+  readonly late: number;
+  readonly distance: number;
+  readonly silent: number;
+}
+
+const NO_TERMS: ScoreTerms = {
+  pending: 0,
+  slotWait: 0,
+  ownWork: 0,
+  displaced: 0,
+  load: 0,
+  late: 0,
+  distance: 0,
+  silent: 0,
+};
+
+const POLICY_TERMS: Readonly<
+  Record<ForwardPolicy, (server: ServerCandidate) => ScoreTerms>
 > = {
-  least_loaded: ({load}) => load,
-  estimated: estimateAnswerMs,
-  sampled: estimateAnswerMs,
+  least_loaded: ({load}) => ({...NO_TERMS, load}),
+  estimated: estimateTerms,
+  sampled: estimateTerms,
 };
 
-function estimateAnswerMs(server: ServerCandidate): number {
+function estimateTerms(server: ServerCandidate): ScoreTerms {
   const {load, slots, pendingMs, ownMs, slowness, displacedMs = 0} = server;
   const utilization = load / Math.max(1, slots);
-  const waitMs = pendingMs + estimateSlotWaitMs(load, slots);
-  const workMs =
-    waitMs +
-    (ownMs + displacedMs) * OWN_WORK_WEIGHT +
-    utilization * FULL_SERVER_MS;
-  return (
-    workMs * slowness +
-    estimateLateMs(server, (waitMs + ownMs) * slowness) * LATE_WEIGHT +
-    (server.isSameDataCentre ? 0 : DISTANCE_MS) +
-    (server.isSilent ? SILENT_MS : 0)
-  );
+  const slotWaitMs = estimateSlotWaitMs(load, slots);
+  const answerMs = (pendingMs + slotWaitMs + ownMs) * slowness;
+  return {
+    pending: pendingMs * slowness,
+    slotWait: slotWaitMs * slowness,
+    ownWork: ownMs * OWN_WORK_WEIGHT * slowness,
+    displaced: displacedMs * OWN_WORK_WEIGHT * slowness,
+    load: utilization * FULL_SERVER_MS * slowness,
+    late: estimateLateMs(server, answerMs) * LATE_WEIGHT,
+    distance: server.isSameDataCentre ? 0 : DISTANCE_MS,
+    silent: server.isSilent ? SILENT_MS : 0,
+  };
 }
 
 /** Estimates how late an answer would be that begins after `answerMs`. */
@@ -101,5 +131,31 @@
   policy: ForwardPolicy,
   server: ServerCandidate,
 ): number {
-  return SCORERS[policy](server);
+  const terms = computeScoreTerms(policy, server);
+  return (
+    terms.pending +
+    terms.slotWait +
+    terms.ownWork +
+    terms.displaced +
+    terms.load +
+    terms.late +
+    terms.distance +
+    terms.silent
+  );
+}
+
+/**
+ * Computes the terms of which the score of a backend server is the sum.
+ *
+ * @example
+ * ```ts
+ * computeScoreTerms('estimated', server).distance; // 5
+ * ```
+ * @public
+ */
+export function computeScoreTerms(
+  policy: ForwardPolicy,
+  server: ServerCandidate,
+): ScoreTerms {
+  return POLICY_TERMS[policy](server);
 }
