Waiting: a session that chance does not explain the refusals of is owed the next place

SessionShares multiplies the chance of each refusal by the served fraction of the kind; from 0.05 on one request of the session goes first. Refusals before the caller was to return do not count.

--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -9,6 +9,7 @@
   countNeededTokens,
   hashToShare,
 } from '@sycamorehead/routing';
+import {buildSessionName} from './buildSessionName.js';
 import type {CallerRequest} from './CallerRequest.js';
 import {buildEvacuationRefusal, buildRefusal} from './refusals.js';
 import {ServerAvailability} from './ServerAvailability.js';
@@ -226,6 +227,7 @@
     return {
       priority: demand.priority,
       customer: demand.customer,
+      session: buildSessionName(demand),
       kind: demand.route,
       work: Math.min(MAX_WORK, answerTokens + promptTokens * PROMPT_TOKEN_WORK),
       draw: hashToShare(`draw ${request.id}`),
--- a/packages/routing/src/lib/forwarding/KindShares.ts
+++ b/packages/routing/src/lib/forwarding/KindShares.ts
@@ -98,6 +98,11 @@
     return fraction < ofAll * KIND_FLOOR || this.isOvertaken(kind, fraction);
   }
 
+  /** Computes the served fraction of a kind at all entries; undefined if too little is known. */
+  computeServed(kind: string): number | undefined {
+    return this.computeFraction([kind]);
+  }
+
   /** Lists the outcomes here. */
   listOutcomes(): OutcomeTable {
     const table: Record<string, readonly [number, number]> = {};
--- a/packages/routing/src/lib/forwarding/QueuePolicy.ts
+++ b/packages/routing/src/lib/forwarding/QueuePolicy.ts
@@ -7,6 +7,7 @@
 import {QueueRefusal, QueueRefusalReason} from './QueueRefusal.js';
 import {ReturnSchedule} from './ReturnSchedule.js';
 import {NO_DEMAND, ServiceDemand} from './serviceDemand.js';
+import {SessionShares} from './SessionShares.js';
 import {YieldWindows} from './YieldWindows.js';
 
 /** Time for which the standing of a kind and a customer is reused, in milliseconds. */
@@ -18,6 +19,8 @@
   readonly priority: number;
   /** Requests without one share the places of one customer. */
   readonly customer: string | undefined;
+  /** Names what a caller's requests have in common over a while; undefined for none. */
+  readonly session?: string;
   /** Kinds are served alike often, as far as their priorities permit. */
   readonly kind: string;
   /** What it costs a server, in any unit that is the same for all requests of the service. */
@@ -37,6 +40,8 @@
   readonly customer: string;
   /** Names its kind and size. */
   readonly kindAndSize: string;
+  /** Whether it has the turn that its session is owed. */
+  readonly isOwed: boolean;
 }
 
 /** How a customer stands against the others. */
@@ -63,6 +68,7 @@
   private readonly flow = new QueueFlow();
   private readonly customers = new FairShares();
   private readonly kinds = new KindShares();
+  private readonly sessions = new SessionShares();
   private readonly returns: ReturnSchedule;
   private readonly yields: YieldWindows;
   private starved = new Map<string, boolean>();
@@ -78,11 +84,14 @@
 
   /** Records a request and classifies it. */
   classifyRequest(request: QueuedRequest): ClassifiedRequest {
-    const {kind, priority, work} = request;
+    const {kind, priority, work, session, deadlineAt} = request;
     const customer = request.customer ?? '';
     this.customers.recordRequest(customer, work);
     const size = this.kinds.classifySize(kind, priority, work);
-    return {request, size, customer, kindAndSize: `${size} ${kind}`};
+    const isOwed =
+      session !== undefined && this.sessions.takeTurn(session, deadlineAt);
+    const kindAndSize = `${size} ${kind}`;
+    return {request, size, customer, kindAndSize, isOwed};
   }
 
   /** Records that a request got a place. */
@@ -92,6 +101,8 @@
     this.flow.recordPlaced(classifyUrgency(urgency));
     this.customers.recordServed(customer, request.work);
     this.kinds.recordOutcome(request.kind, size, true);
+    const {session} = request;
+    if (session !== undefined) this.sessions.recordServed(session);
     this.standings.delete(customer);
   }
 
@@ -107,16 +118,25 @@
 
   /** Records a refusal, and builds it with the time after which the caller may return. */
   refuse(
-    {request, size}: ClassifiedRequest,
+    {request, size, isOwed}: ClassifiedRequest,
     reason: QueueRefusalReason,
     waitMs = 0,
   ): QueueRefusal {
-    this.kinds.recordOutcome(request.kind, size, false);
+    const {session, kind} = request;
+    this.kinds.recordOutcome(kind, size, false);
     const retryAfterMs = this.returns.reserveDelay({
       waitMs,
       leftMs: request.deadlineAt - performance.now(),
       placesPerSecond: this.flow.placesPerSecond,
     });
+    if (session !== undefined) {
+      const servedFraction = this.kinds.computeServed(kind);
+      this.sessions.recordRefused(session, {
+        servedFraction,
+        isOwed,
+        retryAfterMs,
+      });
+    }
     return new QueueRefusal(reason, retryAfterMs);
   }
 
@@ -166,7 +186,7 @@
       priority,
       isLate: now > startBy,
       isExcess: draw >= allowed,
-      isStarved: this.isStarved(classified),
+      isStarved: classified.isOwed || this.isStarved(classified),
     });
     return {urgency, served, startBy};
   }
--- a/packages/routing/src/lib/forwarding/computeUrgency.ts
+++ b/packages/routing/src/lib/forwarding/computeUrgency.ts
@@ -2,7 +2,7 @@
 const LATE_PENALTY = 1.5;
 /** Behind all levels of priority, late or not: what a customer asks for beyond its share. */
 const EXCESS_PENALTY = 11;
-/** Before all levels of priority: kinds and sizes that are hardly served. */
+/** Before all levels of priority: kinds, sizes and sessions that are hardly served. */
 const STARVED_BONUS = 10;
 /** Number of the classes in which entries count waiting requests for each other. @public */
 export const URGENCY_CLASSES = 12;
@@ -15,7 +15,7 @@
   readonly isLate: boolean;
   /** Whether it exceeds its customer's share. */
   readonly isExcess: boolean;
-  /** Whether its kind or size is served much less often than others. */
+  /** Whether its kind, size or session is served much less often than others. */
   readonly isStarved: boolean;
 }
 
--- a/packages/routing/src/test/QueueReplay.ts
+++ b/packages/routing/src/test/QueueReplay.ts
@@ -18,6 +18,7 @@
   readonly work?: number;
   readonly customer?: string;
   readonly needs?: string;
+  readonly session?: string;
 }
 
 export interface ReplayedRequest {
@@ -73,6 +74,7 @@
     const placed = this.queue.acquire({
       priority: kind.priority,
       customer,
+      session: kind.session,
       kind: kind.name,
       work,
       draw: this.random(),
