Waiting: a request that finds no memory holds up none that its servers have room for

Sizes were compared in powers of two, so that a waiting request held up a smaller one of its class, and one that may not go to a server it has tried held up those that may. After a request finds no place, the room of the permitted servers is looked up once (ServerAvailability.findRoom), and only larger ones are passed over. Two tests in memoryPlacement.test failed before (both rejected).

--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -239,7 +239,7 @@
       size: isMemoryBound ? countNeededTokens(request.size) : 1,
       signal: demand.signal,
       tryReserveSlot: () => this.tryReserveSlot(demand),
-      hasFreeSlot: () => this.availability.hasFreeSlot(service),
+      findRoom: () => this.availability.findRoom(demand),
       onQueued: demand.onQueued,
     };
   }
--- a/packages/gateway/src/lib/ServerAvailability.ts
+++ b/packages/gateway/src/lib/ServerAvailability.ts
@@ -1,5 +1,6 @@
 import type {RoutedService} from '@sycamorehead/schema';
 import {filterByMemory} from './filterByMemory.js';
+import {findLargestRoom} from './findLargestRoom.js';
 import type {PlacementRequest} from './Placement.js';
 import type {KnownServer} from './KnownServer.js';
 import type {ServerTable} from './ServerTable.js';
@@ -29,16 +30,9 @@
    * nor ejected. Where only memory is missing at those, the request waits for it.
    */
   listAvailable(demand: PlacementRequest): readonly KnownServer[] {
-    const {servers} = this;
     const {service, tried} = demand;
     const now = performance.now();
-    const accepting = servers
-      .listReady(service.name)
-      .filter(server => servers.isAccepting(server));
-    const permitted = this.filterPermitted(demand, accepting);
-    const withSlots = permitted.filter(server =>
-      this.hasCapacity(server, service),
-    );
+    const withSlots = this.listWithSlots(demand);
     // A failed server holds nothing: by memory alone, it would get all that fits nowhere else.
     const untried = withSlots.filter(
       ({listing}) => !tried.has(listing.registration.id),
@@ -84,6 +78,29 @@
     });
   }
 
+  /**
+   * Finds the size in tokens that the memory of some permitted server with capacity holds; 0 if there is
+   * none, or if memory does not bind, so that another size would find no place either.
+   */
+  findRoom(demand: PlacementRequest): number {
+    const {service} = demand;
+    const capacity = service.engine?.tokenCapacity ?? 0;
+    if (capacity <= 0 || !this.hasFreeSlot(service)) return 0;
+    return findLargestRoom(this.listWithSlots(demand), capacity);
+  }
+
+  /** Lists the permitted servers with capacity, whatever their memory. */
+  private listWithSlots(demand: PlacementRequest): readonly KnownServer[] {
+    const {servers} = this;
+    const {service} = demand;
+    const accepting = servers
+      .listReady(service.name)
+      .filter(server => servers.isAccepting(server));
+    return this.filterPermitted(demand, accepting).filter(server =>
+      this.hasCapacity(server, service),
+    );
+  }
+
   /** Filters the servers that the roll-out of the service permits for a request. */
   private filterPermitted(
     {service, variant}: PlacementRequest,
--- a/packages/gateway/src/test/memoryPlacement.test.ts
+++ b/packages/gateway/src/test/memoryPlacement.test.ts
@@ -114,6 +114,42 @@
   await assert.rejects(prompt);
 });
 
+test('a request that finds no memory holds up no smaller one of about its size', async () => {
+  const {placement} = buildPlacement(1);
+  await placement.acquire(buildDemand(414_000));
+  const held = await placement.acquire(buildDemand(80_000));
+  const larger = placement.acquire(buildDemand(90_000, 200));
+  const smaller = [84_000, 82_000, 81_000, 80_100, 80_050, 79_000].map(tokens =>
+    placement.acquire(buildDemand(tokens, 200)),
+  );
+  const outcomes = Promise.allSettled([larger, ...smaller]);
+  held.release();
+  const statuses = (await outcomes).map(({status}) => status === 'fulfilled');
+  // 85,000 tokens came free, and 500 are for the answer.
+  assert.deepEqual(statuses.slice(0, 2), [false, true]);
+});
+
+test('a request that has tried the server with room holds up none that may go there', async () => {
+  const {table, placement} = buildPlacement(2);
+  table.setOthersLoad({
+    s0: [9, 0, 1, 480_000],
+    s1: [9, 0, 1, 480_000],
+  });
+  const repeated = placement.acquire({
+    ...buildDemand(30_000, 300),
+    tried: new Set(['s1']),
+  });
+  const larger = placement.acquire(buildDemand(40_000, 300));
+  const outcomes = Promise.allSettled([repeated, larger]);
+  table.setOthersLoad({
+    s0: [9, 0, 1, 480_000],
+    s1: [9, 0, 1, 100_000],
+  });
+  placement.offerSlots();
+  const statuses = (await outcomes).map(({status}) => status);
+  assert.deepEqual(statuses, ['rejected', 'fulfilled']);
+});
+
 test('what a caller tells of its size counts for the shares of customers up to a bound', () => {
   const {placement} = buildPlacement(1);
   placement.tryAcquire(buildDemand(1e300));
--- a/packages/routing/src/lib/forwarding/PlacementQueue.ts
+++ b/packages/routing/src/lib/forwarding/PlacementQueue.ts
@@ -41,8 +41,11 @@
    * @throws SycamoreheadError if waiting is pointless.
    */
   tryReserveSlot(): Slot | undefined;
-  /** Returns whether any server has a slot; without one no smaller request would fit either. */
-  hasFreeSlot?(): boolean;
+  /**
+   * Finds the largest size for which some server that work with these needs can be sent to has a place; 0
+   * if none has. Without it, all sizes find a place or none.
+   */
+  findRoom?(): number;
   /** Called when the work begins to wait. */
   onQueued?(note: QueueNote): void;
 }
@@ -53,7 +56,7 @@
   rank: WaiterRank;
   /** Tries to reserve a slot and returns whether the waiter is settled. */
   trySettle(): boolean;
-  hasFreeSlot(): boolean;
+  findRoom(): number;
   refuse(error: SycamoreheadError): void;
 }
 
@@ -61,8 +64,8 @@
 const MAX_WAITING = 500;
 /** Maximum number of needs for which places are tried in one offer. */
 const MAX_BLOCKED_NEEDS = 8;
-/** Number of sizes for which places are tried in one offer before only the smallest is. */
-const MAX_TRIED_SIZES = 5;
+/** Number of requests with the same needs that find no place in one offer before only the smallest is tried. */
+const MAX_FAILED = 5;
 /** Maximum number of needs of which the last place is known. */
 const MAX_NEEDS = 100;
 /** Time for which ranks are reused when a request arrives, in milliseconds. */
@@ -136,17 +139,21 @@
   offerSlots(): void {
     if (this.waiters.size === 0) return;
     this.updateRanks();
-    const blocked = new Map<string, number>();
-    const tries = new Map<string, number>();
-    while (blocked.size < MAX_BLOCKED_NEEDS) {
-      const next = chooseNextWaiter(this.waiters, blocked);
+    const candidates = new Set(this.waiters);
+    const rooms = new Map<string, number>();
+    const failures = new Map<string, number>();
+    while (rooms.size < MAX_BLOCKED_NEEDS) {
+      const next = chooseNextWaiter(candidates, rooms);
       if (!next) return;
       if (this.policy.checkYield(next.rank)) return this.scheduleOffer();
+      candidates.delete(next);
       if (next.trySettle()) continue;
       const {needs} = next;
-      const tried = (tries.get(needs) ?? 0) + 1;
-      tries.set(needs, tried);
-      blocked.set(needs, this.findBlockedSize(next, tried));
+      const failed = (failures.get(needs) ?? 0) + 1;
+      failures.set(needs, failed);
+      const room = failed > MAX_FAILED ? 0 : next.findRoom();
+      const sizes = failed === MAX_FAILED ? listSizes(candidates, needs) : [];
+      rooms.set(needs, Math.min(room, ...sizes));
     }
   }
 
@@ -186,16 +193,6 @@
     return this.policy.describeDemand(waiting);
   }
 
-  /** Returns the size class from which on no place is tried after one was not found. */
-  private findBlockedSize(failed: Waiter, tried: number): number {
-    if (!failed.hasFreeSlot()) return 0;
-    if (tried < MAX_TRIED_SIZES) return failed.sizeClass;
-    const sizes = [...this.waiters]
-      .filter(({needs}) => needs === failed.needs)
-      .map(({sizeClass}) => sizeClass);
-    return Math.min(failed.sizeClass, Math.min(...sizes) + 1);
-  }
-
   /** Returns whether a request with these needs got a place lately. */
   private isServed(needs: string): boolean {
     const placedAt = this.placedAt.get(needs) ?? -Infinity;
@@ -249,9 +246,8 @@
   ): boolean {
     if (this.waiters.size === 0) return false;
     this.updateRanks(RANK_MS);
-    const sizeClass = classifySize(work.size);
     for (const waiter of this.waiters) {
-      if (waiter.needs !== work.needs || waiter.sizeClass > sizeClass) continue;
+      if (waiter.needs !== work.needs || waiter.size > work.size) continue;
       if (compareRanks(waiter.rank, rank) <= 0) return true;
     }
     return false;
@@ -305,7 +301,7 @@
         classified,
         rank,
         needs: work.needs,
-        sizeClass: classifySize(work.size),
+        size: work.size,
         abandonAt: work.abandonAt,
         trySettle: () => {
           try {
@@ -319,7 +315,7 @@
           }
           return true;
         },
-        hasFreeSlot: () => work.hasFreeSlot?.() ?? true,
+        findRoom: () => work.findRoom?.() ?? 0,
         refuse: error => {
           end();
           reject(error);
@@ -377,7 +373,9 @@
   }
 }
 
-/** Returns the size class of a request: its size in powers of two. */
-function classifySize(size: number): number {
-  return Math.floor(Math.log2(Math.max(1, size)));
+/** Lists the sizes of the waiting requests with the same needs. */
+function listSizes(waiters: Iterable<Waiter>, ownNeeds: string): number[] {
+  return [...waiters]
+    .filter(({needs}) => needs === ownNeeds)
+    .map(({size}) => size);
 }
--- a/packages/routing/src/lib/forwarding/chooseNextWaiter.ts
+++ b/packages/routing/src/lib/forwarding/chooseNextWaiter.ts
@@ -31,50 +31,32 @@
   readonly rank: WaiterRank;
   /** Requests with the same needs can be sent to the same servers, but for their size. */
   readonly needs: string;
-  /** Its size, in powers of two. */
-  readonly sizeClass: number;
+  /** Its size, in the unit that decides where it fits. */
+  readonly size: number;
 }
 
 /**
- * The needs for which no place was found, each with the smallest size class; larger requests with the
- * same needs would find none either. @public
+ * The needs for which a place was not found, each with the largest size for which there may be one. @public
  */
-export type BlockedNeeds = ReadonlyMap<string, number>;
+export type RoomByNeeds = ReadonlyMap<string, number>;
 
 /**
  * Chooses the waiting request that goes next, so that one that finds no place holds up none that could.
  *
  * @example
  * ```ts
- * const next = chooseNextWaiter(waiters, new Map([['old small', 10]]));
+ * const next = chooseNextWaiter(waiters, new Map([['old', 12_000]]));
  * ```
  * @public
  */
 export function chooseNextWaiter<Waiter extends RankedWaiter>(
   waiters: Iterable<Waiter>,
-  blocked: BlockedNeeds,
+  rooms: RoomByNeeds,
 ): Waiter | undefined {
   let next: Waiter | undefined;
   for (const waiter of waiters) {
-    if (isBlocked(waiter, blocked)) continue;
+    if (waiter.size > (rooms.get(waiter.needs) ?? Infinity)) continue;
     if (!next || compareRanks(waiter.rank, next.rank) < 0) next = waiter;
   }
   return next;
 }
-
-/**
- * Returns whether a request with these needs, of its size or a smaller one, found no place.
- *
- * @example
- * ```ts
- * isBlocked(waiter, new Map([['old small', 10]]));
- * ```
- * @public
- */
-export function isBlocked(
-  {needs, sizeClass}: Pick<RankedWaiter, 'needs' | 'sizeClass'>,
-  blocked: BlockedNeeds,
-): boolean {
-  const smallest = blocked.get(needs);
-  return smallest !== undefined && sizeClass >= smallest;
-}
