--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -9,6 +9,7 @@
   countNeededTokens,
   hashToShare,
 } from '@sycamorehead/routing';
+import {buildSessionName} from './buildSessionName.js';
 import type {CallerRequest} from './CallerRequest.js';
 import {PlacementRefusals, isTooLarge} from './PlacementRefusals.js';
 import {ServerAvailability} from './ServerAvailability.js';
@@ -214,6 +215,7 @@
     return {
       priority: demand.priority,
       customer: demand.customer,
+      session: buildSessionName(demand),
       kind: demand.route,
       work: Math.min(MAX_WORK, answerTokens + promptTokens * PROMPT_TOKEN_WORK),
       draw: hashToShare(`draw ${request.id}`),
@@ -225,7 +227,7 @@
       size: isMemoryBound ? countNeededTokens(request.size) : 1,
       signal: demand.signal,
       tryReserveSlot: () => this.tryReserveSlot(demand),
-      hasFreeSlot: () => this.availability.hasFreeSlot(service),
+      findRoom: () => this.availability.findRoom(demand),
       onQueued: demand.onQueued,
     };
   }
--- a/packages/gateway/src/lib/ServerAvailability.ts
+++ b/packages/gateway/src/lib/ServerAvailability.ts
@@ -1,5 +1,6 @@
 import type {RoutedService} from '@sycamorehead/schema';
 import {MemoryGroup, filterByMemory, groupByMemory} from './filterByMemory.js';
+import {findLargestRoom} from './findLargestRoom.js';
 import type {PlacementRequest} from './Placement.js';
 import type {KnownServer} from './KnownServer.js';
 import type {ServerObstacle} from './serverObstacles.js';
@@ -38,10 +39,8 @@
     const {limits} = this.servers;
     const permitted = this.listPermitted(demand);
     for (const {listing} of permitted) limits.advance(listing.registration);
-    const preferred = this.selectPreferred(
-      demand,
-      permitted.filter(server => this.hasCapacity(server, demand.service)),
-    );
+    const withSlots = this.filterCapacity(permitted, demand.service);
+    const preferred = this.selectPreferred(demand, withSlots);
     const available = filterByMemory(
       preferred,
       demand.service.engine?.tokenCapacity ?? 0,
@@ -117,6 +116,18 @@
     });
   }
 
+  /**
+   * Finds the size in tokens that the memory of some permitted server with capacity holds; 0 if there is
+   * none, or if memory does not bind, so that another size would find no place either.
+   */
+  findRoom(demand: PlacementRequest): number {
+    const {service} = demand;
+    const capacity = service.engine?.tokenCapacity ?? 0;
+    if (capacity <= 0 || !this.hasFreeSlot(service)) return 0;
+    const permitted = this.listPermitted(demand);
+    return findLargestRoom(this.filterCapacity(permitted, service), capacity);
+  }
+
   /** Lists the servers that accept work and that the roll-out of the service permits for a request. */
   private listPermitted(demand: PlacementRequest): readonly KnownServer[] {
     const {servers} = this;
@@ -150,8 +161,14 @@
     return versions.filterServers(service.name, variant, unrejected);
   }
 
-  private hasCapacity(server: KnownServer, service: RoutedService): boolean {
-    return this.findCapacityObstacle(server, service) === undefined;
+  /** Filters the servers with capacity for one more request, whatever its size. */
+  private filterCapacity(
+    servers: readonly KnownServer[],
+    service: RoutedService,
+  ): readonly KnownServer[] {
+    return servers.filter(
+      server => this.findCapacityObstacle(server, service) === undefined,
+    );
   }
 
   /** Finds why a server that accepts work has no capacity for one more request, whatever its size. */
