Models: a larger one is asked only if its answer is worth more than what its time on an engine costs the others

Cause: the price of a larger model rose with the pressure that the request itself bears. A long prompt with a target latency of 8 s saw idle engines while short prompts with 1.5 s were all late behind it; reading 12,000 tokens with the largest model takes an engine ten times as long as with the smallest one, and the surcharge of at most twice its price never outweighed the value of the answer.

Change: EngineTimePrices learns what the answers to a service's requests are worth and what engine time their sends take. Once the average pending work nears a route's target latency, the value of that route's requests per millisecond of engine time is charged to larger models, in place of the surcharge.

The test of the surcharge is replaced by one of the charge, as strict.

--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -7,6 +7,7 @@
 import {
   AnswerValues,
   ConfidenceGains,
+  EngineTimePrices,
   PrefillRates,
   RetryBudgetOptions,
 } from '@sycamorehead/routing';
@@ -119,6 +120,7 @@
       rates: this.rates,
       gains: new ConfidenceGains(),
       values: new AnswerValues(policies.answerValue),
+      timePrices: new EngineTimePrices(),
       metrics: this.metrics,
       startup: this.startup,
       crashes: this.crashes,
--- a/packages/gateway/src/lib/ModelCascade.ts
+++ b/packages/gateway/src/lib/ModelCascade.ts
@@ -7,12 +7,21 @@
 import {buildWorkKind} from './AnswerTimes.js';
 import type {CallerRequest} from './CallerRequest.js';
 import type {ForwardContext} from './gatewayTypes.js';
+import {measurePendingMs} from './measurePendingMs.js';
 import type {RequestTarget} from './resolveTarget.js';
 
 const TOKENS_PER_PRICE = 1_000;
 /** Price of a prompt token, as a fraction of that of an answer token. */
 const PROMPT_PRICE_FRACTION = 0.25;
 
+/** What the description of a model depends on. */
+interface ModelConditions {
+  /** The model whose answer was weak. */
+  readonly previous: string | undefined;
+  /** What a millisecond of an engine's time costs the other requests. */
+  readonly timePrice: number;
+}
+
 /**
  * Tracks the models to which one request is sent, the smallest first, and the confidence of the
  * last one in its answer.
@@ -25,6 +34,7 @@
   /** The confidence of that model in its answer, 0 to 100. */
   private confidence: number | undefined;
   private isLargerRequested = false;
+  private isRecorded = false;
   /** The load of the engines at the last choice of a model. */
   private pressure: number | undefined;
 
@@ -63,13 +73,9 @@
    */
   chooseNext(target: RequestTarget): string | undefined {
     if (target.route.models.length === 0) return undefined;
-    if (this.answered === undefined) {
-      this.context.values.record(target.route.name, this.request.size);
-    }
+    if (!this.isRecorded) this.recordRequest(target);
     const previous = this.isLargerRequested ? this.answered : undefined;
-    const choice = this.describeChoice(target, previous);
-    this.pressure = choice.pressure;
-    return chooseModel(this.context.policies.model, choice);
+    return this.choose(target, this.describeChoice(target, previous));
   }
 
   /**
@@ -81,8 +87,33 @@
     if (!budgets.hasEscalationCapacity(target.service.name)) return undefined;
     const choice = this.describeChoice(target, this.answered);
     if (!isWorthEscalating(policies.model, choice)) return undefined;
+    return this.choose(target, choice);
+  }
+
+  private recordRequest({route, service}: RequestTarget): void {
+    this.isRecorded = true;
+    const {values, timePrices} = this.context;
+    const {size} = this.request;
+    values.record(route.name, size);
+    timePrices.recordRequest(service.name, {
+      route: route.name,
+      value: values.estimateValue(route.name, size),
+      targetLatencyMs: route.targetLatencyMs,
+    });
+  }
+
+  /** Chooses a model, and records the load of the engines and the time that the send takes of one. */
+  private choose(
+    {service}: RequestTarget,
+    choice: ModelChoiceInput,
+  ): string | undefined {
+    const {policies, timePrices, rates} = this.context;
     this.pressure = choice.pressure;
-    return chooseModel(policies.model, choice);
+    const model = chooseModel(policies.model, choice);
+    if (model === undefined) return undefined;
+    const {promptTokens} = this.request.size;
+    timePrices.recordSend(service.name, rates.estimateMs(model, promptTokens));
+    return model;
   }
 
   // Queries.
@@ -107,10 +138,13 @@
     previous: string | undefined,
   ): ModelChoiceInput {
     const {route, service} = target;
-    const {placement, values} = this.context;
+    const {placement, servers, values, timePrices} = this.context;
+    // Where permits bound all sends, the time of the engines does not.
+    const pendingMs = measurePendingMs(servers, service.name) ?? 0;
+    const timePrice = timePrices.estimatePrice(service.name, pendingMs);
     return {
       models: route.models.map(model =>
-        this.describeModel(target, previous, model),
+        this.describeModel(target, {previous, timePrice}, model),
       ),
       previous,
       confidence: this.confidence,
@@ -121,7 +155,7 @@
 
   private describeModel(
     {route, service}: RequestTarget,
-    previous: string | undefined,
+    {previous, timePrice}: ModelConditions,
     name: string,
   ): ModelOption {
     const {gains, times, rates} = this.context;
@@ -131,11 +165,13 @@
     const tokens = answerTokens + promptTokens * PROMPT_PRICE_FRACTION;
     const typicalMs = times.getTypicalMs(buildWorkKind(route.name, name)) ?? 0;
     // A long prompt takes longer than what is typical on its route.
-    const answerMs = Math.max(typicalMs, rates.estimateMs(name, promptTokens));
+    const engineMs = rates.estimateMs(name, promptTokens);
+    const answerMs = Math.max(typicalMs, engineMs);
     const beginsAfterMs = performance.now() - arrivedAt + answerMs;
     return {
       name,
       price: ((known?.cost ?? 0) * tokens) / TOKENS_PER_PRICE,
+      delayCost: engineMs * timePrice,
       gain: gains.estimateGain(
         previous ?? '',
         name,
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -6,10 +6,12 @@
   QueueNote,
   ServiceDemand,
   WaitingWork,
+  computePressure,
   countNeededTokens,
   hashToShare,
 } from '@sycamorehead/routing';
 import type {CallerRequest} from './CallerRequest.js';
+import {measurePendingMs} from './measurePendingMs.js';
 import {buildEvacuationRefusal, buildRefusal} from './refusals.js';
 import {ServerAvailability} from './ServerAvailability.js';
 import {ServerChooser, ServerChooserOptions} from './ServerChooser.js';
@@ -17,8 +19,6 @@
 import {SlowStart} from './SlowStart.js';
 import type {VersionVariant, VersionSplit} from './VersionSplit.js';
 
-/** Average pending work at which engines count as full, as a fraction of the target latency. */
-const FULL_FRACTION = 0.8;
 /** Maximum retry delay when every server limits its requests, in milliseconds. */
 const MAX_LIMIT_RETRY_MS = 5_000;
 const MS_PER_SECOND = 1_000;
@@ -166,26 +166,11 @@
     }
   }
 
-  /**
-   * Measures the load of a service's engines: the average work pending on each, relative to the
-   * fraction of the target latency that may pass before prefill begins.
-   */
+  /** Measures the pressure on a service's engines for requests with a target latency; 1 if permits bound all. */
   measurePressure(service: string, targetLatencyMs: number): number {
-    const {servers: table} = this.options;
-    // A free slot of a server whose requests are limited is no capacity.
-    const servers = table
-      .listReady(service)
-      .filter(
-        ({listing: {registration}}) =>
-          !table.limits.isLimited(registration) &&
-          !table.cold.isCold(registration),
-      );
-    if (servers.length === 0) return 1;
-    const waitingMs = servers.reduce(
-      (sum, {pendingMs, othersPendingMs}) => sum + pendingMs + othersPendingMs,
-      0,
-    );
-    return waitingMs / servers.length / (targetLatencyMs * FULL_FRACTION);
+    const pendingMs = measurePendingMs(this.options.servers, service);
+    if (pendingMs === undefined) return 1;
+    return computePressure(pendingMs, targetLatencyMs);
   }
 
   /** Counts the waiting requests, of one service if it is given. */
--- a/packages/gateway/src/lib/gatewayTypes.ts
+++ b/packages/gateway/src/lib/gatewayTypes.ts
@@ -1,6 +1,7 @@
 import type {
   AnswerValues,
   ConfidenceGains,
+  EngineTimePrices,
   ForwardPolicy,
   ModelPolicy,
   PrefillRates,
@@ -39,6 +40,7 @@
   readonly rates: PrefillRates;
   readonly gains: ConfidenceGains;
   readonly values: AnswerValues;
+  readonly timePrices: EngineTimePrices;
   readonly metrics: GatewayMetrics;
   readonly startup: StartupGate;
   readonly crashes: CrashObserver;
--- a/packages/gateway/src/test/GatewayHarness.ts
+++ b/packages/gateway/src/test/GatewayHarness.ts
@@ -10,6 +10,7 @@
 import {
   AnswerValues,
   ConfidenceGains,
+  EngineTimePrices,
   PrefillRates,
 } from '@sycamorehead/routing';
 import {AnswerTimes} from '../lib/AnswerTimes.js';
@@ -166,6 +167,7 @@
       rates: this.rates,
       gains: new ConfidenceGains(),
       values: new AnswerValues(10),
+      timePrices: new EngineTimePrices(),
       metrics: this.metrics,
       startup: this.startup,
       crashes: this.crashes,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -55,6 +55,12 @@
 export {chooseModel, isWorthEscalating} from './lib/forwarding/chooseModel.js';
 export {AnswerValues} from './lib/forwarding/AnswerValues.js';
 export type {RequestSize} from './lib/forwarding/AnswerValues.js';
+export {
+  computeLoadFraction,
+  computePressure,
+} from './lib/forwarding/enginePressure.js';
+export {EngineTimePrices} from './lib/forwarding/EngineTimePrices.js';
+export type {RouteRequest} from './lib/forwarding/EngineTimePrices.js';
 export {ConfidenceGains} from './lib/forwarding/ConfidenceGains.js';
 export {estimateQuality} from './lib/forwarding/estimateQuality.js';
 export type {
--- a/packages/routing/src/lib/forwarding/chooseModel.ts
+++ b/packages/routing/src/lib/forwarding/chooseModel.ts
@@ -1,3 +1,4 @@
+import {computeLoadFraction} from './enginePressure.js';
 import {estimateQuality} from './estimateQuality.js';
 
 /** How models are chosen on routes that leave the choice to the router. @public */
@@ -9,6 +10,8 @@
   readonly name: string;
   /** Price of this request's answer by the model. */
   readonly price: number;
+  /** What the other requests lose by the time that it takes of an engine, in the unit of the prices. */
+  readonly delayCost: number;
   /** How much more confident the model usually is than the one that answered last. */
   readonly gain: number;
   /** Whether its answer would begin later than the target latency. */
@@ -37,11 +40,6 @@
   readonly full: number;
 }
 
-/** The pressure up to which prices and bounds stay at their idle value; usual bursts reach it. */
-const USUAL_PRESSURE = 0.375;
-
-/** What a full pool adds to the price of a larger model, as a multiple of the price. */
-const FULL_POOL_SURCHARGE = 2;
 /** Value of a good answer that begins late, as a fraction of that of one in time. */
 const LATE_VALUE = 0.5;
 
@@ -75,8 +73,8 @@
 
 /**
  * Chooses the model for the next send of a request: the smallest one first, then the larger model
- * whose expected value less its price is highest. While the engines are nearly full, prices rise,
- * since larger models delay all other requests.
+ * whose expected value less its price and what it costs the other requests is highest. While engines are
+ * loaded, the time that a larger model takes delays them all.
  *
  * @example
  * ```ts
@@ -119,7 +117,7 @@
   return previous === undefined ? models[0] : models.at(-1);
 }
 
-/** Finds the model above the one that answered last whose expected value less its price is best. */
+/** Finds the model above the one that answered last whose expected value less its costs is best. */
 function findBestLarger(choice: ModelChoiceInput): ModelOption | undefined {
   const {models, previous} = choice;
   if (previous === undefined) return undefined;
@@ -141,14 +139,13 @@
   return computeSurplus(choice, best) > acceptedValue;
 }
 
-/** Computes the expected value of a larger model's answer less its price. */
+/** Computes the expected value of a larger model's answer less its costs. */
 function computeSurplus(
-  {answerValue, confidence = 0, pressure}: ModelChoiceInput,
-  {gain, price, isLate}: ModelOption,
+  {answerValue, confidence = 0}: ModelChoiceInput,
+  {gain, price, delayCost, isLate}: ModelOption,
 ): number {
   const value = answerValue * (isLate ? LATE_VALUE : 1);
-  const surcharge = FULL_POOL_SURCHARGE * computeLoadFraction(pressure);
-  return value * estimateQuality(confidence + gain) - price * (1 + surcharge);
+  return value * estimateQuality(confidence + gain) - price - delayCost;
 }
 
 function isBelowThreshold({
@@ -169,9 +166,3 @@
 function computeBound({idle, full}: ConfidenceBound, pressure: number): number {
   return idle + (full - idle) * computeLoadFraction(pressure);
 }
-
-/** Computes how far the load has risen from its usual value to a full pool, from 0 to 1. */
-function computeLoadFraction(pressure: number): number {
-  const fraction = (pressure - USUAL_PRESSURE) / (1 - USUAL_PRESSURE);
-  return Math.min(1, Math.max(0, fraction));
-}
--- a/packages/routing/src/test/forwarding.test.ts
+++ b/packages/routing/src/test/forwarding.test.ts
@@ -5,6 +5,7 @@
 import {AnswerValues} from '../lib/forwarding/AnswerValues.js';
 import {ConfidenceGains} from '../lib/forwarding/ConfidenceGains.js';
 import {chooseModel, isWorthEscalating} from '../lib/forwarding/chooseModel.js';
+import {EngineTimePrices} from '../lib/forwarding/EngineTimePrices.js';
 import {choosePreferredServers} from '../lib/forwarding/choosePreferredServers.js';
 import {computeHeadTimeouts} from '../lib/forwarding/computeSilenceTimeouts.js';
 import {PlacementQueue} from '../lib/forwarding/PlacementQueue.js';
@@ -171,9 +172,9 @@
 });
 
 const MODELS = [
-  {name: 'small', price: 0.06, gain: 0, isLate: false},
-  {name: 'middle', price: 0.44, gain: 17, isLate: false},
-  {name: 'large', price: 0.85, gain: 55, isLate: false},
+  {name: 'small', price: 0.06, delayCost: 0, gain: 0, isLate: false},
+  {name: 'middle', price: 0.44, delayCost: 0, gain: 17, isLate: false},
+  {name: 'large', price: 0.85, delayCost: 0, gain: 55, isLate: false},
 ];
 const WEAK_CHOICE = {
   models: MODELS,
@@ -193,19 +194,48 @@
   assert.equal(chooseNext(30, 1), 'middle');
 });
 
-const DOUBTFUL_CONFIDENCES = {thresholds: 55, expected_value: 44} as const;
-
-for (const policy of ['thresholds', 'expected_value'] as const) {
-  const doubtful = DOUBTFUL_CONFIDENCES[policy];
-  test(`a confident answer is accepted, on a full pool at a lower confidence (${policy})`, () => {
-    const isWeak = (confidence: number, pressure: number) =>
-      isWorthEscalating(policy, {...WEAK_CHOICE, confidence, pressure});
-    assert.equal(isWeak(90, 0), false);
-    assert.equal(isWeak(doubtful, 0), true);
-    assert.equal(isWeak(doubtful, 1), false);
-    assert.equal(isWeak(10, 1), true);
-  });
-}
+test('a confident answer is accepted, on a full pool at a lower confidence (thresholds)', () => {
+  const isWeak = (confidence: number, pressure: number) =>
+    isWorthEscalating('thresholds', {...WEAK_CHOICE, confidence, pressure});
+  assert.equal(isWeak(90, 0), false);
+  assert.equal(isWeak(55, 0), true);
+  assert.equal(isWeak(55, 1), false);
+  assert.equal(isWeak(10, 1), true);
+});
+
+test('a confident answer is accepted, at a lower confidence if a larger model delays others (expected_value)', () => {
+  const isWeak = (confidence: number, delayFactor: number) =>
+    isWorthEscalating('expected_value', {
+      ...WEAK_CHOICE,
+      confidence,
+      models: MODELS.map(model => ({
+        ...model,
+        delayCost: model.price * delayFactor,
+      })),
+    });
+  assert.equal(isWeak(90, 0), false);
+  assert.equal(isWeak(44, 0), true);
+  assert.equal(isWeak(44, 2), false);
+  assert.equal(isWeak(10, 2), true);
+  assert.equal(isWeak(10, 4), false);
+});
+
+test('engine time has a price once the requests with the shortest target latency would be late', () => {
+  const prices = new EngineTimePrices();
+  assert.equal(prices.estimatePrice('drafts', 5_000), 0);
+  const chat = {route: 'chats', value: 3, targetLatencyMs: 1_000};
+  const review = {route: 'reviews', value: 1, targetLatencyMs: 8_000};
+  prices.recordRequest('drafts', chat);
+  prices.recordRequest('drafts', review);
+  prices.recordSend('drafts', 100);
+  const estimatePrice = (pendingMs: number) =>
+    Number(prices.estimatePrice('drafts', pendingMs).toFixed(6));
+  assert.equal(estimatePrice(300), 0);
+  assert.equal(estimatePrice(800), 0.03);
+  assert.equal(estimatePrice(6_400), 0.04);
+  assert.equal(estimatePrice(Infinity), 0.04);
+  assert.equal(prices.estimatePrice('notes', 6_400), 0);
+});
 
 test('an answer of the largest model never escalates, and baseline policies never do', () => {
   const choice = {...WEAK_CHOICE, previous: 'large', confidence: 1};
