Servers that are passed over: slowness decays, limits are asked about in time

The server competes by score, and its slowness was that of its last answer: 1.00 from the start of the process, while the answers of the others had fallen to 0.54 to 0.73 of the typical time, which lags. The first send after the lift came after 611 to 1822 ms, at entries that had held permits all the time. - After the lift the same kept the server from its share: at entries that had it at 1.00 or at 2 (one slow answer) it got no request in the last 2 s. Slow start, isReturning and the spread of the news by the control instances (at most 0.3 s) did not bind.

Slowness now relates each answer to the latest ones of the service and decays while others get the answers (4 turns). The next request takes a permit if nothing was heard of the limit for 0.5 s, whatever the score.

--- a/packages/gateway/src/lib/KnownServer.ts
+++ b/packages/gateway/src/lib/KnownServer.ts
@@ -1,5 +1,10 @@
 import type {ServerListing} from '@sycamorehead/fleet';
-import {ServerMemory, ServerPace} from '@sycamorehead/routing';
+import {
+  ServerMemory,
+  ServerPace,
+  ServerSlowness,
+  ServiceSlowness,
+} from '@sycamorehead/routing';
 import type {ServerRegistration} from '@sycamorehead/schema';
 import {ServerAgent} from './ServerAgent.js';
 
@@ -26,8 +31,8 @@
   failures: number;
   /** The time until which other servers are preferred, on the monotonic clock. */
   ejectedUntil: number;
-  /** Its answer times to this entry relative to those of its service; 1 is typical. */
-  slowness: number;
+  /** Its answer times to this entry relative to the typical time. */
+  readonly slowness: ServerSlowness;
   /** Its answer times to all entries relative to those of its service, for engines. */
   readonly pace: ServerPace;
   /** The time until which it is slow because it has just started, on the monotonic clock; 0 if it is not. */
@@ -43,11 +48,14 @@
  *
  * @example
  * ```ts
- * createServer(listing).inFlight; // 0
+ * createServer(listing, new ServiceSlowness()).inFlight; // 0
  * ```
  * @internal
  */
-export function createServer(listing: ServerListing): KnownServer {
+export function createServer(
+  listing: ServerListing,
+  service: ServiceSlowness,
+): KnownServer {
   return {
     listing,
     agent: new ServerAgent(MAX_IDLE_CONNECTIONS),
@@ -59,7 +67,7 @@
     othersReceivedAt: -Infinity,
     failures: 0,
     ejectedUntil: 0,
-    slowness: 1,
+    slowness: new ServerSlowness(service),
     pace: new ServerPace(),
     slowUntil: computeSlowUntil(listing.registration),
     returningUntil: 0,
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -251,7 +251,9 @@
       return undefined;
     }
     const available = this.availability.listAvailable(demand);
-    const usable = this.slowStart.filterServers(available);
+    const usable = this.availability.filterChecks(
+      this.slowStart.filterServers(available),
+    );
     const choice = this.chooser.choose(demand, usable);
     if (!choice) {
       this.checkOpen(demand);
--- a/packages/gateway/src/lib/ServerAvailability.ts
+++ b/packages/gateway/src/lib/ServerAvailability.ts
@@ -57,6 +57,18 @@
     return available;
   }
 
+  /**
+   * Filters the permitted servers whose limits have to be heard of again, by the next request whatever their
+   * load; all if there are none. Others would use up the requests while the permits expire.
+   */
+  filterChecks(servers: readonly KnownServer[]): readonly KnownServer[] {
+    const {limits} = this.servers;
+    const due = servers.filter(({listing}) =>
+      limits.isCheckDue(listing.registration),
+    );
+    return due.length > 0 ? due : servers;
+  }
+
   /**
    * Lists the data centres of the servers that may run a request if only evacuated ones may, whatever
    * their load; empty if others may, or if none may at all.
--- a/packages/gateway/src/lib/ServerChooser.ts
+++ b/packages/gateway/src/lib/ServerChooser.ts
@@ -137,7 +137,7 @@
       ? tokensToPrefill * msPerToken
       : (typicalMs ?? 0) / Math.max(1, registration.slots);
     const slowness =
-      prompt.capacity > 0 ? server.pace.slowness : server.slowness;
+      prompt.capacity > 0 ? server.pace.slowness : server.slowness.value;
     const score = scoreServer(policy, {
       load: server.inFlight + server.othersInFlight,
       slots: registration.slots,
--- a/packages/gateway/src/lib/ServerLimits.ts
+++ b/packages/gateway/src/lib/ServerLimits.ts
@@ -32,6 +32,8 @@
  * the whole limit.
  */
 const UNGRANTED_FRACTION = 0.5;
+/** Age of what is known of a limit above which the next permit is used to hear of it, in milliseconds. */
+const CHECK_MS = 500;
 /** Time for which a server that has lifted its limit returns gradually, in milliseconds. */
 const RETURN_MS = 2_000;
 /** Maximum number of permits that are wanted of one server at a time. */
@@ -55,6 +57,8 @@
   private readonly permits = new Map<string, SendPermits>();
   /** Requests since the last report, by service. */
   private readonly demand = new Map<string, number>();
+  /** When this entry last sent to an incarnation with a limit, on the monotonic clock. */
+  private readonly sentAt = new Map<string, number>();
   private readonly loggedAt = new Map<string, number>();
   /** Incarnations in the last reply. */
   private repliedKeys: ReadonlySet<string> = new Set();
@@ -113,6 +117,9 @@
     const perSecond = this.getPerSecond(server);
     if (perSecond === undefined) return;
     this.getPermits(key).take(this.computePaceMs(perSecond));
+    this.sentAt.delete(key);
+    this.sentAt.set(key, performance.now());
+    evictOldest(this.sentAt, MAX_INCARNATIONS);
   }
 
   /** Removes an incarnation that is no longer listed. */
@@ -121,6 +128,7 @@
     this.known.remove(key);
     this.ownKeys.delete(key);
     this.permits.delete(key);
+    this.sentAt.delete(key);
   }
 
   /**
@@ -177,6 +185,18 @@
     return permits.isAvailable();
   }
 
+  /**
+   * Returns whether a server has a limit of which neither an answer nor another entry has told for a while.
+   * Only an answer can tell that it was lifted.
+   */
+  isCheckDue(server: Incarnation): boolean {
+    const limit = this.findLimit(server);
+    if (limit?.perSecond === undefined) return false;
+    const sentAt = this.sentAt.get(buildIncarnationKey(server)) ?? -Infinity;
+    const oldest = performance.now() - CHECK_MS;
+    return Math.max(limit.observedAt, sentAt) < oldest;
+  }
+
   /** Returns whether a server has just lifted its limit; all entries learn of it together. */
   isReturning(server: Incarnation): boolean {
     const limit = this.findLimit(server);
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -6,8 +6,16 @@
   ServerLoad,
   buildServerLoad,
 } from '@sycamorehead/fleet';
-import {ServerPace, updateTypicalPace} from '@sycamorehead/routing';
-import {ServerRegistration, isNewerRegistration} from '@sycamorehead/schema';
+import {
+  ServerPace,
+  ServiceSlowness,
+  updateTypicalPace,
+} from '@sycamorehead/routing';
+import {
+  ServerRegistration,
+  evictOldest,
+  isNewerRegistration,
+} from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 import {ColdServers} from './ColdServers.js';
 import {EvacuationView} from './EvacuationView.js';
@@ -24,12 +32,6 @@
 const EJECTION_MS = 400;
 /** Maximum duration of an ejection, in milliseconds. */
 const MAX_EJECTION_MS = 4_000;
-/** Weight of the newest answer in a server's slowness. */
-const SLOWNESS_GAIN = 0.15;
-/** Lower bound of an answer's time ratio, and so of the slowness of a server. */
-const MIN_SLOWNESS = 0.5;
-/** Upper bound of an answer's time ratio, and so of the slowness of a server. */
-const MAX_SLOWNESS = 8;
 /**
  * Time after its last bytes for which a server counts as active, in milliseconds; a few steps of
  * a busy engine.
@@ -37,6 +39,8 @@
 const ACTIVE_MS = 400;
 /** Time for which the servers of a data centre return gradually after an evacuation, in milliseconds. */
 const RETURN_MS = 2_000;
+/** Maximum number of services whose typical slowness is remembered. */
+const MAX_SERVICES = 2_000;
 /** Maximum number of prompt segments that one report names. */
 const MAX_PROMPT_NEWS = 64;
 
@@ -59,6 +63,7 @@
     registrations => this.cold.expectCold(registrations),
   ];
   private readonly servers = new Map<string, KnownServer>();
+  private readonly slowness = new Map<string, ServiceSlowness>();
 
   // Commands.
 
@@ -107,8 +112,7 @@
 
   /** Records the ratio of a server's time to the typical time. */
   recordSlowness(server: KnownServer, timeRatio: number): void {
-    const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, timeRatio));
-    server.slowness += (bounded - server.slowness) * SLOWNESS_GAIN;
+    server.slowness.recordRatio(timeRatio);
   }
 
   /**
@@ -350,12 +354,20 @@
     }
   }
 
+  private add(listing: ServerListing): void {
+    const {id, service} = listing.registration;
+    const slowness = this.slowness.get(service) ?? new ServiceSlowness();
+    this.slowness.set(service, slowness);
+    evictOldest(this.slowness, MAX_SERVICES);
+    this.servers.set(id, createServer(listing, slowness));
+  }
+
   private applyListing(listing: ServerListing): void {
     const {registration} = listing;
     this.markPredecessorDeparted(registration);
     const known = this.servers.get(registration.id);
     if (!known) {
-      this.servers.set(registration.id, createServer(listing));
+      this.add(listing);
       this.cold.recordRegistration(registration);
       this.logChange(registration);
       return;
@@ -378,7 +390,8 @@
       this.limits.remove(old);
       this.cold.remove(old);
       known.agent.destroy();
-      this.servers.set(registration.id, createServer(listing));
+      known.slowness.remove();
+      this.add(listing);
     } else {
       known.listing = listing;
       known.slowUntil = computeSlowUntil(registration);
@@ -402,6 +415,7 @@
     const known = this.servers.get(id);
     if (!known) return;
     known.agent.destroy();
+    known.slowness.remove();
     this.limits.remove(known.listing.registration);
     this.cold.remove(known.listing.registration);
     this.servers.delete(id);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -89,6 +89,10 @@
   countNeededTokens,
 } from './lib/forwarding/ServerMemory.js';
 export {ServerPace, updateTypicalPace} from './lib/forwarding/ServerPace.js';
+export {
+  ServerSlowness,
+  ServiceSlowness,
+} from './lib/forwarding/ServerSlowness.js';
 export type {AwaitedStart, PaceSums} from './lib/forwarding/ServerPace.js';
 export {
   computeRefusedShare,
