--- a/packages/gateway/src/lib/KnownServer.ts
+++ b/packages/gateway/src/lib/KnownServer.ts
@@ -101,23 +101,24 @@
  * @param oldest - Time of the last bytes from which it counts as active, on the monotonic clock.
  * @example
  * ```ts
- * describeLoad(server, performance.now() - 400); // [2, 350, 1, 9_000, 0, 0, 0]
+ * describeLoad(server, now, now - 400); // [2, 350, 1, 9_000, 0, 0, 0]
  * ```
  * @internal
  */
 export function describeLoad(
   {inFlight, pendingMs, lastReceivedAt, memory, pace}: KnownServer,
+  now: number,
   oldest: number,
 ): ServerLoad | undefined {
   const active = lastReceivedAt > oldest ? 1 : 0;
-  const {answers, logRatios} = pace.describeOwn();
+  const {answers, logRatios} = pace.describeOwn(now);
   if (inFlight === 0 && active === 0 && answers === 0) return undefined;
   return buildServerLoad([
     inFlight,
     Math.round(pendingMs),
     active,
     memory.ownTokens,
-    memory.kept.describeRead(),
+    memory.kept.describeRead(now),
     answers,
     logRatios,
   ]);
