Shares of cold permits add up to one whichever links between control instances are cut

Where the links of five control instances are cut to a ring, each hears most others but not all, and once the most entries of late are forgotten (15 to 30 s) each took its entries relative to three fifths of them: 5/3 of the rate for one cold server.

Digests now tell whom their sender hears, with numbers of entries; an instance counts those that it hears through another, and grants only if most others hear it too. Two such instances have a neighbour in common.

--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -10,6 +10,7 @@
 } from '@sycamorehead/routing';
 import {writeDecision} from '@sycamorehead/telemetry';
 import {MAX_INTERVAL_MS} from './computeDigestInterval.js';
+import {countAllEntries, countMutual, listHeard} from './entryCensus.js';
 import type {
   ExchangeReply,
   ExchangeRequest,
@@ -33,6 +34,8 @@
 
 /** Time in which the other instances learn of an entry that has begun to report here, in milliseconds. */
 const SETTLING_MS = MAX_INTERVAL_MS + 100;
+/** The same where some of them learn of it from others only. */
+const INDIRECT_SETTLING_MS = 2 * MAX_INTERVAL_MS + 100;
 
 interface EntryUsage {
   readonly request: ExchangeRequest;
@@ -57,6 +60,10 @@
   readonly included: ReadonlyMap<string, ExchangeRequest>;
   /** The number of these that the other instances know. */
   readonly settled: number;
+  /** The entries of all instances, also of those that only others hear. */
+  readonly allEntries: number;
+  /** The instances that hear this one and are heard by it, including itself. */
+  readonly mutual: number;
 }
 
 /**
@@ -126,6 +133,7 @@
       ...sumReports(usages.map(({request}) => request)),
       instance: this.instance,
       entries: usages.length,
+      heard: listHeard(this.listFreshDigests()),
       evidence: this.mergeOwnEvidence(),
       arrived: usages
         .filter(({arrivedAt}) => now - arrivedAt < ARRIVAL_MS)
@@ -143,19 +151,22 @@
    * heard to know all entries.
    */
   computeShare(): number {
-    const {entries, included} = this.getTotals();
-    return this.isIsolated() || entries === 0 ? 0 : included.size / entries;
+    const {allEntries, included} = this.getTotals();
+    if (this.isIsolated() || allEntries === 0) return 0;
+    return included.size / allEntries;
   }
 
   /**
-   * Computes the fraction like `computeShare`, relative to the most entries that were known of late:
-   * two instances that do not hear each other do not both count as all there are.
+   * Computes a fraction like `computeShare` of which the sum over all instances is at most one, whichever of
+   * them hear each other. It is relative to the most entries that were known of late, since what others tell
+   * may come late; 0 if this instance and most others do not hear each other.
    */
   computeFirmShare(): number {
-    const {entries, settled} = this.getTotals();
+    const {allEntries, settled, mutual} = this.getTotals();
     const {current, previous} = this.peaks;
-    if (this.isIsolated() || entries === 0) return 0;
-    return settled / Math.max(entries, current, previous);
+    if (mutual * 2 <= this.countControls()) return 0;
+    const most = Math.max(allEntries, current, previous);
+    return most === 0 ? 0 : settled / most;
   }
 
   /** Counts the requests of all entries in flight on the given backend servers. */
@@ -198,6 +209,7 @@
     this.expireEntries(now);
     const requests = this.listFresh().map(({request}) => request);
     const digests = this.listFreshDigests();
+    const mutual = countMutual(this.instance, digests);
     this.totals = {
       ...sumReports([...requests, ...digests]),
       computedAt: now,
@@ -206,15 +218,18 @@
         requests.length,
       ),
       included: new Map(requests.map(request => [request.entry, request])),
-      settled: this.countSettled(now),
+      settled: this.countSettled(now, mutual),
+      mutual,
+      allEntries: countAllEntries(this.instance, requests.length, digests),
     };
-    this.updatePeaks(this.totals.entries);
+    this.updatePeaks(this.totals.allEntries);
     return this.totals;
   }
 
   /** Counts the entries that report here for so long that the other instances count them too. */
-  private countSettled(now: number): number {
-    const latest = now - SETTLING_MS;
+  private countSettled(now: number, mutual: number): number {
+    const isDirect = mutual >= this.countControls();
+    const latest = now - (isDirect ? SETTLING_MS : INDIRECT_SETTLING_MS);
     return this.listFresh().filter(({arrivedAt}) => arrivedAt <= latest).length;
   }
 
--- a/packages/fleet/src/lib/filterReport.ts
+++ b/packages/fleet/src/lib/filterReport.ts
@@ -46,6 +46,7 @@
   hearsay: value => filterTable(value, filterLimit),
   wanted: value => filterTable(value, count => limitCount(count)),
   coldWanted: value => filterTable(value, count => limitCount(count)),
+  heard: value => filterTable(value, count => limitCount(count)),
 } satisfies Partial<Record<FieldName, FieldFilter>>;
 
 /** Fields that every report has, or is treated as having. */
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -291,6 +291,8 @@
   readonly instance: string;
   /** Number of entries that have reported recently. */
   readonly entries: number;
+  /** The same of each control instance that the sender hears; absent from earlier builds. */
+  readonly heard?: Readonly<Record<string, number>>;
   readonly load: LoadTable;
   readonly evidence: readonly RolloutEvidence[];
   readonly leaving: readonly string[];
--- a/packages/fleet/src/test/LoadExchange.test.ts
+++ b/packages/fleet/src/test/LoadExchange.test.ts
@@ -244,3 +244,75 @@
     assert.ok(sumShares() <= 1 + 1e-9, `${sumShares()} in all, cut`);
   }
 });
+
+/** Which control instances hear which, by their indexes. */
+type Hearing = (sender: number, receiver: number) => boolean;
+
+/** Cuts between five control instances after which each of several still hears most others. */
+const CUTS: Readonly<Record<string, Hearing>> = {
+  'a ring': (sender, receiver) => [1, 4].includes((receiver - sender + 5) % 5),
+  'a ring and one link': (sender, receiver) =>
+    [1, 4].includes((receiver - sender + 5) % 5) || sender + receiver === 2,
+  'a star': (sender, receiver) => sender === 0 || receiver === 0,
+  'a group of three and one of two with one link': (sender, receiver) =>
+    sender < 3 === receiver < 3 || sender + receiver === 5,
+  'one that is not heard': sender => sender !== 0,
+  'one that is heard by one': (sender, receiver) =>
+    sender !== 0 || receiver === 1,
+  'a ring in one direction': (sender, receiver) =>
+    [1, 2].includes((receiver - sender + 5) % 5),
+};
+
+for (const [name, isHeard] of Object.entries(CUTS)) {
+  for (const counts of [
+    [2, 2, 2, 2, 2],
+    [9, 1, 0, 6, 2],
+  ]) {
+    test(`shares of five instances add up to one at most for good: ${name}, entries ${counts.join(' ')}`, () => {
+      const all = buildControls('c1', 'c2', 'c3', 'c4', 'c5');
+      const exchangeAll = (isCut: boolean) => {
+        clock.tick(100);
+        all.forEach((exchange, index) => {
+          for (let entry = 0; entry < (counts[index] ?? 0); entry += 1) {
+            exchange.exchange(buildReport(`e${index}.${entry}`, {}));
+          }
+        });
+        all.forEach((sender, from) => {
+          all.forEach((receiver, to) => {
+            if (sender === receiver || (isCut && !isHeard(from, to))) return;
+            receiver.acceptDigest(sender.describeDigest());
+          });
+        });
+      };
+      const sumShares = () =>
+        all.reduce((sum, exchange) => sum + exchange.computeFirmShare(), 0);
+      for (let round = 0; round < 20; round += 1) exchangeAll(false);
+      clock.tick(60);
+      assert.ok(Math.abs(sumShares() - 1) < 1e-9, `${sumShares()} in all`);
+      // Longer than the most entries of late are remembered.
+      for (let round = 0; round < 500; round += 1) {
+        exchangeAll(true);
+        assert.ok(sumShares() <= 1 + 1e-9, `${sumShares()} in all, cut`);
+      }
+    });
+  }
+}
+
+test('an instance whose neighbours hear most others goes on with its part where five are cut to a ring', () => {
+  const all = buildControls('c1', 'c2', 'c3', 'c4', 'c5');
+  for (let round = 0; round < 500; round += 1) {
+    clock.tick(100);
+    all.forEach((exchange, index) =>
+      exchange.exchange(buildReport(`e${index}`, {})),
+    );
+    all.forEach((sender, from) => {
+      for (const step of [1, 4]) {
+        all[(from + step) % 5]?.acceptDigest(sender.describeDigest());
+      }
+    });
+  }
+  clock.tick(60);
+  for (const exchange of all) {
+    assert.ok(Math.abs(exchange.computeFirmShare() - 1 / 5) < 1e-9);
+  }
+});
