Tests of cold servers: an event in place of 30 ms, three files in place of one

Cause: on the arm64 machine, beside load, coldFleets.test exceeded the 120 s of a test file in two runs of two (112 s of processor time for its 16 cases; each case passed in a run without that limit), and "a permit whose send was answered 421 is given back" found one request instead of two 30 ms after the first, in three runs of three: the product promises no time for the second send.

Change: the cases are spread over three files, unchanged; the test of the 421 waits for the second send until the request is refused, and fails if it has not come by then, as before.

--- /dev/null
+++ b/packages/gateway/src/test/coldFleetTroubles1.test.ts
@@ -0,0 +1,4 @@
+import {addTroubleTests, installSimulatedClock} from './coldFleetReplay.js';
+
+installSimulatedClock();
+addTroubleTests(1);
--- a/packages/gateway/src/test/coldSends.test.ts
+++ b/packages/gateway/src/test/coldSends.test.ts
@@ -141,11 +141,12 @@
   );
   const [server] = servers as [FakeServer];
   issuePermits(gateway, server, 1);
-  const refused = request(gateway, 'r1');
-  await sleep(30);
-  const {registration} = server.describe();
+  let isRefused = false;
+  const refused = request(gateway, 'r1').finally(() => (isRefused = true));
+  while (server.received.length < 2 && !isRefused) await sleep(1);
   assert.ok(server.received.length > 1, `${server.received.length} received`);
   await refused;
+  const {registration} = server.describe();
   assert.equal(gateway.servers.cold.isCold(registration), true);
 });
 
