Ended evacuations are remembered: a resent end is accepted, missed ones count as returns

- An end of an evacuation that is sent again after settings and servers have lost the name was answered 422, though it had been accepted.
The log now remembers which data centres' evacuations have ended (100 at most).
- An entry whose state jumps over an order and its end did not expect cold servers there.
The state tells at which revision each ended; an entry takes those after the state it knew as returns.
Ends from before the entry started do not count.

--- a/packages/fleet/src/lib/FleetCommands.ts
+++ b/packages/fleet/src/lib/FleetCommands.ts
@@ -276,7 +276,7 @@
     isEvacuated,
   }: EvacuationOrder): Promise<void> {
     const {logMember} = this.options;
-    await this.requireDataCentre(dataCentre);
+    await this.requireDataCentre(dataCentre, isEvacuated);
     this.requireCompleteGroup();
     const isChanged = await logMember.propose({
       type: 'set_evacuation',
@@ -291,12 +291,19 @@
     });
   }
 
-  /** Accepts an evacuated data centre too, which the settings may no longer contain. */
-  private async requireDataCentre(name: string): Promise<void> {
+  /**
+   * Accepts an evacuated data centre too, which the settings may no longer contain, and an end that was
+   * accepted before and is sent again.
+   */
+  private async requireDataCentre(
+    name: string,
+    isEvacuated: boolean,
+  ): Promise<void> {
     const {logMember, isKnownDataCentre} = this.options;
     if (isKnownDataCentre(name)) return;
     await logMember.requireNode().confirmLeadership();
     if (logMember.state.isEvacuated(name)) return;
+    if (!isEvacuated && logMember.state.hasEndedEvacuation(name)) return;
     throw new SycamoreheadError(
       'note_invalid',
       `unknown data centre: ${JSON.stringify(String(name).slice(0, MAX_LOGGED_NAME))}`,
--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -121,7 +121,7 @@
       getConfigurationVersion: () => this.logMember.state.configuration.version,
       listRollouts: () => this.logMember.state.listRollouts(),
       describeQuarantine: () => this.logMember.state.describeQuarantine(),
-      describeEvacuation: () => this.confirmation.state?.describeEvacuation(),
+      describeEvacuation: () => this.confirmation.state?.describeEvacuations(),
       listLimits: () => this.reports.limits.buildTable(),
       listControls: () => this.peers.listAddresses(),
       isLeading: () => this.logMember.isLeader,
--- a/packages/fleet/src/lib/FleetState.ts
+++ b/packages/fleet/src/lib/FleetState.ts
@@ -6,6 +6,7 @@
 } from '@sycamorehead/schema';
 import type {StateMachine} from '@sycamorehead/consensus';
 import type {
+  EndedEvacuations,
   EvacuationState,
   QuarantinedSegments,
   QuarantineState,
@@ -68,8 +69,9 @@
   /** Absent from snapshots of earlier builds, like the revision. */
   readonly quarantined?: readonly QuarantinedSegments[];
   readonly quarantineRevision?: number;
-  /** Absent from snapshots of earlier builds. */
+  /** Absent from snapshots of earlier builds, like the next. */
   readonly evacuation?: EvacuationState;
+  readonly endedEvacuations?: EndedEvacuations;
 }
 
 type Handlers = {
@@ -85,6 +87,9 @@
 /** Maximum number of prompt segments in quarantine; the oldest are released first. */
 const MAX_QUARANTINED = 500;
 
+/** Maximum number of data centres whose last evacuation is remembered; the oldest are removed first. */
+const MAX_ENDED = 100;
+
 const NO_EVACUATION: EvacuationState = {revision: 0, dataCentres: []};
 
 /**
@@ -100,6 +105,8 @@
   private quarantined = new Map<string, QuarantinedSegments>();
   private quarantineRevision = 0;
   private evacuation = NO_EVACUATION;
+  /** Revision at which the evacuation of a data centre ended last. */
+  private endedEvacuations = new Map<string, number>();
   private readonly handlers: Handlers = {
     put_configuration: command => this.putConfiguration(command),
     start_rollout: command => this.startRollout(command),
@@ -129,6 +136,7 @@
       quarantined: [...this.quarantined.values()],
       quarantineRevision: this.quarantineRevision,
       evacuation: this.evacuation,
+      endedEvacuations: this.listEndedEvacuations(),
     };
     return snapshot as unknown as JsonValue;
   }
@@ -148,6 +156,9 @@
     );
     this.quarantineRevision = known.quarantineRevision ?? 0;
     this.evacuation = known.evacuation ?? NO_EVACUATION;
+    this.endedEvacuations = new Map(
+      Object.entries(known.endedEvacuations ?? {}),
+    );
     this.onChange();
   }
 
@@ -183,7 +194,7 @@
     return {revision, combinations};
   }
 
-  /** Describes the evacuated data centres for the entries. */
+  /** Describes the evacuated data centres. */
   describeEvacuation(): EvacuationState {
     return this.evacuation;
   }
@@ -193,6 +204,18 @@
     return this.evacuation.dataCentres.includes(dataCentre);
   }
 
+  /** Describes the evacuated data centres, and those that were, for the entries. */
+  describeEvacuations(): EvacuationState {
+    const ended = this.listEndedEvacuations();
+    if (Object.keys(ended).length === 0) return this.evacuation;
+    return {...this.evacuation, ended};
+  }
+
+  /** Returns whether the evacuation of a data centre has ended. */
+  hasEndedEvacuation(dataCentre: string): boolean {
+    return this.endedEvacuations.has(dataCentre);
+  }
+
   private putConfiguration({
     version,
     document,
@@ -257,6 +280,10 @@
     return true;
   }
 
+  private listEndedEvacuations(): EndedEvacuations {
+    return Object.fromEntries(this.endedEvacuations);
+  }
+
   private setEvacuation({
     dataCentre,
     isEvacuated,
@@ -268,6 +295,10 @@
       revision: revision + 1,
       dataCentres: isEvacuated ? [...others, dataCentre] : others,
     };
+    if (isEvacuated) return true;
+    this.endedEvacuations.delete(dataCentre);
+    this.endedEvacuations.set(dataCentre, revision + 1);
+    evictOldest(this.endedEvacuations, MAX_ENDED);
     return true;
   }
 }
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -149,8 +149,16 @@
   /** Number of changes so far; of two states the one with the higher revision is newer. */
   readonly revision: number;
   readonly dataCentres: readonly string[];
+  /**
+   * Those that were evacuated before, since an entry may miss an order and its end; absent from earlier
+   * builds.
+   */
+  readonly ended?: EndedEvacuations;
 }
 
+/** Data centres with the revision at which their evacuation ended last. @public */
+export type EndedEvacuations = Readonly<Record<string, number>>;
+
 /** A crash of a backend server, as reported by an entry that had requests there. @public */
 export interface CrashReport {
   /** Incarnation of the server, `ID STARTED_AT_MS`. */
--- a/packages/fleet/src/test/evacuationState.test.ts
+++ b/packages/fleet/src/test/evacuationState.test.ts
@@ -219,6 +219,38 @@
   await assert.rejects(setEvacuation('b', true), {kind: 'note_invalid'});
 });
 
+test('an end that was accepted is accepted again once neither settings nor servers have the name', async () => {
+  const {setEvacuation, state, settings} = createCommands();
+  await setEvacuation('b', true);
+  await setEvacuation('b', false);
+  settings.dataCentres = ['a'];
+  // Its acknowledgement was lost.
+  await setEvacuation('b', false);
+  assert.deepEqual(state.describeEvacuation(), {revision: 2, dataCentres: []});
+  await assert.rejects(setEvacuation('b', true), {kind: 'note_invalid'});
+  await assert.rejects(setEvacuation('c', false), {kind: 'note_invalid'});
+});
+
+test('which evacuations have ended survives a snapshot; of many data centres the last ones are known', () => {
+  const state = new FleetState();
+  for (let index = 0; index < 120; index += 1) {
+    state.apply(buildCommand(`d${index}`, true));
+    state.apply(buildCommand(`d${index}`, false));
+  }
+  state.apply(buildCommand('d30', true));
+  state.apply(buildCommand('d30', false));
+  const restored = new FleetState();
+  restored.restoreSnapshot(
+    JSON.parse(JSON.stringify(state.takeSnapshot())) as JsonValue,
+  );
+  const {revision, ended = {}} = restored.describeEvacuations();
+  assert.equal(revision, 242);
+  assert.equal(Object.keys(ended).length, 100);
+  assert.deepEqual([ended['d20'], ended['d30'], ended['d119']], [42, 242, 240]);
+  assert.equal(ended['d19'], undefined);
+  assert.ok(restored.hasEndedEvacuation('d30'));
+});
+
 test('an instance serves an order of a tool and one that is forwarded to it', async () => {
   const {commands, state} = createCommands();
   const serve = commands.createMethods()['fleet.setEvacuation'];
--- a/packages/gateway/src/lib/EvacuationView.ts
+++ b/packages/gateway/src/lib/EvacuationView.ts
@@ -20,8 +20,8 @@
   }
 
   /**
-   * Applies an update and returns the data centres that are no longer evacuated. A state that is older
-   * than the known one is ignored.
+   * Applies an update and returns the data centres that are no longer evacuated, also if their order was
+   * missed. A state that is older than the known one is ignored.
    */
   update(update: FleetUpdate): readonly string[] {
     const {evacuation} = update;
@@ -29,7 +29,7 @@
       if (isFromEarlierBuild(update)) this.isExpected = false;
       return [];
     }
-    const {revision, dataCentres} = evacuation;
+    const {revision, dataCentres, ended = {}} = evacuation;
     const previous = this.state;
     const isFirst = this.isExpected;
     this.isExpected = false;
@@ -42,7 +42,15 @@
       });
     }
     if (!isNewer) return [];
-    return previous.dataCentres.filter(name => !dataCentres.includes(name));
+    // What ended before this entry was first told is no news.
+    const missed = isFirst
+      ? []
+      : Object.keys(ended).filter(
+          name => (ended[name] ?? 0) > previous.revision,
+        );
+    return [...new Set([...previous.dataCentres, ...missed])].filter(
+      name => !dataCentres.includes(name),
+    );
   }
 
   // Queries.
--- a/packages/gateway/src/test/evacuationPlacement.test.ts
+++ b/packages/gateway/src/test/evacuationPlacement.test.ts
@@ -266,6 +266,30 @@
   assert.equal(returned.length, 1);
 });
 
+test('the servers of a data centre whose order and end were both missed return like others', () => {
+  const {table, servers, update, find} = buildEntry();
+  const returned: string[][] = [];
+  table.evacuation.expectState();
+  table.addReturnListener(registrations =>
+    returned.push(registrations.map(({id}) => id)),
+  );
+  // What ended before the entry started is no news.
+  const first = {revision: 2, dataCentres: [], ended: {a: 2}};
+  update({servers, evacuation: first});
+  assert.deepEqual(returned, []);
+  const second = {revision: 5, dataCentres: ['c'], ended: {a: 2, b: 4}};
+  update({evacuation: second});
+  assert.deepEqual(returned, [['sb']]);
+  assert.ok(table.isSlow(find('sb')));
+  // An end and a new order: it ends later.
+  const third = {revision: 7, dataCentres: ['c'], ended: {a: 2, b: 4, c: 6}};
+  update({evacuation: third});
+  assert.equal(returned.length, 1);
+  const last = {revision: 8, dataCentres: [], ended: {a: 2, b: 4, c: 8}};
+  update({evacuation: last});
+  assert.deepEqual(returned.slice(1), [['sc']]);
+});
+
 test('an evacuated server without a limit does not lengthen the wait for limited ones', async () => {
   const {placement, table, servers, update, find} = buildEntry({slots: 1}, [
     'a',
