--- a/packages/gateway/src/lib/KnownServer.ts
+++ b/packages/gateway/src/lib/KnownServer.ts
@@ -95,27 +95,41 @@
   return Math.max(0, Date.now() - startedAtMs);
 }
 
+/** How the load on a server is described. @internal */
+export interface LoadDescription {
+  /** The time, on the monotonic clock. */
+  readonly now: number;
+  /** Time of the last bytes from which a server counts as active. */
+  readonly oldest: number;
+  /** Whether only what changes within milliseconds is told. */
+  readonly isBrief: boolean;
+}
+
 /**
  * Describes this entry's load on a server to the others; undefined if there is nothing to tell.
  *
- * @param oldest - Time of the last bytes from which it counts as active, on the monotonic clock.
  * @example
  * ```ts
- * describeLoad(server, now, now - 400); // [2, 350, 1, 9_000, 0, 0, 0]
+ * describeLoad(server, {now, oldest: now - 400, isBrief: true}); // [2, 350, 1, 9_000]
  * ```
  * @internal
  */
 export function describeLoad(
-  {inFlight, pendingMs, lastReceivedAt, memory, pace}: KnownServer,
-  now: number,
-  oldest: number,
+  server: KnownServer,
+  {now, oldest, isBrief}: LoadDescription,
 ): ServerLoad | undefined {
+  const {inFlight, pendingMs, lastReceivedAt, memory, pace} = server;
   const active = lastReceivedAt > oldest ? 1 : 0;
+  const isIdle = inFlight === 0 && active === 0;
+  const pending = Math.round(pendingMs);
+  if (isBrief) {
+    return isIdle ? undefined : [inFlight, pending, active, memory.ownTokens];
+  }
   const {answers, logRatios} = pace.describeOwn(now);
-  if (inFlight === 0 && active === 0 && answers === 0) return undefined;
+  if (isIdle && answers === 0) return undefined;
   return buildServerLoad([
     inFlight,
-    Math.round(pendingMs),
+    pending,
     active,
     memory.ownTokens,
     memory.kept.describeRead(now),
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -4,7 +4,7 @@
   NO_DEMAND,
   PlacementQueue,
   QueueNote,
-  ServiceDemand,
+  WaitingTable,
   WaitingWork,
   computePressure,
   countNeededTokens,
@@ -12,6 +12,8 @@
 } from '@sycamorehead/routing';
 import {buildSessionName} from './buildSessionName.js';
 import type {CallerRequest} from './CallerRequest.js';
+import {buildQueueTable} from './buildQueueTable.js';
+import {computeWork} from './computeWork.js';
 import {measurePendingMs} from './measurePendingMs.js';
 import {PlacementRefusals, isTooLarge} from './PlacementRefusals.js';
 import {ServerAvailability} from './ServerAvailability.js';
@@ -22,10 +24,6 @@
 
 /** Time for which a service without free slots counts as open, in milliseconds. */
 const OPEN_MS = 20;
-/** What a prompt token costs a server, as a fraction of an answer token. */
-const PROMPT_TOKEN_WORK = 0.25;
-/** Maximum work that one request counts as, in answer tokens: shares rest on what callers tell. */
-const MAX_WORK = 1_000_000;
 
 /** The requirements of a request for a slot. @public */
 export interface PlacementRequest {
@@ -155,6 +153,13 @@
     }
   }
 
+  /** Applies which requests of other entries wait; the rest of the demand is as reported before. */
+  updateOthersWaiting(table: WaitingTable): void {
+    for (const [service, queue] of this.queues) {
+      queue.updateOthersWaiting(table[service] ?? NO_DEMAND);
+    }
+  }
+
   /** Measures the pressure on a service's engines for requests with a target latency; 1 if permits bound all. */
   measurePressure(service: string, targetLatencyMs: number): number {
     const pendingMs = measurePendingMs(this.options.servers, service);
@@ -172,19 +177,18 @@
 
   /** Counts the waiting requests of each service by urgency class. */
   countByUrgency(): ReadonlyMap<string, readonly number[]> {
-    const entries = [...this.queues].map(
-      ([service, queue]) => [service, queue.countByUrgency()] as const,
-    );
-    return new Map(entries);
+    const countQueue = (queue: PlacementQueue) => queue.countByUrgency();
+    return new Map(Object.entries(buildQueueTable(this.queues, countQueue)));
   }
 
   /** Describes the demand here to the other entries, by service. */
   describeDemand(): DemandTable {
-    const table: Record<string, ServiceDemand> = {};
-    for (const [service, queue] of this.queues) {
-      table[service] = queue.describeDemand();
-    }
-    return table;
+    return buildQueueTable(this.queues, queue => queue.describeDemand());
+  }
+
+  /** Describes the requests that wait here to the other entries, by service. */
+  describeWaiting(): WaitingTable {
+    return buildQueueTable(this.queues, queue => queue.describeWaiting());
   }
 
   private recordDemand(service: string): void {
@@ -196,13 +200,12 @@
   private buildWork(demand: PlacementRequest): WaitingWork<SlotReservation> {
     const {request, variant, service} = demand;
     const isMemoryBound = (service.engine?.tokenCapacity ?? 0) > 0;
-    const {promptTokens, answerTokens} = request.size;
     return {
       priority: demand.priority,
       customer: demand.customer,
       session: buildSessionName(demand),
       kind: demand.route,
-      work: Math.min(MAX_WORK, answerTokens + promptTokens * PROMPT_TOKEN_WORK),
+      work: computeWork(request.size),
       draw: hashToShare(`draw ${request.id}`),
       startBy: demand.startBy,
       abandonAt: demand.abandonAt,
--- a/packages/routing/src/lib/forwarding/PlacementQueue.ts
+++ b/packages/routing/src/lib/forwarding/PlacementQueue.ts
@@ -11,7 +11,7 @@
 } from './chooseNextWaiter.js';
 import {classifyUrgency} from './computeUrgency.js';
 import {ClassifiedRequest, QueuePolicy, QueuedRequest} from './QueuePolicy.js';
-import type {ServiceDemand} from './serviceDemand.js';
+import type {QueuedDemand, ServiceDemand} from './serviceDemand.js';
 
 /** How a request began to wait. @public */
 export interface QueueNote {
@@ -163,6 +163,12 @@
     this.refuseOutpaced();
   }
 
+  /** Applies which requests of other entries wait, like `updateOthers`. */
+  updateOthersWaiting(queued: QueuedDemand): void {
+    this.policy.updateOthersWaiting(queued);
+    this.refuseOutpaced();
+  }
+
   // Queries.
 
   /** The number of waiting requests. */
@@ -187,10 +193,18 @@
 
   /** Describes the demand here to the other entries. */
   describeDemand(): ServiceDemand {
+    return this.policy.describeDemand(this.countServed());
+  }
+
+  /** Describes the requests that wait here to the other entries. */
+  describeWaiting(): QueuedDemand {
+    return this.policy.describeWaiting(this.countServed());
+  }
+
+  /** Counts the waiting requests by urgency class; others need not yield to those that no server can take. */
+  private countServed(): number[] {
     this.updateRanks();
-    // Others need not yield to requests that no server can take.
-    const waiting = this.countWaiters(({needs}) => this.isServed(needs));
-    return this.policy.describeDemand(waiting);
+    return this.countWaiters(({needs}) => this.isServed(needs));
   }
 
   /** Returns whether a request with these needs got a place lately. */
