An entry explains where a request would go, without sending it

Cause: operators ask where a request would go now, and why; the log tells it only of requests that were sent. Change: explainRequest runs the decisions of a first send (route, quarantine, model, version, refusals, turn in the queue, servers, score) and names for each server what rules it out or the terms of its score. The queue is asked in a copy of its state (copyState), so that the code of acquire itself decides; SendPlanner and the explanation build their demand by buildDemand. Sizes, segments, bodies and texts are bounded and refused by name; no key is told.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -26,6 +26,14 @@
   SyncReply,
   SyncRequest,
 } from './lib/fleetMessages.js';
+export {ENTRY_METHODS} from './lib/explainMessages.js';
+export type {
+  ExplainedOutcome,
+  ExplainedServer,
+  RequestExplanation,
+  RequestQuestion,
+  ServerObstacle,
+} from './lib/explainMessages.js';
 export {CrashPool} from './lib/CrashPool.js';
 export {EntryReports} from './lib/EntryReports.js';
 export type {EntryReportsOptions} from './lib/EntryReports.js';
--- a/packages/gateway/src/lib/CallerRequest.ts
+++ b/packages/gateway/src/lib/CallerRequest.ts
@@ -44,11 +44,12 @@
  * gateway.
  */
 const SINGLE_HEADERS = ['host', 'content-length', 'transfer-encoding'];
-const MAX_SEGMENTS = 64;
-/** Maximum number of tokens that is believed of a prompt, a segment or an answer. */
-const MAX_TOKENS = 10_000_000;
-/** Maximum length of the id of a prompt segment, of which many are kept; the rest is ignored. */
-const MAX_SEGMENT_ID_LENGTH = 64;
+/** Maximum number of segments of a prompt; the rest is ignored. @internal */
+export const MAX_SEGMENTS = 64;
+/** Maximum number of tokens that is believed of a prompt, a segment or an answer. @internal */
+export const MAX_TOKENS = 10_000_000;
+/** Maximum length of the id of a prompt segment, of which many are kept; the rest is ignored. @internal */
+export const MAX_SEGMENT_ID_LENGTH = 64;
 
 /**
  * Decodes a request's head.
@@ -118,7 +119,8 @@
   return count;
 }
 
-function readHost(host: string | undefined): string {
+/** Reads the name of a host, in lower case and without a port. @internal */
+export function readHost(host: string | undefined): string {
   return (host ?? '').toLowerCase().replace(/:\d+$/, '');
 }
 
--- a/packages/gateway/src/lib/EntryMonitor.ts
+++ b/packages/gateway/src/lib/EntryMonitor.ts
@@ -66,7 +66,12 @@
 
   /** Returns whether to take a request with a latency objective, which could be served in time. */
   isTaking(targetLatencyMs: number): boolean {
-    return Math.random() >= computeRefusedShare(this.pace, targetLatencyMs);
+    return Math.random() >= this.computeRefusedShare(targetLatencyMs);
+  }
+
+  /** Computes the share of the requests with a latency objective that are refused. */
+  computeRefusedShare(targetLatencyMs: number): number {
+    return computeRefusedShare(this.pace, targetLatencyMs);
   }
 
   /** Whether new callers are better served by any other entry. */
--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -1,4 +1,5 @@
 import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
+import {computeDeadline} from './buildDemand.js';
 import {buildServerHeaders} from './buildServerHeaders.js';
 import type {CallerAnswer} from './CallerAnswer.js';
 import type {CallerRequest} from './CallerRequest.js';
@@ -9,6 +10,7 @@
 import type {ForwardContext} from './gatewayTypes.js';
 import {ModelCascade} from './ModelCascade.js';
 import {
+  buildPaceRefusal,
   buildRefusal,
   buildTimeout,
   isNotRunStatus,
@@ -88,9 +90,7 @@
       await this.context.startup.waitForRoutes(controller.signal);
       const target = this.resolve();
       this.routeName = target.route.name;
-      const {timeoutMs} = target.route;
-      const allowedMs = Math.min(this.request.waitMs ?? Infinity, timeoutMs);
-      this.deadlineAt = this.request.arrivedAt + allowedMs;
+      this.deadlineAt = computeDeadline(this.request, target);
       this.context.budgets.recordRequest(target.service.name);
       this.checkPace(target);
       timer = setTimeout(() => {
@@ -123,7 +123,7 @@
   /** Refuses a request that this entry itself would probably answer late. */
   private checkPace({route}: RequestTarget): void {
     if (this.context.monitor.isTaking(route.targetLatencyMs)) return;
-    throw buildRefusal('this entry does not keep up', false);
+    throw buildPaceRefusal();
   }
 
   private resolve(): RequestTarget {
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -19,12 +19,14 @@
 import {AnswerTimes} from './AnswerTimes.js';
 import {CrashObserver} from './CrashObserver.js';
 import {EntryMonitor} from './EntryMonitor.js';
+import {explainRequest} from './explainRequest.js';
 import {ForwardedRequest} from './ForwardedRequest.js';
 import {GatewayMetrics} from './GatewayMetrics.js';
 import {GatewayServer} from './GatewayServer.js';
 import type {ForwardContext, GatewayPolicies} from './gatewayTypes.js';
 import type {HeaderNames} from './headerNames.js';
 import {LoadReporter} from './LoadReporter.js';
+import {OperatorServer} from './OperatorServer.js';
 import {Placement} from './Placement.js';
 import {RetryBudgets} from './RetryBudgets.js';
 import {RouteTable} from './RouteTable.js';
@@ -45,6 +47,8 @@
   /** IP address and port for callers. */
   readonly host: string;
   readonly port: number;
+  /** Address for operators' questions; none are answered if it is undefined. */
+  readonly operators?: {readonly host: string; readonly port: number};
   readonly peerKey: string;
   readonly seeds: readonly string[];
   readonly names: HeaderNames;
@@ -83,6 +87,7 @@
   private readonly reporter: LoadReporter;
   private readonly server: GatewayServer;
   private readonly monitor: EntryMonitor;
+  private readonly operators: OperatorServer | undefined;
   private routes: RouteTable | undefined;
   private isStopping = false;
   private exchangeTimer: NodeJS.Timeout | undefined;
@@ -133,6 +138,14 @@
       serve: (request, answer) =>
         new ForwardedRequest(context, request, answer).run(),
     });
+    const {operators} = options;
+    this.operators =
+      operators &&
+      new OperatorServer({
+        ...operators,
+        peerKey: options.peerKey,
+        explain: question => explainRequest(context, options, question),
+      });
     this.links = new FleetLinks({
       entry: options.name,
       dataCentre,
@@ -158,6 +171,7 @@
   /** Starts to serve callers. */
   async start(): Promise<void> {
     await this.server.listen(this.options.host, this.options.port);
+    await this.operators?.start();
     this.links.start();
     this.monitor.start();
     this.exchangeTimer = setInterval(
@@ -178,7 +192,9 @@
   /** Reports that it is not ready, serves the requests that still arrive, and stops. */
   async stop(): Promise<void> {
     this.isStopping = true;
+    const operatorsStopped = this.operators?.stop();
     await this.server.stop(this.options.graceMs);
+    await operatorsStopped;
     clearInterval(this.exchangeTimer);
     this.monitor.stop();
     this.links.stop();
--- a/packages/gateway/src/lib/ModelCascade.ts
+++ b/packages/gateway/src/lib/ModelCascade.ts
@@ -66,8 +66,7 @@
     if (this.answered === undefined) {
       this.context.values.record(target.route.name, this.request.size);
     }
-    const previous = this.isLargerRequested ? this.answered : undefined;
-    const choice = this.describeChoice(target, previous);
+    const choice = this.describeNext(target);
     this.pressure = choice.pressure;
     return chooseModel(this.context.policies.model, choice);
   }
@@ -87,6 +86,12 @@
 
   // Queries.
 
+  /** Finds the model of the next send, without recording anything. */
+  findNext(target: RequestTarget): string | undefined {
+    if (target.route.models.length === 0) return undefined;
+    return chooseModel(this.context.policies.model, this.describeNext(target));
+  }
+
   /** Model that answered last. */
   get answeredBy(): string | undefined {
     return this.answered;
@@ -102,6 +107,11 @@
     return this.pressure;
   }
 
+  private describeNext(target: RequestTarget): ModelChoiceInput {
+    const previous = this.isLargerRequested ? this.answered : undefined;
+    return this.describeChoice(target, previous);
+  }
+
   private describeChoice(
     target: RequestTarget,
     previous: string | undefined,
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -10,6 +10,7 @@
   hashToShare,
 } from '@sycamorehead/routing';
 import type {CallerRequest} from './CallerRequest.js';
+import {ExplainedSlot, explainSlot} from './explainSlot.js';
 import {PlacementRefusals, isTooLarge} from './PlacementRefusals.js';
 import {ServerAvailability} from './ServerAvailability.js';
 import {ServerChooser, ServerChooserOptions} from './ServerChooser.js';
@@ -142,6 +143,17 @@
     return reservation;
   }
 
+  /**
+   * Explains where a request would go now, by the same decisions as `acquire`. Nothing is reserved,
+   * recorded or drawn.
+   */
+  explain(demand: PlacementRequest): Promise<ExplainedSlot> {
+    const {availability, chooser, slowStart, refusals} = this;
+    const queue = this.queues.get(demand.service.name) ?? new PlacementQueue();
+    const explainer = {availability, chooser, slowStart, refusals};
+    return explainSlot(demand, queue, explainer, this.buildWork(demand));
+  }
+
   /** Offers slots to the waiting requests after the table of servers has changed. */
   offerSlots(): void {
     for (const queue of this.queues.values()) queue.offerSlots();
--- a/packages/gateway/src/lib/RouteTable.ts
+++ b/packages/gateway/src/lib/RouteTable.ts
@@ -47,12 +47,14 @@
 export class RouteTable {
   readonly version: number;
   readonly hasKeys: boolean;
+  readonly maxBodyBytes: number;
   private readonly routesByHost = new Map<string, HostRoutes>();
   private readonly holders = new Map<string, KeyHolder>();
   private readonly services = new Map<string, RoutedService>();
 
   constructor(configuration: RouteConfiguration) {
     this.version = configuration.version;
+    this.maxBodyBytes = configuration.limits.maxBodyBytes;
     this.hasKeys = configuration.customers !== undefined;
     for (const route of configuration.routes) this.addRoute(route);
     for (const service of configuration.services) {
@@ -72,6 +74,14 @@
     return this.holders.get(key);
   }
 
+  /** Finds any key of a customer. */
+  findKey(customer: string): string | undefined {
+    for (const [key, holder] of this.holders) {
+      if (holder.customer === customer) return key;
+    }
+    return undefined;
+  }
+
   findService(name: string): RoutedService | undefined {
     return this.services.get(name);
   }
--- a/packages/gateway/src/lib/RunTracker.ts
+++ b/packages/gateway/src/lib/RunTracker.ts
@@ -15,7 +15,7 @@
 
   constructor(
     private readonly budgets: RetryBudgets,
-    private readonly answer: CallerAnswer,
+    private readonly answer: Pick<CallerAnswer, 'isBegun'>,
   ) {}
 
   // Commands.
--- a/packages/gateway/src/lib/SendPlanner.ts
+++ b/packages/gateway/src/lib/SendPlanner.ts
@@ -1,8 +1,8 @@
 import {QueueNote, QueueRefusal} from '@sycamorehead/routing';
 import {buildWorkKind} from './AnswerTimes.js';
+import {buildDemand} from './buildDemand.js';
 import type {CallerAnswer} from './CallerAnswer.js';
 import type {CallerRequest} from './CallerRequest.js';
-import {computeWaitLimits} from './computeWaitLimits.js';
 import type {CrashGuard} from './CrashGuard.js';
 import {ExtraSends} from './ExtraSends.js';
 import type {ForwardContext} from './gatewayTypes.js';
@@ -155,40 +155,21 @@
     tried: ReadonlySet<string>,
   ): PlacementRequest {
     const {request, context, answer, signal} = this.options;
-    const {route, service, priority, customer} = target;
     const variant = context.versions.assignVariant(
-      service.name,
+      target.service.name,
       request.session,
       request.id,
     );
-    const deadlineAt = this.options.getDeadline();
-    const kind = buildWorkKind(route.name, model);
-    const limits = computeWaitLimits({
-      now: performance.now(),
-      arrivedAt: request.arrivedAt,
-      targetLatencyMs: route.targetLatencyMs,
-      typicalMs: context.times.getTypicalMs(kind),
-      deadlineAt,
-      longestPauseMs: answer.isBegun ? route.longestPauseMs : undefined,
-    });
-    return {
+    const demand = buildDemand(context, {
       request,
-      service,
-      route: route.name,
+      target,
       variant,
       model,
-      priority,
-      customer,
       tried,
-      ...limits,
-      // A refusal would cut the stream.
-      ...(answer.isBegun && {reviewAt: limits.abandonAt}),
-      deadlineAt,
-      objectiveAt: this.options.answer.isBegun
-        ? undefined
-        : request.arrivedAt + route.targetLatencyMs,
+      deadlineAt: this.options.getDeadline(),
+      isBegun: answer.isBegun,
       signal,
-      onQueued: note => (this.note = note),
-    };
+    });
+    return {...demand, onQueued: note => (this.note = note)};
   }
 }
--- a/packages/gateway/src/lib/ServerAvailability.ts
+++ b/packages/gateway/src/lib/ServerAvailability.ts
@@ -1,8 +1,8 @@
+import type {ServerObstacle} from '@sycamorehead/fleet';
 import type {RoutedService} from '@sycamorehead/schema';
 import {MemoryGroup, filterByMemory, groupByMemory} from './filterByMemory.js';
 import type {PlacementRequest} from './Placement.js';
 import type {KnownServer} from './KnownServer.js';
-import type {ServerObstacle} from './serverObstacles.js';
 import type {ServerTable} from './ServerTable.js';
 import type {VersionSplit} from './VersionSplit.js';
 
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -4,6 +4,7 @@
   PromptNewsTable,
   ServerListing,
   ServerLoad,
+  ServerObstacle,
   buildServerLoad,
 } from '@sycamorehead/fleet';
 import {ServerPace, updateTypicalPace} from '@sycamorehead/routing';
@@ -14,7 +15,6 @@
 import {KnownServer, computeSlowUntil, createServer} from './KnownServer.js';
 import {ServerLimits} from './ServerLimits.js';
 import {ServerNotices} from './ServerNotices.js';
-import type {ServerObstacle} from './serverObstacles.js';
 
 /** Consecutive failures after which a server is ejected for a while. */
 const FAILURES_TO_EJECT = 2;
--- a/packages/gateway/src/lib/refusals.ts
+++ b/packages/gateway/src/lib/refusals.ts
@@ -51,6 +51,19 @@
   });
 }
 
+/**
+ * Builds the error of a request that this entry itself would probably answer late.
+ *
+ * @example
+ * ```ts
+ * buildPaceRefusal().ran; // 'no'
+ * ```
+ * @public
+ */
+export function buildPaceRefusal(): SycamoreheadError {
+  return buildRefusal('this entry does not keep up', false);
+}
+
 /**
  * Builds the error of a request that arrives before the first configuration.
  *
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -64,6 +64,12 @@
 } from './lib/forwarding/chooseModel.js';
 export {PlacementQueue} from './lib/forwarding/PlacementQueue.js';
 export type {QueueNote, WaitingWork} from './lib/forwarding/PlacementQueue.js';
+export {explainPlacement} from './lib/forwarding/explainPlacement.js';
+export type {
+  ExplainedPlacement,
+  QuestionedWork,
+  WaitReason,
+} from './lib/forwarding/explainPlacement.js';
 export {QueueRefusal} from './lib/forwarding/QueueRefusal.js';
 export type {QueueRefusalReason} from './lib/forwarding/QueueRefusal.js';
 export {
--- a/packages/routing/src/lib/forwarding/PlacementQueue.ts
+++ b/packages/routing/src/lib/forwarding/PlacementQueue.ts
@@ -73,6 +73,8 @@
 const REVIEW_MARGIN = 1.5;
 /** Time in which some request with the same needs must have got a place for others to yield, in ms. */
 const SERVED_NEEDS_MS = 5_000;
+/** What a copy takes for each random number. */
+const USUAL_DRAW = 0.5;
 
 /**
  * Queues the requests of one service that wait for a slot. `QueuePolicy` decides whose turn it is; a
@@ -150,6 +152,11 @@
     }
   }
 
+  /** Offers no places at a later time any more. */
+  stop(): void {
+    clearTimeout(this.offerTimer);
+  }
+
   /** Applies what the other entries have reported, and refuses requests that can't be served in time. */
   updateOthers(demand: ServiceDemand | undefined): void {
     this.policy.updateOthers(demand);
@@ -158,6 +165,27 @@
 
   // Queries.
 
+  /** Copies the queue, which then decides alike with usual draws; the requests in it wait for nothing. */
+  copy(): PlacementQueue {
+    const queue = new PlacementQueue(this.policy.copy(() => USUAL_DRAW));
+    for (const waiter of this.waiters) {
+      queue.waiters.add({
+        ...waiter,
+        trySettle: () => false,
+        hasFreeSlot: () => false,
+        refuse: () => {},
+      });
+    }
+    for (const [needs, at] of this.placedAt) queue.placedAt.set(needs, at);
+    queue.rankedAt = this.rankedAt;
+    return queue;
+  }
+
+  /** Whether places are left to other entries at present. */
+  get isYielding(): boolean {
+    return this.policy.yieldsUntil > performance.now();
+  }
+
   /** The number of waiting requests. */
   get length(): number {
     return this.waiters.size;
--- a/packages/routing/src/lib/forwarding/QueuePolicy.ts
+++ b/packages/routing/src/lib/forwarding/QueuePolicy.ts
@@ -1,5 +1,6 @@
 import {WaiterRank} from './chooseNextWaiter.js';
 import {classifyUrgency, computeUrgency} from './computeUrgency.js';
+import {copyState} from './copyState.js';
 import {estimateQueueWait} from './estimateQueueWait.js';
 import {FairShares} from './FairShares.js';
 import {KindShares, SizeClass} from './KindShares.js';
@@ -69,7 +70,7 @@
   private standings = new Map<string, CustomerStanding>();
   private standingAt = -Infinity;
 
-  constructor(random: () => number = Math.random) {
+  constructor(private readonly random: () => number = Math.random) {
     this.returns = new ReturnSchedule(random);
     this.yields = new YieldWindows(random);
   }
@@ -142,6 +143,11 @@
 
   // Queries.
 
+  /** Copies the policy, which then decides alike, but for what it draws. */
+  copy(random: () => number): QueuePolicy {
+    return copyState(this, new Map([[this.random, random]]));
+  }
+
   /** The end of the time for which places are left to others, on the monotonic clock. */
   get yieldsUntil(): number {
     return this.yields.endsAt;
