syc explain: where a request would go now, and why

Errors have the exit codes of their kinds; a refusal is explained and exits with 0. An entry answers two questions a second.

--- a/apps/syc/src/main.ts
+++ b/apps/syc/src/main.ts
@@ -24,6 +24,7 @@
 import {buildBillsCommand} from './billsCommand.js';
 import {describeChanges} from './describeChanges.js';
 import {buildEvacuateCommand} from './evacuateCommand.js';
+import {buildExplainCommand} from './explainCommand.js';
 import {buildFleetCommand} from './fleetCommand.js';
 import {buildReleaseCommand} from './releaseCommand.js';
 import {formatRollout} from './formatRollout.js';
@@ -210,6 +211,7 @@
     status,
     members: buildMembersCommand(createClient),
     fleet: buildFleetCommand(),
+    explain: buildExplainCommand(),
     release: buildReleaseCommand(),
     evacuate: buildEvacuateCommand(),
     bills: buildBillsCommand({control, createClient}),
--- a/apps/syc/src/requestFleet.ts
+++ b/apps/syc/src/requestFleet.ts
@@ -1,13 +1,13 @@
 import {readSecret} from '@sycamorehead/telemetry';
 import {connectPeer, parsePeerAddress} from '@sycamorehead/wire';
 
-/** Peer name under which this tool connects; control instances log it. */
+/** Peer name under which this tool connects; control instances and entries log it. */
 const TOOL_NAME = 'syc';
 /** Timeout for one request to a fleet, in milliseconds; short because a person waits. */
 const REQUEST_TIMEOUT_MS = 3_000;
 
 /**
- * Sends one request to a control instance of a fleet.
+ * Sends one request to a control instance or an entry of a fleet.
  *
  * @example
  * ```ts
--- a/packages/gateway/src/lib/OperatorServer.ts
+++ b/packages/gateway/src/lib/OperatorServer.ts
@@ -4,7 +4,7 @@
 import {WireServer} from '@sycamorehead/wire';
 
 /** Minimum time between two explanations, in milliseconds; each rates all servers of a service. */
-const EXPLAIN_INTERVAL_MS = 100;
+const EXPLAIN_INTERVAL_MS = 500;
 
 /** Settings of an OperatorServer. @internal */
 export interface OperatorServerOptions {
