--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -4,6 +4,7 @@
   PromptNewsTable,
   ServerListing,
   ServerLoad,
+  ServerObstacle,
 } from '@sycamorehead/fleet';
 import {
   ServerPace,
@@ -26,7 +27,6 @@
 } from './KnownServer.js';
 import {ServerLimits} from './ServerLimits.js';
 import {ServerNotices} from './ServerNotices.js';
-import type {ServerObstacle} from './serverObstacles.js';
 
 /** Consecutive failures after which a server is ejected for a while. */
 const FAILURES_TO_EJECT = 2;
