--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -5,6 +5,7 @@
   ControlIdentity,
   CrashEvidenceReport,
   CrashReport,
+  EndedEvacuations,
   EvacuationState,
   ExchangeReply,
   ExchangeRequest,
@@ -26,6 +27,14 @@
   SyncReply,
   SyncRequest,
 } from './lib/fleetMessages.js';
+export {ENTRY_METHODS} from './lib/explainMessages.js';
+export type {
+  ExplainedOutcome,
+  ExplainedServer,
+  RequestExplanation,
+  RequestQuestion,
+  ServerObstacle,
+} from './lib/explainMessages.js';
 export {CrashPool} from './lib/CrashPool.js';
 export {EntryReports} from './lib/EntryReports.js';
 export type {EntryReportsOptions} from './lib/EntryReports.js';
--- a/packages/gateway/src/lib/KnownServer.ts
+++ b/packages/gateway/src/lib/KnownServer.ts
@@ -1,5 +1,10 @@
-import type {ServerListing} from '@sycamorehead/fleet';
-import {ServerMemory, ServerPace} from '@sycamorehead/routing';
+import {ServerListing, ServerLoad, buildServerLoad} from '@sycamorehead/fleet';
+import {
+  ServerMemory,
+  ServerPace,
+  ServerSlowness,
+  ServiceSlowness,
+} from '@sycamorehead/routing';
 import type {ServerRegistration} from '@sycamorehead/schema';
 import {ServerAgent} from './ServerAgent.js';
 
@@ -26,8 +31,8 @@
   failures: number;
   /** The time until which other servers are preferred, on the monotonic clock. */
   ejectedUntil: number;
-  /** Its answer times to this entry relative to those of its service; 1 is typical. */
-  slowness: number;
+  /** Its answer times to this entry relative to the typical time. */
+  readonly slowness: ServerSlowness;
   /** Its answer times to all entries relative to those of its service, for engines. */
   readonly pace: ServerPace;
   /** The time until which it is slow because it has just started, on the monotonic clock; 0 if it is not. */
@@ -43,11 +48,14 @@
  *
  * @example
  * ```ts
- * createServer(listing).inFlight; // 0
+ * createServer(listing, new ServiceSlowness()).inFlight; // 0
  * ```
  * @internal
  */
-export function createServer(listing: ServerListing): KnownServer {
+export function createServer(
+  listing: ServerListing,
+  service: ServiceSlowness,
+): KnownServer {
   return {
     listing,
     agent: new ServerAgent(MAX_IDLE_CONNECTIONS),
@@ -59,7 +67,7 @@
     othersReceivedAt: -Infinity,
     failures: 0,
     ejectedUntil: 0,
-    slowness: 1,
+    slowness: new ServerSlowness(service),
     pace: new ServerPace(),
     slowUntil: computeSlowUntil(listing.registration),
     returningUntil: 0,
@@ -86,3 +94,46 @@
 function computeAgeMs({startedAtMs}: ServerRegistration): number {
   return Math.max(0, Date.now() - startedAtMs);
 }
+
+/** How the load on a server is described. @internal */
+export interface LoadDescription {
+  /** The time, on the monotonic clock. */
+  readonly now: number;
+  /** Time of the last bytes from which a server counts as active. */
+  readonly oldest: number;
+  /** Whether only what changes within milliseconds is told. */
+  readonly isBrief: boolean;
+}
+
+/**
+ * Describes this entry's load on a server to the others; undefined if there is nothing to tell.
+ *
+ * @example
+ * ```ts
+ * describeLoad(server, {now, oldest: now - 400, isBrief: true}); // [2, 350, 1, 9_000]
+ * ```
+ * @internal
+ */
+export function describeLoad(
+  server: KnownServer,
+  {now, oldest, isBrief}: LoadDescription,
+): ServerLoad | undefined {
+  const {inFlight, pendingMs, lastReceivedAt, memory, pace} = server;
+  const active = lastReceivedAt > oldest ? 1 : 0;
+  const isIdle = inFlight === 0 && active === 0;
+  const pending = Math.round(pendingMs);
+  if (isBrief) {
+    return isIdle ? undefined : [inFlight, pending, active, memory.ownTokens];
+  }
+  const {answers, logRatios} = pace.describeOwn(now);
+  if (isIdle && answers === 0) return undefined;
+  return buildServerLoad([
+    inFlight,
+    pending,
+    active,
+    memory.ownTokens,
+    memory.kept.describeRead(now),
+    answers,
+    logRatios,
+  ]);
+}
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -4,14 +4,27 @@
   PromptNewsTable,
   ServerListing,
   ServerLoad,
-  buildServerLoad,
+  ServerObstacle,
 } from '@sycamorehead/fleet';
-import {ServerPace, updateTypicalPace} from '@sycamorehead/routing';
-import {ServerRegistration, isNewerRegistration} from '@sycamorehead/schema';
+import {
+  ServerPace,
+  ServiceSlowness,
+  updateTypicalPace,
+} from '@sycamorehead/routing';
+import {
+  ServerRegistration,
+  evictOldest,
+  isNewerRegistration,
+} from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 import {ColdServers} from './ColdServers.js';
 import {EvacuationView} from './EvacuationView.js';
-import {KnownServer, computeSlowUntil, createServer} from './KnownServer.js';
+import {
+  KnownServer,
+  computeSlowUntil,
+  createServer,
+  describeLoad,
+} from './KnownServer.js';
 import {ServerLimits} from './ServerLimits.js';
 import {ServerNotices} from './ServerNotices.js';
 
@@ -24,12 +37,6 @@
 const EJECTION_MS = 400;
 /** Maximum duration of an ejection, in milliseconds. */
 const MAX_EJECTION_MS = 4_000;
-/** Weight of the newest answer in a server's slowness. */
-const SLOWNESS_GAIN = 0.15;
-/** Lower bound of an answer's time ratio, and so of the slowness of a server. */
-const MIN_SLOWNESS = 0.5;
-/** Upper bound of an answer's time ratio, and so of the slowness of a server. */
-const MAX_SLOWNESS = 8;
 /**
  * Time after its last bytes for which a server counts as active, in milliseconds; a few steps of
  * a busy engine.
@@ -37,6 +44,8 @@
 const ACTIVE_MS = 400;
 /** Time for which the servers of a data centre return gradually after an evacuation, in milliseconds. */
 const RETURN_MS = 2_000;
+/** Maximum number of services whose typical slowness is remembered. */
+const MAX_SERVICES = 2_000;
 /** Maximum number of prompt segments that one report names. */
 const MAX_PROMPT_NEWS = 64;
 
@@ -61,6 +70,7 @@
     registrations => this.cold.expectCold(registrations),
   ];
   private readonly servers = new Map<string, KnownServer>();
+  private readonly slowness = new Map<string, ServiceSlowness>();
 
   // Commands.
 
@@ -111,8 +121,7 @@
 
   /** Records the ratio of a server's time to the typical time. */
   recordSlowness(server: KnownServer, timeRatio: number): void {
-    const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, timeRatio));
-    server.slowness += (bounded - server.slowness) * SLOWNESS_GAIN;
+    server.slowness.recordRatio(timeRatio);
   }
 
   /**
@@ -184,13 +193,6 @@
     );
   }
 
-  /** Lists the ready servers of a service that accept new work now, like `isAccepting`. */
-  listAccepting(service: string): KnownServer[] {
-    return this.listReady(service).filter(
-      ({listing}) => this.notices.getHoldMs(listing.registration) === 0,
-    );
-  }
-
   /** Lists the servers of a service that would be ready if their data centres were not evacuated. */
   listEvacuated(service: string): KnownServer[] {
     return this.listStaying(service, dataCentre =>
@@ -208,21 +210,34 @@
 
   /** Returns whether any server of a service is known, even one that leaves. */
   hasServers(service: string): boolean {
-    return [...this.servers.values()].some(
+    return this.matchAny(
+      ({listing}) => listing.registration.service === service,
+    );
+  }
+
+  /** Lists all known servers of a service, whatever their state. */
+  listKnown(service: string): KnownServer[] {
+    return [...this.servers.values()].filter(
       ({listing}) => listing.registration.service === service,
     );
   }
 
   /** Returns whether this incarnation of a server accepts new work now. */
   isAccepting(server: KnownServer): boolean {
+    return this.findObstacle(server) === undefined;
+  }
+
+  /** Finds why this incarnation of a server accepts no new work now, whatever its load. */
+  findObstacle(server: KnownServer): ServerObstacle | undefined {
     const {registration} = server.listing;
-    return (
-      this.servers.get(registration.id) === server &&
-      registration.state === 'ready' &&
-      !this.notices.isLeaving(registration) &&
-      !this.evacuation.isClosed(registration.dataCentre) &&
-      this.notices.getHoldMs(registration) === 0
-    );
+    const {evacuation, notices} = this;
+    if (this.servers.get(registration.id) !== server) return 'unlisted';
+    if (registration.state !== 'ready') return 'not_ready';
+    if (notices.isLeaving(registration)) return 'leaving';
+    if (evacuation.isEvacuated(registration.dataCentre)) return 'evacuated';
+    if (!evacuation.isKnown) return 'evacuation_unknown';
+    if (notices.getHoldMs(registration) > 0) return 'pause';
+    return undefined;
   }
 
   /** Lists the registrations of the servers to which requests may be sent, now or later. */
@@ -282,26 +297,8 @@
     const now = performance.now();
     const oldest = now - ACTIVE_MS;
     for (const [id, server] of this.servers) {
-      const {inFlight, pendingMs, lastReceivedAt, memory, pace} = server;
-      const active = lastReceivedAt > oldest ? 1 : 0;
-      const isIdle = inFlight === 0 && active === 0;
-      if (isBrief) {
-        if (isIdle) continue;
-        const pending = Math.round(pendingMs);
-        load[id] = [inFlight, pending, active, memory.ownTokens];
-        continue;
-      }
-      const {answers, logRatios} = pace.describeOwn(now);
-      if (isIdle && answers === 0) continue;
-      load[id] = buildServerLoad([
-        inFlight,
-        Math.round(pendingMs),
-        active,
-        memory.ownTokens,
-        memory.kept.describeRead(now),
-        answers,
-        logRatios,
-      ]);
+      const entry = describeLoad(server, {now, oldest, isBrief});
+      if (entry) load[id] = entry;
     }
     return load;
   }
@@ -310,19 +307,13 @@
     service: string,
     isIncluded: (dataCentre: string) => boolean,
   ): KnownServer[] {
-    const staying: KnownServer[] = [];
-    for (const server of this.servers.values()) {
-      const {registration} = server.listing;
-      if (
+    return [...this.servers.values()].filter(
+      ({listing: {registration}}) =>
         registration.service === service &&
         registration.state === 'ready' &&
         !this.notices.isLeaving(registration) &&
-        isIncluded(registration.dataCentre)
-      ) {
-        staying.push(server);
-      }
-    }
-    return staying;
+        isIncluded(registration.dataCentre),
+    );
   }
 
   private announceReturn(dataCentres: readonly string[]): void {
@@ -375,12 +366,20 @@
     }
   }
 
+  private add(listing: ServerListing): void {
+    const {id, service} = listing.registration;
+    const slowness = this.slowness.get(service) ?? new ServiceSlowness();
+    this.slowness.set(service, slowness);
+    evictOldest(this.slowness, MAX_SERVICES);
+    this.servers.set(id, createServer(listing, slowness));
+  }
+
   private applyListing(listing: ServerListing): void {
     const {registration} = listing;
     this.markPredecessorDeparted(registration);
     const known = this.servers.get(registration.id);
     if (!known) {
-      this.servers.set(registration.id, createServer(listing));
+      this.add(listing);
       this.cold.recordRegistration(registration);
       this.logChange(registration);
       return;
@@ -403,7 +402,8 @@
       this.limits.remove(old);
       this.cold.remove(old);
       known.agent.destroy();
-      this.servers.set(registration.id, createServer(listing));
+      known.slowness.remove();
+      this.add(listing);
     } else {
       known.listing = listing;
       known.slowUntil = computeSlowUntil(registration);
@@ -427,6 +427,7 @@
     const known = this.servers.get(id);
     if (!known) return;
     known.agent.destroy();
+    known.slowness.remove();
     this.limits.remove(known.listing.registration);
     this.cold.remove(known.listing.registration);
     this.servers.delete(id);
