syc explain: readiness, own pace and connections

Change: an explanation says whether its entry is ready; a server is named as certain only if the entry refuses no share of the requests for its own pace.

--- a/apps/syc/src/formatExplanation.ts
+++ b/apps/syc/src/formatExplanation.ts
@@ -36,6 +36,7 @@
     formatRow({
       entry,
       data_centre: dataCentre,
+      ready: explanation.isReady ? undefined : 'no',
       configuration,
       request: requestId,
       route,
--- a/apps/syc/src/test/explain.test.ts
+++ b/apps/syc/src/test/explain.test.ts
@@ -20,6 +20,7 @@
 const EXPLANATION: RequestExplanation = {
   entry: '10.0.1.1',
   dataCentre: 'a',
+  isReady: true,
   configuration: 7,
   requestId: 'r1',
   route: 'drafts',
@@ -127,6 +128,15 @@
   ]);
 });
 
+test('an entry that is not ready or does not keep up says so', () => {
+  const [first] = formatExplanation({
+    ...EXPLANATION,
+    isReady: false,
+    refusedShare: 0.25,
+  });
+  assert.match(first ?? '', / ready=no .* refused_share=0\.25$/);
+});
+
 test('a wait and a refusal are told with their times', () => {
   const [, waits] = formatExplanation({
     ...EXPLANATION,
--- a/packages/fleet/src/lib/explainMessages.ts
+++ b/packages/fleet/src/lib/explainMessages.ts
@@ -114,6 +114,8 @@
 export interface RequestExplanation {
   readonly entry: string;
   readonly dataCentre: string;
+  /** Whether the entry says that it is ready for new callers. */
+  readonly isReady: boolean;
   /** Version of the configuration in force at the entry. */
   readonly configuration: number;
   readonly requestId: string;
--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -144,7 +144,16 @@
       new OperatorServer({
         ...operators,
         peerKey: options.peerKey,
-        explain: question => explainRequest(context, options, question),
+        explain: question =>
+          explainRequest(
+            context,
+            {
+              name: options.name,
+              dataCentre,
+              isReady: () => this.isReady(),
+            },
+            question,
+          ),
       });
     this.links = new FleetLinks({
       entry: options.name,
--- a/packages/gateway/src/lib/OperatorServer.ts
+++ b/packages/gateway/src/lib/OperatorServer.ts
@@ -5,6 +5,8 @@
 
 /** Minimum time between two explanations, in milliseconds; each rates all servers of a service. */
 const EXPLAIN_INTERVAL_MS = 500;
+/** Maximum number of operators' links; strangers count until they have had their time for the peer key. */
+const MAX_LINKS = 32;
 
 /** Settings of an OperatorServer. @internal */
 export interface OperatorServerOptions {
@@ -30,6 +32,7 @@
       host,
       port,
       peerKey,
+      maxLinks: MAX_LINKS,
       methods: {
         [ENTRY_METHODS.explain]: (question: unknown) => this.explain(question),
       },
--- a/packages/gateway/src/lib/explainRequest.ts
+++ b/packages/gateway/src/lib/explainRequest.ts
@@ -23,6 +23,7 @@
 export interface ExplainingEntry {
   readonly name: string;
   readonly dataCentre: string;
+  isReady(): boolean;
 }
 
 /** What is known of a server beside its load. */
@@ -80,6 +81,7 @@
   return {
     entry: entry.name,
     dataCentre: entry.dataCentre,
+    isReady: entry.isReady(),
     configuration: routes?.version ?? 0,
     requestId: request.id,
     route: route.name,
@@ -91,7 +93,9 @@
     refusedShare,
     deadlineMs: Math.round(deadlineAt - performance.now()),
     waiting: context.placement.countWaiting(service.name),
-    outcome: refusal ? describeRefusal(refusal) : describeOutcome(slot),
+    outcome: refusal
+      ? describeRefusal(refusal)
+      : describeOutcome(slot, refusedShare),
     usable: choices.length,
     drawn,
     ruledOut: countObstacles(slot.obstacles),
@@ -117,15 +121,15 @@
   }
 }
 
-function describeOutcome({
-  placement,
-  isCertain,
-  abandonAt,
-}: ExplainedSlot): ExplainedOutcome {
+function describeOutcome(
+  {placement, isCertain, abandonAt}: ExplainedSlot,
+  refusedShare: number,
+): ExplainedOutcome {
   switch (placement.type) {
     case 'placed': {
       const {id} = placement.slot.server.listing.registration;
-      return {type: 'sent', server: id, isCertain};
+      const isTaken = refusedShare <= 0;
+      return {type: 'sent', server: id, isCertain: isCertain && isTaken};
     }
     case 'waits': {
       const {reason, note} = placement;
--- a/packages/gateway/src/test/ExplainedEntry.ts
+++ b/packages/gateway/src/test/ExplainedEntry.ts
@@ -104,7 +104,11 @@
   }
 
   explain(question: unknown): Promise<RequestExplanation> {
-    const entry = {name: '10.0.1.1', dataCentre: 'a'};
+    const entry = {
+      name: '10.0.1.1',
+      dataCentre: 'a',
+      isReady: () => true,
+    };
     return explainRequest(this.context, entry, question);
   }
 
--- a/packages/gateway/src/test/operatorServer.test.ts
+++ b/packages/gateway/src/test/operatorServer.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {Socket, connect as open} from 'node:net';
 import {afterEach, test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {ENTRY_METHODS, RequestExplanation} from '@sycamorehead/fleet';
@@ -77,6 +78,25 @@
   await sendQuestion(QUESTION);
 });
 
+test('strangers take no more than a bounded number of connections', async () => {
+  const port = await createServer().start();
+  assert.ok(port);
+  const sockets = Array.from({length: 64}, () => open(port, '127.0.0.1'));
+  const dropped = new Set<Socket>();
+  for (const socket of sockets) {
+    socket.on('error', () => {}).on('close', () => dropped.add(socket));
+  }
+  track({
+    stop: () => {
+      for (const socket of sockets) socket.destroy();
+      return Promise.resolve();
+    },
+  });
+  const deadline = performance.now() + 4_000;
+  while (dropped.size < 32 && performance.now() < deadline) await sleep(20);
+  assert.equal(dropped.size, 32);
+});
+
 test('a port that is taken costs the answers only', async () => {
   const port = await createServer().start();
   assert.ok(port);
--- a/packages/wire/src/lib/WireServer.ts
+++ b/packages/wire/src/lib/WireServer.ts
@@ -14,6 +14,7 @@
 
 const log = createLogger('wire');
 
+/** Maximum number of links unless the options name one. */
 const MAX_LINKS = 4_096;
 /** Time for which `stop` waits for requests that are being served, in milliseconds. */
 const DRAIN_LIMIT_MS = 1_000;
@@ -43,6 +44,8 @@
   readonly peerKey: string;
   readonly methods: MethodTable;
   readonly timeouts?: LinkTimeouts;
+  /** Maximum number of links. */
+  readonly maxLinks?: number;
   /** Enables TLS. If it has a CA, peers must present a certificate signed by that CA. */
   readonly tls?: TlsMaterial;
 }
@@ -68,7 +71,7 @@
           accept,
         )
       : createServer(accept);
-    this.server.maxConnections = MAX_LINKS;
+    this.server.maxConnections = options.maxLinks ?? MAX_LINKS;
   }
 
   /**
