Explanations are tested with permits, answer times and kept prompts

Cause: in the random states of explainRequest.test no server with a limit or a warm-up had a permit, so that no such server was ever usable, no prompt was kept and no answer time known. Change: permits are issued for half of the servers, some prompts are kept and an answer time is known.

--- a/packages/gateway/src/test/explainRequest.test.ts
+++ b/packages/gateway/src/test/explainRequest.test.ts
@@ -2,7 +2,12 @@
 import {afterEach, beforeEach, test} from 'node:test';
 import FakeTimers, {Clock} from '@sinonjs/fake-timers';
 import type {RequestQuestion, ServerObstacle} from '@sycamorehead/fleet';
-import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
+import {buildKeptPrompt} from '@sycamorehead/routing';
+import {
+  SycamoreheadError,
+  buildIncarnationKey,
+  toSycamoreheadError,
+} from '@sycamorehead/schema';
 import {createRandom} from './createRandom.js';
 import {
   ExplainedEntry,
@@ -27,6 +32,8 @@
   ],
 };
 
+const PROMPT = buildKeptPrompt('', QUESTION.segments ?? []);
+
 let clock: Clock;
 const {random} = Math;
 
@@ -84,6 +91,7 @@
       },
     ]);
   }
+  entry.context.times.recordTime('drafts ', 50 + draw() * 300);
   const load: Record<string, [number, number, number, number]> = {};
   for (const server of entry.listServers()) {
     const {registration} = server.listing;
@@ -104,9 +112,11 @@
     }
     if (pick(trouble / 4)) servers.recordFailure(server, 'test', true);
     if (pick(0.2)) servers.recordSlowness(server, draw() * 4);
+    if (pick(0.3)) server.memory.kept.recordPrompt(PROMPT, 1_000);
   }
   servers.setOthersLoad(load);
-  clock.tick(Math.floor(draw() * 500));
+  clock.tick(Math.floor(draw() * 900));
+  issuePermits(entry, draw);
   const count = Math.floor(draw() * 40);
   const signal = new AbortController().signal;
   for (let index = 0; index < count; index += 1) {
@@ -137,6 +147,20 @@
   return `${known[index]} | ${lines[index]}`;
 }
 
+/** Issues permits for some of the servers that need one. */
+function issuePermits(entry: ExplainedEntry, draw: () => number): void {
+  const {limits, cold} = entry.servers;
+  const permits: Record<string, number> = {};
+  for (const {listing} of entry.listServers()) {
+    const key = buildIncarnationKey(listing.registration);
+    if (draw() < 0.5) permits[key] = 1 + Math.floor(draw() * 3);
+  }
+  cold.takeReport([], () => 0);
+  const now = performance.now();
+  limits.applyReply({entries: 3, load: {}, permits}, now);
+  cold.applyReply({coldPermits: permits}, now);
+}
+
 /** Asks and then sends; returns the kind of the outcome. */
 async function checkExplanation(seed: number): Promise<string> {
   const entry = await buildEntry(seed);
