A segment whose combination is in quarantine is suspended once servers crash under it alone

Where a crashing segment comes with one companion for a while, the two go into quarantine as a combination, and prompts with other companions crash servers until two crashes without the first have settled. From the first such crash on the segment is suspended (refused for a moment, as requests were) until the crash has settled, and while its crashes convict it; a prompt with it goes to no second server after a crash. Only for segments of a combination in quarantine: a common one would be refused until its answers are reported.

--- a/packages/fleet/src/lib/CrashPool.ts
+++ b/packages/fleet/src/lib/CrashPool.ts
@@ -150,14 +150,16 @@
   }
 
   /**
-   * Lists the requests whose crashes would convict them if all entries had reported. They are sent to no
-   * server until the crashes have settled, since each send may cost another one.
+   * Lists the requests whose crashes would convict them if all entries had reported, and segments whose
+   * combination in quarantine turns out not to be the cause. They are sent to no server until the crashes
+   * have settled, since each send may cost another one.
    */
   listSuspended(): string[] {
-    return this.listSuspects()
+    const requests = this.listSuspects()
       .filter(isConvicted)
       .flatMap(({segments}) => segments)
       .filter(isRequestSegment);
+    return [...requests, ...this.listLoneSegments()];
   }
 
   /** Lists the most recent servers that crashed while all of the segments were in progress there. */
@@ -197,6 +199,39 @@
     this.quarantined = quarantined;
   }
 
+  /**
+   * Lists the segments of combinations in quarantine under which, by themselves, a server has crashed a
+   * moment ago, or whose crashes convict them. Other segments are not suspended: one that is common is
+   * acquitted by answers, which are reported once it is suspected.
+   */
+  private listLoneSegments(): string[] {
+    const combinations = this.listQuarantined().filter(
+      combination =>
+        combination.length > 1 && !combination.some(isRequestSegment),
+    );
+    if (combinations.length === 0) return [];
+    const suspects = this.listSuspects();
+    const suspected = new Set(suspects.flatMap(({segments}) => segments));
+    const convicted = new Set(suspects.filter(isConvicted).map(buildKey));
+    const latest = performance.now() - SETTLING_MS;
+    const unsettled = [...this.crashes.values()].filter(
+      ({learnedAt}) => learnedAt > latest,
+    );
+    const lone = combinations.flatMap(combination =>
+      combination.filter(
+        id =>
+          convicted.has(id) ||
+          (suspected.has(id) &&
+            unsettled.some(
+              ({segments}) =>
+                segments.has(id) &&
+                !combination.every(other => segments.has(other)),
+            )),
+      ),
+    );
+    return [...new Set(lone)];
+  }
+
   private getSurvivalAt(segment: string): number | undefined {
     const own = this.survivals.get(segment) ?? -Infinity;
     const others = this.othersSurvivals.get(segment) ?? -Infinity;
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -326,7 +326,7 @@
   readonly demand?: DemandTable;
   /** Suspected prompt segments, of which the entry reports the survivals; absent from earlier builds. */
   readonly suspects?: readonly string[];
-  /** Requests that may come into quarantine within a moment; absent from earlier builds. */
+  /** Requests and segments that may come into quarantine within a moment; absent from earlier builds. */
   readonly suspended?: readonly string[];
   /** Whether the instance hears too few others, so that load is missing. */
   readonly isIsolated?: boolean;
--- a/packages/fleet/src/test/CrashPool.test.ts
+++ b/packages/fleet/src/test/CrashPool.test.ts
@@ -251,3 +251,47 @@
   assert.deepEqual(pool.listSuspended(), []);
   assert.deepEqual(waitForVerdict(pool), []);
 });
+
+test('a segment whose combination is in quarantine is suspended at the first crash without its companion', () => {
+  const quarantined: string[][] = [];
+  const pool = new CrashPool(() => quarantined);
+  const report = (index: number, ...segments: string[]) =>
+    pool.exchange({crashes: [buildReport(index, 0, ...segments)]});
+  for (let index = 0; index < 3; index += 1) {
+    report(index, 'bad', 'd2');
+    clock.tick(300);
+  }
+  assert.deepEqual(waitForVerdict(pool), ['bad,d2']);
+  assert.deepEqual(pool.listSuspended(), []);
+  quarantined.push(['bad', 'd2']);
+  clock.tick(100);
+  assert.deepEqual(pool.listSuspended(), []);
+  report(3, 'bad', 'd4');
+  clock.tick(60);
+  assert.deepEqual(pool.listSuspended(), ['bad']);
+  // No verdict yet: an entry that ended before its report may have sent another segment there.
+  clock.tick(SETTLING_MS);
+  assert.deepEqual(listConvicted(pool), []);
+  assert.deepEqual(pool.listSuspended(), []);
+  report(4, 'bad', 'd5');
+  clock.tick(60);
+  assert.deepEqual(pool.listSuspended(), ['bad']);
+  clock.tick(SETTLING_MS);
+  assert.deepEqual(listConvicted(pool), ['bad']);
+  assert.deepEqual(pool.listSuspended(), ['bad'], 'until it is in quarantine');
+  quarantined.push(['bad']);
+  clock.tick(60);
+  assert.deepEqual(pool.listSuspended(), []);
+});
+
+test('a segment of a combination in quarantine that is answered is not suspended, but the other one', () => {
+  const pool = new CrashPool(() => [['bad', 'sound']]);
+  for (let index = 0; index < 3; index += 1) {
+    pool.exchange({crashes: [buildReport(index, 0, 'bad', 'sound')]});
+    clock.tick(300);
+  }
+  pool.exchange({survivals: {sound: 0}});
+  pool.exchange({crashes: [buildReport(3, 0, 'sound', 'd4')]});
+  clock.tick(60);
+  assert.deepEqual(pool.listSuspended(), ['bad']);
+});
--- a/packages/gateway/src/lib/CrashGuard.ts
+++ b/packages/gateway/src/lib/CrashGuard.ts
@@ -15,7 +15,10 @@
  * server is exposed to the request: the servers may have crashed because of it.
  */
 const MAX_FAILED_SERVERS = 2;
-/** The same for servers that crash under a request that is suspected already. */
+/**
+ * The same for servers that crash under a request that is suspected already, or has a suspected segment that
+ * is in quarantine together with others.
+ */
 const MAX_SUSPECT_FAILURES = 1;
 
 /**
@@ -66,7 +69,7 @@
   }
 
   /**
-   * Checks that neither the request nor its prompt is in quarantine, nor the request suspended.
+   * Checks that neither the request nor its prompt is in quarantine, nor the request or a segment suspended.
    *
    * @throws SycamoreheadError `request_quarantined`, `segment_quarantined`, or `outcome_unknown` if the
    * request may have run.
@@ -80,9 +83,9 @@
     if (this.quarantined !== undefined) {
       throw buildQuarantineRefusal(this.quarantined, this.runs.mayHaveRun);
     }
-    const id = this.requestSegment;
-    if (id === undefined || !this.context.crashes.isSuspended(id)) return;
-    throw buildSuspensionRefusal(id, this.runs.mayHaveRun);
+    const suspended = this.findSuspended(target);
+    if (suspended === undefined) return;
+    throw buildSuspensionRefusal(suspended, this.runs.mayHaveRun);
   }
 
   /** Tracks a send of the request, after `checkSend`. */
@@ -151,18 +154,28 @@
    * the checks of the servers that failed under it have to be awaited.
    */
   isResendCertain(target: RequestTarget): boolean {
-    const {crashes, quarantine} = this.context;
+    const {quarantine} = this.context;
     if (this.losses.length >= this.maxFailures) return false;
     if (quarantine.findQuarantined(this.listSegments(target))) return false;
-    const id = this.requestSegment;
-    return id === undefined || !crashes.isSuspended(id);
+    return this.findSuspended(target) === undefined;
+  }
+
+  /** Finds the request, or a segment of its prompt, that is sent to no server at this moment. */
+  private findSuspended(target: RequestTarget): string | undefined {
+    const {crashes} = this.context;
+    return this.listSegments(target).find(id => crashes.isSuspended(id));
   }
 
   /** The number of servers that crash under the request after which no further one is exposed to it. */
   private get maxFailures(): number {
-    const {crashes} = this.context;
+    const {crashes, quarantine} = this.context;
     const id = this.requestSegment;
-    const isSuspected = id !== undefined && crashes.isSuspected(id);
+    const isSuspected =
+      (id !== undefined && crashes.isSuspected(id)) ||
+      this.sharedSegments.some(
+        segment =>
+          crashes.isSuspected(segment) && quarantine.isCombined(segment),
+      );
     return isSuspected ? MAX_SUSPECT_FAILURES : MAX_FAILED_SERVERS;
   }
 
--- a/packages/gateway/src/lib/CrashObserver.ts
+++ b/packages/gateway/src/lib/CrashObserver.ts
@@ -167,7 +167,7 @@
     }
   }
 
-  /** Sets the requests that are sent to no server for a moment. */
+  /** Sets the requests and segments that are sent to no server for a moment. */
   setSuspended(suspended: readonly string[]): void {
     this.suspended = new Set(suspended);
     this.suspendedAt = performance.now();
@@ -175,7 +175,7 @@
 
   // Queries.
 
-  /** Returns whether a request is sent to no server at this moment. */
+  /** Returns whether a request, or a prompt with a segment, is sent to no server at this moment. */
   isSuspended(id: string): boolean {
     const ageMs = performance.now() - this.suspendedAt;
     return ageMs <= SUSPENSION_MS && this.suspended.has(id);
--- a/packages/gateway/src/lib/SegmentQuarantine.ts
+++ b/packages/gateway/src/lib/SegmentQuarantine.ts
@@ -57,6 +57,13 @@
 
   // Queries.
 
+  /** Returns whether a segment is in quarantine together with others. */
+  isCombined(segment: string): boolean {
+    return this.state.combinations.some(
+      combination => combination.length > 1 && combination.includes(segment),
+    );
+  }
+
   /** Finds a combination in quarantine of which a prompt has all segments. */
   findQuarantined(segments: readonly string[]): readonly string[] | undefined {
     return this.state.combinations.find(combination =>
--- a/packages/gateway/src/lib/refusals.ts
+++ b/packages/gateway/src/lib/refusals.ts
@@ -107,7 +107,7 @@
 }
 
 /**
- * Builds the error of a request that may come into quarantine within a moment.
+ * Builds the error of a request that may come into quarantine within a moment, by itself or by a segment.
  *
  * @example
  * ```ts
@@ -121,7 +121,10 @@
 ): SycamoreheadError {
   const message = `suspended: servers crash under ${id}`;
   if (mayHaveRun) return new SycamoreheadError('outcome_unknown', message);
-  return new SycamoreheadError('request_quarantined', message, {
+  const kind = isRequestSegment(id)
+    ? 'request_quarantined'
+    : 'segment_quarantined';
+  return new SycamoreheadError(kind, message, {
     ran: 'no',
     retryAfterMs: SUSPENSION_RETRY_AFTER_MS,
   });
