--- a/packages/routing/src/lib/forwarding/ReturnSchedule.ts
+++ b/packages/routing/src/lib/forwarding/ReturnSchedule.ts
@@ -40,7 +40,9 @@
    */
   reserveDelay({waitMs, leftMs, placesPerSecond}: ReturnInput): number {
     const now = performance.now();
-    const heededMs = Math.max(0, leftMs * HEEDED_FRACTION);
+    // A caller without time for another try comes with a new request, if at all.
+    const isOver = leftMs <= MIN_DELAY_MS;
+    const heededMs = isOver ? MIN_DELAY_MS : leftMs * HEEDED_FRACTION;
     const spacingMs =
       MS_PER_SECOND / Math.max(1, placesPerSecond * RETURN_FRACTION);
     const earliest = now + Math.max(MIN_DELAY_MS, waitMs);
--- a/packages/routing/src/test/queueDecisions.test.ts
+++ b/packages/routing/src/test/queueDecisions.test.ts
@@ -106,6 +106,18 @@
   assert.ok(delays.every(delay => delay > 0 && delay <= 3_000));
 });
 
+test('callers whose time is up return apart too', () => {
+  const returns = new ReturnSchedule();
+  for (const leftMs of [0, 40, -500]) {
+    const reserve = () =>
+      returns.reserveDelay({waitMs: 500, leftMs, placesPerSecond: 20});
+    const delays = Array.from({length: 40}, reserve);
+    assert.ok(Math.min(...delays) >= 100, `${delays}`);
+    assert.ok(Math.max(...delays) <= 250, `${delays}`);
+    assert.equal(new Set(delays).size, delays.length);
+  }
+});
+
 test('free places are left to more urgent requests elsewhere half of the time at most', () => {
   const windows = new YieldWindows(() => 0);
   const input = {urgencyClass: 2, othersWaiting: [0, 5], placesPerSecond: 100};
