Restart of all processes: requests for engines are spread over the time in which servers register again

Cause: entries serve 40 ms after the control instances run again, while backend servers register over one heartbeat interval.

Change: the first update of a control instance tells the age of its directory and the interval. While the oldest one known is younger, an entry sends a part of its requests for engines that grows with the age; the rest wait in the queue, unless they would be late then.

Also: nothing is held beyond its last useful moment, or where an instance has run for long.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -5,6 +5,7 @@
   ControlIdentity,
   CrashEvidenceReport,
   CrashReport,
+  DirectoryAge,
   EvacuationState,
   ExchangeReply,
   ExchangeRequest,
--- a/packages/fleet/src/lib/EntryFeeds.ts
+++ b/packages/fleet/src/lib/EntryFeeds.ts
@@ -9,14 +9,14 @@
   QuarantineState,
   ServerListing,
 } from './fleetMessages.js';
+import type {ServerRegistry} from './ServerRegistry.js';
 
 /** Time for which changes are batched before they are sent, in milliseconds. */
 const BATCH_MS = 10;
 
 /** State that the feeds report. @public */
 export interface EntryFeedSource {
-  listServers(): ServerListing[];
-  findServer(id: string): ServerListing | undefined;
+  readonly registry: Pick<ServerRegistry, 'list' | 'find' | 'describeAge'>;
   getConfigurationVersion(): number;
   listRollouts(): ServiceRollout[];
   describeQuarantine(): QuarantineState;
@@ -52,8 +52,10 @@
       this.links.delete(link);
       writeDecision('entry_unlinked', {entry});
     });
+    const directory = this.source.registry.describeAge();
     return {
-      servers: this.source.listServers(),
+      ...(directory && {directory}),
+      servers: this.source.registry.list(),
       limits: this.source.listLimits(),
       ...this.describeState(),
     };
@@ -87,7 +89,7 @@
     const servers: ServerListing[] = [];
     const dropped: string[] = [];
     for (const id of this.changedServers) {
-      const listing = this.source.findServer(id);
+      const listing = this.source.registry.find(id);
       if (listing) servers.push(listing);
       else dropped.push(id);
     }
--- a/packages/fleet/src/lib/FleetNode.ts
+++ b/packages/fleet/src/lib/FleetNode.ts
@@ -116,8 +116,7 @@
       service => warmups.findByService(service) !== undefined,
     );
     this.feeds = new EntryFeeds({
-      listServers: () => this.registry.list(),
-      findServer: id => this.registry.find(id),
+      registry: this.registry,
       getConfigurationVersion: () => this.logMember.state.configuration.version,
       listRollouts: () => this.logMember.state.listRollouts(),
       describeQuarantine: () => this.logMember.state.describeQuarantine(),
--- a/packages/fleet/src/lib/ServerRegistry.ts
+++ b/packages/fleet/src/lib/ServerRegistry.ts
@@ -1,5 +1,5 @@
 import {ServerRegistration, isNewerRegistration} from '@sycamorehead/schema';
-import type {ServerListing} from './fleetMessages.js';
+import type {DirectoryAge, ServerListing} from './fleetMessages.js';
 
 /** Timeouts of servers that miss their heartbeats, in milliseconds. @public */
 export interface RegistryTimeouts {
@@ -9,6 +9,8 @@
   readonly expiryMs: number;
   /** Time for which a stopped server is retained, so that a late heartbeat does not revive it. */
   readonly tombstoneMs: number;
+  /** Time within which each server that runs registers again; undefined if it is not known. */
+  readonly fillMs?: number;
 }
 
 interface RegistryEntry {
@@ -35,6 +37,7 @@
 export class ServerRegistry {
   private readonly entries = new Map<string, RegistryEntry>();
   private readonly idsByAddress = new Map<string, string>();
+  private readonly createdAt = performance.now();
 
   constructor(
     private readonly timeouts: RegistryTimeouts,
@@ -100,6 +103,13 @@
     return entry && describeEntry(entry);
   }
 
+  /** Describes how far the directory has filled; undefined if it is not known how often servers register. */
+  describeAge(): DirectoryAge | undefined {
+    const {fillMs} = this.timeouts;
+    if (fillMs === undefined) return undefined;
+    return {ageMs: performance.now() - this.createdAt, fillMs};
+  }
+
   /** Lists all retained servers, including those that have stopped. */
   list(): ServerListing[] {
     return [...this.entries.values()].map(describeEntry);
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -211,6 +211,14 @@
   readonly coldPermits?: PermitTable;
 }
 
+/** The age of a control instance's directory of servers. @public */
+export interface DirectoryAge {
+  /** Time since the instance began to accept registrations, in milliseconds. */
+  readonly ageMs: number;
+  /** Time within which each server that runs registers again, in milliseconds. */
+  readonly fillMs: number;
+}
+
 /** Update from a control instance to its entries: the whole state first, then changes. @public */
 export interface FleetUpdate {
   readonly servers?: readonly ServerListing[];
@@ -226,6 +234,8 @@
    * started; absent from earlier builds.
    */
   readonly isCatchingUp?: boolean;
+  /** How far the directory of servers has filled; in the first update only, absent from earlier builds. */
+  readonly directory?: DirectoryAge;
   /** The limits that servers have named; in the first update only. */
   readonly limits?: LimitTable;
   /** Peer addresses of the control instances. */
--- a/packages/fleet/src/test/ServerRegistry.test.ts
+++ b/packages/fleet/src/test/ServerRegistry.test.ts
@@ -111,3 +111,15 @@
   const registration = buildRegistration({sequence: 2, slowStartMs: 3_000});
   assert.equal(registry.accept(registration), false);
 });
+
+test('the age of the directory is told where servers are known to register in time', () => {
+  assert.equal(new ServerRegistry(TIMEOUTS).describeAge(), undefined);
+  const clock = fakeTimers.install({toFake: ['performance']});
+  try {
+    const registry = new ServerRegistry({...TIMEOUTS, fillMs: 1_200});
+    clock.tick(300);
+    assert.deepEqual(registry.describeAge(), {ageMs: 300, fillMs: 1_200});
+  } finally {
+    clock.uninstall();
+  }
+});
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -12,6 +12,7 @@
 } from '@sycamorehead/routing';
 import type {CallerRequest} from './CallerRequest.js';
 import {measurePendingMs} from './measurePendingMs.js';
+import {pauseWhileFilling} from './pauseWhileFilling.js';
 import {buildEvacuationRefusal, buildRefusal} from './refusals.js';
 import {ServerAvailability} from './ServerAvailability.js';
 import {ServerChooser, ServerChooserOptions} from './ServerChooser.js';
@@ -135,7 +136,8 @@
     this.recordDemand(service);
     this.refuseIfEvacuated(demand);
     this.refuseIfTooLarge(demand);
-    const work = this.buildWork(demand);
+    const {filling} = this.options.servers;
+    const work = pauseWhileFilling(filling, demand, this.buildWork(demand));
     if (!this.isLimited(service)) return queue.acquire(work);
     const now = performance.now();
     const abandonAt = now + (demand.abandonAt - now) * LIMITED_WAIT_FRACTION;
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -10,6 +10,7 @@
 import {ServerRegistration, isNewerRegistration} from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 import {ColdServers} from './ColdServers.js';
+import {DirectoryFill} from './DirectoryFill.js';
 import {EvacuationView} from './EvacuationView.js';
 import {KnownServer, computeSlowUntil, createServer} from './KnownServer.js';
 import {ServerLimits} from './ServerLimits.js';
@@ -55,6 +56,7 @@
   readonly limits = new ServerLimits();
   readonly evacuation = new EvacuationView();
   readonly cold = new ColdServers();
+  readonly filling = new DirectoryFill();
   private readonly returnListeners: ReturnListener[] = [
     registrations => this.cold.expectCold(registrations),
   ];
@@ -65,6 +67,7 @@
   /** Applies an update from a control instance. */
   update(update: FleetUpdate): void {
     const {servers = [], dropped = []} = update;
+    this.filling.update(update);
     const returned = this.evacuation.update(update);
     for (const listing of servers) this.applyListing(listing);
     for (const id of dropped) this.drop(id);
--- /dev/null
+++ b/packages/gateway/src/test/directoryFill.test.ts
@@ -0,0 +1,169 @@
+import assert from 'node:assert/strict';
+import {afterEach, test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import fakeTimers from '@sinonjs/fake-timers';
+import {DirectoryFill} from '../lib/DirectoryFill.js';
+import {createRandom} from './createRandom.js';
+import {
+  LAST_CHUNK,
+  formatChunk,
+  formatEvent,
+  formatStreamHead,
+} from './FakeServer.js';
+import {
+  GatewayHarness,
+  buildEngineConfiguration,
+  formatRequest,
+  readStatus,
+} from './GatewayHarness.js';
+import {startServer, stopStarted, track} from './startGateway.js';
+
+afterEach(stopStarted);
+
+const FILL_MS = 1_200;
+const ENGINES = 42;
+const ENTRIES = 61;
+const STEP_MS = 10;
+/** Requests that have waited for the system, and those that come after it is back. */
+const WAITING = 240;
+const PER_SECOND = 180;
+
+interface HerdOutcome {
+  readonly mostOnOne: number;
+  readonly meanWaitMs: number;
+  readonly sent: number;
+}
+
+/**
+ * Replays the restart of all processes: the engines register again evenly over `FILL_MS`, and each entry
+ * sends what it may to the engine to which it has sent least.
+ */
+function runRestart(isSpread: boolean): HerdOutcome {
+  const clock = fakeTimers.install({toFake: ['performance']});
+  try {
+    const random = createRandom(7);
+    const entries = Array.from({length: ENTRIES}, () => {
+      const filling = new DirectoryFill();
+      filling.update({directory: {ageMs: 0, fillMs: FILL_MS}});
+      return {filling, waitingSince: [] as number[], sends: new Map()};
+    });
+    const totals = new Map<number, number>();
+    let sent = 0;
+    let waitedMs = 0;
+    for (let now = 0; now < FILL_MS; now += STEP_MS) {
+      const arriving =
+        now === 0 ? WAITING : random() < (PER_SECOND * STEP_MS) / 1_000 ? 1 : 0;
+      for (let count = 0; count < arriving; count += 1) {
+        const entry = entries[Math.floor(random() * ENTRIES)]!;
+        entry.waitingSince.push(now);
+        entry.filling.recordRequest('drafts');
+      }
+      clock.tick(STEP_MS);
+      const known = Math.max(1, Math.floor((ENGINES * now) / FILL_MS));
+      for (const {filling, waitingSince, sends} of entries) {
+        while (waitingSince.length > 0) {
+          if (isSpread && filling.isHeld('drafts')) break;
+          const since = waitingSince.shift()!;
+          const start = Math.floor(random() * known);
+          let best = start;
+          for (let step = 0; step < known; step += 1) {
+            const index = (start + step) % known;
+            if ((sends.get(index) ?? 0) < (sends.get(best) ?? 0)) best = index;
+          }
+          sends.set(best, (sends.get(best) ?? 0) + 1);
+          totals.set(best, (totals.get(best) ?? 0) + 1);
+          filling.recordSend('drafts');
+          sent += 1;
+          waitedMs += now - since;
+        }
+      }
+    }
+    const mostOnOne = Math.max(...totals.values());
+    return {mostOnOne, sent, meanWaitMs: waitedMs / sent};
+  } finally {
+    clock.uninstall();
+  }
+}
+
+test('after a restart of all processes the first server to register does not get the requests of all entries', () => {
+  const before = runRestart(false);
+  const after = runRestart(true);
+  const figures = JSON.stringify({before, after});
+  assert.ok(before.mostOnOne > 200, figures);
+  assert.ok(after.mostOnOne < before.mostOnOne / 4, figures);
+  assert.equal(after.sent, before.sent, figures);
+  assert.ok(after.meanWaitMs < FILL_MS / 2, figures);
+});
+
+test('requests wait while the directory of servers fills, and all are answered', async () => {
+  const server = await startServer('s1', (request, socket) => {
+    socket.write(
+      formatStreamHead(request) + formatChunk(formatEvent(1)) + LAST_CHUNK,
+    );
+  });
+  const gateway = track(new GatewayHarness());
+  const route = {
+    kind: 'streaming',
+    isResumable: true,
+    targetLatencyMs: 1_400,
+  } as const;
+  await gateway.start(buildEngineConfiguration(route), []);
+  gateway.update({
+    directory: {ageMs: 0, fillMs: FILL_MS},
+    servers: [server.describe()],
+  });
+  const offers = setInterval(() => gateway.update({}), 20);
+  try {
+    const exchanges = Array.from({length: 20}, (unused, index) =>
+      gateway.exchange(formatRequest({method: 'POST', id: `r${index}`})),
+    );
+    await sleep(150);
+    assert.ok(server.received.length < 10, `${server.received.length} sends`);
+    const statuses = (await Promise.all(exchanges)).map(readStatus);
+    assert.deepEqual(
+      statuses,
+      statuses.map(() => 200),
+    );
+  } finally {
+    clearInterval(offers);
+  }
+});
+
+test('a request is not held beyond the time at which its answer can still be in time', async () => {
+  const server = await startServer('s1', (request, socket) => {
+    socket.write(
+      formatStreamHead(request) + formatChunk(formatEvent(1)) + LAST_CHUNK,
+    );
+  });
+  const gateway = track(new GatewayHarness());
+  const route = {
+    kind: 'streaming',
+    isResumable: true,
+    targetLatencyMs: 600,
+  } as const;
+  await gateway.start(buildEngineConfiguration(route), []);
+  gateway.update({
+    directory: {ageMs: 0, fillMs: 60_000},
+    servers: [server.describe()],
+  });
+  const offers = setInterval(() => gateway.update({}), 20);
+  try {
+    const startedAt = performance.now();
+    const request = formatRequest({method: 'POST'});
+    assert.equal(readStatus(await gateway.exchange(request)), 200);
+    assert.ok(performance.now() - startedAt < 600);
+  } finally {
+    clearInterval(offers);
+  }
+});
+
+test('entries that learn from an instance that has run for long hold nothing', () => {
+  const filling = new DirectoryFill();
+  assert.equal(filling.isFilling, false);
+  filling.update({directory: {ageMs: 20, fillMs: FILL_MS}});
+  assert.equal(filling.isFilling, true);
+  filling.update({directory: {ageMs: 60_000, fillMs: FILL_MS}});
+  assert.equal(filling.isFilling, false);
+  filling.update({directory: {ageMs: 10, fillMs: FILL_MS}});
+  assert.equal(filling.isFilling, false);
+});
