--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -16,6 +16,7 @@
 import {computeWork} from './computeWork.js';
 import {ExplainedSlot, explainSlot} from './explainSlot.js';
 import {measurePendingMs} from './measurePendingMs.js';
+import {pauseWhileFilling} from './pauseWhileFilling.js';
 import {PlacementRefusals, isTooLarge} from './PlacementRefusals.js';
 import {ServerAvailability} from './ServerAvailability.js';
 import {ServerChooser, ServerChooserOptions} from './ServerChooser.js';
@@ -129,7 +130,9 @@
     this.recordDemand(service);
     if (isTooLarge(demand)) this.options.onMemoryFull?.(service);
     const abandonAt = this.refusals.checkDemand(demand, queue);
-    return queue.acquire({...this.buildWork(demand), abandonAt});
+    const {filling} = this.options.servers;
+    const work = pauseWhileFilling(filling, demand, this.buildWork(demand));
+    return queue.acquire({...work, abandonAt});
   }
 
   /** Reserves a slot if one is free now and no other request waits for it. */
@@ -149,8 +152,9 @@
   explain(demand: PlacementRequest): Promise<ExplainedSlot> {
     const {availability, chooser, slowStart, refusals} = this;
     const queue = this.queues.get(demand.service.name) ?? new PlacementQueue();
-    const explainer = {availability, chooser, slowStart, refusals};
-    return explainSlot(demand, queue, explainer, this.buildWork(demand));
+    const {filling} = this.options.servers;
+    const decisions = {availability, chooser, slowStart, refusals, filling};
+    return explainSlot(demand, queue, decisions, this.buildWork(demand));
   }
 
   /** Offers slots to the waiting requests after the table of servers has changed. */
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -18,6 +18,7 @@
 } from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 import {ColdServers} from './ColdServers.js';
+import {DirectoryFill} from './DirectoryFill.js';
 import {EvacuationView} from './EvacuationView.js';
 import {
   KnownServer,
@@ -66,6 +67,7 @@
   readonly limits = new ServerLimits();
   readonly evacuation = new EvacuationView();
   readonly cold = new ColdServers();
+  readonly filling = new DirectoryFill();
   private readonly returnListeners: ReturnListener[] = [
     registrations => this.cold.expectCold(registrations),
   ];
@@ -77,6 +79,7 @@
   /** Applies an update from a control instance. */
   update(update: FleetUpdate): void {
     const {servers = [], dropped = []} = update;
+    this.filling.update(update);
     const returned = this.evacuation.update(update);
     for (const listing of servers) this.applyListing(listing);
     for (const id of dropped) this.drop(id);
@@ -210,9 +213,7 @@
 
   /** Returns whether any server of a service is known, even one that leaves. */
   hasServers(service: string): boolean {
-    return this.matchAny(
-      ({listing}) => listing.registration.service === service,
-    );
+    return this.listKnown(service).length > 0;
   }
 
   /** Lists all known servers of a service, whatever their state. */
--- a/packages/gateway/src/lib/explainSlot.ts
+++ b/packages/gateway/src/lib/explainSlot.ts
@@ -6,7 +6,9 @@
 } from '@sycamorehead/routing';
 import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
 import type {ServerObstacle} from '@sycamorehead/fleet';
+import type {DirectoryFill} from './DirectoryFill.js';
 import type {KnownServer} from './KnownServer.js';
+import {isHeldWhileFilling} from './pauseWhileFilling.js';
 import type {PlacementRequest} from './Placement.js';
 import type {PlacementRefusals} from './PlacementRefusals.js';
 import type {ServerAvailability} from './ServerAvailability.js';
@@ -23,6 +25,7 @@
   readonly chooser: ServerChooser;
   readonly slowStart: SlowStart;
   readonly refusals: PlacementRefusals;
+  readonly filling: DirectoryFill;
 }
 
 /** What would become of a request, and why. @internal */
@@ -51,7 +54,7 @@
 export async function explainSlot(
   demand: PlacementRequest,
   queue: PlacementQueue,
-  {availability, chooser, slowStart, refusals}: SlotDecisions,
+  {availability, chooser, slowStart, refusals, filling}: SlotDecisions,
   work: QuestionedWork<unknown>,
 ): Promise<ExplainedSlot> {
   const {servers: available, isDrawn, obstacles} = availability.explain(demand);
@@ -81,6 +84,7 @@
     ...work,
     abandonAt,
     tryReserveSlot: () => {
+      if (isHeldWhileFilling(filling, demand)) return undefined;
       refusals.checkEvacuation(demand);
       if (best && availability.hasFreeSlot(demand.service)) return best;
       const closure = refusals.findClosure(demand);
