--- a/packages/gateway/src/lib/ServerAvailability.ts
+++ b/packages/gateway/src/lib/ServerAvailability.ts
@@ -143,9 +143,7 @@
   /** Lists the servers that accept work and that the roll-out of the service permits for a request. */
   private listPermitted(demand: PlacementRequest): readonly KnownServer[] {
     const {servers} = this;
-    const accepting = servers
-      .listReady(demand.service.name)
-      .filter(server => servers.isAccepting(server));
+    const accepting = servers.listAccepting(demand.service.name);
     return this.filterPermitted(demand, accepting);
   }
 
--- a/packages/routing/src/lib/forwarding/QueuePolicy.ts
+++ b/packages/routing/src/lib/forwarding/QueuePolicy.ts
@@ -53,6 +53,13 @@
   readonly allowed: number;
 }
 
+/** Whose standing has changed. @internal */
+export interface StandingChanges {
+  /** Whether that of all customers and kinds has. */
+  readonly isAll: boolean;
+  readonly customers: ReadonlySet<string>;
+}
+
 /** What entries count of each other's queues, beside the customers. @public */
 export interface QueueCounts {
   readonly ahead: number;
@@ -75,6 +82,8 @@
   private starved = new Map<string, boolean>();
   private standings = new Map<string, CustomerStanding>();
   private standingAt = -Infinity;
+  private hasAllChanged = true;
+  private changed = new Set<string>();
 
   constructor(private readonly random: () => number = Math.random) {
     this.returns = new ReturnSchedule(random);
@@ -105,6 +114,16 @@
     const {session} = request;
     if (session !== undefined) this.sessions.recordServed(session);
     this.standings.delete(customer);
+    this.changed.add(customer);
+  }
+
+  /** Returns whose standing has changed since the last call. */
+  takeChanges(now: number): StandingChanges {
+    this.expireStandings(now);
+    const changes = {isAll: this.hasAllChanged, customers: this.changed};
+    this.hasAllChanged = false;
+    this.changed = new Set();
+    return changes;
   }
 
   /** Records whether requests wait. */
@@ -262,6 +281,7 @@
   private expireStandings(now: number): void {
     if (now - this.standingAt < STANDING_MS) return;
     this.standingAt = now;
+    this.hasAllChanged = true;
     this.starved = new Map();
     this.standings = new Map();
   }
