Chunked bodies get room in steps, so that slow ones are read beside each other

A chunked body above 16 KB took room for the largest body, so that the fourth slow one at a time on a machine of 210 MB waited, and the slow ones were refused one by one (408). It now gets 128 KB, then twice what it has, as long as the largest need of one of those that have begun still fits beside all that is promised; otherwise one of them gets room for all. Those that have begun come before new ones. What is promised stays within the account.

heldBytes.test fails before: six of eight slow bodies were refused as stalled; a body that goes on behind 200 that had stopped was refused. The crowds and their bounds are unchanged.

--- a/packages/wire/src/lib/HeldBytes.ts
+++ b/packages/wire/src/lib/HeldBytes.ts
@@ -10,13 +10,14 @@
   | 'heads_unfinished'
   | 'answers_unread';
 
-/** Progress of a body: a waiting one may not be read until there is room for all of it. */
+/** Progress of a body: a waiting one may not be read until there is room for it. */
 type BodyState = 'small' | 'waiting' | 'reading' | 'whole' | 'closed';
 
-/** What the owner of a body is told; called at most once each. @public */
+/** What the owner of a body is told. @public */
 export interface BodyListener {
-  /** There is room for the whole body. */
-  onRoom(): void;
+  /** There is room for the body up to so many bytes; once for one of known length, else each time it grows. */
+  onRoom(bytes: number): void;
+  /** Called once at most. */
   onRefused(refusal: ClientRefusal): void;
 }
 
@@ -30,7 +31,11 @@
   readonly listener: BodyListener;
   /** The most bytes that it may become. */
   readonly maxBytes: number;
+  /** Whether it becomes that long unless it stops short. */
+  readonly hasLength: boolean;
   bytes: number;
+  /** Room that was promised to it; 0 until it has been read on once. */
+  promisedBytes: number;
   /** `bytes` when it last made progress, and when that was, on the monotonic clock. */
   progressBytes: number;
   progressAt: number;
@@ -42,6 +47,10 @@
 const SMALL_BODY_BYTES = 16 * 1024;
 /** Share of the room that is kept for small bodies and for the beginnings of large ones. */
 const SMALL_SHARE = 0.25;
+/** The first room of a body of unknown length, in bytes; it doubles each time that the body nearly fills it. */
+const FIRST_ROOM_BYTES = 128 * 1024;
+/** The most that arrives of a body before its connection is paused, in bytes. */
+const CHUNK_BYTES = 64 * 1024;
 /** Bytes that count as progress of a body. */
 const PROGRESS_BYTES = 64 * 1024;
 /** Time without progress after which a body gives way to those that wait for room, in milliseconds. */
@@ -59,6 +68,8 @@
  *   one without progress for the longest time is refused.
  * - A large body is read on only once there is room for all of it, so that those that are read can end. One
  *   alone is always read.
+ * - One of unknown length gets room in steps, as long as each of those that have some can still become as
+ *   long as is allowed, by itself; otherwise it waits for room for all of it, as others do.
  * - While others wait for room, a large body without progress is refused.
  *
  * @public
@@ -67,7 +78,12 @@
   private readonly maxSmallBytes: number;
   private readonly maxLargeBytes: number;
   private readonly entries = new Set<Entry>();
+  /** Bodies that wait for their first room. */
   private readonly waiting = new Set<Entry>();
+  /** Bodies that have room and are not whole yet. */
+  private readonly started = new Set<Entry>();
+  /** Those of them that wait for more; they can end only with it, so they come first. */
+  private readonly outgrown = new Set<Entry>();
   private smallBytes = 0;
   private largeBytes = 0;
   private timer: NodeJS.Timeout | undefined;
@@ -82,13 +98,23 @@
 
   // Commands.
 
-  /** Opens the account of a body that may become `maxBytes` long. */
-  openBody(maxBytes: number, listener: BodyListener): HeldBody {
+  /**
+   * Opens the account of a body that may become `maxBytes` long.
+   *
+   * @param hasLength - Whether it becomes that long unless it stops short.
+   */
+  openBody(
+    maxBytes: number,
+    listener: BodyListener,
+    hasLength = true,
+  ): HeldBody {
     const entry: Entry = {
       state: 'small',
       listener,
       maxBytes,
+      hasLength,
       bytes: 0,
+      promisedBytes: 0,
       progressBytes: 0,
       progressAt: performance.now(),
       waitingAt: Infinity,
@@ -106,13 +132,14 @@
     if (entry.bytes - entry.progressBytes >= PROGRESS_BYTES) {
       recordProgress(entry);
     }
-    if (entry.state === 'small' && entry.bytes > SMALL_BODY_BYTES) {
+    const next = this.findWaitingSet(entry);
+    if (next) {
       entry.state = 'waiting';
       entry.waitingAt = performance.now();
-      this.waiting.add(entry);
+      next.add(entry);
     }
     this.countIn(entry);
-    if (entry.state === 'waiting') this.offerRoom();
+    if (next) this.offerRoom();
     this.limitSmall();
   }
 
@@ -121,7 +148,7 @@
     const entry = body as Entry;
     if (entry.state === 'closed') return;
     this.countOut(entry);
-    this.waiting.delete(entry);
+    this.dropStarted(entry);
     entry.state = 'whole';
     this.countIn(entry);
     this.offerRoom();
@@ -143,7 +170,7 @@
     this.countOut(entry);
     entry.state = 'closed';
     this.entries.delete(entry);
-    this.waiting.delete(entry);
+    this.dropStarted(entry);
     this.offerRoom();
   }
 
@@ -156,26 +183,79 @@
 
   /** Number of bodies that wait for room. */
   get waitingCount(): number {
-    return this.waiting.size;
+    return this.waiting.size + this.outgrown.size;
+  }
+
+  /** Returns where a body waits that may not be read on now; undefined if it may, or waits already. */
+  private findWaitingSet(entry: Entry): Set<Entry> | undefined {
+    const {state, bytes, promisedBytes, maxBytes} = entry;
+    if (state === 'small' && bytes > SMALL_BODY_BYTES) return this.waiting;
+    const isOutgrown =
+      promisedBytes < maxBytes && bytes + CHUNK_BYTES > promisedBytes;
+    return state === 'reading' && isOutgrown ? this.outgrown : undefined;
+  }
+
+  private dropStarted(entry: Entry): void {
+    this.waiting.delete(entry);
+    this.outgrown.delete(entry);
+    this.started.delete(entry);
   }
 
   private offerRoom(): void {
-    for (const entry of this.waiting) {
-      const isAlone = this.largeBytes === 0;
-      const fits = this.largeBytes + entry.maxBytes <= this.maxLargeBytes;
-      if (!fits && !isAlone) break;
-      this.waiting.delete(entry);
-      this.countOut(entry);
-      entry.state = 'reading';
-      this.countIn(entry);
-      recordProgress(entry);
-      entry.listener.onRoom();
+    for (const set of [this.outgrown, this.waiting]) {
+      for (const entry of set) {
+        const roomBytes = this.computeRoom(entry);
+        if (roomBytes === undefined) {
+          this.updateTimer();
+          return;
+        }
+        set.delete(entry);
+        this.countOut(entry);
+        entry.state = 'reading';
+        entry.promisedBytes = roomBytes;
+        this.started.add(entry);
+        this.countIn(entry);
+        recordProgress(entry);
+        entry.listener.onRoom(roomBytes);
+      }
     }
     this.updateTimer();
   }
 
+  /** Computes the room that a waiting body may have in all now; undefined if it has to wait. */
+  private computeRoom(entry: Entry): number | undefined {
+    const {maxBytes, bytes, hasLength, promisedBytes} = entry;
+    const own = promisedBytes > 0 ? Math.max(bytes, promisedBytes) : 0;
+    const othersBytes = this.largeBytes - own;
+    const othersNeed = this.computeLargestNeed(entry);
+    const hasRoom = (roomBytes: number) => {
+      const need = Math.max(othersNeed, maxBytes - roomBytes);
+      return othersBytes + roomBytes + need <= this.maxLargeBytes;
+    };
+    const isAlone = othersBytes === 0;
+    if (hasLength) return isAlone || hasRoom(maxBytes) ? maxBytes : undefined;
+    const nextBytes = Math.min(
+      maxBytes,
+      Math.max(FIRST_ROOM_BYTES, bytes * 2 + CHUNK_BYTES),
+    );
+    if (hasRoom(nextBytes)) return nextBytes;
+    // The others wait until it has ended, unless there is room for them, too.
+    const isAllFree = othersBytes + maxBytes <= this.maxLargeBytes;
+    return isAlone || (promisedBytes > 0 && isAllFree) ? maxBytes : undefined;
+  }
+
+  /** Computes the most room that one of the other bodies with some still needs to end. */
+  private computeLargestNeed(entry: Entry): number {
+    let need = 0;
+    for (const other of this.started) {
+      if (other === entry) continue;
+      need = Math.max(need, other.maxBytes - other.promisedBytes);
+    }
+    return need;
+  }
+
   private updateTimer(): void {
-    if (this.waiting.size === 0) {
+    if (this.waitingCount === 0) {
       clearInterval(this.timer);
       this.timer = undefined;
       return;
@@ -190,7 +270,7 @@
   /** Refuses large bodies that have waited for room so long that their clients do better elsewhere. */
   private refuseLate(): void {
     const latest = performance.now() - MAX_WAIT_MS;
-    for (const entry of [...this.waiting]) {
+    for (const entry of [...this.outgrown, ...this.waiting]) {
       if (entry.waitingAt <= latest) this.refuseBody(entry, 'no_room');
     }
   }
@@ -199,7 +279,7 @@
   private refuseStalled(): void {
     const stalledBefore = performance.now() - STALL_MS;
     for (const entry of this.entries) {
-      if (this.waiting.size === 0) return;
+      if (this.waitingCount === 0) return;
       if (entry.state !== 'reading') continue;
       if (entry.progressAt > stalledBefore) continue;
       this.refuseBody(entry, 'body_stalled');
@@ -219,7 +299,7 @@
     let least: Entry | undefined;
     for (const entry of this.entries) {
       if (entry.state !== 'small' && entry.state !== 'waiting') continue;
-      if (entry.bytes === 0) continue;
+      if (entry.bytes === 0 || entry.promisedBytes > 0) continue;
       if (!least || entry.progressAt < least.progressAt) least = entry;
     }
     return least;
@@ -233,8 +313,10 @@
     this.count(entry, -1);
   }
 
-  private count({state, bytes, maxBytes}: Entry, sign: 1 | -1): void {
-    if (state === 'reading') this.largeBytes += sign * maxBytes;
+  private count({state, bytes, promisedBytes}: Entry, sign: 1 | -1): void {
+    const isPromised = state === 'reading' || state === 'waiting';
+    if (isPromised && promisedBytes > 0)
+      this.largeBytes += sign * Math.max(bytes, promisedBytes);
     else if (state === 'whole' && bytes > SMALL_BODY_BYTES)
       this.largeBytes += sign * bytes;
     else this.smallBytes += sign * bytes;
--- a/packages/wire/src/lib/readHeldBody.ts
+++ b/packages/wire/src/lib/readHeldBody.ts
@@ -51,8 +51,8 @@
       message.resume();
       return NO_BYTES;
     }
-    const capacity = isChunked ? options.maxBytes : declared;
-    const reader = new HeldBodyReader(message, options, capacity);
+    const length = isChunked ? undefined : declared;
+    const reader = new HeldBodyReader(message, options, length);
     closeWith(message, response, () => reader.close());
     return await reader.read();
   } catch (error) {
@@ -84,12 +84,16 @@
   constructor(
     private readonly message: IncomingMessage,
     private readonly options: HeldBodyOptions,
-    private readonly capacity: number,
+    length: number | undefined,
   ) {
-    this.body = options.held.openBody(capacity, {
-      onRoom: () => this.resume(),
-      onRefused: refusal => this.refuse(refusal),
-    });
+    this.body = options.held.openBody(
+      length ?? options.maxBytes,
+      {
+        onRoom: bytes => this.resume(bytes),
+        onRefused: refusal => this.refuse(refusal),
+      },
+      length !== undefined,
+    );
   }
 
   async read(): Promise<Buffer> {
@@ -151,8 +155,8 @@
     });
   }
 
-  private resume(): void {
-    this.buffer.reserve(this.capacity);
+  private resume(capacity: number): void {
+    this.buffer.reserve(capacity);
     if (!this.isPaused) return;
     this.isPaused = false;
     Reflect.deleteProperty(this.message, '_read');
--- a/packages/wire/src/test/heldBytes.test.ts
+++ b/packages/wire/src/test/heldBytes.test.ts
@@ -140,3 +140,67 @@
   assert.deepEqual(waiting!.events, ['no_room']);
   assert.equal(held.waitingCount, 0);
 });
+
+/** Opens bodies of unknown length whose first 20 KB have arrived. */
+function openChunked(count: number): TestBody[] {
+  return Array.from({length: count}, () => {
+    const events: string[] = [];
+    const listener = {
+      onRoom: () => events.push('room'),
+      onRefused: (refusal: ClientRefusal) => events.push(refusal),
+    };
+    const opened = {body: held.openBody(LARGE_BYTES, listener, false), events};
+    held.addBytes(opened.body, 20 * KB);
+    return opened;
+  });
+}
+
+test('slow bodies of unknown length that stay far below the largest are read beside each other', () => {
+  const bodies = openChunked(8);
+  for (let ms = 0; ms < 10_000; ms += 100) {
+    clock.tick(100);
+    for (const {body} of bodies) held.addBytes(body, KB);
+  }
+  assert.deepEqual(refusals, []);
+  assert.deepEqual(
+    bodies.map(({body}) => body.state),
+    bodies.map(() => 'reading'),
+  );
+  assert.equal(held.waitingCount, 0);
+});
+
+test('bodies of unknown length that all become as long as is allowed end one after the other, within the room', () => {
+  const bodies = openChunked(30);
+  const lengths = new Map(bodies.map(({body}) => [body, 20 * KB]));
+  let ended = 0;
+  for (let step = 0; step < 2_000 && ended < bodies.length; step += 1) {
+    clock.tick(1);
+    for (const {body} of bodies) {
+      if (body.state !== 'reading') continue;
+      const length = lengths.get(body) ?? 0;
+      const added = Math.min(64 * KB, LARGE_BYTES - length);
+      held.addBytes(body, added);
+      lengths.set(body, length + added);
+      assert.ok(held.totalBytes <= BUDGET_BYTES, `${held.totalBytes} held`);
+      if (length + added < LARGE_BYTES) continue;
+      held.finishBody(body);
+      held.closeBody(body);
+      ended += 1;
+    }
+  }
+  assert.equal(ended, bodies.length);
+  assert.deepEqual(refusals, []);
+  assert.equal(held.totalBytes, 0);
+});
+
+test('bodies of unknown length that stop short give way to those that go on', () => {
+  const stopped = openChunked(200);
+  const going = openChunked(1)[0]!;
+  for (let ms = 0; ms < 6_000; ms += 100) {
+    clock.tick(100);
+    if (going.body.state === 'reading') held.addBytes(going.body, 64 * KB);
+    assert.ok(held.totalBytes <= BUDGET_BYTES, `${held.totalBytes} held`);
+  }
+  assert.equal(going.body.state, 'reading');
+  assert.ok(stopped.some(({events}) => events.includes('body_stalled')));
+});
