--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -6,20 +6,26 @@
   addPrefillSums,
   buildPrefillSums,
   computeOthersDemand,
+  computeOthersWaiting,
   sumDemand,
 } from '@sycamorehead/routing';
 import {writeDecision} from '@sycamorehead/telemetry';
+import {completeReport} from './completeReport.js';
 import {MAX_INTERVAL_MS} from './computeDigestInterval.js';
 import {countAllEntries, countMutual, listHeard} from './entryCensus.js';
 import type {
   ExchangeReply,
   ExchangeRequest,
   LoadDigest,
-  LoadTable,
-  ServerLoad,
 } from './fleetMessages.js';
 import {RouteEvidence, groupByRoute, mergeEvidence} from './rolloutEvidence.js';
-import {addLoad, computeOthersLoad} from './serverLoad.js';
+import {
+  BRIEF_NUMBERS,
+  LoadSums,
+  addLoad,
+  buildLoadTable,
+  computeOthersLoad,
+} from './serverLoad.js';
 
 /** Age above which a report or a digest is ignored, in milliseconds. */
 const LOAD_EXPIRY_MS = 1_500;
@@ -50,7 +56,7 @@
 
 interface Totals {
   readonly computedAt: number;
-  readonly load: LoadTable;
+  readonly load: LoadSums;
   readonly entries: number;
   readonly leaving: readonly string[];
   readonly kept: readonly string[];
@@ -90,23 +96,24 @@
   // Commands.
 
   /** Records one entry's report and returns the load of the other entries. */
-  exchange(request: ExchangeRequest): ExchangeReply {
+  exchange(received: ExchangeRequest): ExchangeReply {
     const now = performance.now();
-    const {entry} = request;
-    const known = this.entries.get(entry);
-    const isPresent = known && now - known.receivedAt <= LOAD_EXPIRY_MS;
-    const arrivedAt = isPresent ? known.arrivedAt : now;
+    const {entry} = received;
+    const last = this.entries.get(entry);
+    const isPresent = last && now - last.receivedAt <= LOAD_EXPIRY_MS;
+    const arrivedAt = isPresent ? last.arrivedAt : now;
+    // Without a report to complete it by, the reply is a whole one, and asks for one.
+    const isBrief = received.isBrief === true && isPresent === true;
+    const request = isBrief ? completeReport(received, last.request) : received;
     this.entries.set(entry, {request, receivedAt: now, arrivedAt});
-    const {load, entries, leaving, kept, prefill, demand, included} =
-      this.getTotals();
+    const {entries, leaving, kept, included} = this.getTotals();
     const own = included.get(entry);
     return {
       entries: included.has(entry) ? entries : entries + 1,
-      load: computeOthersLoad(load, own?.load ?? {}),
       leaving,
       kept,
-      prefill: computeOthersPrefill(prefill, own?.prefill ?? {}),
-      demand: computeOthersDemand(demand, own?.demand ?? {}),
+      ...(isBrief ? this.describeBriefly(own) : this.describeOthers(own)),
+      takesBrief: isBrief || received.isBrief !== true,
       isIsolated: this.isIsolated(),
     };
   }
@@ -129,8 +136,10 @@
   describeDigest(): LoadDigest {
     const now = performance.now();
     const usages = this.listFresh();
+    const sums = sumReports(usages.map(({request}) => request));
     return {
-      ...sumReports(usages.map(({request}) => request)),
+      ...sums,
+      load: buildLoadTable(sums.load),
       instance: this.instance,
       entries: usages.length,
       heard: listHeard(this.listFreshDigests()),
@@ -172,9 +181,8 @@
   /** Counts the requests of all entries in flight on the given backend servers. */
   countInFlight(ids: ReadonlySet<string>): number {
     let total = 0;
-    for (const [id, [inFlight]] of Object.entries(this.getTotals().load)) {
-      if (ids.has(id)) total += inFlight;
-    }
+    const {load} = this.getTotals();
+    for (const id of ids) total += load.get(id)?.[0] ?? 0;
     return total;
   }
 
@@ -188,6 +196,26 @@
     return groupByRoute(lists.flat(), service, number);
   }
 
+  /** Describes what the other entries have reported. */
+  private describeOthers(own: ExchangeRequest | undefined) {
+    const {load, prefill, demand} = this.getTotals();
+    return {
+      load: computeOthersLoad(load, own?.load ?? {}),
+      prefill: computeOthersPrefill(prefill, own?.prefill ?? {}),
+      demand: computeOthersDemand(demand, own?.demand ?? {}),
+    };
+  }
+
+  /** Describes of what the other entries have reported what changes within moments. */
+  private describeBriefly(own: ExchangeRequest | undefined) {
+    const {load, demand} = this.getTotals();
+    return {
+      load: computeOthersLoad(load, own?.load ?? {}, BRIEF_NUMBERS),
+      waiting: computeOthersWaiting(demand, own?.demand ?? {}),
+      isBrief: true,
+    };
+  }
+
   /** Returns whether too few other instances are heard for the sums to be complete. */
   private isIsolated(): boolean {
     const heard = this.listFreshDigests().length + 1;
@@ -274,8 +302,10 @@
 >;
 
 /** Sums reports or digests. */
-function sumReports(reports: readonly Report[]): Required<Report> {
-  const load: Record<string, ServerLoad> = {};
+function sumReports(
+  reports: readonly Report[],
+): Required<Omit<Report, 'load'>> & {readonly load: LoadSums} {
+  const load: LoadSums = new Map();
   const prefill: Record<string, PrefillSums> = {};
   const leaving = new Set<string>();
   const kept = new Set<string>();
--- a/packages/gateway/src/lib/KnownServer.ts
+++ b/packages/gateway/src/lib/KnownServer.ts
@@ -1,4 +1,4 @@
-import type {ServerListing} from '@sycamorehead/fleet';
+import {ServerListing, ServerLoad, buildServerLoad} from '@sycamorehead/fleet';
 import {
   ServerMemory,
   ServerPace,
@@ -94,3 +94,46 @@
 function computeAgeMs({startedAtMs}: ServerRegistration): number {
   return Math.max(0, Date.now() - startedAtMs);
 }
+
+/** How the load on a server is described. @internal */
+export interface LoadDescription {
+  /** The time, on the monotonic clock. */
+  readonly now: number;
+  /** Time of the last bytes from which a server counts as active. */
+  readonly oldest: number;
+  /** Whether only what changes within milliseconds is told. */
+  readonly isBrief: boolean;
+}
+
+/**
+ * Describes this entry's load on a server to the others; undefined if there is nothing to tell.
+ *
+ * @example
+ * ```ts
+ * describeLoad(server, {now, oldest: now - 400, isBrief: true}); // [2, 350, 1, 9_000]
+ * ```
+ * @internal
+ */
+export function describeLoad(
+  server: KnownServer,
+  {now, oldest, isBrief}: LoadDescription,
+): ServerLoad | undefined {
+  const {inFlight, pendingMs, lastReceivedAt, memory, pace} = server;
+  const active = lastReceivedAt > oldest ? 1 : 0;
+  const isIdle = inFlight === 0 && active === 0;
+  const pending = Math.round(pendingMs);
+  if (isBrief) {
+    return isIdle ? undefined : [inFlight, pending, active, memory.ownTokens];
+  }
+  const {answers, logRatios} = pace.describeOwn(now);
+  if (isIdle && answers === 0) return undefined;
+  return buildServerLoad([
+    inFlight,
+    pending,
+    active,
+    memory.ownTokens,
+    memory.kept.describeRead(now),
+    answers,
+    logRatios,
+  ]);
+}
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -4,7 +4,7 @@
   PromptNewsTable,
   ServerListing,
   ServerLoad,
-  buildServerLoad,
+  ServerObstacle,
 } from '@sycamorehead/fleet';
 import {
   ServerPace,
@@ -19,7 +19,12 @@
 import {writeDecision} from '@sycamorehead/telemetry';
 import {ColdServers} from './ColdServers.js';
 import {EvacuationView} from './EvacuationView.js';
-import {KnownServer, computeSlowUntil, createServer} from './KnownServer.js';
+import {
+  KnownServer,
+  computeSlowUntil,
+  createServer,
+  describeLoad,
+} from './KnownServer.js';
 import {ServerLimits} from './ServerLimits.js';
 import {ServerNotices} from './ServerNotices.js';
 
@@ -44,6 +49,8 @@
 /** Maximum number of prompt segments that one report names. */
 const MAX_PROMPT_NEWS = 64;
 
+const NO_LOAD: ServerLoad = [0, 0];
+
 /** Called with the registrations of the servers to which requests may be sent again. @public */
 export type ReturnListener = (
   registrations: readonly ServerRegistration[],
@@ -84,21 +91,23 @@
     this.returnListeners.push(listener);
   }
 
-  /** Sets the load that the other entries have placed on the servers. */
-  setOthersLoad(load: LoadTable): void {
+  /**
+   * Sets the load that the other entries have placed on the servers. A brief table says nothing of what
+   * the servers have read and how fast they answered.
+   */
+  setOthersLoad(load: LoadTable, isBrief = false): void {
+    const now = performance.now();
     for (const [id, server] of this.servers) {
-      const [inFlight, pendingMs, active = 0, heldTokens = 0, ...recent] = load[
-        id
-      ] ?? [0, 0];
-      const [readTokens = 0, answers = 0, logRatios = 0] = recent;
-      if (active > 0) server.othersReceivedAt = performance.now();
-      server.othersInFlight = inFlight;
-      server.othersPendingMs = pendingMs;
-      server.memory.setOthersHeld(heldTokens);
-      server.memory.kept.setOthersRead(readTokens);
-      server.pace.setOthers(answers, logRatios);
+      const numbers = load[id] ?? NO_LOAD;
+      if ((numbers[2] ?? 0) > 0) server.othersReceivedAt = now;
+      server.othersInFlight = numbers[0];
+      server.othersPendingMs = numbers[1];
+      server.memory.setOthersHeld(numbers[3] ?? 0, now);
+      if (isBrief) continue;
+      server.memory.kept.setOthersRead(numbers[4] ?? 0, now);
+      server.pace.setOthers(numbers[5] ?? 0, numbers[6] ?? 0, now);
     }
-    this.updatePaces();
+    if (!isBrief) this.updatePaces();
   }
 
   /** Records that a server has answered, and the ratio of its time to the typical time. */
@@ -201,21 +210,34 @@
 
   /** Returns whether any server of a service is known, even one that leaves. */
   hasServers(service: string): boolean {
-    return [...this.servers.values()].some(
+    return this.matchAny(
+      ({listing}) => listing.registration.service === service,
+    );
+  }
+
+  /** Lists all known servers of a service, whatever their state. */
+  listKnown(service: string): KnownServer[] {
+    return [...this.servers.values()].filter(
       ({listing}) => listing.registration.service === service,
     );
   }
 
   /** Returns whether this incarnation of a server accepts new work now. */
   isAccepting(server: KnownServer): boolean {
+    return this.findObstacle(server) === undefined;
+  }
+
+  /** Finds why this incarnation of a server accepts no new work now, whatever its load. */
+  findObstacle(server: KnownServer): ServerObstacle | undefined {
     const {registration} = server.listing;
-    return (
-      this.servers.get(registration.id) === server &&
-      registration.state === 'ready' &&
-      !this.notices.isLeaving(registration) &&
-      !this.evacuation.isClosed(registration.dataCentre) &&
-      this.notices.getHoldMs(registration) === 0
-    );
+    const {evacuation, notices} = this;
+    if (this.servers.get(registration.id) !== server) return 'unlisted';
+    if (registration.state !== 'ready') return 'not_ready';
+    if (notices.isLeaving(registration)) return 'leaving';
+    if (evacuation.isEvacuated(registration.dataCentre)) return 'evacuated';
+    if (!evacuation.isKnown) return 'evacuation_unknown';
+    if (notices.getHoldMs(registration) > 0) return 'pause';
+    return undefined;
   }
 
   /** Lists the registrations of the servers to which requests may be sent, now or later. */
@@ -269,24 +291,14 @@
     return this.servers.size === 0;
   }
 
-  /** Lists this entry's load by server id. */
-  listLoad(): LoadTable {
+  /** Lists this entry's load by server id; briefly, without what the servers have read and their paces. */
+  listLoad(isBrief = false): LoadTable {
     const load: Record<string, ServerLoad> = {};
-    const oldest = performance.now() - ACTIVE_MS;
+    const now = performance.now();
+    const oldest = now - ACTIVE_MS;
     for (const [id, server] of this.servers) {
-      const {inFlight, pendingMs, lastReceivedAt, memory, pace} = server;
-      const active = lastReceivedAt > oldest ? 1 : 0;
-      const {answers, logRatios} = pace.describeOwn();
-      if (inFlight === 0 && active === 0 && answers === 0) continue;
-      load[id] = buildServerLoad([
-        inFlight,
-        Math.round(pendingMs),
-        active,
-        memory.ownTokens,
-        memory.kept.describeRead(),
-        answers,
-        logRatios,
-      ]);
+      const entry = describeLoad(server, {now, oldest, isBrief});
+      if (entry) load[id] = entry;
     }
     return load;
   }
