Requests held after a restart wait before the queue, which refused them

Change: DirectoryFill holds the requests itself, the most urgent go first, and none beyond its last useful moment, nor more than 500 of a service. No larger model is asked while others wait for their first answer.

Tests: directoryFill exchanges the others' demand while requests are held, and has a caller who leaves.

--- a/packages/gateway/src/lib/DirectoryFill.ts
+++ b/packages/gateway/src/lib/DirectoryFill.ts
@@ -1,4 +1,5 @@
 import type {FleetUpdate} from '@sycamorehead/fleet';
+import {SycamoreheadError} from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 
 /**
@@ -6,15 +7,35 @@
  * since their number is an estimate.
  */
 const MAX_SHARE = 1.4;
-/** Maximum number of services whose requests are counted while the directory fills. */
+/** Maximum number of services whose requests are held while the directory fills. */
 const MAX_SERVICES = 200;
+/** Maximum number of requests of a service that are held. */
+const MAX_HELD = 500;
+/** Time between two looks at the requests that are held, in milliseconds. */
+const RELEASE_INTERVAL_MS = 20;
+/** Time before the last useful moment of a request at which it is no longer held, in milliseconds. */
+const HELD_MARGIN_MS = 200;
+
+/** A request that may be held. @public */
+export interface HeldRequest {
+  readonly service: string;
+  /** The time until which it can be sent and be answered in time, on the monotonic clock. */
+  readonly startBy: number;
+  readonly signal: AbortSignal;
+}
+
+interface Waiter {
+  readonly startBy: number;
+  release(): void;
+}
 
 /** The requests of one service since the directory began to fill. */
-interface ServiceCount {
+interface ServiceQueue {
   asked: number;
   sent: number;
   /** By how much of a request the next one has to be due; drawn, so that entries do not send in step. */
   threshold: number;
+  readonly waiters: Set<Waiter>;
 }
 
 /**
@@ -28,7 +49,8 @@
   /** When the oldest directory that was told began to fill, on the monotonic clock. */
   private since = Infinity;
   private fillMs = 0;
-  private readonly counts = new Map<string, ServiceCount>();
+  private readonly queues = new Map<string, ServiceQueue>();
+  private timer: NodeJS.Timeout | undefined;
 
   // Commands.
 
@@ -46,21 +68,37 @@
     });
   }
 
-  /** Records a request for a service. */
-  recordRequest(service: string): void {
+  /**
+   * Waits until enough servers have registered for a request; not beyond the time at which its answer can
+   * be in time.
+   *
+   * @throws SycamoreheadError `caller_gone`.
+   */
+  async waitTurn({service, startBy, signal}: HeldRequest): Promise<void> {
     if (!this.isFilling) return;
-    const count = this.counts.get(service) ?? buildCount();
-    count.asked += 1;
-    if (this.counts.size < MAX_SERVICES) this.counts.set(service, count);
-  }
-
-  /** Records that a request of a service has got its server. */
-  recordSend(service: string): void {
-    const count = this.counts.get(service);
-    if (!count) return;
-    count.sent += 1;
-    count.threshold = Math.random();
-    if (!this.isFilling) this.counts.clear();
+    const queue = this.getQueue(service);
+    if (!queue || queue.waiters.size >= MAX_HELD) return;
+    queue.asked += 1;
+    if (queue.waiters.size === 0 && !this.isHeld(queue, startBy)) {
+      recordSend(queue);
+      return;
+    }
+    await new Promise<void>(resolve => {
+      const release = () => {
+        signal.removeEventListener('abort', release);
+        queue.waiters.delete(waiter);
+        resolve();
+      };
+      const waiter: Waiter = {startBy, release};
+      queue.waiters.add(waiter);
+      signal.addEventListener('abort', release, {once: true});
+      this.timer ??= setInterval(() => this.releaseDue(), RELEASE_INTERVAL_MS);
+    });
+    recordSend(queue);
+    if (!signal.aborted) return;
+    throw new SycamoreheadError('caller_gone', 'the caller has gone', {
+      ran: 'no',
+    });
   }
 
   // Queries.
@@ -70,13 +108,41 @@
     return this.knownFraction < 1;
   }
 
-  /** Returns whether the next request of a service waits until more servers have registered. */
-  isHeld(service: string): boolean {
+  /** Counts the requests of a service that are held. */
+  countHeld(service: string): number {
+    return this.queues.get(service)?.waiters.size ?? 0;
+  }
+
+  /** Releases the requests whose turn it is, the most urgent first. */
+  private releaseDue(): void {
+    let held = 0;
+    for (const queue of this.queues.values()) {
+      const waiters = [...queue.waiters].sort(
+        (first, second) => first.startBy - second.startBy,
+      );
+      let due = this.countDue(queue);
+      for (const {startBy, release} of waiters) {
+        if (due < 1 && !isLastMoment(startBy)) continue;
+        due -= 1;
+        release();
+      }
+      held += queue.waiters.size;
+    }
+    if (held > 0) return;
+    clearInterval(this.timer);
+    this.timer = undefined;
+    if (!this.isFilling) this.queues.clear();
+  }
+
+  private isHeld(queue: ServiceQueue, startBy: number): boolean {
+    return this.countDue(queue) < 1 && !isLastMoment(startBy);
+  }
+
+  /** Counts the requests of a service that may be sent now. */
+  private countDue({asked, sent, threshold}: ServiceQueue): number {
     const fraction = this.knownFraction;
-    if (fraction >= 1) return false;
-    const count = this.counts.get(service);
-    if (!count) return false;
-    return count.sent + count.threshold > count.asked * fraction;
+    if (fraction >= 1) return Infinity;
+    return Math.floor(asked * fraction - sent - threshold + 1);
   }
 
   /** The fraction of the requests for which the servers known by now suffice. */
@@ -86,8 +152,26 @@
     if (ageMs < 0) return 1;
     return Math.min(1, (MAX_SHARE * ageMs) / Math.max(1, this.fillMs));
   }
+
+  private getQueue(service: string): ServiceQueue | undefined {
+    const known = this.queues.get(service);
+    if (known || this.queues.size >= MAX_SERVICES) return known;
+    const queue: ServiceQueue = {
+      asked: 0,
+      sent: 0,
+      threshold: Math.random(),
+      waiters: new Set(),
+    };
+    this.queues.set(service, queue);
+    return queue;
+  }
+}
+
+function recordSend(queue: ServiceQueue): void {
+  queue.sent += 1;
+  queue.threshold = Math.random();
 }
 
-function buildCount(): ServiceCount {
-  return {asked: 0, sent: 0, threshold: Math.random()};
+function isLastMoment(startBy: number): boolean {
+  return performance.now() + HELD_MARGIN_MS >= startBy;
 }
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -12,7 +12,6 @@
 } from '@sycamorehead/routing';
 import type {CallerRequest} from './CallerRequest.js';
 import {measurePendingMs} from './measurePendingMs.js';
-import {pauseWhileFilling} from './pauseWhileFilling.js';
 import {buildEvacuationRefusal, buildRefusal} from './refusals.js';
 import {ServerAvailability} from './ServerAvailability.js';
 import {ServerChooser, ServerChooserOptions} from './ServerChooser.js';
@@ -136,8 +135,8 @@
     this.recordDemand(service);
     this.refuseIfEvacuated(demand);
     this.refuseIfTooLarge(demand);
-    const {filling} = this.options.servers;
-    const work = pauseWhileFilling(filling, demand, this.buildWork(demand));
+    await this.waitForServers(demand);
+    const work = this.buildWork(demand);
     if (!this.isLimited(service)) return queue.acquire(work);
     const now = performance.now();
     const abandonAt = now + (demand.abandonAt - now) * LIMITED_WAIT_FRACTION;
@@ -150,6 +149,8 @@
   tryAcquire(demand: PlacementRequest): SlotReservation | undefined {
     const service = demand.service.name;
     if (this.findClosure(demand)) return undefined;
+    // Those that have no answer yet go first.
+    if (this.options.servers.filling.countHeld(service) > 0) return undefined;
     const work = this.buildWork(demand);
     const reservation = this.getQueue(service).tryAcquire(work);
     if (reservation) this.recordDemand(service);
@@ -200,6 +201,14 @@
     return table;
   }
 
+  /** Waits until enough servers have registered again, if all processes have just restarted. */
+  private async waitForServers(demand: PlacementRequest): Promise<void> {
+    const {service, startBy, signal} = demand;
+    const {filling} = this.options.servers;
+    if (!service.engine || !filling.isFilling) return;
+    await filling.waitTurn({service: service.name, startBy, signal});
+  }
+
   private recordDemand(service: string): void {
     const {limits, cold} = this.options.servers;
     limits.recordDemand(service);
--- a/packages/gateway/src/test/GatewayHarness.ts
+++ b/packages/gateway/src/test/GatewayHarness.ts
@@ -229,6 +229,12 @@
     this.placement.offerSlots();
   }
 
+  /** Applies a report of the other entries by which nobody waits elsewhere. */
+  exchangeDemand(): void {
+    this.placement.updateOthersDemand({});
+    this.placement.offerSlots();
+  }
+
   stop(graceMs = 0): Promise<void> {
     return this.server.stop(graceMs);
   }
--- a/packages/gateway/src/test/directoryFill.test.ts
+++ b/packages/gateway/src/test/directoryFill.test.ts
@@ -36,48 +36,55 @@
 
 /**
  * Replays the restart of all processes: the engines register again evenly over `FILL_MS`, and each entry
- * sends what it may to the engine to which it has sent least.
+ * sends what it may to an engine to which it has sent least.
  */
-function runRestart(isSpread: boolean): HerdOutcome {
-  const clock = fakeTimers.install({toFake: ['performance']});
+async function runRestart(isSpread: boolean): Promise<HerdOutcome> {
+  const clock = fakeTimers.install({
+    toFake: ['performance', 'setInterval', 'clearInterval'],
+  });
   try {
     const random = createRandom(7);
     const entries = Array.from({length: ENTRIES}, () => {
       const filling = new DirectoryFill();
-      filling.update({directory: {ageMs: 0, fillMs: FILL_MS}});
-      return {filling, waitingSince: [] as number[], sends: new Map()};
+      if (isSpread) {
+        filling.update({directory: {ageMs: 0, fillMs: FILL_MS}});
+      }
+      return {filling, sends: new Map<number, number>()};
     });
     const totals = new Map<number, number>();
+    const startedAt = performance.now();
     let sent = 0;
     let waitedMs = 0;
+    const send = async ({filling, sends}: (typeof entries)[number]) => {
+      const askedAt = performance.now();
+      const {signal} = new AbortController();
+      const startBy = askedAt + 1_500;
+      await filling.waitTurn({service: 'drafts', startBy, signal});
+      const ageMs = performance.now() - startedAt;
+      const known = Math.min(
+        ENGINES,
+        Math.max(1, Math.floor((ENGINES * ageMs) / FILL_MS)),
+      );
+      const start = Math.floor(random() * known);
+      let best = start;
+      for (let step = 0; step < known; step += 1) {
+        const index = (start + step) % known;
+        if ((sends.get(index) ?? 0) < (sends.get(best) ?? 0)) best = index;
+      }
+      sends.set(best, (sends.get(best) ?? 0) + 1);
+      totals.set(best, (totals.get(best) ?? 0) + 1);
+      sent += 1;
+      waitedMs += performance.now() - askedAt;
+    };
     for (let now = 0; now < FILL_MS; now += STEP_MS) {
       const arriving =
         now === 0 ? WAITING : random() < (PER_SECOND * STEP_MS) / 1_000 ? 1 : 0;
       for (let count = 0; count < arriving; count += 1) {
-        const entry = entries[Math.floor(random() * ENTRIES)]!;
-        entry.waitingSince.push(now);
-        entry.filling.recordRequest('drafts');
-      }
-      clock.tick(STEP_MS);
-      const known = Math.max(1, Math.floor((ENGINES * now) / FILL_MS));
-      for (const {filling, waitingSince, sends} of entries) {
-        while (waitingSince.length > 0) {
-          if (isSpread && filling.isHeld('drafts')) break;
-          const since = waitingSince.shift()!;
-          const start = Math.floor(random() * known);
-          let best = start;
-          for (let step = 0; step < known; step += 1) {
-            const index = (start + step) % known;
-            if ((sends.get(index) ?? 0) < (sends.get(best) ?? 0)) best = index;
-          }
-          sends.set(best, (sends.get(best) ?? 0) + 1);
-          totals.set(best, (totals.get(best) ?? 0) + 1);
-          filling.recordSend('drafts');
-          sent += 1;
-          waitedMs += now - since;
-        }
+        void send(entries[Math.floor(random() * ENTRIES)]!);
       }
+      await clock.tickAsync(STEP_MS);
     }
+    await clock.tickAsync(FILL_MS);
     const mostOnOne = Math.max(...totals.values());
     return {mostOnOne, sent, meanWaitMs: waitedMs / sent};
   } finally {
@@ -85,9 +92,9 @@
   }
 }
 
-test('after a restart of all processes the first server to register does not get the requests of all entries', () => {
-  const before = runRestart(false);
-  const after = runRestart(true);
+test('after a restart of all processes the first server to register does not get the requests of all entries', async () => {
+  const before = await runRestart(false);
+  const after = await runRestart(true);
   const figures = JSON.stringify({before, after});
   assert.ok(before.mostOnOne > 200, figures);
   assert.ok(after.mostOnOne < before.mostOnOne / 4, figures);
@@ -112,7 +119,7 @@
     directory: {ageMs: 0, fillMs: FILL_MS},
     servers: [server.describe()],
   });
-  const offers = setInterval(() => gateway.update({}), 20);
+  const offers = setInterval(() => gateway.exchangeDemand(), 20);
   try {
     const exchanges = Array.from({length: 20}, (unused, index) =>
       gateway.exchange(formatRequest({method: 'POST', id: `r${index}`})),
@@ -146,7 +153,7 @@
     directory: {ageMs: 0, fillMs: 60_000},
     servers: [server.describe()],
   });
-  const offers = setInterval(() => gateway.update({}), 20);
+  const offers = setInterval(() => gateway.exchangeDemand(), 20);
   try {
     const startedAt = performance.now();
     const request = formatRequest({method: 'POST'});
@@ -167,3 +174,18 @@
   filling.update({directory: {ageMs: 10, fillMs: FILL_MS}});
   assert.equal(filling.isFilling, false);
 });
+
+test('a caller who leaves while its request is held is released', async () => {
+  const filling = new DirectoryFill();
+  filling.update({directory: {ageMs: 0, fillMs: 60_000}});
+  const controller = new AbortController();
+  const startBy = performance.now() + 60_000;
+  const turns = Array.from({length: 3}, () =>
+    filling.waitTurn({service: 'drafts', startBy, signal: controller.signal}),
+  );
+  assert.ok(filling.countHeld('drafts') >= 2);
+  controller.abort();
+  const results = await Promise.allSettled(turns);
+  assert.ok(results.filter(({status}) => status === 'rejected').length >= 2);
+  assert.equal(filling.countHeld('drafts'), 0);
+});
