Requests for engines join the queue at once unless the directory of servers fills

The wait before the queue made the order of arrival depend on a turn of the event loop: memoryPlacement, "a request that fits nowhere waits until a running one has ended", failed.

--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -135,7 +135,11 @@
     this.recordDemand(service);
     this.refuseIfEvacuated(demand);
     this.refuseIfTooLarge(demand);
-    await this.waitForServers(demand);
+    const {filling} = this.options.servers;
+    if (demand.service.engine && filling.isFilling) {
+      const {startBy, signal} = demand;
+      await filling.waitTurn({service, startBy, signal});
+    }
     const work = this.buildWork(demand);
     if (!this.isLimited(service)) return queue.acquire(work);
     const now = performance.now();
@@ -201,14 +205,6 @@
     return table;
   }
 
-  /** Waits until enough servers have registered again, if all processes have just restarted. */
-  private async waitForServers(demand: PlacementRequest): Promise<void> {
-    const {service, startBy, signal} = demand;
-    const {filling} = this.options.servers;
-    if (!service.engine || !filling.isFilling) return;
-    await filling.waitTurn({service: service.name, startBy, signal});
-  }
-
   private recordDemand(service: string): void {
     const {limits, cold} = this.options.servers;
     limits.recordDemand(service);
