--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -16,7 +16,6 @@
 import {computeWork} from './computeWork.js';
 import {ExplainedSlot, explainSlot} from './explainSlot.js';
 import {measurePendingMs} from './measurePendingMs.js';
-import {pauseWhileFilling} from './pauseWhileFilling.js';
 import {PlacementRefusals, isTooLarge} from './PlacementRefusals.js';
 import {ServerAvailability} from './ServerAvailability.js';
 import {ServerChooser, ServerChooserOptions} from './ServerChooser.js';
@@ -131,7 +130,11 @@
     if (isTooLarge(demand)) this.options.onMemoryFull?.(service);
     const abandonAt = this.refusals.checkDemand(demand, queue);
     const {filling} = this.options.servers;
-    const work = pauseWhileFilling(filling, demand, this.buildWork(demand));
+    if (demand.service.engine && filling.isFilling) {
+      const {startBy, signal} = demand;
+      await filling.waitTurn({service, startBy, signal});
+    }
+    const work = this.buildWork(demand);
     return queue.acquire({...work, abandonAt});
   }
 
@@ -139,6 +142,8 @@
   tryAcquire(demand: PlacementRequest): SlotReservation | undefined {
     const service = demand.service.name;
     if (this.refusals.findClosure(demand)) return undefined;
+    // Those that have no answer yet go first.
+    if (this.options.servers.filling.countHeld(service) > 0) return undefined;
     const work = this.buildWork(demand);
     const reservation = this.getQueue(service).tryAcquire(work);
     if (reservation) this.recordDemand(service);
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -6,11 +6,7 @@
   ServerLoad,
   ServerObstacle,
 } from '@sycamorehead/fleet';
-import {
-  ServerPace,
-  ServiceSlowness,
-  updateTypicalPace,
-} from '@sycamorehead/routing';
+import {ServiceSlowness} from '@sycamorehead/routing';
 import {
   ServerRegistration,
   evictOldest,
@@ -25,6 +21,8 @@
   computeSlowUntil,
   createServer,
   describeLoad,
+  setOthersLoad,
+  updatePaces,
 } from './KnownServer.js';
 import {ServerLimits} from './ServerLimits.js';
 import {ServerNotices} from './ServerNotices.js';
@@ -101,16 +99,9 @@
   setOthersLoad(load: LoadTable, isBrief = false): void {
     const now = performance.now();
     for (const [id, server] of this.servers) {
-      const numbers = load[id] ?? NO_LOAD;
-      if ((numbers[2] ?? 0) > 0) server.othersReceivedAt = now;
-      server.othersInFlight = numbers[0];
-      server.othersPendingMs = numbers[1];
-      server.memory.setOthersHeld(numbers[3] ?? 0, now);
-      if (isBrief) continue;
-      server.memory.kept.setOthersRead(numbers[4] ?? 0, now);
-      server.pace.setOthers(numbers[5] ?? 0, numbers[6] ?? 0, now);
+      setOthersLoad(server, load[id] ?? NO_LOAD, {now, isBrief});
     }
-    if (!isBrief) this.updatePaces();
+    if (!isBrief) updatePaces(this.servers.values());
   }
 
   /** Records that a server has answered, and the ratio of its time to the typical time. */
@@ -341,18 +332,6 @@
     for (const listener of this.returnListeners) listener(registrations);
   }
 
-  /** Relates the servers of each service to each other. */
-  private updatePaces(): void {
-    const paces = new Map<string, ServerPace[]>();
-    for (const {listing, pace} of this.servers.values()) {
-      const {service} = listing.registration;
-      const known = paces.get(service);
-      if (known) known.push(pace);
-      else paces.set(service, [pace]);
-    }
-    for (const group of paces.values()) updateTypicalPace(group);
-  }
-
   private markDeparted({registration, isSilent}: ServerListing): void {
     const known = this.servers.get(registration.id);
     if (known?.listing.registration !== registration) return;
--- a/packages/gateway/src/lib/explainSlot.ts
+++ b/packages/gateway/src/lib/explainSlot.ts
@@ -8,7 +8,6 @@
 import type {ServerObstacle} from '@sycamorehead/fleet';
 import type {DirectoryFill} from './DirectoryFill.js';
 import type {KnownServer} from './KnownServer.js';
-import {isHeldWhileFilling} from './pauseWhileFilling.js';
 import type {PlacementRequest} from './Placement.js';
 import type {PlacementRefusals} from './PlacementRefusals.js';
 import type {ServerAvailability} from './ServerAvailability.js';
@@ -73,6 +72,10 @@
     !(isDrawn && usable.length > 1) &&
     (choice.drawn >= usable.length || choice.alwaysCompared.has(best.server));
   const explained = {obstacles, choice, isCertain};
+  const {service, startBy} = demand;
+  const isHeld =
+    service.engine !== undefined &&
+    filling.isHolding({service: service.name, startBy});
   let abandonAt: number;
   try {
     abandonAt = refusals.checkDemand(demand, queue);
@@ -84,7 +87,7 @@
     ...work,
     abandonAt,
     tryReserveSlot: () => {
-      if (isHeldWhileFilling(filling, demand)) return undefined;
+      if (isHeld) return undefined;
       refusals.checkEvacuation(demand);
       if (best && availability.hasFreeSlot(demand.service)) return best;
       const closure = refusals.findClosure(demand);
