--- a/packages/fleet/src/lib/explainMessages.ts
+++ b/packages/fleet/src/lib/explainMessages.ts
@@ -32,7 +32,8 @@
   | 'tried'
   | 'ejected'
   | 'no_memory'
-  | 'slow_start';
+  | 'slow_start'
+  | 'limit_check';
 
 /** A request that an operator asks about. What is absent is as with a caller who does not send it. @public */
 export interface RequestQuestion {
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -4,13 +4,18 @@
   NO_DEMAND,
   PlacementQueue,
   QueueNote,
-  ServiceDemand,
+  WaitingTable,
   WaitingWork,
+  computePressure,
   countNeededTokens,
   hashToShare,
 } from '@sycamorehead/routing';
+import {buildSessionName} from './buildSessionName.js';
 import type {CallerRequest} from './CallerRequest.js';
+import {buildQueueTable} from './buildQueueTable.js';
+import {computeWork} from './computeWork.js';
 import {ExplainedSlot, explainSlot} from './explainSlot.js';
+import {measurePendingMs} from './measurePendingMs.js';
 import {PlacementRefusals, isTooLarge} from './PlacementRefusals.js';
 import {ServerAvailability} from './ServerAvailability.js';
 import {ServerChooser, ServerChooserOptions} from './ServerChooser.js';
@@ -18,14 +23,8 @@
 import {SlowStart} from './SlowStart.js';
 import type {VersionVariant, VersionSplit} from './VersionSplit.js';
 
-/** Average pending work at which engines count as full, as a fraction of the target latency. */
-const FULL_FRACTION = 0.8;
 /** Time for which a service without free slots counts as open, in milliseconds. */
 const OPEN_MS = 20;
-/** What a prompt token costs a server, as a fraction of an answer token. */
-const PROMPT_TOKEN_WORK = 0.25;
-/** Maximum work that one request counts as, in answer tokens: shares rest on what callers tell. */
-const MAX_WORK = 1_000_000;
 
 /** The requirements of a request for a slot. @public */
 export interface PlacementRequest {
@@ -166,26 +165,18 @@
     }
   }
 
-  /**
-   * Measures the load of a service's engines: the average work pending on each, relative to the
-   * fraction of the target latency that may pass before prefill begins.
-   */
+  /** Applies which requests of other entries wait; the rest of the demand is as reported before. */
+  updateOthersWaiting(table: WaitingTable): void {
+    for (const [service, queue] of this.queues) {
+      queue.updateOthersWaiting(table[service] ?? NO_DEMAND);
+    }
+  }
+
+  /** Measures the pressure on a service's engines for requests with a target latency; 1 if permits bound all. */
   measurePressure(service: string, targetLatencyMs: number): number {
-    const {servers: table} = this.options;
-    // A free slot of a server whose requests are limited is no capacity.
-    const servers = table
-      .listReady(service)
-      .filter(
-        ({listing: {registration}}) =>
-          !table.limits.isLimited(registration) &&
-          !table.cold.isCold(registration),
-      );
-    if (servers.length === 0) return 1;
-    const waitingMs = servers.reduce(
-      (sum, {pendingMs, othersPendingMs}) => sum + pendingMs + othersPendingMs,
-      0,
-    );
-    return waitingMs / servers.length / (targetLatencyMs * FULL_FRACTION);
+    const pendingMs = measurePendingMs(this.options.servers, service);
+    if (pendingMs === undefined) return 1;
+    return computePressure(pendingMs, targetLatencyMs);
   }
 
   /** Counts the waiting requests, of one service if it is given. */
@@ -198,19 +189,18 @@
 
   /** Counts the waiting requests of each service by urgency class. */
   countByUrgency(): ReadonlyMap<string, readonly number[]> {
-    const entries = [...this.queues].map(
-      ([service, queue]) => [service, queue.countByUrgency()] as const,
-    );
-    return new Map(entries);
+    const countQueue = (queue: PlacementQueue) => queue.countByUrgency();
+    return new Map(Object.entries(buildQueueTable(this.queues, countQueue)));
   }
 
   /** Describes the demand here to the other entries, by service. */
   describeDemand(): DemandTable {
-    const table: Record<string, ServiceDemand> = {};
-    for (const [service, queue] of this.queues) {
-      table[service] = queue.describeDemand();
-    }
-    return table;
+    return buildQueueTable(this.queues, queue => queue.describeDemand());
+  }
+
+  /** Describes the requests that wait here to the other entries, by service. */
+  describeWaiting(): WaitingTable {
+    return buildQueueTable(this.queues, queue => queue.describeWaiting());
   }
 
   private recordDemand(service: string): void {
@@ -222,12 +212,12 @@
   private buildWork(demand: PlacementRequest): WaitingWork<SlotReservation> {
     const {request, variant, service} = demand;
     const isMemoryBound = (service.engine?.tokenCapacity ?? 0) > 0;
-    const {promptTokens, answerTokens} = request.size;
     return {
       priority: demand.priority,
       customer: demand.customer,
+      session: buildSessionName(demand),
       kind: demand.route,
-      work: Math.min(MAX_WORK, answerTokens + promptTokens * PROMPT_TOKEN_WORK),
+      work: computeWork(request.size),
       draw: hashToShare(`draw ${request.id}`),
       startBy: demand.startBy,
       abandonAt: demand.abandonAt,
@@ -237,7 +227,7 @@
       size: isMemoryBound ? countNeededTokens(request.size) : 1,
       signal: demand.signal,
       tryReserveSlot: () => this.tryReserveSlot(demand),
-      hasFreeSlot: () => this.availability.hasFreeSlot(service),
+      findRoom: () => this.availability.findRoom(demand),
       onQueued: demand.onQueued,
     };
   }
@@ -251,7 +241,9 @@
       return undefined;
     }
     const available = this.availability.listAvailable(demand);
-    const usable = this.slowStart.filterServers(available);
+    const usable = this.availability.filterChecks(
+      this.slowStart.filterServers(available),
+    );
     const choice = this.chooser.choose(demand, usable);
     if (!choice) {
       this.checkOpen(demand);
--- a/packages/gateway/src/lib/ServerAvailability.ts
+++ b/packages/gateway/src/lib/ServerAvailability.ts
@@ -1,6 +1,7 @@
 import type {ServerObstacle} from '@sycamorehead/fleet';
 import type {RoutedService} from '@sycamorehead/schema';
 import {MemoryGroup, filterByMemory, groupByMemory} from './filterByMemory.js';
+import {findLargestRoom} from './findLargestRoom.js';
 import type {PlacementRequest} from './Placement.js';
 import type {KnownServer} from './KnownServer.js';
 import type {ServerTable} from './ServerTable.js';
@@ -38,10 +39,8 @@
     const {limits} = this.servers;
     const permitted = this.listPermitted(demand);
     for (const {listing} of permitted) limits.advance(listing.registration);
-    const preferred = this.selectPreferred(
-      demand,
-      permitted.filter(server => this.hasCapacity(server, demand.service)),
-    );
+    const withSlots = this.filterCapacity(permitted, demand.service);
+    const preferred = this.selectPreferred(demand, withSlots);
     const available = filterByMemory(
       preferred,
       demand.service.engine?.tokenCapacity ?? 0,
@@ -90,6 +89,18 @@
     return {...group, obstacles};
   }
 
+  /**
+   * Filters the permitted servers whose limits have to be heard of again, by the next request whatever their
+   * load; all if there are none. Others would use up the requests while the permits expire.
+   */
+  filterChecks(servers: readonly KnownServer[]): readonly KnownServer[] {
+    const {limits} = this.servers;
+    const due = servers.filter(({listing}) =>
+      limits.isCheckDue(listing.registration),
+    );
+    return due.length > 0 ? due : servers;
+  }
+
   /**
    * Lists the data centres of the servers that may run a request if only evacuated ones may, whatever
    * their load; empty if others may, or if none may at all.
@@ -117,6 +128,18 @@
     });
   }
 
+  /**
+   * Finds the size in tokens that the memory of some permitted server with capacity holds; 0 if there is
+   * none, or if memory does not bind, so that another size would find no place either.
+   */
+  findRoom(demand: PlacementRequest): number {
+    const {service} = demand;
+    const capacity = service.engine?.tokenCapacity ?? 0;
+    if (capacity <= 0 || !this.hasFreeSlot(service)) return 0;
+    const permitted = this.listPermitted(demand);
+    return findLargestRoom(this.filterCapacity(permitted, service), capacity);
+  }
+
   /** Lists the servers that accept work and that the roll-out of the service permits for a request. */
   private listPermitted(demand: PlacementRequest): readonly KnownServer[] {
     const {servers} = this;
@@ -150,8 +173,14 @@
     return versions.filterServers(service.name, variant, unrejected);
   }
 
-  private hasCapacity(server: KnownServer, service: RoutedService): boolean {
-    return this.findCapacityObstacle(server, service) === undefined;
+  /** Filters the servers with capacity for one more request, whatever its size. */
+  private filterCapacity(
+    servers: readonly KnownServer[],
+    service: RoutedService,
+  ): readonly KnownServer[] {
+    return servers.filter(
+      server => this.findCapacityObstacle(server, service) === undefined,
+    );
   }
 
   /** Finds why a server that accepts work has no capacity for one more request, whatever its size. */
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -5,14 +5,26 @@
   ServerListing,
   ServerLoad,
   ServerObstacle,
-  buildServerLoad,
 } from '@sycamorehead/fleet';
-import {ServerPace, updateTypicalPace} from '@sycamorehead/routing';
-import {ServerRegistration, isNewerRegistration} from '@sycamorehead/schema';
+import {
+  ServerPace,
+  ServiceSlowness,
+  updateTypicalPace,
+} from '@sycamorehead/routing';
+import {
+  ServerRegistration,
+  evictOldest,
+  isNewerRegistration,
+} from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 import {ColdServers} from './ColdServers.js';
 import {EvacuationView} from './EvacuationView.js';
-import {KnownServer, computeSlowUntil, createServer} from './KnownServer.js';
+import {
+  KnownServer,
+  computeSlowUntil,
+  createServer,
+  describeLoad,
+} from './KnownServer.js';
 import {ServerLimits} from './ServerLimits.js';
 import {ServerNotices} from './ServerNotices.js';
 
@@ -25,12 +37,6 @@
 const EJECTION_MS = 400;
 /** Maximum duration of an ejection, in milliseconds. */
 const MAX_EJECTION_MS = 4_000;
-/** Weight of the newest answer in a server's slowness. */
-const SLOWNESS_GAIN = 0.15;
-/** Lower bound of an answer's time ratio, and so of the slowness of a server. */
-const MIN_SLOWNESS = 0.5;
-/** Upper bound of an answer's time ratio, and so of the slowness of a server. */
-const MAX_SLOWNESS = 8;
 /**
  * Time after its last bytes for which a server counts as active, in milliseconds; a few steps of
  * a busy engine.
@@ -38,9 +44,13 @@
 const ACTIVE_MS = 400;
 /** Time for which the servers of a data centre return gradually after an evacuation, in milliseconds. */
 const RETURN_MS = 2_000;
+/** Maximum number of services whose typical slowness is remembered. */
+const MAX_SERVICES = 2_000;
 /** Maximum number of prompt segments that one report names. */
 const MAX_PROMPT_NEWS = 64;
 
+const NO_LOAD: ServerLoad = [0, 0];
+
 /** Called with the registrations of the servers to which requests may be sent again. @public */
 export type ReturnListener = (
   registrations: readonly ServerRegistration[],
@@ -60,6 +70,7 @@
     registrations => this.cold.expectCold(registrations),
   ];
   private readonly servers = new Map<string, KnownServer>();
+  private readonly slowness = new Map<string, ServiceSlowness>();
 
   // Commands.
 
@@ -80,21 +91,23 @@
     this.returnListeners.push(listener);
   }
 
-  /** Sets the load that the other entries have placed on the servers. */
-  setOthersLoad(load: LoadTable): void {
+  /**
+   * Sets the load that the other entries have placed on the servers. A brief table says nothing of what
+   * the servers have read and how fast they answered.
+   */
+  setOthersLoad(load: LoadTable, isBrief = false): void {
+    const now = performance.now();
     for (const [id, server] of this.servers) {
-      const [inFlight, pendingMs, active = 0, heldTokens = 0, ...recent] = load[
-        id
-      ] ?? [0, 0];
-      const [readTokens = 0, answers = 0, logRatios = 0] = recent;
-      if (active > 0) server.othersReceivedAt = performance.now();
-      server.othersInFlight = inFlight;
-      server.othersPendingMs = pendingMs;
-      server.memory.setOthersHeld(heldTokens);
-      server.memory.kept.setOthersRead(readTokens);
-      server.pace.setOthers(answers, logRatios);
+      const numbers = load[id] ?? NO_LOAD;
+      if ((numbers[2] ?? 0) > 0) server.othersReceivedAt = now;
+      server.othersInFlight = numbers[0];
+      server.othersPendingMs = numbers[1];
+      server.memory.setOthersHeld(numbers[3] ?? 0, now);
+      if (isBrief) continue;
+      server.memory.kept.setOthersRead(numbers[4] ?? 0, now);
+      server.pace.setOthers(numbers[5] ?? 0, numbers[6] ?? 0, now);
     }
-    this.updatePaces();
+    if (!isBrief) this.updatePaces();
   }
 
   /** Records that a server has answered, and the ratio of its time to the typical time. */
@@ -108,8 +121,7 @@
 
   /** Records the ratio of a server's time to the typical time. */
   recordSlowness(server: KnownServer, timeRatio: number): void {
-    const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, timeRatio));
-    server.slowness += (bounded - server.slowness) * SLOWNESS_GAIN;
+    server.slowness.recordRatio(timeRatio);
   }
 
   /**
@@ -279,24 +291,14 @@
     return this.servers.size === 0;
   }
 
-  /** Lists this entry's load by server id. */
-  listLoad(): LoadTable {
+  /** Lists this entry's load by server id; briefly, without what the servers have read and their paces. */
+  listLoad(isBrief = false): LoadTable {
     const load: Record<string, ServerLoad> = {};
-    const oldest = performance.now() - ACTIVE_MS;
+    const now = performance.now();
+    const oldest = now - ACTIVE_MS;
     for (const [id, server] of this.servers) {
-      const {inFlight, pendingMs, lastReceivedAt, memory, pace} = server;
-      const active = lastReceivedAt > oldest ? 1 : 0;
-      const {answers, logRatios} = pace.describeOwn();
-      if (inFlight === 0 && active === 0 && answers === 0) continue;
-      load[id] = buildServerLoad([
-        inFlight,
-        Math.round(pendingMs),
-        active,
-        memory.ownTokens,
-        memory.kept.describeRead(),
-        answers,
-        logRatios,
-      ]);
+      const entry = describeLoad(server, {now, oldest, isBrief});
+      if (entry) load[id] = entry;
     }
     return load;
   }
@@ -364,12 +366,20 @@
     }
   }
 
+  private add(listing: ServerListing): void {
+    const {id, service} = listing.registration;
+    const slowness = this.slowness.get(service) ?? new ServiceSlowness();
+    this.slowness.set(service, slowness);
+    evictOldest(this.slowness, MAX_SERVICES);
+    this.servers.set(id, createServer(listing, slowness));
+  }
+
   private applyListing(listing: ServerListing): void {
     const {registration} = listing;
     this.markPredecessorDeparted(registration);
     const known = this.servers.get(registration.id);
     if (!known) {
-      this.servers.set(registration.id, createServer(listing));
+      this.add(listing);
       this.cold.recordRegistration(registration);
       this.logChange(registration);
       return;
@@ -392,7 +402,8 @@
       this.limits.remove(old);
       this.cold.remove(old);
       known.agent.destroy();
-      this.servers.set(registration.id, createServer(listing));
+      known.slowness.remove();
+      this.add(listing);
     } else {
       known.listing = listing;
       known.slowUntil = computeSlowUntil(registration);
@@ -416,6 +427,7 @@
     const known = this.servers.get(id);
     if (!known) return;
     known.agent.destroy();
+    known.slowness.remove();
     this.limits.remove(known.listing.registration);
     this.cold.remove(known.listing.registration);
     this.servers.delete(id);
--- a/packages/gateway/src/lib/explainSlot.ts
+++ b/packages/gateway/src/lib/explainSlot.ts
@@ -55,10 +55,12 @@
   work: QuestionedWork<unknown>,
 ): Promise<ExplainedSlot> {
   const {servers: available, isDrawn, obstacles} = availability.explain(demand);
-  const usable = slowStart.filterServers(available);
-  const earned = new Set(usable);
+  const earned = slowStart.filterServers(available);
+  const usable = availability.filterChecks(earned);
   for (const server of available) {
-    if (!earned.has(server)) obstacles.set(server, 'slow_start');
+    if (usable.includes(server)) continue;
+    const isEarned = earned.includes(server);
+    obstacles.set(server, isEarned ? 'limit_check' : 'slow_start');
   }
   const choice = chooser.explain(demand, usable);
   const [best, second] = choice.choices;
--- a/packages/gateway/src/test/ExplainedEntry.ts
+++ b/packages/gateway/src/test/ExplainedEntry.ts
@@ -2,6 +2,7 @@
 import {
   AnswerValues,
   ConfidenceGains,
+  EngineTimePrices,
   ForwardPolicy,
   PrefillRates,
 } from '@sycamorehead/routing';
@@ -88,6 +89,7 @@
       rates,
       gains: new ConfidenceGains(),
       values: new AnswerValues(10),
+      timePrices: new EngineTimePrices(),
       metrics,
       startup: new StartupGate(),
       crashes: this.crashes,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -55,6 +55,12 @@
 export {chooseModel, isWorthEscalating} from './lib/forwarding/chooseModel.js';
 export {AnswerValues} from './lib/forwarding/AnswerValues.js';
 export type {RequestSize} from './lib/forwarding/AnswerValues.js';
+export {
+  computeLoadFraction,
+  computePressure,
+} from './lib/forwarding/enginePressure.js';
+export {EngineTimePrices} from './lib/forwarding/EngineTimePrices.js';
+export type {RouteRequest} from './lib/forwarding/EngineTimePrices.js';
 export {ConfidenceGains} from './lib/forwarding/ConfidenceGains.js';
 export {estimateQuality} from './lib/forwarding/estimateQuality.js';
 export type {
@@ -75,13 +81,17 @@
 export {
   NO_DEMAND,
   computeOthersDemand,
+  computeOthersWaiting,
   filterDemand,
+  filterWaiting,
   sumDemand,
 } from './lib/forwarding/serviceDemand.js';
 export type {
   CustomerTable,
   DemandTable,
+  QueuedDemand,
   ServiceDemand,
+  WaitingTable,
 } from './lib/forwarding/serviceDemand.js';
 export {RetryBudget} from './lib/forwarding/RetryBudget.js';
 export type {RetryBudgetOptions} from './lib/forwarding/RetryBudget.js';
@@ -95,6 +105,10 @@
   countNeededTokens,
 } from './lib/forwarding/ServerMemory.js';
 export {ServerPace, updateTypicalPace} from './lib/forwarding/ServerPace.js';
+export {
+  ServerSlowness,
+  ServiceSlowness,
+} from './lib/forwarding/ServerSlowness.js';
 export type {AwaitedStart, PaceSums} from './lib/forwarding/ServerPace.js';
 export {
   computeRefusedShare,
