Explanations are tested in all kinds of states, limits that have to be checked among them

Cause: a trial without filterChecks in explainSlot passed explainRequest.test: no random state had a limited server with a permit whose limit was to be heard of, none a request without memory. Servers that filters leave out were looked up in lists, a cost in proportion to the square of their number. Change: the random states are seeded as a whole, holds and failures come also right before the question, and the test asks that each outcome and each of eleven obstacles is seen.

--- a/packages/gateway/src/lib/explainSlot.ts
+++ b/packages/gateway/src/lib/explainSlot.ts
@@ -57,11 +57,8 @@
   const {servers: available, isDrawn, obstacles} = availability.explain(demand);
   const earned = slowStart.filterServers(available);
   const usable = availability.filterChecks(earned);
-  for (const server of available) {
-    if (usable.includes(server)) continue;
-    const isEarned = earned.includes(server);
-    obstacles.set(server, isEarned ? 'limit_check' : 'slow_start');
-  }
+  markExcluded(obstacles, 'slow_start', available, earned);
+  markExcluded(obstacles, 'limit_check', earned, usable);
   const choice = chooser.explain(demand, usable);
   const [best, second] = choice.choices;
   const isCertain =
@@ -91,6 +88,19 @@
   return {...explained, placement, abandonAt};
 }
 
+/** Marks the servers that a filter has left out. */
+function markExcluded(
+  obstacles: Map<KnownServer, ServerObstacle>,
+  obstacle: ServerObstacle,
+  servers: readonly KnownServer[],
+  kept: readonly KnownServer[],
+): void {
+  const included = new Set(kept);
+  for (const server of servers) {
+    if (!included.has(server)) obstacles.set(server, obstacle);
+  }
+}
+
 function buildRefused(
   error: SycamoreheadError,
 ): ExplainedPlacement<ServerChoice> {
--- a/packages/gateway/src/test/explainRequest.test.ts
+++ b/packages/gateway/src/test/explainRequest.test.ts
@@ -32,6 +32,23 @@
   ],
 };
 
+/** The outcomes that the random states have to show. */
+const OUTCOMES = ['certain', 'sent', 'waits', 'refused'];
+/** What has to rule servers out in some of them. */
+const SEEN = [
+  'evacuated',
+  'pause',
+  'version_rejected',
+  'other_version',
+  'limit',
+  'limit_check',
+  'cold',
+  'no_slot',
+  'no_memory',
+  'ejected',
+  'slow_start',
+];
+
 const PROMPT = buildKeptPrompt('', QUESTION.segments ?? []);
 
 let clock: Clock;
@@ -61,6 +78,7 @@
 /** Builds an entry that knows servers in all kinds of states, with requests in progress and waiting. */
 async function buildEntry(seed: number): Promise<ExplainedEntry> {
   const draw = createRandom(seed * 7_919);
+  Math.random = createRandom(seed);
   const pick = (share: number) => draw() < share;
   const policy = (['estimated', 'sampled', 'least_loaded'] as const)[seed % 3];
   const entry = new ExplainedEntry(policy, buildExplainedConfiguration(), 3);
@@ -95,29 +113,34 @@
   const load: Record<string, [number, number, number, number]> = {};
   for (const server of entry.listServers()) {
     const {registration} = server.listing;
-    const {limits, cold, notices} = servers;
+    const {limits} = servers;
     load[registration.id] = [
       Math.floor(draw() * 5 * (trouble + 0.5)),
       draw() * 400,
       pick(0.5) ? 1 : 0,
-      Math.floor(draw() * TOKEN_CAPACITY * trouble),
+      Math.floor(draw() * TOKEN_CAPACITY * (trouble + 0.4)),
     ];
     if (pick(trouble / 3)) {
       const notice = {type: 'named', perSecond: 5} as const;
       limits.record(registration, notice, performance.now());
     }
+    if (pick(trouble / 3)) servers.recordFailure(server, 'test', true);
+    if (pick(0.2)) servers.recordSlowness(server, draw() * 4);
+    if (pick(0.3)) server.memory.kept.recordPrompt(PROMPT, 1_000);
+  }
+  servers.setOthersLoad(load);
+  clock.tick(Math.floor(draw() * 1_500));
+  for (const server of entry.listServers()) {
+    const {registration} = server.listing;
+    const {cold, notices} = servers;
     if (pick(trouble / 4)) cold.recordNotice(registration, 900);
     if (pick(trouble / 4)) {
       notices.record(registration, {isLeaving: pick(0.2), holdMs: 300});
     }
     if (pick(trouble / 4)) servers.recordFailure(server, 'test', true);
-    if (pick(0.2)) servers.recordSlowness(server, draw() * 4);
-    if (pick(0.3)) server.memory.kept.recordPrompt(PROMPT, 1_000);
   }
-  servers.setOthersLoad(load);
-  clock.tick(Math.floor(draw() * 900));
   issuePermits(entry, draw);
-  const count = Math.floor(draw() * 40);
+  const count = Math.floor(draw() * (pick(0.4) ? 40 : 4));
   const signal = new AbortController().signal;
   for (let index = 0; index < count; index += 1) {
     const question = {
@@ -161,8 +184,8 @@
   cold.applyReply({coldPermits: permits}, now);
 }
 
-/** Asks and then sends; returns the kind of the outcome. */
-async function checkExplanation(seed: number): Promise<string> {
+/** Asks and then sends; returns the kind of the outcome, and what ruled servers out. */
+async function checkExplanation(seed: number): Promise<string[]> {
   const entry = await buildEntry(seed);
   const question = {...QUESTION, session: seed % 2 ? 'session1' : undefined};
   await settle();
@@ -209,18 +232,22 @@
   controller.abort();
   await planned;
   const certain = outcome.type === 'sent' && outcome.isCertain;
-  return certain ? 'certain' : outcome.type;
+  return [certain ? 'certain' : outcome.type, ...Object.keys(ruledOut)];
 }
 
 test('an explanation changes nothing and draws nothing, and a request then goes where it says', async () => {
   const counts = new Map<string, number>();
   for (let seed = 1; seed <= SEEDS; seed += 1) {
-    const type = await checkExplanation(seed);
-    counts.set(type, (counts.get(type) ?? 0) + 1);
+    for (const type of await checkExplanation(seed)) {
+      counts.set(type, (counts.get(type) ?? 0) + 1);
+    }
   }
-  for (const type of ['certain', 'sent', 'waits', 'refused']) {
+  for (const type of OUTCOMES) {
     assert.ok((counts.get(type) ?? 0) >= 2, `${type}: ${counts.get(type)}`);
   }
+  for (const type of SEEN) {
+    assert.ok((counts.get(type) ?? 0) >= 1, `${type}: ${counts.get(type)}`);
+  }
 });
 
 test('an explanation draws no random numbers', async () => {
