--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -6,19 +6,26 @@
   addPrefillSums,
   buildPrefillSums,
   computeOthersDemand,
+  computeOthersWaiting,
   sumDemand,
 } from '@sycamorehead/routing';
 import {writeDecision} from '@sycamorehead/telemetry';
+import {completeReport} from './completeReport.js';
 import {MAX_INTERVAL_MS} from './computeDigestInterval.js';
+import {countAllEntries, countMutual, listHeard} from './entryCensus.js';
 import type {
   ExchangeReply,
   ExchangeRequest,
   LoadDigest,
-  LoadTable,
-  ServerLoad,
 } from './fleetMessages.js';
 import {RouteEvidence, groupByRoute, mergeEvidence} from './rolloutEvidence.js';
-import {addLoad, computeOthersLoad} from './serverLoad.js';
+import {
+  BRIEF_NUMBERS,
+  LoadSums,
+  addLoad,
+  buildLoadTable,
+  computeOthersLoad,
+} from './serverLoad.js';
 
 /** Age above which a report or a digest is ignored, in milliseconds. */
 const LOAD_EXPIRY_MS = 1_500;
@@ -33,6 +40,8 @@
 
 /** Time in which the other instances learn of an entry that has begun to report here, in milliseconds. */
 const SETTLING_MS = MAX_INTERVAL_MS + 100;
+/** The same where some of them learn of it from others only. */
+const INDIRECT_SETTLING_MS = 2 * MAX_INTERVAL_MS + 100;
 
 interface EntryUsage {
   readonly request: ExchangeRequest;
@@ -47,7 +56,7 @@
 
 interface Totals {
   readonly computedAt: number;
-  readonly load: LoadTable;
+  readonly load: LoadSums;
   readonly entries: number;
   readonly leaving: readonly string[];
   readonly kept: readonly string[];
@@ -57,6 +66,10 @@
   readonly included: ReadonlyMap<string, ExchangeRequest>;
   /** The number of these that the other instances know. */
   readonly settled: number;
+  /** The entries of all instances, also of those that only others hear. */
+  readonly allEntries: number;
+  /** The instances that hear this one and are heard by it, including itself. */
+  readonly mutual: number;
 }
 
 /**
@@ -83,23 +96,24 @@
   // Commands.
 
   /** Records one entry's report and returns the load of the other entries. */
-  exchange(request: ExchangeRequest): ExchangeReply {
+  exchange(received: ExchangeRequest): ExchangeReply {
     const now = performance.now();
-    const {entry} = request;
-    const known = this.entries.get(entry);
-    const isPresent = known && now - known.receivedAt <= LOAD_EXPIRY_MS;
-    const arrivedAt = isPresent ? known.arrivedAt : now;
+    const {entry} = received;
+    const last = this.entries.get(entry);
+    const isPresent = last && now - last.receivedAt <= LOAD_EXPIRY_MS;
+    const arrivedAt = isPresent ? last.arrivedAt : now;
+    // Without a report to complete it by, the reply is a whole one, and asks for one.
+    const isBrief = received.isBrief === true && isPresent === true;
+    const request = isBrief ? completeReport(received, last.request) : received;
     this.entries.set(entry, {request, receivedAt: now, arrivedAt});
-    const {load, entries, leaving, kept, prefill, demand, included} =
-      this.getTotals();
+    const {entries, leaving, kept, included} = this.getTotals();
     const own = included.get(entry);
     return {
       entries: included.has(entry) ? entries : entries + 1,
-      load: computeOthersLoad(load, own?.load ?? {}),
       leaving,
       kept,
-      prefill: computeOthersPrefill(prefill, own?.prefill ?? {}),
-      demand: computeOthersDemand(demand, own?.demand ?? {}),
+      ...(isBrief ? this.describeBriefly(own) : this.describeOthers(own)),
+      takesBrief: isBrief || received.isBrief !== true,
       isIsolated: this.isIsolated(),
     };
   }
@@ -122,10 +136,13 @@
   describeDigest(): LoadDigest {
     const now = performance.now();
     const usages = this.listFresh();
+    const sums = sumReports(usages.map(({request}) => request));
     return {
-      ...sumReports(usages.map(({request}) => request)),
+      ...sums,
+      load: buildLoadTable(sums.load),
       instance: this.instance,
       entries: usages.length,
+      heard: listHeard(this.listFreshDigests()),
       evidence: this.mergeOwnEvidence(),
       arrived: usages
         .filter(({arrivedAt}) => now - arrivedAt < ARRIVAL_MS)
@@ -143,27 +160,29 @@
    * heard to know all entries.
    */
   computeShare(): number {
-    const {entries, included} = this.getTotals();
-    return this.isIsolated() || entries === 0 ? 0 : included.size / entries;
+    const {allEntries, included} = this.getTotals();
+    if (this.isIsolated() || allEntries === 0) return 0;
+    return included.size / allEntries;
   }
 
   /**
-   * Computes the fraction like `computeShare`, relative to the most entries that were known of late:
-   * two instances that do not hear each other do not both count as all there are.
+   * Computes a fraction like `computeShare` of which the sum over all instances is at most one, whichever of
+   * them hear each other. It is relative to the most entries that were known of late, since what others tell
+   * may come late; 0 if this instance and most others do not hear each other.
    */
   computeFirmShare(): number {
-    const {entries, settled} = this.getTotals();
+    const {allEntries, settled, mutual} = this.getTotals();
     const {current, previous} = this.peaks;
-    if (this.isIsolated() || entries === 0) return 0;
-    return settled / Math.max(entries, current, previous);
+    if (mutual * 2 <= this.countControls()) return 0;
+    const most = Math.max(allEntries, current, previous);
+    return most === 0 ? 0 : settled / most;
   }
 
   /** Counts the requests of all entries in flight on the given backend servers. */
   countInFlight(ids: ReadonlySet<string>): number {
     let total = 0;
-    for (const [id, [inFlight]] of Object.entries(this.getTotals().load)) {
-      if (ids.has(id)) total += inFlight;
-    }
+    const {load} = this.getTotals();
+    for (const id of ids) total += load.get(id)?.[0] ?? 0;
     return total;
   }
 
@@ -177,6 +196,26 @@
     return groupByRoute(lists.flat(), service, number);
   }
 
+  /** Describes what the other entries have reported. */
+  private describeOthers(own: ExchangeRequest | undefined) {
+    const {load, prefill, demand} = this.getTotals();
+    return {
+      load: computeOthersLoad(load, own?.load ?? {}),
+      prefill: computeOthersPrefill(prefill, own?.prefill ?? {}),
+      demand: computeOthersDemand(demand, own?.demand ?? {}),
+    };
+  }
+
+  /** Describes of what the other entries have reported what changes within moments. */
+  private describeBriefly(own: ExchangeRequest | undefined) {
+    const {load, demand} = this.getTotals();
+    return {
+      load: computeOthersLoad(load, own?.load ?? {}, BRIEF_NUMBERS),
+      waiting: computeOthersWaiting(demand, own?.demand ?? {}),
+      isBrief: true,
+    };
+  }
+
   /** Returns whether too few other instances are heard for the sums to be complete. */
   private isIsolated(): boolean {
     const heard = this.listFreshDigests().length + 1;
@@ -198,6 +237,7 @@
     this.expireEntries(now);
     const requests = this.listFresh().map(({request}) => request);
     const digests = this.listFreshDigests();
+    const mutual = countMutual(this.instance, digests);
     this.totals = {
       ...sumReports([...requests, ...digests]),
       computedAt: now,
@@ -206,15 +246,18 @@
         requests.length,
       ),
       included: new Map(requests.map(request => [request.entry, request])),
-      settled: this.countSettled(now),
+      settled: this.countSettled(now, mutual),
+      mutual,
+      allEntries: countAllEntries(this.instance, requests.length, digests),
     };
-    this.updatePeaks(this.totals.entries);
+    this.updatePeaks(this.totals.allEntries);
     return this.totals;
   }
 
   /** Counts the entries that report here for so long that the other instances count them too. */
-  private countSettled(now: number): number {
-    const latest = now - SETTLING_MS;
+  private countSettled(now: number, mutual: number): number {
+    const isDirect = mutual >= this.countControls();
+    const latest = now - (isDirect ? SETTLING_MS : INDIRECT_SETTLING_MS);
     return this.listFresh().filter(({arrivedAt}) => arrivedAt <= latest).length;
   }
 
@@ -259,8 +302,10 @@
 >;
 
 /** Sums reports or digests. */
-function sumReports(reports: readonly Report[]): Required<Report> {
-  const load: Record<string, ServerLoad> = {};
+function sumReports(
+  reports: readonly Report[],
+): Required<Omit<Report, 'load'>> & {readonly load: LoadSums} {
+  const load: LoadSums = new Map();
   const prefill: Record<string, PrefillSums> = {};
   const leaving = new Set<string>();
   const kept = new Set<string>();
--- a/packages/routing/src/lib/forwarding/PlacementQueue.ts
+++ b/packages/routing/src/lib/forwarding/PlacementQueue.ts
@@ -11,7 +11,7 @@
 } from './chooseNextWaiter.js';
 import {classifyUrgency} from './computeUrgency.js';
 import {ClassifiedRequest, QueuePolicy, QueuedRequest} from './QueuePolicy.js';
-import type {ServiceDemand} from './serviceDemand.js';
+import type {QueuedDemand, ServiceDemand} from './serviceDemand.js';
 
 /** How a request began to wait. @public */
 export interface QueueNote {
@@ -76,6 +76,8 @@
 const REVIEW_MARGIN = 1.5;
 /** Time in which some request with the same needs must have got a place for others to yield, in ms. */
 const SERVED_NEEDS_MS = 5_000;
+/** What a copy takes for each random number. */
+const USUAL_DRAW = 0.5;
 
 /**
  * Queues the requests of one service that wait for a slot. `QueuePolicy` decides whose turn it is; a
@@ -157,14 +159,46 @@
     }
   }
 
+  /** Offers no places at a later time any more. */
+  stop(): void {
+    clearTimeout(this.offerTimer);
+  }
+
   /** Applies what the other entries have reported, and refuses requests that can't be served in time. */
   updateOthers(demand: ServiceDemand | undefined): void {
     this.policy.updateOthers(demand);
     this.refuseOutpaced();
   }
 
+  /** Applies which requests of other entries wait, like `updateOthers`. */
+  updateOthersWaiting(queued: QueuedDemand): void {
+    this.policy.updateOthersWaiting(queued);
+    this.refuseOutpaced();
+  }
+
   // Queries.
 
+  /** Copies the queue, which then decides alike with usual draws; the requests in it wait for nothing. */
+  copy(): PlacementQueue {
+    const queue = new PlacementQueue(this.policy.copy(() => USUAL_DRAW));
+    for (const waiter of this.waiters) {
+      queue.waiters.add({
+        ...waiter,
+        trySettle: () => false,
+        findRoom: () => 0,
+        refuse: () => {},
+      });
+    }
+    for (const [needs, at] of this.placedAt) queue.placedAt.set(needs, at);
+    queue.rankedAt = this.rankedAt;
+    return queue;
+  }
+
+  /** Whether places are left to other entries at present. */
+  get isYielding(): boolean {
+    return this.policy.yieldsUntil > performance.now();
+  }
+
   /** The number of waiting requests. */
   get length(): number {
     return this.waiters.size;
@@ -187,10 +221,18 @@
 
   /** Describes the demand here to the other entries. */
   describeDemand(): ServiceDemand {
+    return this.policy.describeDemand(this.countServed());
+  }
+
+  /** Describes the requests that wait here to the other entries. */
+  describeWaiting(): QueuedDemand {
+    return this.policy.describeWaiting(this.countServed());
+  }
+
+  /** Counts the waiting requests by urgency class; others need not yield to those that no server can take. */
+  private countServed(): number[] {
     this.updateRanks();
-    // Others need not yield to requests that no server can take.
-    const waiting = this.countWaiters(({needs}) => this.isServed(needs));
-    return this.policy.describeDemand(waiting);
+    return this.countWaiters(({needs}) => this.isServed(needs));
   }
 
   /** Returns whether a request with these needs got a place lately. */
--- a/packages/routing/src/lib/forwarding/QueuePolicy.ts
+++ b/packages/routing/src/lib/forwarding/QueuePolicy.ts
@@ -1,12 +1,13 @@
 import {WaiterRank} from './chooseNextWaiter.js';
 import {classifyUrgency, computeUrgency} from './computeUrgency.js';
+import {copyState} from './copyState.js';
 import {estimateQueueWait} from './estimateQueueWait.js';
 import {FairShares} from './FairShares.js';
 import {KindShares, SizeClass} from './KindShares.js';
 import {QueueFlow} from './QueueFlow.js';
 import {QueueRefusal, QueueRefusalReason} from './QueueRefusal.js';
 import {ReturnSchedule} from './ReturnSchedule.js';
-import {NO_DEMAND, ServiceDemand} from './serviceDemand.js';
+import {NO_DEMAND, QueuedDemand, ServiceDemand} from './serviceDemand.js';
 import {SessionShares} from './SessionShares.js';
 import {YieldWindows} from './YieldWindows.js';
 
@@ -75,7 +76,7 @@
   private standings = new Map<string, CustomerStanding>();
   private standingAt = -Infinity;
 
-  constructor(random: () => number = Math.random) {
+  constructor(private readonly random: () => number = Math.random) {
     this.returns = new ReturnSchedule(random);
     this.yields = new YieldWindows(random);
   }
@@ -150,6 +151,11 @@
     if (demand) this.customers.updateUsual();
   }
 
+  /** Sets which requests of other entries wait; the rest of their demand is as reported before. */
+  updateOthersWaiting(queued: QueuedDemand): void {
+    this.flow.setOthers(queued);
+  }
+
   /** Returns whether a request leaves free places to more urgent ones of other entries for now. */
   checkYield(rank: WaiterRank): boolean {
     const {waiting, placesPerSecond} = this.flow.getOthers();
@@ -162,6 +168,11 @@
 
   // Queries.
 
+  /** Copies the policy, which then decides alike, but for what it draws. */
+  copy(random: () => number): QueuePolicy {
+    return copyState(this, new Map([[this.random, random]]));
+  }
+
   /** The end of the time for which places are left to others, on the monotonic clock. */
   get yieldsUntil(): number {
     return this.yields.endsAt;
@@ -216,13 +227,18 @@
   /** Describes the demand here to the other entries, with the requests that wait. */
   describeDemand(waiting: readonly number[]): ServiceDemand {
     return {
-      waiting,
-      placesPerSecond: Number(this.flow.placesPerSecond.toFixed(1)),
+      ...this.describeWaiting(waiting),
       customers: this.customers.listAsked(),
       outcomes: this.kinds.listOutcomes(),
     };
   }
 
+  /** Describes the requests that wait here to the other entries. */
+  describeWaiting(waiting: readonly number[]): QueuedDemand {
+    const placesPerSecond = Number(this.flow.placesPerSecond.toFixed(1));
+    return {waiting, placesPerSecond};
+  }
+
   private isStarved(classified: ClassifiedRequest): boolean {
     const {request, size, kindAndSize} = classified;
     const known = this.starved.get(kindAndSize);
