--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -8,6 +8,7 @@
   DemandTable,
   LimitTable,
   PrefillSumTable,
+  WaitingTable,
 } from '@sycamorehead/routing';
 import type {
   JsonValue,
@@ -149,8 +150,16 @@
   /** Number of changes so far; of two states the one with the higher revision is newer. */
   readonly revision: number;
   readonly dataCentres: readonly string[];
+  /**
+   * Those that were evacuated before, since an entry may miss an order and its end; absent from earlier
+   * builds.
+   */
+  readonly ended?: EndedEvacuations;
 }
 
+/** Data centres with the revision at which their evacuation ended last. @public */
+export type EndedEvacuations = Readonly<Record<string, number>>;
+
 /** A crash of a backend server, as reported by an entry that had requests there. @public */
 export interface CrashReport {
   /** Incarnation of the server, `ID STARTED_AT_MS`. */
@@ -293,6 +302,13 @@
   readonly prefill?: PrefillSumTable;
   /** Demand and waiting requests by service; absent from earlier builds. */
   readonly demand?: DemandTable;
+  /**
+   * Whether it leaves out what the last report told and what changes slowly: prefill, prompts, demand but
+   * for the requests that wait, and all but the first four numbers of the load. Absent from earlier builds.
+   */
+  readonly isBrief?: boolean;
+  /** In place of the demand of a brief report. */
+  readonly waiting?: WaitingTable;
 }
 
 /** Sums over the entries that report to one control instance; parameters of `fleet.digest`. @public */
@@ -301,6 +317,8 @@
   readonly instance: string;
   /** Number of entries that have reported recently. */
   readonly entries: number;
+  /** The same of each control instance that the sender hears; absent from earlier builds. */
+  readonly heard?: Readonly<Record<string, number>>;
   readonly load: LoadTable;
   readonly evidence: readonly RolloutEvidence[];
   readonly leaving: readonly string[];
@@ -324,6 +342,15 @@
   readonly prefill?: PrefillSumTable;
   /** Demand and waiting requests at the other entries; absent from earlier builds. */
   readonly demand?: DemandTable;
+  /**
+   * Whether the instance keeps what the entry told, so that its next reports may be brief; absent from
+   * earlier builds.
+   */
+  readonly takesBrief?: boolean;
+  /** Whether it leaves out what a brief report does, in answer to one; absent from earlier builds. */
+  readonly isBrief?: boolean;
+  /** In place of the demand of a brief reply. */
+  readonly waiting?: WaitingTable;
   /** Suspected prompt segments, of which the entry reports the survivals; absent from earlier builds. */
   readonly suspects?: readonly string[];
   /** Requests that may come into quarantine within a moment; absent from earlier builds. */
--- a/packages/gateway/src/lib/ModelCascade.ts
+++ b/packages/gateway/src/lib/ModelCascade.ts
@@ -74,8 +74,7 @@
   chooseNext(target: RequestTarget): string | undefined {
     if (target.route.models.length === 0) return undefined;
     if (!this.isRecorded) this.recordRequest(target);
-    const previous = this.isLargerRequested ? this.answered : undefined;
-    return this.choose(target, this.describeChoice(target, previous));
+    return this.choose(target, this.describeNext(target));
   }
 
   /**
@@ -118,6 +117,12 @@
 
   // Queries.
 
+  /** Finds the model of the next send, without recording anything. */
+  findNext(target: RequestTarget): string | undefined {
+    if (target.route.models.length === 0) return undefined;
+    return chooseModel(this.context.policies.model, this.describeNext(target));
+  }
+
   /** Model that answered last. */
   get answeredBy(): string | undefined {
     return this.answered;
@@ -133,6 +138,11 @@
     return this.pressure;
   }
 
+  private describeNext(target: RequestTarget): ModelChoiceInput {
+    const previous = this.isLargerRequested ? this.answered : undefined;
+    return this.describeChoice(target, previous);
+  }
+
   private describeChoice(
     target: RequestTarget,
     previous: string | undefined,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -70,22 +70,32 @@
 } from './lib/forwarding/chooseModel.js';
 export {PlacementQueue} from './lib/forwarding/PlacementQueue.js';
 export type {QueueNote, WaitingWork} from './lib/forwarding/PlacementQueue.js';
+export {explainPlacement} from './lib/forwarding/explainPlacement.js';
+export type {
+  ExplainedPlacement,
+  QuestionedWork,
+  WaitReason,
+} from './lib/forwarding/explainPlacement.js';
 export {QueueRefusal} from './lib/forwarding/QueueRefusal.js';
 export type {QueueRefusalReason} from './lib/forwarding/QueueRefusal.js';
 export {
   NO_DEMAND,
   computeOthersDemand,
+  computeOthersWaiting,
   filterDemand,
+  filterWaiting,
   sumDemand,
 } from './lib/forwarding/serviceDemand.js';
 export type {
   CustomerTable,
   DemandTable,
+  QueuedDemand,
   ServiceDemand,
+  WaitingTable,
 } from './lib/forwarding/serviceDemand.js';
 export {RetryBudget} from './lib/forwarding/RetryBudget.js';
 export type {RetryBudgetOptions} from './lib/forwarding/RetryBudget.js';
-export {sampleServers} from './lib/forwarding/sampleServers.js';
+export {countSampled, sampleServers} from './lib/forwarding/sampleServers.js';
 export type {SampleOptions} from './lib/forwarding/sampleServers.js';
 export {DecayingSum} from './lib/forwarding/DecayingSum.js';
 export {KeptPrompts, buildKeptPrompt} from './lib/forwarding/KeptPrompts.js';
@@ -95,6 +105,10 @@
   countNeededTokens,
 } from './lib/forwarding/ServerMemory.js';
 export {ServerPace, updateTypicalPace} from './lib/forwarding/ServerPace.js';
+export {
+  ServerSlowness,
+  ServiceSlowness,
+} from './lib/forwarding/ServerSlowness.js';
 export type {AwaitedStart, PaceSums} from './lib/forwarding/ServerPace.js';
 export {
   computeRefusedShare,
@@ -102,8 +116,9 @@
   isEntryOverloaded,
 } from './lib/forwarding/judgeEntryPace.js';
 export type {EntryPace} from './lib/forwarding/judgeEntryPace.js';
-export {scoreServer} from './lib/forwarding/scoreServer.js';
+export {computeScoreTerms, scoreServer} from './lib/forwarding/scoreServer.js';
 export type {
+  ScoreTerms,
   ServerCandidate,
   ForwardPolicy,
 } from './lib/forwarding/scoreServer.js';
--- a/packages/routing/src/lib/forwarding/KindShares.ts
+++ b/packages/routing/src/lib/forwarding/KindShares.ts
@@ -98,11 +98,20 @@
     return fraction < ofAll * KIND_FLOOR || this.isOvertaken(kind, fraction);
   }
 
+  /** Computes the served fraction of a kind at all entries; undefined if too little is known. */
+  computeServed(kind: string): number | undefined {
+    return this.computeFraction([kind]);
+  }
+
   /** Lists the outcomes here. */
   listOutcomes(): OutcomeTable {
     const table: Record<string, readonly [number, number]> = {};
+    const now = performance.now();
     for (const [name, {ended, served}] of this.outcomes) {
-      table[name] = [limitDigits(ended.value), limitDigits(served.value)];
+      table[name] = [
+        limitDigits(ended.readAt(now)),
+        limitDigits(served.readAt(now)),
+      ];
     }
     return limitNames(table, ([ended]) => ended);
   }
