--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -134,8 +134,7 @@
       const {startBy, signal} = demand;
       await filling.waitTurn({service, startBy, signal});
     }
-    const work = this.buildWork(demand);
-    return queue.acquire({...work, abandonAt});
+    return queue.acquire({...this.buildWork(demand), abandonAt});
   }
 
   /** Reserves a slot if one is free now and no other request waits for it. */
