--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -186,6 +186,13 @@
     );
   }
 
+  /** Lists the ready servers of a service that accept new work now, like `isAccepting`. */
+  listAccepting(service: string): KnownServer[] {
+    return this.listReady(service).filter(
+      ({listing}) => this.notices.getHoldMs(listing.registration) === 0,
+    );
+  }
+
   /** Lists the servers of a service that would be ready if their data centres were not evacuated. */
   listEvacuated(service: string): KnownServer[] {
     return this.listStaying(service, dataCentre =>
