--- a/packages/gateway/src/lib/KnownServer.ts
+++ b/packages/gateway/src/lib/KnownServer.ts
@@ -4,6 +4,7 @@
   ServerPace,
   ServerSlowness,
   ServiceSlowness,
+  updateTypicalPace,
 } from '@sycamorehead/routing';
 import type {ServerRegistration} from '@sycamorehead/schema';
 import {ServerAgent} from './ServerAgent.js';
@@ -95,6 +96,32 @@
   return Math.max(0, Date.now() - startedAtMs);
 }
 
+/**
+ * Sets the load that the other entries have placed on a server. A brief report leaves the numbers that change
+ * slowly as they are.
+ *
+ * @example
+ * ```ts
+ * setOthersLoad(server, [3, 420, 1, 12_000], {now, isBrief: true});
+ * ```
+ * @internal
+ */
+export function setOthersLoad(
+  server: KnownServer,
+  numbers: ServerLoad,
+  {now, isBrief}: {readonly now: number; readonly isBrief: boolean},
+): void {
+  const [inFlight, pendingMs, active = 0, heldTokens = 0, ...rest] = numbers;
+  if (active > 0) server.othersReceivedAt = now;
+  server.othersInFlight = inFlight;
+  server.othersPendingMs = pendingMs;
+  server.memory.setOthersHeld(heldTokens, now);
+  if (isBrief) return;
+  const [readTokens = 0, answers = 0, logRatios = 0] = rest;
+  server.memory.kept.setOthersRead(readTokens, now);
+  server.pace.setOthers(answers, logRatios, now);
+}
+
 /** How the load on a server is described. @internal */
 export interface LoadDescription {
   /** The time, on the monotonic clock. */
@@ -137,3 +164,23 @@
     logRatios,
   ]);
 }
+
+/**
+ * Relates the paces of the servers of each service to each other.
+ *
+ * @example
+ * ```ts
+ * updatePaces(table.listReady('drafts'));
+ * ```
+ * @internal
+ */
+export function updatePaces(servers: Iterable<KnownServer>): void {
+  const paces = new Map<string, ServerPace[]>();
+  for (const {listing, pace} of servers) {
+    const {service} = listing.registration;
+    const known = paces.get(service);
+    if (known) known.push(pace);
+    else paces.set(service, [pace]);
+  }
+  for (const group of paces.values()) updateTypicalPace(group);
+}
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -6,11 +6,7 @@
   ServerLoad,
   ServerObstacle,
 } from '@sycamorehead/fleet';
-import {
-  ServerPace,
-  ServiceSlowness,
-  updateTypicalPace,
-} from '@sycamorehead/routing';
+import {ServiceSlowness} from '@sycamorehead/routing';
 import {
   ServerRegistration,
   evictOldest,
@@ -18,12 +14,15 @@
 } from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 import {ColdServers} from './ColdServers.js';
+import {DirectoryFill} from './DirectoryFill.js';
 import {EvacuationView} from './EvacuationView.js';
 import {
   KnownServer,
   computeSlowUntil,
   createServer,
   describeLoad,
+  setOthersLoad,
+  updatePaces,
 } from './KnownServer.js';
 import {ServerLimits} from './ServerLimits.js';
 import {ServerNotices} from './ServerNotices.js';
@@ -66,6 +65,7 @@
   readonly limits = new ServerLimits();
   readonly evacuation = new EvacuationView();
   readonly cold = new ColdServers();
+  readonly filling = new DirectoryFill();
   private readonly returnListeners: ReturnListener[] = [
     registrations => this.cold.expectCold(registrations),
   ];
@@ -77,6 +77,7 @@
   /** Applies an update from a control instance. */
   update(update: FleetUpdate): void {
     const {servers = [], dropped = []} = update;
+    this.filling.update(update);
     const returned = this.evacuation.update(update);
     for (const listing of servers) this.applyListing(listing);
     for (const id of dropped) this.drop(id);
@@ -98,16 +99,9 @@
   setOthersLoad(load: LoadTable, isBrief = false): void {
     const now = performance.now();
     for (const [id, server] of this.servers) {
-      const numbers = load[id] ?? NO_LOAD;
-      if ((numbers[2] ?? 0) > 0) server.othersReceivedAt = now;
-      server.othersInFlight = numbers[0];
-      server.othersPendingMs = numbers[1];
-      server.memory.setOthersHeld(numbers[3] ?? 0, now);
-      if (isBrief) continue;
-      server.memory.kept.setOthersRead(numbers[4] ?? 0, now);
-      server.pace.setOthers(numbers[5] ?? 0, numbers[6] ?? 0, now);
+      setOthersLoad(server, load[id] ?? NO_LOAD, {now, isBrief});
     }
-    if (!isBrief) this.updatePaces();
+    if (!isBrief) updatePaces(this.servers.values());
   }
 
   /** Records that a server has answered, and the ratio of its time to the typical time. */
@@ -210,9 +204,7 @@
 
   /** Returns whether any server of a service is known, even one that leaves. */
   hasServers(service: string): boolean {
-    return this.matchAny(
-      ({listing}) => listing.registration.service === service,
-    );
+    return this.listKnown(service).length > 0;
   }
 
   /** Lists all known servers of a service, whatever their state. */
@@ -327,18 +319,6 @@
     for (const listener of this.returnListeners) listener(registrations);
   }
 
-  /** Relates the servers of each service to each other. */
-  private updatePaces(): void {
-    const paces = new Map<string, ServerPace[]>();
-    for (const {listing, pace} of this.servers.values()) {
-      const {service} = listing.registration;
-      const known = paces.get(service);
-      if (known) known.push(pace);
-      else paces.set(service, [pace]);
-    }
-    for (const group of paces.values()) updateTypicalPace(group);
-  }
-
   private markDeparted({registration, isSilent}: ServerListing): void {
     const known = this.servers.get(registration.id);
     if (known?.listing.registration !== registration) return;
