--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -129,13 +129,21 @@
     this.recordDemand(service);
     if (isTooLarge(demand)) this.options.onMemoryFull?.(service);
     const abandonAt = this.refusals.checkDemand(demand, queue);
-    return queue.acquire({...this.buildWork(demand), abandonAt});
+    const {filling} = this.options.servers;
+    if (demand.service.engine && filling.isFilling) {
+      const {startBy, signal} = demand;
+      await filling.waitTurn({service, startBy, signal});
+    }
+    const work = this.buildWork(demand);
+    return queue.acquire({...work, abandonAt});
   }
 
   /** Reserves a slot if one is free now and no other request waits for it. */
   tryAcquire(demand: PlacementRequest): SlotReservation | undefined {
     const service = demand.service.name;
     if (this.refusals.findClosure(demand)) return undefined;
+    // Those that have no answer yet go first.
+    if (this.options.servers.filling.countHeld(service) > 0) return undefined;
     const work = this.buildWork(demand);
     const reservation = this.getQueue(service).tryAcquire(work);
     if (reservation) this.recordDemand(service);
@@ -149,8 +157,9 @@
   explain(demand: PlacementRequest): Promise<ExplainedSlot> {
     const {availability, chooser, slowStart, refusals} = this;
     const queue = this.queues.get(demand.service.name) ?? new PlacementQueue();
-    const explainer = {availability, chooser, slowStart, refusals};
-    return explainSlot(demand, queue, explainer, this.buildWork(demand));
+    const {filling} = this.options.servers;
+    const decisions = {availability, chooser, slowStart, refusals, filling};
+    return explainSlot(demand, queue, decisions, this.buildWork(demand));
   }
 
   /** Offers slots to the waiting requests after the table of servers has changed. */
--- a/packages/gateway/src/lib/explainSlot.ts
+++ b/packages/gateway/src/lib/explainSlot.ts
@@ -6,6 +6,7 @@
 } from '@sycamorehead/routing';
 import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
 import type {ServerObstacle} from '@sycamorehead/fleet';
+import type {DirectoryFill} from './DirectoryFill.js';
 import type {KnownServer} from './KnownServer.js';
 import type {PlacementRequest} from './Placement.js';
 import type {PlacementRefusals} from './PlacementRefusals.js';
@@ -23,6 +24,7 @@
   readonly chooser: ServerChooser;
   readonly slowStart: SlowStart;
   readonly refusals: PlacementRefusals;
+  readonly filling: DirectoryFill;
 }
 
 /** What would become of a request, and why. @internal */
@@ -51,17 +53,14 @@
 export async function explainSlot(
   demand: PlacementRequest,
   queue: PlacementQueue,
-  {availability, chooser, slowStart, refusals}: SlotDecisions,
+  {availability, chooser, slowStart, refusals, filling}: SlotDecisions,
   work: QuestionedWork<unknown>,
 ): Promise<ExplainedSlot> {
   const {servers: available, isDrawn, obstacles} = availability.explain(demand);
   const earned = slowStart.filterServers(available);
   const usable = availability.filterChecks(earned);
-  for (const server of available) {
-    if (usable.includes(server)) continue;
-    const isEarned = earned.includes(server);
-    obstacles.set(server, isEarned ? 'limit_check' : 'slow_start');
-  }
+  markExcluded(obstacles, 'slow_start', available, earned);
+  markExcluded(obstacles, 'limit_check', earned, usable);
   const choice = chooser.explain(demand, usable);
   const [best, second] = choice.choices;
   const isCertain =
@@ -70,6 +69,10 @@
     !(isDrawn && usable.length > 1) &&
     (choice.drawn >= usable.length || choice.alwaysCompared.has(best.server));
   const explained = {obstacles, choice, isCertain};
+  const {service, startBy} = demand;
+  const isHeld =
+    service.engine !== undefined &&
+    filling.isHolding({service: service.name, startBy});
   let abandonAt: number;
   try {
     abandonAt = refusals.checkDemand(demand, queue);
@@ -81,6 +84,7 @@
     ...work,
     abandonAt,
     tryReserveSlot: () => {
+      if (isHeld) return undefined;
       refusals.checkEvacuation(demand);
       if (best && availability.hasFreeSlot(demand.service)) return best;
       const closure = refusals.findClosure(demand);
@@ -91,6 +95,19 @@
   return {...explained, placement, abandonAt};
 }
 
+/** Marks the servers that a filter has left out. */
+function markExcluded(
+  obstacles: Map<KnownServer, ServerObstacle>,
+  obstacle: ServerObstacle,
+  servers: readonly KnownServer[],
+  kept: readonly KnownServer[],
+): void {
+  const included = new Set(kept);
+  for (const server of servers) {
+    if (!included.has(server)) obstacles.set(server, obstacle);
+  }
+}
+
 function buildRefused(
   error: SycamoreheadError,
 ): ExplainedPlacement<ServerChoice> {
