--- a/scripts/knownFailures.mjs
+++ b/scripts/knownFailures.mjs
@@ -4,7 +4,7 @@
 import {ROOT} from './ensure.mjs';
 
 const LIST = path.join(ROOT, 'KNOWN-RED.txt');
-// For example: "  test: soak.test.js: a day with roll-outs"
+// For example: "  test: platform/dist/test/soak.test.js: a day with roll-outs"
 const ENTRY = /^\s*test: (?<file>[^:]+): (?<name>.+)$/;
 
 function buildKey({file, name}) {
@@ -18,16 +18,22 @@
   return new Set(entries.map(buildKey));
 }
 
-/** Reads the lines of failureReporter.mjs, prints the failures, and returns whether all of them are listed. */
+/**
+ * Reads the lines of failureReporter.mjs, prints the failures, and returns whether the run has ended and all of them
+ * are listed.
+ */
 export function checkFailures(report) {
   const known = listKnownFailures();
-  const failures = readFileSync(report, 'utf8')
+  const lines = readFileSync(report, 'utf8')
     .split('\n')
     .filter(Boolean)
-    .map(line => buildKey(JSON.parse(line)));
+    .map(line => JSON.parse(line));
+  const failures = lines.filter(({name}) => name !== undefined).map(buildKey);
   for (const failure of failures) {
     const kind = known.has(failure) ? 'known failure' : 'failure';
     console.log(`${kind}: ${failure}`);
   }
-  return failures.length > 0 && failures.every(failure => known.has(failure));
+  const isEnded = lines.at(-1)?.isEnd === true;
+  const isListed = failures.every(failure => known.has(failure));
+  return isEnded && failures.length > 0 && isListed;
 }
