Models: only sends that are made count for the price of engine time

Cause, found by review: the reading time of a model was recorded when it was chosen, also where no slot or budget was left for it. Under load most of these sends are not made, so that the price of engine time fell when it should bind.

Change: the time is recorded where the send is made. modelCascade.test fails before (a price without a send).

--- a/packages/gateway/src/lib/ForwardedRequest.ts
+++ b/packages/gateway/src/lib/ForwardedRequest.ts
@@ -157,6 +157,7 @@
         model,
         this.guard,
       );
+      this.cascade.recordSend(current, model);
       const outcome = await this.dispatch(send);
       this.recordOutcome(send, outcome);
       return await this.handleOutcome(outcome, send);
--- a/packages/gateway/src/lib/ModelCascade.ts
+++ b/packages/gateway/src/lib/ModelCascade.ts
@@ -74,7 +74,7 @@
   chooseNext(target: RequestTarget): string | undefined {
     if (target.route.models.length === 0) return undefined;
     if (!this.isRecorded) this.recordRequest(target);
-    return this.choose(target, this.describeNext(target));
+    return this.choose(this.describeNext(target));
   }
 
   /**
@@ -86,7 +86,15 @@
     if (!budgets.hasEscalationCapacity(target.service.name)) return undefined;
     const choice = this.describeChoice(target, this.answered);
     if (!isWorthEscalating(policies.model, choice)) return undefined;
-    return this.choose(target, choice);
+    return this.choose(choice);
+  }
+
+  /** Records the time that a send takes of an engine. */
+  recordSend({service}: RequestTarget, model: string | undefined): void {
+    if (model === undefined) return;
+    const {timePrices, rates} = this.context;
+    const {promptTokens} = this.request.size;
+    timePrices.recordSend(service.name, rates.estimateMs(model, promptTokens));
   }
 
   private recordRequest({route, service}: RequestTarget): void {
@@ -101,18 +109,10 @@
     });
   }
 
-  /** Chooses a model, and records the load of the engines and the time that the send takes of one. */
-  private choose(
-    {service}: RequestTarget,
-    choice: ModelChoiceInput,
-  ): string | undefined {
-    const {policies, timePrices, rates} = this.context;
+  /** Chooses a model, and records the load of the engines. */
+  private choose(choice: ModelChoiceInput): string | undefined {
     this.pressure = choice.pressure;
-    const model = chooseModel(policies.model, choice);
-    if (model === undefined) return undefined;
-    const {promptTokens} = this.request.size;
-    timePrices.recordSend(service.name, rates.estimateMs(model, promptTokens));
-    return model;
+    return chooseModel(this.context.policies.model, choice);
   }
 
   // Queries.
