--- a/packages/gateway/src/lib/Gateway.ts
+++ b/packages/gateway/src/lib/Gateway.ts
@@ -224,6 +224,7 @@
   }
 
   private applyUpdate(update: FleetUpdate): void {
+    this.servers.filling.update(update);
     this.servers.update(update);
     this.metrics.setEvacuated(this.servers.evacuation.count);
     if (update.rollouts) this.versions.update(update.rollouts);
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -77,7 +77,6 @@
   /** Applies an update from a control instance. */
   update(update: FleetUpdate): void {
     const {servers = [], dropped = []} = update;
-    this.filling.update(update);
     const returned = this.evacuation.update(update);
     for (const listing of servers) this.applyListing(listing);
     for (const id of dropped) this.drop(id);
--- a/packages/gateway/src/test/GatewayHarness.ts
+++ b/packages/gateway/src/test/GatewayHarness.ts
@@ -225,6 +225,7 @@
 
   /** Applies an update as from a control instance. */
   update(update: FleetUpdate): void {
+    this.servers.filling.update(update);
     this.servers.update(update);
     this.placement.offerSlots();
   }
