Held requests: limits and checks when they take their turn, turns given back, a bound

While the directory fills after a restart of all processes:

- The limits of the wait were computed before the hold, and a service without known servers counted as limited (`every` of nothing), so that a request that was released after 0.4 of its wait was refused with seconds left.
Evacuation and size are checked before the hold; the wait, its review and the limits of the servers after it (`limitWait`, `renewWaitLimits`), and no servers are no limited ones.
- A held caller who left used up a turn: of 40 requests that stayed beside 40 that left, none was sent when half of the servers were known.
The turn is given back; a caller who has left already is refused before.
- Beyond 500 held requests newcomers overtook those held, uncounted.
The least urgent is refused as displaced, with a delay.
- An evacuation, or that every server leaves, was seen only at the turn.
Held requests are checked when slots are offered after a change of the table.
A pause is waited out.
- Streams that have begun and requests that were sent before are no longer held.
- An explanation took a request of a service without turns so far for sent; it waits, and no server is certain meanwhile.

--- a/packages/gateway/src/lib/DirectoryFill.ts
+++ b/packages/gateway/src/lib/DirectoryFill.ts
@@ -1,6 +1,7 @@
 import type {FleetUpdate} from '@sycamorehead/fleet';
 import {SycamoreheadError} from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
+import {buildHeldRefusal} from './refusals.js';
 
 /**
  * What each server that has registered may get, relative to an equal share of the requests. More than one,
@@ -22,15 +23,21 @@
   /** The time until which it can be sent and be answered in time, on the monotonic clock. */
   readonly startBy: number;
   readonly signal: AbortSignal;
+  /** Requests of a service with the same needs can be sent to the same servers. */
+  readonly needs?: string;
+  /** Finds the refusal of a request that none of the known servers will run. */
+  findRefusal?(): SycamoreheadError | undefined;
 }
 
 interface Waiter {
-  readonly startBy: number;
+  readonly request: HeldRequest;
   release(): void;
+  refuse(error: SycamoreheadError): void;
 }
 
 /** The requests of one service since the directory began to fill. */
 interface ServiceQueue {
+  /** Those that were refused or whose callers left while they were held do not count. */
   asked: number;
   sent: number;
   /** By how much of a request the next one has to be due; drawn, so that entries do not send in step. */
@@ -70,35 +77,43 @@
 
   /**
    * Waits until enough servers have registered for a request; not beyond the time at which its answer can
-   * be in time.
+   * be in time. Of too many, the least urgent is refused.
    *
-   * @throws SycamoreheadError `caller_gone`.
+   * @throws SycamoreheadError `caller_gone`, `overloaded`, or what `findRefusal` returns.
    */
-  async waitTurn({service, startBy, signal}: HeldRequest): Promise<void> {
+  async waitTurn(request: HeldRequest): Promise<void> {
+    const {service, startBy, signal} = request;
+    if (signal.aborted) throw buildCallerGone();
     if (!this.isFilling) return;
     const queue = this.getQueue(service);
-    if (!queue || queue.waiters.size >= MAX_HELD) return;
-    queue.asked += 1;
-    if (queue.waiters.size === 0 && !this.isHeld(queue, startBy)) {
-      recordSend(queue);
-      return;
+    // Requests of further services are not spread.
+    if (!queue) return;
+    if (queue.waiters.size === 0) {
+      const next = {...queue, asked: queue.asked + 1};
+      if (!this.isHeld(next, startBy)) {
+        queue.asked += 1;
+        recordSend(queue);
+        return;
+      }
+    }
+    const refusal = request.findRefusal?.();
+    if (refusal) throw refusal;
+    if (queue.waiters.size >= MAX_HELD) this.refuseLast(queue, startBy);
+    await this.enqueue(queue, request);
+  }
+
+  /** Refuses the held requests that no server will run, after the table of servers has changed. */
+  refuseClosed(): void {
+    for (const {waiters} of this.queues.values()) {
+      const open = new Set<string | undefined>();
+      for (const {request, refuse} of [...waiters]) {
+        if (open.has(request.needs)) continue;
+        // Each gets a delay of its own.
+        const refusal = request.findRefusal?.();
+        if (refusal) refuse(refusal);
+        else open.add(request.needs);
+      }
     }
-    await new Promise<void>(resolve => {
-      const release = () => {
-        signal.removeEventListener('abort', release);
-        queue.waiters.delete(waiter);
-        resolve();
-      };
-      const waiter: Waiter = {startBy, release};
-      queue.waiters.add(waiter);
-      signal.addEventListener('abort', release, {once: true});
-      this.timer ??= setInterval(() => this.releaseDue(), RELEASE_INTERVAL_MS);
-    });
-    recordSend(queue);
-    if (!signal.aborted) return;
-    throw new SycamoreheadError('caller_gone', 'the caller has gone', {
-      ran: 'no',
-    });
   }
 
   // Queries.
@@ -108,10 +123,16 @@
     return this.knownFraction < 1;
   }
 
-  /** Returns whether a request would be held now. */
-  isHolding({service, startBy}: Omit<HeldRequest, 'signal'>): boolean {
+  /** Returns whether a request would be held now, or may be if its service has asked for no turn yet. */
+  isHolding({
+    service,
+    startBy,
+  }: Pick<HeldRequest, 'service' | 'startBy'>): boolean {
+    if (!this.isFilling) return false;
     const queue = this.queues.get(service);
-    if (!queue || !this.isFilling) return false;
+    if (!queue) {
+      return this.queues.size < MAX_SERVICES && !isLastMoment(startBy);
+    }
     const next = {...queue, asked: queue.asked + 1};
     return queue.waiters.size > 0 || this.isHeld(next, startBy);
   }
@@ -121,16 +142,56 @@
     return this.queues.get(service)?.waiters.size ?? 0;
   }
 
+  private enqueue(queue: ServiceQueue, request: HeldRequest): Promise<void> {
+    const {signal} = request;
+    queue.asked += 1;
+    return new Promise((resolve, reject) => {
+      const end = () => {
+        signal.removeEventListener('abort', handleAbort);
+        queue.waiters.delete(waiter);
+      };
+      const waiter: Waiter = {
+        request,
+        release: () => {
+          end();
+          recordSend(queue);
+          resolve();
+        },
+        refuse: error => {
+          end();
+          queue.asked -= 1;
+          reject(error);
+        },
+      };
+      const handleAbort = () => waiter.refuse(buildCallerGone());
+      queue.waiters.add(waiter);
+      signal.addEventListener('abort', handleAbort, {once: true});
+      this.timer ??= setInterval(() => this.releaseDue(), RELEASE_INTERVAL_MS);
+    });
+  }
+
+  /** Refuses the least urgent of too many requests: the new one, or one that is held. */
+  private refuseLast({waiters}: ServiceQueue, startBy: number): void {
+    let last: Waiter | undefined;
+    for (const waiter of waiters) {
+      const lastStartBy = last?.request.startBy ?? startBy;
+      if (waiter.request.startBy > lastStartBy) last = waiter;
+    }
+    const refusal = buildHeldRefusal(this.leftMs);
+    if (!last) throw refusal;
+    last.refuse(refusal);
+  }
+
   /** Releases the requests whose turn it is, the most urgent first. */
   private releaseDue(): void {
     let held = 0;
     for (const queue of this.queues.values()) {
       const waiters = [...queue.waiters].sort(
-        (first, second) => first.startBy - second.startBy,
+        (first, second) => first.request.startBy - second.request.startBy,
       );
       let due = this.countDue(queue);
-      for (const {startBy, release} of waiters) {
-        if (due < 1 && !isLastMoment(startBy)) continue;
+      for (const {request, release} of waiters) {
+        if (due < 1 && !isLastMoment(request.startBy)) continue;
         due -= 1;
         release();
       }
@@ -161,6 +222,11 @@
     return Math.min(1, (MAX_SHARE * ageMs) / Math.max(1, this.fillMs));
   }
 
+  /** The time for which requests are still held, in milliseconds. */
+  private get leftMs(): number {
+    return this.since + this.fillMs / MAX_SHARE - performance.now();
+  }
+
   private getQueue(service: string): ServiceQueue | undefined {
     const known = this.queues.get(service);
     if (known || this.queues.size >= MAX_SERVICES) return known;
@@ -180,6 +246,12 @@
   queue.threshold = Math.random();
 }
 
+function buildCallerGone(): SycamoreheadError {
+  return new SycamoreheadError('caller_gone', 'the caller has gone', {
+    ran: 'no',
+  });
+}
+
 function isLastMoment(startBy: number): boolean {
   return performance.now() + HELD_MARGIN_MS >= startBy;
 }
--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -13,10 +13,15 @@
 import {buildSessionName} from './buildSessionName.js';
 import type {CallerRequest} from './CallerRequest.js';
 import {buildQueueTable} from './buildQueueTable.js';
+import {renewWaitLimits} from './computeWaitLimits.js';
 import {computeWork} from './computeWork.js';
 import {ExplainedSlot, explainSlot} from './explainSlot.js';
 import {measurePendingMs} from './measurePendingMs.js';
-import {PlacementRefusals, isTooLarge} from './PlacementRefusals.js';
+import {
+  PlacementRefusals,
+  isHoldable,
+  isTooLarge,
+} from './PlacementRefusals.js';
 import {ServerAvailability} from './ServerAvailability.js';
 import {ServerChooser, ServerChooserOptions} from './ServerChooser.js';
 import type {KnownServer} from './KnownServer.js';
@@ -128,13 +133,11 @@
     const queue = this.getQueue(service);
     this.recordDemand(service);
     if (isTooLarge(demand)) this.options.onMemoryFull?.(service);
-    const abandonAt = this.refusals.checkDemand(demand, queue);
-    const {filling} = this.options.servers;
-    if (demand.service.engine && filling.isFilling) {
-      const {startBy, signal} = demand;
-      await filling.waitTurn({service, startBy, signal});
-    }
-    return queue.acquire({...this.buildWork(demand), abandonAt});
+    this.refusals.checkDemand(demand);
+    const isHeld = isHoldable(demand) && this.options.servers.filling.isFilling;
+    const due = isHeld ? await this.awaitTurn(demand) : demand;
+    const abandonAt = this.refusals.limitWait(due, queue);
+    return queue.acquire({...this.buildWork(due), abandonAt});
   }
 
   /** Reserves a slot if one is free now and no other request waits for it. */
@@ -163,6 +166,7 @@
 
   /** Offers slots to the waiting requests after the table of servers has changed. */
   offerSlots(): void {
+    this.options.servers.filling.refuseClosed();
     for (const queue of this.queues.values()) queue.offerSlots();
   }
 
@@ -211,6 +215,21 @@
     return buildQueueTable(this.queues, queue => queue.describeWaiting());
   }
 
+  /** Holds a request while the directory fills; its wait for a place begins after that. */
+  private async awaitTurn(demand: PlacementRequest): Promise<PlacementRequest> {
+    const {service, variant, startBy, signal} = demand;
+    const heldAt = performance.now();
+    await this.options.servers.filling.waitTurn({
+      service: service.name,
+      startBy,
+      signal,
+      needs: variant,
+      findRefusal: () => this.refusals.findDeparture(demand),
+    });
+    const heldMs = performance.now() - heldAt;
+    return {...demand, ...renewWaitLimits(demand, heldMs)};
+  }
+
   private recordDemand(service: string): void {
     const {limits, cold} = this.options.servers;
     limits.recordDemand(service);
--- a/packages/gateway/src/lib/PlacementRefusals.ts
+++ b/packages/gateway/src/lib/PlacementRefusals.ts
@@ -33,13 +33,21 @@
   ) {}
 
   /**
-   * Checks a request before it takes its turn, and returns until when it may wait.
+   * Checks a request before it is held or takes its turn.
    *
    * @throws SycamoreheadError `data_centre_evacuated`, `overloaded`.
    */
-  checkDemand(demand: PlacementRequest, queue: WaitingCount): number {
+  checkDemand(demand: PlacementRequest): void {
     this.checkEvacuation(demand);
     checkSize(demand);
+  }
+
+  /**
+   * Checks the limits of the servers when a request takes its turn, and returns until when it may wait.
+   *
+   * @throws SycamoreheadError `overloaded`.
+   */
+  limitWait(demand: PlacementRequest, queue: WaitingCount): number {
     if (!this.isLimited(demand.service.name)) return demand.abandonAt;
     const now = performance.now();
     const abandonAt = now + (demand.abandonAt - now) * LIMITED_WAIT_FRACTION;
@@ -65,14 +73,9 @@
   findClosure(demand: PlacementRequest): SycamoreheadError | undefined {
     const {servers} = this;
     if (!servers.evacuation.isKnown) return undefined;
-    const evacuated = this.availability.listEvacuated(demand);
-    if (evacuated.length > 0) return buildEvacuationRefusal(evacuated);
-    const {name} = demand.service;
-    const ready = servers.listReady(name);
-    if (ready.length === 0) {
-      if (!servers.hasServers(name)) return undefined;
-      return buildRefusal('every server leaves', false);
-    }
+    const ready = servers.listReady(demand.service.name);
+    const departure = this.findDeparture(demand, ready);
+    if (departure || ready.length === 0) return departure;
     const holdMs = Math.min(
       ...ready.map(({listing}) =>
         servers.notices.getHoldMs(listing.registration),
@@ -82,15 +85,35 @@
     return buildRefusal('every server wants a pause', false, holdMs);
   }
 
-  /** Returns whether all servers of a service that may take requests limit them. */
+  /**
+   * Returns the refusal of a request whose servers are in evacuated data centres or leave. A pause that they
+   * want is over sooner.
+   */
+  findDeparture(
+    demand: PlacementRequest,
+    ready = this.servers.listReady(demand.service.name),
+  ): SycamoreheadError | undefined {
+    const {servers} = this;
+    if (!servers.evacuation.isKnown) return undefined;
+    const evacuated = this.availability.listEvacuated(demand);
+    if (evacuated.length > 0) return buildEvacuationRefusal(evacuated);
+    if (ready.length > 0 || !servers.hasServers(demand.service.name)) {
+      return undefined;
+    }
+    return buildRefusal('every server leaves', false);
+  }
+
+  /** Returns whether there are servers of a service that may take requests, and all limit them. */
   private isLimited(service: string): boolean {
     const {servers} = this;
-    return servers
-      .listReady(service)
-      .every(
+    const ready = servers.listReady(service);
+    return (
+      ready.length > 0 &&
+      ready.every(
         ({listing: {registration}}) =>
           servers.limits.getPerSecond(registration) !== undefined,
-      );
+      )
+    );
   }
 
   /**
@@ -135,6 +158,28 @@
   return capacity > 0 && countNeededTokens(request.size) > capacity;
 }
 
+/**
+ * Returns whether a request may be held while the directory of servers fills: not one of an answer that has
+ * begun, nor one that was sent before.
+ *
+ * @example
+ * ```ts
+ * isHoldable(demand); // true
+ * ```
+ * @internal
+ */
+export function isHoldable({
+  service,
+  objectiveAt,
+  tried,
+}: PlacementRequest): boolean {
+  return (
+    service.engine !== undefined &&
+    objectiveAt !== undefined &&
+    tried.size === 0
+  );
+}
+
 /** Refuses a request at once that is larger than the memory of every server. */
 function checkSize(demand: PlacementRequest): void {
   if (!isTooLarge(demand)) return;
--- a/packages/gateway/src/lib/computeWaitLimits.ts
+++ b/packages/gateway/src/lib/computeWaitLimits.ts
@@ -18,6 +18,12 @@
   readonly longestPauseMs: number | undefined;
 }
 
+/** The limits of a wait that depend on when it begins. @internal */
+export interface RenewedLimits {
+  readonly abandonAt: number;
+  readonly reviewAt?: number;
+}
+
 /** The limits of a wait, on the monotonic clock. @internal */
 export interface WaitLimits {
   /** The time until which a send is probably answered in time. */
@@ -61,3 +67,27 @@
   const abandonAt = Math.min(deadlineAt, Math.max(startBy, leastUntil));
   return {startBy, abandonAt, reviewAt: Math.min(abandonAt, leastUntil)};
 }
+
+/**
+ * Computes the limits of a new request's wait that begins later than they were computed for.
+ *
+ * @example
+ * ```ts
+ * const limits = {abandonAt: 7_000, reviewAt: 3_200, deadlineAt: 20_000};
+ * renewWaitLimits(limits, 500); // {abandonAt: 7_000, reviewAt: 3_700}
+ * ```
+ * @internal
+ */
+export function renewWaitLimits(
+  limits: RenewedLimits & {readonly deadlineAt: number},
+  laterMs: number,
+): RenewedLimits {
+  const {reviewAt, deadlineAt} = limits;
+  if (reviewAt === undefined) return {abandonAt: limits.abandonAt};
+  const leastUntil = reviewAt + laterMs;
+  const abandonAt = Math.min(
+    deadlineAt,
+    Math.max(limits.abandonAt, leastUntil),
+  );
+  return {abandonAt, reviewAt: Math.min(abandonAt, leastUntil)};
+}
--- a/packages/gateway/src/lib/explainSlot.ts
+++ b/packages/gateway/src/lib/explainSlot.ts
@@ -9,7 +9,7 @@
 import type {DirectoryFill} from './DirectoryFill.js';
 import type {KnownServer} from './KnownServer.js';
 import type {PlacementRequest} from './Placement.js';
-import type {PlacementRefusals} from './PlacementRefusals.js';
+import {PlacementRefusals, isHoldable} from './PlacementRefusals.js';
 import type {ServerAvailability} from './ServerAvailability.js';
 import type {
   ExplainedChoice,
@@ -63,7 +63,9 @@
   markExcluded(obstacles, 'limit_check', earned, usable);
   const choice = chooser.explain(demand, usable);
   const [best, second] = choice.choices;
+  const mayBeHeld = isHoldable(demand) && filling.isFilling;
   const isCertain =
+    !mayBeHeld &&
     best !== undefined &&
     second?.score !== best.score &&
     !(isDrawn && usable.length > 1) &&
@@ -71,11 +73,11 @@
   const explained = {obstacles, choice, isCertain};
   const {service, startBy} = demand;
   const isHeld =
-    service.engine !== undefined &&
-    filling.isHolding({service: service.name, startBy});
+    mayBeHeld && filling.isHolding({service: service.name, startBy});
   let abandonAt: number;
   try {
-    abandonAt = refusals.checkDemand(demand, queue);
+    refusals.checkDemand(demand);
+    abandonAt = isHeld ? demand.abandonAt : refusals.limitWait(demand, queue);
   } catch (error) {
     const placement = buildRefused(toSycamoreheadError(error));
     return {...explained, placement, abandonAt: undefined};
@@ -84,7 +86,11 @@
     ...work,
     abandonAt,
     tryReserveSlot: () => {
-      if (isHeld) return undefined;
+      if (isHeld) {
+        const departure = refusals.findDeparture(demand);
+        if (departure) throw departure;
+        return undefined;
+      }
       refusals.checkEvacuation(demand);
       if (best && availability.hasFreeSlot(demand.service)) return best;
       const closure = refusals.findClosure(demand);
--- a/packages/gateway/src/lib/refusals.ts
+++ b/packages/gateway/src/lib/refusals.ts
@@ -1,4 +1,5 @@
 import {isRequestSegment} from '@sycamorehead/routing';
+import {QueueRefusal} from '@sycamorehead/routing';
 import {SycamoreheadError} from '@sycamorehead/schema';
 
 /**
@@ -10,6 +11,8 @@
 const SUSPENSION_RETRY_AFTER_MS = 2_000;
 /** Retry delay of a request whose servers are in evacuated data centres, in milliseconds. */
 const EVACUATION_RETRY_AFTER_MS = 2_000;
+/** Maximum retry delay of a request that is not held while the directory fills, in milliseconds. */
+const MAX_HELD_RETRY_MS = 5_000;
 /** Maximum random prolongation of a longer retry delay, as a fraction. */
 const SPREAD_FRACTION = 0.25;
 
@@ -64,6 +67,20 @@
   return buildRefusal('this entry does not keep up', false);
 }
 
+/**
+ * Builds the error of a request beyond those that are held until enough servers have registered.
+ *
+ * @example
+ * ```ts
+ * buildHeldRefusal(700).reason; // 'displaced'
+ * ```
+ * @internal
+ */
+export function buildHeldRefusal(leftMs: number): QueueRefusal {
+  const delayMs = Math.min(MAX_HELD_RETRY_MS, Math.max(RETRY_AFTER_MS, leftMs));
+  return new QueueRefusal('displaced', computeSpreadDelay(delayMs));
+}
+
 /**
  * Builds the error of a request that arrives before the first configuration.
  *
