--- a/packages/gateway/src/lib/Placement.ts
+++ b/packages/gateway/src/lib/Placement.ts
@@ -224,7 +224,8 @@
       startBy,
       signal,
       needs: variant,
-      findRefusal: () => this.refusals.findDeparture(demand),
+      // If all known servers leave, others may be about to register.
+      findRefusal: () => this.refusals.findEvacuation(demand),
     });
     const heldMs = performance.now() - heldAt;
     return {...demand, ...renewWaitLimits(demand, heldMs)};
--- a/packages/gateway/src/lib/PlacementRefusals.ts
+++ b/packages/gateway/src/lib/PlacementRefusals.ts
@@ -61,8 +61,14 @@
    * @throws SycamoreheadError `data_centre_evacuated`.
    */
   checkEvacuation(demand: PlacementRequest): void {
+    const refusal = this.findEvacuation(demand);
+    if (refusal) throw refusal;
+  }
+
+  /** Returns the refusal of a request that only servers of evacuated data centres may run. */
+  findEvacuation(demand: PlacementRequest): SycamoreheadError | undefined {
     const evacuated = this.availability.listEvacuated(demand);
-    if (evacuated.length > 0) throw buildEvacuationRefusal(evacuated);
+    return evacuated.length > 0 ? buildEvacuationRefusal(evacuated) : undefined;
   }
 
   /**
@@ -73,9 +79,14 @@
   findClosure(demand: PlacementRequest): SycamoreheadError | undefined {
     const {servers} = this;
     if (!servers.evacuation.isKnown) return undefined;
-    const ready = servers.listReady(demand.service.name);
-    const departure = this.findDeparture(demand, ready);
-    if (departure || ready.length === 0) return departure;
+    const evacuation = this.findEvacuation(demand);
+    if (evacuation) return evacuation;
+    const {name} = demand.service;
+    const ready = servers.listReady(name);
+    if (ready.length === 0) {
+      if (!servers.hasServers(name)) return undefined;
+      return buildRefusal('every server leaves', false);
+    }
     const holdMs = Math.min(
       ...ready.map(({listing}) =>
         servers.notices.getHoldMs(listing.registration),
@@ -85,24 +96,6 @@
     return buildRefusal('every server wants a pause', false, holdMs);
   }
 
-  /**
-   * Returns the refusal of a request whose servers are in evacuated data centres or leave. A pause that they
-   * want is over sooner.
-   */
-  findDeparture(
-    demand: PlacementRequest,
-    ready = this.servers.listReady(demand.service.name),
-  ): SycamoreheadError | undefined {
-    const {servers} = this;
-    if (!servers.evacuation.isKnown) return undefined;
-    const evacuated = this.availability.listEvacuated(demand);
-    if (evacuated.length > 0) return buildEvacuationRefusal(evacuated);
-    if (ready.length > 0 || !servers.hasServers(demand.service.name)) {
-      return undefined;
-    }
-    return buildRefusal('every server leaves', false);
-  }
-
   /** Returns whether there are servers of a service that may take requests, and all limit them. */
   private isLimited(service: string): boolean {
     const {servers} = this;
--- a/packages/gateway/src/lib/explainSlot.ts
+++ b/packages/gateway/src/lib/explainSlot.ts
@@ -86,12 +86,8 @@
     ...work,
     abandonAt,
     tryReserveSlot: () => {
-      if (isHeld) {
-        const departure = refusals.findDeparture(demand);
-        if (departure) throw departure;
-        return undefined;
-      }
       refusals.checkEvacuation(demand);
+      if (isHeld) return undefined;
       if (best && availability.hasFreeSlot(demand.service)) return best;
       const closure = refusals.findClosure(demand);
       if (closure) throw closure;
