Room for waiting requests is not that of an ejected server while a healthy one has a slot

findRoom counted an idle server that is ejected, as after a crash that is not known yet, as room for any size, while listAvailable looks only at healthy servers. So five large requests in front used up the tries, after which only the smallest was tried: one of middle size that fits the healthy memory waited until it was refused. It now prefers the same servers as listAvailable, but for those that one of the requests has tried, since all with the same needs share it.

--- a/packages/gateway/src/lib/ServerAvailability.ts
+++ b/packages/gateway/src/lib/ServerAvailability.ts
@@ -13,6 +13,8 @@
  */
 const OVERCOMMIT_FRACTION = 1;
 
+const NONE_TRIED: ReadonlySet<string> = new Set();
+
 /** The servers that may get a request, and why the others of its service may not. @internal */
 export interface ExplainedAvailability extends MemoryGroup {
   readonly obstacles: Map<KnownServer, ServerObstacle>;
@@ -129,15 +131,17 @@
   }
 
   /**
-   * Finds the size in tokens that the memory of some permitted server with capacity holds; 0 if there is
-   * none, or if memory does not bind, so that another size would find no place either.
+   * Finds the size in tokens that the memory of some permitted server with capacity holds, of one that is
+   * not ejected if there is any; 0 if there is none, or if memory does not bind, so that another size would
+   * find no place either. All requests with the same needs share it, whatever servers each has tried.
    */
   findRoom(demand: PlacementRequest): number {
     const {service} = demand;
     const capacity = service.engine?.tokenCapacity ?? 0;
     if (capacity <= 0 || !this.hasFreeSlot(service)) return 0;
-    const permitted = this.listPermitted(demand);
-    return findLargestRoom(this.filterCapacity(permitted, service), capacity);
+    const withSlots = this.filterCapacity(this.listPermitted(demand), service);
+    const preferred = this.selectPreferred({tried: NONE_TRIED}, withSlots);
+    return findLargestRoom(preferred, capacity);
   }
 
   /** Lists the servers that accept work and that the roll-out of the service permits for a request. */
@@ -149,7 +153,7 @@
 
   /** Selects the servers with slots that are neither tried for a request nor ejected, if there are any. */
   private selectPreferred(
-    {tried}: PlacementRequest,
+    {tried}: Pick<PlacementRequest, 'tried'>,
     withSlots: readonly KnownServer[],
   ): readonly KnownServer[] {
     const now = performance.now();
--- a/packages/gateway/src/test/memoryPlacement.test.ts
+++ b/packages/gateway/src/test/memoryPlacement.test.ts
@@ -150,6 +150,24 @@
   assert.deepEqual(statuses, ['rejected', 'fulfilled']);
 });
 
+test('an ejected idle server holds up no request that fits the memory of a healthy one', async () => {
+  const {table, placement} = buildPlacement(2);
+  const [ejected] = table.listReady('drafts');
+  assert.ok(ejected);
+  ejected.ejectedUntil = performance.now() + 60_000;
+  table.setOthersLoad({s1: [9, 0, 1, 480_000]});
+  const sizes = [200_000, 190_000, 180_000, 170_000, 160_000, 30_000, 25_000];
+  const waiting = sizes.map(tokens =>
+    placement.acquire(buildDemand(tokens, 300)),
+  );
+  const outcomes = Promise.allSettled(waiting);
+  assert.equal(placement.countWaiting(), sizes.length);
+  table.setOthersLoad({s1: [9, 0, 1, 400_000]});
+  placement.offerSlots();
+  const statuses = (await outcomes).map(({status}) => status === 'fulfilled');
+  assert.deepEqual(statuses, [false, false, false, false, false, true, true]);
+});
+
 test('what a caller tells of its size counts for the shares of customers up to a bound', () => {
   const {placement} = buildPlacement(1);
   placement.tryAcquire(buildDemand(1e300));
