A session keeps its turn when the request that had it ends without a place or a refusal

A request with the turn that its session is owed held it until its deadline if its caller left while it waited, or if tryReserveSlot threw: no other request of the session could go first until then.

--- a/packages/routing/src/lib/forwarding/PlacementQueue.ts
+++ b/packages/routing/src/lib/forwarding/PlacementQueue.ts
@@ -10,6 +10,7 @@
   compareRanks,
 } from './chooseNextWaiter.js';
 import {classifyUrgency} from './computeUrgency.js';
+import {listSizes} from './listSizes.js';
 import {ClassifiedRequest, QueuePolicy, QueuedRequest} from './QueuePolicy.js';
 import type {QueuedDemand, ServiceDemand} from './serviceDemand.js';
 import {WaiterRanks} from './WaiterRanks.js';
@@ -132,7 +133,9 @@
 
   /** Reserves a slot if one is free now and no other request waits for it. */
   tryAcquire<Slot>(work: WaitingWork<Slot>): Slot | undefined {
-    return this.tryReserve(work, this.policy.classifyRequest(work));
+    // It does not wait, and would end without its turn.
+    const classified = this.policy.classifyRequest(work, false);
+    return this.tryReserve(work, classified);
   }
 
   /** Records that a place came free, and offers it. */
@@ -280,9 +283,21 @@
       this.scheduleOffer();
       return undefined;
     }
-    const slot = work.tryReserveSlot();
-    if (slot !== undefined) this.recordPlaced(work.needs, classified);
-    return slot;
+    return this.reserveSlot(work, classified);
+  }
+
+  private reserveSlot<Slot>(
+    work: WaitingWork<Slot>,
+    classified: ClassifiedRequest,
+  ): Slot | undefined {
+    try {
+      const slot = work.tryReserveSlot();
+      if (slot !== undefined) this.recordPlaced(work.needs, classified);
+      return slot;
+    } catch (error) {
+      this.policy.releaseTurn(classified);
+      throw error;
+    }
   }
 
   /** Returns whether a request with the same needs waits that goes first, and found no place. */
@@ -325,12 +340,14 @@
         this.waiters.delete(waiter);
         this.policy.recordQueue(this.waiters.size > 0);
       };
-      const handleAbort = () =>
+      const handleAbort = () => {
+        this.policy.releaseTurn(classified);
         waiter.refuse(
           new SycamoreheadError('caller_gone', 'the caller has gone', {
             ran: 'no',
           }),
         );
+      };
       const handleReview = () => {
         const leftMs = work.abandonAt - performance.now();
         if (leftMs <= 0 || this.policy.isStalled) {
@@ -349,9 +366,8 @@
         abandonAt: work.abandonAt,
         trySettle: () => {
           try {
-            const slot = work.tryReserveSlot();
+            const slot = this.reserveSlot(work, classified);
             if (slot === undefined) return false;
-            this.recordPlaced(work.needs, classified);
             end();
             resolve(slot);
           } catch (error) {
@@ -417,10 +433,3 @@
     }, this.policy.yieldsUntil - performance.now());
   }
 }
-
-/** Lists the sizes of the waiting requests with the same needs. */
-function listSizes(waiters: Iterable<Waiter>, ownNeeds: string): number[] {
-  return [...waiters]
-    .filter(({needs}) => needs === ownNeeds)
-    .map(({size}) => size);
-}
--- a/packages/routing/src/lib/forwarding/QueuePolicy.ts
+++ b/packages/routing/src/lib/forwarding/QueuePolicy.ts
@@ -92,14 +92,19 @@
 
   // Commands.
 
-  /** Records a request and classifies it. */
-  classifyRequest(request: QueuedRequest): ClassifiedRequest {
+  /** Records a request and classifies it; it takes the turn that its session is owed, if it may. */
+  classifyRequest(
+    request: QueuedRequest,
+    mayTakeTurn = true,
+  ): ClassifiedRequest {
     const {kind, priority, work, session, deadlineAt} = request;
     const customer = request.customer ?? '';
     this.customers.recordRequest(customer, work);
     const size = this.kinds.classifySize(kind, priority, work);
     const isOwed =
-      session !== undefined && this.sessions.takeTurn(session, deadlineAt);
+      mayTakeTurn &&
+      session !== undefined &&
+      this.sessions.takeTurn(session, deadlineAt);
     const kindAndSize = `${size} ${kind}`;
     return {request, size, customer, kindAndSize, isOwed};
   }
@@ -136,6 +141,12 @@
     this.flow.recordFreed();
   }
 
+  /** Releases the turn that a request has, which ended without a place or a refusal. */
+  releaseTurn({request, isOwed}: ClassifiedRequest): void {
+    const {session} = request;
+    if (isOwed && session !== undefined) this.sessions.releaseTurn(session);
+  }
+
   /** Records a refusal, and builds it with the time after which the caller may return. */
   refuse(
     {request, size, isOwed}: ClassifiedRequest,
--- a/packages/routing/src/lib/forwarding/SessionShares.ts
+++ b/packages/routing/src/lib/forwarding/SessionShares.ts
@@ -82,4 +82,10 @@
     known.claimedUntil = until;
     return true;
   }
+
+  /** Releases the turn of a session whose request ended without a place or a refusal. */
+  releaseTurn(session: string): void {
+    const known = this.refused.get(hashText(session));
+    if (known) known.claimedUntil = -Infinity;
+  }
 }
