A session that is refused for its priority or size is not owed a turn

The chance of a refusal was taken from the served fraction of the whole kind, though one route may have requests of several priorities and sizes: those that were refused for theirs counted as unlucky and went before everything. Outcomes are now counted by kind and priority too, and the lowest fraction of kind, size and priority counts.

--- a/packages/routing/src/lib/forwarding/KindShares.ts
+++ b/packages/routing/src/lib/forwarding/KindShares.ts
@@ -20,12 +20,24 @@
 const MAX_SIZES = 50;
 /** Maximum number of kinds that are tracked. */
 const MAX_KINDS = 500;
+/** Maximum number of names of which outcomes are kept: kinds, their sizes and their priorities. */
+const MAX_OUTCOMES = 1_000;
+/** Highest level of priority that has outcomes of its own. */
+const MAX_PRIORITY = 10;
 /** Fractions of the sizes of a kind that are below those of a size class. */
 const SIZE_RANKS = {largest: 0.9, large: 0.7} as const;
 
 /** Where the size of a request stands among those of its kind. @public */
 export type SizeClass = keyof typeof SIZE_RANKS | 'usual';
 
+/** What decides how often a request is served. @public */
+export interface KindOfRequest {
+  readonly kind: string;
+  readonly size: SizeClass;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+}
+
 interface KindState {
   /** The sizes of the last requests, written in turn. */
   readonly sizes: number[];
@@ -47,7 +59,7 @@
  */
 export class KindShares {
   private readonly kinds = new Map<string, KindState>();
-  /** Outcomes here by kind, and by kind and size. */
+  /** Outcomes here by kind, by kind and size, and by kind and priority. */
   private readonly outcomes = new Map<string, Outcomes>();
   private others: OutcomeTable = {};
 
@@ -74,8 +86,14 @@
   }
 
   /** Records whether a request got a place. */
-  recordOutcome(kind: string, size: SizeClass, isServed: boolean): void {
-    for (const name of [kind, buildSizeName(kind, size)]) {
+  recordOutcome(request: KindOfRequest, isServed: boolean): void {
+    const {kind, size, priority} = request;
+    const names = [
+      kind,
+      buildSizeName(kind, size),
+      buildLevelName(kind, priority),
+    ];
+    for (const name of names) {
       const outcomes = this.getOutcomes(name);
       outcomes.ended.add(1);
       if (isServed) outcomes.served.add(1);
@@ -98,9 +116,17 @@
     return fraction < ofAll * KIND_FLOOR || this.isOvertaken(kind, fraction);
   }
 
-  /** Computes the served fraction of a kind at all entries; undefined if too little is known. */
-  computeServed(kind: string): number | undefined {
-    return this.computeFraction([kind]);
+  /**
+   * Computes the served fraction of requests like this one at all entries: the lowest one of its kind, of
+   * its size and of its priority; undefined if too little is known of its kind. Of a priority with few
+   * requests, those that are missing count as refused: its kind may be served for a more urgent one.
+   */
+  computeServed({kind, size, priority}: KindOfRequest): number | undefined {
+    const ofKind = this.computeFraction([kind]);
+    if (ofKind === undefined) return undefined;
+    const ofSize = this.computeFraction([buildSizeName(kind, size)]) ?? ofKind;
+    const {ended, served} = this.sumOutcomes([buildLevelName(kind, priority)]);
+    return Math.min(ofKind, ofSize, served / Math.max(MIN_OUTCOMES, ended));
   }
 
   /** Lists the outcomes here. */
@@ -129,6 +155,12 @@
 
   /** Computes the served fraction at all entries; undefined if too little is known. */
   private computeFraction(names: readonly string[]): number | undefined {
+    const {ended, served} = this.sumOutcomes(names);
+    return ended >= MIN_OUTCOMES ? served / ended : undefined;
+  }
+
+  /** Sums the outcomes at all entries. */
+  private sumOutcomes(names: readonly string[]) {
     let ended = 0;
     let served = 0;
     for (const name of names) {
@@ -137,7 +169,7 @@
       ended += (own?.ended.value ?? 0) + othersEnded;
       served += (own?.served.value ?? 0) + othersServed;
     }
-    return ended >= MIN_OUTCOMES ? served / ended : undefined;
+    return {ended, served};
   }
 
   /** Finds the outcomes at the other entries; a kind may be named like what every object has. */
@@ -154,7 +186,7 @@
       served: new DecayingSum(OUTCOME_MS),
     };
     this.outcomes.set(name, outcomes);
-    evictOldest(this.outcomes, MAX_KINDS);
+    evictOldest(this.outcomes, MAX_OUTCOMES);
     return outcomes;
   }
 
@@ -168,6 +200,11 @@
   }
 }
 
+function buildLevelName(kind: string, priority: number): string {
+  const level = Math.min(MAX_PRIORITY, Math.max(0, Math.round(priority)));
+  return `${kind} priority ${level}`;
+}
+
 function buildSizeName(kind: string, size: SizeClass): string {
   return `${kind} ${size}`;
 }
--- a/packages/routing/src/lib/forwarding/QueuePolicy.ts
+++ b/packages/routing/src/lib/forwarding/QueuePolicy.ts
@@ -115,7 +115,8 @@
     const {urgency} = this.rateRequest(classified);
     this.flow.recordPlaced(classifyUrgency(urgency));
     this.customers.recordServed(customer, request.work);
-    this.kinds.recordOutcome(request.kind, size, true);
+    const {kind, priority} = request;
+    this.kinds.recordOutcome({kind, size, priority}, true);
     const {session} = request;
     if (session !== undefined) this.sessions.recordServed(session);
     this.standings.delete(customer);
@@ -153,15 +154,19 @@
     reason: QueueRefusalReason,
     waitMs = 0,
   ): QueueRefusal {
-    const {session, kind} = request;
-    this.kinds.recordOutcome(kind, size, false);
+    const {session, kind, priority} = request;
+    this.kinds.recordOutcome({kind, size, priority}, false);
     const retryAfterMs = this.returns.reserveDelay({
       waitMs,
       leftMs: request.deadlineAt - performance.now(),
       placesPerSecond: this.flow.placesPerSecond,
     });
     if (session !== undefined) {
-      const servedFraction = this.kinds.computeServed(kind);
+      const servedFraction = this.kinds.computeServed({
+        kind,
+        size,
+        priority,
+      });
       this.sessions.recordRefused(session, {
         servedFraction,
         isOwed,
--- a/packages/routing/src/lib/forwarding/SessionShares.ts
+++ b/packages/routing/src/lib/forwarding/SessionShares.ts
@@ -19,7 +19,7 @@
 
 /** A refusal of a request of a session. @public */
 export interface SessionRefusal {
-  /** Served fraction of requests of the same kind; undefined if too little is known. */
+  /** Served fraction of requests like it; undefined if too little is known. */
   readonly servedFraction: number | undefined;
   /** Whether the request had the turn that its session is owed. */
   readonly isOwed: boolean;
--- a/packages/routing/src/lib/forwarding/serviceDemand.ts
+++ b/packages/routing/src/lib/forwarding/serviceDemand.ts
@@ -7,7 +7,7 @@
 /** Requests that ended lately, and how many of them got a place. @public */
 export type OutcomeCounts = readonly [ended: number, served: number];
 
-/** Outcomes by kind of request, and by kind and size. @public */
+/** Outcomes by kind of request, by kind and size, and by kind and priority. @public */
 export type OutcomeTable = Readonly<Record<string, OutcomeCounts>>;
 
 /** What entries know of the demand for one service and of the places that it gets. @public */
--- a/packages/routing/src/test/kindShares.test.ts
+++ b/packages/routing/src/test/kindShares.test.ts
@@ -7,7 +7,7 @@
     const shares = new KindShares();
     shares.classifySize(kind, 1, 100);
     for (let count = 0; count < 10; count += 1) {
-      shares.recordOutcome(kind, 'usual', true);
+      shares.recordOutcome({kind, size: 'usual', priority: 1}, true);
     }
     assert.equal(shares.isStarved(kind, 'usual'), false);
   }
--- a/packages/routing/src/test/sessionShares.test.ts
+++ b/packages/routing/src/test/sessionShares.test.ts
@@ -151,3 +151,38 @@
   recordRefusals(shares, 100, 4);
   assert.equal(shares.takeTurn('s', 10_000), false);
 });
+
+const URGENT = {
+  name: 'chat',
+  priority: 0,
+  holdMs: 300,
+  targetMs: 1_500,
+  work: 300,
+};
+
+test('a session that is refused for its priority does not go before more urgent requests', async t => {
+  for (const seed of [1, 2, 3]) {
+    const replay = new QueueReplay(clock, 10, seed);
+    const low = {...URGENT, priority: 3, session: 'low'};
+    await replay.run([[URGENT, 45]], 4_000);
+    await replay.run(
+      [
+        [URGENT, 45],
+        [low, 1],
+      ],
+      30_000,
+    );
+    await clock.tickAsync(10_000);
+    const isLow = ({kind}: {kind: {priority: number}}) => kind.priority === 3;
+    const sent = replay.requests.filter(isLow);
+    const served = sent.filter(({outcome}) => outcome !== 'refused');
+    const urgent = replay.computeFraction(
+      ['in time', 'late'],
+      request => !isLow(request),
+    );
+    const note = `seed ${seed}: ${served.length} of ${sent.length}, urgent ${urgent}`;
+    t.diagnostic(note);
+    assert.ok(sent.length > 10 && urgent > 0.5 && urgent < 1, note);
+    assert.equal(served.length, 0, note);
+  }
+});
