Whole reports of load go out each 0.5 s whatever the round trip

Brief reports were counted for each exchange in flight. Exchanges overlap, so that with replies 150 and 350 ms late whole reports went out in pairs 0.9 s and groups of four 1.7 s apart, where 0.5 s is meant. An entry now keeps when it sent the last whole one; after a lost report the next is whole, as before. The control instance completes no brief report by a whole one that is more than 1.5 s old, nor by a brief one that it could not complete.

The cases for 150 and 350 ms in briefReports.test.ts (gateway) and the one for an expired report (fleet) failed before. The other cases of the gateway's file now let 100 ms pass between reports, since time decides; what they assert is the same.

--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -49,6 +49,8 @@
   readonly request: ExchangeRequest;
   /** The load of its last whole report, if a brief one has followed. */
   readonly fullLoad: LoadTable | undefined;
+  /** When its last whole report came; never, if a brief one came that could not be completed. */
+  readonly wholeAt: number;
   readonly receivedAt: number;
   readonly arrivedAt: number;
 }
@@ -107,10 +109,15 @@
     const isPresent = last && now - last.receivedAt <= LOAD_EXPIRY_MS;
     const arrivedAt = isPresent ? last.arrivedAt : now;
     // Without a report to complete it by, the reply is a whole one, and asks for one.
-    const isBrief = received.isBrief === true && isPresent === true;
+    const isBrief =
+      received.isBrief === true &&
+      isPresent === true &&
+      now - last.wholeAt <= LOAD_EXPIRY_MS;
+    const wholeAt = received.isBrief ? -Infinity : now;
     const usage: EntryUsage = {
       request: isBrief ? completeReport(received, last.request) : received,
       fullLoad: isBrief ? (last.fullLoad ?? last.request.load) : undefined,
+      wholeAt: isBrief ? last.wholeAt : wholeAt,
       receivedAt: now,
       arrivedAt,
     };
--- a/packages/fleet/src/test/briefReports.test.ts
+++ b/packages/fleet/src/test/briefReports.test.ts
@@ -209,3 +209,31 @@
     assert.ok(!/:-\d/.test(JSON.stringify(demand)), odd);
   }
 });
+
+test('a brief report is not completed by a whole one that has expired', () => {
+  const reports = buildReports();
+  const drafts = {placesPerSecond: 1, waiting: [1]};
+  const outcomes = {chat: [9, 3]} as const;
+  const customers = {clinic: 40};
+  const whole = {...drafts, outcomes, customers};
+  const exchange = (entry: string, overrides: Partial<ExchangeRequest>) =>
+    reports.exchange({entry, load: {}, evidence: [], ...overrides});
+  exchange('e1', {demand: {drafts: whole}});
+  for (let ms = 0; ms < 1_500; ms += INTERVAL_MS) {
+    clock.tick(INTERVAL_MS);
+    const reply = exchange('e1', {isBrief: true, waiting: {drafts}});
+    assert.equal(reply.takesBrief, true);
+  }
+  assert.deepEqual(exchange('e2', {}).demand?.['drafts']?.outcomes, outcomes);
+  for (let count = 0; count < 2; count += 1) {
+    clock.tick(INTERVAL_MS);
+    const reply = exchange('e1', {isBrief: true, waiting: {drafts}});
+    assert.equal(reply.takesBrief, false);
+    assert.equal(reply.isBrief, undefined);
+  }
+  clock.tick(INTERVAL_MS);
+  assert.equal(exchange('e2', {}).demand?.['drafts'], undefined);
+  exchange('e1', {demand: {drafts: whole}});
+  const reply = exchange('e1', {isBrief: true, waiting: {drafts}});
+  assert.equal(reply.takesBrief, true);
+});
--- a/packages/gateway/src/lib/LoadReporter.ts
+++ b/packages/gateway/src/lib/LoadReporter.ts
@@ -6,8 +6,8 @@
 import type {ServerTable} from './ServerTable.js';
 import type {VersionSplit} from './VersionSplit.js';
 
-/** Brief reports after each whole one, if the control instance takes them. */
-const BRIEF_REPORTS = 4;
+/** Time from one whole report to the next, less half an interval, if the control instance takes brief ones. */
+const WHOLE_REPORT_MS = 450;
 
 /** What an entry reports of, and applies replies to. @internal */
 export interface LoadReporterOptions {
@@ -32,23 +32,23 @@
   private suspects: readonly string[] = [];
   /** Incarnation of the control instance that answered last. */
   private control: string | undefined;
-  /** The brief reports that may follow before the next whole one. */
-  private briefLeft = 0;
+  /** Whether the control instance takes brief reports, by its last reply. */
+  private takesBrief = false;
+  /** When the last whole report was sent, on the monotonic clock. */
+  private wholeSentAt = -Infinity;
 
   constructor(private readonly options: LoadReporterOptions) {}
 
   /** Performs one exchange. */
   async exchangeReports(): Promise<void> {
     const sentAt = performance.now();
-    const {briefLeft} = this;
-    const request = this.buildRequest(briefLeft > 0);
-    // A report that is lost may have been a whole one.
-    this.briefLeft = 0;
-    const reply = await this.options.exchange(request);
+    const isBrief =
+      this.takesBrief && sentAt - this.wholeSentAt < WHOLE_REPORT_MS;
+    if (!isBrief) this.wholeSentAt = sentAt;
+    const request = this.buildRequest(isBrief);
+    const reply = await this.sendReport(request);
     // What the others told is not believed once the instance is isolated.
-    if (reply.takesBrief && !reply.isIsolated) {
-      this.briefLeft = briefLeft > 0 ? briefLeft - 1 : BRIEF_REPORTS;
-    }
+    this.takesBrief = reply.takesBrief === true && !reply.isIsolated;
     const {crashes} = this.options;
     // All control instances may have restarted at the same time, which loses what they had pooled.
     if (reply.control !== this.control) crashes.resetReports();
@@ -59,6 +59,16 @@
     this.applyReply(reply);
   }
 
+  private async sendReport(request: ExchangeRequest): Promise<ExchangeReply> {
+    try {
+      return await this.options.exchange(request);
+    } catch (error) {
+      // A report that is lost may have been a whole one.
+      this.wholeSentAt = -Infinity;
+      throw error;
+    }
+  }
+
   private buildRequest(isBrief: boolean): ExchangeRequest {
     const {entry, servers, versions, rates, crashes, placement} = this.options;
     return {
--- a/packages/gateway/src/test/briefReports.test.ts
+++ b/packages/gateway/src/test/briefReports.test.ts
@@ -1,10 +1,26 @@
 import assert from 'node:assert/strict';
-import {test} from 'node:test';
+import {afterEach, beforeEach, test} from 'node:test';
+import fakeTimers from '@sinonjs/fake-timers';
 import type {ExchangeReply, ExchangeRequest} from '@sycamorehead/fleet';
 import {GatewayHarness} from './GatewayHarness.js';
 
 const REPLY: ExchangeReply = {entries: 2, load: {}, demand: {}};
 
+/** Time between two reports, in milliseconds. */
+const INTERVAL_MS = 100;
+
+let clock: ReturnType<typeof fakeTimers.install>;
+
+beforeEach(() => {
+  clock = fakeTimers.install({
+    toFake: ['performance', 'setTimeout', 'clearTimeout'],
+  });
+});
+
+afterEach(() => {
+  clock.uninstall();
+});
+
 /** Runs exchanges and returns which of the reports were brief. */
 async function recordBrief(
   replies: ReadonlyArray<Partial<ExchangeReply> | 'lost'>,
@@ -17,7 +33,10 @@
     if (!reply || reply === 'lost') throw new Error('lost');
     return {...REPLY, ...reply};
   });
-  while (left.length > 0) await reporter.exchangeReports().catch(() => {});
+  while (left.length > 0) {
+    await reporter.exchangeReports().catch(() => {});
+    clock.tick(INTERVAL_MS);
+  }
   for (const {isBrief, demand, prompts, prefill} of requests) {
     const parts = [demand, prompts, prefill];
     assert.ok(parts.every(part => (part === undefined) === (isBrief === true)));
@@ -31,6 +50,29 @@
   assert.deepEqual(await recordBrief(takesBrief), whole);
 });
 
+for (const delayMs of [150, 350]) {
+  test(`a whole report goes out each 0.5 s where replies come ${delayMs} ms late`, async () => {
+    const wholeAt: number[] = [];
+    let sent = 0;
+    const startedAt = performance.now();
+    const reporter = new GatewayHarness().buildReporter('e1', async request => {
+      sent += 1;
+      if (!request.isBrief) wholeAt.push(performance.now() - startedAt);
+      await new Promise(resolve => setTimeout(resolve, delayMs));
+      return {...REPLY, takesBrief: true};
+    });
+    for (let ms = 0; ms < 10_000; ms += INTERVAL_MS) {
+      void reporter.exchangeReports();
+      await clock.tickAsync(INTERVAL_MS);
+    }
+    const gaps = wholeAt.slice(1).map((at, index) => at - wholeAt[index]!);
+    assert.ok(Math.max(...gaps) <= 500, gaps.join(' '));
+    assert.equal(sent, 100);
+    // The first ones are whole until one is answered.
+    assert.ok(wholeAt.length <= 20 + 4, `${wholeAt.length} of ${sent}`);
+  });
+}
+
 test('a control instance of an earlier build gets whole reports', async () => {
   assert.deepEqual(await recordBrief([{}, {}, {}]), [false, false, false]);
 });
