--- a/packages/routing/src/lib/forwarding/QueuePolicy.ts
+++ b/packages/routing/src/lib/forwarding/QueuePolicy.ts
@@ -92,14 +92,19 @@
 
   // Commands.
 
-  /** Records a request and classifies it. */
-  classifyRequest(request: QueuedRequest): ClassifiedRequest {
+  /** Records a request and classifies it; it takes the turn that its session is owed, if it may. */
+  classifyRequest(
+    request: QueuedRequest,
+    mayTakeTurn = true,
+  ): ClassifiedRequest {
     const {kind, priority, work, session, deadlineAt} = request;
     const customer = request.customer ?? '';
     this.customers.recordRequest(customer, work);
     const size = this.kinds.classifySize(kind, priority, work);
     const isOwed =
-      session !== undefined && this.sessions.takeTurn(session, deadlineAt);
+      mayTakeTurn &&
+      session !== undefined &&
+      this.sessions.takeTurn(session, deadlineAt);
     const kindAndSize = `${size} ${kind}`;
     return {request, size, customer, kindAndSize, isOwed};
   }
@@ -110,7 +115,8 @@
     const {urgency} = this.rateRequest(classified);
     this.flow.recordPlaced(classifyUrgency(urgency));
     this.customers.recordServed(customer, request.work);
-    this.kinds.recordOutcome(request.kind, size, true);
+    const {kind, priority} = request;
+    this.kinds.recordOutcome({kind, size, priority}, true);
     const {session} = request;
     if (session !== undefined) this.sessions.recordServed(session);
     this.standings.delete(customer);
@@ -136,21 +142,31 @@
     this.flow.recordFreed();
   }
 
+  /** Releases the turn that a request has, which ended without a place or a refusal. */
+  releaseTurn({request, isOwed}: ClassifiedRequest): void {
+    const {session} = request;
+    if (isOwed && session !== undefined) this.sessions.releaseTurn(session);
+  }
+
   /** Records a refusal, and builds it with the time after which the caller may return. */
   refuse(
     {request, size, isOwed}: ClassifiedRequest,
     reason: QueueRefusalReason,
     waitMs = 0,
   ): QueueRefusal {
-    const {session, kind} = request;
-    this.kinds.recordOutcome(kind, size, false);
+    const {session, kind, priority} = request;
+    this.kinds.recordOutcome({kind, size, priority}, false);
     const retryAfterMs = this.returns.reserveDelay({
       waitMs,
       leftMs: request.deadlineAt - performance.now(),
       placesPerSecond: this.flow.placesPerSecond,
     });
     if (session !== undefined) {
-      const servedFraction = this.kinds.computeServed(kind);
+      const servedFraction = this.kinds.computeServed({
+        kind,
+        size,
+        priority,
+      });
       this.sessions.recordRefused(session, {
         servedFraction,
         isOwed,
