Prompt news go with each report, and begin with the server where the last one stopped

Since four reports of five are brief, news went out with each fifth only, still 64 at a time (256 in a reply), and takePromptNews always began with the first server: where more came, later servers' news never went out. They need no completing, so that brief reports and replies carry them now. The news of the server where a report was full go first next time, once.

--- a/packages/fleet/src/lib/EntryReports.ts
+++ b/packages/fleet/src/lib/EntryReports.ts
@@ -69,7 +69,7 @@
       ...this.cold.exchange(request),
       suspects: this.crashes.exchange(request),
       suspended: this.crashes.listSuspended(),
-      ...(!reply.isBrief && {prompts: this.prompts.exchange(request)}),
+      prompts: this.prompts.exchange(request),
       control: this.options.incarnation,
     };
   }
--- a/packages/fleet/src/lib/fleetMessages.ts
+++ b/packages/fleet/src/lib/fleetMessages.ts
@@ -303,7 +303,7 @@
   /** Demand and waiting requests by service; absent from earlier builds. */
   readonly demand?: DemandTable;
   /**
-   * Whether it leaves out what the last report told and what changes slowly: prefill, prompts, demand but
+   * Whether it leaves out what the last report told and what changes slowly: prefill, demand but
    * for the requests that wait, and all but the first four numbers of the load. Absent from earlier builds.
    */
   readonly isBrief?: boolean;
--- a/packages/fleet/src/test/briefReports.test.ts
+++ b/packages/fleet/src/test/briefReports.test.ts
@@ -237,3 +237,14 @@
   const reply = exchange('e1', {isBrief: true, waiting: {drafts}});
   assert.equal(reply.takesBrief, true);
 });
+
+test('news of prompts go with brief reports and replies', () => {
+  const reports = buildReports();
+  const report = {load: {}, evidence: []};
+  for (const entry of ['e1', 'e2']) reports.exchange({entry, ...report});
+  const brief = {...report, isBrief: true};
+  reports.exchange({entry: 'e1', ...brief, prompts: {s1: [7]}});
+  const reply = reports.exchange({entry: 'e2', ...brief, prompts: {}});
+  assert.equal(reply.isBrief, true);
+  assert.deepEqual(reply.prompts, {s1: [7]});
+});
--- a/packages/gateway/src/lib/LoadReporter.ts
+++ b/packages/gateway/src/lib/LoadReporter.ts
@@ -77,11 +77,11 @@
       evidence: versions.listEvidence(),
       leaving: servers.notices.listLeaving(),
       kept: versions.listKept(),
+      prompts: servers.takePromptNews(),
       ...(isBrief
         ? {isBrief, waiting: placement.describeWaiting()}
         : {
             prefill: rates.listSums(),
-            prompts: servers.takePromptNews(),
             demand: placement.describeDemand(),
           }),
       crashes: crashes.listCrashes(),
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -71,6 +71,8 @@
   ];
   private readonly servers = new Map<string, KnownServer>();
   private readonly slowness = new Map<string, ServiceSlowness>();
+  /** The server whose prompt news are taken next. */
+  private nextNewsId: string | undefined;
 
   // Commands.
 
@@ -151,15 +153,25 @@
     }
   }
 
-  /** Takes the prompt segments that this entry has sent, which are news to the others. */
+  /**
+   * Takes the prompt segments that this entry has sent, which are news to the others. It goes on with the
+   * server where it stopped, so that those of each go out in turn.
+   */
   takePromptNews(): PromptNewsTable {
     const table: Record<string, readonly number[]> = {};
+    const servers = [...this.servers];
+    const start = servers.findIndex(([id]) => id === this.nextNewsId);
+    const passed = servers.splice(0, Math.max(0, start));
+    servers.push(...passed);
     let left = MAX_PROMPT_NEWS;
-    for (const [id, {memory}] of this.servers) {
+    for (const [index, [id, {memory}]] of servers.entries()) {
       const hashes = memory.kept.takeNews(left);
       if (hashes.length > 0) table[id] = hashes;
       left -= hashes.length;
-      if (left === 0) break;
+      if (left > 0) continue;
+      // The first one could use up each report.
+      this.nextNewsId = index === 0 ? servers[1]?.[0] : id;
+      break;
     }
     return table;
   }
