--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -98,9 +98,9 @@
    * the servers have read and how fast they answered.
    */
   setOthersLoad(load: LoadTable, isBrief = false): void {
-    const now = performance.now();
+    const options = {now: performance.now(), isBrief};
     for (const [id, server] of this.servers) {
-      setOthersLoad(server, load[id] ?? NO_LOAD, {now, isBrief});
+      setOthersLoad(server, load[id] ?? NO_LOAD, options);
     }
     if (!isBrief) updatePaces(this.servers.values());
   }
@@ -288,8 +288,7 @@
     // Their permits bound the sends of all entries.
     if (this.cold.isCold(registration)) return false;
     return (
-      (slowUntil > 0 && performance.now() < slowUntil) ||
-      (returningUntil > 0 && performance.now() < returningUntil) ||
+      performance.now() < Math.max(slowUntil, returningUntil) ||
       ejectedUntil > 0 ||
       this.limits.isReturning(registration) ||
       this.notices.isReturning(registration)
@@ -305,9 +304,9 @@
   listLoad(isBrief = false): LoadTable {
     const load: Record<string, ServerLoad> = {};
     const now = performance.now();
-    const oldest = now - ACTIVE_MS;
+    const options = {now, oldest: now - ACTIVE_MS, isBrief};
     for (const [id, server] of this.servers) {
-      const entry = describeLoad(server, {now, oldest, isBrief});
+      const entry = describeLoad(server, options);
       if (entry) load[id] = entry;
     }
     return load;
