--- a/packages/gateway/src/lib/PlacementRefusals.ts
+++ b/packages/gateway/src/lib/PlacementRefusals.ts
@@ -84,7 +84,7 @@
     const {name} = demand.service;
     const ready = servers.listReady(name);
     if (ready.length === 0) {
-      if (!servers.hasServers(name)) return undefined;
+      if (servers.listKnown(name).length === 0) return undefined;
       return buildRefusal('every server leaves', false);
     }
     const holdMs = Math.min(
--- a/packages/gateway/src/lib/ServerTable.ts
+++ b/packages/gateway/src/lib/ServerTable.ts
@@ -220,11 +220,6 @@
     return false;
   }
 
-  /** Returns whether any server of a service is known, even one that leaves. */
-  hasServers(service: string): boolean {
-    return this.listKnown(service).length > 0;
-  }
-
   /** Lists all known servers of a service, whatever their state. */
   listKnown(service: string): KnownServer[] {
     return [...this.servers.values()].filter(
