Test of client limits: a reset ends a connection too

Cause: events.once rejects if 'error' comes before 'close'.

Change: the tests of the file wait for 'close' itself. The refusals that they expect are unchanged.

--- a/packages/wire/src/test/clientLimits.test.ts
+++ b/packages/wire/src/test/clientLimits.test.ts
@@ -71,6 +71,11 @@
   return {port, held, unread, refusals, bodies};
 }
 
+/** Waits until a connection has ended; a reset ends it too. */
+function waitForClose(socket: Socket): Promise<void> {
+  return new Promise(resolve => socket.once('close', () => resolve()));
+}
+
 interface TestClient {
   readonly socket: Socket;
   received: string;
@@ -137,7 +142,7 @@
   stalled.socket.write(LARGE_HEAD);
   stalled.socket.write(LARGE.subarray(0, MB));
   await waitFor(() => held.totalBytes >= LARGE.length);
-  const closed = once(stalled.socket, 'close');
+  const closed = waitForClose(stalled.socket);
   const next = await openClient(context, port);
   next.socket.write(LARGE_HEAD);
   next.socket.write(LARGE);
@@ -153,7 +158,7 @@
   const silent = await openClient(context, port);
   used.socket.write(GET);
   await waitFor(() => used.received !== '');
-  const closed = once(silent.socket, 'close');
+  const closed = waitForClose(silent.socket);
   const next = await openClient(context, port);
   await closed;
   next.socket.write(GET);
@@ -165,7 +170,7 @@
 test('a connection that sends empty lines without end is closed', async context => {
   const {port, refusals} = await startServer(context);
   const {socket} = await openClient(context, port);
-  const closed = once(socket, 'close');
+  const closed = waitForClose(socket);
   const lines = Buffer.from('\r\n'.repeat(32 * KB));
   const timer = setInterval(() => socket.write(lines), POLL_MS);
   await closed;
@@ -177,7 +182,7 @@
   const maxHeadBytes = 20 * KB;
   const {port, refusals} = await startServer(context, {maxHeadBytes});
   const oldest = await openClient(context, port);
-  const closed = once(oldest.socket, 'close');
+  const closed = waitForClose(oldest.socket);
   const head = `GET / HTTP/1.1\r\nHost: a\r\nX-Fill: ${'a'.repeat(9 * KB)}`;
   oldest.socket.write(head);
   const others = [
@@ -209,7 +214,7 @@
 test('a connection with many open requests is closed when there are too many in all', async context => {
   const {port, refusals} = await startServer(context, {maxRequests: 50});
   const {socket} = await openClient(context, port);
-  const closed = once(socket, 'close');
+  const closed = waitForClose(socket);
   socket.write(GET.repeat(100));
   await closed;
   assert.deepEqual(refusals, ['too_many_requests']);
