--- a/packages/fleet/src/lib/ColdPermitPool.ts
+++ b/packages/fleet/src/lib/ColdPermitPool.ts
@@ -1,5 +1,5 @@
 import {PermitBucket} from '@sycamorehead/routing';
-import {ServerWarmup, evictOldest} from '@sycamorehead/schema';
+import {ServerWarmup, getOrCreate} from '@sycamorehead/schema';
 import {COLD_BURST_MS, ColdBound, computeColdRate} from './computeColdRate.js';
 import type {ColdReply, ColdReport, PermitTable} from './fleetMessages.js';
 
@@ -55,12 +55,12 @@
   }
 
   private getBucket(key: string): PermitBucket {
-    const known = this.buckets.get(key);
-    if (known) return known;
-    const bucket = new PermitBucket(COLD_BURST_MS);
-    this.buckets.set(key, bucket);
-    evictOldest(this.buckets, MAX_BUCKETS);
-    return bucket;
+    return getOrCreate(
+      this.buckets,
+      key,
+      MAX_BUCKETS,
+      () => new PermitBucket(COLD_BURST_MS),
+    );
   }
 }
 
--- a/packages/fleet/src/lib/LimitPool.ts
+++ b/packages/fleet/src/lib/LimitPool.ts
@@ -5,7 +5,7 @@
   PermitBucket,
   computeSendRate,
 } from '@sycamorehead/routing';
-import {evictOldest} from '@sycamorehead/schema';
+import {getOrCreate} from '@sycamorehead/schema';
 import type {
   LimitReply,
   LimitReport,
@@ -107,11 +107,11 @@
   }
 
   private getBucket(key: string): PermitBucket {
-    const known = this.buckets.get(key);
-    if (known) return known;
-    const bucket = new PermitBucket();
-    this.buckets.set(key, bucket);
-    evictOldest(this.buckets, MAX_BUCKETS);
-    return bucket;
+    return getOrCreate(
+      this.buckets,
+      key,
+      MAX_BUCKETS,
+      () => new PermitBucket(),
+    );
   }
 }
--- a/packages/gateway/src/lib/ColdServers.ts
+++ b/packages/gateway/src/lib/ColdServers.ts
@@ -10,9 +10,10 @@
   ServerRegistration,
   ServerWarmup,
   buildIncarnationKey,
-  evictOldest,
+  getOrCreate,
 } from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
+import {LineIntervals} from './LineIntervals.js';
 
 /** Maximum number of incarnations that are tracked; the oldest are removed first. */
 const MAX_INCARNATIONS = 20_000;
@@ -22,8 +23,6 @@
 const MAX_NOTICED_MS = 60_000;
 /** Maximum number of permits that are wanted of one server at a time. */
 const MAX_WANTED = 20;
-/** Minimum time between two lines on one incarnation or service, in milliseconds. */
-const LOG_INTERVAL_MS = 1_000;
 /** Advance of the time of day over the monotonic clock from which the process has slept, in ms. */
 const SLEEP_MS = 100;
 
@@ -69,7 +68,7 @@
   private readonly states = new Map<string, ColdState>();
   /** Requests since the last report, by service. */
   private readonly demand = new Map<string, number>();
-  private readonly loggedAt = new Map<string, number>();
+  private readonly lines = new LineIntervals(MAX_INCARNATIONS);
   private counts = {wanted: 0, granted: 0, used: 0};
   /** The time of day less the monotonic clock, in milliseconds. */
   private clockOffset = computeClockOffset();
@@ -243,7 +242,7 @@
     for (const [incarnation, state] of this.states) {
       if (getColdUntil(state) > now) continue;
       this.states.delete(incarnation);
-      if (!this.admitLine(incarnation)) continue;
+      if (!this.lines.admit(incarnation)) continue;
       writeDecision('server_warm', {incarnation, source: 'time'});
     }
   }
@@ -265,7 +264,7 @@
       wanted[key] = (wanted[key] ?? 0) + 1;
     }
     this.counts.wanted += missing;
-    if (missing > 0 && this.admitLine(service)) {
+    if (missing > 0 && this.lines.admit(service)) {
       writeDecision('cold_permits', {
         service,
         cold: cold.length,
@@ -309,18 +308,18 @@
   }
 
   private getState(key: string): ColdState {
-    const known = this.states.get(key);
-    if (known) return known;
-    const state: ColdState = {
-      toldUntil: -Infinity,
-      noticedUntil: -Infinity,
-      expectedUntil: -Infinity,
-      expectedSequence: -1,
-      permits: new SendPermits(COLD_PERMIT_MS),
-    };
-    this.states.set(key, state);
-    evictOldest(this.states, MAX_INCARNATIONS);
-    return state;
+    return getOrCreate<string, ColdState>(
+      this.states,
+      key,
+      MAX_INCARNATIONS,
+      () => ({
+        toldUntil: -Infinity,
+        noticedUntil: -Infinity,
+        expectedUntil: -Infinity,
+        expectedSequence: -1,
+        permits: new SendPermits(COLD_PERMIT_MS),
+      }),
+    );
   }
 
   private logChange(
@@ -330,7 +329,7 @@
   ): void {
     const isCold = this.isCold(server);
     const incarnation = buildIncarnationKey(server);
-    if (isCold === wasCold || !this.admitLine(incarnation)) return;
+    if (isCold === wasCold || !this.lines.admit(incarnation)) return;
     const state = this.getState(incarnation);
     const leftMs = Math.max(0, getColdUntil(state) - performance.now());
     writeDecision(isCold ? 'server_cold' : 'server_warm', {
@@ -340,16 +339,6 @@
       left_ms: Math.round(leftMs),
     });
   }
-
-  /** Returns whether a line on an incarnation or a service may be written now. */
-  private admitLine(name: string): boolean {
-    const now = performance.now();
-    const loggedAt = this.loggedAt.get(name) ?? -Infinity;
-    if (now - loggedAt < LOG_INTERVAL_MS) return false;
-    this.loggedAt.set(name, now);
-    evictOldest(this.loggedAt, MAX_INCARNATIONS);
-    return true;
-  }
 }
 
 /** Computes the time of day less the monotonic clock, in milliseconds. */
--- a/packages/gateway/src/lib/DirectoryFill.ts
+++ b/packages/gateway/src/lib/DirectoryFill.ts
@@ -1,5 +1,6 @@
 import type {FleetUpdate} from '@sycamorehead/fleet';
-import {SycamoreheadError} from '@sycamorehead/schema';
+import {buildCallerGone} from '@sycamorehead/routing';
+import type {SycamoreheadError} from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 import {buildHeldRefusal} from './refusals.js';
 
@@ -246,12 +247,6 @@
   queue.threshold = Math.random();
 }
 
-function buildCallerGone(): SycamoreheadError {
-  return new SycamoreheadError('caller_gone', 'the caller has gone', {
-    ran: 'no',
-  });
-}
-
 function isLastMoment(startBy: number): boolean {
   return performance.now() + HELD_MARGIN_MS >= startBy;
 }
--- a/packages/gateway/src/lib/ServerLimits.ts
+++ b/packages/gateway/src/lib/ServerLimits.ts
@@ -16,13 +16,13 @@
   ServerRegistration,
   buildIncarnationKey,
   evictOldest,
+  getOrCreate,
 } from '@sycamorehead/schema';
 import {LogFields, writeDecision} from '@sycamorehead/telemetry';
+import {LineIntervals} from './LineIntervals.js';
 
 /** Maximum number of incarnations with permits or log times. */
 const MAX_INCARNATIONS = 2_000;
-/** Minimum time between two lines on one incarnation, in milliseconds. */
-const LOG_INTERVAL_MS = 1_000;
 /** Age up to which this entry reports what a server told it, in milliseconds. */
 const REPORT_MS = 3_000;
 /** Time without a grant of any control instance after which sends are paced, in milliseconds. */
@@ -59,7 +59,7 @@
   private readonly demand = new Map<string, number>();
   /** When this entry last sent to an incarnation with a limit, on the monotonic clock. */
   private readonly sentAt = new Map<string, number>();
-  private readonly loggedAt = new Map<string, number>();
+  private readonly lines = new LineIntervals(MAX_INCARNATIONS);
   /** Incarnations in the last reply. */
   private repliedKeys: ReadonlySet<string> = new Set();
   /** When an exchange that was granted permits began, on the monotonic clock. */
@@ -269,20 +269,16 @@
   }
 
   private getPermits(key: string): SendPermits {
-    const known = this.permits.get(key);
-    if (known) return known;
-    const permits = new SendPermits();
-    this.permits.set(key, permits);
-    evictOldest(this.permits, MAX_INCARNATIONS);
-    return permits;
+    return getOrCreate(
+      this.permits,
+      key,
+      MAX_INCARNATIONS,
+      () => new SendPermits(),
+    );
   }
 
   private logChange(incarnation: string, fields: LogFields): void {
-    const now = performance.now();
-    const loggedAt = this.loggedAt.get(incarnation) ?? -Infinity;
-    if (now - loggedAt < LOG_INTERVAL_MS) return;
-    this.loggedAt.set(incarnation, now);
-    evictOldest(this.loggedAt, MAX_INCARNATIONS);
+    if (!this.lines.admit(incarnation)) return;
     writeDecision('server_limit', {incarnation, ...fields});
   }
 }
--- a/packages/gateway/src/lib/ServerNotices.ts
+++ b/packages/gateway/src/lib/ServerNotices.ts
@@ -2,7 +2,7 @@
 import {
   ServerRegistration,
   buildIncarnationKey,
-  evictOldest,
+  getOrCreate,
 } from '@sycamorehead/schema';
 import {writeDecision} from '@sycamorehead/telemetry';
 
@@ -136,16 +136,16 @@
   }
 
   private getState(key: string): IncarnationState {
-    const known = this.states.get(key);
-    if (known) return known;
-    const state: IncarnationState = {
-      leavingAt: undefined,
-      isFirstHand: false,
-      heldUntil: 0,
-      isReturning: false,
-    };
-    this.states.set(key, state);
-    evictOldest(this.states, MAX_INCARNATIONS);
-    return state;
+    return getOrCreate<string, IncarnationState>(
+      this.states,
+      key,
+      MAX_INCARNATIONS,
+      () => ({
+        leavingAt: undefined,
+        isFirstHand: false,
+        heldUntil: 0,
+        isReturning: false,
+      }),
+    );
   }
 }
--- a/packages/gateway/src/lib/refusals.ts
+++ b/packages/gateway/src/lib/refusals.ts
@@ -1,5 +1,4 @@
-import {isRequestSegment} from '@sycamorehead/routing';
-import {QueueRefusal} from '@sycamorehead/routing';
+import {QueueRefusal, isRequestSegment} from '@sycamorehead/routing';
 import {SycamoreheadError} from '@sycamorehead/schema';
 
 /**
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,4 +1,5 @@
 /** Routing policies and the state that they share. */
+export {buildCallerGone} from './lib/forwarding/buildCallerGone.js';
 export type {
   AdmissionPolicy,
   AdmissionTicket,
--- a/packages/routing/src/lib/forwarding/EngineTimePrices.ts
+++ b/packages/routing/src/lib/forwarding/EngineTimePrices.ts
@@ -1,4 +1,4 @@
-import {evictOldest} from '@sycamorehead/schema';
+import {evictOldest, getOrCreate} from '@sycamorehead/schema';
 import {DecayingSum} from './DecayingSum.js';
 import {computeLoadFraction, computePressure} from './enginePressure.js';
 
@@ -83,14 +83,9 @@
   }
 
   private getUse(service: string): ServiceUse {
-    const known = this.uses.get(service);
-    if (known) return known;
-    const use = {
+    return getOrCreate(this.uses, service, MAX_SERVICES, () => ({
       routes: new Map<string, RouteDemand>(),
       engineMs: new DecayingSum(DECAY_MS),
-    };
-    this.uses.set(service, use);
-    evictOldest(this.uses, MAX_SERVICES);
-    return use;
+    }));
   }
 }
--- a/packages/routing/src/lib/forwarding/FairShares.ts
+++ b/packages/routing/src/lib/forwarding/FairShares.ts
@@ -1,4 +1,4 @@
-import {evictOldest} from '@sycamorehead/schema';
+import {evictOldest, getOrCreate} from '@sycamorehead/schema';
 import {DecayingSum} from './DecayingSum.js';
 import {CustomerTable, limitNames} from './serviceDemand.js';
 
@@ -136,10 +136,10 @@
 }
 
 function getSum(sums: Map<string, DecayingSum>, customer: string): DecayingSum {
-  const known = sums.get(customer);
-  if (known) return known;
-  const sum = new DecayingSum(RECENT_MS);
-  sums.set(customer, sum);
-  evictOldest(sums, MAX_CUSTOMERS);
-  return sum;
+  return getOrCreate(
+    sums,
+    customer,
+    MAX_CUSTOMERS,
+    () => new DecayingSum(RECENT_MS),
+  );
 }
--- a/packages/routing/src/lib/forwarding/KindShares.ts
+++ b/packages/routing/src/lib/forwarding/KindShares.ts
@@ -1,4 +1,4 @@
-import {evictOldest} from '@sycamorehead/schema';
+import {getOrCreate} from '@sycamorehead/schema';
 import {DecayingSum} from './DecayingSum.js';
 import {OutcomeCounts, OutcomeTable, limitNames} from './serviceDemand.js';
 
@@ -179,24 +179,18 @@
   }
 
   private getOutcomes(name: string): Outcomes {
-    const known = this.outcomes.get(name);
-    if (known) return known;
-    const outcomes = {
+    return getOrCreate(this.outcomes, name, MAX_OUTCOMES, () => ({
       ended: new DecayingSum(OUTCOME_MS),
       served: new DecayingSum(OUTCOME_MS),
-    };
-    this.outcomes.set(name, outcomes);
-    evictOldest(this.outcomes, MAX_OUTCOMES);
-    return outcomes;
+    }));
   }
 
   private getState(kind: string, priority: number): KindState {
-    const known = this.kinds.get(kind);
-    if (known) return known;
-    const state = {sizes: [], nextSize: 0, priority};
-    this.kinds.set(kind, state);
-    evictOldest(this.kinds, MAX_KINDS);
-    return state;
+    return getOrCreate<string, KindState>(this.kinds, kind, MAX_KINDS, () => ({
+      sizes: [],
+      nextSize: 0,
+      priority,
+    }));
   }
 }
 
--- a/packages/routing/src/lib/forwarding/PlacementQueue.ts
+++ b/packages/routing/src/lib/forwarding/PlacementQueue.ts
@@ -3,6 +3,7 @@
   evictOldest,
   toSycamoreheadError,
 } from '@sycamorehead/schema';
+import {buildCallerGone} from './buildCallerGone.js';
 import {
   RankedWaiter,
   WaiterRank,
@@ -342,11 +343,7 @@
       };
       const handleAbort = () => {
         this.policy.releaseTurn(classified);
-        waiter.refuse(
-          new SycamoreheadError('caller_gone', 'the caller has gone', {
-            ran: 'no',
-          }),
-        );
+        waiter.refuse(buildCallerGone());
       };
       const handleReview = () => {
         const leftMs = work.abandonAt - performance.now();
--- a/packages/routing/src/lib/forwarding/ServerPace.ts
+++ b/packages/routing/src/lib/forwarding/ServerPace.ts
@@ -1,13 +1,10 @@
 import {DecayingSum} from './DecayingSum.js';
+import {limitTimeRatio} from './limitTimeRatio.js';
 
 /** Time in which the time ratio of an answer decays to 1/e, in milliseconds. */
 const PACE_LIFETIME_MS = 2_000;
 /** Weight with which the pace is drawn to that of its service, in answers. */
 const TYPICAL_WEIGHT = 3;
-/** Lower bound of a time ratio, and so of the slowness of a server. */
-const MIN_RATIO = 0.5;
-/** Upper bound of a time ratio, and so of the slowness of a server. */
-const MAX_RATIO = 8;
 /** Factor by which sums are reported as whole numbers. */
 const REPORT_SCALE = 100;
 
@@ -105,7 +102,7 @@
   private updateSlowness({answers, logRatios} = this.sumAll()): void {
     const excess = logRatios - answers * this.typicalLog;
     const slowness = Math.exp(excess / (answers + TYPICAL_WEIGHT));
-    this.currentSlowness = Math.min(MAX_RATIO, Math.max(MIN_RATIO, slowness));
+    this.currentSlowness = limitTimeRatio(slowness);
   }
 
   private sumOwn(now: number): PaceSums {
@@ -146,5 +143,5 @@
 }
 
 function computeLog(timeRatio: number): number {
-  return Math.log(Math.min(MAX_RATIO, Math.max(MIN_RATIO, timeRatio)));
+  return Math.log(limitTimeRatio(timeRatio));
 }
--- a/packages/routing/src/lib/forwarding/ServerSlowness.ts
+++ b/packages/routing/src/lib/forwarding/ServerSlowness.ts
@@ -1,11 +1,9 @@
+import {limitTimeRatio} from './limitTimeRatio.js';
+
 /** Weight of the newest answer in the slowness of its server, and in that of its service. */
 const GAIN = 0.15;
 /** Turns in which what is known of a server that gets none of the answers decays to 1/e. */
 const DECAY_TURNS = 4;
-/** Lower bound of a time ratio, and so of the slowness of a server. */
-const MIN_RATIO = 0.5;
-/** Upper bound of a time ratio, and so of the slowness of a server. */
-const MAX_RATIO = 8;
 
 /**
  * What the answer times of all servers of a service have in common, as one entry sees them.
@@ -35,11 +33,11 @@
    * all of them slower or faster since then says nothing of the server.
    */
   recordRatio(timeRatio: number): number {
-    const log = Math.log(limitRatio(timeRatio));
+    const log = Math.log(limitTimeRatio(timeRatio));
     const typicalLog = this.typicalLog ?? log;
     this.typicalLog = typicalLog + (log - typicalLog) * GAIN;
     this.turnCount += 1 / Math.max(1, this.serverCount);
-    return limitRatio(Math.exp(log - this.typicalLog));
+    return limitTimeRatio(Math.exp(log - this.typicalLog));
   }
 
   // Queries.
@@ -99,7 +97,3 @@
     return 1 + (this.latest - 1) * Math.exp(-turns / DECAY_TURNS);
   }
 }
-
-function limitRatio(timeRatio: number): number {
-  return Math.min(MAX_RATIO, Math.max(MIN_RATIO, timeRatio));
-}
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -99,6 +99,7 @@
   WeightedService,
 } from './lib/routeConfiguration.js';
 export {evictOldest} from './lib/evictOldest.js';
+export {getOrCreate} from './lib/getOrCreate.js';
 export {filterTable, isTable, limitCount} from './lib/filterTable.js';
 export {
   buildIncarnationKey,
