--- a/packages/gateway/src/test/directoryFill.test.ts
+++ b/packages/gateway/src/test/directoryFill.test.ts
@@ -92,33 +92,39 @@
   }
 }
 
-test('after a restart of all processes the first server to register does not get the requests of all entries', async () => {
-  const before = await runRestart(false);
-  const after = await runRestart(true);
-  const figures = JSON.stringify({before, after});
-  assert.ok(before.mostOnOne > 200, figures);
-  assert.ok(after.mostOnOne < before.mostOnOne / 4, figures);
-  assert.equal(after.sent, before.sent, figures);
-  assert.ok(after.meanWaitMs < FILL_MS / 2, figures);
-});
-
-test('requests wait while the directory of servers fills, and all are answered', async () => {
+/** Starts an entry in front of a server that has registered first of those that the directory lacks. */
+async function startFilling(targetLatencyMs: number, fillMs: number) {
   const server = await startServer('s1', (request, socket) => {
     socket.write(
       formatStreamHead(request) + formatChunk(formatEvent(1)) + LAST_CHUNK,
     );
   });
   const gateway = track(new GatewayHarness());
-  const route = {
+  const configuration = buildEngineConfiguration({
     kind: 'streaming',
     isResumable: true,
-    targetLatencyMs: 1_400,
-  } as const;
-  await gateway.start(buildEngineConfiguration(route), []);
+    targetLatencyMs,
+  });
+  await gateway.start(configuration, []);
   gateway.update({
-    directory: {ageMs: 0, fillMs: FILL_MS},
+    directory: {ageMs: 0, fillMs},
     servers: [server.describe()],
   });
+  return {server, gateway};
+}
+
+test('after a restart of all processes the first server to register does not get the requests of all entries', async () => {
+  const before = await runRestart(false);
+  const after = await runRestart(true);
+  const figures = JSON.stringify({before, after});
+  assert.ok(before.mostOnOne > 200, figures);
+  assert.ok(after.mostOnOne < before.mostOnOne / 4, figures);
+  assert.equal(after.sent, before.sent, figures);
+  assert.ok(after.meanWaitMs < FILL_MS / 2, figures);
+});
+
+test('requests wait while the directory of servers fills, and all are answered', async () => {
+  const {server, gateway} = await startFilling(1_400, FILL_MS);
   const offers = setInterval(() => gateway.exchangeDemand(), 20);
   try {
     const exchanges = Array.from({length: 20}, (unused, index) =>
@@ -137,22 +143,7 @@
 });
 
 test('a request is not held beyond the time at which its answer can still be in time', async () => {
-  const server = await startServer('s1', (request, socket) => {
-    socket.write(
-      formatStreamHead(request) + formatChunk(formatEvent(1)) + LAST_CHUNK,
-    );
-  });
-  const gateway = track(new GatewayHarness());
-  const route = {
-    kind: 'streaming',
-    isResumable: true,
-    targetLatencyMs: 600,
-  } as const;
-  await gateway.start(buildEngineConfiguration(route), []);
-  gateway.update({
-    directory: {ageMs: 0, fillMs: 60_000},
-    servers: [server.describe()],
-  });
+  const {gateway} = await startFilling(600, 60_000);
   const offers = setInterval(() => gateway.exchangeDemand(), 20);
   try {
     const startedAt = performance.now();
