--- a/packages/wire/src/testing/CrowdProgram.ts
+++ b/packages/wire/src/testing/CrowdProgram.ts
@@ -3,6 +3,7 @@
 import {once} from 'node:events';
 import {readFileSync, readdirSync} from 'node:fs';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {endWithProcess} from './endWithProcess.js';
 import {CrowdOptions, HostileCrowd} from './HostileCrowd.js';
 
 const KB_PER_MB = 1_024;
@@ -38,6 +39,7 @@
       },
       stdio: ['ignore', 'pipe', 'inherit'],
     });
+    endWithProcess(this.child);
   }
 
   // Commands.
