--- a/review/lib-2/callers.mjs
+++ b/review/lib-2/callers.mjs
@@ -20,6 +20,8 @@
 
 export const MAX_HEADER_BYTES = 16_384;
 const ZONES = ['uy-sur-a', 'uy-sur-b', 'uy-sur-c'];
+/** A script runs for 120 seconds at most. */
+const MAX_RUN_MS = 110_000;
 const ORDINARY_CALLERS = 30;
 /** The rule LOST allows so many requests. */
 const MAX_LOST = 3;
@@ -156,7 +158,10 @@
   async run(folder, sendCrowd) {
     let status = 2;
     try {
-      status = await this.play(sendCrowd);
+      const limit = pause(MAX_RUN_MS).then(() => {
+        throw new Error('took too long');
+      });
+      status = await Promise.race([this.play(sendCrowd), limit]);
     } catch (error) {
       this.record(`could not run: ${error.stack}`);
     } finally {
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -77,6 +77,12 @@
     this.fields = fields;
     /** Time after which a process that has ended starts again, in milliseconds; none does if it is 0. */
     this.restartMs = 0;
+    for (const signal of ['SIGINT', 'SIGTERM']) {
+      process.once(signal, () => {
+        this.kill();
+        process.exit(2);
+      });
+    }
     this.machines = new Map();
     machines.forEach((machine, index) =>
       this.machines.set(machine.name, {
@@ -173,14 +179,19 @@
     if (child?.pid) process.kill(child.pid, signal);
   }
 
-  /** Ends all processes and removes their files. */
-  async stop() {
+  /** Ends all processes, also if the script is ended before its time. */
+  kill() {
     for (const machine of this.machines.values()) {
       machine.isEnding = true;
       if (!machine.child) continue;
       machine.child.kill('SIGCONT');
       machine.child.kill('SIGKILL');
     }
+  }
+
+  /** Ends all processes and removes their files. */
+  async stop() {
+    this.kill();
     while ([...this.machines.values()].some(({child}) => child))
       await pause(20);
     fs.rmSync(this.folder, {recursive: true, force: true});
