--- a/packages/gateway/src/lib/GatewayServer.ts
+++ b/packages/gateway/src/lib/GatewayServer.ts
@@ -20,12 +20,20 @@
 
 /** The largest head that the parser accepts, in bytes; the configured limit may be lower. */
 const MAX_HEADER_BYTES = 64 * 1024;
+/** What each field adds to the size of a head at least: one character and two separators of two bytes. */
+const MIN_FIELD_BYTES = 5;
+/** Fields of a head from which on it is certainly too large; node:http drops further ones without an error. */
+const MAX_FIELDS = Math.ceil(MAX_HEADER_BYTES / MIN_FIELD_BYTES);
+/** Request line and white space that the size of a head leaves out, in bytes. */
+const HEAD_MARGIN_BYTES = 1024;
 /** Time between checks for slow callers, in milliseconds. */
 const CHECK_INTERVAL_MS = 500;
 /** Time allowed for reading bytes that have already arrived, in milliseconds. */
 const READ_GRACE_MS = 20;
 /** The error code of node:http for a head that was not complete in time. */
 const HEAD_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
+/** The error code of node:http for a head that is too large. */
+const HEAD_OVERFLOW = 'HPE_HEADER_OVERFLOW';
 const MAX_BACKLOG = 1_024;
 const IDLE_POLL_MS = 50;
 /** Time allowed for telling the callers of requests that are given up in a stop, in milliseconds. */
@@ -85,9 +93,11 @@
       },
       (message, response) => void this.accept(message, response),
     );
-    // The size of the head is limited; node:http would drop headers beyond a number without an error.
-    this.server.maxHeadersCount = 0;
-    this.clientLimits.limitServer(this.server);
+    this.server.maxHeadersCount = MAX_FIELDS;
+    this.clientLimits.limitServer(this.server, {
+      getMaxHeadBytes: () => this.limits.maxHeaderBytes + HEAD_MARGIN_BYTES,
+      refuse: socket => this.handleUnparsed(buildOverflow(), socket),
+    });
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) =>
       this.handleUnparsed(error, socket as Socket),
     );
@@ -176,10 +186,10 @@
     this.openAnswers.add(response, answer);
     const turn = this.turns.wait(response);
     try {
+      this.checkHeaderSize(message);
       const request = decodeRequest(message, names);
       if (!(await turn)) return;
       this.checkStopping();
-      this.checkHeaderSize(message);
       request.body = await readHeldBody(message, response, {
         held: clientLimits.bodies,
         maxBytes: this.limits.maxBodyBytes,
@@ -241,7 +251,8 @@
       (sum, text) => sum + text.length + 2,
       url.length,
     );
-    if (bytes <= this.limits.maxHeaderBytes) return;
+    const isWhole = rawHeaders.length < 2 * MAX_FIELDS;
+    if (isWhole && bytes <= this.limits.maxHeaderBytes) return;
     throw new SycamoreheadError(
       'header_too_large',
       `the head exceeds ${this.limits.maxHeaderBytes} bytes`,
@@ -249,8 +260,13 @@
   }
 }
 
+/** Builds the error of node:http for a head that is too large. */
+function buildOverflow(): NodeJS.ErrnoException {
+  return Object.assign(new Error('Header overflow'), {code: HEAD_OVERFLOW});
+}
+
 const PARSER_STATUSES: Readonly<Record<string, number>> = {
-  HPE_HEADER_OVERFLOW: getErrorResponse('header_too_large').status,
+  [HEAD_OVERFLOW]: getErrorResponse('header_too_large').status,
   [HEAD_TIMEOUT]: 408,
 };
 
--- a/packages/telemetry/src/lib/createClientMetrics.ts
+++ b/packages/telemetry/src/lib/createClientMetrics.ts
@@ -5,6 +5,8 @@
   readonly bodyBytes: number;
   readonly waitingBodies: number;
   readonly answerBytes: number;
+  /** Heap that heads take. */
+  readonly headBytes: number;
   readonly connections: number;
   /** Refusals so far by reason. */
   readonly refusals: ReadonlyMap<string, number>;
@@ -52,6 +54,11 @@
     'Bytes of answers that clients have not read',
     ({answerBytes}) => answerBytes,
   );
+  createGauge(
+    'head_bytes',
+    'Heap that heads take, in bytes',
+    ({headBytes}) => headBytes,
+  );
   createGauge(
     'connections',
     'Connections of clients',
--- a/packages/wire/src/lib/ClientLimits.ts
+++ b/packages/wire/src/lib/ClientLimits.ts
@@ -1,9 +1,13 @@
 import {readFileSync} from 'node:fs';
 import type {Server} from 'node:http';
 import {totalmem} from 'node:os';
+import {getHeapStatistics} from 'node:v8';
 import {writeDecision} from '@sycamorehead/telemetry';
 import {ConnectionGuard} from './ConnectionGuard.js';
+import type {HeadLimit} from './ConnectionGuard.js';
 import {ClientRefusal, HeldBytes} from './HeldBytes.js';
+import {HeldHeads} from './HeldHeads.js';
+import type {HeadBudget} from './HeldHeads.js';
 import {UnreadAnswers} from './UnreadAnswers.js';
 
 const BYTES_PER_MB = 1024 * 1024;
@@ -18,8 +22,10 @@
 const MAX_BUDGET_MB = 1_024;
 /** Part of the bytes held for clients that answers may take. */
 const ANSWER_SHARE = 0.25;
-/** Part of the bytes held for clients that heads which are not complete may take at each port. */
-const HEAD_SHARE = 0.25;
+/** Part of the heap beyond the process's own that heads which are not complete may take; the rest is for garbage. */
+const HEAD_SHARE = 0.125;
+/** The least heap for them, in megabytes. */
+const MIN_HEAD_MB = 4;
 /** Memory that one open request may take with the answer that is buffered for it, in bytes. */
 const REQUEST_BYTES = 256 * 1024;
 /** Descriptors kept for files. */
@@ -44,6 +50,8 @@
   readonly bodyBytes: number;
   readonly waitingBodies: number;
   readonly answerBytes: number;
+  /** Heap that clients' heads take, in bytes. */
+  readonly headBytes: number;
   readonly connections: number;
   readonly refusals: ReadonlyMap<string, number>;
 }
@@ -56,9 +64,9 @@
 export class ClientLimits {
   readonly bodies: HeldBytes;
   readonly answers: UnreadAnswers;
+  readonly heads: HeldHeads;
   private readonly maxConnections: number;
   private readonly maxRequests: number;
-  private readonly maxHeadBytes: number;
   private readonly guards: ConnectionGuard[] = [];
   private readonly refusals = new Map<ClientRefusal, number>();
   /** Refusals since the last log line. */
@@ -76,8 +84,8 @@
     const record = (refusal: ClientRefusal) => this.recordRefusal(refusal);
     this.bodies = new HeldBytes(budget * (1 - ANSWER_SHARE), record);
     this.answers = new UnreadAnswers(budget * ANSWER_SHARE, record);
+    this.heads = new HeldHeads(computeHeadBudget(), record);
     this.maxRequests = Math.floor(budget / REQUEST_BYTES);
-    this.maxHeadBytes = budget * HEAD_SHARE;
     const fds = maxFds || readDescriptorLimit();
     this.maxConnections = Math.max(
       STATUS_CONNECTIONS,
@@ -87,9 +95,9 @@
 
   // Commands.
 
-  /** Bounds the connections of a server for clients. */
-  limitServer(server: Server): void {
-    this.addGuard(server, this.maxConnections);
+  /** Bounds the connections of a server for clients, and their heads as it says. */
+  limitServer(server: Server, headLimit?: HeadLimit): void {
+    this.addGuard(server, this.maxConnections, headLimit);
   }
 
   /** Bounds the connections of a server for checks and metrics. */
@@ -114,27 +122,33 @@
       bodyBytes: this.bodies.totalBytes,
       waitingBodies: this.bodies.waitingCount,
       answerBytes: this.answers.totalBytes,
+      headBytes: this.heads.totalBytes,
       connections: this.guards.reduce((sum, {count}) => sum + count, 0),
       refusals: this.refusals,
     };
   }
 
-  private addGuard(server: Server, maxConnections: number): void {
+  private addGuard(
+    server: Server,
+    maxConnections: number,
+    headLimit?: HeadLimit,
+  ): void {
     const record = (refusal: ClientRefusal) => this.recordRefusal(refusal);
-    const {maxRequests, maxHeadBytes} = this;
-    const limits = {maxConnections, maxRequests, maxHeadBytes};
+    const {maxRequests, heads} = this;
+    const limits = {maxConnections, maxRequests, heads, headLimit};
     this.guards.push(new ConnectionGuard(server, limits, record));
   }
 
   private logRefusals(): void {
     this.timer = undefined;
-    const {bodyBytes, waitingBodies, answerBytes, connections} =
+    const {bodyBytes, waitingBodies, answerBytes, headBytes, connections} =
       this.readUsage();
     writeDecision('clients_refused', {
       ...Object.fromEntries(this.unlogged),
       body_bytes: bodyBytes,
       waiting: waitingBodies,
       answer_bytes: answerBytes,
+      head_bytes: headBytes,
       connections,
     });
     this.unlogged.clear();
@@ -149,6 +163,16 @@
   );
 }
 
+/** Computes the heap for clients' heads: the heap may end long before the machine's memory does. */
+function computeHeadBudget(): HeadBudget {
+  const {heap_size_limit: limit, used_heap_size: used} = getHeapStatistics();
+  const bytes = Math.max(
+    MIN_HEAD_MB * BYTES_PER_MB,
+    (limit - used) * HEAD_SHARE,
+  );
+  return {maxUnfinishedBytes: bytes};
+}
+
 function readOwnMb(): number {
   try {
     return process.memoryUsage.rss() / BYTES_PER_MB;
--- a/packages/wire/src/lib/ConnectionGuard.ts
+++ b/packages/wire/src/lib/ConnectionGuard.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import {Server as TlsServer} from 'node:tls';
 import type {ClientRefusal} from './HeldBytes.js';
+import {HeldHeads, estimateStringBytes} from './HeldHeads.js';
 
 /** Bytes that a connection may send without beginning a request that is accepted. */
 const MAX_BYTES_WITHOUT_REQUEST = 256 * 1024;
@@ -14,13 +15,28 @@
 /** Allowance beyond the server's own timeouts for a connection without a request, in milliseconds. */
 const IDLE_MARGIN_MS = 1_000;
 
+/** The limit of a single head that a server states itself. @public */
+export interface HeadLimit {
+  /** Returns the bytes from which on a head that is not complete is refused. */
+  getMaxHeadBytes(): number;
+  /** Answers a head that is too long, and ends its connection. */
+  refuse(socket: Socket): void;
+}
+
 /** Limits of a ConnectionGuard. @public */
 export interface ConnectionLimits {
   readonly maxConnections: number;
   /** Maximum number of open requests of all connections that have more than a few. */
   readonly maxRequests: number;
-  /** Maximum number of bytes of all heads that are not complete. */
-  readonly maxHeadBytes: number;
+  /** The account of heads of all ports. */
+  readonly heads: HeldHeads;
+  /** Absent where the parser's own limit is the only one. */
+  readonly headLimit?: HeadLimit;
+}
+
+/** The parser of node:http, which keeps the fields of a head or of trailers until they are complete. */
+interface HttpParser {
+  readonly _headers?: readonly string[];
 }
 
 interface Connection {
@@ -29,11 +45,16 @@
   readBytes: number;
   /** When it last had no request left, on the monotonic clock. */
   idleSince: number;
+  /** Whether the last bytes were those of a body that was not complete then. */
+  isInBody: boolean;
+  /** Names and values of unfinished fields that have been measured, and the heap that they take. */
+  fieldCount: number;
+  fieldBytes: number;
 }
 
 /**
- * Bounds the connections of one HTTP server: their number, the requests of each one, and the bytes and the
- * time that each may take without a request. It answers many connections that stay open without a request,
+ * Bounds the connections of one HTTP server: their number, the requests of each one, and the bytes, the
+ * heap and the time that each may take without a request. It answers many connections that stay open without a request,
  * heads and empty lines without end, and requests sent one behind the other. Above the maximum, the
  * connection without a request for the longest time gives way to a new one.
  *
@@ -76,8 +97,13 @@
       open: new Set(),
       readBytes: 0,
       idleSince: performance.now(),
+      isInBody: false,
+      fieldCount: 0,
+      fieldBytes: 0,
     });
     socket.once('close', () => this.release(socket));
+    // The listener of the server comes first, so that its parser has read the bytes.
+    socket.on('data', () => this.countInput(socket));
     if (this.connections.size <= this.limits.maxConnections) return;
     this.close(this.findIdle() ?? socket, 'too_many_connections');
   }
@@ -106,44 +132,58 @@
     this.close(socket, 'too_many_requests');
   }
 
+  /** Counts bytes that the server has just read. */
+  private countInput(socket: Socket): void {
+    const connection = this.connections.get(socket);
+    if (!connection) return;
+    const message = findUnreadBody(connection);
+    if (message) {
+      connection.readBytes = socket.bytesRead;
+    } else {
+      // The body has ended with these bytes.
+      if (connection.isInBody) connection.readBytes = socket.bytesRead;
+      this.countHead(socket, connection);
+    }
+    connection.isInBody = message !== undefined;
+  }
+
+  /** Counts what the server keeps of a head that is not complete. */
+  private countHead(socket: Socket, connection: Connection): void {
+    const {heads, headLimit} = this.limits;
+    const bytes = socket.bytesRead - connection.readBytes;
+    if (bytes > MAX_BYTES_WITHOUT_REQUEST) {
+      this.close(socket, 'bytes_without_request');
+      return;
+    }
+    const fieldBytes = measureUnfinishedFields(socket, connection);
+    heads.setUnfinished(socket, bytes + fieldBytes);
+    if (!headLimit || bytes <= headLimit.getMaxHeadBytes()) return;
+    if (!socket.destroyed && socket.writable) headLimit.refuse(socket);
+  }
+
   private findIdle(): Socket | undefined {
     for (const [socket, {open}] of this.connections) {
       if (open.size === 0) return socket;
     }
     // Of those with a request, one whose body has not arrived costs its client the least.
-    for (const [socket, {open}] of this.connections) {
-      if ([...open].some(({req}) => !req.complete)) return socket;
+    for (const [socket, connection] of this.connections) {
+      if (findUnreadBody(connection)) return socket;
     }
     return undefined;
   }
 
   private checkConnections(): void {
-    let headBytes = this.countHeadBytes();
     const idleBefore = performance.now() - this.idleLimitMs;
     for (const [socket, connection] of this.connections) {
-      const {open, readBytes, idleSince} = connection;
-      if ([...open].some(({req}) => !req.complete)) {
+      const {open, idleSince} = connection;
+      if (findUnreadBody(connection)) {
         connection.readBytes = socket.bytesRead;
-      } else if (socket.bytesRead - readBytes > MAX_BYTES_WITHOUT_REQUEST) {
-        this.close(socket, 'bytes_without_request');
       } else if (open.size === 0 && idleSince < idleBefore) {
         this.close(socket, 'idle');
-      } else if (headBytes > this.limits.maxHeadBytes && open.size === 0) {
-        headBytes -= socket.bytesRead - readBytes;
-        if (socket.bytesRead > readBytes)
-          this.close(socket, 'heads_unfinished');
       }
     }
   }
 
-  private countHeadBytes(): number {
-    let bytes = 0;
-    for (const [socket, {open, readBytes}] of this.connections) {
-      if (open.size === 0) bytes += socket.bytesRead - readBytes;
-    }
-    return bytes;
-  }
-
   /**
    * Time that the server's own timeouts allow between two requests, in milliseconds. The server restarts them
    * with each byte that it reads.
@@ -160,6 +200,7 @@
     this.connections.delete(socket);
     this.openCount -= connection.open.size;
     connection.open.clear();
+    this.limits.heads.setUnfinished(socket, 0);
   }
 
   private close(socket: Socket, refusal: ClientRefusal): void {
@@ -169,3 +210,28 @@
     socket.destroy();
   }
 }
+
+/** Finds the request of a connection whose body is still to come. */
+function findUnreadBody({open}: Connection): IncomingMessage | undefined {
+  for (const {req} of open) if (!req.complete) return req;
+  return undefined;
+}
+
+/** Estimates the heap that the parser of a connection takes for fields of a head or of trailers, in bytes. */
+function measureUnfinishedFields(
+  socket: Socket,
+  connection: Connection,
+): number {
+  const {parser} = socket as Socket & {parser?: HttpParser | null};
+  const fields = parser?._headers ?? [];
+  if (fields.length < connection.fieldCount) {
+    connection.fieldCount = 0;
+    connection.fieldBytes = 0;
+  }
+  if (fields.length > connection.fieldCount) {
+    const added = fields.slice(connection.fieldCount);
+    connection.fieldBytes += estimateStringBytes(added);
+    connection.fieldCount = fields.length;
+  }
+  return connection.fieldBytes;
+}
--- a/packages/wire/src/test/clientLimits.test.ts
+++ b/packages/wire/src/test/clientLimits.test.ts
@@ -8,6 +8,7 @@
 import {SycamoreheadError, getErrorResponse} from '@sycamorehead/schema';
 import {ConnectionGuard} from '../lib/ConnectionGuard.js';
 import {ClientRefusal, HeldBytes} from '../lib/HeldBytes.js';
+import {HeldHeads} from '../lib/HeldHeads.js';
 import {readHeldBody} from '../lib/readHeldBody.js';
 import {UnreadAnswers} from '../lib/UnreadAnswers.js';
 
@@ -30,7 +31,7 @@
   {
     maxConnections = 100,
     maxRequests = 1_000,
-    maxHeadBytes = MB,
+    maxUnfinishedBytes = MB,
     answer = '',
   } = {},
 ): Promise<TestServer> {
@@ -39,6 +40,7 @@
   const record = (refusal: ClientRefusal) => refusals.push(refusal);
   const held = new HeldBytes(8 * MB, record);
   const unread = new UnreadAnswers(MB, record);
+  const heads = new HeldHeads({maxUnfinishedBytes}, record);
   const serve = async (message: IncomingMessage, response: ServerResponse) => {
     const body = await readHeldBody(message, response, {
       held,
@@ -56,9 +58,14 @@
       response.writeHead(status, {'Content-Length': 0}).end();
     });
   });
+  server.maxHeadersCount = 0;
   new ConnectionGuard(
     server,
-    {maxConnections, maxRequests, maxHeadBytes},
+    {
+      maxConnections,
+      maxRequests,
+      heads,
+    },
     record,
   );
   server.listen(0, HOST);
@@ -101,6 +108,32 @@
 const LARGE_HEAD = `POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ${LARGE.length}\r\n\r\n`;
 const GET = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
 
+test('unfinished fields count by the heap that they take, as soon as they arrive', async context => {
+  const maxUnfinishedBytes = 256 * KB;
+  const {port, refusals} = await startServer(context, {maxUnfinishedBytes});
+  const head = 'GET / HTTP/1.1\r\nHost: a\r\n';
+  const modest = await openClient(context, port);
+  modest.socket.write(head);
+  const hostile = await openClient(context, port);
+  const closed = waitForClose(hostile.socket);
+  hostile.socket.write(head + 'a:\r\n'.repeat(4 * KB));
+  await closed;
+  modest.socket.write('\r\n');
+  await waitFor(() => modest.received.startsWith('HTTP/1.1 200'));
+  assert.deepEqual(refusals, ['heads_unfinished']);
+});
+
+test('the last bytes of a large body do not count as a head', async context => {
+  const {port, refusals} = await startServer(context, {
+    maxUnfinishedBytes: KB,
+  });
+  const client = await openClient(context, port);
+  client.socket.write(LARGE_HEAD);
+  client.socket.write(LARGE);
+  await waitFor(() => client.received.includes(String(LARGE.length)));
+  assert.deepEqual(refusals, []);
+});
+
 test('a body that waited for room arrives unchanged, and its connection serves the next request', async context => {
   const {port, held, bodies} = await startServer(context);
   const first = await openClient(context, port);
@@ -179,8 +212,8 @@
 });
 
 test('of heads that take too much, those of the oldest connections are dropped', async context => {
-  const maxHeadBytes = 20 * KB;
-  const {port, refusals} = await startServer(context, {maxHeadBytes});
+  const maxUnfinishedBytes = 20 * KB;
+  const {port, refusals} = await startServer(context, {maxUnfinishedBytes});
   const oldest = await openClient(context, port);
   const closed = waitForClose(oldest.socket);
   const head = `GET / HTTP/1.1\r\nHost: a\r\nX-Fill: ${'a'.repeat(9 * KB)}`;
