--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -22,7 +22,7 @@
 export {HeldBytes} from './lib/HeldBytes.js';
 export type {BodyListener, ClientRefusal, HeldBody} from './lib/HeldBytes.js';
 export {HeldHeads} from './lib/HeldHeads.js';
-export type {HeadBudget} from './lib/HeldHeads.js';
+export type {HeadBudget, UnfinishedHead} from './lib/HeldHeads.js';
 export {readHeldBody} from './lib/readHeldBody.js';
 export type {HeldBodyOptions} from './lib/readHeldBody.js';
 export {UnreadAnswers} from './lib/UnreadAnswers.js';
--- a/packages/wire/src/lib/ConnectionGuard.ts
+++ b/packages/wire/src/lib/ConnectionGuard.ts
@@ -2,7 +2,8 @@
 import type {Socket} from 'node:net';
 import {Server as TlsServer} from 'node:tls';
 import type {ClientRefusal} from './HeldBytes.js';
-import {HeldHeads, estimateStringBytes} from './HeldHeads.js';
+import {HeldHeads} from './HeldHeads.js';
+import {UnfinishedFields} from './UnfinishedFields.js';
 
 /** Bytes that a connection may send without beginning a request that is accepted. */
 const MAX_BYTES_WITHOUT_REQUEST = 256 * 1024;
@@ -34,11 +35,6 @@
   readonly headLimit?: HeadLimit;
 }
 
-/** The parser of node:http, which keeps the fields of a head or of trailers until they are complete. */
-interface HttpParser {
-  readonly _headers?: readonly string[];
-}
-
 interface Connection {
   readonly open: Set<ServerResponse>;
   /** Bytes that had been read when the last request or its body was complete. */
@@ -47,9 +43,7 @@
   idleSince: number;
   /** Whether the last bytes were those of a body that was not complete then. */
   isInBody: boolean;
-  /** Names and values of unfinished fields that have been measured, and the heap that they take. */
-  fieldCount: number;
-  fieldBytes: number;
+  readonly fields: UnfinishedFields;
 }
 
 /**
@@ -98,8 +92,7 @@
       readBytes: 0,
       idleSince: performance.now(),
       isInBody: false,
-      fieldCount: 0,
-      fieldBytes: 0,
+      fields: new UnfinishedFields(socket),
     });
     socket.once('close', () => this.release(socket));
     // The listener of the server comes first, so that its parser has read the bytes.
@@ -138,13 +131,14 @@
     if (!connection) return;
     const message = findUnreadBody(connection);
     if (message) {
-      connection.readBytes = socket.bytesRead;
+      this.countTrailers(socket, connection);
     } else {
       // The body has ended with these bytes.
       if (connection.isInBody) connection.readBytes = socket.bytesRead;
       this.countHead(socket, connection);
     }
     connection.isInBody = message !== undefined;
+    dropTrailers(connection);
   }
 
   /** Counts what the server keeps of a head that is not complete. */
@@ -155,12 +149,19 @@
       this.close(socket, 'bytes_without_request');
       return;
     }
-    const fieldBytes = measureUnfinishedFields(socket, connection);
-    heads.setUnfinished(socket, bytes + fieldBytes);
+    const fieldBytes = connection.fields.measure();
+    heads.setUnfinished(connection.fields, bytes + fieldBytes);
     if (!headLimit || bytes <= headLimit.getMaxHeadBytes()) return;
     if (!socket.destroyed && socket.writable) headLimit.refuse(socket);
   }
 
+  /** Counts what the server keeps of trailers, behind a body that is not complete. */
+  private countTrailers(socket: Socket, connection: Connection): void {
+    connection.readBytes = socket.bytesRead;
+    const fieldBytes = connection.fields.measure();
+    this.limits.heads.setUnfinished(connection.fields, fieldBytes);
+  }
+
   private findIdle(): Socket | undefined {
     for (const [socket, {open}] of this.connections) {
       if (open.size === 0) return socket;
@@ -200,14 +201,16 @@
     this.connections.delete(socket);
     this.openCount -= connection.open.size;
     connection.open.clear();
-    this.limits.heads.setUnfinished(socket, 0);
+    this.limits.heads.setUnfinished(connection.fields, 0);
   }
 
   private close(socket: Socket, refusal: ClientRefusal): void {
     if (socket.destroyed) return;
     this.onRefusal(refusal);
+    const fields = this.connections.get(socket)?.fields;
     this.release(socket);
-    socket.destroy();
+    if (fields) fields.close();
+    else socket.destroy();
   }
 }
 
@@ -217,21 +220,8 @@
   return undefined;
 }
 
-/** Estimates the heap that the parser of a connection takes for fields of a head or of trailers, in bytes. */
-function measureUnfinishedFields(
-  socket: Socket,
-  connection: Connection,
-): number {
-  const {parser} = socket as Socket & {parser?: HttpParser | null};
-  const fields = parser?._headers ?? [];
-  if (fields.length < connection.fieldCount) {
-    connection.fieldCount = 0;
-    connection.fieldBytes = 0;
-  }
-  if (fields.length > connection.fieldCount) {
-    const added = fields.slice(connection.fieldCount);
-    connection.fieldBytes += estimateStringBytes(added);
-    connection.fieldCount = fields.length;
-  }
-  return connection.fieldBytes;
+/** Drops the trailers of open requests, which nothing reads. */
+function dropTrailers({open}: Connection): void {
+  for (const {req} of open)
+    if (req.rawTrailers.length > 0) req.rawTrailers = [];
 }
--- a/packages/wire/src/lib/HeldHeads.ts
+++ b/packages/wire/src/lib/HeldHeads.ts
@@ -1,9 +1,14 @@
-import type {Socket} from 'node:net';
 import type {ClientRefusal} from './HeldBytes.js';
 
 /** Heap of a string beyond its characters and of the slot that holds it, in bytes. */
 const STRING_BYTES = 40;
 
+/** The unfinished fields of one connection. @public */
+export interface UnfinishedHead {
+  /** Drops the fields and closes the connection. */
+  close(): void;
+}
+
 /** Heap that clients' heads may take, in bytes. @public */
 export interface HeadBudget {
   /** Those that are not complete. */
@@ -31,7 +36,7 @@
  * @public
  */
 export class HeldHeads {
-  private readonly unfinished = new Map<Socket, number>();
+  private readonly unfinished = new Map<UnfinishedHead, number>();
   private unfinishedBytes = 0;
 
   constructor(
@@ -42,18 +47,18 @@
   // Commands.
 
   /** Sets the heap that the unfinished fields of a connection take, in bytes. */
-  setUnfinished(socket: Socket, bytes: number): void {
-    const known = this.unfinished.get(socket) ?? 0;
+  setUnfinished(head: UnfinishedHead, bytes: number): void {
+    const known = this.unfinished.get(head) ?? 0;
     if (bytes === known) return;
     this.unfinishedBytes += bytes - known;
-    if (bytes === 0) this.unfinished.delete(socket);
-    else this.unfinished.set(socket, bytes);
+    if (bytes === 0) this.unfinished.delete(head);
+    else this.unfinished.set(head, bytes);
     while (this.unfinishedBytes > this.budget.maxUnfinishedBytes) {
       const costliest = this.findCostliest();
       if (!costliest) return;
       this.onRefusal('heads_unfinished');
       this.setUnfinished(costliest, 0);
-      costliest.destroy();
+      costliest.close();
     }
   }
 
@@ -64,13 +69,13 @@
     return this.unfinishedBytes;
   }
 
-  private findCostliest(): Socket | undefined {
-    let costliest: Socket | undefined;
+  private findCostliest(): UnfinishedHead | undefined {
+    let costliest: UnfinishedHead | undefined;
     let most = 0;
-    for (const [socket, bytes] of this.unfinished) {
+    for (const [head, bytes] of this.unfinished) {
       if (bytes <= most) continue;
       most = bytes;
-      costliest = socket;
+      costliest = head;
     }
     return costliest;
   }
--- a/packages/wire/src/test/clientLimits.test.ts
+++ b/packages/wire/src/test/clientLimits.test.ts
@@ -123,6 +123,20 @@
   assert.deepEqual(refusals, ['heads_unfinished']);
 });
 
+const CHUNKED_HEAD =
+  'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n';
+
+test('unfinished trailers count by the heap that they take', async context => {
+  const maxUnfinishedBytes = 256 * KB;
+  const {port, refusals} = await startServer(context, {maxUnfinishedBytes});
+  const {socket} = await openClient(context, port);
+  const closed = waitForClose(socket);
+  const trailers = 'a:\r\n'.repeat(4 * KB);
+  socket.write(`${CHUNKED_HEAD}1\r\na\r\n0\r\n${trailers}`);
+  await closed;
+  assert.deepEqual(refusals, ['heads_unfinished']);
+});
+
 test('the last bytes of a large body do not count as a head', async context => {
   const {port, refusals} = await startServer(context, {
     maxUnfinishedBytes: KB,
