Heads of open requests count by the heap that they take

Callers: 800 requests with 2,275 short fields each, all inside the limits, ended an entry, since an open request keeps its head until its answer.

Cause: nothing counted what an open request keeps of its head.

Change: HeldHeads counts it until the response or the connection is closed. A request whose head would take more than an eighth of the room that is left is refused with 503 before anything is sent on. Heads of a few hundred kilobytes of heap reach that long before ordinary ones of a few do; a single one always finds room. Where the refusal would have to wait behind other answers of its connection, the connection is closed.

--- a/packages/control/src/lib/OperatorServer.ts
+++ b/packages/control/src/lib/OperatorServer.ts
@@ -113,6 +113,7 @@
     response: ServerResponse,
   ): Promise<void> {
     try {
+      this.clientLimits.heads.check(request);
       this.checkRequest(request);
       const body = await readHeldBody(request, response, {
         held: this.clientLimits.bodies,
--- a/packages/entry/src/lib/EntryServer.ts
+++ b/packages/entry/src/lib/EntryServer.ts
@@ -76,6 +76,7 @@
     if (request.socket.destroyed) return;
     const exchange = new HttpExchange(request, response, this.clientLimits);
     try {
+      this.clientLimits.heads.check(request);
       await this.findHandler(exchange)(exchange);
     } catch (thrown) {
       const error = toSycamoreheadError(thrown);
--- a/packages/gateway/src/lib/GatewayServer.ts
+++ b/packages/gateway/src/lib/GatewayServer.ts
@@ -186,6 +186,7 @@
     this.openAnswers.add(response, answer);
     const turn = this.turns.wait(response);
     try {
+      clientLimits.heads.check(message);
       this.checkHeaderSize(message);
       const request = decodeRequest(message, names);
       if (!(await turn)) return;
--- a/packages/wire/src/lib/ClientLimits.ts
+++ b/packages/wire/src/lib/ClientLimits.ts
@@ -22,9 +22,12 @@
 const MAX_BUDGET_MB = 1_024;
 /** Part of the bytes held for clients that answers may take. */
 const ANSWER_SHARE = 0.25;
-/** Part of the heap beyond the process's own that heads which are not complete may take; the rest is for garbage. */
+/**
+ * Part of the heap beyond the process's own that heads which are not complete may take, and as much again for
+ * those of open requests; the rest is for garbage.
+ */
 const HEAD_SHARE = 0.125;
-/** The least heap for them, in megabytes. */
+/** The least heap for each of both, in megabytes. */
 const MIN_HEAD_MB = 4;
 /** Memory that one open request may take with the answer that is buffered for it, in bytes. */
 const REQUEST_BYTES = 256 * 1024;
@@ -170,7 +173,7 @@
     MIN_HEAD_MB * BYTES_PER_MB,
     (limit - used) * HEAD_SHARE,
   );
-  return {maxUnfinishedBytes: bytes};
+  return {maxUnfinishedBytes: bytes, maxOpenBytes: bytes};
 }
 
 function readOwnMb(): number {
--- a/packages/wire/src/lib/ConnectionGuard.ts
+++ b/packages/wire/src/lib/ConnectionGuard.ts
@@ -113,6 +113,7 @@
     response.once('close', () => {
       markRead();
       if (connection.open.delete(response)) this.openCount -= 1;
+      this.limits.heads.release(response);
       connection.idleSince = performance.now();
       // Moves it behind those that have been idle for longer.
       if (this.connections.delete(socket)) {
@@ -120,6 +121,12 @@
       }
     });
     this.openCount += 1;
+    const hasRoom = this.limits.heads.add(response);
+    if (!hasRoom && connection.open.size > 1) {
+      // Its refusal would wait behind the other answers, and its head with it.
+      this.close(socket, 'too_many_requests');
+      return;
+    }
     if (connection.open.size <= MIN_OPEN_REQUESTS) return;
     if (this.openCount <= this.limits.maxRequests) return;
     this.close(socket, 'too_many_requests');
@@ -199,9 +206,11 @@
     const connection = this.connections.get(socket);
     if (!connection) return;
     this.connections.delete(socket);
+    const {heads} = this.limits;
     this.openCount -= connection.open.size;
+    for (const response of connection.open) heads.release(response);
     connection.open.clear();
-    this.limits.heads.setUnfinished(connection.fields, 0);
+    heads.setUnfinished(connection.fields, 0);
   }
 
   private close(socket: Socket, refusal: ClientRefusal): void {
--- a/packages/wire/src/lib/HeldBytes.ts
+++ b/packages/wire/src/lib/HeldBytes.ts
@@ -8,6 +8,7 @@
   | 'bytes_without_request'
   | 'idle'
   | 'heads_unfinished'
+  | 'no_room_for_head'
   | 'answers_unread';
 
 /** Progress of a body: a waiting one may not be read until there is room for it. */
--- a/packages/wire/src/test/clientLimits.test.ts
+++ b/packages/wire/src/test/clientLimits.test.ts
@@ -32,6 +32,7 @@
     maxConnections = 100,
     maxRequests = 1_000,
     maxUnfinishedBytes = MB,
+    maxOpenBytes = MB,
     answer = '',
   } = {},
 ): Promise<TestServer> {
@@ -40,8 +41,9 @@
   const record = (refusal: ClientRefusal) => refusals.push(refusal);
   const held = new HeldBytes(8 * MB, record);
   const unread = new UnreadAnswers(MB, record);
-  const heads = new HeldHeads({maxUnfinishedBytes}, record);
+  const heads = new HeldHeads({maxUnfinishedBytes, maxOpenBytes}, record);
   const serve = async (message: IncomingMessage, response: ServerResponse) => {
+    heads.check(message);
     const body = await readHeldBody(message, response, {
       held,
       maxBytes: 4 * MB,
@@ -137,6 +139,27 @@
   assert.deepEqual(refusals, ['heads_unfinished']);
 });
 
+test('a request whose head finds no room is refused, ordinary ones are served, and its end frees the room', async context => {
+  const maxOpenBytes = 464 * KB;
+  const {port, refusals} = await startServer(context, {maxOpenBytes});
+  const fields = 'a:\r\n'.repeat(700);
+  const head = `POST / HTTP/1.1\r\nHost: a\r\n${fields}Content-Length: 1\r\n\r\n`;
+  const first = await openClient(context, port);
+  first.socket.write(head);
+  const second = await openClient(context, port);
+  second.socket.write(head);
+  await waitFor(() => second.received.startsWith('HTTP/1.1 503'));
+  const ordinary = await openClient(context, port);
+  ordinary.socket.write(GET);
+  await waitFor(() => ordinary.received.startsWith('HTTP/1.1 200'));
+  first.socket.write('a');
+  await waitFor(() => first.received.startsWith('HTTP/1.1 200'));
+  const third = await openClient(context, port);
+  third.socket.write(`${head}a`);
+  await waitFor(() => third.received.startsWith('HTTP/1.1 200'));
+  assert.deepEqual(refusals, ['no_room_for_head']);
+});
+
 test('the last bytes of a large body do not count as a head', async context => {
   const {port, refusals} = await startServer(context, {
     maxUnfinishedBytes: KB,
