Bodies in very small chunks are read in turn

Callers: while some connections send one-byte chunks without pause, ordinary requests get no answer; the process lives, its loop does not come round.

Cause: a chunk costs a call whatever its size, so that one read of 64 KB takes about 10 ms, and each turn of the event loop reads from all connections.

Change: a body of which more than 4 KB of a read carry no data is paused (InputTurns), and one of them is read on in each turn of the event loop. BodyFlow pauses a connection for several reasons, room among them; where node:http itself has paused it or resumes it, that is respected.

--- /dev/null
+++ b/packages/wire/src/lib/BodyFlow.ts
@@ -0,0 +1,62 @@
+import type {IncomingMessage} from 'node:http';
+
+/** Why a body is not read on: there is no room for it, or it waits for its turn. */
+type PauseReason = 'room' | 'turn';
+
+const flows = new WeakMap<IncomingMessage, BodyFlow>();
+
+/**
+ * Returns the flow of the body of a request.
+ *
+ * @example
+ * ```ts
+ * getBodyFlow(message).pause('room');
+ * ```
+ * @internal
+ */
+export function getBodyFlow(message: IncomingMessage): BodyFlow {
+  const known = flows.get(message);
+  if (known) return known;
+  const flow = new BodyFlow(message);
+  flows.set(message, flow);
+  return flow;
+}
+
+/**
+ * Pauses the connection of a request while its body may not be read on, for any reason. The message stays in
+ * flow, so that the chunks that have been read already are copied rather than queued one by one.
+ *
+ * @internal
+ */
+class BodyFlow {
+  /** Bytes of the body that have been read. */
+  readBytes = 0;
+  private readonly reasons = new Set<PauseReason>();
+  /** Whether this flow has paused the connection, and not the server because of answers that are not read. */
+  private hasPaused = false;
+
+  constructor(private readonly message: IncomingMessage) {}
+
+  pause(reason: PauseReason): void {
+    if (this.reasons.has(reason)) return;
+    this.reasons.add(reason);
+    this.message._read = () => {};
+    // Reading the chunk may have scheduled to resume the socket, which a pause before that does not prevent.
+    process.nextTick(() => this.applyPause());
+  }
+
+  resume(reason: PauseReason): void {
+    if (!this.reasons.delete(reason) || this.reasons.size > 0) return;
+    Reflect.deleteProperty(this.message, '_read');
+    if (this.hasPaused) this.message.socket.resume();
+    this.hasPaused = false;
+  }
+
+  /** Pauses the connection again if the server has resumed it meanwhile. */
+  applyPause(): void {
+    const {socket} = this.message;
+    if (this.reasons.size === 0 || socket.isPaused()) return;
+    this.hasPaused = true;
+    socket.pause();
+  }
+}
--- a/packages/wire/src/lib/ClientLimits.ts
+++ b/packages/wire/src/lib/ClientLimits.ts
@@ -8,6 +8,7 @@
 import {ClientRefusal, HeldBytes} from './HeldBytes.js';
 import {HeldHeads} from './HeldHeads.js';
 import type {HeadBudget} from './HeldHeads.js';
+import {InputTurns} from './InputTurns.js';
 import {UnreadAnswers} from './UnreadAnswers.js';
 
 const BYTES_PER_MB = 1024 * 1024;
@@ -68,6 +69,7 @@
   readonly bodies: HeldBytes;
   readonly answers: UnreadAnswers;
   readonly heads: HeldHeads;
+  private readonly turns = new InputTurns();
   private readonly maxConnections: number;
   private readonly maxRequests: number;
   private readonly guards: ConnectionGuard[] = [];
@@ -137,8 +139,8 @@
     headLimit?: HeadLimit,
   ): void {
     const record = (refusal: ClientRefusal) => this.recordRefusal(refusal);
-    const {maxRequests, heads} = this;
-    const limits = {maxConnections, maxRequests, heads, headLimit};
+    const {maxRequests, heads, turns} = this;
+    const limits = {maxConnections, maxRequests, heads, turns, headLimit};
     this.guards.push(new ConnectionGuard(server, limits, record));
   }
 
--- a/packages/wire/src/lib/ConnectionGuard.ts
+++ b/packages/wire/src/lib/ConnectionGuard.ts
@@ -1,12 +1,16 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {Server as TlsServer} from 'node:tls';
+import {getBodyFlow} from './BodyFlow.js';
 import type {ClientRefusal} from './HeldBytes.js';
+import {InputTurns} from './InputTurns.js';
 import {HeldHeads} from './HeldHeads.js';
 import {UnfinishedFields} from './UnfinishedFields.js';
 
 /** Bytes that a connection may send without beginning a request that is accepted. */
 const MAX_BYTES_WITHOUT_REQUEST = 256 * 1024;
+/** Bytes of what the server reads at once that may carry no data before the body waits for its turn. */
+const MAX_FRAMING_BYTES = 4 * 1024;
 /** Requests that each connection may have open, however many there are in all. */
 const MIN_OPEN_REQUESTS = 8;
 /** Time between checks of all connections, in milliseconds. */
@@ -31,6 +35,8 @@
   readonly maxRequests: number;
   /** The account of heads of all ports. */
   readonly heads: HeldHeads;
+  /** The turns of bodies that are costly to parse, of all ports. */
+  readonly turns: InputTurns;
   /** Absent where the parser's own limit is the only one. */
   readonly headLimit?: HeadLimit;
 }
@@ -44,6 +50,8 @@
   /** Whether the last bytes were those of a body that was not complete then. */
   isInBody: boolean;
   readonly fields: UnfinishedFields;
+  /** Bytes of the data of the body that is being read. */
+  dataBytes: number;
 }
 
 /**
@@ -93,10 +101,11 @@
       idleSince: performance.now(),
       isInBody: false,
       fields: new UnfinishedFields(socket),
+      dataBytes: 0,
     });
     socket.once('close', () => this.release(socket));
     // The listener of the server comes first, so that its parser has read the bytes.
-    socket.on('data', () => this.countInput(socket));
+    socket.on('data', (bytes: Buffer) => this.countInput(socket, bytes));
     if (this.connections.size <= this.limits.maxConnections) return;
     this.close(this.findIdle() ?? socket, 'too_many_connections');
   }
@@ -110,6 +119,7 @@
     // The bytes of its body count with the request.
     message.once('end', markRead);
     connection.open.add(response);
+    connection.dataBytes = 0;
     response.once('close', () => {
       markRead();
       if (connection.open.delete(response)) this.openCount -= 1;
@@ -133,12 +143,12 @@
   }
 
   /** Counts bytes that the server has just read. */
-  private countInput(socket: Socket): void {
+  private countInput(socket: Socket, {length}: Buffer): void {
     const connection = this.connections.get(socket);
     if (!connection) return;
     const message = findUnreadBody(connection);
     if (message) {
-      this.countTrailers(socket, connection);
+      this.countBody(socket, connection, message, length);
     } else {
       // The body has ended with these bytes.
       if (connection.isInBody) connection.readBytes = socket.bytesRead;
@@ -162,11 +172,23 @@
     if (!socket.destroyed && socket.writable) headLimit.refuse(socket);
   }
 
-  /** Counts what the server keeps of trailers, behind a body that is not complete. */
-  private countTrailers(socket: Socket, connection: Connection): void {
+  /** Counts the bytes of a body in chunks that carry no data, and its trailers. */
+  private countBody(
+    socket: Socket,
+    connection: Connection,
+    message: IncomingMessage,
+    length: number,
+  ): void {
+    const flow = getBodyFlow(message);
+    flow.applyPause();
     connection.readBytes = socket.bytesRead;
+    if (message.headers['transfer-encoding'] === undefined) return;
+    const dataBytes = flow.readBytes + message.readableLength;
+    const framingBytes = length - (dataBytes - connection.dataBytes);
+    connection.dataBytes = dataBytes;
     const fieldBytes = connection.fields.measure();
     this.limits.heads.setUnfinished(connection.fields, fieldBytes);
+    if (framingBytes > MAX_FRAMING_BYTES) this.limits.turns.wait(message);
   }
 
   private findIdle(): Socket | undefined {
--- a/packages/wire/src/lib/readHeldBody.ts
+++ b/packages/wire/src/lib/readHeldBody.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {SycamoreheadError} from '@sycamorehead/schema';
 import type {ErrorKind} from '@sycamorehead/schema';
+import {getBodyFlow} from './BodyFlow.js';
 import {GrowingBuffer} from './GrowingBuffer.js';
 import type {ClientRefusal, HeldBody, HeldBytes} from './HeldBytes.js';
 
@@ -78,7 +79,7 @@
 class HeldBodyReader {
   private buffer = new GrowingBuffer();
   private readonly body: HeldBody;
-  private isPaused = false;
+  private readonly flow;
   private reject: (error: SycamoreheadError) => void = () => {};
 
   constructor(
@@ -86,6 +87,7 @@
     private readonly options: HeldBodyOptions,
     length: number | undefined,
   ) {
+    this.flow = getBodyFlow(message);
     this.body = options.held.openBody(
       length ?? options.maxBytes,
       {
@@ -113,7 +115,7 @@
       this.close();
       // The bytes that still arrive are not kept.
       message.off('data', this.append);
-      this.pause();
+      this.flow.pause('room');
       throw error;
     } finally {
       clearTimeout(timer);
@@ -130,37 +132,20 @@
 
   private readonly append = (chunk: Buffer): void => {
     const {held, maxBytes} = this.options;
-    const {body, buffer} = this;
+    const {body, buffer, flow} = this;
+    flow.readBytes += chunk.length;
     if (buffer.length + chunk.length > maxBytes) {
       this.reject(buildTooLarge(this.options));
       return;
     }
     buffer.append(chunk);
     held.addBytes(body, chunk.length);
-    if (body.state === 'waiting') this.pause();
+    if (body.state === 'waiting') this.flow.pause('room');
   };
 
-  /**
-   * Stops to read from the connection. The message stays in flow, so that the chunks that have been read
-   * already are copied rather than queued one by one.
-   */
-  private pause(): void {
-    if (this.isPaused) return;
-    this.isPaused = true;
-    const {message} = this;
-    message._read = () => {};
-    // Reading the chunk may have scheduled to resume the socket, which a pause before that does not prevent.
-    process.nextTick(() => {
-      if (this.isPaused) message.socket.pause();
-    });
-  }
-
   private resume(capacity: number): void {
     this.buffer.reserve(capacity);
-    if (!this.isPaused) return;
-    this.isPaused = false;
-    Reflect.deleteProperty(this.message, '_read');
-    this.message.socket.resume();
+    this.flow.resume('room');
   }
 
   private expire(): void {
--- a/packages/wire/src/test/clientLimits.test.ts
+++ b/packages/wire/src/test/clientLimits.test.ts
@@ -9,6 +9,7 @@
 import {ConnectionGuard} from '../lib/ConnectionGuard.js';
 import {ClientRefusal, HeldBytes} from '../lib/HeldBytes.js';
 import {HeldHeads} from '../lib/HeldHeads.js';
+import {InputTurns} from '../lib/InputTurns.js';
 import {readHeldBody} from '../lib/readHeldBody.js';
 import {UnreadAnswers} from '../lib/UnreadAnswers.js';
 
@@ -67,6 +68,7 @@
       maxConnections,
       maxRequests,
       heads,
+      turns: new InputTurns(),
     },
     record,
   );
@@ -160,6 +162,26 @@
   assert.deepEqual(refusals, ['no_room_for_head']);
 });
 
+test('many bodies in one-byte chunks arrive unchanged, and an ordinary request is served between them', async context => {
+  const {port, bodies} = await startServer(context);
+  const letters = 'abcdefghij'.repeat(10 * KB);
+  const chunks = [...letters].map(letter => `1\r\n${letter}\r\n`).join('');
+  const clients: TestClient[] = [];
+  for (let index = 0; index < 8; index += 1) {
+    const client = await openClient(context, port);
+    client.socket.write(`${CHUNKED_HEAD}${chunks}0\r\n\r\n`);
+    clients.push(client);
+  }
+  const ordinary = await openClient(context, port);
+  ordinary.socket.write(GET);
+  await waitFor(() => ordinary.received !== '');
+  assert.ok(bodies.length < clients.length, `${bodies.length} came first`);
+  await waitFor(() => clients.every(({received}) => received !== ''));
+  for (const body of bodies.filter(({length}) => length > 0)) {
+    assert.equal(body.toString(), letters);
+  }
+});
+
 test('the last bytes of a large body do not count as a head', async context => {
   const {port, refusals} = await startServer(context, {
     maxUnfinishedBytes: KB,
