Bodies in chunks without any data are closed

Suspected by reading, not seen to fail a process: the size of a chunk may go on without end (leading zeros), at the speed of the link, and no account counts such bytes. 110 connections that do so did not keep ordinary requests from being served, before or now.

Cause: bytes of a body counted only where they carry data.

Change: a connection is closed after 256 KB of a chunked body without a byte of data, like one that sends 256 KB without a request.

Result: the new unit test (512 KB of zeros) waited without end before and passes now.

--- a/packages/wire/src/lib/ConnectionGuard.ts
+++ b/packages/wire/src/lib/ConnectionGuard.ts
@@ -9,6 +9,8 @@
 
 /** Bytes that a connection may send without beginning a request that is accepted. */
 const MAX_BYTES_WITHOUT_REQUEST = 256 * 1024;
+/** Bytes of a body that a connection may send without any data. */
+const MAX_BYTES_WITHOUT_DATA = 256 * 1024;
 /** Bytes of what the server reads at once that may carry no data before the body waits for its turn. */
 const MAX_FRAMING_BYTES = 4 * 1024;
 /** Requests that each connection may have open, however many there are in all. */
@@ -50,8 +52,9 @@
   /** Whether the last bytes were those of a body that was not complete then. */
   isInBody: boolean;
   readonly fields: UnfinishedFields;
-  /** Bytes of the data of the body that is being read. */
+  /** Bytes of the data of the body that is being read, and of what has arrived since the last of them. */
   dataBytes: number;
+  silentBytes: number;
 }
 
 /**
@@ -102,6 +105,7 @@
       isInBody: false,
       fields: new UnfinishedFields(socket),
       dataBytes: 0,
+      silentBytes: 0,
     });
     socket.once('close', () => this.release(socket));
     // The listener of the server comes first, so that its parser has read the bytes.
@@ -120,6 +124,7 @@
     message.once('end', markRead);
     connection.open.add(response);
     connection.dataBytes = 0;
+    connection.silentBytes = 0;
     response.once('close', () => {
       markRead();
       if (connection.open.delete(response)) this.openCount -= 1;
@@ -185,7 +190,13 @@
     if (message.headers['transfer-encoding'] === undefined) return;
     const dataBytes = flow.readBytes + message.readableLength;
     const framingBytes = length - (dataBytes - connection.dataBytes);
+    const hasData = dataBytes > connection.dataBytes;
     connection.dataBytes = dataBytes;
+    connection.silentBytes = hasData ? 0 : connection.silentBytes + length;
+    if (connection.silentBytes > MAX_BYTES_WITHOUT_DATA) {
+      this.close(socket, 'bytes_without_data');
+      return;
+    }
     const fieldBytes = connection.fields.measure();
     this.limits.heads.setUnfinished(connection.fields, fieldBytes);
     if (framingBytes > MAX_FRAMING_BYTES) this.limits.turns.wait(message);
--- a/packages/wire/src/lib/HeldBytes.ts
+++ b/packages/wire/src/lib/HeldBytes.ts
@@ -9,6 +9,7 @@
   | 'idle'
   | 'heads_unfinished'
   | 'no_room_for_head'
+  | 'bytes_without_data'
   | 'answers_unread';
 
 /** Progress of a body: a waiting one may not be read until there is room for it. */
--- a/packages/wire/src/test/clientLimits.test.ts
+++ b/packages/wire/src/test/clientLimits.test.ts
@@ -162,6 +162,16 @@
   assert.deepEqual(refusals, ['no_room_for_head']);
 });
 
+test('a body that sends the size of a chunk without end is closed', async context => {
+  const {port, refusals} = await startServer(context);
+  const {socket} = await openClient(context, port);
+  const closed = waitForClose(socket);
+  socket.write(CHUNKED_HEAD);
+  socket.write('0'.repeat(512 * KB));
+  await closed;
+  assert.deepEqual(refusals, ['bytes_without_data']);
+});
+
 test('many bodies in one-byte chunks arrive unchanged, and an ordinary request is served between them', async context => {
   const {port, bodies} = await startServer(context);
   const letters = 'abcdefghij'.repeat(10 * KB);
