Strangers on the peer port that do not read their answers are disconnected

Any client that reaches a peer port: unknown calls as fast as they are answered, whose answers it does not read, end an entry (heap out of memory) within the five seconds that a stranger has for its hello.

Cause: answers wait up to 64 MB for any peer, each in a buffer of its own.

Change: 16 KB until the peer has sent the peer key.

--- a/packages/wire/src/lib/MessageChannel.ts
+++ b/packages/wire/src/lib/MessageChannel.ts
@@ -4,12 +4,19 @@
 
 const log = createLogger('wire');
 
-/** Buffered bytes above which the other end is considered stalled and the socket destroyed. */
-const MAX_UNSENT_BYTES = 64 * 1024 * 1024;
+/** Buffered bytes above which a peer is considered stalled and the socket destroyed. @internal */
+export const MAX_UNSENT_BYTES = 64 * 1024 * 1024;
 
 /** Time for which a closed channel still flushes its buffered messages, in milliseconds. */
 const FLUSH_LIMIT_MS = 500;
 
+/** How a channel treats its other end; may change while it is open. @public */
+export interface ChannelOptions {
+  readonly decoder: FrameDecoder;
+  /** Buffered bytes above which the socket is destroyed. */
+  readonly maxUnsentBytes: number;
+}
+
 /**
  * A bidirectional channel of JSON messages: a socket, or a fake in tests.
  *
@@ -40,7 +47,10 @@
  */
 export function createSocketChannel(
   socket: Socket,
-  decoder = new FrameDecoder(),
+  options: ChannelOptions = {
+    decoder: new FrameDecoder(),
+    maxUnsentBytes: MAX_UNSENT_BYTES,
+  },
 ): MessageChannel {
   socket.setNoDelay(true);
   return {
@@ -48,7 +58,7 @@
       socket.on('data', chunk => {
         onBytes(chunk.length);
         try {
-          for (const message of decoder.push(chunk)) onMessage(message);
+          for (const message of options.decoder.push(chunk)) onMessage(message);
         } catch (error) {
           log('invalid_frame', {error: String(error)});
           socket.destroy();
@@ -60,7 +70,7 @@
     send(message) {
       if (socket.destroyed) return;
       socket.write(encodeFrame(message));
-      if (socket.writableLength > MAX_UNSENT_BYTES) socket.destroy();
+      if (socket.writableLength > options.maxUnsentBytes) socket.destroy();
     },
     close() {
       // Buffered messages are still flushed, unless the other end has stopped reading.
--- a/packages/wire/src/lib/WireServer.ts
+++ b/packages/wire/src/lib/WireServer.ts
@@ -4,7 +4,7 @@
 import {SycamoreheadError, isSameKey} from '@sycamorehead/schema';
 import {startListening} from './startListening.js';
 import {FrameDecoder, MAX_FRAME_BYTES} from './FrameDecoder.js';
-import {createSocketChannel} from './MessageChannel.js';
+import {MAX_UNSENT_BYTES, createSocketChannel} from './MessageChannel.js';
 import {
   DEFAULT_LINK_TIMEOUTS,
   LinkTimeouts,
@@ -21,6 +21,8 @@
 const DRAIN_POLL_MS = 5;
 /** Maximum size of a frame of a peer that has not sent the peer key, in bytes. */
 const MAX_HELLO_BYTES = 16 * 1024;
+/** Maximum number of buffered bytes for a peer that has not sent the peer key. */
+const MAX_STRANGER_UNSENT_BYTES = 16 * 1024;
 /** Time within which a peer has to send the peer key, in milliseconds. */
 const HELLO_TIMEOUT_MS = 5_000;
 /** Links whose peers have not sent the peer key; the oldest gives way to a new one. */
@@ -107,6 +109,7 @@
   private acceptSocket(socket: Socket): void {
     let isAuthenticated = false;
     const decoder = new FrameDecoder(MAX_HELLO_BYTES);
+    const channel = {decoder, maxUnsentBytes: MAX_STRANGER_UNSENT_BYTES};
     const guardedMethods = Object.fromEntries(
       Object.entries(this.options.methods).map(([name, handler]) => [
         name,
@@ -117,7 +120,7 @@
       ]),
     );
     const link = new PeerLink(
-      createSocketChannel(socket, decoder),
+      createSocketChannel(socket, channel),
       {
         ...guardedMethods,
         [HELLO_METHOD]: (hello: Hello) => {
@@ -126,6 +129,7 @@
           }
           isAuthenticated = true;
           decoder.setMaxBytes(MAX_FRAME_BYTES);
+          channel.maxUnsentBytes = MAX_UNSENT_BYTES;
           this.strangers.delete(link);
           link.peerName = String(hello.name);
           log('link_accepted', {peer: link.peerName});
--- a/packages/wire/src/test/PeerLink.test.ts
+++ b/packages/wire/src/test/PeerLink.test.ts
@@ -38,6 +38,28 @@
   await server.stop();
 });
 
+test('a stranger that does not read its answers is disconnected', async () => {
+  const server = new WireServer({
+    host: HOST,
+    port: 0,
+    peerKey: 'k',
+    methods: {},
+  });
+  const socket = connect({host: HOST, port: await server.start()});
+  const closed = new Promise(resolve => socket.once('close', resolve));
+  socket.on('error', () => {});
+  socket.pause();
+  const call = encodeFrame({jsonrpc: '2.0', id: 1, method: 'unknown'});
+  const calls = Buffer.concat(new Array<Buffer>(1_000).fill(call));
+  const send = () => {
+    while (!socket.destroyed && socket.write(calls));
+  };
+  socket.on('drain', send);
+  send();
+  await closed;
+  await server.stop();
+});
+
 test('a silent link closes itself and fails its pending requests', async () => {
   const clock = FakeTimers.install();
   try {
