--- a/packages/gateway/src/lib/VersionSplit.ts
+++ b/packages/gateway/src/lib/VersionSplit.ts
@@ -8,6 +8,7 @@
 } from '@sycamorehead/schema';
 import {hashToShare} from '@sycamorehead/routing';
 import {writeDecision} from '@sycamorehead/telemetry';
+import {buildSessionKey} from './buildSessionKey.js';
 import type {KnownServer} from './KnownServer.js';
 
 /** Maximum number of sessions that are tracked; the least recently used one is evicted. */
@@ -37,6 +38,8 @@
 
 interface SessionPin {
   variant: VersionVariant;
+  /** The share of a roll-out from which on the session belongs to the new version. */
+  readonly draw: number;
   usedAt: number;
 }
 
@@ -121,9 +124,14 @@
     const rollout = this.rollouts.get(service);
     const variant = this.findVariant(service, session, requestId);
     if (session === undefined) return variant;
-    const key = `${service} ${session}`;
-    this.pinSession(key, variant);
-    if (rollout && isKept(rollout, session, variant)) this.keep(key);
+    const key = buildSessionKey(service, session);
+    const pin = {
+      variant,
+      draw: hashToShare(session),
+      usedAt: performance.now(),
+    };
+    this.pinSession(key, pin);
+    if (rollout && isKept(rollout, pin)) this.keep(key);
     return variant;
   }
 
@@ -299,7 +307,7 @@
     session: string | undefined,
   ): VersionVariant | undefined {
     if (session === undefined) return undefined;
-    const key = `${service} ${session}`;
+    const key = buildSessionKey(service, session);
     const now = performance.now();
     const pin = this.sessions.get(key);
     if (pin && now - pin.usedAt <= this.pinMs) return pin.variant;
@@ -317,11 +325,10 @@
   /** Keeps the running sessions on the old version that a new share would move. */
   private keepSessions(rollout: ServiceRollout): void {
     const prefix = `${rollout.service} `;
-    for (const [key, {variant, usedAt}] of this.sessions) {
+    for (const [key, pin] of this.sessions) {
       if (!key.startsWith(prefix)) continue;
-      if (performance.now() - usedAt > this.pinMs) continue;
-      const session = key.slice(prefix.length);
-      if (isKept(rollout, session, variant)) this.kept.set(key, usedAt);
+      if (performance.now() - pin.usedAt > this.pinMs) continue;
+      if (isKept(rollout, pin)) this.kept.set(key, pin.usedAt);
     }
   }
 
@@ -330,9 +337,9 @@
     this.kept.set(key, performance.now());
   }
 
-  private pinSession(key: string, variant: VersionVariant): void {
+  private pinSession(key: string, pin: SessionPin): void {
     this.sessions.delete(key);
-    this.sessions.set(key, {variant, usedAt: performance.now()});
+    this.sessions.set(key, pin);
     evictOldest(this.sessions, MAX_SESSIONS);
   }
 }
@@ -380,14 +387,10 @@
 /** Returns whether a session stays on the old version that others of its share leave. */
 function isKept(
   {phase, isEarly, share}: ServiceRollout,
-  session: string,
-  variant: VersionVariant,
+  {variant, draw}: SessionPin,
 ): boolean {
   return (
-    phase === 'in_progress' &&
-    isEarly &&
-    variant === 'old' &&
-    hashToShare(session) < share
+    phase === 'in_progress' && isEarly && variant === 'old' && draw < share
   );
 }
 
--- a/packages/gateway/src/test/versionSplit.test.ts
+++ b/packages/gateway/src/test/versionSplit.test.ts
@@ -53,6 +53,22 @@
   assert.equal(split.assignVariant('drafts', 'another', 'r3'), 'new');
 });
 
+test('a session with a long name stays on its version, and only a digest of the name is kept and reported', () => {
+  const name = 'session'.repeat(2_000);
+  const first = new VersionSplit(5_000);
+  const second = new VersionSplit(5_000);
+  const rollout = buildRollout({share: 0.999});
+  for (const split of [first, second]) split.update([buildRollout()]);
+  assert.equal(first.assignVariant('drafts', name, 'r1'), 'old');
+  for (const split of [first, second]) split.update([rollout]);
+  assert.equal(first.assignVariant('drafts', name, 'r2'), 'old');
+  const kept = first.listKept();
+  assert.equal(kept.length, 1);
+  assert.ok(kept[0]!.length < 100, `${kept[0]!.length} characters`);
+  second.addKept(kept);
+  assert.equal(second.assignVariant('drafts', name, 'r3'), 'old');
+});
+
 test('a session stays on its version when another entry receives its next request', () => {
   const first = new VersionSplit(5_000);
   const second = new VersionSplit(5_000);
