--- a/packages/fleet/src/lib/LoadExchange.ts
+++ b/packages/fleet/src/lib/LoadExchange.ts
@@ -40,6 +40,9 @@
 /** Time for which digests name an entry that has begun to report here, in milliseconds. */
 const ARRIVAL_MS = 2_000;
 
+/** Maximum number of kept sessions in a digest or a reply, which has to fit into a frame. */
+const MAX_KEPT = 20_000;
+
 /** Time in which the other instances learn of an entry that has begun to report here, in milliseconds. */
 const SETTLING_MS = MAX_INTERVAL_MS + 100;
 /** The same where some of them learn of it from others only. */
@@ -335,7 +338,9 @@
   for (const report of reports) {
     addPrefill(prefill, report.prefill ?? {});
     for (const key of report.leaving ?? []) leaving.add(key);
-    for (const key of report.kept ?? []) kept.add(key);
+    for (const key of report.kept ?? []) {
+      if (kept.size < MAX_KEPT) kept.add(key);
+    }
   }
   return {
     load,
--- a/packages/fleet/src/test/LoadExchange.test.ts
+++ b/packages/fleet/src/test/LoadExchange.test.ts
@@ -3,6 +3,7 @@
 import fakeTimers from '@sinonjs/fake-timers';
 import {PrefillRates} from '@sycamorehead/routing';
 import type {RolloutEvidence} from '@sycamorehead/schema';
+import {MAX_FRAME_BYTES} from '@sycamorehead/wire';
 import type {ExchangeRequest, LoadTable} from '../lib/fleetMessages.js';
 import {LoadExchange} from '../lib/LoadExchange.js';
 import {computeDigestInterval} from '../lib/computeDigestInterval.js';
@@ -65,6 +66,23 @@
   assert.equal(reply.isIsolated, false);
 });
 
+test('the sessions that entries keep fit into a frame, however many entries report', () => {
+  const [first] = buildControls('c1');
+  assert.ok(first);
+  for (let entry = 0; entry < 300; entry += 1) {
+    const kept = Array.from({length: 1_000}, (unused, index) =>
+      `drafts ${entry} ${index}`.padEnd(64, 'x'),
+    );
+    first.exchange(buildReport(`e${entry}`, {}, {kept}));
+  }
+  clock.tick(60);
+  const reply = first.exchange(buildReport('e0', {}));
+  for (const message of [first.describeDigest(), reply]) {
+    assert.ok(message.kept!.length >= 1_000);
+    assert.ok(JSON.stringify(message).length < MAX_FRAME_BYTES);
+  }
+});
+
 test('the load of a lost instance expires, and its entries count once when they report elsewhere', () => {
   const [first, second, third] = buildControls('c1', 'c2', 'c3');
   assert.ok(first && second && third);
--- a/packages/wire/src/lib/PeerLink.ts
+++ b/packages/wire/src/lib/PeerLink.ts
@@ -2,7 +2,9 @@
   JSONRPCClient,
   JSONRPCErrorException,
   JSONRPCRequest,
+  JSONRPCResponse,
   JSONRPCServer,
+  createJSONRPCErrorResponse,
   isJSONRPCRequest,
   isJSONRPCResponse,
 } from 'json-rpc-2.0';
@@ -11,7 +13,7 @@
   readErrorBody,
   toSycamoreheadError,
 } from '@sycamorehead/schema';
-import {createLogger} from '@sycamorehead/telemetry';
+import {createLogger, writeDecision} from '@sycamorehead/telemetry';
 import type {MessageChannel} from './MessageChannel.js';
 
 const log = createLogger('wire');
@@ -214,12 +216,33 @@
     this.serving += 1;
     try {
       const answer = await this.server.receive(message);
-      if (answer && !this.closed) this.channel.send(answer);
+      if (answer && !this.closed) this.sendAnswer(answer);
     } finally {
       this.serving -= 1;
     }
   }
 
+  /** Sends an answer, or why it cannot be sent: the caller would wait, and nobody here handles the error. */
+  private sendAnswer(answer: JSONRPCResponse): void {
+    try {
+      this.channel.send(answer);
+    } catch (error) {
+      const body = toSycamoreheadError(error).toBody();
+      writeDecision('answer_unsent', {
+        peer: this.peerName,
+        reason: body.message,
+      });
+      this.channel.send(
+        createJSONRPCErrorResponse(
+          answer.id,
+          APPLICATION_ERROR,
+          body.message,
+          body,
+        ),
+      );
+    }
+  }
+
   private async runHandler(
     handler: MethodHandler,
     params: unknown,
--- a/packages/wire/src/test/PeerLink.test.ts
+++ b/packages/wire/src/test/PeerLink.test.ts
@@ -4,7 +4,11 @@
 import {test} from 'node:test';
 import {SycamoreheadError} from '@sycamorehead/schema';
 import FakeTimers from '@sinonjs/fake-timers';
-import {FrameDecoder, encodeFrame} from '../lib/FrameDecoder.js';
+import {
+  FrameDecoder,
+  MAX_FRAME_BYTES,
+  encodeFrame,
+} from '../lib/FrameDecoder.js';
 import {MessageChannel} from '../lib/MessageChannel.js';
 import {PeerLink} from '../lib/PeerLink.js';
 import {WireServer} from '../lib/WireServer.js';
@@ -38,6 +42,24 @@
   await server.stop();
 });
 
+test('an answer that exceeds a frame fails its request, and the link goes on', async () => {
+  const server = new WireServer({
+    host: HOST,
+    port: 0,
+    peerKey: 'k',
+    methods: {
+      answerLong: () => 'x'.repeat(MAX_FRAME_BYTES),
+      answerShort: () => 'x',
+    },
+  });
+  const address = {host: HOST, port: await server.start()};
+  const link = await connectPeer({address, name: 'e1', peerKey: 'k'});
+  await assert.rejects(link.request('answerLong', {}), {kind: 'frame_invalid'});
+  assert.equal(await link.request('answerShort', {}), 'x');
+  link.close();
+  await server.stop();
+});
+
 test('a stranger that does not read its answers is disconnected', async () => {
   const server = new WireServer({
     host: HOST,
