A target that is no URL is refused by syc-entry

Callers: GET // ends the entry program of the apps.

Cause: the URL of a request is parsed before the block that answers errors, in a promise that nobody awaits. Found by reading; no crowd is needed.

Change: such a target is answered 400.

--- a/packages/entry/src/lib/EntryServer.ts
+++ b/packages/entry/src/lib/EntryServer.ts
@@ -3,7 +3,7 @@
 import {ClientLimits, startListening} from '@sycamorehead/wire';
 import {SycamoreheadError, toSycamoreheadError} from '@sycamorehead/schema';
 import {TlsMaterial, createLogger} from '@sycamorehead/telemetry';
-import {HttpExchange} from './HttpExchange.js';
+import {HttpExchange, TARGET_BASE} from './HttpExchange.js';
 
 const log = createLogger('http');
 
@@ -74,6 +74,10 @@
     response: ServerResponse,
   ): Promise<void> {
     if (request.socket.destroyed) return;
+    if (!URL.canParse(request.url ?? '/', TARGET_BASE)) {
+      response.writeHead(400, {'content-length': 0}).end();
+      return;
+    }
     const exchange = new HttpExchange(request, response, this.clientLimits);
     try {
       this.clientLimits.heads.check(request);
--- a/packages/entry/src/lib/HttpExchange.ts
+++ b/packages/entry/src/lib/HttpExchange.ts
@@ -14,6 +14,8 @@
 const log = createLogger('answers');
 
 const MAX_KEY_LENGTH = 200;
+/** Base of the URLs of requests, whose targets are paths. @internal */
+export const TARGET_BASE = 'http://entry';
 
 /** One caller's request with its response. @public */
 export class HttpExchange {
@@ -28,7 +30,7 @@
     readonly response: ServerResponse,
     private readonly clientLimits: ClientLimits,
   ) {
-    this.url = new URL(request.url ?? '/', 'http://entry');
+    this.url = new URL(request.url ?? '/', TARGET_BASE);
     const disconnection = new AbortController();
     this.callerDisconnected = disconnection.signal;
     response.on('close', () => {
