--- a/packages/wire/src/lib/ConnectionGuard.ts
+++ b/packages/wire/src/lib/ConnectionGuard.ts
@@ -3,8 +3,8 @@
 import {Server as TlsServer} from 'node:tls';
 import {getBodyFlow} from './BodyFlow.js';
 import type {ClientRefusal} from './HeldBytes.js';
-import {InputTurns} from './InputTurns.js';
 import {HeldHeads} from './HeldHeads.js';
+import type {InputTurns} from './InputTurns.js';
 import {UnfinishedFields} from './UnfinishedFields.js';
 
 /** Bytes that a connection may send without beginning a request that is accepted. */
@@ -52,16 +52,18 @@
   /** Whether the last bytes were those of a body that was not complete then. */
   isInBody: boolean;
   readonly fields: UnfinishedFields;
-  /** Bytes of the data of the body that is being read, and of what has arrived since the last of them. */
+  /** Bytes of data of the body that is being read. */
   dataBytes: number;
+  /** Bytes that have arrived since the last data of that body. */
   silentBytes: number;
 }
 
 /**
  * Bounds the connections of one HTTP server: their number, the requests of each one, and the bytes, the
- * heap and the time that each may take without a request. It answers many connections that stay open without a request,
- * heads and empty lines without end, and requests sent one behind the other. Above the maximum, the
- * connection without a request for the longest time gives way to a new one.
+ * heap and the time that each may take without a request. It answers many connections that stay open
+ * without a request, heads, trailers and empty lines without end, bodies that cost much to parse, and
+ * requests sent one behind the other. Above the maximum, the connection without a request for the longest
+ * time gives way to a new one.
  *
  * @public
  */
@@ -185,6 +187,7 @@
     length: number,
   ): void {
     const flow = getBodyFlow(message);
+    // The server may have resumed the connection.
     flow.applyPause();
     connection.readBytes = socket.bytesRead;
     if (message.headers['transfer-encoding'] === undefined) return;
--- a/packages/wire/src/lib/readHeldBody.ts
+++ b/packages/wire/src/lib/readHeldBody.ts
@@ -79,6 +79,7 @@
 class HeldBodyReader {
   private buffer = new GrowingBuffer();
   private readonly body: HeldBody;
+  /** Counts what has been read and pauses the connection while there is no room. */
   private readonly flow;
   private reject: (error: SycamoreheadError) => void = () => {};
 
