A body that waits for its turn is read on if the server had paused it

Cause: where node:http had paused the connection, because the message was not read yet, BodyFlow left it to the message to ask for more; but the message asked during the pause, when its _read did nothing, and asks once.

Change: what the message asked for during a pause is passed on at its end. What the server itself has paused for answers that nobody reads stays paused, since _read respects that.

--- a/packages/wire/src/lib/BodyFlow.ts
+++ b/packages/wire/src/lib/BodyFlow.ts
@@ -32,7 +32,9 @@
   /** Bytes of the body that have been read. */
   readBytes = 0;
   private readonly reasons = new Set<PauseReason>();
-  /** Whether this flow has paused the connection, and not the server because of answers that are not read. */
+  /** Whether the message has asked for more during the pause. */
+  private isAsked = false;
+  /** Whether this flow has paused the connection, which the server had not. */
   private hasPaused = false;
 
   constructor(private readonly message: IncomingMessage) {}
@@ -40,7 +42,7 @@
   pause(reason: PauseReason): void {
     if (this.reasons.has(reason)) return;
     this.reasons.add(reason);
-    this.message._read = () => {};
+    this.message._read = () => (this.isAsked = true);
     // Reading the chunk may have scheduled to resume the socket, which a pause before that does not prevent.
     process.nextTick(() => this.applyPause());
   }
@@ -48,8 +50,11 @@
   resume(reason: PauseReason): void {
     if (!this.reasons.delete(reason) || this.reasons.size > 0) return;
     Reflect.deleteProperty(this.message, '_read');
-    if (this.hasPaused) this.message.socket.resume();
+    const {message, isAsked, hasPaused} = this;
+    this.isAsked = false;
     this.hasPaused = false;
+    if (isAsked) message._read(0);
+    else if (hasPaused) message.socket.resume();
   }
 
   /** Pauses the connection again if the server has resumed it meanwhile. */
--- a/packages/wire/src/test/clientLimits.test.ts
+++ b/packages/wire/src/test/clientLimits.test.ts
@@ -34,6 +34,7 @@
     maxRequests = 1_000,
     maxUnfinishedBytes = MB,
     maxOpenBytes = MB,
+    readDelayMs = 0,
     answer = '',
   } = {},
 ): Promise<TestServer> {
@@ -45,6 +46,7 @@
   const heads = new HeldHeads({maxUnfinishedBytes, maxOpenBytes}, record);
   const serve = async (message: IncomingMessage, response: ServerResponse) => {
     heads.check(message);
+    if (readDelayMs > 0) await sleep(readDelayMs);
     const body = await readHeldBody(message, response, {
       held,
       maxBytes: 4 * MB,
@@ -192,6 +194,22 @@
   }
 });
 
+for (const readDelayMs of [0, 20]) {
+  for (const size of [1, 2, 4, 8, 16, 32, 64, 256]) {
+    test(`a body in chunks of ${size} bytes that is read after ${readDelayMs} ms arrives unchanged`, async context => {
+      const {port, bodies} = await startServer(context, {readDelayMs});
+      const piece = 'abcdefgh'.repeat(32).slice(0, size);
+      const count = (400 * KB) / size;
+      const client = await openClient(context, port);
+      const chunk = `${size.toString(16)}\r\n${piece}\r\n`;
+      client.socket.write(`${CHUNKED_HEAD}${chunk.repeat(count)}0\r\n\r\n`);
+      await waitFor(() => client.received !== '');
+      assert.match(client.received, /^HTTP\/1\.1 200 /);
+      assert.ok(bodies[0]!.equals(Buffer.from(piece.repeat(count))));
+    });
+  }
+}
+
 test('the last bytes of a large body do not count as a head', async context => {
   const {port, refusals} = await startServer(context, {
     maxUnfinishedBytes: KB,
