--- a/packages/wire/src/lib/BodyFlow.ts
+++ b/packages/wire/src/lib/BodyFlow.ts
@@ -29,8 +29,12 @@
  * @internal
  */
 class BodyFlow {
-  /** Bytes of the body that have been read. */
+  /** Bytes of data that have been read. */
   readBytes = 0;
+  /** Bytes of the connection that have arrived since the last data. */
+  silentBytes = 0;
+  /** Bytes of data when the connection was read last. */
+  private countedBytes = 0;
   private readonly reasons = new Set<PauseReason>();
   /** Whether the message has asked for more during the pause. */
   private isAsked = false;
@@ -39,6 +43,15 @@
 
   constructor(private readonly message: IncomingMessage) {}
 
+  /** Counts bytes of the connection that the server has just read, and returns how many carry no data. */
+  countInput(bytes: number): number {
+    const dataBytes = this.readBytes + this.message.readableLength;
+    const addedBytes = dataBytes - this.countedBytes;
+    this.countedBytes = dataBytes;
+    this.silentBytes = addedBytes > 0 ? 0 : this.silentBytes + bytes;
+    return bytes - addedBytes;
+  }
+
   pause(reason: PauseReason): void {
     if (this.reasons.has(reason)) return;
     this.reasons.add(reason);
--- a/packages/wire/src/lib/ConnectionGuard.ts
+++ b/packages/wire/src/lib/ConnectionGuard.ts
@@ -52,10 +52,6 @@
   /** Whether the last bytes were those of a body that was not complete then. */
   isInBody: boolean;
   readonly fields: UnfinishedFields;
-  /** Bytes of data of the body that is being read. */
-  dataBytes: number;
-  /** Bytes that have arrived since the last data of that body. */
-  silentBytes: number;
 }
 
 /**
@@ -106,8 +102,6 @@
       idleSince: performance.now(),
       isInBody: false,
       fields: new UnfinishedFields(socket),
-      dataBytes: 0,
-      silentBytes: 0,
     });
     socket.once('close', () => this.release(socket));
     // The listener of the server comes first, so that its parser has read the bytes.
@@ -122,11 +116,7 @@
     if (!connection) return;
     const markRead = () => (connection.readBytes = socket.bytesRead);
     markRead();
-    // The bytes of its body count with the request.
-    message.once('end', markRead);
     connection.open.add(response);
-    connection.dataBytes = 0;
-    connection.silentBytes = 0;
     response.once('close', () => {
       markRead();
       if (connection.open.delete(response)) this.openCount -= 1;
@@ -191,12 +181,8 @@
     flow.applyPause();
     connection.readBytes = socket.bytesRead;
     if (message.headers['transfer-encoding'] === undefined) return;
-    const dataBytes = flow.readBytes + message.readableLength;
-    const framingBytes = length - (dataBytes - connection.dataBytes);
-    const hasData = dataBytes > connection.dataBytes;
-    connection.dataBytes = dataBytes;
-    connection.silentBytes = hasData ? 0 : connection.silentBytes + length;
-    if (connection.silentBytes > MAX_BYTES_WITHOUT_DATA) {
+    const framingBytes = flow.countInput(length);
+    if (flow.silentBytes > MAX_BYTES_WITHOUT_DATA) {
       this.close(socket, 'bytes_without_data');
       return;
     }
@@ -218,13 +204,8 @@
 
   private checkConnections(): void {
     const idleBefore = performance.now() - this.idleLimitMs;
-    for (const [socket, connection] of this.connections) {
-      const {open, idleSince} = connection;
-      if (findUnreadBody(connection)) {
-        connection.readBytes = socket.bytesRead;
-      } else if (open.size === 0 && idleSince < idleBefore) {
-        this.close(socket, 'idle');
-      }
+    for (const [socket, {open, idleSince}] of this.connections) {
+      if (open.size === 0 && idleSince < idleBefore) this.close(socket, 'idle');
     }
   }
 
@@ -250,12 +231,11 @@
   }
 
   private close(socket: Socket, refusal: ClientRefusal): void {
-    if (socket.destroyed) return;
+    const connection = this.connections.get(socket);
+    if (!connection || socket.destroyed) return;
     this.onRefusal(refusal);
-    const fields = this.connections.get(socket)?.fields;
     this.release(socket);
-    if (fields) fields.close();
-    else socket.destroy();
+    connection.fields.close();
   }
 }
 
--- a/packages/wire/src/testing/HostileCrowd.ts
+++ b/packages/wire/src/testing/HostileCrowd.ts
@@ -1,6 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {Socket, connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {encodeFrame} from '../lib/FrameDecoder.js';
 
 /**
  * What each connection of a crowd sends before it stays open. With `unread_answers` and `unread_frames` it
@@ -48,7 +49,7 @@
 const SHORT_FIELD = 'ab:cd\r\n';
 const NAME_RADIX = 36;
 const CHUNK_SIZE_ZEROS = Buffer.alloc(PIECE_BYTES, '0');
-const UNKNOWN_CALL = buildFrame({jsonrpc: '2.0', id: 1, method: 'unknown'});
+const UNKNOWN_CALL = encodeFrame({jsonrpc: '2.0', id: 1, method: 'unknown'});
 const UNKNOWN_CALLS = Buffer.concat(new Array<Buffer>(64).fill(UNKNOWN_CALL));
 /** Bytes of the name of a session that fit into a head within the limits. */
 const SESSION_BYTES = 15_000;
@@ -76,13 +77,6 @@
   ]);
 }
 
-function buildFrame(message: object): Buffer {
-  const body = Buffer.from(JSON.stringify(message));
-  const length = Buffer.alloc(4);
-  length.writeUInt32BE(body.length, 0);
-  return Buffer.concat([length, body]);
-}
-
 /** Repeats the shortest field that a head or trailers may have. */
 function buildShortFields(bytes: number): Buffer {
   return Buffer.from(
